--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Sets up a virtual environment from pinned packages and runs the project's jobs.
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: setup demo test check format
+setup: .venv/ready
+
+.venv/ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch .venv/ready
+
+demo: setup
+	$(BIN)/python scripts/demo.py
+
+check: setup
+	$(BIN)/ruff format --check src tests scripts examples
+	$(BIN)/ruff check src tests scripts examples
+	$(BIN)/mypy src scripts
+
+test: check
+	$(BIN)/pytest -q
+
+format: setup
+	$(BIN)/ruff format src tests scripts examples
+	$(BIN)/ruff check --fix src tests scripts examples
--- /dev/null
+++ b/src/arbutuspulley/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: thin clients that fill in the ports over HTTP."""
--- /dev/null
+++ b/src/arbutuspulley/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: fair shares, waiting and refusal of requests."""
--- /dev/null
+++ b/src/arbutuspulley/clock.py
@@ -0,0 +1,44 @@
+"""Time in whole milliseconds, the only unit of time inside the system."""
+
+import time
+from collections.abc import Callable
+
+SECOND_MS = 1_000
+"""Milliseconds in a second."""
+
+
+class Clock:
+    """A monotonic clock read in milliseconds.
+
+    Decisions never hold a clock: the shell around them reads one and passes
+    ``now`` along, so that a test can set any time it likes.
+
+    :param read: returns the current reading in milliseconds; it must never go
+        back. The default is the machine's monotonic clock.
+    """
+
+    __slots__ = ("_read",)
+
+    def __init__(self, *, read: Callable[[], int] | None = None) -> None:
+        self._read = read or _read_monotonic
+
+    def now(self) -> int:
+        """Return the current reading.
+
+        :return: milliseconds since an arbitrary start; only differences count.
+        """
+        return self._read()
+
+
+def _read_monotonic() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
+def read_wall() -> int:
+    """Return the calendar time, for display and log lines only.
+
+    Wall clocks of two instances may disagree, so no decision uses this.
+
+    :return: milliseconds since the Unix epoch.
+    """
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/src/arbutuspulley/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: files, merging, changes, and the version in force."""
--- /dev/null
+++ b/src/arbutuspulley/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: session leases and ownership of servers."""
--- /dev/null
+++ b/src/arbutuspulley/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement: which server holds which item, and the memory ledger."""
--- /dev/null
+++ b/src/arbutuspulley/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Ports: what decisions see of the platform and of backend servers."""
--- /dev/null
+++ b/src/arbutuspulley/ports/engines.py
@@ -0,0 +1,233 @@
+"""The port to backend servers: model engines and plain services.
+
+All verbs block and are called from worker threads, never from the loop. The
+numbers a decision uses (load, memory) come from :class:`Report` and are always
+somewhat old.
+"""
+
+import enum
+from collections.abc import Callable, Iterator
+
+from arbutuspulley.data import Value
+from arbutuspulley.results import ArbutusError, Code
+
+
+class OrderKind(enum.StrEnum):
+    """What an order asks a server to do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+class ItemState(enum.StrEnum):
+    """State of a loaded item as a server reports it."""
+
+    LOADING = "loading"
+    LOADED = "loaded"
+    UNLOADING = "unloading"
+
+
+class Order(Value, frozen=True):
+    """An order to a server.
+
+    :param item: ``model@version`` or, for an adapter, ``adapter@version``.
+    :param base: for an adapter, the item of the model that it extends.
+    :param memory_mib: what the item occupies, KV cache floor included.
+    :param fence: the owner's fencing number for this server; it only grows.
+    :param number: numbers orders of one server in sequence, across owners.
+    """
+
+    kind: OrderKind
+    item: str
+    memory_mib: int
+    fence: int
+    number: int
+    base: str = ""
+
+
+class OrderOutcome(enum.StrEnum):
+    """What a server said to an order."""
+
+    ACCEPTED = "accepted"
+    STALE = "stale"
+    REFUSED = "refused"
+
+
+class OrderReply(Value, frozen=True):
+    """A server's answer to an order.
+
+    ``STALE``: its fencing number or number is older than one already seen.
+    ``REFUSED``: it cannot be done, for example for lack of memory.
+    """
+
+    outcome: OrderOutcome
+    detail: str = ""
+
+
+class ReportedItem(Value, frozen=True):
+    """One item that occupies a server's memory."""
+
+    item: str
+    state: ItemState
+    memory_mib: int
+    number: int = 0
+
+
+class Report(Value, frozen=True):
+    """A server's own account of itself.
+
+    :param boot_id: changes whenever the engine restarts; its memory is then empty.
+    :param sequence: counts reports within one boot.
+    :param fence: the highest fencing number it has seen (0 if it doesn't check).
+    :param last_order: the highest order number it has applied or refused.
+    :param running: requests in its current batch.
+    :param waiting: requests it has admitted and not begun.
+    :param waiting_tokens: estimated tokens still to be produced or read in.
+    :param tokens_per_s: what it has lately produced.
+    :param age_ms: how old the numbers are, as far as the server knows.
+    """
+
+    server: str
+    boot_id: str
+    sequence: int
+    items: tuple[ReportedItem, ...] = ()
+    memory_total_mib: int = 0
+    memory_used_mib: int = 0
+    running: int = 0
+    waiting: int = 0
+    waiting_tokens: int = 0
+    tokens_per_s: float = 0.0
+    fence: int = 0
+    last_order: int = 0
+    leaving: bool = False
+    age_ms: int = 0
+
+
+class CacheEvent(Value, frozen=True):
+    """A prompt prefix entered or left a server's cache.
+
+    :param sequence: counts events within one boot; a jump shows a gap.
+    :param prefix: hash of the prefix.
+    """
+
+    sequence: int
+    item: str
+    prefix: str
+    stored: bool
+
+
+class InferenceRequest(Value, frozen=True):
+    """One attempt at a request.
+
+    :param path: ``/v1/chat/completions`` or ``/v1/completions``.
+    :param item: the loaded item that must answer.
+    :param body: the caller's body, already checked to be JSON; sent streamed.
+    :param offset: index of the first token wanted; above 0 to resume.
+    :param priority: higher goes first at the server.
+    :param traceparent: W3C trace context.
+    """
+
+    request_id: str
+    attempt_id: str
+    path: str
+    item: str
+    body: bytes
+    offset: int = 0
+    priority: int = 0
+    traceparent: str = ""
+
+
+class Chunk(Value, frozen=True):
+    """One event of an answer.
+
+    :param attempt_id: the attempt that the server says it belongs to.
+    :param offset: index of the token; the end marker has the index after the last.
+    :param data: the event's JSON, as the protocol defines it.
+    :param last: whether this is the end marker; it carries no token.
+    """
+
+    attempt_id: str
+    offset: int
+    data: bytes
+    last: bool = False
+
+
+class ServiceRequest(Value, frozen=True):
+    """A call to a plain service.
+
+    :param path: path and query as the caller sent them, beginning with ``/``.
+    """
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    traceparent: str = ""
+
+
+class ServiceReply(Value, frozen=True):
+    """A plain service's whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class NotSentError(ArbutusError):
+    """No byte of the request left: the server certainly did not run it."""
+
+    def __init__(self, *, detail: str) -> None:
+        super().__init__(code=Code.SERVICE_UNAVAILABLE, detail=detail)
+
+
+class RefusedError(ArbutusError):
+    """The server refused the request before admission: it was not run.
+
+    :param retry_after_ms: when the server would take it, if it said so.
+    :param leaving: whether it refused because it is leaving.
+    :param final: whether no other server would take it either (bad request).
+    """
+
+    def __init__(
+        self,
+        *,
+        detail: str,
+        retry_after_ms: int | None = None,
+        leaving: bool = False,
+        final: bool = False,
+    ) -> None:
+        super().__init__(code=Code.OVERLOADED, detail=detail)
+        self.retry_after_ms = retry_after_ms
+        self.leaving = leaving
+        self.final = final
+
+
+class BrokenError(ArbutusError):
+    """The connection broke after bytes had left: the outcome is not known."""
+
+    def __init__(self, *, detail: str) -> None:
+        super().__init__(code=Code.OUTCOME_UNKNOWN, detail=detail)
+
+
+class Engines(Value, frozen=True):
+    """Verbs towards backend servers; ``address`` is ``host:port``.
+
+    ``infer`` returns once the server has admitted the request. It raises
+    :class:`NotSentError`, :class:`RefusedError` or :class:`BrokenError`; the
+    iterator raises :class:`BrokenError` if the stream ends without its end marker.
+    Closing the iterator closes the connection, which cancels the attempt.
+
+    :param infer: ``infer(address, request)`` yields chunks.
+    :param cancel: ``cancel(address, attempt_id)``.
+    :param report: ``report(address)``.
+    :param order: ``order(address, order)``; raises ``NotSentError``, ``BrokenError``.
+    :param cache_events: ``cache_events(address, after)``.
+    :param call_service: ``call_service(address, request)``; raises as ``infer``.
+    """
+
+    infer: Callable[[str, InferenceRequest], Iterator[Chunk]]
+    cancel: Callable[[str, str], None]
+    report: Callable[[str], Report]
+    order: Callable[[str, Order], OrderReply]
+    cache_events: Callable[[str, int], tuple[CacheEvent, ...]]
+    call_service: Callable[[str, ServiceRequest], ServiceReply]
--- /dev/null
+++ b/src/arbutuspulley/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs: shells around the decisions, one module for each."""
--- /dev/null
+++ b/src/arbutuspulley/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing: which server gets a request, which entry a caller is told."""
--- /dev/null
+++ b/src/arbutuspulley/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Calls between the system's own processes."""
--- /dev/null
+++ b/src/arbutuspulley/settings.py
@@ -0,0 +1,118 @@
+"""Checks of settings, all at once, before a process starts.
+
+A setting is a flag of the program and an environment variable: ``--listen`` of
+``arbutus-entry`` is also ``ARBUTUS_ENTRY_LISTEN``. Parsing is cyclopts' work; the
+checks here look at the parsed values and name every wrong one together.
+"""
+
+import ipaddress
+import sys
+from collections.abc import Callable, Iterable, Sequence
+from typing import NoReturn
+
+from arbutuspulley.results import SettingError
+
+SETTINGS_EXIT_STATUS = 2
+"""Exit status of a process whose settings were refused."""
+
+
+class SettingsError(ExceptionGroup[SettingError]):
+    """All wrong settings of one process."""
+
+    def show(self) -> str:
+        """Return the message for a person, one line a wrong setting."""
+        lines = [f"{self.message}:"]
+        for error in self.exceptions:
+            shown = error.show() if isinstance(error, SettingError) else str(error)
+            lines.append(f"  {shown}")
+        return "\n".join(lines)
+
+
+Check = Callable[[], None]
+"""Raises :class:`SettingError` if a setting is wrong."""
+
+
+def check_all(checks: Iterable[Check]) -> None:
+    """Make every check and report all failures together.
+
+    :raises SettingsError: if any failed.
+    """
+    errors: list[SettingError] = []
+    for check in checks:
+        try:
+            check()
+        except SettingError as error:
+            errors.append(error)
+    if errors:
+        raise SettingsError("settings refused", errors)
+
+
+def check_address(setting: str, value: str) -> Check:
+    """Return a check that a value is ``host:port`` with an IP number as host."""
+
+    def check() -> None:
+        split_address(value, setting=setting)
+
+    return check
+
+
+def check_addresses(setting: str, values: Iterable[str]) -> list[Check]:
+    """Return a check for each of several addresses."""
+    return [check_address(setting, value) for value in values]
+
+
+def check_range(setting: str, value: int, *, least: int, most: int) -> Check:
+    """Return a check that a number lies within bounds."""
+
+    def check() -> None:
+        if not least <= value <= most:
+            raise SettingError(
+                setting=setting, detail=f"{value} is not between {least} and {most}"
+            )
+
+    return check
+
+
+def check_choice(setting: str, value: str, *, choices: Sequence[str]) -> Check:
+    """Return a check that a value is one of a few words."""
+
+    def check() -> None:
+        if value not in choices:
+            raise SettingError(
+                setting=setting, detail=f"{value!r} is not one of {', '.join(choices)}"
+            )
+
+    return check
+
+
+def check_present(setting: str, value: str) -> Check:
+    """Return a check that a value is not empty; the value is never shown."""
+
+    def check() -> None:
+        if not value:
+            raise SettingError(setting=setting, detail="must be set")
+
+    return check
+
+
+def split_address(address: str, *, setting: str = "address") -> tuple[str, int]:
+    """Split ``host:port``.
+
+    :raises SettingError: if the host is no IP number or the port no port.
+    """
+    host, separator, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise SettingError(
+            setting=setting, detail=f"{address!r} is not an IP number and a port"
+        ) from None
+    if not separator or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise SettingError(setting=setting, detail=f"{address!r} has no usable port")
+    return host.strip("[]"), int(port)
+
+
+def exit_refused(error: SettingsError) -> NoReturn:
+    """Show all wrong settings on standard error and end the process."""
+    print(error.show(), file=sys.stderr)
+    raise SystemExit(SETTINGS_EXIT_STATUS)
--- /dev/null
+++ b/src/arbutuspulley/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and backend servers, for demos and tests."""
