--- /dev/null
+++ b/src/arbutuspulley/adapters/platform.py
@@ -0,0 +1,234 @@
+"""The platform's table, objects and instance list over HTTP and JSON."""
+
+from collections.abc import Mapping
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from arbutuspulley.adapters.http import build_pool, is_not_sent
+from arbutuspulley.adapters.platform_messages import (
+    INSTANCES_PATH,
+    OBJECTS_PATH,
+    ROW_PATH,
+    SCAN_PATH,
+    TRANSACT_PATH,
+    Envelope,
+    InstanceList,
+    TransactRequest,
+)
+from arbutuspulley.data import Value
+from arbutuspulley.ports.platform import (
+    Committed,
+    Conflict,
+    InstanceListing,
+    Objects,
+    Page,
+    Platform,
+    Row,
+    Table,
+    Transaction,
+    Write,
+)
+from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
+
+_OK = 200
+_CREATED = 201
+_NOT_FOUND = 404
+_CONFLICT = 409
+_UNAVAILABLE = 503
+
+_Reply = TypeVar("_Reply")
+_JSON_HEADERS = {"Content-Type": "application/json"}
+_BINARY_HEADERS = {"Content-Type": "application/octet-stream"}
+
+
+class _Answer(Value, frozen=True):
+    """Status and body of an HTTP answer that arrived whole."""
+
+    status: int
+    body: bytes
+
+
+def connect_platform(*, address: str, timeout_ms: int = 2_000) -> Platform:
+    """Return the platform's verbs; connections are opened when first needed.
+
+    Reads raise :class:`~arbutuspulley.results.PlatformUnavailableError` whatever
+    went wrong, for a read has no effect. ``transact`` and ``put_if_absent`` raise
+    it only if they certainly had none, and else
+    :class:`~arbutuspulley.results.OutcomeUnknownError`.
+
+    :param address: ``host:port`` of the platform.
+    :param timeout_ms: longest wait for a connection, and then for the answer.
+    """
+    pool = build_pool(
+        address=address, connect_timeout_ms=timeout_ms, read_timeout_ms=timeout_ms
+    )
+    return Platform(
+        table=_build_table(pool),
+        objects=_build_objects(pool),
+        list_instances=lambda: _list_instances(pool),
+    )
+
+
+def _build_table(pool: urllib3.HTTPConnectionPool) -> Table:
+    return Table(
+        read=lambda key: _read_row(pool, key),
+        scan=lambda prefix, after, limit: _scan(pool, prefix, after, limit),
+        transact=lambda transaction: _transact(pool, transaction),
+    )
+
+
+def _build_objects(pool: urllib3.HTTPConnectionPool) -> Objects:
+    return Objects(
+        get=lambda name: _get_object(pool, name),
+        put_if_absent=lambda name, data: _put_object(pool, name, data),
+    )
+
+
+def _read_row(pool: urllib3.HTTPConnectionPool, key: str) -> Row | None:
+    answer = _fetch(pool, ROW_PATH, {"key": key})
+    if answer.status == _NOT_FOUND:
+        return None
+    return _open_row(_decode(answer, Row))
+
+
+def _scan(
+    pool: urllib3.HTTPConnectionPool, prefix: str, after: int, limit: int
+) -> Page:
+    parameters = {"prefix": prefix, "after": str(after), "limit": str(limit)}
+    page = _decode(_fetch(pool, SCAN_PATH, parameters), Page)
+    rows = tuple(_open_row(row) for row in page.rows)
+    return msgspec.structs.replace(page, rows=rows)
+
+
+def _transact(
+    pool: urllib3.HTTPConnectionPool, transaction: Transaction
+) -> Committed | Conflict:
+    body = msgspec.json.encode(_seal(transaction))
+    answer = _change(pool, "POST", TRANSACT_PATH, body, _JSON_HEADERS)
+    kind = Conflict if answer.status == _CONFLICT else Committed
+    return _decode_outcome(answer, kind)
+
+
+def _get_object(pool: urllib3.HTTPConnectionPool, name: str) -> bytes | None:
+    answer = _fetch(pool, OBJECTS_PATH, {"name": name})
+    return None if answer.status == _NOT_FOUND else answer.body
+
+
+def _put_object(pool: urllib3.HTTPConnectionPool, name: str, data: bytes) -> bool:
+    path = _build_path(OBJECTS_PATH, {"name": name})
+    return _change(pool, "PUT", path, data, _BINARY_HEADERS).status == _CREATED
+
+
+def _list_instances(pool: urllib3.HTTPConnectionPool) -> tuple[InstanceListing, ...]:
+    return _decode(_fetch(pool, INSTANCES_PATH, {}), InstanceList).instances
+
+
+def _fetch(
+    pool: urllib3.HTTPConnectionPool, path: str, parameters: Mapping[str, str]
+) -> _Answer:
+    """Read something; whatever fails, nothing was changed."""
+    try:
+        answer = _send(pool, "GET", _build_path(path, parameters), None, {})
+    except HTTPError as error:
+        raise PlatformUnavailableError(detail=_describe(error)) from error
+    if answer.status not in (_OK, _NOT_FOUND):
+        raise PlatformUnavailableError(detail=f"platform answered {answer.status}")
+    return answer
+
+
+def _change(
+    pool: urllib3.HTTPConnectionPool,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: Mapping[str, str],
+) -> _Answer:
+    """Change something and tell apart "not done" from "not known".
+
+    A reply that is lost, cut short or late says nothing: the platform may have
+    written before it broke off, and a caller that took it for "not done" would
+    write twice. Only a connection that never stood, or the platform's own refusal
+    (503 and any 4xx but a conflict), proves that nothing was written.
+    """
+    try:
+        answer = _send(pool, method, path, body, headers)
+    except HTTPError as error:
+        if is_not_sent(error):
+            raise PlatformUnavailableError(detail=_describe(error)) from error
+        raise OutcomeUnknownError(detail=_describe(error)) from error
+    if answer.status in (_OK, _CREATED, _CONFLICT):
+        return answer
+    detail = f"platform answered {answer.status}"
+    if answer.status == _UNAVAILABLE or 400 <= answer.status < 500:
+        raise PlatformUnavailableError(detail=detail)
+    raise OutcomeUnknownError(detail=detail)
+
+
+def _send(
+    pool: urllib3.HTTPConnectionPool,
+    method: str,
+    path: str,
+    body: bytes | None,
+    headers: Mapping[str, str],
+) -> _Answer:
+    response = pool.urlopen(
+        method, path, body=body, headers=headers, retries=False, redirect=False
+    )
+    return _Answer(status=response.status, body=response.data)
+
+
+def _build_path(path: str, parameters: Mapping[str, str]) -> str:
+    return f"{path}?{urlencode(parameters)}" if parameters else path
+
+
+def _describe(error: HTTPError) -> str:
+    return f"platform: {type(error).__name__}"
+
+
+def _decode(answer: _Answer, kind: type[_Reply]) -> _Reply:
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise PlatformUnavailableError(detail="platform answer unreadable") from error
+
+
+def _decode_outcome(answer: _Answer, kind: type[_Reply]) -> _Reply:
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise OutcomeUnknownError(detail="platform answer unreadable") from error
+
+
+def _seal(transaction: Transaction) -> TransactRequest:
+    expected = {part.key: part.revision for part in transaction.preconditions}
+    return TransactRequest(
+        preconditions=transaction.preconditions,
+        writes=tuple(
+            _seal_write(write, transaction.token, expected.get(write.key))
+            for write in transaction.writes
+        ),
+    )
+
+
+def _seal_write(write: Write, token: str, replaces: int | None) -> Write:
+    if write.value is None:
+        return write
+    envelope = Envelope(value=write.value, token=token, replaces=replaces)
+    return Write(key=write.key, value=msgspec.msgpack.encode(envelope))
+
+
+def _open_row(row: Row) -> Row:
+    """Take a row's value out of its envelope."""
+    if row.deleted:
+        return row
+    try:
+        envelope = msgspec.msgpack.decode(row.value, type=Envelope)
+    except msgspec.DecodeError as error:
+        raise PlatformUnavailableError(detail=f"row {row.key} unreadable") from error
+    return msgspec.structs.replace(
+        row, value=envelope.value, token=envelope.token, replaces=envelope.replaces
+    )
--- a/src/arbutuspulley/ports/platform.py
+++ b/src/arbutuspulley/ports/platform.py
@@ -22,6 +22,8 @@
     :param revision: table-wide number of the transaction that last wrote it.
     :param token: the token of that transaction.
     :param deleted: whether this is the trace of a deletion (in scans only).
+    :param replaces: revision of the row that this one replaced; ``None`` if the
+        transaction had no precondition on the row, so that it isn't known.
     """
 
     key: str
@@ -29,6 +31,7 @@
     revision: int
     token: str = ""
     deleted: bool = False
+    replaces: int | None = None
 
 
 class Precondition(Value, frozen=True):
