--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Development scripts: launcher, demo and measurements."""
--- /dev/null
+++ b/scripts/launcher.py
@@ -0,0 +1,263 @@
+"""Starts and stops a whole system on loopback addresses, for demo and tests.
+
+A development script, not a program of the product: the product's processes start
+no other process. Every process logs into a file of its own; all are stopped by
+SIGTERM and, if that takes too long, killed one by one by process id.
+"""
+
+import functools
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import TypeVar
+
+import urllib3
+
+from arbutuspulley.data import State
+
+START_TIMEOUT_S = 30.0
+"""Longest time that a process may take to become ready."""
+
+STOP_TIMEOUT_S = 30.0
+"""Longest time that a process may take to end after SIGTERM."""
+
+POLL_S = 0.05
+"""How often a condition is looked at while waiting for it."""
+
+_CALL_TIMEOUT = urllib3.Timeout(connect=1.0, read=5.0)
+_POOL = urllib3.PoolManager(timeout=_CALL_TIMEOUT, retries=False, maxsize=32)
+_Result = TypeVar("_Result")
+
+
+class WaitError(Exception):
+    """A condition did not come true in time."""
+
+
+class Process(State):
+    """One process that was started.
+
+    :param ready_url: answers 200 when the process is ready; empty if a listening
+        port is enough.
+    """
+
+    name: str
+    module: str
+    arguments: tuple[str, ...]
+    address: str
+    log: Path
+    ready_url: str = ""
+    popen: subprocess.Popen[bytes] | None = None
+
+
+class Launcher:
+    """Keeps the processes that it started.
+
+    :param directory: takes the log files.
+    """
+
+    __slots__ = ("directory", "processes")
+
+    def __init__(self, *, directory: Path) -> None:
+        self.directory = directory
+        self.processes: dict[str, Process] = {}
+
+    def start(
+        self,
+        name: str,
+        module: str,
+        *arguments: str,
+        address: str,
+        ready_url: str = "",
+    ) -> None:
+        """Start a module of the project as a process, without waiting for it."""
+        process = Process(
+            name=name,
+            module=module,
+            arguments=arguments,
+            address=address,
+            ready_url=ready_url,
+            log=self.directory / f"{name}.log",
+        )
+        self.processes[name] = process
+        _spawn(process)
+
+    def restart(self, name: str) -> None:
+        """Start a process that has ended once more, with the same arguments."""
+        _spawn(self.processes[name])
+
+    def wait_ready(self, *names: str) -> None:
+        """Wait until processes are ready.
+
+        :raises WaitError: if one ends or is not ready in time.
+        """
+        for name in names:
+            process = self.processes[name]
+            wait_until(
+                functools.partial(_is_ready, process),
+                what=f"{name} to be ready (log: {process.log})",
+                timeout_s=START_TIMEOUT_S,
+            )
+
+    def is_running(self, name: str) -> bool:
+        """Return whether a process has not ended."""
+        popen = self.processes[name].popen
+        return popen is not None and popen.poll() is None
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process if it still runs."""
+        popen = self.processes[name].popen
+        if popen is not None and popen.poll() is None:
+            popen.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End a process with SIGKILL and wait until it is gone."""
+        self.send(name, signal.SIGKILL)
+        self.wait_ended(name)
+
+    def wait_ended(self, name: str, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait until a process has ended and return its exit status.
+
+        :raises WaitError: if it still runs after ``timeout_s``.
+        """
+        popen = self.processes[name].popen
+        if popen is None:
+            return 0
+        try:
+            return popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            raise WaitError(f"{name} still runs after {timeout_s} s") from None
+
+    def stop(self, *names: str) -> dict[str, int]:
+        """Stop processes gracefully, all at once, and return their exit statuses.
+
+        One that does not end in time is killed; its status is then negative.
+        """
+        for name in names:
+            self.send(name, signal.SIGCONT)
+            self.send(name, signal.SIGTERM)
+        return {name: self._end(name) for name in names}
+
+    def stop_all(self) -> dict[str, int]:
+        """Stop all processes, the last started ones first.
+
+        :return: exit statuses of those that still ran.
+        """
+        statuses: dict[str, int] = {}
+        for name in reversed(list(self.processes)):
+            if self.is_running(name):
+                statuses.update(self.stop(name))
+        return statuses
+
+    def read_log(self, name: str) -> str:
+        """Return what a process has logged so far."""
+        return self.processes[name].log.read_text(errors="replace")
+
+    def _end(self, name: str) -> int:
+        try:
+            return self.wait_ended(name)
+        except WaitError:
+            self.kill(name)
+            return -signal.SIGKILL
+
+
+@contextmanager
+def open_launcher(directory: Path) -> Iterator[Launcher]:
+    """Give a launcher whose processes are all stopped at the end."""
+    launcher = Launcher(directory=directory)
+    try:
+        yield launcher
+    finally:
+        launcher.stop_all()
+
+
+def find_free_addresses(count: int) -> list[str]:
+    """Return loopback addresses on which nothing listens.
+
+    All ports are held at once while they are being found, so they all differ.
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{one.getsockname()[1]}" for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+def wait_until(
+    condition: Callable[[], _Result], *, what: str, timeout_s: float = 20.0
+) -> _Result:
+    """Wait until a condition is true and return its value.
+
+    :param what: names the condition in the error.
+    :raises WaitError: if it is still false after ``timeout_s``.
+    """
+    deadline = time.monotonic() + timeout_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > deadline:
+            raise WaitError(f"waited {timeout_s} s for {what}")
+        time.sleep(POLL_S)
+
+
+def fetch(
+    method: str, address: str, path: str, **options: object
+) -> urllib3.BaseHTTPResponse | None:
+    """Make one HTTP call; return its whole answer, ``None`` if none came."""
+    try:
+        return _POOL.request(method, f"http://{address}{path}", **options)  # type: ignore[arg-type]
+    except urllib3.exceptions.HTTPError:
+        return None
+
+
+def _spawn(process: Process) -> None:
+    command = [sys.executable, "-m", process.module, *process.arguments]
+    with process.log.open("ab") as log:
+        process.popen = subprocess.Popen(
+            command,
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            env=_build_environment(),
+        )
+
+
+def _build_environment() -> dict[str, str]:
+    """Return the environment without settings that could change a process."""
+    kept = {
+        name: value
+        for name, value in os.environ.items()
+        if not name.startswith("ARBUTUS_")
+    }
+    return {**kept, "PYTHONUNBUFFERED": "1"}
+
+
+def _is_ready(process: Process) -> bool:
+    assert process.popen is not None
+    if process.popen.poll() is not None:
+        tail = process.log.read_text(errors="replace")[-2_000:]
+        raise WaitError(
+            f"{process.name} ended with {process.popen.returncode}:\n{tail}"
+        )
+    if not process.ready_url:
+        return _is_listening(process.address)
+    reply = fetch("GET", process.address, process.ready_url)
+    return reply is not None and reply.status == 200
+
+
+def _is_listening(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), timeout=1.0).close()
+    except OSError:
+        return False
+    return True
