--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Sets up a virtual environment from pinned packages and runs the project's jobs.
-PYTHON ?= python3
+PYTHON ?= $(shell command -v python3.11 || command -v python3)
 BIN := .venv/bin
 
 .PHONY: setup demo test check format
@@ -12,7 +12,7 @@
 	touch .venv/ready
 
 demo: setup
-	$(BIN)/python scripts/demo.py
+	$(BIN)/python -m scripts.demo
 
 check: setup
 	$(BIN)/ruff format --check src tests scripts examples
