--- /dev/null
+++ b/src/arbutuspulley/admission/cost.py
@@ -0,0 +1,91 @@
+"""Token cost of a request: estimated before it runs, corrected when it is known.
+
+The unit is one generated token. A prompt token is read in far faster than a token
+is generated, so it counts as a fraction.
+"""
+
+import math
+
+import msgspec
+
+from arbutuspulley.data import Message, State
+
+BYTES_PER_TOKEN = 4
+"""Bytes of prompt to a token, roughly, for the languages in use."""
+
+PROMPT_TOKEN_COST = 0.1
+"""Cost of a prompt token, in generated tokens."""
+
+ADAPTER_COST = 1.1
+"""Factor for a request to an adapter, whose batch is less uniform."""
+
+DEFAULT_OUTPUT_TOKENS = 200.0
+"""Assumed length of an answer to an item that has not yet answered."""
+
+LEARNING = 0.1
+"""Weight of the newest answer in an item's mean length."""
+
+MOST_CHOICES = 16
+"""Largest number of choices that is believed."""
+
+
+class CostState(State):
+    """Mean length of the answers of each item, in tokens."""
+
+    output_tokens: dict[str, float] = {}
+
+
+class _Body(Message, frozen=True):
+    messages: msgspec.Raw = msgspec.Raw(b"")
+    prompt: msgspec.Raw = msgspec.Raw(b"")
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = None
+
+
+_DECODER = msgspec.json.Decoder(_Body)
+
+
+def estimate_cost(
+    body: bytes,
+    *,
+    state: CostState | None = None,
+    item: str = "",
+    adapter: bool = False,
+) -> int:
+    """Return the estimated cost of a request; at least 1.
+
+    :param body: the request's JSON; one that has other types than the protocol's
+        is costed by its length.
+    :param state: what was learned from earlier answers.
+    :param item: key of the item that is to answer.
+    :param adapter: whether that is an adapter.
+    """
+    known = state.output_tokens.get(item) if state is not None else None
+    expected = DEFAULT_OUTPUT_TOKENS if known is None else known
+    try:
+        parsed = _DECODER.decode(body)
+    except msgspec.DecodeError:
+        return _sum(prompt_bytes=len(body), output=expected, adapter=adapter)
+    prompt_bytes = len(bytes(parsed.messages)) + len(bytes(parsed.prompt))
+    bound = parsed.max_completion_tokens or parsed.max_tokens
+    output = min(expected, bound) if bound and bound > 0 else expected
+    choices = min(max(parsed.n or 1, 1), MOST_CHOICES)
+    return _sum(prompt_bytes=prompt_bytes, output=output * choices, adapter=adapter)
+
+
+def count_cost(*, prompt_bytes: int, output_tokens: int, adapter: bool = False) -> int:
+    """Return the cost of a request whose answer is complete."""
+    return _sum(prompt_bytes=prompt_bytes, output=output_tokens, adapter=adapter)
+
+
+def note_output(state: CostState, *, item: str, tokens: int) -> None:
+    """Learn from the length of an answer."""
+    known = state.output_tokens.get(item, DEFAULT_OUTPUT_TOKENS)
+    state.output_tokens[item] = known + LEARNING * (tokens - known)
+
+
+def _sum(*, prompt_bytes: int, output: float, adapter: bool) -> int:
+    prompt = prompt_bytes / BYTES_PER_TOKEN * PROMPT_TOKEN_COST
+    factor = ADAPTER_COST if adapter else 1.0
+    return max(1, math.ceil((prompt + output) * factor))
--- /dev/null
+++ b/src/arbutuspulley/admission/shares.py
@@ -0,0 +1,153 @@
+"""Fair shares of callers: weighted fair queueing over token cost.
+
+Each caller has a clock that advances by cost over weight with each of its
+requests; the waiting caller whose clock is furthest behind goes next. A caller
+that was away starts at the present: it has saved up nothing, and it owes nothing
+for the share that it was lent while the others were away.
+"""
+
+from collections.abc import Iterable, Sequence
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.data import State
+from arbutuspulley.rpc.messages import CallerUsage
+
+MOST_DEBT_S = 2.0
+"""How far remote usage may put a caller's clock ahead, in seconds of that usage."""
+
+FORGET_MS = 600_000
+"""A caller not seen for this long is forgotten."""
+
+SMOOTHING_MS = 1_000
+"""Time constant of the usage told to other instances."""
+
+
+class CallerShare(State):
+    """One caller's account.
+
+    :param clock: virtual time up to which it has been served.
+    :param in_flight: estimated cost of its admitted requests.
+    :param remote_tokens_per_s: what it uses through other instances.
+    :param remote_waiting: its requests waiting there.
+    :param tokens_per_s: what it uses here, smoothed.
+    """
+
+    weight: int = 1
+    clock: float = 0.0
+    in_flight: int = 0
+    remote_tokens_per_s: float = 0.0
+    remote_waiting: int = 0
+    tokens_per_s: float = 0.0
+    seen_at: int = 0
+
+
+class SharesState(State):
+    """All callers' accounts.
+
+    :param clock: virtual time of the last request that was admitted.
+    :param charged_at: up to when remote usage has been charged.
+    """
+
+    callers: dict[str, CallerShare] = {}
+    clock: float = 0.0
+    charged_at: int = 0
+
+
+def find_share(
+    state: SharesState, caller: str, *, weight: int, now: int
+) -> CallerShare:
+    """Return a caller's account, opened at the present if there is none."""
+    share = state.callers.setdefault(caller, CallerShare(clock=state.clock))
+    share.weight = max(1, weight)
+    share.seen_at = now
+    return share
+
+
+def rank_share(state: SharesState, share: CallerShare) -> float:
+    """Return the caller's start time; the smallest goes next."""
+    return max(state.clock, share.clock)
+
+
+def charge(state: SharesState, share: CallerShare, *, cost: int) -> None:
+    """Account for a request that is admitted."""
+    start = rank_share(state, share)
+    state.clock = start
+    share.clock = start + cost / share.weight
+    share.in_flight += cost
+    share.tokens_per_s += cost * SECOND_MS / SMOOTHING_MS
+
+
+def settle(share: CallerShare, *, estimated: int, actual: int) -> None:
+    """Correct the account of a request that is over.
+
+    :param actual: its cost as it is known now.
+    """
+    share.in_flight = max(0, share.in_flight - estimated)
+    share.clock += (actual - estimated) / share.weight
+
+
+def note_usage(state: SharesState, *, usage: Sequence[CallerUsage], now: int) -> None:
+    """Take up what callers use through all other instances."""
+    for share in state.callers.values():
+        share.remote_tokens_per_s = 0.0
+        share.remote_waiting = 0
+    for one in usage:
+        share = state.callers.setdefault(one.caller, CallerShare(clock=state.clock))
+        share.remote_tokens_per_s = one.tokens_per_s
+        share.remote_waiting = one.waiting
+        share.seen_at = now
+
+
+def charge_remote(state: SharesState, *, waiting: Iterable[str], now: int) -> None:
+    """Charge callers that wait here for what they use elsewhere meanwhile.
+
+    Only what exceeds the least of them counts, so that the clocks of callers with
+    equal use stay together. A caller's debt is bounded: it must be served again
+    within seconds after it has become modest.
+    """
+    elapsed_s = max(0, now - state.charged_at) / SECOND_MS
+    state.charged_at = now
+    _fade(state, elapsed_s)
+    shares = [state.callers[caller] for caller in waiting if caller in state.callers]
+    if not shares:
+        return
+    least = min(share.remote_tokens_per_s / share.weight for share in shares)
+    for share in shares:
+        excess = share.remote_tokens_per_s / share.weight - least
+        ahead = rank_share(state, share) - state.clock
+        room = max(0.0, excess * MOST_DEBT_S - ahead)
+        debt = min(excess * elapsed_s, room)
+        if debt > 0:
+            share.clock = rank_share(state, share) + debt
+
+
+def list_usage(
+    state: SharesState, *, waiting: dict[str, int]
+) -> tuple[CallerUsage, ...]:
+    """Return what callers use here, to tell the other instances.
+
+    :param waiting: requests waiting here, by caller.
+    """
+    return tuple(
+        CallerUsage(
+            caller=name,
+            tokens_per_s=round(share.tokens_per_s, 1),
+            waiting=waiting.get(name, 0),
+        )
+        for name, share in sorted(state.callers.items())
+        if share.tokens_per_s >= 1 or name in waiting
+    )
+
+
+def forget_absent(state: SharesState, *, now: int) -> None:
+    """Drop accounts of callers that have not been seen for long."""
+    for name in list(state.callers):
+        share = state.callers[name]
+        if now - share.seen_at > FORGET_MS and not share.in_flight:
+            del state.callers[name]
+
+
+def _fade(state: SharesState, elapsed_s: float) -> None:
+    kept = max(0.0, 1 - elapsed_s * SECOND_MS / SMOOTHING_MS)
+    for share in state.callers.values():
+        share.tokens_per_s *= kept
--- /dev/null
+++ b/src/arbutuspulley/routing/addresses.py
@@ -0,0 +1,101 @@
+"""Which entries a caller is told to use for a model, and in which order.
+
+Weighted rendezvous hashing gives each model a few entries of its own. So an entry
+sees most requests of its models (its counts are then good, and it needs summaries
+of few servers), and a change of the set of entries moves only the models of the
+entries that changed. Nothing is agreed or stored: every entry computes the same.
+"""
+
+import math
+from collections.abc import Sequence
+
+import xxhash
+
+from arbutuspulley.rpc.messages import EntryAddress, ServerSummary
+
+ADDRESSES = 3
+"""Addresses in an answer, if there are as many."""
+
+LEAST_WIDTH = 2
+"""Fewest entries that share the callers of one model."""
+
+ENTRY_STREAMS = 100
+"""Requests in flight of one model that one entry should carry."""
+
+LOAD_STEPS = 4
+"""Steps in which an entry's load counts; small changes must not move callers."""
+
+LEAST_WEIGHT = 0.1
+"""Weight of an entry at or above its limit."""
+
+
+def choose_width(*, servers: Sequence[ServerSummary], item: str, entries: int) -> int:
+    """Return how many entries should share the callers of a model.
+
+    :param item: key of the model's item.
+    :param entries: entries that could take them.
+    """
+    in_flight = sum(
+        summary.running + summary.waiting
+        for summary in servers
+        if item in summary.items
+    )
+    wanted = math.ceil(in_flight / ENTRY_STREAMS)
+    return max(1, min(entries, max(LEAST_WIDTH, wanted)))
+
+
+def order_entries(
+    entries: Sequence[EntryAddress],
+    *,
+    model: str,
+    asked: str = "",
+    caller: str = "",
+    width: int = LEAST_WIDTH,
+    count: int = ADDRESSES,
+) -> tuple[EntryAddress, ...]:
+    """Return the entries to tell a caller, best first.
+
+    Draining entries are left out. If all are draining, the answer is the asked
+    one alone, or empty if that is not among them.
+
+    :param asked: address of the entry that answers; it is never the only one told
+        if there is another.
+    :param caller: spreads callers over the entries that share a model.
+    :param width: how many entries share the model's callers.
+    :param count: most addresses to tell.
+    """
+    usable = [entry for entry in entries if not entry.draining]
+    if not usable:
+        return tuple(entry for entry in entries if entry.address == asked)[:1]
+    ranked = sorted(usable, key=lambda entry: _rank(entry, model, weight=1.0))
+    shared = ranked[:width]
+    shared.sort(key=lambda entry: _rank(entry, f"{model}/{caller}", _weigh(entry)))
+    ordered = shared + ranked[width:]
+    return tuple(_cover(ordered, asked=asked, count=count))
+
+
+def _cover(
+    ordered: list[EntryAddress], *, asked: str, count: int
+) -> list[EntryAddress]:
+    """Cut the list to length, keeping another entry and another site in it."""
+    told = ordered[:count]
+    # The asked entry or a whole data centre may fail while the caller keeps the
+    # answer; one address that fails with neither is always told, if there is one.
+    if len(told) == count and all(one.site == told[0].site for one in told):
+        elsewhere = [one for one in ordered if one.site != told[0].site]
+        told[-1:] = elsewhere[:1] or told[-1:]
+    if all(one.address == asked for one in told):
+        told += [one for one in ordered if one.address != asked][:1]
+    return told
+
+
+def _weigh(entry: EntryAddress) -> float:
+    step = math.floor(min(max(entry.load, 0.0), 1.0) * LOAD_STEPS) / LOAD_STEPS
+    return max(LEAST_WEIGHT, 1.0 - step)
+
+
+def _rank(entry: EntryAddress, key: str, weight: float) -> float:
+    """Return the entry's rendezvous rank for a key; the smallest comes first."""
+    digest = xxhash.xxh64_intdigest(f"{key}|{entry.address}".encode())
+    drawn = (digest + 1) / (2**64 + 1)
+    return -math.log(drawn) / weight
