--- a/src/arbutuspulley/ports/engines.py
+++ b/src/arbutuspulley/ports/engines.py
@@ -6,7 +6,7 @@
 """
 
 import enum
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator
 
 from arbutuspulley.data import Value
 from arbutuspulley.results import ArbutusError, Code
@@ -140,9 +140,12 @@
 class Chunk(Value, frozen=True):
     """One event of an answer.
 
+    Events are numbered from 0 without gaps: one for each token, then those that
+    carry no token (the one with ``finish_reason`` and usage), then the end marker.
+
     :param attempt_id: the attempt that the server says it belongs to.
-    :param offset: index of the token; the end marker has the index after the last.
-    :param data: the event's JSON, as the protocol defines it.
+    :param offset: index of the event.
+    :param data: the event's JSON, as the protocol defines it; ``[DONE]`` if last.
     :param last: whether this is the end marker; it carries no token.
     """
 
@@ -218,14 +221,14 @@
     Closing the iterator closes the connection, which cancels the attempt.
 
     :param infer: ``infer(address, request)`` yields chunks.
-    :param cancel: ``cancel(address, attempt_id)``.
-    :param report: ``report(address)``.
+    :param cancel: ``cancel(address, attempt_id)``; never raises.
+    :param report: ``report(address)``; raises ``NotSentError``, ``BrokenError``.
     :param order: ``order(address, order)``; raises ``NotSentError``, ``BrokenError``.
     :param cache_events: ``cache_events(address, after)``.
     :param call_service: ``call_service(address, request)``; raises as ``infer``.
     """
 
-    infer: Callable[[str, InferenceRequest], Iterator[Chunk]]
+    infer: Callable[[str, InferenceRequest], Generator[Chunk, None, None]]
     cancel: Callable[[str, str], None]
     report: Callable[[str], Report]
     order: Callable[[str, Order], OrderReply]
