--- /dev/null
+++ b/src/arbutuspulley/configuration/files.py
@@ -0,0 +1,217 @@
+"""Reading of configuration files: YAML checked against the typed schema.
+
+Every problem of a file is reported, each with the file, the path of the key and the
+reason, so that an operator mends a file in one go.
+"""
+
+import types
+import typing
+from collections.abc import Iterator
+from typing import Any, TypeVar
+
+import msgspec
+import yaml
+
+from arbutuspulley.data import Document, Value
+from arbutuspulley.results import Code, ConfigurationError
+
+MAX_FILE_BYTES = 4 * 1024 * 1024
+"""Largest configuration file taken."""
+
+MAX_DEPTH = 16
+"""Deepest nesting taken; the schema needs far less."""
+
+MAX_PROBLEMS = 50
+"""Problems listed for one file; the first ones are enough to go on with."""
+
+_Document = TypeVar("_Document", bound=Document)
+_ScalarLoader: type = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+_TAG_OF_MERGE = "tag:yaml.org,2002:merge"
+
+
+class SourceFile(Value, frozen=True):
+    """A configuration file as its author wrote it.
+
+    :param name: shown in error messages; nothing is opened by it.
+    """
+
+    name: str
+    text: str
+
+
+class FilesError(ExceptionGroup[ConfigurationError]):
+    """All problems of a set of files; nothing was changed."""
+
+    def show(self) -> str:
+        """Return the message for a person, one line a problem."""
+        lines = [f"{self.message}:"]
+        lines.extend(f"  {error.show()}" for error in self.list_errors())
+        return "\n".join(lines)
+
+    def list_errors(self) -> tuple[ConfigurationError, ...]:
+        """Return the problems in the order of the files."""
+        return tuple(
+            error for error in self.exceptions if isinstance(error, ConfigurationError)
+        )
+
+
+class Problem(Value, frozen=True):
+    """One wrong value in a file.
+
+    :param key: path of the key, for example ``$.models.a.size_mib``.
+    """
+
+    key: str
+    reason: str
+
+
+def refuse(errors: list[ConfigurationError]) -> None:
+    """Raise all errors together, if there are any.
+
+    :raises FilesError: with the errors.
+    """
+    if errors:
+        raise FilesError("configuration refused", errors)
+
+
+def parse_document(file: SourceFile, kind: type[_Document]) -> _Document:
+    """Read one file.
+
+    :raises FilesError: with every problem of the file.
+    """
+    content = _load(file)
+    problems = list(find_problems(content, kind))[:MAX_PROBLEMS]
+    refuse(
+        [
+            ConfigurationError(
+                code=Code.BAD_SCHEMA,
+                detail=problem.reason,
+                file=file.name,
+                key=problem.key,
+            )
+            for problem in problems
+        ]
+    )
+    return msgspec.convert(content, kind)
+
+
+def find_problems(content: Any, kind: Any, key: str = "$") -> Iterator[Problem]:
+    """Yield what in ``content`` does not fit the type, down to the lowest key.
+
+    The conversion by itself reports only the first problem and does not name the key
+    of a mapping, so a failed one is repeated part by part.
+    """
+    try:
+        msgspec.convert(content, kind)
+    except msgspec.ValidationError as error:
+        yield from _find_below(content, _strip_optional(kind), key, str(error))
+
+
+def _find_below(content: Any, kind: Any, key: str, reason: str) -> Iterator[Problem]:
+    if isinstance(content, dict) and typing.get_origin(kind) is dict:
+        yield from _find_in_mapping(content, kind, key)
+    elif isinstance(content, dict) and _is_struct(kind):
+        yield from _find_in_struct(content, kind, key)
+    else:
+        yield Problem(key=key, reason=reason)
+
+
+def _find_in_mapping(content: dict[Any, Any], kind: Any, key: str) -> Iterator[Problem]:
+    name_kind, value_kind = typing.get_args(kind)
+    for name, below in content.items():
+        for problem in find_problems(name, name_kind, f"{key}.{name}"):
+            yield Problem(key=problem.key, reason=f"name refused: {problem.reason}")
+        yield from find_problems(below, value_kind, f"{key}.{name}")
+
+
+def _find_in_struct(
+    content: dict[Any, Any], kind: type[msgspec.Struct], key: str
+) -> Iterator[Problem]:
+    fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
+    for name, below in content.items():
+        if name in fields:
+            yield from find_problems(below, fields[name].type, f"{key}.{name}")
+        else:
+            known = ", ".join(fields)
+            yield Problem(key=f"{key}.{name}", reason=f"unknown key; known: {known}")
+    for name, field in fields.items():
+        if field.required and name not in content:
+            yield Problem(key=f"{key}.{name}", reason="required key is missing")
+
+
+def _is_struct(kind: Any) -> bool:
+    return isinstance(kind, type) and issubclass(kind, msgspec.Struct)
+
+
+def _strip_optional(kind: Any) -> Any:
+    if typing.get_origin(kind) not in (typing.Union, types.UnionType):
+        return kind
+    kinds = [one for one in typing.get_args(kind) if one is not type(None)]
+    return kinds[0] if len(kinds) == 1 else kind
+
+
+class _Loader(_ScalarLoader):
+    """Loads plain YAML; refuses what hides mistakes or grows without bound."""
+
+    def construct_mapping(self, node: Any, deep: bool = False) -> dict[Any, Any]:
+        """Build a mapping whose keys are all different.
+
+        PyYAML keeps the last of two equal keys in silence: of two servers pasted
+        under one name the first would vanish from the configuration.
+        """
+        seen = set()
+        for name, _ in node.value:
+            if name.tag == _TAG_OF_MERGE:
+                raise _refuse_at(name, "merge keys are not taken")
+            if name.value in seen:
+                raise _refuse_at(name, f"key {name.value!r} is given twice")
+            seen.add(name.value)
+        return super().construct_mapping(node, deep=deep)
+
+
+def _load(file: SourceFile) -> Any:
+    size = len(file.text.encode())
+    if size > MAX_FILE_BYTES:
+        detail = f"the file has {size} bytes, more than {MAX_FILE_BYTES}"
+        raise _refuse_syntax(file, detail, "$")
+    try:
+        _check_events(file.text)
+        content = yaml.load(file.text, Loader=_Loader)
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark or error.context_mark
+        where = f"line {mark.line + 1}, column {mark.column + 1}" if mark else "$"
+        raise _refuse_syntax(file, str(error.problem), where) from None
+    except (yaml.YAMLError, ValueError) as error:
+        raise _refuse_syntax(file, str(error).splitlines()[0], "$") from None
+    if not isinstance(content, dict):
+        raise _refuse_syntax(file, "the file holds no mapping of keys", "$")
+    return content
+
+
+def _check_events(text: str) -> None:
+    """Refuse aliases and deep nesting before anything is built.
+
+    A few nested aliases stand for billions of values once they are written out, and
+    deep nesting exhausts the stack: either would take the console down.
+    """
+    depth = 0
+    for event in yaml.parse(text, Loader=_ScalarLoader):
+        if isinstance(event, yaml.AliasEvent):
+            raise _refuse_at(event, "anchors and aliases are not taken")
+        if isinstance(event, yaml.CollectionStartEvent):
+            depth += 1
+        if isinstance(event, yaml.CollectionEndEvent):
+            depth -= 1
+        if depth > MAX_DEPTH:
+            raise _refuse_at(event, f"nested deeper than {MAX_DEPTH}")
+
+
+def _refuse_at(node: Any, problem: str) -> yaml.MarkedYAMLError:
+    return yaml.MarkedYAMLError(problem=problem, problem_mark=node.start_mark)
+
+
+def _refuse_syntax(file: SourceFile, detail: str, key: str) -> FilesError:
+    error = ConfigurationError(
+        code=Code.BAD_SYNTAX, detail=detail, file=file.name, key=key
+    )
+    return FilesError("configuration refused", [error])
--- a/src/arbutuspulley/rpc/messages.py
+++ b/src/arbutuspulley/rpc/messages.py
@@ -15,6 +15,7 @@
     :param address: ``host:port`` for callers.
     :param draining: whether it is stopping and must not be told to callers.
     :param load: requests in flight over its limit, 0 to 1 and above.
+    :param boot_id: names the process; a restarted entry has another one.
     """
 
     instance: str
@@ -22,6 +23,7 @@
     address: str
     draining: bool = False
     load: float = 0.0
+    boot_id: str = ""
 
 
 class ServerSummary(Message, frozen=True):
@@ -53,13 +55,16 @@
 
     :param fingerprint: hash of caller and body.
     :param deaths: servers that died while it ran, with their boot id:
-        ``server/boot_id``.
+        ``server/boot_id``; with ``#trial_id`` for a trial that is still running.
     :param acquitted: whether it has since run whole on its own.
+    :param cleared: the deaths that it was acquitted of. Both sets only grow, so that
+        accounts of several instances merge in any order.
     """
 
     fingerprint: str
     deaths: tuple[str, ...] = ()
     acquitted: bool = False
+    cleared: tuple[str, ...] = ()
 
 
 class CallerUsage(Message, frozen=True):
@@ -137,12 +142,14 @@
     :param key: the caller's idempotency key.
     :param body_sha256: hash of path and body.
     :param attempt_id: names this claim; it is stored with the row.
+    :param claimant: boot id of the entry that asks.
     """
 
     caller: str
     key: str
     body_sha256: str
     attempt_id: str
+    claimant: str = ""
 
 
 class ClaimReply(Message, frozen=True):
@@ -153,12 +160,14 @@
         body), ``unavailable`` (store down: certainly not granted).
     :param status: HTTP status of the stored answer.
     :param body: the stored answer.
+    :param claimant: boot id of the entry whose claim is in progress.
     """
 
     state: str
     status: int = 0
     content_type: str = ""
     body: bytes = b""
+    claimant: str = ""
 
 
 class SettleRequest(Message, frozen=True):
@@ -180,23 +189,47 @@
     """An entry saw a server break off streams; these requests were in flight.
 
     :param boot_id: the boot that the entry last knew.
+    :param trial_id: if set, nobody died: the entry asks whether it may run the one
+        fingerprint on this server now. The death is written down beforehand and
+        taken back by an acquittal, so that no two instances try a suspect at once.
+    :param expired_trial_id: a trial that has held the server for longer than any
+        request lives; it may be replaced.
     """
 
     server: str
     boot_id: str
     fingerprints: tuple[str, ...]
+    trial_id: str = ""
+    expired_trial_id: str = ""
 
 
 class SuspicionsReply(Message, frozen=True):
-    """Suspicions as the controller now knows them."""
+    """Suspicions as the controller now knows them.
+
+    :param recorded: whether the table holds them, so that all instances see them.
+    :param granted: whether the trial that was asked for may run.
+    :param holder: the trial that now holds the server, if it is another one.
+    """
 
     suspicions: tuple[Suspicion, ...] = ()
+    recorded: bool = False
+    granted: bool = False
+    holder: str = ""
 
 
 class AcquittalReport(Message, frozen=True):
-    """A suspect ran whole: it is innocent."""
+    """A suspect ran whole, or its trial was certainly not run.
+
+    :param server: the server of the trial, which is then free for the next one.
+    :param trial_id: the trial that ended.
+    :param ran: false if the trial was not run: only its own mark is taken back.
+    """
 
     fingerprint: str
+    server: str = ""
+    boot_id: str = ""
+    trial_id: str = ""
+    ran: bool = True
 
 
 class ExchangeRequest(Message, frozen=True):
@@ -222,6 +255,9 @@
     :param entries: its own entries.
     :param configuration: its configuration, if newer than the asker's.
     :param configuration_version: the version it has in force.
+    :param demand: what its entries' callers ask for, smoothed over a second;
+        ``None`` if that has not changed.
+    :param status: what it says of itself, for the console.
     """
 
     instance: str
@@ -234,10 +270,18 @@
     entries: tuple[EntryAddress, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
     usage: tuple[CallerUsage, ...] = ()
+    demand: tuple[ItemDemand, ...] | None = None
+    status: "InstanceStatus | None" = None
 
 
 class StatusRequest(Message, frozen=True):
-    """Asks a controller for its status."""
+    """Asks a controller for its status.
+
+    :param configuration_after: if set, the configuration in force is sent along if
+        its version is above this one. The console compares it with the store's.
+    """
+
+    configuration_after: int | None = None
 
 
 class InstanceStatus(Message, frozen=True):
@@ -263,8 +307,11 @@
     """What a controller knows of all instances of its group.
 
     :param accepted_version: the newest version it knows to be accepted.
+    :param configuration: what is in force at this controller, if it was asked for
+        and is newer than the asker's.
     """
 
     accepted_version: int
     instances: tuple[InstanceStatus, ...] = ()
     servers: tuple[ServerSummary, ...] = ()
+    configuration: Configuration | None = None
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,83 @@
+"""A platform in memory with faults, for tests of what is kept in it."""
+
+import msgspec
+
+from arbutuspulley.adapters.platform_messages import TransactRequest
+from arbutuspulley.ports.platform import Committed, Objects, Platform, Table
+from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
+from arbutuspulley.standins import platform_state
+
+
+class FakePlatform:
+    """The platform stand-in's state behind the port, without a network.
+
+    Set ``down``, ``lost_replies`` or ``lost_requests`` (the next so many
+    transactions), or ``before_transact`` (called once, before the next one).
+    """
+
+    def __init__(self):
+        self.state = platform_state.TableState(name="fake")
+        self.stored = {}
+        self.tokens = {}
+        self.down = False
+        self.lost_replies = 0
+        self.lost_requests = 0
+        self.before_transact = None
+        self.platform = Platform(
+            table=Table(read=self._read, scan=self._scan, transact=self._transact),
+            objects=Objects(get=self._get, put_if_absent=self._put),
+            list_instances=lambda: (),
+        )
+
+    def _check_up(self):
+        if self.down:
+            raise PlatformUnavailableError(detail="down")
+
+    def _seal(self, row):
+        token, replaced = self.tokens.get((row.key, row.revision), ("", None))
+        return msgspec.structs.replace(row, token=token, replaces=replaced)
+
+    def _read(self, key):
+        self._check_up()
+        row = platform_state.read_row(self.state, key)
+        return None if row is None else self._seal(row)
+
+    def _scan(self, prefix, after, limit):
+        self._check_up()
+        page = platform_state.scan_rows(
+            self.state, prefix=prefix, after=after, limit=limit
+        )
+        rows = tuple(self._seal(row) for row in page.rows)
+        return msgspec.structs.replace(page, rows=rows)
+
+    def _transact(self, transaction):
+        self._check_up()
+        hook, self.before_transact = self.before_transact, None
+        if hook:
+            hook()
+        if self.lost_requests:
+            self.lost_requests -= 1
+            raise OutcomeUnknownError(detail="request lost")
+        outcome = platform_state.transact(
+            self.state,
+            TransactRequest(
+                preconditions=transaction.preconditions, writes=transaction.writes
+            ),
+        )
+        if isinstance(outcome, Committed):
+            expected = {part.key: part.revision for part in transaction.preconditions}
+            for write in transaction.writes:
+                mark = (transaction.token, expected.get(write.key))
+                self.tokens[write.key, outcome.revision] = mark
+        if self.lost_replies:
+            self.lost_replies -= 1
+            raise OutcomeUnknownError(detail="reply lost")
+        return outcome
+
+    def _get(self, name):
+        self._check_up()
+        return self.stored.get(name)
+
+    def _put(self, name, data):
+        self._check_up()
+        return self.stored.setdefault(name, data) is data
