--- /dev/null
+++ b/src/arbutuspulley/placement/ledger.py
@@ -0,0 +1,480 @@
+"""The memory ledger of one server: what occupies it, until proven otherwise.
+
+An order is committed here before it is sent, and its bytes count from then on. A
+timeout or a lost reply proves nothing. Only these free the bytes of an item:
+
+* A server that checks orders applies them in the sequence of their numbers, so a
+  report that has seen this order's fence and number and does not list the item shows
+  that the order can no longer take effect.
+* A server that does not check orders may apply a lost order at any later time. The
+  item must have been listed and then be gone, and every load order that was sent for
+  it must be accounted for. What is not accounted for stays reserved.
+* The engine restarted: each order travels on a connection to the boot that it names
+  (:attr:`Order.boot_id`), so it ends with that process. This relies on the adapter
+  never sending an order to another boot, and on no proxy that reconnects.
+
+Reports are taken in the sequence in which the engine made them; an older one, which a
+slow reply or a paused owner may bring, is ignored.
+"""
+
+import msgspec
+
+from arbutuspulley.configuration.lookup import Item
+from arbutuspulley.configuration.schema import Server
+from arbutuspulley.data import Value
+from arbutuspulley.placement.records import (
+    EntryState,
+    LedgerEntry,
+    ServerLedger,
+    find_entry,
+    replace_entry,
+)
+from arbutuspulley.ports.engines import ItemState, Order, OrderKind, Report
+from arbutuspulley.ports.engines import ReportedItem as Listed
+from arbutuspulley.results import ArbutusError, Code
+
+RESEND_AFTER_REPORTS = 10
+"""Reports to wait for an order's effect before it is sent again."""
+
+PAST_BOOTS_KEPT = 8
+"""Earlier boots remembered, so that their late reports are recognised."""
+
+_replace = msgspec.structs.replace
+
+
+class DoesNotFitError(ArbutusError):
+    """The item would overcommit the server's memory; nothing was changed.
+
+    :param missing_mib: by how much.
+    """
+
+    def __init__(self, *, detail: str, missing_mib: int) -> None:
+        super().__init__(code=Code.DOES_NOT_FIT, detail=detail)
+        self.missing_mib = missing_mib
+
+
+class OutdatedPlanError(ArbutusError):
+    """The action does not match the ledger any more; plan again."""
+
+    def __init__(self, *, detail: str) -> None:
+        super().__init__(code=Code.STALE_ORDER, detail=detail)
+
+
+class Reconciliation(Value, frozen=True):
+    """What a report changed.
+
+    The ledger must be committed before ``resend`` is sent; if ``changed`` is false it
+    differs by the newest report's sequence only and need not be committed.
+
+    :param loaded: items that answer now and did not before.
+    :param unloaded: items that are proven absent now.
+    :param corrected: items of which the report showed something unexpected.
+    :param resend: orders without effect so far, numbered anew.
+    :param superseded: the server has seen the fence of a newer owner.
+    """
+
+    ledger: ServerLedger
+    loaded: tuple[str, ...] = ()
+    unloaded: tuple[str, ...] = ()
+    corrected: tuple[str, ...] = ()
+    resend: tuple[Order, ...] = ()
+    superseded: bool = False
+    changed: bool = False
+
+
+def take_over(ledger: ServerLedger, *, fence: int) -> ServerLedger:
+    """Return the ledger under a new owner; every entry is kept.
+
+    The former owner may be paused and still send what it committed, so its intents
+    count as much as the new owner's own.
+
+    :raises OutdatedPlanError: if the fence is lower than the ledger's.
+    """
+    if fence < ledger.fence:
+        raise OutdatedPlanError(detail=f"{ledger.server} has a newer owner")
+    return _replace(ledger, fence=fence)
+
+
+def measure_reserved(entry: LedgerEntry) -> int:
+    """Return the MiB that an entry reserves."""
+    if entry.state is EntryState.ABSENT and entry.late_loads == 0:
+        return 0
+    return entry.memory_mib
+
+
+def occupied_mib(ledger: ServerLedger, report: Report | None = None) -> int:
+    """Return the MiB to count as occupied, the larger of ledger and report."""
+    sizes = {entry.item: measure_reserved(entry) for entry in ledger.entries}
+    if report is None:
+        return sum(sizes.values())
+    listed_mib = sum(listed.memory_mib for listed in report.items)
+    for listed in report.items:
+        sizes[listed.item] = max(sizes.get(listed.item, 0), listed.memory_mib)
+    unlisted_mib = max(0, report.memory_used_mib - listed_mib)
+    return sum(sizes.values()) + unlisted_mib
+
+
+def measure_capacity(server: Server, report: Report | None = None) -> int:
+    """Return the server's memory in MiB, the smaller of configured and reported."""
+    if report is None or report.memory_total_mib == 0:
+        return server.memory_mib
+    return min(server.memory_mib, report.memory_total_mib)
+
+
+def intend_load(
+    ledger: ServerLedger, *, server: Server, item: Item, report: Report | None = None
+) -> ServerLedger:
+    """Return the ledger with a load intended; commit it before the order is sent.
+
+    :param report: the server's latest report, if one is at hand.
+    :raises DoesNotFitError: if the item would overcommit the memory.
+    :raises OutdatedPlanError: if the item is there already, its base model does not
+        answer there, or no report of the engine was seen yet.
+    """
+    if not ledger.boot_id:
+        raise OutdatedPlanError(detail=f"{ledger.server} has not reported yet")
+    known = find_entry(ledger, item.key)
+    if known is not None and known.state is not EntryState.ABSENT:
+        raise OutdatedPlanError(detail=f"{item.key} is {known.state} already")
+    _check_base(ledger, item)
+    _check_room(ledger, server=server, item=item, known=known, report=report)
+    entry = LedgerEntry(
+        item=item.key,
+        base=item.base_key,
+        memory_mib=item.memory_mib,
+        state=EntryState.LOADING,
+        number=ledger.next_order,
+        fence=ledger.fence,
+        boot_id=ledger.boot_id,
+        since=ledger.sequence,
+        sends=1,
+        late_loads=known.late_loads if known else 0,
+        late_unloads=known.late_unloads if known else 0,
+    )
+    return _count_order(replace_entry(ledger, item.key, entry))
+
+
+def intend_unload(ledger: ServerLedger, *, item: str) -> ServerLedger:
+    """Return the ledger with an unload intended; commit it before the order is sent.
+
+    An item that is still loading is never unloaded: its load order could arrive after
+    the unload order. It is loaded first and then unloaded.
+
+    :raises OutdatedPlanError: if the item is not loaded, or adapters depend on it.
+    """
+    entry = find_entry(ledger, item)
+    if entry is None or entry.state is not EntryState.LOADED:
+        raise OutdatedPlanError(detail=f"{item} is not loaded on {ledger.server}")
+    if any(known.base == item and _holds(known) for known in ledger.entries):
+        raise OutdatedPlanError(detail=f"adapters on {ledger.server} need {item}")
+    entry = _replace(
+        entry,
+        state=EntryState.UNLOADING,
+        number=ledger.next_order,
+        fence=ledger.fence,
+        boot_id=ledger.boot_id,
+        since=ledger.sequence,
+        sends=1,
+        accepted=0,
+    )
+    return _count_order(replace_entry(ledger, item, entry))
+
+
+def build_order(ledger: ServerLedger, entry: LedgerEntry) -> Order:
+    """Return the order of an entry that is loading or unloading."""
+    if entry.state not in (EntryState.LOADING, EntryState.UNLOADING):
+        raise ValueError(f"{entry.item} is {entry.state}: there is no order")
+    loading = entry.state is EntryState.LOADING
+    return Order(
+        kind=OrderKind.LOAD if loading else OrderKind.UNLOAD,
+        item=entry.item,
+        memory_mib=entry.memory_mib,
+        fence=ledger.fence,
+        number=entry.number,
+        base=entry.base,
+        boot_id=entry.boot_id,
+    )
+
+
+def note_accepted(ledger: ServerLedger, order: Order) -> ServerLedger:
+    """Return the ledger after the server took an order: it can't arrive later."""
+    entry = find_entry(ledger, order.item)
+    if entry is None or not _is_for(entry, order):
+        return ledger
+    accepted = min(entry.sends, entry.accepted + 1)
+    return replace_entry(ledger, order.item, _replace(entry, accepted=accepted))
+
+
+def note_refused(ledger: ServerLedger, order: Order) -> ServerLedger:
+    """Return the ledger after an order certainly had no effect and never will have.
+
+    This is so if the server refused it (``REFUSED``) or no byte of it left. It is not
+    so for ``STALE``, a timeout or a broken connection.
+    """
+    entry = find_entry(ledger, order.item)
+    if entry is None or not _is_for(entry, order):
+        return ledger
+    entry = _replace(entry, sends=entry.sends - 1)
+    if entry.sends > 0 or (order.kind is OrderKind.LOAD and entry.seen):
+        return replace_entry(ledger, order.item, entry)
+    if order.kind is OrderKind.UNLOAD:
+        entry = _replace(entry, state=EntryState.LOADED, accepted=0)
+        return replace_entry(ledger, order.item, entry)
+    return replace_entry(ledger, order.item, _leave_trace(entry))
+
+
+def reconcile(
+    ledger: ServerLedger, *, server: Server, report: Report
+) -> Reconciliation:
+    """Take in a server's report.
+
+    :param server: its configuration, which says whether it checks orders.
+    """
+    if _is_old(ledger, report):
+        return Reconciliation(ledger=ledger)
+    start = _begin(ledger, report)
+    listed = {known.item: known for known in report.items}
+    entries: list[LedgerEntry] = []
+    for entry in start.entries:
+        judged = _judge(entry, listed.get(entry.item), server=server, report=report)
+        if judged is not None:
+            entries.append(judged)
+    known = {entry.item for entry in start.entries}
+    entries += [_adopt(item, start) for key, item in listed.items() if key not in known]
+    current = _replace(
+        start,
+        entries=tuple(sorted(entries, key=lambda entry: entry.item)),
+        sequence=report.sequence,
+        next_order=_raise_order(start, report),
+    )
+    superseded = report.fence > ledger.fence
+    resend: tuple[Order, ...] = ()
+    if not superseded:
+        current, resend = _renew_overdue(current, listed)
+    return _compare(ledger, current, resend=resend, superseded=superseded)
+
+
+def _check_base(ledger: ServerLedger, item: Item) -> None:
+    if not item.base_key:
+        return
+    base = find_entry(ledger, item.base_key)
+    if base is None or base.state is not EntryState.LOADED:
+        detail = f"{item.key} needs {item.base_key} on {ledger.server}"
+        raise OutdatedPlanError(detail=detail)
+
+
+def _check_room(
+    ledger: ServerLedger,
+    *,
+    server: Server,
+    item: Item,
+    known: LedgerEntry | None,
+    report: Report | None,
+) -> None:
+    reserved = measure_reserved(known) if known else 0
+    occupied = occupied_mib(ledger, report)
+    capacity = measure_capacity(server, report)
+    extra = max(0, item.memory_mib - reserved)
+    missing = occupied + extra - capacity
+    if missing > 0:
+        raise DoesNotFitError(
+            detail=(
+                f"{item.key} needs {extra} MiB on {ledger.server}, where {occupied}"
+                f" of {capacity} MiB are taken: {missing} MiB too little"
+            ),
+            missing_mib=missing,
+        )
+
+
+def _count_order(ledger: ServerLedger) -> ServerLedger:
+    return _replace(ledger, next_order=ledger.next_order + 1)
+
+
+def _holds(entry: LedgerEntry) -> bool:
+    return entry.state is not EntryState.ABSENT
+
+
+def _is_for(entry: LedgerEntry, order: Order) -> bool:
+    kinds = {
+        EntryState.LOADING: OrderKind.LOAD,
+        EntryState.UNLOADING: OrderKind.UNLOAD,
+    }
+    return entry.number == order.number and kinds.get(entry.state) is order.kind
+
+
+def _is_old(ledger: ServerLedger, report: Report) -> bool:
+    """Tell whether the ledger has already taken in this report or a newer one.
+
+    An owner that was paused may hold a report from before a load. Taken for new, it
+    would show the item gone, and its bytes would be given away while it is there.
+    """
+    if report.boot_id in ledger.past_boots:
+        return True
+    return report.boot_id == ledger.boot_id and report.sequence <= ledger.sequence
+
+
+def _begin(ledger: ServerLedger, report: Report) -> ServerLedger:
+    """Return the ledger for the report's boot; after a restart, memory is empty."""
+    if report.boot_id == ledger.boot_id:
+        return ledger
+    past = ledger.past_boots
+    if ledger.boot_id:
+        past = (*past, ledger.boot_id)[-PAST_BOOTS_KEPT:]
+    return _replace(ledger, boot_id=report.boot_id, past_boots=past, entries=())
+
+
+def _raise_order(ledger: ServerLedger, report: Report) -> int:
+    """Return the next order number, above all that the server has seen.
+
+    After the table was restored from a backup, its count would begin too low and a
+    checking server would refuse every order.
+    """
+    seen = [item.number for item in report.items]
+    return max(ledger.next_order, report.last_order + 1, *(n + 1 for n in seen))
+
+
+def _adopt(listed: Listed, ledger: ServerLedger) -> LedgerEntry:
+    """Return an entry for what the server holds and the ledger did not know."""
+    return LedgerEntry(
+        item=listed.item,
+        memory_mib=listed.memory_mib,
+        state=EntryState(listed.state.value),
+        number=listed.number,
+        fence=ledger.fence,
+        boot_id=ledger.boot_id,
+        seen=True,
+    )
+
+
+def _judge(
+    entry: LedgerEntry, listed: Listed | None, *, server: Server, report: Report
+) -> LedgerEntry | None:
+    """Return the entry as the report shows it, or ``None`` if its bytes are free."""
+    if listed is not None:
+        return _judge_listed(entry, listed)
+    if server.checks_orders:
+        proven = report.fence >= entry.fence and report.last_order >= entry.number
+        return None if proven else entry
+    return _judge_missing(entry)
+
+
+def _judge_listed(entry: LedgerEntry, listed: Listed) -> LedgerEntry:
+    memory_mib = max(entry.memory_mib, listed.memory_mib)
+    entry = _replace(entry, memory_mib=memory_mib, seen=True)
+    if entry.state in (EntryState.UNLOADING, EntryState.LOADED):
+        return entry
+    if listed.state is not ItemState.LOADED:
+        return _replace(entry, state=EntryState.LOADING)
+    return _replace(
+        entry,
+        state=EntryState.LOADED,
+        late_loads=_count_late_loads(entry),
+        sends=0,
+        accepted=0,
+    )
+
+
+def _count_late_loads(entry: LedgerEntry) -> int:
+    """Return how many load orders may still arrive once the item was listed.
+
+    One order has brought the item in; which one is not known, but it is one of those
+    the server took, if it is known to have taken any.
+    """
+    return max(0, entry.late_loads + entry.sends - max(entry.accepted, 1))
+
+
+def _judge_missing(entry: LedgerEntry) -> LedgerEntry | None:
+    """Judge an entry that a server that does not check orders no longer lists."""
+    if not entry.seen:
+        return entry
+    if entry.state is EntryState.LOADING:
+        entry = _replace(entry, late_loads=_count_late_loads(entry))
+        return _leave_trace(entry)
+    late = entry.late_unloads + entry.sends - max(entry.accepted, 1)
+    return _leave_trace(_replace(entry, late_unloads=max(0, late)))
+
+
+def _leave_trace(entry: LedgerEntry) -> LedgerEntry | None:
+    """Return what is left of an absent item: orders that may still arrive."""
+    if entry.late_loads == 0 and entry.late_unloads == 0:
+        return None
+    return _replace(entry, state=EntryState.ABSENT, sends=0, accepted=0, seen=False)
+
+
+def _renew_overdue(
+    ledger: ServerLedger, listed: dict[str, Listed]
+) -> tuple[ServerLedger, tuple[Order, ...]]:
+    """Number anew the orders that had no effect for a while.
+
+    A new number lets a checking server tell the new order from the old one, which it
+    then refuses. For a server that does not check, both may arrive: ``sends`` counts
+    them.
+    """
+    orders: list[Order] = []
+    for entry in ledger.entries:
+        if not _is_overdue(entry, listed.get(entry.item), ledger.sequence):
+            continue
+        renewed = _replace(
+            entry,
+            number=ledger.next_order,
+            fence=ledger.fence,
+            since=ledger.sequence,
+            sends=entry.sends + 1,
+        )
+        ledger = _count_order(replace_entry(ledger, entry.item, renewed))
+        orders.append(build_order(ledger, renewed))
+    return ledger, tuple(orders)
+
+
+def _is_overdue(entry: LedgerEntry, listed: Listed | None, sequence: int) -> bool:
+    if sequence < entry.since + RESEND_AFTER_REPORTS:
+        return False
+    if entry.state is EntryState.LOADING:
+        return listed is None
+    if entry.state is EntryState.UNLOADING:
+        return listed is not None and listed.state is ItemState.LOADED
+    return False
+
+
+def _compare(
+    before: ServerLedger,
+    after: ServerLedger,
+    *,
+    resend: tuple[Order, ...],
+    superseded: bool,
+) -> Reconciliation:
+    old = {entry.item: entry for entry in before.entries}
+    new = {entry.item: entry for entry in after.entries}
+    loaded = [key for key, entry in new.items() if _became_loaded(old.get(key), entry)]
+    unloaded = [key for key in old if _became_absent(old[key], new.get(key))]
+    corrected = [
+        key
+        for key in sorted(old.keys() | new.keys())
+        if _is_surprise(old.get(key), new.get(key))
+    ]
+    return Reconciliation(
+        ledger=after,
+        loaded=tuple(loaded),
+        unloaded=tuple(unloaded),
+        corrected=tuple(corrected),
+        resend=resend,
+        superseded=superseded,
+        changed=_replace(before, sequence=after.sequence) != after,
+    )
+
+
+def _became_loaded(before: LedgerEntry | None, after: LedgerEntry) -> bool:
+    was = before is not None and before.state is EntryState.LOADED
+    return after.state is EntryState.LOADED and not was
+
+
+def _became_absent(before: LedgerEntry, after: LedgerEntry | None) -> bool:
+    return _holds(before) and (after is None or not _holds(after))
+
+
+def _is_surprise(before: LedgerEntry | None, after: LedgerEntry | None) -> bool:
+    if before is None or not _holds(before):
+        return after is not None and _holds(after)
+    if after is None or not _holds(after):
+        return before.state is not EntryState.UNLOADING
+    return after.memory_mib > before.memory_mib
--- /dev/null
+++ b/src/arbutuspulley/placement/records.py
@@ -0,0 +1,144 @@
+"""Rows of the table that placement owns, and how they are encoded."""
+
+import enum
+from typing import TypeVar
+
+import msgspec
+
+from arbutuspulley.data import Value
+
+_Record = TypeVar("_Record", bound=Value)
+
+
+class EntryState(enum.StrEnum):
+    """What the ledger holds of an item on a server.
+
+    ``ABSENT``: the item is proven to be gone, but an order that was sent earlier may
+    still arrive at a server that does not check orders.
+    """
+
+    LOADING = "loading"
+    LOADED = "loaded"
+    UNLOADING = "unloading"
+    ABSENT = "absent"
+
+
+class LedgerEntry(Value, frozen=True, omit_defaults=True):
+    """One item that occupies, or may come to occupy, a server's memory.
+
+    :param base: for an adapter, the item of the model that it extends.
+    :param number: number of the latest order for this item.
+    :param fence: fencing number that the latest order carries.
+    :param boot_id: the boot of the engine that the latest order is meant for.
+    :param since: report sequence at which the latest order was committed.
+    :param sends: orders of the present kind that were committed to be sent.
+    :param accepted: how many of ``sends`` the server is known to have taken.
+    :param seen: whether a report has listed the item.
+    :param late_loads: earlier load orders that may still arrive.
+    :param late_unloads: earlier unload orders that may still arrive.
+    """
+
+    item: str
+    memory_mib: int
+    state: EntryState
+    number: int
+    base: str = ""
+    fence: int = 0
+    boot_id: str = ""
+    since: int = 0
+    sends: int = 0
+    accepted: int = 0
+    seen: bool = False
+    late_loads: int = 0
+    late_unloads: int = 0
+
+
+class ServerLedger(Value, frozen=True, omit_defaults=True):
+    """All that occupies one server's memory; the row of the memory ledger.
+
+    :param fence: fencing number of the owner that wrote it; it only grows.
+    :param next_order: number for the next order, across owners.
+    :param boot_id: the engine's boot as last seen; empty before the first report.
+    :param sequence: the newest report of that boot that was taken in.
+    :param past_boots: boots that are over; their reports are ignored.
+    """
+
+    server: str
+    fence: int = 0
+    next_order: int = 1
+    boot_id: str = ""
+    sequence: int = 0
+    past_boots: tuple[str, ...] = ()
+    entries: tuple[LedgerEntry, ...] = ()
+
+
+class CopiesRecord(Value, frozen=True):
+    """The servers that hold an answering copy of an item, sorted by name."""
+
+    item: str
+    servers: tuple[str, ...] = ()
+
+
+class SlotRecord(Value, frozen=True):
+    """One of the weight store's slots; free if ``session`` is empty.
+
+    :param session: the session of the instance that holds it.
+    :param number: number of the load order that it was taken for.
+    """
+
+    session: str = ""
+    server: str = ""
+    item: str = ""
+    number: int = 0
+
+
+def build_ledger_key(group: str, server: str) -> str:
+    """Return the key of a server's ledger row."""
+    return f"{group}/ledger/{server}"
+
+
+def build_copies_key(group: str, item: str) -> str:
+    """Return the key of an item's row of answering copies."""
+    return f"{group}/copies/{item}"
+
+
+def build_slot_key(group: str, number: int) -> str:
+    """Return the key of one slot of the weight store, counted from 0."""
+    return f"{group}/load-slot/{number}"
+
+
+def encode(record: Value) -> bytes:
+    """Encode a record for the table."""
+    return msgspec.json.encode(record)
+
+
+def decode(value: bytes, kind: type[_Record]) -> _Record:
+    """Decode a record from the table.
+
+    :raises msgspec.ValidationError: if the row does not hold such a record.
+    """
+    return msgspec.json.decode(value, type=kind)
+
+
+def find_entry(ledger: ServerLedger, item: str) -> LedgerEntry | None:
+    """Return the entry of an item, or ``None``."""
+    for entry in ledger.entries:
+        if entry.item == item:
+            return entry
+    return None
+
+
+def replace_entry(
+    ledger: ServerLedger, item: str, entry: LedgerEntry | None
+) -> ServerLedger:
+    """Return the ledger with an item's entry set, or taken out if ``None``."""
+    kept = [known for known in ledger.entries if known.item != item]
+    if entry is not None:
+        kept.append(entry)
+    kept.sort(key=lambda known: known.item)
+    return msgspec.structs.replace(ledger, entries=tuple(kept))
+
+
+def is_reliable(entry: LedgerEntry) -> bool:
+    """Tell whether a copy answers and no order on its way can take it away."""
+    return entry.state is EntryState.LOADED and entry.late_unloads == 0
--- a/src/arbutuspulley/ports/engines.py
+++ b/src/arbutuspulley/ports/engines.py
@@ -35,6 +35,9 @@
     :param memory_mib: what the item occupies, KV cache floor included.
     :param fence: the owner's fencing number for this server; it only grows.
     :param number: numbers orders of one server in sequence, across owners.
+    :param boot_id: the boot that the order is meant for. Send it only on a connection
+        on which the server has reported this boot, and never open another one for it:
+        an order that is sent late must not reach a restarted engine.
     """
 
     kind: OrderKind
@@ -43,6 +46,7 @@
     fence: int
     number: int
     base: str = ""
+    boot_id: str = ""
 
 
 class OrderOutcome(enum.StrEnum):
