--- a/src/arbutuspulley/adapters/platform.py
+++ b/src/arbutuspulley/adapters/platform.py
@@ -109,8 +109,9 @@
 ) -> Committed | Conflict:
     body = msgspec.json.encode(_seal(transaction))
     answer = _change(pool, "POST", TRANSACT_PATH, body, _JSON_HEADERS)
-    kind = Conflict if answer.status == _CONFLICT else Committed
-    return _decode_outcome(answer, kind)
+    if answer.status == _CONFLICT:
+        return _decode_outcome(answer, Conflict)
+    return _decode_outcome(answer, Committed)
 
 
 def _get_object(pool: urllib3.HTTPConnectionPool, name: str) -> bytes | None:
--- /dev/null
+++ b/src/arbutuspulley/standins/platform.py
@@ -0,0 +1,333 @@
+"""Stand-in for the platform: ``arbutus-standin-platform``.
+
+It keeps a table, objects, an instance list and a weight store in memory, and
+forgets them when it ends. Paths are in
+:mod:`arbutuspulley.adapters.platform_messages`; besides:
+
+``POST /control``
+    Sets faults, limits and the instance list; the JSON keys are those of
+    :class:`~arbutuspulley.standins.platform_control.Control`. 400 if the body is
+    wrong, and then nothing is changed.
+
+``GET /control/counters``
+    What has been done so far, as
+    :class:`~arbutuspulley.standins.platform_control.Counters`.
+"""
+
+import threading
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any, TypeVar
+
+import cherrypy
+import cyclopts
+import msgspec
+
+from arbutuspulley.adapters.platform_messages import (
+    InstanceList,
+    LoadReply,
+    LoadRequest,
+    TransactRequest,
+)
+from arbutuspulley.clock import SECOND_MS, Clock
+from arbutuspulley.events import Event, log_event, set_up_logging
+from arbutuspulley.ports.platform import Committed, Conflict
+from arbutuspulley.settings import (
+    SettingsError,
+    check_address,
+    check_all,
+    check_choice,
+    exit_refused,
+    split_address,
+)
+from arbutuspulley.standins.platform_control import (
+    Control,
+    Counters,
+    PlatformState,
+    add,
+    apply_control,
+    take_loss,
+)
+from arbutuspulley.standins.platform_state import (
+    RestoreError,
+    TableState,
+    begin_load,
+    build_table_id,
+    find_load_wait,
+    list_instances,
+    read_row,
+    scan_rows,
+    transact,
+)
+from arbutuspulley.standins.server import (
+    StandinServer,
+    break_connection,
+    read_body,
+    run_until_stopped,
+)
+
+DEFAULT_SCAN_LIMIT = 1_000
+"""Rows of a page if the reader names no limit."""
+
+_Result = TypeVar("_Result")
+
+app = cyclopts.App(
+    name="arbutus-standin-platform",
+    help="Stand-in for the platform, for demos and tests.",
+    config=cyclopts.config.Env("ARBUTUS_STANDIN_PLATFORM_", command=False),
+)
+
+
+class PlatformStandin:
+    """One stand-in's state behind a lock, and its CherryPy handlers.
+
+    :param clock: the time that lag and weight store go by.
+    """
+
+    def __init__(self, *, clock: Clock | None = None) -> None:
+        table = TableState(name=f"{time.time_ns():x}")
+        self._clock = clock or Clock()
+        self._lock = threading.Lock()
+        self._state = PlatformState(table=table)
+        self.table = _TablePaths(self)
+        self.control = _ControlPaths(self)
+
+    @cherrypy.expose
+    def objects(self, name: str) -> bytes:
+        """Read an object, or write it if there is none."""
+        if cherrypy.request.method == "PUT":
+            return self._put_object(name, self.take_body())
+        found = self.perform(lambda state, _now: state.objects.get(name), "reads")
+        if found is None:
+            raise cherrypy.HTTPError(HTTPStatus.NOT_FOUND)
+        return self.answer(found)
+
+    @cherrypy.expose
+    def instances(self) -> bytes:
+        """Return the instance list as it was a lag ago."""
+        listing = self.perform(
+            lambda state, now: list_instances(state.instances, now=now), "reads"
+        )
+        return self.answer_json(InstanceList(instances=listing))
+
+    @cherrypy.expose
+    def weights(self, item: str) -> bytes:
+        """Admit a load of an item, or say when to come back."""
+        request = _decode(self.take_body(), LoadRequest)
+        reply = self.perform(lambda state, now: _admit_load(state, request, now))
+        if reply.retry_after_ms:
+            seconds = -(-reply.retry_after_ms // SECOND_MS)
+            cherrypy.response.status = HTTPStatus.TOO_MANY_REQUESTS
+            cherrypy.response.headers["Retry-After"] = str(seconds)
+        return self.answer_json(reply)
+
+    def perform(
+        self, work: Callable[[PlatformState, int], _Result], counter: str = ""
+    ) -> _Result:
+        """Do a piece of work under the lock, as outage and slowness allow."""
+        with self._lock:
+            faults = self._state.faults
+            if faults.outage:
+                add(self._state, "refused")
+                raise cherrypy.HTTPError(HTTPStatus.SERVICE_UNAVAILABLE)
+            result = work(self._state, self._clock.now())
+            if counter:
+                add(self._state, counter)
+            slow_ms = faults.slow_ms
+        if slow_ms:
+            time.sleep(slow_ms / SECOND_MS)
+        return result
+
+    def control_state(self, work: Callable[[PlatformState, int], _Result]) -> _Result:
+        """Do a piece of work under the lock whatever faults are set."""
+        with self._lock:
+            return work(self._state, self._clock.now())
+
+    def take_body(self) -> bytes:
+        """Return the request's body and count it."""
+        body = read_body()
+        self.control_state(lambda state, _now: add(state, "bytes_in", len(body)))
+        return body
+
+    def answer(self, body: bytes) -> bytes:
+        """Return an answer's body and count it."""
+        self.control_state(lambda state, _now: add(state, "bytes_out", len(body)))
+        return body
+
+    def answer_json(self, value: Any) -> bytes:
+        """Return an answer in JSON and count it."""
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        return self.answer(msgspec.json.encode(value))
+
+    def _put_object(self, name: str, data: bytes) -> bytes:
+        def put(state: PlatformState, _now: int) -> tuple[bool, bool]:
+            new = name not in state.objects
+            state.objects.setdefault(name, data)
+            if new:
+                add(state, "writes")
+            return new, take_loss(state)
+
+        new, lost = self.perform(put)
+        if lost:
+            break_connection()
+        cherrypy.response.status = HTTPStatus.CREATED if new else HTTPStatus.OK
+        return b""
+
+
+class _TablePaths:
+    """Paths below ``/table``."""
+
+    def __init__(self, standin: PlatformStandin) -> None:
+        self._standin = standin
+
+    @cherrypy.expose
+    def row(self, key: str) -> bytes:
+        """Return a row."""
+        row = self._standin.perform(
+            lambda state, _now: read_row(state.table, key), "reads"
+        )
+        if row is None:
+            raise cherrypy.HTTPError(HTTPStatus.NOT_FOUND)
+        return self._standin.answer_json(row)
+
+    @cherrypy.expose
+    def scan(self, prefix: str, after: str = "0", limit: str = "") -> bytes:
+        """Return a page of rows that changed after a revision."""
+        lowest = _parse_whole(after)
+        most = _parse_whole(limit) if limit else DEFAULT_SCAN_LIMIT
+        page = self._standin.perform(
+            lambda state, _now: scan_rows(
+                state.table, prefix=prefix, after=lowest, limit=most
+            ),
+            "reads",
+        )
+        return self._standin.answer_json(page)
+
+    @cherrypy.expose
+    def transactions(self) -> bytes:
+        """Write all of a transaction, or nothing."""
+        request = _decode(self._standin.take_body(), TransactRequest)
+
+        def write(state: PlatformState, _now: int) -> tuple[Committed | Conflict, bool]:
+            outcome = transact(state.table, request)
+            if isinstance(outcome, Conflict):
+                add(state, "conflicts")
+                return outcome, False
+            add(state, "writes")
+            return outcome, take_loss(state)
+
+        outcome, lost = self._standin.perform(write)
+        if lost:
+            break_connection()
+        if isinstance(outcome, Conflict):
+            cherrypy.response.status = HTTPStatus.CONFLICT
+        return self._standin.answer_json(outcome)
+
+
+class _ControlPaths:
+    """Paths below ``/control``."""
+
+    def __init__(self, standin: PlatformStandin) -> None:
+        self._standin = standin
+
+    @cherrypy.expose
+    def index(self) -> bytes:
+        """Set faults and limits."""
+        control = _decode(read_body(), Control)
+
+        def apply(state: PlatformState, now: int) -> None:
+            apply_control(state, control, now=now)
+
+        try:
+            self._standin.control_state(apply)
+        except RestoreError as error:
+            raise cherrypy.HTTPError(HTTPStatus.BAD_REQUEST, str(error)) from error
+        return b"{}"
+
+    @cherrypy.expose
+    def counters(self) -> bytes:
+        """Return what has been done so far."""
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        return msgspec.json.encode(
+            self._standin.control_state(lambda state, _now: _count(state))
+        )
+
+
+def _count(state: PlatformState) -> Counters:
+    return Counters(
+        **state.counts,
+        loads_peak=state.weights.peak,
+        revision=state.table.revision,
+        table_id=build_table_id(state.table),
+    )
+
+
+def _admit_load(state: PlatformState, request: LoadRequest, now: int) -> LoadReply:
+    reply = begin_load(state.weights, memory_mib=request.memory_mib, now=now)
+    if reply is not None:
+        add(state, "loads")
+        return reply
+    add(state, "loads_refused")
+    return LoadReply(retry_after_ms=find_load_wait(state.weights, now=now))
+
+
+def _decode(body: bytes, kind: type[_Result]) -> _Result:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise cherrypy.HTTPError(HTTPStatus.BAD_REQUEST, str(error)) from error
+
+
+def _parse_whole(text: str) -> int:
+    if not text.isdigit():
+        raise cherrypy.HTTPError(HTTPStatus.BAD_REQUEST, "not a whole number")
+    return int(text)
+
+
+def build_server(
+    *, host: str = "127.0.0.1", port: int = 0, clock: Clock | None = None
+) -> StandinServer:
+    """Return a stand-in that can be started in this process.
+
+    :param port: 0 takes a free one.
+    :param clock: the time that lag and weight store go by.
+    """
+    return StandinServer(root=PlatformStandin(clock=clock), host=host, port=port)
+
+
+@app.default
+def run(
+    *, listen: str = "127.0.0.1:7400", log_format: str = "text", log_level: str = "info"
+) -> None:
+    """Serve until SIGTERM.
+
+    :param listen: ``host:port`` to listen on.
+    :param log_format: ``json`` or ``text``.
+    :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
+    """
+    try:
+        check_all(
+            [
+                check_address("--listen", listen),
+                check_choice("--log-format", log_format, choices=("json", "text")),
+                check_choice(
+                    "--log-level",
+                    log_level,
+                    choices=("debug", "info", "warning", "error"),
+                ),
+            ]
+        )
+    except SettingsError as error:
+        exit_refused(error)
+    set_up_logging(log_format=log_format, level=log_level)
+    host, port = split_address(listen)
+    server = build_server(host=host, port=port)
+    log_event(Event.STARTED, program=app.name[0], listen=server.address)
+    run_until_stopped(server)
+    log_event(Event.STOPPED, program=app.name[0])
+
+
+def main() -> None:
+    """Run the program."""
+    app()
--- /dev/null
+++ b/src/arbutuspulley/standins/platform_state.py
@@ -0,0 +1,220 @@
+"""State of the platform stand-in: pure functions, no I/O and no clock reads."""
+
+import msgspec
+
+from arbutuspulley.adapters.platform_messages import LoadReply, TransactRequest
+from arbutuspulley.data import State, Value
+from arbutuspulley.ports.platform import (
+    ABSENT,
+    Committed,
+    Conflict,
+    InstanceListing,
+    Page,
+    Row,
+)
+
+MINUTE_MS = 60_000
+"""Milliseconds in a minute."""
+
+KEPT_TRANSACTIONS = 20_000
+"""How many transactions back the table can be restored."""
+
+DEFAULT_LOAD_MS_PER_GIB = 50
+"""How long an undisturbed load takes by default."""
+
+
+class _Undo(Value, frozen=True):
+    """What a transaction's rows were before it (``None``: no trace of a row)."""
+
+    revision: int
+    rows: tuple[tuple[str, Row | None], ...]
+
+
+class TableState(State):
+    """The table.
+
+    :param rows: in order of revision, deletions included: a row that is written
+        moves to the end.
+    :param restores: how often it was restored; part of the table's id.
+    """
+
+    name: str
+    rows: dict[str, Row] = msgspec.field(default_factory=dict)
+    revision: int = ABSENT
+    undo: list[_Undo] = msgspec.field(default_factory=list)
+    restores: int = 0
+
+
+class InstancesState(State):
+    """The instance list with its lag.
+
+    :param versions: ``(set at, listing)``, oldest first.
+    """
+
+    lag_ms: int = 0
+    versions: list[tuple[int, tuple[InstanceListing, ...]]] = msgspec.field(
+        default_factory=list
+    )
+
+
+class WeightsState(State):
+    """The weight store's limits and what it is serving.
+
+    :param begun_at: when recent loads began.
+    :param ends_at: when the loads that are being served end.
+    :param peak: most loads that were ever served at once.
+    """
+
+    loads_per_minute: int = 60
+    loads_at_once: int = 2
+    load_ms_per_gib: int = DEFAULT_LOAD_MS_PER_GIB
+    begun_at: list[int] = msgspec.field(default_factory=list)
+    ends_at: list[int] = msgspec.field(default_factory=list)
+    peak: int = 0
+
+
+class RestoreError(Exception):
+    """The revision to restore is unknown or too old."""
+
+
+def read_row(table: TableState, key: str) -> Row | None:
+    """Return the row, or ``None`` if it does not exist or was deleted."""
+    row = table.rows.get(key)
+    return None if row is None or row.deleted else row
+
+
+def build_table_id(table: TableState) -> str:
+    """Return the name of the table's history."""
+    return f"{table.name}-{table.restores}"
+
+
+def scan_rows(table: TableState, *, prefix: str, after: int, limit: int) -> Page:
+    """Return rows below a prefix that changed after a revision.
+
+    Rows of one transaction stay on one page, even above the limit: a reader goes
+    on after a revision and would miss the rest of it.
+    """
+    found = _list_changed(table, prefix=prefix, after=after)
+    if len(found) <= limit:
+        return _build_page(table, found, revision=table.revision, more=False)
+    end = limit
+    while end < len(found) and found[end].revision == found[end - 1].revision:
+        end += 1
+    more = end < len(found)
+    revision = found[end - 1].revision if more else table.revision
+    return _build_page(table, found[:end], revision=revision, more=more)
+
+
+def transact(table: TableState, request: TransactRequest) -> Committed | Conflict:
+    """Write all of a transaction, or nothing if a precondition fails."""
+    for expected in request.preconditions:
+        row = read_row(table, expected.key)
+        revision = ABSENT if row is None else row.revision
+        if revision != expected.revision:
+            return Conflict(key=expected.key, revision=revision)
+    table.revision += 1
+    before = tuple((write.key, table.rows.get(write.key)) for write in request.writes)
+    table.undo.append(_Undo(revision=table.revision, rows=before))
+    del table.undo[:-KEPT_TRANSACTIONS]
+    for write in request.writes:
+        table.rows.pop(write.key, None)
+        table.rows[write.key] = Row(
+            key=write.key,
+            value=write.value or b"",
+            revision=table.revision,
+            deleted=write.value is None,
+        )
+    return Committed(revision=table.revision)
+
+
+def restore(table: TableState, revision: int) -> None:
+    """Put the table back to an earlier revision, as a backup would.
+
+    :raises RestoreError: if that revision isn't known any more.
+    """
+    oldest = table.undo[0].revision - 1 if table.undo else table.revision
+    if not oldest <= revision <= table.revision:
+        raise RestoreError(f"revision {revision} is not in {oldest}..{table.revision}")
+    while table.undo and table.undo[-1].revision > revision:
+        _undo_last(table)
+    ordered = sorted(table.rows.values(), key=lambda row: row.revision)
+    table.rows = {row.key: row for row in ordered}
+    table.revision = revision
+    table.restores += 1
+
+
+def set_instances(
+    state: InstancesState, listing: tuple[InstanceListing, ...], *, now: int
+) -> None:
+    """Change the instance list; readers see it after the lag."""
+    state.versions.append((now, listing))
+
+
+def list_instances(state: InstancesState, *, now: int) -> tuple[InstanceListing, ...]:
+    """Return the list as it was a lag ago."""
+    seen: tuple[InstanceListing, ...] = ()
+    for set_at, listing in state.versions:
+        if set_at <= now - state.lag_ms:
+            seen = listing
+    return seen
+
+
+def begin_load(state: WeightsState, *, memory_mib: int, now: int) -> LoadReply | None:
+    """Admit a load, or return ``None`` if too many began within the last minute.
+
+    The rate is spread evenly: at most ``loads_at_once`` may begin together, and
+    after that one for each ``60 s / loads_per_minute``. Loads beyond
+    ``loads_at_once`` are served, but each takes longer in proportion.
+    """
+    if find_load_wait(state, now=now) > 0:
+        return None
+    interval = MINUTE_MS // state.loads_per_minute
+    oldest_counted = now - interval * state.loads_at_once
+    state.begun_at = [begun for begun in state.begun_at if begun > oldest_counted]
+    state.begun_at.append(now)
+    state.ends_at = [end for end in state.ends_at if end > now]
+    at_once = len(state.ends_at) + 1
+    state.peak = max(state.peak, at_once)
+    alone_ms = max(1, memory_mib * state.load_ms_per_gib // 1024)
+    slowdown = max(1.0, at_once / state.loads_at_once)
+    duration_ms = int(alone_ms * slowdown)
+    state.ends_at.append(now + duration_ms)
+    return LoadReply(duration_ms=duration_ms)
+
+
+def find_load_wait(state: WeightsState, *, now: int) -> int:
+    """Return how long until the rate allows another load to begin, in ms."""
+    window = MINUTE_MS // state.loads_per_minute * state.loads_at_once
+    recent = sorted(begun for begun in state.begun_at if begun > now - window)
+    if len(recent) < state.loads_at_once:
+        return 0
+    return recent[-state.loads_at_once] + window - now
+
+
+def _list_changed(table: TableState, *, prefix: str, after: int) -> list[Row]:
+    found: list[Row] = []
+    for row in reversed(table.rows.values()):
+        if row.revision <= after:
+            break
+        if row.key.startswith(prefix) and (after > ABSENT or not row.deleted):
+            found.append(row)
+    found.reverse()
+    return found
+
+
+def _build_page(
+    table: TableState, rows: list[Row], *, revision: int, more: bool
+) -> Page:
+    return Page(
+        rows=tuple(rows),
+        revision=revision,
+        more=more,
+        table_id=build_table_id(table),
+    )
+
+
+def _undo_last(table: TableState) -> None:
+    for key, row in table.undo.pop().rows:
+        table.rows.pop(key, None)
+        if row is not None:
+            table.rows[key] = row
