--- /dev/null
+++ b/src/arbutuspulley/delivery/claims.py
@@ -0,0 +1,235 @@
+"""Claims: an unrepeatable request runs at most once, whoever sends it again.
+
+Before its only dispatch a request claims its caller's idempotency key by a row
+that is inserted only if absent. Whoever comes with the same key later finds the
+row: with the stored answer, or still open. An open claim is never run again, also
+when its claimant died, because the request may have run.
+
+The functions block and are called by the controller on its I/O threads.
+"""
+
+import enum
+import hashlib
+import logging
+import uuid
+
+import msgspec
+
+from arbutuspulley.data import Message
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.ports.commit import commit
+from arbutuspulley.ports.platform import (
+    ABSENT,
+    Committed,
+    Objects,
+    Precondition,
+    Row,
+    Table,
+    Transaction,
+    Write,
+)
+from arbutuspulley.results import (
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+)
+from arbutuspulley.rpc.messages import ClaimReply, ClaimRequest, SettleRequest
+
+INLINE_ANSWER_BYTES = 16 * 1024
+"""Largest answer kept in the table row; larger ones go to the object store."""
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Largest answer that is kept at all; it must fit into one message."""
+
+_TRIES = 4
+"""Bound on rounds of read and compare-and-set against other writers."""
+
+
+class ClaimState(enum.StrEnum):
+    """State of a claim, in its row and towards the entry."""
+
+    GRANTED = "granted"
+    CLAIMED = "claimed"
+    IN_PROGRESS = "in_progress"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+    NOT_RUN = "not_run"
+    REUSED = "reused"
+    UNAVAILABLE = "unavailable"
+
+
+class ClaimRecord(Message, frozen=True):
+    """The row of one idempotency key.
+
+    :param state: ``claimed``, ``answered``, ``unknown`` or ``not_run``.
+    :param attempt_id: the claim that holds or held the key.
+    :param claimant: boot id of the entry that made it.
+    :param body: the answer, if it is small.
+    :param object_name: where the answer is kept, if it is large.
+    """
+
+    body_sha256: str
+    attempt_id: str
+    state: ClaimState
+    claimant: str = ""
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    object_name: str = ""
+
+
+def build_claim_key(caller: str, key: str) -> str:
+    """Return the key of a claim's row; the idempotency key itself is not shown."""
+    return f"claim/{caller}/{hashlib.sha256(key.encode()).hexdigest()}"
+
+
+def decide_claim(record: ClaimRecord | None, request: ClaimRequest) -> ClaimState:
+    """Judge a claim against the row that is there.
+
+    :return: ``GRANTED`` (the row may be written), or what to tell the caller.
+    """
+    if record is None:
+        return ClaimState.GRANTED
+    if record.state is ClaimState.NOT_RUN:
+        # The key was never used for a run. A late copy of the claim that was
+        # taken back must not get it again: its entry has already given up.
+        if record.attempt_id == request.attempt_id:
+            return ClaimState.UNAVAILABLE
+        return ClaimState.GRANTED
+    if record.body_sha256 != request.body_sha256:
+        return ClaimState.REUSED
+    if record.state is not ClaimState.CLAIMED:
+        return record.state
+    if record.attempt_id == request.attempt_id:
+        # The reply to this very claim was lost on its way; its entry asks again
+        # and has not dispatched yet.
+        return ClaimState.GRANTED
+    return ClaimState.IN_PROGRESS
+
+
+def decide_settlement(record: ClaimRecord | None, request: SettleRequest) -> bool:
+    """Return whether the settlement may be written over the row that is there."""
+    if record is None or record.attempt_id != request.attempt_id:
+        return False
+    if record.state is ClaimState.CLAIMED:
+        return True
+    return record.state is ClaimState.UNKNOWN and request.state == ClaimState.ANSWERED
+
+
+def make_claim(table: Table, request: ClaimRequest, *, objects: Objects) -> ClaimReply:
+    """Claim the right to run a request.
+
+    :return: ``granted`` only if the row was certainly written by this claim;
+        ``unavailable`` if it was not, or if that cannot be told now.
+    """
+    try:
+        return _try_claim(table, request, objects)
+    except (PlatformUnavailableError, OutcomeUnknownError):
+        return ClaimReply(state=ClaimState.UNAVAILABLE)
+
+
+def settle_claim(table: Table, request: SettleRequest, *, objects: Objects) -> None:
+    """Record how a claimed request ended; repeating it changes nothing.
+
+    :raises PlatformUnavailableError: nothing was recorded.
+    :raises OutcomeUnknownError: it may have been recorded; settle again.
+    """
+    key = build_claim_key(request.caller, request.key)
+    for _ in range(_TRIES):
+        row = table.read(key)
+        record = _decode(row)
+        if row is None or record is None or not decide_settlement(record, request):
+            return
+        settled = _settle(record, request, key, objects)
+        if _write(table, key, row.revision, settled):
+            log_event(
+                Event.CLAIM_SETTLED,
+                level=logging.DEBUG,
+                caller=request.caller,
+                attempt=request.attempt_id,
+                state=request.state,
+            )
+            return
+
+
+def _try_claim(table: Table, request: ClaimRequest, objects: Objects) -> ClaimReply:
+    key = build_claim_key(request.caller, request.key)
+    for _ in range(_TRIES):
+        row = table.read(key)
+        record = _decode(row)
+        state = decide_claim(record, request)
+        if state is not ClaimState.GRANTED:
+            return _build_reply(state, record, objects)
+        if record is not None and record.state is ClaimState.CLAIMED:
+            return ClaimReply(state=ClaimState.GRANTED)
+        claimed = ClaimRecord(
+            body_sha256=request.body_sha256,
+            attempt_id=request.attempt_id,
+            state=ClaimState.CLAIMED,
+            claimant=request.claimant,
+        )
+        if _write(table, key, row.revision if row else ABSENT, claimed):
+            log_event(
+                Event.CLAIM_MADE,
+                level=logging.DEBUG,
+                caller=request.caller,
+                attempt=request.attempt_id,
+            )
+            return ClaimReply(state=ClaimState.GRANTED)
+    return ClaimReply(state=ClaimState.UNAVAILABLE)
+
+
+def _write(table: Table, key: str, revision: int, record: ClaimRecord) -> bool:
+    transaction = Transaction(
+        token=uuid.uuid4().hex,
+        preconditions=(Precondition(key=key, revision=revision),),
+        writes=(Write(key=key, value=msgspec.json.encode(record)),),
+    )
+    return isinstance(commit(table, transaction), Committed)
+
+
+def _decode(row: Row | None) -> ClaimRecord | None:
+    if row is None or row.deleted:
+        return None
+    return msgspec.json.decode(row.value, type=ClaimRecord)
+
+
+def _settle(
+    record: ClaimRecord, request: SettleRequest, key: str, objects: Objects
+) -> ClaimRecord:
+    state = ClaimState(request.state)
+    if state is not ClaimState.ANSWERED or len(request.body) > MAX_ANSWER_BYTES:
+        kept = ClaimState.UNKNOWN if state is ClaimState.ANSWERED else state
+        return msgspec.structs.replace(record, state=kept)
+    body, object_name = request.body, ""
+    if len(body) > INLINE_ANSWER_BYTES:
+        object_name = f"answers/{key}/{record.attempt_id}"
+        objects.put_if_absent(object_name, body)
+        body = b""
+    return msgspec.structs.replace(
+        record,
+        state=state,
+        status=request.status,
+        content_type=request.content_type,
+        body=body,
+        object_name=object_name,
+    )
+
+
+def _build_reply(
+    state: ClaimState, record: ClaimRecord | None, objects: Objects
+) -> ClaimReply:
+    if record is None or state is ClaimState.REUSED:
+        return ClaimReply(state=state)
+    if state is not ClaimState.ANSWERED:
+        return ClaimReply(state=state, claimant=record.claimant)
+    body: bytes | None = record.body
+    if record.object_name:
+        body = objects.get(record.object_name)
+    if body is None:
+        return ClaimReply(state=ClaimState.UNKNOWN)
+    return ClaimReply(
+        state=state,
+        status=record.status,
+        content_type=record.content_type,
+        body=body,
+    )
--- /dev/null
+++ b/src/arbutuspulley/delivery/request.py
@@ -0,0 +1,283 @@
+"""The life of one request, from admission to its final answer.
+
+A request is run by attempts, one at a time. :func:`advance` takes what happened
+and says what to do next; the shell around it sends bytes and reads clocks.
+
+A repeatable request whose attempt broke off goes on elsewhere from the next
+offset. An unrepeatable one is never sent again once bytes of it may have left.
+"""
+
+import enum
+from collections.abc import Callable
+
+from arbutuspulley.data import State, Value
+from arbutuspulley.delivery.failures import RETRY_AFTER_MS, build_failure
+from arbutuspulley.results import Code, RequestError, RunState
+
+MAX_ATTEMPTS = 8
+"""Bound on attempts of one request, besides the retry budget and the deadline."""
+
+
+class Phase(enum.StrEnum):
+    """Where a request is in its life."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+class RequestState(State):
+    """One request.
+
+    :param repeatable: whether it may be sent again after bytes have left.
+    :param deadline: when it is given up, in milliseconds of the shell's clock.
+    :param offset: index of the next token that the caller needs.
+    :param exposed: whether a server may have admitted any attempt so far.
+    :param avoid: servers that a next attempt should not go to.
+    :param retry_after_ms: what servers that refused it said last.
+    """
+
+    request_id: str
+    deadline: int
+    repeatable: bool = True
+    offset: int = 0
+    phase: Phase = Phase.WAITING
+    attempts: int = 0
+    attempt_id: str = ""
+    exposed: bool = False
+    avoid: frozenset[str] = frozenset()
+    retry_after_ms: int | None = None
+
+
+class Admitted(Value, frozen=True):
+    """It is the request's turn."""
+
+
+class NoServer(Value, frozen=True):
+    """No server can take it now.
+
+    :param code: why, for the caller.
+    """
+
+    code: Code = Code.MODEL_NOT_LOADED
+    retry_after_ms: int = RETRY_AFTER_MS
+
+
+class Barred(Value, frozen=True):
+    """It must not be dispatched, for example because it is quarantined."""
+
+    code: Code
+    detail: str
+    retry_after_ms: int
+
+
+class NotSent(Value, frozen=True):
+    """The attempt failed before a byte of it left."""
+
+    server: str
+
+
+class Refused(Value, frozen=True):
+    """The server refused the attempt before admission.
+
+    :param final: whether any other server would refuse it, too.
+    """
+
+    server: str
+    detail: str
+    retry_after_ms: int | None = None
+    leaving: bool = False
+    final: bool = False
+
+
+class Broken(Value, frozen=True):
+    """The attempt broke off after bytes of it may have left.
+
+    :param next_offset: index of the first token that the caller has not got.
+    """
+
+    server: str
+    next_offset: int
+
+
+class Ended(Value, frozen=True):
+    """The end marker arrived at the right offset."""
+
+
+class CallerLeft(Value, frozen=True):
+    """The caller closed its connection."""
+
+
+class DeadlinePassed(Value, frozen=True):
+    """The request's time is over."""
+
+
+Event = (
+    Admitted
+    | NoServer
+    | Barred
+    | NotSent
+    | Refused
+    | Broken
+    | Ended
+    | CallerLeft
+    | DeadlinePassed
+)
+"""What can happen to a request."""
+
+
+class Dispatch(Value, frozen=True):
+    """Send an attempt to a server that is not in ``avoid``, if there is another.
+
+    :param offset: index of the first token wanted; above 0 resumes.
+    """
+
+    attempt_id: str
+    offset: int
+    avoid: frozenset[str]
+
+
+class Cancel(Value, frozen=True):
+    """Cancel the attempt at its server."""
+
+    attempt_id: str
+
+
+class Finish(Value, frozen=True):
+    """The answer is whole."""
+
+
+class Fail(Value, frozen=True):
+    """Give the caller this final answer at once."""
+
+    error: RequestError
+
+
+Effect = Dispatch | Cancel | Finish | Fail
+"""What is to be done."""
+
+TakeRetry = Callable[[], bool]
+"""Takes one retry from the budget, or returns false; see ``admission.budget``."""
+
+
+def advance(
+    state: RequestState, event: Event, *, now: int, take_retry: TakeRetry
+) -> tuple[Effect, ...]:
+    """Move a request on.
+
+    :param now: the time in milliseconds.
+    :param take_retry: called once if, and only if, a retry is about to be made.
+    :return: what to do, in order; nothing if the request has already ended.
+    """
+    if state.phase is Phase.ENDED:
+        return ()
+    if isinstance(event, CallerLeft):
+        return _leave(state)
+    if isinstance(event, Ended):
+        state.phase = Phase.ENDED
+        return (Finish(),)
+    if isinstance(event, DeadlinePassed) or now >= state.deadline:
+        return _give_up_late(state, event)
+    if isinstance(event, Admitted):
+        return _dispatch(state)
+    if isinstance(event, NoServer):
+        detail = "no server can take it now"
+        return _fail(state, event.code, detail, event.retry_after_ms)
+    if isinstance(event, Barred):
+        return _fail(state, event.code, event.detail, event.retry_after_ms)
+    if isinstance(event, NotSent):
+        state.avoid |= {event.server}
+        return _retry(state, take_retry)
+    if isinstance(event, Refused):
+        return _take_refusal(state, event, take_retry)
+    return _take_break(state, event, take_retry)
+
+
+def get_run_state(state: RequestState) -> RunState:
+    """Return what can be promised of a request that has no whole answer."""
+    return RunState.UNKNOWN if state.exposed else RunState.NOT_RUN
+
+
+def _dispatch(state: RequestState) -> tuple[Effect, ...]:
+    state.phase = Phase.RUNNING
+    state.attempts += 1
+    state.attempt_id = f"{state.request_id}.{state.attempts}"
+    return (
+        Dispatch(attempt_id=state.attempt_id, offset=state.offset, avoid=state.avoid),
+    )
+
+
+def _take_refusal(
+    state: RequestState, event: Refused, take_retry: TakeRetry
+) -> tuple[Effect, ...]:
+    state.avoid |= {event.server}
+    if event.final:
+        return _fail(state, Code.BAD_PARAMETER, event.detail, retry_after_ms=None)
+    if event.retry_after_ms is not None:
+        state.retry_after_ms = event.retry_after_ms
+    if event.leaving and state.attempts < MAX_ATTEMPTS:
+        # A leaving server is no failure, and it is avoided from now on: moving
+        # on cannot add to an overload, so it costs no retry of the budget.
+        return _dispatch(state)
+    return _retry(state, take_retry)
+
+
+def _take_break(
+    state: RequestState, event: Broken, take_retry: TakeRetry
+) -> tuple[Effect, ...]:
+    state.exposed = True
+    state.offset = max(state.offset, event.next_offset)
+    state.avoid |= {event.server}
+    if not state.repeatable:
+        return _fail_unknown(state)
+    return _retry(state, take_retry)
+
+
+def _retry(state: RequestState, take_retry: TakeRetry) -> tuple[Effect, ...]:
+    if state.attempts >= MAX_ATTEMPTS or not take_retry():
+        detail = "servers failed and no retry is left"
+        return _fail(state, Code.RETRIES_EXHAUSTED, detail)
+    return _dispatch(state)
+
+
+def _give_up_late(state: RequestState, event: Event) -> tuple[Effect, ...]:
+    running = state.phase is Phase.RUNNING and isinstance(event, DeadlinePassed)
+    cancels = (Cancel(attempt_id=state.attempt_id),) if running else ()
+    if running or isinstance(event, Broken):
+        state.exposed = True
+    if not state.exposed:
+        detail = "no server could begin it in time"
+        return (*cancels, *_fail(state, Code.DEADLINE_OUT_OF_REACH, detail))
+    if not state.repeatable:
+        return (*cancels, *_fail_unknown(state))
+    detail = "the answer was not complete in time"
+    return (*cancels, *_fail(state, Code.ANSWER_INCOMPLETE, detail))
+
+
+def _fail_unknown(state: RequestState) -> tuple[Effect, ...]:
+    """Give up an unrepeatable request that may have run.
+
+    The server may have run it although its answer is lost: sent once more, a
+    booking would be confirmed twice. Coming back cannot help either, so there is
+    no time to come back at.
+    """
+    detail = "the server broke off; the request may have run"
+    return _fail(state, Code.OUTCOME_UNKNOWN, detail, retry_after_ms=None)
+
+
+def _fail(
+    state: RequestState, code: Code, detail: str, retry_after_ms: int | None = 0
+) -> tuple[Effect, ...]:
+    if retry_after_ms == 0:
+        retry_after_ms = state.retry_after_ms or RETRY_AFTER_MS
+    state.phase = Phase.ENDED
+    error = build_failure(
+        code, detail, run_state=get_run_state(state), retry_after_ms=retry_after_ms
+    )
+    return (Fail(error=error),)
+
+
+def _leave(state: RequestState) -> tuple[Effect, ...]:
+    was_running = state.phase is Phase.RUNNING
+    state.phase = Phase.ENDED
+    return (Cancel(attempt_id=state.attempt_id),) if was_running else ()
