--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,148 @@
+"""The fault-injecting proxy does what its faults say."""
+
+import socket
+import threading
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from tests.proxy import Direction, FaultProxy
+
+BOUND_S = 5
+
+
+class Echo:
+    """Answers each piece of data with itself and remembers it."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.seen = b""
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            end, _ = self._listener.accept()
+            threading.Thread(target=self._answer, args=(end,), daemon=True).start()
+
+    def _answer(self, end: socket.socket) -> None:
+        try:
+            while data := end.recv(1024):
+                self.seen += data
+                end.sendall(data)
+        except OSError:
+            pass
+        end.close()
+
+    def wait_for(self, data: bytes) -> bool:
+        end = time.monotonic() + BOUND_S
+        while time.monotonic() < end:
+            if self.seen == data:
+                return True
+            time.sleep(0.005)
+        return False
+
+
+@pytest.fixture
+def echo() -> Echo:
+    return Echo()
+
+
+@pytest.fixture
+def proxy(echo: Echo) -> Iterator[FaultProxy]:
+    with FaultProxy(target=echo.address) as made:
+        yield made
+
+
+def connect(proxy: FaultProxy) -> socket.socket:
+    return socket.create_connection(("127.0.0.1", proxy.port), timeout=BOUND_S)
+
+
+def ask(end: socket.socket, data: bytes = b"a") -> bytes:
+    end.sendall(data)
+    return end.recv(1024)
+
+
+def is_silent(end: socket.socket) -> bool:
+    end.settimeout(0.1)
+    try:
+        end.recv(1024)
+    except TimeoutError:
+        return True
+    finally:
+        end.settimeout(BOUND_S)
+    return False
+
+
+def test_forwards_and_passes_the_end_on(proxy):
+    end = connect(proxy)
+    assert ask(end, b"hello") == b"hello"
+    end.shutdown(socket.SHUT_WR)
+    assert end.recv(1024) == b""
+
+
+def test_cut_resets_refuses_and_heals_on_the_same_port(proxy):
+    end = connect(proxy)
+    ask(end)
+    proxy.cut()
+    with pytest.raises(ConnectionResetError):
+        end.recv(1024)
+    with pytest.raises(ConnectionRefusedError):
+        connect(proxy)
+    proxy.heal()
+    assert ask(connect(proxy)) == b"a"
+
+
+@pytest.mark.parametrize(
+    ("direction", "seen"),
+    [(Direction.TO_TARGET, b"a"), (Direction.TO_CLIENT, b"ab")],
+)
+def test_one_way_cut_swallows_that_direction_only(echo, proxy, direction, seen):
+    end = connect(proxy)
+    ask(end)
+    proxy.drop(direction)
+    end.sendall(b"b")
+    assert is_silent(end)
+    assert echo.seen == seen
+    proxy.heal()
+    assert ask(end, b"c") == b"c"
+
+
+def test_a_reply_is_lost_after_the_target_had_the_request(echo, proxy):
+    end = connect(proxy)
+    ask(end)
+    proxy.lose_replies()
+    with pytest.raises(ConnectionResetError):
+        ask(end, b"b")
+    assert echo.wait_for(b"ab")
+    assert proxy.replies_lost == 1
+    assert ask(connect(proxy)) == b"a"
+
+
+def test_frozen_bytes_arrive_after_healing(echo, proxy):
+    end = connect(proxy)
+    ask(end)
+    proxy.freeze()
+    end.sendall(b"b")
+    new = connect(proxy)
+    new.sendall(b"c")
+    assert is_silent(end)
+    assert echo.seen == b"a"
+    proxy.heal()
+    assert (end.recv(1024), new.recv(1024)) == (b"b", b"c")
+
+
+def test_delay_holds_each_way_back(proxy):
+    end = connect(proxy)
+    proxy.delay(50)
+    begun = time.monotonic()
+    assert ask(end) == b"a"
+    assert time.monotonic() - begun >= 0.1
+
+
+def test_a_dead_target_shows_as_a_reset(echo):
+    with FaultProxy(target="127.0.0.1:1") as proxy:
+        end = connect(proxy)
+        with pytest.raises(ConnectionResetError):
+            end.recv(1024)
