--- /dev/null
+++ b/src/arbutuspulley/placement/layout.py
@@ -0,0 +1,231 @@
+"""A picture of all servers and items of a group, which a plan is worked out on."""
+
+from collections.abc import Collection, Iterable, Mapping
+
+import msgspec
+import xxhash
+
+from arbutuspulley.configuration.lookup import Item, list_configured_items
+from arbutuspulley.configuration.schema import Configuration
+from arbutuspulley.data import State
+from arbutuspulley.placement.ledger import measure_reserved, occupied_mib
+from arbutuspulley.placement.records import (
+    EntryState,
+    LedgerEntry,
+    ServerLedger,
+    is_reliable,
+)
+
+_COMING = (EntryState.LOADED, EntryState.LOADING)
+
+
+class Place(State):
+    """One server that may take loads.
+
+    :param capacity_mib: its memory.
+    :param checks_orders: whether it refuses an order with an old fencing number.
+    :param occupied_mib: what its ledger counts, planned loads included.
+    :param entries: what it holds, by item.
+    :param planned: keys of items that the plan at hand loads there.
+    """
+
+    name: str
+    site: str
+    slots: int
+    capacity_mib: int
+    checks_orders: bool
+    occupied_mib: int
+    entries: dict[str, LedgerEntry]
+    planned: set[str]
+
+
+class Layout(State):
+    """Places, wanted items and where they are.
+
+    :param places: servers that answer and are not leaving, by name.
+    :param items: configured items by key.
+    :param adapters: for each model's item, its adapters, sorted by key.
+    :param answering: servers where an item answers with the base it now needs.
+    :param holding: servers where it answers or will, by order or by plan.
+    :param reliable: servers whose copy no order on its way can take away, whatever
+        its base.
+    :param held: copies on servers that stopped answering only just now; they are not
+        replaced yet.
+    """
+
+    places: dict[str, Place]
+    items: dict[str, Item]
+    adapters: dict[str, tuple[Item, ...]]
+    answering: dict[str, set[str]]
+    holding: dict[str, set[str]]
+    reliable: dict[str, set[str]]
+    held: dict[str, int]
+
+
+def build_layout(
+    *,
+    configuration: Configuration,
+    ledgers: Mapping[str, ServerLedger],
+    usable: Collection[str],
+    waited_for: Collection[str] = (),
+) -> Layout:
+    """Build the picture from rows.
+
+    :param usable: servers that answer and are not leaving.
+    :param waited_for: servers that stopped answering only just now.
+    """
+    items = list_configured_items(configuration)
+    layout = Layout(
+        places=_build_places(configuration, ledgers, usable),
+        items=items,
+        adapters=_group_adapters(items),
+        answering={key: set() for key in items},
+        holding={key: set() for key in items},
+        reliable={},
+        held=_count_held(ledgers, waited_for),
+    )
+    for place in layout.places.values():
+        for entry in place.entries.values():
+            _index_entry(layout, place, entry)
+    return layout
+
+
+def is_there(place: Place, key: str) -> bool:
+    """Tell whether an item is at a place in any state, so that it can't be loaded."""
+    entry = place.entries.get(key)
+    present = entry is not None and entry.state is not EntryState.ABSENT
+    return present or key in place.planned
+
+
+def measure_room(layout: Layout, place: Place) -> int:
+    """Return the free MiB at a place, less what adapters of its models still need."""
+    pledged = sum(
+        measure_extra(place, adapter)
+        for model in (*place.entries, *sorted(place.planned))
+        for adapter in list_missing_adapters(layout, place, model)
+    )
+    return place.capacity_mib - place.occupied_mib - pledged
+
+
+def list_missing_adapters(layout: Layout, place: Place, model: str) -> list[Item]:
+    """Return the adapters that a model at this place is to be joined by."""
+    if place.name not in layout.holding.get(model, ()):
+        return []
+    return [
+        adapter
+        for adapter in layout.adapters.get(model, ())
+        if not is_there(place, adapter.key)
+        and len(layout.holding[adapter.key]) < adapter.copies
+    ]
+
+
+def measure_extra(place: Place, item: Item) -> int:
+    """Return the MiB that loading an item would add to what is occupied."""
+    entry = place.entries.get(item.key)
+    reserved = measure_reserved(entry) if entry is not None else 0
+    return max(0, item.memory_mib - reserved)
+
+
+def add_planned(layout: Layout, place: Place, item: Item) -> None:
+    """Count an item as loaded at a place for the rest of the plan."""
+    place.occupied_mib += measure_extra(place, item)
+    place.planned.add(item.key)
+    layout.holding[item.key].add(place.name)
+
+
+def measure_bundle(layout: Layout, place: Place, item: Item) -> int:
+    """Return the MiB that an item and those of its adapters add at a place."""
+    adapters = sum(
+        measure_extra(place, adapter)
+        for adapter in layout.adapters.get(item.key, ())
+        if not is_there(place, adapter.key)
+        and len(layout.holding[adapter.key]) < adapter.copies
+    )
+    return measure_extra(place, item) + adapters
+
+
+def copy_layout(layout: Layout) -> Layout:
+    """Return a copy to try planned loads on."""
+    return Layout(
+        places={
+            name: msgspec.structs.replace(place, planned=set(place.planned))
+            for name, place in layout.places.items()
+        },
+        items=layout.items,
+        adapters=layout.adapters,
+        answering=layout.answering,
+        holding={key: set(names) for key, names in layout.holding.items()},
+        reliable=layout.reliable,
+        held=layout.held,
+    )
+
+
+def rank_place(key: str, server: str) -> int:
+    """Return a server's preference for an item: the lowest is taken first.
+
+    Rendezvous hashing: all instances agree without talking, and a server that comes
+    or goes changes the preference of few items.
+    """
+    return xxhash.xxh64_intdigest(f"{key}/{server}".encode())
+
+
+def find_name(key: str) -> str:
+    """Return the name callers use from an item's key."""
+    return key.rpartition("@")[0]
+
+
+def _build_places(
+    configuration: Configuration,
+    ledgers: Mapping[str, ServerLedger],
+    usable: Collection[str],
+) -> dict[str, Place]:
+    places: dict[str, Place] = {}
+    for site_name, site in configuration.sites.items():
+        for name, server in site.servers.items():
+            ledger = ledgers.get(name)
+            if name not in usable or ledger is None or not ledger.boot_id:
+                continue
+            places[name] = Place(
+                name=name,
+                site=site_name,
+                slots=server.slots,
+                capacity_mib=server.memory_mib,
+                checks_orders=server.checks_orders,
+                occupied_mib=occupied_mib(ledger),
+                entries={entry.item: entry for entry in ledger.entries},
+                planned=set(),
+            )
+    return dict(sorted(places.items()))
+
+
+def _group_adapters(items: Mapping[str, Item]) -> dict[str, tuple[Item, ...]]:
+    adapters: dict[str, tuple[Item, ...]] = {}
+    for key in sorted(items):
+        base = items[key].base_key
+        if base:
+            adapters[base] = (*adapters.get(base, ()), items[key])
+    return adapters
+
+
+def _count_held(
+    ledgers: Mapping[str, ServerLedger], names: Iterable[str]
+) -> dict[str, int]:
+    held: dict[str, int] = {}
+    for name in names:
+        ledger = ledgers.get(name)
+        for entry in ledger.entries if ledger is not None else ():
+            if entry.state in _COMING:
+                held[entry.item] = held.get(entry.item, 0) + 1
+    return held
+
+
+def _index_entry(layout: Layout, place: Place, entry: LedgerEntry) -> None:
+    if is_reliable(entry):
+        layout.reliable.setdefault(entry.item, set()).add(place.name)
+    item = layout.items.get(entry.item)
+    if item is None or entry.base != item.base_key:
+        return
+    if entry.state in _COMING:
+        layout.holding[entry.item].add(place.name)
+    if entry.state is EntryState.LOADED:
+        layout.answering[entry.item].add(place.name)
--- /dev/null
+++ b/src/arbutuspulley/placement/missing.py
@@ -0,0 +1,176 @@
+"""Copies that the configuration asks for and that are not there yet."""
+
+import enum
+from collections.abc import Callable, Iterable
+
+from arbutuspulley.configuration.lookup import Item
+from arbutuspulley.data import Value
+from arbutuspulley.placement.layout import (
+    Layout,
+    Place,
+    add_planned,
+    find_name,
+    is_there,
+    list_missing_adapters,
+    measure_bundle,
+    measure_extra,
+    measure_room,
+    rank_place,
+)
+
+
+class Priority(enum.IntEnum):
+    """Which loads go first.
+
+    ``LOST``: nothing answers under the name; ``SHORT``: fewer copies than configured;
+    ``DEMAND``: more copies than configured, because callers ask for them.
+    """
+
+    LOST = 0
+    SHORT = 1
+    DEMAND = 2
+
+
+class Missing(Value, frozen=True):
+    """One copy to load.
+
+    :param size_mib: what it needs with its adapters, to place the largest first.
+    """
+
+    item: Item
+    priority: Priority
+    size_mib: int
+
+
+class Planned(Value, frozen=True):
+    """A missing copy and where it is to go."""
+
+    missing: Missing
+    server: str
+
+
+Prefer = Callable[[Layout, Place, Item], tuple[int, ...]]
+"""Ranks a place for an item; the lowest is taken."""
+
+
+def list_missing(layout: Layout) -> list[Missing]:
+    """Return all missing copies, in the sequence in which they get a place.
+
+    An adapter is listed once its model answers somewhere. The largest go first within
+    a priority, because they fit in the fewest places.
+    """
+    names = _list_answering_names(layout)
+    missing = [
+        Missing(item=item, priority=priority, size_mib=_measure_size(layout, item))
+        for item in layout.items.values()
+        if not item.base_key or layout.answering.get(item.base_key)
+        for priority in _list_priorities(layout, item, names)
+    ]
+    missing.sort(key=lambda copy: (copy.priority, -copy.size_mib, copy.item.key))
+    return missing
+
+
+def find_place(layout: Layout, item: Item, prefer: Prefer) -> Place | None:
+    """Return the preferred place where an item fits, or ``None``."""
+    fitting = [
+        place
+        for place in list_candidates(layout, item)
+        if measure_extra(place, item) <= _measure_room_for(layout, place, item)
+    ]
+    return min(fitting, key=lambda place: prefer(layout, place, item), default=None)
+
+
+def list_candidates(layout: Layout, item: Item) -> list[Place]:
+    """Return the places that may hold an item, whether or not it fits now."""
+    names: Iterable[str] = layout.places
+    if item.base_key:
+        names = sorted(layout.answering.get(item.base_key, ()))
+    places = [layout.places[name] for name in names]
+    return [place for place in places if not is_there(place, item.key)]
+
+
+def measure_shortage(layout: Layout, place: Place, item: Item) -> int:
+    """Return how many MiB an item lacks at a place; 0 or less if it fits."""
+    return measure_extra(place, item) - _measure_room_for(layout, place, item)
+
+
+def prefer_spread(layout: Layout, place: Place, item: Item) -> tuple[int, ...]:
+    """Prefer places with room for the adapters too, then other sites than so far."""
+    return (
+        _grade_place(layout, place, item),
+        _count_in_site(layout, place, item),
+        rank_place(item.key, place.name),
+    )
+
+
+def prefer_tight(layout: Layout, place: Place, item: Item) -> tuple[int, ...]:
+    """Prefer the place with the least room left, to keep large rooms whole."""
+    return (
+        _grade_place(layout, place, item),
+        measure_room(layout, place),
+        rank_place(item.key, place.name),
+    )
+
+
+def place_all(
+    layout: Layout, missing: Iterable[Missing], prefer: Prefer
+) -> tuple[list[Planned], list[Missing]]:
+    """Find places for missing copies and count them there.
+
+    :return: those with a place, and those that fit nowhere.
+    """
+    planned: list[Planned] = []
+    left: list[Missing] = []
+    for copy in missing:
+        place = find_place(layout, copy.item, prefer)
+        if place is None:
+            left.append(copy)
+            continue
+        add_planned(layout, place, copy.item)
+        planned.append(Planned(missing=copy, server=place.name))
+    return planned, left
+
+
+def _list_answering_names(layout: Layout) -> set[str]:
+    return {find_name(key) for key, names in layout.reliable.items() if names}
+
+
+def _list_priorities(layout: Layout, item: Item, names: set[str]) -> Iterable[Priority]:
+    there = len(layout.holding[item.key]) + layout.held.get(item.key, 0)
+    short = item.copies - there
+    if short <= 0:
+        return
+    lost = there == 0 and item.name not in names
+    yield Priority.LOST if lost else Priority.SHORT
+    for _ in range(short - 1):
+        yield Priority.SHORT
+
+
+def _measure_size(layout: Layout, item: Item) -> int:
+    adapters = layout.adapters.get(item.key, ())
+    return item.memory_mib + sum(adapter.memory_mib for adapter in adapters)
+
+
+def _measure_room_for(layout: Layout, place: Place, item: Item) -> int:
+    """Return the room at a place for an item; an adapter may use what it is due."""
+    room = measure_room(layout, place)
+    if item in list_missing_adapters(layout, place, item.base_key):
+        room += measure_extra(place, item)
+    return room
+
+
+def _grade_place(layout: Layout, place: Place, item: Item) -> int:
+    """Grade a place: 0 is best.
+
+    A place that holds an adapter with the model's former version would have to drop
+    that adapter before it can load it again, so other places come first.
+    """
+    if measure_bundle(layout, place, item) > measure_room(layout, place):
+        return 2
+    adapters = layout.adapters.get(item.key, ())
+    return int(any(is_there(place, adapter.key) for adapter in adapters))
+
+
+def _count_in_site(layout: Layout, place: Place, item: Item) -> int:
+    holders = layout.holding[item.key]
+    return sum(layout.places[name].site == place.site for name in holders)
--- /dev/null
+++ b/src/arbutuspulley/placement/planner.py
@@ -0,0 +1,219 @@
+"""The plan for all servers of a group, the same wherever it is worked out.
+
+Each controller plans for the whole group from the same rows and carries out only what
+concerns servers that it owns. What the configuration asks for follows from the rows
+alone; only timers and smoothed demand are an instance's own, and the transactions of
+:mod:`.transactions` keep two owners that disagree from doing harm.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from arbutuspulley.configuration.schema import Configuration
+from arbutuspulley.data import State, Value
+from arbutuspulley.placement.actions import Action, Blocked, Load, Unload
+from arbutuspulley.placement.layout import (
+    Layout,
+    build_layout,
+    copy_layout,
+)
+from arbutuspulley.placement.missing import (
+    Missing,
+    Planned,
+    list_candidates,
+    list_missing,
+    place_all,
+    prefer_spread,
+    prefer_tight,
+)
+from arbutuspulley.placement.records import EntryState, ServerLedger
+from arbutuspulley.placement.retire import list_unneeded
+from arbutuspulley.placement.room import make_room
+from arbutuspulley.rpc.messages import ServerSummary
+
+__all__ = ["Action", "Blocked", "Load", "PlannerInputs", "PlannerState", "Unload"]
+
+DOWN_AFTER_MS = 5_000
+"""How long a server's copies are waited for before they are replaced."""
+
+RETIRE_AFTER_MS = 30_000
+"""How long a copy stays after it is no longer needed.
+
+Requests admitted under the former configuration may still ask for it: the new one is
+in force everywhere within 18 s, and what was admitted before that has to end.
+"""
+
+MAX_LOADS = 16
+"""Most loads in one plan; the weight store's slots allow far fewer at a time."""
+
+MAX_UNLOADS = 16
+"""Most unloads in one plan."""
+
+
+class PlannerState(State):
+    """What an instance remembers between plans.
+
+    :param down_since: when a server was first seen not to answer.
+    :param unneeded_since: when a copy was first seen not to be needed, by item.
+    """
+
+    down_since: dict[str, int] = {}
+    unneeded_since: dict[str, int] = {}
+
+
+class PlannerInputs(Value, frozen=True):
+    """What a plan is made from.
+
+    :param summaries: the model engines by name, as their owners tell of them.
+    :param demand: estimated token cost that callers asked of an item, a second.
+    """
+
+    configuration: Configuration
+    ledgers: Mapping[str, ServerLedger]
+    summaries: Mapping[str, ServerSummary]
+    demand: Mapping[str, float] = {}
+
+
+def plan(state: PlannerState, inputs: PlannerInputs, *, now: int) -> tuple[Action, ...]:
+    """Plan the next actions: unloads, then loads in sequence of rank, then blocks."""
+    usable = _list_usable(inputs.summaries)
+    layout = build_layout(
+        configuration=inputs.configuration,
+        ledgers=inputs.ledgers,
+        usable=usable,
+        waited_for=_wait_for_down(state, inputs.summaries, now=now),
+    )
+    unneeded = _wait_unneeded(state, list_unneeded(layout), now=now)
+    loads, others = _plan_missing(layout)
+    swaps = _swap_adapters(layout)
+    unloads = _merge_unloads(unneeded, others, swaps)
+    blocked = [action for action in others if isinstance(action, Blocked)]
+    return (*unloads[:MAX_UNLOADS], *loads[:MAX_LOADS], *blocked)
+
+
+def _list_usable(summaries: Mapping[str, ServerSummary]) -> set[str]:
+    return {
+        name
+        for name, summary in summaries.items()
+        if summary.alive and not summary.leaving
+    }
+
+
+def _wait_for_down(
+    state: PlannerState, summaries: Mapping[str, ServerSummary], *, now: int
+) -> list[str]:
+    """Return the servers that stopped answering only just now.
+
+    A report that comes late is far more common than a server that died, and to
+    replace its copies would take the weight store's time from those that need it.
+    """
+    down = {name for name, summary in summaries.items() if not summary.alive}
+    for name in list(state.down_since):
+        if name not in down:
+            del state.down_since[name]
+    for name in down:
+        state.down_since.setdefault(name, now)
+    return sorted(
+        name
+        for name in down
+        if now - state.down_since[name] < DOWN_AFTER_MS and not summaries[name].leaving
+    )
+
+
+def _wait_unneeded(
+    state: PlannerState, unloads: list[Unload], *, now: int
+) -> list[Unload]:
+    keys = {unload.item for unload in unloads}
+    for key in list(state.unneeded_since):
+        if key not in keys:
+            del state.unneeded_since[key]
+    for key in keys:
+        state.unneeded_since.setdefault(key, now)
+    return [
+        unload
+        for unload in unloads
+        if now - state.unneeded_since[unload.item] >= RETIRE_AFTER_MS
+    ]
+
+
+def _plan_missing(layout: Layout) -> tuple[list[Load], list[Action]]:
+    """Place missing copies, and make room for what fits nowhere.
+
+    Places by preference spread copies well and stay stable, but may leave no room
+    large enough; then a tighter packing is tried for those that are still missing.
+    """
+    missing = list_missing(layout)
+    trial = copy_layout(layout)
+    planned, left = place_all(trial, missing, prefer_spread)
+    if not left:
+        return _order_loads(planned), []
+    return _plan_tight(layout, missing)
+
+
+def _plan_tight(
+    layout: Layout, missing: Iterable[Missing]
+) -> tuple[list[Load], list[Action]]:
+    planned: list[Planned] = []
+    others: list[Action] = []
+    for copy in missing:
+        placed, left = place_all(layout, [copy], prefer_tight)
+        planned += placed
+        if not left:
+            continue
+        for step in make_room(layout, copy.item):
+            if isinstance(step, Load):
+                moved = msgspec.structs.replace(copy, item=step.item)
+                planned.append(Planned(missing=moved, server=step.server))
+            else:
+                others.append(step)
+    return _order_loads(planned), others
+
+
+def _order_loads(planned: Iterable[Planned]) -> list[Load]:
+    ordered = sorted(
+        planned,
+        key=lambda load: (
+            load.missing.priority,
+            load.missing.item.memory_mib,
+            load.missing.item.key,
+        ),
+    )
+    return [Load(server=load.server, item=load.missing.item) for load in ordered]
+
+
+def _swap_adapters(layout: Layout) -> list[Unload]:
+    """Unload adapters that must be loaded again for their model's new version.
+
+    Only where no other server holds the new version without them, and only while
+    another copy answers.
+    """
+    unloads: list[Unload] = []
+    for key in sorted(layout.items):
+        item = layout.items[key]
+        short = len(layout.holding[key]) < item.copies
+        if not item.base_key or not short or list_candidates(layout, item):
+            continue
+        for name in sorted(layout.answering.get(item.base_key, ())):
+            entry = layout.places[name].entries.get(key)
+            if entry is None or entry.state is not EntryState.LOADED:
+                continue
+            if entry.base != item.base_key and layout.reliable[key] - {name}:
+                unloads.append(Unload(server=name, item=key))
+                break
+    return unloads
+
+
+def _merge_unloads(*groups: Iterable[Action]) -> list[Unload]:
+    """Return unloads, the first one for each copy.
+
+    At most one copy of an item is unloaded at a time, except if none is needed: each
+    unload is only known to be safe by itself.
+    """
+    merged: dict[tuple[str, str], Unload] = {}
+    for group in groups:
+        for action in group:
+            if isinstance(action, Unload):
+                server = action.server if action.least == 0 else ""
+                merged.setdefault((action.item, server), action)
+    return list(merged.values())
--- /dev/null
+++ b/src/arbutuspulley/placement/retire.py
@@ -0,0 +1,78 @@
+"""Copies that the configuration in force no longer needs."""
+
+from collections.abc import Iterator
+
+from arbutuspulley.configuration.lookup import Item
+from arbutuspulley.placement.actions import Unload
+from arbutuspulley.placement.layout import Layout, Place, find_name, rank_place
+from arbutuspulley.placement.records import EntryState, LedgerEntry
+
+
+def list_unneeded(layout: Layout) -> list[Unload]:
+    """Return the unloads of former versions and of items that are not configured.
+
+    A former version goes once the new one answers, and only as far as both together
+    are more than the configured copies. Adapters go before their model.
+    """
+    names = {item.name: item for item in layout.items.values()}
+    former = _group_former(layout, names)
+    unloads = [
+        Unload(server=place.name, item=entry.item, least=0)
+        for place, entry in _list_loaded(layout)
+        if find_name(entry.item) not in names
+    ]
+    for name in sorted(former):
+        unloads += _retire_former(layout, names[name], former[name])
+    return [unload for unload in unloads if not _is_base_in_use(layout, unload)]
+
+
+def _list_loaded(layout: Layout) -> Iterator[tuple[Place, LedgerEntry]]:
+    for place in layout.places.values():
+        for key in sorted(place.entries):
+            if place.entries[key].state is EntryState.LOADED:
+                yield place, place.entries[key]
+
+
+def _group_former(
+    layout: Layout, names: dict[str, Item]
+) -> dict[str, list[tuple[Place, LedgerEntry]]]:
+    """Return the loaded former versions of each configured name.
+
+    An adapter that was loaded for its model's former version is one too, although its
+    own version may be the same.
+    """
+    former: dict[str, list[tuple[Place, LedgerEntry]]] = {}
+    for place, entry in _list_loaded(layout):
+        item = names.get(find_name(entry.item))
+        if item is None:
+            continue
+        if entry.item != item.key or entry.base != item.base_key:
+            former.setdefault(item.name, []).append((place, entry))
+    return former
+
+
+def _retire_former(
+    layout: Layout, item: Item, former: list[tuple[Place, LedgerEntry]]
+) -> list[Unload]:
+    answering = len(layout.answering[item.key])
+    if answering == 0:
+        return []
+    spare = answering + len(former) - item.copies
+    former = sorted(former, key=lambda known: rank_place(known[1].item, known[0].name))
+    return [
+        Unload(
+            server=place.name,
+            item=entry.item,
+            least=int(entry.item == item.key),
+            successor="" if entry.item == item.key else item.key,
+        )
+        for place, entry in former[: max(0, spare)]
+    ]
+
+
+def _is_base_in_use(layout: Layout, unload: Unload) -> bool:
+    entries = layout.places[unload.server].entries.values()
+    return any(
+        entry.base == unload.item and entry.state is not EntryState.ABSENT
+        for entry in entries
+    )
--- /dev/null
+++ b/src/arbutuspulley/placement/room.py
@@ -0,0 +1,252 @@
+"""Room for an item that fits nowhere: unload what there is enough of, or relocate.
+
+A relocation loads another copy of something elsewhere first. Once that copy answers,
+there is one more than configured, and the next plan unloads the one in the way.
+"""
+
+from collections.abc import Iterator
+
+from arbutuspulley.configuration.lookup import Item
+from arbutuspulley.data import Value
+from arbutuspulley.placement.actions import Action, Blocked, Load, Unload
+from arbutuspulley.placement.layout import (
+    Layout,
+    Place,
+    add_planned,
+    find_name,
+    is_there,
+    measure_extra,
+    measure_room,
+    rank_place,
+)
+from arbutuspulley.placement.missing import list_candidates, measure_shortage
+from arbutuspulley.placement.records import EntryState, LedgerEntry
+
+
+class Unit(Value, frozen=True):
+    """Entries of one place that go together: an adapter, or a model with its adapters.
+
+    :param freed_mib: what is free once they are gone.
+    :param cost_mib: what has to be loaded elsewhere first.
+    :param steps: the next actions towards it; empty to wait for earlier ones.
+    """
+
+    key: str
+    freed_mib: int
+    cost_mib: int
+    steps: tuple[Action, ...]
+
+
+class Clearing(Value, frozen=True):
+    """A way to make room at a place."""
+
+    place: str
+    cost_mib: int
+    steps: tuple[Action, ...]
+
+
+def make_room(layout: Layout, item: Item) -> tuple[Action, ...]:
+    """Return the next steps towards room for an item, or what blocks it.
+
+    The place chosen is counted as taken, so that smaller items do not fill the room
+    while it is being made.
+    """
+    clearings = [
+        clearing
+        for place in list_candidates(layout, item)
+        if (clearing := _clear(layout, place, item)) is not None
+    ]
+    if not clearings:
+        return (_explain(layout, item),)
+    best = min(
+        clearings,
+        key=lambda way: (way.cost_mib, len(way.steps), rank_place(item.key, way.place)),
+    )
+    _count_loads(layout, best.steps)
+    add_planned(layout, layout.places[best.place], item)
+    return best.steps
+
+
+def is_removable(layout: Layout, place: Place, entry: LedgerEntry) -> bool:
+    """Tell whether enough other copies of a configured item answer."""
+    item = layout.items.get(entry.item)
+    if item is None or entry.state is not EntryState.LOADED:
+        return False
+    if entry.base != item.base_key:
+        return False
+    others = layout.answering[item.key] & layout.reliable.get(item.key, set())
+    return len(others - {place.name}) >= item.copies
+
+
+def _clear(layout: Layout, place: Place, item: Item) -> Clearing | None:
+    """Return the cheapest way found to make room for an item at one place."""
+    short = measure_shortage(layout, place, item) - _measure_pending(layout, place)
+    chosen: list[Unit] = []
+    units = sorted(
+        _list_units(layout, place, item),
+        key=lambda unit: (unit.cost_mib, unit.freed_mib < short, unit.freed_mib),
+    )
+    for unit in units:
+        if short <= 0:
+            break
+        if _overlaps(place, unit, chosen):
+            continue
+        chosen.append(unit)
+        short -= unit.freed_mib
+    if short > 0:
+        return None
+    return Clearing(
+        place=place.name,
+        cost_mib=sum(unit.cost_mib for unit in chosen),
+        steps=tuple(step for unit in chosen for step in unit.steps),
+    )
+
+
+def _measure_pending(layout: Layout, place: Place) -> int:
+    """Return the MiB that unloads under way, or soon due, will free."""
+    return sum(
+        _measure_freed(place, entry)
+        for entry in place.entries.values()
+        if entry.state is EntryState.UNLOADING or _is_retiring(layout, entry)
+    )
+
+
+def _is_retiring(layout: Layout, entry: LedgerEntry) -> bool:
+    """Tell whether no site configures anything under the entry's name any more."""
+    if entry.state is not EntryState.LOADED:
+        return False
+    names = {item.name for item in layout.items.values()}
+    return find_name(entry.item) not in names
+
+
+def _measure_freed(place: Place, entry: LedgerEntry) -> int:
+    """Return what unloading frees: nothing if a load may still arrive late."""
+    if not place.checks_orders and entry.late_loads > 0:
+        return 0
+    return entry.memory_mib
+
+
+def _list_units(layout: Layout, place: Place, item: Item) -> Iterator[Unit]:
+    for key in sorted(place.entries):
+        entry = place.entries[key]
+        wanted = layout.items.get(key)
+        if wanted is None or entry.state is not EntryState.LOADED:
+            continue
+        if entry.base != wanted.base_key or key == item.base_key:
+            continue
+        unit = _build_unit(layout, place, wanted)
+        if unit is not None:
+            yield unit
+
+
+def _overlaps(place: Place, unit: Unit, chosen: list[Unit]) -> bool:
+    keys = {known.key for known in chosen}
+    base = place.entries[unit.key].base
+    return base in keys or any(place.entries[key].base == unit.key for key in keys)
+
+
+def _build_unit(layout: Layout, place: Place, item: Item) -> Unit | None:
+    """Return what it takes to take an item, and adapters with it, off a place."""
+    parts = [
+        layout.items[key]
+        for key, entry in sorted(place.entries.items())
+        if entry.base == item.key and key in layout.items
+    ]
+    parts.insert(0, item)
+    entries = [place.entries[part.key] for part in parts]
+    if any(entry.state is not EntryState.LOADED for entry in entries):
+        return None
+    freed = sum(_measure_freed(place, entry) for entry in entries)
+    kept = [part for part in parts if not _is_spare(layout, place, part)]
+    if freed == 0:
+        return None
+    if not kept:
+        steps = _build_unloads(layout, place, parts)
+        return Unit(key=item.key, freed_mib=freed, cost_mib=0, steps=steps)
+    cost = sum(part.memory_mib for part in kept)
+    if _is_base_coming(layout, place, kept[0]):
+        return Unit(key=item.key, freed_mib=freed, cost_mib=cost, steps=())
+    target = _find_target(layout, place, kept)
+    if target is None:
+        return None
+    step = Load(server=target.name, item=kept[0])
+    return Unit(key=item.key, freed_mib=freed, cost_mib=cost, steps=(step,))
+
+
+def _is_spare(layout: Layout, place: Place, item: Item) -> bool:
+    """Tell whether enough other copies answer, or are being loaded."""
+    return len(layout.holding[item.key] - {place.name}) >= item.copies
+
+
+def _build_unloads(
+    layout: Layout, place: Place, parts: list[Item]
+) -> tuple[Action, ...]:
+    """Return the unloads that can be ordered now; adapters go before their model."""
+    adapters = parts[1:]
+    ready = [part for part in adapters or parts if _can_unload(layout, place, part)]
+    return tuple(
+        Unload(server=place.name, item=part.key, least=part.copies) for part in ready
+    )
+
+
+def _can_unload(layout: Layout, place: Place, item: Item) -> bool:
+    return is_removable(layout, place, place.entries[item.key])
+
+
+def _find_target(layout: Layout, source: Place, parts: list[Item]) -> Place | None:
+    """Return the place with the least room that takes all parts."""
+    fitting = [
+        place
+        for place in layout.places.values()
+        if place is not source and _takes(layout, place, parts)
+    ]
+    return min(
+        fitting,
+        key=lambda place: (
+            measure_room(layout, place),
+            rank_place(parts[0].key, place.name),
+        ),
+        default=None,
+    )
+
+
+def _is_base_coming(layout: Layout, source: Place, item: Item) -> bool:
+    """Tell whether an adapter's model is being loaded elsewhere: then wait for it."""
+    if not item.base_key:
+        return False
+    elsewhere = layout.holding[item.base_key] - {source.name}
+    return bool(elsewhere - layout.answering[item.base_key])
+
+
+def _takes(layout: Layout, place: Place, parts: list[Item]) -> bool:
+    if any(is_there(place, part.key) for part in parts):
+        return False
+    first = parts[0]
+    if first.base_key and place.name not in layout.answering.get(first.base_key, ()):
+        return False
+    needed = sum(measure_extra(place, part) for part in parts)
+    return needed <= measure_room(layout, place)
+
+
+def _count_loads(layout: Layout, steps: tuple[Action, ...]) -> None:
+    for step in steps:
+        if isinstance(step, Load):
+            add_planned(layout, layout.places[step.server], step.item)
+
+
+def _explain(layout: Layout, item: Item) -> Blocked:
+    rooms = {
+        place.name: measure_room(layout, place)
+        for place in list_candidates(layout, item)
+    }
+    if not rooms:
+        base = f" beside {item.base_key}" if item.base_key else ""
+        detail = f"no server may take another copy of {item.key}{base}"
+        return Blocked(item=item.key, detail=detail)
+    roomiest = max(sorted(rooms), key=lambda name: rooms[name])
+    detail = (
+        f"{item.key} needs {item.memory_mib} MiB; the most room is"
+        f" {rooms[roomiest]} MiB on {roomiest}, {sum(rooms.values())} MiB on all"
+        f" {len(rooms)} servers together, and nothing on them can be relocated"
+    )
+    return Blocked(item=item.key, detail=detail)
--- a/src/arbutuspulley/placement/slots.py
+++ b/src/arbutuspulley/placement/slots.py
@@ -6,12 +6,11 @@
 the rate of all instances together without synchronised clocks.
 """
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Mapping
 
 import xxhash
 
 from arbutuspulley.configuration.schema import WeightStore
-from arbutuspulley.data import State
 from arbutuspulley.placement.records import (
     EntryState,
     ServerLedger,
@@ -27,37 +26,13 @@
 """How long a free slot is left to the load whose turn it is."""
 
 
-class SeenSlot(State):
-    """A slot as this instance last read it.
-
-    :param changed_at: when its revision was first seen, on this instance's clock.
-    """
-
-    row: SlotRow
-    changed_at: int
-
-
-class SlotState(State):
-    """What this instance has seen of the slots."""
-
-    seen: dict[int, SeenSlot] = {}
-
-
 def measure_hold_ms(store: WeightStore) -> int:
     """Return how long a slot is kept at least, in milliseconds, rounded up."""
     return -(-store.loads_at_once * MINUTE_MS // store.loads_per_minute)
 
 
-def observe_slots(state: SlotState, *, rows: Sequence[SlotRow], now: int) -> None:
-    """Take in slots as just read; those without a row are free from ``now``."""
-    for row in rows:
-        known = state.seen.get(row.number)
-        if known is None or known.row.revision != row.revision:
-            state.seen[row.number] = SeenSlot(row=row, changed_at=now)
-
-
 def choose_slot(
-    state: SlotState,
+    slots: Mapping[int, SlotRow],
     *,
     rank: int,
     store: WeightStore,
@@ -73,6 +48,8 @@
     ``n``-th free slot, so that instances rarely want the same one. If the owner whose
     turn it is does not act, others take the slot after :data:`PATIENCE_MS`.
 
+    :param slots: the slots as this instance last read them, by number; slots without
+        a row are free.
     :param rank: position among all loads of the plan, other owners' included.
     :param sessions: sessions that this instance does not hold for lapsed.
     :param ledgers: the ledgers of the servers that slots may name.
@@ -80,21 +57,18 @@
     :return: the slot, or ``None`` to wait.
     """
     free = [
-        seen
-        for number in range(store.loads_at_once)
-        if (seen := _get(state, number, now)) is not None
-        and _is_free(
-            seen, store=store, sessions=sessions, ledgers=ledgers, alive=alive, now=now
+        slot
+        for slot in _list_slots(slots, store)
+        if _is_free(
+            slot, store=store, sessions=sessions, ledgers=ledgers, alive=alive, now=now
         )
     ]
-    if not free:
-        return None
     if rank < len(free):
-        return free[rank].row
-    left = [seen for seen in free if now - seen.changed_at >= PATIENCE_MS]
+        return free[rank]
+    left = [slot for slot in free if now - slot.changed_at >= PATIENCE_MS]
     if not left:
         return None
-    return left[xxhash.xxh64_intdigest(instance.encode()) % len(left)].row
+    return left[xxhash.xxh64_intdigest(instance.encode()) % len(left)]
 
 
 def can_release(
@@ -117,15 +91,13 @@
     return not _is_loading(record, ledger=ledger, alive=alive)
 
 
-def _get(state: SlotState, number: int, now: int) -> SeenSlot:
-    if number not in state.seen:
-        row = SlotRow(number=number, record=SlotRecord(), revision=0)
-        state.seen[number] = SeenSlot(row=row, changed_at=now)
-    return state.seen[number]
+def _list_slots(slots: Mapping[int, SlotRow], store: WeightStore) -> list[SlotRow]:
+    numbers = range(store.loads_at_once)
+    return [slots.get(number, SlotRow(number=number)) for number in numbers]
 
 
 def _is_free(
-    seen: SeenSlot,
+    slot: SlotRow,
     *,
     store: WeightStore,
     sessions: Collection[str],
@@ -138,12 +110,12 @@
     The holder's own minimum may not be over when it lapses, so the slot must also have
     been seen unchanged for that long.
     """
-    record = seen.row.record
+    record = slot.record
     if not record.session:
         return True
     if record.session in sessions:
         return False
-    if now - seen.changed_at < measure_hold_ms(store):
+    if now - slot.changed_at < measure_hold_ms(store):
         return False
     server = record.server
     return not _is_loading(record, ledger=ledgers.get(server), alive=server in alive)
--- a/src/arbutuspulley/placement/transactions.py
+++ b/src/arbutuspulley/placement/transactions.py
@@ -53,11 +53,15 @@
 
 
 class SlotRow(Value, frozen=True):
-    """One slot of the weight store as it was read; revision 0 if there is no row."""
+    """One slot of the weight store as it was read; revision 0 if there is no row.
+
+    :param changed_at: when its reader first saw this revision, on the reader's clock.
+    """
 
     number: int
-    record: SlotRecord
-    revision: int
+    record: SlotRecord = SlotRecord()
+    revision: int = 0
+    changed_at: int = 0
 
 
 def build_load_intent(
@@ -86,6 +90,7 @@
     copies: CopiesRow,
     answering: Collection[str],
     least: int = 1,
+    successor: CopiesRow | None = None,
 ) -> Transaction:
     """Commit the intent of an unload, and take the server out of the copies.
 
@@ -96,8 +101,10 @@
     :param row: the ledger that :func:`.ledger.intend_unload` returned.
     :param answering: servers known to be alive and not leaving; a copy elsewhere does
         not count.
-    :param least: copies that must be left; 0 for an item that no site configures.
-    :raises LastCopyError: if fewer would be left.
+    :param least: copies that must be left; 0 for an item that no site configures, or
+        that has a successor.
+    :param successor: copies of the version that replaces the item; one must answer.
+    :raises LastCopyError: if fewer would be left, or the successor does not answer.
     """
     server = row.ledger.server
     others = [name for name in copies.record.servers if name != server]
@@ -106,12 +113,17 @@
         raise LastCopyError(
             detail=f"{copies.record.item} would be left with {len(left)} copies"
         )
+    relied_on = [copies]
+    if successor is not None:
+        relied_on.append(successor)
+        if not set(successor.record.servers) & set(answering):
+            raise LastCopyError(detail=f"{successor.record.item} does not answer yet")
     record = CopiesRecord(item=copies.record.item, servers=tuple(others))
     return _build(
         token=token,
         group=group,
         row=row,
-        preconditions=(_expect_copies(group, copies),),
+        preconditions=tuple(_expect_copies(group, known) for known in relied_on),
         writes=(_write_copies(group, record),),
     )
 
