--- /dev/null
+++ b/src/arbutuspulley/standins/control.py
@@ -0,0 +1,14 @@
+"""How ``POST /control`` of a stand-in changes its faults."""
+
+from arbutuspulley.data import Document, State
+
+
+def copy_set(control: Document, target: State) -> None:
+    """Set the fields of the target that the control names; leave the others.
+
+    :param control: a document whose fields are ``None`` if they were left out.
+    """
+    for name in target.__struct_fields__:
+        value = getattr(control, name, None)
+        if value is not None:
+            setattr(target, name, value)
--- /dev/null
+++ b/src/arbutuspulley/standins/engine_cache.py
@@ -0,0 +1,129 @@
+"""The engine stand-in's cache of prompt prefixes and the events it publishes.
+
+Prompts are cached in blocks of words; a block counts only together with all blocks
+before it. Events come late and some never come, as a real engine's do.
+"""
+
+import random
+from collections.abc import Sequence
+
+import msgspec
+import xxhash
+
+from arbutuspulley.data import State, Value
+from arbutuspulley.ports.engines import CacheEvent
+
+BLOCK_WORDS = 16
+"""Words of a prompt that are cached together."""
+
+DEFAULT_BLOCKS = 512
+"""Blocks that fit into the cache."""
+
+EVENTS_KEPT = 1_024
+"""Events that can still be read; older ones are a gap to a slow reader."""
+
+EVENT_LAG_MS = 250
+"""How late events are published."""
+
+EVENT_LOSS = 0.02
+"""Share of events that are never published."""
+
+
+class _Pending(Value, frozen=True):
+    """An event and when it may be read."""
+
+    visible_at: int
+    event: CacheEvent
+
+
+class CacheState(State):
+    """What is cached.
+
+    :param blocks: item by prefix hash, the least lately used first.
+    :param sequence: number of the last event, published or not.
+    """
+
+    limit: int = DEFAULT_BLOCKS
+    blocks: dict[str, str] = msgspec.field(default_factory=dict)
+    events: list[_Pending] = msgspec.field(default_factory=list)
+    sequence: int = 0
+
+
+def hash_prefixes(item: str, words: Sequence[str]) -> tuple[str, ...]:
+    """Return the hash of each prefix of a prompt that ends with a whole block."""
+    hashes = []
+    digest = xxhash.xxh3_64(item.encode())
+    for start in range(0, len(words) - BLOCK_WORDS + 1, BLOCK_WORDS):
+        digest.update("\n".join(words[start : start + BLOCK_WORDS]).encode())
+        hashes.append(digest.hexdigest())
+    return tuple(hashes)
+
+
+def use_prefix(
+    cache: CacheState,
+    *,
+    item: str,
+    words: Sequence[str],
+    now: int,
+    chance: random.Random,
+) -> int:
+    """Look up a prompt and cache all its blocks.
+
+    :return: how many of its words were cached before.
+    """
+    hashes = hash_prefixes(item, words)
+    known = _count_known(cache, hashes)
+    for prefix in hashes:
+        was_there = cache.blocks.pop(prefix, None) is not None
+        cache.blocks[prefix] = item
+        if not was_there:
+            _publish(cache, item, prefix, stored=True, now=now, chance=chance)
+    while len(cache.blocks) > cache.limit:
+        _evict(cache, next(iter(cache.blocks)), now, chance)
+    return known * BLOCK_WORDS
+
+
+def drop_item(cache: CacheState, item: str, *, now: int, chance: random.Random) -> None:
+    """Evict everything of an item that was unloaded."""
+    for prefix in [prefix for prefix, owner in cache.blocks.items() if owner == item]:
+        _evict(cache, prefix, now, chance)
+
+
+def read_events(cache: CacheState, *, after: int, now: int) -> tuple[CacheEvent, ...]:
+    """Return the published events with a sequence number above ``after``."""
+    return tuple(
+        pending.event
+        for pending in cache.events
+        if pending.event.sequence > after and pending.visible_at <= now
+    )
+
+
+def _count_known(cache: CacheState, hashes: Sequence[str]) -> int:
+    known = 0
+    for prefix in hashes:
+        if prefix not in cache.blocks:
+            break
+        known += 1
+    return known
+
+
+def _evict(cache: CacheState, prefix: str, now: int, chance: random.Random) -> None:
+    item = cache.blocks.pop(prefix)
+    _publish(cache, item, prefix, stored=False, now=now, chance=chance)
+
+
+def _publish(
+    cache: CacheState,
+    item: str,
+    prefix: str,
+    *,
+    stored: bool,
+    now: int,
+    chance: random.Random,
+) -> None:
+    cache.sequence += 1
+    if chance.random() < EVENT_LOSS:
+        return
+    event = CacheEvent(sequence=cache.sequence, item=item, prefix=prefix, stored=stored)
+    cache.events.append(_Pending(visible_at=now + EVENT_LAG_MS, event=event))
+    del cache.events[:-EVENTS_KEPT]
--- /dev/null
+++ b/src/arbutuspulley/standins/engine_memory.py
@@ -0,0 +1,235 @@
+"""The engine stand-in's memory: which items it holds and how it takes orders.
+
+An engine that checks orders refuses old fencing numbers and old order numbers. One
+that doesn't applies whatever arrives, in the order of arrival.
+"""
+
+import enum
+from collections.abc import Container
+
+import msgspec
+
+from arbutuspulley.data import Message, State
+from arbutuspulley.ports.engines import (
+    ItemState,
+    Order,
+    OrderKind,
+    OrderOutcome,
+    OrderReply,
+    ReportedItem,
+)
+
+ORDERS_KEPT = 10_000
+"""Orders remembered for the counters."""
+
+
+class OnOvercommit(enum.StrEnum):
+    """What an engine does with a load that exceeds its memory."""
+
+    REFUSE = "refuse"
+    DIE = "die"
+    FLAG = "flag"
+
+
+class Held(State):
+    """One item that occupies memory.
+
+    :param ready_at: when its load ends; ``None`` until the weight store admits it.
+    """
+
+    item: str
+    memory_mib: int
+    number: int
+    base: str
+    state: ItemState = ItemState.LOADING
+    ready_at: int | None = None
+
+
+class SeenOrder(Message, frozen=True, omit_defaults=False):
+    """An order that was applied or refused, for the counters."""
+
+    kind: OrderKind
+    item: str
+    fence: int
+    number: int
+    outcome: OrderOutcome
+    detail: str = ""
+
+
+class MemoryState(State):
+    """Everything about memory and orders.
+
+    :param worst_mib: most memory that was ever occupied at once.
+    :param overcommitted: load orders that would have exceeded the memory.
+    :param died: whether one of them ended the engine.
+    :param loads: loads that were begun.
+    :param unloads: items that were dropped.
+    """
+
+    total_mib: int
+    checks_orders: bool
+    on_overcommit: OnOvercommit = OnOvercommit.REFUSE
+    held: dict[str, Held] = msgspec.field(default_factory=dict)
+    fence: int = 0
+    last_order: int = 0
+    last_applied: Order | None = None
+    seen: list[SeenOrder] = msgspec.field(default_factory=list)
+    worst_mib: int = 0
+    overcommitted: int = 0
+    died: bool = False
+    loads: int = 0
+    unloads: int = 0
+
+
+def apply_order(memory: MemoryState, order: Order) -> OrderReply:
+    """Take an order and remember it."""
+    reply = _judge(memory, order) or _apply(memory, order)
+    if reply.outcome is not OrderOutcome.STALE:
+        memory.last_order = max(memory.last_order, order.number)
+        memory.last_applied = order
+    if memory.checks_orders:
+        memory.fence = max(memory.fence, order.fence)
+    memory.seen.append(
+        SeenOrder(
+            kind=order.kind,
+            item=order.item,
+            fence=order.fence,
+            number=order.number,
+            outcome=reply.outcome,
+            detail=reply.detail,
+        )
+    )
+    del memory.seen[:-ORDERS_KEPT]
+    return reply
+
+
+def list_waiting_loads(memory: MemoryState) -> tuple[Held, ...]:
+    """Return the loads that the weight store has not admitted yet."""
+    return tuple(
+        held
+        for held in memory.held.values()
+        if held.state is ItemState.LOADING and held.ready_at is None
+    )
+
+
+def begin_load(
+    memory: MemoryState, *, item: str, number: int, now: int, duration_ms: int
+) -> None:
+    """Note that the weight store admitted a load, unless it was undone meanwhile."""
+    held = memory.held.get(item)
+    if held is None or held.number != number or held.ready_at is not None:
+        return
+    held.ready_at = now + duration_ms
+
+
+def settle(memory: MemoryState, *, in_use: Container[str], now: int) -> tuple[str, ...]:
+    """End the loads that are due, and the unloads of items that no run uses.
+
+    :return: the items that were dropped.
+    """
+    dropped = []
+    for held in list(memory.held.values()):
+        if _is_load_due(held, now):
+            held.state = ItemState.LOADED
+        if held.state is ItemState.UNLOADING and held.item not in in_use:
+            del memory.held[held.item]
+            memory.unloads += 1
+            dropped.append(held.item)
+    return tuple(dropped)
+
+
+def is_loaded(memory: MemoryState, item: str) -> bool:
+    """Tell whether an item answers."""
+    held = memory.held.get(item)
+    return held is not None and held.state is ItemState.LOADED
+
+
+def sum_memory(memory: MemoryState) -> int:
+    """Return the occupied memory in MiB."""
+    return sum(held.memory_mib for held in memory.held.values())
+
+
+def list_items(memory: MemoryState) -> tuple[ReportedItem, ...]:
+    """Return the items as a report shows them."""
+    return tuple(
+        ReportedItem(
+            item=held.item,
+            state=held.state,
+            memory_mib=held.memory_mib,
+            number=held.number,
+        )
+        for held in memory.held.values()
+    )
+
+
+def _judge(memory: MemoryState, order: Order) -> OrderReply | None:
+    """Refuse an old order, or recognise a doubled one, if orders are checked."""
+    if not memory.checks_orders:
+        return None
+    if order.fence < memory.fence:
+        return _stale(f"fence {order.fence} is older than {memory.fence}")
+    if order == memory.last_applied:
+        return _accept("already applied")
+    if order.number <= memory.last_order:
+        return _stale(f"number {order.number} is not above {memory.last_order}")
+    return None
+
+
+def _apply(memory: MemoryState, order: Order) -> OrderReply:
+    if order.kind is OrderKind.UNLOAD:
+        return _unload(memory, order)
+    return _load(memory, order)
+
+
+def _load(memory: MemoryState, order: Order) -> OrderReply:
+    held = memory.held.get(order.item)
+    if held is not None and held.state is ItemState.UNLOADING:
+        return _refuse("the item is being unloaded")
+    if held is not None:
+        held.number = max(held.number, order.number)
+        return _accept("already there")
+    if order.base and not is_loaded(memory, order.base):
+        return _refuse("the model that the adapter extends is not loaded")
+    needed = sum_memory(memory) + order.memory_mib
+    if needed > memory.total_mib:
+        memory.overcommitted += 1
+        memory.died = memory.on_overcommit is OnOvercommit.DIE
+        if memory.on_overcommit is OnOvercommit.REFUSE:
+            return _refuse(f"{needed} MiB needed of {memory.total_mib}")
+    memory.held[order.item] = Held(
+        item=order.item,
+        memory_mib=order.memory_mib,
+        number=order.number,
+        base=order.base,
+    )
+    memory.loads += 1
+    memory.worst_mib = max(memory.worst_mib, needed)
+    return _accept()
+
+
+def _unload(memory: MemoryState, order: Order) -> OrderReply:
+    if any(held.base == order.item for held in memory.held.values()):
+        return _refuse("adapters that extend the model are loaded")
+    held = memory.held.get(order.item)
+    if held is None:
+        return _accept("not there")
+    held.state = ItemState.UNLOADING
+    held.number = order.number
+    return _accept()
+
+
+def _is_load_due(held: Held, now: int) -> bool:
+    loading = held.state is ItemState.LOADING
+    return loading and held.ready_at is not None and held.ready_at <= now
+
+
+def _accept(detail: str = "") -> OrderReply:
+    return OrderReply(outcome=OrderOutcome.ACCEPTED, detail=detail)
+
+
+def _refuse(detail: str) -> OrderReply:
+    return OrderReply(outcome=OrderOutcome.REFUSED, detail=detail)
+
+
+def _stale(detail: str) -> OrderReply:
+    return OrderReply(outcome=OrderOutcome.STALE, detail=detail)
--- /dev/null
+++ b/src/arbutuspulley/standins/engine_runtime.py
@@ -0,0 +1,221 @@
+"""Drives the engine model: the time, the batch steps and the loads of weights.
+
+One thread steps the model and hands tokens to the workers that stream them; another
+one asks the weight store for permission to load. All of them share the model under
+one lock.
+"""
+
+import os
+import queue
+import threading
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import TypeVar
+
+import msgspec
+from urllib3 import HTTPConnectionPool
+from urllib3.exceptions import HTTPError
+
+from arbutuspulley.adapters.http import build_pool
+from arbutuspulley.adapters.platform_messages import (
+    WEIGHTS_PATH,
+    LoadReply,
+    LoadRequest,
+)
+from arbutuspulley.clock import SECOND_MS, Clock
+from arbutuspulley.standins import engine_batch, engine_memory
+from arbutuspulley.standins.engine_batch import Run, Token
+from arbutuspulley.standins.engine_memory import Held
+from arbutuspulley.standins.engine_state import (
+    EngineState,
+    Refusal,
+    admit,
+    advance,
+    boot,
+    withdraw,
+)
+
+IDLE_STEP_MS = 20
+"""Longest time between two looks at what is due."""
+
+LOAD_POLL_MS = 20
+"""Time between two looks at loads that wait for the weight store."""
+
+LOAD_RETRY_MS = 200
+"""When to ask a weight store again that did not answer."""
+
+CRASH_EXIT_STATUS = 70
+"""Exit status of an engine that a request or an order ended."""
+
+_Result = TypeVar("_Result")
+
+Tokens = queue.SimpleQueue[Token | None]
+"""Tokens of one attempt, in order; ``None`` ends them."""
+
+
+class EngineRuntime:
+    """The model, its lock and its threads.
+
+    :param state: the model; touch it only by :meth:`perform`.
+    :param platform: ``host:port`` of the weight store; empty if loads need none.
+    :param load_ms: how long a load takes without a weight store.
+    :param crash: ends the process.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_clock",
+        "_crash",
+        "_load_ms",
+        "_state",
+        "_stopping",
+        "_streams",
+        "_threads",
+        "_weights",
+    )
+
+    def __init__(
+        self,
+        *,
+        state: EngineState,
+        platform: str = "",
+        load_ms: int = 0,
+        clock: Clock | None = None,
+        crash: Callable[[], None] | None = None,
+    ) -> None:
+        self._state = state
+        self._clock = clock or Clock()
+        self._crash = crash or _end_process
+        self._load_ms = load_ms
+        self._weights = build_pool(address=platform) if platform else None
+        self._changed = threading.Condition()
+        self._stopping = threading.Event()
+        self._streams: dict[str, Tokens] = {}
+        self._threads = [
+            threading.Thread(target=work, daemon=True)
+            for work in (self._run_steps, self._run_loads)
+        ]
+        boot(state, now=self._clock.now())
+
+    def start(self) -> None:
+        """Begin to step and to load."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """End the threads."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def perform(self, work: Callable[[EngineState, int], _Result]) -> _Result:
+        """Do a quick piece of work on the model under the lock."""
+        with self._changed:
+            result = work(self._state, self._clock.now())
+            self._changed.notify_all()
+            return result
+
+    def submit(self, run: Run) -> Tokens | Refusal:
+        """Admit an attempt and return its tokens, or say why not."""
+        tokens: Tokens = queue.SimpleQueue()
+
+        def work(state: EngineState, _now: int) -> Refusal | None:
+            refusal = admit(state, run)
+            if refusal is None and run.offset < run.tokens:
+                self._streams[run.attempt_id] = tokens
+            return refusal
+
+        return self.perform(work) or tokens
+
+    def withdraw(self, attempt_id: str) -> None:
+        """Stop an attempt; its tokens end. One that has ended stays as it is."""
+
+        def work(state: EngineState, _now: int) -> None:
+            withdraw(state, attempt_id)
+            tokens = self._streams.pop(attempt_id, None)
+            if tokens is not None:
+                tokens.put(None)
+
+        self.perform(work)
+
+    def drain(self, *, timeout_ms: int) -> None:
+        """Refuse new requests and wait until those in flight have ended."""
+
+        def work(state: EngineState, _now: int) -> None:
+            state.stopping = True
+
+        self.perform(work)
+        with self._changed:
+            self._changed.wait_for(
+                lambda: not self._streams, timeout=timeout_ms / SECOND_MS
+            )
+
+    def _run_steps(self) -> None:
+        while not self._stopping.is_set():
+            with self._changed:
+                self._step()
+                self._changed.wait(self._find_pause_ms() / SECOND_MS)
+
+    def _step(self) -> None:
+        for token in advance(self._state, now=self._clock.now()):
+            tokens = self._streams[token.attempt_id]
+            tokens.put(token)
+            if token.last:
+                del self._streams[token.attempt_id]
+                self._changed.notify_all()
+        if self._state.crashed:
+            self._stopping.set()
+            self._crash()
+
+    def _find_pause_ms(self) -> int:
+        due = engine_batch.find_next_due(self._state.batch)
+        if due is None:
+            return IDLE_STEP_MS
+        return max(0, min(IDLE_STEP_MS, due - self._clock.now()))
+
+    def _run_loads(self) -> None:
+        ask_at: dict[int, int] = {}
+        while not self._stopping.wait(LOAD_POLL_MS / SECOND_MS):
+            waiting = self.perform(
+                lambda state, _now: engine_memory.list_waiting_loads(state.memory)
+            )
+            now = self._clock.now()
+            for held in waiting:
+                if ask_at.get(held.number, 0) <= now:
+                    ask_at[held.number] = now + self._ask_for_load(held)
+
+    def _ask_for_load(self, held: Held) -> int:
+        """Begin a load if the weight store admits it; return when to ask again."""
+        reply = LoadReply(duration_ms=self._load_ms)
+        if self._weights is not None:
+            reply = ask_weight_store(self._weights, held)
+        if reply.retry_after_ms:
+            return reply.retry_after_ms
+
+        def work(state: EngineState, now: int) -> None:
+            engine_memory.begin_load(
+                state.memory,
+                item=held.item,
+                number=held.number,
+                now=now,
+                duration_ms=reply.duration_ms,
+            )
+
+        self.perform(work)
+        return 0
+
+
+def ask_weight_store(pool: HTTPConnectionPool, held: Held) -> LoadReply:
+    """Ask for an item's weights; a store that is down counts as not admitting."""
+    body = msgspec.json.encode(LoadRequest(memory_mib=held.memory_mib))
+    try:
+        response = pool.urlopen("POST", f"{WEIGHTS_PATH}/{held.item}", body=body)
+    except HTTPError:
+        return LoadReply(retry_after_ms=LOAD_RETRY_MS)
+    if response.status not in (HTTPStatus.OK, HTTPStatus.TOO_MANY_REQUESTS):
+        return LoadReply(retry_after_ms=LOAD_RETRY_MS)
+    return msgspec.json.decode(response.data, type=LoadReply)
+
+
+def _end_process() -> None:
+    os._exit(CRASH_EXIT_STATUS)
--- /dev/null
+++ b/src/arbutuspulley/standins/engine_state.py
@@ -0,0 +1,297 @@
+"""The pure model of the engine stand-in: memory, batch, cache, reports and faults.
+
+Nothing here reads a clock or does I/O; :mod:`.engine_runtime` drives it.
+"""
+
+import random
+
+import msgspec
+
+from arbutuspulley.data import State, Value
+from arbutuspulley.ports.engines import Order, OrderReply, Report
+from arbutuspulley.standins import engine_batch, engine_cache, engine_memory
+from arbutuspulley.standins.control import copy_set
+from arbutuspulley.standins.engine_batch import BatchState, Run, Token
+from arbutuspulley.standins.engine_cache import CacheState
+from arbutuspulley.standins.engine_control import (
+    Control,
+    Counters,
+    Faults,
+    RunCount,
+    take,
+)
+from arbutuspulley.standins.engine_memory import MemoryState
+
+SNAPSHOTS_PER_LAG = 4
+"""Reports prepared during the time by which they lag."""
+
+
+class Snapshot(Value, frozen=True):
+    """A report and when its numbers were true."""
+
+    taken_at: int
+    report: Report
+
+
+class HeldOrder(Value, frozen=True):
+    """An order that is applied late.
+
+    :param due_at: when; ``None`` means when it is released.
+    """
+
+    order: Order
+    due_at: int | None
+
+
+class Refusal(Value, frozen=True):
+    """Why an attempt was not admitted.
+
+    :param missing: whether the item is not loaded here.
+    """
+
+    message: str
+    retry_after_ms: int | None = None
+    leaving: bool = False
+    missing: bool = False
+
+
+class EngineState(State):
+    """Everything that an engine knows; a restart begins with a new one.
+
+    :param report_lag_ms: how old reports are, at least.
+    :param stopping: whether it ends once its runs are finished.
+    :param crashed: whether a request or an order has ended it.
+    :param snapshots: reports that are not old enough, behind one that is.
+    """
+
+    server: str
+    boot_id: str
+    memory: MemoryState
+    batch: BatchState
+    chance: random.Random
+    report_lag_ms: int = 0
+    cache: CacheState = msgspec.field(default_factory=CacheState)
+    faults: Faults = msgspec.field(default_factory=Faults)
+    stopping: bool = False
+    crashed: bool = False
+    held_orders: list[HeldOrder] = msgspec.field(default_factory=list)
+    snapshots: list[Snapshot] = msgspec.field(default_factory=list)
+    sequence: int = 0
+    tokens: int = 0
+    refused: int = 0
+    runs: dict[str, RunCount] = msgspec.field(default_factory=dict)
+    begun_by_prompt: dict[str, int] = msgspec.field(default_factory=dict)
+
+
+def boot(state: EngineState, *, now: int) -> None:
+    """Begin: until now the memory was empty, so an old report says just that."""
+    empty = _build_snapshot(state, now)
+    state.snapshots = [
+        Snapshot(taken_at=now - state.report_lag_ms, report=empty.report)
+    ]
+
+
+def take_order(state: EngineState, order: Order, *, now: int) -> OrderReply | None:
+    """Take an order as the faults allow.
+
+    :return: the reply, or ``None`` if it is lost.
+    """
+    faults = state.faults
+    if take(faults, "drop_orders"):
+        return None
+    if take(faults, "hold_orders"):
+        state.held_orders.append(HeldOrder(order=order, due_at=None))
+        return None
+    if take(faults, "delay_orders"):
+        due_at = now + faults.delay_orders_ms
+        state.held_orders.append(HeldOrder(order=order, due_at=due_at))
+        return None
+    reply = _apply_order(state, order)
+    return None if take(faults, "lose_order_replies") else reply
+
+
+def admit(state: EngineState, run: Run) -> Refusal | None:
+    """Admit an attempt, or say why not.
+
+    An attempt that wants only events without a token is admitted and not run.
+    """
+    refusal = _find_refusal(state, run)
+    if refusal is not None:
+        state.refused += 1
+        return refusal
+    _count_run(state, run.request_id, "admitted")
+    if run.offset < run.tokens:
+        run.poison = state.faults.crash_marker in run.words
+        engine_batch.enqueue(state.batch, run)
+    return None
+
+
+def withdraw(state: EngineState, attempt_id: str) -> bool:
+    """Stop an attempt, wherever it is; tell whether it was there."""
+    run = engine_batch.withdraw(state.batch, attempt_id)
+    if run is None:
+        return False
+    _count_run(state, run.request_id, "withdrawn")
+    return True
+
+
+def advance(state: EngineState, *, now: int) -> tuple[Token, ...]:
+    """Do everything that is due: late orders, loads, unloads and one batch step."""
+    _apply_due_orders(state, now)
+    in_use = {run.item for run in _list_runs(state)}
+    for item in engine_memory.settle(state.memory, in_use=in_use, now=now):
+        engine_cache.drop_item(state.cache, item, now=now, chance=state.chance)
+    _fill_batch(state, now)
+    ready = [run for run in state.batch.batch if run.ready_at <= now]
+    state.crashed |= state.memory.died or any(run.poison for run in ready)
+    if state.crashed:
+        return ()
+    tokens = engine_batch.step(state.batch, now=now)
+    state.tokens += len(tokens)
+    for token in tokens:
+        if token.last:
+            _count_run(state, token.request_id, "finished")
+    _take_snapshot(state, now)
+    return tokens
+
+
+def read_report(state: EngineState, *, now: int) -> Report:
+    """Return the newest report that is old enough."""
+    if state.report_lag_ms == 0 and not state.faults.freeze_reports:
+        state.snapshots = [_build_snapshot(state, now)]
+    _drop_outdated(state, now)
+    oldest = state.snapshots[0]
+    return msgspec.structs.replace(oldest.report, age_ms=now - oldest.taken_at)
+
+
+def apply_control(state: EngineState, control: Control, *, now: int) -> None:
+    """Set faults and limits."""
+    if control.freeze_reports:
+        read_report(state, now=now)
+    copy_set(control, state.faults)
+    copy_set(control, state.memory)
+    copy_set(control, state.batch)
+    if not control.release_orders:
+        return
+    released, state.held_orders = state.held_orders, []
+    for held in released:
+        _apply_order(state, held.order)
+
+
+def count(state: EngineState) -> Counters:
+    """Return the counters."""
+    memory = state.memory
+    return Counters(
+        server=state.server,
+        boot_id=state.boot_id,
+        memory_total_mib=memory.total_mib,
+        memory_used_mib=engine_memory.sum_memory(memory),
+        worst_memory_mib=memory.worst_mib,
+        overcommitted=memory.overcommitted,
+        loads=memory.loads,
+        unloads=memory.unloads,
+        tokens=state.tokens,
+        refused=state.refused,
+        runs=dict(state.runs),
+        begun_by_prompt=dict(state.begun_by_prompt),
+        orders=tuple(memory.seen),
+    )
+
+
+def _find_refusal(state: EngineState, run: Run) -> Refusal | None:
+    if state.faults.leaving or state.stopping:
+        return Refusal(message="leaving", leaving=True)
+    if not engine_memory.is_loaded(state.memory, run.item):
+        return Refusal(message=f"{run.item} is not loaded here", missing=True)
+    if any(run.attempt_id == other.attempt_id for other in _list_runs(state)):
+        return Refusal(message="the attempt is in flight")
+    full = not engine_batch.has_room(state.batch)
+    if full or take(state.faults, "refuse_requests"):
+        wait_ms = engine_batch.estimate_wait(state.batch)
+        return Refusal(message="no room", retry_after_ms=wait_ms)
+    return None
+
+
+def _count_begin(state: EngineState, run: Run) -> None:
+    if run.offset > 0:
+        _count_run(state, run.request_id, "resumed")
+        return
+    _count_run(state, run.request_id, "begun")
+    begun = state.begun_by_prompt
+    begun[run.digest] = begun.get(run.digest, 0) + 1
+
+
+def _count_run(state: EngineState, request_id: str, name: str) -> None:
+    known = state.runs.get(request_id, RunCount())
+    raised = {name: getattr(known, name) + 1}
+    state.runs[request_id] = msgspec.structs.replace(known, **raised)
+
+
+def _list_runs(state: EngineState) -> list[Run]:
+    return engine_batch.list_runs(state.batch)
+
+
+def _apply_order(state: EngineState, order: Order) -> OrderReply:
+    return engine_memory.apply_order(state.memory, order)
+
+
+def _apply_due_orders(state: EngineState, now: int) -> None:
+    due = [
+        held
+        for held in state.held_orders
+        if held.due_at is not None and held.due_at <= now
+    ]
+    for held in due:
+        state.held_orders.remove(held)
+        _apply_order(state, held.order)
+
+
+def _fill_batch(state: EngineState, now: int) -> None:
+    while (run := engine_batch.take_next(state.batch)) is not None:
+        _count_begin(state, run)
+        cached = engine_cache.use_prefix(
+            state.cache, item=run.item, words=run.words, now=now, chance=state.chance
+        )
+        # A resumed run reads in the part of the answer that exists already.
+        uncached = len(run.words) - cached + run.offset
+        engine_batch.begin_reading(state.batch, run, uncached_words=uncached, now=now)
+
+
+def _take_snapshot(state: EngineState, now: int) -> None:
+    if state.faults.freeze_reports or state.report_lag_ms == 0:
+        return
+    spacing = state.report_lag_ms // SNAPSHOTS_PER_LAG
+    if state.snapshots[-1].taken_at + spacing <= now:
+        state.snapshots.append(_build_snapshot(state, now))
+    _drop_outdated(state, now)
+
+
+def _drop_outdated(state: EngineState, now: int) -> None:
+    """Keep one snapshot that is old enough, and all younger ones."""
+    if state.faults.freeze_reports:
+        return
+    while len(state.snapshots) > 1:
+        if state.snapshots[1].taken_at + state.report_lag_ms > now:
+            return
+        state.snapshots.pop(0)
+
+
+def _build_snapshot(state: EngineState, now: int) -> Snapshot:
+    state.sequence += 1
+    memory, batch = state.memory, state.batch
+    report = Report(
+        server=state.server,
+        boot_id=state.boot_id,
+        sequence=state.sequence,
+        items=engine_memory.list_items(memory),
+        memory_total_mib=memory.total_mib,
+        memory_used_mib=engine_memory.sum_memory(memory),
+        running=len(batch.batch),
+        waiting=len(batch.waiting),
+        waiting_tokens=engine_batch.sum_tokens(batch),
+        tokens_per_s=engine_batch.measure_rate(batch, now=now),
+        fence=memory.fence,
+        last_order=memory.last_order,
+        leaving=state.faults.leaving or state.stopping,
+    )
+    return Snapshot(taken_at=now, report=report)
--- a/src/arbutuspulley/standins/server.py
+++ b/src/arbutuspulley/standins/server.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import threading
+from collections.abc import Callable
 from http import HTTPStatus
 from types import FrameType
 from typing import Any
@@ -73,8 +74,14 @@
         self._thread.join(STOP_TIMEOUT_MS / SECOND_MS)
 
 
-def run_until_stopped(server: StandinServer) -> None:
-    """Serve until SIGTERM or SIGINT."""
+def run_until_stopped(
+    server: StandinServer, *, drain: Callable[[], None] | None = None
+) -> None:
+    """Serve until SIGTERM or SIGINT.
+
+    :param drain: called after the signal, before the server stops; it returns when
+        no request is in flight any more.
+    """
     stopping = threading.Event()
 
     def stop(_number: int, _frame: FrameType | None) -> None:
@@ -84,6 +91,8 @@
     signal.signal(signal.SIGINT, stop)
     server.start()
     stopping.wait()
+    if drain is not None:
+        drain()
     server.stop()
 
 
