--- a/src/arbutuspulley/routing/choice.py
+++ b/src/arbutuspulley/routing/choice.py
@@ -1,9 +1,13 @@
 """Choice of the server that gets a request.
 
 Each entry decides alone, from reports that are old and that other entries read
-too. Three guards follow from this: the report is corrected by what this entry has
-begun since (:mod:`.load`), the better of two servers drawn at random is taken, and
-a server that fails is left out for a short while.
+too. Three guards follow from this: a report is corrected by what this entry has
+begun and ended since (:mod:`.load`), the better of two servers drawn at random is
+taken, and a server that fails is left out for a short while.
+
+Servers are compared by requests in flight over slots. Token cost breaks ties only:
+adding it to the comparison made more requests wait, because it is the slots that
+run out first and because costs are guesses.
 """
 
 import random
@@ -30,36 +34,30 @@
 SUSPECT_MOST_MS = 30_000
 """Longest time that a failing server is left out before it is probed again."""
 
-PROBES = 1
-"""Own requests in flight at once at a server that failed and has not yet answered."""
-
 LEAVING_MS = 15_000
 """How long a server's own word that it is leaving outweighs lagging reports."""
 
 OTHER_SITE_PENALTY = 0.02
 """Added to the score of a server in another data centre; it only breaks ties."""
 
-DEFAULT_TOKENS_PER_S = 500.0
-"""Assumed rate of a server that has not yet been seen at work."""
-
-RATE_DECAY = 0.98
-"""What is kept of the best seen rate at each new report."""
-
 
 class ServerHealth(State):
     """What this entry has seen of one server.
 
-    :param failures: failures in a row.
-    :param suspect_until: when it may be probed again.
+    :param failures: failures in a row; above 0 it is a suspect.
+    :param failed_at: when the last one was seen.
+    :param suspect_until: when one request may probe it.
+    :param probing: whether that request is under way.
     :param left_at: when it said that it is leaving, or ``None``.
-    :param tokens_per_s: best rate seen lately; an idle server reports none.
+    :param boot_id: the engine's start that these belong to.
     """
 
     load: ServerLoad = msgspec.field(default_factory=ServerLoad)
     failures: int = 0
+    failed_at: int = 0
     suspect_until: int = 0
+    probing: bool = False
     left_at: int | None = None
-    tokens_per_s: float = 0.0
     boot_id: str = ""
 
 
@@ -67,6 +65,7 @@
     """What one entry remembers for its choices.
 
     :param site: the entry's own data centre.
+    :param servers: by name.
     """
 
     site: str = ""
@@ -76,7 +75,10 @@
 def note_reports(
     state: RoutingState, *, servers: Sequence[ServerSummary], now: int
 ) -> None:
-    """Take up the reports of a new view and forget servers that are gone."""
+    """Take up the reports of a new view and forget servers that are gone.
+
+    :param now: when the view was received; ages of reports count from here.
+    """
     names = {summary.server for summary in servers}
     for summary in servers:
         _observe(state, summary, now)
@@ -121,45 +123,69 @@
         # model unreachable over a passing fault, so the one whose time is up
         # first is tried.
         return min(candidates, key=lambda one: _find(state, one).suspect_until).server
+    # The least loaded of all by a report would be the same server for every entry
+    # until the next report: all would send there at once and its queue would swing.
     drawn = chance.sample(sound, DRAWN) if len(sound) > DRAWN else sound
-    return min(
-        drawn, key=lambda one: (_score(state, one, cost=cost), one.server)
-    ).server
+    return min(drawn, key=lambda one: _score(state, one, cost=cost)).server
 
 
 def begin_attempt(state: RoutingState, server: str, cost: int, *, now: int) -> None:
     """Account for an attempt that is sent to a server."""
     health = state.servers.setdefault(server, ServerHealth())
     add_change(health.load, requests=1, tokens=cost, now=now)
+    if health.failures:
+        # This attempt is the probe; the next one waits for its outcome or for
+        # another pause, so that a server that still fails costs one request each.
+        health.suspect_until = now + _compute_pause(health.failures)
+        health.probing = True
 
 
 def end_attempt(
-    state: RoutingState, server: str, cost: int, *, now: int, succeeded: bool = True
+    state: RoutingState,
+    server: str,
+    cost: int,
+    *,
+    now: int,
+    succeeded: bool = False,
+    began_at: int | None = None,
 ) -> None:
-    """Account for an attempt that is over.
+    """Account for an attempt that is over, however it ended.
 
     :param cost: the same estimate that the attempt began with.
-    :param succeeded: whether the server answered; clears its failures.
+    :param succeeded: whether the server answered it whole.
+    :param began_at: when the attempt began, if known.
     """
     health = state.servers.setdefault(server, ServerHealth())
     add_change(health.load, requests=-1, tokens=-cost, now=now)
     if succeeded:
-        note_success(state, server)
+        note_success(state, server, began_at=began_at)
 
 
-def note_success(state: RoutingState, server: str) -> None:
-    """Clear a server's failures, for example at its first token."""
+def note_success(
+    state: RoutingState, server: str, *, began_at: int | None = None
+) -> None:
+    """Clear a server's failures, for example at an attempt's first token.
+
+    :param began_at: when the attempt began, if known. A stream that is older than
+        the failure says nothing of whether new requests are taken again.
+    """
     health = state.servers.setdefault(server, ServerHealth())
+    if began_at is not None and began_at < health.failed_at:
+        return
     health.failures = 0
     health.suspect_until = 0
+    health.probing = False
 
 
 def note_failure(state: RoutingState, server: str, now: int) -> None:
     """Leave a server out for a short while, longer with each failure in a row."""
     health = state.servers.setdefault(server, ServerHealth())
-    health.failures += 1
-    pause = min(SUSPECT_MS << min(health.failures - 1, 10), SUSPECT_MOST_MS)
-    health.suspect_until = now + pause
+    if health.probing or now >= health.suspect_until:
+        # Requests that fail together, as their server dies, are one failure.
+        health.failures += 1
+    health.probing = False
+    health.failed_at = now
+    health.suspect_until = now + _compute_pause(health.failures)
 
 
 def note_leaving(state: RoutingState, server: str, now: int) -> None:
@@ -167,6 +193,10 @@
     state.servers.setdefault(server, ServerHealth()).left_at = now
 
 
+def _compute_pause(failures: int) -> int:
+    return min(SUSPECT_MS << min(max(failures, 1) - 1, 10), SUSPECT_MOST_MS)
+
+
 def _find(state: RoutingState, summary: ServerSummary) -> ServerHealth:
     return state.servers.setdefault(summary.server, ServerHealth())
 
@@ -176,8 +206,9 @@
     if summary is health.load.report:
         return
     observe_report(health.load, report=summary, now=now)
-    health.tokens_per_s = max(health.tokens_per_s * RATE_DECAY, summary.tokens_per_s)
     if summary.boot_id != health.boot_id:
+        # It has restarted: what was seen of its earlier start is over, but the
+        # next request is still a probe.
         health.boot_id = summary.boot_id
         health.left_at = None
         health.suspect_until = min(health.suspect_until, now)
@@ -196,19 +227,17 @@
 
 
 def _is_sound(state: RoutingState, summary: ServerSummary, now: int) -> bool:
-    health = _find(state, summary)
-    if health.failures == 0:
-        return True
     # A server that fails fast looks idle and would draw ever more requests. After
-    # the pause a single probe decides, so that it costs one request and no more.
-    return now >= health.suspect_until and health.load.requests < PROBES
+    # the pause a single probe decides, see begin_attempt.
+    health = _find(state, summary)
+    return health.failures == 0 or now >= health.suspect_until
 
 
-def _score(state: RoutingState, summary: ServerSummary, *, cost: int) -> float:
+def _score(
+    state: RoutingState, summary: ServerSummary, *, cost: int
+) -> tuple[float, int, str]:
     """Return how busy the server would be with the request; lower is better."""
-    health = _find(state, summary)
-    filled = (estimate_requests(health.load) + 1) / summary.slots
-    rate = health.tokens_per_s or DEFAULT_TOKENS_PER_S
-    backlog_s = (estimate_tokens(health.load) + cost) / rate
+    load = _find(state, summary).load
+    filled = (estimate_requests(load) + 1) / summary.slots
     penalty = 0.0 if summary.site == state.site else OTHER_SITE_PENALTY
-    return filled + backlog_s + penalty
+    return filled + penalty, estimate_tokens(load) + cost, summary.server
