--- a/src/arbutuspulley/adapters/engines.py
+++ b/src/arbutuspulley/adapters/engines.py
@@ -1,10 +1,9 @@
 """Backend servers over HTTP: model engines (server-sent events) and plain services.
 
-The one question that this adapter must answer without error is whether a failed
-request may have run. See :func:`_send` and :func:`_read_refusal`.
+What a failed call proves is worked out in :mod:`.engine_calls`.
 """
 
-from collections.abc import Callable, Generator, Mapping
+from collections.abc import Callable, Generator
 from typing import TypeVar
 
 import msgspec
@@ -13,9 +12,25 @@
 from urllib3.exceptions import HTTPError
 
 from arbutuspulley.adapters import sse
-from arbutuspulley.adapters.http import build_pool, is_not_sent
-from arbutuspulley.clock import SECOND_MS
-from arbutuspulley.data import Message, Value
+from arbutuspulley.adapters.engine_calls import (
+    describe,
+    is_not_admitted,
+    read_refusal,
+    read_whole,
+    send,
+)
+from arbutuspulley.adapters.engine_messages import (
+    ATTEMPT_ID,
+    END_MARKER,
+    ITEM,
+    PRIORITY,
+    REQUEST_ID,
+    RESUME_OFFSET,
+    CancelRequest,
+)
+from arbutuspulley.adapters.http import build_pool
+from arbutuspulley.clock import Clock
+from arbutuspulley.data import Value
 from arbutuspulley.ports.engines import (
     BrokenError,
     CacheEvent,
@@ -24,48 +39,15 @@
     InferenceRequest,
     NotSentError,
     OrderReply,
-    RefusedError,
     Report,
     ServiceReply,
     ServiceRequest,
 )
-from arbutuspulley.results import RunState
 from arbutuspulley.tracing import TRACEPARENT
 
-REQUEST_ID = "X-Arbutus-Request-Id"
-"""Header with the id of the request, the same for all its attempts."""
-
-ATTEMPT_ID = "X-Arbutus-Attempt-Id"
-"""Header with the id of this attempt; every event of the answer repeats it."""
-
-RESUME_OFFSET = "X-Arbutus-Resume-Offset"
-"""Header with the index of the first event wanted."""
-
-PRIORITY = "X-Arbutus-Priority"
-"""Header with the priority; higher goes first."""
-
-ITEM = "X-Arbutus-Item"
-"""Header with the key of the item that must answer."""
-
-RUN_STATE = "X-Arbutus-Run-State"
-"""Header by which a server says that it refused before admission (``not_run``)."""
-
-LEAVING = "X-Arbutus-Leaving"
-"""Header of a refusal by a server that is leaving (``true``)."""
-
-RETRY_AFTER_MS = "X-Arbutus-Retry-After-Ms"
-"""Header of a refusal: when to come back, finer than ``Retry-After``."""
-
-END_MARKER = b"[DONE]"
-"""Data of the event after which an answer is whole."""
-
-MAX_REPLY_BYTES = 16 * 1024 * 1024
-"""Largest reply taken from a plain service or to an order or a report."""
-
 _READ_BYTES = 64 * 1024
 _REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 _BUSY_STATUSES = frozenset({429, 503})
-_BAD_REQUEST_STATUSES = frozenset({400, 404, 405, 413, 422})
 _JSON_TYPE = "application/json"
 _JSON = {"Content-Type": _JSON_TYPE}
 _ADMITTED = Chunk(attempt_id="", offset=0, data=b"")
@@ -89,26 +71,9 @@
 _Pools = Callable[[str], urllib3.HTTPConnectionPool]
 
 
-class CancelRequest(Message, frozen=True):
-    """Body of a cancellation."""
-
-    attempt_id: str
-
-
-class _ErrorDetail(Message, frozen=True):
-    message: str = ""
-
-
-class _ErrorBody(Message, frozen=True):
-    """An error in the usual protocol's shape."""
-
-    error: _ErrorDetail = _ErrorDetail()
-
-
 _REPORT = msgspec.json.Decoder(Report)
 _ORDER_REPLY = msgspec.json.Decoder(OrderReply)
 _CACHE_EVENTS = msgspec.json.Decoder(tuple[CacheEvent, ...])
-_ERROR_BODY = msgspec.json.Decoder(_ErrorBody)
 
 
 def connect_engines(
@@ -117,15 +82,19 @@
     read_timeout_ms: int = 30_000,
     order_timeout_ms: int = 5_000,
     connections: int = 64,
+    clock: Clock | None = None,
 ) -> Engines:
     """Return the verbs towards backend servers.
 
     :param connect_timeout_ms: longest wait for a connection.
-    :param read_timeout_ms: longest wait for the next bytes of an answer.
+    :param read_timeout_ms: longest wait for the next event of an answer, or for the
+        next bytes of a service's reply.
     :param order_timeout_ms: longest wait for the reply to an order, a report, a
         cancellation or for cache events.
     :param connections: idle connections kept to each server.
+    :param clock: the time that waits for events go by.
     """
+    clock = clock or Clock()
     answers = _keep_pools(
         connect_timeout_ms=connect_timeout_ms,
         read_timeout_ms=read_timeout_ms,
@@ -152,7 +121,9 @@
             return _call_service(pool, request)
 
     return Engines(
-        infer=lambda address, request: _infer(answers(address), request),
+        infer=lambda address, request: _infer(
+            answers(address), request, idle_ms=read_timeout_ms, clock=clock
+        ),
         cancel=lambda address, attempt_id: _cancel(control(address), attempt_id),
         report=lambda address: _exchange(control(address), "GET", "/report", _REPORT),
         order=lambda address, order: _exchange(
@@ -187,7 +158,11 @@
 
 
 def _infer(
-    pool: urllib3.HTTPConnectionPool, request: InferenceRequest
+    pool: urllib3.HTTPConnectionPool,
+    request: InferenceRequest,
+    *,
+    idle_ms: int,
+    clock: Clock,
 ) -> Generator[Chunk, None, None]:
     headers = {
         "Content-Type": _JSON_TYPE,
@@ -199,10 +174,10 @@
     }
     if request.traceparent:
         headers[TRACEPARENT] = request.traceparent
-    response = _send(pool, "POST", request.path, body=request.body, headers=headers)
+    response = send(pool, "POST", request.path, body=request.body, headers=headers)
     if response.status != 200:
-        raise _read_refusal(response)
-    chunks = _read_chunks(response)
+        raise read_refusal(response)
+    chunks = _read_chunks(response, idle_ms=idle_ms, clock=clock)
     # Closing a generator that was never started skips its ``finally``: the
     # connection would stay open and the attempt would run on unseen. Advancing it
     # to its first, empty yield makes closing work from the beginning.
@@ -210,17 +185,26 @@
     return chunks
 
 
-def _read_chunks(response: BaseHTTPResponse) -> Generator[Chunk, None, None]:
+def _read_chunks(
+    response: BaseHTTPResponse, *, idle_ms: int, clock: Clock
+) -> Generator[Chunk, None, None]:
     """Yield a placeholder, then every chunk up to the end marker."""
     whole = False
     buffer = sse.EventBuffer()
     try:
         yield _ADMITTED
+        heard_at = clock.now()
         while not whole:
-            for event in _feed(buffer, _read_some(response)):
+            events = _feed(buffer, _read_some(response))
+            # An engine whose batch hangs may go on sending comments, so bytes
+            # alone are no sign that the answer is coming.
+            if not events and clock.now() - heard_at > idle_ms:
+                raise BrokenError(detail=f"stream idle for over {idle_ms} ms")
+            for event in events:
                 chunk = _build_chunk(event)
                 whole = whole or chunk.last
                 yield chunk
+                heard_at = clock.now()
     finally:
         if whole:
             response.drain_conn()
@@ -234,7 +218,7 @@
     try:
         received = response.read1(_READ_BYTES)
     except HTTPError as error:
-        raise BrokenError(detail=f"stream broke off: {_describe(error)}") from error
+        raise BrokenError(detail=f"stream broke off: {describe(error)}") from error
     if not received:
         raise BrokenError(detail="stream ended without its end marker")
     return received
@@ -266,15 +250,15 @@
     headers = urllib3.HTTPHeaderDict(_keep_end_to_end(request.headers))
     if request.traceparent:
         headers[TRACEPARENT] = request.traceparent
-    response = _send(
+    response = send(
         pool, request.method, request.path, body=request.body or None, headers=headers
     )
-    if response.status in _BUSY_STATUSES and _is_not_admitted(response):
-        raise _read_refusal(response)
+    if response.status in _BUSY_STATUSES and is_not_admitted(response):
+        raise read_refusal(response)
     return ServiceReply(
         status=response.status,
         headers=_keep_end_to_end(tuple(response.headers.iteritems())),
-        body=_read_whole(response),
+        body=read_whole(response),
     )
 
 
@@ -291,7 +275,7 @@
     """Ask for a cancellation; an engine that cannot be reached needs none."""
     body = msgspec.json.encode(CancelRequest(attempt_id=attempt_id))
     try:
-        _read_whole(_send(pool, "POST", "/cancel", body=body, headers=_JSON))
+        read_whole(send(pool, "POST", "/cancel", body=body, headers=_JSON))
     except (NotSentError, BrokenError):
         return
 
@@ -305,104 +289,11 @@
     body: Value | None = None,
 ) -> _Reply:
     encoded = msgspec.json.encode(body) if body is not None else None
-    response = _send(pool, method, target, body=encoded, headers=_JSON)
-    received = _read_whole(response)
+    response = send(pool, method, target, body=encoded, headers=_JSON)
+    received = read_whole(response)
     if response.status != 200:
         raise BrokenError(detail=f"{target} answered with status {response.status}")
     try:
         return decoder.decode(received)
     except msgspec.DecodeError as error:
         raise BrokenError(detail=f"{target} answered with another format") from error
-
-
-def _send(
-    pool: urllib3.HTTPConnectionPool,
-    method: str,
-    target: str,
-    *,
-    body: bytes | None,
-    headers: Mapping[str, str],
-) -> BaseHTTPResponse:
-    """Send a request once and return the head of the answer.
-
-    :raises NotSentError: if no byte left.
-    :raises BrokenError: if some may have left and no answer came.
-    """
-    try:
-        return pool.urlopen(
-            method,
-            target,
-            body=body,
-            headers=headers,
-            preload_content=False,
-            decode_content=False,
-            redirect=False,
-            retries=False,
-        )
-    except HTTPError as error:
-        detail = f"{pool.host}:{pool.port}: {_describe(error)}"
-        if is_not_sent(error):
-            raise NotSentError(detail=detail) from error
-        raise BrokenError(detail=detail) from error
-
-
-def _read_whole(response: BaseHTTPResponse) -> bytes:
-    try:
-        body = response.read(MAX_REPLY_BYTES + 1)
-    except HTTPError as error:
-        raise BrokenError(detail=f"reply broke off: {_describe(error)}") from error
-    if len(body) > MAX_REPLY_BYTES:
-        response.close()
-        raise BrokenError(detail=f"reply over {MAX_REPLY_BYTES} bytes")
-    response.release_conn()
-    return body
-
-
-def _read_refusal(response: BaseHTTPResponse) -> RefusedError | BrokenError:
-    """Tell what a status other than 200 proves.
-
-    Only the server's own word that it did not admit the request, or a status by
-    which it found the request wrong, proves that nothing ran. A bare 500 or 503
-    may come from a server that failed halfway.
-    """
-    not_admitted = _is_not_admitted(response)
-    wrong = response.status in _BAD_REQUEST_STATUSES
-    detail = _read_detail(response)
-    if not not_admitted and not wrong:
-        return BrokenError(detail=detail)
-    # A server that lacks the item says 404 as well, but another one may have it.
-    not_here = response.status == 404 and not_admitted
-    return RefusedError(
-        detail=detail,
-        retry_after_ms=_read_retry_after(response),
-        leaving=response.headers.get(LEAVING) == "true",
-        final=wrong and not not_here,
-    )
-
-
-def _read_detail(response: BaseHTTPResponse) -> str:
-    fallback = f"backend server answered with status {response.status}"
-    try:
-        body = _ERROR_BODY.decode(_read_whole(response))
-    except (BrokenError, msgspec.DecodeError):
-        return fallback
-    return body.error.message or fallback
-
-
-def _read_retry_after(response: BaseHTTPResponse) -> int | None:
-    exact = response.headers.get(RETRY_AFTER_MS, "")
-    if exact.isdecimal():
-        return int(exact)
-    seconds = response.headers.get("Retry-After", "")
-    if seconds.isdecimal():
-        return int(seconds) * SECOND_MS
-    return None
-
-
-def _is_not_admitted(response: BaseHTTPResponse) -> bool:
-    return response.headers.get(RUN_STATE) == RunState.NOT_RUN.value
-
-
-def _describe(error: HTTPError) -> str:
-    """Name an error without the addresses and objects in its own message."""
-    return type(error).__name__
--- a/src/arbutuspulley/standins/control.py
+++ b/src/arbutuspulley/standins/control.py
@@ -12,3 +12,12 @@
         value = getattr(control, name, None)
         if value is not None:
             setattr(target, name, value)
+
+
+def take(faults: State, name: str) -> bool:
+    """Tell whether a counted fault applies now, and count it down."""
+    left = getattr(faults, name)
+    if left == 0:
+        return False
+    setattr(faults, name, left - 1)
+    return True
--- a/src/arbutuspulley/standins/engine_control.py
+++ b/src/arbutuspulley/standins/engine_control.py
@@ -119,12 +119,3 @@
     runs: dict[str, RunCount]
     begun_by_prompt: dict[str, int]
     orders: tuple[SeenOrder, ...]
-
-
-def take(faults: Faults, name: str) -> bool:
-    """Tell whether a counted fault applies now, and count it down."""
-    left = getattr(faults, name)
-    if left == 0:
-        return False
-    setattr(faults, name, left - 1)
-    return True
--- a/src/arbutuspulley/standins/engine_http.py
+++ b/src/arbutuspulley/standins/engine_http.py
@@ -2,8 +2,8 @@
 
 ``POST /v1/chat/completions``, ``POST /v1/completions``
     Always streamed as server-sent events with ``id: <attempt>:<offset>``; see
-    :mod:`arbutuspulley.adapters.engines` for the headers. Comments are sent while
-    there is no token to send.
+    :mod:`arbutuspulley.adapters.engine_messages` for the headers. Comments are sent
+    while there is no token to send.
 
 ``POST /orders``, ``POST /cancel``, ``GET /report``, ``GET /cache-events?after=``
     The rest of the engines port.
@@ -24,15 +24,16 @@
 
 import msgspec
 
-from arbutuspulley.adapters import engines as wire
+from arbutuspulley.adapters import engine_messages as wire
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.data import Value
 from arbutuspulley.ports.engines import Order
 from arbutuspulley.results import RunState
 from arbutuspulley.standins import answer, engine_cache
 from arbutuspulley.standins.answer import BadBodyError, Prompt
+from arbutuspulley.standins.control import take
 from arbutuspulley.standins.engine_batch import Run
-from arbutuspulley.standins.engine_control import Control, take
+from arbutuspulley.standins.engine_control import Control
 from arbutuspulley.standins.engine_runtime import EngineRuntime, Tokens
 from arbutuspulley.standins.engine_state import (
     EngineState,
--- a/src/arbutuspulley/standins/engine_state.py
+++ b/src/arbutuspulley/standins/engine_state.py
@@ -10,7 +10,7 @@
 from arbutuspulley.data import State, Value
 from arbutuspulley.ports.engines import Order, OrderReply, Report
 from arbutuspulley.standins import engine_batch, engine_cache, engine_memory
-from arbutuspulley.standins.control import copy_set
+from arbutuspulley.standins.control import copy_set, take
 from arbutuspulley.standins.engine_batch import BatchState, Run, Token
 from arbutuspulley.standins.engine_cache import CacheState
 from arbutuspulley.standins.engine_control import (
@@ -18,7 +18,6 @@
     Counters,
     Faults,
     RunCount,
-    take,
 )
 from arbutuspulley.standins.engine_memory import MemoryState
 
--- /dev/null
+++ b/src/arbutuspulley/standins/service.py
@@ -0,0 +1,275 @@
+"""Stand-in for a plain service: ``arbutus-standin-service``.
+
+``POST /bookings``
+    Runs a booking and counts it by ``Idempotency-Key`` and by body; it does not
+    look for doubled ones, so that a doubled run shows. 201 with :class:`Booking`.
+
+``POST /control``
+    Sets faults; the JSON keys are those of :class:`Control`. 400 if the body is
+    wrong, and then nothing is changed.
+
+``GET /control/counters``
+    :class:`Counters`.
+
+Any other path and method
+    200 with :class:`Echo`.
+"""
+
+import hashlib
+import threading
+import time
+from http import HTTPStatus
+from typing import Annotated, Any
+
+import cyclopts
+import msgspec
+
+from arbutuspulley.adapters.engine_messages import RUN_STATE
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.data import Document, Message, State
+from arbutuspulley.events import Event, log_event, set_up_logging
+from arbutuspulley.results import RunState
+from arbutuspulley.settings import (
+    SettingsError,
+    check_address,
+    check_all,
+    check_choice,
+    check_present,
+    exit_refused,
+    split_address,
+)
+from arbutuspulley.standins.control import copy_set, take
+from arbutuspulley.standins.routes import ANY, Incoming, Outgoing, Routes, build_root
+from arbutuspulley.standins.server import StandinServer, run_until_stopped
+
+Whole = Annotated[int, msgspec.Meta(ge=0)]
+
+app = cyclopts.App(
+    name="arbutus-standin-service",
+    help="Stand-in for a plain service, for demos and tests.",
+    config=cyclopts.config.Env("ARBUTUS_STANDIN_SERVICE_", command=False),
+)
+
+
+class Control(Document, frozen=True):
+    """What ``POST /control`` may set; what is left out stays as it is.
+
+    Faults with a number apply to so many next requests, bookings and others.
+
+    :param refuse: refuse before the run, and say so.
+    :param cut_before_run: close the connection without a run.
+    :param cut_after_run: run, and close the connection unanswered.
+    :param fail: run, and answer 500.
+    :param slow_ms: wait before each run.
+    """
+
+    refuse: Whole | None = None
+    cut_before_run: Whole | None = None
+    cut_after_run: Whole | None = None
+    fail: Whole | None = None
+    slow_ms: Whole | None = None
+
+
+class Booking(Message, frozen=True, omit_defaults=False):
+    """Answer to a booking.
+
+    :param number: counts the bookings of this service.
+    :param runs: how often a booking was run under the same key.
+    """
+
+    service: str
+    number: int
+    key: str
+    runs: int
+
+
+class Echo(Message, frozen=True, omit_defaults=False):
+    """Answer to anything else.
+
+    :param target: path and query as they came in.
+    """
+
+    service: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: str
+
+
+class Counters(Message, frozen=True, omit_defaults=False):
+    """What the service has run.
+
+    :param runs: all requests that were run.
+    :param refused: requests refused before the run.
+    :param bookings: runs of bookings.
+    :param by_key: bookings by idempotency key.
+    :param by_body: bookings by hex SHA-256 of the body.
+    """
+
+    runs: int
+    refused: int
+    bookings: int
+    by_key: dict[str, int]
+    by_body: dict[str, int]
+
+
+class ServiceState(State):
+    """Faults that are set and what was counted."""
+
+    name: str
+    refuse: int = 0
+    cut_before_run: int = 0
+    cut_after_run: int = 0
+    fail: int = 0
+    slow_ms: int = 0
+    runs: int = 0
+    refused: int = 0
+    by_key: dict[str, int] = msgspec.field(default_factory=dict)
+    by_body: dict[str, int] = msgspec.field(default_factory=dict)
+
+
+def build_service(
+    *, name: str, host: str = "127.0.0.1", port: int = 0
+) -> StandinServer:
+    """Return a service that can be started in this process.
+
+    :param port: 0 takes a free one.
+    """
+    root = build_root(build_routes(ServiceState(name=name)))
+    return StandinServer(root=root, host=host, port=port)
+
+
+def build_routes(state: ServiceState) -> Routes:
+    """Return the handlers of a service."""
+    lock = threading.Lock()
+
+    def handle(incoming: Incoming) -> Outgoing:
+        time.sleep(state.slow_ms / SECOND_MS)
+        with lock:
+            return _handle(state, incoming)
+
+    def control(incoming: Incoming) -> Outgoing:
+        with lock:
+            return _control(state, incoming)
+
+    def count(_incoming: Incoming) -> Outgoing:
+        with lock:
+            return _send_json(_count(state))
+
+    return {
+        ("POST", "/control"): control,
+        ("GET", "/control/counters"): count,
+        (ANY, ANY): handle,
+    }
+
+
+def _handle(state: ServiceState, incoming: Incoming) -> Outgoing:
+    if take(state, "refuse"):
+        state.refused += 1
+        return Outgoing(
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
+            headers=((RUN_STATE, RunState.NOT_RUN.value), ("Retry-After", "1")),
+        )
+    if take(state, "cut_before_run"):
+        return Outgoing(cut=True)
+    outgoing = _run(state, incoming)
+    if take(state, "cut_after_run"):
+        return Outgoing(cut=True)
+    if take(state, "fail"):
+        return Outgoing(status=HTTPStatus.INTERNAL_SERVER_ERROR)
+    return outgoing
+
+
+def _run(state: ServiceState, incoming: Incoming) -> Outgoing:
+    state.runs += 1
+    if (incoming.method, incoming.path) == ("POST", "/bookings"):
+        return _book(state, incoming)
+    return _send_json(
+        Echo(
+            service=state.name,
+            method=incoming.method,
+            target=incoming.target,
+            headers=dict(incoming.headers),
+            body=incoming.body.decode("utf-8", "replace"),
+        )
+    )
+
+
+def _book(state: ServiceState, incoming: Incoming) -> Outgoing:
+    key = incoming.headers.get("idempotency-key", "")
+    body = hashlib.sha256(incoming.body).hexdigest()
+    state.by_key[key] = state.by_key.get(key, 0) + 1
+    state.by_body[body] = state.by_body.get(body, 0) + 1
+    booking = Booking(
+        service=state.name,
+        number=sum(state.by_key.values()),
+        key=key,
+        runs=state.by_key[key],
+    )
+    return _send_json(booking, status=HTTPStatus.CREATED)
+
+
+def _control(state: ServiceState, incoming: Incoming) -> Outgoing:
+    try:
+        control = msgspec.json.decode(incoming.body, type=Control)
+    except msgspec.DecodeError:
+        return Outgoing(status=HTTPStatus.BAD_REQUEST)
+    copy_set(control, state)
+    return _send_json({})
+
+
+def _count(state: ServiceState) -> Counters:
+    return Counters(
+        runs=state.runs,
+        refused=state.refused,
+        bookings=sum(state.by_key.values()),
+        by_key=dict(state.by_key),
+        by_body=dict(state.by_body),
+    )
+
+
+def _send_json(value: Any, *, status: int = HTTPStatus.OK) -> Outgoing:
+    return Outgoing(status=status, body=msgspec.json.encode(value))
+
+
+@app.default
+def run(
+    *,
+    name: str = "",
+    listen: str = "127.0.0.1:7600",
+    log_format: str = "text",
+    log_level: str = "info",
+) -> None:
+    """Serve until SIGTERM.
+
+    :param name: name of the service, as the configuration has it.
+    :param listen: ``host:port`` to listen on.
+    :param log_format: ``json`` or ``text``.
+    :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
+    """
+    try:
+        check_all(
+            [
+                check_present("--name", name),
+                check_address("--listen", listen),
+                check_choice("--log-format", log_format, choices=("json", "text")),
+                check_choice(
+                    "--log-level",
+                    log_level,
+                    choices=("debug", "info", "warning", "error"),
+                ),
+            ]
+        )
+    except SettingsError as error:
+        exit_refused(error)
+    set_up_logging(log_format=log_format, level=log_level)
+    host, port = split_address(listen)
+    server = build_service(name=name, host=host, port=port)
+    log_event(Event.STARTED, program=app.name[0], service=name, listen=server.address)
+    run_until_stopped(server)
+    log_event(Event.STOPPED, program=app.name[0], service=name)
+
+
+def main() -> None:
+    """Run the program."""
+    app()
