--- /dev/null
+++ b/src/arbutuspulley/configuration/approval.py
@@ -0,0 +1,213 @@
+"""Proposing a change and approving it.
+
+The functions block on the platform and run on worker threads; what they decide is
+decided by :mod:`.changes`. They raise
+:class:`~arbutuspulley.results.PlatformUnavailableError` if nothing happened and
+:class:`~arbutuspulley.results.OutcomeUnknownError` if the outcome stayed unknown, in
+which case calling again with the same arguments is safe.
+"""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from arbutuspulley.configuration import changes, store
+from arbutuspulley.configuration.changes import (
+    Accepted,
+    Current,
+    FileReference,
+    Proposal,
+)
+from arbutuspulley.configuration.difference import has_same_content
+from arbutuspulley.configuration.merge import FileSet, merge_files
+from arbutuspulley.configuration.schema import EMPTY, Configuration
+from arbutuspulley.data import Value
+from arbutuspulley.placement.fit import check_fit
+from arbutuspulley.ports.commit import commit
+from arbutuspulley.ports.platform import Conflict, Platform
+from arbutuspulley.results import Code, ConfigurationError
+
+
+class Approval(Value, frozen=True):
+    """A change is accepted.
+
+    :param repeated: whether it had been accepted before this call.
+    """
+
+    version: int
+    digest: str
+    approver: str
+    repeated: bool = False
+
+
+def propose(
+    platform: Platform,
+    *,
+    files: FileSet,
+    proposer: str,
+    now_ms: int,
+    note: str = "",
+    remove_sites: Sequence[str] = (),
+    in_force: Configuration = EMPTY,
+) -> Proposal:
+    """Lay down a set of files for approval.
+
+    :param now_ms: wall clock, for display only.
+    :param remove_sites: sites whose overlay is left out on purpose.
+    :param in_force: the newest configuration known to be in force.
+    :raises FilesError: with every problem of the files.
+    :raises ConfigurationError: if they cannot be served or change nothing.
+    """
+    current = store.find_current(platform, in_force=in_force)
+    result = merge_files(files, version=current.configuration.version + 1)
+    changes.check_sites(current.configuration, result, removed=remove_sites)
+    references = tuple(
+        store.put_file(platform.objects, file.name, file.text)
+        for file in (files.base, *files.overlays)
+    )
+    return _submit(
+        platform, current, result, references, proposer=proposer, note=note, now=now_ms
+    )
+
+
+def roll_forward(
+    platform: Platform,
+    *,
+    version: int,
+    proposer: str,
+    now_ms: int,
+    in_force: Configuration = EMPTY,
+) -> Proposal:
+    """Propose the content of an earlier version as the next one.
+
+    With the version that is in force while the store holds an older one, this writes
+    the lost content back to the store.
+
+    :raises ConfigurationError: if that version is not known or changes nothing.
+    """
+    current = store.find_current(platform, in_force=in_force)
+    found = current.configuration
+    if version != found.version:
+        change = store.read_change(platform, version)
+        found = store.load_result(platform, change.digest)
+    result = msgspec.structs.replace(found, version=current.configuration.version + 1)
+    return _submit(
+        platform,
+        current,
+        result,
+        (),
+        proposer=proposer,
+        note=f"content of version {version}",
+        now=now_ms,
+    )
+
+
+def approve(
+    platform: Platform,
+    *,
+    proposal: str,
+    base_version: int,
+    approver: str,
+    now_ms: int,
+    in_force: Configuration = EMPTY,
+) -> Approval:
+    """Accept a proposal, if nothing else was accepted since it was made.
+
+    Calling again, after a lost reply or from another phone, gives the same result and
+    makes no second change.
+
+    :param base_version: the base version that the operator saw.
+    :raises StaleBaseError: if another change was accepted first.
+    :raises ConfigurationError: if the proposal is unknown or cannot be served.
+    """
+    row = store.find_proposal_row(platform, proposal)
+    if row is None:
+        return _read_accepted(platform, proposal)
+    record = changes.decode(row, Proposal)
+    current = store.find_current(platform, in_force=in_force)
+    base = store.find_result(platform, record.base_digest)
+    changes.check_base(record, current, base_version=base_version, base=base)
+    result = store.load_result(platform, record.digest)
+    check_fit(result)
+    change = changes.build_change(
+        record, current, result, approver=approver, now_ms=now_ms
+    )
+    transaction = changes.build_approval(
+        change,
+        head_revision=current.head_revision,
+        proposal_revision=row.revision,
+        expired=store.find_change(platform, change.version - changes.KEPT_CHANGES),
+    )
+    if not isinstance(commit(platform.table, transaction), Conflict):
+        return Approval(version=change.version, digest=change.digest, approver=approver)
+    # Someone was faster: with another change, or with this one from another phone.
+    current = store.find_current(platform, in_force=in_force)
+    if store.find_proposal_row(platform, proposal) is not None:
+        changes.check_base(record, current, base_version=base_version, base=base)
+    return _read_accepted(platform, proposal)
+
+
+def withdraw(platform: Platform, *, proposal: str) -> None:
+    """Take a waiting proposal back.
+
+    :raises ConfigurationError: if it does not wait any longer.
+    """
+    row = store.find_proposal_row(platform, proposal)
+    if row is None:
+        raise store.refuse_unknown(proposal)
+    transaction = changes.build_withdrawal(proposal, revision=row.revision)
+    if isinstance(commit(platform.table, transaction), Conflict):
+        raise store.refuse_unknown(proposal)
+
+
+def _submit(
+    platform: Platform,
+    current: Current,
+    result: Configuration,
+    references: tuple[FileReference, ...],
+    *,
+    proposer: str,
+    note: str,
+    now: int,
+) -> Proposal:
+    if has_same_content(current.configuration, result) and not current.store_is_behind:
+        raise ConfigurationError(
+            code=Code.NO_DIFFERENCE,
+            detail=f"version {current.configuration.version} has this content already",
+        )
+    check_fit(result)
+    if current.store_is_behind:
+        store.put_result(platform.objects, current.configuration)
+    digest = store.put_result(platform.objects, result)
+    proposal = Proposal(
+        proposal=changes.build_proposal_id(base_digest=current.digest, digest=digest),
+        base_version=current.configuration.version,
+        base_digest=current.digest,
+        version=result.version,
+        digest=digest,
+        proposer=proposer,
+        note=note,
+        files=references,
+        proposed_at_ms=now,
+    )
+    outcome = commit(platform.table, changes.build_submission(proposal))
+    if isinstance(outcome, Conflict):
+        return store.read_proposal(platform, proposal.proposal)
+    return proposal
+
+
+def _read_accepted(platform: Platform, proposal: str) -> Approval:
+    """Return what became of a proposal that no longer waits.
+
+    :raises ConfigurationError: if it was not accepted either.
+    """
+    row = platform.table.read(changes.build_accepted_key(proposal))
+    if row is None:
+        raise store.refuse_unknown(proposal)
+    accepted = changes.decode(row, Accepted)
+    return Approval(
+        version=accepted.version,
+        digest=accepted.digest,
+        approver=accepted.approver,
+        repeated=True,
+    )
--- a/src/arbutuspulley/configuration/changes.py
+++ b/src/arbutuspulley/configuration/changes.py
@@ -66,6 +66,7 @@
     :param base_version: the version that the operator saw it compared with.
     :param delta: steps from the base version, or ``None`` to load the object.
     :param digest: of the configuration that it results in.
+    :param base_digest: of the configuration that it was based on.
     :param approved_at_ms: wall clock of the console, for display only.
     """
 
@@ -74,6 +75,7 @@
     proposal: str
     approver: str
     digest: str
+    base_digest: str = ""
     delta: Delta | None = None
     proposer: str = ""
     note: str = ""
@@ -283,6 +285,7 @@
         proposal=proposal.proposal,
         approver=approver,
         digest=proposal.digest,
+        base_digest=proposal.base_digest,
         delta=delta,
         proposer=proposal.proposer,
         note=proposal.note,
--- /dev/null
+++ b/src/arbutuspulley/programs/console_http.py
@@ -0,0 +1,316 @@
+"""The console's HTTP side: routes, operators' keys, limits, errors and metrics.
+
+Worker threads of CherryPy read the body, find the route and write the answer; what
+the routes do is in :mod:`.console_api`.
+"""
+
+import hashlib
+import hmac
+import time
+from collections.abc import Callable, Mapping
+from http import HTTPStatus
+from typing import TypeVar
+
+import cherrypy
+import msgspec
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+
+from arbutuspulley.configuration.changes import StaleBaseError
+from arbutuspulley.configuration.files import FilesError
+from arbutuspulley.data import Message, Value
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.programs.console_messages import ErrorLine, ErrorReply
+from arbutuspulley.programs.console_page import Page
+from arbutuspulley.results import ArbutusError, Code, ConfigurationError
+from arbutuspulley.tracing import TRACEPARENT, open_span
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Largest request body taken: a base file and the overlays of all sites."""
+
+RETRY_AFTER_S = 2
+"""When to come back after an answer with status 503."""
+
+_BEARER = "Bearer "
+_JSON = "application/json"
+_ANY = "*"
+
+_STATUSES = {
+    Code.BAD_KEY: HTTPStatus.UNAUTHORIZED,
+    Code.NOT_FOUND: HTTPStatus.NOT_FOUND,
+    Code.UNKNOWN_PROPOSAL: HTTPStatus.NOT_FOUND,
+    Code.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Code.BASE_VERSION_STALE: HTTPStatus.CONFLICT,
+    Code.DOES_NOT_FIT: HTTPStatus.CONFLICT,
+    Code.NO_DIFFERENCE: HTTPStatus.CONFLICT,
+    Code.OLDER_VERSION: HTTPStatus.CONFLICT,
+    Code.NOT_READY: HTTPStatus.SERVICE_UNAVAILABLE,
+    Code.PLATFORM_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    Code.PLATFORM_OUTCOME_UNKNOWN: HTTPStatus.SERVICE_UNAVAILABLE,
+    Code.PEER_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    Code.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
+}
+"""HTTP status of each code; 400 for all others."""
+
+_Request = TypeVar("_Request", bound=Message)
+
+
+class Call(Value, frozen=True):
+    """One authenticated request.
+
+    :param names: the parts of the path that the route leaves open, in order.
+    :param query: parameters of the query.
+    """
+
+    operator: str
+    names: tuple[str, ...]
+    query: Mapping[str, str]
+    body: bytes
+
+
+class Route(Value, frozen=True):
+    """One operation below ``/api``.
+
+    :param path: parts of the path; ``*`` is left open.
+    """
+
+    method: str
+    path: tuple[str, ...]
+    name: str
+    handle: Callable[[Call], Message]
+
+
+class Metrics:
+    """The console's metrics.
+
+    :param registry: where they are collected.
+    """
+
+    __slots__ = ("_registry", "duration", "requests")
+
+    def __init__(self, *, registry: CollectorRegistry | None = None) -> None:
+        self._registry = registry or CollectorRegistry()
+        self.requests = Counter(
+            "arbutus_console_requests",
+            "Requests of operators.",
+            ("operation", "status"),
+            registry=self._registry,
+        )
+        self.duration = Histogram(
+            "arbutus_console_request_seconds",
+            "How long requests of operators took.",
+            ("operation",),
+            registry=self._registry,
+        )
+
+    def write(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self._registry)
+
+
+class Site:
+    """CherryPy's root: the page, the API, health and metrics.
+
+    :param routes: the operations below ``/api``.
+    :param operators: hex SHA-256 of each operator's key, by name.
+    :param find_unready: returns why the console is not ready, one line each.
+    """
+
+    __slots__ = ("_find_unready", "_metrics", "_operators", "_page", "_routes")
+
+    def __init__(
+        self,
+        *,
+        routes: tuple[Route, ...],
+        operators: Mapping[str, str],
+        page: Page,
+        metrics: Metrics,
+        find_unready: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self._routes = routes
+        self._operators = operators
+        self._page = page
+        self._metrics = metrics
+        self._find_unready = find_unready
+
+    @cherrypy.expose
+    def index(self) -> bytes:
+        """Answer the operators' page."""
+        _set_headers("text/html; charset=utf-8", self._page.headers)
+        return self._page.body
+
+    @cherrypy.expose
+    def healthz(self) -> bytes:
+        """Answer that the process runs."""
+        _set_headers("text/plain")
+        return b"ok\n"
+
+    @cherrypy.expose
+    def readyz(self) -> bytes:
+        """Answer whether store and controller can be reached."""
+        reasons = self._find_unready()
+        if reasons:
+            cherrypy.response.status = HTTPStatus.SERVICE_UNAVAILABLE.value
+        _set_headers("text/plain")
+        return "".join(f"{reason}\n" for reason in reasons or ("ready",)).encode()
+
+    @cherrypy.expose
+    def metrics(self) -> bytes:
+        """Answer the metrics."""
+        _set_headers("text/plain; version=0.0.4")
+        return self._metrics.write()
+
+    @cherrypy.expose
+    def api(self, *names: str, **query: str) -> bytes:
+        """Answer an operation."""
+        started = time.monotonic()
+        route: Route | None = None
+        try:
+            route, opened = _find_route(self._routes, cherrypy.request.method, names)
+            operator = find_operator(
+                self._operators, cherrypy.request.headers.get("Authorization", "")
+            )
+            call = Call(operator=operator, names=opened, query=query, body=_read_body())
+            parent = cherrypy.request.headers.get(TRACEPARENT, "")
+            with open_span(f"console.{route.name}", parent=parent):
+                reply = route.handle(call)
+            status = HTTPStatus.OK
+        except Exception as error:
+            reply, status = explain(error)
+        operation = route.name if route else "none"
+        self._metrics.requests.labels(operation, str(status.value)).inc()
+        self._metrics.duration.labels(operation).observe(time.monotonic() - started)
+        return _write(reply, status)
+
+
+def find_operator(operators: Mapping[str, str], authorization: str) -> str:
+    """Return the name of the operator whose key was sent.
+
+    Every operator's hash is compared, in constant time, so that the time taken tells
+    nothing of how close a guess came.
+
+    :param operators: hex SHA-256 of each operator's key, by name.
+    :raises ArbutusError: if the key is no operator's.
+    """
+    key = authorization.removeprefix(_BEARER)
+    shown = hashlib.sha256(key.encode()).hexdigest()
+    found = [
+        name
+        for name, expected in operators.items()
+        if hmac.compare_digest(shown, expected)
+    ]
+    if not found or not authorization.startswith(_BEARER):
+        raise ArbutusError(
+            code=Code.BAD_KEY, detail="the operator's key is missing or unknown"
+        )
+    return found[0]
+
+
+def decode_body(body: bytes, kind: type[_Request]) -> _Request:
+    """Return the request in a body.
+
+    :raises ArbutusError: if it is no JSON of that kind.
+    """
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.ValidationError as error:
+        raise ArbutusError(code=Code.BAD_PARAMETER, detail=str(error)) from None
+    except msgspec.DecodeError as error:
+        raise ArbutusError(code=Code.MALFORMED_BODY, detail=str(error)) from None
+
+
+def decode_number(name: str, text: str) -> int:
+    """Return a version number from a path or a query.
+
+    :raises ArbutusError: if it is none.
+    """
+    if not (text.isascii() and text.isdigit() and len(text) <= 10):
+        raise ArbutusError(
+            code=Code.BAD_PARAMETER, detail=f"{name} must be a whole number"
+        )
+    return int(text)
+
+
+def explain(error: Exception) -> tuple[ErrorReply, HTTPStatus]:
+    """Return what an operator is told of an error, and the HTTP status.
+
+    Unexpected errors are logged and told as internal, without their text.
+    """
+    if isinstance(error, FilesError):
+        lines = tuple(_build_line(one) for one in error.list_errors())
+        return ErrorReply(errors=lines), HTTPStatus.BAD_REQUEST
+    if not isinstance(error, ArbutusError):
+        log_event(Event.INTERNAL_ERROR, error=type(error).__name__, detail=str(error))
+        error = ArbutusError(code=Code.INTERNAL, detail="a fault of the console itself")
+    differences = error.differences if isinstance(error, StaleBaseError) else ()
+    status = _STATUSES.get(error.code, HTTPStatus.BAD_REQUEST)
+    return ErrorReply(errors=(_build_line(error),), differences=differences), status
+
+
+def show_error(*, status: str, message: str, **_unused: str) -> bytes:
+    """Return CherryPy's own refusals in the API's shape."""
+    code = Code.NOT_FOUND if status.startswith("404") else Code.BAD_PARAMETER
+    _set_headers(_JSON)
+    line = ErrorLine(code=code.value, name=code.name.lower(), detail=message)
+    return msgspec.json.encode(ErrorReply(errors=(line,)))
+
+
+def _build_line(error: ArbutusError) -> ErrorLine:
+    file, key = "", ""
+    if isinstance(error, ConfigurationError):
+        file, key = error.file, error.key
+    return ErrorLine(
+        code=error.code.value,
+        name=error.code.name.lower(),
+        detail=error.detail,
+        file=file,
+        key=key,
+    )
+
+
+def _find_route(
+    routes: tuple[Route, ...], method: str, names: tuple[str, ...]
+) -> tuple[Route, tuple[str, ...]]:
+    for route in routes:
+        if route.method != method or len(route.path) != len(names):
+            continue
+        pairs = list(zip(route.path, names, strict=True))
+        if all(part in (_ANY, name) for part, name in pairs):
+            return route, tuple(name for part, name in pairs if part == _ANY)
+    raise ArbutusError(code=Code.NOT_FOUND, detail="there is no such operation")
+
+
+def _read_body() -> bytes:
+    """Return the request's body, which must tell its length."""
+    text = cherrypy.request.headers.get("Content-Length", "0")
+    if "Transfer-Encoding" in cherrypy.request.headers:
+        raise ArbutusError(
+            code=Code.MALFORMED_BODY, detail="send the body with Content-Length"
+        )
+    if not text.isdigit() or int(text) > MAX_BODY_BYTES:
+        raise ArbutusError(
+            code=Code.BODY_TOO_LARGE,
+            detail=f"the body must have at most {MAX_BODY_BYTES} bytes",
+        )
+    length = int(text)
+    body: bytes = cherrypy.request.rfile.read(length) if length else b""
+    if len(body) != length:
+        raise ArbutusError(code=Code.MALFORMED_BODY, detail="the body was cut short")
+    return body
+
+
+def _write(reply: Message, status: HTTPStatus) -> bytes:
+    headers = {"Cache-Control": "no-store"}
+    if isinstance(reply, ErrorReply):
+        headers["X-Arbutus-Code"] = str(reply.errors[0].code)
+        headers["Connection"] = "close"
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        headers["Retry-After"] = str(RETRY_AFTER_S)
+    cherrypy.response.status = status.value
+    _set_headers(_JSON, headers)
+    return msgspec.json.encode(reply)
+
+
+def _set_headers(content_type: str, others: Mapping[str, str] | None = None) -> None:
+    cherrypy.response.headers["Content-Type"] = content_type
+    cherrypy.response.headers["X-Content-Type-Options"] = "nosniff"
+    cherrypy.response.headers.update(others or {})
--- /dev/null
+++ b/src/arbutuspulley/programs/console_views.py
@@ -0,0 +1,128 @@
+"""What operators see of the fleet: decisions over a controller's status, no I/O."""
+
+from collections.abc import Iterator
+
+import msgspec
+import yaml
+
+from arbutuspulley.configuration.difference import HIDDEN
+from arbutuspulley.configuration.schema import EMPTY, Configuration
+from arbutuspulley.programs.console_messages import StatusView
+from arbutuspulley.results import Code, ConfigurationError
+from arbutuspulley.rpc.messages import FleetStatus, InstanceStatus
+
+
+def choose_in_force(status: FleetStatus, *, stored_version: int) -> Configuration:
+    """Return the configuration in force if it is newer than the store's.
+
+    After the store was restored to an older state the instances hold versions that
+    the store no longer knows. A change must then be based on theirs.
+
+    :return: the empty configuration if the store holds the newest one.
+    :raises ConfigurationError: if a newer version is in force somewhere but its
+        content has not reached this controller yet.
+    """
+    known = status.configuration or EMPTY
+    newest = max([status.accepted_version, *_list_versions(status)])
+    if newest <= max(stored_version, known.version):
+        return known
+    raise ConfigurationError(
+        code=Code.NOT_READY,
+        detail=(
+            f"version {newest} is in force at {_find_holder(status, newest)}, the "
+            f"store holds {stored_version} and this instance {known.version}; "
+            "try again in a few seconds"
+        ),
+    )
+
+
+def build_status_view(
+    status: FleetStatus | None, *, stored_version: int | None
+) -> StatusView:
+    """Return what is in force where.
+
+    :param status: from the console's controller, ``None`` if it does not answer.
+    :param stored_version: the store's newest version, ``None`` if it does not answer.
+    """
+    fleet = status or FleetStatus(accepted_version=0)
+    in_force = max(_list_versions(fleet), default=0)
+    accepted = max(stored_version or 0, fleet.accepted_version, in_force)
+    has_it = [one.instance for one in fleet.instances if is_in_force(one, accepted)]
+    waits = [one.instance for one in fleet.instances if one.instance not in has_it]
+    alarms = _list_alarms(status, stored_version=stored_version, accepted=accepted)
+    return StatusView(
+        summary=_summarise(accepted, has_it, waits),
+        accepted_version=accepted,
+        stored_version=stored_version,
+        instances=fleet.instances,
+        in_force_on=tuple(has_it),
+        waiting_for=tuple(waits),
+        alarms=tuple(alarms),
+    )
+
+
+def is_in_force(instance: InstanceStatus, version: int) -> bool:
+    """Return whether an instance and all its entries are at least at a version."""
+    if not instance.reachable:
+        return False
+    versions = (instance.configuration_version, *instance.entry_versions.values())
+    return min(versions) >= version
+
+
+def write_merged(configuration: Configuration) -> str:
+    """Return a configuration as YAML, with the hashes of callers' keys hidden."""
+    content = msgspec.to_builtins(configuration)
+    for site in content.get("sites", {}).values():
+        for caller in site.get("callers", {}).values():
+            caller["key_sha256"] = HIDDEN
+    return yaml.dump(content, Dumper=_PlainDumper, sort_keys=False)
+
+
+class _PlainDumper(yaml.SafeDumper):
+    """Writes equal parts of several sites out instead of referring to the first."""
+
+    def ignore_aliases(self, data: object) -> bool:
+        """Return that no part is written as a reference."""
+        return True
+
+
+def _list_versions(status: FleetStatus) -> list[int]:
+    return [
+        version
+        for one in status.instances
+        for version in (one.configuration_version, *one.entry_versions.values())
+    ]
+
+
+def _find_holder(status: FleetStatus, version: int) -> str:
+    for one in status.instances:
+        if version in (one.configuration_version, *one.entry_versions.values()):
+            return one.instance
+    return "an instance"
+
+
+def _summarise(accepted: int, has_it: list[str], waits: list[str]) -> str:
+    if accepted == 0:
+        return "nothing accepted yet"
+    total = len(has_it) + len(waits)
+    if total == 0:
+        return f"accepted {accepted}: no instance known"
+    summary = f"accepted {accepted}: in force on {len(has_it)} of {total}"
+    return f"{summary}, waiting for {', '.join(waits)}" if waits else summary
+
+
+def _list_alarms(
+    status: FleetStatus | None, *, stored_version: int | None, accepted: int
+) -> Iterator[str]:
+    if status is None:
+        yield "the controller of this instance does not answer: nothing can be approved"
+    if stored_version is None:
+        yield "the store does not answer: nothing can be approved, serving goes on"
+    elif stored_version < accepted:
+        yield (
+            f"the store holds version {stored_version}, older than {accepted} in "
+            f"force: it was restored. Roll forward version {accepted} and approve it"
+        )
+    for one in status.instances if status else ():
+        if not one.reachable:
+            yield f"{one.instance} does not answer"
