--- /dev/null
+++ b/src/arbutuspulley/controller/asking.py
@@ -0,0 +1,91 @@
+"""How the controller asks the platform: on I/O threads, and not during an outage."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from concurrent.futures import Executor
+from typing import TypeVar
+
+from arbutuspulley.controller.rows import list_written, take_rows
+from arbutuspulley.controller.state import Controller, is_store_up
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.membership.observation import note_rows
+from arbutuspulley.membership.outage import (
+    OutageState,
+    may_try,
+    note_failure,
+    note_success,
+)
+from arbutuspulley.ports.commit import commit
+from arbutuspulley.ports.platform import Committed, Conflict, Transaction
+from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
+
+COMMIT_TRIES = 2
+"""Sends of one transaction; the loops come round again soon enough by themselves."""
+
+_Result = TypeVar("_Result")
+
+
+async def ask(controller: Controller, function: Callable[[], _Result]) -> _Result:
+    """Read something from the platform.
+
+    :raises PlatformUnavailableError: if it did not answer, or is known to be down
+        and it is not yet time for the next probe.
+    """
+    return await _guard(controller, controller.reads, controller.pools.store, function)
+
+
+async def transact(
+    controller: Controller, transaction: Transaction, *, pool: Executor | None = None
+) -> Committed | Conflict:
+    """Commit a transaction of the controller's own and take in what it wrote.
+
+    :param pool: threads to use, by default those for all store calls.
+    :raises PlatformUnavailableError: if it certainly had no effect.
+    :raises OutcomeUnknownError: if that could not be found out; the rows tell it
+        when they are next read.
+    """
+    table = controller.platform.table
+    outcome = await _guard(
+        controller,
+        controller.writes,
+        pool or controller.pools.store,
+        lambda: commit(table, transaction, max_tries=COMMIT_TRIES),
+    )
+    if isinstance(outcome, Committed):
+        written = list_written(transaction, revision=outcome.revision)
+        now = controller.clock.now()
+        sessions = take_rows(controller.rows, written, now=now)
+        note_rows(controller.sessions, sessions, now=now)
+    return outcome
+
+
+async def _guard(
+    controller: Controller,
+    outage: OutageState,
+    pool: Executor,
+    function: Callable[[], _Result],
+) -> _Result:
+    now = controller.clock.now()
+    if not may_try(outage, now=now, chance=controller.chance):
+        raise PlatformUnavailableError(detail="the platform is down")
+    try:
+        result = await asyncio.get_running_loop().run_in_executor(pool, function)
+    except (PlatformUnavailableError, OutcomeUnknownError) as error:
+        _note_failure(controller, outage, error.detail)
+        raise
+    _note_success(controller, outage)
+    return result
+
+
+def _note_failure(controller: Controller, outage: OutageState, detail: str) -> None:
+    now = controller.clock.now()
+    if note_failure(outage, now=now, chance=controller.chance):
+        log_event(Event.PLATFORM_DOWN, level=logging.WARNING, detail=detail)
+    controller.metrics.store_up.set(is_store_up(controller))
+
+
+def _note_success(controller: Controller, outage: OutageState) -> None:
+    if note_success(outage) and is_store_up(controller):
+        log_event(Event.PLATFORM_UP)
+    controller.metrics.store_up.set(is_store_up(controller))
--- /dev/null
+++ b/src/arbutuspulley/controller/following.py
@@ -0,0 +1,92 @@
+"""Follows the group's rows and the instance list."""
+
+import logging
+
+from arbutuspulley.controller.asking import ask
+from arbutuspulley.controller.rows import forget_rows, take_rows
+from arbutuspulley.controller.state import Controller
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.membership import lease as leases
+from arbutuspulley.membership import observation as sessions
+from arbutuspulley.ports.platform import InstanceState, Page
+
+SCAN_ROWS = 500
+"""Rows asked for in one scan."""
+
+MAX_PAGES = 100
+"""Pages read in one round; the next round goes on from there."""
+
+
+async def follow_rows(controller: Controller) -> None:
+    """Read the rows that changed since the last round.
+
+    :raises PlatformUnavailableError: if the platform did not answer.
+    """
+    rows = controller.rows
+    for _ in range(MAX_PAGES):
+        sent_at = controller.clock.now()
+        page = await _scan(controller, rows.revision)
+        if rows.table_id and page.table_id != rows.table_id:
+            _begin_anew(controller, page.table_id)
+            continue
+        _take_page(controller, page, sent_at=sent_at)
+        if not page.more:
+            return
+
+
+async def follow_instances(controller: Controller) -> None:
+    """Read which servers the platform lists as leaving."""
+    listings = await ask(controller, controller.platform.list_instances)
+    leaving = frozenset(
+        one.name for one in listings if one.state is InstanceState.LEAVING
+    )
+    for name in leaving - controller.listed_leaving:
+        log_event(Event.SERVER_LEAVING, server=name, source="instance list")
+    controller.listed_leaving = leaving
+
+
+async def _scan(controller: Controller, after: int) -> Page:
+    prefix = f"{controller.rows.group}/"
+    scan = controller.platform.table.scan
+    return await ask(controller, lambda: scan(prefix, after, SCAN_ROWS))
+
+
+def _take_page(controller: Controller, page: Page, *, sent_at: int) -> None:
+    now = controller.clock.now()
+    rows = controller.rows
+    changed = take_rows(rows, page.rows, now=now)
+    rows.revision, rows.table_id = page.revision, page.table_id
+    sessions.observe(controller.sessions, changed, sent_at=sent_at, now=now)
+    named = frozenset(row.record.session for row in rows.owners.values())
+    for session in named:
+        sessions.mention(controller.sessions, session, now=now)
+    sessions.forget(controller.sessions, named=named)
+    _note_live(controller, now=now)
+
+
+def _note_live(controller: Controller, *, now: int) -> None:
+    live = sessions.list_live(controller.sessions)
+    if live == controller.live:
+        return
+    for instance in controller.live - live:
+        log_event(Event.INSTANCE_LAPSED, level=logging.WARNING, instance=instance)
+    controller.live, controller.live_since = live, now
+    controller.metrics.live_instances.set(len(live))
+
+
+def _begin_anew(controller: Controller, table_id: str) -> None:
+    """Forget rows and give up the lease, as the table was restored from a backup.
+
+    Its sessions and owners are those of an earlier time. Going on with the own
+    lease would let two instances own one server: the restored rows may name
+    another owner, who reads them just as well.
+    """
+    log_event(
+        Event.PLATFORM_UP,
+        level=logging.WARNING,
+        detail="the table was restored; sessions and ownership begin anew",
+    )
+    forget_rows(controller.rows)
+    controller.rows.table_id = table_id
+    sessions.reset(controller.sessions)
+    leases.abandon(controller.lease)
--- /dev/null
+++ b/src/arbutuspulley/controller/handlers.py
@@ -0,0 +1,192 @@
+"""Answers the remote calls of entries, the console and peer controllers."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Callable
+from typing import TypeVar
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.controller import entries
+from arbutuspulley.controller.demand import add_demand
+from arbutuspulley.controller.exchange import build_reply
+from arbutuspulley.controller.publishing import (
+    build_fleet_status,
+    build_status,
+    get_view,
+    list_own_entries,
+    publish,
+    sum_own_usage,
+    wait_for_view,
+)
+from arbutuspulley.controller.state import Controller
+from arbutuspulley.delivery import suspects
+from arbutuspulley.delivery.claims import ClaimState, make_claim, settle_claim
+from arbutuspulley.delivery.trials import record_acquittal, record_deaths
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.membership.outage import note_failure
+from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
+from arbutuspulley.rpc import channel
+from arbutuspulley.rpc.messages import (
+    Acknowledged,
+    AcquittalReport,
+    ClaimReply,
+    ClaimRequest,
+    DeathReport,
+    EntryReport,
+    ExchangeReply,
+    ExchangeRequest,
+    FleetStatus,
+    SettleRequest,
+    StatusRequest,
+    SuspicionsReply,
+    View,
+    WatchRequest,
+)
+
+VIEW_GAP_MS = 200
+"""Least time between two views sent to one entry."""
+
+SETTLE_TRIES = 30
+"""Tries to record how a claimed request ended, once a second."""
+
+_Result = TypeVar("_Result")
+
+
+def build_unary(controller: Controller) -> dict[channel.Method, channel.Unary]:
+    """Return the handlers of plain methods."""
+    return {
+        channel.REPORT: lambda request: _take_report(controller, request),
+        channel.CLAIM: lambda request: _claim(controller, request),
+        channel.SETTLE: lambda request: _settle(controller, request),
+        channel.REPORT_DEATH: lambda request: _record_deaths(controller, request),
+        channel.ACQUIT: lambda request: _acquit(controller, request),
+        channel.EXCHANGE: lambda request: _exchange(controller, request),
+        channel.STATUS: lambda request: _tell_status(controller, request),
+    }
+
+
+def build_streaming(controller: Controller) -> dict[channel.Method, channel.Streaming]:
+    """Return the handlers of streaming methods."""
+    return {channel.WATCH: lambda request: _watch(controller, request)}
+
+
+async def _watch(controller: Controller, request: WatchRequest) -> AsyncIterator[View]:
+    entries.begin_watch(controller.entries, request.entry, now=controller.clock.now())
+    publish(controller)
+    sent = -1
+    try:
+        while not controller.stopping:
+            view = get_view(controller, request.entry.address)
+            if view.number != sent:
+                sent = view.number
+                controller.metrics.views.inc()
+                yield view
+                await asyncio.sleep(VIEW_GAP_MS / SECOND_MS)
+            await wait_for_view(controller, sent)
+    finally:
+        entries.end_watch(controller.entries, request.entry.address)
+
+
+async def _take_report(controller: Controller, report: EntryReport) -> Acknowledged:
+    now = controller.clock.now()
+    entries.take_report(controller.entries, report, now=now)
+    add_demand(controller.demand, report, now=now)
+    return Acknowledged()
+
+
+async def _claim(controller: Controller, request: ClaimRequest) -> ClaimReply:
+    """Claim for an entry, or refuse at once while the store is down.
+
+    Waiting out an outage would hold the caller, and let claims pile up that all
+    arrive together when the store comes back.
+    """
+    if not (controller.reads.up and controller.writes.up):
+        return ClaimReply(state=ClaimState.UNAVAILABLE)
+    platform = controller.platform
+    reply = await _deliver(
+        controller,
+        lambda: make_claim(platform.table, request, objects=platform.objects),
+    )
+    if reply.state == ClaimState.UNAVAILABLE:
+        now = controller.clock.now()
+        note_failure(controller.writes, now=now, chance=controller.chance)
+    return reply
+
+
+async def _settle(controller: Controller, request: SettleRequest) -> Acknowledged:
+    """Record how a claimed request ended, in the background if the store is down.
+
+    The entry need not wait: until it is recorded the claim stays open, and an open
+    claim is never run again.
+    """
+    task = asyncio.create_task(_keep_settling(controller, request))
+    await asyncio.wait((task,), timeout=1)
+    return Acknowledged()
+
+
+async def _keep_settling(controller: Controller, request: SettleRequest) -> None:
+    platform = controller.platform
+    for _ in range(SETTLE_TRIES):
+        try:
+            await _deliver(
+                controller,
+                lambda: settle_claim(platform.table, request, objects=platform.objects),
+            )
+            return
+        except (PlatformUnavailableError, OutcomeUnknownError):
+            await asyncio.sleep(controller.chance.uniform(0.5, 1.5))
+    log_event(
+        Event.OUTCOME_RESOLVED,
+        level=logging.ERROR,
+        detail="a claim was not settled; it stays unknown",
+        attempt=request.attempt_id,
+    )
+
+
+async def _record_deaths(
+    controller: Controller, report: DeathReport
+) -> SuspicionsReply:
+    reply = await _deliver(
+        controller, lambda: record_deaths(controller.platform.table, report)
+    )
+    now = controller.clock.now()
+    suspects.merge(controller.suspects, reply.suspicions, now=now)
+    for suspicion in reply.suspicions:
+        log_event(Event.SUSPECT_RECORDED, fingerprint=suspicion.fingerprint)
+    publish(controller)
+    return reply
+
+
+async def _acquit(controller: Controller, report: AcquittalReport) -> Acknowledged:
+    try:
+        suspicion = await _deliver(
+            controller, lambda: record_acquittal(controller.platform.table, report)
+        )
+    except (PlatformUnavailableError, OutcomeUnknownError):
+        suspicion = None
+    if suspicion is not None:
+        now = controller.clock.now()
+        suspects.merge(controller.suspects, (suspicion,), now=now)
+        publish(controller)
+    return Acknowledged()
+
+
+async def _exchange(controller: Controller, request: ExchangeRequest) -> ExchangeReply:
+    return build_reply(
+        controller.news,
+        request,
+        instance=controller.settings.instance,
+        configuration=controller.force.configuration,
+        entries=list_own_entries(controller),
+        usage=sum_own_usage(controller),
+        status=build_status(controller),
+    )
+
+
+async def _tell_status(controller: Controller, request: StatusRequest) -> FleetStatus:
+    return build_fleet_status(controller, after=request.configuration_after)
+
+
+async def _deliver(controller: Controller, function: Callable[[], _Result]) -> _Result:
+    loop = asyncio.get_running_loop()
+    return await loop.run_in_executor(controller.pools.delivery, function)
--- /dev/null
+++ b/src/arbutuspulley/controller/health.py
@@ -0,0 +1,70 @@
+"""Health and metrics of the controller over HTTP."""
+
+import logging
+import threading
+from collections.abc import Callable
+
+import cherrypy
+from cheroot import wsgi
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+
+from arbutuspulley.settings import split_address
+
+THREADS = 4
+"""Worker threads; only probes and the metrics collector call."""
+
+
+class _Root:
+    """CherryPy handlers.
+
+    :param is_ready: asked for each ``/readyz``.
+    """
+
+    def __init__(
+        self, *, is_ready: Callable[[], bool], registry: CollectorRegistry
+    ) -> None:
+        self._is_ready = is_ready
+        self._registry = registry
+
+    @cherrypy.expose
+    def healthz(self) -> str:
+        """Answer as long as the process runs."""
+        return "ok\n"
+
+    @cherrypy.expose
+    def readyz(self) -> str:
+        """Answer 503 until a configuration is in force."""
+        if self._is_ready():
+            return "ready\n"
+        cherrypy.response.status = 503
+        return "no configuration is in force\n"
+
+    @cherrypy.expose
+    def metrics(self) -> bytes:
+        """Return the metrics in Prometheus' text format."""
+        cherrypy.response.headers["Content-Type"] = CONTENT_TYPE_LATEST
+        return generate_latest(self._registry)
+
+
+def start_health(
+    *, address: str, is_ready: Callable[[], bool], registry: CollectorRegistry
+) -> Callable[[], None]:
+    """Serve health and metrics on a thread of their own.
+
+    :param address: ``host:port`` to listen on.
+    :return: a function that stops serving.
+    :raises OSError: if the address cannot be listened on.
+    """
+    application = cherrypy.Application(
+        _Root(is_ready=is_ready, registry=registry),
+        "",
+        {"/": {"request.show_tracebacks": False}},
+    )
+    application.log.error_log.setLevel(logging.CRITICAL)
+    application.log.access_log.setLevel(logging.CRITICAL)
+    server = wsgi.Server(
+        split_address(address), application, numthreads=THREADS, shutdown_timeout=1
+    )
+    server.prepare()
+    threading.Thread(target=server.serve, name="health", daemon=True).start()
+    return server.stop
--- /dev/null
+++ b/src/arbutuspulley/controller/peers.py
@@ -0,0 +1,110 @@
+"""Asks peer controllers for news."""
+
+import asyncio
+import logging
+
+import msgspec
+
+from arbutuspulley.configuration.force import is_ready, offer
+from arbutuspulley.controller.configuring import log_progress
+from arbutuspulley.controller.exchange import (
+    PeerState,
+    build_request,
+    is_silent,
+    take_reply,
+)
+from arbutuspulley.controller.state import Controller
+from arbutuspulley.delivery import suspects
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.rpc.channel import EXCHANGE, Client, PeerUnavailableError
+from arbutuspulley.rpc.messages import ExchangeReply
+
+TIMEOUT_MS = 2_000
+"""Longest wait for a peer's reply."""
+
+FIRST_WAIT_MS = 250
+"""Longest wait after a first failure; doubles up to :data:`LONGEST_WAIT_MS`."""
+
+LONGEST_WAIT_MS = 4_000
+"""Longest wait between two calls to a peer that does not answer."""
+
+
+async def exchange_with_all(controller: Controller) -> None:
+    """Ask every peer that is due, all at once, and take in their replies."""
+    await _update_peers(controller)
+    now = controller.clock.now()
+    due = [peer for peer in controller.peers.values() if now >= peer.next_at]
+    await asyncio.gather(*(_exchange(controller, peer) for peer in due))
+
+
+async def close_all(controller: Controller) -> None:
+    """Close the connections to all peers."""
+    for client in controller.clients.values():
+        await client.close()
+
+
+async def _update_peers(controller: Controller) -> None:
+    """Know a peer for each session row and each address given by the settings."""
+    settings = controller.settings
+    wanted = set(settings.peers)
+    for row in controller.sessions.rows.values():
+        if row.record is not None and row.instance != settings.instance:
+            wanted.add(row.record.address)
+    wanted.discard(settings.listen)
+    for address in wanted - controller.peers.keys():
+        controller.peers[address] = PeerState(address=address)
+        controller.clients[address] = Client(address=address, key=settings.peer_key)
+    now = controller.clock.now()
+    for address in controller.peers.keys() - wanted:
+        if is_silent(controller.peers[address], now=now):
+            del controller.peers[address]
+            await controller.clients.pop(address).close()
+
+
+async def _exchange(controller: Controller, peer: PeerState) -> None:
+    request = build_request(
+        peer,
+        instance=controller.settings.instance,
+        configuration_version=controller.force.configuration.version,
+        items=(),
+    )
+    asked_at = controller.clock.now()
+    client = controller.clients[peer.address]
+    try:
+        reply = await client.call(EXCHANGE, request, timeout_ms=TIMEOUT_MS)
+    except PeerUnavailableError as error:
+        _note_failure(controller, peer, error.detail)
+        return
+    assert isinstance(reply, ExchangeReply)
+    _take(controller, peer, reply, asked_at=asked_at)
+
+
+def _take(
+    controller: Controller, peer: PeerState, reply: ExchangeReply, *, asked_at: int
+) -> None:
+    now = controller.clock.now()
+    controller.metrics.exchanges.labels("ok").inc()
+    controller.metrics.exchange_bytes.inc(len(msgspec.msgpack.encode(reply)))
+    if take_reply(peer, reply, now=asked_at):
+        log_event(Event.PEER_UP, peer=reply.instance, address=peer.address)
+    suspects.merge(controller.suspects, reply.suspicions, now=now)
+    if reply.configuration is None:
+        return
+    was_ready = is_ready(controller.force)
+    progress = offer(controller.force, reply.configuration)
+    log_progress(controller, progress)
+    if progress.applied and not was_ready:
+        version = controller.force.configuration.version
+        log_event(Event.CONFIGURATION_FROM_PEER, peer=reply.instance, version=version)
+
+
+def _note_failure(controller: Controller, peer: PeerState, detail: str) -> None:
+    controller.metrics.exchanges.labels("failed").inc()
+    now = controller.clock.now()
+    peer.failures += 1
+    if peer.failures == 2 and peer.replied_at is not None:
+        log_event(
+            Event.PEER_DOWN, level=logging.WARNING, peer=peer.instance, detail=detail
+        )
+    bound = min(LONGEST_WAIT_MS, FIRST_WAIT_MS * 2 ** min(peer.failures - 1, 8))
+    peer.next_at = now + controller.chance.randint(bound // 2, bound)
--- /dev/null
+++ b/src/arbutuspulley/controller/polling.py
@@ -0,0 +1,119 @@
+"""Reads the reports of servers, each on its own, so that a frozen one delays none."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from arbutuspulley.configuration.lookup import list_servers
+from arbutuspulley.configuration.schema import Server
+from arbutuspulley.controller.exchange import is_silent
+from arbutuspulley.controller.reports import (
+    ServerState,
+    is_alive,
+    is_read_here,
+    note_refused,
+    replace_address,
+    take_report,
+)
+from arbutuspulley.controller.rows import note_fence
+from arbutuspulley.controller.sessions import get_owned
+from arbutuspulley.controller.state import Controller
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.membership.ownership import choose_poller
+from arbutuspulley.ports.engines import BrokenError, NotSentError, Report
+
+Heard = Callable[[ServerState], Awaitable[None]]
+"""Called with each server whose newest report was just taken in."""
+
+
+def choose_read(controller: Controller) -> tuple[str, ...]:
+    """Return the servers whose reports this instance reads, and keep their states."""
+    now = controller.clock.now()
+    servers = list_servers(controller.force.configuration)
+    owned = get_owned(controller)
+    orphans = _list_orphans(controller, servers, now=now)
+    names: list[str] = []
+    for name, server in servers.items():
+        state = controller.servers.get(name)
+        is_owned = name in owned
+        if not is_read_here(state, owned=is_owned, chosen=name in orphans, now=now):
+            controller.servers.pop(name, None)
+            continue
+        if state is None:
+            state = ServerState(name=name, address=server.address)
+        state = replace_address(state, server.address)
+        controller.servers[name] = state
+        if is_owned:
+            state.owned_at = now
+        names.append(name)
+    for name in controller.servers.keys() - servers.keys():
+        del controller.servers[name]
+    return tuple(names)
+
+
+async def read_report(controller: Controller, name: str, *, heard: Heard) -> None:
+    """Read one server's report unless a read of it is still under way."""
+    state = controller.servers.get(name)
+    if state is None or state.polling:
+        return
+    state.polling = True
+    was_alive = is_alive(state, now=controller.clock.now())
+    try:
+        await _read(controller, state)
+    finally:
+        state.polling = False
+    _log_change(controller, state, was_alive=was_alive)
+    if controller.servers.get(name) is state:
+        await heard(state)
+
+
+async def _read(controller: Controller, state: ServerState) -> None:
+    loop = asyncio.get_running_loop()
+    report = controller.engines.report
+    try:
+        answer: Report = await loop.run_in_executor(
+            controller.pools.reports, lambda: report(state.address)
+        )
+    except NotSentError:
+        note_refused(state)
+        controller.metrics.reports.labels("refused").inc()
+        return
+    except BrokenError:
+        controller.metrics.reports.labels("broken").inc()
+        return
+    was_leaving = state.report is not None and state.report.leaving
+    if not take_report(state, answer, now=controller.clock.now()):
+        return
+    controller.metrics.reports.labels("ok").inc()
+    note_fence(controller.rows, state.name, answer.fence)
+    if answer.leaving and not was_leaving:
+        log_event(Event.SERVER_LEAVING, server=state.name, source="report")
+
+
+def _log_change(controller: Controller, state: ServerState, *, was_alive: bool) -> None:
+    alive = is_alive(state, now=controller.clock.now())
+    if was_alive and not alive:
+        log_event(Event.SERVER_DOWN, level=logging.WARNING, server=state.name)
+    if alive and not was_alive:
+        log_event(Event.SERVER_UP, server=state.name)
+
+
+def _list_orphans(
+    controller: Controller, servers: dict[str, Server], *, now: int
+) -> frozenset[str]:
+    """Return the servers that nobody reachable owns and that fall to this instance."""
+    reachable = {
+        peer.instance: peer
+        for peer in controller.peers.values()
+        if not is_silent(peer, now=now)
+    }
+    own = controller.settings.instance
+    orphans: list[str] = []
+    for name in servers:
+        row = controller.rows.owners.get(name)
+        owner = row.record.instance if row and row.record.session else ""
+        if owner == own or owner in reachable:
+            continue
+        if choose_poller(name, candidates=(own, *reachable)) == own:
+            orphans.append(name)
+    return frozenset(orphans)
--- /dev/null
+++ b/src/arbutuspulley/controller/publishing.py
@@ -0,0 +1,221 @@
+"""Puts together what entries, peers and the console are told."""
+
+import asyncio
+
+import msgspec
+
+from arbutuspulley.configuration.force import is_ready
+from arbutuspulley.configuration.schema import EMPTY, Configuration, Server
+from arbutuspulley.controller.demand import list_demand, sum_usage
+from arbutuspulley.controller.entries import forget_silent
+from arbutuspulley.controller.exchange import is_silent, update_news
+from arbutuspulley.controller.reports import build_summary
+from arbutuspulley.controller.sessions import get_owned
+from arbutuspulley.controller.state import Controller, is_store_up
+from arbutuspulley.controller.views import (
+    merge_entries,
+    merge_servers,
+    merge_usage,
+    update_view,
+)
+from arbutuspulley.data import Value
+from arbutuspulley.membership.lease import may_order
+from arbutuspulley.placement.records import EntryState
+from arbutuspulley.rpc.messages import (
+    CallerUsage,
+    EntryAddress,
+    FleetStatus,
+    InstanceStatus,
+    ServerSummary,
+    View,
+)
+
+_NO_VIEW = View(number=0, ready=False, store_up=False, configuration=EMPTY)
+
+
+class _Place(Value, frozen=True):
+    server: Server
+    site: str
+
+
+def publish(controller: Controller) -> None:
+    """Update what peers will be told, and the view; wake its watchers if it changed."""
+    now = controller.clock.now()
+    forget_silent(controller.entries, now=now)
+    own = _summarise(controller, now=now)
+    suspicions = tuple(controller.suspects.suspicions.values())
+    update_news(
+        controller.news,
+        servers=own,
+        suspicions=suspicions,
+        demand=list_demand(controller.demand, now=now),
+    )
+    peers = controller.peers.values()
+    changed = update_view(
+        controller.views,
+        ready=is_ready(controller.force),
+        store_up=is_store_up(controller),
+        configuration=controller.force.configuration,
+        servers=_merge(controller, own, now=now),
+        entries=merge_entries(list_own_entries(controller), peers, now=now),
+        suspicions=suspicions,
+        usage=merge_usage(peers, now=now),
+        now=now,
+    )
+    if changed:
+        controller.view_changed.set()
+        controller.view_changed = asyncio.Event()
+
+
+def get_view(controller: Controller, address: str) -> View:
+    """Return the present view for one entry of this instance.
+
+    What callers use through its sibling entries counts as used elsewhere.
+    """
+    view = controller.views.view or _NO_VIEW
+    siblings = [
+        state.report.usage
+        for other, state in controller.entries.items()
+        if other != address and state.report is not None
+    ]
+    if not siblings:
+        return view
+    usage = sum_usage((view.usage, *siblings))
+    return msgspec.structs.replace(view, usage=usage)
+
+
+async def wait_for_view(controller: Controller, number: int) -> None:
+    """Wait until there is another view than the one with this number."""
+    while not controller.stopping:
+        view = controller.views.view
+        if view is not None and view.number != number:
+            return
+        await controller.view_changed.wait()
+
+
+def list_own_entries(controller: Controller) -> tuple[EntryAddress, ...]:
+    """Return the entries of this instance."""
+    return tuple(state.entry for state in controller.entries.values())
+
+
+def sum_own_usage(controller: Controller) -> tuple[CallerUsage, ...]:
+    """Return what callers use through the entries of this instance."""
+    return sum_usage(
+        state.report.usage for state in controller.entries.values() if state.report
+    )
+
+
+def build_status(controller: Controller) -> InstanceStatus:
+    """Return what this instance says of itself."""
+    now = controller.clock.now()
+    return InstanceStatus(
+        instance=controller.settings.instance,
+        site=controller.settings.site,
+        configuration_version=controller.force.configuration.version,
+        lease_held=may_order(controller.lease, now=now),
+        store_up=is_store_up(controller),
+        owned=tuple(sorted(get_owned(controller))),
+        entry_versions={
+            address: state.report.configuration_version if state.report else 0
+            for address, state in controller.entries.items()
+        },
+        draining=controller.stopping,
+    )
+
+
+def build_fleet_status(
+    controller: Controller, *, after: int | None = None
+) -> FleetStatus:
+    """Return what is known of all instances; silent ones are marked unreachable.
+
+    :param after: if set, the configuration in force is sent along if it is newer.
+    """
+    now = controller.clock.now()
+    instances = {controller.settings.instance: build_status(controller)}
+    accepted = controller.force.accepted_version
+    for peer in controller.peers.values():
+        accepted = max(accepted, peer.configuration_version)
+        if peer.status is None or not peer.instance:
+            continue
+        known = instances.get(peer.instance)
+        if known is not None and known.reachable:
+            continue
+        reachable = not is_silent(peer, now=now)
+        instances[peer.instance] = msgspec.structs.replace(
+            peer.status, reachable=reachable
+        )
+    for row in controller.sessions.rows.values():
+        if row.record is not None and row.instance not in instances:
+            instances[row.instance] = InstanceStatus(
+                instance=row.instance,
+                site=row.record.site,
+                configuration_version=0,
+                reachable=False,
+            )
+    own = _summarise(controller, now=now)
+    return FleetStatus(
+        accepted_version=accepted,
+        instances=tuple(instances[name] for name in sorted(instances)),
+        servers=_merge(controller, own, now=now),
+        configuration=_choose_sent(controller.force.configuration, after),
+    )
+
+
+def list_summaries(controller: Controller) -> dict[str, ServerSummary]:
+    """Return the best account of each server that anyone speaks of."""
+    now = controller.clock.now()
+    merged = _merge(controller, _summarise(controller, now=now), now=now)
+    return {summary.server: summary for summary in merged}
+
+
+def _choose_sent(
+    configuration: Configuration, after: int | None
+) -> Configuration | None:
+    if after is None or configuration.version <= after:
+        return None
+    return configuration
+
+
+def _merge(
+    controller: Controller, own: dict[str, ServerSummary], *, now: int
+) -> tuple[ServerSummary, ...]:
+    return merge_servers(
+        controller.force.configuration,
+        own=own,
+        peers=controller.peers.values(),
+        leaving=controller.listed_leaving,
+        now=now,
+    )
+
+
+def _summarise(controller: Controller, *, now: int) -> dict[str, ServerSummary]:
+    """Return summaries of the servers whose reports this instance reads."""
+    places = {
+        name: _Place(server=server, site=site_name)
+        for site_name, site in controller.force.configuration.sites.items()
+        for name, server in site.servers.items()
+    }
+    summaries: dict[str, ServerSummary] = {}
+    for name, state in controller.servers.items():
+        place = places.get(name)
+        if place is None:
+            continue
+        summaries[name] = build_summary(
+            state,
+            server=place.server,
+            site=place.site,
+            leaving_items=_list_leaving_items(controller, name),
+            now=now,
+        )
+    return summaries
+
+
+def _list_leaving_items(controller: Controller, server: str) -> frozenset[str]:
+    seen = controller.rows.ledgers.get(server)
+    if seen is None:
+        return frozenset()
+    return frozenset(
+        entry.item
+        for entry in seen.ledger.entries
+        if entry.state is EntryState.UNLOADING
+    )
--- /dev/null
+++ b/src/arbutuspulley/controller/rows.py
@@ -0,0 +1,124 @@
+"""The rows of one group as last read, kept current by scanning from a revision."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from arbutuspulley.data import State, Value
+from arbutuspulley.membership import records as membership
+from arbutuspulley.membership.observation import SessionRow
+from arbutuspulley.membership.ownership import OwnerRow
+from arbutuspulley.placement import records as placement
+from arbutuspulley.placement.records import CopiesRecord, ServerLedger, SlotRecord
+from arbutuspulley.placement.transactions import CopiesRow, SlotRow
+from arbutuspulley.ports.platform import Row, Transaction
+
+
+class SeenLedger(Value, frozen=True):
+    """A server's ledger as read."""
+
+    ledger: ServerLedger
+    revision: int
+
+
+class GroupRows(State):
+    """What is known of a group's table rows.
+
+    :param revision: where the next scan goes on.
+    :param table_id: names the table's history; empty before the first scan.
+    :param revisions: the newest revision known of each key, deletions included.
+    :param fences: the highest fencing number ever met for each server. It outlives
+        a restored table, whose numbers may be lower than those servers have seen.
+    """
+
+    group: str
+    revision: int = 0
+    table_id: str = ""
+    revisions: dict[str, int] = {}
+    owners: dict[str, OwnerRow] = {}
+    ledgers: dict[str, SeenLedger] = {}
+    copies: dict[str, CopiesRow] = {}
+    slots: dict[int, SlotRow] = {}
+    fences: dict[str, int] = {}
+
+
+def take_rows(
+    rows: GroupRows, changed: Iterable[Row], *, now: int
+) -> tuple[SessionRow, ...]:
+    """Take in rows from a scan or from an own transaction, each only if newer.
+
+    :return: the session rows among them, which membership observes.
+    """
+    sessions: list[SessionRow] = []
+    for row in changed:
+        if row.revision <= rows.revisions.get(row.key, 0):
+            continue
+        rows.revisions[row.key] = row.revision
+        kind, _, name = row.key.removeprefix(f"{rows.group}/").partition("/")
+        if kind == "session":
+            sessions.append(_read_session(row, name))
+        elif kind == "owner" and not row.deleted:
+            _take_owner(rows, row)
+        elif kind == "ledger" and not row.deleted:
+            ledger = placement.decode(row.value, ServerLedger)
+            rows.ledgers[name] = SeenLedger(ledger=ledger, revision=row.revision)
+        elif kind == "copies" and not row.deleted:
+            record = placement.decode(row.value, CopiesRecord)
+            rows.copies[name] = CopiesRow(record=record, revision=row.revision)
+        elif kind == "load-slot":
+            _take_slot(rows, row, int(name), now=now)
+    return tuple(sessions)
+
+
+def list_written(transaction: Transaction, *, revision: int) -> tuple[Row, ...]:
+    """Return the rows that a committed transaction has left."""
+    return tuple(
+        Row(
+            key=write.key,
+            value=write.value or b"",
+            revision=revision,
+            token=transaction.token,
+            deleted=write.value is None,
+        )
+        for write in transaction.writes
+    )
+
+
+def forget_rows(rows: GroupRows) -> None:
+    """Begin anew, as the table's history was replaced by a backup's."""
+    rows.revision = 0
+    rows.revisions = {}
+    rows.owners = {}
+    rows.ledgers = {}
+    rows.copies = {}
+    rows.slots = {}
+
+
+def note_fence(rows: GroupRows, server: str, fence: int) -> None:
+    """Remember the highest fencing number met for a server."""
+    rows.fences[server] = max(fence, rows.fences.get(server, 0))
+
+
+def _read_session(row: Row, instance: str) -> SessionRow:
+    record = None if row.deleted else _decode_session(row.value)
+    return SessionRow(instance=instance, revision=row.revision, record=record)
+
+
+def _decode_session(value: bytes) -> membership.SessionRecord | None:
+    try:
+        return membership.decode_session(value)
+    except msgspec.MsgspecError:
+        return None
+
+
+def _take_owner(rows: GroupRows, row: Row) -> None:
+    record = membership.decode_owner(row.value)
+    rows.owners[record.server] = OwnerRow(record=record, revision=row.revision)
+    note_fence(rows, record.server, record.fence)
+
+
+def _take_slot(rows: GroupRows, row: Row, number: int, *, now: int) -> None:
+    record = SlotRecord() if row.deleted else placement.decode(row.value, SlotRecord)
+    rows.slots[number] = SlotRow(
+        number=number, record=record, revision=row.revision, changed_at=now
+    )
--- /dev/null
+++ b/src/arbutuspulley/controller/sessions.py
@@ -0,0 +1,225 @@
+"""Renews the session lease and claims, hands over and releases servers."""
+
+import asyncio
+import logging
+import uuid
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.configuration.lookup import list_servers
+from arbutuspulley.controller.asking import ask, transact
+from arbutuspulley.controller.state import Controller
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.membership import lease as leases
+from arbutuspulley.membership.lease import Renewal
+from arbutuspulley.membership.ownership import (
+    OwnerRow,
+    build_claim,
+    build_release,
+    choose_claims,
+    choose_releases,
+    list_owned,
+)
+from arbutuspulley.membership.records import (
+    build_session_key,
+    decode_session,
+    encode,
+)
+from arbutuspulley.ports.platform import (
+    ABSENT,
+    Committed,
+    Conflict,
+    Precondition,
+    Transaction,
+    Write,
+)
+from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
+
+RELEASE_TIMEOUT_MS = 3 * SECOND_MS
+"""Longest time spent on releasing at the end; what stays lapses by itself."""
+
+
+def may_order(controller: Controller, server: str) -> bool:
+    """Tell whether this instance owns a server, certainly and now."""
+    if not leases.may_order(controller.lease, now=controller.clock.now()):
+        return False
+    row = controller.rows.owners.get(server)
+    return row is not None and row.record.session == controller.lease.session
+
+
+def get_owned(controller: Controller) -> dict[str, OwnerRow]:
+    """Return the servers owned, none if the lease may have lapsed."""
+    if not leases.may_order(controller.lease, now=controller.clock.now()):
+        return {}
+    return list_owned(controller.rows.owners, session=controller.lease.session)
+
+
+async def renew_lease(controller: Controller) -> None:
+    """Send one renewal, under a new session if the lease lapsed."""
+    lease = controller.lease
+    if lease.revision is None:
+        await _read_own_row(controller)
+    now = controller.clock.now()
+    was_held = bool(lease.sent_at is not None)
+    before = lease.session
+    renewal = leases.begin_renewal(lease, now=now, chance=controller.chance)
+    if renewal is None:
+        controller.metrics.renewals.labels("kept_out").inc()
+        return
+    if was_held and renewal.session != before:
+        log_event(Event.LEASE_LAPSED, level=logging.WARNING, session=before)
+    try:
+        outcome = await _send_renewal(controller, renewal)
+    except (PlatformUnavailableError, OutcomeUnknownError):
+        controller.metrics.renewals.labels("unknown").inc()
+        raise
+    if isinstance(outcome, Conflict):
+        controller.metrics.renewals.labels("conflict").inc()
+        await _resolve_conflict(controller)
+        return
+    was_new = lease.sent_at is None
+    leases.confirm_renewal(lease, renewal, revision=outcome.revision)
+    controller.metrics.renewals.labels("confirmed").inc()
+    if was_new and lease.sent_at is not None:
+        log_event(Event.LEASE_TAKEN, session=lease.session)
+
+
+async def share_servers(controller: Controller, *, busy: frozenset[str]) -> None:
+    """Claim servers that fall to this instance and hand over what is too much.
+
+    :param busy: servers with an order on its way, which are not handed over now.
+    """
+    if controller.stopping:
+        return
+    now = controller.clock.now()
+    if not leases.may_order(controller.lease, now=now):
+        return
+    servers = tuple(list_servers(controller.force.configuration))
+    claims = choose_claims(
+        instance=controller.settings.instance,
+        servers=servers,
+        owners=controller.rows.owners,
+        sessions=controller.sessions,
+    )
+    if claims:
+        await _claim(controller, claims)
+        return
+    releases = choose_releases(
+        instance=controller.settings.instance,
+        servers=servers,
+        owned=[name for name in get_owned(controller) if name not in busy],
+        live=controller.live,
+        unchanged_ms=now - controller.live_since,
+        lease_ms=controller.settings.lease_ms,
+    )
+    if releases:
+        await _hand_over(controller, releases)
+
+
+async def release_all(controller: Controller) -> None:
+    """Give up ownership and lease as the process stops, within a bound.
+
+    Others then claim at once. If the store is down, they wait for the lease to
+    lapse instead; the process ends all the same.
+    """
+    lease = controller.lease
+    rows = list(get_owned(controller).values())
+    if lease.revision is None or lease.sent_at is None:
+        return
+    transaction = build_release(
+        rows,
+        group=controller.settings.group,
+        token=uuid.uuid4().hex,
+        session_row=(lease.instance, lease.revision),
+    )
+    session = lease.session
+    leases.abandon(lease)
+    try:
+        outcome = await asyncio.wait_for(
+            transact(controller, transaction), RELEASE_TIMEOUT_MS / SECOND_MS
+        )
+    except (PlatformUnavailableError, OutcomeUnknownError, TimeoutError):
+        log_event(
+            Event.LEASE_RELEASED,
+            level=logging.WARNING,
+            session=session,
+            detail="the store did not answer; the lease lapses by itself",
+        )
+        return
+    done = isinstance(outcome, Committed)
+    log_event(Event.LEASE_RELEASED, session=session, servers=len(rows), committed=done)
+
+
+async def _read_own_row(controller: Controller) -> None:
+    key = build_session_key(controller.settings.group, controller.lease.instance)
+    row = await ask(controller, lambda: controller.platform.table.read(key))
+    leases.adopt_row(controller.lease, revision=row.revision if row else ABSENT)
+
+
+async def _send_renewal(
+    controller: Controller, renewal: Renewal
+) -> Committed | Conflict:
+    settings = controller.settings
+    key = build_session_key(settings.group, settings.instance)
+    record = leases.build_record(
+        renewal,
+        instance=settings.instance,
+        site=settings.site,
+        address=settings.listen,
+        entries=tuple(sorted(controller.entries)),
+    )
+    transaction = Transaction(
+        token=uuid.uuid4().hex,
+        preconditions=(Precondition(key=key, revision=renewal.revision),),
+        writes=(Write(key=key, value=encode(record)),),
+    )
+    return await transact(controller, transaction, pool=controller.pools.lease)
+
+
+async def _resolve_conflict(controller: Controller) -> None:
+    key = build_session_key(controller.settings.group, controller.lease.instance)
+    row = await ask(controller, lambda: controller.platform.table.read(key))
+    leases.resolve_conflict(
+        controller.lease,
+        decode_session(row.value) if row else None,
+        revision=row.revision if row else ABSENT,
+        now=controller.clock.now(),
+    )
+    if controller.lease.displaced_at is not None:
+        log_event(
+            Event.LEASE_LAPSED,
+            level=logging.ERROR,
+            detail="another process runs under this instance's name",
+        )
+
+
+async def _claim(controller: Controller, servers: tuple[str, ...]) -> None:
+    transaction = build_claim(
+        servers,
+        group=controller.settings.group,
+        token=uuid.uuid4().hex,
+        lease=controller.lease,
+        owners=controller.rows.owners,
+        sessions=controller.sessions,
+        fences=controller.rows.fences,
+    )
+    outcome = await transact(controller, transaction)
+    if isinstance(outcome, Conflict):
+        return
+    controller.metrics.claims.inc(len(servers))
+    for server in servers:
+        fence = controller.rows.owners[server].record.fence
+        log_event(Event.SERVER_CLAIMED, server=server, fence=fence)
+
+
+async def _hand_over(controller: Controller, servers: tuple[str, ...]) -> None:
+    transaction = build_release(
+        [controller.rows.owners[server] for server in servers],
+        group=controller.settings.group,
+        token=uuid.uuid4().hex,
+    )
+    outcome = await transact(controller, transaction)
+    if isinstance(outcome, Conflict):
+        return
+    controller.metrics.releases.inc(len(servers))
+    for server in servers:
+        log_event(Event.SERVER_RELEASED, server=server)
--- /dev/null
+++ b/src/arbutuspulley/membership/observation.py
@@ -0,0 +1,151 @@
+"""Which sessions run and which are over, as one instance observes them.
+
+Clocks of instances are not synchronised, so no time is read from a row. What
+counts is how long, on the observer's own monotonic clock, a row's revision has
+not changed, and only as far as the store was asked: time in which it could not
+be read proves nothing.
+"""
+
+from collections.abc import Iterable
+
+from arbutuspulley.data import State, Value
+from arbutuspulley.membership.lease import compute_margin
+from arbutuspulley.membership.records import SessionRecord
+
+
+class SessionRow(Value, frozen=True):
+    """A session row as read.
+
+    :param record: its content, or ``None`` if the row was deleted.
+    """
+
+    instance: str
+    revision: int
+    record: SessionRecord | None
+
+
+class ObservationState(State):
+    """What an observer knows of all sessions of its group.
+
+    :param rows: the latest row of each instance that has one.
+    :param signs: when each session id last showed a sign of life, in milliseconds
+        of the observer's clock; those known to be over are not in it.
+    :param ended: session ids that their own holder has given up.
+    :param checked_at: when the last scan that succeeded was sent.
+    """
+
+    lease_ms: int
+    rows: dict[str, SessionRow] = {}
+    signs: dict[str, int] = {}
+    ended: set[str] = set()
+    checked_at: int | None = None
+
+
+def observe(
+    state: ObservationState, rows: Iterable[SessionRow], *, sent_at: int, now: int
+) -> None:
+    """Take in a scan that succeeded.
+
+    After an outage every row looks unchanged for its whole length. Taking all
+    sessions for lapsed then would move every server at once, so a gap in the
+    observer's own reading starts all its waits again.
+
+    :param rows: the session rows that changed since the last scan.
+    :param sent_at: when the scan was sent.
+    :param now: when its answer was there.
+    """
+    if state.checked_at is not None and sent_at - state.checked_at > _gap(state):
+        state.signs = dict.fromkeys(state.signs, now)
+    note_rows(state, rows, now=now)
+    state.checked_at = sent_at
+
+
+def note_rows(state: ObservationState, rows: Iterable[SessionRow], *, now: int) -> None:
+    """Take in session rows that are known otherwise, as own transactions are."""
+    for row in rows:
+        _take_row(state, row, now=now)
+
+
+def mention(state: ObservationState, session: str, *, now: int) -> None:
+    """Take in that an ownership row names a session.
+
+    One that was never seen alive, for example because its instance restarted
+    before this observer did, gets the full wait from its first mention.
+    """
+    if session and session not in state.ended:
+        state.signs.setdefault(session, now)
+
+
+def is_over(state: ObservationState, session: str) -> bool:
+    """Tell whether a session's holder has certainly stopped ordering.
+
+    A row that another process of the same instance has overwritten doesn't prove
+    it: the earlier process may be paused. Only its holder's word or the time does.
+    """
+    if not session or session in state.ended:
+        return True
+    sign = state.signs.get(session)
+    if sign is None or state.checked_at is None:
+        return False
+    return state.checked_at - sign >= state.lease_ms + compute_margin(state.lease_ms)
+
+
+def list_live(state: ObservationState) -> frozenset[str]:
+    """Return the instances whose present session is not over."""
+    return frozenset(
+        instance
+        for instance, row in state.rows.items()
+        if row.record is not None and not is_over(state, row.record.session)
+    )
+
+
+def find_session_row(state: ObservationState, session: str) -> SessionRow | None:
+    """Return the row that holds a session at present, if any does."""
+    for row in state.rows.values():
+        if row.record is not None and row.record.session == session:
+            return row
+    return None
+
+
+def forget(state: ObservationState, *, named: frozenset[str]) -> None:
+    """Drop sessions that no row holds or names any more.
+
+    :param named: the sessions that ownership rows name.
+    """
+    held = {row.record.session for row in state.rows.values() if row.record}
+    kept = held | named
+    state.signs = {key: at for key, at in state.signs.items() if key in kept}
+    state.ended &= kept
+
+
+def reset(state: ObservationState) -> None:
+    """Begin anew, as the table's history was replaced by a backup's."""
+    state.rows = {}
+    state.signs = {}
+    state.ended = set()
+    state.checked_at = None
+
+
+def _take_row(state: ObservationState, row: SessionRow, *, now: int) -> None:
+    known = state.rows.get(row.instance)
+    if row.record is None:
+        if known is not None and known.record is not None:
+            _end(state, known.record.session)
+        state.rows.pop(row.instance, None)
+        return
+    if known is not None and known.revision >= row.revision:
+        return
+    state.rows[row.instance] = row
+    if row.record.ended:
+        _end(state, row.record.ended)
+    if row.record.session not in state.ended:
+        state.signs[row.record.session] = now
+
+
+def _end(state: ObservationState, session: str) -> None:
+    state.ended.add(session)
+    state.signs.pop(session, None)
+
+
+def _gap(state: ObservationState) -> int:
+    return state.lease_ms
--- /dev/null
+++ b/src/arbutuspulley/membership/outage.py
@@ -0,0 +1,77 @@
+"""Whether the platform is up, and when to ask it again: bounded, with jitter.
+
+While it is down, an instance sends one probe at a time. Waits double from
+:data:`FIRST_WAIT_MS` to :data:`LONGEST_WAIT_MS` and each is drawn between half
+and the whole of that, so that instances spread out. At the longest wait, 6
+instances probe 0.8 times a second together and 360 instances 48 times, and the
+first calls after an outage spread over up to 10 s by the same draw.
+"""
+
+import random
+
+from arbutuspulley.data import State
+
+FIRST_WAIT_MS = 250
+"""Longest wait after the first failure in a row."""
+
+LONGEST_WAIT_MS = 10_000
+"""Longest wait between two probes."""
+
+FAILURES_TO_DOWN = 2
+"""Failures in a row after which the platform counts as down."""
+
+
+class OutageState(State):
+    """What an instance knows of the platform's state.
+
+    :param failures: calls in a row that had no answer.
+    :param next_at: earliest time of the next call while failures go on.
+    :param up: whether callers' work may rely on the platform now.
+    """
+
+    failures: int = 0
+    next_at: int = 0
+    up: bool = False
+
+
+def may_try(state: OutageState, *, now: int, chance: random.Random) -> bool:
+    """Tell whether a call may be made now; while down, reserves the next probe.
+
+    Only one of several loops gets the probe, so that an outage isn't met by
+    everyone's retries together.
+    """
+    if state.failures == 0:
+        return True
+    if now < state.next_at:
+        return False
+    state.next_at = now + _draw_wait(state.failures, chance)
+    return True
+
+
+def note_failure(state: OutageState, *, now: int, chance: random.Random) -> bool:
+    """Take in a call that the platform did not answer.
+
+    :return: whether the platform counts as down from now on and did not before.
+    """
+    state.failures += 1
+    state.next_at = now + _draw_wait(state.failures, chance)
+    if state.failures < FAILURES_TO_DOWN or not state.up:
+        return False
+    state.up = False
+    return True
+
+
+def note_success(state: OutageState) -> bool:
+    """Take in an answer.
+
+    :return: whether the platform counts as up from now on and did not before.
+    """
+    state.failures = 0
+    was_down = not state.up
+    state.up = True
+    return was_down
+
+
+def _draw_wait(failures: int, chance: random.Random) -> int:
+    bound = min(LONGEST_WAIT_MS, FIRST_WAIT_MS * 2 ** min(failures - 1, 16))
+    return chance.randint(bound // 2, bound)
--- /dev/null
+++ b/src/arbutuspulley/membership/records.py
@@ -0,0 +1,80 @@
+"""Rows of sessions and of ownership in the platform's table."""
+
+import msgspec
+
+from arbutuspulley.data import Value
+
+
+class SessionRecord(Value, frozen=True, omit_defaults=True):
+    """One instance's row ``<group>/session/<instance>``.
+
+    :param session: names one lease; fresh for each process start and each lapse.
+    :param address: where its controller listens for peers, ``host:port``.
+    :param entries: where its entries listen for callers.
+    :param renewal: counts renewals, so that each one changes the row.
+    :param ended: the session that the same process held before and whose own
+        deadline has passed; what it owned may be claimed at once.
+    """
+
+    instance: str
+    session: str
+    site: str
+    address: str
+    entries: tuple[str, ...] = ()
+    renewal: int = 0
+    ended: str = ""
+
+
+class OwnerRecord(Value, frozen=True, omit_defaults=True):
+    """One server's row ``<group>/owner/<server>``; it is never deleted.
+
+    :param session: the owner's session; empty if the server was released.
+    :param instance: the owner's instance, or the last owner's.
+    :param fence: fencing number of this ownership; each claim raises it.
+    """
+
+    server: str
+    session: str
+    instance: str
+    fence: int
+
+
+def build_session_prefix(group: str) -> str:
+    """Return the prefix of all session rows of a group."""
+    return f"{group}/session/"
+
+
+def build_session_key(group: str, instance: str) -> str:
+    """Return the key of an instance's session row."""
+    return f"{build_session_prefix(group)}{instance}"
+
+
+def build_owner_prefix(group: str) -> str:
+    """Return the prefix of all ownership rows of a group."""
+    return f"{group}/owner/"
+
+
+def build_owner_key(group: str, server: str) -> str:
+    """Return the key of a server's ownership row."""
+    return f"{build_owner_prefix(group)}{server}"
+
+
+def encode(record: SessionRecord | OwnerRecord) -> bytes:
+    """Return a record as the bytes of its row."""
+    return msgspec.json.encode(record)
+
+
+def decode_session(value: bytes) -> SessionRecord:
+    """Read a session row.
+
+    :raises msgspec.MsgspecError: if it is no session row.
+    """
+    return msgspec.json.decode(value, type=SessionRecord)
+
+
+def decode_owner(value: bytes) -> OwnerRecord:
+    """Read an ownership row.
+
+    :raises msgspec.MsgspecError: if it is no ownership row.
+    """
+    return msgspec.json.decode(value, type=OwnerRecord)
--- /dev/null
+++ b/src/arbutuspulley/programs/controller.py
@@ -0,0 +1,229 @@
+"""``arbutus-controller``: one instance's lease, servers, orders and configuration."""
+
+import os
+import random
+import signal
+import threading
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+from types import FrameType
+from typing import Annotated
+
+import cyclopts
+from cyclopts import Parameter
+
+from arbutuspulley.adapters.engines import connect_engines
+from arbutuspulley.adapters.platform import connect_platform
+from arbutuspulley.clock import SECOND_MS, Clock
+from arbutuspulley.controller.exchange import NewsState
+from arbutuspulley.controller.health import start_health
+from arbutuspulley.controller.metrics import build_metrics
+from arbutuspulley.controller.rows import GroupRows
+from arbutuspulley.controller.running import Running, is_serving
+from arbutuspulley.controller.state import Controller, ControllerSettings, Pools
+from arbutuspulley.events import Event, log_event, set_up_logging
+from arbutuspulley.loop import LoopThread
+from arbutuspulley.membership.lease import LeaseState
+from arbutuspulley.membership.observation import ObservationState
+from arbutuspulley.settings import (
+    Check,
+    SettingsError,
+    check_address,
+    check_addresses,
+    check_all,
+    check_choice,
+    check_present,
+    check_range,
+    exit_refused,
+)
+from arbutuspulley.tracing import set_up_tracing
+
+PROGRAM = "arbutus-controller"
+
+STORE_TIMEOUT_MS = 2_000
+"""Longest wait for the platform; less than a lease, so that a renewal can be tried
+again before the lease is over."""
+
+REPORT_TIMEOUT_MS = 2_000
+"""Longest wait for a report or for the reply to an order."""
+
+STOP_TIMEOUT_MS = 15 * SECOND_MS
+"""Longest time to stop in, whatever is blocked."""
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+app = cyclopts.App(
+    name=PROGRAM,
+    help="Keeps one instance's lease and servers, and carries out placement.",
+    config=cyclopts.config.Env("ARBUTUS_CONTROLLER_"),
+)
+
+
+def build_controller(settings: ControllerSettings) -> Controller:
+    """Return a controller's state as it is before anything is known."""
+    metrics = build_metrics()
+    return Controller(
+        settings=settings,
+        clock=Clock(),
+        chance=random.Random(uuid.uuid4().int),
+        platform=connect_platform(
+            address=settings.platform, timeout_ms=STORE_TIMEOUT_MS
+        ),
+        engines=connect_engines(order_timeout_ms=REPORT_TIMEOUT_MS),
+        pools=_build_pools(),
+        metrics=metrics,
+        lease=LeaseState(instance=settings.instance, lease_ms=settings.lease_ms),
+        sessions=ObservationState(lease_ms=settings.lease_ms),
+        rows=GroupRows(group=settings.group),
+        news=NewsState(epoch=uuid.uuid4().hex),
+    )
+
+
+def run(settings: ControllerSettings) -> None:
+    """Run until SIGTERM or SIGINT, then release everything and end."""
+    stopping = threading.Event()
+
+    def stop(_number: int, _frame: FrameType | None) -> None:
+        stopping.set()
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    loop = LoopThread(name="controller")
+    loop.start()
+    controller = loop.call(lambda: build_controller(settings))
+    running = Running(controller=controller)
+    loop.wait_for(running.start())
+    stop_health = start_health(
+        address=settings.http,
+        is_ready=lambda: is_serving(controller),
+        registry=controller.metrics.registry,
+    )
+    log_event(Event.STARTED, program=PROGRAM, instance=settings.instance)
+    stopping.wait()
+    log_event(Event.DRAINING, program=PROGRAM, instance=settings.instance)
+    _bound_stop()
+    loop.wait_for(running.stop())
+    stop_health()
+    loop.stop()
+    log_event(Event.STOPPED, program=PROGRAM, instance=settings.instance)
+
+
+@app.default
+def start(
+    *,
+    instance: str,
+    site: str,
+    listen: str,
+    http: str,
+    platform: str,
+    peer_key: str,
+    group: str = "main",
+    peers: str = "",
+    lease_ms: int = 10_000,
+    renew_ms: int = 2_500,
+    report_ms: int = 500,
+    exchange_ms: int = 1_000,
+    follow_ms: int = 1_000,
+    log_format: Annotated[str, Parameter(help="json or text")] = "text",
+    log_level: str = "info",
+    trace: str = "off",
+) -> None:
+    """Run the controller of one instance.
+
+    :param instance: name of this instance, unlike all others.
+    :param site: the data centre that this instance is in.
+    :param listen: host:port for entries, console and peer controllers.
+    :param http: host:port for health and metrics.
+    :param platform: host:port of the platform.
+    :param peer_key: the key that all processes of the system share.
+    :param group: instances of one group share out the group's servers.
+    :param peers: host:port of other controllers, separated by commas.
+    :param lease_ms: how long a session lease runs without a renewal.
+    :param renew_ms: time between renewals, at most a third of the lease.
+    :param report_ms: time between reads of each server's report.
+    :param exchange_ms: time between exchanges with each peer.
+    :param follow_ms: time between reads of the table's changes.
+    :param log_level: debug, info, warning or error.
+    :param trace: off, stderr or a file for finished spans.
+    """
+    settings = ControllerSettings(
+        instance=instance,
+        site=site,
+        group=group,
+        listen=listen,
+        http=http,
+        platform=platform,
+        peers=tuple(part.strip() for part in peers.split(",") if part.strip()),
+        peer_key=peer_key,
+        lease_ms=lease_ms,
+        renew_ms=renew_ms,
+        report_ms=report_ms,
+        exchange_ms=exchange_ms,
+        follow_ms=follow_ms,
+    )
+    try:
+        check_all(
+            [
+                *_list_checks(settings),
+                check_choice("--log-format", log_format, choices=("json", "text")),
+                check_choice("--log-level", log_level, choices=LOG_LEVELS),
+            ]
+        )
+    except SettingsError as error:
+        exit_refused(error)
+    set_up_logging(log_format=log_format, level=log_level)
+    set_up_tracing(program=PROGRAM, instance=instance, target=trace)
+    run(settings)
+
+
+def main() -> None:
+    """Run the program."""
+    app()
+
+
+def _list_checks(settings: ControllerSettings) -> list[Check]:
+    return [
+        check_present("--instance", settings.instance),
+        check_present("--site", settings.site),
+        check_present("--group", settings.group),
+        check_present("--peer-key", settings.peer_key),
+        check_address("--listen", settings.listen),
+        check_address("--http", settings.http),
+        check_address("--platform", settings.platform),
+        *check_addresses("--peers", settings.peers),
+        check_range("--lease-ms", settings.lease_ms, least=1_000, most=600_000),
+        check_range(
+            "--renew-ms", settings.renew_ms, least=100, most=settings.lease_ms // 3
+        ),
+        check_range("--report-ms", settings.report_ms, least=50, most=60_000),
+        check_range("--exchange-ms", settings.exchange_ms, least=50, most=60_000),
+        check_range("--follow-ms", settings.follow_ms, least=50, most=60_000),
+    ]
+
+
+def _build_pools() -> Pools:
+    def build(name: str, threads: int) -> ThreadPoolExecutor:
+        return ThreadPoolExecutor(max_workers=threads, thread_name_prefix=name)
+
+    return Pools(
+        lease=build("lease", 2),
+        store=build("store", 6),
+        delivery=build("delivery", 32),
+        reports=build("reports", 32),
+        orders=build("orders", 16),
+    )
+
+
+def _bound_stop() -> None:
+    """End the process after :data:`STOP_TIMEOUT_MS` whatever its threads wait for.
+
+    Python waits at exit for I/O threads; one that is blocked on a frozen server or
+    store would hold up the replacement of the instance.
+    """
+    timer = threading.Timer(STOP_TIMEOUT_MS / SECOND_MS, lambda: os._exit(0))
+    timer.daemon = True
+    timer.start()
+
+
+if __name__ == "__main__":
+    main()
