--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -31,7 +31,7 @@
         self.task = asyncio.current_task()
 
     def reset(self) -> None:
-        """Close both ends so that the peers see a reset, not an orderly end."""
+        """Close both ends, once, so that the peers see a reset and no orderly end."""
         for writer in (self.client, self.target):
             if writer is not None:
                 end = writer.get_extra_info("socket")
@@ -84,7 +84,7 @@
 
     def reset(self) -> None:
         """Reset all connections; new ones are taken."""
-        self._call(self._reset)
+        self._run(self._reset())
 
     def drop(self, *directions: Direction) -> None:
         """Swallow what flows one way; connections stay open."""
@@ -133,8 +133,7 @@
         if self._server is not None:
             self._server.close()
             self._server = None
-        self._reset()
-        await asyncio.sleep(0)
+        await self._reset()
 
     async def _heal(self) -> None:
         self._delay_ms = 0
@@ -143,10 +142,11 @@
         self._thawed.set()
         await self._listen()
 
-    def _reset(self) -> None:
-        for connection in tuple(self._connections):
-            connection.reset()
-            connection.task.cancel()
+    async def _reset(self) -> None:
+        tasks = [connection.task for connection in self._connections]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -1,9 +1,10 @@
 """The fault-injecting proxy does what its faults say."""
 
+import contextlib
 import socket
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 
@@ -21,9 +22,16 @@
         self.seen = b""
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def close(self) -> None:
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
     def _accept(self) -> None:
         while True:
-            end, _ = self._listener.accept()
+            try:
+                end, _ = self._listener.accept()
+            except OSError:
+                return
             threading.Thread(target=self._answer, args=(end,), daemon=True).start()
 
     def _answer(self, end: socket.socket) -> None:
@@ -45,8 +53,10 @@
 
 
 @pytest.fixture
-def echo() -> Echo:
-    return Echo()
+def echo() -> Iterator[Echo]:
+    made = Echo()
+    yield made
+    made.close()
 
 
 @pytest.fixture
@@ -55,7 +65,13 @@
         yield made
 
 
-def connect(proxy: FaultProxy) -> socket.socket:
+@pytest.fixture
+def connect(proxy: FaultProxy) -> Iterator[Callable[[], socket.socket]]:
+    with contextlib.ExitStack() as ends:
+        yield lambda: ends.enter_context(open_end(proxy))
+
+
+def open_end(proxy: FaultProxy) -> socket.socket:
     return socket.create_connection(("127.0.0.1", proxy.port), timeout=BOUND_S)
 
 
@@ -75,31 +91,33 @@
     return False
 
 
-def test_forwards_and_passes_the_end_on(proxy):
-    end = connect(proxy)
+def test_forwards_and_passes_the_end_on(connect):
+    end = connect()
     assert ask(end, b"hello") == b"hello"
     end.shutdown(socket.SHUT_WR)
     assert end.recv(1024) == b""
 
 
-def test_cut_resets_refuses_and_heals_on_the_same_port(proxy):
-    end = connect(proxy)
+def test_cut_resets_refuses_and_heals_on_the_same_port(proxy, connect):
+    end = connect()
     ask(end)
     proxy.cut()
     with pytest.raises(ConnectionResetError):
         end.recv(1024)
     with pytest.raises(ConnectionRefusedError):
-        connect(proxy)
+        connect()
     proxy.heal()
-    assert ask(connect(proxy)) == b"a"
+    assert ask(connect()) == b"a"
 
 
 @pytest.mark.parametrize(
     ("direction", "seen"),
     [(Direction.TO_TARGET, b"a"), (Direction.TO_CLIENT, b"ab")],
 )
-def test_one_way_cut_swallows_that_direction_only(echo, proxy, direction, seen):
-    end = connect(proxy)
+def test_one_way_cut_swallows_that_direction_only(
+    echo, proxy, connect, direction, seen
+):
+    end = connect()
     ask(end)
     proxy.drop(direction)
     end.sendall(b"b")
@@ -109,23 +127,23 @@
     assert ask(end, b"c") == b"c"
 
 
-def test_a_reply_is_lost_after_the_target_had_the_request(echo, proxy):
-    end = connect(proxy)
+def test_a_reply_is_lost_after_the_target_had_the_request(echo, proxy, connect):
+    end = connect()
     ask(end)
     proxy.lose_replies()
     with pytest.raises(ConnectionResetError):
         ask(end, b"b")
     assert echo.wait_for(b"ab")
     assert proxy.replies_lost == 1
-    assert ask(connect(proxy)) == b"a"
+    assert ask(connect()) == b"a"
 
 
-def test_frozen_bytes_arrive_after_healing(echo, proxy):
-    end = connect(proxy)
+def test_frozen_bytes_arrive_after_healing(echo, proxy, connect):
+    end = connect()
     ask(end)
     proxy.freeze()
     end.sendall(b"b")
-    new = connect(proxy)
+    new = connect()
     new.sendall(b"c")
     assert is_silent(end)
     assert echo.seen == b"a"
@@ -133,16 +151,18 @@
     assert (end.recv(1024), new.recv(1024)) == (b"b", b"c")
 
 
-def test_delay_holds_each_way_back(proxy):
-    end = connect(proxy)
+def test_delay_holds_each_way_back(proxy, connect):
+    end = connect()
     proxy.delay(50)
     begun = time.monotonic()
     assert ask(end) == b"a"
     assert time.monotonic() - begun >= 0.1
 
 
-def test_a_dead_target_shows_as_a_reset(echo):
-    with FaultProxy(target="127.0.0.1:1") as proxy:
-        end = connect(proxy)
-        with pytest.raises(ConnectionResetError):
-            end.recv(1024)
+def test_a_dead_target_shows_as_a_reset():
+    with (
+        FaultProxy(target="127.0.0.1:1") as proxy,
+        open_end(proxy) as end,
+        pytest.raises(ConnectionResetError),
+    ):
+        end.recv(1024)
