--- a/src/arbutuspulley/routing/addresses.py
+++ b/src/arbutuspulley/routing/addresses.py
@@ -49,7 +49,7 @@
     *,
     model: str,
     asked: str = "",
-    caller: str = "",
+    spread: str = "",
     width: int = LEAST_WIDTH,
     count: int = ADDRESSES,
 ) -> tuple[EntryAddress, ...]:
@@ -60,7 +60,8 @@
 
     :param asked: address of the entry that answers; it is never the only one told
         if there is another.
-    :param caller: spreads callers over the entries that share a model.
+    :param spread: spreads callers over the entries that share a model: the same
+        value gives the same order, for example the caller's name and address.
     :param width: how many entries share the model's callers.
     :param count: most addresses to tell.
     """
@@ -69,7 +70,7 @@
         return tuple(entry for entry in entries if entry.address == asked)[:1]
     ranked = sorted(usable, key=lambda entry: _rank(entry, model, weight=1.0))
     shared = ranked[:width]
-    shared.sort(key=lambda entry: _rank(entry, f"{model}/{caller}", _weigh(entry)))
+    shared.sort(key=lambda entry: _rank(entry, f"{model}/{spread}", _weigh(entry)))
     ordered = shared + ranked[width:]
     return tuple(_cover(ordered, asked=asked, count=count))
 
@@ -81,7 +82,7 @@
     told = ordered[:count]
     # The asked entry or a whole data centre may fail while the caller keeps the
     # answer; one address that fails with neither is always told, if there is one.
-    if len(told) == count and all(one.site == told[0].site for one in told):
+    if len(told) == count > 1 and all(one.site == told[0].site for one in told):
         elsewhere = [one for one in ordered if one.site != told[0].site]
         told[-1:] = elsewhere[:1] or told[-1:]
     if all(one.address == asked for one in told):
--- /dev/null
+++ b/tests/test_addresses.py
@@ -0,0 +1,121 @@
+"""Which entries a caller is told."""
+
+import collections
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from arbutuspulley.routing.addresses import choose_width, order_entries
+from arbutuspulley.rpc.messages import EntryAddress, ServerSummary
+
+
+def build_entry(number, **fields):
+    defaults = {"instance": f"i{number}", "site": f"site-{number % 3}"}
+    return EntryAddress(address=f"10.0.0.{number}:1", **{**defaults, **fields})
+
+
+SIX = [build_entry(number) for number in range(6)]
+MODELS = [f"model-{number}" for number in range(400)]
+
+
+def count_firsts(entries, *, models=MODELS, spreads=("",), **options):
+    return collections.Counter(
+        order_entries(entries, model=model, spread=spread, **options)[0].address
+        for model in models
+        for spread in spreads
+    )
+
+
+@pytest.mark.parametrize(
+    ("draining", "asked", "told"),
+    [
+        ((), 0, None),
+        ((1,), 0, [0]),
+        ((0,), 0, [1]),
+        ((0, 1), 0, [0]),
+        ((0, 1), 7, []),
+    ],
+)
+def test_a_draining_entry_is_told_only_if_none_is_left(draining, asked, told):
+    entries = [build_entry(n, draining=n in draining) for n in (0, 1)]
+    answer = order_entries(entries, model="m", asked=f"10.0.0.{asked}:1")
+    expected = entries if told is None else [entries[number] for number in told]
+    assert {one.address for one in answer} == {one.address for one in expected}
+
+
+@given(
+    loads=st.lists(st.floats(min_value=0, max_value=3), min_size=1, max_size=8),
+    sites=st.integers(min_value=1, max_value=3),
+    draining=st.sets(st.integers(min_value=0, max_value=7)),
+    asked=st.integers(min_value=0, max_value=7),
+    count=st.integers(min_value=1, max_value=4),
+    model=st.text(max_size=5),
+)
+def test_the_answer_outlives_the_asked_entry_and_a_site(
+    loads, sites, draining, asked, count, model
+):
+    """The entry or the data centre a caller was told fails a second later.
+
+    The caller keeps the answer for a while. If every address in it is gone, it
+    has nobody left to ask.
+    """
+    entries = [
+        build_entry(n, load=load, site=f"{n % sites}", draining=n in draining)
+        for n, load in enumerate(loads)
+    ]
+    address = f"10.0.0.{asked}:1"
+    told = order_entries(entries, model=model, asked=address, count=count)
+    usable = [one for one in entries if not one.draining]
+    assert len({one.address for one in told}) == len(told) <= count + 1
+    assert told[:1] == order_entries(entries, model=model, asked=address)[:1]
+    if usable:
+        assert all(not one.draining for one in told)
+    if any(one.address != address for one in usable):
+        assert any(one.address != address for one in told)
+    if count > 1 and len({one.site for one in usable}) > 1:
+        assert len({one.site for one in told}) > 1
+
+
+def test_models_spread_evenly_and_move_only_with_their_entry():
+    firsts = {model: order_entries(SIX, model=model, width=1)[0] for model in MODELS}
+    counts = collections.Counter(one.address for one in firsts.values())
+    assert min(counts.values()) > 0.7 * len(MODELS) / 6
+    for model in MODELS:
+        left = order_entries(SIX[1:], model=model, width=1)[0]
+        assert left == firsts[model] or firsts[model] == SIX[0]
+
+
+def test_callers_of_one_model_stay_within_its_width():
+    spreads = [f"caller-{number}" for number in range(300)]
+    for width in (1, 2, 4):
+        counts = count_firsts(SIX, models=["m"], spreads=spreads, width=width)
+        assert len(counts) == width
+        assert min(counts.values()) > 0.7 * 300 / width
+
+
+def test_a_full_entry_is_told_first_less_often():
+    """One entry has all its requests in flight and refuses.
+
+    Callers are still sent there first and each loses a round trip.
+    """
+    full = [build_entry(0, load=1.0), *SIX[1:]]
+    spreads = [f"caller-{number}" for number in range(20)]
+    before = count_firsts(SIX, spreads=spreads)[SIX[0].address]
+    after = count_firsts(full, spreads=spreads)[SIX[0].address]
+    assert after < before / 3
+    barely = [build_entry(0, load=0.2), *SIX[1:]]
+    assert count_firsts(barely, spreads=spreads)[SIX[0].address] == before
+
+
+@pytest.mark.parametrize(
+    ("in_flight", "entries", "width"),
+    [(0, 6, 2), (199, 6, 2), (201, 6, 3), (9_000, 6, 6), (0, 1, 1), (0, 0, 1)],
+)
+def test_hot_models_are_shared_by_more_entries(in_flight, entries, width):
+    holder = ServerSummary(
+        server="s", site="a", address="x", items=("m@1",), running=in_flight
+    )
+    other = ServerSummary(server="o", site="a", address="x", running=9_000)
+    found = choose_width(servers=[holder, other], item="m@1", entries=entries)
+    assert found == width
