--- a/src/arbutuspulley/delivery/claims.py
+++ b/src/arbutuspulley/delivery/claims.py
@@ -123,8 +123,10 @@
     """
     try:
         return _try_claim(table, request, objects)
-    except (PlatformUnavailableError, OutcomeUnknownError):
+    except PlatformUnavailableError:
         return ClaimReply(state=ClaimState.UNAVAILABLE)
+    except OutcomeUnknownError:
+        return ClaimReply(state=ClaimState.UNAVAILABLE, uncertain=True)
 
 
 def settle_claim(table: Table, request: SettleRequest, *, objects: Objects) -> None:
--- a/src/arbutuspulley/delivery/request.py
+++ b/src/arbutuspulley/delivery/request.py
@@ -101,7 +101,9 @@
 
 
 class Ended(Value, frozen=True):
-    """The end marker arrived at the right offset."""
+    """The end marker arrived at the right offset, which is ``next_offset``."""
+
+    next_offset: int
 
 
 class CallerLeft(Value, frozen=True):
@@ -174,6 +176,7 @@
     if isinstance(event, CallerLeft):
         return _leave(state)
     if isinstance(event, Ended):
+        state.offset = event.next_offset
         state.phase = Phase.ENDED
         return (Finish(),)
     if isinstance(event, DeadlinePassed) or now >= state.deadline:
--- /dev/null
+++ b/src/arbutuspulley/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The shell of an entry: callers' HTTP, the view of its controller, relaying."""
--- /dev/null
+++ b/src/arbutuspulley/entry/answers.py
@@ -0,0 +1,198 @@
+"""Shapes of answers: the usual protocol's JSON and server-sent events."""
+
+from collections.abc import Generator, Iterable
+from typing import Any
+
+import msgspec
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.data import Message, State, Value
+from arbutuspulley.results import Code, RequestError, RunState
+
+JSON_TYPE = "application/json"
+EVENTS_TYPE = "text/event-stream; charset=utf-8"
+
+END_EVENT = b"data: [DONE]\n\n"
+"""What a whole stream ends with; a stream without it is not complete."""
+
+REQUEST_ID = "X-Arbutus-Request-Id"
+RUN_STATE = "X-Arbutus-Run-State"
+RESULT_CODE = "X-Arbutus-Code"
+
+_TYPES = {
+    401: "authentication_error",
+    403: "permission_error",
+    404: "not_found_error",
+    409: "conflict_error",
+    429: "rate_limit_error",
+}
+_REPLACED_KEYS = frozenset({"id", "index", "name", "role", "type"})
+
+
+class Answer(Value, frozen=True):
+    """What goes to the caller.
+
+    :param body: the whole answer, or its events as they come.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | Generator[bytes, None, None]
+
+
+class ErrorDetail(Message, frozen=True, omit_defaults=False):
+    """The error object of the usual protocol, with our fields added."""
+
+    message: str
+    type: str
+    code: str
+    arbutus_code: int
+    run_state: RunState
+    param: str | None = None
+    retry_after_ms: int | None = None
+    addresses: tuple[str, ...] = ()
+
+
+class ErrorBody(Message, frozen=True, omit_defaults=False):
+    """Body of every error."""
+
+    error: ErrorDetail
+
+
+class Assembly(State):
+    """A plain answer that is being put together from events.
+
+    :param fields: all but the choices, as the latest event has them.
+    :param choices: by index.
+    """
+
+    fields: dict[str, Any] = {}
+    choices: dict[int, dict[str, Any]] = {}
+
+
+def build_error_body(error: RequestError) -> bytes:
+    """Return an error in the usual protocol's shape."""
+    default = "invalid_request_error" if error.status < 500 else "server_error"
+    detail = ErrorDetail(
+        message=error.detail,
+        type=_TYPES.get(error.status, default),
+        code=error.code.name.lower(),
+        arbutus_code=error.code.value,
+        run_state=error.run_state,
+        retry_after_ms=error.retry_after_ms,
+        addresses=error.addresses,
+    )
+    return msgspec.json.encode(ErrorBody(error=detail))
+
+
+def build_error(error: RequestError) -> Answer:
+    """Return the whole answer for an error."""
+    headers = [
+        ("Content-Type", JSON_TYPE),
+        (RUN_STATE, error.run_state.value),
+        (RESULT_CODE, str(error.code.value)),
+    ]
+    if error.retry_after_ms is not None:
+        seconds = -(-error.retry_after_ms // SECOND_MS)
+        headers.append(("Retry-After", str(max(1, seconds))))
+    else:
+        # Client libraries repeat some statuses on their own account.
+        headers.append(("X-Should-Retry", "false"))
+    return Answer(
+        status=error.status, headers=tuple(headers), body=build_error_body(error)
+    )
+
+
+def build_success(
+    body: bytes | Generator[bytes, None, None],
+    *,
+    content_type: str = JSON_TYPE,
+    status: int = 200,
+    run_state: RunState = RunState.RUN,
+    headers: Iterable[tuple[str, str]] = (),
+) -> Answer:
+    """Return an answer that is no error of ours."""
+    return Answer(
+        status=status,
+        headers=(
+            ("Content-Type", content_type),
+            (RUN_STATE, run_state.value),
+            (RESULT_CODE, str(Code.OK.value)),
+            *headers,
+        ),
+        body=body,
+    )
+
+
+def build_event(prefix: bytes, offset: int, data: bytes) -> bytes:
+    """Return one event; called for each token, so it only joins bytes.
+
+    :param prefix: ``b"id: <request id>:"``.
+    """
+    return b"%b%d\ndata: %b\n\n" % (prefix, offset, data)
+
+
+def build_event_prefix(request_id: str) -> bytes:
+    """Return what the events of one answer begin with."""
+    return b"id: " + request_id.encode() + b":"
+
+
+def build_error_event(error: RequestError) -> bytes:
+    """Return the last event of a stream that broke off; it has no id."""
+    return b"data: " + build_error_body(error) + b"\n\n"
+
+
+def add_event(assembly: Assembly, data: bytes) -> None:
+    """Take in the data of the next event.
+
+    :raises msgspec.DecodeError: if it is not a JSON object.
+    """
+    event = msgspec.json.decode(data, type=dict[str, Any])
+    for choice in event.pop("choices", ()):
+        known = assembly.choices.setdefault(choice.get("index", 0), {})
+        message = choice.pop("delta", None)
+        if message is not None:
+            choice["message"] = message
+        _merge(known, choice)
+    assembly.fields.update(
+        (key, value) for key, value in event.items() if value is not None
+    )
+
+
+def build_plain(assembly: Assembly) -> bytes:
+    """Return the answer as if it had never been streamed."""
+    fields = dict(assembly.fields)
+    kind = str(fields.get("object", "")).removesuffix(".chunk")
+    choices = [assembly.choices[index] for index in sorted(assembly.choices)]
+    return msgspec.json.encode({**fields, "object": kind, "choices": choices})
+
+
+def _merge(known: dict[str, Any], new: dict[str, Any]) -> None:
+    """Add the parts that an event brings to those that came before."""
+    for key, value in new.items():
+        before = known.get(key)
+        if before is None or key in _REPLACED_KEYS:
+            known[key] = value if value is not None else before
+        elif isinstance(before, str) and isinstance(value, str):
+            known[key] = before + value if key != "finish_reason" else value
+        elif isinstance(before, dict) and isinstance(value, dict):
+            _merge(before, value)
+        elif isinstance(before, list) and isinstance(value, list):
+            _merge_lists(before, value)
+        elif value is not None:
+            known[key] = value
+
+
+def _merge_lists(known: list[Any], new: list[Any]) -> None:
+    """Add list items; those with an index, as tool calls have, are merged by it."""
+    for item in new:
+        index = item.get("index") if isinstance(item, dict) else None
+        same = [
+            one
+            for one in known
+            if index is not None and isinstance(one, dict) and one.get("index") == index
+        ]
+        if same:
+            _merge(same[0], item)
+        else:
+            known.append(item)
--- /dev/null
+++ b/src/arbutuspulley/entry/inference.py
@@ -0,0 +1,153 @@
+"""Answers requests to models: plain or as events, claimed or not."""
+
+from collections.abc import Generator
+from contextlib import closing
+
+import msgspec
+
+from arbutuspulley.delivery.claims import ClaimState
+from arbutuspulley.delivery.failures import build_failure
+from arbutuspulley.entry import answers, claiming
+from arbutuspulley.entry.calls import Call
+from arbutuspulley.entry.claiming import settling
+from arbutuspulley.entry.relay import CallerLeftError, HasLeft, deliver, wait
+from arbutuspulley.entry.state import Runtime
+from arbutuspulley.results import Code, RequestError, RunState
+
+LOOK_EVERY_CHUNKS = 16
+"""A plain answer looks whether its caller is still there once in so many chunks."""
+
+_EVENT_END = b"\n\n"
+_STREAM_HEADERS = (("Cache-Control", "no-cache"),)
+
+
+def answer_inference(
+    runtime: Runtime, call: Call, *, has_left: HasLeft
+) -> answers.Answer:
+    """Run a request to a model and return its answer.
+
+    :raises RequestError: if it is given up before the answer began.
+    :raises CallerLeftError: if the caller left.
+    """
+    if call.unrepeatable:
+        return _answer_claimed(runtime, call)
+    if not call.streamed:
+        return answers.build_success(_assemble(runtime, call, has_left))
+    events = _build_events(runtime, call, has_left)
+    return _begin_stream(events)
+
+
+def _answer_claimed(runtime: Runtime, call: Call) -> answers.Answer:
+    """Run an unrepeatable request once, to its end, whether its caller stays or not.
+
+    A caller that left comes back with the same key and finds the answer.
+    """
+    stored = wait(runtime, claiming.claim(runtime, call), has_left=_never)
+    if stored is not None:
+        return _replay(call, stored)
+    # Whatever the caller has got of an earlier answer, this is the first run.
+    call = msgspec.structs.replace(call, offset=0)
+    if call.streamed:
+        return _begin_stream(_build_claimed_events(runtime, call))
+    with settling(runtime, call):
+        body = _assemble(runtime, call, _never)
+    answer = claiming.StoredAnswer(
+        status=200, content_type=answers.JSON_TYPE, body=body
+    )
+    _settle(runtime, call, answer)
+    return answers.build_success(body)
+
+
+def _assemble(runtime: Runtime, call: Call, has_left: HasLeft) -> bytes:
+    assembly = answers.Assembly()
+    with closing(deliver(runtime, call, has_left=has_left)) as chunks:
+        for number, chunk in enumerate(chunks):
+            _add(assembly, chunk.data)
+            if number % LOOK_EVERY_CHUNKS == 0 and has_left():
+                raise CallerLeftError
+    return answers.build_plain(assembly)
+
+
+def _add(assembly: answers.Assembly, data: bytes) -> None:
+    try:
+        answers.add_event(assembly, data)
+    except (msgspec.DecodeError, AttributeError, TypeError):
+        detail = "the server's answer does not follow the protocol"
+        raise build_failure(
+            Code.ANSWER_INCOMPLETE, detail, run_state=RunState.UNKNOWN
+        ) from None
+
+
+def _build_events(
+    runtime: Runtime, call: Call, has_left: HasLeft
+) -> Generator[bytes, None, None]:
+    prefix = answers.build_event_prefix(call.request_id)
+    with closing(deliver(runtime, call, has_left=has_left)) as chunks:
+        for chunk in chunks:
+            yield answers.build_event(prefix, chunk.offset, chunk.data)
+    yield answers.END_EVENT
+
+
+def _build_claimed_events(runtime: Runtime, call: Call) -> Generator[bytes, None, None]:
+    """Yield events while the caller is there, and run on to the end if it leaves."""
+    events: list[bytes] = []
+    is_here = True
+    with settling(runtime, call):
+        for event in _build_events(runtime, call, _never):
+            if event is answers.END_EVENT:
+                continue
+            events.append(event)
+            if not is_here:
+                continue
+            try:
+                yield event
+            except GeneratorExit:
+                is_here = False
+    answer = claiming.StoredAnswer(
+        status=200, content_type=answers.EVENTS_TYPE, body=b"".join(events)
+    )
+    _settle(runtime, call, answer)
+    if is_here:
+        yield answers.END_EVENT
+
+
+def _begin_stream(events: Generator[bytes, None, None]) -> answers.Answer:
+    """Wait for the first event, so that a refusal still has its own status."""
+    first = next(events)
+    return answers.build_success(
+        _go_on(first, events), content_type=answers.EVENTS_TYPE, headers=_STREAM_HEADERS
+    )
+
+
+def _go_on(
+    first: bytes, events: Generator[bytes, None, None]
+) -> Generator[bytes, None, None]:
+    """Yield a stream; one that breaks off ends with an error and no end marker."""
+    with closing(events):
+        yield first
+        try:
+            yield from events
+        except RequestError as error:
+            yield answers.build_error_event(error)
+
+
+def _replay(call: Call, stored: claiming.StoredAnswer) -> answers.Answer:
+    """Give the answer that an earlier run of the request got."""
+    if stored.content_type != answers.EVENTS_TYPE:
+        return answers.build_success(stored.body, status=stored.status)
+    events = stored.body.split(_EVENT_END)[call.offset : -1]
+    rest = b"".join(event + _EVENT_END for event in events)
+    return answers.build_success(
+        rest + answers.END_EVENT,
+        content_type=stored.content_type,
+        headers=_STREAM_HEADERS,
+    )
+
+
+def _settle(runtime: Runtime, call: Call, answer: claiming.StoredAnswer) -> None:
+    settled = claiming.settle(runtime, call, ClaimState.ANSWERED, answer)
+    wait(runtime, settled, has_left=_never)
+
+
+def _never() -> bool:
+    return False
--- /dev/null
+++ b/src/arbutuspulley/entry/relay.py
@@ -0,0 +1,233 @@
+"""Carries the bytes of one answer from a server to its caller, on a worker thread.
+
+Each chunk is checked and passed on without a word to the loop. The loop is asked
+only when an attempt begins or ends.
+"""
+
+import concurrent.futures
+import time
+from collections.abc import Callable, Coroutine, Generator
+from contextlib import closing
+from typing import Any, TypeVar
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.delivery import request as life
+from arbutuspulley.delivery.cursor import Cursor, Verdict, accept, begin_attempt
+from arbutuspulley.entry import dispatch
+from arbutuspulley.entry.calls import Call
+from arbutuspulley.entry.state import Attempt, Runtime
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.ports.engines import (
+    BrokenError,
+    Chunk,
+    NotSentError,
+    RefusedError,
+)
+from arbutuspulley.tracing import open_span
+
+LOOK_EVERY_MS = 250
+"""How often a waiting worker looks whether its caller is still there."""
+
+SETTLED_MS = SECOND_MS
+"""How long after a suspect broke off its server is asked whether it lives."""
+
+_Result = TypeVar("_Result")
+
+HasLeft = Callable[[], bool]
+"""Tells whether the caller has closed its connection."""
+
+
+class CallerLeftError(Exception):
+    """The caller closed its connection before its answer was whole."""
+
+
+def deliver(
+    runtime: Runtime, call: Call, *, has_left: HasLeft
+) -> Generator[Chunk, None, None]:
+    """Run a request and yield the chunks of its answer, each once and in order.
+
+    Closing the generator gives the request up and cancels it at its server.
+
+    :raises RequestError: if the answer does not become whole.
+    :raises CallerLeftError: if the caller left while nothing could be sent.
+    """
+    attempt: Attempt | None = wait(
+        runtime, dispatch.open_request(runtime, call), has_left=has_left
+    )
+    cursor = Cursor(attempt_id="", offset=call.offset)
+    try:
+        while attempt is not None:
+            event, died = yield from _relay(runtime, attempt, cursor)
+            advanced = dispatch.advance_request(
+                runtime, call.request_id, event, died=died
+            )
+            attempt = wait(runtime, advanced, has_left=has_left)
+    except GeneratorExit:
+        _abandon(runtime, call)
+        raise
+    finally:
+        _count_dropped(runtime, call, cursor)
+
+
+def wait(
+    runtime: Runtime,
+    coroutine: Coroutine[Any, Any, _Result],
+    *,
+    has_left: HasLeft,
+) -> _Result:
+    """Wait for a coroutine on the loop, unless the caller leaves.
+
+    :raises CallerLeftError: if it left; the coroutine is cancelled then.
+    """
+    future = runtime.loop.submit(coroutine)
+    while True:
+        try:
+            return future.result(LOOK_EVERY_MS / SECOND_MS)
+        except concurrent.futures.TimeoutError:
+            if future.done():
+                return future.result()
+            if has_left():
+                future.cancel()
+                raise CallerLeftError from None
+
+
+def _relay(
+    runtime: Runtime, attempt: Attempt, cursor: Cursor
+) -> Generator[Chunk, None, tuple[life.Event, bool]]:
+    """Make one attempt.
+
+    :return: how it ended, and whether the server died.
+    """
+    request = attempt.request
+    begin_attempt(cursor, attempt_id=request.attempt_id)
+    with open_span(
+        "entry.attempt",
+        parent=request.traceparent,
+        server=attempt.server,
+        offset=request.offset,
+    ):
+        try:
+            chunks = runtime.engines.infer(attempt.address, request)
+        except NotSentError:
+            return life.NotSent(server=attempt.server), False
+        except RefusedError as error:
+            return _build_refused(attempt, error), False
+        except BrokenError:
+            return _judge_break(runtime, attempt, cursor)
+        with closing(chunks):
+            event = yield from _pass_on(runtime, attempt, cursor, chunks)
+    if event is None:
+        return _judge_break(runtime, attempt, cursor)
+    return event, False
+
+
+def _pass_on(
+    runtime: Runtime,
+    attempt: Attempt,
+    cursor: Cursor,
+    chunks: Generator[Chunk, None, None],
+) -> Generator[Chunk, None, life.Event | None]:
+    """Yield the chunks that are in their place.
+
+    :return: ``None`` if the attempt broke off.
+    """
+    begun = cursor.offset
+    now, deadline = runtime.clock.now, attempt.deadline
+    try:
+        for chunk in chunks:
+            verdict = accept(cursor, chunk)
+            if verdict is Verdict.DELIVER:
+                if chunk.offset == begun:
+                    _note_first(runtime, attempt)
+                yield chunk
+            elif verdict is Verdict.END:
+                return life.Ended(next_offset=cursor.offset)
+            elif verdict is Verdict.GAP:
+                return None
+            if now() > deadline:
+                return life.DeadlinePassed()
+    except BrokenError:
+        return None
+    except GeneratorExit:
+        if attempt.trial:
+            _end_without_caller(runtime, attempt, cursor, chunks)
+        raise
+    return None
+
+
+def _end_without_caller(
+    runtime: Runtime,
+    attempt: Attempt,
+    cursor: Cursor,
+    chunks: Generator[Chunk, None, None],
+) -> None:
+    """Run a trial to its end although the caller has left.
+
+    Cancelled, it would show nothing, and an impatient caller of a poison request
+    would have it tried on one server after the other.
+    """
+    event = _run_out(_pass_on(runtime, attempt, cursor, chunks))
+    died = False
+    if event is None:
+        event, died = _judge_break(runtime, attempt, cursor)
+    request_id = attempt.request.request_id
+    ended = dispatch.advance_request(runtime, request_id, event, died=died)
+    runtime.loop.spawn(ended)
+
+
+def _run_out(
+    passing: Generator[Chunk, None, life.Event | None],
+) -> life.Event | None:
+    while True:
+        try:
+            next(passing)
+        except StopIteration as stop:
+            return stop.value
+
+
+def _judge_break(
+    runtime: Runtime, attempt: Attempt, cursor: Cursor
+) -> tuple[life.Event, bool]:
+    """Tell whether only a connection broke, or the server died.
+
+    A request that a server died under becomes a suspect; one whose connection was
+    cut does not. The server's own boot id tells one from the other.
+    """
+    if attempt.trial:
+        # A suspect kills its server a little after the connection is gone.
+        time.sleep(SETTLED_MS / SECOND_MS)
+    try:
+        report = runtime.engines.report(attempt.address)
+    except (NotSentError, BrokenError):
+        died = True
+    else:
+        died = bool(attempt.boot_id) and report.boot_id != attempt.boot_id
+    event = life.Broken(server=attempt.server, next_offset=cursor.offset)
+    return event, died
+
+
+def _build_refused(attempt: Attempt, error: RefusedError) -> life.Refused:
+    return life.Refused(
+        server=attempt.server,
+        detail=error.detail,
+        retry_after_ms=error.retry_after_ms,
+        leaving=error.leaving,
+        final=error.final,
+    )
+
+
+def _note_first(runtime: Runtime, attempt: Attempt) -> None:
+    request_id = attempt.request.request_id
+    runtime.loop.post(lambda: dispatch.note_first_event(runtime, request_id))
+
+
+def _abandon(runtime: Runtime, call: Call) -> None:
+    left = dispatch.advance_request(runtime, call.request_id, life.CallerLeft())
+    runtime.loop.spawn(left)
+
+
+def _count_dropped(runtime: Runtime, call: Call, cursor: Cursor) -> None:
+    if not cursor.dropped:
+        return
+    runtime.metrics.dropped_chunks.inc(cursor.dropped)
+    log_event(Event.CHUNK_DROPPED, request=call.request_id, dropped=cursor.dropped)
--- /dev/null
+++ b/src/arbutuspulley/entry/server.py
@@ -0,0 +1,286 @@
+"""The HTTP server of an entry: CherryPy handlers on its own server.
+
+CherryPy answers each request on a worker thread. What happens there is reading the
+request, waiting for the loop's decisions and writing bytes.
+"""
+
+import logging
+import select
+import socket
+import threading
+from collections.abc import Callable
+from contextlib import suppress
+from types import SimpleNamespace
+from typing import Any
+
+import cherrypy
+from cheroot import wsgi
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.delivery.failures import build_failure
+from arbutuspulley.entry import answers, handlers
+from arbutuspulley.entry.calls import build_request_id
+from arbutuspulley.entry.handlers import Exchange, Handler
+from arbutuspulley.entry.relay import CallerLeftError
+from arbutuspulley.entry.state import Runtime
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.results import Code, RequestError, RunState
+from arbutuspulley.tracing import open_span
+
+STOP_TIMEOUT_MS = 5 * SECOND_MS
+"""How long a stopping server waits for the last bytes to leave."""
+
+SOCKET_TIMEOUT_MS = 30 * SECOND_MS
+"""A caller that takes no byte for this long counts as gone."""
+
+MAX_HEADER_BYTES = 64 * 1024
+"""Largest request line and headers taken."""
+
+DRAINED_BODY_FACTOR = 16
+"""A body over the limit times this is not even read to be thrown away."""
+
+IDLE_CONNECTIONS = 2_000
+"""Idle connections of callers kept open; they hold no thread."""
+
+SPARE_THREADS = 10
+"""Threads beyond the requests handled at once, for refusals and health checks."""
+
+_SOCKET = "arbutus.socket"
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Lets a handler look at its connection, to see whether the caller has left."""
+
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        environ: dict[str, Any] = super().get_environ()
+        environ[_SOCKET] = self.req.conn.socket
+        return environ
+
+
+class EntryServer:
+    """The server on a thread of its own.
+
+    :param port: 0 takes a free one; see :attr:`address`.
+    """
+
+    __slots__ = ("_server", "_thread", "address")
+
+    def __init__(self, *, runtime: Runtime, host: str, port: int, threads: int) -> None:
+        self._server = wsgi.Server(
+            (host, port),
+            _build_application(runtime),
+            numthreads=threads,
+            request_queue_size=1_024,
+            timeout=SOCKET_TIMEOUT_MS // SECOND_MS,
+            shutdown_timeout=STOP_TIMEOUT_MS // SECOND_MS,
+        )
+        self._server.gateway = _Gateway
+        self._server.keep_alive_conn_limit = IDLE_CONNECTIONS
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._server.max_request_body_size = (
+            runtime.settings.max_body_bytes * DRAINED_BODY_FACTOR
+        )
+        self._server.prepare()
+        bound_host, bound_port = self._server.bind_addr[:2]
+        self.address = f"{bound_host}:{bound_port}"
+        self._thread = threading.Thread(
+            target=self._server.serve, name="entry-http", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to answer."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop listening and end the thread; what is in flight should be over."""
+        self._server.stop()
+        self._thread.join(STOP_TIMEOUT_MS / SECOND_MS)
+
+
+def _build_application(runtime: Runtime) -> cherrypy.Application:
+    def expose(handler: Handler, *, counted: bool = False) -> Callable[..., Any]:
+        return _expose(runtime, handler, counted=counted)
+
+    completion = expose(handlers.answer_completion, counted=True)
+    root = SimpleNamespace(
+        healthz=expose(handlers.answer_health),
+        readyz=expose(handlers.answer_readiness),
+        metrics=expose(handlers.answer_metrics),
+        services=expose(handlers.answer_plain_service, counted=True),
+        v1=SimpleNamespace(
+            addresses=expose(handlers.answer_addresses),
+            models=expose(handlers.answer_models),
+            completions=completion,
+            chat=SimpleNamespace(completions=completion),
+        ),
+    )
+    settings = {
+        "/": {
+            "request.process_request_body": False,
+            "error_page.default": _show_error,
+            "tools.trailing_slash.on": False,
+        }
+    }
+    application = cherrypy.Application(root, "", settings)
+    application.log.screen = False
+    application.log.error_log.setLevel(logging.CRITICAL)
+    application.log.access_log.setLevel(logging.CRITICAL)
+    return application
+
+
+def _expose(runtime: Runtime, handler: Handler, *, counted: bool) -> Callable[..., Any]:
+    """Return a CherryPy handler around one of ours.
+
+    :param counted: whether a stop waits for it.
+    """
+
+    @cherrypy.expose
+    def handle(*_path: str, **_query: str) -> Any:
+        exchange = _build_exchange(runtime)
+        begun_at = runtime.clock.now()
+        if counted:
+            _count(runtime, 1)
+            cherrypy.serving.request.hooks.attach(
+                "on_end_request", lambda: _count(runtime, -1)
+            )
+        answer = _answer(runtime, exchange, handler)
+        if counted:
+            _observe(runtime, answer, runtime.clock.now() - begun_at)
+        return _write(runtime, exchange, answer)
+
+    return handle
+
+
+def _answer(runtime: Runtime, exchange: Exchange, handler: Handler) -> answers.Answer:
+    parent = exchange.headers.get("Traceparent", "")
+    try:
+        with open_span("entry.request", parent=parent, request=exchange.request_id):
+            return handler(runtime, exchange)
+    except RequestError as error:
+        log_event(
+            Event.REQUEST_REFUSED,
+            level=logging.DEBUG if error.code is Code.NOT_READY else logging.INFO,
+            request=exchange.request_id,
+            code=error.code.value,
+            run_state=error.run_state.value,
+        )
+        return answers.build_error(error)
+    except CallerLeftError:
+        return answers.build_error(
+            build_failure(
+                Code.ANSWER_INCOMPLETE, "the caller left", run_state=RunState.UNKNOWN
+            )
+        )
+    except Exception as error:
+        # A fault of ours must not show its inside to a caller, nor claim that
+        # nothing ran.
+        log_event(
+            Event.INTERNAL_ERROR,
+            level=logging.ERROR,
+            request=exchange.request_id,
+            error=repr(error),
+        )
+        return answers.build_error(
+            build_failure(
+                Code.INTERNAL, "an internal error", run_state=RunState.UNKNOWN
+            )
+        )
+
+
+def _write(runtime: Runtime, exchange: Exchange, answer: answers.Answer) -> Any:
+    response = cherrypy.serving.response
+    response.status = answer.status
+    for name, value in answer.headers:
+        response.headers[name] = value
+    response.headers[answers.REQUEST_ID] = exchange.request_id
+    if runtime.state.draining:
+        response.headers["Connection"] = "close"
+    if isinstance(answer.body, bytes):
+        return answer.body
+    events = answer.body
+    response.stream = True
+    cherrypy.serving.request.hooks.attach(
+        "on_end_request", lambda: _close(exchange, events)
+    )
+    return events
+
+
+def _close(exchange: Exchange, events: Any) -> None:
+    """End a stream; a caller that left cancels what still runs."""
+    try:
+        events.close()
+    except Exception as error:
+        log_event(Event.REQUEST_ENDED, request=exchange.request_id, detail=repr(error))
+
+
+def _build_exchange(runtime: Runtime) -> Exchange:
+    request = cherrypy.serving.request
+    connection = request.wsgi_environ[_SOCKET]
+    target = request.request_line.split(" ")[1]
+    return Exchange(
+        request_id=build_request_id(),
+        method=request.method,
+        target=target,
+        headers=request.headers,
+        read_body=lambda: _read_body(runtime.settings.max_body_bytes),
+        has_left=lambda: _has_left(connection),
+    )
+
+
+def _read_body(most: int) -> bytes:
+    request = cherrypy.serving.request
+    declared = request.headers.get("Content-Length", "")
+    too_large = build_failure(Code.BODY_TOO_LARGE, f"the body is over {most} bytes")
+    if declared.isdigit() and int(declared) > most:
+        raise too_large
+    if not declared and "Transfer-Encoding" not in request.headers:
+        return b""
+    body: bytes = request.rfile.read(int(declared) if declared else most + 1)
+    if len(body) > most:
+        raise too_large
+    return body
+
+
+def _has_left(connection: socket.socket) -> bool:
+    """Tell whether the peer has closed, without taking any byte from it.
+
+    The socket has a timeout, with which ``recv`` waits even if told not to; so it is
+    only called when there is something to read.
+    """
+    poll = select.poll()
+    poll.register(connection, select.POLLIN)
+    try:
+        return bool(poll.poll(0)) and connection.recv(1, socket.MSG_PEEK) == b""
+    except (OSError, ValueError):
+        return True
+
+
+def _count(runtime: Runtime, change: int) -> None:
+    def add() -> None:
+        runtime.state.in_flight += change
+
+    with suppress(RuntimeError):
+        runtime.loop.post(add)
+
+
+def _observe(runtime: Runtime, answer: answers.Answer, elapsed_ms: int) -> None:
+    headers = dict(answer.headers)
+    runtime.metrics.answers.labels(
+        headers[answers.RESULT_CODE], headers[answers.RUN_STATE]
+    ).inc()
+    if isinstance(answer.body, bytes):
+        runtime.metrics.duration.observe(elapsed_ms / SECOND_MS)
+
+
+def _show_error(*, status: str, message: str, **_unused: str) -> str:
+    """Show CherryPy's own errors in the usual protocol's shape."""
+    response = cherrypy.serving.response
+    number = int(status.split(" ")[0])
+    code = Code.INTERNAL if number >= 500 else Code.NOT_FOUND
+    run_state = RunState.UNKNOWN if number >= 500 else RunState.NOT_RUN
+    shown = "an internal error" if number >= 500 else message
+    error = RequestError(code=code, detail=shown, status=number, run_state=run_state)
+    for name, value in answers.build_error(error).headers:
+        response.headers[name] = value
+    response.headers[answers.REQUEST_ID] = build_request_id()
+    return answers.build_error_body(error).decode()
--- /dev/null
+++ b/src/arbutuspulley/entry/state.py
@@ -0,0 +1,161 @@
+"""What an entry knows, and what its functions work with.
+
+The state lives on the loop's thread. Worker threads see only values that were
+handed to them.
+"""
+
+import asyncio
+import random
+
+import msgspec
+
+from arbutuspulley.admission.budget import BudgetState
+from arbutuspulley.admission.cost import CostState
+from arbutuspulley.admission.queue import AdmissionState
+from arbutuspulley.clock import SECOND_MS, Clock
+from arbutuspulley.configuration.lookup import Item
+from arbutuspulley.data import State, Value
+from arbutuspulley.delivery.request import RequestState
+from arbutuspulley.delivery.suspects import SuspectState
+from arbutuspulley.entry.calls import Call
+from arbutuspulley.entry.controllers import Controller
+from arbutuspulley.entry.index import EMPTY_INDEX, SiteIndex
+from arbutuspulley.entry.metrics import Metrics
+from arbutuspulley.loop import LoopThread
+from arbutuspulley.ports.engines import Engines, InferenceRequest
+from arbutuspulley.routing.choice import RoutingState
+from arbutuspulley.rpc.messages import DeathReport, ServerSummary, View
+
+REQUEST_LIFE_MS = 120 * SECOND_MS
+"""Longest life of a request, waiting included; then it is given up."""
+
+
+class Settings(Value, frozen=True):
+    """Checked settings of the process.
+
+    :param address: ``host:port`` that callers are told.
+    :param boot_id: names this process; a restarted one has another.
+    :param most_in_flight: requests handled at once; more are refused.
+    """
+
+    instance: str
+    site: str
+    address: str
+    boot_id: str
+    max_body_bytes: int = 1024 * 1024
+    most_in_flight: int = 90
+
+
+class Attempt(Value, frozen=True):
+    """One attempt at a request, to be made by its worker.
+
+    :param address: ``host:port`` of the server.
+    :param boot_id: the server's boot as last seen.
+    :param trial: whether the request is a suspect on trial.
+    """
+
+    server: str
+    address: str
+    boot_id: str
+    request: InferenceRequest
+    deadline: int
+    trial: bool = False
+
+
+class Trial(Value, frozen=True):
+    """The right to run a suspect on one server."""
+
+    server: str
+    boot_id: str
+    trial_id: str
+
+
+class Ongoing(State):
+    """One request to a model, from its arrival to its end.
+
+    :param cost: estimated token cost.
+    :param alive: servers that broke off and yet answered afterwards.
+    :param turn: resolved when admission has decided.
+    """
+
+    call: Call
+    item: Item
+    request: RequestState
+    cost: int
+    fingerprint: str
+    alive: frozenset[str] = frozenset()
+    turn: asyncio.Future | None = None
+    attempt: Attempt | None = None
+    trial: Trial | None = None
+
+
+class Demand(State):
+    """What callers asked of one item since the last report."""
+
+    requests: int = 0
+    tokens: int = 0
+    refused: int = 0
+
+
+class Holder(Value, frozen=True):
+    """Another instance's trial that holds a server.
+
+    :param seen_at: when it was first seen.
+    :param asked_at: when the server was last asked for.
+    """
+
+    trial_id: str
+    seen_at: int
+    asked_at: int
+
+
+class EntryState(State):
+    """All shared state of an entry.
+
+    :param view: the last view of the controller; it stays if the controller dies.
+    :param ongoing: requests to models by id.
+    :param in_flight: calls being answered, those to plain services included.
+    :param draining: whether it is left out of address answers.
+    :param refusing: whether new calls are refused.
+    :param trials: servers on which a suspect of this entry is on trial.
+    :param holders: servers that a suspect of another instance holds.
+    :param unrecorded: deaths that the controller has not yet recorded.
+    :param reports: reports of deaths under way, by server and boot.
+    :param failed_addresses: until when a plain service's address is left out.
+    """
+
+    view: View | None = None
+    summaries: dict[str, ServerSummary] = {}
+    index: SiteIndex = EMPTY_INDEX
+    admission: AdmissionState = msgspec.field(default_factory=AdmissionState)
+    routing: RoutingState = msgspec.field(default_factory=RoutingState)
+    budget: BudgetState = msgspec.field(default_factory=BudgetState)
+    costs: CostState = msgspec.field(default_factory=CostState)
+    suspects: SuspectState = msgspec.field(default_factory=SuspectState)
+    ongoing: dict[str, Ongoing] = {}
+    demand: dict[str, Demand] = {}
+    in_flight: int = 0
+    draining: bool = False
+    refusing: bool = False
+    trials: dict[str, str] = {}
+    holders: dict[str, Holder] = {}
+    unrecorded: dict[str, DeathReport] = {}
+    reports: dict[str, asyncio.Task] = {}
+    failed_addresses: dict[str, int] = {}
+    settlements: int = 0
+
+
+class Runtime(Value, frozen=True):
+    """What the shell's functions work with.
+
+    :param chance: source of random draws.
+    """
+
+    settings: Settings
+    state: EntryState
+    loop: LoopThread
+    clock: Clock
+    engines: Engines
+    controller: Controller
+    metrics: Metrics
+    chance: random.Random
--- /dev/null
+++ b/src/arbutuspulley/entry/turns.py
@@ -0,0 +1,86 @@
+"""Waiting for admission."""
+
+import asyncio
+
+from arbutuspulley.admission import queue
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.delivery.request import Admitted, Barred, Event
+from arbutuspulley.entry.index import find_target
+from arbutuspulley.entry.state import Ongoing, Runtime
+
+SUMMARY_PATIENCE_MS = 60 * SECOND_MS
+"""How long a request of a caller that is not live may wait for its first token."""
+
+IDLE_TICK_MS = 500
+"""How often admission is ticked while nothing waits."""
+
+
+async def wait_for_turn(runtime: Runtime, ongoing: Ongoing) -> Event:
+    """Queue a request.
+
+    :return: ``Admitted``, or ``Barred`` if it was refused.
+    """
+    state, now = runtime.state, runtime.clock.now()
+    ongoing.turn = asyncio.get_running_loop().create_future()
+    ticket = _build_ticket(ongoing)
+    effects = queue.submit(state.admission, ticket, now=now)
+    apply_effects(runtime, effects)
+    try:
+        return await ongoing.turn
+    except asyncio.CancelledError:
+        leave_queue(runtime, ongoing)
+        raise
+
+
+def leave_queue(runtime: Runtime, ongoing: Ongoing) -> None:
+    """Forget a request that was not run, waiting or admitted."""
+    effects = queue.withdraw(
+        runtime.state.admission, ongoing.call.request_id, now=runtime.clock.now()
+    )
+    apply_effects(runtime, effects)
+
+
+def apply_effects(runtime: Runtime, effects: tuple[queue.Effect, ...]) -> None:
+    """Wake the requests that admission has decided on."""
+    for effect in effects:
+        ongoing = runtime.state.ongoing.get(effect.request_id)
+        if ongoing is None or ongoing.turn is None or ongoing.turn.done():
+            continue
+        if isinstance(effect, queue.Admit):
+            ongoing.turn.set_result(Admitted())
+        else:
+            ongoing.turn.set_result(_build_refusal(effect))
+
+
+async def tick_for_ever(runtime: Runtime) -> None:
+    """Let admission look at the time, often only while requests wait."""
+    admission = runtime.state.admission
+    while True:
+        pause_ms = queue.TICK_MS if admission.waiting else IDLE_TICK_MS
+        await asyncio.sleep(pause_ms / SECOND_MS)
+        apply_effects(runtime, queue.tick(admission, now=runtime.clock.now()))
+
+
+def _build_ticket(ongoing: Ongoing) -> queue.Ticket:
+    call = ongoing.call
+    caller = call.identity.caller
+    target = find_target(call.index, call.model)
+    patience_ms = target.first_token_ms if caller.live else SUMMARY_PATIENCE_MS
+    return queue.Ticket(
+        request_id=call.request_id,
+        caller=call.identity.name,
+        item=ongoing.item.key,
+        cost=ongoing.cost,
+        arrived_at=call.arrived_at,
+        deadline=call.arrived_at + patience_ms,
+        weight=caller.weight,
+        live=caller.live,
+    )
+
+
+def _build_refusal(effect: queue.Refuse) -> Barred:
+    return Barred(
+        code=effect.code,
+        detail=f"refused: {effect.code.name.lower().replace('_', ' ')}",
+        retry_after_ms=effect.retry_after_ms,
+    )
--- /dev/null
+++ b/src/arbutuspulley/entry/views.py
@@ -0,0 +1,167 @@
+"""Follows the controller's view and reports to the controller."""
+
+import asyncio
+import logging
+
+import msgspec
+
+from arbutuspulley.admission.queue import list_usage, note_capacity
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.delivery import suspects
+from arbutuspulley.entry.index import build_index
+from arbutuspulley.entry.state import EntryState, Runtime
+from arbutuspulley.entry.suspicion import flush_unrecorded
+from arbutuspulley.entry.turns import apply_effects
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.routing.choice import note_reports
+from arbutuspulley.rpc.channel import PeerUnavailableError
+from arbutuspulley.rpc.messages import (
+    EntryAddress,
+    EntryReport,
+    ItemDemand,
+    View,
+    WatchRequest,
+)
+
+REPORT_EVERY_MS = SECOND_MS
+"""How often an entry reports demand, usage and load."""
+
+RECONNECT_FIRST_MS = 200
+"""Longest pause before the first try to reach the controller again; it doubles."""
+
+RECONNECT_MOST_MS = 2 * SECOND_MS
+"""Longest pause between tries."""
+
+
+async def watch_controller(runtime: Runtime) -> None:
+    """Take up views for ever; the last one stays in force while none comes."""
+    failures = 0
+    while True:
+        try:
+            request = WatchRequest(entry=describe_entry(runtime))
+            async for view in runtime.controller.watch(request):
+                if failures:
+                    log_event(Event.PEER_UP, peer="controller")
+                failures = 0
+                take_view(runtime, view, now=runtime.clock.now())
+        except PeerUnavailableError as error:
+            if not failures:
+                log_event(
+                    Event.PEER_DOWN,
+                    level=logging.WARNING,
+                    peer="controller",
+                    detail=error.detail,
+                )
+        failures += 1
+        # Jitter keeps the entries of a site from coming back in step.
+        bound = min(RECONNECT_MOST_MS, RECONNECT_FIRST_MS << min(failures, 8))
+        await asyncio.sleep(bound * (0.5 + runtime.chance.random() / 2) / SECOND_MS)
+
+
+async def report_for_ever(runtime: Runtime) -> None:
+    """Tell the controller about every second what callers want and use."""
+    while True:
+        await asyncio.sleep(REPORT_EVERY_MS / SECOND_MS)
+        if await send_report(runtime):
+            await flush_unrecorded(runtime)
+
+
+async def send_report(runtime: Runtime) -> bool:
+    """Send one report; demand that it could not deliver goes into the next.
+
+    :return: whether the controller took it.
+    """
+    state = runtime.state
+    demand, state.demand = state.demand, {}
+    report = EntryReport(
+        entry=describe_entry(runtime),
+        configuration_version=state.index.version,
+        in_flight=state.in_flight,
+        demand=tuple(
+            ItemDemand(
+                item=item,
+                requests=one.requests,
+                tokens=one.tokens,
+                refused=one.refused,
+            )
+            for item, one in demand.items()
+        ),
+        usage=list_usage(state.admission),
+    )
+    try:
+        await runtime.controller.report(report)
+    except PeerUnavailableError:
+        for item, one in demand.items():
+            kept = state.demand.setdefault(item, one)
+            if kept is not one:
+                kept.requests += one.requests
+                kept.tokens += one.tokens
+                kept.refused += one.refused
+        return False
+    return True
+
+
+def describe_entry(runtime: Runtime) -> EntryAddress:
+    """Return what the others are told of this entry."""
+    settings, state = runtime.settings, runtime.state
+    return EntryAddress(
+        instance=settings.instance,
+        site=settings.site,
+        address=settings.address,
+        draining=state.draining,
+        load=round(state.in_flight / settings.most_in_flight, 3),
+        boot_id=settings.boot_id,
+    )
+
+
+def take_view(runtime: Runtime, view: View, *, now: int) -> None:
+    """Take up a view.
+
+    A controller that has just been replaced knows nothing yet, or an older
+    configuration. Neither may undo what is in force: the entry keeps its own
+    configuration, and its whole last view until the controller is ready.
+    """
+    state = runtime.state
+    if state.view is not None and state.view.ready and not view.ready:
+        return
+    if view.configuration.version < state.index.version and state.view is not None:
+        log_event(
+            Event.OLDER_CONFIGURATION_IGNORED,
+            level=logging.WARNING,
+            version=view.configuration.version,
+            in_force=state.index.version,
+        )
+        view = msgspec.structs.replace(view, configuration=state.view.configuration)
+    if view.configuration.version > state.index.version:
+        _put_in_force(runtime, view)
+    state.view = view
+    state.summaries = {summary.server: summary for summary in view.servers}
+    note_reports(state.routing, servers=view.servers, now=now)
+    suspects.merge(state.suspects, view.suspicions, now=now)
+    apply_effects(runtime, note_capacity(state.admission, view=view, now=now))
+
+
+def is_ready(state: EntryState) -> bool:
+    """Tell whether a configuration that knows this site is in force."""
+    return (
+        state.view is not None and state.view.ready and bool(state.index.site.callers)
+    )
+
+
+def list_entries(runtime: Runtime) -> tuple[EntryAddress, ...]:
+    """Return the entries that callers may be told of, this one as it is now."""
+    own = describe_entry(runtime)
+    view = runtime.state.view
+    others = [
+        entry
+        for entry in (view.entries if view else ())
+        if entry.address != own.address
+    ]
+    return (own, *others)
+
+
+def _put_in_force(runtime: Runtime, view: View) -> None:
+    state = runtime.state
+    state.index = build_index(view.configuration, site=runtime.settings.site)
+    runtime.metrics.configuration_version.set(state.index.version)
+    log_event(Event.CONFIGURATION_IN_FORCE, version=state.index.version)
--- a/src/arbutuspulley/loop.py
+++ b/src/arbutuspulley/loop.py
@@ -58,6 +58,15 @@
         future = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
         return future.result(timeout_s)
 
+    def submit(
+        self, coroutine: Coroutine[Any, Any, _Result]
+    ) -> "concurrent.futures.Future[_Result]":
+        """Start a coroutine on the loop, from another thread.
+
+        :return: its future; cancelling that cancels the coroutine.
+        """
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+
     def post(self, function: Callable[[], object]) -> None:
         """Run a quick function on the loop soon, without waiting for it."""
         self._loop.call_soon_threadsafe(function)
--- /dev/null
+++ b/src/arbutuspulley/programs/entry.py
@@ -0,0 +1,180 @@
+"""``arbutus-entry``: where callers' requests come in."""
+
+import asyncio
+import random
+import signal
+import threading
+import uuid
+from types import FrameType
+from typing import Annotated
+
+import cyclopts
+
+from arbutuspulley.adapters.engines import connect_engines
+from arbutuspulley.clock import SECOND_MS, Clock
+from arbutuspulley.entry.controllers import connect_controller
+from arbutuspulley.entry.draining import drain
+from arbutuspulley.entry.metrics import build_metrics
+from arbutuspulley.entry.server import SPARE_THREADS, EntryServer
+from arbutuspulley.entry.state import EntryState, Runtime, Settings
+from arbutuspulley.entry.turns import tick_for_ever
+from arbutuspulley.entry.views import report_for_ever, watch_controller
+from arbutuspulley.events import Event, log_event, set_up_logging
+from arbutuspulley.loop import LoopThread
+from arbutuspulley.rpc.channel import Client
+from arbutuspulley.settings import (
+    SettingsError,
+    check_address,
+    check_all,
+    check_choice,
+    check_present,
+    check_range,
+    exit_refused,
+    split_address,
+)
+from arbutuspulley.tracing import set_up_tracing
+
+PROGRAM = "arbutus-entry"
+LEVELS = ("debug", "info", "warning", "error")
+
+app = cyclopts.App(
+    name=PROGRAM,
+    help="Take callers' requests and bring back the answers.",
+    config=cyclopts.config.Env("ARBUTUS_ENTRY_"),
+)
+
+
+@app.default
+def run(
+    *,
+    instance: Annotated[str, cyclopts.Parameter(help="Name of this instance.")] = "",
+    site: Annotated[str, cyclopts.Parameter(help="Data centre of the instance.")] = "",
+    listen: Annotated[
+        str, cyclopts.Parameter(help="host:port that callers connect to.")
+    ] = "127.0.0.1:8080",
+    advertise: Annotated[
+        str, cyclopts.Parameter(help="host:port told to callers; default: listen.")
+    ] = "",
+    controller: Annotated[
+        str, cyclopts.Parameter(help="host:port of the instance's controller.")
+    ] = "127.0.0.1:7000",
+    peer_key: Annotated[
+        str, cyclopts.Parameter(help="Key that the system's processes share.")
+    ] = "",
+    max_body_bytes: Annotated[
+        int, cyclopts.Parameter(help="Largest request body taken.")
+    ] = 1024 * 1024,
+    threads: Annotated[
+        int, cyclopts.Parameter(help="Worker threads; one is kept by each request.")
+    ] = 100,
+    log_format: Annotated[str, cyclopts.Parameter(help="json or text.")] = "json",
+    log_level: Annotated[
+        str, cyclopts.Parameter(help="debug, info, warning or error.")
+    ] = "info",
+    trace: Annotated[
+        str, cyclopts.Parameter(help="Where spans go: off, stderr or a file.")
+    ] = "off",
+) -> None:
+    """Take callers' requests and bring back the answers."""
+    try:
+        check_all(
+            [
+                check_present("--instance", instance),
+                check_present("--site", site),
+                check_address("--listen", listen),
+                check_address("--advertise", advertise or listen),
+                check_address("--controller", controller),
+                check_present("--peer-key", peer_key),
+                check_range(
+                    "--max-body-bytes", max_body_bytes, least=1_024, most=1 << 26
+                ),
+                check_range("--threads", threads, least=SPARE_THREADS + 1, most=2_000),
+                check_choice("--log-format", log_format, choices=("json", "text")),
+                check_choice("--log-level", log_level, choices=LEVELS),
+            ]
+        )
+    except SettingsError as error:
+        exit_refused(error)
+    set_up_logging(log_format=log_format, level=log_level)
+    set_up_tracing(program=PROGRAM, instance=instance, target=trace)
+    settings = Settings(
+        instance=instance,
+        site=site,
+        address=advertise or listen,
+        boot_id=uuid.uuid4().hex,
+        max_body_bytes=max_body_bytes,
+        most_in_flight=threads - SPARE_THREADS,
+    )
+    host, port = split_address(listen)
+    _serve(settings, controller, peer_key, host=host, port=port, threads=threads)
+
+
+def main() -> None:
+    """Run the program."""
+    app()
+
+
+def _serve(
+    settings: Settings,
+    controller: str,
+    peer_key: str,
+    *,
+    host: str,
+    port: int,
+    threads: int,
+) -> None:
+    """Serve until SIGTERM or SIGINT, then stop gracefully."""
+    stopping = threading.Event()
+
+    def stop(_number: int, _frame: FrameType | None) -> None:
+        stopping.set()
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    loop = LoopThread(name="entry", workers=32)
+    loop.start()
+    client = loop.wait_for(_connect(controller, peer_key))
+    runtime = build_runtime(settings, loop=loop, client=client, threads=threads)
+    loop.spawn(watch_controller(runtime))
+    loop.spawn(report_for_ever(runtime))
+    loop.spawn(tick_for_ever(runtime))
+    server = EntryServer(runtime=runtime, host=host, port=port, threads=threads)
+    server.start()
+    log_event(Event.STARTED, program=PROGRAM, instance=settings.instance)
+    stopping.wait()
+    loop.wait_for(drain(runtime), timeout_s=None)
+    server.stop()
+    loop.wait_for(_close(client))
+    loop.stop()
+    log_event(Event.STOPPED, program=PROGRAM, instance=settings.instance)
+
+
+def build_runtime(
+    settings: Settings, *, loop: LoopThread, client: Client, threads: int
+) -> Runtime:
+    """Put together what the entry's functions work with."""
+    state = EntryState()
+    state.admission.own = settings.address
+    state.routing.site = settings.site
+    return Runtime(
+        settings=settings,
+        state=state,
+        loop=loop,
+        clock=Clock(),
+        engines=connect_engines(connections=threads),
+        controller=connect_controller(client),
+        metrics=build_metrics(),
+        chance=random.Random(),
+    )
+
+
+async def _connect(controller: str, peer_key: str) -> Client:
+    return Client(address=controller, key=peer_key)
+
+
+async def _close(client: Client) -> None:
+    await asyncio.wait_for(client.close(), timeout=2 * SECOND_MS / SECOND_MS)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/arbutuspulley/results.py
+++ b/src/arbutuspulley/results.py
@@ -93,6 +93,7 @@
     :param run_state: whether a backend server ran the request.
     :param retry_after_ms: when to come back, or ``None`` if coming back with the
         same request cannot help.
+    :param addresses: other entries to go to instead, best first.
     """
 
     def __init__(
@@ -103,11 +104,13 @@
         status: int,
         run_state: RunState = RunState.NOT_RUN,
         retry_after_ms: int | None = None,
+        addresses: tuple[str, ...] = (),
     ) -> None:
         super().__init__(code=code, detail=detail)
         self.status = status
         self.run_state = run_state
         self.retry_after_ms = retry_after_ms
+        self.addresses = addresses
 
 
 class ConfigurationError(ArbutusError):
--- a/src/arbutuspulley/rpc/messages.py
+++ b/src/arbutuspulley/rpc/messages.py
@@ -161,6 +161,8 @@
     :param status: HTTP status of the stored answer.
     :param body: the stored answer.
     :param claimant: boot id of the entry whose claim is in progress.
+    :param uncertain: the claim is not granted, and yet its row may be there; the
+        asker must take it back.
     """
 
     state: str
@@ -168,6 +170,7 @@
     content_type: str = ""
     body: bytes = b""
     claimant: str = ""
+    uncertain: bool = False
 
 
 class SettleRequest(Message, frozen=True):
