--- a/src/arbutuspulley/delivery/request.py
+++ b/src/arbutuspulley/delivery/request.py
@@ -107,7 +107,9 @@
 
 
 class CallerLeft(Value, frozen=True):
-    """The caller closed its connection."""
+    """The caller closed its connection after the events before ``next_offset``."""
+
+    next_offset: int = 0
 
 
 class DeadlinePassed(Value, frozen=True):
@@ -174,7 +176,7 @@
     if state.phase is Phase.ENDED:
         return ()
     if isinstance(event, CallerLeft):
-        return _leave(state)
+        return _leave(state, event)
     if isinstance(event, Ended):
         state.offset = event.next_offset
         state.phase = Phase.ENDED
@@ -280,7 +282,9 @@
     return (Fail(error=error),)
 
 
-def _leave(state: RequestState) -> tuple[Effect, ...]:
+def _leave(state: RequestState, event: CallerLeft) -> tuple[Effect, ...]:
     was_running = state.phase is Phase.RUNNING
+    state.exposed = state.exposed or was_running
+    state.offset = max(state.offset, event.next_offset)
     state.phase = Phase.ENDED
     return (Cancel(attempt_id=state.attempt_id),) if was_running else ()
--- a/src/arbutuspulley/entry/answers.py
+++ b/src/arbutuspulley/entry/answers.py
@@ -29,6 +29,13 @@
 _REPLACED_KEYS = frozenset({"id", "index", "name", "role", "type"})
 
 
+class Ending(State):
+    """How an answer ended; a stream's is known only at its end."""
+
+    code: Code = Code.OK
+    run_state: RunState = RunState.RUN
+
+
 class Answer(Value, frozen=True):
     """What goes to the caller.
 
@@ -38,6 +45,7 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes | Generator[bytes, None, None]
+    ending: Ending
 
 
 class ErrorDetail(Message, frozen=True, omit_defaults=False):
@@ -99,7 +107,10 @@
         # Client libraries repeat some statuses on their own account.
         headers.append(("X-Should-Retry", "false"))
     return Answer(
-        status=error.status, headers=tuple(headers), body=build_error_body(error)
+        status=error.status,
+        headers=tuple(headers),
+        body=build_error_body(error),
+        ending=Ending(code=error.code, run_state=error.run_state),
     )
 
 
@@ -110,8 +121,12 @@
     status: int = 200,
     run_state: RunState = RunState.RUN,
     headers: Iterable[tuple[str, str]] = (),
+    ending: Ending | None = None,
 ) -> Answer:
-    """Return an answer that is no error of ours."""
+    """Return an answer that is no error of ours.
+
+    :param ending: told of the end of a stream.
+    """
     return Answer(
         status=status,
         headers=(
@@ -121,6 +136,7 @@
             *headers,
         ),
         body=body,
+        ending=ending or Ending(run_state=run_state),
     )
 
 
--- /dev/null
+++ b/src/arbutuspulley/entry/background.py
@@ -0,0 +1,34 @@
+"""Work of an entry that goes on for as long as it runs."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import NoReturn
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.entry.state import Runtime
+from arbutuspulley.events import Event, log_event
+
+RESTART_MS = SECOND_MS
+"""Pause after work that ended by a fault."""
+
+
+async def keep_working(
+    work: Callable[[Runtime], Awaitable[NoReturn]], runtime: Runtime
+) -> NoReturn:
+    """Begin a piece of work again whenever it ends by a fault.
+
+    A task that dies on a loop does so silently: views would no longer be taken up, and
+    the entry would route by the last one for ever.
+    """
+    while True:
+        try:
+            await work(runtime)
+        except Exception as error:
+            log_event(
+                Event.INTERNAL_ERROR,
+                level=logging.ERROR,
+                work=getattr(work, "__name__", ""),
+                error=repr(error),
+            )
+        await asyncio.sleep(RESTART_MS / SECOND_MS)
--- a/src/arbutuspulley/entry/calls.py
+++ b/src/arbutuspulley/entry/calls.py
@@ -36,7 +36,7 @@
     :param model: name of the model or adapter; empty for a plain service.
     :param streamed: whether the caller wants the answer as events.
     :param offset: index of the first event wanted.
-    :param bearing: ``traceparent`` of the caller, if any.
+    :param bearing: ``traceparent`` to send with the next hop.
     """
 
     request_id: str
@@ -89,6 +89,7 @@
     path: str,
     body: bytes,
     headers: Mapping[str, str],
+    bearing: str,
     now: int,
 ) -> Call:
     """Check a request to a model.
@@ -110,7 +111,7 @@
         model=parsed.model,
         streamed=streamed,
         offset=_read_offset(headers) if streamed else 0,
-        bearing=headers.get("Traceparent", ""),
+        bearing=bearing,
     )
 
 
--- a/src/arbutuspulley/entry/claiming.py
+++ b/src/arbutuspulley/entry/claiming.py
@@ -11,7 +11,7 @@
 from arbutuspulley.delivery.claims import ClaimState
 from arbutuspulley.delivery.failures import build_failure
 from arbutuspulley.entry.calls import Call
-from arbutuspulley.entry.state import Runtime
+from arbutuspulley.entry.state import REQUEST_LIFE_MS, Runtime
 from arbutuspulley.entry.suspicion import keep
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.results import Code, RequestError, RunState
@@ -40,6 +40,11 @@
 STORE_RETRY_MS = 2 * SECOND_MS
 """When to come back while claims cannot be made."""
 
+CLAIM_LIFE_MS = REQUEST_LIFE_MS + 30 * SECOND_MS
+"""A claim that is seen open for longer than any request lives is unknown."""
+
+_KEPT_MS = 2 * CLAIM_LIFE_MS
+
 IN_PROGRESS_RETRY_MS = SECOND_MS
 """When to ask again for an answer that is still being made."""
 
@@ -66,7 +71,7 @@
         return StoredAnswer(
             status=reply.status, content_type=reply.content_type, body=reply.body
         )
-    raise _build_error(runtime, reply)
+    raise _build_error(runtime, call, reply)
 
 
 async def settle(
@@ -143,11 +148,11 @@
     return reply
 
 
-def _build_error(runtime: Runtime, reply: ClaimReply) -> RequestError:
+def _build_error(runtime: Runtime, call: Call, reply: ClaimReply) -> RequestError:
     if reply.state == ClaimState.REUSED:
         detail = "the Idempotency-Key was used for another request"
         return build_failure(Code.KEY_REUSED, detail)
-    if reply.state == ClaimState.IN_PROGRESS and _is_alive(runtime, reply.claimant):
+    if reply.state == ClaimState.IN_PROGRESS and _may_be_running(runtime, call, reply):
         return build_failure(
             Code.IN_PROGRESS,
             "the same request is in progress",
@@ -164,17 +169,23 @@
     )
 
 
-def _is_alive(runtime: Runtime, claimant: str) -> bool:
-    """Tell whether the entry that claimed a request still answers.
+def _may_be_running(runtime: Runtime, call: Call, reply: ClaimReply) -> bool:
+    """Tell whether an open claim may still get its answer.
 
-    An entry that died leaves its claim open for ever. To call it in progress would
-    make the caller ask in vain; it stays unknown and is never run again.
+    An entry that died, or that could not settle through a long outage, leaves its
+    claim open for ever. To call it in progress would make the caller ask in vain; it
+    is unknown then, and never run again.
     """
-    if claimant == runtime.settings.boot_id:
-        return True
-    view = runtime.state.view
-    entries = view.entries if view else ()
-    return any(entry.boot_id == claimant for entry in entries)
+    state, now = runtime.state, runtime.clock.now()
+    name = (call.identity.name, call.key)
+    seen_at = state.open_claims.setdefault(name, now)
+    for old in [one for one, at in state.open_claims.items() if now - at > _KEPT_MS]:
+        del state.open_claims[old]
+    if now - seen_at > CLAIM_LIFE_MS:
+        return False
+    entries = state.view.entries if state.view else ()
+    alive = {entry.boot_id for entry in entries} | {runtime.settings.boot_id}
+    return reply.claimant in alive
 
 
 async def _settle_at_last(runtime: Runtime, request: SettleRequest) -> None:
--- a/src/arbutuspulley/entry/dispatch.py
+++ b/src/arbutuspulley/entry/dispatch.py
@@ -31,12 +31,18 @@
 from arbutuspulley.ports.engines import InferenceRequest
 from arbutuspulley.results import Code, RequestError
 from arbutuspulley.routing import choice
+from arbutuspulley.rpc.messages import ServerSummary
 
 LIVE_PRIORITY = 1
 """Priority at servers of requests that go before summaries."""
 
 _LACKING = frozenset(
-    {Code.MODEL_NOT_LOADED, Code.OVERLOADED, Code.DEADLINE_OUT_OF_REACH}
+    {
+        Code.MODEL_NOT_LOADED,
+        Code.OVERLOADED,
+        Code.DEADLINE_OUT_OF_REACH,
+        Code.SHARE_EXCEEDED,
+    }
 )
 
 
@@ -103,12 +109,20 @@
 
 
 def choose_server(
-    runtime: Runtime, ongoing: Ongoing, *, avoid: frozenset[str]
+    runtime: Runtime,
+    ongoing: Ongoing,
+    *,
+    avoid: frozenset[str],
+    barred: frozenset[str] = frozenset(),
 ) -> str | None:
-    """Return the server for the next attempt, if there is one."""
+    """Return the server for the next attempt, if there is one.
+
+    :param avoid: servers to leave out unless they are alive and the only ones.
+    :param barred: servers to leave out in any case.
+    """
     state = runtime.state
     twin = _find_twin(runtime, ongoing)
-    if twin and twin not in avoid:
+    if twin and twin not in avoid | barred:
         return twin
     full = queue.list_full(state.admission, ongoing.call.request_id)
     # A server that broke off and yet answers may be the only one with the model.
@@ -118,7 +132,7 @@
             servers=state.view.servers if state.view else (),
             item=ongoing.item.key,
             cost=ongoing.cost,
-            avoid=left_out,
+            avoid=left_out | barred,
             now=runtime.clock.now(),
             chance=runtime.chance,
         )
@@ -177,11 +191,21 @@
     for other in runtime.state.ongoing.values():
         if other.fingerprint != ongoing.fingerprint or other is ongoing:
             continue
-        if other.attempt is not None:
-            return other.attempt.server
+        summary = _find_usable(runtime, other.attempt)
+        if summary is not None:
+            return summary.server
     return ""
 
 
+def _find_usable(runtime: Runtime, attempt: Attempt | None) -> ServerSummary | None:
+    if attempt is None:
+        return None
+    summary = runtime.state.summaries.get(attempt.server)
+    if summary is None or summary.leaving or not summary.alive:
+        return None
+    return summary
+
+
 async def _perform(
     runtime: Runtime, ongoing: Ongoing, event: life.Event
 ) -> Attempt | None:
@@ -219,7 +243,7 @@
         server = outcome
     summary = state.summaries.get(server) if server else None
     if server is None or summary is None:
-        return await _perform(runtime, ongoing, life.NoServer())
+        return await _perform(runtime, ongoing, _build_lack(ongoing))
     now = runtime.clock.now()
     queue.assign(state.admission, ongoing.call.request_id, server=server, now=now)
     choice.begin_attempt(state.routing, server, ongoing.cost, now=now)
@@ -239,6 +263,13 @@
     return ongoing.attempt
 
 
+def _build_lack(ongoing: Ongoing) -> life.NoServer:
+    """Say that no server is left: none has the model, or those that do failed."""
+    if ongoing.request.attempts > 1:
+        return life.NoServer(code=Code.RETRIES_EXHAUSTED)
+    return life.NoServer()
+
+
 def _build_inference(ongoing: Ongoing, effect: life.Dispatch) -> InferenceRequest:
     call = ongoing.call
     return InferenceRequest(
--- a/src/arbutuspulley/entry/handlers.py
+++ b/src/arbutuspulley/entry/handlers.py
@@ -10,6 +10,7 @@
 import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.data import Message, Value
 from arbutuspulley.delivery.failures import RETRY_AFTER_MS, build_failure
 from arbutuspulley.entry import answers, calls
@@ -26,8 +27,10 @@
 
 SERVICES_PATH = "/services/"
 
+_INFERENCE_PATHS = frozenset({calls.CHAT_PATH, calls.COMPLETIONS_PATH})
+
 _DROPPED_HEADERS = frozenset(
-    {"authorization", "x-arbutus-unrepeatable", "traceparent", "transfer-encoding"}
+    {"authorization", "remote-addr", "traceparent", "x-arbutus-unrepeatable"}
 )
 
 
@@ -35,7 +38,8 @@
     """One HTTP request.
 
     :param target: path and query as they were sent.
-    :param headers: by name in its usual case, for example ``Last-Event-Id``.
+    :param headers: by name; case does not matter.
+    :param bearing: ``traceparent`` of this hop.
     :param read_body: reads the body; raises ``BODY_TOO_LARGE``.
     :param has_left: tells whether the caller has closed its connection.
     """
@@ -46,6 +50,12 @@
     headers: Mapping[str, str]
     read_body: Callable[[], bytes]
     has_left: Callable[[], bool]
+    bearing: str = ""
+
+    @property
+    def path(self) -> str:
+        """The path without query and without a slash at its end."""
+        return self.target.partition("?")[0].rstrip("/")
 
 
 Handler = Callable[[Runtime, Exchange], answers.Answer]
@@ -120,8 +130,7 @@
     """List the models and adapters that a caller may use, or show one."""
     opening = _open(runtime, exchange)
     names = [name for name in opening.index.items if may_call(opening.identity, name)]
-    path = exchange.target.partition("?")[0].rstrip("/")
-    asked = path.removeprefix("/v1/models").lstrip("/")
+    asked = exchange.path.removeprefix("/v1/models").lstrip("/")
     if not asked:
         body = ModelList(data=tuple(ModelEntry(id=name) for name in sorted(names)))
         encoded = msgspec.json.encode(body)
@@ -134,15 +143,17 @@
 
 def answer_completion(runtime: Runtime, exchange: Exchange) -> answers.Answer:
     """Run a request to a model."""
-    _check_method(exchange, "POST")
+    if exchange.method != "POST" or exchange.path not in _INFERENCE_PATHS:
+        raise build_failure(Code.NOT_FOUND, "there is nothing to POST to here")
     opening = _open(runtime, exchange)
     call = calls.parse_inference(
         index=opening.index,
         identity=opening.identity,
         request_id=exchange.request_id,
-        path=exchange.target.partition("?")[0],
+        path=exchange.path,
         body=exchange.read_body(),
         headers=exchange.headers,
+        bearing=exchange.bearing,
         now=opening.now,
     )
     return answer_inference(runtime, call, has_left=exchange.has_left)
@@ -160,7 +171,7 @@
         arrived_at=opening.now,
         key=calls.read_key(exchange.headers),
         unrepeatable=calls.is_unrepeatable(exchange.headers),
-        bearing=exchange.headers.get("Traceparent", ""),
+        bearing=exchange.bearing,
     )
     name, _, rest = exchange.target.removeprefix(SERVICES_PATH).partition("/")
     name, _, query = name.partition("?")
@@ -208,11 +219,6 @@
     return _Opening(index=state.index, identity=identity, now=runtime.clock.now())
 
 
-def _check_method(exchange: Exchange, method: str) -> None:
-    if exchange.method != method:
-        raise build_failure(Code.NOT_FOUND, f"only {method} is known here")
-
-
 def _find_addresses(runtime: Runtime, model: str) -> AddressAnswer:
     state = runtime.state
     if not is_ready(state):
@@ -244,3 +250,6 @@
     state, metrics = runtime.state, runtime.metrics
     metrics.in_flight.set(state.in_flight)
     metrics.waiting.set(len(state.admission.waiting))
+    if state.view is not None:
+        age_ms = runtime.clock.now() - state.viewed_at
+        metrics.view_age.set(age_ms / SECOND_MS)
--- a/src/arbutuspulley/entry/inference.py
+++ b/src/arbutuspulley/entry/inference.py
@@ -114,21 +114,29 @@
 def _begin_stream(events: Generator[bytes, None, None]) -> answers.Answer:
     """Wait for the first event, so that a refusal still has its own status."""
     first = next(events)
+    ending = answers.Ending()
     return answers.build_success(
-        _go_on(first, events), content_type=answers.EVENTS_TYPE, headers=_STREAM_HEADERS
+        _go_on(first, events, ending),
+        content_type=answers.EVENTS_TYPE,
+        headers=_STREAM_HEADERS,
+        ending=ending,
     )
 
 
 def _go_on(
-    first: bytes, events: Generator[bytes, None, None]
+    first: bytes, events: Generator[bytes, None, None], ending: answers.Ending
 ) -> Generator[bytes, None, None]:
     """Yield a stream; one that breaks off ends with an error and no end marker."""
     with closing(events):
-        yield first
         try:
+            yield first
             yield from events
         except RequestError as error:
+            ending.code, ending.run_state = error.code, error.run_state
             yield answers.build_error_event(error)
+        except BaseException:
+            ending.code, ending.run_state = Code.ANSWER_INCOMPLETE, RunState.UNKNOWN
+            raise
 
 
 def _replay(call: Call, stored: claiming.StoredAnswer) -> answers.Answer:
--- a/src/arbutuspulley/entry/relay.py
+++ b/src/arbutuspulley/entry/relay.py
@@ -10,6 +10,8 @@
 from contextlib import closing
 from typing import Any, TypeVar
 
+import msgspec
+
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.delivery import request as life
 from arbutuspulley.delivery.cursor import Cursor, Verdict, accept, begin_attempt
@@ -62,8 +64,9 @@
                 runtime, call.request_id, event, died=died
             )
             attempt = wait(runtime, advanced, has_left=has_left)
-    except GeneratorExit:
-        _abandon(runtime, call)
+    except BaseException:
+        # Whatever ends this worker's part, its place must not stay taken.
+        _abandon(runtime, call, cursor)
         raise
     finally:
         _count_dropped(runtime, call, cursor)
@@ -105,7 +108,8 @@
         parent=request.traceparent,
         server=attempt.server,
         offset=request.offset,
-    ):
+    ) as bearing:
+        request = msgspec.structs.replace(request, traceparent=bearing)
         try:
             chunks = runtime.engines.infer(attempt.address, request)
         except NotSentError:
@@ -221,8 +225,9 @@
     runtime.loop.post(lambda: dispatch.note_first_event(runtime, request_id))
 
 
-def _abandon(runtime: Runtime, call: Call) -> None:
-    left = dispatch.advance_request(runtime, call.request_id, life.CallerLeft())
+def _abandon(runtime: Runtime, call: Call, cursor: Cursor) -> None:
+    event = life.CallerLeft(next_offset=cursor.offset)
+    left = dispatch.advance_request(runtime, call.request_id, event)
     runtime.loop.spawn(left)
 
 
--- a/src/arbutuspulley/entry/server.py
+++ b/src/arbutuspulley/entry/server.py
@@ -12,8 +12,10 @@
 from contextlib import suppress
 from types import SimpleNamespace
 from typing import Any
+from urllib.parse import urlsplit, urlunsplit
 
 import cherrypy
+import msgspec
 from cheroot import wsgi
 
 from arbutuspulley.clock import SECOND_MS
@@ -46,6 +48,7 @@
 """Threads beyond the requests handled at once, for refusals and health checks."""
 
 _SOCKET = "arbutus.socket"
+_QUIET_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 
 
 class _Gateway(wsgi.Gateway_10):
@@ -137,15 +140,13 @@
     @cherrypy.expose
     def handle(*_path: str, **_query: str) -> Any:
         exchange = _build_exchange(runtime)
+        attach = cherrypy.serving.request.hooks.attach
         begun_at = runtime.clock.now()
         if counted:
             _count(runtime, 1)
-            cherrypy.serving.request.hooks.attach(
-                "on_end_request", lambda: _count(runtime, -1)
-            )
+            attach("on_end_request", lambda: _count(runtime, -1))
         answer = _answer(runtime, exchange, handler)
-        if counted:
-            _observe(runtime, answer, runtime.clock.now() - begun_at)
+        attach("on_end_request", lambda: _end(runtime, exchange, answer, begun_at))
         return _write(runtime, exchange, answer)
 
     return handle
@@ -154,16 +155,11 @@
 def _answer(runtime: Runtime, exchange: Exchange, handler: Handler) -> answers.Answer:
     parent = exchange.headers.get("Traceparent", "")
     try:
-        with open_span("entry.request", parent=parent, request=exchange.request_id):
-            return handler(runtime, exchange)
+        with open_span(
+            "entry.request", parent=parent, request=exchange.request_id
+        ) as bearing:
+            return handler(runtime, msgspec.structs.replace(exchange, bearing=bearing))
     except RequestError as error:
-        log_event(
-            Event.REQUEST_REFUSED,
-            level=logging.DEBUG if error.code is Code.NOT_READY else logging.INFO,
-            request=exchange.request_id,
-            code=error.code.value,
-            run_state=error.run_state.value,
-        )
         return answers.build_error(error)
     except CallerLeftError:
         return answers.build_error(
@@ -197,26 +193,42 @@
         response.headers["Connection"] = "close"
     if isinstance(answer.body, bytes):
         return answer.body
-    events = answer.body
     response.stream = True
-    cherrypy.serving.request.hooks.attach(
-        "on_end_request", lambda: _close(exchange, events)
+    return answer.body
+
+
+def _end(
+    runtime: Runtime, exchange: Exchange, answer: answers.Answer, begun_at: int
+) -> None:
+    """Close a stream, whose caller may have left, and take note of the end."""
+    if not isinstance(answer.body, bytes):
+        try:
+            answer.body.close()
+        except RequestError as error:
+            answer.ending.code, answer.ending.run_state = error.code, error.run_state
+    ending, elapsed_ms = answer.ending, runtime.clock.now() - begun_at
+    labels = (str(ending.code.value), ending.run_state.value)
+    runtime.metrics.answers.labels(*labels).inc()
+    if exchange.path in _QUIET_PATHS:
+        return
+    runtime.metrics.duration.observe(elapsed_ms / SECOND_MS)
+    log_event(
+        Event.REQUEST_ENDED if ending.code is Code.OK else Event.REQUEST_REFUSED,
+        request=exchange.request_id,
+        path=exchange.path,
+        code=ending.code.value,
+        run_state=ending.run_state.value,
+        elapsed_ms=elapsed_ms,
     )
-    return events
-
-
-def _close(exchange: Exchange, events: Any) -> None:
-    """End a stream; a caller that left cancels what still runs."""
-    try:
-        events.close()
-    except Exception as error:
-        log_event(Event.REQUEST_ENDED, request=exchange.request_id, detail=repr(error))
 
 
 def _build_exchange(runtime: Runtime) -> Exchange:
     request = cherrypy.serving.request
     connection = request.wsgi_environ[_SOCKET]
     target = request.request_line.split(" ")[1]
+    if not target.startswith("/"):
+        parts = urlsplit(target)
+        target = urlunsplit(("", "", parts.path or "/", parts.query, ""))
     return Exchange(
         request_id=build_request_id(),
         method=request.method,
@@ -263,15 +275,6 @@
         runtime.loop.post(add)
 
 
-def _observe(runtime: Runtime, answer: answers.Answer, elapsed_ms: int) -> None:
-    headers = dict(answer.headers)
-    runtime.metrics.answers.labels(
-        headers[answers.RESULT_CODE], headers[answers.RUN_STATE]
-    ).inc()
-    if isinstance(answer.body, bytes):
-        runtime.metrics.duration.observe(elapsed_ms / SECOND_MS)
-
-
 def _show_error(*, status: str, message: str, **_unused: str) -> str:
     """Show CherryPy's own errors in the usual protocol's shape."""
     response = cherrypy.serving.response
--- a/src/arbutuspulley/entry/state.py
+++ b/src/arbutuspulley/entry/state.py
@@ -26,8 +26,9 @@
 from arbutuspulley.routing.choice import RoutingState
 from arbutuspulley.rpc.messages import DeathReport, ServerSummary, View
 
-REQUEST_LIFE_MS = 120 * SECOND_MS
-"""Longest life of a request, waiting included; then it is given up."""
+REQUEST_LIFE_MS = 600 * SECOND_MS
+"""Longest life of a request, waiting included; then it is given up. The longest
+answers, of some thousand tokens, fit into it."""
 
 
 class Settings(Value, frozen=True):
@@ -119,12 +120,16 @@
     :param refusing: whether new calls are refused.
     :param trials: servers on which a suspect of this entry is on trial.
     :param holders: servers that a suspect of another instance holds.
-    :param unrecorded: deaths that the controller has not yet recorded.
+    :param unrecorded: deaths that the controller has not yet recorded, one request
+        each, by request, server and boot.
     :param reports: reports of deaths under way, by server and boot.
     :param failed_addresses: until when a plain service's address is left out.
+    :param open_claims: since when another run's claim is seen open, by caller and key.
+    :param settlements: claims being settled.
     """
 
     view: View | None = None
+    viewed_at: int = 0
     summaries: dict[str, ServerSummary] = {}
     index: SiteIndex = EMPTY_INDEX
     admission: AdmissionState = msgspec.field(default_factory=AdmissionState)
@@ -142,6 +147,7 @@
     unrecorded: dict[str, DeathReport] = {}
     reports: dict[str, asyncio.Task] = {}
     failed_addresses: dict[str, int] = {}
+    open_claims: dict[tuple[str, str], int] = {}
     settlements: int = 0
 
 
--- a/src/arbutuspulley/entry/suspicion.py
+++ b/src/arbutuspulley/entry/suspicion.py
@@ -34,6 +34,9 @@
 TRIAL_POLL_MS = 500
 """How often a suspect asks again for a server that another instance's holds."""
 
+TRIAL_WAIT_MS = 30 * SECOND_MS
+"""How long a suspect waits for a server that no other suspect holds."""
+
 TRIAL_EXPIRY_MS = REQUEST_LIFE_MS + 30 * SECOND_MS
 """After this time a trial is over for certain, although its entry died."""
 
@@ -81,14 +84,15 @@
     state = runtime.state
     if not await _flush(runtime, ongoing.fingerprint):
         return _bar_unrecorded()
+    give_up_at = runtime.clock.now() + TRIAL_WAIT_MS
     while True:
         known = state.suspects.suspicions.get(ongoing.fingerprint)
         if suspects.judge(known) is Judgement.QUARANTINED:
             return _bar_quarantined(runtime, ongoing)
-        if runtime.clock.now() >= ongoing.request.deadline:
-            return life.DeadlinePassed()
+        if runtime.clock.now() >= give_up_at:
+            return life.NoServer(code=Code.OVERLOADED)
         busy = _list_busy(runtime)
-        server = choose(runtime, ongoing, avoid=avoid | busy)
+        server = choose(runtime, ongoing, avoid=avoid, barred=busy)
         if server is not None:
             granted = await _ask_for_trial(runtime, ongoing, server)
             if granted is None:
@@ -111,7 +115,6 @@
         return
     # It was reported as in flight on a server that seemed dead and was not.
     suspects.acquit(state.suspects, ongoing.fingerprint, now=runtime.clock.now())
-    state.unrecorded.pop(ongoing.fingerprint, None)
     report = AcquittalReport(fingerprint=ongoing.fingerprint)
     keep(asyncio.ensure_future(_tell_acquittal(runtime, report)))
 
@@ -139,8 +142,8 @@
 
 async def flush_unrecorded(runtime: Runtime) -> None:
     """Report the deaths that the controller has not recorded yet."""
-    for fingerprint in list(runtime.state.unrecorded):
-        if not await _flush(runtime, fingerprint):
+    for report in list(runtime.state.unrecorded.values()):
+        if not await _flush(runtime, report.fingerprints[0]):
             return
 
 
@@ -207,7 +210,7 @@
             boot_id=attempt.boot_id,
             now=now,
         )
-        state.unrecorded[fingerprint] = DeathReport(
+        state.unrecorded[_name(fingerprint, attempt)] = DeathReport(
             server=attempt.server, boot_id=attempt.boot_id, fingerprints=(fingerprint,)
         )
     report = DeathReport(
@@ -216,17 +219,23 @@
     reply = await _call(runtime, report)
     if reply is not None and reply.recorded:
         for fingerprint in unique:
-            state.unrecorded.pop(fingerprint, None)
+            state.unrecorded.pop(_name(fingerprint, attempt), None)
+
+
+def _name(fingerprint: str, where: Attempt | DeathReport) -> str:
+    return f"{fingerprint} {where.server} {where.boot_id}"
 
 
 async def _flush(runtime: Runtime, fingerprint: str) -> bool:
-    report = runtime.state.unrecorded.get(fingerprint)
-    if report is None:
-        return True
-    reply = await _call(runtime, report)
-    if reply is None or not reply.recorded:
-        return False
-    runtime.state.unrecorded.pop(fingerprint, None)
+    """Report what the controller has not recorded of one request."""
+    unrecorded = runtime.state.unrecorded
+    for report in list(unrecorded.values()):
+        if report.fingerprints != (fingerprint,):
+            continue
+        reply = await _call(runtime, report)
+        if reply is None or not reply.recorded:
+            return False
+        unrecorded.pop(_name(fingerprint, report), None)
     return True
 
 
--- a/src/arbutuspulley/entry/turns.py
+++ b/src/arbutuspulley/entry/turns.py
@@ -1,6 +1,7 @@
 """Waiting for admission."""
 
 import asyncio
+from typing import NoReturn
 
 from arbutuspulley.admission import queue
 from arbutuspulley.clock import SECOND_MS
@@ -52,7 +53,7 @@
             ongoing.turn.set_result(_build_refusal(effect))
 
 
-async def tick_for_ever(runtime: Runtime) -> None:
+async def tick_regularly(runtime: Runtime) -> NoReturn:
     """Let admission look at the time, often only while requests wait."""
     admission = runtime.state.admission
     while True:
--- a/src/arbutuspulley/entry/views.py
+++ b/src/arbutuspulley/entry/views.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from typing import NoReturn
 
 import msgspec
 
@@ -26,6 +27,9 @@
 REPORT_EVERY_MS = SECOND_MS
 """How often an entry reports demand, usage and load."""
 
+SUSPICION_LAG_MS = 10 * SECOND_MS
+"""How long an own suspicion may take to come back in a view."""
+
 RECONNECT_FIRST_MS = 200
 """Longest pause before the first try to reach the controller again; it doubles."""
 
@@ -33,7 +37,7 @@
 """Longest pause between tries."""
 
 
-async def watch_controller(runtime: Runtime) -> None:
+async def watch_controller(runtime: Runtime) -> NoReturn:
     """Take up views for ever; the last one stays in force while none comes."""
     failures = 0
     while True:
@@ -58,7 +62,7 @@
         await asyncio.sleep(bound * (0.5 + runtime.chance.random() / 2) / SECOND_MS)
 
 
-async def report_for_ever(runtime: Runtime) -> None:
+async def report_regularly(runtime: Runtime) -> NoReturn:
     """Tell the controller about every second what callers want and use."""
     while True:
         await asyncio.sleep(REPORT_EVERY_MS / SECOND_MS)
@@ -134,10 +138,10 @@
         view = msgspec.structs.replace(view, configuration=state.view.configuration)
     if view.configuration.version > state.index.version:
         _put_in_force(runtime, view)
-    state.view = view
+    state.view, state.viewed_at = view, now
     state.summaries = {summary.server: summary for summary in view.servers}
     note_reports(state.routing, servers=view.servers, now=now)
-    suspects.merge(state.suspects, view.suspicions, now=now)
+    _take_suspicions(state, view, now)
     apply_effects(runtime, note_capacity(state.admission, view=view, now=now))
 
 
@@ -160,6 +164,18 @@
     return (own, *others)
 
 
+def _take_suspicions(state: EntryState, view: View, now: int) -> None:
+    """Take up what the controller suspects, and drop what it has forgotten."""
+    suspects.merge(state.suspects, view.suspicions, now=now)
+    told = {suspicion.fingerprint for suspicion in view.suspicions}
+    unrecorded = {one.fingerprints[0] for one in state.unrecorded.values()}
+    for fingerprint, seen_at in list(state.suspects.seen_at.items()):
+        known = fingerprint in told or fingerprint in unrecorded
+        if not known and now - seen_at >= SUSPICION_LAG_MS:
+            del state.suspects.suspicions[fingerprint]
+            del state.suspects.seen_at[fingerprint]
+
+
 def _put_in_force(runtime: Runtime, view: View) -> None:
     state = runtime.state
     state.index = build_index(view.configuration, site=runtime.settings.site)
--- a/src/arbutuspulley/programs/entry.py
+++ b/src/arbutuspulley/programs/entry.py
@@ -12,13 +12,14 @@
 
 from arbutuspulley.adapters.engines import connect_engines
 from arbutuspulley.clock import SECOND_MS, Clock
+from arbutuspulley.entry.background import keep_working
 from arbutuspulley.entry.controllers import connect_controller
 from arbutuspulley.entry.draining import drain
 from arbutuspulley.entry.metrics import build_metrics
 from arbutuspulley.entry.server import SPARE_THREADS, EntryServer
 from arbutuspulley.entry.state import EntryState, Runtime, Settings
-from arbutuspulley.entry.turns import tick_for_ever
-from arbutuspulley.entry.views import report_for_ever, watch_controller
+from arbutuspulley.entry.turns import tick_regularly
+from arbutuspulley.entry.views import report_regularly, watch_controller
 from arbutuspulley.events import Event, log_event, set_up_logging
 from arbutuspulley.loop import LoopThread
 from arbutuspulley.rpc.channel import Client
@@ -135,9 +136,8 @@
     loop.start()
     client = loop.wait_for(_connect(controller, peer_key))
     runtime = build_runtime(settings, loop=loop, client=client, threads=threads)
-    loop.spawn(watch_controller(runtime))
-    loop.spawn(report_for_ever(runtime))
-    loop.spawn(tick_for_ever(runtime))
+    for work in (watch_controller, report_regularly, tick_regularly):
+        loop.spawn(keep_working(work, runtime))
     server = EntryServer(runtime=runtime, host=host, port=port, threads=threads)
     server.start()
     log_event(Event.STARTED, program=PROGRAM, instance=settings.instance)
