--- a/src/arbutuspulley/configuration/approval.py
+++ b/src/arbutuspulley/configuration/approval.py
@@ -125,7 +125,7 @@
         return _read_accepted(platform, proposal)
     record = changes.decode(row, Proposal)
     current = store.find_current(platform, in_force=in_force)
-    base = store.find_result(platform, record.base_digest)
+    base = store.find_base(platform, record)
     changes.check_base(record, current, base_version=base_version, base=base)
     result = store.load_result(platform, record.digest)
     check_fit(result)
@@ -140,11 +140,7 @@
     )
     if not isinstance(commit(platform.table, transaction), Conflict):
         return Approval(version=change.version, digest=change.digest, approver=approver)
-    # Someone was faster: with another change, or with this one from another phone.
-    current = store.find_current(platform, in_force=in_force)
-    if store.find_proposal_row(platform, proposal) is not None:
-        changes.check_base(record, current, base_version=base_version, base=base)
-    return _read_accepted(platform, proposal)
+    return _explain_conflict(platform, record, base_version=base_version, base=base)
 
 
 def withdraw(platform: Platform, *, proposal: str) -> None:
@@ -196,6 +192,24 @@
     return proposal
 
 
+def _explain_conflict(
+    platform: Platform,
+    record: Proposal,
+    *,
+    base_version: int,
+    base: Configuration | None,
+) -> Approval:
+    """Tell an approval that someone was faster: with this change or with another.
+
+    :raises StaleBaseError: if it was another change.
+    """
+    if store.find_proposal_row(platform, record.proposal) is None:
+        return _read_accepted(platform, record.proposal)
+    current = store.find_current(platform)
+    changes.check_base(record, current, base_version=base_version, base=base)
+    raise store.refuse_unknown(record.proposal)
+
+
 def _read_accepted(platform: Platform, proposal: str) -> Approval:
     """Return what became of a proposal that no longer waits.
 
--- a/src/arbutuspulley/configuration/force.py
+++ b/src/arbutuspulley/configuration/force.py
@@ -116,7 +116,7 @@
     it, they would make a configuration that nobody approved. The digest shows that,
     and the whole configuration is then loaded instead.
     """
-    if change.delta is None or change.base_version != configuration.version:
+    if change.delta is None:
         return None
     try:
         result = apply_delta(configuration, change.delta)
--- a/src/arbutuspulley/configuration/store.py
+++ b/src/arbutuspulley/configuration/store.py
@@ -183,6 +183,13 @@
         return None
 
 
+def find_base(platform: Platform, proposal: Proposal) -> Configuration | None:
+    """Return the configuration that a proposal is based on, or ``None``."""
+    if proposal.base_version == 0:
+        return EMPTY
+    return find_result(platform, proposal.base_digest)
+
+
 def put_file(objects: Objects, name: str, text: str) -> FileReference:
     """Store the text of a proposed file under its hash."""
     data = text.encode()
--- a/src/arbutuspulley/programs/cli.py
+++ b/src/arbutuspulley/programs/cli.py
@@ -48,7 +48,11 @@
 REFUSED_EXIT_STATUS = 1
 """Exit status of a refused command."""
 
-app = cyclopts.App(name="arbutus", help="Propose and approve changes; see what runs.")
+app = cyclopts.App(
+    name="arbutus",
+    help="Propose and approve changes; see what runs.",
+    result_action="return_value",
+)
 
 _Url = Annotated[
     str, Parameter(help="http://host:port of a console.", env_var="ARBUTUS_CONSOLE")
@@ -227,7 +231,7 @@
     :param arguments: the command line without the program's name.
     """
     try:
-        app(arguments, exit_on_error=False, print_error=True, result_action=None)
+        app(arguments, exit_on_error=False, print_error=True)
     except cyclopts.CycloptsError:
         return SETTINGS_EXIT_STATUS
     except (SettingError, SettingsError) as error:
--- a/src/arbutuspulley/programs/console_api.py
+++ b/src/arbutuspulley/programs/console_api.py
@@ -111,7 +111,7 @@
     """Show a waiting proposal with what it changes."""
     record = store.read_proposal(backend.platform, proposal)
     current = _find_current(backend)
-    base = _load_base(backend, record, current)
+    base = store.find_base(backend.platform, record) or EMPTY
     result = store.load_result(backend.platform, record.digest)
     view = _build_view(record, current)
     return msgspec.structs.replace(
@@ -230,14 +230,6 @@
     return store.find_current(backend.platform, in_force=_find_in_force(backend))
 
 
-def _load_base(backend: Backend, record: Proposal, current: Current) -> Configuration:
-    if record.base_digest == current.digest:
-        return current.configuration
-    if record.base_version == 0:
-        return EMPTY
-    return store.load_result(backend.platform, record.base_digest)
-
-
 def _build_view(record: Proposal, current: Current) -> ProposalView:
     return ProposalView(
         proposal=record,
--- /dev/null
+++ b/tests/console_trial.py
@@ -0,0 +1,85 @@
+"""A console with a real HTTP server over a platform in memory, for tests."""
+
+import json
+
+import msgspec
+import urllib3
+
+from arbutuspulley.configuration.lookup import hash_key
+from arbutuspulley.configuration.schema import EMPTY
+from arbutuspulley.programs.console_api import Backend
+from arbutuspulley.programs.console_messages import FileText, ProposeRequest
+from arbutuspulley.programs.console_routes import build_site
+from arbutuspulley.programs.console_server import Server
+from arbutuspulley.rpc.channel import PeerUnavailableError
+from arbutuspulley.rpc.messages import FleetStatus, InstanceStatus
+from tests.fakes import BASE, OVERLAY_A, OVERLAY_B, FakePlatform
+
+
+def build_instance(name, version, entries=(), *, reachable=True):
+    return InstanceStatus(
+        instance=name,
+        site="site-a",
+        configuration_version=version,
+        entry_versions={f"e{number}": one for number, one in enumerate(entries)},
+        reachable=reachable,
+    )
+
+
+def build_fleet(*instances, accepted=0, configuration=None):
+    return FleetStatus(
+        accepted_version=accepted, instances=instances, configuration=configuration
+    )
+
+
+class Trial:
+    """A console over a platform in memory, and an HTTP client for it.
+
+    ``in_force`` is what its controller has in force.
+    """
+
+    def __init__(self):
+        self.fake = FakePlatform()
+        self.reset()
+        backend = Backend(platform=self.fake.platform, fetch_status=self._fetch_status)
+        operators = {name: hash_key(f"key-of-{name}") for name in ("ayu", "janis")}
+        site = build_site(backend, operators)
+        self.server = Server(site=site, host="127.0.0.1", port=0)
+        self.server.start()
+        self.url = f"http://{self.server.address}"
+
+    def reset(self):
+        """Forget all; the console keeps nothing, so it can go on."""
+        self.fake.reset()
+        self.in_force = EMPTY
+        self.controller_down = False
+
+    def _fetch_status(self, version):
+        if self.controller_down:
+            raise PeerUnavailableError(detail="down", sent=True)
+        known = self.in_force
+        instance = build_instance("a", known.version)
+        newer = known if known.version > version else None
+        return build_fleet(instance, accepted=known.version, configuration=newer)
+
+    def ask(self, method, path, body=None, *, key="key-of-ayu", **headers):
+        """Return status and decoded JSON of a call below /api."""
+        if body is not None and not isinstance(body, bytes):
+            body = msgspec.json.encode(body)
+        answer = urllib3.request(
+            method,
+            f"{self.url}/api/{path}",
+            body=body,
+            headers={"Authorization": f"Bearer {key}", **headers},
+            retries=False,
+        )
+        return answer.status, json.loads(answer.data)
+
+    def propose(self, size_mib=9000, **options):
+        return self.ask("POST", "proposals", build_request(size_mib), **options)
+
+
+def build_request(size_mib=9000, overlays=(OVERLAY_A, OVERLAY_B)):
+    base = FileText(name="base.yaml", text=BASE.replace("9000", str(size_mib)))
+    texts = tuple(FileText(name="overlay.yaml", text=text) for text in overlays)
+    return ProposeRequest(base=base, overlays=texts)
--- /dev/null
+++ b/tests/test_changes.py
@@ -0,0 +1,132 @@
+"""The approval decision and its records, without a platform."""
+
+import msgspec
+import pytest
+
+from arbutuspulley.configuration import changes
+from arbutuspulley.configuration.difference import apply_delta, compute_digest
+from arbutuspulley.configuration.schema import EMPTY
+from arbutuspulley.ports.platform import ABSENT, Row
+from arbutuspulley.results import Code, ConfigurationError
+from tests.fakes import build_configuration
+
+V7 = build_configuration(version=7, size_mib=7000)
+V8 = build_configuration(version=8, size_mib=8000)
+V9 = build_configuration(version=9, size_mib=9000)
+
+
+def build_proposal(base=V7, result=V8):
+    base_digest, digest = compute_digest(base), compute_digest(result)
+    return changes.Proposal(
+        proposal=changes.build_proposal_id(base_digest=base_digest, digest=digest),
+        base_version=base.version,
+        base_digest=base_digest,
+        version=result.version,
+        digest=digest,
+        proposer="ayu",
+    )
+
+
+def build_current(stored=V7, in_force=EMPTY):
+    return changes.choose_current(stored, in_force, head_revision=3)
+
+
+@pytest.mark.parametrize(
+    ("stored", "in_force", "newest", "is_behind"),
+    [
+        (EMPTY, EMPTY, EMPTY, False),
+        (V7, EMPTY, V7, False),
+        (V8, V7, V8, False),
+        (V7, V9, V9, True),
+        (EMPTY, V7, V7, True),
+        (V7, build_configuration(version=7), V7, False),
+    ],
+)
+def test_the_newest_of_store_and_instances_is_the_base(
+    stored, in_force, newest, is_behind
+):
+    current = build_current(stored, in_force)
+    assert current.configuration == newest
+    assert current.store_is_behind == is_behind
+
+
+@pytest.mark.parametrize(
+    ("stored", "in_force", "base_version", "since"),
+    [
+        (V7, EMPTY, 7, None),
+        (V7, V7, 7, None),
+        (V7, EMPTY, 6, ""),
+        (V8, EMPTY, 7, "7000 -> 8000"),
+        (V8, EMPTY, 8, "7000 -> 8000"),
+        (V7, V9, 7, "7000 -> 9000"),
+        (build_configuration(version=7, size_mib=7001), EMPTY, 7, "7000 -> 7001"),
+    ],
+)
+def test_an_approval_needs_the_newest_version_as_its_base(
+    stored, in_force, base_version, since
+):
+    current = build_current(stored, in_force)
+    arguments = {"base_version": base_version, "base": V7}
+    if since is None:
+        changes.check_base(build_proposal(), current, **arguments)
+        return
+    with pytest.raises(changes.StaleBaseError) as refused:
+        changes.check_base(build_proposal(), current, **arguments)
+    assert refused.value.code == Code.BASE_VERSION_STALE
+    shown = [difference.show() for difference in refused.value.differences]
+    assert len(shown) == bool(since)
+    assert since in "".join(shown)
+
+
+@pytest.mark.parametrize(
+    ("most_bytes", "in_force", "has_delta"),
+    [(changes.MAX_DELTA_BYTES, EMPTY, True), (10, EMPTY, False), (99, V8, False)],
+)
+def test_steps_are_stored_if_they_are_small_and_their_base_is_in_the_store(
+    monkeypatch, most_bytes, in_force, has_delta
+):
+    monkeypatch.setattr(changes, "MAX_DELTA_BYTES", most_bytes)
+    change = changes.build_change(
+        build_proposal(), build_current(V7, in_force), V8, approver="janis", now_ms=1
+    )
+    assert (change.delta is not None) == has_delta
+    if has_delta:
+        assert apply_delta(V7, change.delta) == V8
+
+
+def test_one_proposal_has_one_token_whoever_approves_it_and_when():
+    transactions = [
+        changes.build_approval(
+            changes.build_change(
+                build_proposal(), build_current(), V8, approver=approver, now_ms=now
+            ),
+            head_revision=3,
+            proposal_revision=4,
+            expired=None,
+        )
+        for approver, now in (("ayu", 1), ("janis", 2))
+    ]
+    assert len({transaction.token for transaction in transactions}) == 1
+    first = transactions[0]
+    assert first.writes[0].key == "config/change/0000000008"
+    assert first.preconditions[0].revision == ABSENT
+    assert first.preconditions[0].key == first.writes[0].key
+
+
+@pytest.mark.parametrize(
+    ("removed", "is_refused"), [((), True), (("site-a",), True), (("site-b",), False)]
+)
+def test_a_site_is_dropped_only_if_that_is_said(removed, is_refused):
+    sites = {"site-a": V7.sites["site-a"]}
+    result = msgspec.structs.replace(V8, sites=sites)
+    if not is_refused:
+        changes.check_sites(V7, result, removed=removed)
+        return
+    with pytest.raises(ConfigurationError, match="site-b"):
+        changes.check_sites(V7, result, removed=removed)
+
+
+def test_an_unreadable_row_is_refused_by_its_key():
+    row = Row(key=changes.HEAD_KEY, value=b"{", revision=1)
+    with pytest.raises(ConfigurationError, match=changes.HEAD_KEY):
+        changes.decode(row, changes.Head)
--- /dev/null
+++ b/tests/test_console.py
@@ -0,0 +1,268 @@
+"""The console: what operators see, who may ask, what is refused, over real HTTP."""
+
+import json
+import re
+
+import pytest
+import urllib3
+
+from arbutuspulley.configuration.schema import EMPTY
+from arbutuspulley.ports import commit
+from arbutuspulley.programs import console_http
+from arbutuspulley.programs.console import app, parse_operators
+from arbutuspulley.programs.console_views import build_status_view, choose_in_force
+from arbutuspulley.results import Code, ConfigurationError, SettingError
+from arbutuspulley.standins.platform_state import restore
+from tests.console_trial import Trial, build_fleet, build_instance, build_request
+from tests.fakes import build_configuration
+
+
+@pytest.fixture(scope="module")
+def running():
+    trial = Trial()
+    yield trial
+    trial.server.stop()
+
+
+@pytest.fixture
+def trial(running, monkeypatch):
+    monkeypatch.setattr(commit, "FIRST_PAUSE_MS", 0)
+    running.reset()
+    return running
+
+
+A12, B12 = build_instance("a", 12, [12]), build_instance("b", 12, [12, 12])
+
+
+@pytest.mark.parametrize(
+    ("fleet", "stored", "summary", "alarm"),
+    [
+        (build_fleet(A12, B12), 12, "accepted 12: in force on 2 of 2", ""),
+        (
+            build_fleet(A12, build_instance("b", 11)),
+            12,
+            "accepted 12: in force on 1 of 2, waiting for b",
+            "",
+        ),
+        (
+            build_fleet(A12, build_instance("b", 12, [12, 11])),
+            12,
+            "accepted 12: in force on 1 of 2, waiting for b",
+            "",
+        ),
+        (
+            build_fleet(A12, build_instance("b", 12, reachable=False)),
+            12,
+            "accepted 12: in force on 1 of 2, waiting for b",
+            "b does not answer",
+        ),
+        (build_fleet(A12, B12), 9, "accepted 12: in force on 2 of 2", "restored"),
+        (build_fleet(A12, B12), None, "accepted 12: in force on 2 of 2", "the store"),
+        (
+            build_fleet(A12, B12, accepted=13),
+            12,
+            "accepted 13: in force on 0 of 2, waiting for a, b",
+            "older than 13",
+        ),
+        (None, 12, "accepted 12: no instance known", "controller"),
+        (build_fleet(), 0, "nothing accepted yet", ""),
+    ],
+)
+def test_operators_see_what_is_in_force_where(fleet, stored, summary, alarm):
+    view = build_status_view(fleet, stored_version=stored)
+    assert view.summary == summary
+    assert bool(view.alarms) == bool(alarm)
+    assert alarm in " ".join(view.alarms)
+
+
+V12 = build_configuration(version=12)
+
+
+@pytest.mark.parametrize(
+    ("fleet", "stored", "expected"),
+    [
+        (build_fleet(A12), 12, EMPTY),
+        (build_fleet(A12), 13, EMPTY),
+        (build_fleet(A12, configuration=V12), 7, V12),
+        (build_fleet(A12), 7, None),
+        (build_fleet(build_instance("a", 7, [12])), 7, None),
+        (build_fleet(A12, accepted=13, configuration=V12), 7, None),
+    ],
+)
+def test_a_newer_version_in_force_is_taken_as_base_or_waited_for(
+    fleet, stored, expected
+):
+    """An approved change never comes into force anywhere.
+
+    The store was restored to version 7 while 12 is in force at another instance. An
+    approval that does not know that would be numbered 8, below 12.
+    """
+    if expected is not None:
+        assert choose_in_force(fleet, stored_version=stored) == expected
+        return
+    with pytest.raises(ConfigurationError) as refused:
+        choose_in_force(fleet, stored_version=stored)
+    assert refused.value.code == Code.NOT_READY
+
+
+def approve(trial, proposal, base_version, key="key-of-ayu"):
+    path = f"proposals/{proposal}/approve"
+    return trial.ask("POST", path, {"base_version": base_version}, key=key)
+
+
+def accept(trial, size_mib=9000):
+    _, view = trial.propose(size_mib)
+    record = view["proposal"]
+    status, reply = approve(trial, record["proposal"], record["base_version"])
+    assert status == 200
+    return reply["version"]
+
+
+def test_a_change_goes_from_proposal_to_accepted(trial):
+    status, view = trial.propose()
+    proposal = view["proposal"]["proposal"]
+    assert status == 200
+    assert view["differences"][0]["path"] == "sites.site-a"
+    _, listed = trial.ask("GET", "proposals")
+    assert listed["proposals"][0]["proposal"]["proposal"] == proposal
+    assert approve(trial, proposal, 0) == (200, {"version": 1, "approver": "ayu"})
+    again = {"version": 1, "approver": "ayu", "repeated": True}
+    assert approve(trial, proposal, 0, key="key-of-janis") == (200, again)
+    assert accept(trial, 9100) == 2
+    _, versions = trial.ask("GET", "versions")
+    assert [one["version"] for one in versions["versions"]] == [2, 1]
+    _, version = trial.ask("GET", "versions/2")
+    assert version["differences"][0]["after"] == "9100"
+    status, view = trial.ask("POST", "roll-forward", {"version": 1})
+    assert (status, view["proposal"]["version"]) == (200, 3)
+    path = f"proposals/{view['proposal']['proposal']}/withdraw"
+    assert trial.ask("POST", path)[0] == 200
+    _, status = trial.ask("GET", "status")
+    assert status["summary"].startswith("accepted 2")
+
+
+def test_a_stale_approval_is_told_what_was_accepted_in_between(trial):
+    accept(trial)
+    ours, theirs = trial.propose(9100)[1], trial.propose(9200)[1]
+    assert approve(trial, theirs["proposal"]["proposal"], 1)[0] == 200
+    status, reply = approve(trial, ours["proposal"]["proposal"], 1)
+    assert (status, reply["errors"][0]["code"]) == (409, Code.BASE_VERSION_STALE)
+    assert reply["differences"][0]["after"] == "9200"
+    _, view = trial.ask("GET", f"proposals/{ours['proposal']['proposal']}")
+    assert view["is_stale"]
+    assert view["since"][0]["after"] == "9200"
+
+
+def test_a_change_is_based_on_what_is_in_force_after_the_store_was_restored(trial):
+    accept(trial)
+    backup = trial.fake.state.revision
+    accept(trial, 9100)
+    trial.in_force = build_configuration(version=2, size_mib=9100)
+    restore(trial.fake.state, backup)
+    _, status = trial.ask("GET", "status")
+    assert "it was restored" in status["alarms"][0]
+    _, view = trial.ask("POST", "roll-forward", {"version": 2})
+    assert (view["proposal"]["base_version"], view["proposal"]["version"]) == (2, 3)
+    assert approve(trial, view["proposal"]["proposal"], 2)[1]["version"] == 3
+
+
+def test_keys_are_never_shown(trial):
+    accept(trial)
+    trial.propose(9100)
+    _, merged = trial.ask("GET", "merged")
+    assert "(hidden)" in merged["text"]
+    for path in ("merged", "merged?version=1", "versions", "versions/1", "proposals"):
+        status, reply = trial.ask("GET", path)
+        assert status == 200
+        assert "dddd" not in json.dumps(reply)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "headers", "status", "code"),
+    [
+        ("GET", "status", None, {"key": "wrong"}, 401, Code.BAD_KEY),
+        ("GET", "status", None, {"Authorization": "key-of-ayu"}, 401, Code.BAD_KEY),
+        ("POST", "proposals", b"{}", {"key": ""}, 401, Code.BAD_KEY),
+        ("GET", "nothing", None, {}, 404, Code.NOT_FOUND),
+        ("DELETE", "proposals", None, {}, 404, Code.NOT_FOUND),
+        ("GET", "versions/9", None, {}, 404, Code.NOT_FOUND),
+        ("GET", "versions/x", None, {}, 400, Code.BAD_PARAMETER),
+        ("GET", "merged?version=-1", None, {}, 400, Code.BAD_PARAMETER),
+        ("GET", "proposals/x", None, {}, 404, Code.UNKNOWN_PROPOSAL),
+        ("POST", "proposals/x/approve", b'{"base_version": 0}', {}, 404, 4005),
+        ("POST", "proposals/x/approve", b"{}", {}, 400, Code.BAD_PARAMETER),
+        ("POST", "proposals", b"{", {}, 400, Code.MALFORMED_BODY),
+        ("POST", "proposals", b"x" * 2000, {}, 413, Code.BODY_TOO_LARGE),
+        ("POST", "proposals", build_request(overlays=["site: ["]), {}, 400, 4001),
+        ("POST", "proposals", build_request(size_mib=90_000), {}, 409, 4003),
+    ],
+)
+def test_a_wrong_request_is_refused_with_a_number(
+    trial, monkeypatch, method, path, body, headers, status, code
+):
+    monkeypatch.setattr(console_http, "MAX_BODY_BYTES", 1_500)
+    found, reply = trial.ask(method, path, body, **headers)
+    assert (found, reply["errors"][0]["code"]) == (status, code)
+    assert "Traceback" not in json.dumps(reply)
+    assert trial.ask("GET", "proposals") == (200, {"current_version": 0})
+
+
+@pytest.mark.parametrize(
+    ("fault", "code"),
+    [("platform", Code.PLATFORM_UNAVAILABLE), ("controller", Code.PEER_UNAVAILABLE)],
+)
+def test_nothing_is_approved_without_the_store_or_the_controller(trial, fault, code):
+    _, view = trial.propose()
+    if fault == "platform":
+        trial.fake.down = True
+    else:
+        trial.controller_down = True
+    status, reply = approve(trial, view["proposal"]["proposal"], 0)
+    assert (status, reply["errors"][0]["code"]) == (503, code)
+    assert trial.ask("GET", "status")[0] == 200
+    ready = urllib3.request("GET", f"{trial.url}/readyz", retries=False)
+    assert ready.status == 503
+    assert str(code.value) in ready.data.decode()
+
+
+def test_a_fault_of_the_console_shows_no_detail(trial, monkeypatch):
+    monkeypatch.setattr(trial.fake, "state", None)
+    status, reply = trial.ask("GET", "versions")
+    assert (status, reply["errors"][0]["code"]) == (500, Code.INTERNAL)
+    assert "NoneType" not in json.dumps(reply)
+
+
+def test_page_health_and_metrics_need_no_key(trial):
+    answers = {
+        path: urllib3.request("GET", trial.url + path, retries=False)
+        for path in ("/", "/healthz", "/readyz", "/metrics")
+    }
+    assert [answer.status for answer in answers.values()] == [200] * 4
+    page = answers["/"]
+    assert b'name="viewport"' in page.data
+    policy = page.headers["Content-Security-Policy"]
+    assert "'unsafe-inline'" not in policy
+    assert not re.search(rb"(src|href)=", page.data)
+    trial.ask("GET", "status")
+    metrics = urllib3.request("GET", trial.url + "/metrics").data.decode()
+    assert 'requests_total{operation="status",status="200"}' in metrics
+
+
+@pytest.mark.parametrize(
+    "text", ["", "ayu", "ayu=1", f"={'a' * 64}", f"a={'A' * 64}", f"a={'a' * 64},a=x"]
+)
+def test_wrong_operators_are_refused(text):
+    with pytest.raises(SettingError):
+        parse_operators(text)
+
+
+def test_all_wrong_settings_are_named_at_once(capsys):
+    with pytest.raises(SystemExit) as ended:
+        app(["--listen", "host:1", "--log-format", "xml"])
+    assert ended.value.code == 2
+    shown = capsys.readouterr().err
+    named = re.findall(r"--[a-z-]+", shown)
+    assert named == [
+        *("--instance", "--listen", "--controller", "--platform", "--peer-key"),
+        *("--operators", "--log-format"),
+    ]
--- /dev/null
+++ b/tests/test_difference.py
@@ -0,0 +1,123 @@
+"""Differences: for people with keys hidden, and as deltas that reproduce the new."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from arbutuspulley.configuration.difference import (
+    HIDDEN,
+    SHOWN_CHARACTERS,
+    Delta,
+    Edit,
+    apply_delta,
+    build_delta,
+    compare,
+    compute_digest,
+)
+from arbutuspulley.configuration.schema import (
+    EMPTY,
+    Caller,
+    Configuration,
+    Model,
+    Policy,
+    Server,
+    Service,
+    Site,
+)
+from arbutuspulley.results import ConfigurationError
+from tests.fakes import build_configuration
+
+NAMES = st.sampled_from(["a", "b", "c"])
+SITES = st.builds(
+    Site,
+    models=st.dictionaries(
+        NAMES,
+        st.builds(
+            Model,
+            version=st.sampled_from(["1", "2"]),
+            size_mib=st.integers(1, 3),
+            copies=st.integers(1, 2),
+        ),
+    ),
+    callers=st.dictionaries(
+        NAMES,
+        st.builds(
+            Caller,
+            key_sha256=st.sampled_from(["a" * 64, "b" * 64]),
+            models=st.lists(NAMES, max_size=2).map(tuple),
+        ),
+    ),
+    servers=st.dictionaries(
+        NAMES,
+        st.builds(Server, address=st.just("127.0.0.1:1"), memory_mib=st.integers(1, 2)),
+    ),
+    services=st.dictionaries(
+        NAMES,
+        st.builds(Service, addresses=st.sampled_from([("127.0.0.1:1",), ()])),
+    ),
+)
+CONFIGURATIONS = st.builds(
+    Configuration,
+    version=st.integers(0, 9),
+    policy=st.builds(Policy, moves_weight=st.sampled_from([0.0, 0.5, 1.0])),
+    sites=st.dictionaries(NAMES, SITES),
+)
+
+
+@given(old=CONFIGURATIONS, new=CONFIGURATIONS)
+def test_a_delta_turns_the_old_configuration_into_the_new(old, new):
+    encoded = msgspec.json.encode(build_delta(old, new))
+    delta = msgspec.json.decode(encoded, type=Delta)
+    result = apply_delta(old, delta)
+    assert result == new
+    assert compute_digest(result) == compute_digest(new)
+    assert (compute_digest(old) == compute_digest(new)) == (old == new)
+    shown = "".join(difference.show() for difference in compare(old, new))
+    assert "aaaa" not in shown
+    assert "bbbb" not in shown
+    same = msgspec.structs.replace(old, version=new.version) == new
+    assert (not compare(old, new)) == same
+
+
+@pytest.mark.parametrize(
+    "edit",
+    [
+        Edit(path=("sites", "x", "models"), value={}),
+        Edit(path=("sites", "site-a", "models", "x"), removed=True),
+        Edit(path=("version", "x"), value=1),
+        Edit(path=("unknown",), value=1),
+        Edit(path=("version",), value="1"),
+    ],
+)
+def test_a_delta_of_another_configuration_is_refused(edit):
+    with pytest.raises(ConfigurationError):
+        apply_delta(build_configuration(), Delta(edits=(edit,)))
+
+
+def test_people_see_equal_differences_of_several_sites_as_one_and_no_keys():
+    old = build_configuration()
+    new = build_configuration(version=2, size_mib=9100)
+    site = new.sites["site-b"]
+    key = msgspec.structs.replace(site.callers["desk"], key_sha256="0" * 64)
+    changed = msgspec.structs.replace(
+        site, callers={"desk": key}, servers={}, services=old.sites["site-a"].services
+    )
+    new = msgspec.structs.replace(new, sites={**new.sites, "site-b": changed})
+    assert [difference.show() for difference in compare(old, new)] == [
+        "~ models.draft.size_mib: 9000 -> 9100 (at site-a, site-b)",
+        f"~ callers.desk.key_sha256: {HIDDEN} -> {HIDDEN}, another one (at site-b)",
+        f'- callers.hosts: {{"key_sha256":"{HIDDEN}","weight":5,"models":[],'
+        '"live":false} (at site-b)',
+        '- servers.engine-b: {"address":"127.0.0.1:9002","memory_mib":40000,'
+        '"checks_orders":false,"slots":16} (at site-b)',
+        '+ services.booking: {"addresses":["127.0.0.1:9101"],'
+        '"repeatable_methods":["GET","HEAD"]} (at site-b)',
+    ]
+
+
+def test_a_new_site_is_shown_cut_to_length_and_without_keys():
+    (first, _) = compare(EMPTY, build_configuration())
+    assert first.path == "sites.site-a"
+    assert "d" * 64 not in first.after
+    assert len(first.after) < SHOWN_CHARACTERS + 50
--- /dev/null
+++ b/tests/test_force.py
@@ -0,0 +1,173 @@
+"""The version in force goes strictly upward, whatever arrives in whatever order."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from arbutuspulley.configuration.changes import Change
+from arbutuspulley.configuration.difference import build_delta, compute_digest
+from arbutuspulley.configuration.force import (
+    MAX_WAITING,
+    ForceState,
+    Progress,
+    apply_changes,
+    is_ready,
+    offer,
+)
+from arbutuspulley.configuration.schema import EMPTY, Policy
+from tests.fakes import build_configuration
+
+VERSIONS = [
+    EMPTY,
+    *(build_configuration(number, 9000 + number) for number in range(1, 9)),
+]
+"""Accepted configurations by version."""
+
+OTHER_8 = build_configuration(8, 8888)
+"""What was accepted as version 8 after the store had been restored to version 7."""
+
+
+def build_change(old, new, *, has_delta=True):
+    return Change(
+        version=new.version,
+        base_version=old.version,
+        proposal=f"p{new.version}",
+        approver="ayu",
+        digest=compute_digest(new),
+        delta=build_delta(old, new) if has_delta else None,
+    )
+
+
+CHANGES = {
+    number: build_change(VERSIONS[number - 1], VERSIONS[number])
+    for number in range(1, 9)
+}
+
+
+def start(version):
+    state = ForceState()
+    offer(state, VERSIONS[version])
+    return state
+
+
+@pytest.mark.parametrize(
+    ("begin", "arriving", "in_force", "expected"),
+    [
+        (0, [1, 2, 3], 3, Progress(applied=(1, 2, 3))),
+        (2, [3], 3, Progress(applied=(3,))),
+        (2, [4], 2, Progress(missing=CHANGES[4])),
+        (2, [5, 4], 2, Progress(missing=CHANGES[5])),
+        (2, [5, 3, 4], 5, Progress(applied=(3, 4, 5))),
+        (2, [3, 5], 3, Progress(applied=(3,), missing=CHANGES[5])),
+        (2, [3, 3], 3, Progress(applied=(3,))),
+        (5, [3, 4], 5, Progress(ignored=(3, 4))),
+        (5, [5], 5, Progress()),
+        (5, [4, 6], 6, Progress(applied=(6,), ignored=(4,))),
+        (5, [], 5, Progress()),
+    ],
+)
+def test_changes_apply_upward_and_without_a_gap(begin, arriving, in_force, expected):
+    state = start(begin)
+    progress = apply_changes(state, [CHANGES[number] for number in arriving])
+    assert progress == expected
+    assert state.configuration == VERSIONS[in_force]
+    assert state.accepted_version == max([begin, *arriving])
+
+
+def test_a_gap_is_closed_by_the_change_between_or_by_a_whole_configuration():
+    late, loaded = start(2), start(2)
+    for state in (late, loaded):
+        apply_changes(state, [CHANGES[4], CHANGES[5]])
+    assert apply_changes(late, [CHANGES[3]]).applied == (3, 4, 5)
+    assert offer(loaded, VERSIONS[4]).applied == (4, 5)
+    assert not late.waiting
+    assert not loaded.waiting
+
+
+def test_a_change_without_steps_waits_for_its_whole_configuration():
+    large = build_change(VERSIONS[2], VERSIONS[3], has_delta=False)
+    state = start(2)
+    assert apply_changes(state, [large]).missing == large
+    assert apply_changes(state, []).missing == large
+    assert offer(state, VERSIONS[3]).applied == (3,)
+
+
+def test_steps_for_another_content_are_not_applied():
+    """An operator sees version 9 accepted and one instance runs what nobody approved.
+
+    The store was restored to version 7 while this instance had 8 in force and could
+    be reached by nobody; another version 8 was accepted, then 9 with steps from that
+    one. The digest of the result tells, and the whole of 9 is loaded.
+    """
+    state = start(8)
+    assert apply_changes(state, [build_change(VERSIONS[7], OTHER_8)]).diverged
+    policy = Policy(moves_weight=1.0)
+    newest = msgspec.structs.replace(OTHER_8, version=9, policy=policy)
+    change = build_change(OTHER_8, newest)
+    assert apply_changes(state, [change]).missing == change
+    assert state.configuration == VERSIONS[8]
+    assert offer(state, newest).applied == (9,)
+
+
+def test_an_older_store_or_peer_takes_nothing_back():
+    """A model that an operator took in yesterday is gone again.
+
+    The store was restored from a backup. Read anew, it offers version 3 while 5 is in
+    force, whole or as a change; both are ignored and counted.
+    """
+    state = start(5)
+    assert offer(state, VERSIONS[3]) == Progress(ignored=(3,))
+    assert apply_changes(state, [CHANGES[3]]) == Progress(ignored=(3,))
+    assert offer(state, VERSIONS[5]) == Progress()
+    assert offer(state, build_configuration(5, 5555)) == Progress(diverged=True)
+    assert state.configuration == VERSIONS[5]
+
+
+def test_a_cut_off_instance_learns_from_a_peer_and_a_new_one_waits_for_it():
+    """A change is accepted and one site goes on serving under the old version.
+
+    Its instances reach a peer but not the store. The peer's whole configuration
+    counts as much as the store's; before any came, a new instance is not ready.
+    """
+    cut_off, new = start(2), ForceState()
+    assert not is_ready(new)
+    for state in (cut_off, new):
+        assert offer(state, VERSIONS[4]).applied == (4,)
+        assert is_ready(state)
+        assert apply_changes(state, [CHANGES[3], CHANGES[5]]).applied == (5,)
+
+
+def test_waiting_changes_are_bounded():
+    state = start(2)
+    template = CHANGES[5]
+    many = [
+        msgspec.structs.replace(template, version=number)
+        for number in range(5, MAX_WAITING + 50)
+    ]
+    assert apply_changes(state, many).missing == many[-1]
+    assert len(state.waiting) == MAX_WAITING
+
+
+@given(
+    steps=st.lists(
+        st.one_of(
+            st.lists(st.integers(1, 8), max_size=4),
+            st.sampled_from(VERSIONS),
+        ),
+        max_size=12,
+    )
+)
+def test_whatever_arrives_the_version_never_goes_back(steps):
+    state = ForceState()
+    for step in steps:
+        before = state.configuration.version
+        if isinstance(step, list):
+            apply_changes(state, [CHANGES[number] for number in step])
+        else:
+            offer(state, step)
+        assert state.configuration.version >= before
+        assert state.configuration == VERSIONS[state.configuration.version]
+        assert state.accepted_version >= state.configuration.version
+    apply_changes(state, CHANGES.values())
+    assert state.configuration == VERSIONS[8]
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,311 @@
+"""Proposing and approving over a platform that loses replies, stops and goes back."""
+
+import pytest
+
+from arbutuspulley.configuration import approval, changes, store
+from arbutuspulley.configuration.force import ForceState, apply_changes, offer
+from arbutuspulley.configuration.schema import EMPTY
+from arbutuspulley.ports import commit
+from arbutuspulley.results import (
+    Code,
+    ConfigurationError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+)
+from arbutuspulley.standins.platform_state import restore
+from tests.fakes import BASE, OVERLAY_A, FakePlatform, build_files
+
+
+@pytest.fixture
+def fake(monkeypatch):
+    monkeypatch.setattr(commit, "FIRST_PAUSE_MS", 0)
+    return FakePlatform()
+
+
+def propose(fake, size_mib=9000, *, in_force=EMPTY, **options):
+    files = build_files(BASE.replace("9000", str(size_mib)))
+    return approval.propose(
+        fake.platform,
+        files=options.pop("files", files),
+        proposer="ayu",
+        now_ms=1,
+        in_force=in_force,
+        **options,
+    )
+
+
+def approve(fake, proposal, *, approver="ayu", in_force=EMPTY, base_version=None):
+    base = proposal.base_version if base_version is None else base_version
+    return approval.approve(
+        fake.platform,
+        proposal=proposal.proposal,
+        base_version=base,
+        approver=approver,
+        now_ms=2,
+        in_force=in_force,
+    )
+
+
+def accept(fake, *sizes):
+    """Accept one change after another; return what is then the newest."""
+    for size in sizes:
+        approve(fake, propose(fake, size))
+    return store.load_latest(fake.platform)
+
+
+def read_size(configuration):
+    return configuration.sites["site-a"].models["draft"].size_mib
+
+
+def list_approvers(fake):
+    listed = store.list_changes(fake.platform, newest=10)
+    return [(change.version, change.approver) for change in listed]
+
+
+def refuse(code, work):
+    with pytest.raises(ConfigurationError) as refused:
+        work()
+    assert refused.value.code == code
+    return refused.value
+
+
+def test_an_accepted_change_is_read_back_whole_and_as_steps(fake):
+    assert store.load_latest(fake.platform) == EMPTY
+    start = store.load_start(fake.platform)
+    newest = accept(fake, 9000, 9100, 9200)
+    assert (newest.version, read_size(newest)) == (3, 9200)
+    assert store.load_start(fake.platform).configuration == newest
+    state = ForceState()
+    page = store.read_changes(fake.platform, start.revision, table_id=start.table_id)
+    assert apply_changes(state, page.changes).applied == (1, 2, 3)
+    assert state.configuration == newest
+    after = store.load_start(fake.platform).revision
+    assert not store.read_changes(fake.platform, after).changes
+
+
+@pytest.mark.parametrize("fault", ["lost_replies", "lost_requests"])
+@pytest.mark.parametrize("count", [1, 2, 3])
+def test_a_lost_approval_is_found_out(fake, fault, count):
+    """An operator presses "approve" and the phone shows an error.
+
+    The platform's reply, or the request, was lost on the way. The token in the
+    change's row tells which, and there is one change either way.
+    """
+    accept(fake, 9000)
+    proposal = propose(fake, 9100)
+    setattr(fake, fault, count)
+    assert approve(fake, proposal).version == 2
+    assert list_approvers(fake) == [(2, "ayu"), (1, "ayu")]
+
+
+def test_pressing_again_after_a_lost_reply_gives_the_same_result(fake):
+    """An operator presses "approve", sees an error, and presses again.
+
+    The first press took effect, then the platform went away before it could be read
+    back. The second press, a minute later and after yet another change, and a third
+    one from another phone, tell of the first; none makes a second change.
+    """
+    proposal = propose(fake)
+    fake.lost_replies, fake.down_after_lost_reply = 1, True
+    with pytest.raises(OutcomeUnknownError):
+        approve(fake, proposal)
+    fake.down = False
+    second = approve(fake, proposal)
+    assert (second.version, second.repeated) == (1, True)
+    accept(fake, 9100)
+    third = approve(fake, proposal, approver="janis")
+    assert (third.version, third.approver, third.repeated) == (1, "ayu", True)
+    assert list_approvers(fake) == [(2, "ayu"), (1, "ayu")]
+
+
+def test_two_phones_approve_different_changes_at_the_same_moment(fake):
+    """Two operators each see "accepted", and one of the changes is gone.
+
+    Both changes were based on version 1 and written at the same moment. The head's
+    revision lets one through; the other operator is told what was accepted instead.
+    """
+    accept(fake, 9000)
+    ours, theirs = propose(fake, 9100), propose(fake, 9200)
+    fake.before_transact = lambda: approve(fake, theirs, approver="janis")
+    refused = refuse(Code.BASE_VERSION_STALE, lambda: approve(fake, ours))
+    (difference,) = refused.differences
+    assert difference.show().startswith("~ models.draft.size_mib: 9000 -> 9200")
+    assert list_approvers(fake)[0] == (2, "janis")
+    refuse(Code.BASE_VERSION_STALE, lambda: approve(fake, ours, base_version=2))
+    again = propose(fake, 9100)
+    assert approve(fake, again).version == 3
+
+
+def test_two_phones_approve_the_same_change_at_the_same_moment(fake):
+    """The slower of two operators gets an error for what both wanted."""
+    proposal = propose(fake)
+    fake.before_transact = lambda: approve(fake, proposal, approver="janis")
+    outcome = approve(fake, proposal)
+    assert (outcome.version, outcome.approver, outcome.repeated) == (1, "janis", True)
+    assert list_approvers(fake) == [(1, "janis")]
+
+
+def test_a_restored_store_does_not_take_an_accepted_version_back(fake):
+    """An operator approves a change, sees it accepted, and it never comes into force.
+
+    The store was restored from a backup: it holds version 2, the instances have 4 in
+    force. A change numbered 3 would be ignored by all of them for being lower. Based
+    on what is in force it becomes 5, and a proposal from before the restore is stale.
+    """
+    accept(fake, 9000, 9100)
+    backup = fake.state.revision
+    old = propose(fake, 9900)
+    start = store.load_start(fake.platform)
+    in_force = accept(fake, 9200, 9300)
+    state = ForceState()
+    offer(state, in_force)
+    restore(fake.state, backup + 1)
+    page = store.read_changes(fake.platform, 10_000, table_id=start.table_id)
+    assert offer(state, page.restored).ignored == (2,)
+
+    refuse(Code.BASE_VERSION_STALE, lambda: approve(fake, old, in_force=in_force))
+    proposal = propose(fake, 9400, in_force=in_force)
+    assert (proposal.base_version, proposal.version) == (4, 5)
+    assert approve(fake, proposal, in_force=in_force).version == 5
+    page = store.read_changes(fake.platform, page.revision, table_id=page.table_id)
+    progress = apply_changes(state, page.changes)
+    if progress.missing:
+        digest = progress.missing.digest
+        progress = offer(state, store.load_result(fake.platform, digest))
+    assert progress.applied == (5,)
+    assert state.configuration == store.load_latest(fake.platform)
+    assert read_size(state.configuration) == 9400
+
+
+def test_the_head_never_goes_back_to_a_lower_version(fake):
+    """An accepted change is in force, and new instances start without it.
+
+    The store was restored to version 1 while 2 is in force. One console knows that
+    and approves version 3; another, cut off from all instances with 2, approves
+    another version 2 at the same moment. Their rows differ, so only the head's
+    revision tells the two apart; the slower one is refused.
+    """
+    accept(fake, 9000)
+    backup = fake.state.revision
+    in_force = accept(fake, 9100)
+    restore(fake.state, backup)
+    knowing = propose(fake, 9200, in_force=in_force)
+    unknowing = propose(fake, 9300)
+    fake.before_transact = lambda: approve(fake, knowing, in_force=in_force)
+    refuse(Code.BASE_VERSION_STALE, lambda: approve(fake, unknowing))
+    assert store.read_head_version(fake.platform) == 3
+
+
+def test_the_lost_content_can_be_written_back_to_a_restored_store(fake):
+    """New instances start with last week's configuration.
+
+    The store was restored to version 1 while 2 is in force. Rolling forward to the
+    version in force writes its content back, as version 3.
+    """
+    accept(fake, 9000)
+    backup = fake.state.revision
+    in_force = accept(fake, 9100)
+    restore(fake.state, backup)
+    proposal = approval.roll_forward(
+        fake.platform, version=2, proposer="ayu", now_ms=1, in_force=in_force
+    )
+    assert approve(fake, proposal, in_force=in_force).version == 3
+    assert read_size(store.load_latest(fake.platform)) == 9100
+    change = store.read_change(fake.platform, 3)
+    assert store.load_result(fake.platform, change.base_digest) == in_force
+    assert change.delta is None
+
+
+def test_an_older_content_comes_back_as_a_new_version_only(fake):
+    accept(fake, 9000, 9100)
+    proposal = approval.roll_forward(fake.platform, version=1, proposer="ayu", now_ms=1)
+    assert approve(fake, proposal).version == 3
+    assert read_size(store.load_latest(fake.platform)) == 9000
+    for version, code in ((3, Code.NO_DIFFERENCE), (9, Code.NOT_FOUND)):
+        refuse(
+            code,
+            lambda version=version: approval.roll_forward(
+                fake.platform, version=version, proposer="ayu", now_ms=1
+            ),
+        )
+
+
+@pytest.mark.parametrize(
+    ("options", "code"),
+    [
+        ({"size_mib": 9000}, Code.NO_DIFFERENCE),
+        ({"size_mib": 90_000}, Code.DOES_NOT_FIT),
+        ({"files": build_files(overlays=[OVERLAY_A])}, Code.BAD_REFERENCE),
+    ],
+)
+def test_a_proposal_that_cannot_be_accepted_is_refused_at_once(fake, options, code):
+    accept(fake, 9000)
+    refuse(code, lambda: propose(fake, **options))
+    assert not store.list_proposals(fake.platform)
+
+
+def test_fit_is_checked_again_at_the_approval(fake, monkeypatch):
+    proposal = propose(fake)
+
+    def refuse_all(_configuration):
+        raise ConfigurationError(code=Code.DOES_NOT_FIT, detail="too much")
+
+    monkeypatch.setattr(approval, "check_fit", refuse_all)
+    refuse(Code.DOES_NOT_FIT, lambda: approve(fake, proposal))
+    assert store.load_latest(fake.platform) == EMPTY
+
+
+def test_proposing_twice_makes_one_proposal_and_a_late_copy_none(fake):
+    """An accepted proposal waits for approval again.
+
+    The request that laid it down was sent twice, and the second copy arrived after
+    the approval.
+    """
+    proposal = propose(fake)
+    fake.lost_replies = 1
+    assert propose(fake) == proposal
+    assert store.list_proposals(fake.platform) == (proposal,)
+    approve(fake, proposal)
+    fake.platform.table.transact(changes.build_submission(proposal))
+    assert not store.list_proposals(fake.platform)
+
+
+def test_a_withdrawn_proposal_cannot_be_accepted(fake):
+    proposal = propose(fake)
+    approval.withdraw(fake.platform, proposal=proposal.proposal)
+    refuse(Code.UNKNOWN_PROPOSAL, lambda: approve(fake, proposal))
+    refuse(
+        Code.UNKNOWN_PROPOSAL,
+        lambda: approval.withdraw(fake.platform, proposal=proposal.proposal),
+    )
+
+
+def test_nothing_is_proposed_or_accepted_while_the_platform_is_out(fake):
+    proposal = propose(fake)
+    fake.down = True
+    for work in (lambda: propose(fake, 9100), lambda: approve(fake, proposal)):
+        with pytest.raises(PlatformUnavailableError):
+            work()
+    fake.down = False
+    assert store.load_latest(fake.platform) == EMPTY
+    assert store.list_proposals(fake.platform) == (proposal,)
+
+
+@pytest.mark.parametrize("data", [b"", b"x", None])
+def test_an_altered_object_is_never_taken_for_a_configuration(fake, data):
+    newest = accept(fake, 9000)
+    name = changes.build_result_name(store.read_change(fake.platform, 1).digest)
+    fake.stored[name] = data
+    refuse(
+        Code.NOT_FOUND if data is None else Code.BAD_SCHEMA,
+        lambda: store.load_latest(fake.platform),
+    )
+    assert newest.version == 1
+
+
+def test_rows_of_old_changes_are_dropped(fake, monkeypatch):
+    monkeypatch.setattr(changes, "KEPT_CHANGES", 2)
+    accept(fake, 9000, 9100, 9200, 9300)
+    assert [version for version, _ in list_approvers(fake)] == [4, 3]
+    rows = fake.platform.table.scan("config/", 0, 100).rows
+    assert len([row for row in rows if "accepted" in row.key]) == 2
