--- a/src/arbutuspulley/entry/background.py
+++ b/src/arbutuspulley/entry/background.py
@@ -13,6 +13,15 @@
 """Pause after work that ended by a fault."""
 
 
+_KEPT: set[asyncio.Future] = set()
+
+
+def keep(task: asyncio.Future) -> None:
+    """Keep a task from being collected before it has ended."""
+    _KEPT.add(task)
+    task.add_done_callback(_KEPT.discard)
+
+
 async def keep_working(
     work: Callable[[Runtime], Awaitable[NoReturn]], runtime: Runtime
 ) -> NoReturn:
--- a/src/arbutuspulley/entry/claiming.py
+++ b/src/arbutuspulley/entry/claiming.py
@@ -10,9 +10,9 @@
 from arbutuspulley.data import Value
 from arbutuspulley.delivery.claims import ClaimState
 from arbutuspulley.delivery.failures import build_failure
+from arbutuspulley.entry.background import keep
 from arbutuspulley.entry.calls import Call
 from arbutuspulley.entry.state import REQUEST_LIFE_MS, Runtime
-from arbutuspulley.entry.suspicion import keep
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.results import Code, RequestError, RunState
 from arbutuspulley.rpc.channel import PeerUnavailableError
--- a/src/arbutuspulley/entry/views.py
+++ b/src/arbutuspulley/entry/views.py
@@ -9,9 +9,9 @@
 from arbutuspulley.admission.queue import list_usage, note_capacity
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.delivery import suspects
+from arbutuspulley.entry.deaths import flush_unrecorded
 from arbutuspulley.entry.index import build_index
 from arbutuspulley.entry.state import EntryState, Runtime
-from arbutuspulley.entry.suspicion import flush_unrecorded
 from arbutuspulley.entry.turns import apply_effects
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.routing.choice import note_reports
