--- a/src/arbutuspulley/adapters/engine_calls.py
+++ b/src/arbutuspulley/adapters/engine_calls.py
@@ -50,6 +50,8 @@
 ) -> BaseHTTPResponse:
     """Send a request once and return the head of the answer.
 
+    :param pool: from :func:`~arbutuspulley.adapters.http.build_pool`, which neither
+        retries nor follows redirects.
     :raises NotSentError: if no byte left.
     :raises BrokenError: if some may have left and no answer came.
     """
@@ -61,8 +63,6 @@
             headers=headers,
             preload_content=False,
             decode_content=False,
-            redirect=False,
-            retries=False,
         )
     except HTTPError as error:
         detail = f"{pool.host}:{pool.port}: {describe(error)}"
--- a/src/arbutuspulley/adapters/engines.py
+++ b/src/arbutuspulley/adapters/engines.py
@@ -178,9 +178,9 @@
     if response.status != 200:
         raise read_refusal(response)
     chunks = _read_chunks(response, idle_ms=idle_ms, clock=clock)
-    # Closing a generator that was never started skips its ``finally``: the
-    # connection would stay open and the attempt would run on unseen. Advancing it
-    # to its first, empty yield makes closing work from the beginning.
+    # Closing a generator that was never started skips its ``finally`` and leaves the
+    # connection, and so the cancellation, to the garbage collector. Advancing it to
+    # its first, empty yield makes closing work from the beginning.
     next(chunks)
     return chunks
 
--- a/src/arbutuspulley/standins/engine.py
+++ b/src/arbutuspulley/standins/engine.py
@@ -220,3 +220,7 @@
 def main() -> None:
     """Run the program."""
     app()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/arbutuspulley/standins/engine_state.py
+++ b/src/arbutuspulley/standins/engine_state.py
@@ -105,7 +105,7 @@
         due_at = now + faults.delay_orders_ms
         state.held_orders.append(HeldOrder(order=order, due_at=due_at))
         return None
-    reply = _apply_order(state, order)
+    reply = _apply_order(state, order, now)
     return None if take(faults, "lose_order_replies") else reply
 
 
@@ -137,9 +137,7 @@
 def advance(state: EngineState, *, now: int) -> tuple[Token, ...]:
     """Do everything that is due: late orders, loads, unloads and one batch step."""
     _apply_due_orders(state, now)
-    in_use = {run.item for run in _list_runs(state)}
-    for item in engine_memory.settle(state.memory, in_use=in_use, now=now):
-        engine_cache.drop_item(state.cache, item, now=now, chance=state.chance)
+    _settle(state, now)
     _fill_batch(state, now)
     ready = [run for run in state.batch.batch if run.ready_at <= now]
     state.crashed |= state.memory.died or any(run.poison for run in ready)
@@ -174,7 +172,7 @@
         return
     released, state.held_orders = state.held_orders, []
     for held in released:
-        _apply_order(state, held.order)
+        _apply_order(state, held.order, now)
 
 
 def count(state: EngineState) -> Counters:
@@ -230,8 +228,18 @@
     return engine_batch.list_runs(state.batch)
 
 
-def _apply_order(state: EngineState, order: Order) -> OrderReply:
-    return engine_memory.apply_order(state.memory, order)
+def _apply_order(state: EngineState, order: Order, now: int) -> OrderReply:
+    reply = engine_memory.apply_order(state.memory, order)
+    # An item that no run uses is gone with its unload order, so that the effect of
+    # a sequence of orders does not hang on when the next batch step happens.
+    _settle(state, now)
+    return reply
+
+
+def _settle(state: EngineState, now: int) -> None:
+    in_use = {run.item for run in _list_runs(state)}
+    for item in engine_memory.settle(state.memory, in_use=in_use, now=now):
+        engine_cache.drop_item(state.cache, item, now=now, chance=state.chance)
 
 
 def _apply_due_orders(state: EngineState, now: int) -> None:
@@ -242,7 +250,7 @@
     ]
     for held in due:
         state.held_orders.remove(held)
-        _apply_order(state, held.order)
+        _apply_order(state, held.order, now)
 
 
 def _fill_batch(state: EngineState, now: int) -> None:
--- a/src/arbutuspulley/standins/server.py
+++ b/src/arbutuspulley/standins/server.py
@@ -22,6 +22,9 @@
 STOP_TIMEOUT_MS = 2_000
 """How long a stopping server waits for requests in flight."""
 
+STOP_POLL_S = 0.05
+"""How often an idle server looks whether it was stopped, in s."""
+
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Largest request body taken."""
 
@@ -59,6 +62,7 @@
         )
         self._server.gateway = _Gateway
         self._server.keep_alive_conn_limit = 1_000
+        self._server.expiration_interval = STOP_POLL_S
         self._server.prepare()
         host, port = self._server.bind_addr[:2]
         self.address = f"{host}:{port}"
@@ -118,6 +122,7 @@
     settings = {
         "/": {
             "request.process_request_body": False,
+            "tools.trailing_slash.on": False,
             "error_page.default": _show_error,
         }
     }
--- a/src/arbutuspulley/standins/service.py
+++ b/src/arbutuspulley/standins/service.py
@@ -273,3 +273,7 @@
 def main() -> None:
     """Run the program."""
     app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_engines.py
@@ -0,0 +1,446 @@
+"""Contract of the engines port: what each failure proves, and what orders do."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import msgspec
+import pytest
+
+from arbutuspulley.adapters.engines import connect_engines
+from arbutuspulley.adapters.sse import MAX_EVENT_BYTES
+from arbutuspulley.clock import Clock
+from arbutuspulley.ports.engines import (
+    BrokenError,
+    NotSentError,
+    RefusedError,
+    ServiceRequest,
+)
+from arbutuspulley.standins.answer import build_answer, read_prompt
+from arbutuspulley.standins.engine_runtime import CRASH_EXIT_STATUS
+from arbutuspulley.standins.routes import ANY, Outgoing
+from tests.backends import (
+    ITEM,
+    build_order,
+    build_request,
+    load,
+    read_counters,
+    run_engine,
+    run_routes,
+    set_faults,
+    wait_until,
+)
+from tests.ports import find_free_address
+
+NOT_RUN = ("X-Arbutus-Run-State", "not_run")
+ENGINES = connect_engines(connect_timeout_ms=1_000, read_timeout_ms=10_000)
+
+
+def read_text(chunks):
+    parts = []
+    for chunk in chunks:
+        if not chunk.last:
+            delta = msgspec.json.decode(chunk.data)["choices"][0]["delta"]
+            parts.append(delta.get("content", ""))
+    return "".join(parts)
+
+
+def build_text(request):
+    prompt = read_prompt(path=request.path, body=request.body)
+    return build_answer(item=request.item, prompt=prompt)
+
+
+@pytest.fixture
+def engine():
+    with run_engine() as running:
+        load(ENGINES, running.address)
+        yield running
+
+
+@pytest.mark.parametrize("path", ["chat/", ""])
+def test_a_whole_answer_has_every_event_once(engine, path):
+    request = build_request(path=path)
+    chunks = list(ENGINES.infer(engine.address, request))
+    assert [(chunk.attempt_id, chunk.offset) for chunk in chunks] == [
+        ("a", offset) for offset in range(6)
+    ]
+    assert [chunk.last for chunk in chunks] == [False] * 5 + [True]
+    finish = msgspec.json.decode(chunks[4].data)
+    assert finish["choices"][0]["finish_reason"] == "length"
+    assert finish["usage"]["completion_tokens"] == 4
+    counted = read_counters(engine.address)["runs"]["r"]
+    assert (counted["begun"], counted["finished"]) == (1, 1)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "error", "fields"),
+    [
+        (503, [NOT_RUN, ("Retry-After", "2")], RefusedError, {"retry_after_ms": 2_000}),
+        (
+            429,
+            [NOT_RUN, ("Retry-After", "2"), ("X-Arbutus-Retry-After-Ms", "1500")],
+            RefusedError,
+            {"retry_after_ms": 1_500, "final": False, "leaving": False},
+        ),
+        (
+            503,
+            [NOT_RUN, ("X-Arbutus-Leaving", "true")],
+            RefusedError,
+            {"leaving": True},
+        ),
+        (503, [], BrokenError, {}),
+        (429, [], BrokenError, {}),
+        (500, [], BrokenError, {}),
+        (307, [("Location", "/other")], BrokenError, {}),
+        (400, [], RefusedError, {"final": True, "retry_after_ms": None}),
+        (404, [], RefusedError, {"final": True}),
+        (404, [NOT_RUN], RefusedError, {"final": False}),
+    ],
+)
+def test_a_status_proves_only_what_the_server_says(status, headers, error, fields):
+    """A server fails halfway and answers 503; the request has begun to run.
+
+    Taken for "not run", it is sent again and runs twice. Only the server's own
+    word that it did not admit the request proves that.
+    """
+    served = []
+
+    def answer(_incoming):
+        served.append(1)
+        return Outgoing(status=status, headers=tuple(headers))
+
+    with run_routes({(ANY, ANY): answer}) as address, pytest.raises(error) as caught:
+        ENGINES.infer(address, build_request())
+    assert {name: getattr(caught.value, name) for name in fields} == fields
+    assert len(served) == 1
+
+
+def event(offset, data="{}", attempt="a"):
+    return f"id: {attempt}:{offset}\ndata: {data}\n\n".encode()
+
+
+END = event(1, "[DONE]")
+
+
+@pytest.mark.parametrize(
+    ("parts", "offsets", "error"),
+    [
+        ([event(0), END], [0, 1], None),
+        ([event(0) + END], [0, 1], None),
+        ([bytes([byte]) for byte in event(0) + END], [0, 1], None),
+        ([event(0).replace(b"\n", b"\r\n"), END], [0, 1], None),
+        ([b": comment\n\n", b"retry: 5\n\n", END], [1], None),
+        ([event(3, attempt="old:1"), END], [3, 1], None),
+        ([event(0)], [0], "without its end marker"),
+        ([event(0), b"data: [DONE]"], [0], "without its end marker"),
+        ([event(0), b"data: {}\n\n", END], [0], "without attempt and offset"),
+        ([b"x" * (MAX_EVENT_BYTES + 1)], [], "event over"),
+    ],
+)
+def test_a_stream_is_whole_only_with_its_end_marker(parts, offsets, error):
+    def answer(_incoming):
+        return Outgoing(body=(part for part in parts))
+
+    read = []
+    told = None
+    with run_routes({(ANY, ANY): answer}) as address:
+        try:
+            for chunk in ENGINES.infer(address, build_request()):
+                read.append(chunk.offset)
+        except BrokenError as broken:
+            told = broken.detail
+    assert read == offsets
+    assert told == error or error in told
+
+
+@pytest.mark.parametrize(
+    ("faults", "error", "got", "admitted"),
+    [
+        ({"refuse_requests": 1}, RefusedError, 0, 0),
+        ({"leaving": True}, RefusedError, 0, 0),
+        ({"fail_requests": 1}, BrokenError, 0, 0),
+        ({"break_requests": 1}, BrokenError, 0, 1),
+        ({"break_streams": 1, "break_after_tokens": 2}, BrokenError, 2, 1),
+        ({"skip_end_markers": 1}, BrokenError, 5, 1),
+    ],
+)
+def test_faults_of_an_engine(engine, faults, error, got, admitted):
+    set_faults(engine.address, **faults)
+    read = []
+    with pytest.raises(error):
+        for chunk in ENGINES.infer(engine.address, build_request(tokens=4)):
+            read.append(chunk.offset)
+    assert read == list(range(got))
+    runs = read_counters(engine.address)["runs"]
+    assert runs.get("r", {"admitted": 0})["admitted"] == admitted
+
+
+def test_nobody_listening_proves_that_nothing_ran():
+    address = find_free_address()
+    for call in (
+        lambda: ENGINES.infer(address, build_request()),
+        lambda: ENGINES.order(address, build_order()),
+        lambda: ENGINES.report(address),
+    ):
+        with pytest.raises(NotSentError):
+            call()
+    ENGINES.cancel(address, "a")
+
+
+def test_an_answer_goes_on_at_another_engine(engine):
+    request = build_request(tokens=6)
+    set_faults(engine.address, break_streams=1, break_after_tokens=2)
+    got = []
+    with run_engine(name="e2") as other:
+        load(ENGINES, other.address)
+        with pytest.raises(BrokenError):
+            for chunk in ENGINES.infer(engine.address, request):
+                got.append(chunk)
+        resumed = build_request(tokens=6, attempt="b", offset=len(got))
+        got.extend(ENGINES.infer(other.address, resumed))
+        assert read_counters(other.address)["runs"]["r"]["resumed"] == 1
+    assert [chunk.offset for chunk in got] == list(range(8))
+    assert read_text(got) == build_text(request)
+
+
+def test_late_chunks_keep_the_name_of_their_attempt(engine):
+    set_faults(engine.address, stray_chunks=1)
+    chunks = list(ENGINES.infer(engine.address, build_request(tokens=2)))
+    assert [(chunk.attempt_id, chunk.offset) for chunk in chunks[:4]] == [
+        ("a", 0),
+        ("old-a", 1),
+        ("a", 0),
+        ("a", 1),
+    ]
+
+
+@pytest.mark.parametrize("read_first", [0, 1])
+def test_closing_an_answer_cancels_it(engine, read_first):
+    """A caller leaves, even before the first token came.
+
+    Its answer goes on being produced, and the slot is taken from others, if the
+    connection to the engine is kept for the next request instead of closed.
+    """
+    chunks = ENGINES.infer(engine.address, build_request(tokens=4_000))
+    for _ in range(read_first):
+        next(chunks)
+    chunks.close()
+    wait_until(lambda: read_counters(engine.address)["runs"]["r"]["withdrawn"])
+    assert ENGINES.report(engine.address).running == 0
+
+
+def test_cancel_ends_the_attempt(engine):
+    chunks = ENGINES.infer(engine.address, build_request(tokens=4_000))
+    next(chunks)
+    ENGINES.cancel(engine.address, "a")
+    with pytest.raises(BrokenError):
+        list(chunks)
+
+
+@pytest.mark.parametrize(
+    ("part", "told"), [(b": waiting\n\n", "idle"), (b"", "ReadTimeoutError")]
+)
+def test_an_answer_that_stalls_is_broken(part, told):
+    """An engine's batch hangs while its HTTP threads go on sending comments.
+
+    The caller waits for ever: each comment restarted the wait for bytes.
+    """
+
+    def stall():
+        yield event(0)
+        for _ in range(200):
+            time.sleep(0.01)
+            yield part
+
+    ticks = iter(range(0, 1_000_000_000, 50))
+    hurried = connect_engines(read_timeout_ms=300, clock=Clock(read=ticks.__next__))
+    routes = {(ANY, ANY): lambda _incoming: Outgoing(body=stall())}
+    with run_routes(routes) as address, pytest.raises(BrokenError) as caught:
+        list(hurried.infer(address, build_request()))
+    assert told in caught.value.detail
+
+
+class IdleCloser:
+    """Answers one request a connection and closes it when a second one comes.
+
+    So does a server that closes an idle connection while a request is on its way.
+    """
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            with connection:
+                if connection.recv(65_536):
+                    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                    connection.recv(65_536)
+
+
+@pytest.mark.parametrize(("method", "broken"), [("GET", True), ("POST", False)])
+def test_unrepeatable_calls_use_no_kept_connection(method, broken):
+    """A host confirms a booking after a quiet minute and reads "outcome unknown".
+
+    The service had closed the idle connection just as the request went out, so
+    nobody could tell whether it ran. A call that may not be sent again takes a
+    fresh connection; a GET is broken and may be repeated.
+    """
+    server = IdleCloser()
+    request = ServiceRequest(method=method, path="/", headers=(), body=b"")
+    assert ENGINES.call_service(server.address, request).status == 200
+    if broken:
+        with pytest.raises(BrokenError):
+            ENGINES.call_service(server.address, request)
+    else:
+        assert ENGINES.call_service(server.address, request).status == 200
+    server.listener.close()
+
+
+LOAD = build_order(number=1)
+UNLOAD = build_order("unload", number=2)
+OLD_OWNER = build_order(item="old@1", number=3, fence=0, mib=10)
+
+
+@pytest.mark.parametrize(
+    ("orders", "checking", "trusting"),
+    [
+        ([LOAD], ["accepted"], ["accepted"]),
+        ([LOAD, LOAD], ["accepted", "accepted"], ["accepted", "accepted"]),
+        ([LOAD, UNLOAD, LOAD], ["accepted", "accepted", "stale"], ["accepted"] * 3),
+        ([LOAD, OLD_OWNER], ["accepted", "stale"], ["accepted"] * 2),
+        ([LOAD, build_order(item="n@1", number=2)], ["accepted", "refused"], None),
+    ],
+)
+@pytest.mark.parametrize("checks", [True, False])
+def test_orders_to_servers_of_both_kinds(checks, orders, checking, trusting):
+    """An owner that was paused over its lease wakes and sends an old load order.
+
+    A server that checks orders refuses it. One that doesn't loads the item, beside
+    what the new owner has put there meanwhile.
+    """
+    expected = checking if checks or trusting is None else trusting
+    with run_engine(checks_orders=checks) as engine:
+        replies = [ENGINES.order(engine.address, order) for order in orders]
+        report = ENGINES.report(engine.address)
+    assert [reply.outcome.value for reply in replies] == expected
+    assert report.fence == (1 if checks else 0)
+    assert report.last_order == max(
+        order.number
+        for order, outcome in zip(orders, expected, strict=True)
+        if outcome != "stale"
+    )
+
+
+@pytest.mark.parametrize(("checks", "late_item"), [(True, False), (False, True)])
+def test_a_late_order_after_its_successor(checks, late_item):
+    """A load order is stuck on the way; the owner gives up and unloads the item.
+
+    Both replies are lost, and the load arrives after the unload. A server that
+    doesn't check orders then holds an item that nobody wants any more.
+    """
+    with run_engine(checks_orders=checks) as engine:
+        set_faults(engine.address, hold_orders=1)
+        with pytest.raises(BrokenError):
+            ENGINES.order(engine.address, LOAD)
+        assert ENGINES.order(engine.address, UNLOAD).outcome == "accepted"
+        set_faults(engine.address, release_orders=True)
+        held = [item.item for item in ENGINES.report(engine.address).items]
+    assert held == ([ITEM] if late_item else [])
+
+
+@pytest.mark.parametrize(
+    ("fault", "applied"),
+    [({"drop_orders": 1}, 0), ({"lose_order_replies": 1}, 1)],
+)
+def test_a_lost_order_reply_proves_nothing(fault, applied):
+    """An order's reply never comes; the order may have been applied or not.
+
+    The call must end as broken both times, and the order must be sent only once.
+    """
+    with run_engine() as engine:
+        ENGINES.report(engine.address)
+        set_faults(engine.address, **fault)
+        with pytest.raises(BrokenError):
+            ENGINES.order(engine.address, LOAD)
+        assert len(ENGINES.report(engine.address).items) == applied
+        assert len(read_counters(engine.address)["orders"]) == applied
+
+
+def test_an_order_delayed_on_the_way_is_applied_later():
+    with run_engine() as engine:
+        set_faults(engine.address, delay_orders=1, delay_orders_ms=50)
+        with pytest.raises(BrokenError):
+            ENGINES.order(engine.address, LOAD)
+        wait_until(lambda: ENGINES.report(engine.address).items)
+
+
+def test_reports_lag_and_say_by_how_much():
+    with run_engine(report_lag_ms=200) as engine:
+        ENGINES.order(engine.address, LOAD)
+        first = ENGINES.report(engine.address)
+        assert first.items == ()
+        later = wait_until(
+            lambda: (report := ENGINES.report(engine.address)).items and report
+        )
+    assert min(first.age_ms, later.age_ms) >= 200
+    assert later.sequence > first.sequence
+
+
+def test_control_refuses_what_it_does_not_know(engine):
+    with pytest.raises(AssertionError):
+        set_faults(engine.address, no_such_fault=1)
+
+
+class EngineProcess:
+    """The program itself."""
+
+    def __init__(self, address):
+        command = [sys.executable, "-m", "arbutuspulley.standins.engine"]
+        flags = ["--name", "e1", "--listen", address, "--load-ms", "0"]
+        self.process = subprocess.Popen([*command, *flags, "--token-ms", "5"])
+        wait_until(lambda: self.try_report(address))
+
+    def try_report(self, address):
+        try:
+            return ENGINES.report(address)
+        except NotSentError:
+            return None
+
+
+def test_an_engine_process_dies_by_poison_and_stops_whole():
+    """A request crashes its engine, which starts again with an empty memory.
+
+    The kept connections are dead then, and the new process has another boot id.
+    Stopped by SIGTERM it refuses new work and finishes what is in flight.
+    """
+    address = find_free_address()
+    first = EngineProcess(address)
+    load(ENGINES, address)
+    before = ENGINES.report(address).boot_id
+    set_faults(address, crash_marker="poison")
+    with pytest.raises(BrokenError):
+        list(ENGINES.infer(address, build_request(text="a poison b")))
+    assert first.process.wait(10) == CRASH_EXIT_STATUS
+    second = EngineProcess(address)
+    after = ENGINES.report(address)
+    assert (after.boot_id != before, after.items) == (True, ())
+    load(ENGINES, address)
+    chunks = ENGINES.infer(address, build_request(tokens=50))
+    next(chunks)
+    os.kill(second.process.pid, signal.SIGTERM)
+    wait_until(lambda: ENGINES.report(address).leaving)
+    with pytest.raises(RefusedError) as caught:
+        ENGINES.infer(address, build_request(attempt="b"))
+    assert caught.value.leaving
+    assert [chunk.offset for chunk in chunks] == list(range(1, 52))
+    assert second.process.wait(10) == 0
