--- /dev/null
+++ b/scripts/asking.py
@@ -0,0 +1,252 @@
+"""A well-behaved caller: obeys address answers, run states and ``Retry-After``.
+
+Used by the demo and by the integration tests. Whatever it asks ends in one of
+three ways: a whole answer, a refusal as not run, or an unknown outcome.
+"""
+
+import enum
+import json
+import time
+
+import urllib3
+
+from arbutuspulley.adapters.sse import EventBuffer, SentEvent, feed
+from arbutuspulley.data import State, Value
+from scripts.launcher import fetch
+
+END_MARKER = b"[DONE]"
+IN_PROGRESS = 3001
+"""Result code: the same unrepeatable request still runs."""
+
+TRY_PAUSE_S = 0.2
+"""Pause before the next try when the answer names none."""
+
+_TIMEOUT = urllib3.Timeout(connect=1.0, read=30.0)
+_READ_BYTES = 4_096
+_WHOLE_STATUSES = (200, 201)
+
+
+class Ask(Value, frozen=True):
+    """One request.
+
+    :param name: differs for each request; it is the idempotency key too.
+    :param method: ``POST``, unless a plain service is asked.
+    :param model: model or adapter asked for; empty for a plain service.
+    :param bound_s: when to give up.
+    """
+
+    name: str
+    path: str
+    body: bytes
+    key: str
+    method: str = "POST"
+    model: str = ""
+    streamed: bool = False
+    unrepeatable: bool = False
+    bound_s: float = 20.0
+
+
+class Answer(Value, frozen=True):
+    """What one try brought.
+
+    :param status: HTTP status; 0 if no answer began.
+    :param sent: whether a connection stood, so that the request may have run.
+    :param events: events of a stream, the end marker excluded.
+    :param ended: whether the answer came to its end.
+    """
+
+    status: int = 0
+    sent: bool = True
+    code: int = 0
+    run_state: str = "unknown"
+    retry_after_s: float | None = None
+    body: bytes = b""
+    events: tuple[SentEvent, ...] = ()
+    ended: bool = False
+
+
+class Ending(enum.StrEnum):
+    """How an ask ended."""
+
+    WHOLE = "whole"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class Outcome(Value, frozen=True):
+    """How an ask ended, as its caller saw it.
+
+    :param body: body of a plain answer.
+    :param events: events of a streamed answer, over all tries.
+    :param entries: addresses of the entries that were tried.
+    :param last: the last try.
+    """
+
+    ask: Ask
+    ending: Ending
+    body: bytes
+    events: tuple[SentEvent, ...]
+    entries: tuple[str, ...]
+    last: Answer
+
+
+class AddressBook(State):
+    """A caller's kept address answers; one for each caller.
+
+    :param seeds: addresses of entries that the caller was given once.
+    :param kept: for each model, addresses in order and until when to keep them.
+    """
+
+    seeds: tuple[str, ...]
+    kept: dict[str, tuple[tuple[str, ...], float]] = {}
+
+
+def ask(book: AddressBook, request: Ask) -> Outcome:
+    """Ask until there is an answer, or until the bound."""
+    give_up_at = time.monotonic() + request.bound_s
+    events: list[SentEvent] = []
+    entries: list[str] = []
+    certain = True
+    while True:
+        address = _choose_address(book, request.model, tried=len(entries))
+        entries.append(address)
+        last_id = events[-1].id if events else ""
+        answer = ask_once(address, request, last_event_id=last_id)
+        events += answer.events
+        certain = certain and _is_certainly_not_run(answer)
+        if answer.ended and answer.status in _WHOLE_STATUSES:
+            ending = Ending.WHOLE
+            break
+        _learn(book, request.model, address, answer)
+        pause_s = _choose_pause(request, answer)
+        if pause_s is None or time.monotonic() + pause_s > give_up_at:
+            ending = Ending.REFUSED if certain else Ending.UNKNOWN
+            break
+        time.sleep(pause_s)
+    return Outcome(
+        ask=request,
+        ending=ending,
+        body=answer.body,
+        events=tuple(events),
+        entries=tuple(entries),
+        last=answer,
+    )
+
+
+def ask_once(address: str, request: Ask, *, last_event_id: str = "") -> Answer:
+    """Send a request to one entry and read what comes."""
+    headers = {
+        "Authorization": f"Bearer {request.key}",
+        "Content-Type": "application/json",
+    }
+    if request.unrepeatable:
+        headers["X-Arbutus-Unrepeatable"] = "true"
+        headers["Idempotency-Key"] = request.name
+    if last_event_id:
+        headers["Last-Event-ID"] = last_event_id
+    host, _, port = address.rpartition(":")
+    with urllib3.HTTPConnectionPool(host, int(port), timeout=_TIMEOUT) as pool:
+        try:
+            response = pool.urlopen(
+                request.method,
+                request.path,
+                body=request.body,
+                headers=headers,
+                retries=False,
+                preload_content=False,
+            )
+        except urllib3.exceptions.NewConnectionError:
+            return Answer(sent=False, run_state="not_run")
+        except urllib3.exceptions.HTTPError:
+            return Answer()
+        return _read(response, streamed=request.streamed)
+
+
+def _read(response: urllib3.BaseHTTPResponse, *, streamed: bool) -> Answer:
+    body = b""
+    events: list[SentEvent] = []
+    buffer = EventBuffer()
+    ended = False
+    is_stream = streamed and response.status == 200
+    try:
+        while part := response.read1(_READ_BYTES):
+            if is_stream:
+                events += feed(buffer, part)
+            else:
+                body += part
+        ended = not is_stream
+    except urllib3.exceptions.HTTPError:
+        pass
+    if events and events[-1].data == END_MARKER:
+        events.pop()
+        ended = True
+    return Answer(
+        status=response.status,
+        code=int(response.headers.get("X-Arbutus-Code", "0")),
+        run_state=response.headers.get("X-Arbutus-Run-State", "unknown"),
+        retry_after_s=_read_retry_after(response),
+        body=body,
+        events=tuple(event for event in events if _is_token(event)),
+        ended=ended,
+    )
+
+
+def _is_token(event: SentEvent) -> bool:
+    return bool(event.id) and b'"error"' not in event.data[:12]
+
+
+def _read_retry_after(response: urllib3.BaseHTTPResponse) -> float | None:
+    value = response.headers.get("Retry-After", "")
+    return float(value) if value.isdigit() else None
+
+
+def _is_certainly_not_run(answer: Answer) -> bool:
+    return not answer.sent or answer.run_state == "not_run"
+
+
+def _choose_address(book: AddressBook, model: str, *, tried: int) -> str:
+    addresses, until = book.kept.get(model, ((), 0.0))
+    if not addresses or time.monotonic() > until:
+        addresses = _fetch_addresses(book, model, tried=tried)
+    return addresses[0]
+
+
+def _fetch_addresses(book: AddressBook, model: str, *, tried: int) -> tuple[str, ...]:
+    """Ask one entry after the other, the next one first at each try."""
+    first = tried % len(book.seeds)
+    seeds = book.seeds[first:] + book.seeds[:first]
+    for seed in seeds:
+        reply = fetch("GET", seed, f"/v1/addresses?model={model}")
+        if reply is None or reply.status != 200:
+            continue
+        answer = json.loads(reply.data)
+        addresses = tuple(answer["addresses"])
+        if addresses:
+            until = time.monotonic() + answer["lifetime_s"]
+            book.kept[model] = (addresses, until)
+            return addresses
+    return seeds
+
+
+def _learn(book: AddressBook, model: str, address: str, answer: Answer) -> None:
+    """Put an address that did not serve behind the others, or forget the answer."""
+    addresses, until = book.kept.get(model, ((), 0.0))
+    rest = tuple(one for one in addresses if one != address)
+    if answer.sent and answer.retry_after_s:
+        return
+    if rest:
+        book.kept[model] = ((*rest, address), until)
+    else:
+        book.kept.pop(model, None)
+
+
+def _choose_pause(request: Ask, answer: Answer) -> float | None:
+    """Return when to try again, or ``None`` if trying again is no use or not safe."""
+    if answer.status and answer.status < 500 and answer.status not in (200, 409, 429):
+        return None
+    if answer.retry_after_s is not None:
+        return answer.retry_after_s
+    is_final = answer.status and answer.ended and answer.code != IN_PROGRESS
+    if is_final and request.unrepeatable:
+        return None
+    return TRY_PAUSE_S
--- /dev/null
+++ b/scripts/demo_load.py
@@ -0,0 +1,245 @@
+"""The demo's callers: what they ask, and how their answers are checked.
+
+Counted here, by the asking side, and by the stand-ins; nothing is taken from what
+the system says of itself.
+"""
+
+import json
+import threading
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from arbutuspulley.configuration.lookup import build_item_key
+from arbutuspulley.data import State, Value
+from arbutuspulley.standins import answer
+from arbutuspulley.standins.engine_http import ADMITTED
+from scripts.asking import AddressBook, Ask, Ending, Outcome, ask
+
+WORKERS = 8
+"""Callers that ask at once."""
+
+_KINDS = 10
+"""Requests differ in this many ways, in turn."""
+
+
+class Tally(State):
+    """What came of all requests.
+
+    :param lost: requests without a proper ending, or whose answer is not whole.
+    :param doubled: runs or tokens beyond the one that was asked for.
+    :param untrue: refusals as not run of requests that had been run.
+    :param faults: one line for each of these.
+    """
+
+    endings: Counter[Ending] = msgspec.field(default_factory=Counter)
+    entries: Counter[str] = msgspec.field(default_factory=Counter)
+    lost: int = 0
+    doubled: int = 0
+    untrue: int = 0
+    faults: list[str] = msgspec.field(default_factory=list)
+
+
+class RunCounts(Value, frozen=True):
+    """What the stand-ins have run.
+
+    :param prompts: admissions from the first token, by digest of the prompt.
+    :param bookings: bookings by idempotency key.
+    """
+
+    prompts: Counter[str]
+    bookings: Counter[str]
+
+
+def build_asks(items: dict[str, str], *, count: int, key: str) -> list[Ask]:
+    """Return requests of all kinds, in turn.
+
+    :param items: versions of models and adapters by name.
+    """
+    names = sorted(items)
+    return [
+        _build_ask(number, names[number // _KINDS % len(names)], key)
+        for number in range(count)
+    ]
+
+
+def ask_all(
+    asks: Sequence[Ask],
+    seeds: tuple[str, ...],
+    *,
+    on_begun: Callable[[int], None] = lambda _number: None,
+) -> list[Outcome]:
+    """Ask from several threads at once and return the outcomes.
+
+    :param seeds: addresses of entries that callers know.
+    :param on_begun: called with the number of requests begun so far.
+    """
+    waiting = list(enumerate(asks, start=1))[::-1]
+    outcomes: list[Outcome] = []
+    lock = threading.Lock()
+
+    def work(worker: int) -> None:
+        first = worker % len(seeds)
+        book = AddressBook(seeds=seeds[first:] + seeds[:first])
+        while True:
+            with lock:
+                if not waiting:
+                    return
+                number, request = waiting.pop()
+                on_begun(number)
+            outcome = ask(book, request)
+            with lock:
+                outcomes.append(outcome)
+
+    threads = [threading.Thread(target=work, args=(one,)) for one in range(WORKERS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return outcomes
+
+
+def count_admissions(logs: Sequence[str]) -> Counter[str]:
+    """Count admissions from the first token in the logs of engine stand-ins.
+
+    Their counters end with the process; what they wrote stays when one is killed.
+    """
+    lines = [line.split() for log in logs for line in log.splitlines()]
+    return Counter(
+        words[1]
+        for words in lines
+        if len(words) == 3 and words[0] == ADMITTED and words[2] == "0"
+    )
+
+
+def judge(
+    asks: Sequence[Ask],
+    outcomes: Sequence[Outcome],
+    counts: RunCounts,
+    items: dict[str, str],
+) -> Tally:
+    """Compare what was asked, what came back and what was run."""
+    tally = Tally()
+    by_name = {outcome.ask.name: outcome for outcome in outcomes}
+    for request in asks:
+        outcome = by_name.get(request.name)
+        if outcome is None:
+            tally.lost += 1
+            tally.faults.append(f"{request.name}: no ending")
+            continue
+        tally.endings[outcome.ending] += 1
+        tally.entries.update(outcome.entries)
+        _judge_answer(tally, outcome, items)
+        _judge_runs(tally, outcome, _count_runs(request, counts))
+    return tally
+
+
+def _judge_answer(tally: Tally, outcome: Outcome, items: dict[str, str]) -> None:
+    offsets = [int(event.id.rpartition(":")[2]) for event in outcome.events]
+    repeated = len(offsets) - len(set(offsets))
+    if repeated:
+        tally.doubled += repeated
+        tally.faults.append(f"{outcome.ask.name}: {repeated} events came twice")
+    if outcome.ending is not Ending.WHOLE:
+        return
+    problem = find_problem(outcome, items)
+    if problem:
+        tally.lost += 1
+        tally.faults.append(f"{outcome.ask.name}: {problem}")
+
+
+def _judge_runs(tally: Tally, outcome: Outcome, runs: int) -> None:
+    name = outcome.ask.name
+    if outcome.ask.unrepeatable and runs > 1:
+        tally.doubled += runs - 1
+        tally.faults.append(f"{name}: unrepeatable, run {runs} times")
+    if outcome.ending is Ending.REFUSED and runs:
+        tally.untrue += 1
+        tally.faults.append(f"{name}: refused as not run, run {runs} times")
+    if outcome.ending is Ending.WHOLE and outcome.ask.unrepeatable and not runs:
+        tally.lost += 1
+        tally.faults.append(f"{name}: answered, and no stand-in ran it")
+
+
+def find_problem(outcome: Outcome, items: dict[str, str]) -> str:
+    """Say what is wrong with a whole answer; empty if nothing is.
+
+    Engine stand-ins answer with text that follows from item and prompt, so a missing,
+    doubled or foreign token shows.
+    """
+    request = outcome.ask
+    if not request.model:
+        return _find_service_problem(outcome)
+    prompt = answer.read_prompt(path=request.path, body=request.body)
+    item = build_item_key(name=request.model, version=items[request.model])
+    expected = answer.build_answer(item=item, prompt=prompt)
+    if request.streamed:
+        parts = [json.loads(event.data)["choices"][0] for event in outcome.events]
+    else:
+        parts = [json.loads(outcome.body)["choices"][0]]
+    text = "".join(_read_text(part) for part in parts)
+    return "" if text == expected else f"expected {expected!r}, got {text!r}"
+
+
+def _find_service_problem(outcome: Outcome) -> str:
+    reply = json.loads(outcome.body)
+    if outcome.ask.unrepeatable:
+        return "" if reply["key"] == outcome.ask.name else f"foreign reply {reply}"
+    expected = outcome.ask.path.partition("/services/booking")[2]
+    return "" if reply["target"] == expected else f"foreign reply {reply}"
+
+
+def _read_text(choice: dict[str, dict[str, str] | str]) -> str:
+    part = choice.get("delta") or choice.get("message") or choice
+    assert isinstance(part, dict)
+    return str(part.get("content") or part.get("text") or "")
+
+
+def _count_runs(request: Ask, counts: RunCounts) -> int:
+    if not request.model:
+        return counts.bookings[request.name]
+    prompt = answer.read_prompt(path=request.path, body=request.body)
+    return counts.prompts[prompt.digest]
+
+
+def _build_ask(number: int, model: str, key: str) -> Ask:
+    name = f"ask-{number:03d}"
+    kind = number % _KINDS
+    if kind == 8:
+        body = json.dumps({"guest": name}).encode()
+        path = "/services/booking/bookings"
+        return Ask(name=name, path=path, body=body, key=key, unrepeatable=True)
+    if kind == 9:
+        path = f"/services/booking/stays?guest={name}"
+        return Ask(name=name, path=path, body=b"", key=key, method="GET")
+    return _build_inference(
+        name,
+        model,
+        key,
+        chat=kind % 2 == 0,
+        streamed=kind in (1, 2, 5, 6),
+        unrepeatable=kind in (3, 4, 5, 6),
+    )
+
+
+def _build_inference(
+    name: str, model: str, key: str, *, chat: bool, streamed: bool, unrepeatable: bool
+) -> Ask:
+    prompt = f"Draft a reply to guest {name}."
+    asked = {"messages": [{"role": "user", "content": prompt}]}
+    body = {
+        "model": model,
+        "max_tokens": 24,
+        "stream": streamed,
+        **(asked if chat else {"prompt": prompt}),
+    }
+    return Ask(
+        name=name,
+        path="/v1/chat/completions" if chat else "/v1/completions",
+        body=json.dumps(body).encode(),
+        key=key,
+        model=model,
+        streamed=streamed,
+        unrepeatable=unrepeatable,
+    )
--- a/scripts/launcher.py
+++ b/scripts/launcher.py
@@ -220,7 +220,8 @@
 
 
 def _spawn(process: Process) -> None:
-    command = [sys.executable, "-m", process.module, *process.arguments]
+    run = f"from {process.module} import main; main()"
+    command = [sys.executable, "-c", run, *process.arguments]
     with process.log.open("ab") as log:
         process.popen = subprocess.Popen(
             command,
--- a/src/arbutuspulley/standins/engine_http.py
+++ b/src/arbutuspulley/standins/engine_http.py
@@ -52,6 +52,9 @@
 A comment to a caller that is gone fails, and the attempt is cancelled.
 """
 
+ADMITTED = "admitted"
+"""Begins a line on standard output for each admission: prompt's digest, offset."""
+
 _COMMENT = b": waiting\n\n"
 
 _Result = TypeVar("_Result")
@@ -111,6 +114,8 @@
         missing = tokens.missing
         busy = HTTPStatus.SERVICE_UNAVAILABLE
         return _refuse(HTTPStatus.NOT_FOUND if missing else busy, tokens)
+    # Written before the first token leaves: unlike the counters, it survives SIGKILL.
+    print(f"{ADMITTED} {run.digest} {first}\n", end="", flush=True)
     faults = runtime.perform(lambda state, _now: _take_faults(state))
     if faults.unanswered:
         return Outgoing(cut=True)
