--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -22,6 +22,7 @@
 )
 from arbutuspulley.standins.answer import build_answer, read_prompt
 from arbutuspulley.standins.engine_runtime import CRASH_EXIT_STATUS
+from arbutuspulley.standins.platform import build_server as build_platform
 from arbutuspulley.standins.routes import ANY, Outgoing
 from tests.backends import (
     ITEM,
@@ -444,3 +445,23 @@
     assert caught.value.leaving
     assert [chunk.offset for chunk in chunks] == list(range(1, 52))
     assert second.process.wait(10) == 0
+
+
+def test_loads_wait_for_the_weight_store():
+    """The weight store is down as an engine is told to load.
+
+    The load must neither fail nor go on without permission: it occupies memory,
+    and ends once the store is back and admits it.
+    """
+    platform = build_platform()
+    platform.start()
+    set_faults(platform.address, outage=True, load_ms_per_gib=0)
+    with run_engine(platform=platform.address) as engine:
+        ENGINES.order(engine.address, LOAD)
+        wait_until(lambda: read_counters(platform.address)["refused"])
+        states = [item.state.value for item in ENGINES.report(engine.address).items]
+        assert states == ["loading"]
+        set_faults(platform.address, outage=False)
+        load(ENGINES, engine.address)
+        assert read_counters(platform.address)["loads"] == 1
+    platform.stop()
