--- a/src/arbutuspulley/controller/asking.py
+++ b/src/arbutuspulley/controller/asking.py
@@ -36,11 +36,16 @@
 
 
 async def transact(
-    controller: Controller, transaction: Transaction, *, pool: Executor | None = None
+    controller: Controller,
+    transaction: Transaction,
+    *,
+    pool: Executor | None = None,
+    max_tries: int = COMMIT_TRIES,
 ) -> Committed | Conflict:
     """Commit a transaction of the controller's own and take in what it wrote.
 
     :param pool: threads to use, by default those for all store calls.
+    :param max_tries: sends of the transaction if its reply is lost.
     :raises PlatformUnavailableError: if it certainly had no effect.
     :raises OutcomeUnknownError: if that could not be found out; the rows tell it
         when they are next read.
@@ -50,7 +55,7 @@
         controller,
         controller.writes,
         pool or controller.pools.store,
-        lambda: commit(table, transaction, max_tries=COMMIT_TRIES),
+        lambda: commit(table, transaction, max_tries=max_tries),
     )
     if isinstance(outcome, Committed):
         written = list_written(transaction, revision=outcome.revision)
--- a/src/arbutuspulley/controller/handlers.py
+++ b/src/arbutuspulley/controller/handlers.py
@@ -18,7 +18,7 @@
     sum_own_usage,
     wait_for_view,
 )
-from arbutuspulley.controller.state import Controller
+from arbutuspulley.controller.state import Controller, is_store_up
 from arbutuspulley.delivery import suspects
 from arbutuspulley.delivery.claims import ClaimState, make_claim, settle_claim
 from arbutuspulley.delivery.trials import record_acquittal, record_deaths
@@ -100,7 +100,7 @@
     Waiting out an outage would hold the caller, and let claims pile up that all
     arrive together when the store comes back.
     """
-    if not (controller.reads.up and controller.writes.up):
+    if not is_store_up(controller):
         return ClaimReply(state=ClaimState.UNAVAILABLE)
     platform = controller.platform
     reply = await _deliver(
@@ -146,10 +146,13 @@
 async def _record_deaths(
     controller: Controller, report: DeathReport
 ) -> SuspicionsReply:
-    reply = await _deliver(
-        controller, lambda: record_deaths(controller.platform.table, report)
-    )
     now = controller.clock.now()
+    if is_store_up(controller):
+        reply = await _deliver(
+            controller, lambda: record_deaths(controller.platform.table, report)
+        )
+    else:
+        reply = _note_deaths(controller, report)
     suspects.merge(controller.suspects, reply.suspicions, now=now)
     for suspicion in reply.suspicions:
         log_event(Event.SUSPECT_RECORDED, fingerprint=suspicion.fingerprint)
@@ -157,6 +160,27 @@
     return reply
 
 
+def _note_deaths(controller: Controller, report: DeathReport) -> SuspicionsReply:
+    """Remember deaths while the store is down; peers hear of them all the same.
+
+    A trial is not granted: another instance could try the same request at once.
+    """
+    if report.trial_id:
+        return SuspicionsReply()
+    now = controller.clock.now()
+    noted = tuple(
+        suspects.note_death(
+            controller.suspects,
+            fingerprint=fingerprint,
+            server=report.server,
+            boot_id=report.boot_id,
+            now=now,
+        )
+        for fingerprint in report.fingerprints
+    )
+    return SuspicionsReply(suspicions=noted)
+
+
 async def _acquit(controller: Controller, report: AcquittalReport) -> Acknowledged:
     try:
         suspicion = await _deliver(
--- /dev/null
+++ b/src/arbutuspulley/controller/ledgers.py
@@ -0,0 +1,191 @@
+"""The ledgers of owned servers, kept current by reports and committed when changed."""
+
+import logging
+import uuid
+
+import msgspec
+
+from arbutuspulley.configuration.schema import Server
+from arbutuspulley.controller.asking import transact
+from arbutuspulley.controller.reports import ServerState, is_alive
+from arbutuspulley.controller.sessions import may_order
+from arbutuspulley.controller.state import Controller
+from arbutuspulley.data import State
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.membership.records import build_owner_key
+from arbutuspulley.placement import ledger as ledgers
+from arbutuspulley.placement.ledger import Reconciliation
+from arbutuspulley.placement.records import (
+    CopiesRecord,
+    ServerLedger,
+    build_copies_key,
+    find_entry,
+    replace_entry,
+)
+from arbutuspulley.placement.transactions import (
+    CopiesRow,
+    LedgerRow,
+    build_confirmation,
+    update_copies,
+)
+from arbutuspulley.ports.engines import Order
+from arbutuspulley.ports.platform import ABSENT, Committed, Precondition
+
+
+class Ledgers(State):
+    """Ledgers of owned servers as they stand after the newest reports.
+
+    A report that changes nothing but its own sequence isn't committed, so these
+    may be ahead of the table's rows.
+
+    :param revisions: revision of the row that each was derived from.
+    :param busy: servers with a transaction or an order on its way.
+    :param sent_at: when the load order for a slot was sent, by order number.
+    """
+
+    current: dict[str, ServerLedger] = {}
+    revisions: dict[str, int] = {}
+    busy: set[str] = set()
+    sent_at: dict[tuple[str, int], int] = {}
+
+
+async def reconcile(
+    controller: Controller, work: Ledgers, state: ServerState, server: Server
+) -> tuple[Order, ...]:
+    """Take in a server's newest report, or its silence, and commit what changed.
+
+    :return: orders to send again, now that their new numbers are committed.
+    :raises PlatformUnavailableError: if nothing could be committed.
+    :raises OutcomeUnknownError: if that is not known.
+    """
+    before = _get_ledger(controller, work, state.name)
+    alive = is_alive(state, now=controller.clock.now())
+    if state.report is None:
+        return ()
+    result = ledgers.reconcile(before, server=server, report=state.report)
+    if result.superseded:
+        # The table was restored to a state before fences that this server has
+        # seen, or another owner is ahead: order nothing, and claim anew above it.
+        return ()
+    work.current[state.name] = result.ledger
+    if not _needs_commit(controller, work, result, alive=alive):
+        return ()
+    transaction = build_confirmation(
+        token=uuid.uuid4().hex,
+        group=controller.settings.group,
+        row=build_row(controller, work, result.ledger),
+        copies=_list_copies(controller, result.ledger),
+        alive=alive,
+    )
+    outcome = await transact(controller, transaction)
+    if not isinstance(outcome, Committed):
+        forget(work, state.name)
+        return ()
+    work.revisions[state.name] = outcome.revision
+    _log(controller, state.name, result)
+    return result.resend
+
+
+def _needs_commit(
+    controller: Controller, work: Ledgers, result: Reconciliation, *, alive: bool
+) -> bool:
+    server = result.ledger.server
+    seen = controller.rows.ledgers.get(server)
+    if result.changed or seen is None or seen.ledger.fence != result.ledger.fence:
+        return True
+    if seen.ledger.entries != result.ledger.entries:
+        return True
+    return any(
+        (server in row.record.servers) != _is_answering(result.ledger, row, alive)
+        for row in _list_copies(controller, result.ledger)
+    )
+
+
+def _is_answering(ledger: ServerLedger, row: CopiesRow, alive: bool) -> bool:
+    updated = update_copies(row.record, ledger=ledger, alive=alive)
+    return ledger.server in updated.servers
+
+
+def _list_copies(controller: Controller, ledger: ServerLedger) -> list[CopiesRow]:
+    """Return the copies rows that a server's ledger may change."""
+    items = {entry.item for entry in ledger.entries}
+    items |= {
+        item
+        for item, row in controller.rows.copies.items()
+        if ledger.server in row.record.servers
+    }
+    return [get_copies(controller, item) for item in sorted(items)]
+
+
+def wait_again(work: Ledgers, server: str, item: str, report_sequence: int) -> None:
+    """Count the wait for an order's effect from now, as it is only sent now."""
+    current = work.current[server]
+    entry = find_entry(current, item)
+    if entry is not None:
+        entry = msgspec.structs.replace(entry, since=report_sequence)
+        work.current[server] = replace_entry(current, item, entry)
+
+
+def build_row(controller: Controller, work: Ledgers, ledger: ServerLedger) -> LedgerRow:
+    """Return a ledger to write, under the present ownership."""
+    owner = controller.rows.owners[ledger.server]
+    key = build_owner_key(controller.settings.group, ledger.server)
+    return LedgerRow(
+        ledger=ledger,
+        revision=work.revisions[ledger.server],
+        owner=Precondition(key=key, revision=owner.revision),
+    )
+
+
+def forget(work: Ledgers, server: str) -> None:
+    """Drop what is known of a ledger beyond its row: the row is read again."""
+    work.current.pop(server, None)
+    work.revisions.pop(server, None)
+
+
+def get_copies(controller: Controller, item: str) -> CopiesRow:
+    """Return the row of an item's answering copies as last read."""
+    known = controller.rows.copies.get(item)
+    if known is not None:
+        return known
+    key = build_copies_key(controller.settings.group, item)
+    revision = controller.rows.revisions.get(key, ABSENT)
+    return CopiesRow(record=CopiesRecord(item=item), revision=revision)
+
+
+def is_free(controller: Controller, work: Ledgers, server: str) -> bool:
+    """Tell whether a new step may begin on a server."""
+    if server in work.busy or server not in work.current:
+        return False
+    return may_order(controller, server)
+
+
+def _log(controller: Controller, server: str, result: Reconciliation) -> None:
+    for item in result.loaded:
+        log_event(Event.ITEM_LOADED, server=server, item=item)
+    for item in result.unloaded:
+        log_event(Event.ITEM_UNLOADED, server=server, item=item)
+    controller.metrics.moves.labels("load").inc(len(result.loaded))
+    controller.metrics.moves.labels("unload").inc(len(result.unloaded))
+    if result.corrected:
+        controller.metrics.ledger_corrections.inc()
+        log_event(
+            Event.LEDGER_CORRECTED,
+            level=logging.WARNING,
+            server=server,
+            items=result.corrected,
+        )
+
+
+def _get_ledger(controller: Controller, work: Ledgers, server: str) -> ServerLedger:
+    """Return the ledger as it stands, taken over under the present fence."""
+    seen = controller.rows.ledgers.get(server)
+    revision = seen.revision if seen else ABSENT
+    known = work.current.get(server)
+    fence = controller.rows.owners[server].record.fence
+    if known is None or work.revisions.get(server) != revision:
+        known = seen.ledger if seen else ServerLedger(server=server)
+        work.revisions[server] = revision
+    if known.fence != fence:
+        known = ledgers.take_over(known, fence=max(fence, known.fence))
+    return known
--- a/src/arbutuspulley/controller/orders.py
+++ b/src/arbutuspulley/controller/orders.py
@@ -11,37 +11,36 @@
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.configuration.lookup import list_servers
-from arbutuspulley.configuration.schema import Server
 from arbutuspulley.controller.asking import transact
-from arbutuspulley.controller.reports import ServerState, is_alive
+from arbutuspulley.controller.ledgers import (
+    Ledgers,
+    build_row,
+    forget,
+    get_copies,
+    is_free,
+    reconcile,
+    wait_again,
+)
+from arbutuspulley.controller.reports import ServerState
 from arbutuspulley.controller.sessions import may_order
 from arbutuspulley.controller.state import Controller
-from arbutuspulley.data import State
 from arbutuspulley.events import Event, log_event
-from arbutuspulley.membership.records import build_owner_key
 from arbutuspulley.placement import ledger as ledgers
 from arbutuspulley.placement.actions import Load, Unload
 from arbutuspulley.placement.ledger import (
     DoesNotFitError,
     OutdatedPlanError,
-    Reconciliation,
 )
 from arbutuspulley.placement.records import (
-    CopiesRecord,
     ServerLedger,
     SlotRecord,
-    build_copies_key,
     find_entry,
 )
 from arbutuspulley.placement.transactions import (
-    CopiesRow,
     LastCopyError,
-    LedgerRow,
     SlotRow,
-    build_confirmation,
     build_load_intent,
     build_unload_intent,
-    update_copies,
 )
 from arbutuspulley.ports.engines import (
     BrokenError,
@@ -50,7 +49,7 @@
     OrderOutcome,
     OrderReply,
 )
-from arbutuspulley.ports.platform import ABSENT, Committed, Precondition, Transaction
+from arbutuspulley.ports.platform import Committed, Transaction
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
 
 UNLOAD_GRACE_MS = 3 * SECOND_MS
@@ -58,23 +57,6 @@
 told to stop sending requests for the item there."""
 
 
-class Ledgers(State):
-    """Ledgers of owned servers as they stand after the newest reports.
-
-    A report that changes nothing but its own sequence isn't committed, so these
-    may be ahead of the table's rows.
-
-    :param revisions: revision of the row that each was derived from.
-    :param busy: servers with a transaction or an order on its way.
-    :param sent_at: when the load order for a slot was sent, by order number.
-    """
-
-    current: dict[str, ServerLedger] = {}
-    revisions: dict[str, int] = {}
-    busy: set[str] = set()
-    sent_at: dict[tuple[str, int], int] = {}
-
-
 async def take_report(
     controller: Controller, work: Ledgers, state: ServerState
 ) -> None:
@@ -87,7 +69,7 @@
         return
     work.busy.add(state.name)
     try:
-        orders = await _reconcile(controller, work, state, server)
+        orders = await reconcile(controller, work, state, server)
         for order in orders:
             await _send(controller, work, state, order)
     except (PlatformUnavailableError, OutcomeUnknownError):
@@ -106,7 +88,7 @@
     name = action.server
     state = controller.servers.get(name)
     server = list_servers(controller.force.configuration).get(name)
-    if state is None or server is None or not _is_free(controller, work, name):
+    if state is None or server is None or not is_free(controller, work, name):
         return False
     try:
         current = ledgers.intend_load(
@@ -120,7 +102,7 @@
     transaction = build_load_intent(
         token=uuid.uuid4().hex,
         group=controller.settings.group,
-        row=_build_row(controller, work, current),
+        row=build_row(controller, work, current),
         slot=slot,
         holder=SlotRecord(
             session=controller.lease.session,
@@ -148,14 +130,14 @@
     """
     name = action.server
     state = controller.servers.get(name)
-    if state is None or not _is_free(controller, work, name):
+    if state is None or not is_free(controller, work, name):
         return False
     try:
         current = ledgers.intend_unload(work.current[name], item=action.item)
         transaction = build_unload_intent(
             token=uuid.uuid4().hex,
             group=controller.settings.group,
-            row=_build_row(controller, work, current),
+            row=build_row(controller, work, current),
             copies=get_copies(controller, action.item),
             answering=answering,
             least=action.least,
@@ -171,116 +153,6 @@
     )
 
 
-def forget(work: Ledgers, server: str) -> None:
-    """Drop what is known of a ledger beyond its row: the row is read again."""
-    work.current.pop(server, None)
-    work.revisions.pop(server, None)
-
-
-def get_copies(controller: Controller, item: str) -> CopiesRow:
-    """Return the row of an item's answering copies as last read."""
-    known = controller.rows.copies.get(item)
-    if known is not None:
-        return known
-    key = build_copies_key(controller.settings.group, item)
-    revision = controller.rows.revisions.get(key, ABSENT)
-    return CopiesRow(record=CopiesRecord(item=item), revision=revision)
-
-
-def _is_free(controller: Controller, work: Ledgers, server: str) -> bool:
-    if server in work.busy or server not in work.current:
-        return False
-    return may_order(controller, server)
-
-
-async def _reconcile(
-    controller: Controller, work: Ledgers, state: ServerState, server: Server
-) -> tuple[Order, ...]:
-    before = _get_ledger(controller, work, state.name)
-    alive = is_alive(state, now=controller.clock.now())
-    if state.report is None:
-        return ()
-    result = ledgers.reconcile(before, server=server, report=state.report)
-    if result.superseded:
-        # The table was restored to a state before fences that this server has
-        # seen, or another owner is ahead: order nothing, and claim anew above it.
-        return ()
-    work.current[state.name] = result.ledger
-    if not _needs_commit(controller, work, result, alive=alive):
-        return ()
-    transaction = build_confirmation(
-        token=uuid.uuid4().hex,
-        group=controller.settings.group,
-        row=_build_row(controller, work, result.ledger),
-        copies=_list_copies(controller, result.ledger),
-        alive=alive,
-    )
-    outcome = await transact(controller, transaction)
-    if not isinstance(outcome, Committed):
-        forget(work, state.name)
-        return ()
-    work.revisions[state.name] = outcome.revision
-    _log(controller, state.name, result)
-    return result.resend
-
-
-def _get_ledger(controller: Controller, work: Ledgers, server: str) -> ServerLedger:
-    """Return the ledger as it stands, taken over under the present fence."""
-    seen = controller.rows.ledgers.get(server)
-    revision = seen.revision if seen else ABSENT
-    known = work.current.get(server)
-    fence = controller.rows.owners[server].record.fence
-    if known is None or work.revisions.get(server) != revision:
-        known = seen.ledger if seen else ServerLedger(server=server)
-        work.revisions[server] = revision
-    if known.fence != fence:
-        known = ledgers.take_over(known, fence=max(fence, known.fence))
-    return known
-
-
-def _needs_commit(
-    controller: Controller, work: Ledgers, result: Reconciliation, *, alive: bool
-) -> bool:
-    server = result.ledger.server
-    seen = controller.rows.ledgers.get(server)
-    if result.changed or seen is None or seen.ledger.fence != result.ledger.fence:
-        return True
-    if seen.ledger.entries != result.ledger.entries:
-        return True
-    return any(
-        (server in row.record.servers) != _is_answering(result.ledger, row, alive)
-        for row in _list_copies(controller, result.ledger)
-    )
-
-
-def _is_answering(ledger: ServerLedger, row: CopiesRow, alive: bool) -> bool:
-    updated = update_copies(row.record, ledger=ledger, alive=alive)
-    return ledger.server in updated.servers
-
-
-def _list_copies(controller: Controller, ledger: ServerLedger) -> list[CopiesRow]:
-    """Return the copies rows that a server's ledger may change."""
-    items = {entry.item for entry in ledger.entries}
-    items |= {
-        item
-        for item, row in controller.rows.copies.items()
-        if ledger.server in row.record.servers
-    }
-    return [get_copies(controller, item) for item in sorted(items)]
-
-
-def _build_row(
-    controller: Controller, work: Ledgers, ledger: ServerLedger
-) -> LedgerRow:
-    owner = controller.rows.owners[ledger.server]
-    key = build_owner_key(controller.settings.group, ledger.server)
-    return LedgerRow(
-        ledger=ledger,
-        revision=work.revisions[ledger.server],
-        owner=Precondition(key=key, revision=owner.revision),
-    )
-
-
 async def _intend(
     controller: Controller,
     work: Ledgers,
@@ -302,6 +174,8 @@
         log_event(Event.INTENT_COMMITTED, server=name, item=order.item, kind=order.kind)
         if wait_ms:
             await asyncio.sleep(wait_ms / SECOND_MS)
+            sequence = state.report.sequence if state.report else 0
+            wait_again(work, name, order.item, sequence)
         await _send(controller, work, state, order)
         return True
     except (PlatformUnavailableError, OutcomeUnknownError):
@@ -388,20 +262,3 @@
 
 def _count(controller: Controller, order: Order, outcome: str) -> None:
     controller.metrics.orders.labels(order.kind.value, outcome).inc()
-
-
-def _log(controller: Controller, server: str, result: Reconciliation) -> None:
-    for item in result.loaded:
-        log_event(Event.ITEM_LOADED, server=server, item=item)
-    for item in result.unloaded:
-        log_event(Event.ITEM_UNLOADED, server=server, item=item)
-    controller.metrics.moves.labels("load").inc(len(result.loaded))
-    controller.metrics.moves.labels("unload").inc(len(result.unloaded))
-    if result.corrected:
-        controller.metrics.ledger_corrections.inc()
-        log_event(
-            Event.LEDGER_CORRECTED,
-            level=logging.WARNING,
-            server=server,
-            items=result.corrected,
-        )
--- a/src/arbutuspulley/controller/placing.py
+++ b/src/arbutuspulley/controller/placing.py
@@ -12,7 +12,7 @@
 from arbutuspulley.controller.asking import transact
 from arbutuspulley.controller.demand import list_demand, sum_demand
 from arbutuspulley.controller.exchange import is_silent
-from arbutuspulley.controller.orders import Ledgers
+from arbutuspulley.controller.ledgers import Ledgers
 from arbutuspulley.controller.publishing import list_summaries
 from arbutuspulley.controller.sessions import get_owned, may_order
 from arbutuspulley.controller.state import Controller
--- a/src/arbutuspulley/controller/polling.py
+++ b/src/arbutuspulley/controller/polling.py
@@ -16,7 +16,6 @@
     take_report,
 )
 from arbutuspulley.controller.rows import note_fence
-from arbutuspulley.controller.sessions import get_owned
 from arbutuspulley.controller.state import Controller
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.membership.ownership import choose_poller
@@ -30,12 +29,11 @@
     """Return the servers whose reports this instance reads, and keep their states."""
     now = controller.clock.now()
     servers = list_servers(controller.force.configuration)
-    owned = get_owned(controller)
     orphans = _list_orphans(controller, servers, now=now)
     names: list[str] = []
     for name, server in servers.items():
         state = controller.servers.get(name)
-        is_owned = name in owned
+        is_owned = _find_owner(controller, name) == controller.settings.instance
         if not is_read_here(state, owned=is_owned, chosen=name in orphans, now=now):
             controller.servers.pop(name, None)
             continue
@@ -110,10 +108,19 @@
     own = controller.settings.instance
     orphans: list[str] = []
     for name in servers:
-        row = controller.rows.owners.get(name)
-        owner = row.record.instance if row and row.record.session else ""
+        owner = _find_owner(controller, name)
         if owner == own or owner in reachable:
             continue
         if choose_poller(name, candidates=(own, *reachable)) == own:
             orphans.append(name)
     return frozenset(orphans)
+
+
+def _find_owner(controller: Controller, server: str) -> str:
+    """Return the instance that owns a server, or last did and wasn't replaced yet.
+
+    Whether its lease still runs doesn't matter here: in an outage of the store all
+    leases lapse, and reports must be read all the same.
+    """
+    row = controller.rows.owners.get(server)
+    return row.record.instance if row is not None and row.record.session else ""
--- a/src/arbutuspulley/controller/publishing.py
+++ b/src/arbutuspulley/controller/publishing.py
@@ -13,6 +13,7 @@
 from arbutuspulley.controller.sessions import get_owned
 from arbutuspulley.controller.state import Controller, is_store_up
 from arbutuspulley.controller.views import (
+    KEPT_MS,
     merge_entries,
     merge_servers,
     merge_usage,
@@ -141,6 +142,9 @@
         if known is not None and known.reachable:
             continue
         reachable = not is_silent(peer, now=now)
+        is_known = peer.instance in controller.sessions.rows
+        if not reachable and not is_known and now - (peer.replied_at or 0) > KEPT_MS:
+            continue
         instances[peer.instance] = msgspec.structs.replace(
             peer.status, reachable=reachable
         )
--- a/src/arbutuspulley/controller/running.py
+++ b/src/arbutuspulley/controller/running.py
@@ -13,10 +13,11 @@
 from arbutuspulley.controller import handlers, orders, peers, placing, polling, sessions
 from arbutuspulley.controller.configuring import Following, follow_configuration
 from arbutuspulley.controller.following import follow_instances, follow_rows
-from arbutuspulley.controller.orders import Ledgers
+from arbutuspulley.controller.ledgers import Ledgers
 from arbutuspulley.controller.publishing import publish
 from arbutuspulley.controller.reports import ServerState
 from arbutuspulley.controller.state import Controller
+from arbutuspulley.controller.suspecting import SuspectRows, follow_suspects
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.membership.lease import may_order
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
@@ -28,6 +29,12 @@
 INSTANCES_MS = 5 * SECOND_MS
 """Time between reads of the instance list, which lags anyway."""
 
+SUSPECTS_MS = 5 * SECOND_MS
+"""Time between reads of suspicions; peers tell of new ones sooner."""
+
+SWEEP_MS = 60 * SECOND_MS
+"""Time between looks for rows of instances that are gone for good."""
+
 PLACE_MS = SECOND_MS
 """Time between plans."""
 
@@ -70,6 +77,7 @@
             streaming=handlers.build_streaming(controller),
         )
         following = Following()
+        suspect_rows = SuspectRows()
         memory = placing.Placing()
         self._repeat(self._choose_renewal_pause, self._renew)
         self._repeat_every(settings.follow_ms, self._follow)
@@ -77,6 +85,10 @@
             settings.follow_ms, lambda: follow_configuration(controller, following)
         )
         self._repeat_every(INSTANCES_MS, lambda: follow_instances(controller))
+        self._repeat_every(SWEEP_MS, lambda: sessions.sweep_sessions(controller))
+        self._repeat_every(
+            SUSPECTS_MS, lambda: follow_suspects(controller, suspect_rows)
+        )
         self._repeat_every(settings.report_ms, self._read_reports)
         self._repeat_every(
             settings.exchange_ms, lambda: peers.exchange_with_all(controller)
--- a/src/arbutuspulley/controller/sessions.py
+++ b/src/arbutuspulley/controller/sessions.py
@@ -11,11 +11,14 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.membership import lease as leases
 from arbutuspulley.membership.lease import Renewal
+from arbutuspulley.membership.observation import list_dead
 from arbutuspulley.membership.ownership import (
     OwnerRow,
     build_claim,
     build_release,
     choose_claims,
+    choose_poller,
+    choose_reclaims,
     choose_releases,
     list_owned,
 )
@@ -34,6 +37,9 @@
 )
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
 
+RENEWAL_TRIES = 2
+"""Renewals sent in one round."""
+
 RELEASE_TIMEOUT_MS = 3 * SECOND_MS
 """Longest time spent on releasing at the end; what stays lapses by itself."""
 
@@ -54,17 +60,30 @@
 
 
 async def renew_lease(controller: Controller) -> None:
-    """Send one renewal, under a new session if the lease lapsed."""
-    lease = controller.lease
-    if lease.revision is None:
+    """Send one renewal, under a new session if the lease lapsed.
+
+    One that meets its own earlier effect, whose reply was lost, is sent again.
+    """
+    if controller.lease.revision is None:
         await _read_own_row(controller)
+    for _ in range(RENEWAL_TRIES):
+        if await _renew_once(controller):
+            return
+
+
+async def _renew_once(controller: Controller) -> bool:
+    """Send one renewal.
+
+    :return: whether there is nothing more to be tried at once.
+    """
+    lease = controller.lease
     now = controller.clock.now()
-    was_held = bool(lease.sent_at is not None)
+    was_held = lease.sent_at is not None
     before = lease.session
     renewal = leases.begin_renewal(lease, now=now, chance=controller.chance)
     if renewal is None:
         controller.metrics.renewals.labels("kept_out").inc()
-        return
+        return True
     if was_held and renewal.session != before:
         log_event(Event.LEASE_LAPSED, level=logging.WARNING, session=before)
     try:
@@ -75,12 +94,13 @@
     if isinstance(outcome, Conflict):
         controller.metrics.renewals.labels("conflict").inc()
         await _resolve_conflict(controller)
-        return
+        return lease.displaced_at is not None
     was_new = lease.sent_at is None
     leases.confirm_renewal(lease, renewal, revision=outcome.revision)
     controller.metrics.renewals.labels("confirmed").inc()
     if was_new and lease.sent_at is not None:
         log_event(Event.LEASE_TAKEN, session=lease.session)
+    return True
 
 
 async def share_servers(controller: Controller, *, busy: frozenset[str]) -> None:
@@ -94,7 +114,8 @@
     if not leases.may_order(controller.lease, now=now):
         return
     servers = tuple(list_servers(controller.force.configuration))
-    claims = choose_claims(
+    reclaims = choose_reclaims(get_owned(controller), fences=controller.rows.fences)
+    claims = reclaims or choose_claims(
         instance=controller.settings.instance,
         servers=servers,
         owners=controller.rows.owners,
@@ -115,6 +136,22 @@
         await _hand_over(controller, releases)
 
 
+async def sweep_sessions(controller: Controller) -> None:
+    """Delete rows of instances that are gone for good; one instance does each."""
+    named = frozenset(row.record.session for row in controller.rows.owners.values())
+    for row in list_dead(controller.sessions, named=named):
+        chosen = choose_poller(row.instance, candidates=controller.live)
+        if chosen != controller.settings.instance:
+            continue
+        key = build_session_key(controller.settings.group, row.instance)
+        transaction = Transaction(
+            token=uuid.uuid4().hex,
+            preconditions=(Precondition(key=key, revision=row.revision),),
+            writes=(Write(key=key, value=None),),
+        )
+        await transact(controller, transaction)
+
+
 async def release_all(controller: Controller) -> None:
     """Give up ownership and lease as the process stops, within a bound.
 
@@ -172,7 +209,9 @@
         preconditions=(Precondition(key=key, revision=renewal.revision),),
         writes=(Write(key=key, value=encode(record)),),
     )
-    return await transact(controller, transaction, pool=controller.pools.lease)
+    return await transact(
+        controller, transaction, pool=controller.pools.lease, max_tries=1
+    )
 
 
 async def _resolve_conflict(controller: Controller) -> None:
--- a/src/arbutuspulley/controller/state.py
+++ b/src/arbutuspulley/controller/state.py
@@ -82,8 +82,8 @@
     sessions: ObservationState
     rows: GroupRows
     news: NewsState
-    reads: OutageState = msgspec.field(default_factory=OutageState)
-    writes: OutageState = msgspec.field(default_factory=OutageState)
+    reads: OutageState
+    writes: OutageState
     force: ForceState = msgspec.field(default_factory=ForceState)
     views: ViewState = msgspec.field(default_factory=ViewState)
     suspects: SuspectState = msgspec.field(default_factory=SuspectState)
--- a/src/arbutuspulley/membership/observation.py
+++ b/src/arbutuspulley/membership/observation.py
@@ -12,6 +12,9 @@
 from arbutuspulley.membership.lease import compute_margin
 from arbutuspulley.membership.records import SessionRecord
 
+DEAD_LEASES = 30
+"""Leases after which the row of a lapsed session is deleted."""
+
 
 class SessionRow(Value, frozen=True):
     """A session row as read.
@@ -99,6 +102,24 @@
     )
 
 
+def list_dead(state: ObservationState, *, named: frozenset[str]) -> list[SessionRow]:
+    """Return rows of sessions that were over long ago and own nothing any more.
+
+    Instances are replaced daily under new names; without this their rows stay.
+
+    :param named: the sessions that ownership rows name.
+    """
+    dead: list[SessionRow] = []
+    for row in state.rows.values():
+        session = row.record.session if row.record else ""
+        sign = state.signs.get(session)
+        if sign is None or session in named or state.checked_at is None:
+            continue
+        if state.checked_at - sign >= DEAD_LEASES * state.lease_ms:
+            dead.append(row)
+    return dead
+
+
 def find_session_row(state: ObservationState, session: str) -> SessionRow | None:
     """Return the row that holds a session at present, if any does."""
     for row in state.rows.values():
--- a/src/arbutuspulley/membership/outage.py
+++ b/src/arbutuspulley/membership/outage.py
@@ -1,10 +1,10 @@
 """Whether the platform is up, and when to ask it again: bounded, with jitter.
 
 While it is down, an instance sends one probe at a time. Waits double from
-:data:`FIRST_WAIT_MS` to :data:`LONGEST_WAIT_MS` and each is drawn between half
-and the whole of that, so that instances spread out. At the longest wait, 6
-instances probe 0.8 times a second together and 360 instances 48 times, and the
-first calls after an outage spread over up to 10 s by the same draw.
+:data:`FIRST_WAIT_MS` to the longest wait, and each is drawn between half and the
+whole of that, so that instances spread out; the first calls after an outage spread
+by the same draw. At a longest wait of 5 s, 6 instances probe 1.6 times a second
+together; at 10 s, 360 instances probe 48 times.
 """
 
 import random
@@ -15,7 +15,7 @@
 """Longest wait after the first failure in a row."""
 
 LONGEST_WAIT_MS = 10_000
-"""Longest wait between two probes."""
+"""Longest wait between two probes, whatever the lease."""
 
 FAILURES_TO_DOWN = 2
 """Failures in a row after which the platform counts as down."""
@@ -24,16 +24,28 @@
 class OutageState(State):
     """What an instance knows of the platform's state.
 
+    :param longest_wait_ms: longest wait between two probes.
     :param failures: calls in a row that had no answer.
     :param next_at: earliest time of the next call while failures go on.
     :param up: whether callers' work may rely on the platform now.
     """
 
+    longest_wait_ms: int = LONGEST_WAIT_MS
     failures: int = 0
     next_at: int = 0
     up: bool = False
 
 
+def choose_longest_wait(lease_ms: int) -> int:
+    """Return the longest wait for a lease: half of it.
+
+    After an outage all leases are over. Instances that are back first give the
+    others a lease to come back, too; with a longer wait some would miss that, and
+    their servers would move for nothing.
+    """
+    return min(LONGEST_WAIT_MS, lease_ms // 2)
+
+
 def may_try(state: OutageState, *, now: int, chance: random.Random) -> bool:
     """Tell whether a call may be made now; while down, reserves the next probe.
 
@@ -44,7 +56,7 @@
         return True
     if now < state.next_at:
         return False
-    state.next_at = now + _draw_wait(state.failures, chance)
+    state.next_at = now + _draw_wait(state, chance)
     return True
 
 
@@ -54,7 +66,7 @@
     :return: whether the platform counts as down from now on and did not before.
     """
     state.failures += 1
-    state.next_at = now + _draw_wait(state.failures, chance)
+    state.next_at = now + _draw_wait(state, chance)
     if state.failures < FAILURES_TO_DOWN or not state.up:
         return False
     state.up = False
@@ -72,6 +84,7 @@
     return was_down
 
 
-def _draw_wait(failures: int, chance: random.Random) -> int:
-    bound = min(LONGEST_WAIT_MS, FIRST_WAIT_MS * 2 ** min(failures - 1, 16))
+def _draw_wait(state: OutageState, chance: random.Random) -> int:
+    doubled = FIRST_WAIT_MS * 2 ** min(state.failures - 1, 16)
+    bound = min(state.longest_wait_ms, doubled)
     return chance.randint(bound // 2, bound)
--- a/src/arbutuspulley/membership/ownership.py
+++ b/src/arbutuspulley/membership/ownership.py
@@ -89,6 +89,24 @@
     return tuple(mine[:CLAIMS_AT_ONCE])
 
 
+def choose_reclaims(
+    owned: Mapping[str, OwnerRow], *, fences: Mapping[str, int]
+) -> tuple[str, ...]:
+    """Return own servers that have seen a higher fencing number than ours.
+
+    A table restored from a backup holds fences of an earlier time. A server that
+    checks orders would refuse all of ours as stale, for as long as we hold it.
+
+    :param fences: the highest fencing number ever met for a server.
+    """
+    behind = [
+        server
+        for server, row in sorted(owned.items())
+        if fences.get(server, 0) > row.record.fence
+    ]
+    return tuple(behind[:CLAIMS_AT_ONCE])
+
+
 def choose_releases(
     *,
     instance: str,
@@ -165,7 +183,6 @@
             fence=known + 1,
         )
         writes.append(Write(key=build_owner_key(group, server), value=encode(record)))
-    expected[own_key] = lease.revision
     return Transaction(
         token=token,
         preconditions=tuple(
--- a/src/arbutuspulley/programs/controller.py
+++ b/src/arbutuspulley/programs/controller.py
@@ -25,6 +25,7 @@
 from arbutuspulley.loop import LoopThread
 from arbutuspulley.membership.lease import LeaseState
 from arbutuspulley.membership.observation import ObservationState
+from arbutuspulley.membership.outage import OutageState, choose_longest_wait
 from arbutuspulley.settings import (
     Check,
     SettingsError,
@@ -41,8 +42,11 @@
 PROGRAM = "arbutus-controller"
 
 STORE_TIMEOUT_MS = 2_000
-"""Longest wait for the platform; less than a lease, so that a renewal can be tried
-again before the lease is over."""
+"""Longest wait for the platform."""
+
+STORE_TIMEOUT_LEASE_PART = 5
+"""It is also at most this part of a lease, so that a renewal whose reply is lost can
+be read back and sent again before the lease is over."""
 
 REPORT_TIMEOUT_MS = 2_000
 """Longest wait for a report or for the reply to an order."""
@@ -67,7 +71,7 @@
         clock=Clock(),
         chance=random.Random(uuid.uuid4().int),
         platform=connect_platform(
-            address=settings.platform, timeout_ms=STORE_TIMEOUT_MS
+            address=settings.platform, timeout_ms=_choose_store_timeout(settings)
         ),
         engines=connect_engines(order_timeout_ms=REPORT_TIMEOUT_MS),
         pools=_build_pools(),
@@ -75,6 +79,8 @@
         lease=LeaseState(instance=settings.instance, lease_ms=settings.lease_ms),
         sessions=ObservationState(lease_ms=settings.lease_ms),
         rows=GroupRows(group=settings.group),
+        reads=OutageState(longest_wait_ms=choose_longest_wait(settings.lease_ms)),
+        writes=OutageState(longest_wait_ms=choose_longest_wait(settings.lease_ms)),
         news=NewsState(epoch=uuid.uuid4().hex),
     )
 
@@ -201,6 +207,10 @@
     ]
 
 
+def _choose_store_timeout(settings: ControllerSettings) -> int:
+    return min(STORE_TIMEOUT_MS, settings.lease_ms // STORE_TIMEOUT_LEASE_PART)
+
+
 def _build_pools() -> Pools:
     def build(name: str, threads: int) -> ThreadPoolExecutor:
         return ThreadPoolExecutor(max_workers=threads, thread_name_prefix=name)
--- /dev/null
+++ b/tests/nodes.py
@@ -0,0 +1,95 @@
+"""Controllers without processes: a fake platform, fake engines and a test clock."""
+
+import random
+from concurrent.futures import ThreadPoolExecutor
+
+from arbutuspulley.clock import Clock
+from arbutuspulley.controller.exchange import NewsState
+from arbutuspulley.controller.following import follow_rows
+from arbutuspulley.controller.metrics import build_metrics
+from arbutuspulley.controller.rows import GroupRows
+from arbutuspulley.controller.sessions import renew_lease, share_servers
+from arbutuspulley.controller.state import Controller, ControllerSettings, Pools
+from arbutuspulley.membership.lease import LeaseState
+from arbutuspulley.membership.observation import ObservationState
+from arbutuspulley.membership.outage import OutageState, choose_longest_wait
+from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
+
+LEASE_MS = 10_000
+
+
+class TestTime:
+    """A clock that a test sets."""
+
+    __test__ = False
+
+    def __init__(self):
+        self.now = 1_000
+
+
+def build_settings(name="a", **changes):
+    values = {
+        "instance": name,
+        "site": "site-a",
+        "group": "main",
+        "listen": f"127.0.0.1:{7000 + sum(name.encode())}",
+        "http": "127.0.0.1:1",
+        "platform": "127.0.0.1:1",
+        "peers": (),
+        "peer_key": "k",
+        "lease_ms": LEASE_MS,
+        "renew_ms": 2_500,
+        "report_ms": 500,
+        "exchange_ms": 1_000,
+        "follow_ms": 1_000,
+    }
+    return ControllerSettings(**(values | changes))
+
+
+def build_node(name, platform, time, *, configuration, engines=None):
+    """Return a controller's state with a configuration in force."""
+    pool = ThreadPoolExecutor(max_workers=2)
+    node = Controller(
+        settings=build_settings(name),
+        clock=Clock(read=lambda: time.now),
+        chance=random.Random(name),
+        platform=platform,
+        engines=engines,
+        pools=Pools(lease=pool, store=pool, delivery=pool, reports=pool, orders=pool),
+        metrics=build_metrics(),
+        lease=LeaseState(instance=name, lease_ms=LEASE_MS),
+        sessions=ObservationState(lease_ms=LEASE_MS),
+        rows=GroupRows(group="main"),
+        reads=OutageState(longest_wait_ms=choose_longest_wait(LEASE_MS)),
+        writes=OutageState(longest_wait_ms=choose_longest_wait(LEASE_MS)),
+        news=NewsState(epoch=name),
+    )
+    node.force.configuration = configuration
+    return node
+
+
+async def try_step(coroutine):
+    """Run a step of a loop as the loop does: an outage ends it quietly."""
+    try:
+        await coroutine
+    except (PlatformUnavailableError, OutcomeUnknownError):
+        pass
+
+
+async def run_second(nodes, time, *, seconds=1):
+    """Let time pass, with one round of renewing, following and claiming a second."""
+    for _ in range(seconds):
+        time.now += 1_000
+        for node in nodes:
+            if time.now % 2_000 == 0:
+                await try_step(renew_lease(node))
+            await try_step(follow_rows(node))
+            await try_step(share_servers(node, busy=frozenset()))
+
+
+def list_fences(node):
+    """Return owner instance and fence of each server, as a node has read them."""
+    return {
+        server: (row.record.instance if row.record.session else "", row.record.fence)
+        for server, row in sorted(node.rows.owners.items())
+    }
--- /dev/null
+++ b/tests/test_controller.py
@@ -0,0 +1,420 @@
+"""The controller's loops over a fake platform, and two real ones with one frozen."""
+
+import asyncio
+import json
+import signal
+
+import msgspec
+import pytest
+import urllib3
+
+from arbutuspulley.adapters.platform import connect_platform
+from arbutuspulley.configuration import approval, schema
+from arbutuspulley.configuration.files import SourceFile
+from arbutuspulley.configuration.lookup import list_configured_items
+from arbutuspulley.configuration.merge import FileSet
+from arbutuspulley.controller import handlers, orders
+from arbutuspulley.controller.ledgers import Ledgers
+from arbutuspulley.controller.reports import ServerState
+from arbutuspulley.controller.sessions import get_owned, may_order, release_all
+from arbutuspulley.membership.records import decode_owner
+from arbutuspulley.placement.actions import Load
+from arbutuspulley.placement.transactions import SlotRow
+from arbutuspulley.ports.engines import Engines, OrderOutcome, OrderReply, Report
+from arbutuspulley.programs import controller as program
+from arbutuspulley.rpc.messages import ClaimRequest, DeathReport
+from arbutuspulley.standins import platform_state
+from scripts import fleet as fleets
+from scripts.launcher import open_launcher, wait_until
+from tests.fakes import FakePlatform, build_configuration
+from tests.nodes import (
+    LEASE_MS,
+    TestTime,
+    build_node,
+    list_fences,
+    run_second,
+    try_step,
+)
+
+LONGEST_WAIT_S = LEASE_MS // 2_000
+"""Seconds after an outage in which every instance has asked the store again."""
+
+LAPSE_S = 11
+"""Seconds after which others may act on a silent session: lease and margin."""
+
+
+def build_pair():
+    """Return a fake platform, a clock and two nodes that have shared two servers."""
+    fake, time = FakePlatform(), TestTime()
+    nodes = [
+        build_node(name, fake.platform, time, configuration=build_configuration())
+        for name in ("a", "b")
+    ]
+    return fake, time, nodes
+
+
+async def settle(nodes, time):
+    """Let both take sessions and share out, and return the fences as they are."""
+    await run_second(nodes, time, seconds=40)
+    fences = list_fences(nodes[0])
+    assert {owner for owner, _ in fences.values()} == {"a", "b"}
+    return fences
+
+
+def test_paused_owner_orders_nothing_and_its_servers_go_on_with_higher_fences():
+    """Owner ``a`` is paused for 13 s. ``b`` waits out its lease and takes over.
+
+    When ``a`` wakes it has read nothing yet and still believes in its rows; only
+    its own clock can tell it that it must not order.
+    """
+
+    async def run():
+        _, time, (a, b) = build_pair()
+        before = await settle([a, b], time)
+        (server,) = get_owned(a)
+        await run_second([b], time, seconds=LAPSE_S - 2)
+        assert list_fences(b) == before
+        await run_second([b], time, seconds=4)
+        assert list_fences(b)[server] == ("b", before[server][1] + 1)
+        assert a.rows.owners[server].record.session == a.lease.session
+        assert not may_order(a, server)
+
+    asyncio.run(run())
+
+
+def test_outage_of_ten_minutes_moves_nothing_and_ends_within_a_bound():
+    """The store is out for ten minutes; all leases lapse and nobody may order.
+
+    It comes back, and ``a`` is there first: all it reads of ``b`` is ten minutes
+    old. Each takes its own servers again, under higher fences, within the longest
+    wait and a round or two; no server changes hands.
+    """
+
+    async def run():
+        fake, time, nodes = build_pair()
+        before = await settle(nodes, time)
+        fake.down = True
+        await run_second(nodes, time, seconds=600)
+        assert not any(get_owned(node) for node in nodes)
+        assert not nodes[0].reads.up
+        fake.down = False
+        await run_second(nodes[:1], time, seconds=LONGEST_WAIT_S)
+        await run_second(nodes, time, seconds=6)
+        after = list_fences(nodes[1])
+        assert sum(len(get_owned(node)) for node in nodes) == 2
+        for server, (owner, fence) in before.items():
+            assert after[server] == (owner, fence + 1)
+
+    asyncio.run(run())
+
+
+def test_table_restored_from_a_backup_starts_ownership_anew_above_all_fences():
+    """Operators restore the table to a backup of before the last claims.
+
+    Its rows name sessions and fences of an earlier time. Instances that went on
+    from their own memory would order under numbers that others get again.
+    """
+
+    async def run():
+        fake, time, (a, b) = build_pair()
+        early = await settle([a, b], time)
+        revision = fake.state.revision
+        await run_second([b], time, seconds=LAPSE_S + 4)
+        await run_second([a, b], time, seconds=60)
+        late = list_fences(a)
+        assert late != early
+        platform_state.restore(fake.state, revision)
+        await run_second([a, b], time, seconds=1)
+        assert not get_owned(a)
+        assert not get_owned(b)
+        await run_second([a, b], time, seconds=2 * LAPSE_S + 4)
+        owned = [*get_owned(a), *get_owned(b)]
+        assert sorted(owned) == sorted(late)
+        for server, (_, fence) in list_fences(a).items():
+            assert fence > late[server][1]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("lost", ["lost_replies", "lost_requests"])
+def test_lost_renewals_do_not_cost_the_lease(lost):
+    """One renewal is lost on its way, or its reply is, while the store is up."""
+
+    async def run():
+        fake, time, (a, b) = build_pair()
+        before = await settle([a, b], time)
+        session = a.lease.session
+        setattr(fake, lost, 1)
+        await run_second([a, b], time, seconds=20)
+        assert getattr(fake, lost) == 0
+        assert a.lease.session == session
+        assert list_fences(a) == before
+
+    asyncio.run(run())
+
+
+def test_stopping_controller_hands_over_at_once():
+    async def run():
+        _, time, (a, b) = build_pair()
+        before = await settle([a, b], time)
+        (server,) = get_owned(a)
+        await release_all(a)
+        await run_second([b], time, seconds=2)
+        assert list_fences(b)[server] == ("b", before[server][1] + 1)
+        assert "a" not in b.sessions.rows
+
+    asyncio.run(run())
+
+
+class FakeEngine:
+    """Takes orders and remembers them."""
+
+    def __init__(self, outcome=OrderOutcome.ACCEPTED):
+        self.orders = []
+        self.outcome = outcome
+        self.engines = Engines(
+            infer=None,
+            cancel=None,
+            report=None,
+            order=self._order,
+            cache_events=None,
+            call_service=None,
+        )
+
+    def _order(self, _, order):
+        self.orders.append(order)
+        return OrderReply(outcome=self.outcome)
+
+
+async def load_one(node, *, time, before_commit=None, fake=None):
+    """Let a node load the model on a server that it owns."""
+    (server,) = get_owned(node)
+    state = ServerState(name=server, address="127.0.0.1:9001")
+    state.report = Report(server=server, boot_id="boot", sequence=1)
+    state.received_at = time.now
+    node.servers[server] = state
+    work = Ledgers()
+    await orders.take_report(node, work, state)
+    item = list_configured_items(node.force.configuration)["draft@1"]
+    if before_commit:
+        fake.before_transact = before_commit
+    step = orders.load(node, work, Load(server=server, item=item), SlotRow(number=0))
+    return server, work, await step
+
+
+def test_intent_is_committed_before_its_order_is_sent():
+    async def run():
+        fake, time, (a, b) = build_pair()
+        await settle([a, b], time)
+        engine = FakeEngine()
+        a.engines = engine.engines
+        server, work, done = await load_one(a, time=time)
+        assert done
+        (order,) = engine.orders
+        row = fake.platform.table.read(f"main/ledger/{server}")
+        (entry,) = json.loads(row.value)["entries"]
+        assert (entry["item"], entry["number"]) == (order.item, order.number)
+        assert order.fence == a.rows.owners[server].record.fence
+        assert work.current[server].entries[0].accepted == 1
+
+    asyncio.run(run())
+
+
+def test_pause_between_commit_and_order_sends_nothing():
+    """An owner commits the intent of a load and is paused for a minute.
+
+    It wakes with the order ready. The next owner has found the intent in the
+    ledger and has ordered it already; a server that does not check orders would
+    apply both.
+    """
+
+    async def run():
+        fake, time, (a, b) = build_pair()
+        await settle([a, b], time)
+        engine = FakeEngine()
+        a.engines = engine.engines
+
+        def pause():
+            time.now += 60_000
+
+        await load_one(a, time=time, before_commit=pause, fake=fake)
+        assert fake.platform.table.read("main/load-slot/0") is not None
+        assert engine.orders == []
+
+    asyncio.run(run())
+
+
+def test_owner_that_was_replaced_commits_no_intent():
+    """The owner's clock is slow, so its lease seems to run when others took over."""
+
+    async def run():
+        _, time, (a, b) = build_pair()
+        await settle([a, b], time)
+        engine = FakeEngine()
+        a.engines = engine.engines
+        (server,) = get_owned(a)
+        await run_second([b], time, seconds=LAPSE_S + 4)
+        a.lease.sent_at = time.now
+        _, _, done = await load_one(a, time=time)
+        assert list_fences(b)[server][0] == "b"
+        assert not done
+        assert engine.orders == []
+
+    asyncio.run(run())
+
+
+def test_work_that_needs_the_store_is_refused_at_once_while_it_is_down():
+    """The store is down. A booking confirmation and a server's death come in.
+
+    Waiting for the store would hold both callers for its timeouts, and let claims
+    pile up that arrive together when it is back. Neither may call it at all.
+    """
+
+    async def run():
+        fake, time, (a, b) = build_pair()
+        await settle([a, b], time)
+        fake.down = True
+        await run_second([a, b], time, seconds=10)
+        a.platform = None
+        unary = handlers.build_unary(a)
+        claim = ClaimRequest(caller="c", key="k", body_sha256="x", attempt_id="1")
+        reply = await unary[handlers.channel.CLAIM](claim)
+        assert reply.state == "unavailable"
+        death = DeathReport(server="s", boot_id="1", fingerprints=("f",))
+        noted = await unary[handlers.channel.REPORT_DEATH](death)
+        assert not noted.recorded
+        assert [one.fingerprint for one in noted.suspicions] == ["f"]
+        trial = msgspec.structs.replace(death, trial_id="t")
+        assert not (await unary[handlers.channel.REPORT_DEATH](trial)).granted
+
+    asyncio.run(run())
+
+
+def test_release_while_the_store_is_down_ends_all_the_same():
+    async def run():
+        fake, time, (a, b) = build_pair()
+        await settle([a, b], time)
+        fake.down = True
+        await try_step(release_all(a))
+        assert not get_owned(a)
+
+    asyncio.run(run())
+
+
+def test_all_wrong_settings_are_named_together(capsys):
+    with pytest.raises(SystemExit) as refused:
+        program.app(
+            [
+                *("--instance", "a", "--site", "s", "--peer-key", "k"),
+                *("--listen", "here:1", "--http", "127.0.0.1:0"),
+                *("--platform", "127.0.0.1:1", "--renew-ms", "9000"),
+                *("--peers", "127.0.0.1:2,there:3", "--log-format", "xml"),
+            ]
+        )
+    shown = capsys.readouterr().err
+    assert refused.value.code == 2
+    for setting in ("--listen", "--http", "--peers", "--renew-ms", "--log-format"):
+        assert setting in shown
+
+
+PLAN = fleets.Plan(
+    instances=(
+        fleets.InstancePlan(name="a", site="site-a", entries=0),
+        fleets.InstancePlan(name="b", site="site-b", entries=0),
+    ),
+    servers=(
+        fleets.ServerPlan(name="engine-a", site="site-a"),
+        fleets.ServerPlan(name="engine-b", site="site-b", checks_orders=False),
+    ),
+    services=(),
+    models={"draft": schema.Model(version="1", size_mib=9_000)},
+    lease_ms=3_000,
+    renew_ms=500,
+)
+
+
+def approve_plan(platform, fleet, directory):
+    """Bring the fleet's files into force, with ``copies`` of its model."""
+    base, *overlays = (
+        SourceFile(name=path.name, text=path.read_text())
+        for path in fleets.write_files(fleet, directory)
+    )
+    files = FileSet(base=base, overlays=tuple(overlays))
+    proposal = approval.propose(platform, files=files, proposer="t", now_ms=0)
+    approval.approve(
+        platform,
+        proposal=proposal.proposal,
+        base_version=proposal.base_version,
+        approver="t",
+        now_ms=0,
+    )
+
+
+def read_owner(platform, server):
+    """Return instance and fence in a server's ownership row."""
+    row = platform.table.read(f"main/owner/{server}")
+    if row is None:
+        return "", 0
+    record = decode_owner(row.value)
+    return (record.instance if record.session else ""), record.fence
+
+
+def read_orders(fleet, server):
+    url = f"http://{fleet.addresses[server]}/control/counters"
+    return urllib3.request("GET", url).json()["orders"]
+
+
+def test_frozen_controller_is_replaced_and_orders_nothing_when_it_wakes(tmp_path):
+    """Controller ``a`` is frozen for longer than its lease, in real processes.
+
+    ``b`` takes its server over under a higher fence. An operator then approves a
+    second copy, and ``b`` orders it there. ``a`` wakes and must not order under its
+    old fence, on servers that check orders and on those that don't.
+    """
+    with open_launcher(tmp_path) as launcher:
+        fleet = fleets.build_fleet(PLAN, launcher)
+        fleets.start_standins(fleet)
+        for instance in PLAN.instances:
+            fleets.start_controller(fleet, instance)
+        launcher.wait_ready("controller-a", "controller-b")
+        platform = connect_platform(address=fleet.addresses["platform"])
+        approve_plan(platform, fleet, tmp_path)
+        names = ("engine-a", "engine-b")
+
+        def owners():
+            return {name: read_owner(platform, name) for name in names}
+
+        wait_until(
+            lambda: {owner for owner, _ in owners().values()} == {"a", "b"},
+            what="both to own a server",
+        )
+        before = owners()
+        (lost,) = (name for name, (owner, _) in before.items() if owner == "a")
+        wait_until(
+            lambda: any(read_orders(fleet, name) for name in names), what="a load"
+        )
+        launcher.send("controller-a", signal.SIGSTOP)
+        wait_until(
+            lambda: owners()[lost] == ("b", before[lost][1] + 1), what="b to claim"
+        )
+        two = msgspec.structs.replace(PLAN.models["draft"], copies=2)
+        fleet.plan = msgspec.structs.replace(PLAN, models={"draft": two})
+        approve_plan(platform, fleet, tmp_path)
+        wait_until(
+            lambda: all(read_orders(fleet, name) for name in names), what="both copies"
+        )
+        launcher.send("controller-a", signal.SIGCONT)
+        wait_until(
+            lambda: (
+                "lease_lapsed" in launcher.read_log("controller-a")
+                and launcher.read_log("controller-a").count("lease_taken") == 2
+            ),
+            what="a to take a new lease",
+        )
+        for name in names:
+            fences = [order["fence"] for order in read_orders(fleet, name)]
+            assert fences == sorted(fences)
+        assert owners()[lost][1] > before[lost][1]
+        statuses = launcher.stop("controller-a", "controller-b")
+        assert set(statuses.values()) == {0}
+        assert {owner for owner, _ in owners().values()} == {""}
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,140 @@
+"""Peers tell one another changes only, and notice who is silent."""
+
+import pytest
+
+from arbutuspulley.configuration.schema import Configuration
+from arbutuspulley.controller import exchange
+from arbutuspulley.controller.exchange import NewsState, PeerState
+from arbutuspulley.rpc.messages import (
+    EntryAddress,
+    InstanceStatus,
+    ItemDemand,
+    ServerSummary,
+    Suspicion,
+)
+
+STATUS = InstanceStatus(instance="b", site="s", configuration_version=3)
+ENTRY = EntryAddress(instance="b", site="s", address="127.0.0.1:1")
+
+
+def summarise(name, *, items=("m@1",), running=0, age_ms=0):
+    return ServerSummary(
+        server=name,
+        site="s",
+        address="127.0.0.1:9",
+        items=items,
+        running=running,
+        age_ms=age_ms,
+    )
+
+
+def update(news, *summaries, suspicions=(), demand=()):
+    exchange.update_news(
+        news,
+        servers={one.server: one for one in summaries},
+        suspicions=suspicions,
+        demand=demand,
+    )
+
+
+def ask(news, peer, *, now=0, items=(), version=3):
+    """Let a peer's state take the reply to its next request; return the reply."""
+    request = exchange.build_request(
+        peer, instance="a", configuration_version=version, items=items
+    )
+    reply = exchange.build_reply(
+        news,
+        request,
+        instance="b",
+        configuration=Configuration(version=3),
+        entries=(ENTRY,),
+        usage=(),
+        status=STATUS,
+    )
+    exchange.take_reply(peer, reply, now=now)
+    return reply
+
+
+def test_only_changes_are_told_and_ages_are_none():
+    news, peer = NewsState(epoch="1"), PeerState(address="x:1")
+    demand = (ItemDemand(item="m@1", requests=1, tokens=9),)
+    update(news, summarise("s1"), summarise("s2"), demand=demand)
+    first = ask(news, peer)
+    assert {one.server for one in first.servers} == {"s1", "s2"}
+    update(news, summarise("s1", age_ms=900), summarise("s2"), demand=demand)
+    quiet = ask(news, peer)
+    assert (quiet.servers, quiet.gone, quiet.demand) == ((), (), None)
+    update(news, summarise("s1", running=4), demand=())
+    changed = ask(news, peer)
+    assert [one.server for one in changed.servers] == ["s1"]
+    assert changed.gone == ("s2",)
+    assert changed.demand == ()
+    assert set(peer.servers) == {"s1"}
+    assert (peer.entries, peer.demand) == ((ENTRY,), ())
+
+
+def test_restarted_peer_is_heard_from_the_start():
+    """A controller is restarted and counts its news from 1 again.
+
+    An asker that went on from its old number would hear nothing of it for as long
+    as the new count stays below, and keep servers that it no longer owns.
+    """
+    old, peer = NewsState(epoch="1"), PeerState(address="x:1")
+    for running in range(9):
+        update(old, summarise("s1", running=running))
+    ask(old, peer)
+    new = NewsState(epoch="2")
+    update(new, summarise("s2"))
+    ask(new, peer)
+    assert set(peer.servers) == {"s2"}
+
+
+def test_late_reply_does_not_undo_a_newer_one():
+    news, peer = NewsState(epoch="1"), PeerState(address="x:1")
+    update(news, summarise("s1", running=1))
+    late = ask(news, PeerState(address="x:1"))
+    update(news, summarise("s1", running=2))
+    ask(news, peer)
+    assert not exchange.take_reply(peer, late, now=5)
+    assert peer.servers["s1"].running == 2
+
+
+@pytest.mark.parametrize(
+    ("items", "told", "gone"),
+    [
+        ((), {"s1", "s2"}, set()),
+        (("m@1",), {"s1"}, {"s2"}),
+        (("x@1",), set(), {"s1", "s2"}),
+    ],
+)
+def test_peer_hears_of_servers_that_hold_what_it_serves(items, told, gone):
+    news, peer = NewsState(epoch="1"), PeerState(address="x:1")
+    update(news, summarise("s1"), summarise("s2", items=("n@1",)))
+    reply = ask(news, peer, items=items)
+    assert {one.server for one in reply.servers} == told
+    assert set(reply.gone) == gone
+
+
+def test_suspicion_is_told_once_and_again_when_it_changes():
+    news, peer = NewsState(epoch="1"), PeerState(address="x:1")
+    update(news, suspicions=(Suspicion(fingerprint="f", deaths=("s1/1",)),))
+    told = [len(ask(news, peer).suspicions) for _ in range(2)]
+    update(news, suspicions=(Suspicion(fingerprint="f", deaths=("s1/1", "s2/1")),))
+    assert [*told, len(ask(news, peer).suspicions)] == [1, 0, 1]
+
+
+@pytest.mark.parametrize(
+    ("version", "sent"), [(0, True), (2, True), (3, False), (9, False)]
+)
+def test_configuration_is_passed_on_to_who_has_an_older_one(version, sent):
+    reply = ask(NewsState(epoch="1"), PeerState(address="x:1"), version=version)
+    assert (reply.configuration is not None) is sent
+    assert reply.configuration_version == 3
+
+
+def test_peer_is_silent_before_its_first_reply_and_after_three_seconds():
+    peer = PeerState(address="x:1")
+    assert exchange.is_silent(peer, now=0)
+    ask(NewsState(epoch="1"), peer, now=1_000)
+    assert not exchange.is_silent(peer, now=1_000 + exchange.SILENT_MS)
+    assert exchange.is_silent(peer, now=1_001 + exchange.SILENT_MS)
--- /dev/null
+++ b/tests/test_observation.py
@@ -0,0 +1,171 @@
+"""Which sessions an observer takes for running and which for over."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from arbutuspulley.membership import lease as leases
+from arbutuspulley.membership import observation as observing
+from arbutuspulley.membership.lease import LeaseState
+from arbutuspulley.membership.observation import ObservationState, SessionRow
+from arbutuspulley.membership.records import SessionRecord
+
+LEASE_MS = 10_000
+WAIT_MS = 11_000
+"""Lease and margin: how long an observer waits."""
+
+
+def build_row(instance="a", session="s1", revision=1, ended=""):
+    record = SessionRecord(
+        instance=instance, session=session, site="x", address="x:1", ended=ended
+    )
+    return SessionRow(instance=instance, revision=revision, record=record)
+
+
+def observe_until(state, end, *, rows=(), step=1_000, start=0):
+    """Scan every step; ``rows`` come with the first scan."""
+    for now in range(start, end + 1, step):
+        observing.observe(state, rows if now == start else (), sent_at=now, now=now)
+
+
+@pytest.mark.parametrize(
+    ("until", "over"), [(0, False), (WAIT_MS - 1_000, False), (WAIT_MS, True)]
+)
+def test_session_is_over_when_its_row_stays_unchanged(until, over):
+    state = ObservationState(lease_ms=LEASE_MS)
+    observe_until(state, until, rows=(build_row(),))
+    assert observing.is_over(state, "s1") is over
+    assert observing.list_live(state) == (frozenset() if over else {"a"})
+
+
+def test_renewal_starts_the_wait_again():
+    state = ObservationState(lease_ms=LEASE_MS)
+    observe_until(state, 9_000, rows=(build_row(),))
+    observe_until(state, 19_000, rows=(build_row(revision=2),), start=10_000)
+    assert not observing.is_over(state, "s1")
+
+
+def test_outage_of_ten_minutes_proves_nothing():
+    """The store is down for ten minutes; all rows are then as they were before.
+
+    The first instance to read again would take all others for dead and claim every
+    server at once, though they only could not renew, as it could not either.
+    """
+    state = ObservationState(lease_ms=LEASE_MS)
+    observe_until(state, 3_000, rows=(build_row(),))
+    observe_until(state, 600_000, start=600_000)
+    assert not observing.is_over(state, "s1")
+    observe_until(state, 600_000 + WAIT_MS, start=601_000)
+    assert observing.is_over(state, "s1")
+
+
+def test_time_since_the_last_scan_does_not_count():
+    """The observer itself is paused between a scan and its next decision.
+
+    Its clock goes on, but it has not seen whether the row changed meanwhile.
+    """
+    state = ObservationState(lease_ms=LEASE_MS)
+    observing.observe(state, (build_row(),), sent_at=0, now=0)
+    observing.observe(state, (), sent_at=1_000, now=50_000)
+    assert not observing.is_over(state, "s1")
+
+
+@pytest.mark.parametrize(
+    ("rows", "over"),
+    [
+        pytest.param((build_row(session="s2", revision=2),), False, id="replaced"),
+        pytest.param(
+            (build_row(session="s2", revision=2, ended="s1"),), True, id="gave-up"
+        ),
+        pytest.param(
+            (SessionRow(instance="a", revision=2, record=None),), True, id="released"
+        ),
+    ],
+)
+def test_only_the_holders_word_ends_a_session_early(rows, over):
+    """A process is paused, and its replacement overwrites its row.
+
+    The paused one may still be within its lease and order when it wakes. Only a row
+    by which the holder itself says that it has stopped may be acted on at once.
+    """
+    state = ObservationState(lease_ms=LEASE_MS)
+    observe_until(state, 2_000, rows=(build_row(),))
+    observing.observe(state, rows, sent_at=3_000, now=3_000)
+    assert observing.is_over(state, "s1") is over
+    observe_until(state, 14_000, start=4_000)
+    assert observing.is_over(state, "s1")
+
+
+def test_session_only_named_by_an_owner_row_gets_the_full_wait():
+    state = ObservationState(lease_ms=LEASE_MS)
+    observing.observe(state, (), sent_at=0, now=0)
+    observing.mention(state, "s0", now=0)
+    observe_until(state, 10_000, start=1_000)
+    assert not observing.is_over(state, "s0")
+    observe_until(state, WAIT_MS, start=WAIT_MS)
+    assert observing.is_over(state, "s0")
+
+
+def test_rows_of_the_dead_are_listed_once_nothing_names_them():
+    state = ObservationState(lease_ms=LEASE_MS)
+    observe_until(state, 301_000, rows=(build_row(),))
+    named = observing.list_dead(state, named=frozenset({"s1"}))
+    assert (named, len(observing.list_dead(state, named=frozenset()))) == ([], 1)
+
+
+def test_older_row_of_a_late_scan_is_ignored():
+    state = ObservationState(lease_ms=LEASE_MS)
+    rows = (build_row(session="s2", revision=9), build_row(revision=3))
+    observing.observe(state, rows, sent_at=0, now=0)
+    assert state.rows["a"].record.session == "s2"
+
+
+delays = st.integers(0, 400)
+kinds = st.sampled_from(["renew", "lost", "pause", *["scan"] * 20])
+steps = st.lists(st.tuples(kinds, delays, delays), min_size=40, max_size=80)
+
+
+@settings(max_examples=500, deadline=None)
+@given(steps=steps, drift=st.floats(0.98, 1.02), offset=st.integers(0, 10**6))
+def test_nobody_claims_while_the_holder_may_order(steps, drift, offset):
+    """Whatever is delayed, lost or paused, with clocks that drift by 2 in 100.
+
+    If an observer could ever claim from a holder that may still order, two owners
+    would order one server in the same moment.
+    """
+    holder = LeaseState(instance="a", lease_ms=LEASE_MS, revision=0)
+    observer = ObservationState(lease_ms=LEASE_MS)
+    chance = random.Random(0)
+    now, revision, row = 0, 0, None
+
+    def read(time):
+        return offset + int(time * drift)
+
+    for step, first, second in steps:
+        if step == "pause":
+            now += 40 * first
+        elif step == "scan":
+            sent_at, now = now, now + first
+            rows = (row,) if row is not None else ()
+            now += second
+            observing.observe(observer, rows, sent_at=read(sent_at), now=read(now))
+        else:
+            renewal = leases.begin_renewal(holder, now=now, chance=chance)
+            now += first
+            revision += 1
+            row = build_row(
+                session=renewal.session, revision=revision, ended=renewal.ended
+            )
+            now += second
+            holder.revision = revision
+            if step == "renew":
+                leases.confirm_renewal(holder, renewal, revision=revision)
+        if leases.may_order(holder, now=now) and observing.is_over(
+            observer, holder.session
+        ):
+            # It may only have been found over before it was first held; the claim
+            # then fails, for it expects the row as it was read.
+            assert observer.rows["a"].revision != revision
+            assert holder.session not in observer.ended
--- /dev/null
+++ b/tests/test_outage.py
@@ -0,0 +1,87 @@
+"""When the platform counts as down, and how instances come back after an outage."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from arbutuspulley.membership import outage
+from arbutuspulley.membership.outage import OutageState
+
+
+def fail(state, times, *, now=0):
+    chance = random.Random(1)
+    return [outage.note_failure(state, now=now, chance=chance) for _ in range(times)]
+
+
+def test_down_after_two_failures_in_a_row_and_up_with_the_first_answer():
+    state = OutageState()
+    assert outage.note_success(state)
+    assert fail(state, 3) == [False, True, False]
+    assert not state.up
+    assert outage.note_success(state)
+    assert state.up
+    assert fail(state, 1) == [False]
+    assert not outage.note_success(state)
+
+
+@pytest.mark.parametrize(
+    ("failures", "least", "most"),
+    [(1, 125, 250), (2, 250, 500), (5, 2_000, 4_000), (50, 5_000, 10_000)],
+)
+def test_waits_double_with_jitter_up_to_a_bound(failures, least, most):
+    waits = set()
+    for seed in range(200):
+        state = OutageState(failures=failures - 1)
+        outage.note_failure(state, now=0, chance=random.Random(seed))
+        waits.add(state.next_at)
+    assert least <= min(waits) <= max(waits) <= most
+    assert len(waits) > 20
+
+
+def test_only_one_of_several_loops_gets_the_probe():
+    state = OutageState()
+    fail(state, 10)
+    chance = random.Random(2)
+    assert not outage.may_try(state, now=state.next_at - 1, chance=chance)
+    due = state.next_at
+    tries = [outage.may_try(state, now=due, chance=chance) for _ in range(4)]
+    assert tries == [True, False, False, False]
+
+
+def run_outage(instances, *, length_ms, step_ms=50):
+    """Return when each instance asks for the first time after the outage."""
+    chance = random.Random(7)
+    states = [OutageState(up=True) for _ in range(instances)]
+    first = {}
+    probes = Counter()
+    for now in range(0, length_ms + outage.LONGEST_WAIT_MS + step_ms, step_ms):
+        for index, state in enumerate(states):
+            if index in first or not outage.may_try(state, now=now, chance=chance):
+                continue
+            probes[now // 1_000] += 1
+            if now < length_ms:
+                outage.note_failure(state, now=now, chance=chance)
+            else:
+                outage.note_success(state)
+                first[index] = now - length_ms
+    return first, probes
+
+
+@pytest.mark.parametrize("instances", [6, 360])
+def test_recovery_from_ten_minutes_does_not_stampede(instances):
+    """The store is out for ten minutes, and all instances want it the moment it is
+    back.
+
+    If they asked in step, the store would meet its whole fleet in one instant, fail
+    again, and so on. All are back within the longest wait, and no second sees more
+    than a quarter of them.
+    """
+    first, probes = run_outage(instances, length_ms=600_000)
+    assert len(first) == instances
+    assert max(first.values()) <= outage.LONGEST_WAIT_MS
+    busiest = max(Counter(at // 1_000 for at in first.values()).values())
+    assert busiest <= max(3, instances // 4)
+    late = [probes[second] for second in range(60, 600)]
+    assert max(late) <= max(4, instances // 4)
+    assert sum(late) / len(late) <= instances / 7
