--- a/src/arbutuspulley/configuration/difference.py
+++ b/src/arbutuspulley/configuration/difference.py
@@ -2,19 +2,18 @@
 
 People see :class:`Difference`, with keys hidden and equal differences at several
 sites folded into one. What is stored and sent is a :class:`Delta`, which turns the
-old configuration into exactly the new one.
+old configuration into exactly the new one; :mod:`.steps` applies it.
 """
 
 import enum
 import hashlib
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 import msgspec
 
-from arbutuspulley.configuration.schema import Configuration
+from arbutuspulley.configuration.schema import Configuration, Site
 from arbutuspulley.data import Message, Value
-from arbutuspulley.results import Code, ConfigurationError
 
 HIDDEN = "(hidden)"
 """Shown in place of a key's hash."""
@@ -87,7 +86,8 @@
 def compute_digest(configuration: Configuration) -> str:
     """Return the hex SHA-256 of a configuration, version number included.
 
-    It is the same whatever the order in which names were written.
+    It is the same whatever the order in which names were written. The configuration
+    must come from files, from a delta or from its encoding; see :mod:`.canonical`.
     """
     encoded = msgspec.json.encode(configuration, order="sorted")
     return hashlib.sha256(encoded).hexdigest()
@@ -95,31 +95,43 @@
 
 def build_delta(old: Configuration, new: Configuration) -> Delta:
     """Return the steps that turn ``old`` into ``new``."""
-    steps = _walk(msgspec.to_builtins(old), msgspec.to_builtins(new), ())
-    return Delta(edits=tuple(_build_edit(step) for step in steps))
+    return Delta(edits=tuple(_build_edit(step) for step in _walk(old, new, ())))
 
 
-def apply_delta(old: Configuration, delta: Delta) -> Configuration:
-    """Apply the steps of a delta.
+def compare(old: Configuration, new: Configuration) -> tuple[Difference, ...]:
+    """Return what differs, for a person; version numbers are left out."""
+    return (*_compare_sites(old, new), *_compare_content(old, new))
 
-    :raises ConfigurationError: if a step does not fit ``old`` or the result is no
-        valid configuration; that is, the delta belongs to another one.
-    """
-    content = msgspec.to_builtins(old)
-    try:
-        for edit in delta.edits:
-            _apply_edit(content, edit)
-        return msgspec.convert(content, Configuration)
-    except (KeyError, TypeError, msgspec.ValidationError) as error:
-        raise ConfigurationError(
-            code=Code.BAD_SCHEMA, detail=f"the delta does not fit: {error}"
-        ) from error
 
+def has_same_content(old: Configuration, new: Configuration) -> bool:
+    """Return whether two configurations differ in nothing but their version."""
+    return msgspec.structs.replace(old, version=new.version) == new
 
-def compare(old: Configuration, new: Configuration) -> tuple[Difference, ...]:
-    """Return what differs, for a person; version numbers are left out."""
+
+def _compare_sites(old: Configuration, new: Configuration) -> Iterator[Difference]:
+    for name in sorted(old.sites.keys() ^ new.sites.keys()):
+        path = f"{_SITES}.{name}"
+        if name in new.sites:
+            shown = _count_parts(new.sites[name])
+            yield Difference(kind=DifferenceKind.ADDED, path=path, after=shown)
+        else:
+            shown = _count_parts(old.sites[name])
+            yield Difference(kind=DifferenceKind.REMOVED, path=path, before=shown)
+
+
+def _count_parts(site: Site) -> str:
+    return (
+        f"{len(site.models)} models, {len(site.adapters)} adapters, "
+        f"{len(site.callers)} callers, {len(site.servers)} servers, "
+        f"{len(site.services)} services"
+    )
+
+
+def _compare_content(old: Configuration, new: Configuration) -> tuple[Difference, ...]:
+    """Compare part by part; a site that one of both lacks counts as an empty one."""
     folded: dict[tuple[DifferenceKind, str, str, str], list[str]] = {}
-    for step in _walk(_spell_out(old), _spell_out(new), ()):
+    names = old.sites.keys() | new.sites.keys()
+    for step in _walk(_fill_sites(old, names), _fill_sites(new, names), ()):
         if step.path == _VERSION_PATH:
             continue
         site, path = _split_site(step.path)
@@ -131,60 +143,56 @@
     )
 
 
-def has_same_content(old: Configuration, new: Configuration) -> bool:
-    """Return whether two configurations differ in nothing but their version."""
-    return msgspec.structs.replace(old, version=new.version) == new
+def _fill_sites(configuration: Configuration, names: Iterable[str]) -> Configuration:
+    sites = {name: configuration.sites.get(name, Site()) for name in names}
+    return msgspec.structs.replace(configuration, sites=sites)
 
 
-def _walk(old: dict[str, Any], new: dict[str, Any], path: Path) -> Iterator[_Step]:
-    for name in sorted(old.keys() | new.keys()):
+def _walk(old: Any, new: Any, path: Path) -> Iterator[_Step]:
+    """Yield the lowest parts that differ; equal parts are not looked into."""
+    if old == new:
+        return
+    old_parts, new_parts = _list_parts(old), _list_parts(new)
+    if old_parts is None or new_parts is None:
+        yield _Step(kind=DifferenceKind.CHANGED, path=path, before=old, after=new)
+        return
+    for name in sorted(old_parts.keys() | new_parts.keys()):
         below = (*path, name)
-        if name not in old:
-            yield _Step(kind=DifferenceKind.ADDED, path=below, after=new[name])
-        elif name not in new:
-            yield _Step(kind=DifferenceKind.REMOVED, path=below, before=old[name])
-        elif isinstance(old[name], dict) and isinstance(new[name], dict):
-            yield from _walk(old[name], new[name], below)
-        elif old[name] != new[name]:
-            yield _Step(
-                kind=DifferenceKind.CHANGED,
-                path=below,
-                before=old[name],
-                after=new[name],
-            )
+        if name not in old_parts:
+            yield _Step(kind=DifferenceKind.ADDED, path=below, after=new_parts[name])
+        elif name not in new_parts:
+            yield _Step(kind=DifferenceKind.REMOVED, path=below, before=old_parts[name])
+        else:
+            yield from _walk(old_parts[name], new_parts[name], below)
+
+
+def _list_parts(value: Any) -> dict[str, Any] | None:
+    """Return fields or entries by name, or ``None`` if a value has none."""
+    if isinstance(value, msgspec.Struct):
+        return {name: getattr(value, name) for name in value.__struct_fields__}
+    return value if isinstance(value, dict) else None
 
 
 def _build_edit(step: _Step) -> Edit:
     if step.kind is DifferenceKind.REMOVED:
         return Edit(path=step.path, removed=True)
-    return Edit(path=step.path, value=step.after)
-
-
-def _apply_edit(content: dict[str, Any], edit: Edit) -> None:
-    *parents, name = edit.path
-    for parent in parents:
-        content = content[parent]
-    if edit.removed:
-        del content[name]
-    else:
-        content[name] = edit.value
+    return Edit(path=step.path, value=msgspec.to_builtins(step.after))
 
 
 def _spell_out(value: Any) -> Any:
-    """Return builtins with every default written out, for people to compare."""
-    if isinstance(value, msgspec.Struct):
-        names = value.__struct_fields__
-        return {name: _spell_out(getattr(value, name)) for name in names}
-    if isinstance(value, dict):
-        return {name: _spell_out(below) for name, below in value.items()}
-    return value
+    """Return a value with every default written out and keys hidden, for people."""
+    parts = _list_parts(value)
+    if parts is None:
+        return value
+    return {
+        name: HIDDEN if name in _HIDDEN_FIELDS else _spell_out(below)
+        for name, below in parts.items()
+    }
 
 
 def _split_site(path: Path) -> tuple[str, Path]:
     if path[0] != _SITES:
         return "", path
-    if len(path) == 2:
-        return "", path
     return path[1], path[2:]
 
 
@@ -199,16 +207,7 @@
 
 
 def _show(value: Any) -> str:
-    text = msgspec.json.encode(_hide(value)).decode()
+    text = msgspec.json.encode(_spell_out(value)).decode()
     if len(text) <= SHOWN_CHARACTERS:
         return text
     return f"{text[:SHOWN_CHARACTERS]}... ({len(text)} characters)"
-
-
-def _hide(value: Any) -> Any:
-    if not isinstance(value, dict):
-        return value
-    return {
-        name: HIDDEN if name in _HIDDEN_FIELDS else _hide(below)
-        for name, below in value.items()
-    }
--- a/src/arbutuspulley/configuration/force.py
+++ b/src/arbutuspulley/configuration/force.py
@@ -7,8 +7,9 @@
 from collections.abc import Iterable
 
 from arbutuspulley.configuration.changes import Change
-from arbutuspulley.configuration.difference import apply_delta, compute_digest
+from arbutuspulley.configuration.difference import compute_digest
 from arbutuspulley.configuration.schema import EMPTY, Configuration
+from arbutuspulley.configuration.steps import apply_delta
 from arbutuspulley.data import State, Value
 from arbutuspulley.results import ConfigurationError
 
--- a/src/arbutuspulley/configuration/merge.py
+++ b/src/arbutuspulley/configuration/merge.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from arbutuspulley.configuration.canonical import normalize
 from arbutuspulley.configuration.files import (
     FilesError,
     SourceFile,
@@ -102,12 +103,14 @@
         for name, overlay in zip(names, overlays, strict=True)
     ]
     refuse(list(list_errors(base, base_file, sources)))
-    return Configuration(
+    merged = Configuration(
         version=version,
         weight_store=base.weight_store,
         policy=base.policy,
         sites={overlay.site: _merge_site(base, overlay) for overlay in overlays},
     )
+    result: Configuration = normalize(merged)
+    return result
 
 
 def _collect(
--- /dev/null
+++ b/src/arbutuspulley/configuration/steps.py
@@ -0,0 +1,93 @@
+"""Applying the steps of a delta.
+
+Only the parts on the way to a changed value are built anew. A configuration of the
+largest size takes a quarter of a second to build whole, which every process would
+spend on its one loop for each change.
+"""
+
+import functools
+import typing
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from arbutuspulley.configuration.canonical import normalize, normalize_fields
+from arbutuspulley.configuration.difference import Delta, Edit, Path
+from arbutuspulley.configuration.schema import Configuration
+from arbutuspulley.data import Value
+from arbutuspulley.results import Code, ConfigurationError
+
+
+class _Pending(Value, frozen=True):
+    """An edit and what is left of its path."""
+
+    path: Path
+    edit: Edit
+
+
+def apply_delta(old: Configuration, delta: Delta) -> Configuration:
+    """Apply the steps of a delta.
+
+    :raises ConfigurationError: if a step does not fit ``old`` or the result is no
+        valid configuration; that is, the delta belongs to another one.
+    """
+    pending = [_Pending(path=edit.path, edit=edit) for edit in delta.edits]
+    try:
+        result: Configuration = _rebuild(old, Configuration, pending)
+    except (KeyError, msgspec.ValidationError) as error:
+        raise ConfigurationError(
+            code=Code.BAD_SCHEMA, detail=f"the delta does not fit: {error}"
+        ) from error
+    return result
+
+
+def _rebuild(value: Any, kind: Any, pending: list[_Pending]) -> Any:
+    """Return a value with edits applied; its other parts are shared with the old."""
+    for one in pending:
+        if not one.path:
+            return normalize(msgspec.convert(one.edit.value, kind))
+    if isinstance(value, msgspec.Struct):
+        return _rebuild_struct(value, pending)
+    if isinstance(value, dict):
+        return _rebuild_mapping(value, kind, pending)
+    raise KeyError(pending[0].path[0])
+
+
+def _rebuild_struct(value: msgspec.Struct, pending: list[_Pending]) -> msgspec.Struct:
+    kinds = _list_kinds(type(value))
+    changed = {}
+    for name, below in _group(pending).items():
+        kind = kinds[name]
+        changed[name] = _rebuild(getattr(value, name), kind, below)
+    return normalize_fields(msgspec.structs.replace(value, **changed))
+
+
+def _rebuild_mapping(
+    value: dict[str, Any], kind: Any, pending: list[_Pending]
+) -> dict[str, Any]:
+    name_kind, part_kind = typing.get_args(kind)
+    result = dict(value)
+    for name, below in _group(pending).items():
+        if any(one.edit.removed and not one.path for one in below):
+            del result[name]
+            continue
+        msgspec.convert(name, name_kind)
+        is_whole = any(not one.path for one in below)
+        before = None if is_whole else result[name]
+        result[name] = _rebuild(before, part_kind, below)
+    return result
+
+
+def _group(pending: Iterable[_Pending]) -> dict[str, list[_Pending]]:
+    grouped: dict[str, list[_Pending]] = {}
+    for one in pending:
+        name, *rest = one.path
+        below = _Pending(path=tuple(rest), edit=one.edit)
+        grouped.setdefault(name, []).append(below)
+    return grouped
+
+
+@functools.cache
+def _list_kinds(kind: type[msgspec.Struct]) -> dict[str, Any]:
+    return {field.name: field.type for field in msgspec.structs.fields(kind)}
--- a/src/arbutuspulley/programs/console_api.py
+++ b/src/arbutuspulley/programs/console_api.py
@@ -5,6 +5,7 @@
 the worker thread that serves its request.
 """
 
+import contextlib
 from collections.abc import Callable
 
 import msgspec
@@ -207,16 +208,14 @@
 
 def show_status(backend: Backend) -> StatusView:
     """Show what is in force where, as far as store and controller tell."""
-    stored_version: int | None = None
     status: FleetStatus | None = None
-    try:
-        stored_version = store.read_head_version(backend.platform)
-    except PlatformUnavailableError:
-        pass
-    try:
+    stored_version: int | None = None
+    # The store is read last: a change accepted in between would otherwise look as
+    # if the store had been restored to an older state.
+    with contextlib.suppress(PeerUnavailableError):
         status = backend.fetch_status(NO_CONFIGURATION)
-    except PeerUnavailableError:
-        pass
+    with contextlib.suppress(PlatformUnavailableError):
+        stored_version = store.read_head_version(backend.platform)
     return build_status_view(status, stored_version=stored_version)
 
 
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -4,8 +4,9 @@
 import pytest
 
 from arbutuspulley.configuration import changes
-from arbutuspulley.configuration.difference import apply_delta, compute_digest
+from arbutuspulley.configuration.difference import compute_digest
 from arbutuspulley.configuration.schema import EMPTY
+from arbutuspulley.configuration.steps import apply_delta
 from arbutuspulley.ports.platform import ABSENT, Row
 from arbutuspulley.results import Code, ConfigurationError
 from tests.fakes import build_configuration
--- a/tests/test_difference.py
+++ b/tests/test_difference.py
@@ -5,16 +5,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from arbutuspulley.configuration.canonical import normalize
 from arbutuspulley.configuration.difference import (
     HIDDEN,
     SHOWN_CHARACTERS,
     Delta,
     Edit,
-    apply_delta,
     build_delta,
     compare,
     compute_digest,
 )
+from arbutuspulley.configuration.merge import merge_files
 from arbutuspulley.configuration.schema import (
     EMPTY,
     Caller,
@@ -25,8 +26,9 @@
     Service,
     Site,
 )
+from arbutuspulley.configuration.steps import apply_delta
 from arbutuspulley.results import ConfigurationError
-from tests.fakes import build_configuration
+from tests.fakes import BASE, build_configuration, build_files
 
 NAMES = st.sampled_from(["a", "b", "c"])
 SITES = st.builds(
@@ -62,7 +64,7 @@
     version=st.integers(0, 9),
     policy=st.builds(Policy, moves_weight=st.sampled_from([0.0, 0.5, 1.0])),
     sites=st.dictionaries(NAMES, SITES),
-)
+).map(normalize)
 
 
 @given(old=CONFIGURATIONS, new=CONFIGURATIONS)
@@ -71,7 +73,9 @@
     delta = msgspec.json.decode(encoded, type=Delta)
     result = apply_delta(old, delta)
     assert result == new
-    assert compute_digest(result) == compute_digest(new)
+    again = msgspec.json.decode(msgspec.json.encode(new), type=Configuration)
+    digests = {compute_digest(one) for one in (result, new, again)}
+    assert len(digests) == 1
     assert (compute_digest(old) == compute_digest(new)) == (old == new)
     shown = "".join(difference.show() for difference in compare(old, new))
     assert "aaaa" not in shown
@@ -80,6 +84,23 @@
     assert (not compare(old, new)) == same
 
 
+def test_a_default_that_is_written_out_makes_no_other_configuration():
+    """An accepted version is never in force at half of the instances.
+
+    One of them took it from the files, where a default is written out, and others
+    from steps. Equal configurations had two encodings and so two digests, and the
+    others kept taking their own result for a wrong one.
+    """
+    explicit = BASE.replace(
+        "kv_floor_mib: 500}",
+        "kv_floor_mib: 500, copies: 1, target: {first_token_ms: 1100}}",
+    )
+    explicit += "policy: {moves_weight: 0.5, answer_lifetime_s: 86400}\n"
+    written = merge_files(build_files(explicit), version=1)
+    assert written == build_configuration()
+    assert compute_digest(written) == compute_digest(build_configuration())
+
+
 @pytest.mark.parametrize(
     "edit",
     [
@@ -116,8 +137,16 @@
     ]
 
 
-def test_a_new_site_is_shown_cut_to_length_and_without_keys():
-    (first, _) = compare(EMPTY, build_configuration())
-    assert first.path == "sites.site-a"
-    assert "d" * 64 not in first.after
-    assert len(first.after) < SHOWN_CHARACTERS + 50
+def test_a_new_site_is_shown_part_by_part_and_a_long_value_is_cut():
+    shown = [difference.show() for difference in compare(EMPTY, build_configuration())]
+    counts = "1 models, 1 adapters, 2 callers, 1 servers"
+    assert shown[:2] == [
+        f"+ sites.site-a: {counts}, 1 services",
+        f"+ sites.site-b: {counts}, 0 services",
+    ]
+    assert any(line.startswith("+ servers.engine-a: ") for line in shown)
+    assert any(line.endswith("(at site-a, site-b)") for line in shown)
+    addresses = tuple(f"127.0.0.1:{port}" for port in range(1000, 1100))
+    site = Site(services={"s": Service(addresses=addresses)})
+    last = compare(EMPTY, Configuration(sites={"a": site}))[-1]
+    assert len(last.after) < SHOWN_CHARACTERS + 50
