--- a/src/arbutuspulley/configuration/approval.py
+++ b/src/arbutuspulley/configuration/approval.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from arbutuspulley.configuration import changes, store
+from arbutuspulley.configuration import changes, store, transactions
 from arbutuspulley.configuration.changes import (
     Accepted,
     Current,
@@ -132,7 +132,7 @@
     change = changes.build_change(
         record, current, result, approver=approver, now_ms=now_ms
     )
-    transaction = changes.build_approval(
+    transaction = transactions.build_approval(
         change,
         head_revision=current.head_revision,
         proposal_revision=row.revision,
@@ -151,7 +151,7 @@
     row = store.find_proposal_row(platform, proposal)
     if row is None:
         raise store.refuse_unknown(proposal)
-    transaction = changes.build_withdrawal(proposal, revision=row.revision)
+    transaction = transactions.build_withdrawal(proposal, revision=row.revision)
     if isinstance(commit(platform.table, transaction), Conflict):
         raise store.refuse_unknown(proposal)
 
@@ -186,7 +186,7 @@
         files=references,
         proposed_at_ms=now,
     )
-    outcome = commit(platform.table, changes.build_submission(proposal))
+    outcome = commit(platform.table, transactions.build_submission(proposal))
     if isinstance(outcome, Conflict):
         return store.read_proposal(platform, proposal.proposal)
     return proposal
--- a/src/arbutuspulley/programs/console_http.py
+++ b/src/arbutuspulley/programs/console_http.py
@@ -15,13 +15,12 @@
 import msgspec
 from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 
-from arbutuspulley.configuration.changes import StaleBaseError
-from arbutuspulley.configuration.files import FilesError
 from arbutuspulley.data import Message, Value
 from arbutuspulley.events import Event, log_event
+from arbutuspulley.programs.console_errors import explain
 from arbutuspulley.programs.console_messages import ErrorLine, ErrorReply
 from arbutuspulley.programs.console_page import Page
-from arbutuspulley.results import ArbutusError, Code, ConfigurationError
+from arbutuspulley.results import ArbutusError, Code
 from arbutuspulley.tracing import TRACEPARENT, open_span
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -34,23 +33,6 @@
 _JSON = "application/json"
 _ANY = "*"
 
-_STATUSES = {
-    Code.BAD_KEY: HTTPStatus.UNAUTHORIZED,
-    Code.NOT_FOUND: HTTPStatus.NOT_FOUND,
-    Code.UNKNOWN_PROPOSAL: HTTPStatus.NOT_FOUND,
-    Code.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-    Code.BASE_VERSION_STALE: HTTPStatus.CONFLICT,
-    Code.DOES_NOT_FIT: HTTPStatus.CONFLICT,
-    Code.NO_DIFFERENCE: HTTPStatus.CONFLICT,
-    Code.OLDER_VERSION: HTTPStatus.CONFLICT,
-    Code.NOT_READY: HTTPStatus.SERVICE_UNAVAILABLE,
-    Code.PLATFORM_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
-    Code.PLATFORM_OUTCOME_UNKNOWN: HTTPStatus.SERVICE_UNAVAILABLE,
-    Code.PEER_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
-    Code.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
-}
-"""HTTP status of each code; 400 for all others."""
-
 _Request = TypeVar("_Request", bound=Message)
 
 
@@ -177,6 +159,9 @@
         except Exception as error:
             reply, status = explain(error)
         operation = route.name if route else "none"
+        if isinstance(reply, ErrorReply):
+            code = reply.errors[0].code
+            log_event(Event.REQUEST_REFUSED, operation=operation, code=code)
         self._metrics.requests.labels(operation, str(status.value)).inc()
         self._metrics.duration.labels(operation).observe(time.monotonic() - started)
         return _write(reply, status)
@@ -230,22 +215,6 @@
     return int(text)
 
 
-def explain(error: Exception) -> tuple[ErrorReply, HTTPStatus]:
-    """Return what an operator is told of an error, and the HTTP status.
-
-    Unexpected errors are logged and told as internal, without their text.
-    """
-    if isinstance(error, FilesError):
-        lines = tuple(_build_line(one) for one in error.list_errors())
-        return ErrorReply(errors=lines), HTTPStatus.BAD_REQUEST
-    if not isinstance(error, ArbutusError):
-        log_event(Event.INTERNAL_ERROR, error=type(error).__name__, detail=str(error))
-        error = ArbutusError(code=Code.INTERNAL, detail="a fault of the console itself")
-    differences = error.differences if isinstance(error, StaleBaseError) else ()
-    status = _STATUSES.get(error.code, HTTPStatus.BAD_REQUEST)
-    return ErrorReply(errors=(_build_line(error),), differences=differences), status
-
-
 def show_error(*, status: str, message: str, **_unused: str) -> bytes:
     """Return CherryPy's own refusals in the API's shape."""
     code = Code.NOT_FOUND if status.startswith("404") else Code.BAD_PARAMETER
@@ -254,19 +223,6 @@
     return msgspec.json.encode(ErrorReply(errors=(line,)))
 
 
-def _build_line(error: ArbutusError) -> ErrorLine:
-    file, key = "", ""
-    if isinstance(error, ConfigurationError):
-        file, key = error.file, error.key
-    return ErrorLine(
-        code=error.code.value,
-        name=error.code.name.lower(),
-        detail=error.detail,
-        file=file,
-        key=key,
-    )
-
-
 def _find_route(
     routes: tuple[Route, ...], method: str, names: tuple[str, ...]
 ) -> tuple[Route, tuple[str, ...]]:
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from arbutuspulley.configuration import changes
+from arbutuspulley.configuration import changes, transactions
 from arbutuspulley.configuration.difference import compute_digest
 from arbutuspulley.configuration.schema import EMPTY
 from arbutuspulley.configuration.steps import apply_delta
@@ -96,8 +96,8 @@
 
 
 def test_one_proposal_has_one_token_whoever_approves_it_and_when():
-    transactions = [
-        changes.build_approval(
+    built = [
+        transactions.build_approval(
             changes.build_change(
                 build_proposal(), build_current(), V8, approver=approver, now_ms=now
             ),
@@ -107,8 +107,8 @@
         )
         for approver, now in (("ayu", 1), ("janis", 2))
     ]
-    assert len({transaction.token for transaction in transactions}) == 1
-    first = transactions[0]
+    assert len({transaction.token for transaction in built}) == 1
+    first = built[0]
     assert first.writes[0].key == "config/change/0000000008"
     assert first.preconditions[0].revision == ABSENT
     assert first.preconditions[0].key == first.writes[0].key
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from arbutuspulley.configuration import approval, changes, store
+from arbutuspulley.configuration import approval, changes, store, transactions
 from arbutuspulley.configuration.force import ForceState, apply_changes, offer
 from arbutuspulley.configuration.schema import EMPTY
 from arbutuspulley.ports import commit
@@ -266,7 +266,7 @@
     assert propose(fake) == proposal
     assert store.list_proposals(fake.platform) == (proposal,)
     approve(fake, proposal)
-    fake.platform.table.transact(changes.build_submission(proposal))
+    fake.platform.table.transact(transactions.build_submission(proposal))
     assert not store.list_proposals(fake.platform)
 
 
