--- a/scripts/asking.py
+++ b/scripts/asking.py
@@ -79,6 +79,7 @@
     :param body: body of a plain answer.
     :param events: events of a streamed answer, over all tries.
     :param entries: addresses of the entries that were tried.
+    :param cuts: tries whose answer broke off, or never came.
     :param last: the last try.
     """
 
@@ -88,6 +89,7 @@
     events: tuple[SentEvent, ...]
     entries: tuple[str, ...]
     last: Answer
+    cuts: int = 0
 
 
 class AddressBook(State):
@@ -106,6 +108,7 @@
     give_up_at = time.monotonic() + request.bound_s
     events: list[SentEvent] = []
     entries: list[str] = []
+    cuts = 0
     certain = True
     while True:
         address = _choose_address(book, request.model, tried=len(entries))
@@ -113,6 +116,7 @@
         last_id = events[-1].id if events else ""
         answer = ask_once(address, request, last_event_id=last_id)
         events += answer.events
+        cuts += answer.sent and not answer.ended
         certain = certain and _is_certainly_not_run(answer)
         if answer.ended and answer.status in _WHOLE_STATUSES:
             ending = Ending.WHOLE
@@ -130,6 +134,7 @@
         events=tuple(events),
         entries=tuple(entries),
         last=answer,
+        cuts=cuts,
     )
 
 
--- a/scripts/launcher.py
+++ b/scripts/launcher.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import itertools
 import os
 import signal
 import socket
@@ -144,16 +145,19 @@
         return {name: self._end(name) for name in names}
 
     def stop_all(self) -> dict[str, int]:
-        """Stop all processes, the last started ones first.
+        """Stop all processes, the last started first, those of one module together.
 
         :return: exit statuses of those that still ran.
         """
+        running = [name for name in reversed(self.processes) if self.is_running(name)]
         statuses: dict[str, int] = {}
-        for name in reversed(list(self.processes)):
-            if self.is_running(name):
-                statuses.update(self.stop(name))
+        for _, group in itertools.groupby(running, key=self._get_module):
+            statuses.update(self.stop(*group))
         return statuses
 
+    def _get_module(self, name: str) -> str:
+        return self.processes[name].module
+
     def read_log(self, name: str) -> str:
         """Return what a process has logged so far."""
         return self.processes[name].log.read_text(errors="replace")
--- /dev/null
+++ b/tests/stack.py
@@ -0,0 +1,221 @@
+"""A running system of real processes for integration tests, on free loopback ports.
+
+Built on the launcher of the demo. Proxies that inject faults can be put on the way
+between two processes; everything waits for conditions, never for a time.
+"""
+
+import json
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+
+from arbutuspulley.configuration import schema
+from arbutuspulley.data import State
+from arbutuspulley.standins import answer
+from scripts import fleet
+from scripts.asking import AddressBook, Ask, ask, ask_once
+from scripts.fleet import Fleet, InstancePlan, Plan, ServerPlan
+from scripts.launcher import fetch, open_launcher, wait_until
+from tests.proxy import FaultProxy
+
+KEY = "key-of-desk"
+MODEL = schema.Model(version="1", size_mib=10_000, kv_floor_mib=500)
+SITES = ("hall-a", "hall-b", "hall-c")
+
+
+class Stack(State):
+    """A running system.
+
+    :param proxies: by the names of both ends.
+    :param version: the configuration accepted last.
+    """
+
+    fleet: Fleet
+    directory: Path
+    proxies: dict[tuple[str, str], FaultProxy]
+    version: int = 0
+
+    @property
+    def launcher(self):
+        return self.fleet.launcher
+
+    @property
+    def addresses(self):
+        return self.fleet.addresses
+
+
+def build_plan(*, instances=2, engines=2, **changes):
+    """Return a plan with as many sites as instances; odd engines check orders."""
+    return Plan(
+        instances=tuple(
+            InstancePlan(name=f"{site}-1", site=site) for site in SITES[:instances]
+        ),
+        servers=tuple(
+            ServerPlan(
+                name=f"engine-{number}",
+                site=SITES[number % instances],
+                checks_orders=number % 2 == 1,
+            )
+            for number in range(1, engines + 1)
+        ),
+        **{"models": {"tracker": MODEL}, **changes},
+    )
+
+
+@contextmanager
+def open_stack(plan, directory, *, proxied=()):
+    """Start a system, bring its configuration into force and load all models."""
+    with ExitStack() as opened:
+        launcher = opened.enter_context(open_launcher(directory))
+        system = fleet.build_fleet(plan, launcher)
+        proxies = {}
+        for source, target in proxied:
+            proxy = opened.enter_context(FaultProxy(target=system.addresses[target]))
+            proxies[source, target] = proxy
+            system.routes[source, target] = proxy.address
+        stack = Stack(fleet=system, directory=directory, proxies=proxies)
+        fleet.start_standins(system)
+        fleet.start_programs(system)
+        launcher.wait_ready("console", *(f"controller-{n}" for n in list_names(stack)))
+        approve(stack, propose(stack))
+        launcher.wait_ready(*fleet.list_all_entries(system))
+        wait_loaded(stack)
+        yield stack
+
+
+def list_names(stack):
+    """Return the names of the instances."""
+    return [one.name for one in stack.fleet.plan.instances]
+
+
+def get_entry(stack, number):
+    """Return the address of the first entry of an instance, counted from 0."""
+    return stack.addresses[f"entry-{list_names(stack)[number]}"]
+
+
+def propose(stack, *, operator="ayu", **changes):
+    """Propose the plan's files with some fields of the base set differently."""
+    files = fleet.write_files(stack.fleet, stack.directory, **changes)
+    ended = fleet.run_cli(
+        stack.fleet, "propose", *map(str, files), "--json", operator=operator
+    )
+    assert ended.returncode == 0, ended.stderr
+    return json.loads(ended.stdout)["proposal"]
+
+
+def press_approve(stack, proposal, *, operator="ayu"):
+    """Run ``arbutus approve`` and return the ended process."""
+    base = str(proposal.get("base_version", 0))
+    arguments = ("approve", proposal["proposal"], "--base", base, "--json")
+    return fleet.run_cli(stack.fleet, *arguments, operator=operator)
+
+
+def approve(stack, proposal):
+    """Approve a proposal and wait until it is in force everywhere."""
+    ended = press_approve(stack, proposal)
+    assert ended.returncode == 0, ended.stderr
+    stack.version = json.loads(ended.stdout)["version"]
+    wait_in_force(stack, stack.version)
+
+
+def read_status(stack):
+    """Return what ``arbutus status`` shows."""
+    ended = fleet.run_cli(stack.fleet, "status", "--json")
+    return json.loads(ended.stdout) if ended.returncode == 0 else {}
+
+
+def wait_in_force(stack, version):
+    """Wait until a version is in force on every instance and entry."""
+
+    def is_in_force():
+        status = read_status(stack)
+        instances = status.get("instances", ())
+        versions = [one["configuration_version"] for one in instances]
+        for one in instances:
+            versions += one.get("entry_versions", {}).values()
+        return len(instances) == len(list_names(stack)) and set(versions) == {version}
+
+    wait_until(is_in_force, what=f"version {version} to be in force", timeout_s=30)
+
+
+def wait_loaded(stack, *, models=()):
+    """Wait until every entry answers requests to the models."""
+    for entry in fleet.list_all_entries(stack.fleet):
+        for model in models or stack.fleet.plan.models:
+            probe = build_ask("probe", model=model, tokens=1)
+            wait_until(
+                lambda entry=entry, probe=probe: (
+                    ask_once(stack.addresses[entry], probe).status == 200
+                ),
+                what=f"{model} to answer at {entry}",
+                timeout_s=40,
+            )
+
+
+def build_ask(name, *, model="tracker", tokens=8, streamed=False, unrepeatable=False):
+    """Return a request to a model; its prompt is its name."""
+    body = {
+        "model": model,
+        "prompt": f"Where is runner {name}?",
+        "max_tokens": tokens,
+        "stream": streamed,
+    }
+    return Ask(
+        name=name,
+        path="/v1/completions",
+        body=json.dumps(body).encode(),
+        key=KEY,
+        model=model,
+        streamed=streamed,
+        unrepeatable=unrepeatable,
+        bound_s=30,
+    )
+
+
+def find_digest(request):
+    """Return the digest by which engines count a prompt."""
+    return answer.read_prompt(path=request.path, body=request.body).digest
+
+
+def build_booking(name):
+    """Return an unrepeatable call to the plain service."""
+    body = json.dumps({"guest": name}).encode()
+    path = "/services/booking/bookings"
+    return Ask(name=name, path=path, body=body, key=KEY, unrepeatable=True)
+
+
+def ask_patiently(stack, request, *, first=0):
+    """Ask as a well-behaved caller that knows all entries."""
+    seeds = [stack.addresses[name] for name in fleet.list_all_entries(stack.fleet)]
+    return ask(AddressBook(seeds=(*seeds[first:], *seeds[:first])), request)
+
+
+def control(stack, name, **faults):
+    """Set faults of a stand-in."""
+    reply = fetch("POST", stack.addresses[name], "/control", json=faults)
+    assert reply is not None and reply.status == 200, reply and reply.data
+
+
+def read_counters(stack, name):
+    """Return what a stand-in has counted."""
+    return json.loads(fetch("GET", stack.addresses[name], "/control/counters").data)
+
+
+def read_report(stack, name):
+    """Return an engine's report, or ``None`` if it does not answer."""
+    reply = fetch("GET", stack.addresses[name], "/report")
+    return json.loads(reply.data) if reply is not None else None
+
+
+def list_engines(stack):
+    """Return the names of the engines."""
+    return [server.name for server in stack.fleet.plan.servers]
+
+
+def find_holder(stack, item):
+    """Return the name of an engine on which an item answers."""
+    for name in list_engines(stack):
+        report = read_report(stack, name)
+        for one in (report or {}).get("items", ()):
+            if one["item"] == item and one["state"] == "loaded":
+                return name
+    return None
--- /dev/null
+++ b/tests/test_failures_entries.py
@@ -0,0 +1,125 @@
+"""Entries that die or stop, with real processes."""
+
+import signal
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from scripts.asking import AddressBook, Ending, ask
+from scripts.demo_load import count_admissions, find_problem
+from scripts.launcher import wait_until
+from tests import stack as running
+
+ITEMS = {"tracker": "1"}
+
+
+@pytest.fixture(scope="module")
+def stack(tmp_path_factory):
+    plan = running.build_plan(instances=3, engines=2)
+    with running.open_stack(plan, tmp_path_factory.mktemp("entries")) as opened:
+        yield opened
+
+
+@pytest.fixture
+def stopped(stack):
+    """Names of entries that the test stops; they are started again after it."""
+    names = []
+    yield names
+    for name in names:
+        stack.launcher.restart(name)
+    stack.launcher.wait_ready(*names)
+
+
+def _count_tokens(stack):
+    engines = running.list_engines(stack)
+    return sum(running.read_counters(stack, name)["tokens"] for name in engines)
+
+
+def _count_runs(stack, request):
+    logs = [stack.launcher.read_log(name) for name in running.list_engines(stack)]
+    return count_admissions(logs)[running.find_digest(request)]
+
+
+@pytest.mark.parametrize("unrepeatable", [False, True])
+def test_entry_dies_in_the_middle_of_a_stream(stack, stopped, unrepeatable):
+    """A guest reads a reply as it is written, and her entry's machine dies.
+
+    Her client connects to the next address with the id of the last event. A plain
+    answer goes on from there, token by token. An unrepeatable one is not run a
+    second time, though nobody can tell her how far the first run came.
+    """
+    addresses = tuple(running.get_entry(stack, number) for number in (0, 1))
+    book = AddressBook(seeds=addresses, kept={"tracker": (addresses, float("inf"))})
+    request = running.build_ask(
+        f"cut-{unrepeatable}", tokens=150, streamed=True, unrepeatable=unrepeatable
+    )
+    before = _count_tokens(stack)
+    with ThreadPoolExecutor() as pool:
+        asking = pool.submit(ask, book, request)
+        wait_until(
+            lambda: _count_tokens(stack) > before + 30, what="a part of the answer"
+        )
+        stopped.append(f"entry-{running.list_names(stack)[0]}")
+        stack.launcher.kill(stopped[0])
+        outcome = asking.result()
+    assert outcome.cuts >= 1
+    assert len(outcome.events) > 0
+    if unrepeatable:
+        assert outcome.ending is Ending.UNKNOWN
+        assert _count_runs(stack, request) == 1
+    else:
+        assert outcome.ending is Ending.WHOLE
+        assert find_problem(outcome, ITEMS) == ""
+
+
+def _build_long_request(number):
+    """Return a request whose answer takes longer than anything waits by a timeout."""
+    return running.build_ask(f"long-{number}", tokens=600, streamed=number == 0)
+
+
+def _ask_at(address, request):
+    kept = {request.model: ((address,), float("inf"))}
+    return ask(AddressBook(seeds=(address,), kept=kept), request)
+
+
+def test_two_entries_stop_gracefully_under_load(stack, stopped):
+    """Two of three instances are replaced at the same moment, in a busy hour.
+
+    Callers that kept their addresses are served for as long as they may keep them,
+    then told of the third entry before anything ran. What was being answered is
+    answered to its end, and both processes end with status 0.
+    """
+    stopping = [f"entry-{name}" for name in running.list_names(stack)[:2]]
+    addresses = [stack.addresses[name] for name in stopping]
+    ended = threading.Event()
+
+    def keep_asking(caller):
+        outcomes = []
+        while not ended.is_set():
+            request = running.build_ask(
+                f"busy-{caller}-{len(outcomes)}", tokens=30, streamed=caller % 2 == 0
+            )
+            outcome = running.ask_patiently(stack, request, first=caller % 3)
+            outcomes.append(outcome)
+        return outcomes
+
+    with ThreadPoolExecutor(max_workers=14) as pool:
+        before = _count_tokens(stack)
+        callers = [pool.submit(keep_asking, caller) for caller in range(12)]
+        long_streams = [
+            pool.submit(_ask_at, address, _build_long_request(number))
+            for number, address in enumerate(addresses)
+        ]
+        wait_until(lambda: _count_tokens(stack) > before + 500, what="load")
+        stopped += stopping
+        for name in stopping:
+            stack.launcher.send(name, signal.SIGTERM)
+        statuses = [stack.launcher.wait_ended(name) for name in stopping]
+        ended.set()
+        outcomes = [stream.result() for stream in long_streams]
+        outcomes += [outcome for caller in callers for outcome in caller.result()]
+    assert statuses == [0, 0]
+    assert {outcome.ending for outcome in outcomes} == {Ending.WHOLE}
+    assert [find_problem(outcome, ITEMS) for outcome in outcomes if outcome.cuts] == []
+    assert sum(outcome.cuts for outcome in outcomes) == 0
