--- a/src/arbutuspulley/admission/budget.py
+++ b/src/arbutuspulley/admission/budget.py
@@ -2,33 +2,36 @@
 
 With a fixed count for each request, a fault that fails many requests multiplies
 the load at the moment when there is the least room for it. With a budget, the
-attempts at servers stay below ``1 + RATIO`` for each request admitted.
+attempts at servers stay below 1.1 for each request admitted.
 """
 
 from arbutuspulley.data import State
 
-RATIO = 0.1
-"""Retries earned by each request that succeeded at its first attempt."""
+RETRY = 100
+"""What one retry costs; budgets are counted in hundredths of a retry."""
 
-MOST = 10.0
+EARNED = 10
+"""What a request earns that succeeded at its first attempt."""
+
+MOST = 10 * RETRY
 """Largest budget; a long quiet time must not allow a burst of retries."""
 
-FLOOR = 1.0
+FLOOR = RETRY
 """The budget refills to this by itself, so that a quiet system can retry once."""
 
 FLOOR_REFILL_MS = 10_000
-"""How long it takes to refill one retry up to the floor."""
+"""How long it takes to refill up to the floor."""
 
 
 class BudgetState(State):
-    """Retries that may be made now.
+    """What may be spent on retries now.
 
-    :param retries: whole retries and a fraction.
-    :param refilled_at: when the refill to the floor was last counted.
+    :param credit: hundredths of a retry.
+    :param filled_at: when it was last filled up to the floor.
     """
 
-    retries: float = FLOOR
-    refilled_at: int = 0
+    credit: int = FLOOR
+    filled_at: int = 0
 
 
 def note_success(state: BudgetState, *, retried: bool = False) -> None:
@@ -38,7 +41,7 @@
         retries would pay for more retries.
     """
     if not retried:
-        state.retries = min(MOST, state.retries + RATIO)
+        state.credit = min(MOST, state.credit + EARNED)
 
 
 def take_retry(state: BudgetState, *, now: int, retried: bool = False) -> bool:
@@ -46,15 +49,10 @@
 
     :param retried: whether this request has been retried already.
     """
-    _refill(state, now)
-    if retried or state.retries < 1:
+    if state.credit < FLOOR and now - state.filled_at >= FLOOR_REFILL_MS:
+        state.credit = FLOOR
+        state.filled_at = now
+    if retried or state.credit < RETRY:
         return False
-    state.retries -= 1
+    state.credit -= RETRY
     return True
-
-
-def _refill(state: BudgetState, now: int) -> None:
-    earned = (now - state.refilled_at) / FLOOR_REFILL_MS
-    state.refilled_at = now
-    if state.retries < FLOOR:
-        state.retries = min(FLOOR, state.retries + earned)
--- /dev/null
+++ b/src/arbutuspulley/admission/decision.py
@@ -0,0 +1,171 @@
+"""The decision on all waiting requests of an entry: admit, wait or refuse."""
+
+from collections.abc import Mapping
+
+from arbutuspulley.admission import drain_rate, shares
+from arbutuspulley.admission.limits import TOKENS_PER_SLOT
+from arbutuspulley.admission.order import order_waiting
+from arbutuspulley.admission.state import (
+    AdmissionState,
+    Running,
+    get_standing,
+    move_load,
+)
+from arbutuspulley.admission.tickets import Admit, Effect, Refuse, Ticket
+from arbutuspulley.results import Code
+
+MOST_WAITING = 256
+"""Requests that wait at one entry at most."""
+
+
+def decide(state: AdmissionState, *, now: int, fresh: str = "") -> tuple[Effect, ...]:
+    """Admit who has room and refuse who cannot be in time, in order of admission.
+
+    A request that certainly comes too late is refused before its deadline, so that
+    its caller is answered at once and no server works for nothing.
+
+    :param fresh: a request that has just arrived, which is refused already if its
+        wait is likely too long. One that has waited is refused only once it is
+        sure: the estimate varies, and would sooner or later refuse most of them.
+    """
+    effects: list[Effect] = []
+    ahead: dict[str, float] = {}
+    places = order_waiting(state.waiting.values(), state.accounts, now=now)
+    for place in places:
+        ticket = place.ticket
+        server = _find_room(state, ticket)
+        if server:
+            effects.append(_admit(state, ticket, server, now=now))
+            continue
+        wait_ms = _estimate_wait(state, ahead, ticket.item)
+        expected_ms = wait_ms if ticket.request_id == fresh else 0.0
+        if _is_late(state, ticket, now + expected_ms):
+            code = Code.DEADLINE_OUT_OF_REACH
+            effects.append(_refuse(state, ticket, code, wait_ms=wait_ms, now=now))
+            continue
+        holders = state.holders.get(ticket.item, ())
+        for name in holders:
+            ahead[name] = ahead.get(name, 0.0) + 1 / len(holders)
+    return tuple(effects)
+
+
+def refuse_surplus(state: AdmissionState, *, now: int) -> tuple[Effect, ...]:
+    """Keep the queue within its bound at the cost of who takes most of it.
+
+    If the newcomer were refused, a flood that fills the queue would shut out the
+    callers that send little.
+    """
+    if len(state.waiting) <= MOST_WAITING:
+        return ()
+    parts: dict[str, float] = {}
+    for ticket in state.waiting.values():
+        part = ticket.cost / ticket.weight
+        parts[ticket.caller] = parts.get(ticket.caller, 0.0) + part
+    largest = max(parts, key=lambda caller: (parts[caller], caller))
+    places = order_waiting(state.waiting.values(), state.accounts, now=now)
+    last = [one.ticket for one in places if one.ticket.caller == largest][-1]
+    ahead = dict.fromkeys(state.holders.get(last.item, ()), float(MOST_WAITING))
+    wait_ms = _estimate_wait(state, ahead, last.item)
+    return (_refuse(state, last, Code.OVERLOADED, wait_ms=wait_ms, now=now),)
+
+
+def has_slot(state: AdmissionState, server: str, ticket: Ticket) -> bool:
+    """Return whether this entry may use one more slot of a server for a request."""
+    limit = state.limits.get(server)
+    if limit is None:
+        return False
+    load = state.loads[server]
+    slots = limit.get(get_standing(state, ticket.caller))
+    if load.requests >= slots:
+        return False
+    # A request larger than the limit runs alone, it would otherwise never run.
+    return load.tokens == 0 or load.tokens + ticket.cost <= slots * TOKENS_PER_SLOT
+
+
+def _find_room(state: AdmissionState, ticket: Ticket) -> str:
+    """Return the holder with most room for a request, or an empty name."""
+    names = [
+        name
+        for name in state.holders.get(ticket.item, ())
+        if has_slot(state, name, ticket)
+    ]
+    if not names:
+        return ""
+    return min(
+        names,
+        key=lambda name: state.loads[name].requests / state.limits[name].ordinary,
+    )
+
+
+def _admit(state: AdmissionState, ticket: Ticket, server: str, *, now: int) -> Admit:
+    del state.waiting[ticket.request_id]
+    state.running[ticket.request_id] = Running(
+        ticket=ticket, server=server, admitted_at=now
+    )
+    move_load(state, server, requests=1, tokens=ticket.cost, now=now)
+    shares.charge(state.accounts, ticket.caller, cost=ticket.cost)
+    return Admit(request_id=ticket.request_id)
+
+
+def _is_late(state: AdmissionState, ticket: Ticket, admitted_at: float) -> bool:
+    first_token_ms = drain_rate.predict_first_token(state.drain)
+    return admitted_at + first_token_ms > ticket.deadline
+
+
+def _refuse(
+    state: AdmissionState, ticket: Ticket, code: Code, *, wait_ms: float, now: int
+) -> Refuse:
+    del state.waiting[ticket.request_id]
+    share = state.accounts.callers[ticket.caller]
+    share.refused_at = now
+    part = _measure_part(state, ticket.caller)
+    share.booked_until, retry_after_ms = drain_rate.book_return(
+        share.booked_until,
+        request_id=ticket.request_id,
+        wait_ms=wait_ms,
+        rate=_measure_rate(state, ticket.item) * part,
+        now=now,
+    )
+    if _is_above_share(state, ticket.caller, part):
+        code = Code.SHARE_EXCEEDED
+    return Refuse(
+        request_id=ticket.request_id, code=code, retry_after_ms=retry_after_ms
+    )
+
+
+def _estimate_wait(
+    state: AdmissionState, ahead: Mapping[str, float], item: str
+) -> float:
+    """Return how long a request waits for its slot, in milliseconds.
+
+    :param ahead: requests that go before it, by server; one that may go to several
+        counts in parts.
+    """
+    before = sum(ahead.get(name, 0.0) for name in state.holders.get(item, ()))
+    rate = _measure_rate(state, item)
+    return (1 + before) / rate if rate > 0 else float(drain_rate.MOST_RETRY_MS)
+
+
+def _measure_rate(state: AdmissionState, item: str) -> float:
+    return sum(
+        drain_rate.measure_rate(
+            state.drain, server=name, slots=state.limits[name].ordinary
+        )
+        for name in state.holders.get(item, ())
+        if name in state.limits
+    )
+
+
+def _measure_part(state: AdmissionState, caller: str) -> float:
+    """Return a caller's part by weight among the callers that have work here."""
+    active = {ticket.caller for ticket in state.waiting.values()}
+    active.update(one.ticket.caller for one in state.running.values())
+    active.add(caller)
+    weights = {name: state.accounts.callers[name].weight for name in active}
+    return weights[caller] / sum(weights.values())
+
+
+def _is_above_share(state: AdmissionState, caller: str, part: float) -> bool:
+    in_flight = sum(one.ticket.cost for one in state.running.values())
+    own = state.accounts.callers[caller].in_flight
+    return part < 1 and own > part * in_flight
--- a/src/arbutuspulley/admission/drain_rate.py
+++ b/src/arbutuspulley/admission/drain_rate.py
@@ -1,8 +1,8 @@
-"""How fast servers finish work for this entry, and when a refused caller should
-come back.
+"""How fast servers finish this entry's requests, and what follows for those that
+wait: how long they will, and when a refused caller should come back.
 
-The rate follows from the mean cost and duration of what finished lately and from
-the slots in use, so that a few long requests give a usable number.
+A waiting request needs a slot, so what counts is how often slots become free: the
+slots in use over the mean duration of the requests that finished lately.
 """
 
 import math
@@ -15,19 +15,19 @@
 DEFAULT_DURATION_MS = 5_000.0
 """Assumed duration of a request at a server that has not yet finished one."""
 
-DEFAULT_COST = 200.0
-"""Assumed cost of such a request."""
-
 LEARNING = 0.1
-"""Weight of the newest finished request in the means."""
+"""Weight of the newest request in the means."""
 
 DEFAULT_FIRST_TOKEN_MS = 150.0
 """Assumed time from admission to the first token."""
 
-LEAST_RETRY_MS = 1_000
+DEVIATIONS = 2.0
+"""Mean deviations added to that time when a request must be in time."""
+
+LEAST_RETRY_MS = SECOND_MS
 """Shortest time told to a refused caller."""
 
-MOST_RETRY_MS = 60_000
+MOST_RETRY_MS = 60 * SECOND_MS
 """Longest time told to a refused caller."""
 
 SPREAD = 0.25
@@ -35,9 +35,11 @@
 
 
 class Pace(State):
-    """Means over requests finished lately at one server."""
+    """Requests finished lately at one server.
+
+    :param finished: how many have been.
+    """
 
-    cost: float = DEFAULT_COST
     duration_ms: float = DEFAULT_DURATION_MS
     finished: int = 0
 
@@ -47,57 +49,61 @@
 
     :param paces: by server.
     :param first_token_ms: mean time from admission to the first token.
-    :param booked_until: when the work of callers told to come back is done.
+    :param deviation_ms: its mean deviation.
     """
 
     paces: dict[str, Pace] = {}
     first_token_ms: float = DEFAULT_FIRST_TOKEN_MS
-    booked_until: float = 0.0
+    deviation_ms: float = 0.0
 
 
-def note_finished(
-    state: DrainState, *, server: str, cost: int, duration_ms: int
-) -> None:
+def note_finished(state: DrainState, *, server: str, duration_ms: int) -> None:
     """Learn from a request that a server finished."""
     pace = state.paces.setdefault(server, Pace())
     pace.finished += 1
     learning = max(LEARNING, 1 / pace.finished)
-    pace.cost += learning * (cost - pace.cost)
     pace.duration_ms += learning * (max(1, duration_ms) - pace.duration_ms)
 
 
 def note_first_token(state: DrainState, *, elapsed_ms: int) -> None:
     """Learn from the time between an admission and its first token."""
-    state.first_token_ms += LEARNING * (elapsed_ms - state.first_token_ms)
+    error = elapsed_ms - state.first_token_ms
+    state.first_token_ms += LEARNING * error
+    state.deviation_ms += LEARNING * (abs(error) - state.deviation_ms)
+
+
+def predict_first_token(state: DrainState) -> float:
+    """Return how long after its admission a request's first token comes at most.
+
+    The mean alone would admit requests that are late half of the time: under
+    overload, most of them are admitted close to their deadline.
+    """
+    return state.first_token_ms + DEVIATIONS * state.deviation_ms
 
 
 def measure_rate(state: DrainState, *, server: str, slots: int) -> float:
-    """Return the token cost a second that a number of slots works off."""
-    pace = state.paces.get(server) or Pace()
-    return slots * pace.cost / pace.duration_ms * SECOND_MS
+    """Return how many requests a millisecond a number of slots finishes."""
+    pace = state.paces.get(server)
+    return slots / (pace.duration_ms if pace else DEFAULT_DURATION_MS)
 
 
 def book_return(
-    state: DrainState,
-    *,
-    request_id: str,
-    cost: int,
-    wait_ms: int,
-    rate: float,
-    now: int,
-) -> int:
-    """Return after how many milliseconds a refused caller should come back.
-
-    Each refused request books its cost after those refused before it. Without
-    that, all callers refused in one overload would be told the same time and
-    would overload the entry again when it comes.
-
-    :param wait_ms: how long the work that waits already takes.
-    :param rate: token cost a second that is worked off.
+    booked_until: float, *, request_id: str, wait_ms: float, rate: float, now: int
+) -> tuple[float, int]:
+    """Return when a refused caller should come back.
+
+    Each refused request books a slot after those refused before it. Without that,
+    all that are refused in one overload would be told the same time and would
+    overload the entry again when it comes.
+
+    :param booked_until: until when earlier refused requests have booked.
+    :param wait_ms: when the first slot would be free for it.
+    :param rate: requests a millisecond that are finished for its caller.
+    :return: until when is booked now, and the milliseconds to tell.
     """
-    start = max(state.booked_until, now + wait_ms)
-    state.booked_until = start + cost / max(rate, 1.0) * SECOND_MS
-    state.booked_until = min(state.booked_until, now + MOST_RETRY_MS)
+    start = max(booked_until, now + wait_ms)
+    start = min(start, now + MOST_RETRY_MS)
     drawn = xxhash.xxh32_intdigest(request_id.encode()) / 2**32
-    told = (start - now) * (1 + SPREAD * drawn)
-    return min(MOST_RETRY_MS, max(LEAST_RETRY_MS, math.ceil(told)))
+    told = math.ceil((start - now) * (1 + SPREAD * drawn))
+    booked = start + (1 / rate if rate > 0 else MOST_RETRY_MS)
+    return booked, min(MOST_RETRY_MS, max(LEAST_RETRY_MS, told))
--- a/src/arbutuspulley/admission/limits.py
+++ b/src/arbutuspulley/admission/limits.py
@@ -2,14 +2,19 @@
 
 The entries of a group share the servers without asking each other for each
 request. Each has a part of a server's slots that is always its own. What the
-others leave free, seen in the server's reports, is lent in equal parts.
+others leave free, seen in the server's reports, is lent in equal parts; what is
+used above the own part is given back as soon as a report shows the server above
+its slots.
 """
 
 from collections.abc import Sequence
 
+import xxhash
+
+from arbutuspulley.admission.standing import Standing
 from arbutuspulley.data import Value
-from arbutuspulley.routing.load import ServerLoad, estimate_requests
-from arbutuspulley.rpc.messages import EntryAddress
+from arbutuspulley.routing.load import ServerLoad
+from arbutuspulley.rpc.messages import EntryAddress, ServerSummary
 
 FLOOR_SLOTS = 1
 """Slots of each server that an entry may always use."""
@@ -17,45 +22,89 @@
 TOKENS_PER_SLOT = 4_000
 """Token cost in flight that one slot stands for."""
 
+RESERVE_PART = 8
+"""One slot in so many is left free by callers that press beyond their share."""
+
 ACTIVE_LOAD = 0.02
 """An entry with less load than this does not count as sharing the servers now."""
 
 
 class ServerLimit(Value, frozen=True):
-    """What this entry may have in flight at one server.
+    """What this entry may have in flight at one server, by the caller's standing.
 
-    :param part: slots that are its own part.
-    :param slots: slots that it may use now, lent ones included.
+    :param ordinary: its own part and its part of what is free.
+    :param modest: its own part and all that is free.
+    :param pressing: the same as ordinary, with the reserve taken off.
     """
 
-    part: int
-    slots: int
+    ordinary: int
+    modest: int
+    pressing: int
 
-    @property
-    def tokens(self) -> int:
-        """Token cost that it may have in flight."""
-        return self.slots * TOKENS_PER_SLOT
+    def get(self, standing: Standing) -> int:
+        """Return the slots for a request of a caller of this standing."""
+        if standing is Standing.PRESSING:
+            return self.pressing
+        return self.modest if standing is Standing.MODEST else self.ordinary
 
 
-def count_active(entries: Sequence[EntryAddress], *, own: str) -> int:
-    """Return how many entries share the servers now, this one included.
+def list_active(entries: Sequence[EntryAddress], *, own: str) -> tuple[str, ...]:
+    """Return the addresses of the entries that share the servers now.
 
-    :param own: address of this entry.
+    :param own: address of this entry, which always counts.
     """
-    others = [
-        entry for entry in entries if entry.address != own and entry.load >= ACTIVE_LOAD
-    ]
-    return 1 + len(others)
-
-
-def compute_limit(load: ServerLoad, *, slots: int, entries: int) -> ServerLimit:
+    active = {entry.address for entry in entries if entry.load >= ACTIVE_LOAD}
+    return tuple(sorted(active | {own}))
+
+
+def compute_limit(
+    load: ServerLoad,
+    *,
+    report: ServerSummary,
+    own: str,
+    active: Sequence[str],
+    contended: bool = False,
+) -> ServerLimit:
     """Return what this entry may have in flight at a server.
 
-    :param load: this entry's account of the server, with its latest report.
-    :param slots: requests the server runs at once within the targets.
-    :param entries: entries that share it now.
+    :param load: this entry's account of the server, with the same report.
+    :param own: address of this entry.
+    :param active: addresses of the entries that share the server.
+    :param contended: whether a modest caller waits at another instance.
     """
-    part = max(FLOOR_SLOTS, slots // entries)
-    free = max(0, slots - estimate_requests(load))
-    lent = -(-free // entries)
-    return ServerLimit(part=part, slots=max(part, min(slots, load.requests + lent)))
+
+    part = max(
+        FLOOR_SLOTS, _divide(report.slots, own=own, active=active, key=report.server)
+    )
+    # Counted from the moment of the report, which all entries read alike, their
+    # limits add up to the slots. With what each has begun since, they would not.
+    # The key changes with the report, so that no entry always gets the odd slot.
+    before = load.requests_at_report
+    reported = report.running + report.waiting
+    key = f"{report.server}|{reported}|{report.waiting_tokens}"
+
+    def share_out(slots: int) -> int:
+        free = slots - reported
+        if free < 0:
+            return before + free
+        return before + _divide(free, own=own, active=active, key=key)
+
+    ordinary = max(part, share_out(report.slots))
+    # Several entries may let modest callers have the same free slot. That is kept
+    # small by their being modest, and ends with the next report.
+    modest = ordinary if contended else max(ordinary, before + report.slots - reported)
+    pressing = share_out(report.slots - report.slots // RESERVE_PART)
+    return ServerLimit(
+        ordinary=ordinary, modest=modest, pressing=max(0, min(pressing, ordinary))
+    )
+
+
+def _divide(slots: int, *, own: str, active: Sequence[str], key: str) -> int:
+    """Return this entry's part of some slots; all parts add up to the whole."""
+    whole, rest = divmod(slots, len(active))
+    if not rest:
+        return whole
+    ranked = sorted(
+        active, key=lambda one: xxhash.xxh64_intdigest(f"{key}|{one}".encode())
+    )
+    return whole + (ranked.index(own) < rest)
--- a/src/arbutuspulley/admission/shares.py
+++ b/src/arbutuspulley/admission/shares.py
@@ -6,6 +6,7 @@
 for the share that it was lent while the others were away.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 
 from arbutuspulley.clock import SECOND_MS
@@ -18,8 +19,8 @@
 FORGET_MS = 600_000
 """A caller not seen for this long is forgotten."""
 
-SMOOTHING_MS = 1_000
-"""Time constant of the usage told to other instances."""
+SMOOTHING_MS = 3_000
+"""Time constant of the usage by which callers are compared."""
 
 
 class CallerShare(State):
@@ -30,6 +31,8 @@
     :param remote_tokens_per_s: what it uses through other instances.
     :param remote_waiting: its requests waiting there.
     :param tokens_per_s: what it uses here, smoothed.
+    :param booked_until: until when its refused requests have been told to wait.
+    :param refused_at: when one was last refused, or ``None``.
     """
 
     weight: int = 1
@@ -38,13 +41,15 @@
     remote_tokens_per_s: float = 0.0
     remote_waiting: int = 0
     tokens_per_s: float = 0.0
+    booked_until: float = 0.0
+    refused_at: int | None = None
     seen_at: int = 0
 
 
 class SharesState(State):
     """All callers' accounts.
 
-    :param clock: virtual time of the last request that was admitted.
+    :param clock: virtual time at which the latest admitted request started.
     :param charged_at: up to when remote usage has been charged.
     """
 
@@ -53,7 +58,7 @@
     charged_at: int = 0
 
 
-def find_share(
+def open_share(
     state: SharesState, caller: str, *, weight: int, now: int
 ) -> CallerShare:
     """Return a caller's account, opened at the present if there is none."""
@@ -63,16 +68,17 @@
     return share
 
 
-def rank_share(state: SharesState, share: CallerShare) -> float:
-    """Return the caller's start time; the smallest goes next."""
-    return max(state.clock, share.clock)
+def find_start(state: SharesState, caller: str) -> float:
+    """Return the virtual time at which a caller's next request starts."""
+    share = state.callers.get(caller)
+    return max(state.clock, share.clock) if share else state.clock
 
 
-def charge(state: SharesState, share: CallerShare, *, cost: int) -> None:
+def charge(state: SharesState, caller: str, *, cost: int) -> None:
     """Account for a request that is admitted."""
-    start = rank_share(state, share)
-    state.clock = start
-    share.clock = start + cost / share.weight
+    share = state.callers[caller]
+    state.clock = find_start(state, caller)
+    share.clock = state.clock + cost / share.weight
     share.in_flight += cost
     share.tokens_per_s += cost * SECOND_MS / SMOOTHING_MS
 
@@ -108,17 +114,21 @@
     elapsed_s = max(0, now - state.charged_at) / SECOND_MS
     state.charged_at = now
     _fade(state, elapsed_s)
-    shares = [state.callers[caller] for caller in waiting if caller in state.callers]
-    if not shares:
+    names = [caller for caller in waiting if caller in state.callers]
+    if not names:
         return
-    least = min(share.remote_tokens_per_s / share.weight for share in shares)
-    for share in shares:
-        excess = share.remote_tokens_per_s / share.weight - least
-        ahead = rank_share(state, share) - state.clock
-        room = max(0.0, excess * MOST_DEBT_S - ahead)
+    rates = {
+        name: state.callers[name].remote_tokens_per_s / state.callers[name].weight
+        for name in names
+    }
+    least = min(rates.values())
+    for name in names:
+        excess = rates[name] - least
+        start = find_start(state, name)
+        room = max(0.0, excess * MOST_DEBT_S - (start - state.clock))
         debt = min(excess * elapsed_s, room)
         if debt > 0:
-            share.clock = rank_share(state, share) + debt
+            state.callers[name].clock = start + debt
 
 
 def list_usage(
@@ -148,6 +158,6 @@
 
 
 def _fade(state: SharesState, elapsed_s: float) -> None:
-    kept = max(0.0, 1 - elapsed_s * SECOND_MS / SMOOTHING_MS)
+    kept = math.exp(-elapsed_s * SECOND_MS / SMOOTHING_MS)
     for share in state.callers.values():
         share.tokens_per_s *= kept
--- /dev/null
+++ b/src/arbutuspulley/admission/state.py
@@ -0,0 +1,59 @@
+"""What one entry knows about waiting and running requests."""
+
+import msgspec
+
+from arbutuspulley.admission.drain_rate import DrainState
+from arbutuspulley.admission.limits import ServerLimit
+from arbutuspulley.admission.shares import SharesState
+from arbutuspulley.admission.standing import Standing
+from arbutuspulley.admission.tickets import Ticket
+from arbutuspulley.data import State
+from arbutuspulley.routing.load import ServerLoad, add_change
+
+
+class Running(State):
+    """An admitted request.
+
+    :param server: the server that it counts at; until ``queue.assign`` the one that
+        had room for it.
+    """
+
+    ticket: Ticket
+    server: str
+    admitted_at: int
+
+
+class AdmissionState(State):
+    """State of the aggregate; see :mod:`.queue` for what changes it.
+
+    :param own: address of this entry.
+    :param holders: servers that may take an item, by item.
+    :param limits: what this entry may use of each server.
+    :param loads: what it uses of each server.
+    :param standings: how callers stand to their shares.
+    :param waiting: by request id, in order of arrival.
+    :param running: by request id.
+    """
+
+    own: str = ""
+    holders: dict[str, tuple[str, ...]] = {}
+    limits: dict[str, ServerLimit] = {}
+    loads: dict[str, ServerLoad] = {}
+    standings: dict[str, Standing] = {}
+    waiting: dict[str, Ticket] = {}
+    running: dict[str, Running] = {}
+    accounts: SharesState = msgspec.field(default_factory=SharesState)
+    drain: DrainState = msgspec.field(default_factory=DrainState)
+
+
+def get_standing(state: AdmissionState, caller: str) -> Standing:
+    """Return how a caller stands to its share."""
+    return state.standings.get(caller, Standing.ORDINARY)
+
+
+def move_load(
+    state: AdmissionState, server: str, *, requests: int, tokens: int, now: int
+) -> None:
+    """Account for requests that begin (positive) or end (negative) at a server."""
+    load = state.loads.setdefault(server, ServerLoad())
+    add_change(load, requests=requests, tokens=tokens, now=now)
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,59 @@
+"""The retry budget."""
+
+import random
+
+import pytest
+
+from arbutuspulley.admission import budget
+from arbutuspulley.admission.budget import BudgetState, note_success, take_retry
+
+
+def test_a_quiet_system_may_retry_its_first_failure_only():
+    state = BudgetState()
+    assert take_retry(state, now=5)
+    assert not take_retry(state, now=6)
+    assert take_retry(state, now=budget.FLOOR_REFILL_MS)
+
+
+def test_successes_earn_retries_up_to_a_bound():
+    state = BudgetState(credit=0)
+    for _ in range(10):
+        note_success(state)
+    assert take_retry(state, now=5)
+    assert not take_retry(state, now=6)
+    for _ in range(100_000):
+        note_success(state)
+    assert (
+        sum(take_retry(state, now=0) for _ in range(1_000))
+        == budget.MOST // budget.RETRY
+    )
+
+
+def test_a_retry_is_not_retried_and_earns_nothing():
+    state = BudgetState(credit=500)
+    assert not take_retry(state, now=0, retried=True)
+    note_success(state, retried=True)
+    assert state.credit == 500
+
+
+@pytest.mark.parametrize(("failing", "most"), [(0.1, 1.1), (0.5, 1.1), (1.0, 1.02)])
+def test_failing_servers_do_not_multiply_the_load(failing, most):
+    """A tenth of the servers fail, then half, then all.
+
+    With three tries for each request, attempts would grow to 1.11, 1.75 and 3 times
+    the requests, at the very moment when there is the least room.
+    """
+    chance = random.Random(1)
+    state = BudgetState()
+    attempts = requests = 0
+    for now in range(0, 100_000, 50):
+        requests += 1
+        attempts += 1
+        if chance.random() >= failing:
+            note_success(state)
+            continue
+        if take_retry(state, now=now):
+            attempts += 1
+            if chance.random() >= failing:
+                note_success(state, retried=True)
+    assert attempts / requests <= most
--- /dev/null
+++ b/tests/test_cost.py
@@ -0,0 +1,60 @@
+"""Token cost: estimates, and what is learned."""
+
+import json
+
+import pytest
+
+from arbutuspulley.admission import cost
+from arbutuspulley.admission.cost import CostState, count_cost, estimate_cost
+
+DEFAULT = int(cost.DEFAULT_OUTPUT_TOKENS)
+
+
+def build_body(**fields):
+    return json.dumps(fields).encode()
+
+
+@pytest.mark.parametrize(
+    ("body", "expected"),
+    [
+        (build_body(prompt="", max_tokens=50), 51),
+        (build_body(prompt="x" * 3_998, max_tokens=50), 150),
+        (build_body(messages=[], max_completion_tokens=50), 51),
+        (build_body(prompt="", max_tokens=10_000), DEFAULT + 1),
+        (build_body(prompt="", max_tokens=-5), DEFAULT + 1),
+        (build_body(prompt="", max_tokens=50, n=3), 151),
+        (build_body(prompt="", max_tokens=50, n=10**9), 50 * cost.MOST_CHOICES + 1),
+        (build_body(prompt="", max_tokens="many"), DEFAULT + 1),
+        (b"not json", DEFAULT + 1),
+        (b"", DEFAULT),
+    ],
+)
+def test_estimates_from_prompt_and_bound(body, expected):
+    assert estimate_cost(body) == expected
+
+
+def test_adapters_cost_more():
+    body = build_body(prompt="", max_tokens=100)
+    assert estimate_cost(body, adapter=True) > estimate_cost(body)
+
+
+def test_the_length_of_answers_is_learned_for_each_item():
+    """A caller sets a bound of 4,096 tokens and gets answers of 20.
+
+    By the bound it would pay for its share two hundred times over, and one that
+    sets no bound would pay the same for answers of 1,000 tokens.
+    """
+    state = CostState()
+    for _ in range(60):
+        cost.note_output(state, item="short@1", tokens=20)
+        cost.note_output(state, item="long@1", tokens=1_000)
+    body = build_body(prompt="", max_tokens=4_096)
+    assert estimate_cost(body, state=state, item="short@1") == pytest.approx(20, abs=2)
+    long = estimate_cost(body, state=state, item="long@1")
+    assert long == pytest.approx(1_000, abs=10)
+    assert estimate_cost(body, state=state, item="new@1") == DEFAULT + 1
+
+
+def test_the_known_cost_counts_what_was_produced():
+    assert count_cost(prompt_bytes=400, output_tokens=30) == 40
+    assert count_cost(prompt_bytes=0, output_tokens=0) == 1
