--- a/src/arbutuspulley/delivery/request.py
+++ b/src/arbutuspulley/delivery/request.py
@@ -94,10 +94,12 @@
     """The attempt broke off after bytes of it may have left.
 
     :param next_offset: index of the first token that the caller has not got.
+    :param barred: why it must not be retried, if so.
     """
 
     server: str
     next_offset: int
+    barred: Barred | None = None
 
 
 class Ended(Value, frozen=True):
@@ -235,6 +237,9 @@
     state.avoid |= {event.server}
     if not state.repeatable:
         return _fail_unknown(state)
+    if event.barred is not None:
+        barred = event.barred
+        return _fail(state, barred.code, barred.detail, barred.retry_after_ms)
     return _retry(state, take_retry)
 
 
--- a/src/arbutuspulley/entry/deaths.py
+++ b/src/arbutuspulley/entry/deaths.py
@@ -75,9 +75,7 @@
     died_at = runtime.state.died_at.get(ongoing.fingerprint)
     if died_at is None:
         return
-    pause_ms = died_at + SPREAD_MS - runtime.clock.now()
-    if pause_ms > 0:
-        await asyncio.sleep(pause_ms / SECOND_MS)
+    await _pause(died_at + SPREAD_MS - runtime.clock.now())
 
 
 async def call_controller(
@@ -92,6 +90,10 @@
     return reply
 
 
+async def _pause(pause_ms: int) -> None:
+    await asyncio.sleep(max(0, pause_ms) / SECOND_MS)
+
+
 def release_server(state: EntryState, trial: Trial) -> None:
     """Let other suspects of this entry have the server of a trial."""
     if state.trials.get(trial.server) == trial.trial_id:
--- a/src/arbutuspulley/entry/dispatch.py
+++ b/src/arbutuspulley/entry/dispatch.py
@@ -55,6 +55,8 @@
         return None
     try:
         await _end_attempt(runtime, ongoing, event, died)
+        if isinstance(event, life.Broken):
+            event = _bar_if_quarantined(runtime, ongoing, event)
         attempt = await _perform(runtime, ongoing, event)
     except BaseException:
         _forget(runtime, ongoing)
@@ -99,6 +101,18 @@
     )
 
 
+def _bar_if_quarantined(
+    runtime: Runtime, ongoing: Ongoing, event: life.Broken
+) -> life.Broken:
+    known = runtime.state.suspects.suspicions.get(ongoing.fingerprint)
+    if judge(known) is not Judgement.QUARANTINED:
+        return event
+    barred = trials.bar_quarantined(runtime, ongoing)
+    return life.Broken(
+        server=event.server, next_offset=event.next_offset, barred=barred
+    )
+
+
 async def _perform(
     runtime: Runtime, ongoing: Ongoing, event: life.Event
 ) -> Attempt | None:
--- a/src/arbutuspulley/entry/services.py
+++ b/src/arbutuspulley/entry/services.py
@@ -32,6 +32,7 @@
 LEFT_OUT_MS = 2 * SECOND_MS
 """How long an address that failed is left out if there is another."""
 
+_OWN_HEADERS = frozenset({"content-type", "date", "server"})
 _NO_ANSWER = life.NoServer(code=Code.SERVICE_UNAVAILABLE)
 
 
@@ -192,7 +193,7 @@
 
 def _build_answer(reply: ServiceReply) -> answers.Answer:
     kept = tuple(
-        (name, value) for name, value in reply.headers if name.lower() != "content-type"
+        (name, value) for name, value in reply.headers if not _is_ours(name.lower())
     )
     return answers.build_success(
         reply.body,
@@ -202,5 +203,10 @@
     )
 
 
+def _is_ours(name: str) -> bool:
+    """Tell whether the entry itself sets a header of the answer."""
+    return name in _OWN_HEADERS or name.startswith("x-arbutus-")
+
+
 def _never() -> bool:
     return False
--- /dev/null
+++ b/tests/entries.py
@@ -0,0 +1,293 @@
+"""Entries in this process, with a controller and backend servers that tests steer."""
+
+import asyncio
+import contextlib
+import json
+import random
+import subprocess
+import sys
+from typing import NamedTuple
+
+import msgspec
+import openai
+import urllib3
+
+from arbutuspulley.adapters.engines import connect_engines
+from arbutuspulley.clock import Clock
+from arbutuspulley.configuration import schema
+from arbutuspulley.configuration.lookup import hash_key
+from arbutuspulley.delivery import claims, trials
+from arbutuspulley.entry.controllers import Controller
+from arbutuspulley.entry.metrics import build_metrics
+from arbutuspulley.entry.server import EntryServer
+from arbutuspulley.entry.state import EntryState, Runtime, Settings
+from arbutuspulley.entry.turns import tick_regularly
+from arbutuspulley.entry.views import describe_entry, take_view
+from arbutuspulley.loop import LoopThread
+from arbutuspulley.ports.engines import NotSentError
+from arbutuspulley.rpc.channel import PeerUnavailableError
+from arbutuspulley.rpc.messages import Acknowledged, ServerSummary, View
+from tests.backends import ITEM, load, run_engine, set_faults, wait_until
+from tests.fakes import FakePlatform
+from tests.ports import find_free_address
+
+ENGINES = connect_engines(connect_timeout_ms=1_000, read_timeout_ms=5_000)
+CHAT = "/v1/chat/completions"
+MAX_BODY_BYTES = 4_096
+UNREPEATABLE = {"X-Arbutus-Unrepeatable": "true", "Idempotency-Key": "k"}
+
+
+class FakeController:
+    """Answers for the controllers of all entries, from one fake platform.
+
+    Set ``down`` to have it not answer, ``lost_replies`` to have it act unheard, or
+    ``on_death`` to do something, once, before the next death is recorded.
+    """
+
+    def __init__(self):
+        self.fake = FakePlatform()
+        self.down = False
+        self.lost_replies = 0
+        self.on_death = None
+        self.reports = []
+        self.settled = []
+        self.port = Controller(
+            watch=None,
+            report=self._report,
+            claim=self._claim,
+            settle=self._settle,
+            report_death=self._report_death,
+            acquit=self._acquit,
+        )
+
+    def _answer(self, work):
+        if self.down:
+            raise PeerUnavailableError(detail="down", sent=False)
+        result = work()
+        if self.lost_replies:
+            self.lost_replies -= 1
+            raise PeerUnavailableError(detail="reply lost", sent=True)
+        return result
+
+    async def _report(self, report):
+        return self._answer(lambda: self.reports.append(report))
+
+    async def _claim(self, request):
+        platform = self.fake.platform
+        return self._answer(
+            lambda: claims.make_claim(platform.table, request, objects=platform.objects)
+        )
+
+    async def _settle(self, request):
+        platform = self.fake.platform
+        self._answer(
+            lambda: claims.settle_claim(
+                platform.table, request, objects=platform.objects
+            )
+        )
+        self.settled.append(request.state)
+        return Acknowledged()
+
+    async def _report_death(self, report):
+        hook, self.on_death = self.on_death, None
+        if hook:
+            await run_aside(hook)
+        table = self.fake.platform.table
+        return self._answer(lambda: trials.record_deaths(table, report))
+
+    async def _acquit(self, report):
+        table = self.fake.platform.table
+        return self._answer(lambda: trials.record_acquittal(table, report))
+
+    def list_suspicions(self):
+        if self.fake.down:
+            return ()
+        return trials.read_suspicions(self.fake.platform.table, after=0).suspicions
+
+
+class Entry:
+    """One running entry and what a test asks of it."""
+
+    def __init__(self, runtime, server):
+        self.runtime, self.server = runtime, server
+        self.address = server.address
+
+    def ask(self, body, path=CHAT, method="POST", key="key-of-desk", **headers):
+        """Return the answer; header names are written with underscores."""
+        sent = {name.replace("_", "-"): value for name, value in headers.items()}
+        return urllib3.request(
+            method,
+            f"http://{self.address}{path}",
+            body=body if isinstance(body, bytes) else json.dumps(body),
+            headers={"Authorization": f"Bearer {key}", **sent},
+            retries=False,
+            timeout=30,
+        )
+
+    def connect(self):
+        """Return an ordinary client of the usual protocol."""
+        return openai.OpenAI(
+            base_url=f"http://{self.address}/v1", api_key="key-of-desk", max_retries=0
+        )
+
+    def call(self, function):
+        return self.runtime.loop.call(lambda: function(self.runtime.state))
+
+
+class EngineProcess(NamedTuple):
+    """An engine in a process of its own."""
+
+    address: str
+    boot_id: str
+    process: subprocess.Popen
+
+
+class Bench:
+    """Entries, engines and their one controller."""
+
+    def __init__(self, stack):
+        self.stack = stack
+        self.controller = FakeController()
+        self.engines, self.entries, self.services = {}, [], []
+        self.live = True
+        self.number = 0
+
+    def add_engine(self, name, **settings):
+        engine = self.stack.enter_context(run_engine(name=name, **settings))
+        load(ENGINES, engine.address)
+        self.engines[name] = engine
+        return engine
+
+    def add_engine_process(self, name, marker):
+        """Start an engine that a request with the marker kills."""
+        address = find_free_address()
+        command = [sys.executable, "-m", "arbutuspulley.standins.engine"]
+        flags = ["--name", name, "--listen", address, "--load-ms", "0"]
+        process = subprocess.Popen([*command, *flags])
+        self.stack.callback(process.wait)
+        self.stack.callback(process.kill)
+        wait_until(lambda: _try_report(address))
+        load(ENGINES, address)
+        set_faults(address, crash_marker=marker)
+        boot_id = ENGINES.report(address).boot_id
+        self.engines[name] = EngineProcess(address, boot_id, process)
+
+    def add_entry(self, **settings):
+        entry = self.stack.enter_context(_run_entry(self, settings))
+        self.entries.append(entry)
+        return entry
+
+    def spread(self, *entries, **changes):
+        """Give all entries, or these, the view that a controller would have now."""
+        self.number += 1
+        view = View(
+            number=self.number,
+            ready=True,
+            store_up=True,
+            configuration=self.build_configuration(),
+            servers=self.list_servers(*self.engines),
+            entries=tuple(describe_entry(entry.runtime) for entry in self.entries),
+            suspicions=self.controller.list_suspicions(),
+        )
+        view = msgspec.structs.replace(view, **changes)
+        for entry in entries or self.entries:
+            take = entry.runtime
+            take.loop.call(
+                lambda taking=take: take_view(taking, view, now=taking.clock.now())
+            )
+
+    def list_servers(self, *names):
+        return tuple(_summarise(name, self.engines[name]) for name in names)
+
+    def build_configuration(self):
+        target = schema.Target(first_token_ms=20_000)
+        callers = {
+            name: schema.Caller(key_sha256=hash_key(f"key-of-{name}"), live=self.live)
+            for name in ("desk", "hosts")
+        }
+        callers["narrow"] = schema.Caller(
+            key_sha256=hash_key("key-of-narrow"), models=("other",)
+        )
+        site = schema.Site(
+            models={"m": schema.Model(version="1", size_mib=60, target=target)},
+            callers=callers,
+            services={"booking": schema.Service(addresses=tuple(self.services))},
+        )
+        return schema.Configuration(
+            version=1,
+            sites={"a": site},
+            policy=schema.Policy(address_lifetime_s=1),
+        )
+
+
+@contextlib.contextmanager
+def run_bench(*, engines=("e1",), entries=1, services=(), **settings):
+    """Yield a bench with engines that hold the model, and entries that know it."""
+    with contextlib.ExitStack() as stack:
+        bench = Bench(stack)
+        bench.services = list(services)
+        for name in engines:
+            bench.add_engine(name, **settings)
+        for _ in range(entries):
+            bench.add_entry()
+        bench.spread()
+        yield bench
+
+
+async def run_aside(function):
+    """Run what waits for a loop, from that loop."""
+    await asyncio.get_running_loop().run_in_executor(None, function)
+
+
+def build_chat(text="hello", tokens=4, **more):
+    messages = [{"role": "user", "content": text}]
+    return {"model": "m", "messages": messages, "max_tokens": tokens, **more}
+
+
+@contextlib.contextmanager
+def _run_entry(bench, settings):
+    loop = LoopThread(name="entry", workers=8)
+    loop.start()
+    number = len(bench.entries) + 1
+    runtime = Runtime(
+        settings=Settings(
+            instance=f"i{number}",
+            site="a",
+            address=f"127.0.0.1:{number}",
+            boot_id=f"boot-{number}",
+            max_body_bytes=MAX_BODY_BYTES,
+            **settings,
+        ),
+        state=EntryState(),
+        loop=loop,
+        clock=Clock(),
+        engines=ENGINES,
+        controller=bench.controller.port,
+        metrics=build_metrics(),
+        chance=random.Random(number),
+    )
+    loop.spawn(tick_regularly(runtime))
+    server = EntryServer(runtime=runtime, host="127.0.0.1", port=0, threads=40)
+    server.start()
+    try:
+        yield Entry(runtime, server)
+    finally:
+        server.stop()
+        loop.stop()
+
+
+def _try_report(address):
+    try:
+        return ENGINES.report(address)
+    except NotSentError:
+        return None
+
+
+def _summarise(name, engine):
+    return ServerSummary(
+        server=name,
+        site="a",
+        address=engine.address,
+        items=(ITEM,),
+        boot_id=engine.boot_id,
+    )
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -136,12 +136,15 @@
         ("unknown", "a1", "answered", "answered"),
         ("unknown", "a1", "not_run", "unknown"),
         ("not_run", "a1", "answered", "granted"),
+        (None, "a2", "answered", "in_progress"),
+        (None, "a2", "not_run", "in_progress"),
     ],
 )
 def test_a_settlement_is_not_undone(fake, first, attempt, second, kept):
     """A settlement arrives twice or late, or from an entry that lost the claim."""
     claim(fake)
-    settle(fake, first)
+    if first:
+        settle(fake, first)
     settle(fake, second, attempt, body=b"later")
     reply = claim(fake, "a3")
     assert reply.state == kept
--- a/tests/test_request.py
+++ b/tests/test_request.py
@@ -17,6 +17,7 @@
 LEFT = life.CallerLeft(next_offset=3)
 LATE = life.DeadlinePassed()
 BARRED = life.Barred(code=Code.QUARANTINED, detail="no", retry_after_ms=9_000)
+BARRED_BREAK = life.Broken(server="s1", next_offset=7, barred=BARRED)
 NO_SERVER = life.NoServer(retry_after_ms=3_000)
 DEADLINE = 1_000
 
@@ -59,6 +60,7 @@
         ((NOT_SENT, NO_SERVER), "MODEL_NOT_LOADED not_run 3000"),
         ((BROKEN, NO_SERVER), "MODEL_NOT_LOADED unknown 3000"),
         ((BROKEN, BARRED), "QUARANTINED unknown 9000"),
+        ((BARRED_BREAK,), "QUARANTINED unknown 9000"),
         ((BROKEN, WRONG), "BAD_PARAMETER unknown None"),
         ((BROKEN, BUSY, ENDED), "finish"),
     ],
