--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 BIN := .venv/bin
 
-.PHONY: setup demo test check format
+.PHONY: setup demo test check format slopes
 setup: .venv/ready
 
 .venv/ready: requirements.lock pyproject.toml
@@ -14,6 +14,9 @@
 demo: setup
 	$(BIN)/python -m scripts.demo
 
+slopes: setup
+	$(BIN)/python -m scripts.slopes
+
 check: setup
 	$(BIN)/ruff format --check src tests scripts examples
 	$(BIN)/ruff check src tests scripts examples
--- a/scripts/slope_controller.py
+++ b/scripts/slope_controller.py
@@ -56,8 +56,8 @@
             system.addresses[name] = relays[name].address
         fleet.start_programs(system)
         launcher.wait_ready(_CONTROLLER, "console")
+        renewals = _measure_renewals(system, launcher, directory, relays["platform"])
         reports = _measure_reports(system, launcher, directory, relays)
-        renewals = _measure_renewals(system, launcher, relays["platform"])
         memory = read_rss_mib(find_pid(launcher, _CONTROLLER))
     return [
         *reports,
@@ -93,13 +93,17 @@
 
 
 def _measure_renewals(
-    system: Fleet, launcher: Launcher, relay: Relay
+    system: Fleet, launcher: Launcher, directory: Path, relay: Relay
 ) -> list[Figure]:
+    every = system.plan
+    few = msgspec.structs.replace(every, servers=every.servers[: SERVERS[0]])
+    system.plan = few
+    approve(system, directory)
     cpu: list[Point] = []
     wire: list[Point] = []
     for renew_ms in RENEWALS_MS:
         launcher.stop(_CONTROLLER)
-        system.plan = msgspec.structs.replace(system.plan, renew_ms=renew_ms)
+        system.plan = msgspec.structs.replace(few, renew_ms=renew_ms)
         fleet.start_controller(system, _INSTANCE)
         launcher.wait_ready(_CONTROLLER)
         wait_loaded(system, copies=len(system.plan.models))
@@ -110,6 +114,7 @@
         cpu.append(Point(size=writes, value=cpu_s))
         passed = (_count_bytes(relay) - bytes_before) / SPAN_S
         wire.append(Point(size=writes, value=passed))
+    system.plan = every
     return [
         build_slope("controller.renewal_cpu", "ms a renewal", cpu),
         build_slope("controller.renewal_bytes", "bytes a renewal", wire),
--- a/scripts/slope_entry.py
+++ b/scripts/slope_entry.py
@@ -1,5 +1,6 @@
 """The entry's slopes: requests, token chunks, streams and the gap between tokens."""
 
+import itertools
 import json
 import threading
 import time
@@ -20,7 +21,7 @@
 
 STREAMS = (8, 24, 48)
 TOKENS = (12, 40, 100)
-ROUND_S = 3.0
+ROUND_S = 2.5
 """How long new requests are begun in one round; those begun are then finished."""
 
 IDLE_S = 3.0
@@ -127,7 +128,9 @@
         Figure(name="entry.memory_after", value=rss_idle, unit="MiB"),
         *(
             Figure(
-                name=f"entry.gap_p95_{point.size:g}_streams", value=point.value, unit="ms"
+                name=f"entry.gap_p95_{point.size:g}_streams",
+                value=point.value,
+                unit="ms",
             )
             for point in gaps
         ),
@@ -201,7 +204,7 @@
                     continue
                 tally.requests += 1
                 tally.chunks += len(arrivals)
-                pairs = zip(arrivals, arrivals[1:], strict=False)
+                pairs = itertools.pairwise(arrivals)
                 tally.gaps_ms += [(after - before) * 1000 for before, after in pairs]
 
 
--- a/scripts/slope_figures.py
+++ b/scripts/slope_figures.py
@@ -56,10 +56,16 @@
             "unit": figure.unit,
             **({} if figure.base is None else {"base": round(figure.base, 6)}),
             **(
-                {} if figure.residual is None else {"residual": round(figure.residual, 3)}
+                {}
+                if figure.residual is None
+                else {"residual": round(figure.residual, 3)}
             ),
             **(
-                {"points": [[point.size, round(point.value, 6)] for point in figure.points]}
+                {
+                    "points": [
+                        [point.size, round(point.value, 6)] for point in figure.points
+                    ]
+                }
                 if figure.points
                 else {}
             ),
--- a/scripts/slope_groups.py
+++ b/scripts/slope_groups.py
@@ -67,7 +67,9 @@
     """Return a configuration whose sites all have the same models and callers."""
     shared_models = {
         f"model-{number:04d}": schema.Model(
-            version=f"2026-{number % 12 + 1:02d}", size_mib=MODEL_MIB, kv_floor_mib=1_000
+            version=f"2026-{number % 12 + 1:02d}",
+            size_mib=MODEL_MIB,
+            kv_floor_mib=1_000,
         )
         for number in range(models)
     }
--- a/scripts/slope_instances.py
+++ b/scripts/slope_instances.py
@@ -16,8 +16,8 @@
 from scripts.slope_stack import MODELS, approve, find_pid, read_platform, wait_loaded
 
 INSTANCES = (2, 4, 6)
-SPAN_S = 8.0
-SETTLE_S = 6.0
+SPAN_S = 7.0
+SETTLE_S = 4.0
 """Wait after instances were started, until they have shared out the servers."""
 
 CHANGES = 3
@@ -84,7 +84,7 @@
     for count in INSTANCES:
         _start_more(system, launcher, every, count)
         if count == INSTANCES[0]:
-            approve(system, directory)
+            _approve_all_sites(system, directory, every)
         wait_loaded(system, copies=len(every.models))
         launcher.wait_ready(*fleet.list_all_entries(system))
         time.sleep(SETTLE_S)
@@ -106,13 +106,17 @@
     ]
 
 
-def _start_more(
-    system: Fleet, launcher: Launcher, every: Plan, count: int
-) -> None:
+def _approve_all_sites(system: Fleet, directory: Path, every: Plan) -> None:
+    """Approve what holds for the later instances' sites, too."""
+    present = system.plan
+    system.plan = every
+    approve(system, directory)
+    system.plan = present
+
+
+def _start_more(system: Fleet, launcher: Launcher, every: Plan, count: int) -> None:
     known = len(system.plan.instances) if launcher.processes.get(_FIRST) else 0
-    system.plan = msgspec.structs.replace(
-        every, instances=every.instances[:count]
-    )
+    system.plan = msgspec.structs.replace(every, instances=every.instances[:count])
     if not known:
         fleet.start_programs(system)
         launcher.wait_ready("console")
@@ -137,15 +141,12 @@
     seconds = after.at - before.at
     names = [name for name in Sample.__struct_fields__ if name != "at"]
     rates = {
-        name: (getattr(after, name) - getattr(before, name)) / seconds
-        for name in names
+        name: (getattr(after, name) - getattr(before, name)) / seconds for name in names
     }
     return Sample(at=seconds, **rates)
 
 
-def _take_sample(
-    system: Fleet, launcher: Launcher, relays: dict[str, Relay]
-) -> Sample:
+def _take_sample(system: Fleet, launcher: Launcher, relays: dict[str, Relay]) -> Sample:
     counters = read_platform(system)
     names = [one.name for one in system.plan.instances]
     return Sample(
@@ -203,7 +204,7 @@
     took: list[float] = []
     for number in range(1, CHANGES + 1):
         began_at = time.monotonic()
-        policy = schema.Policy(address_lifetime_s=2 + number)
+        policy = schema.Policy(address_lifetime_s=2, moves_weight=number / 10)
         approve(system, directory, policy=policy)
         took.append(time.monotonic() - began_at)
     after = _take_sample(system, launcher, relays)
--- a/scripts/slope_process.py
+++ b/scripts/slope_process.py
@@ -65,32 +65,51 @@
             for name, target in targets.items()
         }
     finally:
+        asyncio.run_coroutine_threadsafe(_cancel_all(), loop).result(10)
         loop.call_soon_threadsafe(loop.stop)
         thread.join(10)
+        loop.close()
+
+
+async def _cancel_all() -> None:
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
 
 
 async def _listen(target: str) -> Relay:
     traffic = Traffic()
-    host, _, port = target.rpartition(":")
+    tasks: set[asyncio.Task[None]] = set()
 
-    async def accept(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            far_reader, far_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.close()
-            return
-        await asyncio.gather(
-            _forward(reader, far_writer, traffic, "sent"),
-            _forward(far_reader, writer, traffic, "answered"),
-        )
+    def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.create_task(_relay(target, reader, writer, traffic))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
 
     server = await asyncio.start_server(accept, "127.0.0.1", 0)
     own = server.sockets[0].getsockname()[1]
     return Relay(address=f"127.0.0.1:{own}", traffic=traffic)
 
 
+async def _relay(
+    target: str,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    traffic: Traffic,
+) -> None:
+    host, _, port = target.rpartition(":")
+    try:
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        writer.close()
+        return
+    await asyncio.gather(
+        _forward(reader, far_writer, traffic, "sent"),
+        _forward(far_reader, writer, traffic, "answered"),
+    )
+
+
 async def _forward(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
