--- a/src/arbutuspulley/adapters/platform.py
+++ b/src/arbutuspulley/adapters/platform.py
@@ -176,9 +176,7 @@
     body: bytes | None,
     headers: Mapping[str, str],
 ) -> _Answer:
-    response = pool.urlopen(
-        method, path, body=body, headers=headers, retries=False, redirect=False
-    )
+    response = pool.urlopen(method, path, body=body, headers=headers)
     return _Answer(status=response.status, body=response.data)
 
 
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,433 @@
+"""The port to the platform: what any adapter must do, with and without faults."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from contextlib import ExitStack
+
+import msgspec
+import pytest
+import urllib3
+
+from arbutuspulley.adapters.platform import connect_platform
+from arbutuspulley.clock import Clock
+from arbutuspulley.ports.commit import commit
+from arbutuspulley.ports.platform import (
+    Committed,
+    Conflict,
+    InstanceListing,
+    InstanceState,
+    Precondition,
+    Transaction,
+    Write,
+)
+from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
+from arbutuspulley.standins import platform_state
+from arbutuspulley.standins.platform import build_server
+from tests.fakes import FakePlatform
+from tests.ports import find_free_address
+from tests.proxy import Direction, FaultProxy
+
+BOUND_S = 10
+SHORT_MS = 300
+
+
+class Bench:
+    """A stand-in in this process, reached through a proxy that can break."""
+
+    def __init__(self, stack):
+        self.now = 0
+        self.server = build_server(clock=Clock(read=lambda: self.now))
+        self.server.start()
+        stack.callback(self.server.stop)
+        self.proxy = stack.enter_context(FaultProxy(target=self.server.address))
+        self.platform = connect_platform(address=self.proxy.address)
+        self.hasty = connect_platform(address=self.proxy.address, timeout_ms=SHORT_MS)
+        self.direct = connect_platform(address=self.server.address)
+
+    def ask(self, method, path, body=b""):
+        return urllib3.request(
+            method, f"http://{self.server.address}{path}", body=body, retries=False
+        )
+
+    def control(self, **settings):
+        assert self.ask("POST", "/control", msgspec.json.encode(settings)).status == 200
+
+    def count(self):
+        return msgspec.json.decode(self.ask("GET", "/control/counters").data)
+
+
+@pytest.fixture
+def bench():
+    with ExitStack() as stack:
+        yield Bench(stack)
+
+
+@pytest.fixture(params=["http", "fake"])
+def table(request):
+    if request.param == "fake":
+        return FakePlatform().platform.table
+    return request.getfixturevalue("bench").platform.table
+
+
+def build(token="t", *, expect=None, **values):
+    """Return a transaction; ``expect`` maps keys to revisions."""
+    expected = (expect or {}).items()
+    return Transaction(
+        token=token,
+        preconditions=tuple(Precondition(key=k, revision=r) for k, r in expected),
+        writes=tuple(Write(key=key, value=value) for key, value in values.items()),
+    )
+
+
+def read_all(table):
+    return {row.key: row.value for row in table.scan("", 0, 100).rows}
+
+
+@pytest.mark.parametrize(
+    ("expect", "writes", "outcome", "left"),
+    [
+        ({}, {"a": b"2"}, Committed(revision=2), {"a": b"2"}),
+        ({"a": 1}, {"a": b"2"}, Committed(revision=2), {"a": b"2"}),
+        ({"a": 0}, {"a": b"2"}, Conflict(key="a", revision=1), {"a": b"1"}),
+        ({"a": 2}, {"a": b"2"}, Conflict(key="a", revision=1), {"a": b"1"}),
+        ({"b": 1}, {"b": b"2"}, Conflict(key="b", revision=0), {"a": b"1"}),
+        ({"b": 0}, {"b": b""}, Committed(revision=2), {"a": b"1", "b": b""}),
+        ({"a": 1}, {"a": None}, Committed(revision=2), {}),
+        (
+            {"a": 1, "b": 0},
+            {"a": None, "c": b"\0"},
+            Committed(revision=2),
+            {"c": b"\0"},
+        ),
+        ({"a": 1, "b": 7}, {"a": None}, Conflict(key="b", revision=0), {"a": b"1"}),
+        ({"b": 0}, {"missing": None}, Committed(revision=2), {"a": b"1"}),
+    ],
+)
+def test_transaction_writes_all_or_nothing(table, expect, writes, outcome, left):
+    table.transact(build("first", a=b"1"))
+    assert table.transact(build("second", expect=expect, **writes)) == outcome
+    assert read_all(table) == left
+    for key, value in left.items():
+        assert table.read(key).value == value
+
+
+def test_rows_tell_who_wrote_them_over_what(table):
+    assert table.read("a") is None
+    table.transact(build("first", expect={"a": 0}, a=b"1", b=b"1"))
+    table.transact(build("second", expect={"a": 1}, a=b"2"))
+    row, other = table.read("a"), table.read("b")
+    assert (row.token, row.revision, row.replaces) == ("second", 2, 1)
+    assert (other.token, other.revision, other.replaces) == ("first", 1, None)
+
+
+def test_a_late_duplicate_changes_nothing(table):
+    """A write is taken, and a copy of it that hung in the network arrives after
+    a newer one. The old value must not come back, also when the row is gone.
+    """
+    old = build("old", expect={"a": 1}, a=b"old")
+    table.transact(build("first", a=b"1"))
+    table.transact(old)
+    table.transact(build("new", expect={"a": 2}, a=b"new"))
+    assert table.transact(old) == Conflict(key="a", revision=3)
+    table.transact(build("gone", expect={"a": 3}, a=None))
+    assert table.transact(old) == Conflict(key="a", revision=0)
+
+
+def test_scan_goes_on_from_a_revision_with_deletions(table):
+    table.transact(build(**{"x/1": b"1", "x/2": b"2", "y/1": b"3"}))
+    first = table.scan("x/", 0, 10)
+    assert [row.key for row in first.rows] == ["x/1", "x/2"]
+    table.transact(build(**{"x/1": None, "x/3": b"4"}))
+    table.transact(build(**{"x/2": b"5"}))
+    table.transact(build(**{"y/2": b"6"}))
+    page = table.scan("x/", first.revision, 10)
+    seen = [(row.key, row.value, row.revision, row.deleted) for row in page.rows]
+    assert seen == [
+        ("x/1", b"", 2, True),
+        ("x/3", b"4", 2, False),
+        ("x/2", b"5", 3, False),
+    ]
+    assert (page.revision, page.more) == (4, False)
+    assert table.scan("x/", page.revision, 10).rows == ()
+    assert [row.key for row in table.scan("x/", 0, 10).rows] == ["x/3", "x/2"]
+
+
+def test_a_page_never_splits_a_transaction(table):
+    """A change and its snapshot's name are written together; a reader that follows
+    page by page goes on after a revision. Were the page cut between the two, it
+    would never see the second one.
+    """
+    table.transact(build(a=b"1", b=b"1", c=b"1"))
+    table.transact(build(d=b"1"))
+    page = table.scan("", 0, 2)
+    assert [row.key for row in page.rows] == ["a", "b", "c"]
+    assert (page.revision, page.more) == (1, True)
+    assert [row.key for row in table.scan("", 1, 2).rows] == ["d"]
+
+
+def test_a_restored_table_has_another_id(bench):
+    """The platform's operators put a backup back. Rows are old again, revisions
+    run backwards and are used again; a reader that follows by revision sees
+    nothing new and must notice it by the table's id.
+    """
+    table = bench.platform.table
+    for number in range(3):
+        table.transact(build(f"t{number}", a=b"%d" % number, **{f"k{number}": b""}))
+    before = table.scan("", 0, 10)
+    bench.control(restore_revision=1)
+    after = table.scan("", before.revision, 10)
+    assert (after.rows, after.revision) == ((), 1)
+    assert after.table_id != before.table_id
+    assert read_all(table) == {"a": b"0", "k0": b""}
+    assert table.read("a").token == "t0"
+    assert table.transact(build("again", expect={"a": 1}, a=b"x")).revision == 2
+
+
+def test_an_object_is_never_replaced(bench):
+    objects = bench.platform.objects
+    assert objects.get("a/b c") is None
+    assert objects.put_if_absent("a/b c", b"\0\xff") is True
+    assert objects.put_if_absent("a/b c", b"other") is False
+    assert objects.get("a/b c") == b"\0\xff"
+    assert objects.put_if_absent("empty", b"") is True
+    assert objects.get("empty") == b""
+
+
+def test_the_instance_list_lags(bench):
+    """An instance is leaving, and the platform goes on listing it as live."""
+    live = InstanceListing(name="e1", address="127.0.0.1", state=InstanceState.LIVE)
+    leaving = msgspec.structs.replace(live, state=InstanceState.LEAVING)
+    assert bench.platform.list_instances() == ()
+    bench.control(instances=[msgspec.to_builtins(live)])
+    bench.control(instance_lag_ms=1_000)
+    bench.now += 1_000
+    bench.control(instances=[msgspec.to_builtins(leaving)])
+    bench.now += 999
+    assert bench.platform.list_instances() == (live,)
+    bench.now += 1
+    assert bench.platform.list_instances() == (leaving,)
+
+
+VERBS = {
+    "read": lambda platform: platform.table.read("a"),
+    "scan": lambda platform: platform.table.scan("", 0, 10),
+    "get": lambda platform: platform.objects.get("a"),
+    "list": lambda platform: platform.list_instances(),
+    "transact": lambda platform: platform.table.transact(build(a=b"1")),
+    "put": lambda platform: platform.objects.put_if_absent("a", b"1"),
+}
+CHANGES = ("transact", "put")
+
+UNSENT, UNKNOWN = PlatformUnavailableError, OutcomeUnknownError
+
+FAULTS = {
+    # name: (set it, what a change raises, whether the change takes effect)
+    "outage": (lambda b: b.control(outage=True), UNSENT, False),
+    "connection refused": (lambda b: b.proxy.cut(), UNSENT, False),
+    "reply lost": (lambda b: b.proxy.lose_replies(), UNKNOWN, True),
+    "request lost": (lambda b: b.proxy.drop(Direction.TO_TARGET), UNKNOWN, False),
+    "replies dropped": (lambda b: b.proxy.drop(Direction.TO_CLIENT), UNKNOWN, True),
+    "too slow": (lambda b: b.control(slow_ms=3 * SHORT_MS), UNKNOWN, True),
+}
+SILENT = ("request lost", "replies dropped", "too slow")
+CASES = [
+    (fault, verb)
+    for fault in FAULTS
+    for verb in VERBS
+    if verb in (*CHANGES, "read") or fault not in SILENT
+]
+
+
+def wait_until(holds):
+    deadline = time.monotonic() + BOUND_S
+    while not holds():
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+
+
+@pytest.mark.parametrize(("fault", "verb"), CASES)
+def test_each_fault_is_told_as_what_it_proves(bench, fault, verb):
+    """The platform breaks at some point of a call. A read may be made again
+    whatever happened. A change is "certainly not done" only if nothing left the
+    process or the platform said so; were a lost reply told as "not done", its
+    caller would write twice.
+    """
+    call = VERBS[verb]
+    set_fault, error, effect = FAULTS[fault]
+    if fault not in SILENT:
+        bench.platform.list_instances()
+    set_fault(bench)
+    with pytest.raises(error if verb in CHANGES else PlatformUnavailableError):
+        call(bench.hasty if fault in SILENT else bench.platform)
+    bench.control(outage=False, slow_ms=0)
+    if verb in CHANGES:
+        wait_until(lambda: bench.count()["writes"] == effect)
+    bench.proxy.heal()
+    call(bench.platform)
+
+
+def build_reply(status, body=b"", *, length=None):
+    length = len(body) if length is None else length
+    head = f"HTTP/1.1 {status} Odd\r\nLocation: /\r\nRetry-After: 0"
+    return f"{head}\r\nContent-Length: {length}\r\n\r\n".encode() + body
+
+
+PROOFS = [build_reply(status) for status in (400, 404, 413, 429, 503)]
+NO_PROOFS = [
+    *[build_reply(status) for status in (202, 307, 500, 502, 504)],
+    build_reply(200, b"hello"),
+    build_reply(200, b"{", length=9),
+    build_reply(409, b"{"),
+    b"not http at all\r\n\r\n",
+    b"",
+]
+
+
+@pytest.mark.parametrize("reply", PROOFS + NO_PROOFS)
+def test_an_odd_answer_is_no_proof_and_sends_nothing_again(reply):
+    """Something before the platform answers in its place, or cuts its answer
+    short. Only a clear refusal proves that nothing was written, and the client
+    must not send the same change again on its own.
+    """
+    requests = []
+
+    def answer(listener):
+        while True:
+            try:
+                end, _ = listener.accept()
+            except OSError:
+                return
+            with end:
+                requests.append(end.recv(65536))
+                end.sendall(reply)
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        threading.Thread(target=answer, args=(listener,), daemon=True).start()
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        platform = connect_platform(address=address)
+        proven = reply in PROOFS
+        with pytest.raises(UNSENT if proven else UNKNOWN):
+            VERBS["transact"](platform)
+        assert len(requests) == 1
+        listener.shutdown(socket.SHUT_RDWR)
+
+
+def test_commit_settles_a_request_that_was_held_up(bench):
+    """The network holds a write back for longer than its writer waits. It arrives
+    after all, just as the writer reads back and sends it again. The row is written
+    once, and the writer hears that it was.
+    """
+    bench.proxy.freeze()
+    outcome = commit(
+        bench.hasty.table,
+        build("own", expect={"a": 0}, a=b"1"),
+        max_tries=20,
+        pause=lambda _longest_ms: bench.proxy.heal(),
+    )
+    assert outcome == Committed(revision=1)
+    assert bench.count()["writes"] == 1
+
+
+def test_commit_finds_a_write_whose_reply_was_lost(bench):
+    """The platform writes, and its answer is lost on the way."""
+    bench.control(lose_replies=1)
+    transaction = build("own", expect={"a": 0}, a=b"1")
+    assert commit(bench.platform.table, transaction) == Committed(revision=1)
+    counts = bench.count()
+    assert (counts["writes"], counts["replies_lost"]) == (1, 1)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status"),
+    [
+        ("POST", "/control", b"{", 400),
+        ("POST", "/control", b'{"outrage": true}', 400),
+        ("POST", "/control", b'{"slow_ms": -1}', 400),
+        ("POST", "/control", b'{"restore_revision": 9, "outage": true}', 400),
+        ("POST", "/table/transactions", b"[]", 400),
+        ("GET", "/table/scan?prefix=a&after=x", b"", 400),
+        ("GET", "/table/row", b"", 404),
+        ("GET", "/nowhere", b"", 404),
+        ("POST", "/weights/m@1", b"{}", 400),
+    ],
+)
+def test_the_standin_refuses_bad_input_and_goes_on(bench, method, path, body, status):
+    before = bench.count()
+    assert bench.ask(method, path, body).status == status
+    after = bench.count()
+    assert (after["revision"], after["table_id"]) == (0, before["table_id"])
+    assert bench.platform.table.read("a") is None
+
+
+def test_the_weight_store_limits_rate_and_speed():
+    """Two loads at once run at full speed, and one may begin each second. Loads
+    that begin too fast are put off; a third one beside two slows down.
+    """
+    state = platform_state.WeightsState(load_ms_per_gib=1_000)
+    load = platform_state.begin_load
+
+    def begin(now, memory_mib):
+        return load(state, memory_mib=memory_mib, now=now)
+
+    assert [begin(0, 4_096).duration_ms for _ in range(2)] == [4_000, 4_000]
+    assert begin(0, 4_096) is None
+    assert platform_state.find_load_wait(state, now=500) == 1_500
+    assert begin(1_999, 4_096) is None
+    assert begin(2_000, 4_096).duration_ms == 6_000
+    assert begin(9_000, 1_024).duration_ms == 1_000
+    assert state.peak == 3
+
+
+def test_a_load_that_is_put_off_says_for_how_long(bench):
+    body = msgspec.json.encode({"memory_mib": 1})
+    replies = [bench.ask("POST", "/weights/m@1", body) for _ in range(3)]
+    assert [reply.status for reply in replies] == [200, 200, 429]
+    assert replies[2].headers["Retry-After"] == "2"
+    assert msgspec.json.decode(replies[2].data) == {"retry_after_ms": 2_000}
+    counts = bench.count()
+    assert (counts["loads"], counts["loads_refused"]) == (2, 1)
+
+
+def answers(platform):
+    try:
+        platform.list_instances()
+    except PlatformUnavailableError:
+        return False
+    return True
+
+
+PROGRAM = "from arbutuspulley.standins.platform import main; main()"
+
+
+def test_the_program_serves_until_sigterm():
+    address = find_free_address()
+    settings = {"ARBUTUS_STANDIN_PLATFORM_LISTEN": address}
+    with subprocess.Popen(
+        [sys.executable, "-c", PROGRAM],
+        env=os.environ | settings,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    ) as process:
+        platform = connect_platform(address=address)
+        wait_until(lambda: answers(platform))
+        assert platform.table.transact(build(a=b"1")) == Committed(revision=1)
+        process.send_signal(signal.SIGTERM)
+        out, log = process.communicate(timeout=BOUND_S)
+    assert (process.returncode, out) == (0, b"")
+    assert log.count(b"\n") == 2
+
+
+def test_the_program_names_every_wrong_setting():
+    words = ["--listen", "here", "--log-format", "xml", "--log-level", "loud"]
+    done = subprocess.run(
+        [sys.executable, "-c", PROGRAM, *words], capture_output=True, timeout=BOUND_S
+    )
+    assert done.returncode == 2
+    for word in words[::2]:
+        assert word.encode() in done.stderr
+    assert b"Traceback" not in done.stderr
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -162,7 +162,7 @@
 def test_a_dead_target_shows_as_a_reset():
     with (
         FaultProxy(target="127.0.0.1:1") as proxy,
-        open_end(proxy) as end,
         pytest.raises(ConnectionResetError),
+        open_end(proxy) as end,
     ):
         end.recv(1024)
