--- a/src/arbutuspulley/admission/limits.py
+++ b/src/arbutuspulley/admission/limits.py
@@ -73,15 +73,14 @@
     :param contended: whether a modest caller waits at another instance.
     """
 
-    part = max(
-        FLOOR_SLOTS, _divide(report.slots, own=own, active=active, key=report.server)
-    )
     # Counted from the moment of the report, which all entries read alike, their
-    # limits add up to the slots. With what each has begun since, they would not.
-    # The key changes with the report, so that no entry always gets the odd slot.
+    # limits add up to the slots as long as none is below its part. With what each
+    # has begun since, they would not. The key has the entries agree on who gets
+    # the odd slot, and changes with the report, so that it is not always the same.
     before = load.requests_at_report
     reported = report.running + report.waiting
     key = f"{report.server}|{reported}|{report.waiting_tokens}"
+    part = max(FLOOR_SLOTS, _divide(report.slots, own=own, active=active, key=key))
 
     def share_out(slots: int) -> int:
         free = slots - reported
