--- a/src/arbutuspulley/controller/handlers.py
+++ b/src/arbutuspulley/controller/handlers.py
@@ -42,6 +42,7 @@
     View,
     WatchRequest,
 )
+from arbutuspulley.tracing import open_span
 
 VIEW_GAP_MS = 200
 """Least time between two views sent to one entry."""
@@ -103,10 +104,11 @@
     if not is_store_up(controller):
         return ClaimReply(state=ClaimState.UNAVAILABLE)
     platform = controller.platform
-    reply = await _deliver(
-        controller,
-        lambda: make_claim(platform.table, request, objects=platform.objects),
-    )
+    with open_span("claim", caller=request.caller, attempt=request.attempt_id):
+        reply = await _deliver(
+            controller,
+            lambda: make_claim(platform.table, request, objects=platform.objects),
+        )
     if reply.state == ClaimState.UNAVAILABLE:
         now = controller.clock.now()
         note_failure(controller.writes, now=now, chance=controller.chance)
--- a/src/arbutuspulley/controller/orders.py
+++ b/src/arbutuspulley/controller/orders.py
@@ -51,6 +51,7 @@
 )
 from arbutuspulley.ports.platform import Committed, Transaction
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
+from arbutuspulley.tracing import open_span
 
 UNLOAD_GRACE_MS = 3 * SECOND_MS
 """Time between the intent of an unload and its order: by then every entry has been
@@ -212,12 +213,8 @@
         fence=order.fence,
         number=order.number,
     )
-    loop = asyncio.get_running_loop()
-    send = controller.engines.order
     try:
-        reply: OrderReply = await loop.run_in_executor(
-            controller.pools.orders, lambda: send(state.address, order)
-        )
+        reply = await _call(controller, state, order)
     except NotSentError:
         _note_refused(work, state.name, order)
         _count(controller, order, "not_sent")
@@ -236,6 +233,15 @@
     _take_reply(work, state.name, order, reply)
 
 
+async def _call(controller: Controller, state: ServerState, order: Order) -> OrderReply:
+    loop = asyncio.get_running_loop()
+    send = controller.engines.order
+    with open_span("order", server=state.name, item=order.item, kind=order.kind):
+        return await loop.run_in_executor(
+            controller.pools.orders, lambda: send(state.address, order)
+        )
+
+
 def _take_reply(work: Ledgers, server: str, order: Order, reply: OrderReply) -> None:
     current = work.current.get(server)
     if reply.outcome is OrderOutcome.ACCEPTED:
--- a/src/arbutuspulley/controller/placing.py
+++ b/src/arbutuspulley/controller/placing.py
@@ -13,7 +13,6 @@
 from arbutuspulley.controller.demand import list_demand, sum_demand
 from arbutuspulley.controller.exchange import is_silent
 from arbutuspulley.controller.ledgers import Ledgers
-from arbutuspulley.controller.publishing import list_summaries
 from arbutuspulley.controller.sessions import get_owned, may_order
 from arbutuspulley.controller.state import Controller
 from arbutuspulley.data import State
@@ -29,6 +28,9 @@
 BLOCKED_MS = 5_000
 """How long an item must have nowhere to go before that is told."""
 
+REPLAN_MS = 2_000
+"""Time after which a plan is made anew though nothing changed but demand and time."""
+
 MINUTE_S = 60
 """Seconds in a minute."""
 
@@ -39,23 +41,29 @@
     :param blocked_since: when an item was first seen to have nowhere to go.
     :param told: blocked items that were logged.
     :param tasks: steps under way.
+    :param actions: the last plan.
+    :param based_on: what the last plan was made from.
+    :param planned_at: when that was.
     """
 
     planner: PlannerState = msgspec.field(default_factory=PlannerState)
     blocked_since: dict[str, int] = {}
     told: set[str] = set()
     tasks: set[asyncio.Task[bool]] = set()
+    actions: tuple[Action, ...] = ()
+    based_on: tuple[object, ...] = ()
+    planned_at: int = 0
 
 
 async def place(controller: Controller, work: Ledgers, placing: Placing) -> None:
-    """Plan once and begin the steps that fall to this instance.
+    """Plan if there is news, and begin the steps that fall to this instance.
 
     Only an instance that owns servers plans; one that has just lost its lease does
     not, for it could carry out nothing.
     """
     if controller.stopping or not get_owned(controller):
         return
-    summaries = list_summaries(controller)
+    summaries = _list_summaries(controller)
     await _release_slots(controller, work, summaries)
     now = controller.clock.now()
     inputs = PlannerInputs(
@@ -64,14 +72,67 @@
         summaries=summaries,
         demand=_measure_demand(controller, now=now),
     )
-    actions = plan(placing.planner, inputs, now=now)
-    blocked = {one.item: one.detail for one in actions if isinstance(one, Blocked)}
-    _log_blocked(placing, blocked, now=now)
-    _begin_unloads(controller, work, placing, actions, summaries)
-    loads = [action for action in actions if isinstance(action, Load)]
+    _plan(controller, placing, inputs, now=now)
+    _begin_unloads(controller, work, placing, placing.actions, summaries)
+    loads = [action for action in placing.actions if isinstance(action, Load)]
     _begin_loads(controller, work, placing, loads, inputs)
 
 
+def has_loads(controller: Controller, placing: Placing) -> bool:
+    """Tell whether the plan has loads that this instance must carry out.
+
+    Its turn at the weight store then comes by rows that others write, so they are
+    read more often.
+    """
+    return any(
+        isinstance(action, Load) and may_order(controller, action.server)
+        for action in placing.actions
+    )
+
+
+def _plan(
+    controller: Controller, placing: Placing, inputs: PlannerInputs, *, now: int
+) -> None:
+    based_on = (
+        inputs.configuration.version,
+        controller.rows.placement_changes,
+        _list_answering(inputs.summaries),
+    )
+    if based_on == placing.based_on and now - placing.planned_at < REPLAN_MS:
+        return
+    placing.based_on, placing.planned_at = based_on, now
+    placing.actions = plan(placing.planner, inputs, now=now)
+    blocked = {
+        action.item: action.detail
+        for action in placing.actions
+        if isinstance(action, Blocked)
+    }
+    _log_blocked(placing, blocked, now=now)
+
+
+def _list_summaries(controller: Controller) -> dict[str, ServerSummary]:
+    """Return an account of each configured server.
+
+    One that nobody has told of yet counts as silent, not as missing: a controller
+    that has just started would otherwise load elsewhere what is there all the time.
+    """
+    view = controller.views.view
+    known = {one.server: one for one in view.servers} if view else {}
+    for site_name, site in controller.force.configuration.sites.items():
+        for name, server in site.servers.items():
+            if name not in known:
+                known[name] = ServerSummary(
+                    server=name, site=site_name, address=server.address, alive=False
+                )
+    return known
+
+
+def _list_answering(summaries: Mapping[str, ServerSummary]) -> frozenset[str]:
+    return frozenset(
+        name for name, one in summaries.items() if one.alive and not one.leaving
+    )
+
+
 def _begin_unloads(
     controller: Controller,
     work: Ledgers,
@@ -79,9 +140,7 @@
     actions: Iterable[Action],
     summaries: Mapping[str, ServerSummary],
 ) -> None:
-    answering = frozenset(
-        name for name, one in summaries.items() if one.alive and not one.leaving
-    )
+    answering = _list_answering(summaries)
     for action in actions:
         if isinstance(action, Unload) and may_order(controller, action.server):
             step = orders.unload(controller, work, action, answering=answering)
--- a/src/arbutuspulley/controller/publishing.py
+++ b/src/arbutuspulley/controller/publishing.py
@@ -165,13 +165,6 @@
     )
 
 
-def list_summaries(controller: Controller) -> dict[str, ServerSummary]:
-    """Return the best account of each server that anyone speaks of."""
-    now = controller.clock.now()
-    merged = _merge(controller, _summarise(controller, now=now), now=now)
-    return {summary.server: summary for summary in merged}
-
-
 def _choose_sent(
     configuration: Configuration, after: int | None
 ) -> Configuration | None:
--- a/src/arbutuspulley/controller/rows.py
+++ b/src/arbutuspulley/controller/rows.py
@@ -26,6 +26,7 @@
 
     :param revision: where the next scan goes on.
     :param table_id: names the table's history; empty before the first scan.
+    :param placement_changes: counts changes of ledgers, copies and slots.
     :param revisions: the newest revision known of each key, deletions included.
     :param fences: the highest fencing number ever met for each server. It outlives
         a restored table, whose numbers may be lower than those servers have seen.
@@ -34,6 +35,7 @@
     group: str
     revision: int = 0
     table_id: str = ""
+    placement_changes: int = 0
     revisions: dict[str, int] = {}
     owners: dict[str, OwnerRow] = {}
     ledgers: dict[str, SeenLedger] = {}
@@ -42,6 +44,9 @@
     fences: dict[str, int] = {}
 
 
+_PLACEMENT = frozenset({"ledger", "copies", "load-slot"})
+
+
 def take_rows(
     rows: GroupRows, changed: Iterable[Row], *, now: int
 ) -> tuple[SessionRow, ...]:
@@ -55,6 +60,7 @@
             continue
         rows.revisions[row.key] = row.revision
         kind, _, name = row.key.removeprefix(f"{rows.group}/").partition("/")
+        rows.placement_changes += kind in _PLACEMENT
         if kind == "session":
             sessions.append(_read_session(row, name))
         elif kind == "owner" and not row.deleted:
--- a/src/arbutuspulley/controller/running.py
+++ b/src/arbutuspulley/controller/running.py
@@ -35,8 +35,11 @@
 SWEEP_MS = 60 * SECOND_MS
 """Time between looks for rows of instances that are gone for good."""
 
-PLACE_MS = SECOND_MS
-"""Time between plans."""
+PLACE_MS = 200
+"""Time between looks at whether a step of placement can begin."""
+
+FOLLOW_FASTER = 4
+"""How many times as often rows are read while loads wait for their turn."""
 
 RETRY_MS = 500
 """Time between tries to get a lease while there is none."""
@@ -80,7 +83,7 @@
         suspect_rows = SuspectRows()
         memory = placing.Placing()
         self._repeat(self._choose_renewal_pause, self._renew)
-        self._repeat_every(settings.follow_ms, self._follow)
+        self._repeat(lambda: self._choose_follow_pause(memory), self._follow)
         self._repeat_every(
             settings.follow_ms, lambda: follow_configuration(controller, following)
         )
@@ -145,6 +148,12 @@
         held = may_order(controller.lease, now=controller.clock.now())
         return controller.settings.renew_ms if held else RETRY_MS
 
+    def _choose_follow_pause(self, memory: placing.Placing) -> int:
+        pause_ms = self._controller.settings.follow_ms
+        if placing.has_loads(self._controller, memory):
+            return pause_ms // FOLLOW_FASTER
+        return pause_ms
+
     def _repeat_every(self, pause_ms: int, step: Step) -> None:
         self._repeat(lambda: pause_ms, step)
 
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -48,14 +48,19 @@
 
 def build_node(name, platform, time, *, configuration, engines=None):
     """Return a controller's state with a configuration in force."""
-    pool = ThreadPoolExecutor(max_workers=2)
     node = Controller(
         settings=build_settings(name),
         clock=Clock(read=lambda: time.now),
         chance=random.Random(name),
         platform=platform,
         engines=engines,
-        pools=Pools(lease=pool, store=pool, delivery=pool, reports=pool, orders=pool),
+        pools=Pools(
+            lease=ThreadPoolExecutor(1),
+            store=ThreadPoolExecutor(1),
+            delivery=ThreadPoolExecutor(1),
+            reports=ThreadPoolExecutor(1),
+            orders=ThreadPoolExecutor(1),
+        ),
         metrics=build_metrics(),
         lease=LeaseState(instance=name, lease_ms=LEASE_MS),
         sessions=ObservationState(lease_ms=LEASE_MS),
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import threading
 
 import msgspec
 import pytest
@@ -12,9 +13,11 @@
 from arbutuspulley.configuration import approval, schema
 from arbutuspulley.configuration.files import SourceFile
 from arbutuspulley.configuration.lookup import list_configured_items
-from arbutuspulley.configuration.merge import FileSet
-from arbutuspulley.controller import handlers, orders
+from arbutuspulley.configuration.merge import FileSet, merge_files
+from arbutuspulley.controller import handlers, orders, placing, polling
+from arbutuspulley.controller.exchange import PeerState
 from arbutuspulley.controller.ledgers import Ledgers
+from arbutuspulley.controller.publishing import publish
 from arbutuspulley.controller.reports import ServerState
 from arbutuspulley.controller.sessions import get_owned, may_order, release_all
 from arbutuspulley.membership.records import decode_owner
@@ -25,8 +28,14 @@
 from arbutuspulley.rpc.messages import ClaimRequest, DeathReport
 from arbutuspulley.standins import platform_state
 from scripts import fleet as fleets
-from scripts.launcher import open_launcher, wait_until
-from tests.fakes import FakePlatform, build_configuration
+from scripts.launcher import find_free_addresses, open_launcher, wait_until
+from tests.fakes import (
+    OVERLAY_A,
+    OVERLAY_B,
+    FakePlatform,
+    build_configuration,
+    build_files,
+)
 from tests.nodes import (
     LEASE_MS,
     TestTime,
@@ -53,6 +62,13 @@
     return fake, time, nodes
 
 
+def hear_of(node, instance, *, now):
+    """Let a node have heard of a peer just now."""
+    peer = PeerState(address="x:1", instance=instance, replied_at=now)
+    node.peers = {"x:1": peer}
+    node.servers = {}
+
+
 async def settle(nodes, time):
     """Let both take sessions and share out, and return the fences as they are."""
     await run_second(nodes, time, seconds=40)
@@ -85,9 +101,10 @@
 def test_outage_of_ten_minutes_moves_nothing_and_ends_within_a_bound():
     """The store is out for ten minutes; all leases lapse and nobody may order.
 
-    It comes back, and ``a`` is there first: all it reads of ``b`` is ten minutes
-    old. Each takes its own servers again, under higher fences, within the longest
-    wait and a round or two; no server changes hands.
+    Reports of all servers are still read: by their last owner, or by whoever hears
+    nothing of it. The store comes back, and ``a`` is there first: all it reads of
+    ``b`` is ten minutes old. Each takes its own servers again, under higher fences,
+    within the longest wait and a round or two; no server changes hands.
     """
 
     async def run():
@@ -97,6 +114,11 @@
         await run_second(nodes, time, seconds=600)
         assert not any(get_owned(node) for node in nodes)
         assert not nodes[0].reads.up
+        read_alone = polling.choose_read(nodes[0])
+        hear_of(nodes[0], "b", now=time.now)
+        read_beside_b = polling.choose_read(nodes[0])
+        assert set(read_alone) == set(before)
+        assert [before[server][0] for server in read_beside_b] == ["a"]
         fake.down = False
         await run_second(nodes[:1], time, seconds=LONGEST_WAIT_S)
         await run_second(nodes, time, seconds=6)
@@ -167,15 +189,15 @@
 
 
 class FakeEngine:
-    """Takes orders and remembers them."""
+    """Takes orders and remembers them; ``report`` answers for its reports."""
 
-    def __init__(self, outcome=OrderOutcome.ACCEPTED):
+    def __init__(self, outcome=OrderOutcome.ACCEPTED, report=None):
         self.orders = []
         self.outcome = outcome
         self.engines = Engines(
             infer=None,
             cancel=None,
-            report=None,
+            report=report,
             order=self._order,
             cache_events=None,
             call_service=None,
@@ -220,6 +242,69 @@
     asyncio.run(run())
 
 
+def test_frozen_server_delays_no_renewal():
+    """An engine freezes: it takes connections and answers nothing.
+
+    Reads of its reports hold their threads until they time out. If renewals waited
+    behind them, one frozen server would cost the instance all that it owns.
+    """
+
+    async def run():
+        _, time, (a, b) = build_pair()
+        await settle([a, b], time)
+        thaw = threading.Event()
+        a.engines = FakeEngine(report=lambda _: thaw.wait() and None).engines
+        names = polling.choose_read(a)
+        assert names
+
+        async def hear(_):
+            pass
+
+        reads = [
+            asyncio.create_task(polling.read_report(a, name, heard=hear))
+            for name in names
+        ]
+        try:
+            await asyncio.wait_for(run_second([a, b], time, seconds=20), 10)
+            assert get_owned(a)
+        finally:
+            thaw.set()
+            await asyncio.gather(*reads, return_exceptions=True)
+
+    asyncio.run(run())
+
+
+def test_controller_that_has_just_started_loads_nothing_that_may_be_there():
+    """A controller restarts and owns its servers before it has heard of the others.
+
+    The only copy of a model answers on another one's server. Taken for lost, it
+    would be loaded again here, and unloaded later: two moves for nothing.
+    """
+
+    async def run():
+        _, time, (a, b) = build_pair()
+        await settle([a, b], time)
+        one = OVERLAY_B.replace("copies: 2", "copies: 1")
+        files = build_files(overlays=(OVERLAY_A, one))
+        a.force.configuration = b.force.configuration = merge_files(files, version=1)
+        engine = FakeEngine()
+        a.engines = b.engines = engine.engines
+        server, _, _ = await load_one(b, time=time)
+        await run_second([a, b], time, seconds=2)
+        (own,) = get_owned(a)
+        state = ServerState(name=own, address="127.0.0.1:9001", received_at=time.now)
+        state.report = Report(server=own, boot_id="boot", sequence=1)
+        a.servers[own] = state
+        work, memory = Ledgers(), placing.Placing()
+        await orders.take_report(a, work, state)
+        publish(a)
+        await placing.place(a, work, memory)
+        loads = [step for step in memory.actions if isinstance(step, Load)]
+        assert (loads, server != own) == ([], True)
+
+    asyncio.run(run())
+
+
 def test_pause_between_commit_and_order_sends_nothing():
     """An owner commits the intent of a load and is paused for a minute.
 
@@ -418,3 +503,39 @@
         statuses = launcher.stop("controller-a", "controller-b")
         assert set(statuses.values()) == {0}
         assert {owner for owner, _ in owners().values()} == {""}
+
+
+def is_ready(address):
+    return urllib3.request("GET", f"http://{address}/readyz").status == 200
+
+
+def test_new_instance_starts_from_a_peer_while_the_store_is_down(tmp_path):
+    """The store is down, and two instances are replaced meanwhile.
+
+    One finds a peer and serves under the version in force there. The other finds
+    nobody: what it would serve under was never accepted, so it isn't ready.
+    """
+    with open_launcher(tmp_path) as launcher:
+        fleet = fleets.build_fleet(PLAN, launcher)
+        fleets.start_standins(fleet)
+        first, second = PLAN.instances
+        fleets.start_controller(fleet, first)
+        launcher.wait_ready("controller-a")
+        platform = connect_platform(address=fleet.addresses["platform"])
+        approve_plan(platform, fleet, tmp_path)
+        health = fleet.addresses["health-a"]
+        wait_until(lambda: is_ready(health), what="version 1 in force")
+        launcher.kill("platform")
+        fleets.start_controller(fleet, second)
+        fleet.routes["controller-c", "controller-a"] = "127.0.0.1:1"
+        fleet.routes["controller-c", "controller-b"] = "127.0.0.1:1"
+        (alone, its_health) = find_free_addresses(2)
+        fleet.addresses |= {"controller-c": alone, "health-c": its_health}
+        fleets.start_controller(fleet, fleets.InstancePlan(name="c", site="site-a"))
+        launcher.wait_ready("controller-b", "controller-c")
+        health = fleet.addresses["health-b"]
+        wait_until(lambda: is_ready(health), what="b to start from a")
+        assert "configuration_from_peer" in launcher.read_log("controller-b")
+        assert not is_ready(its_health)
+        statuses = launcher.stop("controller-a", "controller-b", "controller-c")
+        assert set(statuses.values()) == {0}
