--- a/src/arbutuspulley/entry/state.py
+++ b/src/arbutuspulley/entry/state.py
@@ -114,6 +114,7 @@
     """All shared state of an entry.
 
     :param view: the last view of the controller; it stays if the controller dies.
+    :param reconnected_at: when the controller was last found again.
     :param ongoing: requests to models by id.
     :param in_flight: calls being answered, those to plain services included.
     :param draining: whether it is left out of address answers.
@@ -131,6 +132,7 @@
 
     view: View | None = None
     viewed_at: int = 0
+    reconnected_at: int | None = None
     summaries: dict[str, ServerSummary] = {}
     index: SiteIndex = EMPTY_INDEX
     admission: AdmissionState = msgspec.field(default_factory=AdmissionState)
--- a/src/arbutuspulley/entry/views.py
+++ b/src/arbutuspulley/entry/views.py
@@ -8,6 +8,7 @@
 
 from arbutuspulley.admission.queue import list_usage, note_capacity
 from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.configuration.lookup import list_servers
 from arbutuspulley.delivery import suspects
 from arbutuspulley.entry.deaths import flush_unrecorded
 from arbutuspulley.entry.index import build_index
@@ -27,6 +28,9 @@
 REPORT_EVERY_MS = SECOND_MS
 """How often an entry reports demand, usage and load."""
 
+SERVERS_KEPT_MS = 5 * SECOND_MS
+"""How long a controller that was just found again may take to hear of all servers."""
+
 SUSPICION_LAG_MS = 10 * SECOND_MS
 """How long an own suspicion may take to come back in a view."""
 
@@ -44,10 +48,12 @@
         try:
             request = WatchRequest(entry=describe_entry(runtime))
             async for view in runtime.controller.watch(request):
+                now = runtime.clock.now()
                 if failures:
                     log_event(Event.PEER_UP, peer="controller")
+                    runtime.state.reconnected_at = now
                 failures = 0
-                take_view(runtime, view, now=runtime.clock.now())
+                take_view(runtime, view, now=now)
         except PeerUnavailableError as error:
             if not failures:
                 log_event(
@@ -123,7 +129,8 @@
 
     A controller that has just been replaced knows nothing yet, or an older
     configuration. Neither may undo what is in force: the entry keeps its own
-    configuration, and its whole last view until the controller is ready.
+    configuration, its whole last view until the controller is ready, and for a while
+    the servers that the controller has not heard of yet.
     """
     state = runtime.state
     if state.view is not None and state.view.ready and not view.ready:
@@ -138,6 +145,7 @@
         view = msgspec.structs.replace(view, configuration=state.view.configuration)
     if view.configuration.version > state.index.version:
         _put_in_force(runtime, view)
+    view = _keep_servers(state, view, now)
     state.view, state.viewed_at = view, now
     state.summaries = {summary.server: summary for summary in view.servers}
     note_reports(state.routing, servers=view.servers, now=now)
@@ -164,6 +172,20 @@
     return (own, *others)
 
 
+def _keep_servers(state: EntryState, view: View, now: int) -> View:
+    since = state.reconnected_at
+    if state.view is None or since is None or now - since >= SERVERS_KEPT_MS:
+        return view
+    told = {summary.server for summary in view.servers}
+    configured = list_servers(view.configuration)
+    kept = tuple(
+        summary
+        for summary in state.view.servers
+        if summary.server not in told and summary.server in configured
+    )
+    return msgspec.structs.replace(view, servers=view.servers + kept)
+
+
 def _take_suspicions(state: EntryState, view: View, now: int) -> None:
     """Take up what the controller suspects, and drop what it has forgotten."""
     suspects.merge(state.suspects, view.suspicions, now=now)
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -149,7 +149,6 @@
         self.stack = stack
         self.controller = FakeController()
         self.engines, self.entries, self.services = {}, [], []
-        self.live = True
         self.number = 0
 
     def add_engine(self, name, **settings):
@@ -184,7 +183,7 @@
             number=self.number,
             ready=True,
             store_up=True,
-            configuration=self.build_configuration(),
+            configuration=build_configuration(services=self.services),
             servers=self.list_servers(*self.engines),
             entries=tuple(describe_entry(entry.runtime) for entry in self.entries),
             suspicions=self.controller.list_suspicions(),
@@ -199,25 +198,23 @@
     def list_servers(self, *names):
         return tuple(_summarise(name, self.engines[name]) for name in names)
 
-    def build_configuration(self):
-        target = schema.Target(first_token_ms=20_000)
-        callers = {
-            name: schema.Caller(key_sha256=hash_key(f"key-of-{name}"), live=self.live)
-            for name in ("desk", "hosts")
-        }
-        callers["narrow"] = schema.Caller(
-            key_sha256=hash_key("key-of-narrow"), models=("other",)
-        )
-        site = schema.Site(
-            models={"m": schema.Model(version="1", size_mib=60, target=target)},
-            callers=callers,
-            services={"booking": schema.Service(addresses=tuple(self.services))},
-        )
-        return schema.Configuration(
-            version=1,
-            sites={"a": site},
-            policy=schema.Policy(address_lifetime_s=1),
-        )
+
+def build_configuration(*, version=1, services=()):
+    """Return a configuration with one model, as all entries of the tests know it."""
+    target = schema.Target(first_token_ms=20_000)
+    callers = {
+        "desk": schema.Caller(key_sha256=hash_key("key-of-desk")),
+        "hosts": schema.Caller(key_sha256=hash_key("key-of-hosts")),
+        "narrow": schema.Caller(key_sha256=hash_key("key-of-narrow"), models=("x",)),
+    }
+    site = schema.Site(
+        models={"m": schema.Model(version="1", size_mib=60, target=target)},
+        callers=callers,
+        services={"booking": schema.Service(addresses=tuple(services))},
+        servers={"e1": schema.Server(address="127.0.0.1:1", memory_mib=100)},
+    )
+    policy = schema.Policy(address_lifetime_s=1)
+    return schema.Configuration(version=version, sites={"a": site}, policy=policy)
 
 
 @contextlib.contextmanager
@@ -244,12 +241,9 @@
     return {"model": "m", "messages": messages, "max_tokens": tokens, **more}
 
 
-@contextlib.contextmanager
-def _run_entry(bench, settings):
-    loop = LoopThread(name="entry", workers=8)
-    loop.start()
-    number = len(bench.entries) + 1
-    runtime = Runtime(
+def build_runtime(controller, *, number=1, loop=None, clock=None, **settings):
+    """Return what an entry's functions work with, with nothing running yet."""
+    return Runtime(
         settings=Settings(
             instance=f"i{number}",
             site="a",
@@ -260,12 +254,20 @@
         ),
         state=EntryState(),
         loop=loop,
-        clock=Clock(),
+        clock=clock or Clock(),
         engines=ENGINES,
-        controller=bench.controller.port,
+        controller=controller,
         metrics=build_metrics(),
         chance=random.Random(number),
     )
+
+
+@contextlib.contextmanager
+def _run_entry(bench, settings):
+    loop = LoopThread(name="entry", workers=8)
+    loop.start()
+    number = len(bench.entries) + 1
+    runtime = build_runtime(bench.controller.port, number=number, loop=loop, **settings)
     loop.spawn(tick_regularly(runtime))
     server = EntryServer(runtime=runtime, host="127.0.0.1", port=0, threads=40)
     server.start()
--- /dev/null
+++ b/tests/test_entry_views.py
@@ -0,0 +1,162 @@
+"""How an entry follows its controller, and what it keeps when that fails."""
+
+import asyncio
+
+import pytest
+
+from arbutuspulley.clock import Clock
+from arbutuspulley.configuration.schema import EMPTY
+from arbutuspulley.entry import background, views
+from arbutuspulley.entry.state import Demand
+from arbutuspulley.rpc.channel import PeerUnavailableError
+from arbutuspulley.rpc.messages import ServerSummary, Suspicion, View
+from tests.entries import FakeController, build_configuration, build_runtime
+
+SERVERS = tuple(
+    ServerSummary(server=name, site="a", address=f"127.0.0.1:{port}", items=("m@1",))
+    for name, port in (("e1", 1), ("e2", 2))
+)
+
+
+def build_view(number=1, version=1, servers=SERVERS, **fields):
+    configuration = build_configuration(version=version) if version else EMPTY
+    return View(
+        number=number,
+        configuration=configuration,
+        servers=servers,
+        **{"ready": True, "store_up": True, **fields},
+    )
+
+
+@pytest.fixture
+def controller():
+    return FakeController()
+
+
+@pytest.fixture
+def runtime(controller):
+    return build_runtime(controller.port)
+
+
+@pytest.mark.parametrize(
+    ("second", "version", "servers"),
+    [
+        (build_view(2, version=3, servers=SERVERS[:1]), 3, ["e1"]),
+        (build_view(1, version=1, servers=SERVERS[:1]), 2, ["e1"]),
+        (build_view(1, version=0, servers=(), ready=False), 2, ["e1", "e2"]),
+        (build_view(1, version=0, servers=SERVERS[:1]), 2, ["e1"]),
+    ],
+)
+def test_a_view_never_takes_back_a_configuration(runtime, second, version, servers):
+    """The controller is replaced, and the new one knows nothing yet, or an old backup.
+
+    Taken at its word, models and callers' keys would vanish until it has caught up.
+    """
+    views.take_view(runtime, build_view(1, version=2), now=0)
+    views.take_view(runtime, second, now=1)
+    state = runtime.state
+    assert (state.index.version, views.is_ready(state)) == (version, True)
+    assert sorted(state.summaries) == servers
+    assert state.view.configuration.version == version
+
+
+def test_is_ready_only_with_a_configuration_that_knows_the_site(runtime):
+    for view in (build_view(version=0), build_view(ready=False)):
+        views.take_view(runtime, view, now=0)
+        assert not views.is_ready(runtime.state)
+    views.take_view(runtime, build_view(), now=0)
+    assert views.is_ready(runtime.state)
+
+
+def test_servers_stay_while_a_new_controller_has_not_heard_of_them(runtime):
+    """The controller is replaced and ready, but has no server's report yet.
+
+    An entry that believed it would refuse all requests for some seconds.
+    """
+    views.take_view(runtime, build_view(), now=0)
+    runtime.state.reconnected_at = 10
+    views.take_view(runtime, build_view(servers=()), now=10)
+    assert list(runtime.state.summaries) == ["e1"]
+    views.take_view(runtime, build_view(servers=()), now=10 + views.SERVERS_KEPT_MS)
+    assert list(runtime.state.summaries) == []
+
+
+def test_a_suspicion_goes_when_the_controller_has_forgotten_it(runtime):
+    suspicion = Suspicion(fingerprint="f", deaths=("e1/b1",))
+    views.take_view(runtime, build_view(suspicions=(suspicion,)), now=0)
+    views.take_view(runtime, build_view(2), now=views.SUSPICION_LAG_MS - 1)
+    assert runtime.state.suspects.suspicions == {"f": suspicion}
+    views.take_view(runtime, build_view(3), now=views.SUSPICION_LAG_MS)
+    assert runtime.state.suspects.suspicions == {}
+
+
+def test_demand_that_was_not_delivered_is_reported_later(runtime, controller):
+    """The controller is away for some reports, while callers ask for a model.
+
+    Forgotten, the demand would not count when models are placed.
+    """
+    demand = runtime.state.demand
+    demand["m@1"] = Demand(requests=2, tokens=30, refused=1)
+    controller.down = True
+    assert not asyncio.run(views.send_report(runtime))
+    runtime.state.demand["m@1"].requests += 1
+    controller.down = False
+    assert asyncio.run(views.send_report(runtime))
+    (report,) = controller.reports
+    (item,) = report.demand
+    assert (item.requests, item.tokens, item.refused) == (3, 30, 1)
+    assert runtime.state.demand == {}
+
+
+class EndOfTestError(BaseException):
+    """Ends work that goes on for ever."""
+
+
+def test_an_entry_finds_its_controller_again(controller, monkeypatch):
+    """The controller dies, and is back after some tries; entries come back jittered.
+
+    Meanwhile the entry serves from its last view.
+    """
+    outcomes = [[build_view(1)], [], [], [build_view(2, version=2)]]
+    pauses = []
+
+    async def watch(_request):
+        if not outcomes:
+            raise EndOfTestError
+        for view in outcomes.pop(0):
+            yield view
+        raise PeerUnavailableError(detail="gone", sent=True)
+
+    async def pause(seconds):
+        pauses.append(seconds)
+        assert views.is_ready(runtime.state)
+
+    port = type(controller.port)(
+        **{name: getattr(controller.port, name) for name in ("report", "claim")},
+        watch=watch,
+        settle=None,
+        report_death=None,
+        acquit=None,
+    )
+    runtime = build_runtime(port, clock=Clock(read=lambda: 0))
+    monkeypatch.setattr(asyncio, "sleep", pause)
+    with pytest.raises(EndOfTestError):
+        asyncio.run(views.watch_controller(runtime))
+    assert (runtime.state.index.version, runtime.state.reconnected_at) == (2, 0)
+    assert len(set(pauses)) == 4 and max(pauses[:3]) <= 1.6 and pauses[2] > pauses[0]
+
+
+def test_work_that_falls_over_begins_again(runtime, monkeypatch):
+    """A fault in one report would end all later ones without a sign."""
+    begun = []
+
+    async def work(_runtime):
+        begun.append(1)
+        if len(begun) == 3:
+            raise EndOfTestError
+        raise ValueError("a fault")
+
+    monkeypatch.setattr(background, "RESTART_MS", 0)
+    with pytest.raises(EndOfTestError):
+        asyncio.run(background.keep_working(work, runtime))
+    assert len(begun) == 3
