--- a/src/arbutuspulley/placement/ledger.py
+++ b/src/arbutuspulley/placement/ledger.py
@@ -22,6 +22,13 @@
 from arbutuspulley.configuration.lookup import Item
 from arbutuspulley.configuration.schema import Server
 from arbutuspulley.data import Value
+from arbutuspulley.placement.evidence import (
+    adopt,
+    is_old,
+    judge,
+    leave_trace,
+    raise_order,
+)
 from arbutuspulley.placement.records import (
     EntryState,
     LedgerEntry,
@@ -29,8 +36,13 @@
     find_entry,
     replace_entry,
 )
-from arbutuspulley.ports.engines import ItemState, Order, OrderKind, Report
-from arbutuspulley.ports.engines import ReportedItem as Listed
+from arbutuspulley.ports.engines import (
+    ItemState,
+    Order,
+    OrderKind,
+    Report,
+    ReportedItem,
+)
 from arbutuspulley.results import ArbutusError, Code
 
 RESEND_AFTER_REPORTS = 10
@@ -220,7 +232,7 @@
     if order.kind is OrderKind.UNLOAD:
         entry = _replace(entry, state=EntryState.LOADED, accepted=0)
         return replace_entry(ledger, order.item, entry)
-    return replace_entry(ledger, order.item, _leave_trace(entry))
+    return replace_entry(ledger, order.item, leave_trace(entry))
 
 
 def reconcile(
@@ -228,24 +240,28 @@
 ) -> Reconciliation:
     """Take in a server's report.
 
+    Ask a server for one report at a time, and drop the one at hand when a commit
+    conflicts: boots are only told apart by name, so a report from before a restart
+    that this ledger has not met would pass for a newer boot.
+
     :param server: its configuration, which says whether it checks orders.
     """
-    if _is_old(ledger, report):
+    if is_old(ledger, report):
         return Reconciliation(ledger=ledger)
     start = _begin(ledger, report)
     listed = {known.item: known for known in report.items}
     entries: list[LedgerEntry] = []
     for entry in start.entries:
-        judged = _judge(entry, listed.get(entry.item), server=server, report=report)
+        judged = judge(entry, listed.get(entry.item), server=server, report=report)
         if judged is not None:
             entries.append(judged)
     known = {entry.item for entry in start.entries}
-    entries += [_adopt(item, start) for key, item in listed.items() if key not in known]
+    entries += [adopt(item, start) for key, item in listed.items() if key not in known]
     current = _replace(
         start,
         entries=tuple(sorted(entries, key=lambda entry: entry.item)),
         sequence=report.sequence,
-        next_order=_raise_order(start, report),
+        next_order=raise_order(start, report),
     )
     superseded = report.fence > ledger.fence
     resend: tuple[Order, ...] = ()
@@ -302,17 +318,6 @@
     return entry.number == order.number and kinds.get(entry.state) is order.kind
 
 
-def _is_old(ledger: ServerLedger, report: Report) -> bool:
-    """Tell whether the ledger has already taken in this report or a newer one.
-
-    An owner that was paused may hold a report from before a load. Taken for new, it
-    would show the item gone, and its bytes would be given away while it is there.
-    """
-    if report.boot_id in ledger.past_boots:
-        return True
-    return report.boot_id == ledger.boot_id and report.sequence <= ledger.sequence
-
-
 def _begin(ledger: ServerLedger, report: Report) -> ServerLedger:
     """Return the ledger for the report's boot; after a restart, memory is empty."""
     if report.boot_id == ledger.boot_id:
@@ -323,86 +328,8 @@
     return _replace(ledger, boot_id=report.boot_id, past_boots=past, entries=())
 
 
-def _raise_order(ledger: ServerLedger, report: Report) -> int:
-    """Return the next order number, above all that the server has seen.
-
-    After the table was restored from a backup, its count would begin too low and a
-    checking server would refuse every order.
-    """
-    seen = [item.number for item in report.items]
-    return max(ledger.next_order, report.last_order + 1, *(n + 1 for n in seen))
-
-
-def _adopt(listed: Listed, ledger: ServerLedger) -> LedgerEntry:
-    """Return an entry for what the server holds and the ledger did not know."""
-    return LedgerEntry(
-        item=listed.item,
-        memory_mib=listed.memory_mib,
-        state=EntryState(listed.state.value),
-        number=listed.number,
-        fence=ledger.fence,
-        boot_id=ledger.boot_id,
-        seen=True,
-    )
-
-
-def _judge(
-    entry: LedgerEntry, listed: Listed | None, *, server: Server, report: Report
-) -> LedgerEntry | None:
-    """Return the entry as the report shows it, or ``None`` if its bytes are free."""
-    if listed is not None:
-        return _judge_listed(entry, listed)
-    if server.checks_orders:
-        proven = report.fence >= entry.fence and report.last_order >= entry.number
-        return None if proven else entry
-    return _judge_missing(entry)
-
-
-def _judge_listed(entry: LedgerEntry, listed: Listed) -> LedgerEntry:
-    memory_mib = max(entry.memory_mib, listed.memory_mib)
-    entry = _replace(entry, memory_mib=memory_mib, seen=True)
-    if entry.state in (EntryState.UNLOADING, EntryState.LOADED):
-        return entry
-    if listed.state is not ItemState.LOADED:
-        return _replace(entry, state=EntryState.LOADING)
-    return _replace(
-        entry,
-        state=EntryState.LOADED,
-        late_loads=_count_late_loads(entry),
-        sends=0,
-        accepted=0,
-    )
-
-
-def _count_late_loads(entry: LedgerEntry) -> int:
-    """Return how many load orders may still arrive once the item was listed.
-
-    One order has brought the item in; which one is not known, but it is one of those
-    the server took, if it is known to have taken any.
-    """
-    return max(0, entry.late_loads + entry.sends - max(entry.accepted, 1))
-
-
-def _judge_missing(entry: LedgerEntry) -> LedgerEntry | None:
-    """Judge an entry that a server that does not check orders no longer lists."""
-    if not entry.seen:
-        return entry
-    if entry.state is EntryState.LOADING:
-        entry = _replace(entry, late_loads=_count_late_loads(entry))
-        return _leave_trace(entry)
-    late = entry.late_unloads + entry.sends - max(entry.accepted, 1)
-    return _leave_trace(_replace(entry, late_unloads=max(0, late)))
-
-
-def _leave_trace(entry: LedgerEntry) -> LedgerEntry | None:
-    """Return what is left of an absent item: orders that may still arrive."""
-    if entry.late_loads == 0 and entry.late_unloads == 0:
-        return None
-    return _replace(entry, state=EntryState.ABSENT, sends=0, accepted=0, seen=False)
-
-
 def _renew_overdue(
-    ledger: ServerLedger, listed: dict[str, Listed]
+    ledger: ServerLedger, listed: dict[str, ReportedItem]
 ) -> tuple[ServerLedger, tuple[Order, ...]]:
     """Number anew the orders that had no effect for a while.
 
@@ -426,13 +353,13 @@
     return ledger, tuple(orders)
 
 
-def _is_overdue(entry: LedgerEntry, listed: Listed | None, sequence: int) -> bool:
+def _is_overdue(entry: LedgerEntry, listed: ReportedItem | None, sequence: int) -> bool:
     if sequence < entry.since + RESEND_AFTER_REPORTS:
         return False
     if entry.state is EntryState.LOADING:
         return listed is None
     if entry.state is EntryState.UNLOADING:
-        return listed is not None and listed.state is ItemState.LOADED
+        return listed is None or listed.state is ItemState.LOADED
     return False
 
 
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,290 @@
+"""The memory ledger: what counts as occupied, and what frees it."""
+
+import pytest
+from msgspec.structs import replace
+
+from arbutuspulley.configuration.lookup import Item
+from arbutuspulley.configuration.schema import Server
+from arbutuspulley.placement import ledger as ledgers
+from arbutuspulley.placement.ledger import (
+    RESEND_AFTER_REPORTS,
+    DoesNotFitError,
+    OutdatedPlanError,
+    build_order,
+    intend_load,
+    intend_unload,
+    note_accepted,
+    note_refused,
+    occupied_mib,
+    reconcile,
+    take_over,
+)
+from arbutuspulley.placement.records import (
+    EntryState,
+    LedgerEntry,
+    ServerLedger,
+    find_entry,
+    is_reliable,
+)
+from arbutuspulley.ports.engines import ItemState, Report, ReportedItem
+
+A = Item(name="a", key="a@1", memory_mib=60)
+B = Item(name="b", key="b@1", memory_mib=60)
+ADAPTER = Item(name="x", key="x@1", memory_mib=5, base_key="a@1")
+CHECKING = Server(address="127.0.0.1:1", memory_mib=100, checks_orders=True)
+TRUSTING = replace(CHECKING, checks_orders=False)
+START = ServerLedger(server="s", fence=3, boot_id="boot-1")
+LATER = RESEND_AFTER_REPORTS
+
+
+def build_report(*items, sequence=1, boot="boot-1", **fields):
+    """Build a report; an item is its key, loaded, or a pair of key and state."""
+    pairs = [item if isinstance(item, tuple) else (item, "loaded") for item in items]
+    listed = tuple(
+        ReportedItem(item=key, state=ItemState(state), memory_mib=60)
+        for key, state in pairs
+    )
+    return Report(server="s", boot_id=boot, sequence=sequence, items=listed, **fields)
+
+
+def load(known=START, item=A, server=TRUSTING):
+    known = intend_load(known, server=server, item=item)
+    return known, build_order(known, find_entry(known, item.key))
+
+
+def run(known, *reports, server=TRUSTING):
+    for report in reports:
+        known = reconcile(known, server=server, report=report).ledger
+    return known
+
+
+def show(known, key="a@1"):
+    entry = find_entry(known, key)
+    return entry and (entry.state.value, occupied_mib(known))
+
+
+LOADING = ("loading", 60)
+LOADED = ("loaded", 60)
+UNLOADING = ("unloading", 60)
+RESERVED = ("absent", 60)
+
+
+@pytest.mark.parametrize(
+    ("server", "report", "expected"),
+    [
+        (TRUSTING, build_report(sequence=99, last_order=9), LOADING),
+        (TRUSTING, build_report("a@1"), LOADED),
+        (TRUSTING, build_report(("a@1", "loading")), LOADING),
+        (TRUSTING, build_report(boot="boot-2"), None),
+        (CHECKING, build_report(sequence=99), LOADING),
+        (CHECKING, build_report(fence=3, last_order=0), LOADING),
+        (CHECKING, build_report(fence=2, last_order=9), LOADING),
+        (CHECKING, build_report(fence=3, last_order=1), None),
+        (CHECKING, build_report(fence=4, last_order=7), None),
+        (CHECKING, build_report("a@1", fence=3, last_order=1), LOADED),
+    ],
+)
+def test_lost_load_counts_until_absence_is_proven(server, report, expected):
+    """A load order is lost, or only late; reports do not list the item.
+
+    Its bytes are given to another model, the late order arrives after all, and the
+    server runs out of memory in the middle of a request. Only a checking server that
+    has seen a newer order, or a restart, rules the late order out.
+    """
+    known, _ = load(server=server)
+    assert show(run(known, report, server=server)) == expected
+
+
+@pytest.mark.parametrize(
+    ("reports", "expected"),
+    [
+        ([build_report("a@1", sequence=3)], UNLOADING),
+        ([build_report(sequence=3)], None),
+        ([build_report(("a@1", "unloading"), sequence=3)], UNLOADING),
+        ([build_report(sequence=1), build_report(sequence=2)], UNLOADING),
+    ],
+)
+def test_unload_frees_once_a_newer_report_shows_it(reports, expected):
+    """A report from before the load comes late, after the unload was ordered.
+
+    It does not list the item. Taken for new, it would free the bytes of an item that
+    is still there, and the next load would overcommit the server.
+    """
+    known, _ = load()
+    known = run(known, build_report("a@1", sequence=2))
+    known = intend_unload(known, item="a@1")
+    assert show(run(known, *reports)) == expected
+
+
+def test_resent_load_is_reserved_after_the_unload():
+    """An order to a server that does not check is sent twice, and one copy is late.
+
+    The item is loaded, unloaded, and its room given away; then the late copy arrives
+    and loads it again. The bytes stay reserved until the late one has shown itself.
+    """
+    known, _ = load()
+    outcome = reconcile(known, server=TRUSTING, report=build_report(sequence=LATER))
+    assert [order.number for order in outcome.resend] == [2]
+    known = run(outcome.ledger, build_report("a@1", sequence=LATER + 1))
+    known = intend_unload(known, item="a@1")
+    known = run(known, build_report(sequence=LATER + 2))
+    assert show(known) == RESERVED
+    with pytest.raises(DoesNotFitError, match="20 MiB too little"):
+        load(known, B)
+    again, _ = load(known)
+    assert show(again) == LOADING
+    known = run(known, build_report("a@1", sequence=LATER + 3))
+    known = run(intend_unload(known, item="a@1"), build_report(sequence=LATER + 4))
+    assert known.entries == ()
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [(note_accepted, None), (note_refused, None), (None, RESERVED)],
+)
+def test_reply_to_the_resent_order_rules_out_that_it_is_late(answer, expected):
+    known, first = load()
+    known = note_accepted(known, first)
+    outcome = reconcile(known, server=TRUSTING, report=build_report(sequence=LATER))
+    known = outcome.ledger
+    if answer is not None:
+        known = answer(known, outcome.resend[0])
+    known = run(known, build_report("a@1", sequence=LATER + 1))
+    known = intend_unload(known, item="a@1")
+    assert show(run(known, build_report(sequence=LATER + 2))) == expected
+
+
+def test_copy_that_a_late_unload_may_remove_is_not_relied_on():
+    """An unload order is sent twice; one copy is late, and the item is loaded again.
+
+    Another server unloads its copy because this one answers. Then the late unload
+    arrives here, the last copy is gone, and callers of the model are refused.
+    """
+    known = run(load()[0], build_report("a@1"))
+    known = intend_unload(known, item="a@1")
+    overdue = build_report("a@1", sequence=LATER + 1)
+    known = run(known, overdue, build_report(sequence=LATER + 2))
+    assert show(known) == ("absent", 0)
+    known = run(load(known)[0], build_report("a@1", sequence=LATER + 3))
+    assert show(known) == LOADED
+    assert not is_reliable(find_entry(known, "a@1"))
+
+
+def test_report_of_a_past_boot_is_ignored():
+    """An engine restarts; a report from before the restart comes in late.
+
+    It would look like another restart, wipe the ledger, and free what the engine
+    holds since the restart.
+    """
+    known = run(START, build_report(boot="boot-2"))
+    known = run(load(known)[0], build_report("a@1", sequence=2, boot="boot-2"))
+    assert show(run(known, build_report(sequence=9))) == LOADED
+
+
+@pytest.mark.parametrize(
+    ("items", "fields", "expected"),
+    [
+        ((), {}, 60),
+        (("a@1",), {}, 60),
+        (("a@1", "b@1"), {}, 120),
+        (("a@1",), {"memory_used_mib": 75}, 75),
+        ((), {"memory_used_mib": 15}, 75),
+    ],
+)
+def test_larger_of_ledger_and_report_counts(items, fields, expected):
+    known, _ = load()
+    assert occupied_mib(known, build_report(*items, **fields)) == expected
+
+
+def test_report_that_shows_more_wins_at_once():
+    """The table was restored from a backup, and the ledger is older than the server.
+
+    What the server holds must be counted and its orders numbered above all it has
+    seen, or it would be overcommitted, or refuse every order as too old.
+    """
+    report = build_report("b@1", fence=3, last_order=41)
+    outcome = reconcile(START, server=CHECKING, report=report)
+    assert (outcome.loaded, outcome.corrected) == (("b@1",), ("b@1",))
+    with pytest.raises(DoesNotFitError):
+        load(outcome.ledger, A)
+    assert outcome.ledger.next_order == 42
+
+
+def test_new_owner_keeps_intents_and_renews_them_under_its_fence():
+    """An owner lapses between the commit of a load and its order, and wakes later.
+
+    The new owner must count the load, and order it anew with its own fence, so that a
+    checking server refuses the old order when it comes.
+    """
+    known = take_over(load()[0], fence=8)
+    assert show(known) == LOADING
+    report = build_report(sequence=LATER, fence=3)
+    outcome = reconcile(known, server=CHECKING, report=report)
+    (order,) = outcome.resend
+    assert (order.fence, order.number, order.boot_id) == (8, 2, "boot-1")
+    with pytest.raises(OutdatedPlanError):
+        take_over(known, fence=7)
+    newer = build_report(sequence=LATER, fence=9)
+    outcome = reconcile(known, server=CHECKING, report=newer)
+    assert outcome.superseded and not outcome.resend
+
+
+LOADED_ENTRY = LedgerEntry(
+    item="a@1", memory_mib=60, state=EntryState.LOADED, number=1, seen=True
+)
+
+
+@pytest.mark.parametrize(
+    ("entries", "act", "error"),
+    [
+        ((), lambda known: load(known, ADAPTER), OutdatedPlanError),
+        ((LOADED_ENTRY,), lambda known: load(known), OutdatedPlanError),
+        ((LOADED_ENTRY,), lambda known: load(known, B), DoesNotFitError),
+        ((), lambda known: load(replace(known, boot_id="")), OutdatedPlanError),
+        ((), lambda known: intend_unload(known, item="a@1"), OutdatedPlanError),
+        (
+            (replace(LOADED_ENTRY, state=EntryState.LOADING),),
+            lambda known: intend_unload(known, item="a@1"),
+            OutdatedPlanError,
+        ),
+        (
+            (LOADED_ENTRY, replace(LOADED_ENTRY, item="x@1", base="a@1")),
+            lambda known: intend_unload(known, item="a@1"),
+            OutdatedPlanError,
+        ),
+    ],
+)
+def test_action_that_does_not_match_the_ledger_is_refused(entries, act, error):
+    with pytest.raises(error):
+        act(replace(START, entries=entries))
+
+
+def test_reported_memory_limits_what_fits():
+    report = build_report(memory_total_mib=50)
+    with pytest.raises(DoesNotFitError, match="10 MiB too little"):
+        intend_load(START, server=TRUSTING, item=A, report=report)
+
+
+@pytest.mark.parametrize(
+    ("report", "loaded", "unloaded", "corrected"),
+    [
+        (build_report("a@1"), ("a@1",), (), ()),
+        (build_report("a@1", "b@1"), ("a@1", "b@1"), (), ("b@1",)),
+        (build_report(boot="boot-2"), (), ("a@1",), ("a@1",)),
+        (build_report("a@1", boot="boot-2"), ("a@1",), (), ()),
+    ],
+)
+def test_reconciliation_tells_what_changed(report, loaded, unloaded, corrected):
+    outcome = reconcile(load()[0], server=TRUSTING, report=report)
+    assert outcome.changed
+    shown = (outcome.loaded, outcome.unloaded, outcome.corrected)
+    assert shown == (loaded, unloaded, corrected)
+
+
+def test_report_without_news_needs_no_commit():
+    known = run(load()[0], build_report("a@1"))
+    outcome = reconcile(known, server=TRUSTING, report=build_report("a@1", sequence=2))
+    assert not outcome.changed and outcome.ledger.sequence == 2
+    assert (
+        ledgers.reconcile(known, server=TRUSTING, report=build_report()).ledger is known
+    )
