--- a/scripts/slope_calls.py
+++ b/scripts/slope_calls.py
@@ -10,7 +10,7 @@
 from scripts.slope_figures import Figure, build_slope
 from scripts.slope_fit import Point
 
-CALLS = 3
+CALLS = 9
 """Calls of which the quickest counts; the others were disturbed."""
 
 _NS_PER_MS = 1_000_000
--- a/scripts/slope_cells.py
+++ b/scripts/slope_cells.py
@@ -4,11 +4,15 @@
 called one by one, as its loops do.
 """
 
+import asyncio
+
 import msgspec
 
 from arbutuspulley.configuration import schema
 from arbutuspulley.configuration.lookup import list_servers
 from arbutuspulley.controller.exchange import PeerState, build_reply, take_reply
+from arbutuspulley.controller.ledgers import Ledgers
+from arbutuspulley.controller.placing import Placing, place
 from arbutuspulley.controller.polling import choose_read
 from arbutuspulley.controller.publishing import build_status, publish
 from arbutuspulley.controller.state import Controller
@@ -57,6 +61,7 @@
     units = {
         "plan_steady_cpu": ms,
         "plan_after_death_cpu": ms,
+        "place_cpu": ms,
         "publish_cpu": ms,
         "choose_read_cpu": ms,
         "choose_claims_cpu": ms,
@@ -83,6 +88,7 @@
     return {
         "plan_steady_cpu": time_call(_plan_steady, inputs),
         "plan_after_death_cpu": time_call(_plan_after_death, inputs),
+        "place_cpu": _time_place(controller),
         "publish_cpu": time_call(publish, controller),
         "choose_read_cpu": time_call(choose_read, controller),
         "choose_claims_cpu": time_call(_choose_claims, controller),
@@ -124,6 +130,20 @@
     return actions
 
 
+def _time_place(controller: Controller) -> float:
+    """Return the time of a look at placement that finds no news since the last one."""
+    work, placing = Ledgers(), Placing()
+    loop = asyncio.new_event_loop()
+
+    def look() -> None:
+        loop.run_until_complete(place(controller, work, placing))
+
+    look()
+    least = time_call(look)
+    loop.close()
+    return least
+
+
 def _choose_claims(controller: Controller) -> object:
     return choose_claims(
         instance="instance-0",
--- a/scripts/slope_controller.py
+++ b/scripts/slope_controller.py
@@ -20,7 +20,9 @@
 
 SERVERS = (2, 6, 12)
 REPORT_MS = 200
-RENEWALS_MS = (1_000, 300, 100)
+RENEWALS_MS = (100, 300, 1_000)
+"""The last one stays for the measurement of reports."""
+
 SPAN_S = 5.0
 """How long each point is measured."""
 
@@ -70,12 +72,14 @@
     system: Fleet, launcher: Launcher, directory: Path, relays: dict[str, Relay]
 ) -> list[Figure]:
     every = system.plan
+    """Measure with ever more servers; the first ones are configured already."""
     cpu: list[Point] = []
     wire: list[Point] = []
     for count in SERVERS:
         servers = every.servers[:count]
         system.plan = msgspec.structs.replace(every, servers=servers)
-        approve(system, directory)
+        if count != SERVERS[0]:
+            approve(system, directory)
         wait_loaded(system, copies=len(every.models))
         time.sleep(SETTLE_S)
         engines = [relays[server.name] for server in servers]
--- a/scripts/slope_entry.py
+++ b/scripts/slope_entry.py
@@ -13,7 +13,7 @@
 from arbutuspulley.data import State, Value
 from scripts import fleet
 from scripts.fleet import InstancePlan, Plan, ServerPlan
-from scripts.launcher import Launcher
+from scripts.launcher import Launcher, fetch
 from scripts.slope_figures import Figure, build_slope
 from scripts.slope_fit import Point, find_quantile, fit_plane
 from scripts.slope_process import read_cpu_ms, read_rss_mib
@@ -25,8 +25,13 @@
 """How long new requests are begun in one round; those begun are then finished."""
 
 IDLE_S = 3.0
+
+FULL_FACTOR = 0.05
+"""The engines' ``slow_factor`` in the last round, in which the entry is the limit."""
+
+FULL_STREAMS = 48
+FULL_TOKENS = 400
 MODEL = "assistant"
-TARGET_GAP_MS = 37
 
 _TIMEOUT = urllib3.Timeout(connect=2.0, read=20.0)
 _READ_BYTES = 4_096
@@ -55,12 +60,16 @@
 
 
 class Round(Value, frozen=True):
-    """One round of streams, and what the entry used meanwhile."""
+    """One round of streams, and what the entry used meanwhile.
+
+    :param client_cpu_ms: what this process used to ask.
+    """
 
     streams: int
     tokens: int
     seconds: float
     cpu_ms: float
+    client_cpu_ms: float
     rss_mib: float
     tally: Tally
 
@@ -93,7 +102,33 @@
         for tokens in TOKENS
     ]
     rss_idle = read_rss_mib(pid)
-    return _build_figures(rounds, idle=idle, rss_idle=rss_idle)
+    figures = _build_figures(rounds, idle=idle, rss_idle=rss_idle)
+    for server in _SERVERS:
+        body = json.dumps({"slow_factor": FULL_FACTOR})
+        fetch("POST", system.addresses[server.name], "/control", body=body)
+    full = _run_round(address, pid, streams=FULL_STREAMS, tokens=FULL_TOKENS)
+    return [*figures, *_build_full(full)]
+
+
+def _build_full(full: Round) -> list[Figure]:
+    """Return what the entry carried when the engines were quicker than it."""
+    return [
+        Figure(
+            name="entry.full_chunks",
+            value=full.tally.chunks / full.seconds,
+            unit=f"chunks a second, {FULL_STREAMS} streams, engines not the limit",
+        ),
+        Figure(
+            name="entry.full_cpu",
+            value=full.cpu_ms / full.seconds,
+            unit="ms a second meanwhile",
+        ),
+        Figure(
+            name="entry.full_client_cpu",
+            value=full.client_cpu_ms / full.seconds,
+            unit="ms a second meanwhile, of the process that asks",
+        ),
+    ]
 
 
 def _measure_idle(pid: int) -> float:
@@ -160,7 +195,7 @@
     lock = threading.Lock()
     began_at = time.monotonic()
     until = began_at + ROUND_S
-    before = read_cpu_ms(pid)
+    before, client_before = read_cpu_ms(pid), time.process_time()
     threads = [
         threading.Thread(
             target=_ask_until, args=(address, until, tokens, number, tally, lock)
@@ -178,6 +213,7 @@
         tokens=tokens,
         seconds=time.monotonic() - began_at,
         cpu_ms=read_cpu_ms(pid) - before,
+        client_cpu_ms=(time.process_time() - client_before) * 1_000,
         rss_mib=rss_mib,
         tally=tally,
     )
--- a/scripts/slope_instances.py
+++ b/scripts/slope_instances.py
@@ -221,6 +221,11 @@
         Figure(
             name="change.bytes", value=take_off("platform_bytes"), unit="bytes a change"
         ),
+        Figure(
+            name="change.peer_bytes",
+            value=take_off("peer_bytes"),
+            unit="bytes a change, from 5 peers to one node",
+        ),
         Figure(
             name="change.controller_cpu",
             value=take_off("cpu_ms") / nodes,
