--- a/src/arbutuspulley/controller/entries.py
+++ b/src/arbutuspulley/controller/entries.py
@@ -28,18 +28,19 @@
     state.watches += 1
 
 
-def end_watch(entries: dict[str, EntryState], address: str) -> None:
+def end_watch(entries: dict[str, EntryState], entry: EntryAddress) -> None:
     """Take in that a stream of views to an entry ended.
 
     The stream of an entry that was killed breaks at once, long before its reports
-    are missed; callers must not be sent there meanwhile.
+    are missed; callers must not be sent there meanwhile. If the entry was restarted
+    at the same address, the end of its earlier stream says nothing of it.
     """
-    state = entries.get(address)
-    if state is None:
+    state = entries.get(entry.address)
+    if state is None or state.entry.boot_id != entry.boot_id:
         return
     state.watches -= 1
     if state.watches <= 0:
-        del entries[address]
+        del entries[entry.address]
 
 
 def take_report(
--- a/src/arbutuspulley/controller/handlers.py
+++ b/src/arbutuspulley/controller/handlers.py
@@ -85,7 +85,7 @@
                 await asyncio.sleep(VIEW_GAP_MS / SECOND_MS)
             await wait_for_view(controller, sent)
     finally:
-        entries.end_watch(controller.entries, request.entry.address)
+        entries.end_watch(controller.entries, request.entry)
 
 
 async def _take_report(controller: Controller, report: EntryReport) -> Acknowledged:
@@ -122,6 +122,8 @@
     claim is never run again.
     """
     task = asyncio.create_task(_keep_settling(controller, request))
+    controller.settling.add(task)
+    task.add_done_callback(controller.settling.discard)
     await asyncio.wait((task,), timeout=1)
     return Acknowledged()
 
--- a/src/arbutuspulley/controller/orders.py
+++ b/src/arbutuspulley/controller/orders.py
@@ -113,8 +113,10 @@
         ),
     )
     order = ledgers.build_order(current, entry)
-    work.sent_at[name, entry.number] = controller.clock.now()
-    return await _intend(controller, work, state, current, transaction, order)
+    done = await _intend(controller, work, state, current, transaction, order)
+    if done:
+        work.sent_at[name, entry.number] = controller.clock.now()
+    return done
 
 
 async def unload(
--- a/src/arbutuspulley/controller/peers.py
+++ b/src/arbutuspulley/controller/peers.py
@@ -50,7 +50,7 @@
     for row in controller.sessions.rows.values():
         if row.record is not None and row.instance != settings.instance:
             wanted.add(row.record.address)
-    wanted.discard(settings.listen)
+    wanted -= {settings.listen, settings.advertise}
     for address in wanted - controller.peers.keys():
         controller.peers[address] = PeerState(address=address)
         controller.clients[address] = Client(address=address, key=settings.peer_key)
--- a/src/arbutuspulley/controller/running.py
+++ b/src/arbutuspulley/controller/running.py
@@ -47,8 +47,9 @@
 JITTER = 0.1
 """Part by which each pause varies, so that instances do not fall into step."""
 
-ORDERS_WAIT_MS = 3 * SECOND_MS
-"""Longest wait for orders on their way as the process stops."""
+WORK_WAIT_MS = 4 * SECOND_MS
+"""Longest wait for orders on their way and claims being settled, as the process
+stops; a little longer than an unload waits for its order."""
 
 Step = Callable[[], Awaitable[object]]
 
@@ -105,7 +106,7 @@
         """Finish orders on their way, release servers and lease, stop listening."""
         self._controller.stopping = True
         self._controller.view_changed.set()
-        await self._wait_for_orders()
+        await self._wait_for_work()
         await sessions.release_all(self._controller)
         for task in self._tasks:
             task.cancel()
@@ -138,9 +139,12 @@
         controller.metrics.lease_held.set(may_order(controller.lease, now=now))
         controller.metrics.owned_servers.set(len(sessions.get_owned(controller)))
 
-    async def _wait_for_orders(self) -> None:
-        deadline = self._controller.clock.now() + ORDERS_WAIT_MS
-        while self._work.busy and self._controller.clock.now() < deadline:
+    async def _wait_for_work(self) -> None:
+        controller = self._controller
+        deadline = controller.clock.now() + WORK_WAIT_MS
+        while controller.clock.now() < deadline:
+            if not self._work.busy and not controller.settling:
+                return
             await asyncio.sleep(0.02)
 
     def _choose_renewal_pause(self) -> int:
--- a/src/arbutuspulley/controller/sessions.py
+++ b/src/arbutuspulley/controller/sessions.py
@@ -201,7 +201,7 @@
         renewal,
         instance=settings.instance,
         site=settings.site,
-        address=settings.listen,
+        address=settings.advertise or settings.listen,
         entries=tuple(sorted(controller.entries)),
     )
     transaction = Transaction(
--- a/src/arbutuspulley/controller/state.py
+++ b/src/arbutuspulley/controller/state.py
@@ -26,7 +26,10 @@
 
 
 class ControllerSettings(Value, frozen=True):
-    """Checked settings of the process; see the program's flags."""
+    """Checked settings of the process; see the program's flags.
+
+    :param advertise: empty if peers reach it at ``listen``.
+    """
 
     instance: str
     site: str
@@ -41,6 +44,7 @@
     report_ms: int
     exchange_ms: int
     follow_ms: int
+    advertise: str = ""
 
 
 class Pools(State):
@@ -68,6 +72,7 @@
     :param listed_leaving: servers that the instance list calls leaving.
     :param live_since: when the set of live instances last changed.
     :param view_changed: set whenever there is a new view; replaced then.
+    :param settling: claims whose end is being recorded.
     :param stopping: set once the process has begun to stop.
     """
 
@@ -95,6 +100,7 @@
     listed_leaving: frozenset[str] = frozenset()
     live: frozenset[str] = frozenset()
     live_since: int = 0
+    settling: set[asyncio.Task[None]] = set()
     stopping: bool = False
     view_changed: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
 
--- a/src/arbutuspulley/programs/controller.py
+++ b/src/arbutuspulley/programs/controller.py
@@ -124,6 +124,7 @@
     platform: str,
     peer_key: str,
     group: str = "main",
+    advertise: str = "",
     peers: str = "",
     lease_ms: int = 10_000,
     renew_ms: int = 2_500,
@@ -143,6 +144,7 @@
     :param platform: host:port of the platform.
     :param peer_key: the key that all processes of the system share.
     :param group: instances of one group share out the group's servers.
+    :param advertise: host:port at which peers reach it, if not that of --listen.
     :param peers: host:port of other controllers, separated by commas.
     :param lease_ms: how long a session lease runs without a renewal.
     :param renew_ms: time between renewals, at most a third of the lease.
@@ -157,6 +159,7 @@
         site=site,
         group=group,
         listen=listen,
+        advertise=advertise,
         http=http,
         platform=platform,
         peers=tuple(part.strip() for part in peers.split(",") if part.strip()),
@@ -194,6 +197,7 @@
         check_present("--group", settings.group),
         check_present("--peer-key", settings.peer_key),
         check_address("--listen", settings.listen),
+        check_address("--advertise", settings.advertise or settings.listen),
         check_address("--http", settings.http),
         check_address("--platform", settings.platform),
         *check_addresses("--peers", settings.peers),
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -187,14 +187,19 @@
 def test_killed_entry_is_dropped_when_its_stream_breaks_and_a_frozen_one_by_silence():
     """An entry is killed: its stream of views breaks. Another one is frozen.
 
-    The frozen one keeps its connection; only its missing reports show it.
+    The frozen one keeps its connection; only its missing reports show it. The end
+    of a killed process's stream must not hide the process that came in its place.
     """
     killed = EntryAddress(instance="a", site="s", address="127.0.0.1:5", boot_id="1")
     frozen = msgspec.structs.replace(killed, address="127.0.0.1:6")
     known = {}
     for entry in (killed, frozen):
         own_entries.begin_watch(known, entry, now=0)
-    own_entries.end_watch(known, killed.address)
+    again = msgspec.structs.replace(killed, boot_id="2")
+    own_entries.begin_watch(known, again, now=0)
+    own_entries.end_watch(known, killed)
+    assert set(known) == {killed.address, frozen.address}
+    own_entries.end_watch(known, again)
     assert set(known) == {frozen.address}
     own_entries.forget_silent(known, now=own_entries.HEARD_MS)
     assert set(known) == {frozen.address}
