--- a/scripts/slope_entry.py
+++ b/scripts/slope_entry.py
@@ -27,7 +27,7 @@
 IDLE_S = 3.0
 
 FULL_FACTOR = 0.05
-"""The engines' ``slow_factor`` in the last round, in which the entry is the limit."""
+"""The engines' ``slow_factor`` in the last round."""
 
 FULL_STREAMS = 48
 FULL_TOKENS = 400
@@ -106,17 +106,24 @@
     for server in _SERVERS:
         body = json.dumps({"slow_factor": FULL_FACTOR})
         fetch("POST", system.addresses[server.name], "/control", body=body)
+    engines = [find_pid(launcher, server.name) for server in _SERVERS]
+    before = [read_cpu_ms(engine) for engine in engines]
     full = _run_round(address, pid, streams=FULL_STREAMS, tokens=FULL_TOKENS)
-    return [*figures, *_build_full(full)]
+    used = [read_cpu_ms(engine) for engine in engines]
+    busiest = max(after - first for first, after in zip(before, used, strict=True))
+    return [*figures, *_build_full(full, engine_cpu_ms=busiest)]
 
 
-def _build_full(full: Round) -> list[Figure]:
-    """Return what the entry carried when the engines were quicker than it."""
+def _build_full(full: Round, *, engine_cpu_ms: float) -> list[Figure]:
+    """Return what the entry passed on when the engines need not wait for a step.
+
+    Any of the processes may then be the limit; their processor times tell which.
+    """
     return [
         Figure(
             name="entry.full_chunks",
             value=full.tally.chunks / full.seconds,
-            unit=f"chunks a second, {FULL_STREAMS} streams, engines not the limit",
+            unit=f"chunks a second, {FULL_STREAMS} streams",
         ),
         Figure(
             name="entry.full_cpu",
@@ -128,6 +135,11 @@
             value=full.client_cpu_ms / full.seconds,
             unit="ms a second meanwhile, of the process that asks",
         ),
+        Figure(
+            name="entry.full_engine_cpu",
+            value=engine_cpu_ms / full.seconds,
+            unit="ms a second meanwhile, of the busiest engine stand-in",
+        ),
     ]
 
 
--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -1,6 +1,7 @@
 """``make slopes``: measures what one more of each thing costs, and prints a table.
 
 Ends with one JSON line; docs/CAPACITY.md works out from it what a large fleet needs.
+After a whole run the sums for one node of the target stand below the table.
 Real processes run one small stack after the other, with a few seconds for each
 point; what cannot be started at the target's size is called directly.
 """
@@ -23,6 +24,7 @@
 from scripts.slope_figures import Figure, build_record, show_table
 from scripts.slope_instances import measure_instances
 from scripts.slope_sizes import measure_sizes
+from scripts.slope_sums import build_sums, show_sums
 
 Measure = Callable[[Launcher, Path], list[Figure]]
 
@@ -57,6 +59,9 @@
     figures = [figure for name in chosen for figure in _measure(name)]
     seconds = time.monotonic() - began_at
     print(show_table(figures))
+    sums = build_sums(figures)
+    if sums:
+        print(show_sums(sums))
     print(f"slopes: took {seconds:.0f} s")
     line = json.dumps({"seconds": round(seconds), "figures": build_record(figures)})
     print(line)
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from scripts.slope_figures import build_record, build_slope, show_table
+from scripts.slope_figures import Figure, build_record, build_slope, show_table
 from scripts.slope_fit import (
     FitError,
     Point,
@@ -12,6 +12,7 @@
     fit_plane,
     sum_terms,
 )
+from scripts.slope_sums import MEASURED, build_sums, show_sums
 
 
 def _points(*pairs):
@@ -76,3 +77,47 @@
     record = build_record([figure])["entry.stream"]
     assert record["points"] == [[1, 5], [2, 7], [4, 11]]
     assert (record["value"], record["base"], record["residual"]) == (2, 3, 0)
+
+
+def _figure(name, value, base):
+    return Figure(name=name, value=value, base=base, unit="")
+
+
+CELL_STEPS = ["place", "publish", "choose_read", "choose_claims", "view_encode"]
+FIGURES = [
+    *(_figure(name, 1.0, 0.0) for name in MEASURED),
+    *(_figure(f"cell.{step}_cpu", 0.0, 2.0) for step in [*CELL_STEPS, "view_decode"]),
+    *(_figure(f"entry.{name}_cpu", 0.0, None) for name in ("request", "idle")),
+    _figure("controller.peer_cpu", 3.0, 18.0),
+    _figure("platform.writes", 0.4, 0.0),
+    *(
+        _figure(f"controller.{name}", 1.0, 0.0)
+        for name in ("platform_wire", "peer_reply")
+    ),
+    *(
+        _figure(f"exchange.{name}", 1.0, 0.0)
+        for name in ("request_bytes", "reply_bytes")
+    ),
+    _figure("controller.report_bytes", 1.0, 0.0),
+]
+
+
+@pytest.mark.parametrize(
+    ("name", "total"),
+    [
+        ("entry, ms", 1_600_000 / 360 + 2 * 15),
+        # Loops, reports, peers, plans, steps at 5, 5, 2, 1 and 15 a second, changes.
+        ("controller, ms", 18 + 29 + 117 + 290 + 2 * 28 + 12_600 * 3_700 / 86_400),
+        ("controller, bytes", 40 + 29 + 78 + 78 + 14.5 * 78),
+        ("table, reads", 360),
+        ("table, renewals", 144),
+    ],
+)
+def test_sums_at_the_target(name, total):
+    sums = {one.name: one for one in build_sums(FIGURES)}
+    assert sum_terms(sums[name].terms) == pytest.approx(total)
+    assert name in show_sums(sums.values())
+
+
+def test_no_sums_without_all_parts():
+    assert build_sums(FIGURES[1:]) == ()
