--- a/src/arbutuspulley/placement/layout.py
+++ b/src/arbutuspulley/placement/layout.py
@@ -27,6 +27,8 @@
     :param occupied_mib: what its ledger counts, planned loads included.
     :param entries: what it holds, by item.
     :param planned: keys of items that the plan at hand loads there.
+    :param pledged_mib: what adapters of its models still need; ``None`` if it has to be
+        worked out again.
     """
 
     name: str
@@ -37,6 +39,7 @@
     occupied_mib: int
     entries: dict[str, LedgerEntry]
     planned: set[str]
+    pledged_mib: int | None = None
 
 
 class Layout(State):
@@ -99,21 +102,23 @@
 
 def measure_room(layout: Layout, place: Place) -> int:
     """Return the free MiB at a place, less what adapters of its models still need."""
-    pledged = sum(
-        measure_extra(place, adapter)
-        for model in (*place.entries, *sorted(place.planned))
-        for adapter in list_missing_adapters(layout, place, model)
-    )
-    return place.capacity_mib - place.occupied_mib - pledged
+    if place.pledged_mib is None:
+        place.pledged_mib = sum(
+            measure_extra(place, adapter)
+            for model in (*place.entries, *sorted(place.planned))
+            for adapter in list_missing_adapters(layout, place, model)
+        )
+    return place.capacity_mib - place.occupied_mib - place.pledged_mib
 
 
 def list_missing_adapters(layout: Layout, place: Place, model: str) -> list[Item]:
     """Return the adapters that a model at this place is to be joined by."""
-    if place.name not in layout.holding.get(model, ()):
+    adapters = layout.adapters.get(model, ())
+    if not adapters or place.name not in layout.holding[model]:
         return []
     return [
         adapter
-        for adapter in layout.adapters.get(model, ())
+        for adapter in adapters
         if not is_there(place, adapter.key)
         and len(layout.holding[adapter.key]) < adapter.copies
     ]
@@ -130,7 +135,10 @@
     """Count an item as loaded at a place for the rest of the plan."""
     place.occupied_mib += measure_extra(place, item)
     place.planned.add(item.key)
+    place.pledged_mib = None
     layout.holding[item.key].add(place.name)
+    for name in layout.holding.get(item.base_key, ()):
+        layout.places[name].pledged_mib = None
 
 
 def measure_bundle(layout: Layout, place: Place, item: Item) -> int:
--- a/src/arbutuspulley/placement/missing.py
+++ b/src/arbutuspulley/placement/missing.py
@@ -31,6 +31,18 @@
     DEMAND = 2
 
 
+class Grade(enum.IntEnum):
+    """How well a place suits a model that has adapters.
+
+    ``MIXED``: it holds one of them for the model's former version, which would have to
+    go before it can be loaded again; ``CRAMPED``: it has no room for them.
+    """
+
+    GOOD = 0
+    MIXED = 1
+    CRAMPED = 2
+
+
 class Missing(Value, frozen=True):
     """One copy to load.
 
@@ -71,13 +83,24 @@
 
 
 def find_place(layout: Layout, item: Item, prefer: Prefer) -> Place | None:
-    """Return the preferred place where an item fits, or ``None``."""
-    fitting = [
-        place
-        for place in list_candidates(layout, item)
-        if measure_extra(place, item) <= _measure_room_for(layout, place, item)
-    ]
-    return min(fitting, key=lambda place: prefer(layout, place, item), default=None)
+    """Return the preferred place where an item fits, or ``None``.
+
+    The first place in sequence of preference that also has room for the item's
+    adapters is taken; only if there is none, one that has less.
+    """
+    candidates = list_candidates(layout, item)
+    candidates.sort(key=lambda place: prefer(layout, place, item))
+    best: Place | None = None
+    best_grade = len(Grade)
+    for place in candidates:
+        if measure_shortage(layout, place, item) > 0:
+            continue
+        grade = _grade_place(layout, place, item)
+        if grade < best_grade:
+            best, best_grade = place, grade
+        if grade is Grade.GOOD:
+            break
+    return best
 
 
 def list_candidates(layout: Layout, item: Item) -> list[Place]:
@@ -95,21 +118,13 @@
 
 
 def prefer_spread(layout: Layout, place: Place, item: Item) -> tuple[int, ...]:
-    """Prefer places with room for the adapters too, then other sites than so far."""
-    return (
-        _grade_place(layout, place, item),
-        _count_in_site(layout, place, item),
-        rank_place(item.key, place.name),
-    )
+    """Prefer other sites than those that have a copy."""
+    return (_count_in_site(layout, place, item), rank_place(item.key, place.name))
 
 
 def prefer_tight(layout: Layout, place: Place, item: Item) -> tuple[int, ...]:
     """Prefer the place with the least room left, to keep large rooms whole."""
-    return (
-        _grade_place(layout, place, item),
-        measure_room(layout, place),
-        rank_place(item.key, place.name),
-    )
+    return (measure_room(layout, place), rank_place(item.key, place.name))
 
 
 def place_all(
@@ -159,18 +174,17 @@
     return room
 
 
-def _grade_place(layout: Layout, place: Place, item: Item) -> int:
-    """Grade a place: 0 is best.
-
-    A place that holds an adapter with the model's former version would have to drop
-    that adapter before it can load it again, so other places come first.
-    """
+def _grade_place(layout: Layout, place: Place, item: Item) -> Grade:
     if measure_bundle(layout, place, item) > measure_room(layout, place):
-        return 2
+        return Grade.CRAMPED if not item.base_key else Grade.GOOD
     adapters = layout.adapters.get(item.key, ())
-    return int(any(is_there(place, adapter.key) for adapter in adapters))
+    if any(is_there(place, adapter.key) for adapter in adapters):
+        return Grade.MIXED
+    return Grade.GOOD
 
 
 def _count_in_site(layout: Layout, place: Place, item: Item) -> int:
     holders = layout.holding[item.key]
+    if not holders:
+        return 0
     return sum(layout.places[name].site == place.site for name in holders)
--- a/src/arbutuspulley/placement/planner.py
+++ b/src/arbutuspulley/placement/planner.py
@@ -27,6 +27,7 @@
     prefer_spread,
     prefer_tight,
 )
+from arbutuspulley.placement.moves import DemandState, propose_move, smooth_demand
 from arbutuspulley.placement.records import EntryState, ServerLedger
 from arbutuspulley.placement.retire import list_unneeded
 from arbutuspulley.placement.room import make_room
@@ -60,6 +61,7 @@
 
     down_since: dict[str, int] = {}
     unneeded_since: dict[str, int] = {}
+    demand: DemandState = msgspec.field(default_factory=DemandState)
 
 
 class PlannerInputs(Value, frozen=True):
@@ -84,10 +86,20 @@
         usable=usable,
         waited_for=_wait_for_down(state, inputs.summaries, now=now),
     )
+    smooth_demand(state.demand, inputs.demand, now=now)
     unneeded = _wait_unneeded(state, list_unneeded(layout), now=now)
     loads, others = _plan_missing(layout)
     swaps = _swap_adapters(layout)
-    unloads = _merge_unloads(unneeded, others, swaps)
+    moves: tuple[Load | Unload, ...] = ()
+    if not loads:
+        moves = propose_move(
+            state.demand,
+            layout,
+            moves_weight=inputs.configuration.policy.moves_weight,
+            now=now,
+        )
+    loads += [action for action in moves if isinstance(action, Load)]
+    unloads = _merge_unloads(unneeded, others, swaps, moves)
     blocked = [action for action in others if isinstance(action, Blocked)]
     return (*unloads[:MAX_UNLOADS], *loads[:MAX_LOADS], *blocked)
 
--- a/src/arbutuspulley/placement/retire.py
+++ b/src/arbutuspulley/placement/retire.py
@@ -58,7 +58,15 @@
     if answering == 0:
         return []
     spare = answering + len(former) - item.copies
-    former = sorted(former, key=lambda known: rank_place(known[1].item, known[0].name))
+    # A server that holds both versions comes last: the next copy of the new version
+    # needs a server that holds none, and may fit there only once the old one is gone.
+    former = sorted(
+        former,
+        key=lambda known: (
+            known[0].name in layout.holding[item.key],
+            rank_place(known[1].item, known[0].name),
+        ),
+    )
     return [
         Unload(
             server=place.name,
