--- a/src/arbutuspulley/placement/fit.py
+++ b/src/arbutuspulley/placement/fit.py
@@ -195,11 +195,13 @@
     packing = _pack(bundles[:placed], rooms, _choose_first) or {}
     left = _measure_left(bundles, packing, rooms)
     bundle = bundles[placed]
+    fitting = sum(room >= bundle.size_mib for room in left.values())
     return _refuse(
         f"{bundle.key} with its adapters needs {bundle.size_mib} MiB on each of"
-        f" {bundle.copies} servers; beside what is larger, the most room left on one"
-        f" server is {max(left.values(), default=0)} MiB, {sum(left.values())} MiB on"
-        " all together"
+        f" {bundle.copies} servers; beside what is larger, {fitting}"
+        f" {'has' if fitting == 1 else 'have'} that much left: the most on one server"
+        f" is {max(left.values(), default=0)} MiB, {sum(left.values())} MiB on all"
+        " together"
     )
 
 
