--- a/src/arbutuspulley/delivery/suspects.py
+++ b/src/arbutuspulley/delivery/suspects.py
@@ -20,11 +20,12 @@
 DEATHS_TO_QUARANTINE = 2
 """Servers that one request may cost before it is no longer run."""
 
-QUARANTINE_MS = 600 * SECOND_MS
-"""How long a suspicion stays without news, and when a caller may come back."""
+SUSPICION_MS = 900 * SECOND_MS
+"""How long a first death is remembered without news; longer than any request lives."""
 
-TRIAL_RETRY_MS = 5 * SECOND_MS
-"""When to come back to a request that is on trial elsewhere."""
+QUARANTINE_MS = 6 * 3_600 * SECOND_MS
+"""How long a request stays quarantined: a caller that comes back on time for ever
+costs two servers in this time, and no more."""
 
 _TRIAL_MARK = "#"
 
@@ -133,14 +134,14 @@
 
 
 def forget_old(state: SuspectState, *, now: int) -> tuple[str, ...]:
-    """Drop suspicions without news for :data:`QUARANTINE_MS`.
+    """Drop what has had no news for its time.
 
     :return: the fingerprints dropped, so that their rows can be deleted.
     """
     old = tuple(
         fingerprint
-        for fingerprint, seen in state.seen_at.items()
-        if now - seen >= QUARANTINE_MS
+        for fingerprint in state.suspicions
+        if get_return_ms(state, fingerprint, now=now) <= 0
     )
     for fingerprint in old:
         del state.suspicions[fingerprint]
@@ -148,8 +149,9 @@
     return old
 
 
-def get_return_ms(judgement: Judgement) -> int:
-    """Return when a caller may come back with a request that is not run now."""
-    if judgement is Judgement.QUARANTINED:
-        return QUARANTINE_MS
-    return TRIAL_RETRY_MS
+def get_return_ms(state: SuspectState, fingerprint: str, *, now: int) -> int:
+    """Return after how long a suspicion is dropped if there is no news."""
+    judgement = judge(state.suspicions[fingerprint])
+    is_quarantined = judgement is Judgement.QUARANTINED
+    life_ms = QUARANTINE_MS if is_quarantined else SUSPICION_MS
+    return state.seen_at[fingerprint] + life_ms - now
--- a/src/arbutuspulley/entry/answers.py
+++ b/src/arbutuspulley/entry/answers.py
@@ -12,6 +12,9 @@
 JSON_TYPE = "application/json"
 EVENTS_TYPE = "text/event-stream; charset=utf-8"
 
+LIBRARY_PATIENCE_MS = 60 * SECOND_MS
+"""Longest time told that ordinary client libraries wait for."""
+
 END_EVENT = b"data: [DONE]\n\n"
 """What a whole stream ends with; a stream without it is not complete."""
 
@@ -103,8 +106,9 @@
     if error.retry_after_ms is not None:
         seconds = -(-error.retry_after_ms // SECOND_MS)
         headers.append(("Retry-After", str(max(1, seconds))))
-    else:
-        # Client libraries repeat some statuses on their own account.
+    if error.retry_after_ms is None or error.retry_after_ms > LIBRARY_PATIENCE_MS:
+        # Client libraries repeat some statuses on their own account, at once if the
+        # time told is longer than they care to wait.
         headers.append(("X-Should-Retry", "false"))
     return Answer(
         status=error.status,
--- a/src/arbutuspulley/entry/choosing.py
+++ b/src/arbutuspulley/entry/choosing.py
@@ -1,63 +1,109 @@
-"""Choice of the server for an attempt, out of the controller's latest view."""
+"""Choice of the server for an attempt, out of the controller's latest view.
+
+A request may crash each server that runs it, and its caller may send it through
+several entries at once, before the first death shows what it is. So each request
+has a pair of servers of its own, drawn by a hash of caller and body: all entries
+draw the same pair and take the less busy one of it. Whatever happens before the
+death is known happens to these two. For requests that differ the pairs are as good
+as random, so two draws spread the load as well as ever.
+"""
+
+from collections.abc import Sequence
+
+import xxhash
 
 from arbutuspulley.admission import queue
-from arbutuspulley.entry.state import Attempt, Ongoing, Runtime
+from arbutuspulley.entry.state import Ongoing, Runtime
 from arbutuspulley.routing import choice
 from arbutuspulley.rpc.messages import ServerSummary
 
+PAIR = 2
+"""Servers that a request goes to unless both fail or are full; as many as may be lost
+to one request."""
+
 
 def choose_server(
-    runtime: Runtime,
-    ongoing: Ongoing,
-    *,
-    avoid: frozenset[str],
-    barred: frozenset[str] = frozenset(),
+    runtime: Runtime, ongoing: Ongoing, *, avoid: frozenset[str]
 ) -> str | None:
     """Return the server for the next attempt, if there is one.
 
-    :param avoid: servers to leave out unless they are alive and the only ones.
-    :param barred: servers to leave out in any case.
+    :param avoid: servers to leave out, unless they are alive and the only ones.
     """
-    state = runtime.state
-    twin = _find_twin(runtime, ongoing)
-    if twin and twin not in avoid | barred:
-        return twin
-    full = queue.list_full(state.admission, ongoing.call.request_id)
-    # A server that broke off and yet answers may be the only one with the model.
-    for left_out in (avoid | full, avoid, avoid - ongoing.alive):
-        server = choice.choose_server(
-            state.routing,
-            servers=state.view.servers if state.view else (),
-            item=ongoing.item.key,
-            cost=ongoing.cost,
-            avoid=left_out | barred,
-            now=runtime.clock.now(),
-            chance=runtime.chance,
-        )
+    full = queue.list_full(runtime.state.admission, ongoing.call.request_id)
+    holders = _list_holders(runtime, ongoing)
+    pair = _find_pair(runtime, holders)
+    for servers, left_out in (
+        (pair, avoid | full),
+        (holders, avoid | full),
+        (pair, avoid),
+        (holders, avoid),
+        # A server that broke off and yet answers may be the only one.
+        (holders, avoid - ongoing.alive),
+    ):
+        server = _choose(runtime, ongoing, servers, left_out)
         if server is not None:
             return server
     return None
 
 
-def _find_twin(runtime: Runtime, ongoing: Ongoing) -> str:
-    """Return the server that runs the very same request now, if any.
+def choose_for_trial(
+    runtime: Runtime, ongoing: Ongoing, *, avoid: frozenset[str], busy: frozenset[str]
+) -> str | None:
+    """Return the server to try a suspect on, if one is free.
+
+    The other server of its pair is waited for: copies that other entries sent before
+    they knew may run there, and anywhere else a third server could be lost.
 
-    A caller that sends a poison request several times at once would otherwise have
-    it run on several servers before the first death shows what it is.
+    :param busy: servers that other suspects hold.
     """
-    for other in runtime.state.ongoing.values():
-        if other.fingerprint != ongoing.fingerprint or other is ongoing:
-            continue
-        summary = _find_usable(runtime, other.attempt)
-        if summary is not None:
-            return summary.server
-    return ""
-
-
-def _find_usable(runtime: Runtime, attempt: Attempt | None) -> ServerSummary | None:
-    if attempt is None:
-        return None
-    summary = runtime.state.summaries.get(attempt.server)
-    if summary is None or summary.leaving or not summary.alive:
-        return None
-    return summary
+    holders = _list_holders(runtime, ongoing)
+    left = [one for one in _find_pair(runtime, holders) if one.server not in avoid]
+    for left_out in (avoid, avoid - ongoing.alive):
+        server = _choose(runtime, ongoing, left or holders, left_out | busy)
+        if server is not None:
+            return server
+    return None
+
+
+def _list_holders(runtime: Runtime, ongoing: Ongoing) -> list[ServerSummary]:
+    """Return the servers that have the item, in the order drawn for the request."""
+    view, item = runtime.state.view, ongoing.item.key
+    servers = view.servers if view else ()
+    holders = [summary for summary in servers if item in summary.items]
+    return sorted(
+        holders,
+        key=lambda one: xxhash.xxh64_intdigest(
+            f"{ongoing.fingerprint}|{one.server}".encode()
+        ),
+    )
+
+
+def _find_pair(
+    runtime: Runtime, holders: Sequence[ServerSummary]
+) -> list[ServerSummary]:
+    """Return those of the request's pair that can be used as far as is known."""
+    known = runtime.state.routing.servers
+    return [
+        summary
+        for summary in holders[:PAIR]
+        if summary.alive
+        and not summary.leaving
+        and not (summary.server in known and known[summary.server].failures)
+    ]
+
+
+def _choose(
+    runtime: Runtime,
+    ongoing: Ongoing,
+    servers: Sequence[ServerSummary],
+    avoid: frozenset[str],
+) -> str | None:
+    return choice.choose_server(
+        runtime.state.routing,
+        servers=servers,
+        item=ongoing.item.key,
+        cost=ongoing.cost,
+        avoid=avoid,
+        now=runtime.clock.now(),
+        chance=runtime.chance,
+    )
--- a/src/arbutuspulley/entry/dispatch.py
+++ b/src/arbutuspulley/entry/dispatch.py
@@ -27,7 +27,7 @@
 
     :raises RequestError: if it is refused.
     """
-    ongoing = _build_ongoing(runtime, call)
+    ongoing = build_ongoing(runtime, call)
     accounts.count_demand(runtime, ongoing)
     _refuse_quarantined(runtime, ongoing)
     runtime.state.ongoing[call.request_id] = ongoing
@@ -68,7 +68,11 @@
     return attempt
 
 
-def _build_ongoing(runtime: Runtime, call: Call) -> Ongoing:
+def build_ongoing(runtime: Runtime, call: Call) -> Ongoing:
+    """Return a request that has just arrived.
+
+    :raises RequestError: if its model is not known or not allowed.
+    """
     item = find_item(call.index, call.identity, call.model)
     return Ongoing(
         call=call,
--- a/src/arbutuspulley/entry/draining.py
+++ b/src/arbutuspulley/entry/draining.py
@@ -10,7 +10,7 @@
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.delivery.failures import build_failure
 from arbutuspulley.entry.state import Runtime
-from arbutuspulley.entry.views import list_entries, send_report
+from arbutuspulley.entry.views import is_ready, list_entries, send_report
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.results import Code, RequestError
 from arbutuspulley.routing.addresses import order_entries
@@ -30,6 +30,9 @@
     state.draining = True
     runtime.metrics.draining.set(1)
     lifetime_ms = state.index.policy.address_lifetime_s * SECOND_MS
+    if not is_ready(state):
+        # Nobody was told of this entry, nor could be.
+        lifetime_ms = 0
     log_event(Event.DRAINING, in_flight=state.in_flight, serving_for_ms=lifetime_ms)
     await send_report(runtime)
     await asyncio.sleep(lifetime_ms / SECOND_MS)
--- a/src/arbutuspulley/entry/handlers.py
+++ b/src/arbutuspulley/entry/handlers.py
@@ -11,6 +11,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.configuration.lookup import hash_key
 from arbutuspulley.data import Message, Value
 from arbutuspulley.delivery.failures import RETRY_AFTER_MS, build_failure
 from arbutuspulley.entry import answers, calls
@@ -122,7 +123,12 @@
     """Say which entries to use for a model; needs no key."""
     query = parse_qs(exchange.target.partition("?")[2])
     model = query.get("model", [""])[0]
-    found = runtime.loop.call(lambda: _find_addresses(runtime, model))
+    # The same caller at the same place gets the same order each time it asks.
+    asker = [
+        exchange.headers.get(name, "") for name in ("Authorization", "Remote-Addr")
+    ]
+    spread = hash_key("|".join(asker))
+    found = runtime.loop.call(lambda: _find_addresses(runtime, model, spread))
     return answers.build_success(msgspec.json.encode(found), run_state=RunState.NOT_RUN)
 
 
@@ -219,7 +225,7 @@
     return _Opening(index=state.index, identity=identity, now=runtime.clock.now())
 
 
-def _find_addresses(runtime: Runtime, model: str) -> AddressAnswer:
+def _find_addresses(runtime: Runtime, model: str, spread: str) -> AddressAnswer:
     state = runtime.state
     if not is_ready(state):
         raise build_failure(
@@ -237,7 +243,11 @@
         entries=len(entries),
     )
     told = order_entries(
-        entries, model=model, asked=runtime.settings.address, width=width
+        entries,
+        model=model,
+        asked=runtime.settings.address,
+        spread=spread,
+        width=width,
     )
     return AddressAnswer(
         model=model,
--- a/src/arbutuspulley/entry/trials.py
+++ b/src/arbutuspulley/entry/trials.py
@@ -13,7 +13,7 @@
 from arbutuspulley.delivery import suspects
 from arbutuspulley.delivery.suspects import Judgement
 from arbutuspulley.entry.background import keep
-from arbutuspulley.entry.choosing import choose_server
+from arbutuspulley.entry.choosing import choose_for_trial
 from arbutuspulley.entry.deaths import call_controller, record_all, release_server
 from arbutuspulley.entry.state import (
     REQUEST_LIFE_MS,
@@ -66,7 +66,7 @@
         if runtime.clock.now() >= give_up_at:
             return life.NoServer(code=Code.OVERLOADED)
         busy = _list_busy(runtime)
-        server = choose_server(runtime, ongoing, avoid=avoid, barred=busy)
+        server = choose_for_trial(runtime, ongoing, avoid=avoid, busy=busy)
         if server is not None:
             granted = await _ask_for_trial(runtime, ongoing, server)
             if granted is None:
@@ -126,7 +126,9 @@
     return life.Barred(
         code=Code.QUARANTINED,
         detail="servers died while they ran this request; it is not run for now",
-        retry_after_ms=suspects.QUARANTINE_MS,
+        retry_after_ms=suspects.get_return_ms(
+            runtime.state.suspects, ongoing.fingerprint, now=runtime.clock.now()
+        ),
     )
 
 
--- /dev/null
+++ b/tests/test_choosing.py
@@ -0,0 +1,138 @@
+"""Which server a request goes to, and which ones it can never reach."""
+
+import itertools
+
+import pytest
+
+from arbutuspulley.entry.calls import Call
+from arbutuspulley.entry.choosing import choose_for_trial, choose_server
+from arbutuspulley.entry.dispatch import build_ongoing
+from arbutuspulley.entry.index import Identity
+from arbutuspulley.entry.views import take_view
+from arbutuspulley.routing.choice import begin_attempt, note_failure
+from arbutuspulley.rpc.messages import ServerSummary, View
+from tests.entries import FakeController, build_chat, build_configuration, build_runtime
+
+NAMES = [f"e{number}" for number in range(6)]
+NONE = frozenset()
+
+
+def build_entry(number=1, **changes):
+    """Return an entry whose view has all servers, some of them changed."""
+    servers = []
+    for port, name in enumerate(NAMES, start=1):
+        fields = {"items": ("m@1",), "slots": 4, **changes.get(name, {})}
+        address = f"127.0.0.1:{port}"
+        servers.append(ServerSummary(server=name, site="a", address=address, **fields))
+    runtime = build_runtime(FakeController().port, number=number)
+    view = View(
+        number=1,
+        ready=True,
+        store_up=True,
+        configuration=build_configuration(),
+        servers=tuple(servers),
+    )
+    take_view(runtime, view, now=runtime.clock.now())
+    return runtime
+
+
+def build_request(runtime, text="hello"):
+    index = runtime.state.index
+    call = Call(
+        request_id="r",
+        index=index,
+        identity=Identity(name="desk", caller=index.site.callers["desk"]),
+        path="/v1/chat/completions",
+        body=str(build_chat(text)).encode(),
+        arrived_at=0,
+        model="m",
+    )
+    return build_ongoing(runtime, call)
+
+
+def find_pair(text="hello"):
+    """Return the pair of a request: the first two by its hash."""
+    runtime = build_entry()
+    request = build_request(runtime, text)
+    first = choose_server(runtime, request, avoid=NONE)
+    return first, choose_server(runtime, request, avoid=frozenset({first}))
+
+
+def test_copies_of_a_request_reach_two_servers_through_any_entry():
+    """A caller sends a poison request through three entries at the same moment.
+
+    Drawn by chance, each entry would send it to servers of its own; all of them die
+    before the first death is known anywhere.
+    """
+    pair = set(find_pair())
+    loads = ({}, {"e0": {"running": 3}}, {"e3": {"running": 9, "waiting": 9}})
+    for number, busy in itertools.product(range(1, 8), loads):
+        runtime = build_entry(number, **busy)
+        request = build_request(runtime)
+        assert choose_server(runtime, request, avoid=NONE) in pair
+        assert choose_for_trial(runtime, request, avoid=NONE, busy=NONE) in pair
+
+
+def test_different_requests_spread_over_all_servers():
+    runtime = build_entry()
+    chosen = []
+    for number in range(300):
+        request = build_request(runtime, str(number))
+        chosen.append(choose_server(runtime, request, avoid=NONE))
+        begin_attempt(runtime.state.routing, chosen[-1], 10, now=0)
+    assert min(chosen.count(name) for name in NAMES) >= 45
+
+
+@pytest.mark.parametrize(
+    ("change", "avoided"),
+    [({"leaving": True}, False), ({"alive": False}, False), ({}, True)],
+)
+def test_takes_the_other_one_of_the_pair_and_then_any(change, avoided):
+    first, second = find_pair()
+    one = build_entry(**{first: change})
+    avoid = frozenset({first}) if avoided else NONE
+    assert choose_server(one, build_request(one), avoid=avoid) == second
+    both = build_entry(**{first: change, second: change})
+    avoid = frozenset({first, second}) if avoided else NONE
+    other = choose_server(both, build_request(both), avoid=avoid)
+    assert other not in (first, second, None)
+
+
+def test_leaves_a_server_that_failed_for_any_other():
+    first, second = find_pair()
+    runtime = build_entry()
+    for name in (first, second):
+        note_failure(runtime.state.routing, name, runtime.clock.now())
+    other = choose_server(runtime, build_request(runtime), avoid=NONE)
+    assert other not in (first, second, None)
+
+
+def test_a_trial_waits_for_the_other_server_of_its_pair():
+    """A suspect lost one of its pair, and another suspect holds the other.
+
+    Copies that were sent before the death was known may run there. Tried on a third
+    server, the request could cost three.
+    """
+    first, second = find_pair()
+    runtime = build_entry()
+    request = build_request(runtime)
+    avoid, busy = frozenset({first}), frozenset({second})
+    assert choose_for_trial(runtime, request, avoid=avoid, busy=busy) is None
+    assert choose_for_trial(runtime, request, avoid=avoid, busy=NONE) == second
+    gone = build_entry(**{second: {"alive": False}})
+    request = build_request(gone)
+    other = choose_for_trial(gone, request, avoid=avoid, busy=NONE)
+    assert other not in (first, second, None)
+
+
+def test_the_only_server_is_tried_again_if_it_is_alive():
+    """The one copy of a model breaks a connection off, and answers the next one."""
+    lacking = {name: {"items": ()} for name in NAMES[1:]}
+    runtime = build_entry(**lacking)
+    request = build_request(runtime)
+    avoid = frozenset({"e0"})
+    assert choose_server(runtime, request, avoid=avoid) is None
+    request.alive = avoid
+    assert choose_server(runtime, request, avoid=avoid) == "e0"
+    assert choose_for_trial(runtime, request, avoid=avoid, busy=NONE) == "e0"
+    assert choose_for_trial(runtime, request, avoid=avoid, busy=avoid) is None
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -91,9 +91,12 @@
     state = suspects.SuspectState()
     suspects.note_death(state, fingerprint="f", server="s1", boot_id=BOOT, now=0)
     suspects.merge(state, tuple(state.suspicions.values()), now=5_000)
-    assert suspects.forget_old(state, now=suspects.QUARANTINE_MS - 1) == ()
-    assert suspects.forget_old(state, now=suspects.QUARANTINE_MS) == ("f",)
-    assert state.suspicions == {}
+    assert suspects.forget_old(state, now=suspects.SUSPICION_MS - 1) == ()
+    suspects.note_death(state, fingerprint="f", server="s2", boot_id=BOOT, now=1)
+    assert suspects.forget_old(state, now=suspects.QUARANTINE_MS) == ()
+    assert suspects.get_return_ms(state, "f", now=0) == suspects.QUARANTINE_MS + 1
+    assert suspects.forget_old(state, now=suspects.QUARANTINE_MS + 1) == ("f",)
+    assert (state.suspicions, state.seen_at) == ({}, {})
 
 
 def test_bystanders_of_a_poison_request_are_acquitted(fake):
