--- a/src/arbutuspulley/placement/missing.py
+++ b/src/arbutuspulley/placement/missing.py
@@ -1,7 +1,8 @@
 """Copies that the configuration asks for and that are not there yet."""
 
 import enum
-from collections.abc import Callable, Iterable
+import math
+from collections.abc import Callable, Iterable, Mapping
 
 from arbutuspulley.configuration.lookup import Item
 from arbutuspulley.data import Value
@@ -18,6 +19,11 @@
     rank_place,
 )
 
+LEAST_DEMAND = 0.01
+"""Tokens a second below which an item counts as not asked for."""
+
+_NO_DEMAND = 1_000
+
 
 class Priority(enum.IntEnum):
     """Which loads go first.
@@ -146,6 +152,37 @@
     return planned, left
 
 
+def order_planned(
+    layout: Layout, planned: Iterable[Planned], demand: Mapping[str, float]
+) -> list[Planned]:
+    """Return planned copies in the sequence in which they are to be loaded.
+
+    :param demand: tokens a second by item; a model is asked for by its adapters too.
+    """
+
+    def rank(load: Planned) -> tuple[int, int, int, str]:
+        item = load.missing.item
+        keys = [item.key, *(known.key for known in layout.adapters.get(item.key, ()))]
+        asked = sum(demand.get(key, 0.0) for key in keys)
+        step, size = rank_demand(asked, item.memory_mib)
+        return load.missing.priority, step, size, item.key
+
+    return sorted(planned, key=rank)
+
+
+def rank_demand(demand: float, size: int) -> tuple[int, int]:
+    """Return the key by which loads of one priority are ordered, lowest first.
+
+    What is asked for most goes first, for the time that it takes to load; this keeps
+    the requests that find nothing loaded fewest. ``scripts/compare_load_order.py``
+    compares it with first-come and with smallest-first. Demand counts in steps of two,
+    because the figures of two instances differ a little.
+    """
+    if demand < LEAST_DEMAND:
+        return _NO_DEMAND, size
+    return -math.floor(math.log2(demand / size)), size
+
+
 def _list_answering_names(layout: Layout) -> set[str]:
     return {find_name(key) for key, names in layout.reliable.items() if names}
 
--- a/src/arbutuspulley/placement/planner.py
+++ b/src/arbutuspulley/placement/planner.py
@@ -23,6 +23,7 @@
     Planned,
     list_candidates,
     list_missing,
+    order_planned,
     place_all,
     prefer_spread,
     prefer_tight,
@@ -88,7 +89,7 @@
     )
     smooth_demand(state.demand, inputs.demand, now=now)
     unneeded = _wait_unneeded(state, list_unneeded(layout), now=now)
-    loads, others = _plan_missing(layout)
+    loads, others = _plan_missing(layout, state.demand.smoothed)
     swaps = _swap_adapters(layout)
     moves: tuple[Load | Unload, ...] = ()
     if not loads:
@@ -149,7 +150,9 @@
     ]
 
 
-def _plan_missing(layout: Layout) -> tuple[list[Load], list[Action]]:
+def _plan_missing(
+    layout: Layout, demand: Mapping[str, float]
+) -> tuple[list[Load], list[Action]]:
     """Place missing copies, and make room for what fits nowhere.
 
     Places by preference spread copies well and stay stable, but may leave no room
@@ -158,14 +161,17 @@
     missing = list_missing(layout)
     trial = copy_layout(layout)
     planned, left = place_all(trial, missing, prefer_spread)
-    if not left:
-        return _order_loads(planned), []
-    return _plan_tight(layout, missing)
+    others: list[Action] = []
+    if left:
+        planned, others = _plan_tight(layout, missing)
+    ordered = order_planned(layout, planned, demand)
+    loads = [Load(server=load.server, item=load.missing.item) for load in ordered]
+    return loads, others
 
 
 def _plan_tight(
     layout: Layout, missing: Iterable[Missing]
-) -> tuple[list[Load], list[Action]]:
+) -> tuple[list[Planned], list[Action]]:
     planned: list[Planned] = []
     others: list[Action] = []
     for copy in missing:
@@ -179,19 +185,7 @@
                 planned.append(Planned(missing=moved, server=step.server))
             else:
                 others.append(step)
-    return _order_loads(planned), others
-
-
-def _order_loads(planned: Iterable[Planned]) -> list[Load]:
-    ordered = sorted(
-        planned,
-        key=lambda load: (
-            load.missing.priority,
-            load.missing.item.memory_mib,
-            load.missing.item.key,
-        ),
-    )
-    return [Load(server=load.server, item=load.missing.item) for load in ordered]
+    return planned, others
 
 
 def _swap_adapters(layout: Layout) -> list[Unload]:
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -245,8 +245,11 @@
         name: ServerLedger(server=name, boot_id="boot-1")
         for name in ("s4", "s2", "s0", "s1", "s3")
     }
-    fleets[1].state.demand.smoothed = {"m1@1": 3.0}
-    assert fleets[0].plan() == fleets[1].plan()
+    plans = [fleet.plan() for fleet in fleets]
+    assert plans[0] == plans[1]
+    fleets[1].demand = {"m1@1": 300.0}
+    asked = fleets[1].plan()
+    assert asked != plans[0] and set(asked) == set(plans[0])
 
 
 def test_copies_go_to_different_sites():
@@ -285,6 +288,24 @@
     assert show(fleet.plan()) == ["load lone@1", "load pair@1"]
 
 
+@pytest.mark.parametrize(
+    ("demand", "expected"),
+    [
+        ({}, "cba"),
+        ({"a@1": 100.0}, "acb"),
+        ({"a@1": 100.0, "c@1": 61.0}, "cab"),
+        ({"a@1": 101.0, "b@1": 61.0}, "bac"),
+        ({"x@1": 900.0, "b@1": 100.0}, "abc"),
+    ],
+    ids=["smallest", "most-asked", "by-size", "about-as-much", "by-its-adapter"],
+)
+def test_loads_of_a_priority_go_by_demand_for_their_size(demand, expected):
+    sizes = {"a": 30, "b": 20, "c": 15}
+    fleet = Fleet(build(sizes, {"s0": 200}, adapters=[("x", "a")]))
+    fleet.demand = demand
+    assert show(fleet.plan()) == [f"load {name}@1" for name in expected]
+
+
 @pytest.mark.parametrize("trouble", ["down", "leaving"])
 def test_copies_of_a_lost_server_are_loaded_elsewhere(trouble):
     servers = {f"s{n}": 340 for n in range(5)}
