--- a/scripts/slope_sums.py
+++ b/scripts/slope_sums.py
@@ -27,8 +27,13 @@
 PUBLISHED_PER_S = 5
 PLANS_PER_S = 0.5
 
-MEASURED = "entry.chunk_cpu", "cell.plan_steady_cpu", "controller.report_cpu"
-MEASURED += "platform.reads", "fleet.change_cpu"
+MEASURED = (
+    "entry.chunk_cpu",
+    "cell.plan_steady_cpu",
+    "controller.report_cpu",
+    "platform.reads",
+    "fleet.change_cpu",
+)
 """One figure of each part that the sums need."""
 
 
