--- a/src/arbutuspulley/delivery/claims.py
+++ b/src/arbutuspulley/delivery/claims.py
@@ -107,8 +107,14 @@
 
 
 def decide_settlement(record: ClaimRecord | None, request: SettleRequest) -> bool:
-    """Return whether the settlement may be written over the row that is there."""
-    if record is None or record.attempt_id != request.attempt_id:
+    """Return whether the settlement may be written over the row that is there.
+
+    A claim that is taken back before its row is there leaves a row all the same: the
+    claim may still be on its way, and would hold the key for ever if it arrived.
+    """
+    if record is None:
+        return request.state == ClaimState.NOT_RUN
+    if record.attempt_id != request.attempt_id:
         return False
     if record.state is ClaimState.CLAIMED:
         return True
@@ -139,10 +145,10 @@
     for _ in range(_TRIES):
         row = table.read(key)
         record = _decode(row)
-        if row is None or record is None or not decide_settlement(record, request):
+        if not decide_settlement(record, request):
             return
-        settled = _settle(record, request, key, objects)
-        if _write(table, key, row.revision, settled):
+        settled = _settle(record or _build_unclaimed(request), request, key, objects)
+        if _write(table, key, row.revision if row else ABSENT, settled):
             log_event(
                 Event.CLAIM_SETTLED,
                 level=logging.DEBUG,
@@ -151,6 +157,13 @@
                 state=request.state,
             )
             return
+    raise PlatformUnavailableError(detail="claim is changed by others too often")
+
+
+def _build_unclaimed(request: SettleRequest) -> ClaimRecord:
+    return ClaimRecord(
+        body_sha256="", attempt_id=request.attempt_id, state=ClaimState.NOT_RUN
+    )
 
 
 def _try_claim(table: Table, request: ClaimRequest, objects: Objects) -> ClaimReply:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -165,6 +165,19 @@
     assert claim(fake, "a2").state == ClaimState.ANSWERED
 
 
-def test_settling_without_a_claim_writes_nothing(fake):
-    settle(fake, "not_run")
+@pytest.mark.parametrize("state", ["answered", "unknown"])
+def test_settling_without_a_claim_writes_nothing(fake, state):
+    settle(fake, state)
     assert fake.platform.table.read(KEY) is None
+
+
+def test_a_claim_that_was_taken_back_cannot_arrive_later(fake):
+    """A claim is stuck on its way to a slow store; its entry gives up, takes it back.
+
+    Arriving afterwards it would hold the key for a request that nobody runs, and the
+    caller would be told to wait for ever.
+    """
+    settle(fake, "not_run")
+    assert claim(fake, "a1").state == "unavailable"
+    assert claim(fake, "a2").state == "granted"
+    assert claim(fake, "a1").state == "in_progress"
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,7 +5,9 @@
 import openai
 import pytest
 
+from arbutuspulley.programs import entry
 from arbutuspulley.results import Code
+from arbutuspulley.standins.service import build_service
 from tests.backends import set_faults, wait_until
 from tests.entries import CHAT, MAX_BODY_BYTES, build_chat, run_bench
 
@@ -73,6 +75,31 @@
         client.with_options(api_key="wrong").models.list()
 
 
+def test_a_plain_service_gets_the_call_as_it_was_sent():
+    service = build_service(name="b")
+    service.start()
+    with run_bench(engines=(), services=[service.address]) as bench:
+        parent = f"00-{'a' * 32}-{'b' * 16}-01"
+        path = "/services/booking/x%2Fy/z?q=1&q=2"
+        answer = bench.entries[0].ask(b"body", path, "PUT", Traceparent=parent, A="b")
+        echo = json.loads(answer.data)
+        assert (echo["method"], echo["target"]) == ("PUT", "/x%2Fy/z?q=1&q=2")
+        assert (echo["body"], echo["headers"]["a"]) == ("body", "b")
+        assert echo["headers"]["traceparent"].split("-")[1] == "a" * 32
+        assert "authorization" not in echo["headers"]
+    service.stop()
+
+
+def test_all_wrong_settings_are_named_at_once(capsys):
+    wrong = ["--listen", "here", "--threads", "1", "--log-format", "xml"]
+    with pytest.raises(SystemExit) as ended:
+        entry.app([*wrong, "--instance", "i"])
+    shown = capsys.readouterr().err
+    named = ("--listen", "--threads", "--log-format", "--site", "--peer-key")
+    assert ended.value.code == 2
+    assert all(name in shown for name in named) and "--instance" not in shown
+
+
 def read_events(answer):
     events = [event for event in answer.data.split(b"\n\n") if event]
     return [event.split(b"data: ")[-1] for event in events], events
