--- a/src/arbutuspulley/controller/handlers.py
+++ b/src/arbutuspulley/controller/handlers.py
@@ -5,7 +5,6 @@
 from collections.abc import AsyncIterator, Callable
 from typing import TypeVar
 
-from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.controller import entries
 from arbutuspulley.controller.demand import add_demand
 from arbutuspulley.controller.exchange import build_reply
@@ -15,10 +14,13 @@
     get_view,
     list_own_entries,
     publish,
+    publish_at_once,
     sum_own_usage,
+    wait_for_gap,
     wait_for_view,
 )
 from arbutuspulley.controller.state import Controller, is_store_up
+from arbutuspulley.controller.suspecting import tell_peers
 from arbutuspulley.delivery import suspects
 from arbutuspulley.delivery.claims import ClaimState, make_claim, settle_claim
 from arbutuspulley.delivery.trials import record_acquittal, record_deaths
@@ -61,6 +63,7 @@
         channel.SETTLE: lambda request: _settle(controller, request),
         channel.REPORT_DEATH: lambda request: _record_deaths(controller, request),
         channel.ACQUIT: lambda request: _acquit(controller, request),
+        channel.TELL_SUSPICIONS: lambda told: _take_suspicions(controller, told),
         channel.EXCHANGE: lambda request: _exchange(controller, request),
         channel.STATUS: lambda request: _tell_status(controller, request),
     }
@@ -82,7 +85,7 @@
                 sent = view.number
                 controller.metrics.views.inc()
                 yield view
-                await asyncio.sleep(VIEW_GAP_MS / SECOND_MS)
+                await wait_for_gap(controller, VIEW_GAP_MS)
             await wait_for_view(controller, sent)
     finally:
         entries.end_watch(controller.entries, request.entry)
@@ -160,10 +163,20 @@
     suspects.merge(controller.suspects, reply.suspicions, now=now)
     for suspicion in reply.suspicions:
         log_event(Event.SUSPECT_RECORDED, fingerprint=suspicion.fingerprint)
-    publish(controller)
+    publish_at_once(controller)
+    await tell_peers(controller, reply.suspicions)
     return reply
 
 
+async def _take_suspicions(
+    controller: Controller, told: SuspicionsReply
+) -> Acknowledged:
+    now = controller.clock.now()
+    suspects.merge(controller.suspects, told.suspicions, now=now)
+    publish_at_once(controller)
+    return Acknowledged()
+
+
 def _note_deaths(controller: Controller, report: DeathReport) -> SuspicionsReply:
     """Remember deaths while the store is down; peers hear of them all the same.
 
--- a/src/arbutuspulley/controller/publishing.py
+++ b/src/arbutuspulley/controller/publishing.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.configuration.force import is_ready
 from arbutuspulley.configuration.schema import EMPTY, Configuration, Server
 from arbutuspulley.controller.demand import list_demand, sum_usage
@@ -68,6 +69,22 @@
         controller.view_changed = asyncio.Event()
 
 
+def publish_at_once(controller: Controller) -> None:
+    """Publish, and send the view without the usual gap since the last one."""
+    publish(controller)
+    controller.view_urgent.set()
+    controller.view_urgent = asyncio.Event()
+
+
+async def wait_for_gap(controller: Controller, gap_ms: int) -> None:
+    """Wait for the gap between two views, or less if the next one is urgent."""
+    try:
+        async with asyncio.timeout(gap_ms / SECOND_MS):
+            await controller.view_urgent.wait()
+    except TimeoutError:
+        return
+
+
 def get_view(controller: Controller, address: str) -> View:
     """Return the present view for one entry of this instance.
 
--- a/src/arbutuspulley/controller/state.py
+++ b/src/arbutuspulley/controller/state.py
@@ -72,6 +72,8 @@
     :param listed_leaving: servers that the instance list calls leaving.
     :param live_since: when the set of live instances last changed.
     :param view_changed: set whenever there is a new view; replaced then.
+    :param view_urgent: set when a view must not wait for the gap between views;
+        replaced then.
     :param settling: claims whose end is being recorded.
     :param stopping: set once the process has begun to stop.
     """
@@ -103,6 +105,7 @@
     settling: set[asyncio.Task[None]] = set()
     stopping: bool = False
     view_changed: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
+    view_urgent: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
 
 
 def is_store_up(controller: Controller) -> bool:
--- a/src/arbutuspulley/controller/suspecting.py
+++ b/src/arbutuspulley/controller/suspecting.py
@@ -1,12 +1,20 @@
 """Keeps this instance's suspicions in step with the table."""
 
+import asyncio
+from collections.abc import Iterable
+
 from arbutuspulley.controller.asking import ask
+from arbutuspulley.controller.exchange import is_silent
 from arbutuspulley.controller.state import Controller
 from arbutuspulley.data import State
 from arbutuspulley.delivery import suspects
 from arbutuspulley.delivery.trials import forget_suspicion, read_suspicions
 from arbutuspulley.membership.ownership import choose_poller
-from arbutuspulley.rpc.messages import Suspicion
+from arbutuspulley.rpc.channel import TELL_SUSPICIONS, Client, PeerUnavailableError
+from arbutuspulley.rpc.messages import Suspicion, SuspicionsReply
+
+TELL_TIMEOUT_MS = 300
+"""Longest wait for peers to take in suspicions."""
 
 
 class SuspectRows(State):
@@ -33,6 +41,34 @@
         await _forget_row(controller, known[fingerprint])
 
 
+async def tell_peers(controller: Controller, suspicions: Iterable[Suspicion]) -> None:
+    """Tell all peers that answer of suspicions, and wait until they know.
+
+    The caller of a request that a server died under may send it again as soon as it
+    has its answer, through an entry that has heard nothing and takes it for harmless:
+    one more server would be lost at each. So the peers are told before the answer
+    goes out, not by the next exchange up to a second later. A peer that is cut off
+    learns from the table or an exchange; nobody waits longer than the timeout for it.
+    """
+    told = SuspicionsReply(suspicions=tuple(suspicions))
+    if not told.suspicions:
+        return
+    now = controller.clock.now()
+    clients = [
+        controller.clients[address]
+        for address, peer in controller.peers.items()
+        if address in controller.clients and not is_silent(peer, now=now)
+    ]
+    await asyncio.gather(*(_tell(client, told) for client in clients))
+
+
+async def _tell(client: Client, told: SuspicionsReply) -> None:
+    try:
+        await client.call(TELL_SUSPICIONS, told, timeout_ms=TELL_TIMEOUT_MS)
+    except PeerUnavailableError:
+        return
+
+
 async def _forget_row(controller: Controller, suspicion: Suspicion) -> None:
     """Delete a suspicion's row; one instance does, since all drop it together."""
     chosen = choose_poller(suspicion.fingerprint, candidates=controller.live)
--- a/src/arbutuspulley/entry/deaths.py
+++ b/src/arbutuspulley/entry/deaths.py
@@ -8,17 +8,12 @@
 import asyncio
 import logging
 
-from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.delivery import suspects
 from arbutuspulley.entry.state import Attempt, EntryState, Ongoing, Runtime, Trial
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.rpc.channel import PeerUnavailableError
 from arbutuspulley.rpc.messages import DeathReport, SuspicionsReply
 
-SPREAD_MS = 2 * SECOND_MS
-"""How long it takes until all entries know of a death: one exchange between
-controllers and one view."""
-
 
 async def report_death(runtime: Runtime, ongoing: Ongoing, attempt: Attempt) -> None:
     """Record that a server died under a request, and under all others there.
@@ -65,19 +60,6 @@
     return True
 
 
-async def hold_answer(runtime: Runtime, ongoing: Ongoing) -> None:
-    """Hold the final answer of a suspect until all entries know of the death.
-
-    The caller may send the request again at once, through an entry that takes it for
-    an innocent one, and lose the next server, and so on through all entries. Once
-    they know of the first death, they ask before they run it.
-    """
-    died_at = runtime.state.died_at.get(ongoing.fingerprint)
-    if died_at is None:
-        return
-    await _pause(died_at + SPREAD_MS - runtime.clock.now())
-
-
 async def call_controller(
     runtime: Runtime, report: DeathReport
 ) -> SuspicionsReply | None:
@@ -90,10 +72,6 @@
     return reply
 
 
-async def _pause(pause_ms: int) -> None:
-    await asyncio.sleep(max(0, pause_ms) / SECOND_MS)
-
-
 def release_server(state: EntryState, trial: Trial) -> None:
     """Let other suspects of this entry have the server of a trial."""
     if state.trials.get(trial.server) == trial.trial_id:
@@ -117,7 +95,6 @@
 ) -> None:
     state, now = runtime.state, runtime.clock.now()
     unique = tuple(dict.fromkeys(fingerprints))
-    _note_time(state.died_at, unique, now)
     runtime.metrics.deaths.inc()
     log_event(
         Event.SUSPECT_RECORDED,
@@ -145,14 +122,5 @@
             state.unrecorded.pop(_name(fingerprint, attempt), None)
 
 
-def _note_time(
-    died_at: dict[str, int], fingerprints: tuple[str, ...], now: int
-) -> None:
-    for old in [one for one, at in died_at.items() if now - at > SPREAD_MS]:
-        del died_at[old]
-    for fingerprint in fingerprints:
-        died_at.setdefault(fingerprint, now)
-
-
 def _name(fingerprint: str, where: Attempt | DeathReport) -> str:
     return f"{fingerprint} {where.server} {where.boot_id}"
--- a/src/arbutuspulley/entry/dispatch.py
+++ b/src/arbutuspulley/entry/dispatch.py
@@ -12,7 +12,7 @@
 from arbutuspulley.entry import accounts, trials, turns
 from arbutuspulley.entry.calls import Call
 from arbutuspulley.entry.choosing import choose_server
-from arbutuspulley.entry.deaths import hold_answer, report_death
+from arbutuspulley.entry.deaths import report_death
 from arbutuspulley.entry.index import find_item
 from arbutuspulley.entry.state import REQUEST_LIFE_MS, Attempt, Ongoing, Runtime
 from arbutuspulley.ports.engines import InferenceRequest
@@ -132,7 +132,6 @@
     for effect in effects:
         if isinstance(effect, life.Fail):
             accounts.count_refusal(runtime, ongoing, effect.error)
-            await hold_answer(runtime, ongoing)
             raise effect.error
         if isinstance(effect, life.Dispatch):
             return await _dispatch(runtime, ongoing, effect)
--- a/src/arbutuspulley/entry/state.py
+++ b/src/arbutuspulley/entry/state.py
@@ -124,7 +124,6 @@
     :param unrecorded: deaths that the controller has not yet recorded, one request
         each, by request, server and boot.
     :param reports: reports of deaths under way, by server and boot.
-    :param died_at: when a server died under a request for the first time lately.
     :param failed_addresses: until when a plain service's address is left out.
     :param open_claims: since when another run's claim is seen open, by caller and key.
     :param settlements: claims being settled.
@@ -149,7 +148,6 @@
     holders: dict[str, Holder] = {}
     unrecorded: dict[str, DeathReport] = {}
     reports: dict[str, asyncio.Task] = {}
-    died_at: dict[str, int] = {}
     failed_addresses: dict[str, int] = {}
     open_claims: dict[tuple[str, str], int] = {}
     settlements: int = 0
--- a/src/arbutuspulley/rpc/channel.py
+++ b/src/arbutuspulley/rpc/channel.py
@@ -55,6 +55,11 @@
 ACQUIT = Method(
     name="Acquit", request=messages.AcquittalReport, reply=messages.Acknowledged
 )
+TELL_SUSPICIONS = Method(
+    name="TellSuspicions",
+    request=messages.SuspicionsReply,
+    reply=messages.Acknowledged,
+)
 EXCHANGE = Method(
     name="Exchange", request=messages.ExchangeRequest, reply=messages.ExchangeReply
 )
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -41,14 +41,14 @@
     """Answers for the controllers of all entries, from one fake platform.
 
     Set ``down`` to have it not answer, ``lost_replies`` to have it act unheard, or
-    ``on_death`` to do something, once, before the next death is recorded.
+    ``after_death`` to do something, once, after the next death is recorded.
     """
 
     def __init__(self):
         self.fake = FakePlatform()
         self.down = False
         self.lost_replies = 0
-        self.on_death = None
+        self.after_death = None
         self.reports = []
         self.settled = []
         self.port = Controller(
@@ -89,11 +89,12 @@
         return Acknowledged()
 
     async def _report_death(self, report):
-        hook, self.on_death = self.on_death, None
+        hook, self.after_death = self.after_death, None
+        table = self.fake.platform.table
+        reply = self._answer(lambda: trials.record_deaths(table, report))
         if hook:
             await run_aside(hook)
-        table = self.fake.platform.table
-        return self._answer(lambda: trials.record_deaths(table, report))
+        return reply
 
     async def _acquit(self, report):
         table = self.fake.platform.table
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -25,7 +25,13 @@
 from arbutuspulley.placement.transactions import SlotRow
 from arbutuspulley.ports.engines import Engines, OrderOutcome, OrderReply, Report
 from arbutuspulley.programs import controller as program
-from arbutuspulley.rpc.messages import ClaimRequest, DeathReport
+from arbutuspulley.rpc.channel import PeerUnavailableError
+from arbutuspulley.rpc.messages import (
+    ClaimRequest,
+    DeathReport,
+    EntryAddress,
+    WatchRequest,
+)
 from arbutuspulley.standins import platform_state
 from scripts import fleet as fleets
 from scripts.launcher import find_free_addresses, open_launcher, wait_until
@@ -375,6 +381,48 @@
     asyncio.run(run())
 
 
+class PeerClient:
+    """Carries calls straight to another node's handlers; ``None`` never answers."""
+
+    def __init__(self, node):
+        self.node = node
+
+    async def call(self, method, request, *, timeout_ms):
+        if self.node is None:
+            raise PeerUnavailableError(detail="cut off", sent=True)
+        return await handlers.build_unary(self.node)[method](request)
+
+
+def test_entries_of_peers_know_of_a_death_before_its_report_is_answered():
+    """A request kills its server; its caller gets an answer and sends it again.
+
+    It comes to an entry of another instance within milliseconds, long before the next
+    exchange. That entry must know by then, or it loses a server, too. A peer that is
+    cut off holds nobody up.
+    """
+
+    async def run():
+        _, time, (a, b) = build_pair()
+        await settle([a, b], time)
+        watch = handlers.build_streaming(b)[handlers.channel.WATCH]
+        entry = EntryAddress(instance="b", site="s", address="x:9", boot_id="1")
+        views = watch(WatchRequest(entry=entry))
+        assert not (await anext(views)).suspicions
+        for address, node in (("x:1", b), ("x:2", None)):
+            a.peers[address] = PeerState(address=address, replied_at=time.now)
+            a.clients[address] = PeerClient(node)
+        death = DeathReport(server="s", boot_id="1", fingerprints=("f",))
+        reporting = handlers.build_unary(a)[handlers.channel.REPORT_DEATH](death)
+        next_view = asyncio.ensure_future(anext(views))
+        assert (await reporting).recorded
+        assert "f" in b.suspects.suspicions
+        # The gap between views is timed by the loop; an urgent view ends it.
+        assert [one.fingerprint for one in (await next_view).suspicions] == ["f"]
+        await views.aclose()
+
+    asyncio.run(run())
+
+
 def test_release_while_the_store_is_down_ends_all_the_same():
     async def run():
         fake, time, (a, b) = build_pair()
--- a/tests/test_entry_failures.py
+++ b/tests/test_entry_failures.py
@@ -7,12 +7,11 @@
 import urllib3
 from msgspec.structs import replace
 
-from arbutuspulley.entry import deaths
 from arbutuspulley.entry.draining import drain
 from arbutuspulley.results import Code
 from arbutuspulley.standins.service import build_service
 from tests.backends import read_counters, set_faults, wait_until
-from tests.entries import UNREPEATABLE, build_chat, run_aside, run_bench
+from tests.entries import UNREPEATABLE, build_chat, run_bench
 
 BOOKING = "/services/booking/bookings"
 SENT = {name.replace("-", "_"): value for name, value in UNREPEATABLE.items()}
@@ -229,12 +228,12 @@
         service.stop()
 
 
-def test_a_poison_request_costs_two_servers(monkeypatch):
+def test_a_poison_request_costs_two_servers():
     """A request kills each server that runs it, and its caller sends it five times.
 
-    It goes through three entries at once after each answer; the others hear of the
-    first death while the answer is held, and of no other. Two servers are lost; a
-    bystander that ran on the first one gets its whole answer.
+    It goes through three entries at once after each answer; the others are told of
+    the first death before its answer goes out, and of no other. Two servers are lost;
+    a bystander that ran on the first one gets its whole answer.
     """
     with run_bench(engines=(), entries=3) as bench:
         first = bench.entries[0]
@@ -242,7 +241,6 @@
             bench.add_engine_process(f"e{number}", marker="poison")
         bench.spread()
         bench.spread(first, servers=bench.list_servers("e0"))
-        bench.controller.on_death = lambda: bench.spread(first)
 
         def tell_first_death():
             told = [
@@ -251,7 +249,7 @@
             ]
             bench.spread(suspicions=tuple(told))
 
-        monkeypatch.setattr(deaths, "_pause", lambda _: run_aside(tell_first_death))
+        bench.controller.after_death = tell_first_death
         endings = []
         bystander = threading.Thread(
             target=lambda: endings.append(first.ask(build_chat("bystander", tokens=60)))
@@ -270,12 +268,11 @@
         assert int(answers[-1].headers["Retry-After"]) >= 5
 
 
-def test_a_known_suspect_is_not_run_while_the_store_is_down(monkeypatch):
+def test_a_known_suspect_is_not_run_while_the_store_is_down():
     """A death is recorded, then the store fails, and the caller sends again.
 
     No trial can be written down, so other entries could try the request as well.
     """
-    monkeypatch.setattr(deaths, "SPREAD_MS", 0)
     with run_bench(engines=("e1",)) as bench:
         entry, fake = bench.entries[0], bench.controller.fake
         bench.add_engine_process("e0", marker="poison")
@@ -289,13 +286,12 @@
 
 
 @pytest.mark.parametrize("failing", ["controller", "store"])
-def test_a_suspect_is_not_retried_unless_its_death_is_recorded(failing, monkeypatch):
+def test_a_suspect_is_not_retried_unless_its_death_is_recorded(failing):
     """A server dies while the store, or the controller, is out.
 
     The death reaches no other instance, so a retry could cost each of them a server.
     The request ends at once with when to come back, and runs once that is over.
     """
-    monkeypatch.setattr(deaths, "SPREAD_MS", 0)
     with run_bench(engines=("e1",)) as bench:
         entry, controller = bench.entries[0], bench.controller
         bench.add_engine_process("e0", marker="poison")
