--- a/src/arbutuspulley/entry/relay.py
+++ b/src/arbutuspulley/entry/relay.py
@@ -31,7 +31,10 @@
 """How often a waiting worker looks whether its caller is still there."""
 
 SETTLED_MS = SECOND_MS
-"""How long after a suspect broke off its server is asked whether it lives."""
+"""How long after a suspect broke off its server must have lived to be believed."""
+
+ASK_AGAIN_MS = 100
+"""How often it is asked meanwhile."""
 
 _Result = TypeVar("_Result")
 
@@ -197,17 +200,23 @@
     A request that a server died under becomes a suspect; one whose connection was
     cut does not. The server's own boot id tells one from the other.
     """
-    if attempt.trial:
-        # A suspect kills its server a little after the connection is gone.
-        time.sleep(SETTLED_MS / SECOND_MS)
+    died = _has_died(runtime, attempt)
+    settled_at = runtime.clock.now() + SETTLED_MS if attempt.trial else 0
+    # A suspect kills its server a little after the connection is gone: asked only
+    # once, a server that is about to die would clear it.
+    while not died and runtime.clock.now() < settled_at:
+        time.sleep(ASK_AGAIN_MS / SECOND_MS)
+        died = _has_died(runtime, attempt)
+    event = life.Broken(server=attempt.server, next_offset=cursor.offset)
+    return event, died
+
+
+def _has_died(runtime: Runtime, attempt: Attempt) -> bool:
     try:
         report = runtime.engines.report(attempt.address)
     except (NotSentError, BrokenError):
-        died = True
-    else:
-        died = bool(attempt.boot_id) and report.boot_id != attempt.boot_id
-    event = life.Broken(server=attempt.server, next_offset=cursor.offset)
-    return event, died
+        return True
+    return bool(attempt.boot_id) and report.boot_id != attempt.boot_id
 
 
 def _build_refused(attempt: Attempt, error: RefusedError) -> life.Refused:
