--- a/src/arbutuspulley/controller/following.py
+++ b/src/arbutuspulley/controller/following.py
@@ -69,7 +69,8 @@
     if live == controller.live:
         return
     for instance in controller.live - live:
-        log_event(Event.INSTANCE_LAPSED, level=logging.WARNING, instance=instance)
+        if instance in controller.sessions.rows:
+            log_event(Event.INSTANCE_LAPSED, level=logging.WARNING, instance=instance)
     controller.live, controller.live_since = live, now
     controller.metrics.live_instances.set(len(live))
 
@@ -81,11 +82,7 @@
     lease would let two instances own one server: the restored rows may name
     another owner, who reads them just as well.
     """
-    log_event(
-        Event.PLATFORM_UP,
-        level=logging.WARNING,
-        detail="the table was restored; sessions and ownership begin anew",
-    )
+    log_event(Event.TABLE_RESTORED, level=logging.WARNING, table_id=table_id)
     forget_rows(controller.rows)
     controller.rows.table_id = table_id
     sessions.reset(controller.sessions)
--- a/src/arbutuspulley/controller/handlers.py
+++ b/src/arbutuspulley/controller/handlers.py
@@ -143,9 +143,9 @@
         except (PlatformUnavailableError, OutcomeUnknownError):
             await asyncio.sleep(controller.chance.uniform(0.5, 1.5))
     log_event(
-        Event.OUTCOME_RESOLVED,
+        Event.CLAIM_UNSETTLED,
         level=logging.ERROR,
-        detail="a claim was not settled; it stays unknown",
+        caller=request.caller,
         attempt=request.attempt_id,
     )
 
--- a/src/arbutuspulley/controller/running.py
+++ b/src/arbutuspulley/controller/running.py
@@ -60,13 +60,22 @@
     :param controller: its state; touched on the loop only.
     """
 
-    __slots__ = ("_controller", "_server", "_tasks", "_work")
+    __slots__ = (
+        "_controller",
+        "_renewing",
+        "_server",
+        "_sharing",
+        "_tasks",
+        "_work",
+    )
 
     def __init__(self, *, controller: Controller) -> None:
         self._controller = controller
         self._work = Ledgers()
         self._tasks: set[asyncio.Task[object]] = set()
         self._server: grpc.aio.Server | None = None
+        self._renewing = asyncio.Lock()
+        self._sharing = asyncio.Lock()
 
     async def start(self) -> None:
         """Listen and start all loops.
@@ -103,11 +112,17 @@
         self._repeat_every(PUBLISH_MS, self._publish)
 
     async def stop(self) -> None:
-        """Finish orders on their way, release servers and lease, stop listening."""
+        """Finish orders on their way, release servers and lease, stop listening.
+
+        A renewal or a claim still on its way would change the rows that the release
+        expects, and its conflict would leave the others waiting for the lease to
+        lapse; so both are let finish first.
+        """
         self._controller.stopping = True
         self._controller.view_changed.set()
         await self._wait_for_work()
-        await sessions.release_all(self._controller)
+        async with self._renewing, self._sharing:
+            await sessions.release_all(self._controller)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -116,13 +131,15 @@
         await peers.close_all(self._controller)
 
     async def _renew(self) -> None:
-        if not self._controller.stopping:
-            await sessions.renew_lease(self._controller)
+        async with self._renewing:
+            if not self._controller.stopping:
+                await sessions.renew_lease(self._controller)
 
     async def _follow(self) -> None:
         await follow_rows(self._controller)
         busy = frozenset(self._work.busy)
-        await sessions.share_servers(self._controller, busy=busy)
+        async with self._sharing:
+            await sessions.share_servers(self._controller, busy=busy)
 
     async def _read_reports(self) -> None:
         controller = self._controller
