--- a/src/arbutuspulley/admission/decision.py
+++ b/src/arbutuspulley/admission/decision.py
@@ -1,6 +1,6 @@
 """The decision on all waiting requests of an entry: admit, wait or refuse."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from arbutuspulley.admission import drain_rate, shares
 from arbutuspulley.admission.limits import TOKENS_PER_SLOT
@@ -9,6 +9,7 @@
     AdmissionState,
     Running,
     get_standing,
+    list_holders,
     move_load,
 )
 from arbutuspulley.admission.tickets import Admit, Effect, Refuse, Ticket
@@ -33,17 +34,17 @@
     places = order_waiting(state.waiting.values(), state.accounts, now=now)
     for place in places:
         ticket = place.ticket
-        server = _find_room(state, ticket)
+        holders = list_holders(state, ticket.item, now=now)
+        server = _find_room(state, ticket, holders)
         if server:
             effects.append(_admit(state, ticket, server, now=now))
             continue
-        wait_ms = _estimate_wait(state, ahead, ticket.item)
+        wait_ms = _estimate_wait(state, ahead, holders)
         expected_ms = wait_ms if ticket.request_id == fresh else 0.0
         if _is_late(state, ticket, now + expected_ms):
             code = Code.DEADLINE_OUT_OF_REACH
             effects.append(_refuse(state, ticket, code, wait_ms=wait_ms, now=now))
             continue
-        holders = state.holders.get(ticket.item, ())
         for name in holders:
             ahead[name] = ahead.get(name, 0.0) + 1 / len(holders)
     return tuple(effects)
@@ -64,8 +65,9 @@
     largest = max(parts, key=lambda caller: (parts[caller], caller))
     places = order_waiting(state.waiting.values(), state.accounts, now=now)
     last = [one.ticket for one in places if one.ticket.caller == largest][-1]
-    ahead = dict.fromkeys(state.holders.get(last.item, ()), float(MOST_WAITING))
-    wait_ms = _estimate_wait(state, ahead, last.item)
+    holders = list_holders(state, last.item, now=now)
+    ahead = dict.fromkeys(holders, float(MOST_WAITING))
+    wait_ms = _estimate_wait(state, ahead, holders)
     return (_refuse(state, last, Code.OVERLOADED, wait_ms=wait_ms, now=now),)
 
 
@@ -82,13 +84,9 @@
     return load.tokens == 0 or load.tokens + ticket.cost <= slots * TOKENS_PER_SLOT
 
 
-def _find_room(state: AdmissionState, ticket: Ticket) -> str:
+def _find_room(state: AdmissionState, ticket: Ticket, holders: Sequence[str]) -> str:
     """Return the holder with most room for a request, or an empty name."""
-    names = [
-        name
-        for name in state.holders.get(ticket.item, ())
-        if has_slot(state, name, ticket)
-    ]
+    names = [name for name in holders if has_slot(state, name, ticket)]
     if not names:
         return ""
     return min(
@@ -123,7 +121,7 @@
         share.booked_until,
         request_id=ticket.request_id,
         wait_ms=wait_ms,
-        rate=_measure_rate(state, ticket.item) * part,
+        rate=_measure_rate(state, list_holders(state, ticket.item, now=now)) * part,
         now=now,
     )
     if _is_above_share(state, ticket.caller, part):
@@ -134,24 +132,26 @@
 
 
 def _estimate_wait(
-    state: AdmissionState, ahead: Mapping[str, float], item: str
+    state: AdmissionState, ahead: Mapping[str, float], holders: Sequence[str]
 ) -> float:
     """Return how long a request waits for its slot, in milliseconds.
 
     :param ahead: requests that go before it, by server; one that may go to several
         counts in parts.
+    :param holders: servers that it may go to.
     """
-    before = sum(ahead.get(name, 0.0) for name in state.holders.get(item, ()))
-    rate = _measure_rate(state, item)
+    before = sum(ahead.get(name, 0.0) for name in holders)
+    rate = _measure_rate(state, holders)
     return (1 + before) / rate if rate > 0 else float(drain_rate.MOST_RETRY_MS)
 
 
-def _measure_rate(state: AdmissionState, item: str) -> float:
+def _measure_rate(state: AdmissionState, holders: Sequence[str]) -> float:
+    """Return how many requests a millisecond this entry's slots there finish."""
     return sum(
         drain_rate.measure_rate(
             state.drain, server=name, slots=state.limits[name].ordinary
         )
-        for name in state.holders.get(item, ())
+        for name in holders
         if name in state.limits
     )
 
--- a/src/arbutuspulley/admission/queue.py
+++ b/src/arbutuspulley/admission/queue.py
@@ -14,6 +14,7 @@
 from arbutuspulley.admission.state import AdmissionState, Running, move_load
 from arbutuspulley.admission.tickets import Admit, Effect, Refuse, Ticket
 from arbutuspulley.results import Code
+from arbutuspulley.routing.choice import is_usable
 from arbutuspulley.routing.load import ServerLoad, observe_report
 from arbutuspulley.rpc.messages import CallerUsage, View
 
@@ -100,15 +101,21 @@
     running.server = server
 
 
-def list_full(state: AdmissionState, request_id: str) -> frozenset[str]:
-    """Return servers that this entry should not use more of for a request now."""
+def list_full(
+    state: AdmissionState, request_id: str, *, now: int | None = None
+) -> frozenset[str]:
+    """Return servers that this entry should not use more of for a request now.
+
+    :param now: if given, suspects and leaving servers count as full too.
+    """
     running = state.running.get(request_id)
     if running is None:
         return frozenset()
     return frozenset(
         name
         for name in state.limits
-        if name != running.server and not has_slot(state, name, running.ticket)
+        if (name != running.server and not has_slot(state, name, running.ticket))
+        or (now is not None and not is_usable(state.routing, name, now=now))
     )
 
 
--- a/src/arbutuspulley/admission/state.py
+++ b/src/arbutuspulley/admission/state.py
@@ -8,6 +8,7 @@
 from arbutuspulley.admission.standing import Standing
 from arbutuspulley.admission.tickets import Ticket
 from arbutuspulley.data import State
+from arbutuspulley.routing.choice import RoutingState, is_usable
 from arbutuspulley.routing.load import ServerLoad, add_change
 
 
@@ -27,7 +28,8 @@
     """State of the aggregate; see :mod:`.queue` for what changes it.
 
     :param own: address of this entry.
-    :param holders: servers that may take an item, by item.
+    :param routing: what the entry's choices remember of servers; only read here.
+    :param holders: servers that may take an item, by item; see :func:`list_holders`.
     :param limits: what this entry may use of each server.
     :param loads: what it uses of each server.
     :param standings: how callers stand to their shares.
@@ -36,6 +38,7 @@
     """
 
     own: str = ""
+    routing: RoutingState = msgspec.field(default_factory=RoutingState)
     holders: dict[str, tuple[str, ...]] = {}
     limits: dict[str, ServerLimit] = {}
     loads: dict[str, ServerLoad] = {}
@@ -51,6 +54,16 @@
     return state.standings.get(caller, Standing.ORDINARY)
 
 
+def list_holders(state: AdmissionState, item: str, *, now: int) -> tuple[str, ...]:
+    """Return the servers that a request for an item may go to now.
+
+    Suspects and leaving servers are left out, unless all are.
+    """
+    names = state.holders.get(item, ())
+    usable = tuple(name for name in names if is_usable(state.routing, name, now=now))
+    return usable or names
+
+
 def move_load(
     state: AdmissionState, server: str, *, requests: int, tokens: int, now: int
 ) -> None:
--- a/src/arbutuspulley/routing/choice.py
+++ b/src/arbutuspulley/routing/choice.py
@@ -117,7 +117,7 @@
     ]
     if not candidates:
         return None
-    sound = [summary for summary in candidates if _is_sound(state, summary, now)]
+    sound = [summary for summary in candidates if _is_sound(_find(state, summary), now)]
     if not sound:
         # Every holder has failed lately. Leaving all of them out would make a
         # model unreachable over a passing fault, so the one whose time is up
@@ -193,6 +193,17 @@
     state.servers.setdefault(server, ServerHealth()).left_at = now
 
 
+def is_usable(state: RoutingState, server: str, *, now: int) -> bool:
+    """Return whether a server is neither a suspect nor leaving by its own word.
+
+    Admission must not count the free slots of one that is not: a server that fails
+    each request at once always has some, and would have requests admitted that no
+    other server has room for.
+    """
+    health = state.servers.get(server)
+    return health is None or (_is_sound(health, now) and _may_stay(health, now))
+
+
 def _compute_pause(failures: int) -> int:
     return min(SUSPECT_MS << min(max(failures, 1) - 1, 10), SUSPECT_MOST_MS)
 
@@ -220,16 +231,18 @@
     if summary.server in avoid or summary.leaving or not summary.alive:
         return False
     _observe(state, summary, now)
-    left_at = _find(state, summary).left_at
+    return _may_stay(_find(state, summary), now)
+
+
+def _may_stay(health: ServerHealth, now: int) -> bool:
     # The instance list and the reports lag: they still call a server live for
     # seconds after it began to leave. Its own refusal is newer.
-    return left_at is None or now - left_at >= LEAVING_MS
+    return health.left_at is None or now - health.left_at >= LEAVING_MS
 
 
-def _is_sound(state: RoutingState, summary: ServerSummary, now: int) -> bool:
+def _is_sound(health: ServerHealth, now: int) -> bool:
     # A server that fails fast looks idle and would draw ever more requests. After
     # the pause a single probe decides, see begin_attempt.
-    health = _find(state, summary)
     return health.failures == 0 or now >= health.suspect_until
 
 
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -8,6 +8,7 @@
 from arbutuspulley.admission.queue import AdmissionState, Admit, Refuse, Ticket
 from arbutuspulley.configuration.schema import EMPTY
 from arbutuspulley.results import Code
+from arbutuspulley.routing import choice
 from arbutuspulley.rpc.messages import CallerUsage, ServerSummary, View
 from tests.admission_model import Model, Offer
 
@@ -150,6 +151,24 @@
     assert queue.list_full(state, "unknown") == frozenset()
 
 
+def test_free_slots_of_a_failing_server_do_not_count():
+    """A server answers each request with an error at once, so it is always free.
+
+    While all others are full, requests would be admitted for its sake, go there,
+    fail and use up the retries of all.
+    """
+    state = build_state(build_server(), build_server("s2"))
+    choice.note_failure(state.routing, "s2", 0)
+    for number in range(SLOTS):
+        submit(state, f"r{number}")
+    assert {one.server for one in state.running.values()} == {"s1"}
+    assert submit(state, "w") == ()
+    assert queue.list_full(state, "r0", now=0) == {"s2"}
+    choice.note_failure(state.routing, "s1", 0)
+    assert name_outcomes(queue.tick(state, now=1)) == [("w", "admit")]
+    assert state.running["w"].server == "s2"
+
+
 def test_live_requests_go_before_summaries_until_these_have_aged():
     state = build_state(filled=SLOTS)
     submit(state, "s", live=False, deadline=60_000, caller="recap")
