--- a/src/arbutuspulley/controller/exchange.py
+++ b/src/arbutuspulley/controller/exchange.py
@@ -5,6 +5,7 @@
 same process, so that a quiet system exchanges little more than empty messages.
 """
 
+import random
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -142,7 +143,8 @@
             continue
         age = state.ages.get(name, 0)
         told.append(msgspec.structs.replace(news.summary, age_ms=age))
-    is_newer = configuration.version > request.configuration_version
+    known = request.configuration_version
+    is_newer = known is not None and configuration.version > known
     return ExchangeReply(
         instance=instance,
         epoch=state.epoch,
@@ -165,10 +167,14 @@
     peer: PeerState,
     *,
     instance: str,
-    configuration_version: int,
+    configuration_version: int | None,
     items: tuple[str, ...],
 ) -> ExchangeRequest:
-    """Ask a peer for what is new since its last reply."""
+    """Ask a peer for what is new since its last reply.
+
+    :param configuration_version: the version in force, if the peer's whole
+        configuration is wanted should it be newer.
+    """
     return ExchangeRequest(
         instance=instance,
         epoch=peer.epoch,
@@ -178,6 +184,27 @@
     )
 
 
+def choose_source(
+    peers: Iterable[PeerState], *, version: int, now: int, chance: random.Random
+) -> PeerState | None:
+    """Choose the one peer to ask for its configuration, if one has a newer one.
+
+    A change comes by the table within a second or so; peers are for instances that
+    the table fails. If every peer sent its configuration to whoever is a version
+    behind, a change would bring as many whole copies to each instance as it has
+    peers. So the version is told by all, and the rest by one.
+    """
+    newer = [
+        peer
+        for peer in peers
+        if peer.configuration_version > version and not is_silent(peer, now=now)
+    ]
+    if not newer:
+        return None
+    best = max(peer.configuration_version for peer in newer)
+    return chance.choice([one for one in newer if one.configuration_version == best])
+
+
 def take_reply(peer: PeerState, reply: ExchangeReply, *, now: int) -> bool:
     """Take in a peer's news.
 
--- a/src/arbutuspulley/controller/peers.py
+++ b/src/arbutuspulley/controller/peers.py
@@ -10,6 +10,7 @@
 from arbutuspulley.controller.exchange import (
     PeerState,
     build_request,
+    choose_source,
     is_silent,
     take_reply,
 )
@@ -34,7 +35,14 @@
     await _update_peers(controller)
     now = controller.clock.now()
     due = [peer for peer in controller.peers.values() if now >= peer.next_at]
-    await asyncio.gather(*(_exchange(controller, peer) for peer in due))
+    version = controller.force.configuration.version
+    source = choose_source(due, version=version, now=now, chance=controller.chance)
+    await asyncio.gather(
+        *(
+            _exchange(controller, peer, version=version if peer is source else None)
+            for peer in due
+        )
+    )
 
 
 async def close_all(controller: Controller) -> None:
@@ -61,11 +69,13 @@
             await controller.clients.pop(address).close()
 
 
-async def _exchange(controller: Controller, peer: PeerState) -> None:
+async def _exchange(
+    controller: Controller, peer: PeerState, *, version: int | None
+) -> None:
     request = build_request(
         peer,
         instance=controller.settings.instance,
-        configuration_version=controller.force.configuration.version,
+        configuration_version=version,
         items=(),
     )
     asked_at = controller.clock.now()
--- a/src/arbutuspulley/rpc/messages.py
+++ b/src/arbutuspulley/rpc/messages.py
@@ -242,13 +242,15 @@
     :param after: the number of the last exchange reply it got from this peer's
         ``epoch``; only what changed since is sent.
     :param items: keys of items it serves; only servers holding one are sent.
+    :param configuration_version: the version it has, if it wants the peer's whole
+        configuration should that be newer; ``None`` if it does not.
     """
 
     instance: str
     epoch: str = ""
     after: int = 0
     items: tuple[str, ...] = ()
-    configuration_version: int = 0
+    configuration_version: int | None = None
 
 
 class ExchangeReply(Message, frozen=True):
@@ -256,7 +258,7 @@
 
     :param servers: changed summaries of the servers it owns.
     :param entries: its own entries.
-    :param configuration: its configuration, if newer than the asker's.
+    :param configuration: its configuration, if wanted and newer than the asker's.
     :param configuration_version: the version it has in force.
     :param demand: what its entries' callers ask for, smoothed over a second;
         ``None`` if that has not changed.
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,5 +1,8 @@
 """Peers tell one another changes only, and notice who is silent."""
 
+import random
+from functools import partial
+
 import pytest
 
 from arbutuspulley.configuration.schema import Configuration
@@ -124,7 +127,8 @@
 
 
 @pytest.mark.parametrize(
-    ("version", "sent"), [(0, True), (2, True), (3, False), (9, False)]
+    ("version", "sent"),
+    [(0, True), (2, True), (3, False), (9, False), (None, False)],
 )
 def test_configuration_is_passed_on_to_who_has_an_older_one(version, sent):
     reply = ask(NewsState(epoch="1"), PeerState(address="x:1"), version=version)
@@ -132,6 +136,22 @@
     assert reply.configuration_version == 3
 
 
+def test_whole_configuration_is_asked_of_one_newest_peer_that_answers():
+    """A change is accepted; all peers but this instance have it in force already.
+
+    If each sent it whole, a change would bring as many copies as there are peers.
+    """
+    versions = {"x:1": 4, "x:2": 5, "x:3": 5, "x:4": 9}
+    peers = [
+        PeerState(address=address, configuration_version=version, replied_at=5_000)
+        for address, version in versions.items()
+    ]
+    peers[3].replied_at = 0
+    choose = partial(exchange.choose_source, peers, now=5_000, chance=random.Random(1))
+    assert choose(version=3).address in ("x:2", "x:3")
+    assert choose(version=5) is None
+
+
 def test_peer_is_silent_before_its_first_reply_and_after_three_seconds():
     peer = PeerState(address="x:1")
     assert exchange.is_silent(peer, now=0)
