--- a/scripts/launcher.py
+++ b/scripts/launcher.py
@@ -8,6 +8,7 @@
 import functools
 import itertools
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -31,6 +32,8 @@
 POLL_S = 0.05
 """How often a condition is looked at while waiting for it."""
 
+_HOST = "127.0.0.1"
+_LISTENING_PORTS = range(12_000, 32_000)
 _CALL_TIMEOUT = urllib3.Timeout(connect=1.0, read=5.0)
 _POOL = urllib3.PoolManager(timeout=_CALL_TIMEOUT, retries=False, maxsize=32)
 _Result = TypeVar("_Result")
@@ -183,13 +186,22 @@
 def find_free_addresses(count: int) -> list[str]:
     """Return loopback addresses on which nothing listens.
 
-    All ports are held at once while they are being found, so they all differ.
+    All ports are held at once while they are being found, so they all differ. They
+    lie below those that the machine gives to outgoing connections: such a connection
+    could otherwise take a port between the look and the start of its process, which
+    would then fail with "address already in use".
     """
-    sockets = [socket.socket() for _ in range(count)]
+    sockets: list[socket.socket] = []
     try:
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{one.getsockname()[1]}" for one in sockets]
+        while len(sockets) < count:
+            port = random.choice(_LISTENING_PORTS)
+            one = socket.socket()
+            sockets.append(one)
+            try:
+                one.bind((_HOST, port))
+            except OSError:
+                sockets.pop().close()
+        return [f"{_HOST}:{one.getsockname()[1]}" for one in sockets]
     finally:
         for one in sockets:
             one.close()
--- a/tests/stack.py
+++ b/tests/stack.py
@@ -211,11 +211,33 @@
     return [server.name for server in stack.fleet.plan.servers]
 
 
-def find_holder(stack, item):
-    """Return the name of an engine on which an item answers."""
-    for name in list_engines(stack):
-        report = read_report(stack, name)
-        for one in (report or {}).get("items", ()):
-            if one["item"] == item and one["state"] == "loaded":
-                return name
+def list_holders(stack, item):
+    """Return the names of the engines on which an item answers."""
+    return [
+        name
+        for name in list_engines(stack)
+        for one in (read_report(stack, name) or {}).get("items", ())
+        if one["item"] == item and one["state"] == "loaded"
+    ]
+
+
+def find_owner(stack, server):
+    """Return the instance that owns a server, as the console shows it."""
+    for one in read_status(stack).get("instances", ()):
+        if server in one.get("owned", ()):
+            return one["instance"]
     return None
+
+
+def has_logged(stack, instance, event):
+    """Tell whether an instance's controller has logged an event."""
+    log = stack.launcher.read_log(f"controller-{instance}")
+    return f" {event.value} {event.name.lower()}" in log
+
+
+def check_memory(stack):
+    """Check that no engine was ever asked to hold more than it can."""
+    for name in list_engines(stack):
+        counters = read_counters(stack, name)
+        assert counters["overcommitted"] == 0, name
+        assert counters["worst_memory_mib"] <= counters["memory_total_mib"], name
--- /dev/null
+++ b/tests/test_failures_delivery.py
@@ -0,0 +1,138 @@
+"""Unrepeatable requests whose outcome is lost, and requests that kill engines."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+import pytest
+
+from arbutuspulley.results import Code
+from scripts.asking import Ending, ask_once
+from scripts.demo_load import count_admissions, find_problem
+from scripts.launcher import wait_until
+from tests import stack as running
+
+ITEMS = {"tracker": "1"}
+POISON = "poison"
+MOST_DEAD = 2
+
+
+@pytest.fixture(scope="module")
+def stack(tmp_path_factory):
+    model = msgspec.structs.replace(running.MODEL, copies=3)
+    plan = running.build_plan(instances=3, engines=5, models={"tracker": model})
+    with running.open_stack(plan, tmp_path_factory.mktemp("delivery")) as opened:
+        yield opened
+
+
+def _count_runs(stack, request):
+    if not request.model:
+        return running.read_counters(stack, "booking")["by_key"].get(request.name, 0)
+    logs = [stack.launcher.read_log(name) for name in running.list_engines(stack)]
+    return count_admissions(logs)[running.find_digest(request)]
+
+
+def _break_next(stack, request, fault):
+    names = running.list_engines(stack) if request.model else ["booking"]
+    for name in names:
+        running.control(stack, name, **fault)
+
+
+@pytest.mark.parametrize(
+    ("request_", "fault", "runs"),
+    [
+        (running.build_booking("confirm-1"), {"cut_after_run": 1}, 1),
+        (running.build_booking("confirm-2"), {"cut_before_run": 1}, 0),
+        (
+            running.build_ask("split-1", unrepeatable=True),
+            {"break_requests": 1},
+            1,
+        ),
+        (
+            running.build_ask("split-2", unrepeatable=True, streamed=True),
+            {"break_streams": 1},
+            1,
+        ),
+    ],
+    ids=lambda value: getattr(value, "name", None),
+)
+def test_confirmation_breaks_off_and_is_sent_again(stack, request_, fault, runs):
+    """A host confirms a booking, and the line to the server goes dead.
+
+    The confirmation may have gone through, so she is told that nobody knows. She
+    presses again, on another entry: it must not run again, or a second family would
+    be turned away. The same key for another booking is refused.
+    """
+    _break_next(stack, request_, fault)
+    first = ask_once(running.get_entry(stack, 0), request_)
+    if request_.streamed:
+        assert not first.ended
+    else:
+        assert (first.run_state, first.code) == ("unknown", Code.OUTCOME_UNKNOWN)
+    for name in running.list_engines(stack):
+        running.control(stack, name, break_requests=0, break_streams=0)
+    again = ask_once(running.get_entry(stack, 1), request_)
+    assert (again.status, again.run_state) == (409, "unknown")
+    changed = request_.body.replace(request_.name.encode(), b"another")
+    other = msgspec.structs.replace(request_, body=changed)
+    reused = ask_once(running.get_entry(stack, 2), other)
+    assert (reused.status, reused.code) == (422, Code.KEY_REUSED)
+    assert _count_runs(stack, request_) == runs
+
+
+def test_whole_answer_is_given_again_and_not_run_again(stack):
+    """A host's phone loses the reply to a confirmation that went through.
+
+    She presses again, on another entry, and gets the very same reply.
+    """
+    request = running.build_booking("confirm-3")
+    first = ask_once(running.get_entry(stack, 0), request)
+    again = ask_once(running.get_entry(stack, 1), request)
+    assert first.status == 201
+    assert (again.status, again.body) == (first.status, first.body)
+    assert _count_runs(stack, request) == 1
+
+
+def test_poison_request_is_sent_five_times_through_three_entries(stack):
+    """One summary crashes each engine that runs it, and its caller sends it again.
+
+    Other callers' answers stream from the same engines. The summary may take two
+    engines with it; then every entry refuses it at once and says when to come back.
+    The others' answers go on elsewhere, whole, and are not refused for having been
+    there.
+    """
+    engines = running.list_engines(stack)
+    for name in engines:
+        running.control(stack, name, crash_marker=f"{POISON}?")
+    poison = running.build_ask(POISON, tokens=20)
+    bystanders = [
+        running.build_ask(f"near-{number}", tokens=250, streamed=True)
+        for number in range(3)
+    ]
+    with ThreadPoolExecutor(max_workers=12) as pool:
+        others = [
+            pool.submit(running.ask_patiently, stack, request, first=number % 3)
+            for number, request in enumerate(bystanders)
+        ]
+        wait_until(
+            lambda: all(_count_runs(stack, request) for request in bystanders),
+            what="the others to be running",
+        )
+        entries = [running.get_entry(stack, number % 3) for number in range(5)]
+        answers = [ask_once(entry, poison) for entry in entries]
+        outcomes = [other.result() for other in others]
+    dead = [name for name in engines if not stack.launcher.is_running(name)]
+    assert 1 <= len(dead) <= MOST_DEAD
+    assert {answer.status for answer in answers} == {503}
+    assert all(answer.retry_after_s for answer in answers)
+    wait_until(
+        lambda: all(
+            ask_once(entry, poison).code == Code.QUARANTINED for entry in entries[:3]
+        ),
+        what="the quarantine to hold at all entries",
+    )
+    assert {outcome.ending for outcome in outcomes} == {Ending.WHOLE}
+    assert [find_problem(outcome, ITEMS) for outcome in outcomes] == [""] * 3
+    for number, request in enumerate(bystanders):
+        again = running.ask_patiently(stack, request, first=number % 3)
+        assert again.ending is Ending.WHOLE
+    assert len([n for n in engines if not stack.launcher.is_running(n)]) == len(dead)
