--- a/src/arbutuspulley/programs/console.py
+++ b/src/arbutuspulley/programs/console.py
@@ -11,7 +11,7 @@
 
 from arbutuspulley.adapters.platform import connect_platform
 from arbutuspulley.data import Value
-from arbutuspulley.events import Event, log_event, set_up_logging
+from arbutuspulley.events import Event, log_event
 from arbutuspulley.loop import LoopThread
 from arbutuspulley.programs.console_api import Backend
 from arbutuspulley.programs.console_routes import build_site
@@ -20,19 +20,15 @@
 from arbutuspulley.settings import (
     SETTINGS_EXIT_STATUS,
     Check,
-    SettingsError,
     check_address,
-    check_all,
-    check_choice,
     check_present,
-    exit_refused,
     split_address,
 )
+from arbutuspulley.startup import LOG_LEVELS, check_and_log
 from arbutuspulley.tracing import set_up_tracing
 
 _SHA256_CHARACTERS = 64
 _HEX = frozenset("0123456789abcdef")
-_LOG_LEVELS = ("debug", "info", "warning", "error")
 
 app = cyclopts.App(
     name="arbutus-console",
@@ -121,7 +117,7 @@
         Parameter(help="Comma-separated name=SHA-256 (hex) of each operator's key."),
     ] = "",
     log_format: Annotated[str, Parameter(help="json or text.")] = "text",
-    log_level: Annotated[str, Parameter(help=f"{', '.join(_LOG_LEVELS)}.")] = "info",
+    log_level: Annotated[str, Parameter(help=f"{', '.join(LOG_LEVELS)}.")] = "info",
     trace: Annotated[str, Parameter(help="off, stderr or a file for spans.")] = "off",
 ) -> None:
     """Serve the operators' page and API of one instance."""
@@ -136,11 +132,7 @@
         log_level=log_level,
         trace=trace,
     )
-    try:
-        check_all(_list_checks(settings))
-    except SettingsError as error:
-        exit_refused(error)
-    set_up_logging(log_format=log_format, level=log_level)
+    check_and_log(_list_checks(settings), log_format=log_format, log_level=log_level)
     set_up_tracing(program="arbutus-console", instance=instance, target=trace)
     run(settings)
 
@@ -161,8 +153,6 @@
         check_address("--platform", settings.platform),
         check_present("--peer-key", settings.peer_key),
         _check_operators(settings.operators),
-        check_choice("--log-format", settings.log_format, choices=("json", "text")),
-        check_choice("--log-level", settings.log_level, choices=_LOG_LEVELS),
     ]
 
 
--- a/src/arbutuspulley/programs/controller.py
+++ b/src/arbutuspulley/programs/controller.py
@@ -21,22 +21,19 @@
 from arbutuspulley.controller.rows import GroupRows
 from arbutuspulley.controller.running import Running, is_serving
 from arbutuspulley.controller.state import Controller, ControllerSettings, Pools
-from arbutuspulley.events import Event, log_event, set_up_logging
+from arbutuspulley.events import Event, log_event
 from arbutuspulley.loop import LoopThread
 from arbutuspulley.membership.lease import LeaseState
 from arbutuspulley.membership.observation import ObservationState
 from arbutuspulley.membership.outage import OutageState, choose_longest_wait
 from arbutuspulley.settings import (
     Check,
-    SettingsError,
     check_address,
     check_addresses,
-    check_all,
-    check_choice,
     check_present,
     check_range,
-    exit_refused,
 )
+from arbutuspulley.startup import check_and_log
 from arbutuspulley.tracing import set_up_tracing
 
 PROGRAM = "arbutus-controller"
@@ -54,7 +51,6 @@
 STOP_TIMEOUT_MS = 15 * SECOND_MS
 """Longest time to stop in, whatever is blocked."""
 
-LOG_LEVELS = ("debug", "info", "warning", "error")
 
 app = cyclopts.App(
     name=PROGRAM,
@@ -170,17 +166,8 @@
         exchange_ms=exchange_ms,
         follow_ms=follow_ms,
     )
-    try:
-        check_all(
-            [
-                *_list_checks(settings),
-                check_choice("--log-format", log_format, choices=("json", "text")),
-                check_choice("--log-level", log_level, choices=LOG_LEVELS),
-            ]
-        )
-    except SettingsError as error:
-        exit_refused(error)
-    set_up_logging(log_format=log_format, level=log_level)
+    checks = _list_checks(settings)
+    check_and_log(checks, log_format=log_format, log_level=log_level)
     set_up_tracing(program=PROGRAM, instance=instance, target=trace)
     run(settings)
 
--- a/src/arbutuspulley/programs/entry.py
+++ b/src/arbutuspulley/programs/entry.py
@@ -20,23 +20,19 @@
 from arbutuspulley.entry.state import EntryState, Runtime, Settings
 from arbutuspulley.entry.turns import tick_regularly
 from arbutuspulley.entry.views import report_regularly, watch_controller
-from arbutuspulley.events import Event, log_event, set_up_logging
+from arbutuspulley.events import Event, log_event
 from arbutuspulley.loop import LoopThread
 from arbutuspulley.rpc.channel import Client
 from arbutuspulley.settings import (
-    SettingsError,
     check_address,
-    check_all,
-    check_choice,
     check_present,
     check_range,
-    exit_refused,
     split_address,
 )
+from arbutuspulley.startup import check_and_log
 from arbutuspulley.tracing import set_up_tracing
 
 PROGRAM = "arbutus-entry"
-LEVELS = ("debug", "info", "warning", "error")
 
 app = cyclopts.App(
     name=PROGRAM,
@@ -77,26 +73,17 @@
     ] = "off",
 ) -> None:
     """Take callers' requests and bring back the answers."""
-    try:
-        check_all(
-            [
-                check_present("--instance", instance),
-                check_present("--site", site),
-                check_address("--listen", listen),
-                check_address("--advertise", advertise or listen),
-                check_address("--controller", controller),
-                check_present("--peer-key", peer_key),
-                check_range(
-                    "--max-body-bytes", max_body_bytes, least=1_024, most=1 << 26
-                ),
-                check_range("--threads", threads, least=SPARE_THREADS + 1, most=2_000),
-                check_choice("--log-format", log_format, choices=("json", "text")),
-                check_choice("--log-level", log_level, choices=LEVELS),
-            ]
-        )
-    except SettingsError as error:
-        exit_refused(error)
-    set_up_logging(log_format=log_format, level=log_level)
+    checks = [
+        check_present("--instance", instance),
+        check_present("--site", site),
+        check_address("--listen", listen),
+        check_address("--advertise", advertise or listen),
+        check_address("--controller", controller),
+        check_present("--peer-key", peer_key),
+        check_range("--max-body-bytes", max_body_bytes, least=1_024, most=1 << 26),
+        check_range("--threads", threads, least=SPARE_THREADS + 1, most=2_000),
+    ]
+    check_and_log(checks, log_format=log_format, log_level=log_level)
     set_up_tracing(program=PROGRAM, instance=instance, target=trace)
     settings = Settings(
         instance=instance,
--- a/src/arbutuspulley/standins/engine.py
+++ b/src/arbutuspulley/standins/engine.py
@@ -11,15 +11,12 @@
 import cyclopts
 
 from arbutuspulley.data import Value
-from arbutuspulley.events import Event, log_event, set_up_logging
+from arbutuspulley.events import Event, log_event
 from arbutuspulley.settings import (
-    SettingsError,
     check_address,
-    check_all,
     check_choice,
     check_present,
     check_range,
-    exit_refused,
     split_address,
 )
 from arbutuspulley.standins.engine_batch import BatchState
@@ -29,6 +26,7 @@
 from arbutuspulley.standins.engine_state import EngineState
 from arbutuspulley.standins.routes import build_root
 from arbutuspulley.standins.server import StandinServer, run_until_stopped
+from arbutuspulley.startup import check_and_log
 
 DRAIN_MS = 60_000
 """Longest wait for runs in flight after SIGTERM."""
@@ -166,33 +164,20 @@
     :param log_format: ``json`` or ``text``.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
-    try:
-        check_all(
-            [
-                check_present("--name", name),
-                check_address("--listen", listen),
-                check_range("--memory-mib", memory_mib, least=1, most=_MAX_COUNT),
-                check_choice(
-                    "--on-overcommit", on_overcommit, choices=list(OnOvercommit)
-                ),
-                *([check_address("--platform", platform)] if platform else []),
-                check_range("--load-ms", load_ms, least=0, most=_MAX_MS),
-                check_range("--first-token-ms", first_token_ms, least=0, most=_MAX_MS),
-                check_range("--token-ms", token_ms, least=1, most=_MAX_MS),
-                check_range("--max-batch", max_batch, least=1, most=256),
-                check_range("--max-waiting", max_waiting, least=0, most=256),
-                check_range("--report-lag-ms", report_lag_ms, least=0, most=_MAX_MS),
-                check_choice("--log-format", log_format, choices=("json", "text")),
-                check_choice(
-                    "--log-level",
-                    log_level,
-                    choices=("debug", "info", "warning", "error"),
-                ),
-            ]
-        )
-    except SettingsError as error:
-        exit_refused(error)
-    set_up_logging(log_format=log_format, level=log_level)
+    checks = [
+        check_present("--name", name),
+        check_address("--listen", listen),
+        check_range("--memory-mib", memory_mib, least=1, most=_MAX_COUNT),
+        check_choice("--on-overcommit", on_overcommit, choices=list(OnOvercommit)),
+        *([check_address("--platform", platform)] if platform else []),
+        check_range("--load-ms", load_ms, least=0, most=_MAX_MS),
+        check_range("--first-token-ms", first_token_ms, least=0, most=_MAX_MS),
+        check_range("--token-ms", token_ms, least=1, most=_MAX_MS),
+        check_range("--max-batch", max_batch, least=1, most=256),
+        check_range("--max-waiting", max_waiting, least=0, most=256),
+        check_range("--report-lag-ms", report_lag_ms, least=0, most=_MAX_MS),
+    ]
+    check_and_log(checks, log_format=log_format, log_level=log_level)
     host, port = split_address(listen)
     settings = EngineSettings(
         name=name,
--- a/src/arbutuspulley/standins/platform.py
+++ b/src/arbutuspulley/standins/platform.py
@@ -31,14 +31,10 @@
     TransactRequest,
 )
 from arbutuspulley.clock import SECOND_MS, Clock
-from arbutuspulley.events import Event, log_event, set_up_logging
+from arbutuspulley.events import Event, log_event
 from arbutuspulley.ports.platform import Committed, Conflict
 from arbutuspulley.settings import (
-    SettingsError,
     check_address,
-    check_all,
-    check_choice,
-    exit_refused,
     split_address,
 )
 from arbutuspulley.standins.platform_control import (
@@ -66,6 +62,7 @@
     read_body,
     run_until_stopped,
 )
+from arbutuspulley.startup import check_and_log
 
 DEFAULT_SCAN_LIMIT = 1_000
 """Rows of a page if the reader names no limit."""
@@ -306,21 +303,10 @@
     :param log_format: ``json`` or ``text``.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
-    try:
-        check_all(
-            [
-                check_address("--listen", listen),
-                check_choice("--log-format", log_format, choices=("json", "text")),
-                check_choice(
-                    "--log-level",
-                    log_level,
-                    choices=("debug", "info", "warning", "error"),
-                ),
-            ]
-        )
-    except SettingsError as error:
-        exit_refused(error)
-    set_up_logging(log_format=log_format, level=log_level)
+    checks = [
+        check_address("--listen", listen),
+    ]
+    check_and_log(checks, log_format=log_format, log_level=log_level)
     host, port = split_address(listen)
     server = build_server(host=host, port=port)
     log_event(Event.STARTED, program=app.name[0], listen=server.address)
--- a/src/arbutuspulley/standins/service.py
+++ b/src/arbutuspulley/standins/service.py
@@ -27,20 +27,17 @@
 from arbutuspulley.adapters.engine_messages import RUN_STATE
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.data import Document, Message, State
-from arbutuspulley.events import Event, log_event, set_up_logging
+from arbutuspulley.events import Event, log_event
 from arbutuspulley.results import RunState
 from arbutuspulley.settings import (
-    SettingsError,
     check_address,
-    check_all,
-    check_choice,
     check_present,
-    exit_refused,
     split_address,
 )
 from arbutuspulley.standins.control import copy_set, take
 from arbutuspulley.standins.routes import ANY, Incoming, Outgoing, Routes, build_root
 from arbutuspulley.standins.server import StandinServer, run_until_stopped
+from arbutuspulley.startup import check_and_log
 
 Whole = Annotated[int, msgspec.Meta(ge=0)]
 
@@ -247,22 +244,11 @@
     :param log_format: ``json`` or ``text``.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
-    try:
-        check_all(
-            [
-                check_present("--name", name),
-                check_address("--listen", listen),
-                check_choice("--log-format", log_format, choices=("json", "text")),
-                check_choice(
-                    "--log-level",
-                    log_level,
-                    choices=("debug", "info", "warning", "error"),
-                ),
-            ]
-        )
-    except SettingsError as error:
-        exit_refused(error)
-    set_up_logging(log_format=log_format, level=log_level)
+    checks = [
+        check_present("--name", name),
+        check_address("--listen", listen),
+    ]
+    check_and_log(checks, log_format=log_format, log_level=log_level)
     host, port = split_address(listen)
     server = build_service(name=name, host=host, port=port)
     log_event(Event.STARTED, program=app.name[0], service=name, listen=server.address)
--- /dev/null
+++ b/src/arbutuspulley/startup.py
@@ -0,0 +1,37 @@
+"""What every program does first: check its settings, then open its log."""
+
+from collections.abc import Iterable
+
+from arbutuspulley.events import set_up_logging
+from arbutuspulley.settings import (
+    Check,
+    SettingsError,
+    check_all,
+    check_choice,
+    exit_refused,
+)
+
+LOG_FORMATS = ("json", "text")
+"""Values of ``--log-format``."""
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+"""Values of ``--log-level``."""
+
+
+def check_and_log(checks: Iterable[Check], *, log_format: str, log_level: str) -> None:
+    """Check all settings, those of the log included, and set up the log.
+
+    A process with wrong settings ends here, with one message that names them all.
+
+    :param checks: the program's own checks.
+    :raises SystemExit: if any setting is wrong.
+    """
+    log_checks = (
+        check_choice("--log-format", log_format, choices=LOG_FORMATS),
+        check_choice("--log-level", log_level, choices=LOG_LEVELS),
+    )
+    try:
+        check_all((*checks, *log_checks))
+    except SettingsError as error:
+        exit_refused(error)
+    set_up_logging(log_format=log_format, level=log_level)
