--- a/src/arbutuspulley/controller/health.py
+++ b/src/arbutuspulley/controller/health.py
@@ -1,14 +1,13 @@
 """Health and metrics of the controller over HTTP."""
 
-import logging
-import threading
 from collections.abc import Callable
 
 import cherrypy
-from cheroot import wsgi
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 
+from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.settings import split_address
+from arbutuspulley.web import Limits, WebServer, build_application
 
 THREADS = 4
 """Worker threads; only probes and the metrics collector call."""
@@ -55,16 +54,12 @@
     :return: a function that stops serving.
     :raises OSError: if the address cannot be listened on.
     """
-    application = cherrypy.Application(
-        _Root(is_ready=is_ready, registry=registry),
-        "",
-        {"/": {"request.show_tracebacks": False}},
+    host, port = split_address(address)
+    server = WebServer(
+        application=build_application(_Root(is_ready=is_ready, registry=registry)),
+        host=host,
+        port=port,
+        limits=Limits(threads=THREADS, stop_timeout_ms=SECOND_MS),
     )
-    application.log.error_log.setLevel(logging.CRITICAL)
-    application.log.access_log.setLevel(logging.CRITICAL)
-    server = wsgi.Server(
-        split_address(address), application, numthreads=THREADS, shutdown_timeout=1
-    )
-    server.prepare()
-    threading.Thread(target=server.serve, name="health", daemon=True).start()
+    server.start()
     return server.stop
--- a/src/arbutuspulley/entry/server.py
+++ b/src/arbutuspulley/entry/server.py
@@ -7,7 +7,6 @@
 import logging
 import select
 import socket
-import threading
 from collections.abc import Callable
 from contextlib import suppress
 from types import SimpleNamespace
@@ -16,7 +15,6 @@
 
 import cherrypy
 import msgspec
-from cheroot import wsgi
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.delivery.failures import build_failure
@@ -28,6 +26,7 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.results import Code, RequestError, RunState
 from arbutuspulley.tracing import open_span
+from arbutuspulley.web import Limits, WebServer, build_application, get_connection
 
 STOP_TIMEOUT_MS = 5 * SECOND_MS
 """How long a stopping server waits for the last bytes to leave."""
@@ -35,69 +34,37 @@
 SOCKET_TIMEOUT_MS = 30 * SECOND_MS
 """A caller that takes no byte for this long counts as gone."""
 
-MAX_HEADER_BYTES = 64 * 1024
-"""Largest request line and headers taken."""
-
 DRAINED_BODY_FACTOR = 16
 """A body over the limit times this is not even read to be thrown away."""
 
+BACKLOG = 1_024
+"""Connections that may wait to be taken."""
+
 IDLE_CONNECTIONS = 2_000
 """Idle connections of callers kept open; they hold no thread."""
 
 SPARE_THREADS = 10
 """Threads beyond the requests handled at once, for refusals and health checks."""
 
-_SOCKET = "arbutus.socket"
 _QUIET_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 
 
-class _Gateway(wsgi.Gateway_10):
-    """Lets a handler look at its connection, to see whether the caller has left."""
-
-    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
-        environ: dict[str, Any] = super().get_environ()
-        environ[_SOCKET] = self.req.conn.socket
-        return environ
-
+def build_server(*, runtime: Runtime, host: str, port: int, threads: int) -> WebServer:
+    """Return the entry's server.
 
-class EntryServer:
-    """The server on a thread of its own.
-
-    :param port: 0 takes a free one; see :attr:`address`.
+    :param port: 0 takes a free one.
     """
-
-    __slots__ = ("_server", "_thread", "address")
-
-    def __init__(self, *, runtime: Runtime, host: str, port: int, threads: int) -> None:
-        self._server = wsgi.Server(
-            (host, port),
-            _build_application(runtime),
-            numthreads=threads,
-            request_queue_size=1_024,
-            timeout=SOCKET_TIMEOUT_MS // SECOND_MS,
-            shutdown_timeout=STOP_TIMEOUT_MS // SECOND_MS,
-        )
-        self._server.gateway = _Gateway
-        self._server.keep_alive_conn_limit = IDLE_CONNECTIONS
-        self._server.max_request_header_size = MAX_HEADER_BYTES
-        self._server.max_request_body_size = (
-            runtime.settings.max_body_bytes * DRAINED_BODY_FACTOR
-        )
-        self._server.prepare()
-        bound_host, bound_port = self._server.bind_addr[:2]
-        self.address = f"{bound_host}:{bound_port}"
-        self._thread = threading.Thread(
-            target=self._server.serve, name="entry-http", daemon=True
-        )
-
-    def start(self) -> None:
-        """Begin to answer."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stop listening and end the thread; what is in flight should be over."""
-        self._server.stop()
-        self._thread.join(STOP_TIMEOUT_MS / SECOND_MS)
+    limits = Limits(
+        threads=threads,
+        stop_timeout_ms=STOP_TIMEOUT_MS,
+        socket_timeout_ms=SOCKET_TIMEOUT_MS,
+        body_bytes=runtime.settings.max_body_bytes * DRAINED_BODY_FACTOR,
+        backlog=BACKLOG,
+        idle_connections=IDLE_CONNECTIONS,
+    )
+    return WebServer(
+        application=_build_application(runtime), host=host, port=port, limits=limits
+    )
 
 
 def _build_application(runtime: Runtime) -> cherrypy.Application:
@@ -117,18 +84,7 @@
             chat=SimpleNamespace(completions=completion),
         ),
     )
-    settings = {
-        "/": {
-            "request.process_request_body": False,
-            "error_page.default": _show_error,
-            "tools.trailing_slash.on": False,
-        }
-    }
-    application = cherrypy.Application(root, "", settings)
-    application.log.screen = False
-    application.log.error_log.setLevel(logging.CRITICAL)
-    application.log.access_log.setLevel(logging.CRITICAL)
-    return application
+    return build_application(root, show_error=_show_error)
 
 
 def _expose(runtime: Runtime, handler: Handler, *, counted: bool) -> Callable[..., Any]:
@@ -224,7 +180,7 @@
 
 def _build_exchange(runtime: Runtime) -> Exchange:
     request = cherrypy.serving.request
-    connection = request.wsgi_environ[_SOCKET]
+    connection = get_connection()
     target = request.request_line.split(" ")[1]
     if not target.startswith("/"):
         parts = urlsplit(target)
--- a/src/arbutuspulley/programs/console.py
+++ b/src/arbutuspulley/programs/console.py
@@ -15,7 +15,7 @@
 from arbutuspulley.loop import LoopThread
 from arbutuspulley.programs.console_api import Backend
 from arbutuspulley.programs.console_routes import build_site
-from arbutuspulley.programs.console_server import ControllerLink, Server
+from arbutuspulley.programs.console_server import ControllerLink, build_server
 from arbutuspulley.results import SettingError
 from arbutuspulley.settings import (
     SETTINGS_EXIT_STATUS,
@@ -82,7 +82,7 @@
     )
     host, port = split_address(settings.listen)
     site = build_site(backend, parse_operators(settings.operators))
-    server = Server(site=site, host=host, port=port)
+    server = build_server(site=site, host=host, port=port)
     stopping = threading.Event()
 
     def stop(_number: int, _frame: FrameType | None) -> None:
--- a/src/arbutuspulley/programs/console_server.py
+++ b/src/arbutuspulley/programs/console_server.py
@@ -1,21 +1,16 @@
 """The console's connections: the server for operators, the link to its controller."""
 
-import logging
-import threading
-
-import cherrypy
-from cheroot import wsgi
-
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.loop import LoopThread
 from arbutuspulley.programs.console_http import Site, show_error
 from arbutuspulley.rpc.channel import STATUS, Client, PeerUnavailableError
 from arbutuspulley.rpc.messages import FleetStatus, StatusRequest
+from arbutuspulley.web import Limits, WebServer, build_application
 
 STATUS_TIMEOUT_MS = 3_000
 """Longest wait for the controller's status."""
 
-STOP_TIMEOUT_S = 10
+STOP_TIMEOUT_MS = 10 * SECOND_MS
 """How long a stopping console waits for requests in flight."""
 
 THREADS = 16
@@ -24,42 +19,25 @@
 MAX_HEADER_BYTES = 16 * 1024
 """Largest request head taken."""
 
-SOCKET_TIMEOUT_S = 20
+SOCKET_TIMEOUT_MS = 20 * SECOND_MS
 """How long a client may stall while it sends a request."""
 
 
-class Server:
-    """The console's HTTP server.
+def build_server(*, site: Site, host: str, port: int) -> WebServer:
+    """Return the console's HTTP server.
 
     :param site: what it answers.
     :param host: IP number to listen on.
-    :param port: 0 takes a free one; see :attr:`address`.
+    :param port: 0 takes a free one.
     """
-
-    __slots__ = ("_server", "_thread", "address")
-
-    def __init__(self, *, site: Site, host: str, port: int) -> None:
-        self._server = wsgi.Server(
-            (host, port),
-            _build_application(site),
-            numthreads=THREADS,
-            shutdown_timeout=STOP_TIMEOUT_S,
-            timeout=SOCKET_TIMEOUT_S,
-        )
-        self._server.max_request_header_size = MAX_HEADER_BYTES
-        self._server.prepare()
-        bound = self._server.bind_addr
-        self.address = f"{bound[0]}:{bound[1]}"
-        self._thread = threading.Thread(target=self._server.serve, daemon=True)
-
-    def start(self) -> None:
-        """Begin to answer."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stop listening, finish what is in flight and end."""
-        self._server.stop()
-        self._thread.join(STOP_TIMEOUT_S)
+    limits = Limits(
+        threads=THREADS,
+        stop_timeout_ms=STOP_TIMEOUT_MS,
+        socket_timeout_ms=SOCKET_TIMEOUT_MS,
+        header_bytes=MAX_HEADER_BYTES,
+    )
+    application = build_application(site, show_error=show_error)
+    return WebServer(application=application, host=host, port=port, limits=limits)
 
 
 class ControllerLink:
@@ -96,18 +74,3 @@
     def close(self) -> None:
         """Close the connection."""
         self._loop.wait_for(self._client.close())
-
-
-def _build_application(site: Site) -> cherrypy.Application:
-    settings = {
-        "/": {
-            "request.process_request_body": False,
-            "request.show_tracebacks": False,
-            "error_page.default": show_error,
-        }
-    }
-    application = cherrypy.Application(site, "", settings)
-    application.log.screen = False
-    application.log.error_log.setLevel(logging.CRITICAL)
-    application.log.access_log.setLevel(logging.CRITICAL)
-    return application
--- a/src/arbutuspulley/programs/entry.py
+++ b/src/arbutuspulley/programs/entry.py
@@ -16,7 +16,7 @@
 from arbutuspulley.entry.controllers import connect_controller
 from arbutuspulley.entry.draining import drain
 from arbutuspulley.entry.metrics import build_metrics
-from arbutuspulley.entry.server import SPARE_THREADS, EntryServer
+from arbutuspulley.entry.server import SPARE_THREADS, build_server
 from arbutuspulley.entry.state import EntryState, Runtime, Settings
 from arbutuspulley.entry.turns import tick_regularly
 from arbutuspulley.entry.views import report_regularly, watch_controller
@@ -125,7 +125,7 @@
     runtime = build_runtime(settings, loop=loop, client=client, threads=threads)
     for work in (watch_controller, report_regularly, tick_regularly):
         loop.spawn(keep_working(work, runtime))
-    server = EntryServer(runtime=runtime, host=host, port=port, threads=threads)
+    server = build_server(runtime=runtime, host=host, port=port, threads=threads)
     server.start()
     log_event(Event.STARTED, program=PROGRAM, instance=settings.instance)
     stopping.wait()
--- a/src/arbutuspulley/standins/engine.py
+++ b/src/arbutuspulley/standins/engine.py
@@ -25,7 +25,7 @@
 from arbutuspulley.standins.engine_runtime import EngineRuntime
 from arbutuspulley.standins.engine_state import EngineState
 from arbutuspulley.standins.routes import build_root
-from arbutuspulley.standins.server import StandinServer, run_until_stopped
+from arbutuspulley.standins.server import build_standin_server, run_until_stopped
 from arbutuspulley.startup import check_and_log
 
 DRAIN_MS = 60_000
@@ -86,7 +86,7 @@
             load_ms=settings.load_ms,
             crash=crash,
         )
-        self.server = StandinServer(
+        self.server = build_standin_server(
             root=build_root(build_routes(self.runtime)),
             host=host,
             port=port,
--- a/src/arbutuspulley/standins/platform.py
+++ b/src/arbutuspulley/standins/platform.py
@@ -57,12 +57,13 @@
     transact,
 )
 from arbutuspulley.standins.server import (
-    StandinServer,
     break_connection,
+    build_standin_server,
     read_body,
     run_until_stopped,
 )
 from arbutuspulley.startup import check_and_log
+from arbutuspulley.web import WebServer
 
 DEFAULT_SCAN_LIMIT = 1_000
 """Rows of a page if the reader names no limit."""
@@ -284,13 +285,13 @@
 
 def build_server(
     *, host: str = "127.0.0.1", port: int = 0, clock: Clock | None = None
-) -> StandinServer:
+) -> WebServer:
     """Return a stand-in that can be started in this process.
 
     :param port: 0 takes a free one.
     :param clock: the time that lag and weight store go by.
     """
-    return StandinServer(root=PlatformStandin(clock=clock), host=host, port=port)
+    return build_standin_server(root=PlatformStandin(clock=clock), host=host, port=port)
 
 
 @app.default
--- a/src/arbutuspulley/standins/routes.py
+++ b/src/arbutuspulley/standins/routes.py
@@ -2,7 +2,7 @@
 
 A stand-in gives a table of routes; its handlers are plain functions from
 :class:`Incoming` to :class:`Outgoing`. :func:`build_root` makes of the table what
-:class:`~arbutuspulley.standins.server.StandinServer` mounts.
+:func:`~arbutuspulley.standins.server.build_standin_server` mounts.
 """
 
 from collections.abc import Callable, Generator, Mapping
--- a/src/arbutuspulley/standins/service.py
+++ b/src/arbutuspulley/standins/service.py
@@ -36,8 +36,9 @@
 )
 from arbutuspulley.standins.control import copy_set, take
 from arbutuspulley.standins.routes import ANY, Incoming, Outgoing, Routes, build_root
-from arbutuspulley.standins.server import StandinServer, run_until_stopped
+from arbutuspulley.standins.server import build_standin_server, run_until_stopped
 from arbutuspulley.startup import check_and_log
+from arbutuspulley.web import WebServer
 
 Whole = Annotated[int, msgspec.Meta(ge=0)]
 
@@ -125,15 +126,13 @@
     by_body: dict[str, int] = msgspec.field(default_factory=dict)
 
 
-def build_service(
-    *, name: str, host: str = "127.0.0.1", port: int = 0
-) -> StandinServer:
+def build_service(*, name: str, host: str = "127.0.0.1", port: int = 0) -> WebServer:
     """Return a service that can be started in this process.
 
     :param port: 0 takes a free one.
     """
     root = build_root(build_routes(ServiceState(name=name)))
-    return StandinServer(root=root, host=host, port=port)
+    return build_standin_server(root=root, host=host, port=port)
 
 
 def build_routes(state: ServiceState) -> Routes:
--- a/tests/backends.py
+++ b/tests/backends.py
@@ -9,7 +9,7 @@
 from arbutuspulley.ports.engines import InferenceRequest, Order, OrderKind
 from arbutuspulley.standins.engine import EngineSettings, EngineStandin
 from arbutuspulley.standins.routes import build_root
-from arbutuspulley.standins.server import StandinServer
+from arbutuspulley.standins.server import build_standin_server
 
 BOUND_S = 10
 ITEM = "m@1"
@@ -31,7 +31,7 @@
 @contextlib.contextmanager
 def run_routes(routes):
     """Yield the address of a server with these routes."""
-    server = StandinServer(root=build_root(routes))
+    server = build_standin_server(root=build_root(routes))
     server.start()
     try:
         yield server.address
--- a/tests/console_trial.py
+++ b/tests/console_trial.py
@@ -10,7 +10,7 @@
 from arbutuspulley.programs.console_api import Backend
 from arbutuspulley.programs.console_messages import FileText, ProposeRequest
 from arbutuspulley.programs.console_routes import build_site
-from arbutuspulley.programs.console_server import Server
+from arbutuspulley.programs.console_server import build_server
 from arbutuspulley.rpc.channel import PeerUnavailableError
 from arbutuspulley.rpc.messages import FleetStatus, InstanceStatus
 from tests.fakes import BASE, OVERLAY_A, OVERLAY_B, FakePlatform
@@ -44,7 +44,7 @@
         backend = Backend(platform=self.fake.platform, fetch_status=self._fetch_status)
         operators = {name: hash_key(f"key-of-{name}") for name in ("ayu", "janis")}
         site = build_site(backend, operators)
-        self.server = Server(site=site, host="127.0.0.1", port=0)
+        self.server = build_server(site=site, host="127.0.0.1", port=0)
         self.server.start()
         self.url = f"http://{self.server.address}"
 
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -19,7 +19,7 @@
 from arbutuspulley.delivery import claims, trials
 from arbutuspulley.entry.controllers import Controller
 from arbutuspulley.entry.metrics import build_metrics
-from arbutuspulley.entry.server import EntryServer
+from arbutuspulley.entry.server import build_server
 from arbutuspulley.entry.state import EntryState, Runtime, Settings
 from arbutuspulley.entry.turns import tick_regularly
 from arbutuspulley.entry.views import describe_entry, take_view
@@ -270,7 +270,7 @@
     number = len(bench.entries) + 1
     runtime = build_runtime(bench.controller.port, number=number, loop=loop, **settings)
     loop.spawn(tick_regularly(runtime))
-    server = EntryServer(runtime=runtime, host="127.0.0.1", port=0, threads=40)
+    server = build_server(runtime=runtime, host="127.0.0.1", port=0, threads=40)
     server.start()
     try:
         yield Entry(runtime, server)
