--- a/src/arbutuspulley/adapters/engines.py
+++ b/src/arbutuspulley/adapters/engines.py
@@ -28,9 +28,9 @@
     RESUME_OFFSET,
     CancelRequest,
 )
+from arbutuspulley.adapters.engine_orders import send_order
 from arbutuspulley.adapters.http import build_pool
 from arbutuspulley.clock import Clock
-from arbutuspulley.data import Value
 from arbutuspulley.ports.engines import (
     BrokenError,
     CacheEvent,
@@ -38,7 +38,6 @@
     Engines,
     InferenceRequest,
     NotSentError,
-    OrderReply,
     Report,
     ServiceReply,
     ServiceRequest,
@@ -72,7 +71,6 @@
 
 
 _REPORT = msgspec.json.Decoder(Report)
-_ORDER_REPLY = msgspec.json.Decoder(OrderReply)
 _CACHE_EVENTS = msgspec.json.Decoder(tuple[CacheEvent, ...])
 
 
@@ -125,12 +123,15 @@
             answers(address), request, idle_ms=read_timeout_ms, clock=clock
         ),
         cancel=lambda address, attempt_id: _cancel(control(address), attempt_id),
-        report=lambda address: _exchange(control(address), "GET", "/report", _REPORT),
-        order=lambda address, order: _exchange(
-            control(address), "POST", "/orders", _ORDER_REPLY, body=order
+        report=lambda address: _exchange(control(address), "/report", _REPORT),
+        order=lambda address, order: send_order(
+            address,
+            order,
+            connect_timeout_ms=connect_timeout_ms,
+            timeout_ms=order_timeout_ms,
         ),
         cache_events=lambda address, after: _exchange(
-            control(address), "GET", f"/cache-events?after={after}", _CACHE_EVENTS
+            control(address), f"/cache-events?after={after}", _CACHE_EVENTS
         ),
         call_service=call_service,
     )
@@ -282,14 +283,10 @@
 
 def _exchange(
     pool: urllib3.HTTPConnectionPool,
-    method: str,
     target: str,
     decoder: msgspec.json.Decoder[_Reply],
-    *,
-    body: Value | None = None,
 ) -> _Reply:
-    encoded = msgspec.json.encode(body) if body is not None else None
-    response = send(pool, method, target, body=encoded, headers=_JSON)
+    response = send(pool, "GET", target, body=None, headers=_JSON)
     received = read_whole(response)
     if response.status != 200:
         raise BrokenError(detail=f"{target} answered with status {response.status}")
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -17,7 +17,10 @@
 from arbutuspulley.ports.engines import (
     BrokenError,
     NotSentError,
+    OrderOutcome,
+    OrderReply,
     RefusedError,
+    Report,
     ServiceRequest,
 )
 from arbutuspulley.standins.answer import build_answer, read_prompt
@@ -377,6 +380,42 @@
         assert len(read_counters(engine.address)["orders"]) == applied
 
 
+@pytest.mark.parametrize(
+    ("boot_id", "headers", "sent"),
+    [
+        ("old", (), 0),
+        ("now", (), 1),
+        ("now", (("Connection", "close"),), 0),
+    ],
+    ids=["restarted-before", "same-boot", "restarts-in-between"],
+)
+def test_an_order_reaches_only_the_boot_it_was_made_for(boot_id, headers, sent):
+    """An engine restarts while a load order is on its way to it.
+
+    The new boot reports its empty memory, so the ledger frees what the order had
+    reserved. If the order then arrived, it would load what is counted nowhere.
+    """
+    report = msgspec.json.encode(Report(server="e1", boot_id="now", sequence=1))
+    reply = msgspec.json.encode(OrderReply(outcome=OrderOutcome.ACCEPTED))
+    orders = []
+
+    def take(incoming):
+        orders.append(incoming.body)
+        return Outgoing(body=reply)
+
+    routes = {
+        ("GET", "/report"): lambda _: Outgoing(body=report, headers=headers),
+        ("POST", "/orders"): take,
+    }
+    order = msgspec.structs.replace(LOAD, boot_id=boot_id)
+    with run_routes(routes) as address:
+        try:
+            ENGINES.order(address, order)
+        except NotSentError:
+            assert not sent
+    assert len(orders) == sent
+
+
 def test_an_order_delayed_on_the_way_is_applied_later():
     with run_engine() as engine:
         set_faults(engine.address, delay_orders=1, delay_orders_ms=50)
