--- a/src/arbutuspulley/admission/limits.py
+++ b/src/arbutuspulley/admission/limits.py
@@ -25,6 +25,9 @@
 RESERVE_PART = 8
 """One slot in so many is left free by callers that press beyond their share."""
 
+RESERVE_FROM = 4
+"""A server with at least so many slots has one of them left free in any case."""
+
 ACTIVE_LOAD = 0.02
 """An entry with less load than this does not count as sharing the servers now."""
 
@@ -92,12 +95,18 @@
     # Several entries may let modest callers have the same free slot. That is kept
     # small by their being modest, and ends with the next report.
     modest = ordinary if contended else max(ordinary, before + report.slots - reported)
-    pressing = share_out(report.slots - report.slots // RESERVE_PART)
+    pressing = share_out(report.slots - _compute_reserve(report.slots))
     return ServerLimit(
         ordinary=ordinary, modest=modest, pressing=max(0, min(pressing, ordinary))
     )
 
 
+def _compute_reserve(slots: int) -> int:
+    if slots < RESERVE_FROM:
+        return 0
+    return max(1, slots // RESERVE_PART)
+
+
 def _divide(slots: int, *, own: str, active: Sequence[str], key: str) -> int:
     """Return this entry's part of some slots; all parts add up to the whole."""
     whole, rest = divmod(slots, len(active))
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -200,6 +200,12 @@
     assert tuple(one.get(Standing.MODEST) for one in limits) == modest
 
 
+@pytest.mark.parametrize(("slots", "pressing"), [(3, 3), (4, 3), (6, 5), (32, 28)])
+def test_callers_that_press_leave_a_slot_of_small_servers_too(slots, pressing):
+    limits = compute_limits((0, 0), slots=slots)
+    assert sum(limit.pressing for limit in limits) == pressing
+
+
 def test_free_slots_are_shared_out_while_modest_callers_wait_at_several_entries():
     limits = compute_limits((7, 7), contended=True)
     assert [limit.modest for limit in limits] == [8, 8]
