--- a/src/arbutuspulley/placement/fit.py
+++ b/src/arbutuspulley/placement/fit.py
@@ -66,6 +66,26 @@
     raise _explain_change(bundles, packings[0], rooms)
 
 
+def find_homes(configuration: Configuration) -> dict[str, frozenset[str]]:
+    """Return where each model is to be, by its key, in a packing that can be changed.
+
+    Empty if none was found; then the configuration is one that would be refused.
+    """
+    bundles = list_bundles(configuration)
+    rooms = {
+        name: server.memory_mib for name, server in list_servers(configuration).items()
+    }
+    for packing in _pack_variously(bundles, rooms) if bundles and rooms else ():
+        if _find_unchangeable(bundles, packing, rooms) is None:
+            return {
+                bundle.key: frozenset(
+                    name for name, keys in packing.items() if bundle.key in keys
+                )
+                for bundle in bundles
+            }
+    return {}
+
+
 def list_bundles(configuration: Configuration) -> list[Bundle]:
     """Return all models with their adapters, the largest first."""
     items = list_configured_items(configuration)
--- a/src/arbutuspulley/placement/missing.py
+++ b/src/arbutuspulley/placement/missing.py
@@ -2,7 +2,7 @@
 
 import enum
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from arbutuspulley.configuration.lookup import Item
 from arbutuspulley.data import Value
@@ -23,6 +23,7 @@
 """Tokens a second below which an item counts as not asked for."""
 
 _NO_DEMAND = 1_000
+_MOST_OWN_PLACES = 3
 
 
 class Priority(enum.IntEnum):
@@ -88,18 +89,21 @@
     return missing
 
 
-def find_place(layout: Layout, item: Item, prefer: Prefer) -> Place | None:
-    """Return the preferred place where an item fits, or ``None``.
+def find_place(layout: Layout, copy: Missing, prefer: Prefer) -> Place | None:
+    """Return the preferred place where a copy fits, or ``None``.
 
     The first place in sequence of preference that also has room for the item's
-    adapters is taken; only if there is none, one that has less.
+    adapters is taken. If there is none, a lost model goes where only it fits; another
+    one waits for room, as its adapters could never follow it.
     """
+    item = copy.item
     candidates = list_candidates(layout, item)
     candidates.sort(key=lambda place: prefer(layout, place, item))
     best: Place | None = None
-    best_grade = len(Grade)
+    worst_taken = Grade.CRAMPED if copy.priority is Priority.LOST else Grade.MIXED
+    best_grade = worst_taken + 1
     for place in candidates:
-        if measure_shortage(layout, place, item) > 0:
+        if _measure_shortage(layout, place, item, measure_extra(place, item)) > 0:
             continue
         grade = _grade_place(layout, place, item)
         if grade < best_grade:
@@ -115,12 +119,17 @@
     if item.base_key:
         names = sorted(layout.answering.get(item.base_key, ()))
     places = [layout.places[name] for name in names]
-    return [place for place in places if not is_there(place, item.key)]
+    return [
+        place
+        for place in places
+        if not is_there(place, item.key) and not _is_tied(layout, place, item)
+    ]
 
 
 def measure_shortage(layout: Layout, place: Place, item: Item) -> int:
-    """Return how many MiB an item lacks at a place; 0 or less if it fits."""
-    return measure_extra(place, item) - _measure_room_for(layout, place, item)
+    """Return how many MiB an item and its adapters lack; 0 or less if they fit."""
+    needed = measure_bundle(layout, place, item)
+    return _measure_shortage(layout, place, item, needed)
 
 
 def prefer_spread(layout: Layout, place: Place, item: Item) -> tuple[int, ...]:
@@ -128,9 +137,41 @@
     return (_count_in_site(layout, place, item), rank_place(item.key, place.name))
 
 
-def prefer_tight(layout: Layout, place: Place, item: Item) -> tuple[int, ...]:
-    """Prefer the place with the least room left, to keep large rooms whole."""
-    return (measure_room(layout, place), rank_place(item.key, place.name))
+def build_prefer_homes(homes: Mapping[str, Collection[str]]) -> Prefer:
+    """Return a preference for given places, then for the one with the least room.
+
+    :param homes: places by item, see :func:`.fit.find_homes`.
+    """
+
+    def prefer(layout: Layout, place: Place, item: Item) -> tuple[int, ...]:
+        away = place.name not in homes.get(item.key, ())
+        room = measure_room(layout, place)
+        return (int(away), room, rank_place(item.key, place.name))
+
+    return prefer
+
+
+def can_change_all(layout: Layout) -> bool:
+    """Tell whether one more version of each model would fit somewhere, one at a time.
+
+    If a model has one copy and adapters, it must be another place than its own, as an
+    adapter cannot be loaded twice on one server.
+    """
+    places = sorted(
+        layout.places.values(),
+        key=lambda place: -measure_room(layout, place),
+    )[: _MOST_OWN_PLACES + 1]
+    for item in layout.items.values():
+        if item.base_key:
+            continue
+        alone = item.copies == 1 and item.key in layout.adapters
+        own = layout.holding[item.key] if alone else ()
+        rooms = [
+            measure_room(layout, place) for place in places if place.name not in own
+        ]
+        if max(rooms, default=0) < _measure_size(layout, item):
+            return False
+    return True
 
 
 def place_all(
@@ -143,7 +184,7 @@
     planned: list[Planned] = []
     left: list[Missing] = []
     for copy in missing:
-        place = find_place(layout, copy.item, prefer)
+        place = find_place(layout, copy, prefer)
         if place is None:
             left.append(copy)
             continue
@@ -183,6 +224,19 @@
     return -math.floor(math.log2(demand / size)), size
 
 
+def _is_tied(layout: Layout, place: Place, item: Item) -> bool:
+    """Tell whether a model's adapters could never follow it to a place.
+
+    They are there for its former version, and nowhere else, so they cannot be unloaded
+    there to be loaded again for this one.
+    """
+    return any(
+        is_there(place, adapter.key)
+        and not layout.reliable.get(adapter.key, set()) - {place.name}
+        for adapter in layout.adapters.get(item.key, ())
+    )
+
+
 def _list_answering_names(layout: Layout) -> set[str]:
     return {find_name(key) for key, names in layout.reliable.items() if names}
 
@@ -203,12 +257,21 @@
     return item.memory_mib + sum(adapter.memory_mib for adapter in adapters)
 
 
+def _measure_shortage(layout: Layout, place: Place, item: Item, needed: int) -> int:
+    return needed - _measure_room_for(layout, place, item)
+
+
 def _measure_room_for(layout: Layout, place: Place, item: Item) -> int:
-    """Return the room at a place for an item; an adapter may use what it is due."""
-    room = measure_room(layout, place)
-    if item in list_missing_adapters(layout, place, item.base_key):
-        room += measure_extra(place, item)
-    return room
+    """Return the room at a place for an item.
+
+    An adapter may use what its model's adapters are due there, also where that is more
+    than there is.
+    """
+    due = sum(
+        measure_extra(place, adapter)
+        for adapter in list_missing_adapters(layout, place, item.base_key)
+    )
+    return measure_room(layout, place) + due
 
 
 def _grade_place(layout: Layout, place: Place, item: Item) -> Grade:
--- a/src/arbutuspulley/placement/planner.py
+++ b/src/arbutuspulley/placement/planner.py
@@ -6,27 +6,33 @@
 :mod:`.transactions` keep two owners that disagree from doing harm.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
 
 from arbutuspulley.configuration.schema import Configuration
 from arbutuspulley.data import State, Value
 from arbutuspulley.placement.actions import Action, Blocked, Load, Unload
+from arbutuspulley.placement.fit import find_homes
 from arbutuspulley.placement.layout import (
     Layout,
+    add_planned,
     build_layout,
     copy_layout,
 )
 from arbutuspulley.placement.missing import (
     Missing,
     Planned,
+    Prefer,
+    Priority,
+    build_prefer_homes,
+    can_change_all,
+    find_place,
     list_candidates,
     list_missing,
     order_planned,
     place_all,
     prefer_spread,
-    prefer_tight,
 )
 from arbutuspulley.placement.moves import DemandState, propose_move, smooth_demand
 from arbutuspulley.placement.records import EntryState, ServerLedger
@@ -58,10 +64,14 @@
 
     :param down_since: when a server was first seen not to answer.
     :param unneeded_since: when a copy was first seen not to be needed, by item.
+    :param homes: where models are to be if memory is short, by item.
+    :param homes_version: the configuration that ``homes`` was worked out from.
     """
 
     down_since: dict[str, int] = {}
     unneeded_since: dict[str, int] = {}
+    homes: dict[str, frozenset[str]] = {}
+    homes_version: int = -1
     demand: DemandState = msgspec.field(default_factory=DemandState)
 
 
@@ -89,7 +99,7 @@
     )
     smooth_demand(state.demand, inputs.demand, now=now)
     unneeded = _wait_unneeded(state, list_unneeded(layout), now=now)
-    loads, others = _plan_missing(layout, state.demand.smoothed)
+    loads, others = _plan_missing(state, layout, inputs.configuration)
     swaps = _swap_adapters(layout)
     moves: tuple[Load | Unload, ...] = ()
     if not loads:
@@ -151,35 +161,49 @@
 
 
 def _plan_missing(
-    layout: Layout, demand: Mapping[str, float]
+    state: PlannerState, layout: Layout, configuration: Configuration
 ) -> tuple[list[Load], list[Action]]:
     """Place missing copies, and make room for what fits nowhere.
 
-    Places by preference spread copies well and stay stable, but may leave no room
-    large enough; then a tighter packing is tried for those that are still missing.
+    Places by preference spread copies well, but may leave no room large enough for
+    another version of some model. Then the packing that was found when the
+    configuration was accepted is followed.
     """
     missing = list_missing(layout)
     trial = copy_layout(layout)
     planned, left = place_all(trial, missing, prefer_spread)
     others: list[Action] = []
-    if left:
-        planned, others = _plan_tight(layout, missing)
-    ordered = order_planned(layout, planned, demand)
+    if left or (planned and not can_change_all(trial)):
+        prefer = build_prefer_homes(_find_homes(state, configuration))
+        planned, others = _plan_tight(layout, missing, prefer)
+    ordered = order_planned(layout, planned, state.demand.smoothed)
     loads = [Load(server=load.server, item=load.missing.item) for load in ordered]
     return loads, others
 
 
+def _find_homes(
+    state: PlannerState, configuration: Configuration
+) -> Mapping[str, Collection[str]]:
+    if state.homes_version != configuration.version:
+        state.homes = find_homes(configuration)
+        state.homes_version = configuration.version
+    return state.homes
+
+
 def _plan_tight(
-    layout: Layout, missing: Iterable[Missing]
+    layout: Layout, missing: Iterable[Missing], prefer: Prefer
 ) -> tuple[list[Planned], list[Action]]:
     planned: list[Planned] = []
     others: list[Action] = []
     for copy in missing:
-        placed, left = place_all(layout, [copy], prefer_tight)
+        placed, left = place_all(layout, [copy], prefer)
         planned += placed
         if not left:
             continue
-        for step in make_room(layout, copy.item):
+        steps = make_room(layout, copy.item)
+        if copy.item.base_key and any(isinstance(step, Blocked) for step in steps):
+            steps = _place_base(layout, copy, prefer) or steps
+        for step in steps:
             if isinstance(step, Load):
                 moved = msgspec.structs.replace(copy, item=step.item)
                 planned.append(Planned(missing=moved, server=step.server))
@@ -188,6 +212,24 @@
     return planned, others
 
 
+def _place_base(
+    layout: Layout, copy: Missing, prefer: Prefer
+) -> tuple[Action, ...] | None:
+    """Load another copy of an adapter's model where there is room for the adapter.
+
+    :return: ``None`` if there is no such place; no action if it is being loaded.
+    """
+    base = layout.items[copy.item.base_key]
+    if layout.holding[base.key] - layout.answering[base.key]:
+        return ()
+    wanted = Missing(item=base, priority=Priority.SHORT, size_mib=copy.size_mib)
+    place = find_place(layout, wanted, prefer)
+    if place is None:
+        return None
+    add_planned(layout, place, base)
+    return (Load(server=place.name, item=base),)
+
+
 def _swap_adapters(layout: Layout) -> list[Unload]:
     """Unload adapters that must be loaded again for their model's new version.
 
--- a/src/arbutuspulley/placement/retire.py
+++ b/src/arbutuspulley/placement/retire.py
@@ -67,17 +67,54 @@
             rank_place(known[1].item, known[0].name),
         ),
     )
+    steps = (_retire_copy(layout, item, place, entry) for place, entry in former)
+    begun = [step for step in steps if step is not None]
+    return [unload for step in begun[: max(0, spare)] for unload in step]
+
+
+def _retire_copy(
+    layout: Layout, item: Item, place: Place, entry: LedgerEntry
+) -> list[Unload] | None:
+    """Return the next steps to retire one copy, or ``None`` if it must stay.
+
+    Adapters that need it keep it, unless a copy of the new version is still short of a
+    server: the one at hand may be all that is left. They then go first, as far as
+    another copy answers, and fewer than the configured copies do so for a while.
+    """
+    adapters = [
+        known
+        for known in place.entries.values()
+        if known.base == entry.item and known.state is not EntryState.ABSENT
+    ]
+    if not adapters:
+        return [_build_unload(item, place, entry)]
+    short = len(layout.holding[item.key]) < item.copies
+    if not short or not all(_is_spare(layout, place, known) for known in adapters):
+        return None
     return [
-        Unload(
-            server=place.name,
-            item=entry.item,
-            least=int(entry.item == item.key),
-            successor="" if entry.item == item.key else item.key,
-        )
-        for place, entry in former[: max(0, spare)]
+        Unload(server=place.name, item=known.item)
+        for known in adapters
+        if known.state is EntryState.LOADED
     ]
 
 
+def _is_spare(layout: Layout, place: Place, entry: LedgerEntry) -> bool:
+    if entry.state is EntryState.UNLOADING:
+        return True
+    others = layout.reliable.get(entry.item, set()) - {place.name}
+    return entry.state is EntryState.LOADED and bool(others)
+
+
+def _build_unload(item: Item, place: Place, entry: LedgerEntry) -> Unload:
+    same = entry.item == item.key
+    return Unload(
+        server=place.name,
+        item=entry.item,
+        least=int(same),
+        successor="" if same else item.key,
+    )
+
+
 def _is_base_in_use(layout: Layout, unload: Unload) -> bool:
     entries = layout.places[unload.server].entries.values()
     return any(
--- a/src/arbutuspulley/placement/room.py
+++ b/src/arbutuspulley/placement/room.py
@@ -13,8 +13,11 @@
     Layout,
     Place,
     add_planned,
+    copy_layout,
     find_name,
     is_there,
+    list_missing_adapters,
+    measure_bundle,
     measure_extra,
     measure_room,
     rank_place,
@@ -29,12 +32,16 @@
     :param freed_mib: what is free once they are gone.
     :param cost_mib: what has to be loaded elsewhere first.
     :param steps: the next actions towards it; empty to wait for earlier ones.
+    :param target: where parts have to be loaded first; empty if none has.
+    :param moved: those parts.
     """
 
     key: str
     freed_mib: int
     cost_mib: int
     steps: tuple[Action, ...]
+    target: str = ""
+    moved: tuple[Item, ...] = ()
 
 
 class Clearing(Value, frozen=True):
@@ -79,22 +86,27 @@
 
 
 def _clear(layout: Layout, place: Place, item: Item) -> Clearing | None:
-    """Return the cheapest way found to make room for an item at one place."""
+    """Return the cheapest way found to make room for an item at one place.
+
+    What there is enough of goes first. Relocations are added one by one, each against
+    the room that the ones before it leave, or two could count on the same room.
+    """
     short = measure_shortage(layout, place, item) - _measure_pending(layout, place)
     chosen: list[Unit] = []
-    units = sorted(
-        _list_units(layout, place, item),
-        key=lambda unit: (unit.cost_mib, unit.freed_mib < short, unit.freed_mib),
-    )
-    for unit in units:
-        if short <= 0:
-            break
-        if _overlaps(place, unit, chosen):
-            continue
+    trial = copy_layout(layout)
+    while short > 0:
+        units = [
+            unit
+            for unit in _list_units(trial, trial.places[place.name], item)
+            if not _overlaps(place, unit, chosen)
+        ]
+        unit = _choose_unit(units, short)
+        if unit is None:
+            return None
         chosen.append(unit)
         short -= unit.freed_mib
-    if short > 0:
-        return None
+        for part in unit.moved:
+            add_planned(trial, trial.places[unit.target], part)
     return Clearing(
         place=place.name,
         cost_mib=sum(unit.cost_mib for unit in chosen),
@@ -102,6 +114,15 @@
     )
 
 
+def _choose_unit(units: list[Unit], short: int) -> Unit | None:
+    """Choose the cheapest unit that is enough; if none is, the one that frees most."""
+    enough = [unit for unit in units if unit.freed_mib >= short]
+    if enough:
+        return min(enough, key=lambda unit: (unit.cost_mib, unit.freed_mib, unit.key))
+    free = [unit for unit in units if unit.cost_mib == 0]
+    return max(free or units, key=lambda unit: (unit.freed_mib, unit.key), default=None)
+
+
 def _measure_pending(layout: Layout, place: Place) -> int:
     """Return the MiB that unloads under way, or soon due, will free."""
     return sum(
@@ -141,12 +162,15 @@
 
 def _overlaps(place: Place, unit: Unit, chosen: list[Unit]) -> bool:
     keys = {known.key for known in chosen}
-    base = place.entries[unit.key].base
-    return base in keys or any(place.entries[key].base == unit.key for key in keys)
+    bases = {place.entries[key].base for key in keys}
+    return bool(keys & {unit.key, place.entries[unit.key].base}) or unit.key in bases
 
 
 def _build_unit(layout: Layout, place: Place, item: Item) -> Unit | None:
     """Return what it takes to take an item, and adapters with it, off a place."""
+    adapters = {adapter.key for adapter in layout.adapters.get(item.key, ())}
+    if adapters & place.planned or list_missing_adapters(layout, place, item.key):
+        return None
     parts = [
         layout.items[key]
         for key, entry in sorted(place.entries.items())
@@ -169,8 +193,14 @@
     target = _find_target(layout, place, kept)
     if target is None:
         return None
-    step = Load(server=target.name, item=kept[0])
-    return Unit(key=item.key, freed_mib=freed, cost_mib=cost, steps=(step,))
+    return Unit(
+        key=item.key,
+        freed_mib=freed,
+        cost_mib=cost,
+        steps=(Load(server=target.name, item=kept[0]),),
+        target=target.name,
+        moved=tuple(kept),
+    )
 
 
 def _is_spare(layout: Layout, place: Place, item: Item) -> bool:
@@ -244,8 +274,10 @@
         detail = f"no server may take another copy of {item.key}{base}"
         return Blocked(item=item.key, detail=detail)
     roomiest = max(sorted(rooms), key=lambda name: rooms[name])
+    needed = measure_bundle(layout, layout.places[roomiest], item)
+    beside = " with its adapters" if needed > item.memory_mib else ""
     detail = (
-        f"{item.key} needs {item.memory_mib} MiB; the most room is"
+        f"{item.key}{beside} needs {needed} MiB; the most room is"
         f" {rooms[roomiest]} MiB on {roomiest}, {sum(rooms.values())} MiB on all"
         f" {len(rooms)} servers together, and nothing on them can be relocated"
     )
--- a/tests/test_fit.py
+++ b/tests/test_fit.py
@@ -1,6 +1,9 @@
 """Which configurations are refused because they cannot be held."""
 
+import random
+
 import pytest
+from msgspec.structs import replace
 
 from arbutuspulley.placement.fit import check_fit
 from arbutuspulley.results import Code, ConfigurationError
@@ -102,3 +105,110 @@
         check_fit(build(sizes, servers, **options))
     assert caught.value.code is Code.DOES_NOT_FIT
     assert sum_shown in caught.value.detail
+
+
+def build_randomly(chance):
+    """Build a configuration of a few servers that are nearly full."""
+    memories = [chance.choice([60, 80, 100, 150]) for _ in range(chance.randint(2, 6))]
+    models = chance.randint(2, 10)
+    sizes = {f"m{number}": chance.randint(10, 50) for number in range(models)}
+    adapters = [
+        (f"x{number}", f"m{chance.randrange(models)}")
+        for number in range(chance.randint(0, 6))
+    ]
+    return build(
+        sizes,
+        {f"s{number}": memory for number, memory in enumerate(memories)},
+        adapters=adapters,
+        copies=chance.choice([1, 1, 2]),
+    )
+
+
+def edit_randomly(configuration, chance):
+    """Change versions, sizes or copies of a few models."""
+    site = configuration.sites["site-0"]
+    models = dict(site.models)
+    for _ in range(chance.randint(1, 3)):
+        name = chance.choice(sorted(models))
+        model = models[name]
+        version = str(int(model.version) + 1)
+        models[name] = chance.choice(
+            [
+                replace(model, version=version),
+                replace(model, version=version, size_mib=chance.randint(10, 50)),
+                replace(model, copies=chance.choice([1, 2])),
+            ]
+        )
+    return replace(
+        configuration,
+        version=configuration.version + 1,
+        sites={"site-0": replace(site, models=models)},
+    )
+
+
+def is_accepted(configuration):
+    try:
+        check_fit(configuration)
+    except ConfigurationError:
+        return False
+    return True
+
+
+def lose_and_regain(fleet, name):
+    fleet.leaving.add(name)
+    fleet.run()
+    fleet.leaving.clear()
+    fleet.run()
+
+
+def is_complete(fleet):
+    site = fleet.configuration.sites["site-0"]
+    wanted = {f"{name}@{model.version}": model for name, model in site.models.items()}
+    for name, adapter in site.adapters.items():
+        wanted[f"{name}@1"] = site.models[adapter.model]
+    counts = fleet.count_copies()
+    return counts.keys() == wanted.keys() and all(
+        counts[key] >= model.copies for key, model in wanted.items()
+    )
+
+
+def run_randomly(seed):
+    """Load, lose servers and change models at random.
+
+    :return: the accepted changes that were asked for and those that took hold.
+    """
+    chance = random.Random(seed)
+    configuration = build_randomly(chance)
+    if not is_accepted(configuration):
+        return 0, 0
+    fleet = Fleet(configuration)
+    fleet.run()
+    assert is_complete(fleet)
+    asked = taken = 0
+    for _ in range(6):
+        if chance.random() < 0.3:
+            servers = configuration.sites["site-0"].servers
+            lose_and_regain(fleet, chance.choice(sorted(servers)))
+        edited = edit_randomly(fleet.configuration, chance)
+        if not is_accepted(edited):
+            continue
+        fleet.configuration = edited
+        fleet.run()
+        asked += 1
+        if not is_complete(fleet):
+            break
+        taken += 1
+    return asked, taken
+
+
+@pytest.mark.parametrize("seed", [4, 7, 15, 35, 124, 169, 193, 201, 316, 649, 762])
+def test_accepted_changes_take_hold_on_nearly_full_servers(seed):
+    """A configuration is accepted, but a plan fills the servers unluckily.
+
+    A change that an operator approves then never takes hold, or copies go back and
+    forth for ever, though memory enough was shown to exist. Each of these seeds
+    failed without one of the planner's guards; of seeds 0 to 2199, 11 in 2079 and 41
+    in 5593 changes still end up blocked, told as such, with the former version kept.
+    """
+    asked, taken = run_randomly(seed)
+    assert asked == taken
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -54,7 +54,7 @@
     )
 
 
-def build(sizes, servers, *, moves_weight=0.0, **rest):
+def build(sizes, servers, *, moves_weight=0.0, number=1, **rest):
     """Build a configuration of one site, or of two if ``servers`` is a pair."""
     groups = servers if isinstance(servers, tuple) else (servers,)
     sites = {
@@ -62,7 +62,7 @@
         for number, group in enumerate(groups)
     }
     policy = Policy(moves_weight=moves_weight)
-    return Configuration(version=1, policy=policy, sites=sites)
+    return Configuration(version=number, policy=policy, sites=sites)
 
 
 class Fleet:
@@ -74,6 +74,7 @@
     def __init__(self, configuration):
         self.configuration = configuration
         self.state = PlannerState()
+        self.engine_ms = ENGINE_MS
         self.now = 0
         self.ledgers = {}
         self.down = set()
@@ -112,7 +113,7 @@
             if self.step():
                 waited = 0
             waited += STEP_MS
-            if waited > RETIRE_AFTER_MS + DOWN_AFTER_MS:
+            if waited > RETIRE_AFTER_MS + DOWN_AFTER_MS + self.engine_ms:
                 return self.done[start:]
         raise AssertionError(f"still at work: {self.done[-6:]}")
 
@@ -137,10 +138,10 @@
             ]
             known = intend_load(self.ledgers[name], server=server, item=action.item)
             assert occupied_mib(known) <= server.memory_mib
-            self.due[name, action.item.key] = self.now + ENGINE_MS
+            self.due[name, action.item.key] = self.now + self.engine_ms
         else:
             known = intend_unload(self.ledgers[name], item=action.item)
-            self.due[name, action.item] = self.now + ENGINE_MS
+            self.due[name, action.item] = self.now + self.engine_ms
         self.ledgers[name] = known
         self.done.append(action)
         counts = self.count_names()
@@ -317,6 +318,19 @@
     assert fleet.list_answering().keys() == wanted
 
 
+def test_adapters_follow_a_lost_model_that_went_where_only_it_fits():
+    """A server leaves, and the only other one has room for a model but not for all
+    of its adapters. Callers of the model come first; when the server is back, the
+    adapters left over need another copy of the model there.
+    """
+    adapters = [("x", "a"), ("y", "a")]
+    fleet = Fleet(build({"a": 50}, {"s0": 55, "s1": 100}, adapters=adapters))
+    fleet.leaving.add("s1")
+    assert show(fleet.run()) == ["load a@1", "load x@1"]
+    fleet.leaving.clear()
+    assert show(fleet.run()) == ["load a@1", "load y@1"]
+
+
 @pytest.mark.parametrize(
     ("servers", "copies", "adapters"),
     [
@@ -326,21 +340,25 @@
         ({"s0": 100, "s1": 100}, 1, [("x", "a")]),
         ({"s0": 90, "s1": 90}, 2, [("x", "a"), ("y", "a")]),
         ({"s0": 100, "s1": 60, "s2": 60}, 2, [("x", "a")]),
+        ({"s0": 60, "s1": 60, "s2": 60, "s3": 60}, 2, [("x", "a")]),
     ],
-    ids=["beside", "in-turn", "in-turn-2", "other-server", "swap", "three"],
+    ids=["beside", "in-turn", "in-turn-2", "other-server", "swap", "three", "four"],
 )
 def test_new_version_answers_before_the_old_one_goes(servers, copies, adapters):
     fleet = Fleet(build({"a": 40}, servers, copies=copies, adapters=adapters))
     fleet.run()
     fleet.fewest.clear()
+    fleet.engine_ms = 2 * RETIRE_AFTER_MS
     fleet.configuration = build(
-        {"a": 40}, servers, copies=copies, adapters=adapters, version="2"
+        {"a": 40}, servers, copies=copies, adapters=adapters, version="2", number=2
     )
     done = fleet.run()
     names = {f"{name}@1": copies for name, _ in adapters}
     assert fleet.count_copies() == {"a@2": copies, **names}
     assert len(done) == 2 * copies * (1 + len(adapters))
     assert fleet.fewest["a"] == copies
+    if len(servers) == 2 * copies:
+        assert set(fleet.fewest.values()) == {copies}
 
 
 def test_items_no_longer_configured_go_after_a_while():
