--- a/src/arbutuspulley/controller/handlers.py
+++ b/src/arbutuspulley/controller/handlers.py
@@ -23,16 +23,16 @@
 from arbutuspulley.controller.suspecting import tell_peers
 from arbutuspulley.delivery import suspects
 from arbutuspulley.delivery.claims import ClaimState, make_claim, settle_claim
-from arbutuspulley.delivery.trials import record_acquittal, record_deaths
+from arbutuspulley.delivery.trials import record_clearance, record_deaths
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.membership.outage import note_failure
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
 from arbutuspulley.rpc import channel
 from arbutuspulley.rpc.messages import (
     Acknowledged,
-    AcquittalReport,
     ClaimReply,
     ClaimRequest,
+    ClearanceReport,
     DeathReport,
     EntryReport,
     ExchangeReply,
@@ -62,7 +62,7 @@
         channel.CLAIM: lambda request: _claim(controller, request),
         channel.SETTLE: lambda request: _settle(controller, request),
         channel.REPORT_DEATH: lambda request: _record_deaths(controller, request),
-        channel.ACQUIT: lambda request: _acquit(controller, request),
+        channel.CLEAR_SUSPICION: lambda request: _clear_suspicion(controller, request),
         channel.TELL_SUSPICIONS: lambda told: _take_suspicions(controller, told),
         channel.EXCHANGE: lambda request: _exchange(controller, request),
         channel.STATUS: lambda request: _tell_status(controller, request),
@@ -198,10 +198,12 @@
     return SuspicionsReply(suspicions=noted)
 
 
-async def _acquit(controller: Controller, report: AcquittalReport) -> Acknowledged:
+async def _clear_suspicion(
+    controller: Controller, report: ClearanceReport
+) -> Acknowledged:
     try:
         suspicion = await _deliver(
-            controller, lambda: record_acquittal(controller.platform.table, report)
+            controller, lambda: record_clearance(controller.platform.table, report)
         )
     except (PlatformUnavailableError, OutcomeUnknownError):
         suspicion = None
--- a/src/arbutuspulley/controller/state.py
+++ b/src/arbutuspulley/controller/state.py
@@ -52,7 +52,7 @@
 
     :param lease: renewals only.
     :param store: all else that the controller itself asks of the platform.
-    :param delivery: claims, deaths and acquittals that entries wait for.
+    :param delivery: claims, deaths and clearances that entries wait for.
     :param reports: reading servers' reports; a frozen server holds a thread.
     :param orders: sending orders.
     """
--- a/src/arbutuspulley/delivery/suspects.py
+++ b/src/arbutuspulley/delivery/suspects.py
@@ -4,7 +4,7 @@
 death a suspect is retried only on trial: alone of its kind on one server, with the
 death written down beforehand and taken back if it runs whole. After a second death
 it is quarantined. So a request costs two servers at most, and a bystander of a
-first death, which then runs whole, is acquitted.
+first death, which then runs whole, is cleared.
 
 All functions are pure; :mod:`.trials` keeps the records in the table.
 """
@@ -102,7 +102,7 @@
         fingerprint=second.fingerprint,
         deaths=tuple(sorted(deaths)),
         cleared=tuple(sorted(cleared)),
-        acquitted=deaths <= cleared,
+        clear=deaths <= cleared,
     )
 
 
@@ -116,7 +116,7 @@
     return suspicion
 
 
-def acquit(state: SuspectState, fingerprint: str, *, now: int) -> None:
+def clear_suspicion(state: SuspectState, fingerprint: str, *, now: int) -> None:
     """Clear a request that ran whole of all deaths written down so far."""
     suspicion = state.suspicions.get(fingerprint)
     if suspicion is not None:
--- a/src/arbutuspulley/delivery/trials.py
+++ b/src/arbutuspulley/delivery/trials.py
@@ -1,6 +1,6 @@
 """Deaths and trials in the table, where all instances see them.
 
-A trial holds its server (one suspect a server, or two would be condemned for one
+A trial holds its server (one suspect a server, or two would be blamed for one
 another) and writes its death down beforehand (one server a suspect, or two
 instances would lose one each). Both are one transaction.
 
@@ -31,7 +31,7 @@
 )
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
 from arbutuspulley.rpc.messages import (
-    AcquittalReport,
+    ClearanceReport,
     DeathReport,
     Suspicion,
     SuspicionsReply,
@@ -103,12 +103,12 @@
         return SuspicionsReply(suspicions=_build_local(report))
 
 
-def record_acquittal(table: Table, report: AcquittalReport) -> Suspicion | None:
+def record_clearance(table: Table, report: ClearanceReport) -> Suspicion | None:
     """Clear a suspect that ran whole and free the server of its trial.
 
     :return: the suspicion as it is now.
     :raises PlatformUnavailableError: nothing was recorded.
-    :raises OutcomeUnknownError: it may have been recorded; acquit again.
+    :raises OutcomeUnknownError: it may have been recorded; clear it again.
     """
     for _ in range(_TRIES):
         row = table.read(SUSPECT_PREFIX + report.fingerprint)
@@ -191,7 +191,7 @@
     raise PlatformUnavailableError(detail="suspicion is changed by others too often")
 
 
-def _list_cleared(suspicion: Suspicion, report: AcquittalReport) -> tuple[str, ...]:
+def _list_cleared(suspicion: Suspicion, report: ClearanceReport) -> tuple[str, ...]:
     if report.ran:
         return suspicion.deaths
     mark = build_mark(
--- a/src/arbutuspulley/entry/controllers.py
+++ b/src/arbutuspulley/entry/controllers.py
@@ -7,9 +7,9 @@
 from arbutuspulley.data import Value
 from arbutuspulley.rpc import channel
 from arbutuspulley.rpc.messages import (
-    AcquittalReport,
     ClaimReply,
     ClaimRequest,
+    ClearanceReport,
     DeathReport,
     EntryReport,
     SettleRequest,
@@ -37,7 +37,7 @@
     claim: Callable[[ClaimRequest], Awaitable[ClaimReply]]
     settle: Callable[[SettleRequest], Awaitable[object]]
     report_death: Callable[[DeathReport], Awaitable[SuspicionsReply]]
-    acquit: Callable[[AcquittalReport], Awaitable[object]]
+    clear_suspicion: Callable[[ClearanceReport], Awaitable[object]]
 
 
 def connect_controller(client: channel.Client) -> Controller:
@@ -65,7 +65,7 @@
             channel.SETTLE, request, timeout_ms=CLAIM_TIMEOUT_MS
         ),
         report_death=report_death,
-        acquit=lambda report: client.call(
-            channel.ACQUIT, report, timeout_ms=CLAIM_TIMEOUT_MS
+        clear_suspicion=lambda report: client.call(
+            channel.CLEAR_SUSPICION, report, timeout_ms=CLAIM_TIMEOUT_MS
         ),
     )
--- a/src/arbutuspulley/entry/dispatch.py
+++ b/src/arbutuspulley/entry/dispatch.py
@@ -198,7 +198,7 @@
     if died:
         await report_death(runtime, ongoing, attempt)
     elif isinstance(event, life.Ended):
-        trials.acquit(runtime, ongoing)
+        trials.clear_suspicion(runtime, ongoing)
     else:
         trials.end_trial(runtime, ongoing, ran=False)
 
--- a/src/arbutuspulley/entry/trials.py
+++ b/src/arbutuspulley/entry/trials.py
@@ -25,7 +25,7 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.results import Code
 from arbutuspulley.rpc.channel import PeerUnavailableError
-from arbutuspulley.rpc.messages import AcquittalReport, DeathReport
+from arbutuspulley.rpc.messages import ClearanceReport, DeathReport
 
 TRIAL_POLL_MS = 500
 """How often a suspect asks again for a server that another instance's holds."""
@@ -39,10 +39,10 @@
 TRIAL_EXPIRY_MS = REQUEST_LIFE_MS + 30 * SECOND_MS
 """After this time a trial is over for certain, although its entry died."""
 
-ACQUITTAL_TRIES = 8
-"""How often an acquittal is told to a controller that doesn't answer."""
+CLEARANCE_TRIES = 8
+"""How often a clearance is told to a controller that doesn't answer."""
 
-ACQUITTAL_PAUSE_MS = 500
+CLEARANCE_PAUSE_MS = 500
 """Pause after the first try; it doubles."""
 
 _STORE_RETRY_MS = 5 * SECOND_MS
@@ -79,8 +79,8 @@
         await asyncio.sleep(LOOK_EVERY_MS / SECOND_MS)
 
 
-def acquit(runtime: Runtime, ongoing: Ongoing) -> None:
-    """Acquit a request that ran whole, on trial or not."""
+def clear_suspicion(runtime: Runtime, ongoing: Ongoing) -> None:
+    """Clear a request that ran whole, on trial or not."""
     if ongoing.trial is not None:
         end_trial(runtime, ongoing, ran=True)
         return
@@ -89,15 +89,17 @@
     if suspects.judge(known) is Judgement.CLEAR:
         return
     # It was reported as in flight on a server that seemed dead and was not.
-    suspects.acquit(state.suspects, ongoing.fingerprint, now=runtime.clock.now())
-    report = AcquittalReport(fingerprint=ongoing.fingerprint)
-    keep(asyncio.ensure_future(_tell_acquittal(runtime, report)))
+    suspects.clear_suspicion(
+        state.suspects, ongoing.fingerprint, now=runtime.clock.now()
+    )
+    report = ClearanceReport(fingerprint=ongoing.fingerprint)
+    keep(asyncio.ensure_future(_tell_clearance(runtime, report)))
 
 
 def end_trial(runtime: Runtime, ongoing: Ongoing, *, ran: bool) -> None:
     """Free the server of a trial that did not kill it.
 
-    :param ran: whether the request ran whole, which acquits it.
+    :param ran: whether the request ran whole, which clears it.
     """
     trial, ongoing.trial = ongoing.trial, None
     if trial is None:
@@ -105,14 +107,14 @@
     state = runtime.state
     release_server(state, trial)
     _clear_locally(runtime, ongoing.fingerprint, trial, ran)
-    report = AcquittalReport(
+    report = ClearanceReport(
         fingerprint=ongoing.fingerprint,
         server=trial.server,
         boot_id=trial.boot_id,
         trial_id=trial.trial_id,
         ran=ran,
     )
-    keep(asyncio.ensure_future(_tell_acquittal(runtime, report)))
+    keep(asyncio.ensure_future(_tell_clearance(runtime, report)))
 
 
 def bar_quarantined(runtime: Runtime, ongoing: Ongoing) -> life.Barred:
@@ -202,12 +204,12 @@
     suspects.merge(runtime.state.suspects, (cleared,), now=runtime.clock.now())
 
 
-async def _tell_acquittal(runtime: Runtime, report: AcquittalReport) -> None:
-    for tried in range(ACQUITTAL_TRIES):
+async def _tell_clearance(runtime: Runtime, report: ClearanceReport) -> None:
+    for tried in range(CLEARANCE_TRIES):
         try:
-            await runtime.controller.acquit(report)
+            await runtime.controller.clear_suspicion(report)
         except PeerUnavailableError:
-            bound = ACQUITTAL_PAUSE_MS << tried
+            bound = CLEARANCE_PAUSE_MS << tried
             pause_ms = bound * (0.5 + runtime.chance.random() / 2)
             await asyncio.sleep(pause_ms / SECOND_MS)
         else:
--- a/src/arbutuspulley/rpc/channel.py
+++ b/src/arbutuspulley/rpc/channel.py
@@ -52,8 +52,8 @@
 REPORT_DEATH = Method(
     name="ReportDeath", request=messages.DeathReport, reply=messages.SuspicionsReply
 )
-ACQUIT = Method(
-    name="Acquit", request=messages.AcquittalReport, reply=messages.Acknowledged
+CLEAR_SUSPICION = Method(
+    name="ClearSuspicion", request=messages.ClearanceReport, reply=messages.Acknowledged
 )
 TELL_SUSPICIONS = Method(
     name="TellSuspicions",
--- a/src/arbutuspulley/rpc/messages.py
+++ b/src/arbutuspulley/rpc/messages.py
@@ -56,14 +56,14 @@
     :param fingerprint: hash of caller and body.
     :param deaths: servers that died while it ran, with their boot id:
         ``server/boot_id``; with ``#trial_id`` for a trial that is still running.
-    :param acquitted: whether it has since run whole on its own.
-    :param cleared: the deaths that it was acquitted of. Both sets only grow, so that
+    :param clear: whether it has since run whole on its own.
+    :param cleared: the deaths that it was cleared of. Both sets only grow, so that
         accounts of several instances merge in any order.
     """
 
     fingerprint: str
     deaths: tuple[str, ...] = ()
-    acquitted: bool = False
+    clear: bool = False
     cleared: tuple[str, ...] = ()
 
 
@@ -194,7 +194,7 @@
     :param boot_id: the boot that the entry last knew.
     :param trial_id: if set, nobody died: the entry asks whether it may run the one
         fingerprint on this server now. The death is written down beforehand and
-        taken back by an acquittal, so that no two instances try a suspect at once.
+        taken back by a clearance, so that no two instances try a suspect at once.
     :param expired_trial_id: a trial that has held the server for longer than any
         request lives; it may be replaced.
     """
@@ -220,7 +220,7 @@
     holder: str = ""
 
 
-class AcquittalReport(Message, frozen=True):
+class ClearanceReport(Message, frozen=True):
     """A suspect ran whole, or its trial was certainly not run.
 
     :param server: the server of the trial, which is then free for the next one.
--- a/tests/entries.py
+++ b/tests/entries.py
@@ -57,7 +57,7 @@
             claim=self._claim,
             settle=self._settle,
             report_death=self._report_death,
-            acquit=self._acquit,
+            clear_suspicion=self._clear_suspicion,
         )
 
     def _answer(self, work):
@@ -96,9 +96,9 @@
             await run_aside(hook)
         return reply
 
-    async def _acquit(self, report):
+    async def _clear_suspicion(self, report):
         table = self.fake.platform.table
-        return self._answer(lambda: trials.record_acquittal(table, report))
+        return self._answer(lambda: trials.record_clearance(table, report))
 
     def list_suspicions(self):
         if self.fake.down:
--- a/tests/test_entry_failures.py
+++ b/tests/test_entry_failures.py
@@ -307,7 +307,7 @@
         assert entry.ask(build_chat("another")).status == 200
         owner.down = False
         assert show(entry.ask(body)) == (200, "OK", "run")
-        wait_until(lambda: all(one.acquitted for one in controller.list_suspicions()))
+        wait_until(lambda: all(one.clear for one in controller.list_suspicions()))
 
 
 def test_a_full_entry_refuses_at_once():
--- a/tests/test_entry_views.py
+++ b/tests/test_entry_views.py
@@ -136,7 +136,7 @@
         watch=watch,
         settle=None,
         report_death=None,
-        acquit=None,
+        clear_suspicion=None,
     )
     runtime = build_runtime(port, clock=Clock(read=lambda: 0))
     monkeypatch.setattr(asyncio, "sleep", pause)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -1,4 +1,4 @@
-"""Suspects and their trials: two servers at most, and no innocent condemned."""
+"""Suspects and their trials: two servers at most, and no bystander blamed."""
 
 import itertools
 import random
@@ -9,7 +9,7 @@
 from arbutuspulley.delivery import suspects, trials
 from arbutuspulley.delivery.suspects import Judgement
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
-from arbutuspulley.rpc.messages import AcquittalReport, DeathReport, Suspicion
+from arbutuspulley.rpc.messages import ClearanceReport, DeathReport, Suspicion
 from tests.fakes import FakePlatform
 
 BOOT = "b1"
@@ -36,11 +36,11 @@
     return trials.record_deaths(fake.platform.table, report)
 
 
-def acquit(fake, fingerprint, server="", trial="", ran=True):
-    report = AcquittalReport(
+def clear_suspicion(fake, fingerprint, server="", trial="", ran=True):
+    report = ClearanceReport(
         fingerprint=fingerprint, server=server, boot_id=BOOT, trial_id=trial, ran=ran
     )
-    return trials.record_acquittal(fake.platform.table, report)
+    return trials.record_clearance(fake.platform.table, report)
 
 
 def judge(fake, fingerprint):
@@ -68,9 +68,9 @@
 
 
 def test_accounts_of_instances_merge_in_any_order():
-    """An acquittal and an older account of the death arrive in either order.
+    """A clearance and an older account of the death arrive in either order.
 
-    Merged by "the latest wins", the older one would condemn the acquitted anew.
+    Merged by "the latest wins", the older one would blame the cleared request anew.
     """
     death = suspects.add_death(None, "f", "s1/b1")
     accounts = [
@@ -99,7 +99,7 @@
     assert (state.suspicions, state.seen_at) == ({}, {})
 
 
-def test_bystanders_of_a_poison_request_are_acquitted(fake):
+def test_bystanders_of_a_poison_request_are_cleared(fake):
     """Four requests run on a server as one of them kills it.
 
     All four lose their server, and nobody knows which did it. Each is tried alone;
@@ -108,7 +108,7 @@
     die(fake, "s1", "a", "b", "c", "poison")
     for fingerprint in ("a", "b", "c"):
         assert ask(fake, "s2", fingerprint, f"t-{fingerprint}").granted
-        acquit(fake, fingerprint, "s2", f"t-{fingerprint}")
+        clear_suspicion(fake, fingerprint, "s2", f"t-{fingerprint}")
     assert ask(fake, "s2", "poison", "t-p").granted
     die(fake, "s2", "poison")
     judged = [judge(fake, one) for one in ("a", "b", "c", "poison")]
@@ -119,7 +119,7 @@
 def test_two_suspects_never_share_a_server(fake):
     """Two suspects of the same death are tried on one server, and it dies.
 
-    Both would have two deaths, and the innocent one would be condemned with the
+    Both would have two deaths, and the harmless one would be blamed with the
     other. A trial holds its server until it ends or the server has another boot.
     """
     die(fake, "s1", "a", "poison")
@@ -127,7 +127,7 @@
     refused = ask(fake, "s2", "poison", "t2")
     assert (refused.granted, refused.recorded, refused.holder) == (False, True, "t1")
     assert ask(fake, "s2", "poison", "t2", expired="t1").granted
-    acquit(fake, "poison", "s2", "t1")
+    clear_suspicion(fake, "poison", "s2", "t1")
     assert not ask(fake, "s2", "a", "t3").granted
     assert ask(fake, "s2", "c", "t4", boot="b2").granted
 
@@ -145,7 +145,7 @@
         refused = ask(fake, server, "poison", trial)
         assert refused.recorded and not refused.granted
         assert suspects.judge(refused.suspicions[0]) is Judgement.ON_TRIAL
-    acquit(fake, "poison", "s2", "t1", ran=False)
+    clear_suspicion(fake, "poison", "s2", "t1", ran=False)
     assert judge(fake, "poison") is Judgement.SUSPECT
     assert ask(fake, "s3", "poison", "t2").granted
 
@@ -171,7 +171,7 @@
     assert (reply.recorded, reply.granted) == (False, False)
     assert [one.deaths for one in reply.suspicions] == ([] if trial else [("s1/b1",)])
     with pytest.raises(PlatformUnavailableError):
-        acquit(fake, "f")
+        clear_suspicion(fake, "f")
 
 
 def test_a_lost_reply_is_resolved(fake):
@@ -181,9 +181,9 @@
     assert ask(fake, "s2", "f", "t1").granted
     fake.lost_replies, fake.down_after_lost_reply = 1, True
     with pytest.raises(OutcomeUnknownError):
-        acquit(fake, "f", "s2", "t1")
+        clear_suspicion(fake, "f", "s2", "t1")
     fake.down = False
-    acquit(fake, "f", "s2", "t1")
+    clear_suspicion(fake, "f", "s2", "t1")
     assert judge(fake, "f") is Judgement.CLEAR
 
 
@@ -200,8 +200,8 @@
 
 
 @pytest.mark.parametrize("seed", range(20))
-def test_any_order_of_trials_costs_two_servers_and_condemns_no_innocent(fake, seed):
-    """Poison and innocent requests die together and are sent again at random.
+def test_any_order_of_trials_costs_two_servers_and_blames_no_bystander(fake, seed):
+    """Poison and harmless requests die together and are sent again at random.
 
     Whatever entry they come through and however the trials overlap, a poison request
     kills two servers at most, and whoever runs whole is never quarantined.
@@ -220,7 +220,7 @@
                 killed.add(server)
                 die(fake, server, fingerprint)
             else:
-                acquit(fake, fingerprint, server, trial)
+                clear_suspicion(fake, fingerprint, server, trial)
         elif judge(fake, fingerprint) is Judgement.SUSPECT and server not in killed:
             trial = f"t{step}"
             if ask(fake, server, fingerprint, trial).granted:
