--- a/src/arbutuspulley/rpc/channel.py
+++ b/src/arbutuspulley/rpc/channel.py
@@ -14,6 +14,7 @@
 from arbutuspulley.data import Message, Value
 from arbutuspulley.results import ArbutusError, Code
 from arbutuspulley.rpc import messages
+from arbutuspulley.tracing import TRACEPARENT, open_span, read_bearing
 
 SERVICE = "arbutus.Controller"
 """Name of the one gRPC service."""
@@ -114,7 +115,7 @@
         )
         try:
             return await stub(
-                request, timeout=timeout_ms / 1000, metadata=self._metadata
+                request, timeout=timeout_ms / 1000, metadata=self._build_metadata()
             )
         except grpc.aio.AioRpcError as error:
             raise _translate(self.address, error) from error
@@ -130,11 +131,15 @@
             response_deserializer=_decoder(method.reply),
         )
         try:
-            async for reply in stub(request, metadata=self._metadata):
+            async for reply in stub(request, metadata=self._build_metadata()):
                 yield reply
         except grpc.aio.AioRpcError as error:
             raise _translate(self.address, error) from error
 
+    def _build_metadata(self) -> tuple[tuple[str, str], ...]:
+        bearing = read_bearing()
+        return (*self._metadata, (TRACEPARENT, bearing)) if bearing else self._metadata
+
     async def close(self) -> None:
         """Close the connection."""
         await self._channel.close()
@@ -156,7 +161,7 @@
     server = grpc.aio.server(options=_OPTIONS)
     handlers = {
         method.name: grpc.unary_unary_rpc_method_handler(
-            _guard_unary(handler, key),
+            _guard_unary(handler, key, method.name),
             request_deserializer=_decoder(method.request),
             response_serializer=msgspec.msgpack.encode,
         )
@@ -195,17 +200,28 @@
     return msgspec.msgpack.Decoder(kind).decode
 
 
-def _is_trusted(context: grpc.aio.ServicerContext, key: str) -> bool:
+def _read_metadata(context: grpc.aio.ServicerContext, name: str) -> str:
     metadata = dict(context.invocation_metadata() or ())
-    shown = str(metadata.get(KEY_METADATA, ""))
+    return str(metadata.get(name, ""))
+
+
+def _is_trusted(context: grpc.aio.ServicerContext, key: str) -> bool:
+    shown = _read_metadata(context, KEY_METADATA)
     return hmac.compare_digest(shown.encode(), key.encode())
 
 
-def _guard_unary(handler: Unary, key: str) -> Callable[..., Awaitable[Message]]:
+def _guard_unary(
+    handler: Unary, key: str, name: str
+) -> Callable[..., Awaitable[Message]]:
     async def handle(request: Any, context: grpc.aio.ServicerContext) -> Message:
         if not _is_trusted(context, key):
             await context.abort(grpc.StatusCode.UNAUTHENTICATED, "peer key refused")
-        return await handler(request)
+        parent = _read_metadata(context, TRACEPARENT)
+        if not parent:
+            # Calls that belong to no request, such as exchanges, are not traced.
+            return await handler(request)
+        with open_span(f"rpc.{name}", parent=parent):
+            return await handler(request)
 
     return handle
 
--- a/src/arbutuspulley/tracing.py
+++ b/src/arbutuspulley/tracing.py
@@ -51,9 +51,18 @@
     with _TRACER.start_as_current_span(name, context=context) as span:
         for key, value in attributes.items():
             span.set_attribute(f"arbutus.{key}", value)
-        carrier: dict[str, str] = {}
-        _PROPAGATOR.inject(carrier)
-        yield carrier.get(TRACEPARENT, parent)
+        yield read_bearing() or parent
+
+
+def read_bearing() -> str:
+    """Return the ``traceparent`` of the span that is open here, empty if none is.
+
+    A coroutine that a worker hands to the loop runs in the worker's context, so the
+    span that the worker opened is open there, too.
+    """
+    carrier: dict[str, str] = {}
+    _PROPAGATOR.inject(carrier)
+    return carrier.get(TRACEPARENT, "")
 
 
 def _build_exporter(target: str) -> SpanExporter:
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -7,6 +7,7 @@
 from arbutuspulley.configuration.schema import Configuration
 from arbutuspulley.loop import LoopThread
 from arbutuspulley.rpc import channel, messages
+from arbutuspulley.tracing import open_span, read_bearing
 from tests.ports import find_free_address
 
 
@@ -86,6 +87,35 @@
     assert not raised.value.sent
 
 
+def test_the_callers_trace_goes_on_at_the_other_process(loop):
+    """Somebody looks for a slow claim; its trace ended at the entry."""
+    parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+    seen = []
+
+    async def tell(_request):
+        seen.append(read_bearing())
+        return messages.Acknowledged()
+
+    async def start(address):
+        handlers = {channel.CLEAR_SUSPICION: tell}
+        return await channel.serve(
+            address=address, key="k", unary=handlers, streaming={}
+        )
+
+    async def ask(address):
+        client = channel.Client(address=address, key="k")
+        report = messages.ClearanceReport(fingerprint="f")
+        await client.call(channel.CLEAR_SUSPICION, report, timeout_ms=5_000)
+        await client.close()
+
+    address = find_free_address()
+    server = loop.wait_for(start(address))
+    with open_span("hop", parent=parent):
+        loop.wait_for(ask(address))
+    loop.wait_for(server.stop(0))
+    assert seen[0].split("-")[1] == parent.split("-")[1]
+
+
 def test_a_dead_peer_is_reported_within_the_timeout(loop):
     async def ask():
         client = channel.Client(address=find_free_address(), key="secret")
