--- /dev/null
+++ b/src/arbutuspulley/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The bench: compares policies under load, with real processes on loopback."""
--- a/tests/admission_model.py
+++ b/src/arbutuspulley/bench/model.py
@@ -1,4 +1,7 @@
-"""A tiny model of entries and servers, to try admission under load.
+"""A tiny model of entries and servers, to compare admission decisions under load.
+
+No processes and no clock: it drives :mod:`arbutuspulley.admission.queue` alone, so a
+run of minutes takes seconds and the same seed gives the same figures.
 
 Time goes in steps of 50 ms. A server runs what it is given; a request takes two
 seconds on average. Reports are half a second old when entries read them. A refused
@@ -6,21 +9,44 @@
 """
 
 import random
+from collections.abc import Callable, Sequence
+from functools import partial
 
 from arbutuspulley.admission import queue
 from arbutuspulley.configuration.schema import EMPTY
+from arbutuspulley.controller.demand import sum_usage
 from arbutuspulley.data import State, Value
-from arbutuspulley.rpc.messages import CallerUsage, EntryAddress, ServerSummary, View
+from arbutuspulley.rpc.messages import EntryAddress, ServerSummary, View
 
 STEP_MS = 50
+"""Time between two steps."""
+
 VIEW_MS = 500
+"""Time between two views, and the age of the reports in them."""
+
 DURATION_MS = 2_000
+"""Mean time that a request runs."""
+
 TARGET_MS = 1_100
+"""Longest time to the first token of a request that counts as met."""
+
+COST = 100
+"""Token cost of each request."""
+
+FIRST_TOKEN_MS = 100
+"""Time from admission to the first token."""
+
 ITEM = "m@1"
+"""The one item that all requests ask for."""
 
 
 class Offer(Value, frozen=True):
-    """What a caller asks: requests a second, through some entries, from a time on."""
+    """What a caller asks.
+
+    :param rate: requests a second.
+    :param entries: numbers of the entries that it uses.
+    :param start: when it begins, in ms.
+    """
 
     caller: str
     rate: float
@@ -30,7 +56,10 @@
 
 
 class Asked(State):
-    """One request; ``crowded`` if its server then ran an eighth above its slots."""
+    """One request.
+
+    :param crowded: whether its server then ran more than an eighth above its slots.
+    """
 
     caller: str
     at: int
@@ -42,16 +71,28 @@
     crowded: bool = False
 
     def is_met(self) -> bool:
-        """Admitted in time, counted from its last try, onto a server with room."""
+        """Tell whether it was admitted in time, counted from its last try, with room."""
         if self.admitted_at is None or self.crowded:
             return False
         return self.admitted_at - self.last_at < TARGET_MS
 
 
 class Model:
-    """Some entries before some servers."""
-
-    def __init__(self, *, entries, servers=4, slots=16, seed=1, target_ms=TARGET_MS):
+    """Some entries before some servers.
+
+    :param slots: requests that each server runs at once within the targets.
+    :param target_ms: how long live requests wait to be admitted.
+    """
+
+    def __init__(
+        self,
+        *,
+        entries: int,
+        servers: int = 4,
+        slots: int = 16,
+        seed: int = 1,
+        target_ms: int = TARGET_MS,
+    ) -> None:
         self.chance = random.Random(seed)
         self.slots = slots
         self.target_ms = target_ms
@@ -59,24 +100,24 @@
         self.running = {f"s{n}": 0 for n in range(servers)}
         self.capacity = servers * slots * 1_000 / DURATION_MS
         self.known = dict(self.running)
-        self.asked = []
-        self.tickets = {}
-        self.due = {}
+        self.asked: list[Asked] = []
+        self._tickets: dict[str, Asked] = {}
+        self._due: dict[int, list[Callable[[int], None]]] = {}
 
-    def run(self, offers, *, until):
-        """Run to a time and return all requests that were asked."""
+    def run(self, offers: Sequence[Offer], *, until: int) -> list[Asked]:
+        """Run to a time in ms and return all requests that were asked."""
         for now in range(0, until, STEP_MS):
             if now % VIEW_MS == 0:
                 self._send_views(now)
-            for action, *what in self.due.pop(now, ()):
-                action(*what, now)
+            for action in self._due.pop(now, ()):
+                action(now)
             for offer in offers:
                 self._ask(offer, now)
             for number, entry in enumerate(self.entries):
                 self._apply(number, queue.tick(entry, now=now), now)
         return self.asked
 
-    def _ask(self, offer, now):
+    def _ask(self, offer: Offer, now: int) -> None:
         expected = offer.rate * STEP_MS / 1_000
         while now >= offer.start and expected > 0:
             if self.chance.random() < expected:
@@ -86,15 +127,15 @@
                 self._submit(one, now)
             expected -= 1
 
-    def _submit(self, one, now):
+    def _submit(self, one: Asked, now: int) -> None:
         one.tries, one.last_at = one.tries + 1, now
-        name = f"{len(self.tickets)}"
-        self.tickets[name] = one
+        name = f"{len(self._tickets)}"
+        self._tickets[name] = one
         ticket = queue.Ticket(
             request_id=name,
             caller=one.caller,
             item=ITEM,
-            cost=100,
+            cost=COST,
             arrived_at=now,
             deadline=now + (self.target_ms if one.live else 60_000),
             live=one.live,
@@ -102,34 +143,34 @@
         effects = queue.submit(self.entries[one.entry], ticket, now=now)
         self._apply(one.entry, effects, now)
 
-    def _apply(self, number, effects, now):
+    def _apply(self, number: int, effects: Sequence[queue.Effect], now: int) -> None:
         for effect in effects:
-            one = self.tickets[effect.request_id]
+            one = self._tickets[effect.request_id]
             if isinstance(effect, queue.Admit):
                 self._start(number, effect.request_id, now)
             elif one.tries < 2:
-                self._plan(now + effect.retry_after_ms, self._submit, one)
+                self._plan(now + effect.retry_after_ms, partial(self._submit, one))
 
-    def _start(self, number, name, now):
-        one, entry = self.tickets[name], self.entries[number]
+    def _start(self, number: int, name: str, now: int) -> None:
+        one, entry = self._tickets[name], self.entries[number]
         server = entry.running[name].server
         self.running[server] += 1
         one.admitted_at = now
         one.crowded = self.running[server] > self.slots * 9 // 8
-        queue.note_first_token(entry, name, now=now + 100)
+        queue.note_first_token(entry, name, now=now + FIRST_TOKEN_MS)
         ends = now + self.chance.expovariate(1 / DURATION_MS)
-        self._plan(ends, self._finish, number, name, server)
+        self._plan(ends, partial(self._finish, number, name, server))
 
-    def _finish(self, number, name, server, now):
+    def _finish(self, number: int, name: str, server: str, now: int) -> None:
         self.running[server] -= 1
-        effects = queue.finish(self.entries[number], name, tokens=100, now=now)
+        effects = queue.finish(self.entries[number], name, tokens=COST, now=now)
         self._apply(number, effects, now)
 
-    def _plan(self, at, action, *what):
+    def _plan(self, at: float, action: Callable[[int], None]) -> None:
         step = (int(at) // STEP_MS + 1) * STEP_MS
-        self.due.setdefault(step, []).append((action, *what))
+        self._due.setdefault(step, []).append(action)
 
-    def _send_views(self, now):
+    def _send_views(self, now: int) -> None:
         usages = [queue.list_usage(entry) for entry in self.entries]
         busy = [len(entry.running) / 64 for entry in self.entries]
         for number, entry in enumerate(self.entries):
@@ -149,7 +190,7 @@
             self._apply(number, effects, now)
         self.known = dict(self.running)
 
-    def _report(self):
+    def _report(self) -> tuple[ServerSummary, ...]:
         return tuple(
             ServerSummary(
                 server=name,
@@ -164,20 +205,18 @@
         )
 
 
-def sum_usage(parts):
-    total = {}
-    for part in parts:
-        for one in part:
-            rate, waiting = total.get(one.caller, (0, 0))
-            total[one.caller] = (rate + one.tokens_per_s, waiting + one.waiting)
-    return tuple(
-        CallerUsage(caller=caller, tokens_per_s=rate, waiting=waiting)
-        for caller, (rate, waiting) in total.items()
-    )
-
+def measure_met(
+    asked: Sequence[Asked],
+    *,
+    caller: str | None = None,
+    since: int = 10_000,
+    until: int = 1_000_000,
+) -> float:
+    """Return the share of requests that were met.
 
-def measure_met(asked, *, caller=None, since=10_000, until=1_000_000):
-    """Return the share of requests that were met."""
+    :param caller: whose requests; all callers' if ``None``.
+    :param since: leaves out requests before this time in ms.
+    """
     chosen = [
         one for one in asked if caller in (None, one.caller) and since <= one.at < until
     ]
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -6,11 +6,11 @@
 from arbutuspulley.admission.limits import TOKENS_PER_SLOT
 from arbutuspulley.admission.order import AGEING_MS
 from arbutuspulley.admission.queue import AdmissionState, Admit, Refuse, Ticket
+from arbutuspulley.bench.model import Model, Offer
 from arbutuspulley.configuration.schema import EMPTY
 from arbutuspulley.results import Code
 from arbutuspulley.routing import choice
 from arbutuspulley.rpc.messages import CallerUsage, ServerSummary, View
-from tests.admission_model import Model, Offer
 
 SLOTS = 4
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -13,9 +13,9 @@
     waits_elsewhere,
 )
 from arbutuspulley.admission.tickets import Ticket
+from arbutuspulley.bench.model import Model, Offer, measure_met
 from arbutuspulley.routing.load import ServerLoad, add_change, observe_report
 from arbutuspulley.rpc.messages import CallerUsage, EntryAddress, ServerSummary
-from tests.admission_model import Model, Offer, measure_met
 
 
 def build_ticket(number, caller, **fields):
