--- a/src/arbutuspulley/bench/model.py
+++ b/src/arbutuspulley/bench/model.py
@@ -71,7 +71,7 @@
     crowded: bool = False
 
     def is_met(self) -> bool:
-        """Tell whether it was admitted in time, counted from its last try, with room."""
+        """Tell whether it was admitted in time, where there was room for it."""
         if self.admitted_at is None or self.crowded:
             return False
         return self.admitted_at - self.last_at < TARGET_MS
