--- /dev/null
+++ b/src/arbutuspulley/bench/asking.py
@@ -0,0 +1,174 @@
+"""One try of one request, timed: through an entry, or at an engine itself."""
+
+import time
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+
+import msgspec
+import urllib3
+
+from arbutuspulley.adapters.sse import EventBuffer, SentEvent, feed
+from arbutuspulley.bench.workloads import Arrival
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.configuration.lookup import build_item_key
+from arbutuspulley.data import State
+from arbutuspulley.ports.engines import BrokenError, Engines, InferenceRequest
+from arbutuspulley.results import ArbutusError
+from arbutuspulley.standins import answer
+
+VERSION = "1"
+"""Version of all models and adapters."""
+
+_END_MARKER = b"[DONE]"
+_READ_BYTES = 4_096
+_TIMEOUT = urllib3.Timeout(connect=1.0, read=30.0)
+
+
+class Try(State):
+    """What one try brought.
+
+    :param code: the numbered result code, 0 if there is none.
+    :param refused: whether it certainly was not run.
+    :param first_at: when the first token came, or ``None``.
+    :param whole: whether the answer came to its end.
+    :param correct: whether it was the answer to this request, each token once.
+    :param doubled: tokens beyond those that were asked for.
+    """
+
+    began_at: float
+    code: int = 0
+    refused: bool = False
+    retry_after_ms: int | None = None
+    first_at: float | None = None
+    ended_at: float = 0.0
+    whole: bool = False
+    correct: bool = False
+    doubled: int = 0
+
+
+class _Choice(msgspec.Struct):
+    text: str = ""
+
+
+class _Event(msgspec.Struct):
+    choices: tuple[_Choice, ...] = ()
+
+
+_DECODER = msgspec.json.Decoder(_Event)
+
+
+def read_clock() -> float:
+    """Return the time in milliseconds."""
+    return time.monotonic() * SECOND_MS
+
+
+def build_body(arrival: Arrival, *, run: str) -> bytes:
+    """Return the JSON of a request; its prompt differs from all others.
+
+    :param run: name of the run.
+    """
+    return msgspec.json.encode(
+        {
+            "model": arrival.model,
+            "prompt": f"{run} request {arrival.number}",
+            "max_tokens": arrival.tokens,
+            "stream": True,
+        }
+    )
+
+
+def ask_entry(address: str, arrival: Arrival, *, run: str) -> Try:
+    """Ask once through an entry."""
+    one = Try(began_at=read_clock())
+    body = build_body(arrival, run=run)
+    host, _, port = address.rpartition(":")
+    headers = {
+        "Authorization": f"Bearer key-of-{arrival.caller}",
+        "Content-Type": "application/json",
+    }
+    with urllib3.HTTPConnectionPool(host, int(port), timeout=_TIMEOUT) as pool:
+        try:
+            response = pool.urlopen(
+                "POST",
+                answer.COMPLETION_PATH,
+                body=body,
+                headers=headers,
+                retries=False,
+                preload_content=False,
+            )
+            _read_response(one, response, arrival, body)
+        except urllib3.exceptions.NewConnectionError:
+            one.refused = True
+        except urllib3.exceptions.HTTPError:
+            pass
+    one.ended_at = read_clock()
+    return one
+
+
+def ask_engine(
+    engines: Engines, address: str, arrival: Arrival, *, run: str, attempt: int
+) -> Try:
+    """Ask once at an engine itself."""
+    one = Try(began_at=read_clock())
+    body = build_body(arrival, run=run)
+    request = InferenceRequest(
+        request_id=f"{run}-{arrival.number}",
+        attempt_id=f"{run}-{arrival.number}-{attempt}",
+        path=answer.COMPLETION_PATH,
+        item=build_item_key(name=arrival.model, version=VERSION),
+        body=body,
+    )
+    try:
+        chunks = engines.infer(address, request)
+        _collect(one, (chunk.data for chunk in chunks if not chunk.last), arrival, body)
+        one.whole = True
+    except BrokenError:
+        pass
+    except ArbutusError:
+        one.refused = True
+    one.ended_at = read_clock()
+    return one
+
+
+def _read_response(
+    one: Try, response: urllib3.BaseHTTPResponse, arrival: Arrival, body: bytes
+) -> None:
+    one.code = int(response.headers.get("X-Arbutus-Code", "0"))
+    if response.status != HTTPStatus.OK:
+        one.refused = response.headers.get("X-Arbutus-Run-State") == "not_run"
+        after = response.headers.get("Retry-After", "")
+        one.retry_after_ms = int(after) * SECOND_MS if after.isdigit() else None
+        return
+    buffer = EventBuffer()
+    events: list[SentEvent] = []
+
+    def read() -> Iterable[bytes]:
+        while part := response.read1(_READ_BYTES):
+            for event in feed(buffer, part):
+                events.append(event)
+                if event.data != _END_MARKER:
+                    yield event.data
+
+    _collect(one, read(), arrival, body)
+    one.whole = bool(events) and events[-1].data == _END_MARKER
+
+
+def _collect(one: Try, parts: Iterable[bytes], arrival: Arrival, body: bytes) -> None:
+    text = ""
+    tokens = 0
+    for data in parts:
+        if one.first_at is None:
+            one.first_at = read_clock()
+        if data == _END_MARKER:
+            continue
+        part = "".join(choice.text for choice in _DECODER.decode(data).choices)
+        text += part
+        tokens += bool(part)
+    prompt = answer.read_prompt(path=answer.COMPLETION_PATH, body=body)
+    item = build_item_key(name=arrival.model, version=VERSION)
+    one.doubled = max(0, tokens - arrival.tokens)
+    one.correct = text == answer.build_answer(item=item, prompt=prompt)
+
+
+Attempt = Callable[[Arrival, int], Try]
+"""Makes one try; takes the request and how many tries it has had."""
--- /dev/null
+++ b/src/arbutuspulley/bench/workloads.py
@@ -0,0 +1,189 @@
+"""The two workloads, scaled down, and when their requests arrive.
+
+Assumptions, all to be confirmed by the users or changed here:
+
+- Sizes of models are taken as thousands of MiB; the brief leaves the unit open.
+- Ten engines stand for Lestari's 25 and Kurzeme's 19, so that all processes of a run
+  fit on a shared machine of 12 cores.
+- An engine runs 6 requests at once within the targets. Alone, a stream has a token
+  each 24 ms, and 6 streams have one each 32 ms; the target is 37 ms.
+- Answers have 100 tokens on average (exponential, 8 to 300). Users' own answers are
+  longer: that scales the rates, not the ratios.
+- Popularity of models falls with their rank to the power of 0.9; a model has copies
+  on as many engines as its part of the load needs two and a half times, three at least.
+- In two seconds of each eight, 1.6 times as many requests arrive as on average, in
+  the others 0.8 times.
+- A refused caller comes back when it was told to, three times at most and within
+  six seconds.
+- The weight store is faster than the users' own, so that a run begins sooner.
+"""
+
+import math
+import random
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.data import Value
+
+ENGINES = 10
+SLOTS = 6
+TOKEN_MS = 24
+FIRST_TOKEN_MS = 40
+ENGINE_MEMORY_MIB = 600_000
+MEAN_TOKENS = 100
+LEAST_TOKENS = 8
+MOST_TOKENS = 300
+FIRST_TOKEN_TARGET_MS = 1_100
+BETWEEN_TOKENS_TARGET_MS = 37
+PATIENCE_MS = 6 * SECOND_MS
+MOST_TRIES = 4
+BURST_PERIOD_MS = 8 * SECOND_MS
+BURST_MS = 2 * SECOND_MS
+BURST_FACTOR = 1.6
+QUIET_FACTOR = 0.8
+
+_ADAPTED_MODELS = 3
+_ADAPTED_PART = 0.25
+_POPULARITY_EXPONENT = 0.9
+_COPIES_MARGIN = 2.5
+_FULL_STEP_MS = round(TOKEN_MS * (1 + (SLOTS - 1) / 16))
+
+
+class ModelPlan(Value, frozen=True):
+    """A model of a workload.
+
+    :param part: its part of all requests.
+    :param adapter: name of its adapter, empty if it has none.
+    """
+
+    name: str
+    size_mib: int
+    part: float
+    copies: int
+    adapter: str = ""
+
+
+class Workload(Value, frozen=True):
+    """What one of the users runs."""
+
+    name: str
+    models: tuple[ModelPlan, ...]
+    callers: tuple[str, ...]
+
+
+class Arrival(Value, frozen=True):
+    """One request that a caller asks for.
+
+    :param at: when, in milliseconds after the start of the run.
+    :param model: name of a model or adapter.
+    """
+
+    number: int
+    at: int
+    caller: str
+    model: str
+    tokens: int
+
+
+def build_lestari() -> Workload:
+    """Return the cottage trust's workload: 13 models, three kinds of callers."""
+    models = _build_models("assistant", count=13, least_size=34, most_size=72)
+    return Workload(name="lestari", models=models, callers=("guests", "hosts", "desk"))
+
+
+def build_kurzeme() -> Workload:
+    """Return the trail timing's workload: 26 models, two competing organisers."""
+    models = _build_models("race", count=26, least_size=16, most_size=34)
+    return Workload(name="kurzeme", models=models, callers=("gauja", "kemeri"))
+
+
+def compute_capacity() -> float:
+    """Return the requests a second that all engines finish within the targets."""
+    duration_ms = FIRST_TOKEN_MS + MEAN_TOKENS * _FULL_STEP_MS
+    return ENGINES * SLOTS * SECOND_MS / duration_ms
+
+
+def build_arrivals(
+    workload: Workload, *, rates: dict[str, float], duration_ms: int, seed: int
+) -> list[Arrival]:
+    """Return what callers ask, in order of time.
+
+    :param rates: requests a second, by caller.
+    """
+    arrivals: list[Arrival] = []
+    for caller, rate in rates.items():
+        # Each caller has its own numbers, so that its requests stay the same
+        # whoever else asks in the same run.
+        chance = random.Random(f"{seed}/{workload.name}/{caller}")
+        arrivals += _draw_arrivals(workload, caller, rate, duration_ms, chance)
+    arrivals.sort(key=lambda one: (one.at, one.caller))
+    return [
+        Arrival(
+            number=number,
+            at=one.at,
+            caller=one.caller,
+            model=one.model,
+            tokens=one.tokens,
+        )
+        for number, one in enumerate(arrivals)
+    ]
+
+
+def _draw_arrivals(
+    workload: Workload,
+    caller: str,
+    rate: float,
+    duration_ms: int,
+    chance: random.Random,
+) -> list[Arrival]:
+    drawn: list[Arrival] = []
+    at = 0.0
+    while True:
+        at += chance.expovariate(rate * BURST_FACTOR / SECOND_MS)
+        if at >= duration_ms:
+            return drawn
+        if chance.random() >= _find_factor(at) / BURST_FACTOR:
+            continue
+        tokens = round(chance.expovariate(1 / MEAN_TOKENS))
+        drawn.append(
+            Arrival(
+                number=0,
+                at=int(at),
+                caller=caller,
+                model=_draw_model(workload, chance),
+                tokens=min(MOST_TOKENS, max(LEAST_TOKENS, tokens)),
+            )
+        )
+
+
+def _find_factor(at: float) -> float:
+    return BURST_FACTOR if at % BURST_PERIOD_MS < BURST_MS else QUIET_FACTOR
+
+
+def _draw_model(workload: Workload, chance: random.Random) -> str:
+    parts = [model.part for model in workload.models]
+    [model] = chance.choices(workload.models, parts)
+    if model.adapter and chance.random() < _ADAPTED_PART:
+        return model.adapter
+    return model.name
+
+
+def _build_models(
+    name: str, *, count: int, least_size: int, most_size: int
+) -> tuple[ModelPlan, ...]:
+    weights = [1 / rank**_POPULARITY_EXPONENT for rank in range(1, count + 1)]
+    step = (most_size - least_size) / (count - 1)
+    models = []
+    for number, weight in enumerate(weights):
+        part = weight / sum(weights)
+        wanted = math.ceil(part * ENGINES * _COPIES_MARGIN)
+        adapted = number < _ADAPTED_MODELS
+        models.append(
+            ModelPlan(
+                name=f"{name}-{number:02}",
+                size_mib=round(1_000 * (least_size + step * (number * 7 % count))),
+                part=part,
+                copies=min(ENGINES, max(3, wanted)),
+                adapter=f"{name}-{number:02}-local" if adapted else "",
+            )
+        )
+    return tuple(models)
--- /dev/null
+++ b/tests/test_bench.py
@@ -0,0 +1,93 @@
+"""The bench's own arithmetic: arrivals, targets and figures."""
+
+import pytest
+
+from arbutuspulley.bench import figures, workloads
+from arbutuspulley.bench.asking import Try
+from arbutuspulley.bench.load import Asked, offer_load
+from arbutuspulley.bench.workloads import Arrival
+
+ARRIVAL = Arrival(number=0, at=5_000, caller="a", model="m", tokens=10)
+
+
+def build_asked(*tries, at=5_000, due_at=105_000):
+    arrival = Arrival(number=0, at=at, caller="a", model="m", tokens=10)
+    return Asked(arrival=arrival, due_at=due_at, tries=list(tries), ended=True)
+
+
+def build_try(began_at=105_000, first=100, between=30, **fields):
+    first_at = began_at + first
+    times = {"first_at": first_at, "ended_at": first_at + 10 * between}
+    values = {"whole": True, "correct": True, **times, **fields}
+    return Try(began_at=began_at, **values)
+
+
+def build_refusal(**fields):
+    return Try(began_at=105_000, refused=True, code=2002, **fields)
+
+
+def test_arrivals_are_seeded_and_keep_their_rate():
+    kurzeme = workloads.build_kurzeme()
+    rates = {"gauja": 5.0, "kemeri": 10.0}
+    both = workloads.build_arrivals(kurzeme, rates=rates, duration_ms=400_000, seed=1)
+    again = workloads.build_arrivals(kurzeme, rates=rates, duration_ms=400_000, seed=1)
+    assert both == again
+    assert len(both) == pytest.approx(15 * 400, rel=0.05)
+    burst = sum(one.at % 8_000 < 2_000 for one in both)
+    assert burst / len(both) == pytest.approx(0.4, abs=0.03)
+    alone = workloads.build_arrivals(
+        kurzeme, rates={"gauja": 5.0}, duration_ms=400_000, seed=1
+    )
+    mine = [(one.at, one.model) for one in both if one.caller == "gauja"]
+    assert [(one.at, one.model) for one in alone] == mine
+
+
+@pytest.mark.parametrize(
+    ("tries", "met_first", "met", "lost"),
+    [
+        ([build_try()], True, True, False),
+        ([build_try(first=1_200)], False, False, False),
+        ([build_try(between=40)], False, False, False),
+        ([build_refusal()], False, False, False),
+        ([build_refusal(), build_try(began_at=108_000)], False, True, False),
+        ([build_try(correct=False)], False, False, True),
+        ([build_try(whole=False, correct=False)], False, False, True),
+        ([], False, False, True),
+    ],
+)
+def test_a_request_meets_its_targets_or_is_lost(tries, met_first, met, lost):
+    asked = build_asked(*tries)
+    assert asked.is_met(from_first=True) is met_first
+    assert asked.is_met(from_first=False) is met
+    assert asked.is_lost() is lost
+
+
+def test_figures_leave_out_the_warm_up_and_count_attempts():
+    early = build_asked(build_try(began_at=101_000), at=1_000, due_at=101_000)
+    run = figures.Run(
+        name="n",
+        policy="p",
+        asked=(early, build_asked(build_try()), build_asked(build_refusal())),
+        attempts=3,
+    )
+    summary = figures.summarise(run)
+    assert (summary.offered, summary.met, summary.attainment) == (2, 1, 0.5)
+    assert summary.amplification == 1.5
+    assert figures.count_good(run) == 0  # the last arrival is before the first token
+
+
+def test_refused_requests_are_asked_again_when_told():
+    told = []
+
+    def attempt(arrival, tried):
+        told.append(tried)
+        if tried:
+            return build_try()
+        return build_refusal(retry_after_ms=10)
+
+    arrivals = [
+        Arrival(number=n, at=n, caller="a", model="m", tokens=1) for n in (0, 1)
+    ]
+    asked = offer_load(arrivals, attempt)
+    assert sorted(told) == [0, 0, 1, 1]
+    assert all(one.ended and one.is_whole() for one in asked)
