--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 BIN := .venv/bin
 
-.PHONY: setup demo test check format slopes
+.PHONY: bench setup demo test check format slopes
 setup: .venv/ready
 
 .venv/ready: requirements.lock pyproject.toml
@@ -17,6 +17,9 @@
 slopes: setup
 	$(BIN)/python -m scripts.slopes
 
+bench: setup
+	$(BIN)/python -m scripts.bench
+
 check: setup
 	$(BIN)/ruff format --check src tests scripts examples
 	$(BIN)/ruff check src tests scripts examples
--- a/src/arbutuspulley/entry/accounts.py
+++ b/src/arbutuspulley/entry/accounts.py
@@ -86,9 +86,9 @@
         )
     if isinstance(event, life.Refused) and event.leaving:
         choice.note_leaving(state.routing, attempt.server, now)
-    elif isinstance(event, life.NotSent) or died:
+    elif isinstance(event, life.NotSent | life.Broken) or died:
         choice.note_failure(state.routing, attempt.server, now)
-    elif isinstance(event, life.Broken):
+    if isinstance(event, life.Broken) and not died:
         ongoing.alive |= {attempt.server}
 
 
--- a/src/arbutuspulley/entry/choosing.py
+++ b/src/arbutuspulley/entry/choosing.py
@@ -29,7 +29,9 @@
 
     :param avoid: servers to leave out, unless they are alive and the only ones.
     """
-    full = queue.list_full(runtime.state.admission, ongoing.call.request_id)
+    full = queue.list_full(
+        runtime.state.admission, ongoing.call.request_id, now=runtime.clock.now()
+    )
     holders = _list_holders(runtime, ongoing)
     pair = _find_pair(runtime, holders)
     for servers, left_out in (
--- a/src/arbutuspulley/programs/entry.py
+++ b/src/arbutuspulley/programs/entry.py
@@ -143,6 +143,7 @@
     state = EntryState()
     state.admission.own = settings.address
     state.routing.site = settings.site
+    state.admission.routing = state.routing
     return Runtime(
         settings=settings,
         state=state,
