--- a/src/arbutuspulley/controller/publishing.py
+++ b/src/arbutuspulley/controller/publishing.py
@@ -6,6 +6,7 @@
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.configuration.force import is_ready
+from arbutuspulley.configuration.lookup import list_servers
 from arbutuspulley.configuration.schema import EMPTY, Configuration, Server
 from arbutuspulley.controller.demand import list_demand, sum_usage
 from arbutuspulley.controller.entries import forget_silent
@@ -32,6 +33,9 @@
     View,
 )
 
+HEARING_MS = 3 * SECOND_MS
+"""How long a new instance waits to hear of all servers before it serves."""
+
 _NO_VIEW = View(number=0, ready=False, store_up=False, configuration=EMPTY)
 
 
@@ -53,12 +57,13 @@
         demand=list_demand(controller.demand, now=now),
     )
     peers = controller.peers.values()
+    servers = _merge(controller, own, now=now)
     changed = update_view(
         controller.views,
-        ready=is_ready(controller.force),
+        ready=_may_serve(controller, servers, now=now),
         store_up=is_store_up(controller),
         configuration=controller.force.configuration,
-        servers=_merge(controller, own, now=now),
+        servers=servers,
         entries=merge_entries(list_own_entries(controller), peers, now=now),
         suspicions=suspicions,
         usage=merge_usage(peers, now=now),
@@ -182,6 +187,27 @@
     )
 
 
+def _may_serve(
+    controller: Controller, servers: tuple[ServerSummary, ...], *, now: int
+) -> bool:
+    """Tell whether entries may begin to serve; once they may, they always may.
+
+    A new instance has the configuration before it has heard of every server. An
+    entry that served then would refuse models that are loaded all the while, as not
+    loaded anywhere. A server that nobody speaks of is waited for no longer than
+    :data:`HEARING_MS`.
+    """
+    if controller.serving or not is_ready(controller.force):
+        return controller.serving
+    if controller.configured_at is None:
+        controller.configured_at = now
+    known = {summary.server for summary in servers}
+    configured = list_servers(controller.force.configuration).keys()
+    waited = now - controller.configured_at >= HEARING_MS
+    controller.serving = waited or configured <= known
+    return controller.serving
+
+
 def _choose_sent(
     configuration: Configuration, after: int | None
 ) -> Configuration | None:
--- a/src/arbutuspulley/controller/state.py
+++ b/src/arbutuspulley/controller/state.py
@@ -71,6 +71,8 @@
     :param writes: whether the platform takes writes.
     :param listed_leaving: servers that the instance list calls leaving.
     :param live_since: when the set of live instances last changed.
+    :param configured_at: when a configuration first came into force here.
+    :param serving: whether entries were told that serving may begin.
     :param view_changed: set whenever there is a new view; replaced then.
     :param view_urgent: set when a view must not wait for the gap between views;
         replaced then.
@@ -102,6 +104,8 @@
     listed_leaving: frozenset[str] = frozenset()
     live: frozenset[str] = frozenset()
     live_since: int = 0
+    configured_at: int | None = None
+    serving: bool = False
     settling: set[asyncio.Task[None]] = set()
     stopping: bool = False
     view_changed: asyncio.Event = msgspec.field(default_factory=asyncio.Event)
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -17,7 +17,7 @@
 from arbutuspulley.controller import handlers, orders, placing, polling
 from arbutuspulley.controller.exchange import PeerState
 from arbutuspulley.controller.ledgers import Ledgers
-from arbutuspulley.controller.publishing import publish
+from arbutuspulley.controller.publishing import HEARING_MS, publish
 from arbutuspulley.controller.reports import ServerState
 from arbutuspulley.controller.sessions import get_owned, may_order, release_all
 from arbutuspulley.membership.records import decode_owner
@@ -423,6 +423,23 @@
     asyncio.run(run())
 
 
+def test_new_instance_does_not_serve_before_it_has_heard_of_the_servers():
+    """A new instance has the configuration from a peer, but knows no server yet.
+
+    Its entry would refuse every model as loaded nowhere, though all are. A server
+    that nobody speaks of is not waited for longer than a few seconds.
+    """
+    _, time, (a, _) = build_pair()
+    publish(a)
+    assert not a.views.view.ready
+    time.now += HEARING_MS - 1
+    publish(a)
+    assert not a.views.view.ready
+    time.now += 1
+    publish(a)
+    assert a.views.view.ready
+
+
 def test_release_while_the_store_is_down_ends_all_the_same():
     async def run():
         fake, time, (a, b) = build_pair()
