--- a/tests/stack.py
+++ b/tests/stack.py
@@ -13,6 +13,7 @@
 from arbutuspulley.standins import answer
 from scripts import fleet
 from scripts.asking import AddressBook, Ask, ask, ask_once
+from scripts.demo_load import count_admissions
 from scripts.fleet import Fleet, InstancePlan, Plan, ServerPlan
 from scripts.launcher import fetch, open_launcher, wait_until
 from tests.proxy import FaultProxy
@@ -27,12 +28,14 @@
 
     :param proxies: by the names of both ends.
     :param version: the configuration accepted last.
+    :param item_version: version of all models in it.
     """
 
     fleet: Fleet
     directory: Path
     proxies: dict[tuple[str, str], FaultProxy]
     version: int = 0
+    item_version: str = "1"
 
     @property
     def launcher(self):
@@ -43,7 +46,7 @@
         return self.fleet.addresses
 
 
-def build_plan(*, instances=2, engines=2, **changes):
+def build_plan(*, instances=2, engines=2, memory_mib=60_000, **changes):
     """Return a plan with as many sites as instances; odd engines check orders."""
     return Plan(
         instances=tuple(
@@ -53,6 +56,7 @@
             ServerPlan(
                 name=f"engine-{number}",
                 site=SITES[number % instances],
+                memory_mib=memory_mib,
                 checks_orders=number % 2 == 1,
             )
             for number in range(1, engines + 1)
@@ -176,6 +180,14 @@
     return answer.read_prompt(path=request.path, body=request.body).digest
 
 
+def count_runs(stack, request):
+    """Return how often stand-ins began to run a request, also those that died."""
+    if not request.model:
+        return read_counters(stack, "booking")["by_key"].get(request.name, 0)
+    logs = [stack.launcher.read_log(name) for name in list_engines(stack)]
+    return count_admissions(logs)[find_digest(request)]
+
+
 def build_booking(name):
     """Return an unrepeatable call to the plain service."""
     body = json.dumps({"guest": name}).encode()
@@ -235,9 +247,9 @@
     return f" {event.value} {event.name.lower()}" in log
 
 
-def check_memory(stack):
+def check_memory(stack, engines=()):
     """Check that no engine was ever asked to hold more than it can."""
-    for name in list_engines(stack):
+    for name in engines or list_engines(stack):
         counters = read_counters(stack, name)
         assert counters["overcommitted"] == 0, name
         assert counters["worst_memory_mib"] <= counters["memory_total_mib"], name
--- a/tests/test_failures_control.py
+++ b/tests/test_failures_control.py
@@ -48,10 +48,6 @@
     return {"policy": policy}
 
 
-def _count_bookings(stack, request):
-    return running.read_counters(stack, "booking")["by_key"].get(request.name, 0)
-
-
 def test_store_outage_beyond_the_lease_with_serving_going_on(stack):
     """The platform's store is down for longer than every lease.
 
@@ -79,10 +75,10 @@
     pressed = running.press_approve(stack, proposal)
     assert pressed.returncode == 1
     assert f"error {Code.PLATFORM_UNAVAILABLE.value}" in pressed.stderr
-    assert _count_bookings(stack, booking) == 0
+    assert running.count_runs(stack, booking) == 0
     running.control(stack, "platform", outage=False)
     assert running.ask_patiently(stack, booking).ending is Ending.WHOLE
-    assert _count_bookings(stack, booking) == 1
+    assert running.count_runs(stack, booking) == 1
     wait_until(
         lambda: running.press_approve(stack, proposal).returncode == 0,
         what="the approval to be taken",
--- a/tests/test_failures_delivery.py
+++ b/tests/test_failures_delivery.py
@@ -7,7 +7,7 @@
 
 from arbutuspulley.results import Code
 from scripts.asking import Ending, ask_once
-from scripts.demo_load import count_admissions, find_problem
+from scripts.demo_load import find_problem
 from scripts.launcher import wait_until
 from tests import stack as running
 
@@ -24,13 +24,6 @@
         yield opened
 
 
-def _count_runs(stack, request):
-    if not request.model:
-        return running.read_counters(stack, "booking")["by_key"].get(request.name, 0)
-    logs = [stack.launcher.read_log(name) for name in running.list_engines(stack)]
-    return count_admissions(logs)[running.find_digest(request)]
-
-
 def _break_next(stack, request, fault):
     names = running.list_engines(stack) if request.model else ["booking"]
     for name in names:
@@ -76,7 +69,7 @@
     other = msgspec.structs.replace(request_, body=changed)
     reused = ask_once(running.get_entry(stack, 2), other)
     assert (reused.status, reused.code) == (422, Code.KEY_REUSED)
-    assert _count_runs(stack, request_) == runs
+    assert running.count_runs(stack, request_) == runs
 
 
 def test_whole_answer_is_given_again_and_not_run_again(stack):
@@ -89,7 +82,7 @@
     again = ask_once(running.get_entry(stack, 1), request)
     assert first.status == 201
     assert (again.status, again.body) == (first.status, first.body)
-    assert _count_runs(stack, request) == 1
+    assert running.count_runs(stack, request) == 1
 
 
 def test_poison_request_is_sent_five_times_through_three_entries(stack):
@@ -114,7 +107,7 @@
             for number, request in enumerate(bystanders)
         ]
         wait_until(
-            lambda: all(_count_runs(stack, request) for request in bystanders),
+            lambda: all(running.count_runs(stack, request) for request in bystanders),
             what="the others to be running",
         )
         entries = [running.get_entry(stack, number % 3) for number in range(5)]
--- a/tests/test_failures_entries.py
+++ b/tests/test_failures_entries.py
@@ -7,7 +7,7 @@
 import pytest
 
 from scripts.asking import AddressBook, Ending, ask
-from scripts.demo_load import count_admissions, find_problem
+from scripts.demo_load import find_problem
 from scripts.launcher import wait_until
 from tests import stack as running
 
@@ -36,11 +36,6 @@
     return sum(running.read_counters(stack, name)["tokens"] for name in engines)
 
 
-def _count_runs(stack, request):
-    logs = [stack.launcher.read_log(name) for name in running.list_engines(stack)]
-    return count_admissions(logs)[running.find_digest(request)]
-
-
 @pytest.mark.parametrize("unrepeatable", [False, True])
 def test_entry_dies_in_the_middle_of_a_stream(stack, stopped, unrepeatable):
     """A guest reads a reply as it is written, and her entry's machine dies.
@@ -67,7 +62,7 @@
     assert len(outcome.events) > 0
     if unrepeatable:
         assert outcome.ending is Ending.UNKNOWN
-        assert _count_runs(stack, request) == 1
+        assert running.count_runs(stack, request) == 1
     else:
         assert outcome.ending is Ending.WHOLE
         assert find_problem(outcome, ITEMS) == ""
