--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -4,17 +4,19 @@
 
 import pytest
 
+from arbutuspulley.delivery.failures import build_failure
 from arbutuspulley.events import Event
-from arbutuspulley.results import Code
+from arbutuspulley.programs.console_errors import explain
+from arbutuspulley.results import Code, ConfigurationError
 
 DOCS = Path(__file__).parents[1] / "docs"
 
 
-def _read_table(page):
-    """Return (number, name, number of cells) of the rows that begin with a number."""
+def _read_rows(page):
+    """Return the cells of the rows that begin with a number."""
     lines = (DOCS / page).read_text().splitlines()
     rows = [[cell.strip() for cell in line.strip("|").split("|")] for line in lines]
-    return [(int(row[0]), row[1], len(row)) for row in rows if row[0].strip().isdigit()]
+    return [row for row in rows if row[0].isdigit()]
 
 
 @pytest.mark.parametrize(
@@ -22,4 +24,16 @@
 )
 def test_every_number_stands_once_in_its_table(page, known, columns):
     expected = [(one.value, one.name.lower(), columns) for one in known]
-    assert sorted(_read_table(page)) == sorted(expected)
+    rows = [(int(row[0]), row[1], len(row)) for row in _read_rows(page)]
+    assert sorted(rows) == sorted(expected)
+
+
+def test_statuses_stand_as_entries_and_console_send_them():
+    documented = {Code(int(row[0])): row[2] for row in _read_rows("RESULTS.md")}
+    for code, shown in documented.items():
+        is_answer = 1_000 < code < 4_000 or code is Code.INTERNAL
+        if is_answer:
+            assert shown == str(build_failure(code, "").status), code
+        elif shown.isdigit():
+            error = ConfigurationError(code=code, detail="")
+            assert shown == str(explain(error)[1].value), code
