--- a/src/arbutuspulley/placement/fit.py
+++ b/src/arbutuspulley/placement/fit.py
@@ -11,8 +11,11 @@
   than its own, because an adapter cannot be loaded twice on one server.
 
 What is not checked: the loss of a server, and several changes at a time; those wait
-for each other. The packing is heuristic, so a configuration that uses nearly all
-memory may be refused although a packing exists; it is never the other way round.
+for each other. The planner follows the packing found here when memory is short, but
+later changes and losses may leave copies so that a change is blocked; it is then told
+as such, and the former version keeps answering. The packing is heuristic, so a
+configuration that uses nearly all memory may be refused although a packing exists; it
+is never the other way round.
 """
 
 from collections.abc import Callable, Iterable, Iterator, Sequence
--- a/src/arbutuspulley/placement/moves.py
+++ b/src/arbutuspulley/placement/moves.py
@@ -38,11 +38,11 @@
 STALL_S = 5
 """Time for which a load may hold up what its server runs."""
 
-LOWEST_PRICE = 0.02
-"""Price of a move at moves weight 0, as share of a server's capacity."""
+LOWEST_PRICE = 0.1
+"""Price of a load or unload at moves weight 0, as share of a server's capacity."""
 
-HIGHEST_PRICE = 0.25
-"""Price of a move at moves weight 1."""
+HIGHEST_PRICE = 0.2
+"""Price of a load or unload at moves weight 1."""
 
 SHORTEST_WAIT_MS = 5_000
 """Time for which a move must be worth it at moves weight 0."""
@@ -98,12 +98,13 @@
     """
     loads = measure_loads(layout, state.smoothed)
     worth = _list_worth(layout, state.smoothed, loads, moves_weight)
-    state.worth_since = {key: state.worth_since.get(key, now) for key in sorted(worth)}
+    state.worth_since = {
+        move.item.key: state.worth_since.get(move.item.key, now) for move in worth
+    }
     wait_ms = _blend(SHORTEST_WAIT_MS, LONGEST_WAIT_MS, moves_weight)
-    due = [
-        worth[key] for key, since in state.worth_since.items() if now - since >= wait_ms
-    ]
-    for move in sorted(due, key=lambda move: (-move.surplus, move.item.key)):
+    for move in worth:
+        if now - state.worth_since[move.item.key] < wait_ms:
+            continue
         steps = _list_steps(layout, move, loads, state.smoothed)
         if steps:
             return steps
@@ -129,30 +130,24 @@
     demand: Mapping[str, float],
     loads: Mapping[str, float],
     moves_weight: float,
-) -> dict[str, Move]:
-    """Return the best move of each item that has one worth its cost."""
+) -> list[Move]:
+    """Return all moves worth their cost, the best one first."""
     late = {name for name in loads if _measure_late(layout.places[name], loads[name])}
-    best: dict[str, Move] = {}
-    for key, item in layout.items.items():
-        if demand.get(key, 0.0) <= 0 or not late & layout.holding[key]:
-            continue
-        moves = [
-            _weigh(layout, item, place, demand, loads, moves_weight)
-            for place in layout.places.values()
-            if not is_there(place, key)
-        ]
-        move = max(
-            moves,
-            key=lambda move: (
-                move.surplus,
-                _has_room(layout, move),
-                -rank_place(key, move.server),
-            ),
-            default=None,
-        )
-        if move is not None and move.surplus > 0:
-            best[key] = move
-    return best
+    moves = [
+        _weigh(layout, item, place, demand, loads, moves_weight)
+        for key, item in layout.items.items()
+        if demand.get(key, 0.0) > 0 and late & layout.holding[key]
+        for place in layout.places.values()
+        if not is_there(place, key)
+    ]
+    return sorted(
+        (move for move in moves if move.surplus > 0),
+        key=lambda move: (
+            -move.surplus,
+            move.item.key,
+            rank_place(move.item.key, move.server),
+        ),
+    )
 
 
 def _weigh(
@@ -174,13 +169,19 @@
     gain += _measure_late(place, loads[place.name])
     gain -= _measure_late(place, loads[place.name] + after)
     price = _blend(LOWEST_PRICE, HIGHEST_PRICE, moves_weight) * measure_capacity(place)
+    price *= _count_steps(layout, item, place)
     stall = loads[place.name] * STALL_S / HORIZON_S
     return Move(item=item, server=place.name, gain=gain, surplus=gain - price - stall)
 
 
-def _has_room(layout: Layout, move: Move) -> bool:
-    place = layout.places[move.server]
-    return measure_extra(place, move.item) <= measure_room(layout, place)
+def _count_steps(layout: Layout, item: Item, place: Place) -> int:
+    """Return how many loads and unloads a move takes."""
+    steps = 1
+    needed = measure_extra(place, item)
+    if item.base_key and not is_there(place, item.base_key):
+        steps += 1
+        needed += measure_extra(place, layout.items[item.base_key])
+    return steps + int(needed > measure_room(layout, place))
 
 
 def _measure_late(place: Place, load: float) -> float:
