Learn the reading speed of each kind of model, from medians

After a takeover at second 4 the learnt speed fell from 25 to 9 tokens a ms and stayed there for 20 s, so prompts were held back on servers that had time. Least squares over the last 200 requests is pulled along by those that wait behind unknown work. All were paced as the slow ones.

Change: a speed for each size of model, as the median of slopes between pairs of the last 64 requests, with a first guess that weighs 60 pairs; the coordinator tells the others each second what it has learnt, and a successor begins with that.

--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -29,6 +29,7 @@
     Ended,
     Granted,
     Hello,
+    Learnt,
     NodeInfo,
     Refused,
     Started,
@@ -50,12 +51,14 @@
     note_report,
     plan_orders,
 )
-from arbutuspulley.pool.speed import get_speed
 from arbutuspulley.pool.state import (
     PoolState,
     Run,
     ServerState,
     Waiting,
+    assume_speeds,
+    find_speed,
+    list_speeds,
     note_end,
     note_entries,
     note_first,
@@ -149,6 +152,7 @@
         now = self._state.clock.now()
         for pool in self._pools.values():
             assume_loads(pool, now=now)
+            assume_speeds(pool, self._state.speeds.get(pool.service, {}))
         self._state.metrics.coordinates.set(1)
         self._spawn(self._work())
 
@@ -398,7 +402,7 @@
                 model=decided.model,
                 tokens_ahead=decided.tokens_ahead,
                 copies=decided.copies,
-                tokens_per_ms=round(get_speed(pool.speed), 1),
+                tokens_per_ms=round(find_speed(pool, decided.model), 1),
                 waited_ms=decided.waited_ms,
                 retry_after_ms=decided.retry_after_ms,
             )
@@ -451,6 +455,7 @@
             if now - told_at >= TELL_EVERY_MS:
                 told_at = now
                 self._tell_pools()
+                self._tell_learnt()
             await asyncio.sleep(BEAT_MS / SECOND_MS)
 
     def _tell_pools(self) -> None:
@@ -474,10 +479,18 @@
                 service=pool.service,
                 may_order=self._may_order(now),
                 unsure=len(list_unsure(pool, now=now)),
-                tokens_per_ms=round(get_speed(pool.speed), 1),
+                tokens_per_ms={
+                    kind: round(speed, 1) for kind, speed in list_speeds(pool).items()
+                },
                 models=models,
             )
 
+    def _tell_learnt(self) -> None:
+        speeds = {name: list_speeds(pool) for name, pool in self._pools.items()}
+        self._state.speeds = speeds
+        for peer in self._peers.values():
+            peer.send(Learnt(speeds=speeds))
+
     def _send_digest(self) -> None:
         now = self._state.clock.now()
         own = self._state.settings
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -15,6 +15,7 @@
     Ended,
     Granted,
     Hello,
+    Learnt,
     Refused,
     RunningRequest,
     ToCoordinator,
@@ -147,6 +148,9 @@
             if isinstance(message, Digest):
                 self._take_digest(message)
                 continue
+            if isinstance(message, Learnt):
+                self._state.speeds = message.speeds
+                continue
             future = self._waiting.get(message.key)
             if future is None or future.done():
                 if isinstance(message, Granted):
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -117,8 +117,18 @@
     is_holder: bool
 
 
+class Learnt(Message, frozen=True, tag="learnt"):
+    """What the coordinator has learnt of its servers, for whoever succeeds it.
+
+    :param speeds: prompt tokens that a server reads in a ms, by service and kind of
+        model.
+    """
+
+    speeds: dict[str, dict[str, float]]
+
+
 ToCoordinator = Hello | Beat | Ask | Started | Ended | Withdraw
-ToNode = Granted | Refused | Digest
+ToNode = Granted | Refused | Digest | Learnt
 
 _ENCODER = msgspec.msgpack.Encoder()
 _FROM_NODE = msgspec.msgpack.Decoder(list[ToCoordinator])
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -23,6 +23,8 @@
     :param entries: registered servers by incarnation.
     :param entry_bodies: they as the store holds them, for other instances.
     :param nodes: instances, as the coordinator last told.
+    :param speeds: reading speeds by service and kind of model, as the coordinator last
+        told; used if this instance succeeds it.
     :param stopping_at: when SIGTERM came, ``None`` before.
     :param on_change: called after the configuration or the servers changed.
     """
@@ -44,6 +46,7 @@
         "records",
         "session",
         "settings",
+        "speeds",
         "stopping_at",
         "store",
         "table",
@@ -75,6 +78,7 @@
         self.budgets: dict[str, RepeatBudget] = {}
         self.nodes: tuple[NodeInfo, ...] = ()
         self.nodes_at = 0
+        self.speeds: dict[str, dict[str, float]] = {}
         self.in_flight = 0
         self.stopping_at: int | None = None
         self.on_change: list[Callable[[], None]] = []
--- a/src/arbutuspulley/pool/demand.py
+++ b/src/arbutuspulley/pool/demand.py
@@ -5,8 +5,7 @@
 
 import math
 
-from arbutuspulley.pool.speed import get_speed
-from arbutuspulley.pool.state import PoolState, ServerState, is_usable
+from arbutuspulley.pool.state import PoolState, ServerState, find_speed, is_usable
 
 HALF_LIFE_MS = 3_000
 """Time after which an old request counts half, in ms. Demand moves to other models
@@ -61,9 +60,9 @@
     ]
 
 
-def get_rate(pool: PoolState) -> float:
-    """Return the prompt tokens a second that one copy takes."""
-    return get_speed(pool.speed) * PACE * 1_000
+def get_rate(pool: PoolState, model: str) -> float:
+    """Return the prompt tokens a second that one copy of a model takes."""
+    return find_speed(pool, model) * PACE * 1_000
 
 
 def get_excess(pool: PoolState, model: str, copies: int) -> float:
@@ -72,5 +71,5 @@
     With no copy, that is all of them.
     """
     demand = pool.demand.get(model, 0.0)
-    excess = max(0.0, demand - FULL * get_rate(pool) * copies)
+    excess = max(0.0, demand - FULL * get_rate(pool, model) * copies)
     return excess * AHEAD_S / max(1.0, pool.mean_tokens)
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -132,10 +132,12 @@
 
 def estimate_retry(pool: PoolState, waiting: Waiting, *, now: int) -> int:
     """Return when a refused request will probably get in, in ms."""
-    backlog = sum(one.need.prompt_tokens for one in pool.waiting.values())
-    servers = [one for one in pool.servers.values() if is_usable(one, now=now)]
-    rate = get_rate(pool) * max(1, len(servers))
-    return max(200, min(3_000, int(backlog * 1_000 / rate)))
+    backlog_s = sum(
+        one.need.prompt_tokens / get_rate(pool, one.need.model)
+        for one in pool.waiting.values()
+    )
+    servers = sum(is_usable(one, now=now) for one in pool.servers.values())
+    return max(200, min(3_000, int(backlog_s * 1_000 / max(1, servers))))
 
 
 def _estimate_wait(pool: PoolState, model: str, ahead: int, *, now: int) -> float:
@@ -145,7 +147,7 @@
         and counts as nothing.
     """
     copies = len(find_copies(pool, model, now=now))
-    return ahead * 1_000 / (get_rate(pool) * copies) if copies else 0.0
+    return ahead * 1_000 / (get_rate(pool, model) * copies) if copies else 0.0
 
 
 def _rank(waiting: Waiting, now: int) -> tuple[bool, int, int]:
@@ -224,7 +226,7 @@
         is_repeat=waiting.is_repeat,
     )
     begin = max(float(now), server.read_until)
-    server.read_until = begin + need.prompt_tokens * 1_000 / get_rate(pool)
+    server.read_until = begin + need.prompt_tokens * 1_000 / get_rate(pool, need.model)
     server.model_used_at[need.model] = now
     if need.adapter:
         server.adapter_used_at[need.model, need.adapter] = now
--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -374,16 +374,16 @@
             continue
         copies = len(find_copies(pool, model, now=now))
         gain = get_excess(pool, model, copies) - get_excess(pool, model, copies + 1)
-        gain += _count_relieved(pool, waiting[model], copies)
+        gain += _count_relieved(pool, model, waiting[model], copies)
         gain += _count_missed(pool, model, waiting[model], copies, now=now)
         if gain > 0:
             wanted.append((model, gain))
     return sorted(wanted, key=lambda one: -one[1])
 
 
-def _count_relieved(pool: PoolState, waiting: int, copies: int) -> float:
+def _count_relieved(pool: PoolState, model: str, waiting: int, copies: int) -> float:
     """Return how many of a model's waiting requests another copy would take over."""
-    at_once = get_rate(pool) * HOT_BACKLOG_MS / 1_000 / pool.mean_tokens
+    at_once = get_rate(pool, model) * HOT_BACKLOG_MS / 1_000 / pool.mean_tokens
     return max(0.0, waiting - at_once * copies) / (copies + 1)
 
 
--- a/src/arbutuspulley/pool/speed.py
+++ b/src/arbutuspulley/pool/speed.py
@@ -1,59 +1,89 @@
 """How fast servers read prompts, learnt from how long first events take.
 
-No server tells its reading speed. Among requests that started on a server that was
-reading nothing else, the time until the first event grows with the prompt by the
-time that a token takes; what is the same for all, such as a step and the way there,
-does not change that slope.
+No server tells its reading speed, and it differs by model: on the same servers some
+models are read four times as fast as others. Among requests that started on a server
+that was reading nothing else, the time until the first event grows with the prompt
+by the time that a token takes; what is the same for all, such as a step and the way
+there, does not change that slope. The median of the slopes between pairs of requests
+(Theil and Sen's estimate) stands even if a quarter of the times are off, as they are
+on servers that a coordinator has just taken over with unknown work.
 """
 
+import statistics
+from collections import deque
+
+import msgspec
+
 from arbutuspulley.data import State
 
 DEFAULT_SPEED = 20.0
 """Prompt tokens that a server reads in a ms, until enough was seen; servers of the
-sites at hand read 19 to 26."""
+sites at hand read 19 to 26 of their largest models."""
 
 LEAST_SPEED = 5.0
 MOST_SPEED = 80.0
-"""Bounds of what is believed, in tokens a ms: four times less and more than seen."""
+"""Bounds of what is believed, in tokens a ms: the slowest and fastest seen are 19 and
+79."""
+
+MOST_SAMPLES = 64
+"""Requests that are kept: some seconds of a busy model's."""
+
+LEAST_SPREAD = 300
+"""Fewest tokens by which two prompts differ for their slope to count: times scatter by
+some 10 ms, which is the reading time of as many tokens."""
 
-PRIOR = 30.0 * 700.0**2
-"""Weight of the default, in squared tokens: that of 30 requests of the sheets' spread.
-A few slow answers to short prompts then don't turn the slope around."""
+PRIOR_PAIRS = 60
+"""How many pairs the first guess weighs as much as: those of about 15 requests."""
 
-FORGET = 0.995
-"""How much older requests count with each new one: about the last 200 do."""
+REFRESH = 4
+"""New requests after which the speed is worked out anew: 2,000 slopes take 0.3 ms."""
 
 
 class SpeedState(State):
-    """Weighted sums over requests: of tokens, times and their products."""
+    """What was seen of one kind of model.
 
-    count: float = 0
-    tokens: float = 0
-    times: float = 0
-    tokens_squared: float = 0
-    products: float = 0
+    :param guess: what is believed before, in tokens a ms.
+    :param samples: prompt tokens and ms to the first event of the newest requests.
+    :param speed: as last worked out, in tokens a ms; 0: not yet.
+    :param fresh: requests since then.
+    """
+
+    guess: float = DEFAULT_SPEED
+    samples: deque[tuple[int, float]] = msgspec.field(
+        default_factory=lambda: deque(maxlen=MOST_SAMPLES)
+    )
+    speed: float = 0
+    fresh: int = 0
 
 
-def note_first_event(speed: SpeedState, *, tokens: int, took_ms: float) -> None:
+def note_first_event(state: SpeedState, *, tokens: int, took_ms: float) -> None:
     """Count a request that started on a server that read nothing else.
 
     :param tokens: of its prompt.
     :param took_ms: from sending it to its first event.
     """
-    for name in speed.__struct_fields__:
-        setattr(speed, name, getattr(speed, name) * FORGET)
-    speed.count += 1
-    speed.tokens += tokens
-    speed.times += took_ms
-    speed.tokens_squared += tokens * tokens
-    speed.products += tokens * took_ms
+    state.samples.append((tokens, took_ms))
+    state.fresh += 1
 
 
-def get_speed(speed: SpeedState) -> float:
+def get_speed(state: SpeedState) -> float:
     """Return the prompt tokens that a server reads in a ms."""
-    if speed.count < 1:
-        return DEFAULT_SPEED
-    spread = speed.tokens_squared - speed.tokens**2 / speed.count
-    slope = speed.products - speed.tokens * speed.times / speed.count
-    slope = max(1.0, slope + PRIOR / DEFAULT_SPEED)
-    return min(MOST_SPEED, max(LEAST_SPEED, (spread + PRIOR) / slope))
+    if not state.samples:
+        return state.guess
+    if not state.speed or state.fresh >= REFRESH:
+        state.fresh = 0
+        state.speed = _compute_speed(state)
+    return state.speed
+
+
+def _compute_speed(state: SpeedState) -> float:
+    slopes = [1 / state.guess] * PRIOR_PAIRS
+    samples = sorted(state.samples)
+    for index, (tokens, took) in enumerate(samples):
+        slopes.extend(
+            (longer - took) / (more - tokens)
+            for more, longer in samples[index + 1 :]
+            if more - tokens >= LEAST_SPREAD
+        )
+    slope = max(1 / MOST_SPEED, statistics.median(slopes))
+    return max(LEAST_SPEED, 1 / slope)
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -3,7 +3,12 @@
 import msgspec
 
 from arbutuspulley.data import State
-from arbutuspulley.pool.speed import SpeedState, note_first_event
+from arbutuspulley.pool.speed import (
+    DEFAULT_SPEED,
+    SpeedState,
+    get_speed,
+    note_first_event,
+)
 from arbutuspulley.ports.fleet import EngineSpec, ModelNeed, ServerEntry
 
 DEFAULT_ADAPTER_MS = 25
@@ -128,7 +133,8 @@
     :param mean_tokens: moving mean of a request's prompt tokens.
     :param missed_at: models without a copy, and since when one is waited for, in ms.
     :param loads: when loads from the weight store were ordered, in ms.
-    :param speed: what is known of the servers' reading speed.
+    :param speeds: what is known of the servers' reading speed, by kind of model;
+        see :func:`get_kind`.
     """
 
     service: str
@@ -141,7 +147,7 @@
     missed_at: dict[str, int] = msgspec.field(default_factory=dict)
     loads: list[int] = msgspec.field(default_factory=list)
     adapter_ms: float = DEFAULT_ADAPTER_MS
-    speed: SpeedState = msgspec.field(default_factory=SpeedState)
+    speeds: dict[str, SpeedState] = msgspec.field(default_factory=dict)
 
 
 def note_entries(pool: PoolState, entries: list[ServerEntry]) -> None:
@@ -234,13 +240,57 @@
         return
     run.is_unread = False
     if run.was_free:
-        note_first_event(pool.speed, tokens=run.need.prompt_tokens, took_ms=took_ms)
+        note_first_event(
+            _get_speed_state(pool, run.need.model),
+            tokens=run.need.prompt_tokens,
+            took_ms=took_ms,
+        )
     server.failures = 0
     server.suspect_until = 0
     if server.unconfirmed == run.need.model:
         server.unconfirmed = ""
 
 
+def get_kind(spec: EngineSpec, model: str) -> str:
+    """Name the models that are taken to be read equally fast: those of one size.
+
+    Few requests come for a rarely used model; those for its like tell as much.
+    """
+    found = spec.models.get(model)
+    return f"{found.size_mb:g}/{found.adapter_mb:g}" if found else ""
+
+
+def find_speed(pool: PoolState, model: str) -> float:
+    """Return the prompt tokens of a model that a server reads in a ms.
+
+    Of a kind that was not seen yet, the slowest of the others is assumed.
+    """
+    state = pool.speeds.get(get_kind(pool.spec, model))
+    if state is not None:
+        return get_speed(state)
+    known = (get_speed(one) for one in pool.speeds.values())
+    return min(known, default=DEFAULT_SPEED)
+
+
+def list_speeds(pool: PoolState) -> dict[str, float]:
+    """Return the reading speeds by kind of model, for a successor."""
+    return {kind: get_speed(one) for kind, one in pool.speeds.items()}
+
+
+def assume_speeds(pool: PoolState, speeds: dict[str, float]) -> None:
+    """Begin with what a predecessor has learnt."""
+    for kind, speed in speeds.items():
+        pool.speeds.setdefault(kind, SpeedState(guess=speed))
+
+
+def _get_speed_state(pool: PoolState, model: str) -> SpeedState:
+    kind = get_kind(pool.spec, model)
+    state = pool.speeds.get(kind)
+    if state is None:
+        state = pool.speeds[kind] = SpeedState(guess=find_speed(pool, model))
+    return state
+
+
 def note_end(pool: PoolState, key: str, incarnation: str, *, failed: bool) -> None:
     """A run ended.
 
--- a/tests/test_pool_speed.py
+++ b/tests/test_pool_speed.py
@@ -4,12 +4,22 @@
 
 import pytest
 
+from arbutuspulley.pool.grants import plan_grants
 from arbutuspulley.pool.speed import (
     DEFAULT_SPEED,
     SpeedState,
     get_speed,
     note_first_event,
 )
+from arbutuspulley.pool.state import (
+    assume_speeds,
+    find_speed,
+    list_speeds,
+    note_end,
+    note_first,
+)
+from arbutuspulley.ports.fleet import ModelSpec
+from tests.pools import add_waiting, build_pool, build_server, build_spec
 
 
 def learn(true_speed, *, requests, odd=0.0, seed=1):
@@ -39,3 +49,86 @@
     """A few short prompts take long for other reasons. The slope came out near zero,
     the speed at its upper bound, and prompts were no longer paced at all."""
     assert 14 < learn(25.8, requests=60, odd=0.15, seed=seed) < 45
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_takeover_does_not_slow_everybody_down(seed):
+    """A coordinator that has just taken over does not know what its servers read. Every
+    fourth request waits there behind prompts that it never heard of, the longer the
+    more. The speed came out at a third, prompts were held back for 20 s, and 300
+    requests were refused that servers had time for."""
+    chance = random.Random(seed)
+    speed = SpeedState()
+    for number in range(60):
+        tokens = int(min(3_800, chance.lognormvariate(6.8, 0.8)) + 100)
+        took = 20 + chance.random() * 20 + tokens / 25.8
+        if number % 4 == 0:
+            took += chance.random() * 0.3 * tokens
+        note_first_event(speed, tokens=tokens, took_ms=took)
+    assert get_speed(speed) == pytest.approx(25.8, rel=0.25)
+
+
+def build_two_kinds():
+    sizes = {"large": 60, "small": 20}
+    models = {
+        name: ModelSpec(
+            name=name,
+            size_mb=size,
+            adapter_mb=0,
+            load_ms=1_200,
+            disk_load_ms=800,
+            warm_load_ms=600,
+        )
+        for name, size in sizes.items()
+    }
+    spec = build_spec(memory_mb=100, slots=64, cache_tokens=1_000_000, models=models)
+    return build_pool(build_server("s1", "large", "small"), spec=spec)
+
+
+def serve(pool, model, *, count, tokens_per_ms, start):
+    """One prompt after another, each on an idle server; return when the last began."""
+    chance = random.Random(3)
+    now = start
+    for number in range(count):
+        key = f"{model}-{number}"
+        tokens = chance.randint(300, 3_000)
+        add_waiting(pool, key, model, tokens=tokens, now=now)
+        plan_grants(pool, now=now)
+        took = 15 + int(tokens / tokens_per_ms)
+        note_first(pool, key, "s1", took_ms=took)
+        note_end(pool, key, "s1", failed=False)
+        now += 1_000
+    return now
+
+
+def test_a_model_that_is_read_fast_is_not_paced_like_a_slow_one():
+    """Servers read their small models three to four times as fast as the large ones.
+    All were paced by one speed, that of the large ones, so that callers of small models
+    waited for servers that had time for them."""
+    pool = build_two_kinds()
+    now = serve(pool, "large", count=40, tokens_per_ms=19.2, start=0)
+    now = serve(pool, "small", count=40, tokens_per_ms=66, start=now)
+    assert find_speed(pool, "large") == pytest.approx(19.2, rel=0.15)
+    assert find_speed(pool, "small") == pytest.approx(66, rel=0.2)
+    add_waiting(pool, "next", "small", tokens=2_000, now=now)
+    plan_grants(pool, now=now)
+    assert pool.servers["s1"].read_until - now < 60
+
+
+def test_a_kind_that_was_not_seen_is_read_as_slowly_as_the_slowest_known():
+    pool = build_two_kinds()
+    now = serve(pool, "small", count=40, tokens_per_ms=66, start=0)
+    assert find_speed(pool, "large") == find_speed(pool, "small")
+    serve(pool, "large", count=40, tokens_per_ms=10, start=now)
+    assert find_speed(pool, "large") == pytest.approx(10, rel=0.15)
+
+
+def test_a_successor_begins_with_what_was_learnt():
+    """A coordinator that took over began with the default speed. On servers that read
+    faster, callers waited for some seconds after each change."""
+    before = build_two_kinds()
+    serve(before, "small", count=40, tokens_per_ms=66, start=0)
+    after = build_two_kinds()
+    assume_speeds(after, list_speeds(before))
+    assert find_speed(after, "small") == find_speed(before, "small")
+    assert find_speed(after, "large") == find_speed(before, "large")
