Choose what to unload by how long its runs will last

The busiest model of a shift was planned onto a server at second 3.3; the unload there waited for the streams of another model until that server crashed at 8.2. A plan counts as a copy, so nothing else was done for it: 133 requests, 103 of them refused. At another server one stream held up all orders for 4.5 s.

Ruled out: lost orders (an order without an answer is given again after 0.2 s), the store's rate of loads (free).

The victims' wait counts against the gain of a load; a plan whose unload will wait over a second no longer counts as a copy and yields to a quicker one. How a try ended is typed.

--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -65,7 +65,7 @@
     note_missing,
     note_unreachable,
 )
-from arbutuspulley.ports.fleet import ServerOrder
+from arbutuspulley.ports.fleet import ServerOrder, TryEnd
 
 AIM_PART = 0.75
 """Part of the aim after which a waiting request counts as late: the rest is needed
@@ -323,7 +323,7 @@
                         incarnation=run.incarnation,
                         need=run.need,
                         granted_at=now,
-                        is_unread=False,
+                        first_at=now,
                     )
 
     def _take_outcome(self, message: Started | Ended, *, now: int) -> None:
@@ -332,13 +332,13 @@
                 continue
             key, incarnation = message.key, message.incarnation
             if isinstance(message, Started):
-                note_first(pool, key, incarnation, took_ms=message.took_ms)
-            elif message.how == "missing":
+                note_first(pool, key, incarnation, took_ms=message.took_ms, now=now)
+            elif message.how is TryEnd.NOT_RUN:
                 note_missing(pool, key, incarnation, now=now)
-            elif message.how == "unreachable":
+            elif message.how is TryEnd.UNREACHED:
                 note_unreachable(pool, key, incarnation, now=now)
             else:
-                note_end(pool, key, incarnation, failed=message.how == "failed")
+                note_end(pool, key, incarnation, how=message.how, now=now)
 
     def _decide(self) -> None:
         self._is_kicked = False
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -35,6 +35,7 @@
     Route,
     ServerEntry,
     ServiceSpec,
+    TryEnd,
 )
 from arbutuspulley.routing.local import (
     choose_server,
@@ -185,7 +186,7 @@
         progress.is_late = granted.is_late
         entry = self._state.entries.get(granted.incarnation)
         if entry is None:
-            self._tell_end(granted.incarnation, "done")
+            self._tell_end(granted.incarnation, TryEnd.UNUSED)
             progress.avoid.add(granted.incarnation)
             progress.refused += 1
             if progress.refused > MOST_REFUSED:
@@ -218,7 +219,7 @@
         # while nothing has come back yet.
         progress.may_have_run += 1
         progress.sent_at = now
-        how = "failed"
+        how = TryEnd.FAILED
         took: int | None = None
         try:
             response = await send_request(
@@ -229,18 +230,18 @@
             )
             try:
                 answer = await self._take_answer(entry, response)
-                how = "done"
+                how = TryEnd.DONE
                 took = state.clock.now() - now
                 return answer
             except _NotRunError:
-                how = "missing"
+                how = TryEnd.NOT_RUN
                 progress.may_have_run -= 1
                 raise self._note_refused(entry) from None
             finally:
-                if how != "done":
+                if how is not TryEnd.DONE:
                     response.close()
         except NotSentError:
-            how = "unreachable"
+            how = TryEnd.UNREACHED
             progress.may_have_run -= 1
             note_unreachable(record, entry, now=state.clock.now())
             raise self._note_unreached(entry) from None
@@ -248,11 +249,11 @@
             raise self._note_broken(entry, str(error)) from None
         except asyncio.CancelledError:
             # The caller left or the time is up; that says nothing of the server.
-            how = "cancelled"
+            how = TryEnd.LEFT
             raise
         finally:
-            note_done(record, entry, took_ms=took, failed=how == "failed")
-            state.metrics.attempts.labels(how).inc()
+            note_done(record, entry, took_ms=took, failed=how is TryEnd.FAILED)
+            state.metrics.attempts.labels(how.value).inc()
             self._tell_end(entry.incarnation, how)
 
     def _build_headers(self, entry: ServerEntry, now: int) -> list[tuple[str, str]]:
@@ -431,7 +432,7 @@
             status=503, reason=reason, retry_after_ms=retry_after_ms or RETRY_AFTER_MS
         )
 
-    def _tell_end(self, incarnation: str, how: str) -> None:
+    def _tell_end(self, incarnation: str, how: TryEnd) -> None:
         if self._request.need is None:
             return
         self._link.forget_run(self._request.attempt_id)
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -25,6 +25,7 @@
     encode_frame,
 )
 from arbutuspulley.node.state import NodeState
+from arbutuspulley.ports.fleet import TryEnd
 
 LINK_PATH = "/link"
 """Path of the WebSocket at an instance's link address."""
@@ -213,7 +214,7 @@
                 key=granted.key,
                 service="",
                 incarnation=granted.incarnation,
-                how="unused",
+                how=TryEnd.UNUSED,
             )
         )
 
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from arbutuspulley.data import Message
-from arbutuspulley.ports.fleet import ModelNeed
+from arbutuspulley.ports.fleet import ModelNeed, TryEnd
 
 
 class RunningRequest(Message, frozen=True):
@@ -63,16 +63,12 @@
 
 
 class Ended(Message, frozen=True, tag="ended"):
-    """A granted request ended.
-
-    :param how: ``done``, ``failed``, ``missing`` (refused as not run) or
-        ``unreachable``.
-    """
+    """A granted request ended."""
 
     key: str
     service: str
     incarnation: str
-    how: str
+    how: TryEnd
 
 
 class Withdraw(Message, frozen=True, tag="withdraw"):
--- a/src/arbutuspulley/platform/names.py
+++ b/src/arbutuspulley/platform/names.py
@@ -21,6 +21,9 @@
 TOKEN_USAGE = "X-Arbutuspulley-Token-Usage"
 """``PROMPT,OUTPUT``: tokens in the prompt, most tokens generated."""
 
+LENGTH_HINT = "X-Arbutuspulley-Length-Hint"
+"""How many output tokens the client expects; often far off."""
+
 REQUEST_PRIORITY = "X-Arbutuspulley-Request-Priority"
 """Rank at a server, 0 to 9; 0 is served first, 5 if absent."""
 
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -110,6 +110,7 @@
         adapter=adapter,
         prompt_tokens=_read_number(prompt) or 1,
         output_tokens=_read_number(output) or 1,
+        expected_tokens=_read_number(found.get(names.LENGTH_HINT.lower())) or 0,
     )
 
 
--- /dev/null
+++ b/src/arbutuspulley/pool/duration.py
@@ -0,0 +1,58 @@
+"""How much longer requests will run.
+
+An unload waits for the runs of its model, and the server takes no other order until
+then. Callers say about how many tokens they expect; how long one takes is learnt.
+"""
+
+from arbutuspulley.data import State
+from arbutuspulley.ports.fleet import ModelNeed
+
+DEFAULT_TOKEN_MS = 14.0
+"""How long a token takes, in ms, until enough was seen: the median of calm and busy
+days is 11 to 19."""
+
+USED_PART = 0.3
+"""Part of the most tokens allowed that a request generates, where it does not say how
+many it expects: 120 of 460 on the sheets."""
+
+LEAST_LEFT_MS = 200.0
+LEFT_PART = 0.3
+"""A run lasts at least so many ms more, and at least such a part of the time that it
+has run: what callers expect is often exceeded, and then by a good part."""
+
+FORGET = 0.98
+"""How much older runs count with each new one: about the last 50 do."""
+
+
+class DurationState(State):
+    """Weighted sums over runs that ended.
+
+    :param tokens: expected ones.
+    :param times: ms from the first part to the end.
+    """
+
+    tokens: float = 1_000.0
+    times: float = 1_000.0 * DEFAULT_TOKEN_MS
+
+
+def get_expected_tokens(need: ModelNeed) -> float:
+    """Return how many tokens a request will probably generate."""
+    return need.expected_tokens or USED_PART * need.output_tokens
+
+
+def note_run_time(state: DurationState, need: ModelNeed, *, took_ms: float) -> None:
+    """Count a run that ended well.
+
+    :param took_ms: from the first part of its answer to the end.
+    """
+    state.tokens = state.tokens * FORGET + get_expected_tokens(need)
+    state.times = state.times * FORGET + took_ms
+
+
+def estimate_left(state: DurationState, need: ModelNeed, *, ran_ms: float) -> float:
+    """Return how much longer a run will probably last, in ms.
+
+    :param ran_ms: since it was granted.
+    """
+    whole = get_expected_tokens(need) * state.times / max(1.0, state.tokens)
+    return max(LEAST_LEFT_MS, LEFT_PART * ran_ms, whole - ran_ms)
--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -12,7 +12,6 @@
 from arbutuspulley.pool.demand import find_copies, get_excess, get_rate
 from arbutuspulley.pool.loads import may_load, note_load
 from arbutuspulley.pool.room import (
-    RoomPlan,
     choose_adapter_victim,
     count_used_mb,
     plan_room,
@@ -21,6 +20,7 @@
     PoolState,
     ServerState,
     Waiting,
+    estimate_unload,
     forget_model,
     holds,
     is_usable,
@@ -76,6 +76,15 @@
 """How long a server is kept for a model that is to be loaded there, in ms: what leaves
 may wait for streams that take some seconds."""
 
+PATIENCE_MS = 3_000
+"""After so long a copy no longer spares anybody a wait, in ms: callers leave after 2 to
+4 s without a first event."""
+
+STUCK_MS = 1_000
+"""A server whose unload will wait for longer, in ms, does not count as about to have
+the model that it was chosen for: a model that nobody had was once not loaded for 7 s,
+and 103 of its requests were refused, as its server waited for one stream to end."""
+
 NEVER = 1 << 60
 """A time that does not come, in ms: an order's answer is awaited first."""
 
@@ -372,7 +381,8 @@
     for model in {*waiting, *pool.demand}:
         if model not in pool.spec.models:
             continue
-        copies = len(find_copies(pool, model, now=now))
+        found = find_copies(pool, model, now=now)
+        copies = sum(not _is_stuck(pool, one, model, now=now) for one in found)
         gain = get_excess(pool, model, copies) - get_excess(pool, model, copies + 1)
         gain += _count_relieved(pool, model, waiting[model], copies)
         gain += _count_missed(pool, model, waiting[model], copies, now=now)
@@ -381,6 +391,13 @@
     return sorted(wanted, key=lambda one: -one[1])
 
 
+def _is_stuck(pool: PoolState, server: ServerState, model: str, *, now: int) -> bool:
+    """Tell whether a server that is to load a model waits long to unload another."""
+    if server.planned != model or not server.unloading:
+        return False
+    return estimate_unload(pool, server, server.unloading, now=now) > STUCK_MS
+
+
 def _count_relieved(pool: PoolState, model: str, waiting: int, copies: int) -> float:
     """Return how many of a model's waiting requests another copy would take over."""
     at_once = get_rate(pool, model) * HOT_BACKLOG_MS / 1_000 / pool.mean_tokens
@@ -403,8 +420,8 @@
 def _plan_model(
     pool: PoolState, model: str, gain: float, *, now: int
 ) -> PlannedOrder | None:
-    best: tuple[ServerState, RoomPlan, bool] | None = None
-    best_cost = 0.0
+    best: ServerState | None = None
+    most = 0.0
     is_store_free = may_load(pool, now=now)
     for server in pool.servers.values():
         if model in server.models or server.loading or server.planned:
@@ -417,17 +434,20 @@
         plan = plan_room(pool, server, model, now=now)
         if plan is None:
             continue
-        cost = plan.cost + RUN_SHARE * len(server.runs) - NEAR_GAIN * is_near
-        if best is None or cost < best_cost:
-            best, best_cost = (server, plan, is_near), cost
+        left = gain * max(0.0, 1 - plan.wait_ms / PATIENCE_MS)
+        if left - plan.cost < LEAST_GAIN:
+            continue
+        worth = left - plan.cost - RUN_SHARE * len(server.runs) + NEAR_GAIN * is_near
+        if best is None or worth > most:
+            best, most = server, worth
     if best is None:
         return None
-    server, plan, is_near = best
-    if gain - plan.cost < LEAST_GAIN:
-        return None
-    server.planned = model
-    server.planned_until = now + PLAN_MS
-    return _go_on(pool, server, now=now)
+    for server in pool.servers.values():
+        if _is_stuck(pool, server, model, now=now):
+            server.planned = ""
+    best.planned = model
+    best.planned_until = now + PLAN_MS
+    return _go_on(pool, best, now=now)
 
 
 def _go_on(pool: PoolState, server: ServerState, *, now: int) -> PlannedOrder | None:
--- a/src/arbutuspulley/pool/room.py
+++ b/src/arbutuspulley/pool/room.py
@@ -2,17 +2,16 @@
 
 from arbutuspulley.data import Value
 from arbutuspulley.pool.demand import find_copies, get_excess
-from arbutuspulley.pool.state import PoolState, ServerState
+from arbutuspulley.pool.state import PoolState, ServerState, estimate_unload
 from arbutuspulley.ports.fleet import EngineSpec
 
 SOLE_COST = 0.3
 """What unloading the only copy of a model costs beside its demand, in requests; it has
 to be loaded again before it can be served."""
 
-RUN_COST = 0.3
-"""What each running request of a model that leaves costs, in requests: the unload
-waits for it, and the server takes no other order meanwhile."""
-
+BLOCK_COST = 0.5
+"""What each second costs for which an unload waits for runs, in requests: the server
+takes no other order meanwhile, so that no adapter gets onto it."""
 
 STEP_COST = 0.1
 """What each unload costs by itself, in requests: an order, and a copy less."""
@@ -22,10 +21,12 @@
     """Models to unload, in order, before another fits.
 
     :param cost: in requests that will have to wait.
+    :param wait_ms: how long the unloads wait for runs.
     """
 
     victims: tuple[str, ...]
     cost: float
+    wait_ms: float = 0
 
 
 def count_used_mb(spec: EngineSpec, server: ServerState) -> float:
@@ -56,7 +57,7 @@
     free = spec.memory_mb - count_used_mb(spec, server)
     needed = spec.models[model].size_mb
     victims: list[str] = []
-    cost = 0.0
+    cost = wait_ms = 0.0
     ranked = sorted(
         (rate_victim(pool, server, held, now=now), held) for held in server.models
     )
@@ -65,13 +66,14 @@
             break
         victims.append(held)
         cost += rated + STEP_COST
+        wait_ms += estimate_unload(pool, server, held, now=now)
         held_spec = spec.models.get(held)
         if held_spec is not None:
             free += held_spec.size_mb
             free += held_spec.adapter_mb * len(server.models[held])
     if free < needed:
         return None
-    return RoomPlan(victims=tuple(victims), cost=cost)
+    return RoomPlan(victims=tuple(victims), cost=cost, wait_ms=wait_ms)
 
 
 def rate_victim(pool: PoolState, server: ServerState, model: str, *, now: int) -> float:
@@ -82,8 +84,8 @@
     cost += waiting / max(1, copies)
     if copies <= 1:
         cost += SOLE_COST
-    runs = sum(run.need.model == model for run in server.runs.values())
-    return cost + RUN_COST * runs
+    wait_ms = estimate_unload(pool, server, model, now=now)
+    return cost + BLOCK_COST * wait_ms / 1_000
 
 
 def choose_adapter_victim(
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -3,13 +3,14 @@
 import msgspec
 
 from arbutuspulley.data import State
+from arbutuspulley.pool.duration import DurationState, estimate_left, note_run_time
 from arbutuspulley.pool.speed import (
     DEFAULT_SPEED,
     SpeedState,
     get_speed,
     note_first_event,
 )
-from arbutuspulley.ports.fleet import EngineSpec, ModelNeed, ServerEntry
+from arbutuspulley.ports.fleet import EngineSpec, ModelNeed, ServerEntry, TryEnd
 
 DEFAULT_ADAPTER_MS = 25
 """First guess of how long an adapter takes to load, in ms; the sheets say 5 to 14,
@@ -23,6 +24,10 @@
 """Most of that, in ms: crashed servers are back after 4 to 6 s."""
 
 
+FAILURE_MEMORY = 0.1
+"""Weight of the newest run in a server's share of failures: about the last ten."""
+
+
 class Waiting(State):
     """A request that waits for a server.
 
@@ -50,7 +55,7 @@
 class Run(State):
     """A request that was granted a server and has not ended.
 
-    :param is_unread: whether its prompt is still being read.
+    :param first_at: when the first part of its answer came, ``None`` before.
     :param was_free: whether its server read nothing as it was granted.
     :param is_repeat: whether a server has refused it before.
     """
@@ -60,7 +65,7 @@
     incarnation: str
     need: ModelNeed
     granted_at: int
-    is_unread: bool = True
+    first_at: int | None = None
     was_free: bool = False
     is_repeat: bool = False
 
@@ -135,6 +140,7 @@
     :param loads: when loads from the weight store were ordered, in ms.
     :param speeds: what is known of the servers' reading speed, by kind of model;
         see :func:`get_kind`.
+    :param durations: what is known of how long runs last.
     """
 
     service: str
@@ -148,6 +154,7 @@
     loads: list[int] = msgspec.field(default_factory=list)
     adapter_ms: float = DEFAULT_ADAPTER_MS
     speeds: dict[str, SpeedState] = msgspec.field(default_factory=dict)
+    durations: DurationState = msgspec.field(default_factory=DurationState)
 
 
 def note_entries(pool: PoolState, entries: list[ServerEntry]) -> None:
@@ -229,7 +236,9 @@
     }
 
 
-def note_first(pool: PoolState, key: str, incarnation: str, *, took_ms: int) -> None:
+def note_first(
+    pool: PoolState, key: str, incarnation: str, *, took_ms: int, now: int
+) -> None:
     """The first part of an answer came: the prompt is read, the load confirmed.
 
     :param took_ms: since the request was sent to the server.
@@ -238,7 +247,7 @@
     run = server.runs.get(key) if server else None
     if server is None or run is None:
         return
-    run.is_unread = False
+    run.first_at = now
     if run.was_free:
         note_first_event(
             _get_speed_state(pool, run.need.model),
@@ -291,17 +300,32 @@
     return state
 
 
-def note_end(pool: PoolState, key: str, incarnation: str, *, failed: bool) -> None:
-    """A run ended.
-
-    :param failed: whether the server broke it off.
-    """
+def note_end(
+    pool: PoolState, key: str, incarnation: str, *, how: TryEnd, now: int
+) -> None:
+    """A run ended."""
     server = pool.servers.get(incarnation)
     if server is None:
         return
-    server.runs.pop(key, None)
-    weight = 0.1
-    server.failure_share += weight * (float(failed) - server.failure_share)
+    run = server.runs.pop(key, None)
+    is_failed = how is TryEnd.FAILED
+    server.failure_share += FAILURE_MEMORY * (is_failed - server.failure_share)
+    if run is not None and run.first_at is not None and how is TryEnd.DONE:
+        note_run_time(pool.durations, run.need, took_ms=now - run.first_at)
+
+
+def estimate_unload(
+    pool: PoolState, server: ServerState, model: str, *, now: int
+) -> float:
+    """Return how long the unload of a model will wait for its runs, in ms."""
+    return max(
+        (
+            estimate_left(pool.durations, run.need, ran_ms=now - run.granted_at)
+            for run in server.runs.values()
+            if run.need.model == model
+        ),
+        default=0.0,
+    )
 
 
 def note_unreachable(pool: PoolState, key: str, incarnation: str, *, now: int) -> None:
--- a/src/arbutuspulley/ports/fleet.py
+++ b/src/arbutuspulley/ports/fleet.py
@@ -198,17 +198,36 @@
     UNKNOWN = "unknown"
 
 
+class TryEnd(enum.StrEnum):
+    """How a try at a server ended.
+
+    ``DONE``: with a whole answer. ``FAILED``: the server broke off. ``NOT_RUN``: the
+    server proved that it did not run the request. ``UNREACHED``: it could not be
+    connected to. ``LEFT``: the caller left or the time was up, which says nothing of
+    the server. ``UNUSED``: nothing was sent.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    UNREACHED = "unreached"
+    LEFT = "left"
+    UNUSED = "unused"
+
+
 class ModelNeed(Value, frozen=True):
     """What a request needs of a model server.
 
     :param adapter: empty if it needs none.
     :param output_tokens: most tokens that it may generate.
+    :param expected_tokens: how many the caller expects; 0 if it did not say.
     """
 
     model: str
     adapter: str
     prompt_tokens: int
     output_tokens: int
+    expected_tokens: int = 0
 
 
 class InboundRequest(State):
--- /dev/null
+++ b/tests/test_pool_duration.py
@@ -0,0 +1,100 @@
+"""How much longer runs last, and what that means for the choice of what to unload."""
+
+import pytest
+
+from arbutuspulley.pool.demand import note_demand
+from arbutuspulley.pool.duration import (
+    DEFAULT_TOKEN_MS,
+    DurationState,
+    estimate_left,
+    note_run_time,
+)
+from arbutuspulley.pool.orders import note_answer, plan_orders
+from arbutuspulley.pool.state import Run
+from arbutuspulley.ports.fleet import ModelNeed, OrderAnswer
+from tests.pools import add_waiting, build_pool, build_server
+
+
+def build_need(*, model="m0", expected=100, output=400):
+    return ModelNeed(
+        model=model,
+        adapter="",
+        prompt_tokens=1_000,
+        output_tokens=output,
+        expected_tokens=expected,
+    )
+
+
+def add_run(server, key, model, *, expected, granted_at=0):
+    server.runs[key] = Run(
+        key=key,
+        origin="n1",
+        incarnation=server.incarnation,
+        need=build_need(model=model, expected=expected),
+        granted_at=granted_at,
+    )
+
+
+@pytest.mark.parametrize(
+    ("expected", "output", "ran_ms", "left"),
+    [
+        (100, 400, 0, 100 * DEFAULT_TOKEN_MS),
+        (100, 400, 400, 1_000),
+        (0, 400, 0, 120 * DEFAULT_TOKEN_MS),
+        (10, 400, 100, 200),
+        (100, 400, 5_000, 1_500),
+    ],
+    ids=["expected", "begun", "only the most known", "nearly done", "longer than said"],
+)
+def test_what_is_left_of_a_run(expected, output, ran_ms, left):
+    need = build_need(expected=expected, output=output)
+    assert estimate_left(DurationState(), need, ran_ms=ran_ms) == pytest.approx(left)
+
+
+def test_the_time_of_a_token_is_learnt():
+    state = DurationState()
+    for _ in range(200):
+        note_run_time(state, build_need(expected=100), took_ms=3_000)
+    left = estimate_left(state, build_need(expected=50), ran_ms=0)
+    assert left == pytest.approx(1_500, rel=0.05)
+
+
+def ask_often(pool, model, *, now, waiting=3):
+    for number in range(waiting):
+        note_demand(pool, model, 1_200, now=now)
+        add_waiting(pool, f"{model}-{number}", model, now=now)
+
+
+def test_the_model_that_leaves_is_one_whose_runs_end_soon():
+    """A model that nobody had was asked for. One server held a model with a single run
+    that had just begun to write 400 tokens, another one with two runs nearly done. The
+    first was chosen, since it had fewer runs; for 6 s it took no order."""
+    long, short = build_server("s0", "m0", "m1"), build_server("s1", "m2", "m3")
+    pool = build_pool(long, short)
+    for model in ("m0", "m1"):
+        add_run(long, f"r-{model}", model, expected=400)
+    for model in ("m2", "m3"):
+        add_run(short, f"a-{model}", model, expected=20)
+        add_run(short, f"b-{model}", model, expected=20)
+    ask_often(pool, "m4", now=10)
+    assert [one.incarnation for one in plan_orders(pool, now=10)] == ["s1"]
+
+
+def test_a_model_is_loaded_elsewhere_if_its_server_waits_for_a_long_stream():
+    """The busiest model moved to a server whose unload waited for a long stream. It
+    counted as being there soon. Other servers had room within a second, but for 7 s
+    none was told to load it, and 103 of its requests were refused."""
+    chosen, other = build_server("s0", "m0", "m1"), build_server("s1", "m2", "m3")
+    pool = build_pool(chosen, other)
+    for model in ("m2", "m3"):
+        add_run(other, f"r-{model}", model, expected=250)
+    ask_often(pool, "m4", now=10)
+    (order,) = plan_orders(pool, now=10)
+    assert order.incarnation == "s0"
+    # A stream that was on its way to it runs for longer than all others.
+    add_run(chosen, "late", order.model, expected=400, granted_at=10)
+    note_answer(pool, order, OrderAnswer.ACCEPTED, now=12)
+    assert plan_orders(pool, now=100) == []
+    other.runs.clear()
+    assert [one.incarnation for one in plan_orders(pool, now=200)] == ["s1"]
+    assert chosen.planned == ""
