Count only loads that may have begun

Each load that a busy server did not take was counted as if it had begun, so every change of models that needs an unload first cost two places in the count of 14 in 5 s.

Ruled out: the store's own rate (2.4 a second allowed, 1.2 used).

Change: a load that was certainly not begun is taken off the count again; one in doubt stays. After an unload that is done at once the next order waits 30 ms instead of meeting a conflict and waiting 60.

--- a/src/arbutuspulley/pool/loads.py
+++ b/src/arbutuspulley/pool/loads.py
@@ -27,6 +27,16 @@
     pool.loads.append(now)
 
 
+def forget_load(pool: PoolState) -> None:
+    """Take the newest load off the count: it certainly did not begin.
+
+    Loads that a server was too busy to take counted like others. Models that nobody
+    had then waited for a second and more while the weight store was idle.
+    """
+    if pool.loads:
+        pool.loads.pop()
+
+
 def assume_loads(pool: PoolState, *, now: int) -> None:
     """Count what a predecessor may have loaded within the span that is running.
 
--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -8,9 +8,11 @@
 
 from collections import Counter
 
+import msgspec
+
 from arbutuspulley.data import Value
 from arbutuspulley.pool.demand import find_copies, get_excess, get_rate
-from arbutuspulley.pool.loads import may_load, note_load
+from arbutuspulley.pool.loads import forget_load, may_load, note_load
 from arbutuspulley.pool.room import (
     choose_adapter_victim,
     count_used_mb,
@@ -61,6 +63,10 @@
 """Wait of a model's prompts that one copy works off in time, in ms: a third of the
 shortest aims on the sheets."""
 
+UNLOAD_MS = 30
+"""Pause after an unload was taken, in ms: an order that follows at once meets a server
+that is still busy with it, and then waits twice as long."""
+
 RUN_SHARE = 0.05
 """What each request that runs on a server counts against loading there, in requests:
 all that a server holds shares its batch."""
@@ -97,6 +103,7 @@
     """An order to be sent now; its holder and fence are the coordinator's.
 
     :param used_mb: memory that the server was believed to use as it was planned.
+    :param is_counted: whether it was counted as a load from the weight store.
     """
 
     kind: OrderKind
@@ -106,6 +113,7 @@
     adapter: str
     expected_orders: int
     used_mb: int
+    is_counted: bool = False
 
 
 def plan_orders(pool: PoolState, *, now: int) -> list[PlannedOrder]:
@@ -136,6 +144,8 @@
     server.ordered_at = now
     if answer is not OrderAnswer.ACCEPTED:
         _take_back(server, order, answer)
+    if _has_not_begun(server, order, answer):
+        forget_load(pool)
     if answer is OrderAnswer.ACCEPTED or _is_done_at_once(order, answer):
         server.orders = order.expected_orders + 1
         server.conflicts = server.unknowns = 0
@@ -224,6 +234,17 @@
     ]
 
 
+def _has_not_begun(
+    server: ServerState, order: PlannedOrder, answer: OrderAnswer
+) -> bool:
+    """Tell whether a load that was counted has certainly not begun."""
+    if order.kind is not OrderKind.LOAD or order.adapter or not order.is_counted:
+        return False
+    # The same load may have been ordered before without an answer, and be under way.
+    is_in_doubt = answer is OrderAnswer.UNKNOWN or server.unanswered_load == order.model
+    return answer is not OrderAnswer.ACCEPTED and not is_in_doubt
+
+
 def _is_done_at_once(order: PlannedOrder, answer: OrderAnswer) -> bool:
     # An adapter that no request uses is unloaded at once, which answers 200 too.
     is_adapter_unload = order.kind is OrderKind.UNLOAD and bool(order.adapter)
@@ -243,8 +264,11 @@
         # adapter keeps its place until a report no longer shows it.
         if order.adapter and answer is OrderAnswer.ACCEPTED:
             return
-        if order.adapter or not _has_runs(server, order.model):
+        if order.adapter:
+            _forget(server, order)
+        elif not _has_runs(server, order.model):
             _forget(server, order)
+            server.order_again_at = now + UNLOAD_MS
         return
     if order.adapter:
         due = now + int(pool.adapter_ms)
@@ -464,13 +488,14 @@
         return None
     if plan.victims:
         return _build(pool, server, OrderKind.UNLOAD, plan.victims[0], "")
-    if model not in server.in_memory and model not in server.on_disk:
-        is_counted = model == server.unanswered_load
-        if not is_counted and not may_load(pool, now=now):
+    is_near = model in server.in_memory or model in server.on_disk
+    is_counted = not is_near and model != server.unanswered_load
+    if is_counted:
+        if not may_load(pool, now=now):
             return None
-        if not is_counted:
-            note_load(pool, now=now)
-    return _build(pool, server, OrderKind.LOAD, model, "")
+        note_load(pool, now=now)
+    order = _build(pool, server, OrderKind.LOAD, model, "")
+    return msgspec.structs.replace(order, is_counted=is_counted)
 
 
 def _build(
--- a/tests/test_pool_orders.py
+++ b/tests/test_pool_orders.py
@@ -268,6 +268,34 @@
     assert begun >= 38
 
 
+@pytest.mark.parametrize(
+    ("what", "counted"),
+    [
+        (OrderAnswer.ACCEPTED, 1),
+        (OrderAnswer.UNKNOWN, 1),
+        (OrderAnswer.CONFLICT, 0),
+        (OrderAnswer.WRONG_SERVER, 0),
+        (OrderAnswer.HELD_ALREADY, 0),
+    ],
+)
+def test_a_load_that_did_not_begin_does_not_count(what, counted):
+    """Servers that were still unloading answered a load with a conflict, and each of
+    these took up a part of the weight store's rate. The load itself, 60 ms later, had
+    to wait for 1.2 s, and with it 69 callers of a model that nobody had."""
+    pool = build_pool(build_server("s0", "m0"))
+    add_waiting(pool, "r0", "m2")
+    answer(pool, plan_orders(pool, now=10), what, now=20)
+    assert len(pool.loads) == counted
+
+
+def test_a_load_in_doubt_counts_once():
+    pool = build_pool(build_server("s0", "m0"))
+    add_waiting(pool, "r0", "m2")
+    answer(pool, plan_orders(pool, now=10), OrderAnswer.UNKNOWN, now=210)
+    answer(pool, plan_orders(pool, now=220), OrderAnswer.CONFLICT, now=230)
+    assert len(pool.loads) == 1
+
+
 def test_a_new_coordinator_assumes_loads_of_the_one_before():
     pool = build_pool(build_server("s0"))
     assume_loads(pool, now=0)
