--- a/src/arbutuspulley/events.py
+++ b/src/arbutuspulley/events.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import enum
-import json
 import logging
 import os
 import sys
@@ -88,18 +87,22 @@
     SERVER_ENTRY_REFUSED = 806
 
 
+def _encode_line(record: logging.LogRecord, **first: object) -> bytes:
+    line = {
+        "time_ms": read_wall(),
+        **first,
+        "event": getattr(record, "event_number", 0),
+        "name": record.getMessage(),
+        **getattr(record, "event_fields", {}),
+    }
+    return msgspec.json.encode(line, enc_hook=str)
+
+
 class _JsonFormatter(logging.Formatter):
     """Writes one JSON object a line."""
 
     def format(self, record: logging.LogRecord) -> str:
-        line = {
-            "time_ms": read_wall(),
-            "level": record.levelname.lower(),
-            "event": getattr(record, "event_number", 0),
-            "name": record.getMessage(),
-            **getattr(record, "event_fields", {}),
-        }
-        return json.dumps(line, default=str)
+        return _encode_line(record, level=record.levelname.lower()).decode()
 
 
 class _TextFormatter(logging.Formatter):
@@ -191,14 +194,7 @@
         if not self._may_keep(number in _ORDINARY):
             self._count_line("dropped")
             return
-        line = {
-            "time_ms": read_wall(),
-            "instance": self._instance,
-            "event": number,
-            "name": record.getMessage(),
-            **getattr(record, "event_fields", {}),
-        }
-        self._lines.append(msgspec.json.encode(line, enc_hook=str) + b"\n")
+        self._lines.append(_encode_line(record, instance=self._instance) + b"\n")
         self._count_line("written")
         self._plan_flush()
 
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -30,7 +29,6 @@
     Granted,
     Hello,
     Learnt,
-    NodeInfo,
     Refused,
     Started,
     ToCoordinator,
@@ -39,25 +37,26 @@
     decode_from_node,
     encode_frame,
 )
+from arbutuspulley.node.peer import Peer
+from arbutuspulley.node.pool_log import log_grant, log_order, log_pool, log_refusal
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.engines import fetch_report, send_order
-from arbutuspulley.pool.demand import age_demand, find_copies, note_demand
-from arbutuspulley.pool.grants import Grant, Refusal, find_wake, plan_grants
-from arbutuspulley.pool.loads import assume_loads
-from arbutuspulley.pool.orders import (
+from arbutuspulley.pool.answers import (
     PlannedOrder,
     list_unsure,
     note_answer,
     note_report,
-    plan_orders,
 )
+from arbutuspulley.pool.demand import age_demand, note_demand
+from arbutuspulley.pool.grants import Grant, Refusal, find_wake, plan_grants
+from arbutuspulley.pool.loads import assume_loads
+from arbutuspulley.pool.orders import plan_orders
 from arbutuspulley.pool.state import (
     PoolState,
     Run,
     ServerState,
     Waiting,
     assume_speeds,
-    find_speed,
     list_speeds,
     note_end,
     note_entries,
@@ -81,24 +80,6 @@
 """Time between reports of a server about which nothing is in doubt, in ms."""
 
 
-class Peer:
-    """An instance as its coordinator sees it."""
-
-    __slots__ = ("heard_at", "info", "misses_store", "outgoing", "wake")
-
-    def __init__(self, *, info: NodeInfo, heard_at: int) -> None:
-        self.info = info
-        self.heard_at = heard_at
-        self.outgoing: list[ToNode] = []
-        self.wake = asyncio.Event()
-        self.misses_store = False
-
-    def send(self, message: ToNode) -> None:
-        """Send a message soon."""
-        self.outgoing.append(message)
-        self.wake.set()
-
-
 class Coordinator:
     """The coordinator's part of a process, idle unless this instance is it.
 
@@ -229,14 +210,9 @@
         if not isinstance(message, Hello):
             return None
         now = self._state.clock.now()
-        info = NodeInfo(
-            name=message.name,
-            site=message.site,
-            frontend=message.frontend,
-            is_ready=False,
-        )
-        peer = self._peers[message.name] = Peer(info=info, heard_at=now)
-        log_event(Event.PEER_UP, instance=message.name)
+        info = msgspec.structs.replace(message.info, is_ready=False)
+        peer = self._peers[info.name] = Peer(info=info, heard_at=now)
+        log_event(Event.PEER_UP, instance=info.name)
         return peer
 
     def _drop_peer(self, peer: Peer) -> None:
@@ -380,15 +356,7 @@
 
     def _send_decision(self, pool: PoolState, decided: Grant | Refusal) -> None:
         if isinstance(decided, Grant):
-            log_event(
-                Event.SERVER_GRANTED,
-                id=decided.key,
-                server=decided.incarnation,
-                is_late=decided.is_late,
-                waited_ms=decided.waited_ms,
-                runs=decided.runs,
-                waiting=len(pool.waiting),
-            )
+            log_grant(pool, decided)
             message: ToNode = Granted(
                 key=decided.key,
                 incarnation=decided.incarnation,
@@ -396,16 +364,7 @@
                 is_late=decided.is_late,
             )
         else:
-            log_event(
-                Event.REQUEST_REFUSED,
-                id=decided.key,
-                model=decided.model,
-                tokens_ahead=decided.tokens_ahead,
-                copies=decided.copies,
-                tokens_per_ms=round(find_speed(pool, decided.model), 1),
-                waited_ms=decided.waited_ms,
-                retry_after_ms=decided.retry_after_ms,
-            )
+            log_refusal(pool, decided)
             message = Refused(key=decided.key, retry_after_ms=decided.retry_after_ms)
         self._send(decided.origin, message)
 
@@ -430,17 +389,7 @@
             address=planned.address,
             incarnation=planned.incarnation,
         )
-        log_event(
-            Event.ORDER_ANSWERED,
-            kind=planned.kind.value,
-            model=planned.model,
-            adapter=planned.adapter,
-            server=planned.incarnation,
-            expected=planned.expected_orders,
-            used_mb=planned.used_mb,
-            fence=order.fence,
-            answer=answer.value,
-        )
+        log_order(planned, answer, fence=order.fence)
         self._state.metrics.orders.labels(planned.kind.value, answer.value).inc()
         note_answer(pool, planned, answer, now=self._state.clock.now())
         self.kick()
@@ -463,27 +412,7 @@
         now = self._state.clock.now()
         for pool in self._pools.values():
             age_demand(pool, now=now)
-            waiting = Counter(one.need.model for one in pool.waiting.values())
-            models = {
-                model: {
-                    "tokens_per_s": int(pool.demand.get(model, 0)),
-                    "waiting": waiting.get(model, 0),
-                    "copies": [
-                        one.incarnation for one in find_copies(pool, model, now=now)
-                    ],
-                }
-                for model in {*pool.demand, *waiting}
-            }
-            log_event(
-                Event.POOL_TOLD,
-                service=pool.service,
-                may_order=self._may_order(now),
-                unsure=len(list_unsure(pool, now=now)),
-                tokens_per_ms={
-                    kind: round(speed, 1) for kind, speed in list_speeds(pool).items()
-                },
-                models=models,
-            )
+            log_pool(pool, may_order=self._may_order(now), now=now)
 
     def _tell_learnt(self) -> None:
         speeds = {name: list_speeds(pool) for name, pool in self._pools.items()}
@@ -493,15 +422,7 @@
 
     def _send_digest(self) -> None:
         now = self._state.clock.now()
-        own = self._state.settings
-        infos = [
-            NodeInfo(
-                name=own.name,
-                site=own.site,
-                frontend=own.frontend,
-                is_ready=self._state.is_ready,
-            )
-        ]
+        infos = [self._state.build_info()]
         infos += [peer.info for peer in self._list_heard(now)]
         self._most_heard = max(self._most_heard, len(infos))
         holds = is_holder(self._lease, now=now) or self._orders_on(now)
--- a/src/arbutuspulley/node/directory.py
+++ b/src/arbutuspulley/node/directory.py
@@ -3,6 +3,7 @@
 import msgspec
 from aiohttp import web
 
+from arbutuspulley.node.messages import NodeInfo
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform import names
 
@@ -11,8 +12,8 @@
 instance that stops is out of use, and from then on it takes no more streams."""
 
 ENOUGH_NEAR = 2
-"""With so many instances ready in the caller's data centre, others are not named: its
-bytes then stay within it, and one of them may still fail."""
+"""With so many instances ready in the caller's data centre, or else in its region,
+others are not named: its bytes then stay there, and one of them may still fail."""
 
 FRESH_MS = 5_000
 """How long a list of instances is believed in, in ms, when no newer one comes."""
@@ -30,36 +31,44 @@
         """Answer where to connect."""
         if request.path != names.RESOLVE_PATH:
             return web.Response(status=404)
-        addresses = self.list_addresses(zone=request.query.get("Zone", ""))
+        addresses = self.list_addresses(
+            site=request.query.get("Zone", ""), region=request.query.get("Region", "")
+        )
         if not addresses:
             return web.Response(status=503)
-        body = msgspec.json.encode({"Addresses": addresses, "TtlS": TTL_S})
+        body = msgspec.json.encode({"Addresses": addresses, "TtlS": self._get_ttl()})
         return web.Response(body=body, content_type="application/json")
 
     async def handle_ready(self, _request: web.BaseRequest) -> web.StreamResponse:
         """Answer whether this instance takes callers."""
         return web.Response(status=200 if self._state.is_ready else 503)
 
-    def list_addresses(self, *, zone: str) -> list[str]:
-        """Return the instances that a caller in a data centre should use."""
-        state = self._state
-        sites = self._collect()
-        near = [address for address, site in sites.items() if site == zone]
-        chosen = near if len(near) >= ENOUGH_NEAR else list(sites)
-        if chosen or state.stopping_at is not None:
-            return chosen
-        return [state.settings.frontend] if state.is_ready else []
+    def list_addresses(self, *, site: str, region: str) -> list[str]:
+        """Return the instances that a caller should use: those of the nearest area.
+
+        :param site: the caller's data centre.
+        """
+        nodes = self._list_ready()
+        for area in (
+            [one for one in nodes if one.site == site],
+            [one for one in nodes if one.region == region],
+        ):
+            if len(area) >= ENOUGH_NEAR:
+                return [one.frontend for one in area]
+        return [one.frontend for one in nodes]
+
+    def _get_ttl(self) -> float:
+        return min(TTL_S, self._state.settings.directory_ttl_s)
 
-    def _collect(self) -> dict[str, str]:
+    def _list_ready(self) -> list[NodeInfo]:
         state = self._state
-        own = state.settings
-        sites: dict[str, str] = {}
+        nodes: list[NodeInfo] = []
         if state.clock.now() - state.nodes_at < FRESH_MS:
-            sites = {
-                node.frontend: node.site
+            nodes = [
+                node
                 for node in state.nodes
-                if node.is_ready and node.name != own.name
-            }
+                if node.is_ready and node.name != state.settings.name
+            ]
         if state.is_ready:
-            sites[own.frontend] = own.site
-        return sites
+            nodes.append(state.build_info())
+        return nodes
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -39,6 +39,7 @@
 )
 from arbutuspulley.routing.local import (
     choose_server,
+    get_most_in_flight,
     note_done,
     note_sent,
     note_unreachable,
@@ -147,12 +148,17 @@
 
     def _choose(self, *, is_plain: bool) -> ServerEntry | None:
         avoid = self.progress.avoid | self.progress.avoid_alone
+        service = self._get_service()
+        connections = service.max_connections if service else 0
         return choose_server(
             self._state.records,
             self._state.by_service.get(self.progress.service, ()),
             zone=self._state.settings.site,
             need=None if is_plain else self._request.need,
             avoid=frozenset(avoid),
+            most_in_flight=get_most_in_flight(
+                connections, instances=len(self._state.nodes)
+            ),
             now=self._state.clock.now(),
         )
 
--- a/src/arbutuspulley/node/following.py
+++ b/src/arbutuspulley/node/following.py
@@ -23,6 +23,12 @@
 """Longest pause between tries, in ms: a configuration must be in force 2 s after it
 was accepted, also right after the store came back."""
 
+GATHER_MS = 400
+"""Pause after changes of the servers' entries before the next call, in ms: entries
+change one after another as servers are told to load, and each answer would tell of
+one. A server that leaves may get requests for 2 s more, and a new one takes 1.2 s to
+load its first model. A calm day makes a third fewer calls."""
+
 OUTAGE_MS = 1_000
 """A store that was away longer than this, in ms, may have let entries lapse of
 servers that live: they could not write to it either."""
@@ -36,14 +42,20 @@
 async def follow_configuration(state: NodeState) -> None:
     """Keep the newest configuration in force, for ever."""
     await _Follower(
-        state=state, table=names.OPERATOR_TABLE, take_rows=take_configuration
+        state=state,
+        table=names.OPERATOR_TABLE,
+        take_rows=take_configuration,
+        gather_ms=0,
     ).follow()
 
 
 async def follow_servers(state: NodeState) -> None:
     """Keep the servers' entries up to date, for ever."""
     await _Follower(
-        state=state, table=names.SERVERS_TABLE, take_rows=take_servers
+        state=state,
+        table=names.SERVERS_TABLE,
+        take_rows=take_servers,
+        gather_ms=GATHER_MS,
     ).follow()
 
 
@@ -66,12 +78,25 @@
 
 
 class _Follower:
-    """One table's reader."""
+    """One table's reader.
 
-    __slots__ = ("_failed_at", "_returned_at", "_state", "_table", "_take_rows")
+    :param gather_ms: pause after changes, in ms, so that one answer tells of several.
+    """
 
-    def __init__(self, *, state: NodeState, table: str, take_rows: TakeRows) -> None:
+    __slots__ = (
+        "_failed_at",
+        "_gather_ms",
+        "_returned_at",
+        "_state",
+        "_table",
+        "_take_rows",
+    )
+
+    def __init__(
+        self, *, state: NodeState, table: str, take_rows: TakeRows, gather_ms: int
+    ) -> None:
         self._state = state
+        self._gather_ms = gather_ms
         self._table = table
         self._take_rows = take_rows
         self._failed_at: int | None = None
@@ -85,6 +110,7 @@
             try:
                 version = await self._read_on(version)
                 pause = RETRY_MS
+                await asyncio.sleep(self._gather_ms / SECOND_MS)
             except HistoryLostError:
                 log_event(Event.HISTORY_LOST, table=self._table, version=version)
                 version = None
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -81,6 +81,8 @@
                 retry_after_ms=NOT_READY_RETRY_MS,
             )
         limits = state.configuration.limits
+        if _count_header_bytes(client) > limits.header_bytes:
+            raise RequestFailedError(status=431, reason="headers too large")
         route = find_route(state.table, host=request.host, path=request.path)
         request.body = await _read_body(client, limits.body_bytes)
         if route is None:
@@ -139,6 +141,7 @@
             refused=progress.refused if progress else 0,
             unreached=progress.unreached if progress else 0,
             may_have_run=progress.may_have_run if progress else 0,
+            resumes=request.resumes,
         )
 
 
@@ -173,6 +176,10 @@
     return b"".join(parts)
 
 
+def _count_header_bytes(client: web.BaseRequest) -> int:
+    return sum(len(name) + len(value) + 4 for name, value in client.raw_headers)
+
+
 def _make_id(request: InboundRequest, started_at: int) -> str:
     text = f"{started_at} {request.method} {request.path}"
     return hashlib.sha256(text.encode()).hexdigest()[:16]
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -262,12 +262,8 @@
                 return
 
     async def _write(self, socket: aiohttp.ClientWebSocketResponse) -> None:
-        settings = self._state.settings
         hello = Hello(
-            name=settings.name,
-            site=settings.site,
-            frontend=settings.frontend,
-            running=tuple(self._running.values()),
+            info=self._state.build_info(), running=tuple(self._running.values())
         )
         first: list[ToCoordinator] = [hello, self.build_beat()]
         await socket.send_bytes(encode_frame(first))
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -6,6 +6,19 @@
 from arbutuspulley.ports.fleet import ModelNeed, TryEnd
 
 
+class NodeInfo(Message, frozen=True):
+    """An instance as it says of itself.
+
+    :param site: its data centre.
+    """
+
+    name: str
+    site: str
+    region: str
+    frontend: str
+    is_ready: bool
+
+
 class RunningRequest(Message, frozen=True):
     """A request in flight that a new coordinator has to count."""
 
@@ -17,9 +30,7 @@
 class Hello(Message, frozen=True, tag="hello"):
     """First message of an instance to a coordinator."""
 
-    name: str
-    site: str
-    frontend: str
+    info: NodeInfo
     running: tuple[RunningRequest, ...] = ()
 
 
@@ -94,15 +105,6 @@
     retry_after_ms: int
 
 
-class NodeInfo(Message, frozen=True):
-    """An instance as the coordinator sees it."""
-
-    name: str
-    site: str
-    frontend: str
-    is_ready: bool
-
-
 class Digest(Message, frozen=True, tag="digest"):
     """The coordinator's account, sent at intervals; it also shows it lives.
 
--- /dev/null
+++ b/src/arbutuspulley/node/pool_log.py
@@ -0,0 +1,75 @@
+"""Log lines of the coordinator's decisions, each with what decided it."""
+
+from collections import Counter
+
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.pool.answers import PlannedOrder, list_unsure
+from arbutuspulley.pool.demand import find_copies
+from arbutuspulley.pool.grants import Grant, Refusal
+from arbutuspulley.pool.state import PoolState, find_speed, list_speeds
+from arbutuspulley.ports.fleet import OrderAnswer
+
+
+def log_grant(pool: PoolState, grant: Grant) -> None:
+    """Log that a request may go to a server."""
+    log_event(
+        Event.SERVER_GRANTED,
+        id=grant.key,
+        server=grant.incarnation,
+        is_late=grant.is_late,
+        waited_ms=grant.waited_ms,
+        runs=grant.runs,
+        waiting=len(pool.waiting),
+    )
+
+
+def log_refusal(pool: PoolState, refusal: Refusal) -> None:
+    """Log that a request is given up."""
+    log_event(
+        Event.REQUEST_REFUSED,
+        id=refusal.key,
+        model=refusal.model,
+        tokens_ahead=refusal.tokens_ahead,
+        copies=refusal.copies,
+        tokens_per_ms=round(find_speed(pool, refusal.model), 1),
+        waited_ms=refusal.waited_ms,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+
+
+def log_order(planned: PlannedOrder, answer: OrderAnswer, *, fence: int) -> None:
+    """Log an order and how its server took it."""
+    log_event(
+        Event.ORDER_ANSWERED,
+        kind=planned.kind.value,
+        model=planned.model,
+        adapter=planned.adapter,
+        server=planned.incarnation,
+        expected=planned.expected_orders,
+        used_mb=planned.used_mb,
+        fence=fence,
+        answer=answer.value,
+    )
+
+
+def log_pool(pool: PoolState, *, may_order: bool, now: int) -> None:
+    """Log what each model is asked for and where it is."""
+    waiting = Counter(one.need.model for one in pool.waiting.values())
+    models = {
+        model: {
+            "tokens_per_s": int(pool.demand.get(model, 0)),
+            "waiting": waiting.get(model, 0),
+            "copies": [one.incarnation for one in find_copies(pool, model, now=now)],
+        }
+        for model in {*pool.demand, *waiting}
+    }
+    log_event(
+        Event.POOL_TOLD,
+        service=pool.service,
+        may_order=may_order,
+        unsure=len(list_unsure(pool, now=now)),
+        tokens_per_ms={
+            kind: round(speed, 1) for kind, speed in list_speeds(pool).items()
+        },
+        models=models,
+    )
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -88,6 +88,17 @@
         """Whether this instance takes callers."""
         return self.configuration is not None and self.stopping_at is None
 
+    def build_info(self) -> NodeInfo:
+        """Return what this instance says of itself."""
+        settings = self.settings
+        return NodeInfo(
+            name=settings.name,
+            site=settings.site,
+            region=settings.region,
+            frontend=settings.frontend,
+            is_ready=self.is_ready,
+        )
+
     def get_budget(self, service: str) -> RepeatBudget:
         """Return the budget of repeats of a service."""
         budget = self.budgets.get(service)
--- a/src/arbutuspulley/platform/messages.py
+++ b/src/arbutuspulley/platform/messages.py
@@ -94,8 +94,6 @@
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4 * 1_024 * 1_024
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
 
 
 class WireConfiguration(_Wire):
@@ -138,9 +136,6 @@
     models: list[WireHolding] = msgspec.field(default_factory=list)
     busy: bool = False
     sequence: int = 0
-    queued: int = 0
-    active: int = 0
-    kv_used: float = 0
     pending: list[str] = msgspec.field(default_factory=list)
     available: WireAvailable = msgspec.field(default_factory=WireAvailable)
 
@@ -192,8 +187,6 @@
         limits=Limits(
             header_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
-            header_timeout_ms=limits.header_timeout_ms,
-            idle_timeout_ms=limits.idle_timeout_ms,
         ),
     )
 
@@ -228,9 +221,6 @@
         pending=tuple(_split_pending(name) for name in wire.pending),
         in_memory=frozenset(wire.available.in_memory),
         on_disk=frozenset(wire.available.on_disk),
-        queued=wire.queued,
-        active=wire.active,
-        cache_used=int(wire.kv_used),
     )
 
 
--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -94,16 +94,20 @@
         """Read one row, or all rows of a table.
 
         :param key: empty for the whole table.
+        :return: rows and the version as of the first page: what changed while further
+            pages were read is told again by whoever waits for changes after it.
         """
         params = {"Table": table, "part": "", "Limit": str(PAGE_ROWS)}
         if key:
             params.update({"From": key, "To": key + "\x00"})
         rows: list[StoredRow] = []
+        version: int | None = None
         while True:
             answer = await self._get(names.STORE_READ_PATH, params, CALL_TIMEOUT_S)
             rows.extend(_convert_rows(answer))
+            version = answer.ver if version is None else version
             if not answer.more_pages or not rows:
-                return RowsAnswer(rows=rows, version=answer.ver, now_ms=answer.now_ms)
+                return RowsAnswer(rows=rows, version=version, now_ms=answer.now_ms)
             params["From"] = rows[-1].key + "\x00"
 
     async def wait_for_changes(self, table: str, *, after: int) -> RowsAnswer:
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -1,7 +1,11 @@
 """The one HTTP client of a process: sockets, pools and proof of what was sent."""
 
+import asyncio
 import functools
+import re
 import socket
+import time
+from collections.abc import Mapping
 from typing import Any
 
 import aiohttp
@@ -15,8 +19,16 @@
 opening packet is sent again after a second at the earliest."""
 
 IDLE_S = 4.0
-"""How long an unused connection to a server is kept, in s. A server closes idle ones
-after a time of its own; a request that crosses that close may have run."""
+"""How long an unused connection is kept, in s, if the server does not say for how long
+it keeps it. A request that crosses the server's close may have run."""
+
+IDLE_MARGIN_S = 2.0
+"""How much sooner than the server a connection is given up, in s: its time is in whole
+seconds, and a loop that is held up sees a close late. Kept for 8 instead of 4 s at
+servers that announce 10, a calm day opens a third fewer."""
+
+MOST_IDLE_S = 30.0
+"""Most of that, in s."""
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -33,6 +45,9 @@
 not used again: the rest of the body would be read as another request."""
 
 
+_KEEP_ALIVE = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
+
+
 class NotSentError(Exception):
     """No byte of the request reached the server; it certainly did not run."""
 
@@ -46,8 +61,35 @@
 
     An answer without a length ends with its connection. A reset, too, ends the
     connection, and the library takes what came so far for the whole answer.
+
+    It also knows how long it may be used again. The library has one such time for all
+    servers, and measures it by a clock that stands still while the machine is
+    suspended: the server has closed by then.
+
+    :param idle_times: how long servers keep connections, in s, by host and port.
     """
 
+    def __init__(
+        self, *, loop: asyncio.AbstractEventLoop, idle_times: dict[str, float]
+    ) -> None:
+        super().__init__(loop)
+        self._idle_times = idle_times
+        self._heard_at = 0.0
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes and note when they came."""
+        self._heard_at = _read_clock()
+        super().data_received(data)
+
+    def is_connected(self) -> bool:
+        """Tell whether the connection may be used; asked while it is idle."""
+        if self.transport is None or not super().is_connected():
+            return False
+        peer = self.transport.get_extra_info("peername")
+        address = f"{peer[0]}:{peer[1]}" if peer else ""
+        idle_s = self._idle_times.get(address, IDLE_S)
+        return _read_clock() - self._heard_at <= idle_s
+
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
@@ -55,20 +97,29 @@
         super().connection_lost(exc)
 
 
+class _Connector(aiohttp.TCPConnector):
+    """Opens such connections, and keeps what servers say of their idle times."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            limit=0,
+            limit_per_host=0,
+            keepalive_timeout=MOST_IDLE_S,
+            use_dns_cache=False,
+            socket_factory=_open_socket,
+        )
+        self.idle_times: dict[str, float] = {}
+        # The library has no public way to give a connection class of one's own.
+        factory: Any = functools.partial(
+            _Connection, loop=self._loop, idle_times=self.idle_times
+        )
+        self._factory = factory
+
+
 def open_session() -> aiohttp.ClientSession:
     """Open the client. It never repeats a request by itself."""
-    connector = aiohttp.TCPConnector(
-        limit=0,
-        limit_per_host=0,
-        keepalive_timeout=IDLE_S,
-        use_dns_cache=False,
-        socket_factory=_open_socket,
-    )
-    # The library has no public way to give a connection class of one's own.
-    factory: Any = functools.partial(_Connection, loop=connector._loop)
-    connector._factory = factory
     session = aiohttp.ClientSession(
-        connector=connector,
+        connector=_Connector(),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
@@ -95,19 +146,34 @@
     if len(request.body) > LARGE_BODY_BYTES:
         headers = [*headers, ("Connection", "close")]
     try:
-        return await session.request(
+        response = await session.request(
             request.method,
             yarl.URL(f"http://{address}{request.path}", encoded=True),
             headers=headers,
             data=request.body or None,
             allow_redirects=False,
         )
+        _note_idle_time(session, address, response.headers)
+        return response
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise NotSentError(str(error)) from error
     except (aiohttp.ClientError, ConnectionError, ValueError) as error:
         raise BrokenError(f"{type(error).__name__}: {error}") from error
 
 
+def _note_idle_time(
+    session: aiohttp.ClientSession, address: str, headers: Mapping[str, str]
+) -> None:
+    found = _KEEP_ALIVE.search(headers.get("Keep-Alive", ""))
+    if found is not None and isinstance(session.connector, _Connector):
+        idle_s = min(MOST_IDLE_S, int(found[1]) - IDLE_MARGIN_S)
+        session.connector.idle_times[address] = idle_s
+
+
+def _read_clock() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def _open_socket(info: tuple[Any, ...]) -> socket.socket:
     family, kind, protocol, _name, _address = info
     opened = socket.socket(family=family, type=kind, proto=protocol)
--- /dev/null
+++ b/src/arbutuspulley/pool/answers.py
@@ -0,0 +1,234 @@
+"""What servers' answers to orders and their reports mean."""
+
+from arbutuspulley.data import Value
+from arbutuspulley.pool.loads import forget_load
+from arbutuspulley.pool.state import PoolState, ServerState, forget_model
+from arbutuspulley.ports.fleet import OrderAnswer, OrderKind, ServerReport
+
+LOAD_SLACK_MS = 30
+"""Added to a model's load time before it counts as done, in ms: one way there and
+the server's own timer."""
+
+REPORT_LAG_MS = 600
+"""Reports are this old at most, in ms; the sheets say some hundred. An older belief
+than this gives way to a report."""
+
+CONFLICT_PAUSE_MS = 60
+"""Pause before the next order to a server that is still busy, in ms."""
+
+MOST_CONFLICTS = 3
+"""Conflicts in a row after which a report is asked for. Before, the server probably
+still carries out the order before."""
+
+UNLOAD_MS = 30
+"""Pause after an unload was taken, in ms: an order that follows at once meets a server
+that is still busy with it, and then waits twice as long."""
+
+MOST_UNKNOWNS = 4
+"""Orders without an answer in a row after which a report is asked for."""
+
+NEVER = 1 << 60
+"""A time that does not come, in ms: an order's answer is awaited first."""
+
+
+class PlannedOrder(Value, frozen=True):
+    """An order to be sent now; its holder and fence are the coordinator's.
+
+    :param used_mb: memory that the server was believed to use as it was planned.
+    :param is_counted: whether it was counted as a load from the weight store.
+    """
+
+    kind: OrderKind
+    incarnation: str
+    address: str
+    model: str
+    adapter: str
+    expected_orders: int
+    used_mb: int
+    is_counted: bool = False
+
+
+def note_answer(
+    pool: PoolState, order: PlannedOrder, answer: OrderAnswer, *, now: int
+) -> None:
+    """Take in how a server took an order."""
+    server = pool.servers.get(order.incarnation)
+    if server is None:
+        return
+    server.order_busy = False
+    server.ordered_at = now
+    if answer is not OrderAnswer.ACCEPTED:
+        _take_back(server, order, answer)
+    if _has_not_begun(server, order, answer):
+        forget_load(pool)
+    if answer is OrderAnswer.ACCEPTED or _is_done_at_once(order, answer):
+        server.orders = order.expected_orders + 1
+        server.conflicts = server.unknowns = 0
+        server.unanswered_load = ""
+        _apply(pool, server, order, answer, now=now)
+        return
+    if answer is OrderAnswer.HELD_ALREADY and order.kind is OrderKind.UNLOAD:
+        forget_model(server, order.model)
+        server.orders = None
+        return
+    if answer is OrderAnswer.HELD_ALREADY:
+        # The count did not move: the server had it, or has it on its way.
+        server.models.setdefault(order.model, set())
+        if order.adapter:
+            server.models[order.model].add(order.adapter)
+        return
+    if answer is OrderAnswer.CONFLICT and server.conflicts < MOST_CONFLICTS:
+        # It was not carried out. The server is probably busy with the one before.
+        server.conflicts += 1
+        server.order_again_at = now + CONFLICT_PAUSE_MS
+        return
+    if answer is OrderAnswer.UNKNOWN and server.unknowns < MOST_UNKNOWNS:
+        # Whatever became of it: the next order expects the same number, so that only
+        # one of the two is ever carried out. A conflict then means that it was this.
+        server.unknowns += 1
+        server.conflicts = MOST_CONFLICTS
+        if order.kind is OrderKind.LOAD and not order.adapter:
+            server.unanswered_load = order.model
+        return
+    # What a refused or doubtful order has changed is only known from a report that
+    # was made after it.
+    server.conflicts = server.unknowns = 0
+    server.orders = None
+    server.order_again_at = now + CONFLICT_PAUSE_MS
+
+
+def note_report(
+    pool: PoolState, incarnation: str, report: ServerReport, *, asked_at: int
+) -> None:
+    """Take in a server's own account, unless what is known is newer.
+
+    :param asked_at: when the report was asked for, in ms.
+    """
+    server = pool.servers.get(incarnation)
+    if server is None or server.order_busy:
+        return
+    server.in_memory = report.in_memory
+    server.on_disk = report.on_disk
+    is_older = asked_at - server.ordered_at < REPORT_LAG_MS
+    if is_older and server.orders is not None:
+        return
+    if is_older and asked_at - server.ordered_at < REPORT_LAG_MS // 2:
+        return
+    if server.loading and report.is_busy and server.loading_until != NEVER:
+        server.orders = report.orders
+        return
+    server.orders = None if report.is_busy else report.orders
+    if report.is_busy:
+        server.order_again_at = asked_at + CONFLICT_PAUSE_MS
+    server.models = {
+        one.model: set(one.adapters)
+        for one in report.holdings
+        if not (report.is_busy and one.model == server.unloading)
+    }
+    if not report.is_busy:
+        server.loading = ""
+        server.unloading = ""
+    server.adapters_leaving.clear()
+    server.adapters_due = {
+        pair: asked_at + int(pool.adapter_ms) for pair in report.pending
+    }
+    for model, adapter in report.pending:
+        server.models.get(model, set()).discard(adapter)
+
+
+def list_unsure(pool: PoolState, *, now: int) -> list[ServerState]:
+    """Return the servers whose report is needed before they get another order."""
+    return [
+        server
+        for server in pool.servers.values()
+        if server.orders is None
+        and not server.order_busy
+        and not server.is_leaving
+        and now >= server.suspect_until
+        and now - server.ordered_at >= REPORT_LAG_MS // 2
+    ]
+
+
+def _has_not_begun(
+    server: ServerState, order: PlannedOrder, answer: OrderAnswer
+) -> bool:
+    """Tell whether a load that was counted has certainly not begun."""
+    if order.kind is not OrderKind.LOAD or order.adapter or not order.is_counted:
+        return False
+    # The same load may have been ordered before without an answer, and be under way.
+    is_in_doubt = answer is OrderAnswer.UNKNOWN or server.unanswered_load == order.model
+    return answer is not OrderAnswer.ACCEPTED and not is_in_doubt
+
+
+def _is_done_at_once(order: PlannedOrder, answer: OrderAnswer) -> bool:
+    # An adapter that no request uses is unloaded at once, which answers 200 too.
+    is_adapter_unload = order.kind is OrderKind.UNLOAD and bool(order.adapter)
+    return answer is OrderAnswer.HELD_ALREADY and is_adapter_unload
+
+
+def _apply(
+    pool: PoolState,
+    server: ServerState,
+    order: PlannedOrder,
+    answer: OrderAnswer,
+    *,
+    now: int,
+) -> None:
+    if order.kind is OrderKind.UNLOAD:
+        # Taken but not done: it waits for runs to end. A model's runs are known; an
+        # adapter keeps its place until a report no longer shows it.
+        if order.adapter and answer is OrderAnswer.ACCEPTED:
+            return
+        if order.adapter:
+            _forget(server, order)
+        elif not _has_runs(server, order.model):
+            _forget(server, order)
+            server.order_again_at = now + UNLOAD_MS
+        return
+    if order.adapter:
+        due = now + int(pool.adapter_ms)
+        server.adapters_due[order.model, order.adapter] = due
+        return
+    spec = pool.spec.models[order.model]
+    if order.model in server.in_memory:
+        takes = spec.warm_load_ms
+    elif order.model in server.on_disk:
+        takes = spec.disk_load_ms
+    else:
+        takes = spec.load_ms
+    server.planned = ""
+    server.loading_until = now + int(takes) + LOAD_SLACK_MS
+
+
+def _forget(server: ServerState, order: PlannedOrder) -> None:
+    if order.adapter:
+        server.models.get(order.model, set()).discard(order.adapter)
+        server.adapters_leaving.discard((order.model, order.adapter))
+        return
+    forget_model(server, order.model)
+
+
+def _take_back(server: ServerState, order: PlannedOrder, answer: OrderAnswer) -> None:
+    """An order was not taken: all is as before."""
+    if order.kind is OrderKind.LOAD:
+        if order.adapter:
+            server.adapters_due.pop((order.model, order.adapter), None)
+        elif server.loading == order.model:
+            server.loading = ""
+    elif not order.adapter:
+        server.unloading = ""
+    elif answer is OrderAnswer.CONFLICT:
+        server.adapters_leaving.discard((order.model, order.adapter))
+        if order.model in server.models:
+            server.models[order.model].add(order.adapter)
+
+
+def finish_unload(server: ServerState) -> None:
+    """Count a model as gone once the runs that its unload waited for have ended."""
+    model = server.unloading
+    if model and not server.order_busy and not _has_runs(server, model):
+        forget_model(server, model)
+
+
+def _has_runs(server: ServerState, model: str) -> bool:
+    return any(run.need.model == model for run in server.runs.values())
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -82,10 +82,14 @@
         settle_due(server, now=now)
     decided: list[Grant | Refusal] = []
     ahead: Counter[str] = Counter()
+    copies = {
+        model: len(find_copies(pool, model, now=now))
+        for model in {one.need.model for one in pool.waiting.values()}
+    }
     claimed: set[str] = set()
     for waiting in sorted(pool.waiting.values(), key=lambda one: _rank(one, now)):
         model = waiting.need.model
-        ready_at = now + _estimate_wait(pool, model, ahead[model], now=now)
+        ready_at = now + _estimate_wait(pool, model, ahead[model], copies[model])
         if ready_at >= waiting.give_up_at:
             del pool.waiting[waiting.key]
             decided.append(
@@ -95,7 +99,7 @@
                     retry_after_ms=estimate_retry(pool, waiting, now=now),
                     model=model,
                     tokens_ahead=ahead[model],
-                    copies=len(find_copies(pool, model, now=now)),
+                    copies=copies[model],
                     waited_ms=now - waiting.arrived_at,
                 )
             )
@@ -140,13 +144,12 @@
     return max(200, min(3_000, int(backlog_s * 1_000 / max(1, servers))))
 
 
-def _estimate_wait(pool: PoolState, model: str, ahead: int, *, now: int) -> float:
+def _estimate_wait(pool: PoolState, model: str, ahead: int, copies: int) -> float:
     """Return how long it takes to start the prompts ahead of a request, in ms.
 
     :param ahead: their tokens. Where no server has the model, the wait is not known
         and counts as nothing.
     """
-    copies = len(find_copies(pool, model, now=now))
     return ahead * 1_000 / (get_rate(pool, model) * copies) if copies else 0.0
 
 
--- a/src/arbutuspulley/ports/fleet.py
+++ b/src/arbutuspulley/ports/fleet.py
@@ -103,12 +103,10 @@
 
 
 class Limits(Value, frozen=True):
-    """What a caller may send, and how long it may stay idle."""
+    """What a caller may send."""
 
     header_bytes: int = 16_384
     body_bytes: int = 4 * 1_024 * 1_024
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
 
 
 class FleetConfiguration(Value, frozen=True):
@@ -158,9 +156,6 @@
     pending: tuple[tuple[str, str], ...]
     in_memory: frozenset[str]
     on_disk: frozenset[str]
-    queued: int
-    active: int
-    cache_used: int
 
 
 class OrderKind(enum.StrEnum):
--- a/src/arbutuspulley/routing/local.py
+++ b/src/arbutuspulley/routing/local.py
@@ -30,6 +30,18 @@
 """Assumed duration at a server that has answered nothing yet, in ms."""
 
 
+NO_BOUND = 1 << 30
+"""More requests than an instance ever has."""
+
+CONNECTION_PART = 0.8
+"""Part of a server's connections that is used: others are idle, or about to close. A
+server resets what comes beyond, and a request that it resets may have run."""
+
+FEWEST_INSTANCES = 6
+"""A server's connections are split by this many instances at least: one that has heard
+of fewer has probably not heard of all."""
+
+
 class ServerRecord(State):
     """What this instance has seen of one server."""
 
@@ -53,12 +65,14 @@
     zone: str,
     need: ModelNeed | None,
     avoid: frozenset[str],
+    most_in_flight: int,
     now: int,
 ) -> ServerEntry | None:
     """Return the best server, or ``None`` if none may be asked.
 
     :param need: the model that it must hold; ``None`` at plain services.
     :param avoid: incarnations that have refused or failed this request.
+    :param most_in_flight: requests that this instance may have at one server.
     """
     usable = [
         entry
@@ -66,6 +80,7 @@
         if not entry.is_leaving
         and entry.incarnation not in avoid
         and (need is None or any(one.model == need.model for one in entry.holdings))
+        and get_record(records, entry).in_flight < most_in_flight
     ]
     sound = [one for one in usable if get_record(records, one).suspect_until <= now]
     return min(
@@ -83,6 +98,17 @@
     return record
 
 
+def get_most_in_flight(connections: int, *, instances: int) -> int:
+    """Return how many requests one instance may have at one server.
+
+    :param connections: that a server accepts from all instances; 0 if not known.
+    """
+    if not connections:
+        return NO_BOUND
+    part = CONNECTION_PART * connections / max(FEWEST_INSTANCES, instances)
+    return max(1, int(part))
+
+
 def note_sent(records: LocalRecords, entry: ServerEntry) -> None:
     """A request was sent."""
     get_record(records, entry).in_flight += 1
--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -22,7 +22,8 @@
 
     Faults: ``breaks_after`` events of a stream the connection is reset, and
     ``on_break`` is called before; ``sheds`` refuses every request as not run;
-    ``holds_s`` delays answers.
+    ``holds_s`` delays answers; ``loses_orders`` drops orders, and
+    ``loses_order_answers`` carries them out and drops the connection.
     """
 
     __slots__ = (
@@ -33,6 +34,8 @@
         "incarnation",
         "is_busy",
         "load_s",
+        "loses_order_answers",
+        "loses_orders",
         "memory_mb",
         "models",
         "on_break",
@@ -67,6 +70,8 @@
         self.on_break: Callable[[], None] = lambda: None
         self.sheds = False
         self.holds_s = 0.0
+        self.loses_orders = False
+        self.loses_order_answers = False
 
     def describe(self, *, state: str = "ready") -> dict:
         """Return the server's row in the store."""
@@ -89,9 +94,17 @@
         if request.path == "/report":
             return web.Response(body=msgspec.json.encode(self._report()))
         if request.path == "/order":
-            return self._take_order(msgspec.json.decode(await request.read()))
+            return await self._answer_order(request)
         return await self._run(request)
 
+    async def _answer_order(self, request: web.BaseRequest) -> web.Response:
+        order = msgspec.json.decode(await request.read())
+        answer = web.Response() if self.loses_orders else self._take_order(order)
+        is_lost = self.loses_orders or self.loses_order_answers
+        if is_lost and request.transport is not None:
+            request.transport.abort()
+        return answer
+
     def _report(self) -> dict:
         return {
             "Stage": "both",
--- a/src/arbutuspulley/standins/fleet_store.py
+++ b/src/arbutuspulley/standins/fleet_store.py
@@ -7,12 +7,16 @@
 import asyncio
 import base64
 import time
+from collections.abc import Callable
 
 import msgspec
 from aiohttp import web
 
 from arbutuspulley.platform import names
 
+MOST_ROWS = 500
+"""Most rows in an answer; the store's own bound."""
+
 LONGEST_WAIT_S = 30.0
 """Longest wait of a feed call, in s; the store's own bound."""
 
@@ -23,7 +27,8 @@
     :param history: changes that are kept for feeds.
 
     Faults: ``is_down`` answers 503 to all; ``loses_answers`` carries writes out and
-    drops the connection; ``delay_s`` answers late.
+    drops the connection; ``delay_s`` answers late; ``on_read`` is called after each
+    page that was read.
     """
 
     __slots__ = (
@@ -36,6 +41,7 @@
         "delay_s",
         "is_down",
         "loses_answers",
+        "on_read",
         "version",
     )
 
@@ -50,6 +56,7 @@
         self.is_down = False
         self.loses_answers = False
         self.delay_s = 0.0
+        self.on_read: Callable[[], None] = lambda: None
 
     def put(self, table: str, key: str, value: object) -> None:
         """Write a row as the operator or a server does."""
@@ -121,7 +128,10 @@
             for (table, key), (version, value) in sorted(self._rows.items())
             if table == query["Table"] and first <= key < end
         ]
-        return self._answer(rows)
+        most = int(query.get("Limit", MOST_ROWS))
+        answer = self._answer(rows[:most], more=len(rows) > most)
+        self.on_read()
+        return answer
 
     async def _wait(self, request: web.BaseRequest) -> web.Response:
         table, after = request.query["Table"], int(request.query["after"])
@@ -142,12 +152,14 @@
         except TimeoutError:
             return self._answer([])
 
-    def _answer(self, rows: list[dict], *, status: int = 200) -> web.Response:
+    def _answer(
+        self, rows: list[dict], *, status: int = 200, more: bool = False
+    ) -> web.Response:
         body = {
             "Rows": rows,
             "Ver": self.version,
             "NowMs": time.monotonic() * 1_000,
-            "MorePages": False,
+            "MorePages": more,
         }
         return web.Response(
             status=status,
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,101 @@
+"""Which instances callers are told to use."""
+
+import random
+
+import msgspec
+import pytest
+
+from arbutuspulley.clock import Clock
+from arbutuspulley.node.directory import FRESH_MS, Directory
+from arbutuspulley.node.following import put_in_force
+from arbutuspulley.node.messages import NodeInfo
+from arbutuspulley.node.metrics import NodeMetrics
+from arbutuspulley.node.state import NodeState
+from arbutuspulley.ports.fleet import NodeSettings
+from scripts.platform_stage import build_configuration
+
+
+def build_state(*, now, ttl_s=5.0):
+    settings = NodeSettings(
+        name="own",
+        site="a1",
+        region="a",
+        frontend="own:1",
+        ready="own:2",
+        directory="own:3",
+        link="own:4",
+        seeds=(),
+        store="s:1",
+        grace_ms=8_000,
+        lease_ms=3_000,
+        retry_ratio=0.2,
+        retry_extra=52,
+        retry_window_ms=10_000,
+        directory_ttl_s=ttl_s,
+    )
+    state = NodeState(
+        settings=settings,
+        clock=Clock(read=lambda: now[0]),
+        session=None,
+        store=None,
+        metrics=NodeMetrics(),
+        chance=random.Random(1),
+    )
+    put_in_force(state, msgspec.json.encode(build_configuration(1)))
+    return state
+
+
+def build_node(name, site, *, is_ready=True):
+    return NodeInfo(
+        name=name, site=site, region=site[0], frontend=f"{name}:1", is_ready=is_ready
+    )
+
+
+NODES = (
+    build_node("n1", "a1"),
+    build_node("n2", "a2"),
+    build_node("n3", "b1"),
+    build_node("n4", "b1"),
+    build_node("n5", "c1", is_ready=False),
+)
+
+
+@pytest.mark.parametrize(
+    ("site", "region", "expected"),
+    [
+        ("a1", "a", {"own", "n1"}),
+        ("a2", "a", {"own", "n1", "n2"}),
+        ("b1", "b", {"n3", "n4"}),
+        ("c1", "c", {"own", "n1", "n2", "n3", "n4"}),
+        ("", "", {"own", "n1", "n2", "n3", "n4"}),
+    ],
+    ids=["own data centre", "own region", "another", "none there", "not told"],
+)
+def test_the_nearest_ready_instances_are_named(site, region, expected):
+    state = build_state(now=[10])
+    state.nodes, state.nodes_at = NODES, 10
+    named = Directory(state=state).list_addresses(site=site, region=region)
+    assert {address.partition(":")[0] for address in named} == expected
+
+
+def test_an_old_list_is_not_believed():
+    now = [10]
+    state = build_state(now=now)
+    state.nodes, state.nodes_at = NODES, 10
+    now[0] += FRESH_MS
+    directory = Directory(state=state)
+    assert directory.list_addresses(site="b1", region="b") == ["own:1"]
+
+
+def test_an_instance_that_stops_names_others_only():
+    state = build_state(now=[10])
+    state.nodes, state.nodes_at = NODES, 10
+    state.stopping_at = 9
+    named = Directory(state=state).list_addresses(site="a1", region="a")
+    assert "own:1" not in named and "n1:1" in named
+
+
+@pytest.mark.parametrize(("setting", "expected"), [(5.0, 1), (0.5, 0.5)])
+def test_answers_are_kept_no_longer_than_the_settings_allow(setting, expected):
+    directory = Directory(state=build_state(now=[10], ttl_s=setting))
+    assert directory._get_ttl() == expected
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -8,10 +8,15 @@
 
 from arbutuspulley.clock import Clock
 from arbutuspulley.node import following
-from arbutuspulley.node.following import put_in_force, take_servers
+from arbutuspulley.node.following import (
+    follow_configuration,
+    follow_servers,
+    put_in_force,
+    take_servers,
+)
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.state import NodeState
-from arbutuspulley.platform.store import StoredRow
+from arbutuspulley.platform.store import RowsAnswer, StoredRow
 from arbutuspulley.ports.fleet import NodeSettings
 from scripts.platform_stage import build_configuration
 
@@ -114,3 +119,54 @@
     take(state, build_row("a"), is_whole=True)
     take(state, gone("a"))
     assert state.entries == {}
+
+
+class TricklingStore:
+    """A store in which another server's entry changes every 20 ms."""
+
+    def __init__(self):
+        self.calls = 0
+        self.begun_at = Clock().now()
+
+    def _answer(self, after):
+        version = (Clock().now() - self.begun_at) // 20 + 1
+        rows = [
+            build_row(f"s{number}", version=number)
+            for number in range(after + 1, version + 1)
+        ]
+        return RowsAnswer(rows=rows, version=version, now_ms=0)
+
+    async def read(self, table):
+        self.calls += 1
+        return self._answer(0)
+
+    async def wait_for_changes(self, table, *, after):
+        self.calls += 1
+        while not (answer := self._answer(after)).rows:
+            await asyncio.sleep(0.005)
+        return answer
+
+
+@pytest.mark.parametrize(
+    ("follow", "least", "most"),
+    [(follow_servers, 4, 8), (follow_configuration, 20, 60)],
+    ids=["servers", "configuration"],
+)
+def test_changes_that_follow_each_other_are_gathered(monkeypatch, follow, least, most):
+    """As servers are told to load, their entries change one after another. Each change
+    ended a call of each instance, and calls to the store are rationed. A
+    configuration is never kept waiting."""
+    monkeypatch.setattr(following, "GATHER_MS", 100)
+
+    async def scenario():
+        state = build_state()
+        state.store = TricklingStore()
+        task = asyncio.create_task(follow(state))
+        await asyncio.sleep(0.6)
+        task.cancel()
+        return state
+
+    state = asyncio.run(scenario())
+    assert least <= state.store.calls <= most
+    if follow is follow_servers:
+        assert len(state.entries) >= 20
--- a/tests/test_local_choice.py
+++ b/tests/test_local_choice.py
@@ -1,10 +1,13 @@
 """Which server gets a request by what one instance has seen."""
 
+import pytest
+
 from arbutuspulley.ports.fleet import Holding, ModelNeed, ServerEntry
 from arbutuspulley.routing.local import (
     LocalRecords,
     choose_server,
     forget_others,
+    get_most_in_flight,
     get_record,
     note_done,
     note_sent,
@@ -27,9 +30,15 @@
 A, B = build_entry("a"), build_entry("b")
 
 
-def choose(records, entries, *, need=None, avoid=(), now=0):
+def choose(records, entries, *, need=None, avoid=(), most_in_flight=100, now=0):
     entry = choose_server(
-        records, entries, zone="z1", need=need, avoid=frozenset(avoid), now=now
+        records,
+        entries,
+        zone="z1",
+        need=need,
+        avoid=frozenset(avoid),
+        most_in_flight=most_in_flight,
+        now=now,
     )
     return entry.incarnation if entry else None
 
@@ -87,3 +96,27 @@
     note_sent(records, B)
     forget_others(records, [B])
     assert set(records.servers) == {"b"}
+
+
+def test_a_server_gets_no_more_than_its_connections_take():
+    """A server resets the connections beyond its bound. The requests on them may have
+    run, so that those that may run only once were lost; refused before, they come
+    again."""
+    records = LocalRecords()
+    note_sent(records, A)
+    assert choose(records, [A], most_in_flight=2) == "a"
+    note_sent(records, A)
+    assert choose(records, [A], most_in_flight=2) is None
+    assert choose(records, [A, B], most_in_flight=2) == "b"
+
+
+@pytest.mark.parametrize(
+    ("connections", "instances", "expected"),
+    [(96, 6, 12), (96, 3, 12), (96, 24, 3), (4, 6, 1), (360, 360, 1)],
+)
+def test_the_connections_are_split_by_all_instances(connections, instances, expected):
+    assert get_most_in_flight(connections, instances=instances) == expected
+
+
+def test_connections_that_are_not_told_are_no_bound():
+    assert get_most_in_flight(0, instances=6) > 1_000_000
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -176,6 +176,34 @@
     play(tmp_path, scenario)
 
 
+def test_what_is_larger_than_the_configuration_allows_is_refused(tmp_path):
+    async def scenario(fleet, session):
+        front = fleet.addresses["n1"]["Frontend"]
+        limits = {"MaxHeaderBytes": 1_000, "MaxBodyBytes": 2_000}
+        fleet.store.put("op", "config", {**build_configuration(2), "Limits": limits})
+
+        async def send(attempt, *, header=0, body=0):
+            status, _, _ = await ask(
+                session,
+                front,
+                "/book/1",
+                attempt=attempt,
+                body=b"x" * body,
+                **{"X-Long": "x" * header},
+            )
+            return status
+
+        async def is_in_force():
+            return await send("a0", header=1_000) == 431
+
+        await wait_until(is_in_force, "the limits")
+        assert await send("a1", header=500, body=2_000) == 200
+        assert await send("a2", body=2_001) == 413
+        assert await send("a3") == 200
+
+    play(tmp_path, scenario)
+
+
 def test_a_newer_configuration_takes_hold_and_an_older_one_never(tmp_path):
     async def scenario(fleet, session):
         front = fleet.addresses["n1"]["Frontend"]
--- a/tests/test_pool_duration.py
+++ b/tests/test_pool_duration.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from arbutuspulley.pool.answers import note_answer
 from arbutuspulley.pool.demand import note_demand
 from arbutuspulley.pool.duration import (
     DEFAULT_TOKEN_MS,
@@ -9,7 +10,7 @@
     estimate_left,
     note_run_time,
 )
-from arbutuspulley.pool.orders import note_answer, plan_orders
+from arbutuspulley.pool.orders import plan_orders
 from arbutuspulley.pool.state import Run
 from arbutuspulley.ports.fleet import ModelNeed, OrderAnswer
 from tests.pools import add_waiting, build_pool, build_server
--- a/tests/test_pool_orders.py
+++ b/tests/test_pool_orders.py
@@ -2,10 +2,11 @@
 
 import pytest
 
+from arbutuspulley.pool.answers import list_unsure, note_answer, note_report
 from arbutuspulley.pool.demand import note_demand
 from arbutuspulley.pool.grants import plan_grants
 from arbutuspulley.pool.loads import assume_loads, may_load, note_load
-from arbutuspulley.pool.orders import list_unsure, note_answer, note_report, plan_orders
+from arbutuspulley.pool.orders import plan_orders
 from arbutuspulley.pool.room import count_used_mb
 from arbutuspulley.pool.state import Run, note_missing
 from arbutuspulley.ports.fleet import (
@@ -39,9 +40,6 @@
         pending=(),
         in_memory=frozenset(),
         on_disk=frozenset(),
-        queued=0,
-        active=0,
-        cache_used=0,
     )
 
 
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,58 @@
+"""When a kept connection is used again."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from arbutuspulley.platform import transport
+from arbutuspulley.platform.requests import decode_request
+from arbutuspulley.platform.transport import open_session, send_request
+
+
+async def count_connections(monkeypatch, keep_alive, pauses):
+    """Ask a server once and again after each pause; return its connections."""
+    now = 100.0
+    monkeypatch.setattr(transport, "_read_clock", lambda: now)
+    seen = set()
+
+    async def answer(request):
+        seen.add(request.transport.get_extra_info("peername"))
+        headers = {"Keep-Alive": keep_alive} if keep_alive else {}
+        return web.Response(text="done", headers=headers)
+
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(web.Server(answer), "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    request = decode_request(method="GET", path="/", headers=[("Host", "x")])
+    async with server, open_session() as session:
+        for pause in (0, *pauses):
+            now += pause
+            response = await send_request(
+                session, request, address=f"{host}:{port}", headers=[]
+            )
+            await response.read()
+    return len(seen)
+
+
+@pytest.mark.parametrize(
+    ("keep_alive", "pauses", "expected"),
+    [
+        ("", (3.9, 3.9), 1),
+        ("", (4.1,), 2),
+        ("timeout=10", (7.9, 7.9), 1),
+        ("timeout=10, max=100", (8.1,), 2),
+        ("timeout=3", (0.9,), 1),
+        ("timeout=3", (1.1,), 2),
+        ("timeout=1", (0.1,), 2),
+        ("soon", (3.9,), 1),
+    ],
+)
+def test_a_connection_is_given_up_before_its_server_closes_it(
+    monkeypatch, keep_alive, pauses, expected
+):
+    """A request crossed the server's close of an idle connection. It may have run, so
+    one that may run only once was lost. The time is taken from what the server says,
+    by a clock that goes on while the machine is suspended."""
+    made = asyncio.run(count_connections(monkeypatch, keep_alive, pauses))
+    assert made == expected
