Stop running a request that has crashed three servers

Cause: a request that crashes each server that begins to run it comes again, through any instance.

Ruled out: quarantine after two, as the product's own stack has it with its trials. Without trials a bystander may be beside the cause twice; its caller sends it twice at most, so three condemns none.

Change: the suspicions of delivery/suspects.py, which merge in any order, pass over the coordinator's link. Copies sent at once, or servers failing at once, count as one break; a request that ran whole is cleared. It is refused with 503 and a time.

--- a/src/arbutuspulley/delivery/suspects.py
+++ b/src/arbutuspulley/delivery/suspects.py
@@ -62,19 +62,25 @@
     return f"{mark}{_TRIAL_MARK}{trial_id}" if trial_id else mark
 
 
-def judge(suspicion: Suspicion | None, *, ignoring: str = "") -> Judgement:
+def judge(
+    suspicion: Suspicion | None,
+    *,
+    ignoring: str = "",
+    most_deaths: int = DEATHS_TO_QUARANTINE,
+) -> Judgement:
     """Say what may be done with a request.
 
     :param ignoring: the mark of the asker's own trial.
+    :param most_deaths: after so many it is no longer run.
     """
     if suspicion is None:
         return Judgement.CLEAR
     marks = set(suspicion.deaths) - set(suspicion.cleared) - {ignoring}
     certain = {mark for mark in marks if _TRIAL_MARK not in mark}
-    if len(certain) >= DEATHS_TO_QUARANTINE:
+    if len(certain) >= most_deaths:
         return Judgement.QUARANTINED
     deaths = {mark.partition(_TRIAL_MARK)[0] for mark in marks}
-    if len(deaths) >= DEATHS_TO_QUARANTINE:
+    if len(deaths) >= most_deaths:
         return Judgement.ON_TRIAL
     return Judgement.SUSPECT if deaths else Judgement.CLEAR
 
@@ -106,6 +112,13 @@
     )
 
 
+def count_deaths(suspicion: Suspicion | None) -> int:
+    """Return how many servers died with a request in flight that was not cleared."""
+    if suspicion is None:
+        return 0
+    return len(set(suspicion.deaths) - set(suspicion.cleared))
+
+
 def note_death(
     state: SuspectState, *, fingerprint: str, server: str, boot_id: str, now: int
 ) -> Suspicion:
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -31,6 +31,7 @@
     Learnt,
     Refused,
     Started,
+    Suspected,
     ToCoordinator,
     ToNode,
     Withdraw,
@@ -248,6 +249,8 @@
             self._take_beat(origin, message)
         elif isinstance(message, Hello):
             self._take_running(origin, message, now=now)
+        elif isinstance(message, Suspected):
+            self._pass_on(message)
         elif isinstance(message, Withdraw):
             pool = self._pools.get(message.service)
             if pool is not None:
@@ -257,6 +260,11 @@
         else:
             self._take_outcome(message, now=now)
 
+    def _pass_on(self, message: Suspected) -> None:
+        self._receive_local([message])
+        for peer in self._peers.values():
+            peer.send(message)
+
     def _take_ask(self, origin: str, ask: Ask, *, now: int) -> None:
         pool = self._pools.get(ask.service)
         if pool is None or ask.need.model not in pool.spec.models:
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -11,6 +11,7 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.link import Link, LinkLostError, RefusedError
 from arbutuspulley.node.messages import Ask, Ended, Started
+from arbutuspulley.node.poison import PoisonGuard
 from arbutuspulley.node.progress import (
     ANSWER_TIME_MS,
     MOST_REFUSED,
@@ -69,6 +70,7 @@
         "_cutter",
         "_link",
         "_patience_ms",
+        "_poison",
         "_request",
         "_route",
         "_state",
@@ -80,6 +82,7 @@
         *,
         state: NodeState,
         link: Link,
+        poison: PoisonGuard,
         route: Route,
         request: InboundRequest,
         client: web.BaseRequest,
@@ -87,6 +90,7 @@
     ) -> None:
         self._state = state
         self._link = link
+        self._poison = poison
         self._route = route
         self._request = request
         self._client = client
@@ -107,6 +111,13 @@
         :raises RequestFailedError: if there is none.
         :raises CutError: if there is only a part.
         """
+        refused_ms = self._poison.get_refusal(self._request)
+        if refused_ms is not None:
+            raise RequestFailedError(
+                status=503,
+                reason="it crashed the servers that ran it",
+                retry_after_ms=refused_ms,
+            )
         progress = self.progress
         progress.service = choose_service(self._route, chance=self._state.chance)
         now = self._state.clock.now()
@@ -225,6 +236,7 @@
         # while nothing has come back yet.
         progress.may_have_run += 1
         progress.sent_at = now
+        known_breaks = self._poison.count_known(self._request)
         how = TryEnd.FAILED
         took: int | None = None
         try:
@@ -237,6 +249,7 @@
             try:
                 answer = await self._take_answer(entry, response)
                 how = TryEnd.DONE
+                self._poison.note_whole(self._request)
                 took = state.clock.now() - now
                 return answer
             except _NotRunError:
@@ -252,6 +265,9 @@
             note_unreachable(record, entry, now=state.clock.now())
             raise self._note_unreached(entry) from None
         except BrokenError as error:
+            self._poison.note_break(
+                self._request, incarnation=entry.incarnation, known=known_breaks
+            )
             raise self._note_broken(entry, str(error)) from None
         except asyncio.CancelledError:
             # The caller left or the time is up; that says nothing of the server.
@@ -419,6 +435,8 @@
     def _may_repeat(self) -> bool:
         if self.progress.may_have_run >= self._route.max_attempts:
             return False
+        if self._poison.get_refusal(self._request) is not None:
+            return False
         return self._take_repeat()
 
     def _take_repeat(self) -> bool:
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -8,6 +8,7 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.exchange import Exchange
 from arbutuspulley.node.link import Link
+from arbutuspulley.node.poison import PoisonGuard
 from arbutuspulley.node.progress import CutError, RequestFailedError
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import build_refusal_headers, decode_request
@@ -29,11 +30,12 @@
 class Frontend:
     """Takes callers' requests."""
 
-    __slots__ = ("_link", "_state")
+    __slots__ = ("_link", "_poison", "_state")
 
-    def __init__(self, *, state: NodeState, link: Link) -> None:
+    def __init__(self, *, state: NodeState, link: Link, poison: PoisonGuard) -> None:
         self._state = state
         self._link = link
+        self._poison = poison
 
     async def handle(self, client: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -96,6 +98,7 @@
         return Exchange(
             state=state,
             link=self._link,
+            poison=self._poison,
             route=route,
             request=request,
             client=client,
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -18,6 +18,7 @@
     Learnt,
     Refused,
     RunningRequest,
+    Suspected,
     ToCoordinator,
     ToNode,
     Withdraw,
@@ -26,6 +27,7 @@
 )
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.ports.fleet import TryEnd
+from arbutuspulley.rpc.messages import Suspicion
 
 LINK_PATH = "/link"
 """Path of the WebSocket at an instance's link address."""
@@ -53,6 +55,7 @@
     """The link to the coordinator, which may be this process itself.
 
     ``take_local`` is the own coordinator's way in, while this instance is it.
+    ``take_suspicions`` takes what other instances found of crashing requests.
     """
 
     __slots__ = (
@@ -68,6 +71,7 @@
         "_wake",
         "digest",
         "take_local",
+        "take_suspicions",
     )
 
     def __init__(self, *, state: NodeState) -> None:
@@ -82,6 +86,7 @@
         self._wake = asyncio.Event()
         self._waiting: dict[str, asyncio.Future[Granted]] = {}
         self.digest: Digest | None = None
+        self.take_suspicions: Callable[[tuple[Suspicion, ...]], None] = _ignore
         self.take_local: Callable[[list[ToCoordinator]], None] | None = None
 
     @property
@@ -152,6 +157,9 @@
             if isinstance(message, Learnt):
                 self._state.speeds = message.speeds
                 continue
+            if isinstance(message, Suspected):
+                self.take_suspicions(message.suspicions)
+                continue
             future = self._waiting.get(message.key)
             if future is None or future.done():
                 if isinstance(message, Granted):
@@ -293,6 +301,10 @@
         )
 
 
+def _ignore(_suspicions: tuple[Suspicion, ...]) -> None:
+    """Take nothing in, until someone listens."""
+
+
 class RefusedError(Exception):
     """The coordinator gave a request up; it has not run."""
 
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -4,6 +4,7 @@
 
 from arbutuspulley.data import Message
 from arbutuspulley.ports.fleet import ModelNeed, TryEnd
+from arbutuspulley.rpc.messages import Suspicion
 
 
 class NodeInfo(Message, frozen=True):
@@ -115,6 +116,15 @@
     is_holder: bool
 
 
+class Suspected(Message, frozen=True, tag="suspected"):
+    """Requests that were in flight as a server broke off, or were cleared of that.
+
+    Sent by whoever finds it to the coordinator, and by it to all.
+    """
+
+    suspicions: tuple[Suspicion, ...]
+
+
 class Learnt(Message, frozen=True, tag="learnt"):
     """What the coordinator has learnt of its servers, for whoever succeeds it.
 
@@ -125,8 +135,8 @@
     speeds: dict[str, dict[str, float]]
 
 
-ToCoordinator = Hello | Beat | Ask | Started | Ended | Withdraw
-ToNode = Granted | Refused | Digest | Learnt
+ToCoordinator = Hello | Beat | Ask | Started | Ended | Withdraw | Suspected
+ToNode = Granted | Refused | Digest | Learnt | Suspected
 
 _ENCODER = msgspec.msgpack.Encoder()
 _FROM_NODE = msgspec.msgpack.Decoder(list[ToCoordinator])
--- a/src/arbutuspulley/programs/node.py
+++ b/src/arbutuspulley/programs/node.py
@@ -26,6 +26,7 @@
     build_snapshot,
     learn_from_neighbours,
 )
+from arbutuspulley.node.poison import PoisonGuard
 from arbutuspulley.node.reloading import Reloader
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.stopping import stop_gracefully
@@ -174,7 +175,8 @@
 ) -> list[asyncio.Server]:
     settings = state.settings
     directory = Directory(state=state)
-    frontend = Frontend(state=state, link=link)
+    poison = PoisonGuard(state=state, link=link)
+    frontend = Frontend(state=state, link=link, poison=poison)
 
     async def handle_link(request: web.BaseRequest) -> web.StreamResponse:
         if request.path == LINK_PATH:
--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -22,13 +22,15 @@
 
     Faults: ``breaks_after`` events of a stream the connection is reset, and
     ``on_break`` is called before; ``sheds`` refuses every request as not run;
-    ``holds_s`` delays answers; ``loses_orders`` drops orders, and
-    ``loses_order_answers`` carries them out and drops the connection.
+    ``crashes_on``: a body with these bytes resets its connection as it runs, and
+    ``on_break`` is called; ``holds_s`` delays answers; ``loses_orders`` drops orders
+    and ``loses_order_answers`` carries them out, both without an answer.
     """
 
     __slots__ = (
         "address",
         "breaks_after",
+        "crashes_on",
         "fence",
         "holds_s",
         "incarnation",
@@ -67,6 +69,7 @@
         self.overcommitted = 0
         self.runs: Counter[str] = Counter()
         self.breaks_after: int | None = None
+        self.crashes_on = b""
         self.on_break: Callable[[], None] = lambda: None
         self.sheds = False
         self.holds_s = 0.0
@@ -160,6 +163,10 @@
             }
             return web.Response(status=503, headers=headers)
         self.runs[attempt] += 1
+        if self.crashes_on and self.crashes_on in body and request.transport:
+            request.transport.abort()
+            self.on_break()
+            return web.Response()
         if self.holds_s:
             await asyncio.sleep(self.holds_s)
         headers = {
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,11 +1,13 @@
 """The whole path on the users' platform: real nodes, stand-ins on loopback."""
 
 import asyncio
+import functools
 import signal
 
 import aiohttp
 import pytest
 
+from arbutuspulley.standins.fleet_server import ServerStandin
 from scripts.platform_stage import WHOLE, Fleet, ask, build_configuration, wait_until
 
 
@@ -204,6 +206,41 @@
     play(tmp_path, scenario)
 
 
+def test_a_request_that_crashes_servers_is_not_run_for_ever(tmp_path):
+    """A caller sends a request again and again, through any instance, and each server
+    that runs it crashes. Passed on each time, it took down one server after another;
+    all others wait for those that are left."""
+
+    async def scenario(fleet, session):
+        await fleet.add_server(ServerStandin(incarnation="p3", service="plain"))
+        plain = [one for one in fleet.servers if one.service == "plain"]
+
+        def restart(server):
+            fleet.store.remove("servers", server.incarnation)
+            server.incarnation += "x"
+            fleet.store.put("servers", server.incarnation, server.describe())
+
+        for server in plain:
+            server.crashes_on = b"poison"
+            server.on_break = functools.partial(restart, server)
+        fronts = [fleet.addresses[name]["Frontend"] for name in ("n1", "n2")]
+
+        async def send(number, body=b"poison"):
+            address, attempt = fronts[number % 2], f"{body.decode()}{number}"
+            return await ask(session, address, "/book/1", attempt=attempt, body=body)
+
+        seen = []
+        for number in range(7):
+            seen.append(await send(number))
+            await asyncio.sleep(0.6)
+        assert [status for status, _, _ in seen] == [502] * 3 + [503] * 4
+        assert float(seen[-1][2]["Retry-After"]) > 1
+        assert sum(sum(one.runs.values()) for one in plain) == 3
+        assert (await send(0, b"fine"))[0] == 200
+
+    play(tmp_path, scenario, nodes=("n1", "n2"))
+
+
 def test_a_newer_configuration_takes_hold_and_an_older_one_never(tmp_path):
     async def scenario(fleet, session):
         front = fleet.addresses["n1"]["Frontend"]
--- /dev/null
+++ b/tests/test_poison.py
@@ -0,0 +1,102 @@
+"""Requests that crash the servers that run them."""
+
+import pytest
+
+from arbutuspulley.clock import SECOND_MS, Clock
+from arbutuspulley.node.messages import Suspected
+from arbutuspulley.node.poison import MOST_DEATHS, MOST_KEPT, PoisonGuard
+from arbutuspulley.platform.requests import decode_request
+
+
+class Instance:
+    """A guard whose link leads to all guards of a group, unless it is cut."""
+
+    def __init__(self, group):
+        self.now = 0
+        self.clock = Clock(read=lambda: self.now)
+        self.is_cut = False
+        self.group = group
+        group.append(self)
+        self.guard = PoisonGuard(state=self, link=self)
+
+    def tell(self, message):
+        assert isinstance(message, Suspected)
+        if self.is_cut:
+            return
+        for other in self.group:
+            if not other.is_cut:
+                other.guard.take(message.suspicions)
+
+
+def build_group(count=2):
+    group = []
+    return [Instance(group) for _ in range(count)]
+
+
+def build_request(body=b"poison", path="/chat/"):
+    request = decode_request(method="POST", path=path, headers=[("Host", "x")])
+    request.body = body
+    return request
+
+
+def crash(instance, server, request):
+    """Send a request to a server that crashes."""
+    known = instance.guard.count_known(request)
+    instance.guard.note_break(request, incarnation=server, known=known)
+
+
+def test_the_third_server_is_the_last_one_whichever_instance_it_comes_through():
+    first, second = build_group()
+    request = build_request()
+    for number, instance in enumerate((first, second, first)):
+        assert instance.guard.get_refusal(request) is None
+        crash(instance, f"s{number}", request)
+    for instance in (first, second):
+        assert instance.guard.get_refusal(request) > 60 * SECOND_MS
+        assert instance.guard.get_refusal(build_request(b"other")) is None
+
+
+def test_copies_sent_at_once_count_as_one():
+    """All servers of a service lose power at once, each with a copy of one request in
+    flight that a hasty caller sent several times. It caused none of it."""
+    first, second = build_group()
+    request = build_request()
+    sent = [
+        (instance, instance.guard.count_known(request))
+        for instance in (first, second, first, second)
+    ]
+    for number, (instance, known) in enumerate(sent):
+        instance.guard.note_break(request, incarnation=f"s{number}", known=known)
+    assert first.guard.count_known(request) == 1
+
+
+def test_a_bystander_is_cleared_as_it_runs_whole():
+    first, second = build_group()
+    request = build_request(b"bystander")
+    for number in range(MOST_DEATHS - 1):
+        crash(first, f"s{number}", request)
+    second.guard.note_whole(request)
+    assert first.guard.count_known(request) == 0
+    for number in range(MOST_DEATHS - 1):
+        crash(second, f"t{number}", request)
+    assert first.guard.get_refusal(request) is None
+
+
+def test_an_instance_without_a_coordinator_goes_by_what_it_saw():
+    first, second = build_group()
+    first.is_cut = True
+    request = build_request()
+    for number in range(MOST_DEATHS):
+        crash(first, f"s{number}", request)
+    assert first.guard.get_refusal(request) is not None
+    assert second.guard.get_refusal(request) is None
+
+
+@pytest.mark.parametrize("passed_ms", [0, 24 * 3_600 * SECOND_MS])
+def test_suspects_are_bounded_and_forgotten(passed_ms):
+    (only,) = build_group(1)
+    for number in range(MOST_KEPT + 10):
+        crash(only, "s1", build_request(b"%d" % number))
+    only.now += passed_ms
+    crash(only, "s1", build_request(b"last"))
+    assert only.guard.count_known(build_request(b"last")) == int(passed_ms > 0)
