Say each thing once on the platform's path

- One instance's part of a shared bound stood in admission/repeats.py and routing/local.py: membership/parts.py.
- "The weights are in memory or on disk" stood three times: has_weights.
- The coordinator sent a message to itself and all peers in three places: _send_all.
- What a victim's runs still take was worked out twice for each, and victims were ranked where nothing has to leave.
- A request's fingerprint was hashed up to four times while suspects are known: once now.
- Unread: Run.key and incarnation, the service in Started and Ended, model_used_at, READY_PATH; TYPICAL_TOKENS stood beside a literal.
- Tests: one builder of a node's state, one add_run.
No assertion changed.

--- a/src/arbutuspulley/admission/repeats.py
+++ b/src/arbutuspulley/admission/repeats.py
@@ -11,15 +11,12 @@
 import msgspec
 
 from arbutuspulley.data import State
+from arbutuspulley.membership.parts import get_part
 
 SAFETY = 0.8
 """Part of the budget that is used: windows slide, and a repeat arrives later than it
 was counted here."""
 
-FEWEST_INSTANCES = 6
-"""The fixed allowance is split by this many instances at least: an instance that has
-heard of fewer has probably not heard of all."""
-
 
 class RepeatBudget(State):
     """Requests and repeats of one service within the window.
@@ -44,7 +41,7 @@
 def take_repeat(budget: RepeatBudget, *, instances: int, now: int) -> bool:
     """Return whether a request may be sent once more, and count it if so."""
     _forget(budget, now=now)
-    extra = budget.extra / max(FEWEST_INSTANCES, instances)
+    extra = get_part(budget.extra, instances=instances)
     allowed = SAFETY * (budget.ratio * len(budget.requests) + extra)
     if len(budget.repeats) + 1 > allowed:
         return False
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -250,7 +250,7 @@
         elif isinstance(message, Hello):
             self._take_running(origin, message, now=now)
         elif isinstance(message, Suspected):
-            self._pass_on(message)
+            self._send_all(message)
         elif isinstance(message, Withdraw):
             pool = self._pools.get(message.service)
             if pool is not None:
@@ -260,7 +260,7 @@
         else:
             self._take_outcome(message, now=now)
 
-    def _pass_on(self, message: Suspected) -> None:
+    def _send_all(self, message: ToNode) -> None:
         self._receive_local([message])
         for peer in self._peers.values():
             peer.send(message)
@@ -302,9 +302,7 @@
                 server = pool.servers.get(run.incarnation)
                 if server is not None:
                     server.runs[run.key] = Run(
-                        key=run.key,
                         origin=origin,
-                        incarnation=run.incarnation,
                         need=run.need,
                         granted_at=now,
                         first_at=now,
@@ -422,9 +420,7 @@
 
     def _tell_learnt(self) -> None:
         speeds = {name: list_speeds(pool) for name, pool in self._pools.items()}
-        self._state.speeds = speeds
-        for peer in self._peers.values():
-            peer.send(Learnt(speeds=speeds))
+        self._send_all(Learnt(speeds=speeds))
 
     def _send_digest(self) -> None:
         now = self._state.clock.now()
@@ -432,10 +428,7 @@
         infos += [peer.info for peer in self._list_heard(now)]
         self._most_heard = max(self._most_heard, len(infos))
         holds = is_holder(self._lease, now=now) or self._orders_on(now)
-        digest = Digest(nodes=tuple(infos), is_holder=holds)
-        self._receive_local([digest])
-        for peer in self._peers.values():
-            peer.send(digest)
+        self._send_all(Digest(nodes=tuple(infos), is_holder=holds))
         if len(infos) > 1:
             self.alone_since = None
         elif self.alone_since is None:
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -347,7 +347,6 @@
                 self._link.tell(
                     Started(
                         key=self._request.attempt_id,
-                        service=self.progress.service,
                         incarnation=entry.incarnation,
                         took_ms=self._state.clock.now() - self.progress.sent_at,
                     )
@@ -467,7 +466,6 @@
         self._link.tell(
             Ended(
                 key=self._request.attempt_id,
-                service=self.progress.service,
                 incarnation=incarnation,
                 how=how,
             )
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -220,7 +220,6 @@
         self.tell(
             Ended(
                 key=granted.key,
-                service="",
                 incarnation=granted.incarnation,
                 how=TryEnd.UNUSED,
             )
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -69,7 +69,6 @@
     """The first part of an answer came so many ms after the request was sent."""
 
     key: str
-    service: str
     incarnation: str
     took_ms: int
 
@@ -78,7 +77,6 @@
     """A granted request ended."""
 
     key: str
-    service: str
     incarnation: str
     how: TryEnd
 
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -82,7 +82,7 @@
             return
         suspicion = note_death(
             self._suspects,
-            fingerprint=_build_fingerprint(request),
+            fingerprint=_get_fingerprint(request),
             server=incarnation,
             boot_id="",
             now=now,
@@ -118,12 +118,14 @@
     def _find(self, request: InboundRequest) -> Suspicion | None:
         if not self._suspects.suspicions:
             return None
-        return self._suspects.suspicions.get(_build_fingerprint(request))
+        return self._suspects.suspicions.get(_get_fingerprint(request))
 
 
-def _build_fingerprint(request: InboundRequest) -> str:
-    return build_fingerprint(
-        caller=request.host,
-        path=f"{request.method} {request.path}",
-        body=request.body,
-    )
+def _get_fingerprint(request: InboundRequest) -> str:
+    if not request.fingerprint:
+        request.fingerprint = build_fingerprint(
+            caller=request.host,
+            path=f"{request.method} {request.path}",
+            body=request.body,
+        )
+    return request.fingerprint
--- a/src/arbutuspulley/platform/names.py
+++ b/src/arbutuspulley/platform/names.py
@@ -73,7 +73,6 @@
 REPORT_PATH = "/report"
 ORDER_PATH = "/order"
 RESOLVE_PATH = "/resolve"
-READY_PATH = "/readyz"
 STORE_TRANSACT_PATH = "/rows-tx"
 STORE_READ_PATH = "/rows-get"
 STORE_FEED_PATH = "/rows-feed"
--- a/src/arbutuspulley/pool/demand.py
+++ b/src/arbutuspulley/pool/demand.py
@@ -24,9 +24,6 @@
 """For how long the effect of a copy more or less is counted, in s: a load takes 1.2 s
 and demand moves on within some seconds."""
 
-TYPICAL_TOKENS = 1_200
-"""Prompt tokens of a request before any was seen; the sheets' mean."""
-
 
 def note_demand(pool: PoolState, model: str, tokens: int, *, now: int) -> None:
     """Count a request's prompt."""
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -220,9 +220,7 @@
     need = waiting.need
     runs = len(server.runs)
     server.runs[waiting.key] = Run(
-        key=waiting.key,
         origin=waiting.origin,
-        incarnation=server.incarnation,
         need=need,
         granted_at=now,
         was_free=server.read_until <= now,
@@ -230,7 +228,6 @@
     )
     begin = max(float(now), server.read_until)
     server.read_until = begin + need.prompt_tokens * 1_000 / get_rate(pool, need.model)
-    server.model_used_at[need.model] = now
     if need.adapter:
         server.adapter_used_at[need.model, need.adapter] = now
     return Grant(
--- a/src/arbutuspulley/pool/loads.py
+++ b/src/arbutuspulley/pool/loads.py
@@ -2,7 +2,7 @@
 
 import math
 
-from arbutuspulley.pool.state import PoolState
+from arbutuspulley.pool.state import PoolState, has_weights
 
 WINDOW_MS = 5_000
 """Span over which the weight store counts loads, in ms."""
@@ -49,9 +49,7 @@
 
 def _count_running(pool: PoolState, *, now: int) -> int:
     return sum(
-        bool(server.loading)
-        and server.loading not in server.in_memory
-        and server.loading not in server.on_disk
+        bool(server.loading) and not has_weights(server, server.loading)
         for server in pool.servers.values()
     )
 
--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -24,6 +24,7 @@
     ServerState,
     Waiting,
     estimate_unload,
+    has_weights,
     holds,
     is_usable,
 )
@@ -220,7 +221,7 @@
             continue
         if not _may_order(server, now=now):
             continue
-        is_near = model in server.in_memory or model in server.on_disk
+        is_near = has_weights(server, model)
         if not is_near and not is_store_free:
             continue
         plan = plan_room(pool, server, model, now=now)
@@ -258,8 +259,7 @@
         return None
     if plan.victims:
         return _build(pool, server, OrderKind.UNLOAD, plan.victims[0], "")
-    is_near = model in server.in_memory or model in server.on_disk
-    is_counted = not is_near and model != server.unanswered_load
+    is_counted = not has_weights(server, model) and model != server.unanswered_load
     if is_counted:
         if not may_load(pool, now=now):
             return None
--- a/src/arbutuspulley/pool/room.py
+++ b/src/arbutuspulley/pool/room.py
@@ -17,6 +17,18 @@
 """What each unload costs by itself, in requests: an order, and a copy less."""
 
 
+class Victim(Value, frozen=True):
+    """A model that may leave a server.
+
+    :param cost: in requests that would have to wait.
+    :param wait_ms: how long its unload would wait for runs.
+    """
+
+    model: str
+    cost: float
+    wait_ms: float
+
+
 class RoomPlan(Value, frozen=True):
     """Models to unload, in order, before another fits.
 
@@ -56,28 +68,30 @@
     spec = pool.spec
     free = spec.memory_mb - count_used_mb(spec, server)
     needed = spec.models[model].size_mb
+    if free >= needed:
+        return RoomPlan(victims=(), cost=0.0)
     victims: list[str] = []
     cost = wait_ms = 0.0
-    ranked = sorted(
-        (rate_victim(pool, server, held, now=now), held) for held in server.models
-    )
-    for rated, held in ranked:
+    rated = [rate_victim(pool, server, held, now=now) for held in server.models]
+    for victim in sorted(rated, key=lambda one: (one.cost, one.model)):
         if free >= needed:
             break
-        victims.append(held)
-        cost += rated + STEP_COST
-        wait_ms += estimate_unload(pool, server, held, now=now)
-        held_spec = spec.models.get(held)
+        victims.append(victim.model)
+        cost += victim.cost + STEP_COST
+        wait_ms += victim.wait_ms
+        held_spec = spec.models.get(victim.model)
         if held_spec is not None:
             free += held_spec.size_mb
-            free += held_spec.adapter_mb * len(server.models[held])
+            free += held_spec.adapter_mb * len(server.models[victim.model])
     if free < needed:
         return None
     return RoomPlan(victims=tuple(victims), cost=cost, wait_ms=wait_ms)
 
 
-def rate_victim(pool: PoolState, server: ServerState, model: str, *, now: int) -> float:
-    """Return how many requests would wait if a model left a server."""
+def rate_victim(
+    pool: PoolState, server: ServerState, model: str, *, now: int
+) -> Victim:
+    """Work out what it would cost if a model left a server."""
     copies = len(find_copies(pool, model, now=now))
     cost = get_excess(pool, model, copies - 1) - get_excess(pool, model, copies)
     waiting = sum(one.need.model == model for one in pool.waiting.values())
@@ -85,7 +99,8 @@
     if copies <= 1:
         cost += SOLE_COST
     wait_ms = estimate_unload(pool, server, model, now=now)
-    return cost + BLOCK_COST * wait_ms / 1_000
+    cost += BLOCK_COST * wait_ms / 1_000
+    return Victim(model=model, cost=cost, wait_ms=wait_ms)
 
 
 def choose_adapter_victim(
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -28,6 +28,10 @@
 """Weight of the newest run in a server's share of failures: about the last ten."""
 
 
+TYPICAL_TOKENS = 1_200
+"""Prompt tokens of a request before any was seen; the sheets' mean."""
+
+
 class Waiting(State):
     """A request that waits for a server.
 
@@ -60,9 +64,7 @@
     :param is_repeat: whether a server has refused it before.
     """
 
-    key: str
     origin: str
-    incarnation: str
     need: ModelNeed
     granted_at: int
     first_at: int | None = None
@@ -126,7 +128,6 @@
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     runs: dict[str, Run] = msgspec.field(default_factory=dict)
-    model_used_at: dict[str, int] = msgspec.field(default_factory=dict)
     adapter_used_at: dict[tuple[str, str], int] = msgspec.field(default_factory=dict)
 
 
@@ -149,7 +150,7 @@
     waiting: dict[str, Waiting] = msgspec.field(default_factory=dict)
     demand: dict[str, float] = msgspec.field(default_factory=dict)
     demand_at: int = 0
-    mean_tokens: float = 1_200
+    mean_tokens: float = TYPICAL_TOKENS
     missed_at: dict[str, int] = msgspec.field(default_factory=dict)
     loads: list[int] = msgspec.field(default_factory=list)
     adapter_ms: float = DEFAULT_ADAPTER_MS
@@ -205,6 +206,11 @@
     return due is not None and now >= due
 
 
+def has_weights(server: ServerState, model: str) -> bool:
+    """Tell whether a server can load a model without the weight store."""
+    return model in server.in_memory or model in server.on_disk
+
+
 def settle_due(server: ServerState, *, now: int) -> None:
     """Count loads as done whose time has come.
 
--- a/src/arbutuspulley/ports/fleet.py
+++ b/src/arbutuspulley/ports/fleet.py
@@ -233,6 +233,8 @@
         without those that only the system may set.
     :param wait_ms: how long the caller waits; ``None`` if it did not say.
     :param resumes: whether the caller goes on with a broken stream.
+    :param fingerprint: the same whenever it is sent again; empty until it is needed,
+        which is after the body was read.
     """
 
     attempt_id: str
@@ -244,6 +246,7 @@
     need: ModelNeed | None
     resumes: bool = False
     body: bytes = b""
+    fingerprint: str = ""
 
 
 class NodeSettings(Value, frozen=True):
--- a/src/arbutuspulley/routing/local.py
+++ b/src/arbutuspulley/routing/local.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from arbutuspulley.data import State
+from arbutuspulley.membership.parts import get_part
 from arbutuspulley.ports.fleet import ModelNeed, ServerEntry
 
 SUSPECT_MS = 500
@@ -37,10 +38,6 @@
 """Part of a server's connections that is used: others are idle, or about to close. A
 server resets what comes beyond, and a request that it resets may have run."""
 
-FEWEST_INSTANCES = 6
-"""A server's connections are split by this many instances at least: one that has heard
-of fewer has probably not heard of all."""
-
 
 class ServerRecord(State):
     """What this instance has seen of one server."""
@@ -105,8 +102,7 @@
     """
     if not connections:
         return NO_BOUND
-    part = CONNECTION_PART * connections / max(FEWEST_INSTANCES, instances)
-    return max(1, int(part))
+    return max(1, int(get_part(CONNECTION_PART * connections, instances=instances)))
 
 
 def note_sent(records: LocalRecords, entry: ServerEntry) -> None:
--- /dev/null
+++ b/tests/node_states.py
@@ -0,0 +1,38 @@
+"""States of a node's process for tests that start none."""
+
+import random
+
+from arbutuspulley.clock import Clock
+from arbutuspulley.node.metrics import NodeMetrics
+from arbutuspulley.node.state import NodeState
+from arbutuspulley.ports.fleet import NodeSettings
+
+
+def build_state(*, clock=None, **changes):
+    """Build the state of a node called ``own``; ``changes`` are settings."""
+    values = {
+        "name": "own",
+        "site": "a1",
+        "region": "a",
+        "frontend": "own:1",
+        "ready": "own:2",
+        "directory": "own:3",
+        "link": "own:4",
+        "seeds": (),
+        "store": "store:1",
+        "grace_ms": 8_000,
+        "lease_ms": 3_000,
+        "retry_ratio": 0.2,
+        "retry_extra": 52,
+        "retry_window_ms": 10_000,
+        "directory_ttl_s": 5,
+        **changes,
+    }
+    return NodeState(
+        settings=NodeSettings(**values),
+        clock=clock or Clock(),
+        session=None,
+        store=None,
+        metrics=NodeMetrics(),
+        chance=random.Random(1),
+    )
--- a/tests/pools.py
+++ b/tests/pools.py
@@ -1,6 +1,6 @@
 """Builders of pools for tests of the coordinator's decisions."""
 
-from arbutuspulley.pool.state import PoolState, ServerState, Waiting
+from arbutuspulley.pool.state import PoolState, Run, ServerState, Waiting
 from arbutuspulley.ports.fleet import EngineSpec, ModelNeed, ModelSpec
 
 
@@ -50,6 +50,17 @@
     )
 
 
+def add_run(server, key, model, *, expected=0, granted_at=0):
+    need = ModelNeed(
+        model=model,
+        adapter="",
+        prompt_tokens=100,
+        output_tokens=10,
+        expected_tokens=expected,
+    )
+    server.runs[key] = Run(origin="n1", need=need, granted_at=granted_at)
+
+
 def add_waiting(pool, key, model, *, now=0, adapter="", tokens=1_000, **changes):
     values = {
         "key": key,
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,7 +1,5 @@
 """Which instances callers are told to use."""
 
-import random
-
 import msgspec
 import pytest
 
@@ -9,38 +7,13 @@
 from arbutuspulley.node.directory import FRESH_MS, Directory
 from arbutuspulley.node.following import put_in_force
 from arbutuspulley.node.messages import NodeInfo
-from arbutuspulley.node.metrics import NodeMetrics
-from arbutuspulley.node.state import NodeState
-from arbutuspulley.ports.fleet import NodeSettings
 from scripts.platform_stage import build_configuration
+from tests.node_states import build_state
 
 
-def build_state(*, now, ttl_s=5.0):
-    settings = NodeSettings(
-        name="own",
-        site="a1",
-        region="a",
-        frontend="own:1",
-        ready="own:2",
-        directory="own:3",
-        link="own:4",
-        seeds=(),
-        store="s:1",
-        grace_ms=8_000,
-        lease_ms=3_000,
-        retry_ratio=0.2,
-        retry_extra=52,
-        retry_window_ms=10_000,
-        directory_ttl_s=ttl_s,
-    )
-    state = NodeState(
-        settings=settings,
-        clock=Clock(read=lambda: now[0]),
-        session=None,
-        store=None,
-        metrics=NodeMetrics(),
-        chance=random.Random(1),
-    )
+def build_ready(*, now, **changes):
+    """Build the state of a node that knows a configuration."""
+    state = build_state(clock=Clock(read=lambda: now[0]), **changes)
     put_in_force(state, msgspec.json.encode(build_configuration(1)))
     return state
 
@@ -72,7 +45,7 @@
     ids=["own data centre", "own region", "another", "none there", "not told"],
 )
 def test_the_nearest_ready_instances_are_named(site, region, expected):
-    state = build_state(now=[10])
+    state = build_ready(now=[10])
     state.nodes, state.nodes_at = NODES, 10
     named = Directory(state=state).list_addresses(site=site, region=region)
     assert {address.partition(":")[0] for address in named} == expected
@@ -80,7 +53,7 @@
 
 def test_an_old_list_is_not_believed():
     now = [10]
-    state = build_state(now=now)
+    state = build_ready(now=now)
     state.nodes, state.nodes_at = NODES, 10
     now[0] += FRESH_MS
     directory = Directory(state=state)
@@ -88,7 +61,7 @@
 
 
 def test_an_instance_that_stops_names_others_only():
-    state = build_state(now=[10])
+    state = build_ready(now=[10])
     state.nodes, state.nodes_at = NODES, 10
     state.stopping_at = 9
     named = Directory(state=state).list_addresses(site="a1", region="a")
@@ -97,5 +70,5 @@
 
 @pytest.mark.parametrize(("setting", "expected"), [(5.0, 1), (0.5, 0.5)])
 def test_answers_are_kept_no_longer_than_the_settings_allow(setting, expected):
-    directory = Directory(state=build_state(now=[10], ttl_s=setting))
+    directory = Directory(state=build_ready(now=[10], directory_ttl_s=setting))
     assert directory._get_ttl() == expected
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -1,7 +1,6 @@
 """What a node makes of rows of the store."""
 
 import asyncio
-import random
 
 import msgspec
 import pytest
@@ -14,39 +13,9 @@
     put_in_force,
     take_servers,
 )
-from arbutuspulley.node.metrics import NodeMetrics
-from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.store import RowsAnswer, StoredRow
-from arbutuspulley.ports.fleet import NodeSettings
 from scripts.platform_stage import build_configuration
-
-
-def build_state():
-    settings = NodeSettings(
-        name="n1",
-        site="z1",
-        region="r",
-        frontend="127.0.0.1:1",
-        ready="127.0.0.1:2",
-        directory="127.0.0.1:3",
-        link="127.0.0.1:4",
-        seeds=(),
-        store="127.0.0.1:5",
-        grace_ms=8_000,
-        lease_ms=3_000,
-        retry_ratio=0.2,
-        retry_extra=52,
-        retry_window_ms=10_000,
-        directory_ttl_s=5,
-    )
-    return NodeState(
-        settings=settings,
-        clock=Clock(),
-        session=None,
-        store=None,
-        metrics=NodeMetrics(),
-        chance=random.Random(1),
-    )
+from tests.node_states import build_state
 
 
 def build_row(name, *, state="ready", version=1):
--- a/tests/test_pool_duration.py
+++ b/tests/test_pool_duration.py
@@ -11,9 +11,8 @@
     note_run_time,
 )
 from arbutuspulley.pool.orders import plan_orders
-from arbutuspulley.pool.state import Run
 from arbutuspulley.ports.fleet import ModelNeed, OrderAnswer
-from tests.pools import add_waiting, build_pool, build_server
+from tests.pools import add_run, add_waiting, build_pool, build_server
 
 
 def build_need(*, model="m0", expected=100, output=400):
@@ -26,16 +25,6 @@
     )
 
 
-def add_run(server, key, model, *, expected, granted_at=0):
-    server.runs[key] = Run(
-        key=key,
-        origin="n1",
-        incarnation=server.incarnation,
-        need=build_need(model=model, expected=expected),
-        granted_at=granted_at,
-    )
-
-
 @pytest.mark.parametrize(
     ("expected", "output", "ran_ms", "left"),
     [
--- a/tests/test_pool_orders.py
+++ b/tests/test_pool_orders.py
@@ -8,15 +8,14 @@
 from arbutuspulley.pool.loads import assume_loads, may_load, note_load
 from arbutuspulley.pool.orders import plan_orders
 from arbutuspulley.pool.room import count_used_mb
-from arbutuspulley.pool.state import Run, note_missing
+from arbutuspulley.pool.state import note_missing
 from arbutuspulley.ports.fleet import (
     Holding,
-    ModelNeed,
     OrderAnswer,
     OrderKind,
     ServerReport,
 )
-from tests.pools import add_waiting, build_pool, build_server, build_spec
+from tests.pools import add_run, add_waiting, build_pool, build_server, build_spec
 
 
 def show(orders):
@@ -43,13 +42,6 @@
     )
 
 
-def add_run(server, key, model):
-    need = ModelNeed(model=model, adapter="", prompt_tokens=100, output_tokens=10)
-    server.runs[key] = Run(
-        key=key, origin="n1", incarnation=server.incarnation, need=need, granted_at=0
-    )
-
-
 def test_a_missing_model_is_loaded_where_there_is_room():
     pool = build_pool(build_server("s0", "m0", "m1"), build_server("s1", "m0"))
     add_waiting(pool, "r0", "m2")
