--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -18,11 +18,7 @@
 )
 from arbutuspulley.pool.demand import find_copies, get_excess, get_rate
 from arbutuspulley.pool.loads import may_load, note_load
-from arbutuspulley.pool.room import (
-    choose_adapter_victim,
-    count_used_mb,
-    plan_room,
-)
+from arbutuspulley.pool.room import choose_adapter_victim, count_used_mb, plan_room
 from arbutuspulley.pool.state import (
     PoolState,
     ServerState,
@@ -31,9 +27,7 @@
     holds,
     is_usable,
 )
-from arbutuspulley.ports.fleet import (
-    OrderKind,
-)
+from arbutuspulley.ports.fleet import OrderKind
 
 LEAST_GAIN = 1.5
 """Requests that another copy must spare a wait, beyond those that wait for what has to
@@ -46,12 +40,10 @@
 MOST_MISSED = 8.0
 """Most of that, in requests."""
 
-
 HOT_BACKLOG_MS = 250
 """Wait of a model's prompts that one copy works off in time, in ms: a third of the
 shortest aims on the sheets."""
 
-
 RUN_SHARE = 0.05
 """What each request that runs on a server counts against loading there, in requests:
 all that a server holds shares its batch."""
@@ -60,7 +52,6 @@
 """What it counts for a server that it has the weights in memory or on disk, in
 requests: the load takes half as long and costs nothing."""
 
-
 PLAN_MS = 6_000
 """How long a server is kept for a model that is to be loaded there, in ms: what leaves
 may wait for streams that take some seconds."""
@@ -74,7 +65,6 @@
 the model that it was chosen for: a model that nobody had was once not loaded for 7 s,
 and 103 of its requests were refused, as its server waited for one stream to end."""
 
-
 SPREAD_BACKLOG_MS = 150
 """Backlog of the servers with an adapter that is worth loading it elsewhere, in ms;
 an adapter takes a tenth of that."""
