End a holder's orders by the latest reading of the store's clock

Cause: a holder wrote its lease by the least that the store's clock can be ahead of its own, and counted its own end by the same figure. That figure is too small by as long as the answer took to come back and be read; on a busy instance that has just started that is over a second. The successor, whose figure is right, gave orders that much before the holder's own end. Servers that check no fences carried out both. Also, an order behind a cut stayed with the operating system after its connection was closed, and orders in flight outlived the release of the lease by an answer of the store.

Ruled out: the wait of a successor (it waits for the whole lease as written), a restart under the same name (the old process is gone, the fence grows).

Change: the end is counted from the answer to the claim itself; orders are bounded by what is left of the lease, dropped before it is released, and sent over connections that are reset as they close.

Before: tests/test_coordinator_lease.py fails for readings 1.5 and 2.9 s late. After: passes.

--- a/src/arbutuspulley/membership/coordinator.py
+++ b/src/arbutuspulley/membership/coordinator.py
@@ -49,8 +49,8 @@
 class CoordinatorState(State):
     """What one process knows of the lease.
 
-    :param offset_ms: the store's clock less the own one, the largest seen: it was
-        taken from the answer that came fastest.
+    :param offset_ms: the store's clock less the own one, at least: the largest seen,
+        which was taken from the answer that came back fastest.
     :param version: version of the row as last read; 0 if absent.
     :param row: the row as last read.
     :param held_until: until when the own lease runs, on the own clock; 0: not held.
@@ -116,6 +116,17 @@
     return all(misses) and len(misses) >= 2 and 2 * len(misses) > known
 
 
+def get_order_time(state: CoordinatorState, *, now: int) -> int:
+    """Return for how much longer orders may be sent, in ms; 0: not at all.
+
+    A server that does not check fences takes any order that reaches it. What is still
+    being sent as this time ends has to be dropped.
+    """
+    if not may_order(state, now=now):
+        return 0
+    return int(state.held_until - MARGIN_MS - now)
+
+
 def get_wait(state: CoordinatorState, *, now: int) -> int | None:
     """Return how long until the lease may be taken, in ms; 0: now.
 
@@ -174,13 +185,29 @@
 
 
 def note_claimed(
-    state: CoordinatorState, claim: LeaseRow, *, version: int, sent_at: int
+    state: CoordinatorState,
+    claim: LeaseRow,
+    *,
+    version: int,
+    sent_at: int,
+    store_ms: float,
 ) -> None:
-    """A claim was written."""
+    """A claim was written.
+
+    The claim's times were worked out from ``offset_ms``, which is too small by as long
+    as the fastest answer so far took to come back and be read. Counted from it, the own
+    lease seemed to run on by that time after the store's clock had passed its end. On a
+    busy instance that has just started, that was over a second: its successor gave
+    orders, and so did it. So the end is counted from the latest that the store's clock
+    can be ahead: it wrote ``store_ms`` after the claim was sent.
+
+    :param sent_at: when the claim was sent, in ms.
+    :param store_ms: the store's clock as it wrote the claim.
+    """
     state.row = claim
     state.version = version
     state.fence = claim.fence
-    state.held_until = claim.expires_ms - (state.offset_ms or 0.0)
+    state.held_until = claim.expires_ms - (store_ms - sent_at)
     state.orders_from = claim.orders_from_ms - (state.offset_ms or 0.0)
     state.renewed_at = sent_at
 
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -16,6 +16,7 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.membership.coordinator import (
     CoordinatorState,
+    get_order_time,
     is_holder,
     may_order,
     may_order_on,
@@ -41,7 +42,11 @@
 from arbutuspulley.node.peer import Peer
 from arbutuspulley.node.pool_log import log_grant, log_order, log_pool, log_refusal
 from arbutuspulley.node.state import NodeState
-from arbutuspulley.platform.engines import fetch_report, send_order
+from arbutuspulley.platform.engines import (
+    ORDER_TIMEOUT_MS,
+    fetch_report,
+    send_order,
+)
 from arbutuspulley.pool.answers import (
     PlannedOrder,
     list_unsure,
@@ -92,6 +97,7 @@
         "_is_kicked",
         "_lease",
         "_most_heard",
+        "_orders",
         "_peers",
         "_pools",
         "_receive_local",
@@ -115,6 +121,7 @@
         self._pools: dict[str, PoolState] = {}
         self._peers: dict[str, Peer] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._orders: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._is_kicked = False
         self._most_heard = 0
@@ -149,6 +156,11 @@
         self._peers.clear()
         self._pools.clear()
 
+    def stop_orders(self) -> None:
+        """Drop the orders that are being sent, before the lease is given back."""
+        for task in list(self._orders):
+            task.cancel()
+
     def take_change(self) -> None:
         """Bring the pools up to date with configuration and entries."""
         configuration = self._state.configuration
@@ -333,7 +345,9 @@
                 self._send_decision(pool, decided)
             if self._may_order(now):
                 for order in plan_orders(pool, now=now):
-                    self._spawn(self._give_order(pool, order))
+                    task = self._spawn(self._give_order(pool, order))
+                    self._orders.add(task)
+                    task.add_done_callback(self._orders.discard)
             wake = find_wake(pool, now=now)
             if wake is not None:
                 wakes.append(wake)
@@ -345,6 +359,13 @@
     def _may_order(self, now: int) -> bool:
         return may_order(self._lease, now=now) or self._orders_on(now)
 
+    def _get_order_time(self) -> int:
+        """Return for how much longer orders may be sent, in ms."""
+        now = self._state.clock.now()
+        if self._orders_on(now):
+            return ORDER_TIMEOUT_MS
+        return get_order_time(self._lease, now=now)
+
     def _orders_on(self, now: int) -> bool:
         """Tell whether orders go on though the lease could not be renewed."""
         if not self._state.settings.checks_fences or not self._state.store.is_failing:
@@ -388,10 +409,11 @@
             fence=self._lease.fence,
         )
         answer = await send_order(
-            self._state.session,
+            self._state.order_session,
             order,
             address=planned.address,
             incarnation=planned.incarnation,
+            within_ms=self._get_order_time(),
         )
         log_order(planned, answer, fence=order.fence)
         self._state.metrics.orders.labels(planned.kind.value, answer.value).inc()
@@ -454,10 +476,11 @@
             note_report(pool, server.incarnation, report, asked_at=asked_at)
             self.kick()
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._finish)
+        return task
 
     def _finish(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
--- a/src/arbutuspulley/node/election.py
+++ b/src/arbutuspulley/node/election.py
@@ -187,12 +187,20 @@
         )
         note_store_clock(self._lease, answer.now_ms, now=self._state.clock.now())
         if answer.is_done:
-            note_claimed(self._lease, claim, version=answer.version, sent_at=sent_at)
+            note_claimed(
+                self._lease,
+                claim,
+                version=answer.version,
+                sent_at=sent_at,
+                store_ms=answer.now_ms,
+            )
         return answer.is_done
 
     async def _release(self) -> None:
         fence = self._lease.fence
         note_lost(self._lease)
+        # The successor may give orders as soon as the row is free.
+        self._coordinator.stop_orders()
         try:
             if self._lease.version < 0:
                 await self._read()
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -18,6 +18,7 @@
 class NodeState:
     """State of the process; all of it lives on the one loop.
 
+    :param order_session: the client for orders to model servers.
     :param configuration: the version in force, ``None`` before the first.
     :param configuration_body: it as the store holds it, for other instances.
     :param entries: registered servers by incarnation.
@@ -43,6 +44,7 @@
         "nodes",
         "nodes_at",
         "on_change",
+        "order_session",
         "records",
         "session",
         "settings",
@@ -58,6 +60,7 @@
         settings: NodeSettings,
         clock: Clock,
         session: aiohttp.ClientSession,
+        order_session: aiohttp.ClientSession,
         store: StoreClient,
         metrics: NodeMetrics,
         chance: random.Random,
@@ -65,6 +68,7 @@
         self.settings = settings
         self.clock = clock
         self.session = session
+        self.order_session = order_session
         self.store = store
         self.metrics = metrics
         self.chance = chance
--- a/src/arbutuspulley/platform/engines.py
+++ b/src/arbutuspulley/platform/engines.py
@@ -4,6 +4,7 @@
 import msgspec
 import yarl
 
+from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.platform import names
 from arbutuspulley.platform.messages import decode_report
 from arbutuspulley.ports.fleet import OrderAnswer, ServerOrder, ServerReport
@@ -11,8 +12,8 @@
 CALL_TIMEOUT_S = 0.8
 """How long a report may take, in s; it answers in a few ms."""
 
-ORDER_TIMEOUT_S = 0.2
-"""How long an order's answer is awaited, in s; it comes within a few ms. An order is a
+ORDER_TIMEOUT_MS = 200
+"""How long an order's answer is awaited, in ms; it comes within a few ms. An order is a
 compare-and-set, so that giving it again is safe whatever became of the first."""
 
 _ANSWERS = {
@@ -25,7 +26,6 @@
 }
 
 _TIMEOUT = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-_ORDER_TIMEOUT = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
 
 
 async def fetch_report(
@@ -51,11 +51,19 @@
     *,
     address: str,
     incarnation: str,
+    within_ms: int = ORDER_TIMEOUT_MS,
 ) -> OrderAnswer:
     """Give a model server an order.
 
+    :param session: one that resets its connections as it closes them, so that an order
+        that is given up does not leave later; see
+        :func:`~arbutuspulley.platform.transport.open_order_session`.
+    :param within_ms: for how much longer the caller may give orders; 0: not at all.
     :return: ``UNKNOWN`` if no answer came; the order may still be carried out.
     """
+    if within_ms <= 0:
+        return OrderAnswer.REFUSED
+    timeout = aiohttp.ClientTimeout(total=min(within_ms, ORDER_TIMEOUT_MS) / SECOND_MS)
     url = yarl.URL(f"http://{address}{names.ORDER_PATH}")
     body = {
         "Operation": order.kind.value,
@@ -73,7 +81,7 @@
     data = msgspec.json.encode(body)
     try:
         async with session.post(
-            url, data=data, headers=headers, timeout=_ORDER_TIMEOUT
+            url, data=data, headers=headers, timeout=timeout
         ) as response:
             await response.read()
             return _ANSWERS.get(response.status, OrderAnswer.REFUSED)
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -4,8 +4,9 @@
 import functools
 import re
 import socket
+import struct
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import aiohttp
@@ -45,6 +46,9 @@
 not used again: the rest of the body would be read as another request."""
 
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Linger on, for 0 s: a close discards what was not sent yet and resets."""
+
 _KEEP_ALIVE = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -100,13 +104,15 @@
 class _Connector(aiohttp.TCPConnector):
     """Opens such connections, and keeps what servers say of their idle times."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, open_socket: Callable[[tuple[Any, ...]], socket.socket]
+    ) -> None:
         super().__init__(
             limit=0,
             limit_per_host=0,
             keepalive_timeout=MOST_IDLE_S,
             use_dns_cache=False,
-            socket_factory=_open_socket,
+            socket_factory=open_socket,
         )
         self.idle_times: dict[str, float] = {}
         # The library has no public way to give a connection class of one's own.
@@ -118,8 +124,24 @@
 
 def open_session() -> aiohttp.ClientSession:
     """Open the client. It never repeats a request by itself."""
+    return _open_session(_open_socket)
+
+
+def open_order_session() -> aiohttp.ClientSession:
+    """Open a client whose connections are reset as they are closed.
+
+    An ordinary close leaves what was written to the operating system, which goes on
+    sending it. Behind a cut, an order of a holder whose lease had ended reached its
+    server when the cut healed, after orders of the next holder. A reset drops it.
+    """
+    return _open_session(_open_resetting_socket)
+
+
+def _open_session(
+    open_socket: Callable[[tuple[Any, ...]], socket.socket],
+) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
-        connector=_Connector(),
+        connector=_Connector(open_socket=open_socket),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
@@ -174,6 +196,12 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def _open_resetting_socket(info: tuple[Any, ...]) -> socket.socket:
+    opened = _open_socket(info)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    return opened
+
+
 def _open_socket(info: tuple[Any, ...]) -> socket.socket:
     family, kind, protocol, _name, _address = info
     opened = socket.socket(family=family, type=kind, proto=protocol)
--- a/src/arbutuspulley/programs/node.py
+++ b/src/arbutuspulley/programs/node.py
@@ -32,7 +32,7 @@
 from arbutuspulley.node.stopping import stop_gracefully
 from arbutuspulley.platform.settings import find_settings, read_settings
 from arbutuspulley.platform.store import StoreClient
-from arbutuspulley.platform.transport import open_session
+from arbutuspulley.platform.transport import open_order_session, open_session
 from arbutuspulley.ports.fleet import NodeSettings
 from arbutuspulley.results import SettingError
 from arbutuspulley.settings import (
@@ -114,10 +114,12 @@
     loop.add_signal_handler(signal.SIGINT, stopping.set)
     clock = Clock()
     session = open_session()
+    order_session = open_order_session()
     state = NodeState(
         settings=settings,
         clock=clock,
         session=session,
+        order_session=order_session,
         store=StoreClient(
             session=session,
             address=settings.store,
@@ -159,6 +161,7 @@
         task.cancel()
     link.cut()
     await session.close()
+    await order_session.close()
     log_event(Event.STOPPED, in_flight=state.in_flight)
 
 
--- a/tests/node_states.py
+++ b/tests/node_states.py
@@ -32,6 +32,7 @@
         settings=NodeSettings(**values),
         clock=clock or Clock(),
         session=None,
+        order_session=None,
         store=None,
         metrics=NodeMetrics(),
         chance=random.Random(1),
--- a/tests/test_coordinator_lease.py
+++ b/tests/test_coordinator_lease.py
@@ -7,6 +7,7 @@
     CoordinatorState,
     build_claim,
     build_release,
+    get_order_time,
     get_wait,
     is_holder,
     is_own_row,
@@ -34,7 +35,8 @@
 
 def claim(state, *, now, version=1):
     row = build_claim(state, now=now)
-    note_claimed(state, row, version=version, sent_at=now)
+    store_ms = now + state.offset_ms
+    note_claimed(state, row, version=version, sent_at=now, store_ms=store_ms)
     return row
 
 
@@ -59,6 +61,31 @@
     assert may_order(new, now=4_000 - 90_000_000)
 
 
+@pytest.mark.parametrize("late_ms", [0, 30, 400, 1_500, 2_900])
+def test_a_holder_that_read_the_stores_clock_late_gives_orders_no_longer(late_ms):
+    """All instances lose power. The first to be back has so much to do that it reads
+    the store's answer over a second late, takes the store's clock to be that much
+    behind, and writes a lease that ends earlier than it believes itself. Another takes
+    over and gives orders while the first still does: a server that checks no fences
+    carries out those of both.
+    """
+    old, new = build("old", offset=1_000 - late_ms), build("new", offset=1_000)
+    row = build_claim(old, now=100)
+    note_claimed(old, row, version=1, sent_at=100, store_ms=1_103)
+    note_row(new, encode(row), version=1)
+    first_at = next(t for t in range(100, 9_000) if get_wait(new, now=t) == 0)
+    claim(new, now=first_at, version=2)
+    for now in range(first_at, 9_000):
+        assert not (may_order(old, now=now) and may_order(new, now=now))
+
+
+def test_orders_that_are_being_sent_end_with_the_lease():
+    state = build("a", offset=0)
+    claim(state, now=0)
+    assert get_order_time(state, now=2_500) == 3_000 - MARGIN_MS - 2_500
+    assert get_order_time(state, now=2_600) == 0
+
+
 def test_orders_wait_for_the_longest_lease_before():
     """Three instances take over from each other within one lease; the first one may
     still give orders when the third has the lease."""
