Tell a server's starts apart, and take no server from another writer's row

Cause: a server may start again under its id. The id was taken for the start, so models, runs, order counts and failures of before were believed of the new one, its idle connections were used, and a crash by the same request was no second crash. A row that could not be read left the earlier entry in use, and a state that is not known counted as ready.

Change: the adapter names a start by id and born; everything inside goes by that name, so a new start is a new server. Reports of another start are not taken. Rows with missing or wrong fields name no server, told once. A load that the start before left unanswered counts as memory until it can't come any more.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -205,7 +205,7 @@
         finally:
             progress.waited_ms += self._state.clock.now() - now
         progress.is_late = granted.is_late
-        entry = self._state.entries.get(granted.incarnation)
+        entry = self._state.by_incarnation.get(granted.incarnation)
         if entry is None:
             self._tell_end(granted.incarnation, TryEnd.UNUSED)
             progress.avoid.add(granted.incarnation)
--- a/src/arbutuspulley/node/following.py
+++ b/src/arbutuspulley/node/following.py
@@ -9,8 +9,13 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform import names
-from arbutuspulley.platform.messages import decode_configuration, decode_server
+from arbutuspulley.platform.messages import (
+    WrongEntryError,
+    decode_configuration,
+    decode_server,
+)
 from arbutuspulley.platform.store import HistoryLostError, StoredRow
+from arbutuspulley.platform.transport import forget_connections
 from arbutuspulley.ports.fleet import ServerEntry
 from arbutuspulley.results import PlatformUnavailableError
 from arbutuspulley.routing.local import forget_others
@@ -40,6 +45,10 @@
 request later than 2 s after its leaving was seen."""
 
 
+MOST_REFUSED = 1_000
+"""Most rows that are remembered for naming no server; beyond, they are told again."""
+
+
 async def follow_configuration(state: NodeState) -> None:
     """Keep the newest configuration in force, for ever."""
     await _Follower(
@@ -213,29 +222,64 @@
     """Take entries that another instance knows, if this one knows none."""
     if state.entries:
         return
-    for incarnation, body in bodies.items():
-        _take_entry(state, incarnation, body)
+    for server_id, body in bodies.items():
+        _take_entry(state, server_id, body)
     _index(state)
 
 
-def _take_entry(state: NodeState, incarnation: str, value: bytes) -> None:
+def _take_entry(state: NodeState, server_id: str, value: bytes) -> None:
+    before = state.entries.get(server_id)
     try:
-        entry = decode_server(incarnation, value)
-    except msgspec.MsgspecError as error:
-        log_event(Event.SERVER_ENTRY_REFUSED, server=incarnation, detail=str(error))
+        entry = decode_server(server_id, value)
+    except (msgspec.MsgspecError, WrongEntryError) as error:
+        _refuse_entry(state, server_id, str(error))
         return
-    before = state.entries.get(incarnation)
-    state.entries[incarnation] = entry
-    state.entry_bodies[incarnation] = value
-    if before is None:
+    if before is not None and entry.born_ms < before.born_ms:
+        # A row from before the server's start, written late. Taken, it would bring
+        # back what the server held then.
         log_event(
-            Event.SERVER_LISTED,
-            server=incarnation,
-            service=entry.service,
-            address=entry.address,
+            Event.SERVER_ENTRY_REFUSED, server=server_id, detail="an earlier start"
         )
+        return
+    state.refused_entries.pop(server_id, None)
+    state.entries[server_id] = entry
+    state.entry_bodies[server_id] = value
+    if before is None or before.incarnation != entry.incarnation:
+        _note_start(state, entry, before)
     if entry.is_leaving and (before is None or not before.is_leaving):
-        log_event(Event.SERVER_LEAVING, server=incarnation, service=entry.service)
+        log_event(Event.SERVER_LEAVING, server=server_id, service=entry.service)
+
+
+def _refuse_entry(state: NodeState, server_id: str, why: str) -> None:
+    """Take a row that names no server; it is told once for as long as it says so.
+
+    A server whose row another writer has overwritten is not used until it writes
+    again, which it does within its heartbeat.
+    """
+    if state.entries.pop(server_id, None) is not None:
+        state.entry_bodies.pop(server_id, None)
+    if state.refused_entries.get(server_id) == why:
+        return
+    if len(state.refused_entries) >= MOST_REFUSED:
+        state.refused_entries.clear()
+    state.refused_entries[server_id] = why
+    log_event(Event.SERVER_ENTRY_REFUSED, server=server_id, detail=why)
+
+
+def _note_start(
+    state: NodeState, entry: ServerEntry, before: ServerEntry | None
+) -> None:
+    if before is not None and state.session is not None:
+        # Its connections are those of the start before: a request that is sent on
+        # one breaks off and may not be sent again.
+        forget_connections(state.session, entry.address)
+    log_event(
+        Event.SERVER_LISTED,
+        server=entry.server_id,
+        service=entry.service,
+        address=entry.address,
+        born_ms=entry.born_ms,
+    )
 
 
 def _drop_entries(
@@ -243,13 +287,14 @@
 ) -> None:
     """Drop entries that have not been written again since ``then``."""
     is_changed = False
-    for incarnation in gone:
-        entry = state.entries.get(incarnation)
-        if entry is not None and then.get(incarnation) is entry:
-            del state.entries[incarnation]
-            state.entry_bodies.pop(incarnation, None)
+    for server_id in gone:
+        state.refused_entries.pop(server_id, None)
+        entry = state.entries.get(server_id)
+        if entry is not None and then.get(server_id) is entry:
+            del state.entries[server_id]
+            state.entry_bodies.pop(server_id, None)
             is_changed = True
-            log_event(Event.SERVER_GONE, server=incarnation, service=entry.service)
+            log_event(Event.SERVER_GONE, server=server_id, service=entry.service)
     if is_changed:
         _index(state)
 
@@ -259,5 +304,6 @@
     for entry in state.entries.values():
         by_service.setdefault(entry.service, []).append(entry)
     state.by_service = by_service
+    state.by_incarnation = {one.incarnation: one for one in state.entries.values()}
     forget_others(state.records, state.entries.values())
     state.tell_change()
--- a/src/arbutuspulley/node/neighbours.py
+++ b/src/arbutuspulley/node/neighbours.py
@@ -34,7 +34,7 @@
     """What an instance knows.
 
     :param configuration: as the store holds it; empty if it knows none.
-    :param servers: entries by incarnation, as the store holds them.
+    :param servers: entries by the servers' ids, as the store holds them.
     :param coordinator: link address of the coordinator, empty if it knows none.
     """
 
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -21,8 +21,10 @@
     :param order_session: the client for orders to model servers.
     :param configuration: the version in force, ``None`` before the first.
     :param configuration_body: it as the store holds it, for other instances.
-    :param entries: registered servers by incarnation.
-    :param entry_bodies: they as the store holds them, for other instances.
+    :param entries: registered servers by their ids.
+    :param by_incarnation: the same by incarnation, ``by_service`` by service.
+    :param refused_entries: ids of rows that name no server, and why.
+    :param entry_bodies: entries as the store holds them, for other instances.
     :param nodes: instances, as the coordinator last told.
     :param speeds: reading speeds by service and kind of model, as the coordinator last
         told; used if this instance succeeds it.
@@ -32,6 +34,7 @@
 
     __slots__ = (
         "budgets",
+        "by_incarnation",
         "by_service",
         "chance",
         "clock",
@@ -46,6 +49,7 @@
         "on_change",
         "order_session",
         "records",
+        "refused_entries",
         "session",
         "settings",
         "speeds",
@@ -77,6 +81,8 @@
         self.entry_bodies: dict[str, bytes] = {}
         self.table: RouteTable | None = None
         self.entries: dict[str, ServerEntry] = {}
+        self.refused_entries: dict[str, str] = {}
+        self.by_incarnation: dict[str, ServerEntry] = {}
         self.by_service: dict[str, list[ServerEntry]] = {}
         self.records = LocalRecords()
         self.budgets: dict[str, RepeatBudget] = {}
--- /dev/null
+++ b/src/arbutuspulley/platform/incarnations.py
@@ -0,0 +1,23 @@
+"""Names of servers' starts.
+
+A server may start again under the id that it had, and then knows nothing of before.
+What is believed of a server belongs to one start of it, so starts are told apart by
+the id and the time of the start together. Inside the system that is one name, the
+incarnation; on the wire a server goes by its id.
+"""
+
+_SEPARATOR = "@"
+
+
+def build_incarnation(server_id: str, born_ms: int) -> str:
+    """Name a start of a server.
+
+    :param born_ms: when it started, in Unix ms; 0 if it does not say.
+    """
+    return f"{server_id}{_SEPARATOR}{born_ms}" if born_ms else server_id
+
+
+def get_server_id(incarnation: str) -> str:
+    """Return the id under which a server goes on the wire."""
+    server_id, _, born = incarnation.rpartition(_SEPARATOR)
+    return server_id if born.isdecimal() and server_id else incarnation
--- a/src/arbutuspulley/platform/messages.py
+++ b/src/arbutuspulley/platform/messages.py
@@ -1,9 +1,11 @@
 """Bodies on the wire, and their decoding into the types of the ports."""
 
+import re
 from typing import Any
 
 import msgspec
 
+from arbutuspulley.platform.incarnations import build_incarnation
 from arbutuspulley.ports.fleet import (
     EngineSpec,
     FleetConfiguration,
@@ -24,8 +26,15 @@
 DEFAULT_AIM_MS = 1_000
 """Latency objective of a route that names none, in ms; the sheets' median."""
 
+READY = "ready"
 DRAINING = "draining"
-"""``State`` of a server that leaves."""
+"""``State`` of a server that takes requests, and of one that leaves."""
+
+_ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+
+
+class WrongEntryError(ValueError):
+    """A server's row is no entry of a server, though it can be read."""
 
 
 class _Wire(msgspec.Struct, rename="pascal"):
@@ -113,13 +122,20 @@
 
 
 class WireServer(_Wire):
-    """A server's own row in the store."""
+    """A server's own row in the store.
+
+    Rows may come from other writers. One that lacks any of the fields without a
+    default is not a server's.
+
+    :param born: Unix ms of the server's start; 0 if it does not say.
+    """
 
     service: str
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
+    zone: str
+    slots: int
+    state: str
+    born: int = msgspec.field(default=0, name="born")
     models: list[WireHolding] = msgspec.field(default_factory=list)
 
 
@@ -131,8 +147,12 @@
 
 
 class WireReport(_Wire):
-    """A model server's report. ``Sequence`` counts accepted orders."""
+    """A model server's report. ``Sequence`` counts accepted orders.
+
+    :param born: Unix ms of the server's start; 0 if it does not say.
+    """
 
+    born: int = msgspec.field(default=0, name="born")
     models: list[WireHolding] = msgspec.field(default_factory=list)
     busy: bool = False
     sequence: int = 0
@@ -191,14 +211,19 @@
     )
 
 
-def decode_server(incarnation: str, body: bytes) -> ServerEntry:
+def decode_server(server_id: str, body: bytes) -> ServerEntry:
     """Decode a server's row.
 
+    :param server_id: the row's key.
     :raises msgspec.MsgspecError: if it is malformed.
+    :raises WrongEntryError: if its fields make no sense.
     """
     wire = _SERVER.decode(body)
+    _check_server(wire)
     return ServerEntry(
-        incarnation=incarnation,
+        server_id=server_id,
+        incarnation=build_incarnation(server_id, wire.born),
+        born_ms=wire.born,
         service=wire.service,
         address=wire.address,
         zone=wire.zone,
@@ -208,13 +233,23 @@
     )
 
 
-def decode_report(body: bytes) -> ServerReport:
+def _check_server(wire: WireServer) -> None:
+    if wire.state not in (READY, DRAINING):
+        raise WrongEntryError(f"unknown state {wire.state!r}")
+    if not _ADDRESS.fullmatch(wire.address):
+        raise WrongEntryError(f"no address: {wire.address!r}")
+    if wire.slots < 1 or wire.born < 0:
+        raise WrongEntryError(f"out of range: slots {wire.slots}, born {wire.born}")
+
+
+def decode_report(server_id: str, body: bytes) -> ServerReport:
     """Decode a model server's report.
 
     :raises msgspec.MsgspecError: if it is malformed.
     """
     wire = _REPORT.decode(body)
     return ServerReport(
+        incarnation=build_incarnation(server_id, wire.born),
         is_busy=wire.busy,
         orders=wire.sequence,
         holdings=_decode_holdings(wire.models),
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -71,13 +71,19 @@
     suspended: the server has closed by then.
 
     :param idle_times: how long servers keep connections, in s, by host and port.
+    :param restarts: when servers were found to have started again, in s, likewise.
     """
 
     def __init__(
-        self, *, loop: asyncio.AbstractEventLoop, idle_times: dict[str, float]
+        self,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        idle_times: dict[str, float],
+        restarts: dict[str, float],
     ) -> None:
         super().__init__(loop)
         self._idle_times = idle_times
+        self._restarts = restarts
         self._heard_at = 0.0
 
     def data_received(self, data: bytes) -> None:
@@ -91,6 +97,8 @@
             return False
         peer = self.transport.get_extra_info("peername")
         address = f"{peer[0]}:{peer[1]}" if peer else ""
+        if self._heard_at <= self._restarts.get(address, 0):
+            return False
         idle_s = self._idle_times.get(address, IDLE_S)
         return _read_clock() - self._heard_at <= idle_s
 
@@ -115,9 +123,13 @@
             socket_factory=open_socket,
         )
         self.idle_times: dict[str, float] = {}
+        self.restarts: dict[str, float] = {}
         # The library has no public way to give a connection class of one's own.
         factory: Any = functools.partial(
-            _Connection, loop=self._loop, idle_times=self.idle_times
+            _Connection,
+            loop=self._loop,
+            idle_times=self.idle_times,
+            restarts=self.restarts,
         )
         self._factory = factory
 
@@ -153,6 +165,15 @@
     return session
 
 
+def forget_connections(session: aiohttp.ClientSession, address: str) -> None:
+    """Use no connection to a server again that is idle by now.
+
+    :param address: its host and port.
+    """
+    if isinstance(session.connector, _Connector):
+        session.connector.restarts[address] = _read_clock()
+
+
 async def send_request(
     session: aiohttp.ClientSession,
     request: InboundRequest,
--- a/src/arbutuspulley/pool/answers.py
+++ b/src/arbutuspulley/pool/answers.py
@@ -2,7 +2,7 @@
 
 from arbutuspulley.data import Value
 from arbutuspulley.pool.loads import forget_load
-from arbutuspulley.pool.state import PoolState, ServerState, forget_model
+from arbutuspulley.pool.state import LateLoad, PoolState, ServerState, forget_model
 from arbutuspulley.ports.fleet import ModelSpec, OrderAnswer, OrderKind, ServerReport
 
 LOAD_SLACK_MS = 30
@@ -27,6 +27,10 @@
 MOST_UNKNOWNS = 4
 """Orders without an answer in a row after which a report is asked for."""
 
+LATE_ORDER_MS = 13_000
+"""How long an order without an answer may still be carried out, in ms: servers are
+known to do so up to 12 s later."""
+
 NEVER = 1 << 60
 """A time that does not come, in ms: an order's answer is awaited first."""
 
@@ -89,6 +93,9 @@
         server.conflicts = MOST_CONFLICTS
         if order.kind is OrderKind.LOAD and not order.adapter:
             server.unanswered_load = order.model
+            server.unanswered_loads[order.model] = LateLoad(
+                expected=order.expected_orders, until=now + LATE_ORDER_MS
+            )
         return
     # What a refused or doubtful order has changed is only known from a report that
     # was made after it.
--- a/src/arbutuspulley/pool/room.py
+++ b/src/arbutuspulley/pool/room.py
@@ -48,6 +48,10 @@
     """
     models = set(server.models) | ({server.loading} - {""})
     models |= {server.unloading} - {""}
+    accepted = server.orders or 0
+    models |= {
+        model for model, late in server.late_loads.items() if late.expected >= accepted
+    }
     used = sum(spec.models[one].size_mb for one in models if one in spec.models)
     for model, adapters in server.models.items():
         if model in spec.models:
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from arbutuspulley.data import State
+from arbutuspulley.data import State, Value
 from arbutuspulley.pool.duration import DurationState, estimate_left, note_run_time
 from arbutuspulley.pool.speed import (
     DEFAULT_SPEED,
@@ -72,9 +72,21 @@
     is_repeat: bool = False
 
 
+class LateLoad(Value, frozen=True):
+    """A load without an answer that the server's next start may still carry out.
+
+    :param expected: after so many accepted orders it is carried out, and only then.
+    :param until: when it has come at the latest, in ms.
+    """
+
+    expected: int
+    until: int
+
+
 class ServerState(State):
     """One model server as its coordinator believes it.
 
+    :param server_id: the id under which it may start again.
     :param models: what is ready, model to adapters.
     :param orders: orders accepted since its start; ``None`` if a report is needed
         before the next order.
@@ -92,6 +104,8 @@
     :param order_again_at: no order before this time, in ms.
     :param conflicts: orders in a row that the server could not take.
     :param unknowns: orders in a row that got no answer.
+    :param unanswered_loads: loads without an answer, by model.
+    :param late_loads: those of the start before, if it went by the same id.
     :param unanswered_load: the model of a load without an answer; it was counted.
     :param read_until: when the prompts granted so far should be read, in ms.
     :param suspect_until: no new work before this time, in ms.
@@ -103,6 +117,7 @@
     address: str
     zone: str
     slots: int
+    server_id: str = ""
     is_leaving: bool = False
     models: dict[str, set[str]] = msgspec.field(default_factory=dict)
     orders: int | None = None
@@ -120,6 +135,8 @@
     conflicts: int = 0
     unknowns: int = 0
     unanswered_load: str = ""
+    unanswered_loads: dict[str, LateLoad] = msgspec.field(default_factory=dict)
+    late_loads: dict[str, LateLoad] = msgspec.field(default_factory=dict)
     ordered_at: int = 0
     read_until: float = 0
     suspect_until: int = 0
@@ -165,13 +182,19 @@
     the own orders are known sooner and reports correct them.
     """
     listed = {one.incarnation: one for one in entries if one.service == pool.service}
+    gone: dict[str, ServerState] = {}
     for incarnation in [one for one in pool.servers if one not in listed]:
-        del pool.servers[incarnation]
+        left = pool.servers.pop(incarnation)
+        gone[left.server_id] = left
     for incarnation, entry in listed.items():
         server = pool.servers.get(incarnation)
         if server is None:
             server = _build_server(entry)
             pool.servers[incarnation] = server
+            if entry.server_id in gone:
+                # All else that was believed belongs to the start before. An order
+                # names the id only, so one that is carried out late meets this start.
+                server.late_loads = gone[entry.server_id].unanswered_loads
         server.is_leaving = entry.is_leaving
         server.address = entry.address
 
@@ -179,6 +202,7 @@
 def _build_server(entry: ServerEntry) -> ServerState:
     return ServerState(
         incarnation=entry.incarnation,
+        server_id=entry.server_id,
         address=entry.address,
         zone=entry.zone,
         slots=entry.slots,
@@ -224,6 +248,9 @@
         server.in_memory |= {server.loading}
         server.on_disk |= {server.loading}
         server.loading = ""
+    for model, late in list(server.late_loads.items()):
+        if now >= late.until:
+            del server.late_loads[model]
     for (model, adapter), due in list(server.adapters_due.items()):
         if now >= due:
             del server.adapters_due[model, adapter]
--- a/src/arbutuspulley/ports/fleet.py
+++ b/src/arbutuspulley/ports/fleet.py
@@ -128,11 +128,15 @@
 class ServerEntry(Value, frozen=True):
     """What a backend server last told of itself.
 
+    :param server_id: the id that it goes by; it may start again under the same one.
     :param incarnation: names this start of the server.
+    :param born_ms: when it started, in Unix ms by its own clock; 0 if it does not say.
     :param is_leaving: whether it is draining.
     """
 
+    server_id: str
     incarnation: str
+    born_ms: int
     service: str
     address: str
     zone: str
@@ -144,12 +148,14 @@
 class ServerReport(Value, frozen=True):
     """A model server's own account of itself, some hundred milliseconds old.
 
+    :param incarnation: the start of the server that tells it.
     :param is_busy: whether an order is being carried out.
     :param orders: number of orders accepted since its start.
     :param pending: adapters on their way, as ``(model, adapter)``.
     :param warm: models whose weights are in host memory or on disk.
     """
 
+    incarnation: str
     is_busy: bool
     orders: int
     holdings: tuple[Holding, ...]
--- a/tests/test_local_choice.py
+++ b/tests/test_local_choice.py
@@ -17,7 +17,9 @@
 
 def build_entry(name, *, zone="z1", is_leaving=False, models=()):
     return ServerEntry(
+        server_id=name,
         incarnation=name,
+        born_ms=0,
         service="s",
         address=f"{name}:1",
         zone=zone,
--- a/tests/test_pool_orders.py
+++ b/tests/test_pool_orders.py
@@ -33,6 +33,7 @@
 
 def build_report(*models, orders=0, is_busy=False):
     return ServerReport(
+        incarnation="s0",
         is_busy=is_busy,
         orders=orders,
         holdings=tuple(Holding(model=model) for model in models),
--- /dev/null
+++ b/tests/test_pool_restart.py
@@ -0,0 +1,89 @@
+"""What a pool believes of a server that starts again under its id."""
+
+import pytest
+
+from arbutuspulley.pool.answers import LATE_ORDER_MS, note_answer
+from arbutuspulley.pool.grants import plan_grants
+from arbutuspulley.pool.orders import plan_orders
+from arbutuspulley.pool.room import count_used_mb
+from arbutuspulley.pool.state import note_end, note_entries, settle_due
+from arbutuspulley.ports.fleet import (
+    Holding,
+    OrderAnswer,
+    OrderKind,
+    ServerEntry,
+    TryEnd,
+)
+from tests.pools import add_run, add_waiting, build_pool
+
+
+def build_entry(born, *models):
+    return ServerEntry(
+        server_id="s0",
+        incarnation=f"s0@{born}",
+        born_ms=born,
+        service="llm",
+        address="s0:1",
+        zone="z1",
+        slots=8,
+        is_leaving=False,
+        holdings=tuple(Holding(model=model) for model in models),
+    )
+
+
+def build(*models):
+    pool = build_pool()
+    note_entries(pool, [build_entry(1, *models)])
+    return pool, pool.servers["s0@1"]
+
+
+def test_nothing_of_the_start_before_is_believed():
+    """A server crashes and is back within a second under its id, with nothing loaded.
+    Requests went on to it for the models that it had held, each refused, and its
+    orders were numbered from where the old start had been."""
+    pool, old = build("m0", "m1")
+    old.orders, old.failures, old.suspect_until = 7, 3, 4_000
+    old.runs.clear()
+    add_run(old, "r0", "m0")
+    note_entries(pool, [build_entry(2)])
+    new = pool.servers["s0@2"]
+    assert (new.models, new.runs, new.orders) == ({}, {}, None)
+    assert (new.failures, new.suspect_until) == (0, 0)
+    add_waiting(pool, "r1", "m0")
+    assert plan_grants(pool, now=10) == []
+
+
+def test_an_answer_or_end_from_before_is_not_taken_for_the_new_start():
+    pool, old = build("m0")
+    old.orders = 0
+    add_waiting(pool, "r0", "m1")
+    (order,) = plan_orders(pool, now=10)
+    note_entries(pool, [build_entry(2)])
+    note_answer(pool, order, OrderAnswer.ACCEPTED, now=20)
+    note_end(pool, "r9", "s0@1", how=TryEnd.FAILED, now=20)
+    new = pool.servers["s0@2"]
+    assert (new.loading, new.orders, new.failure_share) == ("", None, 0)
+
+
+@pytest.mark.parametrize(
+    ("orders", "now", "expected_mb"),
+    [(0, 100, 30), (1, 100, 30), (2, 100, 0), (0, 100 + LATE_ORDER_MS, 0)],
+)
+def test_a_load_without_an_answer_may_still_reach_the_new_start(
+    orders, now, expected_mb
+):
+    """A load is sent and not answered, the server crashes and is back under its id.
+    The load is carried out seconds later, once the new start has accepted as many
+    orders as the old one had: together with another model it was over the memory, and
+    the server crashed again."""
+    pool, old = build("m0")
+    old.orders = 1
+    add_waiting(pool, "r0", "m1")
+    (order,) = plan_orders(pool, now=10)
+    assert (order.kind, order.expected_orders) == (OrderKind.LOAD, 1)
+    note_answer(pool, order, OrderAnswer.UNKNOWN, now=100)
+    note_entries(pool, [build_entry(2)])
+    new = pool.servers["s0@2"]
+    new.orders = orders
+    settle_due(new, now=now)
+    assert count_used_mb(pool.spec, new) == expected_mb
