--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -53,7 +53,12 @@
     note_answer,
     note_report,
 )
-from arbutuspulley.pool.demand import age_demand, note_demand
+from arbutuspulley.pool.demand import (
+    age_demand,
+    assume_demand,
+    list_demand,
+    note_demand,
+)
 from arbutuspulley.pool.grants import Grant, Refusal, find_wake, plan_grants
 from arbutuspulley.pool.loads import assume_loads
 from arbutuspulley.pool.orders import plan_orders
@@ -141,7 +146,10 @@
         now = self._state.clock.now()
         for pool in self._pools.values():
             assume_loads(pool, now=now)
-            assume_speeds(pool, self._state.speeds.get(pool.service, {}))
+            assume_speeds(pool, self._state.learnt.speeds.get(pool.service, {}))
+            assume_demand(
+                pool, self._state.learnt.demand.get(pool.service, {}), now=now
+            )
         self._state.metrics.coordinates.set(1)
         self._spawn(self._work())
 
@@ -452,7 +460,8 @@
 
     def _tell_learnt(self) -> None:
         speeds = {name: list_speeds(pool) for name, pool in self._pools.items()}
-        self._send_all(Learnt(speeds=speeds))
+        demand = {name: list_demand(pool) for name, pool in self._pools.items()}
+        self._send_all(Learnt(speeds=speeds, demand=demand))
 
     def _send_digest(self) -> None:
         now = self._state.clock.now()
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -158,7 +158,7 @@
                 self._take_digest(message)
                 continue
             if isinstance(message, Learnt):
-                self._state.speeds = message.speeds
+                self._state.learnt = message
                 continue
             if isinstance(message, Suspected):
                 self.take_suspicions(message.suspicions)
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -135,9 +135,11 @@
 
     :param speeds: prompt tokens that a server reads in a ms, by service and kind of
         model.
+    :param demand: prompt tokens a second asked for, by service and model.
     """
 
     speeds: dict[str, dict[str, float]]
+    demand: dict[str, dict[str, float]] = {}
 
 
 ToCoordinator = Hello | Beat | Ask | Started | Ended | Withdraw | Suspected
--- a/src/arbutuspulley/node/pool_log.py
+++ b/src/arbutuspulley/node/pool_log.py
@@ -4,7 +4,7 @@
 
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.pool.answers import PlannedOrder, list_unsure
-from arbutuspulley.pool.demand import find_copies
+from arbutuspulley.pool.demand import find_copies, get_demand
 from arbutuspulley.pool.grants import Grant, Refusal
 from arbutuspulley.pool.state import PoolState, find_speed, list_speeds
 from arbutuspulley.ports.fleet import OrderAnswer
@@ -57,7 +57,7 @@
     waiting = Counter(one.need.model for one in pool.waiting.values())
     models = {
         model: {
-            "tokens_per_s": int(pool.demand.get(model, 0)),
+            "tokens_per_s": int(get_demand(pool, model)),
             "waiting": waiting.get(model, 0),
             "copies": [one.incarnation for one in find_copies(pool, model, now=now)],
         }
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -7,7 +7,7 @@
 
 from arbutuspulley.admission.repeats import RepeatBudget
 from arbutuspulley.clock import Clock
-from arbutuspulley.node.messages import NodeInfo
+from arbutuspulley.node.messages import Learnt, NodeInfo
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.platform.store import StoreClient
 from arbutuspulley.ports.fleet import FleetConfiguration, NodeSettings, ServerEntry
@@ -26,8 +26,8 @@
     :param refused_entries: ids of rows that name no server, and why.
     :param entry_bodies: entries as the store holds them, for other instances.
     :param nodes: instances, as the coordinator last told.
-    :param speeds: reading speeds by service and kind of model, as the coordinator last
-        told; used if this instance succeeds it.
+    :param learnt: what the coordinator last told that it has learnt; used if this
+        instance succeeds it.
     :param stopping_at: when SIGTERM came, ``None`` before.
     :param on_change: called after the configuration or the servers changed.
     """
@@ -43,6 +43,7 @@
         "entries",
         "entry_bodies",
         "in_flight",
+        "learnt",
         "metrics",
         "nodes",
         "nodes_at",
@@ -52,7 +53,6 @@
         "refused_entries",
         "session",
         "settings",
-        "speeds",
         "stopping_at",
         "store",
         "table",
@@ -88,7 +88,7 @@
         self.budgets: dict[str, RepeatBudget] = {}
         self.nodes: tuple[NodeInfo, ...] = ()
         self.nodes_at = 0
-        self.speeds: dict[str, dict[str, float]] = {}
+        self.learnt = Learnt(speeds={})
         self.in_flight = 0
         self.stopping_at: int | None = None
         self.on_change: list[Callable[[], None]] = []
--- a/src/arbutuspulley/pool/demand.py
+++ b/src/arbutuspulley/pool/demand.py
@@ -5,11 +5,35 @@
 
 import math
 
-from arbutuspulley.pool.state import PoolState, ServerState, find_speed, is_usable
+from arbutuspulley.pool.state import (
+    Demand,
+    PoolState,
+    ServerState,
+    find_speed,
+    is_usable,
+)
 
 HALF_LIFE_MS = 3_000
-"""Time after which an old request counts half, in ms. Demand moves to other models
-within 4 to 6 s at the sites; a shorter one takes chance for a trend."""
+"""Time after which an old request counts half in the steady estimate, in ms. A shorter
+one takes chance for a trend: models of like demand then push each other out."""
+
+SWIFT_HALF_LIFE_MS = 1_000
+"""The same in the swift estimate, in ms. Demand moves to other models within 4 to 6 s;
+by the steady one alone, a model that was asked for 50,000 tokens a second seemed to be
+asked for 14,000 after three seconds, and stayed with one copy for as long."""
+
+SURE = 2.0
+"""By how many times its own scatter the swift estimate must differ to be believed."""
+
+SIZE_SCATTER = 1.5
+"""Mean square of a request's tokens over the square of their mean, for that scatter."""
+
+LEAST_SEEN_MS = 500
+"""Requests of at least so long are taken to have been seen, in ms: scaled up from less,
+the first few would look like a crowd."""
+
+LONG_SEEN_MS = 60_000
+"""After so long the counts show all of a steady demand, in ms."""
 
 PACE = 0.65
 """Part of the reading speed at which prompts are started. The rest of the time goes
@@ -28,8 +52,11 @@
 def note_demand(pool: PoolState, model: str, tokens: int, *, now: int) -> None:
     """Count a request's prompt."""
     age_demand(pool, now=now)
-    rate = tokens * 1_000 * math.log(2) / HALF_LIFE_MS
-    pool.demand[model] = pool.demand.get(model, 0.0) + rate
+    if pool.demand_since is None:
+        pool.demand_since = now
+    demand = pool.demand.setdefault(model, Demand())
+    demand.steady += tokens * 1_000 * math.log(2) / HALF_LIFE_MS
+    demand.swift += tokens * 1_000 * math.log(2) / SWIFT_HALF_LIFE_MS
     pool.mean_tokens += 0.02 * (tokens - pool.mean_tokens)
 
 
@@ -39,13 +66,61 @@
     if past <= 0:
         return
     pool.demand_at = now
-    factor = 0.5 ** (past / HALF_LIFE_MS)
-    for model in list(pool.demand):
-        pool.demand[model] *= factor
-        if pool.demand[model] < 1:
+    steady_factor = 0.5 ** (past / HALF_LIFE_MS)
+    swift_factor = 0.5 ** (past / SWIFT_HALF_LIFE_MS)
+    for model, demand in list(pool.demand.items()):
+        demand.steady *= steady_factor
+        demand.swift *= swift_factor
+        if demand.steady < 1:
             del pool.demand[model]
 
 
+def get_demand(pool: PoolState, model: str) -> float:
+    """Return the prompt tokens a second that a model is asked for.
+
+    That is the steady estimate, unless the swift one differs by more than chance.
+    """
+    demand = pool.demand.get(model)
+    if demand is None:
+        return 0.0
+    steady = demand.steady / _get_seen_part(pool, HALF_LIFE_MS)
+    swift = demand.swift / _get_seen_part(pool, SWIFT_HALF_LIFE_MS)
+    per_s = math.log(2) * 1_000 / SWIFT_HALF_LIFE_MS
+    size = pool.mean_tokens * SIZE_SCATTER
+    scatter = math.sqrt(max(steady, swift) * size * per_s / 2)
+    return swift if abs(swift - steady) > SURE * scatter else steady
+
+
+def list_demand(pool: PoolState) -> dict[str, float]:
+    """Return what each model is asked for, for a successor."""
+    return {model: get_demand(pool, model) for model in pool.demand}
+
+
+def assume_demand(pool: PoolState, rates: dict[str, float], *, now: int) -> None:
+    """Begin with what a predecessor was asked for.
+
+    :param rates: prompt tokens a second by model.
+    """
+    if not rates:
+        return
+    pool.demand_at = now
+    pool.demand_since = now - LONG_SEEN_MS
+    for model, rate in rates.items():
+        pool.demand[model] = Demand(steady=rate, swift=rate)
+
+
+def _get_seen_part(pool: PoolState, half_life_ms: int) -> float:
+    """Return which part of a steady demand the counts can show by now.
+
+    They begin with nothing. Without this, models seemed to be hardly asked for in the
+    first seconds after a start.
+    """
+    if pool.demand_since is None:
+        return 1.0
+    seen_ms = max(LEAST_SEEN_MS, pool.demand_at - pool.demand_since)
+    return 1 - 0.5 ** (seen_ms / half_life_ms)
+
+
 def find_copies(pool: PoolState, model: str, *, now: int) -> list[ServerState]:
     """Return the usable servers that have a model, or will have it soon."""
     return [
@@ -67,6 +142,6 @@
 
     With no copy, that is all of them.
     """
-    demand = pool.demand.get(model, 0.0)
+    demand = get_demand(pool, model)
     excess = max(0.0, demand - FULL * get_rate(pool, model) * copies)
     return excess * AHEAD_S / max(1.0, pool.mean_tokens)
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -158,11 +158,23 @@
     adapter_used_at: dict[tuple[str, str], int] = msgspec.field(default_factory=dict)
 
 
+class Demand(State):
+    """Prompt tokens a second asked for of a model, as moving means.
+
+    :param steady: over the last seconds.
+    :param swift: over about the last one.
+    """
+
+    steady: float = 0
+    swift: float = 0
+
+
 class PoolState(State):
     """All model servers of a service.
 
-    :param demand: prompt tokens a second asked for, by model, as a moving mean.
+    :param demand: what each model was asked for.
     :param demand_at: when ``demand`` was last brought up to date.
+    :param demand_since: since when it is counted, in ms; ``None``: not yet.
     :param mean_tokens: moving mean of a request's prompt tokens.
     :param missed_at: models without a copy, and since when one is waited for, in ms.
     :param loads: when loads from the weight store were ordered, in ms.
@@ -177,8 +189,9 @@
     spec: EngineSpec
     servers: dict[str, ServerState] = msgspec.field(default_factory=dict)
     waiting: dict[str, Waiting] = msgspec.field(default_factory=dict)
-    demand: dict[str, float] = msgspec.field(default_factory=dict)
+    demand: dict[str, Demand] = msgspec.field(default_factory=dict)
     demand_at: int = 0
+    demand_since: int | None = None
     mean_tokens: float = TYPICAL_TOKENS
     missed_at: dict[str, int] = msgspec.field(default_factory=dict)
     loads: list[int] = msgspec.field(default_factory=list)
