Start whoever must start first; tell a successor of loads; resume by the pause

The test of a new coordinator's loads assumed that nothing is known of them; it is replaced by one over what is known and unknown that holds both coordinators together to the rate.

--- a/src/arbutuspulley/membership/coordinator.py
+++ b/src/arbutuspulley/membership/coordinator.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from arbutuspulley.data import Message, State
+from arbutuspulley.data import Message, State, Value
 
 RENEW_MS = 900
 """Time between renewals, in ms: three fit into a lease of 3 s."""
@@ -35,6 +35,8 @@
     :param renewed_ms: when it was taken or last renewed.
     :param orders_from_ms: before this its holder gives no orders, since the holder
         before may still do so.
+    :param loads_ms: when the loads from the weight store that may still count against
+        its rate were ordered, by service; those of holders before, too.
     """
 
     holder: str
@@ -44,6 +46,18 @@
     expires_ms: float
     renewed_ms: float = 0
     orders_from_ms: float = 0
+    loads_ms: dict[str, list[float]] = {}
+
+
+class InheritedLoads(Value, frozen=True):
+    """What a new holder knows of loads that were ordered before, on its own clock.
+
+    :param loads: when those that the row tells of were ordered, in ms, by service.
+    :param unknown_until: until when more may have been ordered, in ms; ``None``: none.
+    """
+
+    loads: dict[str, list[int]]
+    unknown_until: int | None
 
 
 class CoordinatorState(State):
@@ -141,8 +155,13 @@
     return max(0, int(free_at - (now + state.offset_ms)))
 
 
-def build_claim(state: CoordinatorState, *, now: int) -> LeaseRow:
-    """Build the row that takes or renews the lease."""
+def build_claim(
+    state: CoordinatorState, *, now: int, loads: dict[str, list[int]] | None = None
+) -> LeaseRow:
+    """Build the row that takes or renews the lease.
+
+    :param loads: when loads were ordered, on the own clock; ``None``: as in the row.
+    """
     row = state.row
     store_now = now + (state.offset_ms or 0.0)
     fence = row.fence if row else 0
@@ -159,9 +178,37 @@
         expires_ms=store_now + state.lease_ms,
         renewed_ms=store_now,
         orders_from_ms=orders_from,
+        loads_ms=_build_loads(state, loads),
     )
 
 
+def _build_loads(
+    state: CoordinatorState, loads: dict[str, list[int]] | None
+) -> dict[str, list[float]]:
+    if loads is None:
+        return state.row.loads_ms if state.row else {}
+    offset = state.offset_ms or 0.0
+    return {service: [at + offset for at in times] for service, times in loads.items()}
+
+
+def get_inherited_loads(state: CoordinatorState) -> InheritedLoads:
+    """Return what the row as last read tells of loads; ask before the claim.
+
+    The row is written at each renewal, so loads that were ordered since are unknown,
+    until the latest moment at which its holder may have given orders.
+    """
+    row = state.row
+    if row is None:
+        return InheritedLoads(loads={}, unknown_until=None)
+    offset = state.offset_ms or 0.0
+    loads = {
+        service: [int(at - offset) for at in times]
+        for service, times in row.loads_ms.items()
+    }
+    until = int(row.expires_ms - offset) if row.holder else None
+    return InheritedLoads(loads=loads, unknown_until=until)
+
+
 def is_own_row(state: CoordinatorState) -> bool:
     """Tell whether the row as last read is this process's; ask before a release.
 
@@ -171,8 +218,13 @@
     return state.row is not None and state.row.boot == state.boot
 
 
-def build_release(state: CoordinatorState, *, now: int) -> LeaseRow:
-    """Build the row that gives the lease back; the fence stays."""
+def build_release(
+    state: CoordinatorState, *, now: int, loads: dict[str, list[int]] | None = None
+) -> LeaseRow:
+    """Build the row that gives the lease back; the fence stays.
+
+    :param loads: as for :func:`build_claim`.
+    """
     row = state.row
     return LeaseRow(
         holder="",
@@ -181,6 +233,7 @@
         fence=state.fence,
         expires_ms=now + (state.offset_ms or 0.0),
         orders_from_ms=row.orders_from_ms if row else 0.0,
+        loads_ms=_build_loads(state, loads),
     )
 
 
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -16,6 +16,7 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.membership.coordinator import (
     CoordinatorState,
+    InheritedLoads,
     get_order_time,
     is_holder,
     may_order,
@@ -60,7 +61,7 @@
     note_demand,
 )
 from arbutuspulley.pool.grants import Grant, Refusal, find_wake, plan_grants
-from arbutuspulley.pool.loads import assume_loads
+from arbutuspulley.pool.loads import assume_loads, list_recent_loads
 from arbutuspulley.pool.orders import plan_orders
 from arbutuspulley.pool.state import (
     PoolState,
@@ -75,7 +76,7 @@
     note_missing,
     note_unreachable,
 )
-from arbutuspulley.ports.fleet import ServerOrder, TryEnd
+from arbutuspulley.ports.fleet import EngineSpec, ServerOrder, TryEnd
 
 AIM_PART = 0.75
 """Part of the aim after which a waiting request counts as late: the rest is needed
@@ -99,6 +100,7 @@
 
     __slots__ = (
         "_asked_at",
+        "_inherited",
         "_is_kicked",
         "_lease",
         "_most_heard",
@@ -131,25 +133,33 @@
         self._is_kicked = False
         self._most_heard = 0
         self._asked_at: dict[str, int] = {}
+        self._inherited = InheritedLoads(loads={}, unknown_until=None)
         self.acts = False
         self.alone_since: int | None = None
         state.on_change.append(self.take_change)
 
-    def begin(self) -> None:
-        """Become the coordinator."""
+    def list_loads(self) -> dict[str, list[int]] | None:
+        """Return when loads were ordered, by service; ``None`` if not coordinating."""
+        if not self.acts:
+            return None
+        now = self._state.clock.now()
+        return {
+            pool.service: list_recent_loads(pool, now=now)
+            for pool in self._pools.values()
+        }
+
+    def begin(self, inherited: InheritedLoads) -> None:
+        """Become the coordinator.
+
+        :param inherited: what is known of loads that others ordered.
+        """
         self.acts = True
         self.alone_since = None
         self._most_heard = len(self._state.nodes)
         self._pools.clear()
         self._peers.clear()
+        self._inherited = inherited
         self.take_change()
-        now = self._state.clock.now()
-        for pool in self._pools.values():
-            assume_loads(pool, now=now)
-            assume_speeds(pool, self._state.learnt.speeds.get(pool.service, {}))
-            assume_demand(
-                pool, self._state.learnt.demand.get(pool.service, {}), now=now
-            )
         self._state.metrics.coordinates.set(1)
         self._spawn(self._work())
 
@@ -179,11 +189,25 @@
                 continue
             pool = self._pools.get(name)
             if pool is None:
-                pool = self._pools[name] = PoolState(service=name, spec=service.engine)
+                pool = self._pools[name] = self._build_pool(name, service.engine)
             pool.spec = service.engine
             note_entries(pool, self._state.by_service.get(name, []))
         self.kick()
 
+    def _build_pool(self, service: str, spec: EngineSpec) -> PoolState:
+        """Build a pool that begins with what is known from holders before."""
+        pool = PoolState(service=service, spec=spec)
+        inherited, learnt = self._inherited, self._state.learnt
+        assume_loads(
+            pool,
+            inherited.loads.get(service, []),
+            unknown_until=inherited.unknown_until,
+        )
+        assume_speeds(pool, learnt.speeds.get(service, {}))
+        now = self._state.clock.now()
+        assume_demand(pool, learnt.demand.get(service, {}), now=now)
+        return pool
+
     def take(self, origin: str, messages: list[ToCoordinator]) -> None:
         """Take messages of an instance."""
         now = self._state.clock.now()
--- a/src/arbutuspulley/node/election.py
+++ b/src/arbutuspulley/node/election.py
@@ -12,6 +12,7 @@
     LeaseRow,
     build_claim,
     build_release,
+    get_inherited_loads,
     get_wait,
     is_holder,
     is_own_row,
@@ -154,7 +155,12 @@
             await self._claim()
 
     async def _claim(self) -> None:
-        claim = build_claim(self._lease, now=self._state.clock.now())
+        inherited = get_inherited_loads(self._lease)
+        claim = build_claim(
+            self._lease,
+            now=self._state.clock.now(),
+            loads=self._coordinator.list_loads(),
+        )
         if not await self._write(claim):
             self._read_at = -READ_EVERY_MS
             return
@@ -162,7 +168,7 @@
         if not self._coordinator.acts:
             self._link.cut()
             self._link.take_local = self._take_local
-            self._coordinator.begin()
+            self._coordinator.begin(inherited)
 
     def _take_local(self, messages: list[ToCoordinator]) -> None:
         self._coordinator.take(self._state.settings.name, messages)
@@ -171,7 +177,11 @@
         if self._lease.version < 0:
             await self._look()
             return
-        claim = build_claim(self._lease, now=self._state.clock.now())
+        claim = build_claim(
+            self._lease,
+            now=self._state.clock.now(),
+            loads=self._coordinator.list_loads(),
+        )
         if not await self._write(claim):
             note_lost(self._lease)
             log_event(Event.LEASE_LAPSED, fence=claim.fence)
@@ -206,7 +216,12 @@
                 await self._read()
             if not is_own_row(self._lease):
                 return
-            await self._write(build_release(self._lease, now=self._state.clock.now()))
+            release = build_release(
+                self._lease,
+                now=self._state.clock.now(),
+                loads=self._coordinator.list_loads(),
+            )
+            await self._write(release)
             log_event(Event.LEASE_RELEASED, fence=fence)
         except (PlatformUnavailableError, OutcomeUnknownError) as error:
             log_event(Event.LEASE_UNSETTLED, detail=error.detail)
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -183,14 +183,18 @@
             return self._choose(is_plain=True)
         progress = self.progress
         now = self._state.clock.now()
+        # A caller that has events waits for the next one, not for the first.
+        is_begun = progress.first_ms is not None
+        since = progress.last_event_at if is_begun else progress.started_at
+        aim_ms = self.route.gap_aim_ms if is_begun else self.route.aim_ms
         ask = Ask(
             key=self._request.attempt_id,
             service=progress.service,
             need=need,
             zone=self._state.settings.site,
             priority=self.route.priority,
-            aim_ms=self.route.aim_ms - (now - progress.started_at),
-            left_ms=progress.started_at + self._patience_ms - now,
+            aim_ms=since + aim_ms - now,
+            left_ms=min(progress.ends_at, since + self._patience_ms) - now,
             avoid=tuple(progress.avoid),
             is_repeat=bool(progress.server),
             pause_ms=self.route.gap_aim_ms,
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -160,9 +160,15 @@
     return ahead * 1_000 / (get_rate(pool, model) * copies) if copies else 0.0
 
 
-def _rank(waiting: Waiting, now: int) -> tuple[bool, int, int]:
+def _rank(waiting: Waiting, now: int) -> tuple[bool, int, int, int]:
+    """Return the key by which requests start: the lowest first.
+
+    Of those that can still be in time, whoever must start first; of late ones, whoever
+    came first.
+    """
     is_late = now >= waiting.late_at
-    return is_late, waiting.priority, waiting.arrived_at
+    due_at = 0 if is_late else waiting.late_at
+    return is_late, waiting.priority, due_at, waiting.arrived_at
 
 
 def _try_grant(
--- a/src/arbutuspulley/pool/loads.py
+++ b/src/arbutuspulley/pool/loads.py
@@ -37,14 +37,27 @@
         pool.loads.pop()
 
 
-def assume_loads(pool: PoolState, *, now: int) -> None:
-    """Count what a predecessor may have loaded within the span that is running.
+def list_recent_loads(pool: PoolState, *, now: int) -> list[int]:
+    """Return when the loads that still count were ordered, in ms."""
+    return [at for at in pool.loads if at > now - WINDOW_MS]
 
-    A new coordinator does not know the loads of the one before it. Without this,
-    both together could pass the store's rate right after a change.
+
+def assume_loads(
+    pool: PoolState, known: list[int], *, unknown_until: int | None
+) -> None:
+    """Count what a predecessor has loaded, and what it may have loaded besides.
+
+    Without this, both together could pass the store's rate right after a change. That
+    all of the rate was used was assumed before: a model that 30 requests waited for was
+    then not loaded for five seconds after each change of the coordinator.
+
+    :param known: when loads were ordered, in ms.
+    :param unknown_until: until when more may have been ordered, in ms; no more than run
+        at once, as it is a matter of seconds. ``None``: none were.
     """
-    known = int(pool.spec.loads_per_s * WINDOW_MS / 1_000)
-    pool.loads = [now] * known
+    pool.loads = sorted(known)
+    if unknown_until is not None:
+        pool.loads += [unknown_until] * _get_at_once(pool)
 
 
 def _count_running(pool: PoolState, *, now: int) -> int:
--- a/tests/test_coordinator_lease.py
+++ b/tests/test_coordinator_lease.py
@@ -7,6 +7,7 @@
     CoordinatorState,
     build_claim,
     build_release,
+    get_inherited_loads,
     get_order_time,
     get_wait,
     is_holder,
@@ -79,6 +80,26 @@
         assert not (may_order(old, now=now) and may_order(new, now=now))
 
 
+def test_a_successor_learns_of_loads_on_its_own_clock():
+    """The weight store counts loads over five seconds, whoever ordered them."""
+    old, new = build("old", offset=1_000), build("new", offset=90_000)
+    row = build_claim(old, now=500, loads={"llm": [100, 400]})
+    note_row(new, encode(row), version=1)
+    inherited = get_inherited_loads(new)
+    assert inherited.loads == {"llm": [100 - 89_000, 400 - 89_000]}
+    assert inherited.unknown_until == 3_500 - 89_000
+    note_row(new, encode(build_release(old, now=600)), version=2)
+    assert get_inherited_loads(new).unknown_until is None
+
+
+def test_a_row_of_an_earlier_version_tells_of_no_loads():
+    state = build("a", offset=0)
+    assert get_inherited_loads(state).loads == {}
+    value = b'{"holder": "b", "link": "b:1", "boot": "x", "fence": 3, "expires_ms": 9}'
+    note_row(state, value, version=4)
+    assert get_inherited_loads(state).unknown_until == 9
+
+
 def test_orders_that_are_being_sent_end_with_the_lease():
     state = build("a", offset=0)
     claim(state, now=0)
