--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -22,17 +22,22 @@
     may_order,
     may_order_on,
 )
+from arbutuspulley.node.intake import (
+    build_waiting,
+    drop_instance,
+    take_outcome,
+    take_running,
+    take_withdrawal,
+)
 from arbutuspulley.node.link import BEAT_MS, SILENCE_MS
 from arbutuspulley.node.messages import (
     Ask,
     Beat,
     Digest,
-    Ended,
     Granted,
     Hello,
     Learnt,
     Refused,
-    Started,
     Suspected,
     ToCoordinator,
     ToNode,
@@ -65,25 +70,12 @@
 from arbutuspulley.pool.orders import plan_orders
 from arbutuspulley.pool.state import (
     PoolState,
-    Run,
     ServerState,
-    Waiting,
     assume_speeds,
     list_speeds,
-    note_end,
     note_entries,
-    note_first,
-    note_missing,
-    note_unreachable,
 )
-from arbutuspulley.ports.fleet import EngineSpec, ServerOrder, TryEnd
-
-AIM_PART = 0.75
-"""Part of the aim after which a waiting request counts as late: the rest is needed
-to read its prompt."""
-
-LEFT_PART = 0.85
-"""Part of the time that a caller waits after which its request is given up."""
+from arbutuspulley.ports.fleet import EngineSpec, ServerOrder
 
 TELL_EVERY_MS = 1_000
 """Time between log lines on what a pool's models are asked for, in ms."""
@@ -265,13 +257,7 @@
             return
         del self._peers[peer.info.name]
         log_event(Event.PEER_DOWN, instance=peer.info.name)
-        for pool in self._pools.values():
-            for key in [
-                k for k, w in pool.waiting.items() if w.origin == peer.info.name
-            ]:
-                del pool.waiting[key]
-            for server in pool.servers.values():
-                _drop_runs(server, peer.info.name)
+        drop_instance(self._pools, peer.info.name)
         if self.acts:
             self._send_digest()
             self.kick()
@@ -292,17 +278,13 @@
         elif isinstance(message, Beat):
             self._take_beat(origin, message)
         elif isinstance(message, Hello):
-            self._take_running(origin, message, now=now)
+            take_running(self._pools, origin, message, now=now)
         elif isinstance(message, Suspected):
             self._send_all(message)
         elif isinstance(message, Withdraw):
-            pool = self._pools.get(message.service)
-            if pool is not None:
-                pool.waiting.pop(message.key, None)
-                for server in pool.servers.values():
-                    server.runs.pop(message.key, None)
+            take_withdrawal(self._pools, message)
         else:
-            self._take_outcome(message, now=now)
+            take_outcome(self._pools, message, now=now)
 
     def _send_all(self, message: ToNode) -> None:
         self._receive_local([message])
@@ -316,19 +298,7 @@
             return
         if not ask.is_repeat:
             note_demand(pool, ask.need.model, ask.need.prompt_tokens, now=now)
-        pool.waiting[ask.key] = Waiting(
-            key=ask.key,
-            origin=origin,
-            need=ask.need,
-            zone=ask.zone,
-            priority=ask.priority,
-            arrived_at=now,
-            late_at=now + int(ask.aim_ms * AIM_PART),
-            give_up_at=now + int(ask.left_ms * LEFT_PART),
-            avoid=ask.avoid,
-            is_repeat=ask.is_repeat,
-            pause_ms=ask.pause_ms,
-        )
+        pool.waiting[ask.key] = build_waiting(origin, ask, now=now)
 
     def _take_beat(self, origin: str, beat: Beat) -> None:
         if origin == self._state.settings.name:
@@ -341,41 +311,6 @@
             peer.info = msgspec.structs.replace(peer.info, is_ready=beat.is_ready)
             self._send_digest()
 
-    def _take_running(self, origin: str, hello: Hello, *, now: int) -> None:
-        for run in hello.running:
-            for pool in self._pools.values():
-                server = pool.servers.get(run.incarnation)
-                if server is not None:
-                    server.runs[run.key] = Run(
-                        origin=origin,
-                        need=run.need,
-                        granted_at=now,
-                        pause_ms=run.pause_ms,
-                        first_at=now,
-                        read_before_ms=server.pauses.read_ms,
-                    )
-
-    def _take_outcome(self, message: Started | Ended, *, now: int) -> None:
-        for pool in self._pools.values():
-            if message.incarnation not in pool.servers:
-                continue
-            key, incarnation = message.key, message.incarnation
-            if isinstance(message, Started):
-                note_first(pool, key, incarnation, took_ms=message.took_ms, now=now)
-            elif message.how is TryEnd.NOT_RUN:
-                note_missing(pool, key, incarnation, now=now)
-            elif message.how is TryEnd.UNREACHED:
-                note_unreachable(pool, key, incarnation, now=now)
-            else:
-                note_end(
-                    pool,
-                    key,
-                    incarnation,
-                    how=message.how,
-                    now=now,
-                    events=message.events,
-                )
-
     def _decide(self) -> None:
         self._is_kicked = False
         if not self.acts:
@@ -529,8 +464,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             log_event(Event.INTERNAL_ERROR, detail=repr(task.exception()))
-
-
-def _drop_runs(server: ServerState, origin: str) -> None:
-    for key in [key for key, run in server.runs.items() if run.origin == origin]:
-        del server.runs[key]
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -10,7 +10,7 @@
 from arbutuspulley.delivery.stream import EventCutter, count_events, cut_events
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.link import Link, LinkLostError, RefusedError
-from arbutuspulley.node.messages import Ask, Ended, RunningRequest, Started
+from arbutuspulley.node.messages import Ask, Ended, Started
 from arbutuspulley.node.poison import PoisonGuard
 from arbutuspulley.node.progress import (
     ANSWER_TIME_MS,
@@ -22,6 +22,7 @@
     RequestFailedError,
     get_patience,
 )
+from arbutuspulley.node.server_choice import CoordinatorFoundError, ServerChoice
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import (
     build_headers,
@@ -32,16 +33,12 @@
 from arbutuspulley.platform.transport import BrokenError, NotSentError, send_request
 from arbutuspulley.ports.fleet import (
     InboundRequest,
-    ModelNeed,
     Repeat,
     Route,
     ServerEntry,
-    ServiceSpec,
     TryEnd,
 )
 from arbutuspulley.routing.local import (
-    choose_server,
-    get_most_in_flight,
     note_done,
     note_sent,
     note_unreachable,
@@ -51,19 +48,6 @@
 LATE_PRIORITY = 8
 """Rank at a server of a request that is past its aim: it gives way to all others."""
 
-ALONE_WAIT_MS = 1_500
-"""How long a request without a server waits for a coordinator, in ms: another
-one takes over within that time unless the store is away, and then nobody knows when."""
-
-FIRST_WAIT_PART = 0.6
-"""Part of its aim for which a request waits for a coordinator that this process has
-not heard of yet. After all instances had lost power, those that were back first sent
-15 to 20 prompts to a server at once that nobody else knew of; all streams there paused
-for up to 650 ms over the next three seconds. One is heard of within 0.3 s."""
-
-LINK_TICK_MS = 50
-"""Time between looks for a new coordinator, in ms."""
-
 
 class _RetryError(Exception):
     """The request goes on at another server."""
@@ -77,6 +61,7 @@
 
     __slots__ = (
         "_answer",
+        "_choice",
         "_client",
         "_cutter",
         "_link",
@@ -115,6 +100,14 @@
             ends_at=started_at + left - ANSWER_TIME_MS,
         )
         self._patience_ms = get_patience(route, left - ANSWER_TIME_MS)
+        self._choice = ServerChoice(
+            state=state,
+            link=link,
+            route=route,
+            request=request,
+            progress=self.progress,
+            patience_ms=self._patience_ms,
+        )
 
     async def run(self) -> web.StreamResponse:
         """Bring back an answer.
@@ -153,41 +146,18 @@
         )
 
     async def _try_once(self) -> web.StreamResponse:
-        service = self._get_service()
-        if service is not None and service.engine is not None:
+        if self._choice.has_models():
             entry = await self._wait_for_server()
         else:
-            entry = self._choose(is_plain=True)
+            entry = self._choice.choose(is_plain=True)
         if entry is None:
             raise self._give_up("no server has it")
         return await self._send(entry)
 
-    def _get_service(self) -> ServiceSpec | None:
-        configuration = self._state.configuration
-        if configuration is None:
-            return None
-        return configuration.services.get(self.progress.service)
-
-    def _choose(self, *, is_plain: bool) -> ServerEntry | None:
-        avoid = self.progress.avoid | self.progress.avoid_alone
-        service = self._get_service()
-        connections = service.max_connections if service else 0
-        return choose_server(
-            self._state.records,
-            self._state.by_service.get(self.progress.service, ()),
-            zone=self._state.settings.site,
-            need=None if is_plain else self._request.need,
-            avoid=frozenset(avoid),
-            most_in_flight=get_most_in_flight(
-                connections, instances=len(self._state.nodes)
-            ),
-            now=self._state.clock.now(),
-        )
-
     async def _wait_for_server(self) -> ServerEntry | None:
         need = self._request.need
         if need is None:
-            return self._choose(is_plain=True)
+            return self._choice.choose(is_plain=True)
         progress = self.progress
         now = self._state.clock.now()
         # A caller that has events waits for the next one, not for the first.
@@ -209,7 +179,10 @@
         try:
             granted = await self._link.ask(ask)
         except LinkLostError:
-            return await self._choose_alone(need)
+            try:
+                return await self._choice.choose_alone(need)
+            except CoordinatorFoundError:
+                raise _RetryError from None
         except RefusedError as error:
             raise self._give_up(
                 "refused", retry_after_ms=error.retry_after_ms
@@ -227,43 +200,6 @@
             raise _RetryError
         return entry
 
-    async def _choose_alone(self, need: ModelNeed) -> ServerEntry | None:
-        """Choose a server without a coordinator, or wait for one that can load."""
-        if await self._wait_for_coordinator():
-            raise _RetryError
-        entry = self._choose(is_plain=False)
-        if entry is not None:
-            self._link.note_run(
-                RunningRequest(
-                    key=self._request.attempt_id,
-                    incarnation=entry.incarnation,
-                    need=need,
-                    pause_ms=self.route.gap_aim_ms,
-                )
-            )
-            # Whether it has the adapter is not known here. If it refuses, it gets this
-            # request again only from a coordinator, which can have the adapter loaded.
-            self.progress.avoid_alone.add(entry.incarnation)
-            return entry
-        until = self._state.clock.now() + min(ALONE_WAIT_MS, self._patience_ms)
-        while not self._link.may_ask and self._state.clock.now() < until:
-            await asyncio.sleep(LINK_TICK_MS / SECOND_MS)
-        if self._link.may_ask:
-            raise _RetryError
-        return None
-
-    async def _wait_for_coordinator(self) -> bool:
-        """Wait a moment if no coordinator was heard of since this process started.
-
-        :return: whether there is one now.
-        """
-        until = self.progress.started_at + self.route.aim_ms * FIRST_WAIT_PART
-        while self._link.digest is None and self._state.clock.now() < until:
-            await asyncio.sleep(LINK_TICK_MS / SECOND_MS)
-            if self._link.may_ask:
-                return True
-        return False
-
     async def _send(self, entry: ServerEntry) -> web.StreamResponse:
         state, progress = self._state, self.progress
         progress.server = entry.incarnation
--- /dev/null
+++ b/src/arbutuspulley/node/intake.py
@@ -0,0 +1,105 @@
+"""Takes what instances tell their coordinator into its pools."""
+
+from arbutuspulley.node.messages import Ask, Ended, Hello, Started, Withdraw
+from arbutuspulley.pool.state import (
+    PoolState,
+    Run,
+    Waiting,
+    note_end,
+    note_first,
+    note_missing,
+    note_unreachable,
+)
+from arbutuspulley.ports.fleet import TryEnd
+
+AIM_PART = 0.75
+"""Part of the aim after which a waiting request counts as late: the rest is needed
+to read its prompt."""
+
+LEFT_PART = 0.85
+"""Part of the time that a caller waits after which its request is given up."""
+
+
+def build_waiting(origin: str, ask: Ask, *, now: int) -> Waiting:
+    """Build the entry of a request that needs a server.
+
+    :param origin: the instance that asks.
+    """
+    return Waiting(
+        key=ask.key,
+        origin=origin,
+        need=ask.need,
+        zone=ask.zone,
+        priority=ask.priority,
+        arrived_at=now,
+        late_at=now + int(ask.aim_ms * AIM_PART),
+        give_up_at=now + int(ask.left_ms * LEFT_PART),
+        avoid=ask.avoid,
+        is_repeat=ask.is_repeat,
+        pause_ms=ask.pause_ms,
+    )
+
+
+def take_running(
+    pools: dict[str, PoolState], origin: str, hello: Hello, *, now: int
+) -> None:
+    """Count what an instance runs that this coordinator has not granted."""
+    for run in hello.running:
+        for pool in pools.values():
+            server = pool.servers.get(run.incarnation)
+            if server is not None:
+                server.runs[run.key] = Run(
+                    origin=origin,
+                    need=run.need,
+                    granted_at=now,
+                    pause_ms=run.pause_ms,
+                    first_at=now,
+                    read_before_ms=server.pauses.read_ms,
+                )
+
+
+def take_outcome(
+    pools: dict[str, PoolState], message: Started | Ended, *, now: int
+) -> None:
+    """Take in that a run has begun to answer, or has ended."""
+    for pool in pools.values():
+        if message.incarnation not in pool.servers:
+            continue
+        key, incarnation = message.key, message.incarnation
+        if isinstance(message, Started):
+            note_first(pool, key, incarnation, took_ms=message.took_ms, now=now)
+        elif message.how is TryEnd.NOT_RUN:
+            note_missing(pool, key, incarnation, now=now)
+        elif message.how is TryEnd.UNREACHED:
+            note_unreachable(pool, key, incarnation, now=now)
+        else:
+            note_end(
+                pool,
+                key,
+                incarnation,
+                how=message.how,
+                now=now,
+                events=message.events,
+            )
+
+
+def take_withdrawal(pools: dict[str, PoolState], message: Withdraw) -> None:
+    """Forget a request whose caller has left."""
+    pool = pools.get(message.service)
+    if pool is None:
+        return
+    pool.waiting.pop(message.key, None)
+    for server in pool.servers.values():
+        server.runs.pop(message.key, None)
+
+
+def drop_instance(pools: dict[str, PoolState], origin: str) -> None:
+    """Forget all that an instance waits for and runs, as its link is lost."""
+    for pool in pools.values():
+        for key in [key for key, one in pool.waiting.items() if one.origin == origin]:
+            del pool.waiting[key]
+        for server in pool.servers.values():
+            for key in [
+                key for key, run in server.runs.items() if run.origin == origin
+            ]:
+                del server.runs[key]
--- /dev/null
+++ b/src/arbutuspulley/node/server_choice.py
@@ -0,0 +1,138 @@
+"""Which server one request goes to by what this instance alone knows."""
+
+import asyncio
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.node.link import Link
+from arbutuspulley.node.messages import RunningRequest
+from arbutuspulley.node.progress import Progress
+from arbutuspulley.node.state import NodeState
+from arbutuspulley.ports.fleet import (
+    InboundRequest,
+    ModelNeed,
+    Route,
+    ServerEntry,
+    ServiceSpec,
+)
+from arbutuspulley.routing.local import choose_server, get_most_in_flight
+
+ALONE_WAIT_MS = 1_500
+"""How long a request without a server waits for a coordinator, in ms: another
+one takes over within that time unless the store is away, and then nobody knows when."""
+
+FIRST_WAIT_PART = 0.6
+"""Part of its aim for which a request waits for a coordinator that this process has
+not heard of yet. After all instances had lost power, those that were back first sent
+15 to 20 prompts to a server at once that nobody else knew of; all streams there paused
+for up to 650 ms over the next three seconds. One is heard of within 0.3 s."""
+
+LINK_TICK_MS = 50
+"""Time between looks for a new coordinator, in ms."""
+
+
+class CoordinatorFoundError(Exception):
+    """There is a coordinator now, which is to be asked."""
+
+
+class ServerChoice:
+    """One request's choice.
+
+    :param patience_ms: how long its caller waits for the first part of the answer.
+    """
+
+    __slots__ = (
+        "_link",
+        "_patience_ms",
+        "_progress",
+        "_request",
+        "_route",
+        "_state",
+    )
+
+    def __init__(
+        self,
+        *,
+        state: NodeState,
+        link: Link,
+        route: Route,
+        request: InboundRequest,
+        progress: Progress,
+        patience_ms: int,
+    ) -> None:
+        self._state = state
+        self._link = link
+        self._route = route
+        self._request = request
+        self._progress = progress
+        self._patience_ms = patience_ms
+
+    def has_models(self) -> bool:
+        """Tell whether the request's service runs models."""
+        service = self._get_service()
+        return service is not None and service.engine is not None
+
+    def _get_service(self) -> ServiceSpec | None:
+        configuration = self._state.configuration
+        if configuration is None:
+            return None
+        return configuration.services.get(self._progress.service)
+
+    def choose(self, *, is_plain: bool) -> ServerEntry | None:
+        """Return the best server, or ``None`` if none may be asked.
+
+        :param is_plain: whether the service runs no models.
+        """
+        avoid = self._progress.avoid | self._progress.avoid_alone
+        service = self._get_service()
+        connections = service.max_connections if service else 0
+        return choose_server(
+            self._state.records,
+            self._state.by_service.get(self._progress.service, ()),
+            zone=self._state.settings.site,
+            need=None if is_plain else self._request.need,
+            avoid=frozenset(avoid),
+            most_in_flight=get_most_in_flight(
+                connections, instances=len(self._state.nodes)
+            ),
+            now=self._state.clock.now(),
+        )
+
+    async def choose_alone(self, need: ModelNeed) -> ServerEntry | None:
+        """Choose a server without a coordinator, or wait for one that can load.
+
+        :raises CoordinatorFoundError: if there is one to ask now.
+        """
+        if await self.wait_for_coordinator():
+            raise CoordinatorFoundError
+        entry = self.choose(is_plain=False)
+        if entry is not None:
+            self._link.note_run(
+                RunningRequest(
+                    key=self._request.attempt_id,
+                    incarnation=entry.incarnation,
+                    need=need,
+                    pause_ms=self._route.gap_aim_ms,
+                )
+            )
+            # Whether it has the adapter is not known here. If it refuses, it gets this
+            # request again only from a coordinator, which can have the adapter loaded.
+            self._progress.avoid_alone.add(entry.incarnation)
+            return entry
+        until = self._state.clock.now() + min(ALONE_WAIT_MS, self._patience_ms)
+        while not self._link.may_ask and self._state.clock.now() < until:
+            await asyncio.sleep(LINK_TICK_MS / SECOND_MS)
+        if self._link.may_ask:
+            raise CoordinatorFoundError
+        return None
+
+    async def wait_for_coordinator(self) -> bool:
+        """Wait a moment if no coordinator was heard of since this process started.
+
+        :return: whether there is one now.
+        """
+        until = self._progress.started_at + self._route.aim_ms * FIRST_WAIT_PART
+        while self._link.digest is None and self._state.clock.now() < until:
+            await asyncio.sleep(LINK_TICK_MS / SECOND_MS)
+            if self._link.may_ask:
+                return True
+        return False
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -9,7 +9,7 @@
 from collections import Counter
 
 from arbutuspulley.data import Value
-from arbutuspulley.pool.demand import find_copies, get_rate
+from arbutuspulley.pool.demand import get_rate
 from arbutuspulley.pool.pauses import find_start, note_reading
 from arbutuspulley.pool.state import (
     PoolState,
@@ -21,6 +21,7 @@
     is_usable,
     settle_due,
 )
+from arbutuspulley.pool.waits import estimate_retry, estimate_wait, list_copy_times
 from arbutuspulley.ports.fleet import ModelNeed
 
 CACHE_PART = 0.95
@@ -90,25 +91,28 @@
         settle_due(server, now=now)
     decided: list[Grant | Refusal] = []
     ahead: Counter[str] = Counter()
-    copies = {
-        model: len(find_copies(pool, model, now=now))
+    copy_times = {
+        model: list_copy_times(pool, model, now=now)
         for model in {one.need.model for one in pool.waiting.values()}
     }
     claimed: dict[str, float] = {}
     pool.next_start = None
     for waiting in sorted(pool.waiting.values(), key=lambda one: _rank(one, now)):
         model = waiting.need.model
-        ready_at = now + _estimate_wait(pool, model, ahead[model], copies[model])
-        if ready_at >= waiting.give_up_at:
+        times = copy_times[model]
+        if (
+            now + _get_least_wait(pool, model, ahead[model], times)
+            >= waiting.give_up_at
+        ):
             del pool.waiting[waiting.key]
             decided.append(
                 Refusal(
                     key=waiting.key,
                     origin=waiting.origin,
-                    retry_after_ms=estimate_retry(pool, waiting, now=now),
+                    retry_after_ms=estimate_retry(pool, model, ahead[model], times),
                     model=model,
                     tokens_ahead=ahead[model],
-                    copies=copies[model],
+                    copies=len(times),
                     waited_ms=now - waiting.arrived_at,
                 )
             )
@@ -141,23 +145,19 @@
     return max(now + 1, int(min(times, default=now + 50)))
 
 
-def estimate_retry(pool: PoolState, waiting: Waiting, *, now: int) -> int:
-    """Return when a refused request will probably get in, in ms."""
-    backlog_s = sum(
-        one.need.prompt_tokens / get_rate(pool, one.need.model)
-        for one in pool.waiting.values()
-    )
-    servers = sum(is_usable(one, now=now) for one in pool.servers.values())
-    return max(200, min(3_000, int(backlog_s * 1_000 / max(1, servers))))
-
-
-def _estimate_wait(pool: PoolState, model: str, ahead: int, copies: int) -> float:
-    """Return how long it takes to start the prompts ahead of a request, in ms.
+def _get_least_wait(
+    pool: PoolState, model: str, tokens: int, copy_times: list[float]
+) -> float:
+    """Return the least time that a request must wait, in ms.
 
-    :param ahead: their tokens. Where no server has the model, the wait is not known
-        and counts as nothing.
+    Only a wait that is certainly too long is a reason to refuse: when what is planned
+    will be there is a guess, and by that guess callers were refused who would have
+    been served late. Where no server has the model, the wait is not known and counts
+    as nothing.
     """
-    return ahead * 1_000 / (get_rate(pool, model) * copies) if copies else 0.0
+    if not copy_times:
+        return 0.0
+    return estimate_wait(pool, model, tokens, [0.0] * len(copy_times))
 
 
 def _rank(waiting: Waiting, now: int) -> tuple[bool, int, int, int]:
--- /dev/null
+++ b/src/arbutuspulley/pool/waits.py
@@ -0,0 +1,68 @@
+"""How long a model's prompts will wait for its servers, those to come included."""
+
+from arbutuspulley.pool.answers import NEVER, get_load_ms
+from arbutuspulley.pool.demand import find_copies, get_rate
+from arbutuspulley.pool.state import PoolState, ServerState, estimate_unload
+
+LEAST_RETRY_MS = 200
+MOST_RETRY_MS = 4_000
+"""Bounds of when a refused caller is told to come back, in ms: sooner, it meets the
+same queue, and it waits no longer than a third of its time, which is 3 to 15 s."""
+
+
+def list_copy_times(pool: PoolState, model: str, *, now: int) -> list[float]:
+    """Return in how many ms each copy of a model can be used, the first one first.
+
+    A copy that is still being loaded, or waits for another model to leave, does not
+    start prompts yet. Counted like the others, callers that were refused came back to
+    the same queue; they come back once.
+    """
+    copies = find_copies(pool, model, now=now)
+    return sorted(_estimate_ready(pool, one, model, now=now) for one in copies)
+
+
+def estimate_wait(
+    pool: PoolState, model: str, tokens: int, copy_times: list[float]
+) -> float:
+    """Return in how many ms so many prompt tokens will have been started.
+
+    :param copy_times: as :func:`list_copy_times` returns them; not empty.
+    """
+    rate = get_rate(pool, model) / 1_000
+    left, at = float(tokens), copy_times[0]
+    for copies, next_at in enumerate(copy_times[1:], start=1):
+        taken = copies * rate * (next_at - at)
+        if taken >= left:
+            return at + left / (copies * rate)
+        left -= taken
+        at = next_at
+    return at + left / (len(copy_times) * rate)
+
+
+def estimate_retry(
+    pool: PoolState, model: str, tokens: int, copy_times: list[float]
+) -> int:
+    """Return when a refused request will probably get in, in ms.
+
+    :param tokens: of the prompts that wait for the model before it.
+    """
+    if copy_times:
+        wait_ms = estimate_wait(pool, model, tokens, copy_times)
+    else:
+        wait_ms = pool.spec.models[model].load_ms
+    return int(max(LEAST_RETRY_MS, min(MOST_RETRY_MS, wait_ms)))
+
+
+def _estimate_ready(
+    pool: PoolState, server: ServerState, model: str, *, now: int
+) -> float:
+    if model in server.models:
+        return 0.0
+    load_ms = get_load_ms(server, pool.spec.models[model])
+    if server.loading == model:
+        if server.loading_until == NEVER:
+            return load_ms
+        return max(0.0, float(server.loading_until - now))
+    if server.unloading:
+        load_ms += estimate_unload(pool, server, server.unloading, now=now)
+    return load_ms
--- a/tests/test_alone.py
+++ b/tests/test_alone.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from arbutuspulley.node.exchange import Exchange
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import Digest
-from arbutuspulley.node.poison import PoisonGuard
+from arbutuspulley.node.progress import Progress
+from arbutuspulley.node.server_choice import ServerChoice
 from arbutuspulley.ports.fleet import (
     Holding,
     InboundRequest,
@@ -34,7 +34,7 @@
 )
 
 
-def build_exchange(state, link):
+def build_choice(state, link):
     entry = ServerEntry(
         server_id="s0",
         incarnation="s0",
@@ -56,17 +56,15 @@
         wait_ms=None,
         need=NEED,
     )
-    exchange = Exchange(
+    now = state.clock.now()
+    return ServerChoice(
         state=state,
         link=link,
-        poison=PoisonGuard(state=state, link=link),
         route=ROUTE,
         request=request,
-        client=None,
-        started_at=state.clock.now(),
+        progress=Progress(started_at=now, ends_at=now + 5_000, service="llm"),
+        patience_ms=2_000,
     )
-    exchange.progress.service = "llm"
-    return exchange
 
 
 def test_after_a_start_a_request_waits_for_the_first_coordinator():
@@ -77,8 +75,8 @@
     async def scenario():
         state = build_state()
         link = Link(state=state)
-        exchange = build_exchange(state, link)
-        waiting = asyncio.create_task(exchange._wait_for_coordinator())
+        choice = build_choice(state, link)
+        waiting = asyncio.create_task(choice.wait_for_coordinator())
         await asyncio.sleep(0.06)
         assert not waiting.done()
         link.receive([Digest(nodes=(), is_holder=True)])
@@ -90,9 +88,10 @@
 def test_a_request_is_sent_without_one_rather_than_late():
     async def scenario():
         state = build_state()
-        exchange = build_exchange(state, Link(state=state))
-        entry = await exchange._choose_alone(NEED)
-        return entry, state.clock.now() - exchange.progress.started_at
+        started_at = state.clock.now()
+        choice = build_choice(state, Link(state=state))
+        entry = await choice.choose_alone(NEED)
+        return entry, state.clock.now() - started_at
 
     entry, waited_ms = asyncio.run(scenario())
     assert entry.incarnation == "s0"
@@ -107,7 +106,7 @@
         state = build_state()
         link = Link(state=state)
         link.receive([Digest(nodes=(), is_holder=True)])
-        await build_exchange(state, link)._choose_alone(NEED)
+        await build_choice(state, link).choose_alone(NEED)
         return link.running
 
     (run,) = asyncio.run(scenario())
--- /dev/null
+++ b/tests/test_pool_waits.py
@@ -0,0 +1,80 @@
+"""How long prompts wait for a model's copies, those to come included.
+
+The load: demand moves to a model with one copy, 30 requests wait for it, and a second
+copy is being loaded for 1 to 2 s. Callers leave after 2 s without a first event, and
+come back once when they are refused.
+"""
+
+import pytest
+
+from arbutuspulley.pool.demand import get_rate
+from arbutuspulley.pool.grants import Refusal, plan_grants
+from arbutuspulley.pool.waits import (
+    LEAST_RETRY_MS,
+    MOST_RETRY_MS,
+    estimate_retry,
+    estimate_wait,
+    list_copy_times,
+)
+from tests.pools import add_run, add_waiting, build_pool, build_server
+
+
+@pytest.mark.parametrize(
+    ("seconds", "copy_times", "expected_ms"),
+    [
+        (1, [0], 1_000),
+        (1, [0, 0], 500),
+        (2, [0, 1_000], 1_500),
+        (1, [0, 1_000], 1_000),
+        (1, [400], 1_400),
+        (0, [400], 400),
+        (3, [0, 1_000, 2_000], 2_000),
+        (6, [0, 1_000, 2_000], 3_000),
+    ],
+)
+def test_a_copy_helps_from_when_it_is_there(seconds, copy_times, expected_ms):
+    """Prompts of so many seconds for one copy."""
+    pool = build_pool()
+    tokens = int(get_rate(pool, "m0") * seconds)
+    wait_ms = estimate_wait(pool, "m0", tokens, copy_times)
+    assert wait_ms == pytest.approx(expected_ms, abs=1)
+
+
+def test_what_must_leave_first_counts():
+    loading = build_server("s1", loading="m0", loading_until=700)
+    unloading = build_server("s2", "m1", planned="m0", unloading="m1")
+    add_run(unloading, "r", "m1", expected=100)
+    pool = build_pool(build_server("s0", "m0"), loading, unloading)
+    first, second, third = list_copy_times(pool, "m0", now=100)
+    assert (first, second) == (0, 600)
+    assert third > pool.spec.models["m0"].load_ms + 1_000
+
+
+def test_a_refused_caller_is_told_when_the_copy_is_there():
+    """A copy that would be there in three seconds counted like one that was: callers
+    that were refused came back after 0.2 s, met the same queue and were lost."""
+    loading = build_server("s0", loading="m0", loading_until=3_000)
+    pool = build_pool(loading)
+    add_waiting(pool, "r0", "m0", give_up_at=5)
+    (refused,) = plan_grants(pool, now=10)
+    assert isinstance(refused, Refusal)
+    assert refused.retry_after_ms == pytest.approx(2_990, abs=1)
+
+
+@pytest.mark.parametrize(
+    ("seconds", "copy_times", "expected"),
+    [
+        (0, [0], LEAST_RETRY_MS),
+        (60, [0], MOST_RETRY_MS),
+        (1, [0], 1_000),
+        (1, [], 1_200),
+    ],
+)
+def test_a_refused_caller_comes_back_when_it_would_get_in(
+    seconds, copy_times, expected
+):
+    pool = build_pool()
+    tokens = int(get_rate(pool, "m0") * seconds)
+    assert estimate_retry(pool, "m0", tokens, copy_times) == pytest.approx(
+        expected, abs=1
+    )
