--- a/src/arbutuspulley/pool/demand.py
+++ b/src/arbutuspulley/pool/demand.py
@@ -38,8 +38,8 @@
 PACE = 0.8
 """Part of the reading speed at which prompts are started; the rest of the time goes to
 generation. What falls into one pause is bounded beside it, see
-:mod:`arbutuspulley.pool.pauses`. At 1.0 instead, the worth of heavy days fell by 0.02 and
-0.03 on two deployments and was the same on a third, where 0.65 cost 0.004."""
+:mod:`arbutuspulley.pool.pauses`. At 1.0 the worth of heavy days fell by 0.02 and 0.03
+on two deployments; on a third, 0.65 to 1.0 were the same."""
 
 FULL = 0.8
 """Part of the paced reading speed of its copies that a model may use before it needs
