--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -181,9 +181,12 @@
             gain = _compute_gain(pool, model, waiting[model], now=now)
             if gain > 0:
                 heapq.heappush(wanted, (-gain, model))
+    # The same for all servers, and most of the work: worked out anew only for models
+    # whose copies change.
+    losses: dict[str, float] = {}
     while wanted:
         gain, model = heapq.heappop(wanted)
-        server = _choose_server(pool, model, -gain, now=now)
+        server = _choose_server(pool, model, -gain, losses, now=now)
         if server is None:
             continue
         order = _go_on(pool, server, now=now)
@@ -230,11 +233,12 @@
 
 
 def _choose_server(
-    pool: PoolState, model: str, gain: float, *, now: int
+    pool: PoolState, model: str, gain: float, losses: dict[str, float], *, now: int
 ) -> ServerState | None:
     """Choose where another copy of a model is loaded, and plan it there.
 
     :param gain: requests that it would spare a wait.
+    :param losses: as for :func:`~arbutuspulley.pool.room.plan_room`.
     """
     best: ServerState | None = None
     most = 0.0
@@ -249,7 +253,7 @@
         is_near = has_weights(server, model)
         if not is_near and not is_store_free:
             continue
-        plan = plan_room(pool, server, model, now=now)
+        plan = plan_room(pool, server, model, now=now, losses=losses)
         if plan is None:
             continue
         spec = pool.spec.models[model]
@@ -265,6 +269,8 @@
     for server in pool.servers.values():
         if _is_stuck(pool, server, model, now=now):
             server.planned = ""
+    losses.pop(model, None)
+    losses.pop(best.planned, None)
     best.planned = model
     best.planned_gain = most
     best.planned_until = now + PLAN_MS
--- a/src/arbutuspulley/pool/room.py
+++ b/src/arbutuspulley/pool/room.py
@@ -63,12 +63,19 @@
 
 
 def plan_room(
-    pool: PoolState, server: ServerState, model: str, *, now: int
+    pool: PoolState,
+    server: ServerState,
+    model: str,
+    *,
+    now: int,
+    losses: dict[str, float] | None = None,
 ) -> RoomPlan | None:
     """Choose what leaves a server so that a model fits, at the least cost.
 
+    :param losses: what :func:`compute_loss` returned before, by model; added to.
     :return: ``None`` if it can't be made to fit.
     """
+    losses = {} if losses is None else losses
     spec = pool.spec
     free = spec.memory_mb - count_used_mb(spec, server)
     needed = spec.models[model].size_mb
@@ -81,7 +88,7 @@
         return RoomPlan(victims=(), cost=0.0, wait_ms=wait_ms)
     victims: list[str] = []
     rated = [
-        rate_victim(pool, server, held, now=now)
+        rate_victim(pool, server, held, now=now, losses=losses)
         for held in server.models
         if held != leaving
     ]
@@ -101,18 +108,30 @@
 
 
 def rate_victim(
-    pool: PoolState, server: ServerState, model: str, *, now: int
+    pool: PoolState,
+    server: ServerState,
+    model: str,
+    *,
+    now: int,
+    losses: dict[str, float],
 ) -> Victim:
     """Work out what it would cost if a model left a server."""
+    if model not in losses:
+        losses[model] = compute_loss(pool, model, now=now)
+    wait_ms = estimate_unload(pool, server, model, now=now)
+    cost = losses[model] + BLOCK_COST * wait_ms / 1_000
+    return Victim(model=model, cost=cost, wait_ms=wait_ms)
+
+
+def compute_loss(pool: PoolState, model: str, *, now: int) -> float:
+    """Return what one copy less of a model would cost, in requests that wait."""
     copies = len(find_copies(pool, model, now=now))
     cost = get_excess(pool, model, copies - 1) - get_excess(pool, model, copies)
     waiting = sum(one.need.model == model for one in pool.waiting.values())
     cost += waiting / max(1, copies)
     if copies <= 1:
         cost += SOLE_COST
-    wait_ms = estimate_unload(pool, server, model, now=now)
-    cost += BLOCK_COST * wait_ms / 1_000
-    return Victim(model=model, cost=cost, wait_ms=wait_ms)
+    return cost
 
 
 def choose_adapter_victim(
