--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 BIN := .venv/bin
 
-.PHONY: bench setup days demo test check format slopes
+.PHONY: bench bench-pool setup days demo test check format slopes
 setup: .venv/ready
 
 .venv/ready: requirements.lock pyproject.toml
@@ -21,6 +21,9 @@
 bench: setup
 	$(BIN)/python -m scripts.bench
 
+bench-pool: setup
+	$(BIN)/python -m scripts.bench_pool
+
 # Plays our own days on the platform's bench; KIT is its folder, SITES its site files.
 days:
 	@test -n "$(KIT)" && test -n "$(SITES)" || { echo "set KIT and SITES"; exit 2; }
--- a/src/arbutuspulley/membership/coordinator.py
+++ b/src/arbutuspulley/membership/coordinator.py
@@ -249,10 +249,10 @@
 
     The claim's times were worked out from ``offset_ms``, which is too small by as long
     as the fastest answer so far took to come back and be read. Counted from it, the own
-    lease seemed to run on by that time after the store's clock had passed its end. On a
-    busy instance that has just started, that was over a second: its successor gave
-    orders, and so did it. So the end is counted from the latest that the store's clock
-    can be ahead: it wrote ``store_ms`` after the claim was sent.
+    lease would seem to run on by that time after the store's clock has passed its end.
+    On a busy instance that has just started, that can be a second and more: its
+    successor gives orders, and so does it. So the end is counted from the latest that
+    the store's clock can be ahead: it wrote ``store_ms`` after the claim was sent.
 
     :param sent_at: when the claim was sent, in ms.
     :param store_ms: the store's clock as it wrote the claim.
