Sum what a server's runs take once a pass of grants

Cause: KV cache in use and the pause to keep were summed over a server's runs for each waiting request.

--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -50,6 +50,17 @@
 300."""
 
 
+class _Load(Value, frozen=True):
+    """What a server's runs take, summed once a pass and server.
+
+    :param tokens: of the KV cache.
+    :param pause_ms: the shortest pause that a stream has to keep; 0: none has.
+    """
+
+    tokens: int
+    pause_ms: int
+
+
 class Grant(Value, frozen=True):
     """A waiting request may be sent to a server now.
 
@@ -96,6 +107,7 @@
         for model in {one.need.model for one in pool.waiting.values()}
     }
     claimed: dict[str, float] = {}
+    loads: dict[str, _Load] = {}
     pool.next_start = None
     for waiting in sorted(pool.waiting.values(), key=lambda one: _rank(one, now)):
         model = waiting.need.model
@@ -117,7 +129,7 @@
                 )
             )
             continue
-        grant = _try_grant(pool, waiting, claimed, now=now)
+        grant = _try_grant(pool, waiting, claimed, loads, now=now)
         if grant is None:
             ahead[model] += waiting.need.prompt_tokens
         else:
@@ -172,19 +184,30 @@
 
 
 def _try_grant(
-    pool: PoolState, waiting: Waiting, claimed: dict[str, float], *, now: int
+    pool: PoolState,
+    waiting: Waiting,
+    claimed: dict[str, float],
+    loads: dict[str, _Load],
+    *,
+    now: int,
 ) -> Grant | None:
     """Grant the best server, if it may start a prompt now.
 
     :param claimed: servers that a request waits for that can still be in time, and how
         long the prompts ahead take to read there, in ms; added to if this one does.
+    :param loads: what servers' runs take, as far as it was asked for; added to.
     """
     best: ServerState | None = None
     best_cost = best_start = 0.0
     for server in pool.servers.values():
-        if not _may_take(pool, server, waiting, now=now):
+        if not _may_start_at(server, waiting, now=now):
+            continue
+        load = loads.get(server.incarnation)
+        if load is None:
+            load = loads[server.incarnation] = _sum_load(server)
+        if not _has_memory(pool, server, load, waiting):
             continue
-        start = _find_start(pool, server, waiting, now=now)
+        start = _find_start(pool, server, load, waiting, now=now)
         cost = start - now + claimed.get(server.incarnation, 0.0)
         cost += _compute_cost(server, waiting)
         if best is None or cost < best_cost:
@@ -201,7 +224,8 @@
             ahead = claimed.get(best.incarnation, 0.0)
             claimed[best.incarnation] = ahead + _get_read_ms(pool, waiting.need)
         return None
-    return _grant(pool, best, waiting, now=now, is_late=is_late)
+    load = loads.pop(best.incarnation)
+    return _grant(pool, best, waiting, load, now=now, is_late=is_late)
 
 
 def _note_start(pool: PoolState, start: float) -> None:
@@ -210,13 +234,13 @@
 
 
 def _find_start(
-    pool: PoolState, server: ServerState, waiting: Waiting, *, now: int
+    pool: PoolState, server: ServerState, load: _Load, waiting: Waiting, *, now: int
 ) -> float:
     """Return when a prompt may start at a server, by pace and by streams' pauses."""
     start = find_start(
         server.pauses,
         read_ms=_get_read_ms(pool, waiting.need),
-        pause_ms=_get_pause_ms(server),
+        pause_ms=load.pause_ms,
         now=now,
     )
     return max(start, server.read_until)
@@ -226,30 +250,33 @@
     return need.prompt_tokens / find_speed(pool, need.model)
 
 
-def _get_pause_ms(server: ServerState) -> int:
-    """Return the shortest pause that a stream on a server has to keep; 0: none has."""
-    pauses = [run.pause_ms for run in server.runs.values() if run.pause_ms]
-    return min(pauses, default=0)
+def _sum_load(server: ServerState) -> _Load:
+    runs = server.runs.values()
+    return _Load(
+        tokens=sum(run.need.prompt_tokens + run.need.output_tokens for run in runs),
+        pause_ms=min((run.pause_ms for run in runs if run.pause_ms), default=0),
+    )
 
 
-def _may_take(
-    pool: PoolState, server: ServerState, waiting: Waiting, *, now: int
-) -> bool:
+def _may_start_at(server: ServerState, waiting: Waiting, *, now: int) -> bool:
+    """Tell whether a server has what a request needs, and a slot."""
     if not is_usable(server, now=now) or server.incarnation in waiting.avoid:
         return False
     if not holds(server, waiting.need, now=now):
         return False
     if len(server.runs) >= server.slots:
         return False
-    if server.unconfirmed == waiting.need.model and any(
+    return server.unconfirmed != waiting.need.model or not any(
         run.need.model == server.unconfirmed for run in server.runs.values()
-    ):
-        return False
-    used = sum(
-        run.need.prompt_tokens + run.need.output_tokens for run in server.runs.values()
     )
+
+
+def _has_memory(
+    pool: PoolState, server: ServerState, load: _Load, waiting: Waiting
+) -> bool:
     asked = waiting.need.prompt_tokens + waiting.need.output_tokens
-    return not server.runs or used + asked <= pool.spec.cache_tokens * CACHE_PART
+    most = pool.spec.cache_tokens * CACHE_PART
+    return not server.runs or load.tokens + asked <= most
 
 
 def _compute_cost(server: ServerState, waiting: Waiting) -> float:
@@ -262,7 +289,13 @@
 
 
 def _grant(
-    pool: PoolState, server: ServerState, waiting: Waiting, *, now: int, is_late: bool
+    pool: PoolState,
+    server: ServerState,
+    waiting: Waiting,
+    load: _Load,
+    *,
+    now: int,
+    is_late: bool,
 ) -> Grant:
     need = waiting.need
     runs = len(server.runs)
@@ -277,7 +310,7 @@
     note_reading(
         server.pauses,
         _get_read_ms(pool, need),
-        keep_ms=max(LEAST_KEPT_MS, _get_pause_ms(server)),
+        keep_ms=max(LEAST_KEPT_MS, load.pause_ms, waiting.pause_ms),
         now=now,
     )
     begin = max(float(now), server.read_until)
