--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -19,10 +19,10 @@
 FEED_WAIT_MS = 1_800
 FEED_SLACK_S = 0.8
 """How long the store may hold a call for changes, in ms, and how much later its answer
-is given up, in s. A call that the store swallowed while it was silent is never answered,
-also after its return: for 18 s an instance heard of no server that left, and went on
-sending requests to one. Instances are held to what the store told 3 s after its return;
-by then such a call has been given up and another one made."""
+is given up, in s. A call that the store swallowed while it was silent is never
+answered, also after its return: for 18 s an instance heard of no server that left, and
+went on sending requests to one. Instances are held to what the store told 3 s after its
+return; by then such a call has been given up and another one made."""
 
 PAGE_ROWS = 500
 """Most rows in an answer; the store's own bound."""
