Keep the ports that the stage hands out to nodes

Six at a time it failed once more. Both logs of n1 say 'address already in use': a port that was free a moment ago had gone to another connection, the node ended, and the test waited 15 s for it.

Ruled out: the stop itself; the test had not come to it.

Change: the stage binds the ports that it hands out, without listening, until it is closed.

--- a/scripts/platform_stage.py
+++ b/scripts/platform_stage.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -103,6 +104,7 @@
         self.nodes: dict[str, asyncio.subprocess.Process] = {}
         self.addresses: dict[str, dict[str, str]] = {}
         self._listeners: list[asyncio.Server] = []
+        self._reserved: list[socket.socket] = []
         self._store_address = ""
 
     async def open(self) -> None:
@@ -129,7 +131,7 @@
 
         :param seeds: nodes that its settings name.
         """
-        ports = [await _find_port() for _ in range(4)]
+        ports = [self._reserve_port() for _ in range(4)]
         names = ("Frontend", "Ready", "ControlPlane", "DirectoryService")
         listens = dict(zip(names, [f"127.0.0.1:{port}" for port in ports], strict=True))
         settings = {
@@ -204,15 +206,22 @@
             await node.wait()
         for listener in self._listeners:
             listener.close()
+        for reserved in self._reserved:
+            reserved.close()
 
+    def _reserve_port(self) -> int:
+        """Return a port that nobody else gets until this stage is closed.
 
-async def _find_port() -> int:
-    async def refuse(_request: web.BaseRequest) -> web.StreamResponse:
-        return web.Response(status=404)
-
-    listener, address = await listen(refuse)
-    listener.close()
-    return int(address.rpartition(":")[2])
+        A port that was only free a moment ago went to another connection before its
+        node could listen there, once in some hundred starts beside other test runs; the
+        node then ended and the test waited for it in vain. A socket that is bound but
+        does not listen keeps the port, and lets the node listen on it.
+        """
+        reserved = socket.socket()
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind(("127.0.0.1", 0))
+        self._reserved.append(reserved)
+        return int(reserved.getsockname()[1])
 
 
 async def wait_until(condition: Callable[[], Awaitable[bool]], what: str) -> None:
