--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 BIN := .venv/bin
 
-.PHONY: bench bench-pool setup days demo test check format slopes
+.PHONY: bench bench-control bench-pool setup days demo test check format
 setup: .venv/ready
 
 .venv/ready: requirements.lock pyproject.toml
@@ -15,12 +15,12 @@
 	$(BIN)/python -m scripts.demo
 	$(BIN)/python -m scripts.demo_platform
 
-slopes: setup
-	$(BIN)/python -m scripts.slopes
-
 bench: setup
 	$(BIN)/python -m scripts.bench
 
+bench-control: setup
+	$(BIN)/python -m scripts.bench_control
+
 bench-pool: setup
 	$(BIN)/python -m scripts.bench_pool
 
--- /dev/null
+++ b/scripts/bench_control.py
@@ -0,0 +1,155 @@
+"""Sums what instances say to each other for control, by number of instances.
+
+The sizes are those of the product's own messages as they are encoded, with the bytes
+that a frame adds on the wire. Nothing is started; what it takes the processor to
+handle them is measured on whole days, see docs/CAPACITY.md.
+"""
+
+from typing import Annotated
+
+import cyclopts
+import msgspec
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.data import Value
+from arbutuspulley.node.link import BEAT_MS
+from arbutuspulley.node.messages import (
+    Beat,
+    Digest,
+    Learnt,
+    NodeInfo,
+    RosterChange,
+)
+from arbutuspulley.node.peers import SUCCESSORS
+from arbutuspulley.node.relay import QUIET_BYTES, QUIET_MS
+from arbutuspulley.node.roster import (
+    RosterState,
+    build_whole,
+    select_view,
+    take_view,
+)
+
+FRAME_BYTES = 60
+"""What a frame adds: its own head, and those of TCP and IP with the acknowledgement."""
+
+SITES = {6: 3, 72: 3, 195: 5, 360: 9}
+"""Data centres of a fleet of so many instances."""
+
+SERVERS_PER_INSTANCE = {6: 1.5, 72: 0.8, 195: 0.35, 360: 1.6}
+"""Model servers of one coordinator to an instance; at 360 one coordinator has those of
+its data centre, 580."""
+
+MODELS_PER_SERVER = 2.5
+ROW_BYTES = 560
+"""A server's row as the store holds it, with two models and some adapters."""
+
+CHANGES_PER_SERVER_S = 0.2
+"""Changes a second of what one server holds, under load."""
+
+REPLACED_A_DAY = 0.86
+"""Starts of each instance a day: 310 of 360."""
+
+DAY_S = 86_400
+
+app = cyclopts.App(help="Sum what instances say to each other for control.")
+
+
+class Sums(Value, frozen=True):
+    """Bytes a second, and of one event.
+
+    :param down: from the coordinator to one instance, each second.
+    :param up: from one instance to the coordinator, each second.
+    :param coordinator: what the coordinator sends and gets each second.
+    :param whole: the list of instances, once to one that links up.
+    :param change: one instance more or less, to each that is told.
+    """
+
+    down: float
+    up: float
+    coordinator: float
+    whole: int
+    change: int
+
+
+@app.default
+def run(
+    *,
+    instances: Annotated[
+        tuple[int, ...], cyclopts.Parameter(help="Numbers of instances.")
+    ] = tuple(SITES),
+) -> None:
+    """Print a line for each number of instances."""
+    print("instances  down B/s  up B/s  coordinator kB/s  whole list B  change B")
+    for count in instances:
+        sums = sum_control(count)
+        print(
+            f"{count:>9}  {sums.down:>8.0f}  {sums.up:>6.0f}"
+            f"  {sums.coordinator / 1_000:>16.1f}  {sums.whole:>12}  {sums.change:>8}"
+        )
+
+
+def sum_control(instances: int) -> Sums:
+    """Work out the bytes of control for a fleet.
+
+    :param instances: one of :data:`SITES`.
+    """
+    sites = SITES[instances]
+    linked = instances if instances < 360 else instances // sites
+    infos = [_build_info(number, sites) for number in range(linked)]
+    roster = RosterState(site="site-0", version=1)
+    take_view(roster, select_view(infos, site="site-0"))
+    whole = _count(build_whole(roster))
+    joined = _build_info(linked * sites, sites)
+    change = take_view(roster, select_view([*infos, joined], site="site-0"))
+    changed = _count(change) if change is not None else 0
+    beats = SECOND_MS / BEAT_MS
+    digest = Digest(
+        is_holder=True,
+        instances=linked,
+        takers=linked,
+        followers=("edge-site-1-17", "edge-site-2-17"),
+        is_store_followed=True,
+        store_version=1_000_000,
+    )
+    beat = Beat(is_ready=True, follows_store=True, roster=500)
+    servers = SERVERS_PER_INSTANCE[instances] * instances
+    if instances == 360:
+        servers = 580
+    told = min(servers, servers * CHANGES_PER_SERVER_S * QUIET_MS / SECOND_MS)
+    news = min(told * ROW_BYTES, QUIET_BYTES) * SECOND_MS / QUIET_MS
+    starts = linked * REPLACED_A_DAY / DAY_S * 2 * changed
+    down = beats * _count(digest) + news + starts
+    up = beats * _count(beat)
+    learnt = SUCCESSORS * _count(_build_learnt(int(servers * MODELS_PER_SERVER)))
+    return Sums(
+        down=down,
+        up=up,
+        coordinator=(linked - 1) * (down + up) + learnt,
+        whole=whole,
+        change=changed,
+    )
+
+
+def _count(message: Beat | Digest | Learnt | RosterChange) -> int:
+    return len(msgspec.msgpack.encode([message])) + FRAME_BYTES
+
+
+def _build_info(number: int, sites: int) -> NodeInfo:
+    site = f"site-{number % sites}"
+    return NodeInfo(
+        name=f"edge-{site}-{number // sites}",
+        site=site,
+        region="region",
+        frontend=f"10.{number % sites}.0.{number // sites}:8149",
+        is_ready=True,
+        capacity=0.125,
+    )
+
+
+def _build_learnt(models: int) -> Learnt:
+    demand = {f"model{number}": 1_000.5 for number in range(models)}
+    return Learnt(speeds={"service": {"16100/14": 30.5}}, demand={"service": demand})
+
+
+if __name__ == "__main__":
+    app()
