--- a/tests/test_pool_copies.py
+++ b/tests/test_pool_copies.py
@@ -60,14 +60,16 @@
             del server.runs[key]
     state = begin_pass(pool, now=now)
     models = list(pool.spec.models)
+    servers = list(pool.servers.values())
     for _ in range(40):
-        server = chance.choice(list(pool.servers.values()))
-        wanted = chance.choice(models)
+        for server in chance.sample(servers, 5):
+            plan_room(state, server, _pick_missing(server, models))
+        server, wanted = chance.choice(servers), chance.choice(models)
         if wanted in server.models:
             continue
-        plan_room(state, server, wanted)
         before, server.planned = server.planned, wanted
         note_change(state, server, {before, wanted})
+    assert state.rooms
     for incarnation, room in dict(state.rooms).items():
         server = pool.servers[incarnation]
         fresh = begin_pass(pool, now=now)
@@ -77,6 +79,10 @@
         assert fresh.rooms[incarnation] == room
 
 
+def _pick_missing(server, models):
+    return next(one for one in models if one not in server.models)
+
+
 def test_no_server_gets_two_orders_in_a_pass():
     pool, now = build_pool(20, chance=random.Random(3))
     for server in pool.servers.values():
