Say truly how often a large fleet reads a free lease

Cause: the constant's reason promised 50 readings a second for any number of instances; with the longest time of 2 s, 195 instances read it some 97 times a second.

--- a/src/arbutuspulley/node/election.py
+++ b/src/arbutuspulley/node/election.py
@@ -39,8 +39,8 @@
 """Least time between readings of the lease while no coordinator is heard of, in ms."""
 
 FLEET_READ_MS = 20
-"""The same for each instance that is known, in ms: so many together read the lease 50
-times a second at most, also while the store is away."""
+"""The same for each instance that is known, in ms: up to a hundred together read the
+lease 50 times a second, more of them each at the longest time below."""
 
 LONGEST_READ_MS = 2_000
 """Longest time between readings, in ms: a lease is free half its time after its last
