Begin to serve on servers that were read, not on those to be read

Cause: an instance that starts while the store is away finds no owner of any server and takes those that nobody reachable owns as its own to read. Such a server stood in the view before its first report, with nothing loaded; the entry began to serve and refused what was loaded there as loaded nowhere (503). Conclusion: a server counts as heard of once it has a boot id, that is, a report; the bound of 3 s for servers that nobody speaks of stays.

--- a/src/arbutuspulley/controller/publishing.py
+++ b/src/arbutuspulley/controller/publishing.py
@@ -194,14 +194,16 @@
 
     A new instance has the configuration before it has heard of every server. An
     entry that served then would refuse models that are loaded all the while, as not
-    loaded anywhere. A server that nobody speaks of is waited for no longer than
-    :data:`HEARING_MS`.
+    loaded anywhere. A server that this instance is to read and has not read yet is
+    not heard of either: with the store away it finds no owner of any server, and may
+    take one as its own before it asks it. A server that nobody speaks of is waited
+    for no longer than :data:`HEARING_MS`.
     """
     if controller.serving or not is_ready(controller.force):
         return controller.serving
     if controller.configured_at is None:
         controller.configured_at = now
-    known = {summary.server for summary in servers}
+    known = {summary.server for summary in servers if summary.boot_id}
     configured = list_servers(controller.force.configuration).keys()
     waited = now - controller.configured_at >= HEARING_MS
     controller.serving = waited or configured <= known
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -440,6 +440,23 @@
     assert a.views.view.ready
 
 
+def test_new_instance_does_not_serve_on_servers_that_it_has_not_read_yet():
+    """A new instance starts with the store away, and so knows no owner of any server.
+
+    It takes the servers that nobody owns as its own to read, before it has asked one.
+    What is loaded there is not known then, and an entry would refuse it.
+    """
+    _, _, (a, _) = build_pair()
+    names = polling.choose_read(a)
+    assert names
+    publish(a)
+    assert not a.views.view.ready
+    for name in names:
+        a.servers[name].report = Report(server=name, boot_id="boot", sequence=1)
+    publish(a)
+    assert a.views.view.ready
+
+
 def test_release_while_the_store_is_down_ends_all_the_same():
     async def run():
         fake, time, (a, b) = build_pair()
