Send a plain server no more than it answers in time

A full server refuses at once and so seemed the least busy: instances sent it the next one, too, 1,357 refused attempts in 19 s, which used up the budget of repeats. Those that did get in met a full queue and were late, at the pace at which as many would have been served in time. Conclusion: a refusal gives a server a rest of 100 ms, doubled to 800; answers that are late on average cut what an instance has there, down to twice its slots over all instances; what finds no room waits for a quarter of its aim.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -40,6 +40,8 @@
 )
 from arbutuspulley.routing.local import (
     note_done,
+    note_pace,
+    note_refused,
     note_sent,
     note_unreachable,
 )
@@ -149,7 +151,7 @@
         if self._choice.has_models():
             entry = await self._wait_for_server()
         else:
-            entry = self._choice.choose(is_plain=True)
+            entry = await self._choice.choose_plain()
         if entry is None:
             raise self._give_up("no server has it")
         return await self._send(entry)
@@ -157,7 +159,7 @@
     async def _wait_for_server(self) -> ServerEntry | None:
         need = self._request.need
         if need is None:
-            return self._choice.choose(is_plain=True)
+            return await self._choice.choose_plain()
         progress = self.progress
         now = self._state.clock.now()
         # A caller that has events waits for the next one, not for the first.
@@ -250,6 +252,10 @@
             raise
         finally:
             note_done(record, entry, took_ms=took, failed=how is TryEnd.FAILED)
+            if took is not None and not self.route.is_stream:
+                note_pace(
+                    record, entry, aim_ms=self.route.aim_ms, now=state.clock.now()
+                )
             state.metrics.attempts.labels(how.value).inc()
             self._tell_end(entry.incarnation, how)
 
@@ -376,6 +382,7 @@
         )
         if self._request.need is None:
             progress.avoid.add(entry.incarnation)
+            note_refused(self._state.records, entry, now=self._state.clock.now())
         if progress.refused <= MOST_REFUSED and self._take_repeat():
             return _RetryError()
         return self._give_up("servers refused")
--- a/src/arbutuspulley/node/server_choice.py
+++ b/src/arbutuspulley/node/server_choice.py
@@ -26,6 +26,13 @@
 15 to 20 prompts to a server at once that nobody else knew of; all streams there paused
 for up to 650 ms over the next three seconds. One is heard of within 0.3 s."""
 
+ROOM_WAIT_PART = 0.25
+"""Part of its aim for which a request waits for room at a server of its service that
+runs no models. Callers come in clumps; what waits for longer would be late."""
+
+ROOM_TICK_MS = 10
+"""Time between looks for room, in ms: little against the work on a request."""
+
 LINK_TICK_MS = 50
 """Time between looks for a new coordinator, in ms."""
 
@@ -94,9 +101,28 @@
             most_in_flight=get_most_in_flight(
                 connections, instances=self._state.sharers
             ),
+            sharers=self._state.sharers,
             now=self._state.clock.now(),
         )
 
+    async def choose_plain(self) -> ServerEntry | None:
+        """Choose a server of a service that runs no models, or wait for room at one."""
+        until = self._state.clock.now() + int(self._route.aim_ms * ROOM_WAIT_PART)
+        while True:
+            entry = self.choose(is_plain=True)
+            if entry is not None or self._state.clock.now() >= until:
+                return entry
+            if not self._is_any_left():
+                return None
+            await asyncio.sleep(ROOM_TICK_MS / SECOND_MS)
+
+    def _is_any_left(self) -> bool:
+        """Tell whether there is a server that has not failed this request."""
+        return any(
+            not entry.is_leaving and entry.incarnation not in self._progress.avoid
+            for entry in self._state.by_service.get(self._progress.service, ())
+        )
+
     async def choose_alone(self, need: ModelNeed) -> ServerEntry | None:
         """Choose a server without a coordinator, or wait for one that can load.
 
--- a/src/arbutuspulley/routing/local.py
+++ b/src/arbutuspulley/routing/local.py
@@ -21,6 +21,15 @@
 LONGEST_SUSPECT_MS = 4_000
 """Most of that, in ms: crashed servers are back after 4 to 6 s."""
 
+FULL_MS = 100
+"""How long a server that refused a request as not run gets no more, in ms; doubled at
+each further refusal up to the longest. A full server has worked off some of what waits
+there by then. It refuses at once, and by its few requests in flight it would seem the
+best of all: it would get the next one, too, while others have room."""
+
+LONGEST_FULL_MS = 800
+"""Most of that, in ms: a server that has room again is asked within a second."""
+
 MEMORY = 0.15
 """Weight of the newest outcome in a server's moving means: about the last seven."""
 
@@ -31,6 +40,22 @@
 """Assumed duration at a server that has answered nothing yet, in ms."""
 
 
+IN_TIME_PART = 0.6
+"""Part of its aim that an answer may take on average at a server before this instance
+sends less there. Answers scatter by half of that and more, and a late one is worth half
+or nothing: a server works at the same pace however many wait there."""
+
+CUT = 0.8
+"""By how much the requests that an instance has at such a server are cut at a time."""
+
+CUT_EVERY_MS = 100
+"""Least time between two cuts, in ms: what was sent before the last one has to come
+back before it shows."""
+
+QUEUED = 2.0
+"""A server gets so many times its slots all the same, from all instances together. It
+then works at its full pace, though instances do not know what others send there."""
+
 NO_BOUND = 1 << 30
 """More requests than an instance ever has."""
 
@@ -40,13 +65,24 @@
 
 
 class ServerRecord(State):
-    """What this instance has seen of one server."""
+    """What this instance has seen of one server.
+
+    :param failures: connections that failed since it last answered.
+    :param refusals: requests that it refused as not run since then.
+    :param suspect_until: until when others are asked if there are any.
+    :param most: requests that this instance may have there so that answers come in
+        time, as it seems by now.
+    :param cut_at: when that was last cut.
+    """
 
     in_flight: int = 0
     duration_ms: float = FIRST_DURATION_MS
     failure_share: float = 0
     failures: int = 0
+    refusals: int = 0
     suspect_until: int = 0
+    most: float = NO_BOUND
+    cut_at: int = -CUT_EVERY_MS
 
 
 class LocalRecords(State):
@@ -63,6 +99,7 @@
     need: ModelNeed | None,
     avoid: frozenset[str],
     most_in_flight: int,
+    sharers: float = 1,
     now: int,
 ) -> ServerEntry | None:
     """Return the best server, or ``None`` if none may be asked.
@@ -70,6 +107,7 @@
     :param need: the model that it must hold; ``None`` at plain services.
     :param avoid: incarnations that have refused or failed this request.
     :param most_in_flight: requests that this instance may have at one server.
+    :param sharers: instances that use plain servers, as far as is known.
     """
     usable = [
         entry
@@ -79,6 +117,10 @@
         and (need is None or any(one.model == need.model for one in entry.holdings))
         and get_record(records, entry).in_flight < most_in_flight
     ]
+    if need is None:
+        usable = [
+            one for one in usable if _has_room(get_record(records, one), one, sharers)
+        ]
     sound = [one for one in usable if get_record(records, one).suspect_until <= now]
     return min(
         sound or usable,
@@ -124,7 +166,24 @@
     if failed or took_ms is not None:
         record.failure_share += MEMORY * (float(failed) - record.failure_share)
     if not failed and took_ms is not None:
-        record.failures = 0
+        record.failures = record.refusals = 0
+
+
+def note_pace(
+    records: LocalRecords, entry: ServerEntry, *, aim_ms: int, now: int
+) -> None:
+    """Take in whether answers of a plain server come in time; after each answer.
+
+    :param aim_ms: within which the answer was to come.
+    """
+    record = get_record(records, entry)
+    if record.duration_ms > IN_TIME_PART * aim_ms:
+        if now - record.cut_at >= CUT_EVERY_MS:
+            # The answer that has just come counts as there.
+            record.most = max(1.0, min(record.most, record.in_flight + 1) * CUT)
+            record.cut_at = now
+    elif record.in_flight + 1 >= record.most:
+        record.most += 1 / record.most
 
 
 def note_unreachable(records: LocalRecords, entry: ServerEntry, *, now: int) -> None:
@@ -135,6 +194,19 @@
     record.suspect_until = now + pause
 
 
+def note_refused(records: LocalRecords, entry: ServerEntry, *, now: int) -> None:
+    """A server refused a request as not run: it is full.
+
+    What was on its way as it refused the first says nothing new.
+    """
+    record = get_record(records, entry)
+    if now < record.suspect_until:
+        return
+    record.refusals += 1
+    pause = min(LONGEST_FULL_MS, FULL_MS * 2 ** (record.refusals - 1))
+    record.suspect_until = now + pause
+
+
 def forget_others(records: LocalRecords, entries: Iterable[ServerEntry]) -> None:
     """Drop the records of servers that are gone."""
     listed = {entry.incarnation for entry in entries}
@@ -142,6 +214,11 @@
         del records.servers[incarnation]
 
 
+def _has_room(record: ServerRecord, entry: ServerEntry, sharers: float) -> bool:
+    at_least = get_part(QUEUED * entry.slots, instances=sharers)
+    return record.in_flight < max(1.0, at_least, record.most)
+
+
 def _rank(record: ServerRecord, entry: ServerEntry, zone: str) -> float:
     queue = 1 + record.in_flight
     expected = queue * max(1.0, record.duration_ms)
--- a/tests/test_local_choice.py
+++ b/tests/test_local_choice.py
@@ -4,12 +4,16 @@
 
 from arbutuspulley.ports.fleet import Holding, ModelNeed, ServerEntry
 from arbutuspulley.routing.local import (
+    CUT_EVERY_MS,
+    NO_BOUND,
     LocalRecords,
     choose_server,
     forget_others,
     get_most_in_flight,
     get_record,
     note_done,
+    note_pace,
+    note_refused,
     note_sent,
     note_unreachable,
 )
@@ -92,6 +96,33 @@
     assert get_record(records, A).suspect_until == 1_600
 
 
+def test_a_full_server_rests_though_it_seems_idle():
+    """A server with a full queue refuses at once what others would have run.
+
+    Nothing of what it refused is in flight there, so it seems the least busy. Asked
+    again each time, it refused one request in three of its service for seconds.
+    """
+    records = LocalRecords()
+    note_sent(records, B)
+    note_refused(records, A, now=0)
+    assert choose(records, [A, B], now=99) == "b"
+    assert choose(records, [A], now=99) == "a"
+    assert choose(records, [A, B], now=100) == "a"
+
+
+def test_a_full_server_rests_longer_at_each_refusal_until_it_answers():
+    records = LocalRecords()
+    now = 0
+    for expected in (100, 200, 400, 800, 800):
+        for _ in range(3):
+            note_refused(records, A, now=now)
+        assert get_record(records, A).suspect_until == now + expected
+        now += expected
+    note_done(records, A, took_ms=10, failed=False)
+    note_refused(records, A, now=now)
+    assert get_record(records, A).suspect_until == now + 100
+
+
 def test_records_of_servers_that_are_gone_go_too():
     records = LocalRecords()
     note_sent(records, A)
@@ -122,3 +153,62 @@
 
 def test_connections_that_are_not_told_are_no_bound():
     assert get_most_in_flight(0, instances=6) > 1_000_000
+
+
+def answer(records, *, took_ms, count, now, running=0):
+    """Let a server answer some requests against an aim of 300 ms."""
+    for _ in range(running):
+        note_sent(records, A)
+    for number in range(count):
+        note_sent(records, A)
+        note_done(records, A, took_ms=took_ms, failed=False)
+        note_pace(records, A, aim_ms=300, now=now + number * CUT_EVERY_MS)
+
+
+def test_a_server_with_late_answers_gets_fewer_at_once():
+    """Callers press beyond what a service takes. Its queues were kept full, and what it
+    worked off was late without exception, at the pace at which it would have served as
+    many in time."""
+    records = LocalRecords()
+    answer(records, took_ms=90, count=20, now=0, running=11)
+    assert get_record(records, A).most == NO_BOUND
+    answer(records, took_ms=400, count=20, now=10_000)
+    assert choose(records, [A]) is None
+    assert choose(records, [A, B]) == "b"
+
+
+def test_it_gets_more_again_as_its_answers_come_in_time():
+    records = LocalRecords()
+    answer(records, took_ms=400, count=20, now=0, running=3)
+    assert choose(records, [A]) is None
+    answer(records, took_ms=90, count=40, now=10_000)
+    assert choose(records, [A]) == "a"
+
+
+@pytest.mark.parametrize(
+    ("running", "sharers", "expected"),
+    [(0, 72, "a"), (1, 72, None), (1, 2, "a"), (2, 2, None), (1, 6, "a"), (2, 6, None)],
+)
+def test_twice_its_slots_are_always_used(running, sharers, expected):
+    """No instance knows what the others send; a server that works at half its pace
+    because all of them hold back serves nobody better."""
+    records = LocalRecords()
+    answer(records, took_ms=900, count=20, now=0, running=running)
+    entry = choose_server(
+        records,
+        [A],
+        zone="z1",
+        need=None,
+        avoid=frozenset(),
+        most_in_flight=100,
+        sharers=sharers,
+        now=0,
+    )
+    assert (entry.incarnation if entry else None) == expected
+
+
+def test_what_a_model_server_gets_the_coordinator_decides():
+    records = LocalRecords()
+    answer(records, took_ms=900, count=20, now=0, running=9)
+    need = ModelNeed(model="m1", adapter="", prompt_tokens=1, output_tokens=1)
+    assert choose(records, [build_entry("a", models=("m1",))], need=need) == "a"
--- /dev/null
+++ b/tests/test_server_choice.py
@@ -0,0 +1,75 @@
+"""How a request without a model finds a server, or waits for one."""
+
+import asyncio
+
+import pytest
+
+from arbutuspulley.node.progress import Progress
+from arbutuspulley.node.server_choice import ServerChoice
+from arbutuspulley.ports.fleet import Repeat, Route
+from arbutuspulley.routing.local import get_record
+from tests.node_states import build_state
+from tests.test_local_choice import A, B
+
+
+def build_choice(state, *, avoid=()):
+    route = Route(
+        name="lookup",
+        host="h",
+        prefix="/lookup/",
+        repeat=Repeat.ANY,
+        is_stream=False,
+        timeout_ms=2_000,
+        aim_ms=120,
+        gap_aim_ms=0,
+        priority=1,
+        max_attempts=2,
+        shares=(),
+    )
+    now = state.clock.now()
+    progress = Progress(started_at=now, ends_at=now + 2_000)
+    progress.service = "s"
+    progress.avoid.update(avoid)
+    return ServerChoice(
+        state=state,
+        link=None,
+        route=route,
+        request=None,
+        progress=progress,
+        patience_ms=2_000,
+    )
+
+
+def build_full(*, entries):
+    """Return the state of an instance that has all it may have at some servers."""
+    state = build_state()
+    state.by_service = {"s": list(entries)}
+    for entry in entries:
+        record = get_record(state.records, entry)
+        record.in_flight, record.most = 4, 1.0
+    return state
+
+
+@pytest.mark.parametrize(
+    ("free_after_s", "expected"), [(0.0, "b"), (0.015, "b"), (0.3, None)]
+)
+def test_a_request_waits_for_room_for_a_part_of_its_aim(free_after_s, expected):
+    async def scenario():
+        state = build_full(entries=(A, B))
+        loop = asyncio.get_running_loop()
+        record = get_record(state.records, B)
+        loop.call_later(free_after_s, lambda: setattr(record, "in_flight", 0))
+        await asyncio.sleep(0 if free_after_s else 0.001)
+        return await build_choice(state).choose_plain()
+
+    entry = asyncio.run(scenario())
+    assert (entry.incarnation if entry else None) == expected
+
+
+def test_it_waits_for_no_server_that_has_refused_it():
+    async def scenario():
+        choice = build_choice(build_full(entries=(A, B)), avoid=("a", "b"))
+        async with asyncio.timeout(0.01):
+            return await choice.choose_plain()
+
+    assert asyncio.run(scenario()) is None
