Keep one builder of instances' accounts for tests

Cause: six test files built what an instance says of itself for themselves. Ruled out: a builder for each module's own wishes; names and sites suffice. Conclusion: tests/node_states.py has it.

--- a/tests/node_states.py
+++ b/tests/node_states.py
@@ -3,6 +3,7 @@
 import random
 
 from arbutuspulley.clock import Clock
+from arbutuspulley.node.messages import NodeInfo
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.ports.fleet import NodeSettings
@@ -37,3 +38,15 @@
         metrics=NodeMetrics(),
         chance=random.Random(1),
     )
+
+
+def build_info(name, *, site="a1", is_ready=True, **changes):
+    """Build what an instance says of itself; its region is its site's first letter."""
+    return NodeInfo(
+        name=name,
+        site=site,
+        region=site[0],
+        frontend=f"{name}:1",
+        is_ready=is_ready,
+        **changes,
+    )
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -6,9 +6,8 @@
 from arbutuspulley.admission.repeats import RepeatBudget, note_request, take_repeat
 from arbutuspulley.node.callers import count_sharers, count_takers, select_takers
 from arbutuspulley.node.directory import MOST_NAMED, Directory
-from arbutuspulley.node.messages import NodeInfo
 from arbutuspulley.routing.local import get_most_in_flight
-from tests.node_states import build_state
+from tests.node_states import build_info, build_state
 from tests.test_directory import build_ready
 
 LARGE, SMALL = 2.15, 0.125
@@ -16,12 +15,9 @@
 
 def build_area(*capacities, site="a1", coordinator=None):
     return [
-        NodeInfo(
-            name=f"{site}-{number}",
+        build_info(
+            f"{site}-{number}",
             site=site,
-            region="a",
-            frontend=f"{site}-{number}:1",
-            is_ready=True,
             capacity=capacity,
             coordinates=number == coordinator,
         )
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -2,14 +2,13 @@
 
 from arbutuspulley.membership.coordinator import CoordinatorState
 from arbutuspulley.node.coordinator import Coordinator
-from arbutuspulley.node.messages import Hello, NodeInfo, RunningRequest
-from tests.node_states import build_state
+from arbutuspulley.node.messages import Hello, RunningRequest
+from tests.node_states import build_info, build_state
 from tests.pools import add_run, build_pool, build_server
 
 
 def build_hello(*running):
-    info = NodeInfo(name="x", site="a1", region="a", frontend="x:1", is_ready=True)
-    return Hello(info=info, running=running)
+    return Hello(info=build_info("x"), running=running)
 
 
 def test_what_ended_between_two_links_of_an_instance_holds_no_slot():
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -6,9 +6,8 @@
 from arbutuspulley.clock import Clock
 from arbutuspulley.node.directory import FRESH_MS, Directory
 from arbutuspulley.node.following import put_in_force
-from arbutuspulley.node.messages import NodeInfo
 from scripts.platform_stage import build_configuration
-from tests.node_states import build_state
+from tests.node_states import build_info, build_state
 
 
 def build_ready(*, now, **changes):
@@ -18,18 +17,12 @@
     return state
 
 
-def build_node(name, site, *, is_ready=True):
-    return NodeInfo(
-        name=name, site=site, region=site[0], frontend=f"{name}:1", is_ready=is_ready
-    )
-
-
 NODES = (
-    build_node("n1", "a1"),
-    build_node("n2", "a2"),
-    build_node("n3", "b1"),
-    build_node("n4", "b1"),
-    build_node("n5", "c1", is_ready=False),
+    build_info("n1"),
+    build_info("n2", site="a2"),
+    build_info("n3", site="b1"),
+    build_info("n4", site="b1"),
+    build_info("n5", site="c1", is_ready=False),
 )
 
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -11,14 +11,13 @@
     Beat,
     Digest,
     Hello,
-    NodeInfo,
     RosterChange,
     decode_from_node,
     encode_frame,
 )
-from tests.node_states import build_state
+from tests.node_states import build_info, build_state
 
-INFO = NodeInfo(name="c", site="a1", region="a", frontend="c:1", is_ready=True)
+INFO = build_info("c")
 
 
 class CoordinatorTrial:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -20,7 +20,6 @@
 from arbutuspulley.node.messages import (
     Digest,
     Hello,
-    NodeInfo,
     RelayedRow,
     StoreNews,
     decode_from_coordinator,
@@ -30,7 +29,7 @@
 from arbutuspulley.platform import names
 from arbutuspulley.platform.store import RowsAnswer, StoredRow
 from scripts.platform_stage import build_configuration
-from tests.node_states import build_state
+from tests.node_states import build_info, build_state
 
 
 def build_value(*, state="ready", models=()):
@@ -153,7 +152,7 @@
     put_in_force(state, msgspec.json.encode(build_configuration(5)))
     rows = (build_row("a", 1), build_row("b", 2), RelayedRow(key="c", version=7))
     take_news(state, StoreNews(rows=rows))
-    info = NodeInfo(name="x", site="s", region="r", frontend="x:1", is_ready=True)
+    info = build_info("x")
     news = relay.build_catch_up(Hello(info=info, store_version=1, configuration=4))
     assert {one.key for one in news.rows} == {"b", "c"}
     assert news.configuration == state.configuration_body
@@ -165,28 +164,17 @@
     assert get_view(other) == get_view(state)
 
 
-def build_peer(name, site, capacity):
-    return NodeInfo(
-        name=name,
-        site=site,
-        region="a",
-        frontend=f"{name}:1",
-        is_ready=True,
-        capacity=capacity,
-    )
-
-
 def test_followers_stand_in_other_data_centres_and_stay():
     _state, relay = build_relay(now=[0])
     peers = [
-        build_peer("near", "a1", 9.0),
-        build_peer("b", "b1", 2.0),
-        build_peer("b2", "b1", 3.0),
-        build_peer("c", "c1", 0.1),
+        build_info("near", site="a1", capacity=9.0),
+        build_info("b", site="b1", capacity=2.0),
+        build_info("b2", site="b1", capacity=3.0),
+        build_info("c", site="c1", capacity=0.1),
     ]
     relay.choose_followers(peers)
     assert relay.followers == ("b2", "c")
-    relay.choose_followers([*peers, build_peer("c2", "c1", 5.0)])
+    relay.choose_followers([*peers, build_info("c2", site="c1", capacity=5.0)])
     assert relay.followers == ("b2", "c")
     relay.choose_followers([one for one in peers if one.name != "b2"])
     assert relay.followers == ("c", "b")
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from arbutuspulley.node.messages import NodeInfo, RosterChange
+from arbutuspulley.node.messages import RosterChange
 from arbutuspulley.node.roster import (
     SAMPLE,
     RosterCopy,
@@ -15,23 +15,17 @@
     select_view,
     take_view,
 )
+from tests.node_states import build_info
 
 
-def build_info(number, *, site="a1", is_ready=True, capacity=1.0):
-    return NodeInfo(
-        name=f"n{number}",
-        site=site,
-        region="a",
-        frontend=f"10.0.0.{number}:8149",
-        is_ready=is_ready,
-        capacity=capacity,
-    )
+def build_numbered(number, **changes):
+    return build_info(f"n{number}", **changes)
 
 
 def test_of_other_data_centres_the_best_ready_ones_are_told():
-    far = [build_info(number, site="b1", capacity=number) for number in range(1, 9)]
+    far = [build_numbered(number, site="b1", capacity=number) for number in range(1, 9)]
     gone = msgspec.structs.replace(far[-1], is_ready=False)
-    view = select_view([build_info(0), *far[:-1], gone], site="a1")
+    view = select_view([build_numbered(0), *far[:-1], gone], site="a1")
     assert set(view) == {"n0", *(f"n{number}" for number in (7, 6, 5, 4))}
     assert len(view) == 1 + SAMPLE
 
@@ -47,7 +41,7 @@
         if number in present and chance.random() < 0.4:
             del present[number]
         else:
-            present[number] = build_info(number, is_ready=chance.random() < 0.8)
+            present[number] = build_numbered(number, is_ready=chance.random() < 0.8)
         change = take_view(roster, select_view(present.values(), site="a1"))
         if chance.random() < 0.05:
             copy = RosterCopy()
@@ -60,7 +54,7 @@
 
 def test_nothing_is_told_when_nothing_changed():
     roster = RosterState(site="a1", version=1)
-    view = select_view([build_info(1)], site="a1")
+    view = select_view([build_numbered(1)], site="a1")
     assert take_view(roster, view) is not None
     assert take_view(roster, dict(view)) is None
 
@@ -73,7 +67,7 @@
 def test_a_change_that_does_not_fit_is_not_applied(version, base):
     """A link is opened anew between two changes, or a change comes twice. Applied, the
     copy would lack an instance, or name one that has stopped, for good."""
-    copy = RosterCopy(version=6, nodes={"n1": build_info(1)})
+    copy = RosterCopy(version=6, nodes={"n1": build_numbered(1)})
     change = RosterChange(version=version, base=base, left=("n1",))
     assert not apply_change(copy, change)
     assert copy.version == 0 and set(copy.nodes) == {"n1"}
@@ -83,10 +77,10 @@
 def test_what_an_instance_is_told_grows_with_its_data_centre_only(instances, sites):
     """One more instance is told to those of its data centre; what goes to each is some
     hundred bytes, however many there are. The whole list went to each at a change."""
-    infos = [build_info(n, site=f"s{n % sites}") for n in range(instances)]
+    infos = [build_numbered(n, site=f"s{n % sites}") for n in range(instances)]
     roster = RosterState(site="s0", version=1)
     take_view(roster, select_view(infos, site="s0"))
-    joined = build_info(instances, site="s0")
+    joined = build_numbered(instances, site="s0")
     change = take_view(roster, select_view([*infos, joined], site="s0"))
     assert len(msgspec.msgpack.encode(change)) < 200
     whole = len(msgspec.msgpack.encode(build_whole(roster)))
