Test on a real node that full and late plain servers are spared

Cause: the decisions had tests, that an exchange tells them nothing had. Ruled out: a trial server in the test of the choice; the stage has servers. Conclusion: two tests on the stage.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -186,6 +186,48 @@
     play(tmp_path, scenario)
 
 
+def test_a_server_that_refuses_at_once_is_not_asked_each_time(tmp_path):
+    """One of two plain servers is full, and the other takes 50 ms for each answer. By
+    what is in flight the full one seemed the better of the two for each request, and
+    the refusals used up the budget of repeats."""
+
+    async def scenario(fleet, session):
+        full, sound = fleet.servers[2:]
+        full.sheds, sound.holds_s = True, 0.05
+        front = fleet.addresses["n1"]["Frontend"]
+        for number in range(12):
+            status, _, _ = await ask(session, front, "/book/1", attempt=f"a{number}")
+            assert status == 200
+        assert fleet.read_log("n1").count("refused as not run") <= 5
+
+    play(tmp_path, scenario)
+
+
+def test_servers_that_answer_late_get_fewer_at_once(tmp_path):
+    """Each answer takes longer than its aim. What would only wait behind others there
+    is refused as not run, with a time, and has not run."""
+
+    async def scenario(fleet, session):
+        for server in fleet.servers[2:]:
+            server.holds_s = 1.2
+        front = fleet.addresses["n1"]["Frontend"]
+        answers = []
+        for wave in range(3):
+            answers = await asyncio.gather(
+                *(
+                    ask(session, front, "/book/1", attempt=f"a{wave}.{number}")
+                    for number in range(20)
+                )
+            )
+        refused = [number for number in range(20) if answers[number][0] == 503]
+        assert 5 <= len(refused) < 20
+        for number in refused:
+            assert float(answers[number][2]["Retry-After"]) > 0
+            assert not any(one.runs[f"a2.{number}"] for one in fleet.servers)
+
+    play(tmp_path, scenario)
+
+
 def test_headers_that_only_the_system_sets_are_dropped(tmp_path):
     """A caller sends a hold of its own, and an incarnation that no server has.
 
