--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -290,9 +290,8 @@
             body = await response.read()
         except (aiohttp.ClientError, ConnectionError) as error:
             raise BrokenError(f"{type(error).__name__}: {error}") from error
-        # A server's own error counts as run, so only what may run again goes on. Where
-        # each server failed 45 in 100 of its requests for 4 s, 5 in 100 of the streams
-        # of a day ended with such an error that another server would not have made.
+        # A server's own error counts as run, so only what may run again goes on:
+        # another server may well not make that error.
         if response.status >= 500 and self._may_go_on():
             self.progress.avoid.add(self.progress.server)
             raise _RetryError
--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -24,7 +24,7 @@
 
 SUCCESSORS = 4
 """Instances that are told what the coordinator has learnt, the best placed: one of them
-comes next. All of it, to all, took 2 KB a second of each link at 155 models."""
+comes next. All of it, to all, would grow with the models times the instances."""
 
 WHOLE_AGAIN_MS = 1_000
 """Least time between two whole lists of instances to one that says it has none, in ms:
--- a/src/arbutuspulley/node/server_choice.py
+++ b/src/arbutuspulley/node/server_choice.py
@@ -22,9 +22,9 @@
 
 FIRST_WAIT_PART = 0.6
 """Part of its aim for which a request waits for a coordinator that this process has
-not heard of yet. After all instances had lost power, those that were back first sent
-15 to 20 prompts to a server at once that nobody else knew of; all streams there paused
-for up to 650 ms over the next three seconds. One is heard of within 0.3 s."""
+not heard of yet. After all instances have lost power, each of those that are back first
+would send prompts that no other knows of to the same servers, and all streams there
+would pause. One is heard of within some 0.3 s."""
 
 ROOM_WAIT_PART = 0.25
 """Part of its aim for which a request waits for room at a server of its service that
--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -14,16 +14,17 @@
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
 
 CALL_TIMEOUT_S = 1.2
-"""How long a call may take, in s. The store answers in 4 ms, when slowed 60 times
-in 0.3 s; a silent one must be noticed well within a lease of 3 s."""
+"""How long a call may take, in s. The store answers within some ms, and within a third
+of a second when it is slow; a silent one must be noticed well within a lease of 3 s."""
 
 FEED_WAIT_MS = 1_800
 FEED_SLACK_S = 0.8
 """How long the store may hold a call for changes, in ms, and how much later its answer
 is given up, in s. A call that the store swallowed while it was silent is never
-answered, also after its return: for 18 s an instance heard of no server that left, and
-went on sending requests to one. Instances are held to what the store told 3 s after its
-return; by then such a call has been given up and another one made."""
+answered, also after its return: an instance would hear of no server that leaves for as
+long as it waits, and go on sending requests to one. Instances are held to what the
+store told 3 s after its return; by then such a call has been given up and another one
+made."""
 
 RECENT_MS = FEED_WAIT_MS + int(FEED_SLACK_S * SECOND_MS)
 """How long the outcome of a call tells of the store, in ms: as long as a call takes."""
--- a/src/arbutuspulley/pool/demand.py
+++ b/src/arbutuspulley/pool/demand.py
@@ -16,9 +16,9 @@
 one takes chance for a trend: models of like demand then push each other out."""
 
 SWIFT_HALF_LIFE_MS = 1_000
-"""The same in the swift estimate, in ms. Demand moves to other models within 4 to 6 s;
-by the steady one alone, a model that was asked for 50,000 tokens a second seemed to be
-asked for 14,000 after three seconds, and stayed with one copy for as long."""
+"""The same in the swift estimate, in ms. Demand moves to other models within seconds;
+by the steady one alone, a model would seem to be asked for half of what it is after one
+half-life, and stay with too few copies for as long."""
 
 SURE = 2.0
 """By how many times its own scatter the swift estimate must differ to be believed."""
@@ -36,9 +36,8 @@
 PACE = 0.8
 """Part of the reading speed at which prompts are started; the rest of the time goes to
 generation. What falls into one pause is bounded beside it, see
-:mod:`arbutuspulley.pool.pauses`. At 1.0 more
-answers were late on two of three loads that were tried; on the third, 0.65 to 1.0 were
-the same."""
+:mod:`arbutuspulley.pool.pauses`. At 1.0 prompts catch up with each other as soon as one
+takes longer than expected, and all streams there wait."""
 
 FULL = 0.8
 """Part of the paced reading speed of its copies that a model may use before it needs
@@ -54,8 +53,8 @@
 
     A server is full by what it reads or by its slots, whichever is sooner. Where it has
     twelve slots and streams take two seconds, the slots let six requests a second
-    through and the reading thirty: by the reading alone, 35 requests waited for a
-    model whose five copies seemed to be half idle.
+    through, however fast it reads: by the reading alone, requests would wait for a
+    model whose copies seem to be half idle.
     """
     run_ms = estimate_run(pool.durations, need)
     held = run_ms / max(1, pool.spec.slots) * get_rate(pool, need.model) / 1_000
--- a/src/arbutuspulley/pool/duration.py
+++ b/src/arbutuspulley/pool/duration.py
@@ -8,8 +8,8 @@
 from arbutuspulley.ports.fleet import ModelNeed
 
 DEFAULT_TOKEN_MS = 14.0
-"""How long a token takes, in ms, until enough was seen: the median of calm and busy
-days is 11 to 19."""
+"""How long a token takes, in ms, until enough was seen: large models on accelerators of
+today take 10 to 20 under load."""
 
 USED_PART = 0.3
 """Part of the most tokens allowed that a request generates, where it does not say how
--- a/src/arbutuspulley/pool/loads.py
+++ b/src/arbutuspulley/pool/loads.py
@@ -30,8 +30,8 @@
 def forget_load(pool: PoolState) -> None:
     """Take the newest load off the count: it certainly did not begin.
 
-    Loads that a server was too busy to take counted like others. Models that nobody
-    had then waited for a second and more while the weight store was idle.
+    Counted like others, loads that a server was too busy to take would keep models that
+    nobody has waiting while the weight store is idle.
     """
     if pool.loads:
         pool.loads.pop()
@@ -47,9 +47,9 @@
 ) -> None:
     """Count what a predecessor has loaded, and what it may have loaded besides.
 
-    Without this, both together could pass the store's rate right after a change. That
-    all of the rate was used was assumed before: a model that 30 requests waited for was
-    then not loaded for five seconds after each change of the coordinator.
+    Without this, both together could pass the store's rate right after a change. Were
+    all of the rate taken for used, no model would be loaded for a whole span after each
+    change of the coordinator.
 
     :param known: when loads were ordered, in ms.
     :param unknown_until: until when more may have been ordered, in ms; no more than run
--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -71,8 +71,8 @@
 
 STUCK_MS = 1_000
 """A server whose unload will wait for longer, in ms, does not count as about to have
-the model that it was chosen for: a model that nobody had was once not loaded for 7 s,
-and 103 of its requests were refused, as its server waited for one stream to end."""
+the model that it was chosen for: a model that nobody has would not be loaded anywhere
+for as long as its server waits for one stream to end, and its callers be refused."""
 
 SPREAD_BACKLOG_MS = 150
 """Backlog of the servers with an adapter that is worth loading it elsewhere, in ms;
--- a/src/arbutuspulley/pool/room.py
+++ b/src/arbutuspulley/pool/room.py
@@ -68,8 +68,8 @@
 class RoomPass(State):
     """What one pass of orders has worked out, the same for many models and servers.
 
-    Without it, the cost of each model's leaving was worked out for each pair of a
-    wanted model and a server, and a pass took 100 ms at 56 servers and 440 at 124.
+    Without it, the cost of each model's leaving would be worked out for each pair of a
+    wanted model and a server.
 
     :param waiting: how many requests wait for each model.
     :param losses: what :func:`compute_loss` returned, by model.
