Tell a server's id from its start whatever the id holds

Cause: a start is named by id and time with a separator; a server that says no time and whose id ends like one (e1@5) was asked for by another id. Ruled out: a type of two fields in all messages, which other versions of the program would not read. Figures: the new table fails without the change (e1 for e1@5), and a property test finds no two starts of one name. Conclusion: the separator is always written where the id has one.

--- a/src/arbutuspulley/platform/incarnations.py
+++ b/src/arbutuspulley/platform/incarnations.py
@@ -10,14 +10,16 @@
 
 
 def build_incarnation(server_id: str, born_ms: int) -> str:
-    """Name a start of a server.
+    """Name a start of a server; no two starts have the same name.
 
     :param born_ms: when it started, in Unix ms; 0 if it does not say.
     """
-    return f"{server_id}{_SEPARATOR}{born_ms}" if born_ms else server_id
+    if not born_ms and _SEPARATOR not in server_id:
+        return server_id
+    return f"{server_id}{_SEPARATOR}{born_ms}"
 
 
 def get_server_id(incarnation: str) -> str:
     """Return the id under which a server goes on the wire."""
-    server_id, _, born = incarnation.rpartition(_SEPARATOR)
-    return server_id if born.isdecimal() and server_id else incarnation
+    server_id, separator, _born = incarnation.rpartition(_SEPARATOR)
+    return server_id if separator else incarnation
--- /dev/null
+++ b/tests/test_incarnations.py
@@ -0,0 +1,27 @@
+"""Names of servers' starts, whatever servers call themselves."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from arbutuspulley.platform.incarnations import build_incarnation, get_server_id
+
+IDS = st.text(alphabet="ab@1", min_size=1, max_size=6)
+TIMES = st.integers(min_value=0, max_value=12)
+
+
+@pytest.mark.parametrize(
+    ("server_id", "born_ms"),
+    [("e1", 0), ("e1", 5), ("e1@5", 0), ("e1@5", 6), ("@", 0), ("e1@", 0), ("@5", 0)],
+)
+def test_a_server_goes_by_its_id_on_the_wire(server_id, born_ms):
+    """A server whose id ends like the name of another's start was asked for by that
+    other's id, and the one that it reached refused each request."""
+    assert get_server_id(build_incarnation(server_id, born_ms)) == server_id
+
+
+@given(first=st.tuples(IDS, TIMES), second=st.tuples(IDS, TIMES))
+def test_no_two_starts_have_one_name(first, second):
+    assert (build_incarnation(*first) == build_incarnation(*second)) == (
+        first == second
+    )
