Count at a takeover what the own instance runs, and for how long all has run

Cause: instances tell a new coordinator what they run as they link up. Its own instance has no link, so its runs held no slot and no time of reading: servers got more than their slots until those had ended. What others run was taken for just begun: unloads seemed to wait for longer than they do, and too short times were learnt as these runs ended. Ruled out: a link to itself; the account goes the way of all local messages. Conclusion: a hello holds each run's time, 0 from an older instance; the coordinator takes its own hello as it begins.

--- a/src/arbutuspulley/node/election.py
+++ b/src/arbutuspulley/node/election.py
@@ -253,6 +253,8 @@
             self._link.cut()
             self._link.take_local = self._take_local
             self._coordinator.begin(inherited)
+            # No link tells what this instance itself runs.
+            self._take_local([self._link.build_hello()])
 
     def _take_local(self, messages: list[ToCoordinator]) -> None:
         self._coordinator.take(self._state.settings.name, messages)
--- a/src/arbutuspulley/node/intake.py
+++ b/src/arbutuspulley/node/intake.py
@@ -43,17 +43,21 @@
 def take_running(
     pools: dict[str, PoolState], origin: str, hello: Hello, *, now: int
 ) -> None:
-    """Count what an instance runs that this coordinator has not granted."""
+    """Count what an instance runs that this coordinator has not granted.
+
+    When the first part of an answer came is not told; they count as read.
+    """
     for run in hello.running:
+        begun_at = now - run.ran_ms
         for pool in pools.values():
             server = pool.servers.get(run.incarnation)
             if server is not None:
                 server.runs[run.key] = Run(
                     origin=origin,
                     need=run.need,
-                    granted_at=now,
+                    granted_at=begun_at,
                     pause_ms=run.pause_ms,
-                    first_at=now,
+                    first_at=begun_at,
                     read_before_ms=server.pauses.read_ms,
                 )
 
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -64,6 +64,7 @@
 
     __slots__ = (
         "_address",
+        "_begun_at",
         "_heard_at",
         "_is_closed",
         "_opened_at",
@@ -88,6 +89,7 @@
         self._outgoing: list[ToCoordinator] = []
         self._roster = RosterCopy()
         self._running: dict[str, RunningRequest] = {}
+        self._begun_at: dict[str, int] = {}
         self._task: asyncio.Task[None] | None = None
         self._wake = asyncio.Event()
         self._waiting: dict[str, asyncio.Future[Granted]] = {}
@@ -126,11 +128,6 @@
         """Where the link leads, empty if nowhere."""
         return self._address
 
-    @property
-    def running(self) -> list[RunningRequest]:
-        """Granted requests that have not ended."""
-        return list(self._running.values())
-
     async def ask(self, ask: Ask) -> Granted:
         """Wait until a server is granted.
 
@@ -151,21 +148,25 @@
             raise
         finally:
             self._waiting.pop(ask.key, None)
-        self._running[ask.key] = RunningRequest(
-            key=ask.key,
-            incarnation=granted.incarnation,
-            need=ask.need,
-            pause_ms=0 if granted.is_late else ask.pause_ms,
+        self.note_run(
+            RunningRequest(
+                key=ask.key,
+                incarnation=granted.incarnation,
+                need=ask.need,
+                pause_ms=0 if granted.is_late else ask.pause_ms,
+            )
         )
         return granted
 
     def note_run(self, run: RunningRequest) -> None:
-        """A request starts without a grant; the next coordinator has to count it."""
+        """A request starts; the next coordinator has to count it."""
         self._running[run.key] = run
+        self._begun_at[run.key] = self._state.clock.now()
 
     def forget_run(self, key: str) -> None:
-        """A granted request ended."""
+        """A request ended."""
         self._running.pop(key, None)
+        self._begun_at.pop(key, None)
 
     def tell(self, message: ToCoordinator) -> None:
         """Send a message soon; it is lost if there is no coordinator."""
@@ -336,14 +337,7 @@
     async def _write(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         # Each coordinator counts the changes of its list for itself.
         self._roster.version = 0
-        configuration = self._state.configuration
-        hello = Hello(
-            info=self._state.build_info(),
-            running=tuple(self._running.values()),
-            store_version=self._state.store_version,
-            configuration=configuration.version if configuration else 0,
-        )
-        first: list[ToCoordinator] = [hello, self.build_beat()]
+        first: list[ToCoordinator] = [self.build_hello(), self.build_beat()]
         await socket.send_bytes(encode_frame(first))
         clock = self._state.clock
         beat_at = clock.now() + BEAT_MS
@@ -363,6 +357,20 @@
             if frame:
                 await socket.send_bytes(encode_frame(frame))
 
+    def build_hello(self) -> Hello:
+        """Return what a new coordinator has to know of this instance."""
+        state = self._state
+        now = state.clock.now()
+        return Hello(
+            info=state.build_info(),
+            running=tuple(
+                msgspec.structs.replace(run, ran_ms=now - self._begun_at[key])
+                for key, run in self._running.items()
+            ),
+            store_version=state.store_version,
+            configuration=state.configuration.version if state.configuration else 0,
+        )
+
     def build_beat(self) -> Beat:
         """Return what this instance says of itself."""
         state = self._state
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -28,12 +28,16 @@
 
 
 class RunningRequest(Message, frozen=True):
-    """A request in flight that a new coordinator has to count."""
+    """A request in flight that a new coordinator has to count.
+
+    :param ran_ms: for how long it has run as this is told.
+    """
 
     key: str
     incarnation: str
     need: ModelNeed
     pause_ms: int = 0
+    ran_ms: int = 0
 
 
 class Hello(Message, frozen=True, tag="hello"):
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -2,6 +2,7 @@
 
 from arbutuspulley.membership.coordinator import CoordinatorState
 from arbutuspulley.node.coordinator import Coordinator
+from arbutuspulley.node.intake import take_running
 from arbutuspulley.node.messages import Hello, RunningRequest
 from tests.node_states import build_info, build_state
 from tests.pools import add_run, build_pool, build_server
@@ -32,3 +33,16 @@
     coordinator._add_peer([hello])
     coordinator._take_one("x", hello, now=0)
     assert set(server.runs) == {"runs"}
+
+
+def test_a_run_goes_on_at_a_successor_from_where_it_was():
+    """A coordinator is lost. Its successor took all that ran for just begun: it waited
+    too long for models to leave, and learnt that runs take less than they do."""
+    server = build_server("s0", "m0")
+    pools = {"llm": build_pool(server)}
+    add_run(server, "runs", "m0")
+    need = server.runs.pop("runs").need
+    run = RunningRequest(key="runs", incarnation="s0", need=need, ran_ms=1_500)
+    take_running(pools, "x", build_hello(run), now=2_000)
+    assert server.runs["runs"].granted_at == 500
+    assert server.runs["runs"].first_at == 500
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -59,6 +59,10 @@
         self.acts = False
         self.alone_since = None
         self.best = 0.0
+        self.taken = []
+
+    def take(self, origin, messages):
+        self.taken.append((origin, messages))
 
     def begin(self, _inherited):
         self.acts = True
@@ -99,6 +103,9 @@
     def check(self):
         pass
 
+    def build_hello(self):
+        return "what runs here"
+
     def cut(self):
         self.leads_to = ""
 
@@ -253,3 +260,13 @@
     tell_all(members, [1.0] * 6)
     delays = [one.election._draw_delay() for one in members.values()]
     assert max(delays) < SPREAD_MS < LONGEST_DELAY_MS
+
+
+def test_a_new_coordinator_counts_what_its_own_instance_runs():
+    """All others say what they run as they link up; nobody said it of the coordinator's
+    own instance, and its servers got more than their slots until those had ended."""
+    now = [0]
+    members = build_members([1.0, 1.0], LeaseStore(now), now)
+    run_members(members, now, ms=1_000, order=random.Random(1))
+    (leader,) = list_leaders(members)
+    assert members[leader].coordinator.taken == [(leader, ["what runs here"])]
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -6,15 +6,18 @@
 import aiohttp
 from aiohttp import web
 
+from arbutuspulley.clock import Clock
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import (
     Beat,
     Digest,
     Hello,
     RosterChange,
+    RunningRequest,
     decode_from_node,
     encode_frame,
 )
+from arbutuspulley.ports.fleet import ModelNeed
 from tests.node_states import build_info, build_state
 
 INFO = build_info("c")
@@ -100,3 +103,15 @@
     trial = CoordinatorTrial()
     asyncio.run(run_link(trial, until=lambda _link: trial.connections == 1))
     assert trial.connections == 1
+
+
+def test_a_hello_tells_how_long_each_request_has_run():
+    now = [1_000]
+    link = Link(state=build_state(clock=Clock(read=lambda: now[0])))
+    need = ModelNeed(model="m", adapter="", prompt_tokens=1, output_tokens=1)
+    for key in ("a", "b"):
+        link.note_run(RunningRequest(key=key, incarnation="s", need=need))
+        now[0] += 300
+    link.forget_run("b")
+    (run,) = link.build_hello().running
+    assert (run.key, run.ran_ms) == ("a", 600)
