--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -128,6 +128,15 @@
         """Where the link leads, empty if nowhere."""
         return self._address
 
+    @property
+    def running(self) -> list[RunningRequest]:
+        """Requests that have started and not ended, with how long each has run."""
+        now = self._state.clock.now()
+        return [
+            msgspec.structs.replace(run, ran_ms=now - self._begun_at[key])
+            for key, run in self._running.items()
+        ]
+
     async def ask(self, ask: Ask) -> Granted:
         """Wait until a server is granted.
 
@@ -360,13 +369,9 @@
     def build_hello(self) -> Hello:
         """Return what a new coordinator has to know of this instance."""
         state = self._state
-        now = state.clock.now()
         return Hello(
             info=state.build_info(),
-            running=tuple(
-                msgspec.structs.replace(run, ran_ms=now - self._begun_at[key])
-                for key, run in self._running.items()
-            ),
+            running=tuple(self.running),
             store_version=state.store_version,
             configuration=state.configuration.version if state.configuration else 0,
         )
--- a/tests/test_server_choice.py
+++ b/tests/test_server_choice.py
@@ -2,30 +2,19 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from arbutuspulley.node.progress import Progress
 from arbutuspulley.node.server_choice import ServerChoice
-from arbutuspulley.ports.fleet import Repeat, Route
 from arbutuspulley.routing.local import get_record
 from tests.node_states import build_state
+from tests.test_alone import ROUTE
 from tests.test_local_choice import A, B
 
 
 def build_choice(state, *, avoid=()):
-    route = Route(
-        name="lookup",
-        host="h",
-        prefix="/lookup/",
-        repeat=Repeat.ANY,
-        is_stream=False,
-        timeout_ms=2_000,
-        aim_ms=120,
-        gap_aim_ms=0,
-        priority=1,
-        max_attempts=2,
-        shares=(),
-    )
+    route = msgspec.structs.replace(ROUTE, is_stream=False, aim_ms=120)
     now = state.clock.now()
     progress = Progress(started_at=now, ends_at=now + 2_000)
     progress.service = "s"
