Make three new tests hold on a machine that is busy

Cause: they counted on a loop that is never held up for 20 to 300 ms, or on twelve requests within a second; they have not failed yet. Ruled out: longer waits alone; the number of refusals follows from the time. Conclusion: times that must not pass are half a minute, what must pass 0.5 s.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import signal
+import time
 
 import aiohttp
 import pytest
@@ -195,10 +196,13 @@
         full, sound = fleet.servers[2:]
         full.sheds, sound.holds_s = True, 0.05
         front = fleet.addresses["n1"]["Frontend"]
+        begun_s = time.monotonic()
         for number in range(12):
             status, _, _ = await ask(session, front, "/book/1", attempt=f"a{number}")
             assert status == 200
-        assert fleet.read_log("n1").count("refused as not run") <= 5
+        # After 0, 0.1, 0.3 and 0.7 s, and then each 0.8 s.
+        most = 4 + (time.monotonic() - begun_s) / 0.8
+        assert fleet.read_log("n1").count("refused as not run") <= most
 
     play(tmp_path, scenario)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -235,7 +235,7 @@
     the coordinator that tells it: a third of all calls of a calm day. If it hears of
     none it asks the store after a moment."""
     monkeypatch.setattr(following, "LOOK_EVERY_MS", 1)
-    monkeypatch.setattr(following, "FIRST_RELAY_MS", 20 if not found else 3_000)
+    monkeypatch.setattr(following, "FIRST_RELAY_MS", 30_000 if found else 500)
     monkeypatch.setattr(following, "GATHER_MS", 0)
 
     async def scenario():
@@ -251,7 +251,10 @@
         assert state.store.calls == ["read"]
         if found:
             heard.append(True)
-        await asyncio.sleep(0.06)
+            await asyncio.sleep(0.06)
+        async with asyncio.timeout(10):
+            while len(state.store.calls) < len(expected):
+                await asyncio.sleep(0.01)
         assert state.store.calls == expected
         task.cancel()
 
--- a/tests/test_server_choice.py
+++ b/tests/test_server_choice.py
@@ -40,7 +40,7 @@
 
 
 @pytest.mark.parametrize(
-    ("free_after_s", "expected"), [(0.0, "b"), (0.015, "b"), (0.3, None)]
+    ("free_after_s", "expected"), [(0.0, "b"), (0.015, "b"), (30, None)]
 )
 def test_a_request_waits_for_room_for_a_part_of_its_aim(free_after_s, expected):
     async def scenario():
