Keep one copy of what was kept twice, behaviour as before

Cause: reading the change: a link kept two tables of what runs, the coordinator two lists of instances to see a change, the configuration's rows had three parameters that nothing used, servers were sifted twice, and the doubling of pauses stood in four places. Ruled out: one base for log lines and constants that only look alike. Conclusion: double_pause in clock.py; the takers follow the list as told.

--- a/src/arbutuspulley/clock.py
+++ b/src/arbutuspulley/clock.py
@@ -7,6 +7,19 @@
 """Milliseconds in a second."""
 
 
+MOST_DOUBLINGS = 16
+"""Times that a pause is doubled at most; each longest pause is reached before."""
+
+
+def double_pause(first_ms: int, *, longest_ms: int, count: int) -> int:
+    """Return the pause after something has failed again, in ms.
+
+    :param first_ms: after the first time; doubled at each further one.
+    :param count: how many times in a row it has failed, 1 at least.
+    """
+    return min(longest_ms, first_ms * 2 ** min(count - 1, MOST_DOUBLINGS))
+
+
 class Clock:
     """A steady clock read in milliseconds.
 
--- a/src/arbutuspulley/membership/outage.py
+++ b/src/arbutuspulley/membership/outage.py
@@ -9,6 +9,7 @@
 
 import random
 
+from arbutuspulley.clock import double_pause
 from arbutuspulley.data import State
 
 FIRST_WAIT_MS = 250
@@ -85,6 +86,7 @@
 
 
 def _draw_wait(state: OutageState, chance: random.Random) -> int:
-    doubled = FIRST_WAIT_MS * 2 ** min(state.failures - 1, 16)
-    bound = min(state.longest_wait_ms, doubled)
+    bound = double_pause(
+        FIRST_WAIT_MS, longest_ms=state.longest_wait_ms, count=state.failures
+    )
     return chance.randint(bound // 2, bound)
--- a/src/arbutuspulley/node/following.py
+++ b/src/arbutuspulley/node/following.py
@@ -80,7 +80,7 @@
     await _Follower(
         state=state,
         table=names.OPERATOR_TABLE,
-        take_rows=take_configuration,
+        take_rows=lambda state, rows, **_how: take_configuration(state, rows),
         get_version=lambda: None,
         is_relayed=is_relayed,
         is_starting=is_starting,
@@ -258,14 +258,7 @@
         log_event(Event.PLATFORM_UP, table=self._table, away_ms=away_ms)
 
 
-def take_configuration(
-    state: NodeState,
-    rows: list[StoredRow],
-    *,
-    is_whole: bool,
-    was_away: bool,
-    version: int = 0,
-) -> StoreNews:
+def take_configuration(state: NodeState, rows: list[StoredRow]) -> StoreNews:
     """Put a newer configuration in force; an older one never."""
     body = b""
     for row in rows:
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -64,7 +64,6 @@
 
     __slots__ = (
         "_address",
-        "_begun_at",
         "_heard_at",
         "_is_closed",
         "_opened_at",
@@ -88,8 +87,7 @@
         self._opened_at = 0
         self._outgoing: list[ToCoordinator] = []
         self._roster = RosterCopy()
-        self._running: dict[str, RunningRequest] = {}
-        self._begun_at: dict[str, int] = {}
+        self._running: dict[str, tuple[int, RunningRequest]] = {}
         self._task: asyncio.Task[None] | None = None
         self._wake = asyncio.Event()
         self._waiting: dict[str, asyncio.Future[Granted]] = {}
@@ -133,8 +131,8 @@
         """Requests that have started and not ended, with how long each has run."""
         now = self._state.clock.now()
         return [
-            msgspec.structs.replace(run, ran_ms=now - self._begun_at[key])
-            for key, run in self._running.items()
+            msgspec.structs.replace(run, ran_ms=now - begun_at)
+            for begun_at, run in self._running.values()
         ]
 
     async def ask(self, ask: Ask) -> Granted:
@@ -169,13 +167,11 @@
 
     def note_run(self, run: RunningRequest) -> None:
         """A request starts; the next coordinator has to count it."""
-        self._running[run.key] = run
-        self._begun_at[run.key] = self._state.clock.now()
+        self._running[run.key] = self._state.clock.now(), run
 
     def forget_run(self, key: str) -> None:
         """A request ended."""
         self._running.pop(key, None)
-        self._begun_at.pop(key, None)
 
     def tell(self, message: ToCoordinator) -> None:
         """Send a message soon; it is lost if there is no coordinator."""
--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -39,7 +39,6 @@
 
     __slots__ = (
         "_by_name",
-        "_counted",
         "_receive_local",
         "_relay",
         "_rosters",
@@ -62,7 +61,6 @@
         self._by_name: dict[str, Peer] = {}
         self._rosters: dict[str, RosterState] = {}
         self._told: tuple[NodeInfo, ...] = ()
-        self._counted: tuple[NodeInfo, ...] = ()
         self._takers = 0
         self.most_heard = 0
 
@@ -169,6 +167,8 @@
     def send_digest(self, *, is_holder: bool, is_store_followed: bool) -> int:
         """Send the digest, and before it what was held back.
 
+        The list of instances is to be told before.
+
         :return: how many instances are heard, the own one included.
         """
         heard = self.list_heard()
@@ -185,7 +185,7 @@
         digest = Digest(
             is_holder=is_holder,
             instances=count,
-            takers=self._count_takers(heard),
+            takers=self._takers,
             followers=followers,
             is_store_followed=is_store_followed or by_follower,
             store_version=self._relay.store_version,
@@ -193,13 +193,6 @@
         self.send_all(digest)
         return count
 
-    def _count_takers(self, heard: list[Peer]) -> int:
-        infos = (self._state.build_info(), *(one.info for one in heard))
-        if infos != self._counted:
-            self._counted = infos
-            self._takers = count_takers(infos)
-        return self._takers
-
     def tell_roster(self) -> None:
         """Tell what has changed in the list of instances, if anything has."""
         infos = (
@@ -209,6 +202,7 @@
         if infos == self._told:
             return
         self._told = infos
+        self._takers = count_takers(infos)
         self._get_roster(self._state.settings.site)
         for site in {info.site for info in infos} | set(self._rosters):
             change = take_view(self._get_roster(site), select_view(infos, site=site))
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from arbutuspulley.clock import double_pause
 from arbutuspulley.data import State, Value
 from arbutuspulley.pool.duration import DurationState, estimate_left, note_run_time
 from arbutuspulley.pool.pauses import PauseState, note_stream
@@ -418,8 +419,9 @@
         return
     server.runs.pop(key, None)
     server.failures += 1
-    pause = min(LONGEST_SUSPECT_MS, SUSPECT_MS * 2 ** (server.failures - 1))
-    server.suspect_until = now + pause
+    server.suspect_until = now + double_pause(
+        SUSPECT_MS, longest_ms=LONGEST_SUSPECT_MS, count=server.failures
+    )
     server.orders = None
 
 
--- a/src/arbutuspulley/routing/local.py
+++ b/src/arbutuspulley/routing/local.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from arbutuspulley.clock import double_pause
 from arbutuspulley.data import State
 from arbutuspulley.membership.parts import get_part
 from arbutuspulley.ports.fleet import ModelNeed, ServerEntry
@@ -114,13 +115,13 @@
         for entry in entries
         if not entry.is_leaving
         and entry.incarnation not in avoid
-        and (need is None or any(one.model == need.model for one in entry.holdings))
+        and (
+            _has_room(get_record(records, entry), entry, sharers)
+            if need is None
+            else any(one.model == need.model for one in entry.holdings)
+        )
         and get_record(records, entry).in_flight < most_in_flight
     ]
-    if need is None:
-        usable = [
-            one for one in usable if _has_room(get_record(records, one), one, sharers)
-        ]
     sound = [one for one in usable if get_record(records, one).suspect_until <= now]
     return min(
         sound or usable,
@@ -190,8 +191,9 @@
     """A server could not be connected to."""
     record = get_record(records, entry)
     record.failures += 1
-    pause = min(LONGEST_SUSPECT_MS, SUSPECT_MS * 2 ** (record.failures - 1))
-    record.suspect_until = now + pause
+    record.suspect_until = now + double_pause(
+        SUSPECT_MS, longest_ms=LONGEST_SUSPECT_MS, count=record.failures
+    )
 
 
 def note_refused(records: LocalRecords, entry: ServerEntry, *, now: int) -> None:
@@ -203,8 +205,9 @@
     if now < record.suspect_until:
         return
     record.refusals += 1
-    pause = min(LONGEST_FULL_MS, FULL_MS * 2 ** (record.refusals - 1))
-    record.suspect_until = now + pause
+    record.suspect_until = now + double_pause(
+        FULL_MS, longest_ms=LONGEST_FULL_MS, count=record.refusals
+    )
 
 
 def forget_others(records: LocalRecords, entries: Iterable[ServerEntry]) -> None:
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -2,7 +2,9 @@
 
 import time
 
-from arbutuspulley.clock import Clock
+import pytest
+
+from arbutuspulley.clock import Clock, double_pause
 
 
 def test_time_of_a_suspension_counts(monkeypatch):
@@ -14,3 +16,10 @@
     )
     monkeypatch.setattr(time, "monotonic_ns", lambda: 5_000 * 1_000_000)
     assert Clock().now() == 9_000
+
+
+@pytest.mark.parametrize(
+    ("count", "expected"), [(1, 100), (2, 200), (4, 800), (5, 1_000), (90_000, 1_000)]
+)
+def test_a_pause_is_doubled_up_to_the_longest(count, expected):
+    assert double_pause(100, longest_ms=1_000, count=count) == expected
