Log by which way a configuration came, and measure how late the coordinator tells

The record of the incident could not tell its hypotheses apart. A version in force is now logged with its bytes and who told it; the coordinator logs and counts the instances that have an older one; each link measures how old what it was last told can be, by beats that digests acknowledge. Nothing is decided by it yet.

--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -87,6 +87,9 @@
 TELL_EVERY_MS = 1_000
 """Time between log lines on what a pool's models are asked for, in ms."""
 
+MOST_TOLD_BEHIND = 10
+"""Most instances that a line on who is behind names; it also counts them."""
+
 WRITE_TIMEOUT_S = 2.0
 """How long an instance may take no bytes, in s. Its link is cut then: it hears nothing
 of the coordinator anyway, and what waits for it takes memory."""
@@ -175,6 +178,7 @@
         self.acts = False
         self._state.coordinates = False
         self._state.metrics.coordinates.set(0)
+        self._state.metrics.behind.set(0)
         if self._timer is not None:
             self._timer.cancel()
         for task in list(self._tasks):
@@ -318,7 +322,7 @@
         elif isinstance(message, Beat):
             self._peers.take_beat(origin, message)
         elif isinstance(message, StoreNews):
-            self._relay_news(take_news(self._state, message))
+            self._relay_news(take_news(self._state, message, by="follower"))
         elif isinstance(message, Hello):
             take_running(self._pools, origin, message, now=now)
         elif isinstance(message, Suspected):
@@ -432,6 +436,7 @@
                 told_at = now
                 self._tell_pools()
                 self._tell_learnt()
+                self._tell_behind()
             await asyncio.sleep(BEAT_MS / SECOND_MS)
 
     def _tell_pools(self) -> None:
@@ -446,6 +451,18 @@
         demand = {name: list_demand(pool) for name, pool in self._pools.items()}
         self._peers.send_successors(Learnt(speeds=speeds, demand=demand))
 
+    def _tell_behind(self) -> None:
+        """Log which instances have an older configuration in force, if any."""
+        behind = self._peers.list_behind()
+        self._state.metrics.behind.set(len(behind))
+        if behind:
+            log_event(
+                Event.CONFIGURATION_BEHIND,
+                version=self._state.configuration_version,
+                count=len(behind),
+                instances=behind[:MOST_TOLD_BEHIND],
+            )
+
     def _send_digest(self) -> None:
         now = self._state.clock.now()
         count = self._peers.send_digest(
--- a/src/arbutuspulley/node/following.py
+++ b/src/arbutuspulley/node/following.py
@@ -264,14 +264,15 @@
     for row in rows:
         if row.key != names.CONFIGURATION_KEY or row.value is None:
             continue
-        if put_in_force(state, row.value):
+        if put_in_force(state, row.value, by="store"):
             body = row.value
     return StoreNews(configuration=body)
 
 
-def put_in_force(state: NodeState, body: bytes) -> bool:
+def put_in_force(state: NodeState, body: bytes, *, by: str) -> bool:
     """Put a configuration in force if it is newer than the present one.
 
+    :param by: who told it: ``store``, ``coordinator``, ``follower`` or ``neighbour``.
     :return: whether it was.
     """
     try:
@@ -286,6 +287,7 @@
                 Event.OLDER_CONFIGURATION_IGNORED,
                 offered=configuration.version,
                 in_force=present.version,
+                by=by,
             )
         return False
     state.configuration = configuration
@@ -296,18 +298,22 @@
         Event.CONFIGURATION_IN_FORCE,
         version=configuration.version,
         routes=len(configuration.routes),
+        bytes=len(body),
+        by=by,
     )
+    state.metrics.configurations.labels(by).inc()
     state.tell_change()
     return True
 
 
-def take_news(state: NodeState, news: StoreNews) -> StoreNews:
+def take_news(state: NodeState, news: StoreNews, *, by: str) -> StoreNews:
     """Take in what the store has told another instance.
 
+    :param by: which: the ``coordinator`` or a ``follower``.
     :return: what of it was new here.
     """
     body = news.configuration
-    is_newer = bool(body) and put_in_force(state, body)
+    is_newer = bool(body) and put_in_force(state, body, by=by)
     rows = [
         StoredRow(key=one.key, version=one.version, value=one.value or None)
         for one in news.rows
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -8,6 +8,7 @@
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
+from arbutuspulley.node.echo import Echo
 from arbutuspulley.node.following import is_followed, take_news
 from arbutuspulley.node.messages import (
     Ask,
@@ -64,6 +65,7 @@
 
     __slots__ = (
         "_address",
+        "_echo",
         "_heard_at",
         "_is_closed",
         "_opened_at",
@@ -82,6 +84,7 @@
     def __init__(self, *, state: NodeState) -> None:
         self._state = state
         self._address = ""
+        self._echo = Echo(now=state.clock.now())
         self._heard_at = -SILENCE_MS
         self._is_closed = False
         self._opened_at = 0
@@ -197,7 +200,7 @@
                 self._take_roster(message)
                 continue
             if isinstance(message, StoreNews):
-                take_news(self._state, message)
+                take_news(self._state, message, by="coordinator")
                 continue
             self._take_decision(message)
 
@@ -280,7 +283,9 @@
     def _take_digest(self, digest: Digest) -> None:
         self.digest = digest
         self._heard_at = self._state.clock.now()
+        self._echo.note_heard(digest.beat)
         state = self._state
+        state.metrics.link_age.set(self._echo.get_age(self._heard_at) / SECOND_MS)
         state.instances = digest.instances
         state.takers = digest.takers
         state.nodes_at = self._heard_at
@@ -340,8 +345,10 @@
                 return
 
     async def _write(self, socket: aiohttp.ClientWebSocketResponse) -> None:
-        # Each coordinator counts the changes of its list for itself.
+        # Each coordinator counts the changes of its list for itself, and the beats
+        # of each link.
         self._roster.version = 0
+        self._echo = Echo(now=self._state.clock.now())
         first: list[ToCoordinator] = [self.build_hello(), self.build_beat()]
         await socket.send_bytes(encode_frame(first))
         clock = self._state.clock
@@ -369,7 +376,7 @@
             info=state.build_info(),
             running=tuple(self.running),
             store_version=state.store_version,
-            configuration=state.configuration.version if state.configuration else 0,
+            configuration=state.configuration_version,
         )
 
     def build_beat(self) -> Beat:
@@ -380,6 +387,8 @@
             misses_store=state.store.is_failing if state.store.is_recent else None,
             follows_store=is_followed(state),
             roster=self._roster.version,
+            configuration=state.configuration_version,
+            number=self._echo.note_sent(state.clock.now()),
         )
 
 
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -61,12 +61,16 @@
         not asked lately.
     :param follows_store: whether the store has lately told it all changes.
     :param roster: version of its list of instances; 0: it needs the whole.
+    :param configuration: version that it has in force; 0: none.
+    :param number: counts the beats of a link, from 1.
     """
 
     is_ready: bool
     misses_store: bool | None = None
     follows_store: bool = False
     roster: int = 0
+    configuration: int = 0
+    number: int = 0
 
 
 class Ask(Message, frozen=True, tag="ask"):
@@ -143,6 +147,9 @@
     :param is_store_followed: whether what the store tells reaches the coordinator now;
         all others need not ask the store then.
     :param store_version: up to which version all servers' rows were sent before this.
+    :param configuration: version that the coordinator has in force; 0: none. It was
+        sent before this.
+    :param beat: number of the last beat of the instance that gets this; 0: none came.
     """
 
     is_holder: bool
@@ -151,6 +158,8 @@
     followers: tuple[str, ...] = ()
     is_store_followed: bool = False
     store_version: int = 0
+    configuration: int = 0
+    beat: int = 0
 
 
 class RosterChange(Message, frozen=True, tag="roster"):
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -17,9 +17,12 @@
 
     __slots__ = (
         "attempts",
+        "behind",
+        "configurations",
         "coordinates",
         "first_part",
         "in_flight",
+        "link_age",
         "log_lines",
         "longest_pause",
         "orders",
@@ -77,6 +80,22 @@
         self.version = Gauge(
             "arbutus_configuration_version", "Version in force", registry=registry
         )
+        self.configurations = Counter(
+            "arbutus_configurations",
+            "Versions put in force, by who told them",
+            ["by"],
+            registry=registry,
+        )
+        self.behind = Gauge(
+            "arbutus_instances_behind",
+            "Instances with an older configuration, as the coordinator hears",
+            registry=registry,
+        )
+        self.link_age = Gauge(
+            "arbutus_link_age_seconds",
+            "How old what the coordinator last told can be",
+            registry=registry,
+        )
         self.coordinates = Gauge(
             "arbutus_coordinates", "1 while this one coordinates", registry=registry
         )
--- a/src/arbutuspulley/node/neighbours.py
+++ b/src/arbutuspulley/node/neighbours.py
@@ -71,7 +71,7 @@
 def _take(state: NodeState, link: Link, snapshot: Snapshot, address: str) -> None:
     if not snapshot.configuration:
         return
-    put_in_force(state, snapshot.configuration)
+    put_in_force(state, snapshot.configuration, by="neighbour")
     take_entries(state, snapshot.servers)
     log_event(Event.CONFIGURATION_FROM_PEER, link=address)
     if snapshot.coordinator and not link.is_up:
--- a/src/arbutuspulley/node/peer.py
+++ b/src/arbutuspulley/node/peer.py
@@ -9,6 +9,8 @@
     """An instance that is linked to this coordinator.
 
     :param heard_at: when it was last heard, in ms.
+    :param beat: number of its last beat; 0: none came.
+    :param configuration: version that it has in force, as it last said; 0: none.
     :param misses_store: whether the store gives it no usable answer; ``None``: it has
         not asked lately.
     :param follows_store: whether the store has lately told it all changes.
@@ -18,6 +20,8 @@
     """
 
     __slots__ = (
+        "beat",
+        "configuration",
         "follows_store",
         "heard_at",
         "info",
@@ -31,6 +35,8 @@
     def __init__(self, *, info: NodeInfo, heard_at: int) -> None:
         self.info = info
         self.heard_at = heard_at
+        self.beat = 0
+        self.configuration = 0
         self.outgoing: list[ToNode] = []
         self.wake = asyncio.Event()
         self.misses_store: bool | None = None
--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -107,6 +107,8 @@
             return
         peer.misses_store = beat.misses_store
         peer.follows_store = beat.follows_store
+        peer.configuration = beat.configuration
+        peer.beat = beat.number
         if peer.info.is_ready != beat.is_ready:
             peer.info = msgspec.structs.replace(peer.info, is_ready=beat.is_ready)
             self.tell_roster()
@@ -189,10 +191,20 @@
             followers=followers,
             is_store_followed=is_store_followed or by_follower,
             store_version=self._relay.store_version,
+            configuration=self._state.configuration_version,
         )
-        self.send_all(digest)
+        self._receive_local([digest])
+        for peer in self._by_name.values():
+            peer.send(msgspec.structs.replace(digest, beat=peer.beat))
         return count
 
+    def list_behind(self) -> list[str]:
+        """Return the instances that have an older configuration in force."""
+        version = self._state.configuration_version
+        return [
+            one.info.name for one in self.list_heard() if one.configuration < version
+        ]
+
     def tell_roster(self) -> None:
         """Tell what has changed in the list of instances, if anything has."""
         infos = (
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -130,6 +130,11 @@
         """Whether this instance takes callers."""
         return self.configuration is not None and self.stopping_at is None
 
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force; 0: none."""
+        return self.configuration.version if self.configuration else 0
+
     def build_info(self) -> NodeInfo:
         """Return what this instance says of itself."""
         settings = self.settings
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -13,7 +13,7 @@
 def build_ready(*, now, **changes):
     """Build the state of a node that knows a configuration."""
     state = build_state(clock=Clock(read=lambda: now[0]), **changes)
-    put_in_force(state, msgspec.json.encode(build_configuration(1)))
+    put_in_force(state, msgspec.json.encode(build_configuration(1)), by="store")
     return state
 
 
--- /dev/null
+++ b/tests/test_echo.py
@@ -0,0 +1,62 @@
+"""How old what the coordinator tells is."""
+
+import msgspec
+import pytest
+
+from arbutuspulley.clock import Clock
+from arbutuspulley.node.echo import Echo
+from arbutuspulley.node.following import put_in_force
+from arbutuspulley.node.link import Link
+from arbutuspulley.node.messages import Beat, Digest, Hello
+from arbutuspulley.node.peers import Peers
+from arbutuspulley.node.relay import Relay
+from scripts.platform_stage import build_configuration
+from tests.node_states import build_info, build_state
+
+
+def test_what_was_told_is_as_old_as_the_newest_beat_acknowledged():
+    echo = Echo(now=100)
+    first, second = echo.note_sent(200), echo.note_sent(450)
+    assert (first, second) == (1, 2)
+    assert echo.get_age(500) == 400
+    echo.note_heard(first)
+    assert echo.get_age(500) == 300
+    echo.note_heard(second)
+    echo.note_heard(first)
+    assert echo.get_age(500) == 50
+
+
+@pytest.mark.parametrize("number", [0, 7])
+def test_a_number_that_was_not_sent_acknowledges_nothing(number):
+    echo = Echo(now=0)
+    echo.note_sent(10)
+    echo.note_heard(number)
+    assert echo.get_age(1_000) == 1_000
+
+
+def test_each_instance_is_told_of_its_own_last_beat_and_of_the_version_in_force():
+    now = [0]
+    state = build_state(clock=Clock(read=lambda: now[0]))
+    peers = Peers(state=state, relay=Relay(state=state), receive_local=lambda _: None)
+    told = {}
+    for name, number in (("a", 3), ("b", 8)):
+        peers.add(Hello(info=build_info(name)))
+        peers.take_beat(name, Beat(is_ready=True, number=number, configuration=1))
+    peers.send_digest(is_holder=True, is_store_followed=True)
+    for name in ("a", "b"):
+        (digest,) = [one for one in peers.get(name).outgoing if isinstance(one, Digest)]
+        told[name] = digest.beat
+    assert told == {"a": 3, "b": 8}
+    assert peers.list_behind() == []
+    put_in_force(state, msgspec.json.encode(build_configuration(2)), by="store")
+    assert peers.list_behind() == ["a", "b"]
+
+
+def test_a_link_measures_how_late_its_digests_are():
+    now = [0]
+    state = build_state(clock=Clock(read=lambda: now[0]))
+    link = Link(state=state)
+    link._echo.note_sent(0)
+    now[0] = 1_500
+    link.receive([Digest(is_holder=True, beat=1)])
+    assert state.metrics.registry.get_sample_value("arbutus_link_age_seconds") == 1.5
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -39,14 +39,16 @@
 def test_configurations_go_upward_only(versions, expected):
     state = build_state()
     for version in versions:
-        put_in_force(state, msgspec.json.encode(build_configuration(version)))
+        put_in_force(
+            state, msgspec.json.encode(build_configuration(version)), by="store"
+        )
     assert state.configuration.version == expected
 
 
 def test_an_unreadable_configuration_leaves_the_last_one():
     state = build_state()
-    put_in_force(state, msgspec.json.encode(build_configuration(2)))
-    put_in_force(state, b'{"Version": 3, "Routes": 1}')
+    put_in_force(state, msgspec.json.encode(build_configuration(2)), by="store")
+    put_in_force(state, b'{"Version": 3, "Routes": 1}', by="store")
     assert state.configuration.version == 2
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -64,14 +64,18 @@
     for order in itertools.permutations(rows):
         state = build_state()
         for row in (*order, order[0]):
-            take_news(state, StoreNews(rows=(row,)))
+            take_news(state, StoreNews(rows=(row,)), by="coordinator")
         assert get_view(state) == {"b": (False, ("m0",))}
 
 
 def test_a_whole_reading_drops_nothing_that_is_newer():
     """All rows are read while the relay tells of a server that has just come."""
     state = build_state()
-    take_news(state, StoreNews(rows=(build_row("new", 9), build_row("old", 3))))
+    take_news(
+        state,
+        StoreNews(rows=(build_row("new", 9), build_row("old", 3))),
+        by="coordinator",
+    )
     read = [StoredRow(key="c", version=4, value=build_value())]
     take_servers(state, read, is_whole=True, was_away=False, version=8)
     assert set(state.entries) == {"new", "c"}
@@ -80,15 +84,20 @@
 def test_only_what_was_new_is_handed_on():
     state = build_state()
     first = StoreNews(rows=(build_row("a", 1), build_row("b", 2)))
-    assert take_news(state, first).rows == first.rows
+    assert take_news(state, first, by="coordinator").rows == first.rows
     again = StoreNews(rows=(*first.rows, build_row("a", 3, state="draining")))
-    assert [one.version for one in take_news(state, again).rows] == [3]
+    assert [one.version for one in take_news(state, again, by="coordinator").rows] == [
+        3
+    ]
 
 
 def test_configurations_go_upward_only_by_relay_too():
     state = build_state()
     bodies = [msgspec.json.encode(build_configuration(one)) for one in (4, 3, 4)]
-    told = [take_news(state, StoreNews(configuration=one)) for one in bodies]
+    told = [
+        take_news(state, StoreNews(configuration=one), by="coordinator")
+        for one in bodies
+    ]
     assert [bool(one.configuration) for one in told] == [True, False, False]
     assert state.configuration.version == 4
 
@@ -106,10 +115,12 @@
     matters to instances that ask the coordinator."""
     now = [0]
     state, relay = build_relay(now=now)
-    come = take_news(state, StoreNews(rows=(build_row("a", 1),)))
+    come = take_news(state, StoreNews(rows=(build_row("a", 1),)), by="coordinator")
     assert relay.select(come).rows == come.rows
     state.store_version = 2
-    held = take_news(state, StoreNews(rows=(build_row("a", 2, models=("m0",)),)))
+    held = take_news(
+        state, StoreNews(rows=(build_row("a", 2, models=("m0",)),)), by="coordinator"
+    )
     assert relay.select(held) is None
     # Whoever goes on by itself must ask the store for what was held back.
     assert relay.store_version == 1
@@ -117,7 +128,7 @@
     assert relay.flush(QUIET_MS).rows == held.rows
     assert relay.store_version == 2
     drains = StoreNews(rows=(build_row("a", 3, state="draining"),))
-    assert relay.select(take_news(state, drains)).rows == drains.rows
+    assert relay.select(take_news(state, drains, by="coordinator")).rows == drains.rows
 
 
 def test_what_is_told_of_servers_is_bounded_and_the_oldest_goes_first():
@@ -125,9 +136,9 @@
     link, where 4 are for control."""
     state, relay = build_relay(now=[0])
     rows = tuple(build_row(f"s{one:02}", one + 1) for one in range(80))
-    take_news(state, StoreNews(rows=rows))
+    take_news(state, StoreNews(rows=rows), by="coordinator")
     held = tuple(build_row(f"s{one:02}", one + 81, models=("m0",)) for one in range(80))
-    relay.select(take_news(state, StoreNews(rows=held)))
+    relay.select(take_news(state, StoreNews(rows=held), by="coordinator"))
     state.store_version = 160
     told = relay.flush(QUIET_MS).rows
     assert sum(len(row.value) for row in told) <= QUIET_BYTES
@@ -139,19 +150,23 @@
 
 def test_a_row_that_was_held_back_gives_way_to_a_newer_one():
     state, relay = build_relay(now=[0])
-    take_news(state, StoreNews(rows=(build_row("a", 1),)))
-    quiet = take_news(state, StoreNews(rows=(build_row("a", 2, models=("m0",)),)))
+    take_news(state, StoreNews(rows=(build_row("a", 1),)), by="coordinator")
+    quiet = take_news(
+        state, StoreNews(rows=(build_row("a", 2, models=("m0",)),)), by="coordinator"
+    )
     relay.select(quiet)
-    gone = take_news(state, StoreNews(rows=(RelayedRow(key="a", version=3),)))
+    gone = take_news(
+        state, StoreNews(rows=(RelayedRow(key="a", version=3),)), by="coordinator"
+    )
     assert relay.select(gone).rows == gone.rows
     assert relay.flush(QUIET_MS) is None
 
 
 def test_an_instance_that_links_up_is_told_what_it_misses():
     state, relay = build_relay(now=[0])
-    put_in_force(state, msgspec.json.encode(build_configuration(5)))
+    put_in_force(state, msgspec.json.encode(build_configuration(5)), by="store")
     rows = (build_row("a", 1), build_row("b", 2), RelayedRow(key="c", version=7))
-    take_news(state, StoreNews(rows=rows))
+    take_news(state, StoreNews(rows=rows), by="coordinator")
     info = build_info("x")
     news = relay.build_catch_up(Hello(info=info, store_version=1, configuration=4))
     assert {one.key for one in news.rows} == {"b", "c"}
@@ -160,7 +175,7 @@
         relay.build_catch_up(Hello(info=info, store_version=7, configuration=5)) is None
     )
     other = build_state()
-    take_news(other, StoreNews(rows=list_rows(state, after=0)))
+    take_news(other, StoreNews(rows=list_rows(state, after=0)), by="coordinator")
     assert get_view(other) == get_view(state)
 
 
