--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -301,7 +301,7 @@
             while not peer.is_ended:
                 await peer.wake.wait()
                 peer.wake.clear()
-                frame, peer.outgoing = peer.outgoing, []
+                frame = peer.take_outgoing()
                 if frame:
                     async with asyncio.timeout(WRITE_TIMEOUT_S):
                         await socket.send_bytes(encode_frame(frame))
--- a/src/arbutuspulley/node/peer.py
+++ b/src/arbutuspulley/node/peer.py
@@ -61,3 +61,8 @@
             self.outgoing = [one for one in self.outgoing if type(one) is not kind]
         self.outgoing.append(message)
         self.wake.set()
+
+    def take_outgoing(self) -> list[ToNode]:
+        """Return what is to be sent now, in its order."""
+        taken, self.outgoing = self.outgoing, []
+        return taken
