Send instances what changed in the configuration instead of the whole

What callers would see: under a series of changes to a large configuration versions are in force seconds late everywhere, requests for models wait or are refused, as grants and orders queue behind configurations, and instances lose their coordinator.

Cause: each change went whole to each instance over the coordinator's link, and those that the link could not carry waited in their order.

The coordinator now sends the parts that are new and where the others are copied from, compressed, with a checksum; the whole, compressed too, where the receiver's version is not known. A version that is replaced before the link is free is never sent. Instances of before this change still get the whole (Hello.reads_updates). What was part of a catch-up goes by the same way, so its test is now one of Peers, for each version known, both ways.

--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -24,7 +24,7 @@
     may_order,
     may_order_on,
 )
-from arbutuspulley.node.following import is_followed, take_news
+from arbutuspulley.node.following import is_followed, take_news, take_update
 from arbutuspulley.node.intake import (
     build_waiting,
     drop_instance,
@@ -36,6 +36,7 @@
 from arbutuspulley.node.messages import (
     Ask,
     Beat,
+    ConfigurationUpdate,
     Granted,
     Hello,
     Learnt,
@@ -323,6 +324,9 @@
             self._peers.take_beat(origin, message)
         elif isinstance(message, StoreNews):
             self._relay_news(take_news(self._state, message, by="follower"))
+        elif isinstance(message, ConfigurationUpdate):
+            if take_update(self._state, message, by="follower"):
+                self._peers.tell_configuration()
         elif isinstance(message, Hello):
             take_running(self._pools, origin, message, now=now)
         elif isinstance(message, Suspected):
--- a/src/arbutuspulley/node/following.py
+++ b/src/arbutuspulley/node/following.py
@@ -12,7 +12,7 @@
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
-from arbutuspulley.node.messages import StoreNews
+from arbutuspulley.node.messages import ConfigurationUpdate, StoreNews
 from arbutuspulley.node.server_rows import RETURN_MS, take_servers
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform import names
@@ -292,6 +292,7 @@
         return False
     state.configuration = configuration
     state.configuration_body = body
+    state.versions.add(configuration.version, body)
     state.table = build_table(configuration)
     state.metrics.version.set(configuration.version)
     log_event(
@@ -306,6 +307,27 @@
     return True
 
 
+def take_update(state: NodeState, update: ConfigurationUpdate, *, by: str) -> bool:
+    """Take in a newer configuration that another instance tells.
+
+    :param by: which, as for :func:`put_in_force`.
+    :return: whether it was put in force.
+    """
+    if update.version <= state.configuration_version:
+        return False
+    body = state.versions.apply(update)
+    if body is None:
+        log_event(
+            Event.CONFIGURATION_MISSED,
+            version=update.version,
+            base=update.base,
+            in_force=state.configuration_version,
+            by=by,
+        )
+        return False
+    return put_in_force(state, body, by=by)
+
+
 def take_news(state: NodeState, news: StoreNews, *, by: str) -> StoreNews:
     """Take in what the store has told another instance.
 
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -9,10 +9,11 @@
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.echo import Echo
-from arbutuspulley.node.following import is_followed, take_news
+from arbutuspulley.node.following import is_followed, take_news, take_update
 from arbutuspulley.node.messages import (
     Ask,
     Beat,
+    ConfigurationUpdate,
     Digest,
     Ended,
     Granted,
@@ -202,6 +203,9 @@
             if isinstance(message, StoreNews):
                 take_news(self._state, message, by="coordinator")
                 continue
+            if isinstance(message, ConfigurationUpdate):
+                take_update(self._state, message, by="coordinator")
+                continue
             self._take_decision(message)
 
     def _take_decision(self, decision: Granted | Refused) -> None:
@@ -377,6 +381,7 @@
             running=tuple(self.running),
             store_version=state.store_version,
             configuration=state.configuration_version,
+            reads_updates=True,
         )
 
     def build_beat(self) -> Beat:
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -45,12 +45,14 @@
 
     :param store_version: up to which version of the store it knows the servers' rows.
     :param configuration: version that it has in force; 0: none.
+    :param reads_updates: whether it understands :class:`ConfigurationUpdate`.
     """
 
     info: NodeInfo
     running: tuple[RunningRequest, ...] = ()
     store_version: int = 0
     configuration: int = 0
+    reads_updates: bool = False
 
 
 class Beat(Message, frozen=True, tag="beat"):
@@ -193,7 +195,8 @@
 class StoreNews(Message, frozen=True, tag="news"):
     """What the store told one instance, for others.
 
-    :param configuration: as the store holds it; empty: nothing new.
+    :param configuration: as the store holds it; empty: nothing new. Sent only to who
+        does not understand :class:`ConfigurationUpdate`.
     :param was_away: whether the store was away shortly before: rows may be gone of
         servers that live.
     """
@@ -203,6 +206,34 @@
     was_away: bool = False
 
 
+class UpdateStep(Message, frozen=True, array_like=True):
+    """One step of an update: parts of the base are copied, new ones follow.
+
+    :param start: first of the parts that are copied.
+    :param count: how many are.
+    :param fresh: how many new parts follow.
+    """
+
+    start: int
+    count: int
+    fresh: int
+
+
+class ConfigurationUpdate(Message, frozen=True, tag="configuration"):
+    """What leads from one version of the configuration to a newer one.
+
+    :param base: the version that the steps copy from; 0: none.
+    :param text: all new parts, compressed.
+    :param checksum: CRC-32 of the newer version as the store holds it.
+    """
+
+    version: int
+    base: int
+    steps: tuple[UpdateStep, ...]
+    text: bytes
+    checksum: int
+
+
 class Suspected(Message, frozen=True, tag="suspected"):
     """Requests that were in flight as a server broke off, or were cleared of that.
 
@@ -224,8 +255,27 @@
     demand: dict[str, dict[str, float]] = {}
 
 
-ToCoordinator = Hello | Beat | Ask | Started | Ended | Withdraw | Suspected | StoreNews
-ToNode = Granted | Refused | Digest | Learnt | Suspected | RosterChange | StoreNews
+ToCoordinator = (
+    Hello
+    | Beat
+    | Ask
+    | Started
+    | Ended
+    | Withdraw
+    | Suspected
+    | StoreNews
+    | ConfigurationUpdate
+)
+ToNode = (
+    Granted
+    | Refused
+    | Digest
+    | Learnt
+    | Suspected
+    | RosterChange
+    | StoreNews
+    | ConfigurationUpdate
+)
 
 M = TypeVar("M")
 
--- a/src/arbutuspulley/node/peer.py
+++ b/src/arbutuspulley/node/peer.py
@@ -1,6 +1,7 @@
 """An instance as its coordinator sees it."""
 
 import asyncio
+from collections.abc import Callable
 
 from arbutuspulley.node.messages import Digest, Learnt, NodeInfo, ToNode
 
@@ -11,6 +12,8 @@
     :param heard_at: when it was last heard, in ms.
     :param beat: number of its last beat; 0: none came.
     :param configuration: version that it has in force, as it last said; 0: none.
+    :param told: version that it has or was sent last; 0: none.
+    :param build_configuration: returns what leads from that version to the newest.
     :param misses_store: whether the store gives it no usable answer; ``None``: it has
         not asked lately.
     :param follows_store: whether the store has lately told it all changes.
@@ -20,7 +23,9 @@
     """
 
     __slots__ = (
+        "_due",
         "beat",
+        "build_configuration",
         "configuration",
         "follows_store",
         "heard_at",
@@ -29,14 +34,24 @@
         "misses_store",
         "outgoing",
         "roster_at",
+        "told",
         "wake",
     )
 
-    def __init__(self, *, info: NodeInfo, heard_at: int) -> None:
+    def __init__(
+        self,
+        *,
+        info: NodeInfo,
+        heard_at: int,
+        configuration: int,
+        build_configuration: Callable[[int], ToNode],
+    ) -> None:
         self.info = info
         self.heard_at = heard_at
         self.beat = 0
-        self.configuration = 0
+        self.configuration = self.told = configuration
+        self.build_configuration = build_configuration
+        self._due = 0
         self.outgoing: list[ToNode] = []
         self.wake = asyncio.Event()
         self.misses_store: bool | None = None
@@ -62,7 +77,22 @@
         self.outgoing.append(message)
         self.wake.set()
 
+    def tell_configuration(self, version: int) -> None:
+        """Send the newest configuration soon, unless the instance has it.
+
+        Versions that are replaced before the link is free are never sent.
+        """
+        self._due = version
+        if version > self.told:
+            self.wake.set()
+
     def take_outgoing(self) -> list[ToNode]:
-        """Return what is to be sent now, in its order."""
+        """Return what is to be sent now, in its order.
+
+        The configuration goes first: digests and grants may speak of it.
+        """
         taken, self.outgoing = self.outgoing, []
+        if self._due > self.told:
+            taken.insert(0, self.build_configuration(self.told))
+            self.told = self._due
         return taken
--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -84,7 +84,14 @@
             # Whether it takes callers, its beats say.
             info=msgspec.structs.replace(info, is_ready=False),
             heard_at=self._state.clock.now(),
+            configuration=hello.configuration,
+            build_configuration=(
+                self._state.versions.build
+                if hello.reads_updates
+                else self._relay.build_whole
+            ),
         )
+        peer.tell_configuration(self._state.configuration_version)
         news = self._relay.build_catch_up(hello)
         if news is not None:
             peer.send(news)
@@ -108,6 +115,7 @@
         peer.misses_store = beat.misses_store
         peer.follows_store = beat.follows_store
         peer.configuration = beat.configuration
+        peer.told = max(peer.told, beat.configuration)
         peer.beat = beat.number
         if peer.info.is_ready != beat.is_ready:
             peer.info = msgspec.structs.replace(peer.info, is_ready=beat.is_ready)
@@ -162,10 +170,17 @@
 
     def tell_news(self, news: StoreNews) -> None:
         """Relay what the store has told, as far as it can't wait."""
+        if news.configuration:
+            self.tell_configuration()
         selected = self._relay.select(news)
         if selected is not None:
             self.send_others(selected)
 
+    def tell_configuration(self) -> None:
+        """Send all instances the configuration in force, unless they have it."""
+        for peer in self._by_name.values():
+            peer.tell_configuration(self._state.configuration_version)
+
     def send_digest(self, *, is_holder: bool, is_store_followed: bool) -> int:
         """Send the digest, and before it what was held back.
 
--- a/src/arbutuspulley/node/relay.py
+++ b/src/arbutuspulley/node/relay.py
@@ -63,13 +63,9 @@
             else:
                 self._quiet.pop(row.key, None)
                 urgent.append(row)
-        if not urgent and not news.configuration:
+        if not urgent:
             return None
-        return StoreNews(
-            configuration=news.configuration,
-            rows=tuple(urgent),
-            was_away=news.was_away,
-        )
+        return StoreNews(rows=tuple(urgent), was_away=news.was_away)
 
     def flush(self, now: int) -> StoreNews | None:
         """Return what was held back, once its time has come."""
@@ -86,15 +82,13 @@
         return StoreNews(rows=tuple(rows)) if rows else None
 
     def build_catch_up(self, hello: Hello) -> StoreNews | None:
-        """Return what an instance misses that has just linked up."""
-        state = self._state
-        configuration = state.configuration
-        is_older = configuration is not None and (
-            hello.configuration < configuration.version
-        )
-        body = state.configuration_body if is_older else b""
-        rows = list_rows(state, after=hello.store_version)
-        return StoreNews(configuration=body, rows=rows) if body or rows else None
+        """Return what rows an instance misses that has just linked up."""
+        rows = list_rows(self._state, after=hello.store_version)
+        return StoreNews(rows=rows) if rows else None
+
+    def build_whole(self, _base: int) -> StoreNews:
+        """Return the configuration for an instance that understands no updates."""
+        return StoreNews(configuration=self._state.configuration_body)
 
     def choose_followers(self, peers: Iterable[NodeInfo]) -> None:
         """Choose who else follows the store: the best placed, in other data centres.
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -11,6 +11,7 @@
 from arbutuspulley.node.callers import count_sharers, select_takers
 from arbutuspulley.node.messages import Learnt, NodeInfo, StoreNews
 from arbutuspulley.node.metrics import NodeMetrics
+from arbutuspulley.node.versions import Versions
 from arbutuspulley.platform.store import StoreClient
 from arbutuspulley.ports.fleet import FleetConfiguration, NodeSettings, ServerEntry
 from arbutuspulley.routing.local import LocalRecords
@@ -23,6 +24,7 @@
     :param order_session: the client for orders to model servers.
     :param configuration: the version in force, ``None`` before the first.
     :param configuration_body: it as the store holds it, for other instances.
+    :param versions: it and those before it, likewise.
     :param entries: registered servers by their ids.
     :param by_incarnation: the same by incarnation, ``by_service`` by service.
     :param refused_entries: ids of rows that name no server, and why.
@@ -78,6 +80,7 @@
         "store_version",
         "table",
         "takers",
+        "versions",
     )
 
     def __init__(
@@ -100,6 +103,7 @@
         self.chance = chance
         self.configuration: FleetConfiguration | None = None
         self.configuration_body = b""
+        self.versions = Versions()
         self.entry_bodies: dict[str, bytes] = {}
         self.table: RouteTable | None = None
         self.entries: dict[str, ServerEntry] = {}
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,9 @@
 from arbutuspulley.node.following import put_in_force, take_configuration
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import (
+    Beat,
+    ConfigurationUpdate,
+    Digest,
     Hello,
     decode_from_coordinator,
     decode_from_node,
@@ -119,3 +122,44 @@
     peers = Peers(state=state, relay=Relay(state=state), receive_local=lambda _: None)
     peers.add(Hello(info=build_info("x")))
     assert not peers.get("x").info.is_ready
+
+
+def build_peers(version):
+    """Build a coordinator's peers; a configuration of this version is in force."""
+    state = build_state()
+    put_in_force(state, encode_configuration(version, routes=9), by="store")
+    relay = Relay(state=state)
+    return state, Peers(state=state, relay=relay, receive_local=lambda _: None)
+
+
+@pytest.mark.parametrize("reads_updates", [True, False], ids=["now", "before updates"])
+@pytest.mark.parametrize("known", [0, 3, 4])
+def test_an_instance_that_links_up_is_told_the_configuration(known, reads_updates):
+    """Guards against instances that link up with an older version and keep it."""
+    state, peers = build_peers(5)
+    other = build_state(name="x")
+    if known:
+        put_in_force(other, encode_configuration(known, routes=9), by="store")
+    hello = Hello(
+        info=build_info("x"), configuration=known, reads_updates=reads_updates
+    )
+    link = Link(state=other)
+    link.receive(peers.add(hello).take_outgoing())
+    assert other.configuration_body == state.configuration_body
+
+
+def test_an_instance_that_has_the_configuration_is_not_told_it():
+    _state, peers = build_peers(5)
+    peer = peers.add(Hello(info=build_info("x"), configuration=5))
+    assert peer.take_outgoing() == []
+    late = peers.add(Hello(info=build_info("y"), configuration=4))
+    peers.take_beat("y", Beat(is_ready=True, configuration=5))
+    assert not any(isinstance(one, ConfigurationUpdate) for one in late.take_outgoing())
+
+
+def test_what_speaks_of_a_configuration_comes_after_it():
+    _state, peers = build_peers(5)
+    peer = peers.add(Hello(info=build_info("x"), reads_updates=True))
+    peers.send_digest(is_holder=True, is_store_followed=True)
+    kinds = [type(one) for one in peer.take_outgoing()]
+    assert kinds == [ConfigurationUpdate, Digest]
