Rely on a coordinator only while its word is fresh and its version not missed

What callers would see: a route that was added is unknown at all instances but a few, for as long as the coordinator's link is full. Digests came at their intervals, each late behind all else, so no instance could tell and none asked the store. The same held for an update that did not fit.

An instance that lacks the version, or to whom what is told may be over a second old, asks the store itself.

--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -45,6 +45,11 @@
 """A coordinator that was silent for this long, in ms, is not asked any more: three
 beats, and little against aims of 600 ms and more."""
 
+RELIED_ON_MS = 1_000
+"""How old what the coordinator told may be, in ms, until an instance asks the store
+itself: beats and digests add up to half a second, and with the time until it asks, a
+change is in force within 2 s."""
+
 REOPEN_MS = 1_600
 """A link that was silent for this long, in ms, is opened anew: an open connection may
 fall silent for good while new ones work."""
@@ -112,7 +117,13 @@
         """Whether the coordinator tells this instance all that the store tells."""
         if self.take_local is not None or self.digest is None or not self.is_up:
             return False
-        return self.digest.is_store_followed and not self._follows
+        state = self._state
+        return (
+            self.digest.is_store_followed
+            and not self._follows
+            and self.digest.configuration <= state.configuration_version
+            and self._echo.get_age(state.clock.now()) < RELIED_ON_MS
+        )
 
     @property
     def _follows(self) -> bool:
@@ -348,11 +359,15 @@
                 log_event(Event.PEER_DOWN, detail=f"unreadable frame: {error}")
                 return
 
-    async def _write(self, socket: aiohttp.ClientWebSocketResponse) -> None:
-        # Each coordinator counts the changes of its list for itself, and the beats
-        # of each link.
+    def forget_coordinator(self) -> None:
+        """Forget what was known of the coordinator before, as a connection begins."""
+        # Each coordinator counts the changes of its list for itself, and the beats of
+        # each connection.
         self._roster.version = 0
         self._echo = Echo(now=self._state.clock.now())
+
+    async def _write(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+        self.forget_coordinator()
         first: list[ToCoordinator] = [self.build_hello(), self.build_beat()]
         await socket.send_bytes(encode_frame(first))
         clock = self._state.clock
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -11,12 +12,14 @@
 from arbutuspulley.node import following
 from arbutuspulley.node.following import (
     FOLLOWED_MS,
+    LOOK_EVERY_MS,
+    MOST_FALLBACK_MS,
     follow_servers,
     is_followed,
     put_in_force,
     take_news,
 )
-from arbutuspulley.node.link import Link
+from arbutuspulley.node.link import BEAT_MS, Link
 from arbutuspulley.node.messages import (
     Digest,
     Hello,
@@ -31,6 +34,9 @@
 from scripts.platform_stage import build_configuration
 from tests.node_states import build_info, build_state
 
+IN_FORCE_WITHIN_MS = 2_000
+"""A change has to be in force everywhere within this time."""
+
 
 def build_value(*, state="ready", models=()):
     value = {"Service": "s", "Address": "10.0.0.1:1", "State": state}
@@ -293,6 +299,66 @@
     assert not link.is_relayed
 
 
+def build_link(version=0, **settings):
+    """Build a link of an instance that has a version in force, and its time."""
+    now = [0]
+    state = build_state(clock=Clock(read=lambda: now[0]), **settings)
+    state.store = SimpleNamespace(is_failing=False, is_recent=False)
+    if version:
+        put_in_force(state, encode_version(version), by="store")
+    return now, state, Link(state=state)
+
+
+def encode_version(version):
+    return msgspec.json.encode(build_configuration(version))
+
+
+def build_digest(**fields):
+    return Digest(is_holder=True, is_store_followed=True, **fields)
+
+
+def test_a_coordinator_that_has_a_newer_configuration_than_it_told_is_not_relied_on():
+    """Guards against an update that did not fit and is never asked for again."""
+    _now, state, link = build_link(4)
+    link.receive([build_digest(configuration=5)])
+    assert not link.is_relayed
+    put_in_force(state, encode_version(5), by="store")
+    assert link.is_relayed
+
+
+def test_a_coordinator_whose_word_comes_late_is_not_relied_on():
+    """Guards against digests that come at their intervals, each behind a full link."""
+    now, _state, link = build_link()
+    beats = []
+    for _ in range(20):
+        beats.append(link.build_beat().number)
+        link.receive([build_digest(beat=beats[-1])])
+        now[0] += BEAT_MS
+        assert link.is_relayed
+    late = beats[-1]
+    lost_after = 0
+    for _ in range(20):
+        link.build_beat()
+        link.receive([build_digest(beat=late)])
+        now[0] += BEAT_MS
+        lost_after += BEAT_MS
+        if not link.is_relayed:
+            break
+    assert link.is_up
+    assert not link.is_relayed
+    wait = lost_after + LOOK_EVERY_MS + MOST_FALLBACK_MS
+    assert wait < IN_FORCE_WITHIN_MS
+
+
+def test_a_new_link_is_not_late_before_it_has_been_heard():
+    now, _state, link = build_link()
+    link.receive([build_digest(beat=link.build_beat().number)])
+    now[0] += 60_000
+    link.forget_coordinator()
+    link.receive([build_digest()])
+    assert link.is_relayed
+
+
 def test_a_follower_hands_on_what_it_is_told_by_the_store():
     """The coordinator is cut off from the store, and nobody has noticed yet."""
     state = build_state()
