Tell a coordinator of a newer configuration than it has

What callers would see: a change that the store has confirmed is in force nowhere, or at few instances, though most reach the store. A follower that learnt of it between two coordinators told nobody: its message went with the old link. If the new coordinator is cut off from the store, the follower's beats said that the store is followed, so all others rested.

Digests bear the coordinator's version. Whoever knows a newer one sends the update that leads there, once a connection; a coordinator without any is told the whole by its followers only.

--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -74,6 +74,7 @@
         "_echo",
         "_heard_at",
         "_is_closed",
+        "_known_there",
         "_opened_at",
         "_outgoing",
         "_roster",
@@ -93,6 +94,7 @@
         self._echo = Echo(now=state.clock.now())
         self._heard_at = -SILENCE_MS
         self._is_closed = False
+        self._known_there: int | None = None
         self._opened_at = 0
         self._outgoing: list[ToCoordinator] = []
         self._roster = RosterCopy()
@@ -236,9 +238,29 @@
         self._state.nodes = tuple(self._roster.nodes.values())
 
     def _hand_on(self, news: StoreNews) -> None:
-        """Tell the coordinator what the store has told a follower."""
-        if self.take_local is None and self._follows:
-            self.tell(news)
+        """Tell the coordinator what the store has told this instance."""
+        if self.take_local is not None:
+            return
+        if self._follows and news.rows:
+            self.tell(msgspec.structs.replace(news, configuration=b""))
+        self._hand_up()
+
+    def _hand_up(self) -> None:
+        """Tell the coordinator of a newer configuration than it is known to have.
+
+        It has just taken over, or is cut off from the store and has not noticed; all
+        others would wait for it.
+        """
+        known, version = self._known_there, self._state.configuration_version
+        if self.take_local is not None or known is None or known >= version:
+            return
+        if known:
+            self.tell(self._state.versions.build(known))
+        elif self._follows:
+            self.tell(StoreNews(configuration=self._state.configuration_body))
+        else:
+            return
+        self._known_there = version
 
     def lead_to(self, address: str) -> None:
         """Let the link lead to another coordinator; nothing if it already does."""
@@ -299,12 +321,15 @@
         self.digest = digest
         self._heard_at = self._state.clock.now()
         self._echo.note_heard(digest.beat)
+        if self._known_there is None or digest.configuration > self._known_there:
+            self._known_there = digest.configuration
         state = self._state
         state.metrics.link_age.set(self._echo.get_age(self._heard_at) / SECOND_MS)
         state.instances = digest.instances
         state.takers = digest.takers
         state.nodes_at = self._heard_at
         state.store_version = max(state.store_version, digest.store_version)
+        self._hand_up()
 
     async def _keep(self, address: str) -> None:
         """Serve the link; open it anew as long as it brought something.
@@ -365,6 +390,7 @@
         # each connection.
         self._roster.version = 0
         self._echo = Echo(now=self._state.clock.now())
+        self._known_there = None
 
     async def _write(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         self.forget_coordinator()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -21,6 +21,7 @@
 )
 from arbutuspulley.node.link import BEAT_MS, Link
 from arbutuspulley.node.messages import (
+    ConfigurationUpdate,
     Digest,
     Hello,
     RelayedRow,
@@ -372,6 +373,51 @@
     assert link._outgoing == [news]
 
 
+def take_update_of(link):
+    """Return the versions that a link has told its coordinator since the last time."""
+    sent = [one for one in link._outgoing if isinstance(one, ConfigurationUpdate)]
+    link._outgoing.clear()
+    return [(one.base, one.version) for one in sent]
+
+
+def test_an_instance_tells_a_coordinator_that_has_an_older_configuration():
+    """Guards against a new coordinator that is cut off from the store and holds all
+    others back, though one of them was told by the store before the link was there."""
+    _now, state, link = build_link(4)
+    put_in_force(state, encode_version(5), by="store")
+    link.forget_coordinator()
+    link.receive([build_digest(configuration=4)])
+    assert take_update_of(link) == [(4, 5)]
+    link.receive([build_digest(configuration=4)])
+    assert take_update_of(link) == []
+    link.forget_coordinator()
+    link.receive([build_digest(configuration=4)])
+    assert take_update_of(link) == [(4, 5)]
+    link.receive([build_digest(configuration=5)])
+    assert take_update_of(link) == []
+
+
+def test_a_change_is_told_at_once_by_whom_the_store_tells():
+    _now, state, link = build_link(4)
+    link.forget_coordinator()
+    link.receive([build_digest(configuration=4, followers=("own",))])
+    assert take_update_of(link) == []
+    row = StoredRow(key=names.CONFIGURATION_KEY, version=9, value=encode_version(6))
+    state.tell_news(following.take_configuration(state, [row]))
+    assert take_update_of(link) == [(4, 6)]
+
+
+@pytest.mark.parametrize(("followers", "told"), [((), False), (("own",), True)])
+def test_a_coordinator_without_a_configuration_is_told_by_followers(followers, told):
+    """One that has just started, or does not understand updates, gets the whole; not
+    from all instances at once."""
+    _now, state, link = build_link(4)
+    link.forget_coordinator()
+    link.receive([build_digest(followers=followers)])
+    expected = [StoreNews(configuration=state.configuration_body)]
+    assert link._outgoing == (expected if told else [])
+
+
 def test_a_table_that_has_long_told_nothing_is_not_followed():
     now = [0]
     state = build_state(clock=Clock(read=lambda: now[0]))
