--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -14,7 +14,9 @@
     put_in_force,
 )
 from arbutuspulley.node.server_rows import take_servers
+from arbutuspulley.platform import names
 from arbutuspulley.platform.store import RowsAnswer, StoredRow
+from arbutuspulley.results import PlatformUnavailableError
 from scripts.platform_stage import build_configuration
 from tests.node_states import build_state
 
@@ -187,3 +189,86 @@
     assert least <= state.store.calls <= most
     if follow is follow_servers:
         assert len(state.entries) >= 20
+
+
+class ScriptedStore:
+    """A store whose calls end one after another as a script says.
+
+    :param outcomes: versions of the configuration that an answer brings, or an error.
+    """
+
+    is_failing = False
+
+    def __init__(self, *outcomes):
+        self.calls = []
+        self._outcomes = list(outcomes)
+
+    async def read(self, table):
+        return await self._answer("read")
+
+    async def wait_for_changes(self, table, *, after):
+        return await self._answer(after)
+
+    async def _answer(self, call):
+        self.calls.append(call)
+        if not self._outcomes:
+            await asyncio.sleep(3_600)
+        outcome = self._outcomes.pop(0)
+        if isinstance(outcome, Exception):
+            raise outcome
+        rows = [
+            StoredRow(
+                key=names.CONFIGURATION_KEY,
+                version=version,
+                value=msgspec.json.encode(build_configuration(version)),
+            )
+            for version in outcome
+        ]
+        return RowsAnswer(rows=rows, version=max(outcome), now_ms=0)
+
+
+def follow_script(follow, *outcomes):
+    """Return the calls that a follower makes, and the version then in force."""
+
+    async def scenario():
+        state = build_state()
+        store = state.store = ScriptedStore(*outcomes)
+        task = asyncio.create_task(follow(state))
+        async with asyncio.timeout(10):
+            while len(store.calls) <= len(outcomes):
+                await asyncio.sleep(0.005)
+        task.cancel()
+        return store.calls, state.configuration_version
+
+    return asyncio.run(scenario())
+
+
+def test_after_a_break_the_newest_configuration_is_asked_for(monkeypatch):
+    """Guards against a link that is filled by all versions that came in the break, so
+    that the newest is in force seconds late, again and again."""
+    monkeypatch.setattr(following, "RETRY_MS", 1)
+    swallowed = PlatformUnavailableError(detail="swallowed")
+    calls, in_force = follow_script(
+        follow_configuration, (1,), (2,), swallowed, swallowed, (30,)
+    )
+    assert calls == ["read", 1, 2, "read", "read", 30]
+    assert in_force == 30
+
+
+def test_whoever_falls_behind_asks_for_the_newest_configuration_only():
+    """Guards against answers that take longer than changes need to come, each larger
+    than the one before."""
+    calls, in_force = follow_script(
+        follow_configuration, (1,), (2,), (3, 4), (7,), (9,), (9,), (10,)
+    )
+    assert calls == ["read", 1, 2, "read", "read", "read", 9, 10]
+    assert in_force == 10
+
+
+def test_servers_are_followed_on_after_a_break(monkeypatch):
+    """Each row of a server matters, and what was removed shows in the changes only."""
+    monkeypatch.setattr(following, "RETRY_MS", 1)
+    monkeypatch.setattr(following, "GATHER_MS", 0)
+    swallowed = PlatformUnavailableError(detail="swallowed")
+    calls, _in_force = follow_script(follow_servers, (1,), swallowed, (5, 6))
+    assert calls == ["read", 1, 1, 6]
