Read the newest configuration after a break instead of all that were missed

Cause: a call for changes brings every version since the last answer, whole. An instance with a link of 5 Mbit/s needed longer for those that it had missed than as many new ones took to come, and stayed seconds behind; an answer that did not fit into the call's 2.6 s was thrown away and asked for again.

After a failed call the row is read instead, which holds the newest version only. So is it after an answer with several versions, until a reading brings nothing new. Servers' rows are followed as before, as each of them matters.

--- a/src/arbutuspulley/node/following.py
+++ b/src/arbutuspulley/node/following.py
@@ -23,6 +23,7 @@
     FEED_SLACK_S,
     FEED_WAIT_MS,
     HistoryLostError,
+    RowsAnswer,
     StoredRow,
 )
 from arbutuspulley.results import PlatformUnavailableError
@@ -85,6 +86,7 @@
         is_relayed=is_relayed,
         is_starting=is_starting,
         gather_ms=0,
+        wants_newest_only=True,
     ).follow()
 
 
@@ -107,6 +109,7 @@
         is_relayed=is_relayed,
         is_starting=is_starting,
         gather_ms=GATHER_MS,
+        wants_newest_only=False,
     ).follow()
 
 
@@ -141,21 +144,28 @@
 class _Follower:
     """One table's reader.
 
+    The store tells each change of a row, with its whole value. Where only the newest
+    value counts, whoever has missed some reads the row: all of them may take longer to
+    come than new ones need to be written.
+
     :param get_version: returns the version of the store from which changes have to be
-        asked for after a relay; ``None``: all rows have to be read.
+        asked for after a relay or a failure; ``None``: all rows have to be read.
     :param gather_ms: pause after changes, in ms, so that one answer tells of several.
+    :param wants_newest_only: whether a row's newer value makes the older ones useless.
     """
 
     __slots__ = (
         "_failed_at",
         "_gather_ms",
         "_get_version",
+        "_is_behind",
         "_is_relayed",
         "_is_starting",
         "_returned_at",
         "_state",
         "_table",
         "_take_rows",
+        "_wants_newest_only",
     )
 
     def __init__(
@@ -168,8 +178,11 @@
         is_relayed: Callable[[], bool],
         is_starting: Callable[[], bool],
         gather_ms: int,
+        wants_newest_only: bool,
     ) -> None:
         self._state = state
+        self._is_behind = False
+        self._wants_newest_only = wants_newest_only
         self._get_version = get_version
         self._is_relayed = is_relayed
         self._is_starting = is_starting
@@ -201,6 +214,7 @@
                 jitter = self._state.chance.uniform(0.5, 1.0)
                 await asyncio.sleep(pause * jitter / SECOND_MS)
                 pause = min(LONGEST_RETRY_MS, pause * 2)
+                version = self._get_version()
 
     async def _wait_for_coordinator(self, *, since: int) -> None:
         """Wait a moment for the first that is heard of.
@@ -221,7 +235,12 @@
             wait = self._state.chance.uniform(LEAST_FALLBACK_MS, MOST_FALLBACK_MS)
             await asyncio.sleep(wait / SECOND_MS)
 
-    async def _read_on(self, version: int | None) -> int:
+    async def _read_on(self, version: int | None) -> int | None:
+        """Make one call.
+
+        :param version: after which changes are asked for; ``None``: all rows are read.
+        :return: the same for the next call.
+        """
         store = self._state.store
         if version is None:
             answer = await store.read(self._table)
@@ -239,8 +258,23 @@
         )
         if news.configuration or news.rows:
             self._state.tell_news(news)
+        if self._wants_newest_only and self._note_behind(answer, news, version):
+            return None
         return answer.version
 
+    def _note_behind(
+        self, answer: RowsAnswer, news: StoreNews, version: int | None
+    ) -> bool:
+        """Tell whether more has changed than one answer in time would have brought.
+
+        Readings then follow each other until one brings nothing new.
+        """
+        if version is not None:
+            self._is_behind = len(answer.rows) > 1
+        elif not news.configuration:
+            self._is_behind = False
+        return self._is_behind
+
     def _note_failure(self, detail: str) -> None:
         self._state.followed.pop(self._table, None)
         if self._failed_at is None:
