Give up a store's answer when it stops coming, not when it is large

What callers would see: an instance with a busy link of 5 Mbit/s does not serve after its start, or keeps an old configuration, while a large one (1,400 routes: 0.5 MB on the wire, 0.8 s without callers) does not fit into the 1.2 s of a reading. It was thrown away and asked for again.

A call's time now bounds the store's silence, before and within an answer; one that keeps coming may take 10 s more. A silent store is noticed as soon as before, a stalled answer too.

Evidence: test_an_answer_that_keeps_coming_is_taken failed before for readings and for changes (TimeoutError), and the stalled cases hold.

--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -14,8 +14,13 @@
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
 
 CALL_TIMEOUT_S = 1.2
-"""How long a call may take, in s. The store answers within some ms, and within a third
-of a second when it is slow; a silent one must be noticed well within a lease of 3 s."""
+"""How long the store may be silent during a call, in s. It answers within some ms, and
+within a third of a second when it is slow; a silent one must be noticed well within a
+lease of 3 s."""
+
+LONGEST_TRANSFER_S = 10.0
+"""How long a call may take whose answer keeps coming, in s: enough for several megabytes
+over the slowest link. Given up sooner, it would be asked for again from its start."""
 
 FEED_WAIT_MS = 1_800
 FEED_SLACK_S = 0.8
@@ -197,9 +202,17 @@
         data: bytes | None = None,
         headers: dict[str, str] | None = None,
     ) -> tuple[int, bytes]:
+        """Make a call.
+
+        :param limit: how long the store may be silent, in s.
+        """
         self._count_call(path.strip("/"))
         url = yarl.URL(self._base + path)
-        timeout = aiohttp.ClientTimeout(total=limit, sock_connect=CALL_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(
+            total=limit + LONGEST_TRANSFER_S,
+            sock_connect=CALL_TIMEOUT_S,
+            sock_read=limit,
+        )
         try:
             async with self._session.request(
                 method, url, params=params, data=data, headers=headers, timeout=timeout
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -3,8 +3,11 @@
 ports (test_platform.py, test_engines.py)."""
 
 import asyncio
+import functools
 
+import msgspec
 import pytest
+from aiohttp import web
 
 from arbutuspulley.platform import engines, store
 from arbutuspulley.platform.engines import fetch_report, send_order
@@ -277,6 +280,49 @@
     asyncio.run(scenario())
 
 
+async def answer_slowly(request, *, pieces, pause_s):
+    """Answer with a row, a piece of the body at a time."""
+    body = msgspec.json.encode({"Rows": [{"Key": "a", "Ver": 3}], "Ver": 3})
+    response = web.StreamResponse(headers={"Content-Length": str(len(body))})
+    await response.prepare(request)
+    size = -(-len(body) // pieces)
+    for start in range(0, len(body), size):
+        await asyncio.sleep(pause_s)
+        await response.write(body[start : start + size])
+    return response
+
+
+@pytest.mark.parametrize(
+    ("pieces", "pause_s", "is_taken"),
+    [(10, 0.05, True), (2, 0.6, False)],
+    ids=["long on its way", "stalled"],
+)
+@pytest.mark.parametrize("call", ["read", "changes"])
+def test_an_answer_that_keeps_coming_is_taken(
+    monkeypatch, call, pieces, pause_s, is_taken
+):
+    """Guards against a large configuration that never fits into a call's time over a
+    busy link, is thrown away each time and asked for again."""
+    monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(store, "FEED_WAIT_MS", 100)
+    monkeypatch.setattr(store, "FEED_SLACK_S", 0.2)
+    handler = functools.partial(answer_slowly, pieces=pieces, pause_s=pause_s)
+
+    async def scenario():
+        listener, address = await listen(handler)
+        async with listener, open_session() as session:
+            client = StoreClient(session=session, address=address)
+            if call == "read":
+                return (await client.read("op")).version
+            return (await client.wait_for_changes("op", after=1)).version
+
+    if is_taken:
+        assert asyncio.run(scenario()) == 3
+    else:
+        with pytest.raises(PlatformUnavailableError):
+            asyncio.run(scenario())
+
+
 def test_a_silent_server_leaves_an_order_open(monkeypatch):
     monkeypatch.setattr(engines, "ORDER_TIMEOUT_MS", 100)
 
