Pause between readings of a store whose history is lost again at once

What callers would see: nothing at first; then the store turns calls away for being too many, and configuration and servers' rows come late at all instances.

A second loss without an answer between is followed by the pauses of other failures, 0.25 to 1 s.

--- a/src/arbutuspulley/node/following.py
+++ b/src/arbutuspulley/node/following.py
@@ -195,6 +195,7 @@
     async def follow(self) -> None:
         """Read all rows, then wait for changes; begin anew whenever that fails."""
         pause = RETRY_MS
+        is_lost_again = False
         version: int | None = None
         began_at = self._state.clock.now()
         while True:
@@ -202,20 +203,34 @@
                 await self._rest()
                 version = self._get_version()
             try:
-                version = await self._read_on(version)
-                pause = RETRY_MS
+                asked_after, version = version, await self._read_on(version)
+                if asked_after is not None:
+                    is_lost_again = False
+                if not is_lost_again:
+                    pause = RETRY_MS
                 await asyncio.sleep(self._gather_ms / SECOND_MS)
                 await self._wait_for_coordinator(since=began_at)
             except HistoryLostError:
                 log_event(Event.HISTORY_LOST, table=self._table, version=version)
                 version = None
+                if is_lost_again:
+                    pause = await self._pause(pause)
+                is_lost_again = True
             except PlatformUnavailableError as error:
                 self._note_failure(error.detail)
-                jitter = self._state.chance.uniform(0.5, 1.0)
-                await asyncio.sleep(pause * jitter / SECOND_MS)
-                pause = min(LONGEST_RETRY_MS, pause * 2)
+                pause = await self._pause(pause)
                 version = self._get_version()
 
+    async def _pause(self, pause: int) -> int:
+        """Wait before the next try.
+
+        :param pause: for how long at most, in ms.
+        :return: the same for the time after.
+        """
+        jitter = self._state.chance.uniform(0.5, 1.0)
+        await asyncio.sleep(pause * jitter / SECOND_MS)
+        return min(LONGEST_RETRY_MS, pause * 2)
+
     async def _wait_for_coordinator(self, *, since: int) -> None:
         """Wait a moment for the first that is heard of.
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -15,7 +15,7 @@
 )
 from arbutuspulley.node.server_rows import take_servers
 from arbutuspulley.platform import names
-from arbutuspulley.platform.store import RowsAnswer, StoredRow
+from arbutuspulley.platform.store import HistoryLostError, RowsAnswer, StoredRow
 from arbutuspulley.results import PlatformUnavailableError
 from scripts.platform_stage import build_configuration
 from tests.node_states import build_state
@@ -272,3 +272,39 @@
     swallowed = PlatformUnavailableError(detail="swallowed")
     calls, _in_force = follow_script(follow_servers, (1,), swallowed, (5, 6))
     assert calls == ["read", 1, 1, 6]
+
+
+class StaleStore:
+    """A store that has forgotten its history and reads as of long ago."""
+
+    is_failing = False
+
+    def __init__(self):
+        self.calls = 0
+
+    async def read(self, table):
+        self.calls += 1
+        return RowsAnswer(rows=[], version=1, now_ms=0)
+
+    async def wait_for_changes(self, table, *, after):
+        self.calls += 1
+        raise HistoryLostError(detail="forgotten")
+
+
+@pytest.mark.parametrize("follow", [follow_servers, follow_configuration])
+def test_a_store_that_reads_from_before_its_history_is_asked_with_pauses(
+    monkeypatch, follow
+):
+    """Guards against instances that read all rows again and again without a pause,
+    until the store turns them all away."""
+    monkeypatch.setattr(following, "GATHER_MS", 0)
+
+    async def scenario():
+        state = build_state()
+        state.store = StaleStore()
+        task = asyncio.create_task(follow(state))
+        await asyncio.sleep(0.5)
+        task.cancel()
+        return state.store.calls
+
+    assert 4 <= asyncio.run(scenario()) <= 12
