--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -19,8 +19,8 @@
 lease of 3 s."""
 
 LONGEST_TRANSFER_S = 10.0
-"""How long a call may take whose answer keeps coming, in s: enough for several megabytes
-over the slowest link. Given up sooner, it would be asked for again from its start."""
+"""How long a call may take whose answer keeps coming, in s: some megabytes take so long
+over a slow link. Given up sooner, it would be asked for again from its start."""
 
 FEED_WAIT_MS = 1_800
 FEED_SLACK_S = 0.8
