Notice sooner that nobody follows the store, and let all ask it then

What callers would see: a route that was added is answered 404 for 2.8 s at instances that reach the store, since the coordinator and the two instances that follow it for all others are cut off and have not noticed.

Cause: a call that the store swallowed was given up after 2.6 s, that was told with the next beat and the next digest, and then 0.2 to 0.6 s passed.

A call is now held for 1 s and given up 0.5 s later; a follower says at once that it has lost the store, and so does the coordinator when none is left; small fleets ask after 0.15 to 0.2 s; a follower that misses the store is replaced. In sum 1.5 + 0.15 + 0.2 s in small fleets, whose bound is 2 s, and 2.25 s in large ones, whose bound is 3 s and more. It costs some four more calls to the store a second in all.

--- a/scripts/platform_stage.py
+++ b/scripts/platform_stage.py
@@ -105,11 +105,11 @@
         self.addresses: dict[str, dict[str, str]] = {}
         self._listeners: list[asyncio.Server] = []
         self._reserved: list[socket.socket] = []
-        self._store_address = ""
+        self.store_address = ""
 
     async def open(self) -> None:
         """Start the store and four servers: two with models, two plain ones."""
-        listener, self._store_address = await listen(self.store.handle)
+        listener, self.store_address = await listen(self.store.handle)
         self._listeners.append(listener)
         self.store.put("op", "config", build_configuration(1))
         for name, models in (("e1", ("m0",)), ("e2", ("m0", "m1"))):
@@ -126,10 +126,19 @@
         self.servers.append(server)
         self.store.put("servers", server.incarnation, server.describe())
 
-    async def start_node(self, name: str, *, seeds: tuple[str, ...] = ()) -> None:
+    async def start_node(
+        self,
+        name: str,
+        *,
+        seeds: tuple[str, ...] = (),
+        store: str = "",
+        lease_ms: int = 1_500,
+    ) -> None:
         """Start a node.
 
         :param seeds: nodes that its settings name.
+        :param store: address under which it reaches the store; empty: the store's own.
+        :param lease_ms: the platform's bound on holders that give orders.
         """
         ports = [self._reserve_port() for _ in range(4)]
         names = ("Frontend", "Ready", "ControlPlane", "DirectoryService")
@@ -140,8 +149,8 @@
             "Region": "riga",
             "Listen": listens,
             "Seeds": [self.addresses[seed]["ControlPlane"] for seed in seeds],
-            "Bounds": {"GraceS": 3, "LeaseMs": 1_500, "RequireFencing": True},
-            "Platform": {"Address": self._store_address},
+            "Bounds": {"GraceS": 3, "LeaseMs": lease_ms, "RequireFencing": True},
+            "Platform": {"Address": store or self.store_address},
         }
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -147,6 +147,7 @@
         self.alone_since: int | None = None
         state.on_change.append(self.take_change)
         state.on_news.append(self._relay_news)
+        state.on_lost.append(self._tell_lost)
 
     def list_loads(self) -> dict[str, list[int]] | None:
         """Return when loads were ordered, by service; ``None`` if not coordinating."""
@@ -321,7 +322,8 @@
         if isinstance(message, Ask):
             self._take_ask(origin, message, now=now)
         elif isinstance(message, Beat):
-            self._peers.take_beat(origin, message)
+            if self._peers.take_beat(origin, message):
+                self._tell_lost()
         elif isinstance(message, StoreNews):
             self._relay_news(take_news(self._state, message, by="follower"))
         elif isinstance(message, ConfigurationUpdate):
@@ -336,6 +338,14 @@
         else:
             take_outcome(self._pools, message, now=now)
 
+    def _tell_lost(self) -> None:
+        """Tell all at once if nobody follows the store any more."""
+        if self.acts and not self._is_store_followed():
+            self._send_digest()
+
+    def _is_store_followed(self) -> bool:
+        return is_followed(self._state) or self._peers.is_store_followed()
+
     def _relay_news(self, news: StoreNews) -> None:
         if self.acts and (news.configuration or news.rows):
             self._peers.tell_news(news)
@@ -471,7 +481,7 @@
         now = self._state.clock.now()
         count = self._peers.send_digest(
             is_holder=is_holder(self._lease, now=now) or self._orders_on(),
-            is_store_followed=is_followed(self._state),
+            is_store_followed=self._is_store_followed(),
         )
         if count > 1:
             self.alone_since = None
--- a/src/arbutuspulley/node/following.py
+++ b/src/arbutuspulley/node/following.py
@@ -53,12 +53,15 @@
 LOOK_EVERY_MS = 150
 """Time between looks whether the store's news still come by relay, in ms."""
 
-LEAST_FALLBACK_MS = 200
+LEAST_FALLBACK_MS = 150
 MOST_FALLBACK_MS = 600
 """How long after its relay was lost an instance asks the store itself, in ms. A
-coordinator that stops is followed by another within some 300 ms; drawn between the two,
-what all instances ask spreads out. With the time after which a silent relay counts as
-lost, it stays below the 2 s within which a change is to be in force."""
+coordinator that stops is mostly followed by another meanwhile; drawn between the two,
+what all instances ask spreads out."""
+
+FALLBACK_STEP_MS = 10
+"""How much longer it may be for each instance, in ms, up to the most: a hundred calls a
+second are few for the store, and few instances need not wait long."""
 
 
 FIRST_RELAY_MS = 1_000
@@ -122,6 +125,15 @@
     )
 
 
+def get_longest_fallback(instances: int) -> int:
+    """Return how long an instance waits at most until it asks the store itself, in ms.
+
+    :param instances: how many there are.
+    """
+    spread = FALLBACK_STEP_MS * max(1, instances)
+    return min(MOST_FALLBACK_MS, LEAST_FALLBACK_MS + spread)
+
+
 class TakeRows(Protocol):
     """Takes rows of a table in.
 
@@ -247,7 +259,8 @@
         while self._is_relayed():
             while self._is_relayed():
                 await asyncio.sleep(LOOK_EVERY_MS / SECOND_MS)
-            wait = self._state.chance.uniform(LEAST_FALLBACK_MS, MOST_FALLBACK_MS)
+            longest = get_longest_fallback(self._state.instances)
+            wait = self._state.chance.uniform(LEAST_FALLBACK_MS, longest)
             await asyncio.sleep(wait / SECOND_MS)
 
     async def _read_on(self, version: int | None) -> int | None:
@@ -291,7 +304,8 @@
         return self._is_behind
 
     def _note_failure(self, detail: str) -> None:
-        self._state.followed.pop(self._table, None)
+        if self._state.followed.pop(self._table, None) is not None:
+            self._state.tell_lost()
         if self._failed_at is None:
             self._failed_at = self._state.clock.now()
             log_event(Event.PLATFORM_DOWN, table=self._table, detail=detail)
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -106,6 +106,7 @@
         self.take_suspicions: Callable[[tuple[Suspicion, ...]], None] = _ignore
         self.take_local: Callable[[list[ToCoordinator]], None] | None = None
         state.on_news.append(self._hand_on)
+        state.on_lost.append(self._tell_lost)
 
     @property
     def is_up(self) -> bool:
@@ -237,6 +238,11 @@
             return
         self._state.nodes = tuple(self._roster.nodes.values())
 
+    def _tell_lost(self) -> None:
+        """Tell the coordinator at once that the store is lost here."""
+        if self.take_local is None and self._follows:
+            self.tell(self.build_beat())
+
     def _hand_on(self, news: StoreNews) -> None:
         """Tell the coordinator what the store has told this instance."""
         if self.take_local is not None:
--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -106,12 +106,16 @@
         log_event(Event.PEER_DOWN, instance=peer.info.name)
         return True
 
-    def take_beat(self, origin: str, beat: Beat) -> None:
-        """Take in what an instance says of itself."""
+    def take_beat(self, origin: str, beat: Beat) -> bool:
+        """Take in what an instance says of itself.
+
+        :return: whether it has just lost the store.
+        """
         peer = self._by_name.get(origin)
         if peer is None:
             self.tell_roster()
-            return
+            return False
+        has_lost_store = peer.follows_store and not beat.follows_store
         peer.misses_store = beat.misses_store
         peer.follows_store = beat.follows_store
         peer.configuration = beat.configuration
@@ -124,6 +128,14 @@
         if not beat.roster and now - peer.roster_at >= WHOLE_AGAIN_MS:
             peer.roster_at = now
             peer.send(build_whole(self._get_roster(peer.info.site)))
+        return has_lost_store
+
+    def is_store_followed(self) -> bool:
+        """Tell whether an instance that follows the store hears all changes."""
+        followers = self._relay.followers
+        return any(
+            one.follows_store for one in self.list_heard() if one.info.name in followers
+        )
 
     def list_heard(self) -> list[Peer]:
         """Return the instances that were heard lately."""
@@ -191,20 +203,16 @@
         heard = self.list_heard()
         count = 1 + len(heard)
         self.most_heard = max(self.most_heard, count)
-        self._relay.choose_followers(one.info for one in heard)
+        self._relay.choose_followers(one.info for one in heard if not one.misses_store)
         news = self._relay.flush(self._state.clock.now())
         if news is not None:
             self.send_others(news)
-        followers = self._relay.followers
-        by_follower = any(
-            one.follows_store for one in heard if one.info.name in followers
-        )
         digest = Digest(
             is_holder=is_holder,
             instances=count,
             takers=self._takers,
-            followers=followers,
-            is_store_followed=is_store_followed or by_follower,
+            followers=self._relay.followers,
+            is_store_followed=is_store_followed,
             store_version=self._relay.store_version,
             configuration=self._state.configuration_version,
         )
--- a/src/arbutuspulley/node/relay.py
+++ b/src/arbutuspulley/node/relay.py
@@ -93,7 +93,9 @@
     def choose_followers(self, peers: Iterable[NodeInfo]) -> None:
         """Choose who else follows the store: the best placed, in other data centres.
 
-        Whoever does so goes on as long as it is heard.
+        Whoever does so goes on as long as it is heard and reaches the store.
+
+        :param peers: instances that may.
         """
         ready = {one.name: one for one in peers if one.is_ready}
         kept = [name for name in self.followers if name in ready]
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -44,6 +44,7 @@
     :param stopping_at: when SIGTERM came, ``None`` before.
     :param on_change: called after the configuration or the servers changed.
     :param on_news: called with what the store has told this process and was new.
+    :param on_lost: called when the store tells this process no changes any more.
     """
 
     __slots__ = (
@@ -67,6 +68,7 @@
         "nodes",
         "nodes_at",
         "on_change",
+        "on_lost",
         "on_news",
         "order_session",
         "quiet_rows",
@@ -128,6 +130,7 @@
         self.stopping_at: int | None = None
         self.on_change: list[Callable[[], None]] = []
         self.on_news: list[Callable[[StoreNews], None]] = []
+        self.on_lost: list[Callable[[], None]] = []
 
     @property
     def is_ready(self) -> bool:
@@ -193,3 +196,8 @@
         """Hand on what the store has told this process."""
         for call in self.on_news:
             call(news)
+
+    def tell_lost(self) -> None:
+        """Say that the store tells this process no changes any more."""
+        for call in self.on_lost:
+            call()
--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -7,7 +7,7 @@
 import msgspec
 import yarl
 
-from arbutuspulley.clock import SECOND_MS, Clock
+from arbutuspulley.clock import Clock
 from arbutuspulley.data import State
 from arbutuspulley.platform import names
 from arbutuspulley.platform.messages import WireRows, decode_rows
@@ -22,17 +22,16 @@
 """How long a call may take whose answer keeps coming, in s: some megabytes take so long
 over a slow link. Given up sooner, it would be asked for again from its start."""
 
-FEED_WAIT_MS = 1_800
-FEED_SLACK_S = 0.8
+FEED_WAIT_MS = 1_000
+FEED_SLACK_S = 0.5
 """How long the store may hold a call for changes, in ms, and how much later its answer
 is given up, in s. A call that the store swallowed while it was silent is never
-answered, also after its return: an instance would hear of no server that leaves for as
-long as it waits, and go on sending requests to one. Instances are held to what the
-store told 3 s after its return; by then such a call has been given up and another one
-made."""
+answered, also after its return. Until it is given up, whoever made it believes that it
+hears of all changes; and so do all whom it tells, who have 2 s to put one in force."""
 
-RECENT_MS = FEED_WAIT_MS + int(FEED_SLACK_S * SECOND_MS)
-"""How long the outcome of a call tells of the store, in ms: as long as a call takes."""
+RECENT_MS = 2_600
+"""How long the outcome of a call tells of the store, in ms: as long as an instance that
+is turned away takes for the next one, its pause included."""
 
 PAGE_ROWS = 500
 """Most rows in an answer; the store's own bound."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -163,3 +163,28 @@
     peers.send_digest(is_holder=True, is_store_followed=True)
     kinds = [type(one) for one in peer.take_outgoing()]
     assert kinds == [ConfigurationUpdate, Digest]
+
+
+def test_a_follower_that_misses_the_store_is_replaced():
+    """Guards against followers that are cut off one after another until none is left."""
+    _state, peers = build_peers(5)
+    for name in ("a", "b", "c"):
+        peers.add(Hello(info=build_info(name), configuration=5))
+        peers.take_beat(name, Beat(is_ready=True, follows_store=True))
+    peers.send_digest(is_holder=True, is_store_followed=True)
+    assert peers.get("c").take_outgoing()[-1].followers == ("a", "b")
+    peers.take_beat("a", Beat(is_ready=True, misses_store=True))
+    peers.send_digest(is_holder=True, is_store_followed=True)
+    assert peers.get("c").take_outgoing()[-1].followers == ("b", "c")
+
+
+def test_whether_anyone_follows_the_store_is_known_as_a_beat_comes():
+    _state, peers = build_peers(5)
+    peers.add(Hello(info=build_info("a"), configuration=5))
+    assert not peers.take_beat("a", Beat(is_ready=True, follows_store=True))
+    assert not peers.is_store_followed()
+    peers.send_digest(is_holder=True, is_store_followed=True)
+    assert peers.is_store_followed()
+    assert peers.take_beat("a", Beat(is_ready=True))
+    assert not peers.is_store_followed()
+    assert not peers.take_beat("a", Beat(is_ready=True))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -418,6 +418,21 @@
     assert link._outgoing == (expected if told else [])
 
 
+def test_a_follower_that_loses_the_store_says_so_at_once():
+    """Guards against a quarter of a second in which all others still wait."""
+    _now, state, link = build_link()
+    link.receive([build_digest(followers=("own",))])
+    link._outgoing.clear()
+    state.tell_lost()
+    (beat,) = link._outgoing
+    assert not beat.follows_store
+
+
+@pytest.mark.parametrize(("instances", "longest"), [(0, 160), (6, 210), (400, 600)])
+def test_few_instances_ask_the_store_soon_and_many_spread_out(instances, longest):
+    assert following.get_longest_fallback(instances) == longest
+
+
 def test_a_table_that_has_long_told_nothing_is_not_followed():
     now = [0]
     state = build_state(clock=Clock(read=lambda: now[0]))
