--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -166,7 +166,7 @@
 
 
 def test_a_follower_that_misses_the_store_is_replaced():
-    """Guards against followers that are cut off one after another until none is left."""
+    """Guards against followers that are cut off one by one until none is left."""
     _state, peers = build_peers(5)
     for name in ("a", "b", "c"):
         peers.add(Hello(info=build_info(name), configuration=5))
