--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -222,10 +222,15 @@
         return count
 
     def list_behind(self) -> list[str]:
-        """Return the instances that have an older configuration in force."""
+        """Return the instances that have an older configuration in force.
+
+        Those that have none are not ready, and have not said yet or never do.
+        """
         version = self._state.configuration_version
         return [
-            one.info.name for one in self.list_heard() if one.configuration < version
+            one.info.name
+            for one in self.list_heard()
+            if 0 < one.configuration < version
         ]
 
     def tell_roster(self) -> None:
