--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -24,7 +24,7 @@
     may_order,
     may_order_on,
 )
-from arbutuspulley.node.following import is_followed, take_news, take_update
+from arbutuspulley.node.following import take_news, take_update
 from arbutuspulley.node.intake import (
     build_waiting,
     drop_instance,
@@ -88,9 +88,6 @@
 TELL_EVERY_MS = 1_000
 """Time between log lines on what a pool's models are asked for, in ms."""
 
-MOST_TOLD_BEHIND = 10
-"""Most instances that a line on who is behind names; it also counts them."""
-
 WRITE_TIMEOUT_S = 2.0
 """How long an instance may take no bytes, in s. Its link is cut then: it hears nothing
 of the coordinator anyway, and what waits for it takes memory."""
@@ -180,7 +177,6 @@
         self.acts = False
         self._state.coordinates = False
         self._state.metrics.coordinates.set(0)
-        self._state.metrics.behind.set(0)
         if self._timer is not None:
             self._timer.cancel()
         for task in list(self._tasks):
@@ -340,12 +336,9 @@
 
     def _tell_lost(self) -> None:
         """Tell all at once if nobody follows the store any more."""
-        if self.acts and not self._is_store_followed():
+        if self.acts and not self._peers.is_store_followed():
             self._send_digest()
 
-    def _is_store_followed(self) -> bool:
-        return is_followed(self._state) or self._peers.is_store_followed()
-
     def _relay_news(self, news: StoreNews) -> None:
         if self.acts and (news.configuration or news.rows):
             self._peers.tell_news(news)
@@ -450,7 +443,7 @@
                 told_at = now
                 self._tell_pools()
                 self._tell_learnt()
-                self._tell_behind()
+                self._peers.tell_behind()
             await asyncio.sleep(BEAT_MS / SECOND_MS)
 
     def _tell_pools(self) -> None:
@@ -465,23 +458,10 @@
         demand = {name: list_demand(pool) for name, pool in self._pools.items()}
         self._peers.send_successors(Learnt(speeds=speeds, demand=demand))
 
-    def _tell_behind(self) -> None:
-        """Log which instances have an older configuration in force, if any."""
-        behind = self._peers.list_behind()
-        self._state.metrics.behind.set(len(behind))
-        if behind:
-            log_event(
-                Event.CONFIGURATION_BEHIND,
-                version=self._state.configuration_version,
-                count=len(behind),
-                instances=behind[:MOST_TOLD_BEHIND],
-            )
-
     def _send_digest(self) -> None:
         now = self._state.clock.now()
         count = self._peers.send_digest(
-            is_holder=is_holder(self._lease, now=now) or self._orders_on(),
-            is_store_followed=self._is_store_followed(),
+            is_holder=is_holder(self._lease, now=now) or self._orders_on()
         )
         if count > 1:
             self.alone_since = None
--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -6,6 +6,7 @@
 
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.callers import count_takers
+from arbutuspulley.node.following import is_followed
 from arbutuspulley.node.link import SILENCE_MS
 from arbutuspulley.node.messages import (
     Beat,
@@ -26,6 +27,9 @@
 """Instances that are told what the coordinator has learnt, the best placed: one of them
 comes next. All of it, to all, would grow with the models times the instances."""
 
+MOST_TOLD_BEHIND = 10
+"""Most instances that a line on who is behind names; it also counts them."""
+
 WHOLE_AGAIN_MS = 1_000
 """Least time between two whole lists of instances to one that says it has none, in ms:
 it says so in each beat until the list has come."""
@@ -71,6 +75,7 @@
         self._by_name.clear()
         self._rosters.clear()
         self._told = ()
+        self._state.metrics.behind.set(0)
         self.most_heard = self._state.instances
 
     def get(self, name: str) -> Peer | None:
@@ -131,9 +136,9 @@
         return has_lost_store
 
     def is_store_followed(self) -> bool:
-        """Tell whether an instance that follows the store hears all changes."""
+        """Tell whether any of those that follow the store hears all changes."""
         followers = self._relay.followers
-        return any(
+        return is_followed(self._state) or any(
             one.follows_store for one in self.list_heard() if one.info.name in followers
         )
 
@@ -193,7 +198,7 @@
         for peer in self._by_name.values():
             peer.tell_configuration(self._state.configuration_version)
 
-    def send_digest(self, *, is_holder: bool, is_store_followed: bool) -> int:
+    def send_digest(self, *, is_holder: bool) -> int:
         """Send the digest, and before it what was held back.
 
         The list of instances is to be told before.
@@ -212,7 +217,7 @@
             instances=count,
             takers=self._takers,
             followers=self._relay.followers,
-            is_store_followed=is_store_followed,
+            is_store_followed=self.is_store_followed(),
             store_version=self._relay.store_version,
             configuration=self._state.configuration_version,
         )
@@ -221,6 +226,18 @@
             peer.send(msgspec.structs.replace(digest, beat=peer.beat))
         return count
 
+    def tell_behind(self) -> None:
+        """Log which instances have an older configuration in force, if any."""
+        behind = self.list_behind()
+        self._state.metrics.behind.set(len(behind))
+        if behind:
+            log_event(
+                Event.CONFIGURATION_BEHIND,
+                version=self._state.configuration_version,
+                count=len(behind),
+                instances=behind[:MOST_TOLD_BEHIND],
+            )
+
     def list_behind(self) -> list[str]:
         """Return the instances that have an older configuration in force.
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -160,7 +160,7 @@
 def test_what_speaks_of_a_configuration_comes_after_it():
     _state, peers = build_peers(5)
     peer = peers.add(Hello(info=build_info("x"), reads_updates=True))
-    peers.send_digest(is_holder=True, is_store_followed=True)
+    peers.send_digest(is_holder=True)
     kinds = [type(one) for one in peer.take_outgoing()]
     assert kinds == [ConfigurationUpdate, Digest]
 
@@ -171,10 +171,10 @@
     for name in ("a", "b", "c"):
         peers.add(Hello(info=build_info(name), configuration=5))
         peers.take_beat(name, Beat(is_ready=True, follows_store=True))
-    peers.send_digest(is_holder=True, is_store_followed=True)
+    peers.send_digest(is_holder=True)
     assert peers.get("c").take_outgoing()[-1].followers == ("a", "b")
     peers.take_beat("a", Beat(is_ready=True, misses_store=True))
-    peers.send_digest(is_holder=True, is_store_followed=True)
+    peers.send_digest(is_holder=True)
     assert peers.get("c").take_outgoing()[-1].followers == ("b", "c")
 
 
@@ -183,7 +183,7 @@
     peers.add(Hello(info=build_info("a"), configuration=5))
     assert not peers.take_beat("a", Beat(is_ready=True, follows_store=True))
     assert not peers.is_store_followed()
-    peers.send_digest(is_holder=True, is_store_followed=True)
+    peers.send_digest(is_holder=True)
     assert peers.is_store_followed()
     assert peers.take_beat("a", Beat(is_ready=True))
     assert not peers.is_store_followed()
