Give another process two seconds to greet a new connection

Operators would see a console that refuses with 6005 for seconds while a controller is busy.

Cause: grpc.min_reconnect_backoff_ms also bounds an attempt to connect. At 200 ms, a process that takes longer to send its first bytes was given up, and each call failed at once.

An attempt may now take 2 s; one that is refused is repeated as soon as before.

--- a/src/arbutuspulley/rpc/channel.py
+++ b/src/arbutuspulley/rpc/channel.py
@@ -181,13 +181,18 @@
     return server
 
 
+CONNECT_TIMEOUT_MS = 2_000
+"""How long another process may take to greet a new connection, in ms: a busy one takes
+its time, and each call fails at once until one is there."""
+
 _OPTIONS = (
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.so_reuseport", 0),
     ("grpc.enable_http_proxy", 0),
     ("grpc.initial_reconnect_backoff_ms", 200),
-    ("grpc.min_reconnect_backoff_ms", 200),
+    # Bounds an attempt to connect; one that fails sooner is repeated sooner.
+    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.max_reconnect_backoff_ms", 2_000),
 )
 
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -9,6 +9,7 @@
 from arbutuspulley.rpc import channel, messages
 from arbutuspulley.tracing import open_span, read_bearing
 from tests.ports import find_free_address
+from tests.proxy import FaultProxy
 
 
 @pytest.fixture
@@ -127,3 +128,33 @@
 
     with pytest.raises(channel.PeerUnavailableError):
         loop.wait_for(asyncio.wait_for(ask(), 20))
+
+
+def test_a_peer_that_is_slow_to_greet_is_reached(loop):
+    """Guards against calls that fail at once while the other process is busy."""
+
+    async def start(address):
+        return await channel.serve(
+            address=address,
+            key="secret",
+            unary={channel.REPORT: _report},
+            streaming={},
+        )
+
+    async def ask(address):
+        client = channel.Client(address=address, key="secret")
+        report = messages.EntryReport(
+            entry=_entry(), configuration_version=3, in_flight=0
+        )
+        try:
+            return await client.call(channel.REPORT, report, timeout_ms=10_000)
+        finally:
+            await client.close()
+
+    address = find_free_address()
+    server = loop.wait_for(start(address))
+    with FaultProxy(target=address) as proxy:
+        proxy.delay(400)
+        reply = loop.wait_for(ask(proxy.address))
+    loop.wait_for(server.stop(0))
+    assert reply == messages.Acknowledged()
