--- a/src/arbutuspulley/node/following.py
+++ b/src/arbutuspulley/node/following.py
@@ -60,8 +60,8 @@
 what all instances ask spreads out."""
 
 FALLBACK_STEP_MS = 10
-"""How much longer it may be for each instance, in ms, up to the most: a hundred calls a
-second are few for the store, and few instances need not wait long."""
+"""How much the longest of these waits grows with each instance, in ms: a
+hundred calls a second are few for the store, and few instances need not wait long."""
 
 
 FIRST_RELAY_MS = 1_000
@@ -207,7 +207,7 @@
     async def follow(self) -> None:
         """Read all rows, then wait for changes; begin anew whenever that fails."""
         pause = RETRY_MS
-        is_lost_again = False
+        has_lost_history = False
         version: int | None = None
         began_at = self._state.clock.now()
         while True:
@@ -217,17 +217,17 @@
             try:
                 asked_after, version = version, await self._read_on(version)
                 if asked_after is not None:
-                    is_lost_again = False
-                if not is_lost_again:
+                    has_lost_history = False
+                if not has_lost_history:
                     pause = RETRY_MS
                 await asyncio.sleep(self._gather_ms / SECOND_MS)
                 await self._wait_for_coordinator(since=began_at)
             except HistoryLostError:
                 log_event(Event.HISTORY_LOST, table=self._table, version=version)
                 version = None
-                if is_lost_again:
+                if has_lost_history:
                     pause = await self._pause(pause)
-                is_lost_again = True
+                has_lost_history = True
             except PlatformUnavailableError as error:
                 self._note_failure(error.detail)
                 pause = await self._pause(pause)
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -74,13 +74,13 @@
         "_echo",
         "_heard_at",
         "_is_closed",
-        "_known_there",
         "_opened_at",
         "_outgoing",
         "_roster",
         "_running",
         "_state",
         "_task",
+        "_version_there",
         "_waiting",
         "_wake",
         "digest",
@@ -94,7 +94,8 @@
         self._echo = Echo(now=state.clock.now())
         self._heard_at = -SILENCE_MS
         self._is_closed = False
-        self._known_there: int | None = None
+        # The coordinator's configuration; None until it has told on this connection.
+        self._version_there: int | None = None
         self._opened_at = 0
         self._outgoing: list[ToCoordinator] = []
         self._roster = RosterCopy()
@@ -257,7 +258,7 @@
         It has just taken over, or is cut off from the store and has not noticed; all
         others would wait for it.
         """
-        known, version = self._known_there, self._state.configuration_version
+        known, version = self._version_there, self._state.configuration_version
         if self.take_local is not None or known is None or known >= version:
             return
         if known:
@@ -266,7 +267,7 @@
             self.tell(StoreNews(configuration=self._state.configuration_body))
         else:
             return
-        self._known_there = version
+        self._version_there = version
 
     def lead_to(self, address: str) -> None:
         """Let the link lead to another coordinator; nothing if it already does."""
@@ -327,10 +328,12 @@
         self.digest = digest
         self._heard_at = self._state.clock.now()
         self._echo.note_heard(digest.beat)
-        if self._known_there is None or digest.configuration > self._known_there:
-            self._known_there = digest.configuration
+        if self._version_there is None or digest.configuration > self._version_there:
+            self._version_there = digest.configuration
         state = self._state
-        state.metrics.link_age.set(self._echo.get_age(self._heard_at) / SECOND_MS)
+        if self.take_local is None:
+            age_ms = self._echo.get_age(self._heard_at)
+            state.metrics.link_age.set(age_ms / SECOND_MS)
         state.instances = digest.instances
         state.takers = digest.takers
         state.nodes_at = self._heard_at
@@ -396,7 +399,7 @@
         # each connection.
         self._roster.version = 0
         self._echo = Echo(now=self._state.clock.now())
-        self._known_there = None
+        self._version_there = None
 
     async def _write(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         self.forget_coordinator()
