Read teams and their keys, and pass neither key nor forged team on

Cause: no code knew either header, so both went on like any other.

Keys are looked up by a digest salted for each process.

--- /dev/null
+++ b/src/arbutuspulley/admission/keys.py
@@ -0,0 +1,76 @@
+"""Which team a caller's key belongs to.
+
+Keys are looked up by a digest that is salted for each process: how long a lookup takes
+says nothing about how much of a key was guessed right.
+"""
+
+import hashlib
+import os
+from collections.abc import Iterable
+
+from arbutuspulley.data import Value
+from arbutuspulley.ports.fleet import Team
+from arbutuspulley.results import Code, ConfigurationError
+
+DIGEST_BYTES = 16
+"""Length of a digest, in bytes: two of a million keys do not share one."""
+
+SHOWN_DIGITS = 8
+"""Hexadecimal digits of a digest that logs show: enough to tell two keys apart."""
+
+_SALTED = hashlib.blake2b(digest_size=DIGEST_BYTES, key=os.urandom(DIGEST_BYTES))
+
+
+class KeyTable(Value, frozen=True):
+    """The keys of one configuration.
+
+    :param teams: teams by the digests of their keys.
+    :param digests: the digests of each team's keys, by these keys.
+    """
+
+    teams: dict[bytes, Team]
+    digests: dict[tuple[str, ...], list[bytes]]
+
+
+def build_keys(teams: Iterable[Team], *, before: KeyTable | None = None) -> KeyTable:
+    """Index the keys of teams.
+
+    :param before: of the version before; most teams keep their keys.
+    :raises ConfigurationError: if two teams hold the same key.
+    """
+    known = before.digests if before is not None else {}
+    found: dict[bytes, Team] = {}
+    digests: dict[tuple[str, ...], list[bytes]] = {}
+    for team in teams:
+        own = known.get(team.keys) or [_digest(key) for key in team.keys]
+        digests[team.keys] = own
+        for key, digest in zip(team.keys, own, strict=True):
+            other = found.setdefault(digest, team)
+            if other is not team and other.name != team.name:
+                raise ConfigurationError(
+                    code=Code.BAD_TEAM,
+                    detail=f"teams {other.name!r} and {team.name!r} hold the same key"
+                    f" {show_key(key)}",
+                )
+    return KeyTable(teams=found, digests=digests)
+
+
+def find_team(table: KeyTable, key: str) -> Team | None:
+    """Return the team that holds a key, or ``None`` if none does."""
+    return table.teams.get(_digest(key))
+
+
+def show_key(key: str) -> str:
+    """Return what logs say of a key; the same from every process."""
+    return hashlib.sha256(_encode(key)).hexdigest()[:SHOWN_DIGITS]
+
+
+def _digest(key: str) -> bytes:
+    # A copy takes half the time of a new one, and a configuration has many keys.
+    digest = _SALTED.copy()
+    digest.update(_encode(key))
+    return digest.digest()
+
+
+def _encode(key: str) -> bytes:
+    return key.encode("utf-8", "surrogateescape")
--- a/src/arbutuspulley/platform/messages.py
+++ b/src/arbutuspulley/platform/messages.py
@@ -18,7 +18,9 @@
     ServerReport,
     ServiceSpec,
     Share,
+    Team,
 )
+from arbutuspulley.results import Code, ConfigurationError
 
 DEFAULT_TIMEOUT_MS = 15_000
 """Time-out of a route that names none, in ms: a caller rarely waits longer for
@@ -32,6 +34,10 @@
 DRAINING = "draining"
 """``State`` of a server that takes requests, and of one that leaves."""
 
+REQUESTS = "requests"
+TOKENS = "tokens"
+"""``Unit`` of a team's quota."""
+
 _ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 
 
@@ -68,6 +74,7 @@
     service: str = ""
     backends: list[WireShare] = msgspec.field(default_factory=list)
     resumable: bool = False
+    public: bool = False
 
 
 class WireModel(_Wire):
@@ -107,6 +114,21 @@
     max_body_bytes: int = 4 * 1_024 * 1_024
 
 
+class WireTeam(_Wire):
+    """A team.
+
+    :param unit: of ``RatePerS`` and ``Burst``: requests unless it says ``tokens``.
+    """
+
+    name: str
+    api_keys: list[str] = msgspec.field(default_factory=list)
+    priority: int | None = None
+    rate_per_s: float = 0
+    burst: float = 0
+    unit: str = REQUESTS
+    plain_tokens: float = 0
+
+
 class WireConfiguration(_Wire):
     """The operator's configuration, in full."""
 
@@ -114,6 +136,7 @@
     routes: list[WireRoute] = msgspec.field(default_factory=list)
     services: list[WireService] = msgspec.field(default_factory=list)
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    tenants: list[WireTeam] | None = None
 
 
 class WireHolding(_Wire):
@@ -199,6 +222,7 @@
     """Decode the operator's configuration.
 
     :raises msgspec.MsgspecError: if it is malformed.
+    :raises ConfigurationError: if a team in it makes no sense.
     """
     wire = _CONFIGURATION.decode(body)
     limits = wire.limits
@@ -210,6 +234,9 @@
             header_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
         ),
+        teams=None
+        if wire.tenants is None
+        else tuple(_decode_team(team) for team in wire.tenants),
     )
 
 
@@ -277,6 +304,34 @@
         priority=wire.priority,
         max_attempts=max(1, wire.max_attempts),
         shares=tuple(shares),
+        is_public=wire.public,
+    )
+
+
+def _decode_team(wire: WireTeam) -> Team:
+    for field, value in (
+        ("RatePerS", wire.rate_per_s),
+        ("Burst", wire.burst),
+        ("PlainTokens", wire.plain_tokens),
+    ):
+        if value < 0:
+            raise _build_team_error(wire, f"{field} is {value:g}")
+    if wire.unit not in ("", REQUESTS, TOKENS):
+        raise _build_team_error(wire, f"unknown Unit {wire.unit!r}")
+    return Team(
+        name=wire.name,
+        keys=tuple(wire.api_keys),
+        priority=wire.priority,
+        rate_per_s=wire.rate_per_s,
+        burst=wire.burst,
+        counts_tokens=wire.unit == TOKENS,
+        plain_tokens=int(wire.plain_tokens),
+    )
+
+
+def _build_team_error(wire: WireTeam, detail: str) -> ConfigurationError:
+    return ConfigurationError(
+        code=Code.BAD_TEAM, detail=f"team {wire.name!r}: {detail}"
     )
 
 
--- a/src/arbutuspulley/platform/names.py
+++ b/src/arbutuspulley/platform/names.py
@@ -33,10 +33,18 @@
 RETRY_AFTER = "Retry-After"
 """Seconds, with fractions, after which a refused client may come back."""
 
+KEY = "X-Arbutuspulley-Key"
+"""A client's key. It is never passed on."""
+
+TEAM = "X-Arbutuspulley-Tenant"
+"""Name of the team that the client's key belongs to, for servers."""
+
 OWN_HEADERS = frozenset(
     name.lower()
     for name in (
         DEADLINE,
+        KEY,
+        TEAM,
         EXPECT_INSTANCE,
         NOT_EXECUTED,
         SEAL,
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -17,7 +17,8 @@
     listed = list(headers)
     found = {name.lower(): value for name, value in listed}
     dropped = _list_dropped(found.get("connection", ""))
-    kept = [(name, value) for name, value in listed if name.lower() not in dropped]
+    kept = [one for one in listed if _fold(one[0]) not in dropped]
+    keys = [value for name, value in listed if name.lower() == names.KEY.lower()]
     return InboundRequest(
         attempt_id=found.get(names.ATTEMPT_ID.lower(), ""),
         method=method,
@@ -27,6 +28,8 @@
         wait_ms=_read_number(found.get(names.DEADLINE.lower())),
         need=_decode_need(found),
         resumes=names.LAST_EVENT_ID.lower() in found,
+        key=keys[0].strip() if len(keys) == 1 else "",
+        usage_tokens=_sum_usage(found.get(names.TOKEN_USAGE.lower())),
     )
 
 
@@ -37,6 +40,7 @@
     incarnation: str,
     priority: int | None,
     last_event_id: str = "",
+    team: str = "",
 ) -> list[tuple[str, str]]:
     """Build the headers of a request to a server.
 
@@ -44,10 +48,13 @@
     :param incarnation: the only start of the server that may run it.
     :param priority: rank at a model server, ``None`` for a plain service.
     :param last_event_id: event after which a stream shall go on.
+    :param team: that the caller belongs to; empty if it needs no key.
     """
     headers = list(request.headers)
     headers.append((names.DEADLINE, str(left_ms)))
     headers.append((names.EXPECT_INSTANCE, get_server_id(incarnation)))
+    if team:
+        headers.append((names.TEAM, team))
     if priority is not None:
         headers.append((names.REQUEST_PRIORITY, str(priority)))
     if last_event_id:
@@ -90,6 +97,20 @@
     return headers
 
 
+def _fold(name: str) -> str:
+    """Return a header's name in the spelling that some servers reduce all others to."""
+    return name.lower().replace("_", "-")
+
+
+def _sum_usage(usage: str | None) -> int | None:
+    """Return how many tokens a request uses, prompt and output together."""
+    if usage is None:
+        return None
+    numbers = [_read_number(part) for part in usage.split(",")]
+    known = [max(0, number) for number in numbers if number is not None]
+    return sum(known) if known else None
+
+
 def _list_dropped(connection: str) -> frozenset[str]:
     return names.OWN_HEADERS | names.CONNECTION_HEADERS | _split_tokens(connection)
 
--- a/src/arbutuspulley/platform/settings.py
+++ b/src/arbutuspulley/platform/settings.py
@@ -29,6 +29,12 @@
     retry_budget_ratio: float = 0.2
     retry_budget_extra: float = 50
     budget_window_s: float = 10
+    config_apply_ms: int = 2_000
+    revoke_fail_closed: bool = False
+    revoke_ms: int = 5_000
+    quota_window_s: float = 10
+    quota_overage: float = 0
+    quota_slack: float = 0
     directory_ttl_s: float = msgspec.field(name="ttl_max_s", default=5)
 
 
@@ -93,12 +99,21 @@
         retry_extra=file.bounds.retry_budget_extra,
         retry_window_ms=int(file.bounds.budget_window_s * SECOND_MS),
         directory_ttl_s=file.bounds.directory_ttl_s,
+        apply_ms=file.bounds.config_apply_ms,
+        withdrawal_ms=_get_withdrawal_ms(file.bounds),
+        quota_window_ms=int(file.bounds.quota_window_s * SECOND_MS),
+        quota_overage=file.bounds.quota_overage,
+        quota_extra=file.bounds.quota_slack,
         # A process gets a share of each core, and runs on one at a time.
         cores=file.limits.cpu_share * file.limits.cores,
         link_mbps=file.limits.link_mbps,
     )
 
 
+def _get_withdrawal_ms(bounds: _Bounds) -> int | None:
+    return bounds.revoke_ms if bounds.revoke_fail_closed else None
+
+
 def _find_loader() -> type:
     return getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
--- a/src/arbutuspulley/ports/fleet.py
+++ b/src/arbutuspulley/ports/fleet.py
@@ -39,6 +39,7 @@
     :param gap_aim_ms: longest pause between events of a stream that is still on time.
     :param priority: rank, 0 is the most urgent.
     :param max_attempts: most servers that may get one request.
+    :param is_public: whether callers need no key.
     """
 
     name: str
@@ -52,6 +53,27 @@
     priority: int
     max_attempts: int
     shares: tuple[Share, ...]
+    is_public: bool = False
+
+
+class Team(Value, frozen=True):
+    """A team that callers belong to.
+
+    :param keys: each proves that a caller belongs to it.
+    :param priority: rank of its requests instead of their routes'; ``None``: theirs.
+    :param rate_per_s: its quota over all instances; 0: none.
+    :param burst: what it may use beyond the rate after a pause.
+    :param counts_tokens: whether rate and burst are in tokens, not in requests.
+    :param plain_tokens: what a request costs that does not say how many it uses.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+    rate_per_s: float = 0
+    burst: float = 0
+    counts_tokens: bool = False
+    plain_tokens: int = 0
 
 
 class ModelSpec(Value, frozen=True):
@@ -110,12 +132,16 @@
 
 
 class FleetConfiguration(Value, frozen=True):
-    """One version of what operators want."""
+    """One version of what operators want.
+
+    :param teams: only their callers are served; ``None``: whoever asks is.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec]
     limits: Limits = Limits()
+    teams: tuple[Team, ...] | None = None
 
 
 class Holding(Value, frozen=True):
@@ -241,6 +267,9 @@
     :param resumes: whether the caller goes on with a broken stream.
     :param fingerprint: the same whenever it is sent again; empty until it is needed,
         which is after the body was read.
+    :param key: the caller's only key, until it was looked up; empty if it sent none or
+        several. It is never logged.
+    :param usage_tokens: tokens that the caller says it uses; ``None``: it does not say.
     """
 
     attempt_id: str
@@ -253,6 +282,8 @@
     resumes: bool = False
     body: bytes = b""
     fingerprint: str = ""
+    key: str = ""
+    usage_tokens: int | None = None
 
 
 class NodeSettings(Value, frozen=True):
@@ -268,6 +299,12 @@
     :param grace_ms: time between SIGTERM and SIGKILL.
     :param lease_ms: no two holders may give orders within this time.
     :param checks_fences: whether servers refuse an order with an older fencing token.
+    :param apply_ms: within this time a configuration is in force everywhere.
+    :param withdrawal_ms: within this time a key that was withdrawn works nowhere any
+        more, also at an instance that can't hear of it; ``None``: no such bound.
+    :param quota_window_ms: the time over which quotas are judged.
+    :param quota_overage: part by which they may be exceeded in it.
+    :param quota_extra: beside that, in their unit.
     :param cores: processor that this instance has, in cores.
     :param link_mbps: what its network link carries, in Mbit/s.
     """
@@ -288,5 +325,10 @@
     retry_window_ms: int
     directory_ttl_s: float
     checks_fences: bool = False
+    apply_ms: int = 2_000
+    withdrawal_ms: int | None = None
+    quota_window_ms: int = 10_000
+    quota_overage: float = 0.0
+    quota_extra: float = 0.0
     cores: float = 1.0
     link_mbps: float = 1_000.0
