--- a/scripts/platform_stage.py
+++ b/scripts/platform_stage.py
@@ -133,12 +133,14 @@
         seeds: tuple[str, ...] = (),
         store: str = "",
         lease_ms: int = 1_500,
+        **bounds: Any,
     ) -> None:
         """Start a node.
 
         :param seeds: nodes that its settings name.
         :param store: address under which it reaches the store; empty: the store's own.
         :param lease_ms: the platform's bound on holders that give orders.
+        :param bounds: further bounds of the platform.
         """
         ports = [self._reserve_port() for _ in range(4)]
         names = ("Frontend", "Ready", "ControlPlane", "DirectoryService")
@@ -149,7 +151,12 @@
             "Region": "riga",
             "Listen": listens,
             "Seeds": [self.addresses[seed]["ControlPlane"] for seed in seeds],
-            "Bounds": {"GraceS": 3, "LeaseMs": lease_ms, "RequireFencing": True},
+            "Bounds": {
+                "GraceS": 3,
+                "LeaseMs": lease_ms,
+                "RequireFencing": True,
+                **bounds,
+            },
             "Platform": {"Address": store or self.store_address},
         }
         path = self.folder / f"{name}.yaml"
--- /dev/null
+++ b/src/arbutuspulley/admission/quota.py
@@ -0,0 +1,264 @@
+"""Token buckets for teams' quotas.
+
+The coordinator keeps one bucket for each team. Instances that it does not hear of serve
+on by buckets of their own, each of which refills at the instance's part of the rate;
+the coordinator's refills at the parts of the linked instances alone. So all together
+never refill faster than the quota allows, whoever is cut off from whom.
+
+A quota tolerates some excess over a window. It is split into equal parts for what
+distribution costs: see :data:`TOLERANCE_PARTS`.
+"""
+
+from collections.abc import Iterable
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.data import State, Value
+from arbutuspulley.ports.fleet import Team
+
+TOLERANCE_PARTS = 4
+"""Parts of the tolerated excess: callers' requests that arrive closer together than
+they were sent, a coordinator that does not know what its predecessor granted, instances
+without a coordinator, and what is spent before it is told."""
+
+MOST_PROMISED_MS = 5 * SECOND_MS
+"""For how long ahead tokens are promised to refused callers, in ms: callers who are to
+wait longer mostly give up."""
+
+
+def get_lost_part(lost_ms: int, *, ends_ms: int | None) -> float:
+    """Return which part of its own part an instance may use after its link was lost.
+
+    Its callers go over to others meanwhile, and it is not needed to keep it for longer
+    than it may serve. Both sides of the link go by this.
+
+    :param ends_ms: after which nothing of it is left; ``None``: it stays whole.
+    """
+    if ends_ms is None:
+        return 1.0
+    return min(1.0, max(0.0, 1 - lost_ms / ends_ms))
+
+
+class QuotaTolerance(Value, frozen=True):
+    """What all instances together may spend beyond a quota in a window.
+
+    :param overage: part of what the quota allows in the window.
+    :param extra: beside that, in the quota's unit.
+    """
+
+    window_ms: int
+    overage: float
+    extra: float
+
+
+class Limit(Value, frozen=True):
+    """A bucket's shape.
+
+    :param per_ms: units that come back in a ms.
+    :param most: units that it holds.
+    :param tolerance: units of one part of the tolerated excess.
+    """
+
+    per_ms: float
+    most: float
+    tolerance: float
+
+
+class Bucket(State):
+    """What a team has left.
+
+    :param left: may be negative: a larger request is taken from a full bucket.
+    :param promised: units for which refused callers were told to come back.
+    :param at: as of when, in ms.
+    """
+
+    left: float
+    at: int
+    promised: float = 0.0
+
+
+def get_cost(team: Team, usage_tokens: int | None) -> int:
+    """Return what a request costs its team, in the quota's unit.
+
+    :param usage_tokens: as the caller said; ``None``: it did not.
+    """
+    if not team.counts_tokens:
+        return 1
+    return team.plain_tokens if usage_tokens is None else max(0, usage_tokens)
+
+
+def build_limit(team: Team, tolerance: QuotaTolerance) -> Limit | None:
+    """Return the shape of a team's bucket; ``None`` if it has no quota."""
+    if not team.rate_per_s:
+        return None
+    per_ms = team.rate_per_s / SECOND_MS
+    allowed = per_ms * tolerance.window_ms + team.burst
+    part = (tolerance.overage * allowed + tolerance.extra) / TOLERANCE_PARTS
+    return Limit(per_ms=per_ms, most=max(team.burst, 1) + part, tolerance=part)
+
+
+def build_limits(teams: Iterable[Team], tolerance: QuotaTolerance) -> dict[str, Limit]:
+    """Return the shapes of all buckets by team."""
+    found = ((team.name, build_limit(team, tolerance)) for team in teams)
+    return {name: limit for name, limit in found if limit is not None}
+
+
+def refill(bucket: Bucket, limit: Limit, *, now: int, part: float = 1.0) -> None:
+    """Put in what has come back since the bucket was last looked at.
+
+    :param part: of the rate that this bucket gets.
+    """
+    units = limit.per_ms * part * max(0, now - bucket.at)
+    bucket.left = min(limit.most, bucket.left + units)
+    bucket.promised = max(0.0, bucket.promised - units)
+    bucket.at = max(bucket.at, now)
+
+
+def take(bucket: Bucket, limit: Limit, cost: float, *, part: float = 1.0) -> int:
+    """Take a request's cost out of a bucket that was just refilled.
+
+    A request that costs more than the bucket holds is taken from a full one.
+
+    :return: 0 if it was taken; otherwise in how many ms it may be, those included who
+        were told to come back before.
+    """
+    need = min(cost, limit.most)
+    if bucket.left >= need:
+        bucket.left -= cost
+        return 0
+    refill_per_ms = max(limit.per_ms * part, 1e-9)
+    missing = need - bucket.left + bucket.promised
+    if bucket.promised < MOST_PROMISED_MS * refill_per_ms:
+        bucket.promised += cost
+    return int(min(missing / refill_per_ms, MOST_PROMISED_MS)) + 1
+
+
+class QuotaLedger:
+    """The coordinator's buckets.
+
+    :param limits: by team; one without a limit may spend what it likes.
+    :param part: of each rate that is refilled here.
+    """
+
+    __slots__ = ("_buckets", "_has_begun", "limits", "part")
+
+    def __init__(self) -> None:
+        self.limits: dict[str, Limit] = {}
+        self.part = 1.0
+        self._buckets: dict[str, Bucket] = {}
+        self._has_begun = False
+
+    def begin(self) -> None:
+        """Begin without knowing what was spent before."""
+        self._buckets.clear()
+        self._has_begun = False
+
+    def set_limits(self, limits: dict[str, Limit], *, now: int) -> None:
+        """Take over the limits of a configuration.
+
+        What was left under those that hold as this begins is not known here. It counts
+        as spent, but for the part of the tolerance that is kept for this.
+        """
+        buckets: dict[str, Bucket] = {}
+        for team, limit in limits.items():
+            left = limit.most
+            if not self._has_begun:
+                left = min(left, limit.tolerance)
+            buckets[team] = self._buckets.get(team) or Bucket(left=left, at=now)
+        self._has_begun = True
+        self._buckets = buckets
+        self.limits = limits
+
+    def set_part(self, part: float, *, now: int) -> None:
+        """Change the part of each rate that is refilled from now on."""
+        if part == self.part:
+            return
+        for team, bucket in self._buckets.items():
+            refill(bucket, self.limits[team], now=now, part=self.part)
+        self.part = part
+
+    def charge(self, team: str, cost: float, *, now: int) -> int:
+        """Take a request's cost from its team.
+
+        :return: 0, or in how many ms the team has enough.
+        """
+        limit = self.limits.get(team)
+        if limit is None:
+            return 0
+        return take(self._find(team, limit, now), limit, cost, part=self.part)
+
+    def note_spent(self, team: str, cost: float, *, now: int) -> int:
+        """Take in what an instance has spent or, if negative, gives back.
+
+        :return: 0, or in how many ms the team's debt is paid.
+        """
+        limit = self.limits.get(team)
+        if limit is None:
+            return 0
+        bucket = self._find(team, limit, now)
+        bucket.left = min(limit.most, bucket.left - cost)
+        if bucket.left >= 0:
+            return 0
+        return int(-bucket.left / max(limit.per_ms * self.part, 1e-9)) + 1
+
+    def get_left(self, team: str, *, now: int) -> float | None:
+        """Return what a team has left; ``None`` if it has no limit."""
+        limit = self.limits.get(team)
+        return None if limit is None else self._find(team, limit, now).left
+
+    def _find(self, team: str, limit: Limit, now: int) -> Bucket:
+        bucket = self._buckets[team]
+        refill(bucket, limit, now=now, part=self.part)
+        return bucket
+
+
+class LocalQuota:
+    """The buckets by which an instance serves without a coordinator."""
+
+    __slots__ = ("_buckets", "_coordinated_at", "_tolerance")
+
+    def __init__(self, *, tolerance: QuotaTolerance, now: int = 0) -> None:
+        self._tolerance = tolerance
+        self._buckets: dict[str, Bucket] = {}
+        self._coordinated_at = now
+
+    def note_coordinated(self, now: int) -> None:
+        """Note that a coordinator counts at present; its bucket is refilled instead."""
+        self._coordinated_at = now
+
+    def get_alone_ms(self, now: int) -> int:
+        """Return for how long no coordinator has counted, in ms."""
+        return max(0, now - self._coordinated_at)
+
+    def charge(self, team: Team, cost: float, *, part: float, now: int) -> int:
+        """Take a request's cost from its team.
+
+        :param part: of the quota that this instance may use by itself.
+        :return: 0, or in how many ms the team has enough here.
+        """
+        limit = self._build_limit(team, part)
+        if limit is None:
+            return 0
+        bucket = self._buckets.get(team.name)
+        if bucket is None:
+            bucket = self._buckets[team.name] = Bucket(left=limit.most, at=now)
+        coordinated_ms = max(0, self._coordinated_at - bucket.at)
+        if coordinated_ms:
+            # Only the tolerance comes back meanwhile, once in each window.
+            back = limit.most * coordinated_ms / self._tolerance.window_ms
+            bucket.left = min(limit.most, bucket.left + back)
+            bucket.at = self._coordinated_at
+        refill(bucket, limit, now=now)
+        return take(bucket, limit, cost)
+
+    def give_back(self, team: str, cost: float) -> None:
+        """Return the cost of a request that did not run."""
+        bucket = self._buckets.get(team)
+        if bucket is not None:
+            bucket.left += cost
+
+    def _build_limit(self, team: Team, part: float) -> Limit | None:
+        limit = build_limit(team, self._tolerance)
+        if limit is None:
+            return None
+        tolerance = limit.tolerance * part
+        return Limit(per_ms=limit.per_ms * part, most=tolerance, tolerance=tolerance)
--- /dev/null
+++ b/src/arbutuspulley/node/access.py
@@ -0,0 +1,73 @@
+"""Decides whether a caller's key admits it here and now."""
+
+from arbutuspulley.admission.keys import find_team, show_key
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.node.progress import RETRY_AFTER_MS, RequestFailedError
+from arbutuspulley.node.state import NodeState
+from arbutuspulley.ports.fleet import InboundRequest, Route, Team
+
+
+class Access:
+    """One request's admission by its key.
+
+    :param key: as the caller sent it; empty if it sent none or several.
+    """
+
+    __slots__ = ("_attempt_id", "_is_open", "_key", "_state", "team")
+
+    def __init__(
+        self, *, state: NodeState, route: Route, request: InboundRequest
+    ) -> None:
+        configuration = state.configuration
+        has_teams = configuration is not None and configuration.teams is not None
+        self._is_open = route.is_public or not has_teams
+        self._state = state
+        self._attempt_id = request.attempt_id
+        self._key, request.key = request.key, ""
+        self.team: Team | None = None
+
+    def check(self) -> None:
+        """Find the caller's team by the configuration in force.
+
+        Asked again before the request is handed to a server: meanwhile the key may
+        have been withdrawn, or the word on the configuration grown too old.
+
+        :raises RequestFailedError: if the key admits nobody, or nobody knows now
+            whether it still does.
+        """
+        if self._is_open:
+            return
+        state = self._state
+        now = state.clock.now()
+        if not state.may_admit:
+            self._note(Event.WORD_TOO_OLD, now)
+            raise self._build_unsure("the configuration may be out of date")
+        self.team = find_team(state.keys, self._key) if state.keys else None
+        if self.team is not None:
+            return
+        self._note(Event.KEY_REFUSED, now)
+        # A key that was just added is not in force everywhere yet: only a word younger
+        # than the time that this may take says that there is no such key.
+        if state.settings.withdrawal_ms is not None and not state.freshness.is_within(
+            state.settings.apply_ms, now=now
+        ):
+            raise self._build_unsure("the key may be new")
+        raise RequestFailedError(status=401, reason="unknown or missing key")
+
+    def _build_unsure(self, reason: str) -> RequestFailedError:
+        return RequestFailedError(
+            status=503, reason=reason, retry_after_ms=RETRY_AFTER_MS
+        )
+
+    def _note(self, event: Event, now: int) -> None:
+        state = self._state
+        why = "age" if event is Event.WORD_TOO_OLD else "key"
+        state.metrics.refusals.labels("", why).inc()
+        log_event(
+            event,
+            id=self._attempt_id,
+            key=show_key(self._key) if self._key else "",
+            version=state.configuration_version,
+            age_ms=state.freshness.get_age(now),
+            source=state.freshness.source,
+        )
--- /dev/null
+++ b/src/arbutuspulley/node/accounts.py
@@ -0,0 +1,115 @@
+"""What an instance pays for its callers' requests out of their teams' quotas."""
+
+from arbutuspulley.admission.quota import (
+    LocalQuota,
+    QuotaTolerance,
+    get_cost,
+    get_lost_part,
+)
+from arbutuspulley.data import Value
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.node.link import Link
+from arbutuspulley.node.messages import Overdrawn
+from arbutuspulley.node.progress import RequestFailedError
+from arbutuspulley.node.state import NodeState
+from arbutuspulley.ports.fleet import InboundRequest, NodeSettings, Team
+
+
+class Payment(Value, frozen=True):
+    """What was taken for a request.
+
+    :param is_local: whether it was taken here, without a coordinator.
+    """
+
+    team: str
+    cost: int
+    is_local: bool
+
+
+def build_tolerance(settings: NodeSettings) -> QuotaTolerance:
+    """Return by how much quotas may be exceeded."""
+    return QuotaTolerance(
+        window_ms=settings.quota_window_ms,
+        overage=settings.quota_overage,
+        extra=settings.quota_extra,
+    )
+
+
+class Accounts:
+    """Pays for requests.
+
+    The coordinator charges a request as it is asked for a server. Requests that need no
+    coordinator are paid for afterwards: it is told what was spent, and tells in turn
+    which teams are in debt. Without a coordinator the instance charges by itself.
+    """
+
+    __slots__ = ("_debts", "_link", "_local", "_state")
+
+    def __init__(self, *, state: NodeState, link: Link) -> None:
+        self._state = state
+        self._link = link
+        self._local = LocalQuota(
+            tolerance=build_tolerance(state.settings), now=state.clock.now()
+        )
+        self._debts: dict[str, int] = {}
+        link.take_overdrawn = self._take_overdrawn
+
+    def get_cost(self, team: Team | None, request: InboundRequest) -> int:
+        """Return what a request has to be charged for; 0: it has no quota."""
+        if team is None or not team.rate_per_s:
+            return 0
+        return get_cost(team, request.usage_tokens)
+
+    def pay(self, team: Team, cost: int, *, attempt_id: str) -> Payment:
+        """Pay for a request that no coordinator is asked about.
+
+        :raises RequestFailedError: if its team has used up its quota.
+        """
+        now = self._state.clock.now()
+        if self._link.is_up:
+            self._local.note_coordinated(now)
+            wait_ms = self._debts.get(team.name, now) - now
+            if wait_ms > 0:
+                raise self.refuse(team.name, attempt_id, wait_ms)
+            self._link.tell_spent(team.name, cost)
+            return Payment(team=team.name, cost=cost, is_local=False)
+        part = get_lost_part(
+            self._local.get_alone_ms(now), ends_ms=self._state.settings.withdrawal_ms
+        )
+        part /= max(1.0, self._state.sharers)
+        wait_ms = self._local.charge(team, cost, part=part, now=now)
+        if wait_ms:
+            raise self.refuse(team.name, attempt_id, wait_ms)
+        return Payment(team=team.name, cost=cost, is_local=True)
+
+    def note_coordinated(self) -> None:
+        """Note that a coordinator counts at present."""
+        self._local.note_coordinated(self._state.clock.now())
+
+    def give_back(self, payment: Payment) -> None:
+        """Return what was paid for a request that did not run."""
+        if payment.is_local:
+            self._local.give_back(payment.team, payment.cost)
+        else:
+            self._link.tell_spent(payment.team, -payment.cost)
+
+    def refuse(self, team: str, attempt_id: str, wait_ms: int) -> RequestFailedError:
+        """Build the refusal of a request over its team's quota.
+
+        :param wait_ms: in how long the team has enough.
+        """
+        self._state.metrics.count_refusal(team, "quota")
+        log_event(
+            Event.QUOTA_EXCEEDED,
+            id=attempt_id,
+            team=team,
+            version=self._state.configuration_version,
+            retry_after_ms=wait_ms,
+            by="coordinator" if self._link.is_up else "instance",
+        )
+        return RequestFailedError(
+            status=429, reason="the team's quota is used up", retry_after_ms=wait_ms
+        )
+
+    def _take_overdrawn(self, message: Overdrawn) -> None:
+        self._debts[message.team] = self._state.clock.now() + message.wait_ms
--- /dev/null
+++ b/src/arbutuspulley/node/acquisition.py
@@ -0,0 +1,237 @@
+"""Gets a server for a request, from the coordinator or without, and pays for it."""
+
+from arbutuspulley.node.access import Access
+from arbutuspulley.node.accounts import Accounts, Payment
+from arbutuspulley.node.link import Link, LinkLostError, RefusedError
+from arbutuspulley.node.messages import Ask, Ended, Granted
+from arbutuspulley.node.progress import (
+    MOST_REFUSED,
+    Progress,
+    RequestFailedError,
+    get_patience,
+    get_priority,
+)
+from arbutuspulley.node.server_choice import CoordinatorFoundError, ServerChoice
+from arbutuspulley.node.state import NodeState
+from arbutuspulley.ports.fleet import (
+    InboundRequest,
+    ModelNeed,
+    Route,
+    ServerEntry,
+    TryEnd,
+)
+
+
+class RetryError(Exception):
+    """The request goes on at another server."""
+
+
+class NoServerError(Exception):
+    """No server will be had for the request.
+
+    :param retry_after_ms: when to come back; ``None``: not known.
+    """
+
+    def __init__(self, reason: str, *, retry_after_ms: int | None = None) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+
+
+class Acquisition:
+    """One request's servers, one after another.
+
+    :param access: the admission by the caller's key.
+    :param accounts: pay for the request, once.
+    :param left_ms: how long the caller waits for the whole answer.
+    """
+
+    __slots__ = (
+        "_access",
+        "_accounts",
+        "_choice",
+        "_cost",
+        "_link",
+        "_paid",
+        "_patience_ms",
+        "_progress",
+        "_request",
+        "_route",
+        "_state",
+        "priority",
+    )
+
+    def __init__(
+        self,
+        *,
+        state: NodeState,
+        link: Link,
+        access: Access,
+        accounts: Accounts,
+        route: Route,
+        request: InboundRequest,
+        progress: Progress,
+        left_ms: int,
+    ) -> None:
+        self._state = state
+        self._link = link
+        self._access = access
+        self._accounts = accounts
+        self._route = route
+        self._request = request
+        self._progress = progress
+        self._cost = accounts.get_cost(access.team, request)
+        self._paid: Payment | None = None
+        self._patience_ms = get_patience(route, left_ms)
+        self._choice = ServerChoice(
+            state=state,
+            link=link,
+            route=route,
+            request=request,
+            progress=progress,
+            patience_ms=self._patience_ms,
+        )
+        self.priority = get_priority(route, access.team)
+
+    def pay_plain(self) -> None:
+        """Pay for a request that needs no coordinator.
+
+        :raises RequestFailedError: if the team's quota is used up.
+        """
+        if not self._needs_coordinator():
+            self._pay()
+
+    def give_back(self) -> None:
+        """Return what was paid, if no server may have run the request."""
+        if self._paid is not None and not self._progress.may_have_run:
+            self._accounts.give_back(self._paid)
+            self._paid = None
+
+    async def get_server(self) -> ServerEntry:
+        """Return the server that the request goes to now.
+
+        :raises NoServerError: if none will be had.
+        :raises RetryError: if the one that was granted is not there any more.
+        :raises RequestFailedError: if the team's quota is used up, or the caller's key
+            admits it no more.
+        """
+        need = self._request.need
+        if need is not None and self._needs_coordinator():
+            entry = await self._wait_for_grant(need)
+        else:
+            entry = await self._choice.choose_plain()
+        if entry is None:
+            raise NoServerError("no server has it")
+        self._check_access(entry)
+        return entry
+
+    def tell_end(self, incarnation: str, how: TryEnd) -> None:
+        """Tell the coordinator how a try at a server ended."""
+        if self._request.need is None:
+            return
+        self._link.forget_run(self._request.attempt_id)
+        self._link.tell(
+            Ended(
+                key=self._request.attempt_id,
+                incarnation=incarnation,
+                how=how,
+                events=self._progress.events,
+            )
+        )
+
+    def _needs_coordinator(self) -> bool:
+        return self._request.need is not None and self._choice.has_models()
+
+    def _pay(self) -> None:
+        team = self._access.team
+        if team is None or not self._cost or self._paid is not None:
+            return
+        self._paid = self._accounts.pay(
+            team, self._cost, attempt_id=self._request.attempt_id
+        )
+
+    async def _wait_for_grant(self, need: ModelNeed) -> ServerEntry | None:
+        progress = self._progress
+        now = self._state.clock.now()
+        try:
+            granted = await self._ask(self._build_ask(need, now))
+        except LinkLostError:
+            return await self._choose_alone(need)
+        except RefusedError as error:
+            raise NoServerError(
+                "refused", retry_after_ms=error.retry_after_ms
+            ) from None
+        finally:
+            progress.waited_ms += self._state.clock.now() - now
+        progress.is_late = granted.is_late
+        entry = self._state.by_incarnation.get(granted.incarnation)
+        if entry is None:
+            self.tell_end(granted.incarnation, TryEnd.UNUSED)
+            progress.avoid.add(granted.incarnation)
+            progress.refused += 1
+            if progress.refused > MOST_REFUSED:
+                raise NoServerError("granted server is gone")
+            raise RetryError
+        return entry
+
+    def _build_ask(self, need: ModelNeed, now: int) -> Ask:
+        progress, route, team = self._progress, self._route, self._access.team
+        # A caller that has events waits for the next one, not for the first.
+        is_begun = progress.first_ms is not None
+        since = progress.last_event_at if is_begun else progress.started_at
+        aim_ms = route.gap_aim_ms if is_begun else route.aim_ms
+        return Ask(
+            key=self._request.attempt_id,
+            service=progress.service,
+            need=need,
+            zone=self._state.settings.site,
+            priority=self.priority,
+            aim_ms=since + aim_ms - now,
+            left_ms=min(progress.ends_at, since + self._patience_ms) - now,
+            avoid=tuple(progress.avoid),
+            is_repeat=bool(progress.server),
+            pause_ms=route.gap_aim_ms,
+            team=team.name if team is not None else "",
+            cost=0 if self._paid is not None else self._cost,
+        )
+
+    async def _ask(self, ask: Ask) -> Granted:
+        """Ask the coordinator, which charges the request."""
+        if ask.cost:
+            self._paid = Payment(team=ask.team, cost=ask.cost, is_local=False)
+        try:
+            granted = await self._link.ask(ask)
+        except LinkLostError:
+            # Whether it was charged there is not known, and it counts as spent.
+            if ask.cost:
+                self._paid = None
+            raise
+        except RefusedError as error:
+            if not error.is_over_quota:
+                raise
+            self._paid = None
+            raise self._accounts.refuse(
+                ask.team, ask.key, error.retry_after_ms
+            ) from None
+        self._accounts.note_coordinated()
+        return granted
+
+    async def _choose_alone(self, need: ModelNeed) -> ServerEntry | None:
+        """Choose a server without a coordinator."""
+        if await self._choice.wait_for_coordinator():
+            raise RetryError
+        self._pay()
+        try:
+            return await self._choice.choose_alone(need)
+        except CoordinatorFoundError:
+            raise RetryError from None
+
+    def _check_access(self, entry: ServerEntry) -> None:
+        """Check once more that the caller may be served, before any server runs it."""
+        if self._progress.may_have_run:
+            return
+        try:
+            self._access.check()
+        except RequestFailedError:
+            self.tell_end(entry.incarnation, TryEnd.UNUSED)
+            raise
--- /dev/null
+++ b/src/arbutuspulley/node/confirmation.py
@@ -0,0 +1,50 @@
+"""What an instance makes of the coordinator's word that no newer configuration exists.
+
+See :mod:`arbutuspulley.admission.freshness`.
+"""
+
+from arbutuspulley.admission.freshness import Marks
+from arbutuspulley.node.messages import Digest
+from arbutuspulley.node.state import NodeState
+
+RELIED_ON_PART = 0.7
+"""Part of the time within which a withdrawn key has to stop working after which an
+instance whose word is no newer asks the store itself: the rest suffices for that."""
+
+
+class Confirmation:
+    """Beats and digests of one link, by number."""
+
+    __slots__ = ("_beats", "_digests", "_state")
+
+    def __init__(self, *, state: NodeState) -> None:
+        self._state = state
+        self._beats = Marks()
+        self._digests = Marks()
+
+    @property
+    def vouched_digest(self) -> int:
+        """The digest that came before this instance got its own word; 0: none."""
+        return self._digests.find_number(self._state.freshness.confirmed_at)
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the configuration is confirmed often enough by what is relayed."""
+        state = self._state
+        withdrawal_ms = state.settings.withdrawal_ms
+        if withdrawal_ms is None:
+            return True
+        limit_ms = int(withdrawal_ms * RELIED_ON_PART)
+        return state.freshness.is_within(limit_ms, now=state.clock.now())
+
+    def note_beat(self, number: int, *, at: int) -> None:
+        """Note that a beat is sent."""
+        self._beats.note(number, at=at)
+
+    def take_digest(self, digest: Digest, *, at: int) -> None:
+        """Take in what a digest says of how new the configuration in force is."""
+        state = self._state
+        self._digests.note(digest.number, at=at)
+        sent_at = self._beats.find_time(digest.fresh_beat)
+        if sent_at is not None and digest.configuration <= state.configuration_version:
+            state.freshness.confirm(sent_at, source="coordinator")
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -41,6 +41,7 @@
     Hello,
     Learnt,
     Refused,
+    Spent,
     StoreNews,
     Suspected,
     ToCoordinator,
@@ -54,17 +55,14 @@
 from arbutuspulley.node.peer import Peer
 from arbutuspulley.node.peers import Peers
 from arbutuspulley.node.pool_log import log_grant, log_pool, log_refusal
+from arbutuspulley.node.quotas import Quotas
 from arbutuspulley.node.relay import Relay
+from arbutuspulley.node.reports import Reports
 from arbutuspulley.node.state import NodeState
-from arbutuspulley.platform.engines import (
-    ORDER_TIMEOUT_MS,
-    fetch_report,
-)
+from arbutuspulley.platform.engines import ORDER_TIMEOUT_MS
 from arbutuspulley.pool.answers import (
     PlannedOrder,
-    list_unsure,
     note_answer,
-    note_report,
 )
 from arbutuspulley.pool.demand import (
     age_demand,
@@ -78,7 +76,6 @@
 from arbutuspulley.pool.orders import plan_orders
 from arbutuspulley.pool.state import (
     PoolState,
-    ServerState,
     assume_speeds,
     list_speeds,
     note_entries,
@@ -92,9 +89,6 @@
 """How long an instance may take no bytes, in s. Its link is cut then: it hears nothing
 of the coordinator anyway, and what waits for it takes memory."""
 
-REPORT_EVERY_MS = 3_000
-"""Time between reports of a server about which nothing is in doubt, in ms."""
-
 
 class Coordinator:
     """The coordinator's part of a process, idle unless this instance is it.
@@ -103,7 +97,6 @@
     """
 
     __slots__ = (
-        "_asked_at",
         "_grant_pacer",
         "_inherited",
         "_is_kicked",
@@ -112,7 +105,9 @@
         "_orders",
         "_peers",
         "_pools",
+        "_quotas",
         "_relay",
+        "_reports",
         "_state",
         "_tasks",
         "_timer",
@@ -138,7 +133,8 @@
         self._is_kicked = False
         self._grant_pacer = Pacer()
         self._order_pacer = Pacer()
-        self._asked_at: dict[str, int] = {}
+        self._quotas = Quotas(state=state)
+        self._reports = Reports(state=state, note_taken=self.kick)
         self._inherited = InheritedLoads(loads={}, unknown_until=None)
         self.acts = False
         self.alone_since: int | None = None
@@ -166,6 +162,7 @@
         self._state.coordinates = True
         self._relay.begin()
         self._peers.begin()
+        self._quotas.begin()
         self._pools.clear()
         self._inherited = inherited
         self.take_change()
@@ -201,6 +198,7 @@
         configuration = self._state.configuration
         if not self.acts or configuration is None:
             return
+        self._quotas.take_change()
         for name, service in configuration.services.items():
             if service.engine is None:
                 continue
@@ -230,7 +228,9 @@
         now = self._state.clock.now()
         for message in messages:
             self._take_one(origin, message, now=now)
-        self.kick()
+        # What was spent changes no decision on who goes to which server.
+        if any(not isinstance(message, Spent) for message in messages):
+            self.kick()
 
     async def serve_link(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one instance's link until it ends."""
@@ -279,12 +279,14 @@
             # It is back before the end of its link was seen here. What ended meanwhile
             # was never told, and would hold its slot for ever.
             drop_instance(self._pools, name)
+        self._quotas.note_linked(name)
         return self._peers.add(messages[0])
 
     def _drop_peer(self, peer: Peer) -> None:
         if not self._peers.drop(peer):
             return
         drop_instance(self._pools, peer.info.name)
+        self._quotas.note_lost(peer.info)
         if self.acts:
             self._peers.tell_roster()
             self.kick()
@@ -317,6 +319,10 @@
     def _take_one(self, origin: str, message: ToCoordinator, *, now: int) -> None:
         if isinstance(message, Ask):
             self._take_ask(origin, message, now=now)
+        elif isinstance(message, Spent):
+            overdrawn = self._quotas.take_spent(message, now=now)
+            if overdrawn is not None:
+                self._peers.send(origin, overdrawn)
         elif isinstance(message, Beat):
             if self._peers.take_beat(origin, message):
                 self._tell_lost()
@@ -344,6 +350,12 @@
             self._peers.tell_news(news)
 
     def _take_ask(self, origin: str, ask: Ask, *, now: int) -> None:
+        # Charged before anything else: whoever is refused for another reason gives the
+        # cost back.
+        over_quota = self._quotas.charge(ask, now=now)
+        if over_quota is not None:
+            self._peers.send(origin, over_quota)
+            return
         pool = self._pools.get(ask.service)
         if pool is None or ask.need.model not in pool.spec.models:
             refused = Refused(key=ask.key, retry_after_ms=SECOND_MS)
@@ -436,8 +448,10 @@
         told_at = -TELL_EVERY_MS
         while True:
             self._peers.tell_roster()
+            self._quotas.set_linked(self._peers.list_linked())
             self._send_digest()
-            self._ask_reports()
+            for report in self._reports.ask(self._pools.values()):
+                self._spawn(report)
             now = self._state.clock.now()
             if now - told_at >= TELL_EVERY_MS:
                 told_at = now
@@ -468,26 +482,6 @@
         elif self.alone_since is None:
             self.alone_since = now
 
-    def _ask_reports(self) -> None:
-        now = self._state.clock.now()
-        for pool in self._pools.values():
-            unsure = list_unsure(pool, now=now)
-            for server in pool.servers.values():
-                asked_at = self._asked_at.get(server.incarnation, -REPORT_EVERY_MS)
-                is_due = now - asked_at >= REPORT_EVERY_MS
-                if server in unsure or (is_due and not server.is_leaving):
-                    self._asked_at[server.incarnation] = now
-                    self._spawn(self._take_report(pool, server))
-
-    async def _take_report(self, pool: PoolState, server: ServerState) -> None:
-        asked_at = self._state.clock.now()
-        report = await fetch_report(
-            self._state.session, address=server.address, incarnation=server.incarnation
-        )
-        if report is not None:
-            note_report(pool, server.incarnation, report, asked_at=asked_at)
-            self.kick()
-
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -9,8 +9,11 @@
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.delivery.stream import EventCutter, count_events, cut_events
 from arbutuspulley.events import Event, log_event
-from arbutuspulley.node.link import Link, LinkLostError, RefusedError
-from arbutuspulley.node.messages import Ask, Ended, Started
+from arbutuspulley.node.access import Access
+from arbutuspulley.node.accounts import Accounts
+from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
+from arbutuspulley.node.link import Link
+from arbutuspulley.node.messages import Started
 from arbutuspulley.node.poison import PoisonGuard
 from arbutuspulley.node.progress import (
     ANSWER_TIME_MS,
@@ -20,9 +23,7 @@
     CutError,
     Progress,
     RequestFailedError,
-    get_patience,
 )
-from arbutuspulley.node.server_choice import CoordinatorFoundError, ServerChoice
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import (
     build_headers,
@@ -51,23 +52,21 @@
 """Rank at a server of a request that is past its aim: it gives way to all others."""
 
 
-class _RetryError(Exception):
-    """The request goes on at another server."""
-
-
 class Exchange:
     """One request on its way.
 
+    :param access: the admission by the caller's key.
+    :param accounts: pay for it.
     :param client: the caller's side.
     """
 
     __slots__ = (
+        "_access",
+        "_acquisition",
         "_answer",
-        "_choice",
         "_client",
         "_cutter",
         "_link",
-        "_patience_ms",
         "_poison",
         "_request",
         "_state",
@@ -81,6 +80,8 @@
         state: NodeState,
         link: Link,
         poison: PoisonGuard,
+        access: Access,
+        accounts: Accounts,
         route: Route,
         request: InboundRequest,
         client: web.BaseRequest,
@@ -89,6 +90,7 @@
         self._state = state
         self._link = link
         self._poison = poison
+        self._access = access
         self.route = route
         self._request = request
         self._client = client
@@ -101,14 +103,15 @@
             started_at=started_at,
             ends_at=started_at + left - ANSWER_TIME_MS,
         )
-        self._patience_ms = get_patience(route, left - ANSWER_TIME_MS)
-        self._choice = ServerChoice(
+        self._acquisition = Acquisition(
             state=state,
             link=link,
+            access=access,
+            accounts=accounts,
             route=route,
             request=request,
             progress=self.progress,
-            patience_ms=self._patience_ms,
+            left_ms=left - ANSWER_TIME_MS,
         )
 
     async def run(self) -> web.StreamResponse:
@@ -129,14 +132,17 @@
         now = self._state.clock.now()
         note_request(self._state.get_budget(progress.service), now=now)
         try:
+            self._acquisition.pay_plain()
             async with asyncio.timeout((progress.ends_at - now) / SECOND_MS):
                 while True:
                     try:
                         return await self._try_once()
-                    except _RetryError:
+                    except RetryError:
                         continue
         except TimeoutError:
             raise self._build_timeout() from None
+        finally:
+            self._acquisition.give_back()
 
     def _build_timeout(self) -> Exception:
         if self._answer is not None:
@@ -148,59 +154,13 @@
         )
 
     async def _try_once(self) -> web.StreamResponse:
-        if self._choice.has_models():
-            entry = await self._wait_for_server()
-        else:
-            entry = await self._choice.choose_plain()
-        if entry is None:
-            raise self._give_up("no server has it")
-        return await self._send(entry)
-
-    async def _wait_for_server(self) -> ServerEntry | None:
-        need = self._request.need
-        if need is None:
-            return await self._choice.choose_plain()
-        progress = self.progress
-        now = self._state.clock.now()
-        # A caller that has events waits for the next one, not for the first.
-        is_begun = progress.first_ms is not None
-        since = progress.last_event_at if is_begun else progress.started_at
-        aim_ms = self.route.gap_aim_ms if is_begun else self.route.aim_ms
-        ask = Ask(
-            key=self._request.attempt_id,
-            service=progress.service,
-            need=need,
-            zone=self._state.settings.site,
-            priority=self.route.priority,
-            aim_ms=since + aim_ms - now,
-            left_ms=min(progress.ends_at, since + self._patience_ms) - now,
-            avoid=tuple(progress.avoid),
-            is_repeat=bool(progress.server),
-            pause_ms=self.route.gap_aim_ms,
-        )
         try:
-            granted = await self._link.ask(ask)
-        except LinkLostError:
-            try:
-                return await self._choice.choose_alone(need)
-            except CoordinatorFoundError:
-                raise _RetryError from None
-        except RefusedError as error:
+            entry = await self._acquisition.get_server()
+        except NoServerError as error:
             raise self._give_up(
-                "refused", retry_after_ms=error.retry_after_ms
+                error.reason, retry_after_ms=error.retry_after_ms
             ) from None
-        finally:
-            progress.waited_ms += self._state.clock.now() - now
-        progress.is_late = granted.is_late
-        entry = self._state.by_incarnation.get(granted.incarnation)
-        if entry is None:
-            self._tell_end(granted.incarnation, TryEnd.UNUSED)
-            progress.avoid.add(granted.incarnation)
-            progress.refused += 1
-            if progress.refused > MOST_REFUSED:
-                raise self._give_up("granted server is gone")
-            raise _RetryError
-        return entry
+        return await self._send(entry)
 
     async def _send(self, entry: ServerEntry) -> web.StreamResponse:
         state, progress = self._state, self.progress
@@ -257,19 +217,20 @@
                     record, entry, aim_ms=self.route.aim_ms, now=state.clock.now()
                 )
             state.metrics.attempts.labels(how.value).inc()
-            self._tell_end(entry.incarnation, how)
+            self._acquisition.tell_end(entry.incarnation, how)
 
     def _build_headers(self, entry: ServerEntry, now: int) -> list[tuple[str, str]]:
         priority: int | None = None
         if self._request.need is not None:
             is_late = self.progress.is_late
-            priority = LATE_PRIORITY if is_late else min(7, self.route.priority)
+            priority = LATE_PRIORITY if is_late else min(7, self._acquisition.priority)
         return build_headers(
             self._request,
             left_ms=max(1, self.progress.ends_at - now),
             incarnation=entry.incarnation,
             priority=priority,
             last_event_id=self.progress.last_event_id,
+            team=self._access.team.name if self._access.team is not None else "",
         )
 
     async def _take_answer(
@@ -294,7 +255,7 @@
         # another server may well not make that error.
         if response.status >= 500 and self._may_go_on():
             self.progress.avoid.add(self.progress.server)
-            raise _RetryError
+            raise RetryError
         if self._answer is not None:
             raise CutError("the stream could not go on")
         answer = web.Response(
@@ -383,7 +344,7 @@
             progress.avoid.add(entry.incarnation)
             note_refused(self._state.records, entry, now=self._state.clock.now())
         if progress.refused <= MOST_REFUSED and self._take_repeat():
-            return _RetryError()
+            return RetryError()
         return self._give_up("servers refused")
 
     def _note_unreached(self, entry: ServerEntry) -> Exception:
@@ -398,7 +359,7 @@
             tries=progress.unreached,
         )
         if progress.unreached <= MOST_UNREACHED:
-            return _RetryError()
+            return RetryError()
         return self._give_up("servers out of reach")
 
     def _note_broken(self, entry: ServerEntry, detail: str) -> Exception:
@@ -414,7 +375,7 @@
         if self._may_go_on():
             self._cutter.rest = b""
             progress.resumes += self._answer is not None
-            return _RetryError()
+            return RetryError()
         if self._answer is not None:
             return CutError(detail)
         return RequestFailedError(status=502, reason="the server broke off")
@@ -451,19 +412,6 @@
             status=503, reason=reason, retry_after_ms=retry_after_ms or RETRY_AFTER_MS
         )
 
-    def _tell_end(self, incarnation: str, how: TryEnd) -> None:
-        if self._request.need is None:
-            return
-        self._link.forget_run(self._request.attempt_id)
-        self._link.tell(
-            Ended(
-                key=self._request.attempt_id,
-                incarnation=incarnation,
-                how=how,
-                events=self.progress.events,
-            )
-        )
-
 
 class _NotRunError(Exception):
     """The server proved that it did not run the request."""
--- a/src/arbutuspulley/node/following.py
+++ b/src/arbutuspulley/node/following.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from arbutuspulley.admission.keys import build_keys
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.messages import ConfigurationUpdate, StoreNews
@@ -26,7 +27,7 @@
     RowsAnswer,
     StoredRow,
 )
-from arbutuspulley.results import PlatformUnavailableError
+from arbutuspulley.results import ConfigurationError, PlatformUnavailableError
 from arbutuspulley.routing.table import build_table
 
 RETRY_MS = 250
@@ -90,6 +91,7 @@
         is_starting=is_starting,
         gather_ms=0,
         wants_newest_only=True,
+        note_confirmed=lambda at: state.freshness.confirm(at, source="store"),
     ).follow()
 
 
@@ -164,6 +166,8 @@
         asked for after a relay or a failure; ``None``: all rows have to be read.
     :param gather_ms: pause after changes, in ms, so that one answer tells of several.
     :param wants_newest_only: whether a row's newer value makes the older ones useless.
+    :param note_confirmed: called with when a call was sent, in ms, after its answer was
+        taken in: what is known is at least as new as that.
     """
 
     __slots__ = (
@@ -173,6 +177,7 @@
         "_is_behind",
         "_is_relayed",
         "_is_starting",
+        "_note_confirmed",
         "_returned_at",
         "_state",
         "_table",
@@ -191,8 +196,10 @@
         is_starting: Callable[[], bool],
         gather_ms: int,
         wants_newest_only: bool,
+        note_confirmed: Callable[[int], None] = lambda _at: None,
     ) -> None:
         self._state = state
+        self._note_confirmed = note_confirmed
         self._is_behind = False
         self._wants_newest_only = wants_newest_only
         self._get_version = get_version
@@ -270,6 +277,7 @@
         :return: the same for the next call.
         """
         store = self._state.store
+        asked_at = self._state.clock.now()
         if version is None:
             answer = await store.read(self._table)
         else:
@@ -284,6 +292,7 @@
             was_away=now - self._returned_at < RETURN_MS,
             version=answer.version,
         )
+        self._note_confirmed(asked_at)
         if news.configuration or news.rows:
             self._state.tell_news(news)
         if self._wants_newest_only and self._note_behind(answer, news, version):
@@ -340,9 +349,14 @@
     """
     try:
         configuration = decode_configuration(body)
+        teams = configuration.teams
+        keys = None if teams is None else build_keys(teams, before=state.keys)
     except msgspec.MsgspecError as error:
         log_event(Event.CONFIGURATION_REFUSED, detail=str(error))
         return False
+    except ConfigurationError as error:
+        log_event(Event.CONFIGURATION_REFUSED, detail=error.show(), code=error.code)
+        return False
     present = state.configuration
     if present is not None and configuration.version <= present.version:
         if configuration.version < present.version:
@@ -354,6 +368,7 @@
             )
         return False
     state.configuration = configuration
+    state.keys = keys
     state.configuration_body = body
     state.versions.add(configuration.version, body)
     state.table = build_table(configuration)
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -7,6 +7,8 @@
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
+from arbutuspulley.node.access import Access
+from arbutuspulley.node.accounts import Accounts
 from arbutuspulley.node.exchange import Exchange
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.poison import PoisonGuard
@@ -31,9 +33,10 @@
 class Frontend:
     """Takes callers' requests."""
 
-    __slots__ = ("_link", "_poison", "_state")
+    __slots__ = ("_accounts", "_link", "_poison", "_state")
 
     def __init__(self, *, state: NodeState, link: Link, poison: PoisonGuard) -> None:
+        self._accounts = Accounts(state=state, link=link)
         self._state = state
         self._link = link
         self._poison = poison
@@ -55,7 +58,7 @@
             self._note_end("done", request, exchange, status=answer.status)
         except RequestFailedError as error:
             answer = _build_failure(request, error)
-            how = "refused" if error.status == 503 else "failed"
+            how = "refused" if error.status in (429, 503) else "failed"
             self._note_end(
                 how, request, exchange, status=error.status, why=error.reason
             )
@@ -87,11 +90,14 @@
         if _count_header_bytes(client) > limits.header_bytes:
             raise RequestFailedError(status=431, reason="headers too large")
         route = find_route(state.table, host=request.host, path=request.path)
-        request.body = await _read_body(client, limits.body_bytes)
         if route is None:
+            await _read_body(client, limits.body_bytes)
             raise RequestFailedError(status=404, reason="no such route")
         if not request.attempt_id:
             request.attempt_id = _make_id(request, started_at)
+        access = Access(state=state, route=route, request=request)
+        access.check()
+        request.body = await _read_body(client, limits.body_bytes)
         if route.is_stream and self._is_past_streams():
             raise RequestFailedError(
                 status=503, reason="this instance is stopping", retry_after_ms=1
@@ -100,6 +106,8 @@
             state=state,
             link=self._link,
             poison=self._poison,
+            access=access,
+            accounts=self._accounts,
             route=route,
             request=request,
             client=client,
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -8,6 +8,7 @@
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
+from arbutuspulley.node.confirmation import Confirmation
 from arbutuspulley.node.echo import Echo
 from arbutuspulley.node.following import is_followed, take_news, take_update
 from arbutuspulley.node.messages import (
@@ -19,9 +20,11 @@
     Granted,
     Hello,
     Learnt,
+    Overdrawn,
     Refused,
     RosterChange,
     RunningRequest,
+    Spent,
     StoreNews,
     Suspected,
     ToCoordinator,
@@ -66,11 +69,13 @@
     """The link to the coordinator, which may be this process itself.
 
     ``take_local`` is the own coordinator's way in, while this instance is it.
-    ``take_suspicions`` takes what other instances found of crashing requests.
+    ``take_suspicions`` takes what other instances found of crashing requests,
+    ``take_overdrawn`` which teams have spent more than their quota.
     """
 
     __slots__ = (
         "_address",
+        "_confirmation",
         "_echo",
         "_heard_at",
         "_is_closed",
@@ -78,6 +83,7 @@
         "_outgoing",
         "_roster",
         "_running",
+        "_spent",
         "_state",
         "_task",
         "_version_there",
@@ -85,12 +91,14 @@
         "_wake",
         "digest",
         "take_local",
+        "take_overdrawn",
         "take_suspicions",
     )
 
     def __init__(self, *, state: NodeState) -> None:
         self._state = state
         self._address = ""
+        self._confirmation = Confirmation(state=state)
         self._echo = Echo(now=state.clock.now())
         self._heard_at = -SILENCE_MS
         self._is_closed = False
@@ -99,12 +107,14 @@
         self._opened_at = 0
         self._outgoing: list[ToCoordinator] = []
         self._roster = RosterCopy()
+        self._spent: dict[str, int] = {}
         self._running: dict[str, tuple[int, RunningRequest]] = {}
         self._task: asyncio.Task[None] | None = None
         self._wake = asyncio.Event()
         self._waiting: dict[str, asyncio.Future[Granted]] = {}
         self.digest: Digest | None = None
         self.take_suspicions: Callable[[tuple[Suspicion, ...]], None] = _ignore
+        self.take_overdrawn: Callable[[Overdrawn], None] = _ignore
         self.take_local: Callable[[list[ToCoordinator]], None] | None = None
         state.on_news.append(self._hand_on)
         state.on_lost.append(self._tell_lost)
@@ -123,7 +133,8 @@
             return False
         state = self._state
         return (
-            self.digest.is_store_followed
+            self._confirmation.is_fresh
+            and self.digest.is_store_followed
             and not self._follows
             and self.digest.configuration <= state.configuration_version
             and self._echo.get_age(state.clock.now()) < RELIED_ON_MS
@@ -200,6 +211,15 @@
         self._outgoing.append(message)
         self._wake.set()
 
+    def tell_spent(self, team: str, cost: int) -> None:
+        """Tell what a team has spent, with the next frame that goes out."""
+        if self._is_closed:
+            return
+        if self.take_local is not None:
+            self.take_local([Spent(team=team, cost=cost)])
+            return
+        self._spent[team] = self._spent.get(team, 0) + cost
+
     def receive(self, messages: list[ToNode]) -> None:
         """Take in what the coordinator sent."""
         for message in messages:
@@ -212,6 +232,9 @@
             if isinstance(message, Suspected):
                 self.take_suspicions(message.suspicions)
                 continue
+            if isinstance(message, Overdrawn):
+                self.take_overdrawn(message)
+                continue
             if isinstance(message, RosterChange):
                 self._take_roster(message)
                 continue
@@ -297,6 +320,7 @@
             if not future.done():
                 future.set_exception(LinkLostError("link lost"))
         self._outgoing.clear()
+        self._spent.clear()
 
     def close(self) -> None:
         """Refuse all that wait and whoever asks from now on, as the process ends.
@@ -332,6 +356,7 @@
             self._version_there = digest.configuration
         state = self._state
         if self.take_local is None:
+            self._confirmation.take_digest(digest, at=self._heard_at)
             age_ms = self._echo.get_age(self._heard_at)
             state.metrics.link_age.set(age_ms / SECOND_MS)
         state.instances = digest.instances
@@ -399,6 +424,7 @@
         # each connection.
         self._roster.version = 0
         self._echo = Echo(now=self._state.clock.now())
+        self._confirmation = Confirmation(state=self._state)
         self._version_there = None
 
     async def _write(self, socket: aiohttp.ClientWebSocketResponse) -> None:
@@ -421,8 +447,14 @@
                 beat_at = clock.now() + BEAT_MS
             frame, self._outgoing = self._outgoing, []
             if frame:
+                frame.extend(self._take_spent())
                 await socket.send_bytes(encode_frame(frame))
 
+    def _take_spent(self) -> list[Spent]:
+        spent = [Spent(team=team, cost=cost) for team, cost in self._spent.items()]
+        self._spent.clear()
+        return spent
+
     def build_hello(self) -> Hello:
         """Return what a new coordinator has to know of this instance."""
         state = self._state
@@ -437,17 +469,21 @@
     def build_beat(self) -> Beat:
         """Return what this instance says of itself."""
         state = self._state
+        now = state.clock.now()
+        number = self._echo.note_sent(now)
+        self._confirmation.note_beat(number, at=now)
         return Beat(
             is_ready=state.is_ready,
             misses_store=state.store.is_failing if state.store.is_recent else None,
             follows_store=is_followed(state),
             roster=self._roster.version,
             configuration=state.configuration_version,
-            number=self._echo.note_sent(state.clock.now()),
+            number=number,
+            vouches=self._confirmation.vouched_digest,
         )
 
 
-def _ignore(_suspicions: tuple[Suspicion, ...]) -> None:
+def _ignore(_message: object) -> None:
     """Take nothing in, until someone listens."""
 
 
@@ -457,3 +493,4 @@
     def __init__(self, refused: Refused) -> None:
         super().__init__("refused")
         self.retry_after_ms = refused.retry_after_ms
+        self.is_over_quota = refused.is_over_quota
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -65,6 +65,8 @@
     :param roster: version of its list of instances; 0: it needs the whole.
     :param configuration: version that it has in force; 0: none.
     :param number: counts the beats of a link, from 1.
+    :param vouches: number of a digest. When that came, no newer configuration existed
+        than the one that this instance has in force; 0: it can't say.
     """
 
     is_ready: bool
@@ -73,6 +75,7 @@
     roster: int = 0
     configuration: int = 0
     number: int = 0
+    vouches: int = 0
 
 
 class Ask(Message, frozen=True, tag="ask"):
@@ -82,6 +85,8 @@
     :param left_ms: how long it may wait at all.
     :param is_repeat: whether a server has refused or failed it before.
     :param pause_ms: the longest pause between events that is on time; 0: any.
+    :param team: that is charged for it; empty: none.
+    :param cost: what it is charged; 0: it was before.
     """
 
     key: str
@@ -94,6 +99,8 @@
     avoid: tuple[str, ...] = ()
     is_repeat: bool = False
     pause_ms: int = 0
+    team: str = ""
+    cost: int = 0
 
 
 class Started(Message, frozen=True, tag="started"):
@@ -116,6 +123,16 @@
     events: int = 0
 
 
+class Spent(Message, frozen=True, tag="spent"):
+    """What an instance has spent of a team's quota without asking.
+
+    :param cost: negative if requests that were charged did not run.
+    """
+
+    team: str
+    cost: int
+
+
 class Withdraw(Message, frozen=True, tag="withdraw"):
     """The caller of a waiting request has left."""
 
@@ -133,10 +150,24 @@
 
 
 class Refused(Message, frozen=True, tag="refused"):
-    """The request can't be served; it has not run."""
+    """The request can't be served; it has not run.
+
+    :param is_over_quota: whether its team has used up its quota; it was not charged.
+    """
 
     key: str
     retry_after_ms: int
+    is_over_quota: bool = False
+
+
+class Overdrawn(Message, frozen=True, tag="overdrawn"):
+    """A team has spent more than its quota.
+
+    :param wait_ms: how long until that has come back.
+    """
+
+    team: str
+    wait_ms: int
 
 
 class Digest(Message, frozen=True, tag="digest"):
@@ -152,6 +183,9 @@
     :param configuration: version that the coordinator has in force; 0: none. It was
         sent before this.
     :param beat: number of the last beat of the instance that gets this; 0: none came.
+    :param number: counts the digests of a link, from 1.
+    :param fresh_beat: number of a beat of that instance. When it was sent, no newer
+        configuration than the one above existed; 0: that is not known of any.
     """
 
     is_holder: bool
@@ -162,6 +196,8 @@
     store_version: int = 0
     configuration: int = 0
     beat: int = 0
+    number: int = 0
+    fresh_beat: int = 0
 
 
 class RosterChange(Message, frozen=True, tag="roster"):
@@ -261,6 +297,7 @@
     | Ask
     | Started
     | Ended
+    | Spent
     | Withdraw
     | Suspected
     | StoreNews
@@ -269,6 +306,7 @@
 ToNode = (
     Granted
     | Refused
+    | Overdrawn
     | Digest
     | Learnt
     | Suspected
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -12,10 +12,18 @@
 """Bounds of latency histograms in s: around the usual aims, 0.1 to 2 s."""
 
 
+MOST_TEAMS = 100
+"""Teams that are counted by name, so that a scrape stays small."""
+
+OTHERS = "(others)"
+"""Stands for all teams beyond."""
+
+
 class NodeMetrics:
     """The metrics; see docs/OPERATIONS.md for what each means."""
 
     __slots__ = (
+        "_teams",
         "attempts",
         "behind",
         "configurations",
@@ -26,6 +34,7 @@
         "log_lines",
         "longest_pause",
         "orders",
+        "refusals",
         "registry",
         "requests",
         "store_calls",
@@ -50,6 +59,13 @@
             ["kind", "answer"],
             registry=registry,
         )
+        self.refusals = Counter(
+            "arbutus_refusals",
+            "Requests refused for their key or their team's quota, by why",
+            ["team", "why"],
+            registry=registry,
+        )
+        self._teams: set[str] = set()
         self.store_calls = Counter(
             "arbutus_store_calls", "Calls to the store", ["call"], registry=registry
         )
@@ -100,6 +116,12 @@
             "arbutus_coordinates", "1 while this one coordinates", registry=registry
         )
 
+    def count_refusal(self, team: str, why: str) -> None:
+        """Count a refusal; teams beyond the first ones count together."""
+        if len(self._teams) < MOST_TEAMS:
+            self._teams.add(team)
+        self.refusals.labels(team if team in self._teams else OTHERS, why).inc()
+
     def write(self) -> bytes:
         """Return all metrics as text."""
         return generate_latest(self.registry)
--- a/src/arbutuspulley/node/peer.py
+++ b/src/arbutuspulley/node/peer.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from arbutuspulley.admission.freshness import Marks
 from arbutuspulley.node.messages import Digest, Learnt, NodeInfo, ToNode
 
 
@@ -11,6 +12,9 @@
 
     :param heard_at: when it was last heard, in ms.
     :param beat: number of its last beat; 0: none came.
+    :param beats: when its beats came, by number.
+    :param digests: when digests were sent to it, by number.
+    :param digest: number of the last of them.
     :param configuration: version that it has in force, as it last said; 0: none.
     :param told: version that it has or was sent last; 0: none.
     :param build_configuration: returns what leads from that version to the newest.
@@ -25,8 +29,11 @@
     __slots__ = (
         "_due",
         "beat",
+        "beats",
         "build_configuration",
         "configuration",
+        "digest",
+        "digests",
         "follows_store",
         "heard_at",
         "info",
@@ -49,6 +56,9 @@
         self.info = info
         self.heard_at = heard_at
         self.beat = 0
+        self.beats = Marks()
+        self.digest = 0
+        self.digests = Marks()
         self.configuration = self.told = configuration
         self.build_configuration = build_configuration
         self._due = 0
--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -126,6 +126,7 @@
         peer.configuration = beat.configuration
         peer.told = max(peer.told, beat.configuration)
         peer.beat = beat.number
+        self._take_word(peer, beat)
         if peer.info.is_ready != beat.is_ready:
             peer.info = msgspec.structs.replace(peer.info, is_ready=beat.is_ready)
             self.tell_roster()
@@ -135,6 +136,14 @@
             peer.send(build_whole(self._get_roster(peer.info.site)))
         return has_lost_store
 
+    def _take_word(self, peer: Peer, beat: Beat) -> None:
+        """Take in what a beat says of how new the configuration in force is."""
+        state = self._state
+        peer.beats.note(beat.number, at=state.clock.now())
+        sent_at = peer.digests.find_time(beat.vouches)
+        if sent_at is not None and beat.configuration <= state.configuration_version:
+            state.freshness.confirm(sent_at, source="follower")
+
     def is_store_followed(self) -> bool:
         """Tell whether any of those that follow the store hears all changes."""
         followers = self._relay.followers
@@ -149,6 +158,10 @@
             peer for peer in self._by_name.values() if now - peer.heard_at < SILENCE_MS
         ]
 
+    def list_linked(self) -> list[NodeInfo]:
+        """Return what the linked instances say of themselves; first the own one."""
+        return [self._state.build_info(), *(one.info for one in self.list_heard())]
+
     def list_misses(self) -> list[bool]:
         """Return of all that know it whether they miss the store; first the own."""
         heard = [peer.misses_store for peer in self.list_heard()]
@@ -223,9 +236,21 @@
         )
         self._receive_local([digest])
         for peer in self._by_name.values():
-            peer.send(msgspec.structs.replace(digest, beat=peer.beat))
+            self._send_digest_to(peer, digest)
         return count
 
+    def _send_digest_to(self, peer: Peer, digest: Digest) -> None:
+        state = self._state
+        peer.digest += 1
+        peer.digests.note(peer.digest, at=state.clock.now())
+        own = msgspec.structs.replace(
+            digest,
+            beat=peer.beat,
+            number=peer.digest,
+            fresh_beat=peer.beats.find_number(state.freshness.confirmed_at),
+        )
+        peer.send(own)
+
     def tell_behind(self) -> None:
         """Log which instances have an older configuration in force, if any."""
         behind = self.list_behind()
@@ -252,10 +277,7 @@
 
     def tell_roster(self) -> None:
         """Tell what has changed in the list of instances, if anything has."""
-        infos = (
-            self._state.build_info(),
-            *(peer.info for peer in self.list_heard()),
-        )
+        infos = tuple(self.list_linked())
         if infos == self._told:
             return
         self._told = infos
--- a/src/arbutuspulley/node/progress.py
+++ b/src/arbutuspulley/node/progress.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from arbutuspulley.data import State
-from arbutuspulley.ports.fleet import Route
+from arbutuspulley.ports.fleet import Route, Team
 
 MOST_REFUSED = 3
 """How many servers may refuse a request as not run before it is given up."""
@@ -80,6 +80,13 @@
     is_late: bool = False
 
 
+def get_priority(route: Route, team: Team | None) -> int:
+    """Return a request's rank: its team's, or else its route's."""
+    if team is None or team.priority is None:
+        return route.priority
+    return team.priority
+
+
 def get_patience(route: Route, left_ms: int) -> int:
     """Return how long a caller waits for the first part of an answer, in ms.
 
--- /dev/null
+++ b/src/arbutuspulley/node/quotas.py
@@ -0,0 +1,115 @@
+"""The coordinator's side of teams' quotas: who is charged, and who is in debt."""
+
+from collections.abc import Sequence
+
+from arbutuspulley.admission.quota import QuotaLedger, build_limits, get_lost_part
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.node.accounts import build_tolerance
+from arbutuspulley.node.callers import count_sharers, count_takers, select_takers
+from arbutuspulley.node.messages import Ask, NodeInfo, Overdrawn, Refused, Spent
+from arbutuspulley.node.state import NodeState
+
+LOST_MS = 20 * SECOND_MS
+"""How long an instance whose link was lost is taken to serve on by itself, in ms: cuts
+mostly last some seconds, and what is kept for one that is gone serves nobody."""
+
+UNKNOWN_MS = 2 * SECOND_MS
+"""How long a new coordinator waits for instances that it knows of, in ms; they link up
+within half a second."""
+
+
+class Quotas:
+    """The ledger, and which part of each quota it may give out.
+
+    An instance that is not linked serves on by its own part of each quota, see
+    :class:`~arbutuspulley.node.accounts.Accounts`. That part is not given out here, as
+    long as it may last.
+    """
+
+    __slots__ = ("_began_at", "_known", "_ledger", "_lost", "_state")
+
+    def __init__(self, *, state: NodeState) -> None:
+        self._state = state
+        self._ledger = QuotaLedger()
+        self._lost: dict[str, tuple[NodeInfo, int]] = {}
+        self._known = 0
+        self._began_at = 0
+
+    def begin(self) -> None:
+        """Begin as a coordinator that no instance is linked to yet."""
+        self._ledger.begin()
+        self._lost.clear()
+        self._known = self._state.instances
+        self._began_at = self._state.clock.now()
+
+    def take_change(self) -> None:
+        """Take over the quotas of the configuration in force."""
+        state = self._state
+        teams = state.configuration.teams if state.configuration else None
+        limits = build_limits(teams or (), build_tolerance(state.settings))
+        self._ledger.set_limits(limits, now=state.clock.now())
+
+    def charge(self, ask: Ask, *, now: int) -> Refused | None:
+        """Charge a request to its team.
+
+        :return: the refusal, if the team has too little left.
+        """
+        if not ask.cost:
+            return None
+        wait_ms = self._ledger.charge(ask.team, ask.cost, now=now)
+        if not wait_ms:
+            return None
+        return Refused(key=ask.key, retry_after_ms=wait_ms, is_over_quota=True)
+
+    def take_spent(self, spent: Spent, *, now: int) -> Overdrawn | None:
+        """Take in what an instance has spent.
+
+        :return: what it is to be told, if the team is in debt.
+        """
+        wait_ms = self._ledger.note_spent(spent.team, spent.cost, now=now)
+        if not wait_ms or spent.cost <= 0:
+            return None
+        return Overdrawn(team=spent.team, wait_ms=wait_ms)
+
+    def note_linked(self, name: str) -> None:
+        """An instance is linked and counts here."""
+        self._lost.pop(name, None)
+
+    def note_lost(self, info: NodeInfo) -> None:
+        """The link of an instance is lost; if it takes callers, it serves on."""
+        if info.is_ready:
+            self._lost[info.name] = info, self._state.clock.now()
+
+    def set_linked(self, linked: Sequence[NodeInfo]) -> None:
+        """Work out which part of each quota may be given out; call at intervals.
+
+        :param linked: the linked instances, the own one included.
+        """
+        now = self._state.clock.now()
+        self._lost = {
+            name: (info, at)
+            for name, (info, at) in self._lost.items()
+            if now - at < LOST_MS
+        }
+        lost = [info for info, _at in self._lost.values()]
+        among = [*linked, *lost]
+        ends_ms = self._state.settings.withdrawal_ms
+        part = 1.0
+        for info, at in self._lost.values():
+            left = get_lost_part(now - at, ends_ms=ends_ms)
+            part -= left * get_part(info, among=among)
+        heard_of = len(linked) + len(lost)
+        if now - self._began_at < UNKNOWN_MS and self._known > heard_of:
+            part *= heard_of / self._known
+        self._ledger.set_part(max(0.0, part), now=now)
+
+
+def get_part(info: NodeInfo, *, among: Sequence[NodeInfo]) -> float:
+    """Return which part of what all instances share one of them uses by itself."""
+    ready = [one for one in among if one.is_ready]
+    near = [one for one in ready if one.site == info.site]
+    return 1 / count_sharers(
+        is_taker=info in select_takers(near),
+        takers=count_takers(ready),
+        instances=len(ready),
+    )
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -5,6 +5,8 @@
 
 import aiohttp
 
+from arbutuspulley.admission.freshness import MARGIN_MS, Freshness
+from arbutuspulley.admission.keys import KeyTable
 from arbutuspulley.admission.repeats import RepeatBudget
 from arbutuspulley.clock import Clock
 from arbutuspulley.membership.capacity import get_capacity
@@ -25,6 +27,8 @@
     :param configuration: the version in force, ``None`` before the first.
     :param configuration_body: it as the store holds it, for other instances.
     :param versions: it and those before it, likewise.
+    :param freshness: the word that no newer version than the one in force exists.
+    :param keys: the teams' keys of the version in force; ``None``: it has no teams.
     :param entries: registered servers by their ids.
     :param by_incarnation: the same by incarnation, ``by_service`` by service.
     :param refused_entries: ids of rows that name no server, and why.
@@ -61,8 +65,10 @@
         "entries",
         "entry_bodies",
         "followed",
+        "freshness",
         "in_flight",
         "instances",
+        "keys",
         "learnt",
         "metrics",
         "nodes",
@@ -106,6 +112,8 @@
         self.configuration: FleetConfiguration | None = None
         self.configuration_body = b""
         self.versions = Versions()
+        self.freshness = Freshness()
+        self.keys: KeyTable | None = None
         self.entry_bodies: dict[str, bytes] = {}
         self.table: RouteTable | None = None
         self.entries: dict[str, ServerEntry] = {}
@@ -137,6 +145,15 @@
         """Whether this instance takes callers."""
         return self.configuration is not None and self.stopping_at is None
 
+    @property
+    def may_admit(self) -> bool:
+        """Whether callers' keys may be believed: none was withdrawn unheard of."""
+        withdrawal_ms = self.settings.withdrawal_ms
+        if self.keys is None or withdrawal_ms is None:
+            return True
+        limit_ms = withdrawal_ms - MARGIN_MS
+        return self.freshness.is_within(limit_ms, now=self.clock.now())
+
     @property
     def configuration_version(self) -> int:
         """Version of the configuration in force; 0: none."""
--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -14,7 +14,7 @@
 
 
 class ServerStandin:
-    """One start of a server.
+    """One start of a server. It keeps the headers of what it ran by attempt.
 
     :param models: models at the start; empty for a plain service.
     :param memory_mb: room for models of 10 MB each.
@@ -33,6 +33,7 @@
         "crashes_on",
         "fails",
         "fence",
+        "headers",
         "holds_s",
         "incarnation",
         "is_busy",
@@ -69,6 +70,7 @@
         self.is_busy = False
         self.overcommitted = 0
         self.runs: Counter[str] = Counter()
+        self.headers: dict[str, dict[str, str]] = {}
         self.breaks_after: int | None = None
         self.crashes_on = b""
         self.on_break: Callable[[], None] = lambda: None
@@ -165,6 +167,7 @@
             }
             return web.Response(status=503, headers=headers)
         self.runs[attempt] += 1
+        self.headers[attempt] = dict(request.headers)
         if self.crashes_on and self.crashes_on in body and request.transport:
             request.transport.abort()
             self.on_break()
--- /dev/null
+++ b/tests/test_accounts.py
@@ -0,0 +1,211 @@
+"""What an instance pays for its callers, with a coordinator and without."""
+
+import msgspec
+import pytest
+
+from arbutuspulley.clock import Clock
+from arbutuspulley.node.accounts import Accounts
+from arbutuspulley.node.link import Link
+from arbutuspulley.node.messages import Ask, Digest, Overdrawn, Spent
+from arbutuspulley.node.progress import RequestFailedError
+from arbutuspulley.node.quotas import Quotas, get_part
+from arbutuspulley.platform.requests import decode_request
+from arbutuspulley.ports.fleet import FleetConfiguration, ModelNeed, Team
+from tests.node_states import build_info, build_state
+
+TEAM = Team(name="t", keys=("k",), rate_per_s=1_000, burst=1_000, counts_tokens=True)
+FREE = Team(name="free", keys=("f",))
+NEED = ModelNeed(model="m", adapter="", prompt_tokens=1, output_tokens=1)
+
+
+class Instance:
+    """An instance with its link and its accounts; the coordinator may be itself."""
+
+    def __init__(self, *, coordinates=False, **settings):
+        self.now = [100_000]
+        self.state = build_state(
+            clock=Clock(read=lambda: self.now[0]),
+            **{"quota_window_ms": 8_000, **settings},
+        )
+        self.state.configuration = FleetConfiguration(
+            version=1, routes=(), services={}, teams=(TEAM, FREE)
+        )
+        self.link = Link(state=self.state)
+        self.told = []
+        if coordinates:
+            self.link.take_local = self.told.extend
+        self.accounts = Accounts(state=self.state, link=self.link)
+
+    def pay(self, cost):
+        return self.accounts.pay(TEAM, cost, attempt_id="a")
+
+
+def test_plain_requests_are_told_to_the_coordinator_and_given_back_once():
+    instance = Instance(coordinates=True)
+    payment = instance.pay(200)
+    instance.accounts.give_back(payment)
+    assert instance.told == [Spent(team="t", cost=200), Spent(team="t", cost=-200)]
+
+
+def test_what_was_spent_goes_out_with_the_next_frame():
+    instance = Instance()
+    instance.link.receive([Digest(is_holder=True)])
+    instance.pay(200)
+    instance.pay(300)
+    assert instance.link._take_spent() == [Spent(team="t", cost=500)]
+    assert instance.link._take_spent() == []
+
+
+def test_a_team_in_debt_is_refused_until_that_is_paid():
+    instance = Instance(coordinates=True)
+    instance.link.receive([Overdrawn(team="t", wait_ms=700)])
+    with pytest.raises(RequestFailedError) as raised:
+        instance.pay(200)
+    error = raised.value
+    assert (error.status, error.retry_after_ms) == (429, 700)
+    instance.now[0] += 700
+    instance.pay(200)
+    assert instance.told == [Spent(team="t", cost=200)]
+
+
+def test_without_a_coordinator_an_instance_pays_by_its_own_part():
+    instance = Instance()
+    assert instance.pay(500).is_local
+    with pytest.raises(RequestFailedError) as raised:
+        instance.pay(500)
+    assert raised.value.status == 429
+    instance.now[0] += raised.value.retry_after_ms
+    instance.pay(500)
+
+
+def test_what_is_given_back_after_the_link_was_closed_is_lost():
+    instance = Instance(coordinates=True)
+    payment = instance.pay(200)
+    instance.link.close()
+    instance.accounts.give_back(payment)
+    assert instance.told == [Spent(team="t", cost=200)]
+
+
+@pytest.mark.parametrize(("team", "cost"), [(None, 0), (FREE, 0), (TEAM, 150)])
+def test_only_teams_with_a_quota_pay(team, cost):
+    headers = [("X-Arbutuspulley-Token-Usage", "100,50")]
+    request = decode_request(method="POST", path="/", headers=headers)
+    assert Instance().accounts.get_cost(team, request) == cost
+
+
+def build_quotas(instance, *, linked=1):
+    instance.state.instances = linked
+    quotas = Quotas(state=instance.state)
+    quotas.begin()
+    quotas.take_change()
+    return quotas
+
+
+def ask(quotas, cost, *, now, key="a"):
+    return quotas.charge(
+        Ask(
+            key=key,
+            service="s",
+            need=NEED,
+            zone="z",
+            priority=1,
+            aim_ms=1,
+            left_ms=1,
+            team="t",
+            cost=cost,
+        ),
+        now=now,
+    )
+
+
+def test_the_coordinator_charges_asks_and_what_was_spent_to_one_account():
+    instance = Instance()
+    quotas = build_quotas(instance)
+    now = instance.now[0]
+    assert ask(quotas, 1, now=now).retry_after_ms == 2
+    assert ask(quotas, 1_000, now=now + 5_000) is None
+    refused = ask(quotas, 400, now=now + 5_000)
+    assert refused.is_over_quota
+    assert refused.retry_after_ms == 401
+    overdrawn = quotas.take_spent(Spent(team="t", cost=600), now=now + 5_100)
+    assert overdrawn == Overdrawn(team="t", wait_ms=501)
+    assert quotas.take_spent(Spent(team="t", cost=-600), now=now + 5_100) is None
+
+
+def test_a_free_request_is_not_charged():
+    quotas = build_quotas(Instance())
+    assert all(ask(quotas, 0, now=1) is None for _ in range(9))
+
+
+def test_the_part_of_an_instance_that_was_lost_is_not_given_out():
+    """A third of the instances are cut off and serve on by themselves."""
+    instance = Instance()
+    infos = [build_info(name) for name in ("a", "b", "c")]
+    quotas = build_quotas(instance, linked=3)
+    quotas.set_linked(infos)
+    assert quotas._ledger.part == 1
+    quotas.note_lost(infos[2])
+    quotas.set_linked(infos[:2])
+    assert quotas._ledger.part == pytest.approx(2 / 3)
+    quotas.note_linked("c")
+    quotas.set_linked(infos)
+    assert quotas._ledger.part == 1
+
+
+def test_one_that_stopped_as_planned_or_is_long_gone_keeps_nothing():
+    instance = Instance()
+    infos = [build_info("a"), build_info("b", is_ready=False), build_info("c")]
+    quotas = build_quotas(instance)
+    quotas.note_lost(infos[1])
+    quotas.set_linked(infos[:1])
+    assert quotas._ledger.part == 1
+    quotas.note_lost(infos[2])
+    quotas.set_linked(infos[:1])
+    assert quotas._ledger.part == 0.5
+    instance.now[0] += 20_000
+    quotas.set_linked(infos[:1])
+    assert quotas._ledger.part == 1
+
+
+def test_a_new_coordinator_leaves_room_for_instances_not_linked_yet():
+    instance = Instance()
+    infos = [build_info(name) for name in ("a", "b", "c", "d")]
+    quotas = build_quotas(instance, linked=4)
+    quotas.set_linked(infos[:1])
+    assert quotas._ledger.part == 0.25
+    instance.now[0] += 2_000
+    quotas.set_linked(infos[:1])
+    assert quotas._ledger.part == 1
+
+
+def test_strong_instances_have_the_larger_part():
+    strong = [build_info(f"s{n}", capacity=4.0) for n in range(2)]
+    small = [build_info(f"w{n}", capacity=0.5) for n in range(10)]
+    infos = [*strong, *small]
+    assert get_part(strong[0], among=infos) == pytest.approx(0.425)
+    assert sum(get_part(one, among=infos) for one in infos) == pytest.approx(1)
+
+
+def test_what_a_cut_off_instance_keeps_runs_out_on_both_sides():
+    """It can't confirm any key for longer, and its callers have gone to others."""
+    instance = Instance(withdrawal_ms=5_000)
+    quotas = build_quotas(instance)
+    infos = [build_info("a"), build_info("b")]
+    quotas.note_lost(infos[1])
+    parts = []
+    for _ in range(3):
+        quotas.set_linked(infos[:1])
+        parts.append(quotas._ledger.part)
+        instance.now[0] += 2_500
+    assert parts == [0.5, 0.75, 1]
+    assert instance.pay(5_000).is_local
+    with pytest.raises(RequestFailedError):
+        instance.pay(1)
+
+
+def test_messages_between_versions_are_understood_without_the_new_fields():
+    ask_before = Ask(
+        key="a", service="s", need=NEED, zone="z", priority=1, aim_ms=1, left_ms=1
+    )
+    body = msgspec.msgpack.encode(ask_before)
+    assert msgspec.msgpack.decode(body, type=Ask).cost == 0
--- /dev/null
+++ b/tests/test_freshness.py
@@ -0,0 +1,154 @@
+"""How old the word is that no newer configuration exists, however it came.
+
+Each case is a way by which an instance could go on believing a withdrawn key.
+"""
+
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+
+from arbutuspulley.admission.freshness import MOST_MARKS, Freshness, Marks
+from arbutuspulley.clock import Clock
+from arbutuspulley.node.following import put_in_force
+from arbutuspulley.node.link import Link
+from arbutuspulley.node.messages import Beat, Digest, Hello
+from arbutuspulley.node.peers import Peers
+from arbutuspulley.node.relay import Relay
+from scripts.platform_stage import build_configuration
+from tests.node_states import build_info, build_state
+
+
+def build_instance(now, *, version=1, **settings):
+    state = build_state(clock=Clock(read=lambda: now[0]), **settings)
+    state.store = SimpleNamespace(is_failing=False, is_recent=False)
+    put_in_force(state, msgspec.json.encode(build_configuration(version)), by="store")
+    return state
+
+
+def build_peers(state):
+    peers = Peers(state=state, relay=Relay(state=state), receive_local=lambda _: None)
+    peers.add(Hello(info=build_info("a")))
+    return peers
+
+
+def take_digest(peers):
+    """Send a digest and return what instance ``a`` gets."""
+    peers.get("a").outgoing.clear()
+    peers.send_digest(is_holder=True)
+    return next(one for one in peers.get("a").outgoing if isinstance(one, Digest))
+
+
+def test_the_word_is_as_old_as_its_question():
+    freshness = Freshness()
+    assert freshness.get_age(5) is None
+    assert not freshness.is_within(1_000, now=5)
+    freshness.confirm(100, source="store")
+    freshness.confirm(50, source="coordinator")
+    assert (freshness.get_age(300), freshness.source) == (200, "store")
+    assert freshness.is_within(201, now=300)
+    assert not freshness.is_within(200, now=300)
+
+
+def test_marks_know_the_last_messages():
+    marks = Marks()
+    for number in range(1, MOST_MARKS + 2):
+        marks.note(number, at=10 * number)
+    assert marks.find_time(1) is None
+    assert marks.find_time(2) == 20
+    assert marks.find_number(39) == 3
+    assert marks.find_number(None) == 0
+
+
+def test_a_digest_confirms_as_of_a_beat_sent_before_the_store_was_asked():
+    """A digest that waits in a socket makes no old word young."""
+    now = [1_000]
+    state = build_instance(now)
+    peers = build_peers(state)
+    there = build_instance(now)
+    link = Link(state=there)
+    link.forget_coordinator()
+    first = link.build_beat()
+    peers.take_beat("a", first)
+    now[0] = 1_200
+    state.freshness.confirm(now[0], source="store")
+    now[0] = 1_250
+    peers.take_beat("a", link.build_beat())
+    digest = take_digest(peers)
+    assert (digest.beat, digest.fresh_beat) == (2, 1)
+    now[0] = 9_000
+    link.receive([digest])
+    assert there.freshness.get_age(now[0]) == 8_000
+
+
+def test_a_coordinator_without_a_word_confirms_nothing():
+    """A coordinator that has just started, or froze and woke, knows no newer state."""
+    now = [1_000]
+    state = build_instance(now)
+    peers = build_peers(state)
+    peers.take_beat("a", Beat(is_ready=True, number=7))
+    assert take_digest(peers).fresh_beat == 0
+    state.freshness.confirm(900, source="store")
+    assert take_digest(peers).fresh_beat == 0
+
+
+def test_a_digest_of_a_newer_configuration_confirms_only_once_that_is_in_force():
+    now = [1_000]
+    there = build_instance(now, version=1)
+    link = Link(state=there)
+    link.forget_coordinator()
+    link.build_beat()
+    link.receive([Digest(is_holder=True, configuration=2, fresh_beat=1)])
+    assert there.freshness.confirmed_at is None
+    put_in_force(there, msgspec.json.encode(build_configuration(2)), by="store")
+    link.receive([Digest(is_holder=True, configuration=2, fresh_beat=1)])
+    assert there.freshness.confirmed_at == 1_000
+
+
+def test_a_beat_of_the_link_before_confirms_nothing():
+    """A superseded coordinator's digest names beats of another connection."""
+    now = [1_000]
+    there = build_instance(now)
+    link = Link(state=there)
+    link.forget_coordinator()
+    link.build_beat()
+    link.forget_coordinator()
+    link.receive([Digest(is_holder=True, configuration=1, fresh_beat=1)])
+    assert there.freshness.confirmed_at is None
+
+
+@pytest.mark.parametrize(
+    ("version", "confirmed_at"), [(1, 1_000), (2, 1_000), (3, None)]
+)
+def test_a_follower_vouches_as_of_a_digest_that_it_had_before_it_asked(
+    version, confirmed_at
+):
+    """The coordinator is cut off from the store; a follower still asks it."""
+    now = [1_000]
+    state = build_instance(now, version=2)
+    peers = build_peers(state)
+    follower = build_instance(now)
+    link = Link(state=follower)
+    link.forget_coordinator()
+    link.receive([take_digest(peers)])
+    now[0] = 1_300
+    follower.freshness.confirm(now[0], source="store")
+    now[0] = 1_500
+    link.receive([take_digest(peers)])
+    beat = msgspec.structs.replace(link.build_beat(), configuration=version)
+    assert beat.vouches == 1
+    now[0] = 6_000
+    peers.take_beat("a", beat)
+    assert state.freshness.confirmed_at == confirmed_at
+
+
+def test_an_instance_whose_word_grows_old_asks_the_store_itself():
+    now = [1_000]
+    state = build_instance(now, withdrawal_ms=5_000)
+    link = Link(state=state)
+    link.receive([Digest(is_holder=True, is_store_followed=True, configuration=1)])
+    assert not link.is_relayed
+    state.freshness.confirm(now[0], source="store")
+    assert link.is_relayed
+    state.freshness.confirmed_at = now[0] - 3_600
+    assert not link.is_relayed
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,256 @@
+"""Teams' quotas, against a plain model, over losses, cuts and changed limits."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from arbutuspulley.admission.quota import (
+    MOST_PROMISED_MS,
+    LocalQuota,
+    QuotaLedger,
+    QuotaTolerance,
+    build_limit,
+    build_limits,
+    get_cost,
+    get_lost_part,
+)
+from arbutuspulley.ports.fleet import Team
+
+TOLERANCE = QuotaTolerance(window_ms=8_000, overage=0.1, extra=11_000)
+EXACT = QuotaTolerance(window_ms=8_000, overage=0, extra=0)
+
+
+def build_team(*, rate=1_000, burst=2_000, **changes):
+    return Team(
+        name="t",
+        keys=("k",),
+        rate_per_s=rate,
+        burst=burst,
+        counts_tokens=True,
+        plain_tokens=200,
+        **changes,
+    )
+
+
+def build_ledger(team, tolerance=EXACT, *, now=0):
+    ledger = QuotaLedger()
+    ledger.set_limits(build_limits([team], tolerance), now=now)
+    return ledger
+
+
+def build_full(team, tolerance=EXACT):
+    """Build a ledger that has counted for long, as of the time 0."""
+    return build_ledger(team, tolerance, now=-60_000)
+
+
+def get_allowed(team, tolerance=TOLERANCE):
+    """Return what a team may spend in one window at most."""
+    base = team.rate_per_s * tolerance.window_ms / 1_000 + team.burst
+    return base * (1 + tolerance.overage) + tolerance.extra
+
+
+def find_most_spent(spent, window_ms=8_000):
+    """Return the most that was spent in any window."""
+    return max(
+        sum(cost for at, cost in spent if begin <= at < begin + window_ms)
+        for begin, _ in spent
+    )
+
+
+@pytest.mark.parametrize(
+    ("changes", "usage", "cost"),
+    [
+        ({}, 1_540, 1_540),
+        ({}, None, 200),
+        ({}, 0, 0),
+        ({"counts_tokens": False}, 1_540, 1),
+    ],
+    ids=["tokens", "plain", "none", "requests"],
+)
+def test_a_request_costs_what_it_says_or_the_plain_cost(changes, usage, cost):
+    team = Team(
+        name="t", keys=(), **{"counts_tokens": True, "plain_tokens": 200, **changes}
+    )
+    assert get_cost(team, usage) == cost
+
+
+def test_a_team_without_a_rate_has_no_limit():
+    team = build_team(rate=0)
+    assert build_limit(team, TOLERANCE) is None
+    assert build_ledger(team).charge("t", 1e9, now=0) == 0
+
+
+def test_rate_and_burst_are_given_out_and_no_more():
+    ledger = build_full(build_team())
+    assert [ledger.charge("t", 500, now=0) for _ in range(5)] == [0, 0, 0, 0, 501]
+    assert ledger.charge("t", 500, now=500) == 0
+    assert ledger.charge("t", 500, now=600) > 0
+
+
+def test_refused_callers_are_told_to_come_back_one_after_another():
+    """A team sends many times its usual. Told the same moment, all whom it refuses
+    would come back together and be refused again."""
+    ledger = build_full(build_team())
+    ledger.charge("t", 2_000, now=0)
+    waits = [ledger.charge("t", 500, now=0) for _ in range(20)]
+    assert waits[:3] == [501, 1_001, 1_501]
+    assert max(waits) <= MOST_PROMISED_MS + 1
+    assert ledger.charge("t", 500, now=501) == 0
+
+
+def test_a_request_larger_than_the_burst_is_served_from_a_full_bucket():
+    ledger = build_full(build_team())
+    assert ledger.charge("t", 5_000, now=0) == 0
+    assert ledger.charge("t", 500, now=3_000) > 0
+    assert ledger.charge("t", 500, now=3_500) == 0
+
+
+def test_a_lowered_limit_holds_from_the_change_on():
+    ledger = build_full(build_team(rate=100_000, burst=100_000))
+    lowered = build_limits([build_team(rate=1_000, burst=1_000)], EXACT)
+    ledger.set_limits(lowered, now=0)
+    assert ledger.charge("t", 1_000, now=0) == 0
+    assert ledger.charge("t", 1_000, now=500) > 0
+    ledger.set_limits({}, now=500)
+    assert ledger.charge("t", 1e9, now=500) == 0
+
+
+def test_what_did_not_run_is_given_back_and_never_beyond_the_burst():
+    ledger = build_full(build_team())
+    ledger.charge("t", 2_000, now=0)
+    assert ledger.note_spent("t", -2_000, now=0) == 0
+    assert ledger.get_left("t", now=0) == 2_000
+    ledger.note_spent("t", -2_000, now=0)
+    assert ledger.get_left("t", now=0) == 2_001 - 1
+
+
+def test_what_was_spent_unasked_is_paid_back_before_more_is_granted():
+    ledger = build_full(build_team())
+    assert ledger.note_spent("t", 2_000, now=0) == 0
+    assert ledger.note_spent("t", 3_000, now=0) == 3_001
+    assert ledger.charge("t", 500, now=3_000) > 0
+    assert ledger.charge("t", 500, now=3_501) == 0
+
+
+def test_a_new_coordinator_does_not_give_out_the_burst_again():
+    """The coordinator dies again and again beside a team that takes what it gets."""
+    team = build_team(rate=20_000, burst=20_000)
+    spent = []
+    ledger = build_full(team, TOLERANCE)
+    for now in range(0, 16_000, 10):
+        if now in (4_000, 7_000):
+            ledger = build_ledger(team, TOLERANCE, now=now)
+        while ledger.charge("t", 1_500, now=now) == 0:
+            spent.append((now, 1_500))
+    assert find_most_spent(spent) <= get_allowed(team)
+
+
+def test_a_new_team_has_its_whole_quota_at_once():
+    ledger = build_ledger(build_team())
+    other = build_limits(
+        [build_team(), Team(name="u", keys=(), rate_per_s=9, burst=90)], EXACT
+    )
+    ledger.set_limits(other, now=1_000)
+    assert ledger.charge("u", 90, now=1_000) == 0
+    assert ledger.get_left("t", now=1_000) == 1_000
+
+
+def test_a_new_coordinator_serves_a_usual_load_at_once():
+    """What it can't know counts as spent; what is refused for that would be lost."""
+    team = build_team(rate=18_000, burst=18_000)
+    ledger = build_ledger(team, TOLERANCE)
+    refused = sum(
+        ledger.charge("t", 1_500, now=now) > 0 for now in range(0, 5_000, 150)
+    )
+    assert refused == 0
+
+
+@given(
+    parts=st.lists(st.floats(0.01, 1), min_size=1, max_size=8),
+    cut=st.integers(0, 8),
+    asks=st.lists(
+        st.tuples(st.integers(0, 7), st.integers(0, 40), st.integers(100, 4_000)),
+        max_size=200,
+    ),
+)
+def test_no_cut_lets_a_team_spend_more_in_a_window_than_is_tolerated(parts, cut, asks):
+    """Some instances are cut off and count by themselves, the others together."""
+    team = build_team(rate=10_000, burst=10_000)
+    whole = sum(parts)
+    parts = [part / whole for part in parts]
+    alone = [LocalQuota(tolerance=TOLERANCE) for _ in parts]
+    ledger = build_full(team, TOLERANCE)
+    ledger.set_part(sum(parts[cut:]), now=0)
+    spent, now = [], 0
+    for which, pause, cost in asks:
+        now += pause
+        index = which % len(parts)
+        if index < cut:
+            wait = alone[index].charge(team, cost, part=parts[index], now=now)
+        else:
+            wait = ledger.charge("t", cost, now=now)
+        if not wait:
+            spent.append((now, cost))
+    largest = 4_000 * len(parts)
+    if spent:
+        assert find_most_spent(spent) <= get_allowed(team) + largest
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 2_000), st.integers(1, 3_000), st.booleans()),
+        max_size=60,
+    )
+)
+def test_a_ledger_agrees_with_a_plain_model(steps):
+    team = build_team()
+    ledger = build_full(team)
+    left, now = 2_000.0, 0
+    for pause, cost, runs in steps:
+        now += pause
+        left = min(2_000.0, left + pause)
+        is_allowed = left >= min(cost, 2_000)
+        assert (ledger.charge("t", cost, now=now) == 0) is is_allowed
+        if is_allowed and runs:
+            left -= cost
+        elif is_allowed:
+            ledger.note_spent("t", -cost, now=now)
+    assert ledger.get_left("t", now=now) == pytest.approx(left)
+
+
+def test_an_instance_alone_serves_by_its_own_part():
+    local, team = LocalQuota(tolerance=EXACT), build_team(rate=8_000, burst=8_000)
+    served = sum(
+        local.charge(team, 100, part=0.25, now=now) == 0 for now in range(0, 10_000, 10)
+    )
+    assert served == pytest.approx(200, abs=2)
+
+
+def test_links_that_come_and_go_give_an_instance_no_second_quota():
+    """Each time its link is lost, an instance would begin with a full bucket."""
+    local, team = LocalQuota(tolerance=TOLERANCE), build_team(rate=8_000, burst=8_000)
+    spent = 0
+    for now in range(0, 8_000, 10):
+        if now % 1_000 < 500:
+            local.note_coordinated(now)
+        elif local.charge(team, 100, part=0.5, now=now) == 0:
+            spent += 100
+    tolerance = build_limit(team, TOLERANCE).tolerance * 0.5
+    assert spent <= 4_000 * 8 * 0.5 + 2 * tolerance + 100
+
+
+def test_what_an_instance_alone_did_not_run_is_given_back():
+    local, team = LocalQuota(tolerance=EXACT), build_team()
+    local.give_back("t", 50)
+    assert local.charge(team, 400, part=0.1, now=0) == 0
+    assert local.charge(team, 400, part=0.1, now=0) > 0
+    local.give_back("t", 400)
+    assert local.charge(team, 400, part=0.1, now=0) == 0
+
+
+@pytest.mark.parametrize(
+    ("lost_ms", "ends_ms", "part"),
+    [(0, 5_000, 1), (2_500, 5_000, 0.5), (9_000, 5_000, 0), (9_000, None, 1)],
+)
+def test_the_part_of_an_instance_that_is_cut_off_runs_out(lost_ms, ends_ms, part):
+    assert get_lost_part(lost_ms, ends_ms=ends_ms) == part
