Send callers on from an instance that can admit nobody

An instance that is cut off from all others and from the store forgets the list of instances after 5 s and named itself alone to whoever asked it where to connect.

It now names those that it last knew instead of itself, for as long as it can admit nobody. They may be gone; it certainly is of no use.

--- a/src/arbutuspulley/node/directory.py
+++ b/src/arbutuspulley/node/directory.py
@@ -63,13 +63,14 @@
     def _list_ready(self) -> list[NodeInfo]:
         state = self._state
         nodes: list[NodeInfo] = []
-        if state.clock.now() - state.nodes_at < FRESH_MS:
+        if state.clock.now() - state.nodes_at < FRESH_MS or not state.may_admit:
             nodes = [
                 node
                 for node in state.nodes
                 if node.is_ready and node.name != state.settings.name
             ]
-        if state.is_ready:
+        # An instance that refuses all keys sends callers to those that it last knew.
+        if state.is_ready and (state.may_admit or not nodes):
             nodes.append(state.build_info())
         return nodes
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from arbutuspulley.admission.keys import build_keys
 from arbutuspulley.clock import Clock
 from arbutuspulley.node.directory import FRESH_MS, Directory
 from arbutuspulley.node.following import put_in_force
@@ -65,3 +66,20 @@
 def test_answers_are_kept_no_longer_than_the_settings_allow(setting, expected):
     directory = Directory(state=build_ready(now=[10], directory_ttl_s=setting))
     assert directory._get_ttl() == expected
+
+
+def test_an_instance_that_can_admit_nobody_sends_callers_to_those_it_last_knew():
+    """It is cut off from all others and from the store. It named itself alone, and all
+    callers that asked it were refused there."""
+    now = [10]
+    state = build_ready(now=now, withdrawal_ms=5_000)
+    state.keys = build_keys(())
+    state.nodes, state.nodes_at = NODES, 10
+    state.freshness.confirm(10, source="store")
+    directory = Directory(state=state)
+    assert "own:1" in directory.list_addresses(site="a1", region="a")
+    now[0] += FRESH_MS
+    named = directory.list_addresses(site="a1", region="a")
+    assert {address.partition(":")[0] for address in named} == {"n1", "n2"}
+    state.nodes = ()
+    assert directory.list_addresses(site="a1", region="a") == ["own:1"]
