Test how a request gets a server and pays, and count keys in control's bytes

Taking the second check of a key out, right before a server gets the request, failed no test: the guards of the other twelve did when they were taken out.

--- a/scripts/bench_control.py
+++ b/scripts/bench_control.py
@@ -19,6 +19,7 @@
     Learnt,
     NodeInfo,
     RosterChange,
+    Spent,
 )
 from arbutuspulley.node.peers import SUCCESSORS
 from arbutuspulley.node.relay import QUIET_BYTES, QUIET_MS
@@ -49,6 +50,9 @@
 REPLACED_A_DAY = 0.86
 """Starts of each instance a day: 310 of 360."""
 
+TEAMS_PER_BEAT = 3
+"""Teams that an instance pays for between two beats, at ten requests a second."""
+
 DAY_S = 86_400
 
 app = cyclopts.App(help="Sum what instances say to each other for control.")
@@ -110,8 +114,22 @@
         followers=("edge-site-1-17", "edge-site-2-17"),
         is_store_followed=True,
         store_version=1_000_000,
+        configuration=10_000,
+        beat=10_000,
+        number=10_000,
+        fresh_beat=10_000,
+    )
+    beat = Beat(
+        is_ready=True,
+        follows_store=True,
+        roster=500,
+        configuration=10_000,
+        number=10_000,
+        vouches=10_000,
+    )
+    spent = TEAMS_PER_BEAT * len(
+        msgspec.msgpack.encode(Spent(team="team-1000", cost=10_000))
     )
-    beat = Beat(is_ready=True, follows_store=True, roster=500)
     servers = SERVERS_PER_INSTANCE[instances] * instances
     if instances == 360:
         servers = 580
@@ -119,7 +137,7 @@
     news = min(told * ROW_BYTES, QUIET_BYTES) * SECOND_MS / QUIET_MS
     starts = linked * REPLACED_A_DAY / DAY_S * 2 * changed
     down = beats * _count(digest) + news + starts
-    up = beats * _count(beat)
+    up = beats * (_count(beat) + spent)
     learnt = SUCCESSORS * _count(_build_learnt(int(servers * MODELS_PER_SERVER)))
     return Sums(
         down=down,
--- /dev/null
+++ b/tests/test_acquisition.py
@@ -0,0 +1,184 @@
+"""How a request gets a server and what its team pays, as callers, keys and links go."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from arbutuspulley.clock import Clock
+from arbutuspulley.node.access import Access
+from arbutuspulley.node.accounts import Accounts
+from arbutuspulley.node.acquisition import Acquisition, NoServerError
+from arbutuspulley.node.following import put_in_force
+from arbutuspulley.node.link import Link
+from arbutuspulley.node.messages import Ask, Digest, Ended, Granted, Refused, Spent
+from arbutuspulley.node.progress import Progress, RequestFailedError
+from arbutuspulley.platform.requests import decode_request
+from arbutuspulley.ports.fleet import Holding, ServerEntry, TryEnd
+from arbutuspulley.routing.table import find_route
+from scripts.platform_stage import HOST, build_configuration
+from tests.node_states import build_state
+
+ENTRY = ServerEntry(
+    server_id="e1",
+    incarnation="e1",
+    born_ms=0,
+    service="llm",
+    address="e1:1",
+    zone="a1",
+    slots=8,
+    is_leaving=False,
+    holdings=(Holding(model="m0"),),
+)
+COST = 120
+
+
+def put_teams(state, version, *keys):
+    configuration = build_configuration(version)
+    configuration["Tenants"] = [
+        {"Name": "team", "ApiKeys": list(keys), "Unit": "tokens", "RatePerS": 9_000}
+    ]
+    put_in_force(state, msgspec.json.encode(configuration), by="store")
+
+
+class Trial:
+    """One request at an instance that is its own coordinator.
+
+    :param decide: returns the coordinator's answer to an ask; ``None``: none comes.
+    """
+
+    def __init__(self, decide):
+        self.state = build_state(clock=Clock(read=lambda: 10_000))
+        put_teams(self.state, 1, "k1")
+        self.state.by_incarnation["e1"] = ENTRY
+        self.told = []
+        self.link = Link(state=self.state)
+        self.link.take_local = self._take
+        self._decide = decide
+        request = decode_request(
+            method="POST",
+            path="/chat/1",
+            headers=[
+                ("Host", HOST),
+                ("X-Arbutuspulley-Attempt-Id", "r1"),
+                ("X-Arbutuspulley-Key", "k1"),
+                ("X-Arbutuspulley-Model", "m0"),
+                ("X-Arbutuspulley-Token-Usage", "100,20"),
+            ],
+        )
+        route = find_route(self.state.table, host=HOST, path="/chat/1")
+        access = Access(state=self.state, route=route, request=request)
+        access.check()
+        self.progress = Progress(started_at=10_000, ends_at=20_000, service="llm")
+        self.acquisition = Acquisition(
+            state=self.state,
+            link=self.link,
+            access=access,
+            accounts=Accounts(state=self.state, link=self.link),
+            route=route,
+            request=request,
+            progress=self.progress,
+            left_ms=9_000,
+        )
+
+    def _take(self, messages):
+        for message in messages:
+            self.told.append(message)
+            if isinstance(message, Ask):
+                answer = self._decide(self)
+                if answer is not None:
+                    asyncio.get_running_loop().call_soon(self.link.receive, [answer])
+
+    def get_server(self):
+        return asyncio.run(self.acquisition.get_server())
+
+    def list_costs(self):
+        """Return what the team was charged and given back, in order."""
+        return [one.cost for one in self.told if isinstance(one, Ask | Spent)]
+
+
+def grant(_trial=None):
+    return Granted(key="r1", incarnation="e1", address="e1:1", is_late=False)
+
+
+def refuse(_trial=None, **changes):
+    return Refused(key="r1", retry_after_ms=700, **changes)
+
+
+def withdraw_and_grant(trial):
+    put_teams(trial.state, 2, "k2")
+    return grant()
+
+
+def test_a_request_is_charged_once_however_often_it_asks():
+    trial = Trial(grant)
+    assert trial.get_server() is ENTRY
+    assert trial.get_server() is ENTRY
+    trial.progress.may_have_run = 1
+    trial.acquisition.give_back()
+    assert trial.list_costs() == [COST, 0]
+
+
+def test_a_request_that_no_server_ran_is_given_back_once():
+    trial = Trial(grant)
+    trial.get_server()
+    trial.acquisition.give_back()
+    trial.acquisition.give_back()
+    assert trial.list_costs() == [COST, -COST]
+
+
+def test_a_request_refused_for_want_of_servers_is_given_back():
+    trial = Trial(refuse)
+    with pytest.raises(NoServerError) as raised:
+        trial.get_server()
+    assert raised.value.retry_after_ms == 700
+    trial.acquisition.give_back()
+    assert trial.list_costs() == [COST, -COST]
+
+
+def test_a_request_over_its_quota_is_refused_and_was_not_charged():
+    trial = Trial(lambda _trial: refuse(is_over_quota=True))
+    with pytest.raises(RequestFailedError) as raised:
+        trial.get_server()
+    assert (raised.value.status, raised.value.retry_after_ms) == (429, 700)
+    trial.acquisition.give_back()
+    assert trial.list_costs() == [COST]
+
+
+def test_a_key_withdrawn_while_its_request_waited_gets_no_server():
+    """The grant came after the withdrawal; the server is freed and nothing is paid."""
+    trial = Trial(withdraw_and_grant)
+    with pytest.raises(RequestFailedError) as raised:
+        trial.get_server()
+    assert raised.value.status == 401
+    ended = [one for one in trial.told if isinstance(one, Ended)]
+    assert [one.how for one in ended] == [TryEnd.UNUSED]
+    trial.acquisition.give_back()
+    assert trial.list_costs() == [COST, -COST]
+
+
+def test_a_caller_who_left_while_it_waited_is_given_back():
+    async def leave(trial):
+        task = asyncio.ensure_future(trial.acquisition.get_server())
+        await asyncio.sleep(0)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+    trial = Trial(lambda _trial: None)
+    asyncio.run(leave(trial))
+    trial.acquisition.give_back()
+    assert trial.list_costs() == [COST, -COST]
+
+
+def test_a_request_without_a_coordinator_is_paid_for_here_and_given_back_here():
+    trial = Trial(grant)
+    trial.link.take_local = None
+    trial.link.digest = Digest(is_holder=True)
+    trial.state.by_service["llm"] = [ENTRY]
+    assert trial.get_server() is ENTRY
+    assert trial.acquisition._paid.is_local
+    trial.acquisition.give_back()
+    assert trial.acquisition._paid is None
+    assert trial.list_costs() == []
+    assert trial.link._take_spent() == []
