Drop listed headers under any spelling again, and read usage that is infinite

Found by reading the change again. Headers were compared to the caller's Connection list only with underscores folded, so one listed as X_Own was passed on; "inf" in the usage or the deadline ended the request with an error of ours (int(float("inf")) overflows, which was so before for the deadline). Each has a test that fails before. A request that waited is also judged by whether keys are needed now, not as it came, and changed settings reach the quota of an instance without a coordinator.

--- a/src/arbutuspulley/admission/quota.py
+++ b/src/arbutuspulley/admission/quota.py
@@ -212,12 +212,15 @@
 
 
 class LocalQuota:
-    """The buckets by which an instance serves without a coordinator."""
+    """The buckets by which an instance serves without a coordinator.
 
-    __slots__ = ("_buckets", "_coordinated_at", "_tolerance")
+    :param tolerance: of all instances together; settings may change it.
+    """
+
+    __slots__ = ("_buckets", "_coordinated_at", "tolerance")
 
     def __init__(self, *, tolerance: QuotaTolerance, now: int = 0) -> None:
-        self._tolerance = tolerance
+        self.tolerance = tolerance
         self._buckets: dict[str, Bucket] = {}
         self._coordinated_at = now
 
@@ -244,7 +247,7 @@
         coordinated_ms = max(0, self._coordinated_at - bucket.at)
         if coordinated_ms:
             # Only the tolerance comes back meanwhile, once in each window.
-            back = limit.most * coordinated_ms / self._tolerance.window_ms
+            back = limit.most * coordinated_ms / self.tolerance.window_ms
             bucket.left = min(limit.most, bucket.left + back)
             bucket.at = self._coordinated_at
         refill(bucket, limit, now=now)
@@ -257,7 +260,7 @@
             bucket.left += cost
 
     def _build_limit(self, team: Team, part: float) -> Limit | None:
-        limit = build_limit(team, self._tolerance)
+        limit = build_limit(team, self.tolerance)
         if limit is None:
             return None
         tolerance = limit.tolerance * part
--- a/src/arbutuspulley/node/access.py
+++ b/src/arbutuspulley/node/access.py
@@ -13,15 +13,13 @@
     :param key: as the caller sent it; empty if it sent none or several.
     """
 
-    __slots__ = ("_attempt_id", "_is_open", "_key", "_state", "team")
+    __slots__ = ("_attempt_id", "_key", "_route", "_state", "team")
 
     def __init__(
         self, *, state: NodeState, route: Route, request: InboundRequest
     ) -> None:
-        configuration = state.configuration
-        has_teams = configuration is not None and configuration.teams is not None
-        self._is_open = route.is_public or not has_teams
         self._state = state
+        self._route = route
         self._attempt_id = request.attempt_id
         self._key, request.key = request.key, ""
         self.team: Team | None = None
@@ -35,14 +33,14 @@
         :raises RequestFailedError: if the key admits nobody, or nobody knows now
             whether it still does.
         """
-        if self._is_open:
-            return
         state = self._state
+        if self._route.is_public or state.keys is None:
+            return
         now = state.clock.now()
         if not state.may_admit:
             self._note(Event.WORD_TOO_OLD, now)
             raise self._build_unsure("the configuration may be out of date")
-        self.team = find_team(state.keys, self._key) if state.keys else None
+        self.team = find_team(state.keys, self._key)
         if self.team is not None:
             return
         self._note(Event.KEY_REFUSED, now)
--- a/src/arbutuspulley/node/accounts.py
+++ b/src/arbutuspulley/node/accounts.py
@@ -77,6 +77,7 @@
             self._local.get_alone_ms(now), ends_ms=self._state.settings.withdrawal_ms
         )
         part /= max(1.0, self._state.sharers)
+        self._local.tolerance = build_tolerance(self._state.settings)
         wait_ms = self._local.charge(team, cost, part=part, now=now)
         if wait_ms:
             raise self.refuse(team.name, attempt_id, wait_ms)
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -17,7 +17,11 @@
     listed = list(headers)
     found = {name.lower(): value for name, value in listed}
     dropped = _list_dropped(found.get("connection", ""))
-    kept = [one for one in listed if _fold(one[0]) not in dropped]
+    kept = [
+        (name, value)
+        for name, value in listed
+        if name.lower() not in dropped and _fold(name) not in names.OWN_HEADERS
+    ]
     keys = [value for name, value in listed if name.lower() == names.KEY.lower()]
     return InboundRequest(
         attempt_id=found.get(names.ATTEMPT_ID.lower(), ""),
@@ -139,5 +143,5 @@
 def _read_number(text: str | None) -> int | None:
     try:
         return int(float(text)) if text else None
-    except ValueError:
+    except (OverflowError, ValueError):
         return None
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -181,3 +181,12 @@
     assert len(caplog.records) == 2
     assert "secret-guess" not in shown
     assert "first-key" not in shown
+
+
+def test_a_request_that_waited_is_served_once_keys_are_not_needed_any_more():
+    state = build_instance("k1")
+    access, _ = build_access(state, "k1")
+    access.check()
+    put_in_force(state, msgspec.json.encode(build_configuration(2)), by="store")
+    state.freshness.confirmed_at = 0
+    access.check()
--- a/tests/test_request_keys.py
+++ b/tests/test_request_keys.py
@@ -59,10 +59,23 @@
 
 
 def test_tokens_are_counted_as_the_caller_says():
-    cases = {"1460,80": 1540, "1460": 1460, "x,80": 80, "x": None, "-5,80": 80}
+    cases = {
+        "1460,80": 1540,
+        "1460": 1460,
+        "x,80": 80,
+        "x": None,
+        "-5,80": 80,
+        "inf,80": 80,
+    }
     for usage, expected in cases.items():
         headers = [(names.TOKEN_USAGE, usage)]
         request = decode_request(method="POST", path="/", headers=headers)
         assert request.usage_tokens == expected, usage
     request = decode_request(method="POST", path="/", headers=[])
     assert request.usage_tokens is None
+
+
+def test_a_header_listed_under_connection_is_dropped_however_it_is_spelt():
+    headers = [("Connection", "X_Own, X-Other"), ("X_Own", "a"), ("x-other", "b")]
+    request, _ = pass_on([*headers, ("X-Third", "c")], team="")
+    assert request.headers == [("X-Third", "c")]
