--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -254,3 +254,15 @@
 )
 def test_the_part_of_an_instance_that_is_cut_off_runs_out(lost_ms, ends_ms, part):
     assert get_lost_part(lost_ms, ends_ms=ends_ms) == part
+
+
+def test_many_small_instances_cut_off_at_once_stay_within_the_tolerance():
+    """Each served a whole request out of a part that holds far less."""
+    team = build_team(rate=78_000, burst=78_000)
+    alone = [LocalQuota(tolerance=TOLERANCE) for _ in range(80)]
+    spent = sum(
+        1_500
+        for local in alone
+        if local.charge(team, 1_500, part=0.15 / 80, now=0) == 0
+    )
+    assert spent <= build_limit(team, TOLERANCE).tolerance
