--- a/src/arbutuspulley/admission/rates.py
+++ b/src/arbutuspulley/admission/rates.py
@@ -2,12 +2,212 @@
 
 A server in need names the requests a second that it takes from all instances together,
 in each answer for as long as it holds.
+
+The coordinator keeps one token bucket for each limited server. Instances without a
+coordinator have buckets of their own, each with an equal part of the limit. All buckets
+begin empty: what others have sent before is not known where they begin.
 """
 
-from collections.abc import Iterable
+import math
+from collections.abc import Container, Mapping
+from typing import TypeVar
 
+from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.data import State
 
+T = TypeVar("T")
+
+WINDOW_MS = 4 * SECOND_MS
+"""Window in which a server's requests are counted against its limit, in ms."""
+
+OVERAGE = 0.5
+"""Part of a limit by which the requests in a window may exceed it."""
+
+EXTRA = 5.0
+"""Requests by which they may exceed it beside that."""
+
+TOLERANCE_PARTS = 4
+"""Equal parts of that excess: the coordinator's bucket, those of instances without one,
+a coordinator that others have left, and requests that come closer together than they
+were sent."""
+
+LEAST_PER_S = 0.25
+"""Requests a second to a server that takes fewer: only an answer tells when its limit
+is over."""
+
+LONGEST_WAIT_MS = WINDOW_MS
+"""Longest wait that is told for a request to a limited server, in ms."""
+
+LOOK_AGAIN_MS = 500
+"""Longest wait until an instance without a coordinator asks again, in ms: there may be
+one by then."""
+
+MOST_UNLISTED = 50
+"""Servers without an entry whose limits are kept: an entry may lapse while its server
+lives."""
+
+
+class RateLimit(State):
+    """A server's token bucket.
+
+    :param per_s: requests a second that the server takes.
+    :param rate_per_ms: requests that come back in a ms.
+    :param depth: requests that may be sent at once.
+    :param left: requests that may be sent, as of ``at``, in ms.
+    """
+
+    per_s: float
+    rate_per_ms: float
+    depth: float
+    at: int
+    left: float = 0.0
+
+
+def get_tolerance(per_s: float) -> float:
+    """Return the requests of one part of what may exceed a limit in a window."""
+    excess = OVERAGE * per_s * WINDOW_MS / SECOND_MS + EXTRA
+    return excess / TOLERANCE_PARTS
+
+
+def refill(limit: RateLimit, *, now: int) -> None:
+    """Put in what has come back since the bucket was last looked at."""
+    units = limit.rate_per_ms * max(0, now - limit.at)
+    limit.left = min(limit.depth, limit.left + units)
+    limit.at = max(limit.at, now)
+
+
+def reshape(
+    limit: RateLimit, per_s: float, *, part: float, depth: float, now: int
+) -> None:
+    """Let a bucket follow another limit from now on.
+
+    :param part: of the limit that comes back here.
+    """
+    refill(limit, now=now)
+    limit.per_s = per_s
+    limit.rate_per_ms = max(LEAST_PER_S, per_s) * part / SECOND_MS
+    limit.depth = depth
+    limit.left = min(limit.left, depth)
+
+
+def get_wait(limit: RateLimit, *, now: int, ahead: int = 0) -> int:
+    """Return in how many ms a request may be sent; 0: now.
+
+    :param ahead: requests that go first.
+    """
+    refill(limit, now=now)
+    missing = 1 + ahead - limit.left
+    if missing <= 0:
+        return 0
+    if limit.depth < 1 or not limit.rate_per_ms:
+        return LONGEST_WAIT_MS
+    return min(LONGEST_WAIT_MS, math.ceil(missing / limit.rate_per_ms))
+
+
+def spend(limit: RateLimit) -> None:
+    """Take a request out of a bucket that was just found to have one."""
+    limit.left -= 1
+
+
+class RateLedger:
+    """The coordinator's buckets, by server."""
+
+    __slots__ = ("_limits", "_part")
+
+    def __init__(self) -> None:
+        self._limits: dict[str, RateLimit] = {}
+        self._part = 1.0
+
+    def begin(self, known: Mapping[str, float], *, now: int) -> None:
+        """Begin with the limits that this instance knows."""
+        self._limits.clear()
+        self._part = 1.0
+        for incarnation, per_s in known.items():
+            self.name(incarnation, per_s, now=now)
+
+    def get(self, incarnation: str) -> RateLimit | None:
+        """Return a server's bucket; ``None`` if it names no limit."""
+        return self._limits.get(incarnation)
+
+    def name(self, incarnation: str, per_s: float | None, *, now: int) -> bool:
+        """Take over what a server names.
+
+        :param per_s: ``None``: it names no limit any more.
+        :return: whether that is new.
+        """
+        limit = self._limits.get(incarnation)
+        if per_s is None:
+            return self._limits.pop(incarnation, None) is not None
+        if limit is None:
+            limit = RateLimit(per_s=per_s, rate_per_ms=0.0, depth=0.0, at=now)
+            self._limits[incarnation] = limit
+        elif limit.per_s == per_s:
+            return False
+        reshape(limit, per_s, part=self._part, depth=get_tolerance(per_s), now=now)
+        return True
+
+    def charge(self, incarnation: str, *, now: int) -> int:
+        """Take a request out of a server's bucket.
+
+        :return: 0, or in how many ms there will be one.
+        """
+        limit = self._limits.get(incarnation)
+        if limit is None:
+            return 0
+        wait_ms = get_wait(limit, now=now)
+        if not wait_ms:
+            spend(limit)
+        return wait_ms
+
+    def set_part(self, part: float, *, now: int) -> None:
+        """Change the part of each limit that comes back here from now on."""
+        if part == self._part:
+            return
+        self._part = part
+        for limit in self._limits.values():
+            reshape(limit, limit.per_s, part=part, depth=limit.depth, now=now)
+
+    def list_limits(self) -> dict[str, float]:
+        """Return what each limited server names."""
+        return {name: limit.per_s for name, limit in self._limits.items()}
+
+    def keep(self, incarnations: Container[str]) -> None:
+        """Forget the oldest of all servers but these."""
+        _keep(self._limits, incarnations)
+
+
+class LocalRates:
+    """The buckets by which an instance sends without a coordinator.
+
+    A part of a bucket that holds no whole request lets none through. Rounded up, the
+    parts of many instances would add up to many times the limit.
+    """
+
+    __slots__ = ("_limits",)
+
+    def __init__(self) -> None:
+        self._limits: dict[str, RateLimit] = {}
+
+    def charge(self, incarnation: str, per_s: float, *, part: float, now: int) -> int:
+        """Take a request out of a server's bucket.
+
+        :param part: of the limit that this instance may use.
+        :return: 0, or in how many ms there will be one.
+        """
+        limit = self._limits.get(incarnation)
+        if limit is None:
+            limit = RateLimit(per_s=per_s, rate_per_ms=0.0, depth=0.0, at=now)
+            self._limits[incarnation] = limit
+        reshape(limit, per_s, part=part, depth=get_tolerance(per_s) * part, now=now)
+        wait_ms = get_wait(limit, now=now)
+        if not wait_ms:
+            spend(limit)
+        return min(LOOK_AGAIN_MS, wait_ms)
+
+    def keep(self, incarnations: Container[str]) -> None:
+        """Forget the oldest of all servers but these."""
+        _keep(self._limits, incarnations)
+
 
 class KnownLimit(State):
     """A limit as one instance knows it.
@@ -58,14 +258,32 @@
         self._set(incarnation, per_s, now=now)
         return True
 
-    def keep(self, incarnations: Iterable[str]) -> None:
-        """Forget all servers but these."""
-        kept = set(incarnations)
-        for incarnation in [one for one in self._known if one not in kept]:
-            del self._known[incarnation]
+    def note_told(self, incarnation: str, per_s: float | None, *, now: int) -> bool:
+        """Take in what the coordinator tells.
+
+        :return: whether the limit has changed.
+        """
+        if self.get(incarnation) == per_s:
+            return False
+        self._set(incarnation, per_s, now=now)
+        return True
+
+    def list_limits(self) -> dict[str, float]:
+        """Return the limits by server."""
+        return {name: known.per_s for name, known in self._known.items()}
+
+    def keep(self, incarnations: Container[str]) -> None:
+        """Forget the oldest of all servers but these."""
+        _keep(self._known, incarnations)
 
     def _set(self, incarnation: str, per_s: float | None, *, now: int) -> None:
         if per_s is None:
             del self._known[incarnation]
         else:
             self._known[incarnation] = KnownLimit(per_s=per_s, learnt_at=now)
+
+
+def _keep(by_server: dict[str, T], incarnations: Container[str]) -> None:
+    unlisted = [one for one in by_server if one not in incarnations]
+    for incarnation in unlisted[:-MOST_UNLISTED]:
+        del by_server[incarnation]
--- a/src/arbutuspulley/events.py
+++ b/src/arbutuspulley/events.py
@@ -95,6 +95,7 @@
     SERVER_ENTRY_REFUSED = 806
     SERVER_LIMIT_CHANGED = 807
     SERVER_LIMIT_REFUSED = 808
+    SERVER_LIMIT_REACHED = 809
 
 
 def _encode_line(record: logging.LogRecord, **first: object) -> bytes:
--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -2,6 +2,7 @@
 
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.accounts import Accounts, Payment
+from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link, LinkLostError, RefusedError
 from arbutuspulley.node.messages import Ask, Ended, Granted
 from arbutuspulley.node.progress import (
@@ -43,6 +44,7 @@
 
     :param access: the admission by the caller's key.
     :param accounts: pay for the request, once.
+    :param limits: tell which servers may get it by the rate limits that they name.
     :param left_ms: how long the caller waits for the whole answer.
     """
 
@@ -68,6 +70,7 @@
         link: Link,
         access: Access,
         accounts: Accounts,
+        limits: LimitGuard,
         route: Route,
         request: InboundRequest,
         progress: Progress,
@@ -86,6 +89,7 @@
         self._choice = ServerChoice(
             state=state,
             link=link,
+            limits=limits,
             route=route,
             request=request,
             progress=progress,
@@ -121,7 +125,9 @@
         else:
             entry = await self._choice.choose_plain()
         if entry is None:
-            raise NoServerError("no server has it")
+            raise NoServerError(
+                "no server has it", retry_after_ms=self._choice.get_retry_after()
+            )
         self._check_access(entry)
         return entry
 
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -40,7 +40,10 @@
     Granted,
     Hello,
     Learnt,
+    NodeInfo,
+    Permission,
     Refused,
+    ServerLimit,
     Spent,
     StoreNews,
     Suspected,
@@ -56,6 +59,7 @@
 from arbutuspulley.node.peers import Peers
 from arbutuspulley.node.pool_log import log_grant, log_pool, log_refusal
 from arbutuspulley.node.quotas import Quotas
+from arbutuspulley.node.rates import Rates
 from arbutuspulley.node.relay import Relay
 from arbutuspulley.node.reports import Reports
 from arbutuspulley.node.state import NodeState
@@ -106,6 +110,7 @@
         "_peers",
         "_pools",
         "_quotas",
+        "_rates",
         "_relay",
         "_reports",
         "_state",
@@ -134,6 +139,7 @@
         self._grant_pacer = Pacer()
         self._order_pacer = Pacer()
         self._quotas = Quotas(state=state)
+        self._rates = Rates(state=state)
         self._reports = Reports(state=state, note_taken=self.kick)
         self._inherited = InheritedLoads(loads={}, unknown_until=None)
         self.acts = False
@@ -163,6 +169,7 @@
         self._relay.begin()
         self._peers.begin()
         self._quotas.begin()
+        self._rates.begin()
         self._pools.clear()
         self._inherited = inherited
         self.take_change()
@@ -207,6 +214,7 @@
                 pool = self._pools[name] = self._build_pool(name, service.engine)
             pool.spec = service.engine
             note_entries(pool, self._state.by_service.get(name, []))
+        self._rates.apply(self._pools.values())
         self.kick()
 
     def _build_pool(self, service: str, spec: EngineSpec) -> PoolState:
@@ -280,7 +288,10 @@
             # was never told, and would hold its slot for ever.
             drop_instance(self._pools, name)
         self._quotas.note_linked(name)
-        return self._peers.add(messages[0])
+        self._take_limits(messages[0].limits, are_first=True)
+        peer = self._peers.add(messages[0])
+        peer.send(self._rates.list_all())
+        return peer
 
     def _drop_peer(self, peer: Peer) -> None:
         if not self._peers.drop(peer):
@@ -323,6 +334,10 @@
             overdrawn = self._quotas.take_spent(message, now=now)
             if overdrawn is not None:
                 self._peers.send(origin, overdrawn)
+        elif isinstance(message, Permission):
+            self._peers.send(origin, self._rates.answer(message, now=now))
+        elif isinstance(message, ServerLimit):
+            self._take_limits((message,))
         elif isinstance(message, Beat):
             if self._peers.take_beat(origin, message):
                 self._tell_lost()
@@ -340,6 +355,17 @@
         else:
             take_outcome(self._pools, message, now=now)
 
+    def _take_limits(
+        self, limits: tuple[ServerLimit, ...], *, are_first: bool = False
+    ) -> None:
+        """Take in rate limits that an instance has read.
+
+        :param are_first: whether it tells all that it knows, as it links up.
+        """
+        take = self._rates.take_first if are_first else self._rates.take
+        if take(limits, now=self._state.clock.now()):
+            self._rates.apply(self._pools.values())
+
     def _tell_lost(self) -> None:
         """Tell all at once if nobody follows the store any more."""
         if self.acts and not self._peers.is_store_followed():
@@ -448,7 +474,7 @@
         told_at = -TELL_EVERY_MS
         while True:
             self._peers.tell_roster()
-            self._quotas.set_linked(self._peers.list_linked())
+            self._share(self._peers.list_linked())
             self._send_digest()
             for report in self._reports.ask(self._pools.values()):
                 self._spawn(report)
@@ -460,6 +486,14 @@
                 self._peers.tell_behind()
             await asyncio.sleep(BEAT_MS / SECOND_MS)
 
+    def _share(self, linked: list[NodeInfo]) -> None:
+        """Work out what may be given out here, and tell of limits that have changed."""
+        self._quotas.set_linked(linked)
+        self._rates.set_part(self._quotas.find_part(linked, ends_ms=None))
+        changes = self._rates.list_changes()
+        if changes is not None:
+            self._peers.send_all(changes)
+
     def _tell_pools(self) -> None:
         """Log what each model is asked for and where it is."""
         now = self._state.clock.now()
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -12,7 +12,7 @@
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.accounts import Accounts
 from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
-from arbutuspulley.node.limits import ServerLimits
+from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import Started
 from arbutuspulley.node.poison import PoisonGuard
@@ -86,7 +86,7 @@
         poison: PoisonGuard,
         access: Access,
         accounts: Accounts,
-        limits: ServerLimits,
+        limits: LimitGuard,
         route: Route,
         request: InboundRequest,
         client: web.BaseRequest,
@@ -114,6 +114,7 @@
             link=link,
             access=access,
             accounts=accounts,
+            limits=limits,
             route=route,
             request=request,
             progress=self.progress,
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -10,7 +10,7 @@
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.accounts import Accounts
 from arbutuspulley.node.exchange import Exchange
-from arbutuspulley.node.limits import ServerLimits
+from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.poison import PoisonGuard
 from arbutuspulley.node.progress import CutError, RequestFailedError
@@ -38,7 +38,7 @@
 
     def __init__(self, *, state: NodeState, link: Link, poison: PoisonGuard) -> None:
         self._accounts = Accounts(state=state, link=link)
-        self._limits = ServerLimits(state=state)
+        self._limits = LimitGuard(state=state, link=link)
         self._state = state
         self._link = link
         self._poison = poison
--- a/src/arbutuspulley/node/limits.py
+++ b/src/arbutuspulley/node/limits.py
@@ -1,20 +1,33 @@
-"""What servers' answers say of their rate limits."""
+"""An instance's side of servers' rate limits: what is read, and who may send."""
 
 from collections.abc import Mapping
 
+from arbutuspulley.admission.rates import LocalRates
 from arbutuspulley.events import Event, log_event
+from arbutuspulley.node.link import Link, LinkLostError, RefusedError
+from arbutuspulley.node.messages import Permission, ServerLimit, ServerLimits
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import read_server_limit
-from arbutuspulley.ports.fleet import ServerEntry
+from arbutuspulley.ports.fleet import InboundRequest, ServerEntry
+from arbutuspulley.routing.local import note_unlimited
 
 
-class ServerLimits:
-    """The limits that this instance has read or was told."""
+class LimitGuard:
+    """Keeps this instance's requests within the limits that servers name.
 
-    __slots__ = ("_state",)
+    The coordinator counts for all instances: model servers' requests as it grants them,
+    those of plain servers as it is asked. An instance without a coordinator goes by its
+    own part of each limit.
+    """
 
-    def __init__(self, *, state: NodeState) -> None:
+    __slots__ = ("_confirmed", "_link", "_local", "_state")
+
+    def __init__(self, *, state: NodeState, link: Link) -> None:
         self._state = state
+        self._link = link
+        self._local = LocalRates()
+        self._confirmed: dict[str, float] = {}
+        link.take_limits = self._take_told
         state.on_change.append(self._forget_gone)
 
     def note_answer(
@@ -32,22 +45,86 @@
                 Event.SERVER_LIMIT_REFUSED, server=entry.incarnation, why=str(error)
             )
             return
-        before = limits.get(entry.incarnation)
-        if limits.note_answer(entry.incarnation, per_s, sent_at=sent_at, now=now):
-            self._tell(entry.incarnation, before, per_s, by="answer")
+        incarnation = entry.incarnation
+        before = limits.get(incarnation)
+        if limits.note_answer(incarnation, per_s, sent_at=sent_at, now=now):
+            self._note_change(incarnation, before, by="answer")
+        # Told until the coordinator confirms it: messages are lost with a link.
+        if per_s == limits.get(incarnation) != self._confirmed.get(incarnation):
+            self._link.tell(ServerLimit(incarnation=incarnation, per_s=per_s))
+
+    async def ask(self, entry: ServerEntry, request: InboundRequest) -> int:
+        """Ask whether a request that no coordinator has granted may be sent now.
+
+        :return: 0, or in how many ms to ask again.
+        """
+        per_s = self._state.limits.get(entry.incarnation)
+        if per_s is None:
+            return 0
+        attempt_id = request.attempt_id
+        message = Permission(key=attempt_id, incarnation=entry.incarnation)
+        try:
+            await self._link.ask_permission(message)
+        except RefusedError as error:
+            return error.retry_after_ms
+        except LinkLostError:
+            return self._charge_local(entry.incarnation, per_s, attempt_id=attempt_id)
+        return 0
+
+    def _charge_local(self, incarnation: str, per_s: float, *, attempt_id: str) -> int:
+        state = self._state
+        # How many others there are is not known before a coordinator was heard of.
+        part = 1 / max(1.0, state.sharers) if state.instances else 0.0
+        now = state.clock.now()
+        wait_ms = self._local.charge(incarnation, per_s, part=part, now=now)
+        if wait_ms:
+            log_event(
+                Event.SERVER_LIMIT_REACHED,
+                id=attempt_id,
+                server=incarnation,
+                retry_after_ms=wait_ms,
+                part=part,
+            )
+        return wait_ms
+
+    def _take_told(self, message: ServerLimits) -> None:
+        """Take in what the coordinator tells."""
+        limits = self._state.limits
+        told = {one.incarnation: one.per_s for one in message.limits}
+        if message.are_all:
+            told = dict.fromkeys(limits.list_limits()) | told
+            self._confirmed.clear()
+        now = self._state.clock.now()
+        for incarnation, per_s in told.items():
+            if per_s is None:
+                self._confirmed.pop(incarnation, None)
+            else:
+                self._confirmed[incarnation] = per_s
+            before = limits.get(incarnation)
+            if limits.note_told(incarnation, per_s, now=now):
+                self._note_change(incarnation, before, by="coordinator")
 
     def _forget_gone(self) -> None:
-        self._state.limits.keep(self._state.by_incarnation)
-        self._state.metrics.limited_servers.set(len(self._state.limits))
+        state = self._state
+        state.limits.keep(state.by_incarnation)
+        self._local.keep(state.by_incarnation)
+        self._count()
 
-    def _tell(
-        self, incarnation: str, before: float | None, per_s: float | None, *, by: str
-    ) -> None:
-        self._state.metrics.limited_servers.set(len(self._state.limits))
+    def _note_change(self, incarnation: str, before: float | None, *, by: str) -> None:
+        limits = self._state.limits
+        note_unlimited(self._state.records, incarnation)
+        self._count()
         log_event(
             Event.SERVER_LIMIT_CHANGED,
             server=incarnation,
-            per_s=per_s,
+            per_s=limits.get(incarnation),
             before_per_s=before,
             by=by,
         )
+
+    def _count(self) -> None:
+        state = self._state
+        listed = [
+            one for one in state.limits.list_limits() if one in state.by_incarnation
+        ]
+        state.metrics.limited_servers.set(len(listed))
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -21,9 +21,12 @@
     Hello,
     Learnt,
     Overdrawn,
+    Permission,
     Refused,
     RosterChange,
     RunningRequest,
+    ServerLimit,
+    ServerLimits,
     Spent,
     StoreNews,
     Suspected,
@@ -57,6 +60,10 @@
 """A link that was silent for this long, in ms, is opened anew: an open connection may
 fall silent for good while new ones work."""
 
+PERMISSION_S = 0.2
+"""How long an answer to :class:`Permission` is awaited, in s. It needs no decision, and
+plain requests are due within some 0.1 to 0.4 s."""
+
 CONNECT_S = 0.5
 """How long opening a link may take, in s."""
 
@@ -70,7 +77,8 @@
 
     ``take_local`` is the own coordinator's way in, while this instance is it.
     ``take_suspicions`` takes what other instances found of crashing requests,
-    ``take_overdrawn`` which teams have spent more than their quota.
+    ``take_overdrawn`` which teams have spent more than their quota, ``take_limits``
+    which rate limits servers name.
     """
 
     __slots__ = (
@@ -90,6 +98,7 @@
         "_waiting",
         "_wake",
         "digest",
+        "take_limits",
         "take_local",
         "take_overdrawn",
         "take_suspicions",
@@ -115,6 +124,7 @@
         self.digest: Digest | None = None
         self.take_suspicions: Callable[[tuple[Suspicion, ...]], None] = _ignore
         self.take_overdrawn: Callable[[Overdrawn], None] = _ignore
+        self.take_limits: Callable[[ServerLimits], None] = _ignore
         self.take_local: Callable[[list[ToCoordinator]], None] | None = None
         state.on_news.append(self._hand_on)
         state.on_lost.append(self._tell_lost)
@@ -175,16 +185,11 @@
             raise RefusedError(Refused(key=ask.key, retry_after_ms=1))
         if not self.is_up:
             raise LinkLostError("no coordinator")
-        future = asyncio.get_running_loop().create_future()
-        self._waiting[ask.key] = future
-        self.tell(ask)
         try:
-            granted = await future
+            granted = await self._send_question(ask)
         except asyncio.CancelledError:
             self.tell(Withdraw(key=ask.key, service=ask.service))
             raise
-        finally:
-            self._waiting.pop(ask.key, None)
         self.note_run(
             RunningRequest(
                 key=ask.key,
@@ -195,6 +200,30 @@
         )
         return granted
 
+    async def ask_permission(self, message: Permission) -> None:
+        """Wait until a request may be sent to a server that names a rate limit.
+
+        :raises LinkLostError: if no coordinator answers.
+        :raises RefusedError: if it may not be sent now.
+        """
+        if self._is_closed or not self.is_up:
+            raise LinkLostError("no coordinator")
+        try:
+            async with asyncio.timeout(PERMISSION_S):
+                await self._send_question(message)
+        except TimeoutError:
+            raise LinkLostError("no answer in time") from None
+
+    async def _send_question(self, question: Ask | Permission) -> Granted:
+        """Send a question and wait until it is answered."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[question.key] = future
+        self.tell(question)
+        try:
+            return await future
+        finally:
+            self._waiting.pop(question.key, None)
+
     def note_run(self, run: RunningRequest) -> None:
         """A request starts; the next coordinator has to count it."""
         self._running[run.key] = self._state.clock.now(), run
@@ -235,6 +264,9 @@
             if isinstance(message, Overdrawn):
                 self.take_overdrawn(message)
                 continue
+            if isinstance(message, ServerLimits):
+                self.take_limits(message)
+                continue
             if isinstance(message, RosterChange):
                 self._take_roster(message)
                 continue
@@ -464,6 +496,10 @@
             store_version=state.store_version,
             configuration=state.configuration_version,
             reads_updates=True,
+            limits=tuple(
+                ServerLimit(incarnation=one, per_s=per_s)
+                for one, per_s in state.limits.list_limits().items()
+            ),
         )
 
     def build_beat(self) -> Beat:
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -40,12 +40,25 @@
     ran_ms: int = 0
 
 
+class ServerLimit(Message, frozen=True, tag="limit"):
+    """A server's rate limit.
+
+    Sent by whoever reads it in an answer to the coordinator.
+
+    :param per_s: requests a second from all instances; ``None``: it names no limit.
+    """
+
+    incarnation: str
+    per_s: float | None = None
+
+
 class Hello(Message, frozen=True, tag="hello"):
     """First message of an instance to a coordinator.
 
     :param store_version: up to which version of the store it knows the servers' rows.
     :param configuration: version that it has in force; 0: none.
     :param reads_updates: whether it understands :class:`ConfigurationUpdate`.
+    :param limits: that it knows.
     """
 
     info: NodeInfo
@@ -53,6 +66,7 @@
     store_version: int = 0
     configuration: int = 0
     reads_updates: bool = False
+    limits: tuple[ServerLimit, ...] = ()
 
 
 class Beat(Message, frozen=True, tag="beat"):
@@ -103,6 +117,16 @@
     cost: int = 0
 
 
+class Permission(Message, frozen=True, tag="permission"):
+    """Asks to send a request to a server that names a rate limit.
+
+    Answered by :class:`Granted` or :class:`Refused`.
+    """
+
+    key: str
+    incarnation: str
+
+
 class Started(Message, frozen=True, tag="started"):
     """The first part of an answer came so many ms after the request was sent."""
 
@@ -279,6 +303,17 @@
     suspicions: tuple[Suspicion, ...]
 
 
+class ServerLimits(Message, frozen=True, tag="limits"):
+    """Rate limits that the coordinator has heard of.
+
+    :param limits: those that have changed, or all.
+    :param are_all: whether all others name none.
+    """
+
+    limits: tuple[ServerLimit, ...]
+    are_all: bool = False
+
+
 class Learnt(Message, frozen=True, tag="learnt"):
     """What the coordinator has learnt of its servers, for whoever succeeds it.
 
@@ -295,6 +330,8 @@
     Hello
     | Beat
     | Ask
+    | Permission
+    | ServerLimit
     | Started
     | Ended
     | Spent
@@ -308,6 +345,7 @@
     | Refused
     | Overdrawn
     | Digest
+    | ServerLimits
     | Learnt
     | Suspected
     | RosterChange
--- a/src/arbutuspulley/node/pool_log.py
+++ b/src/arbutuspulley/node/pool_log.py
@@ -32,6 +32,7 @@
         model=refusal.model,
         tokens_ahead=refusal.tokens_ahead,
         copies=refusal.copies,
+        limited=refusal.limited,
         tokens_per_ms=round(find_speed(pool, refusal.model), 1),
         waited_ms=refusal.waited_ms,
         retry_after_ms=refusal.retry_after_ms,
--- a/src/arbutuspulley/node/quotas.py
+++ b/src/arbutuspulley/node/quotas.py
@@ -85,6 +85,14 @@
 
         :param linked: the linked instances, the own one included.
         """
+        part = self.find_part(linked, ends_ms=self._state.settings.withdrawal_ms)
+        self._ledger.set_part(part, now=self._state.clock.now())
+
+    def find_part(self, linked: Sequence[NodeInfo], *, ends_ms: int | None) -> float:
+        """Return which part of what all share is not kept for instances without links.
+
+        :param ends_ms: after which those use nothing any more; ``None``: they go on.
+        """
         now = self._state.clock.now()
         self._lost = {
             name: (info, at)
@@ -93,7 +101,6 @@
         }
         lost = [info for info, _at in self._lost.values()]
         among = [*linked, *lost]
-        ends_ms = self._state.settings.withdrawal_ms
         part = 1.0
         for info, at in self._lost.values():
             left = get_lost_part(now - at, ends_ms=ends_ms)
@@ -101,7 +108,7 @@
         heard_of = len(linked) + len(lost)
         if now - self._began_at < UNKNOWN_MS and self._known > heard_of:
             part *= heard_of / self._known
-        self._ledger.set_part(max(0.0, part), now=now)
+        return max(0.0, part)
 
 
 def get_part(info: NodeInfo, *, among: Sequence[NodeInfo]) -> float:
--- /dev/null
+++ b/src/arbutuspulley/node/rates.py
@@ -0,0 +1,102 @@
+"""The coordinator's side of servers' rate limits: who may send, and who is told."""
+
+from collections.abc import Iterable
+
+from arbutuspulley.admission.rates import RateLedger
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.node.messages import (
+    Granted,
+    Permission,
+    Refused,
+    ServerLimit,
+    ServerLimits,
+)
+from arbutuspulley.node.state import NodeState
+from arbutuspulley.pool.state import PoolState
+
+
+class Rates:
+    """The ledger, and what the instances have not been told of it yet."""
+
+    __slots__ = ("_changed", "_ledger", "_state")
+
+    def __init__(self, *, state: NodeState) -> None:
+        self._state = state
+        self._ledger = RateLedger()
+        self._changed: set[str] = set()
+
+    def begin(self) -> None:
+        """Begin as a coordinator that no instance is linked to yet."""
+        known = self._state.limits.list_limits()
+        self._ledger.begin(known, now=self._state.clock.now())
+        self._changed.clear()
+
+    def take(self, limits: Iterable[ServerLimit], *, now: int) -> bool:
+        """Take in limits that an instance has read.
+
+        :return: whether any was new.
+        """
+        is_new = False
+        for one in limits:
+            if self._ledger.name(one.incarnation, one.per_s, now=now):
+                self._changed.add(one.incarnation)
+                is_new = True
+        return is_new
+
+    def take_first(self, limits: Iterable[ServerLimit], *, now: int) -> bool:
+        """Take in what an instance knows as it links up, but for what is known here.
+
+        :return: whether any was new.
+        """
+        unknown = [one for one in limits if self._ledger.get(one.incarnation) is None]
+        return self.take(unknown, now=now)
+
+    def apply(self, pools: Iterable[PoolState]) -> None:
+        """Let pools keep to the limits of their servers."""
+        self._ledger.keep(self._state.by_incarnation)
+        for pool in pools:
+            for server in pool.servers.values():
+                server.limit = self._ledger.get(server.incarnation)
+
+    def answer(self, message: Permission, *, now: int) -> Granted | Refused:
+        """Tell an instance whether it may send a request now."""
+        wait_ms = self._ledger.charge(message.incarnation, now=now)
+        if wait_ms:
+            log_event(
+                Event.SERVER_LIMIT_REACHED,
+                id=message.key,
+                server=message.incarnation,
+                retry_after_ms=wait_ms,
+            )
+            return Refused(key=message.key, retry_after_ms=wait_ms)
+        entry = self._state.by_incarnation.get(message.incarnation)
+        return Granted(
+            key=message.key,
+            incarnation=message.incarnation,
+            address=entry.address if entry is not None else "",
+            is_late=False,
+        )
+
+    def set_part(self, part: float) -> None:
+        """Change the part of each limit that is given out here."""
+        self._ledger.set_part(part, now=self._state.clock.now())
+
+    def list_changes(self) -> ServerLimits | None:
+        """Return what all instances are to be told now; ``None``: nothing is new."""
+        if not self._changed:
+            return None
+        known = self._ledger.list_limits()
+        limits = tuple(
+            ServerLimit(incarnation=one, per_s=known.get(one))
+            for one in sorted(self._changed)
+        )
+        self._changed.clear()
+        return ServerLimits(limits=limits)
+
+    def list_all(self) -> ServerLimits:
+        """Return what an instance that links up is told."""
+        known = self._ledger.list_limits()
+        limits = tuple(
+            ServerLimit(incarnation=one, per_s=per_s) for one, per_s in known.items()
+        )
+        return ServerLimits(limits=limits, are_all=True)
--- a/src/arbutuspulley/node/server_choice.py
+++ b/src/arbutuspulley/node/server_choice.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import RunningRequest
 from arbutuspulley.node.progress import Progress
@@ -14,7 +15,12 @@
     ServerEntry,
     ServiceSpec,
 )
-from arbutuspulley.routing.local import choose_server, get_most_in_flight
+from arbutuspulley.routing.local import (
+    choose_server,
+    get_most_in_flight,
+    get_record,
+    note_limited,
+)
 
 ALONE_WAIT_MS = 1_500
 """How long a request without a server waits for a coordinator, in ms: another
@@ -44,10 +50,12 @@
 class ServerChoice:
     """One request's choice.
 
+    :param limits: tell which servers may get it by the rate limits that they name.
     :param patience_ms: how long its caller waits for the first part of the answer.
     """
 
     __slots__ = (
+        "_limits",
         "_link",
         "_patience_ms",
         "_progress",
@@ -61,6 +69,7 @@
         *,
         state: NodeState,
         link: Link,
+        limits: LimitGuard,
         route: Route,
         request: InboundRequest,
         progress: Progress,
@@ -68,6 +77,7 @@
     ) -> None:
         self._state = state
         self._link = link
+        self._limits = limits
         self._route = route
         self._request = request
         self._progress = progress
@@ -105,24 +115,46 @@
             now=self._state.clock.now(),
         )
 
+    async def _choose_within_limits(self, *, is_plain: bool) -> ServerEntry | None:
+        """Choose the best server that may get a request by the limit that it names."""
+        while True:
+            entry = self.choose(is_plain=is_plain)
+            if entry is None:
+                return None
+            wait_ms = await self._limits.ask(entry, self._request)
+            if not wait_ms:
+                return entry
+            now = self._state.clock.now()
+            note_limited(self._state.records, entry, until=now + wait_ms)
+
+    def get_retry_after(self) -> int | None:
+        """Return in how many ms a server may have room for the request again.
+
+        :return: ``None`` if no server's rate limit keeps it from being served.
+        """
+        now = self._state.clock.now()
+        waits = [until - now for until in self._list_limited() if until > now]
+        return min(waits, default=None)
+
+    def _list_limited(self) -> list[int]:
+        """Return until when limits keep the service's servers from more requests."""
+        return [
+            get_record(self._state.records, entry).limited_until
+            for entry in self._state.by_service.get(self._progress.service, ())
+            if not entry.is_leaving and entry.incarnation not in self._progress.avoid
+        ]
+
     async def choose_plain(self) -> ServerEntry | None:
         """Choose a server of a service that runs no models, or wait for room at one."""
         until = self._state.clock.now() + int(self._route.aim_ms * ROOM_WAIT_PART)
         while True:
-            entry = self.choose(is_plain=True)
+            entry = await self._choose_within_limits(is_plain=True)
             if entry is not None or self._state.clock.now() >= until:
                 return entry
-            if not self._is_any_left():
+            if all(limited > until for limited in self._list_limited()):
                 return None
             await asyncio.sleep(ROOM_TICK_MS / SECOND_MS)
 
-    def _is_any_left(self) -> bool:
-        """Tell whether there is a server that has not failed this request."""
-        return any(
-            not entry.is_leaving and entry.incarnation not in self._progress.avoid
-            for entry in self._state.by_service.get(self._progress.service, ())
-        )
-
     async def choose_alone(self, need: ModelNeed) -> ServerEntry | None:
         """Choose a server without a coordinator, or wait for one that can load.
 
@@ -130,7 +162,7 @@
         """
         if await self.wait_for_coordinator():
             raise CoordinatorFoundError
-        entry = self.choose(is_plain=False)
+        entry = await self._choose_within_limits(is_plain=False)
         if entry is not None:
             self._link.note_run(
                 RunningRequest(
--- a/src/arbutuspulley/pool/copies.py
+++ b/src/arbutuspulley/pool/copies.py
@@ -7,7 +7,12 @@
 import msgspec
 
 from arbutuspulley.data import State
-from arbutuspulley.pool.state import PoolState, ServerState, is_usable
+from arbutuspulley.pool.state import (
+    PoolState,
+    ServerState,
+    get_limit_wait,
+    is_usable,
+)
 
 
 class CopyIndex(State):
@@ -15,11 +20,14 @@
 
     :param now: as of when, in ms.
     :param copies: servers that have a model, or will have it soon, by model.
+    :param limited: servers that have a model, but may get no request now by the rate
+        limit that they name, by model. They count as no copies.
     :param listed: under which models a server is listed, by incarnation.
     """
 
     now: int
     copies: dict[str, list[ServerState]] = msgspec.field(default_factory=dict)
+    limited: dict[str, list[ServerState]] = msgspec.field(default_factory=dict)
     listed: dict[str, tuple[str, ...]] = msgspec.field(default_factory=dict)
 
 
@@ -47,6 +55,10 @@
 def _list_server(index: CopyIndex, server: ServerState) -> None:
     if not is_usable(server, now=index.now):
         return
+    if get_limit_wait(server, now=index.now):
+        for model in server.models:
+            index.limited.setdefault(model, []).append(server)
+        return
     models = {*server.models, server.loading, server.planned}
     models -= {"", server.unloading}
     index.listed[server.incarnation] = tuple(models)
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 
+from arbutuspulley.admission.rates import spend
 from arbutuspulley.data import Value
 from arbutuspulley.pool.copies import CopyIndex, get_copies, index_copies
 from arbutuspulley.pool.demand import get_rate
@@ -18,11 +19,17 @@
     ServerState,
     Waiting,
     find_speed,
+    get_limit_wait,
     holds,
     is_usable,
     settle_due,
 )
-from arbutuspulley.pool.waits import estimate_retry, estimate_wait, list_copy_times
+from arbutuspulley.pool.waits import (
+    estimate_limited_wait,
+    estimate_retry,
+    estimate_wait,
+    list_copy_times,
+)
 from arbutuspulley.ports.fleet import ModelNeed
 
 CACHE_PART = 0.95
@@ -84,6 +91,7 @@
     :param retry_after_ms: when coming back may help.
     :param tokens_ahead: prompts for the same model that would have started before.
     :param copies: servers that had the model or were to have it soon.
+    :param limited: servers that had it, but were kept from it by their rate limits.
     :param waited_ms: how long it waited.
     """
 
@@ -93,6 +101,7 @@
     model: str
     tokens_ahead: int
     copies: int
+    limited: int
     waited_ms: int
 
 
@@ -102,6 +111,7 @@
         settle_due(server, now=now)
     decided: list[Grant | Refusal] = []
     ahead: Counter[str] = Counter()
+    requests: Counter[str] = Counter()
     index = index_copies(pool, now=now)
     copy_times = {
         model: list_copy_times(pool, model, index)
@@ -113,19 +123,23 @@
     for waiting in sorted(pool.waiting.values(), key=lambda one: _rank(one, now)):
         model = waiting.need.model
         times = copy_times[model]
-        if (
-            now + _get_least_wait(pool, model, ahead[model], times)
-            >= waiting.give_up_at
-        ):
+        limited_ms = 0.0
+        if not times:
+            limited_ms = estimate_limited_wait(index, model, requests[model])
+        least_ms = _get_least_wait(pool, model, ahead[model], times) or limited_ms
+        if now + least_ms >= waiting.give_up_at:
             del pool.waiting[waiting.key]
             decided.append(
                 Refusal(
                     key=waiting.key,
                     origin=waiting.origin,
-                    retry_after_ms=estimate_retry(pool, model, ahead[model], times),
+                    retry_after_ms=estimate_retry(
+                        pool, model, ahead[model], times, limited_ms=limited_ms
+                    ),
                     model=model,
                     tokens_ahead=ahead[model],
                     copies=len(times),
+                    limited=len(index.limited.get(model, ())),
                     waited_ms=now - waiting.arrived_at,
                 )
             )
@@ -133,6 +147,7 @@
         grant = _try_grant(pool, waiting, index, claimed, loads)
         if grant is None:
             ahead[model] += waiting.need.prompt_tokens
+            requests[model] += 1
         else:
             del pool.waiting[waiting.key]
             decided.append(grant)
@@ -147,6 +162,9 @@
     times += [one.loading_until for one in pool.servers.values() if one.loading]
     for server in pool.servers.values():
         times.extend(server.adapters_due.values())
+        limited_ms = get_limit_wait(server, now=now)
+        if limited_ms:
+            times.append(now + limited_ms)
     times += [
         t
         for one in pool.servers.values()
@@ -265,7 +283,7 @@
         return False
     if not holds(server, waiting.need, now=now):
         return False
-    if len(server.runs) >= server.slots:
+    if len(server.runs) >= server.slots or get_limit_wait(server, now=now):
         return False
     return server.unconfirmed != waiting.need.model or not any(
         run.need.model == server.unconfirmed for run in server.runs.values()
@@ -300,6 +318,8 @@
 ) -> Grant:
     need = waiting.need
     runs = len(server.runs)
+    if server.limit is not None:
+        spend(server.limit)
     server.runs[waiting.key] = Run(
         origin=waiting.origin,
         need=need,
--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -32,6 +32,7 @@
     ServerState,
     Waiting,
     estimate_unload,
+    get_limit_wait,
     has_weights,
     holds,
     is_usable,
@@ -142,6 +143,7 @@
         if pair in server.adapters_due:
             return True
         is_free = server.read_until - now < SPREAD_BACKLOG_MS
+        is_free = is_free and not get_limit_wait(server, now=now)
         if is_free and holds(server, waiting.need, now=now):
             return True
     return False
@@ -160,9 +162,12 @@
         and server.incarnation not in taken
         and _may_order(server, now=now)
         and not server.loading
+        and not get_limit_wait(server, now=now)
     ]
     return min(
-        candidates, key=lambda one: (one.read_until, len(one.runs)), default=None
+        candidates,
+        key=lambda one: (one.limit is not None, one.read_until, len(one.runs)),
+        default=None,
     )
 
 
@@ -259,12 +264,18 @@
     best: ServerState | None = None
     most = 0.0
     is_store_free = may_load(pool, now=now)
-    for server in pool.servers.values():
+    usable = [one for one in pool.servers.values() if is_usable(one, now=now)]
+    are_all_limited = all(one.limit is not None for one in usable)
+    for server in usable:
+        if server.limit is not None and not are_all_limited:
+            continue
+        if get_limit_wait(server, now=now):
+            continue
         if model in server.models or server.loading or server.planned == model:
             continue
         if not (server.planned or _may_order(server, now=now)):
             continue
-        if not is_usable(server, now=now) or server.order_busy:
+        if server.order_busy:
             continue
         is_near = has_weights(server, model)
         if not is_near and not is_store_free:
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from arbutuspulley.admission.rates import RateLimit, get_wait
 from arbutuspulley.clock import double_pause
 from arbutuspulley.data import State, Value
 from arbutuspulley.pool.duration import DurationState, estimate_left, note_run_time
@@ -124,6 +125,7 @@
     :param suspect_until: no new work before this time, in ms.
     :param failures: failures in a row.
     :param failure_share: moving share of requests that failed.
+    :param limit: the rate limit that it names, ``None`` if it names none.
     """
 
     incarnation: str
@@ -157,6 +159,7 @@
     suspect_until: int = 0
     failures: int = 0
     failure_share: float = 0
+    limit: RateLimit | None = None
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     runs: dict[str, Run] = msgspec.field(default_factory=dict)
@@ -246,6 +249,11 @@
     return not server.is_leaving and now >= server.suspect_until
 
 
+def get_limit_wait(server: ServerState, *, now: int) -> int:
+    """Return in how many ms a server's rate limit allows it a request; 0: now."""
+    return 0 if server.limit is None else get_wait(server.limit, now=now)
+
+
 def holds(server: ServerState, need: ModelNeed, *, now: int) -> bool:
     """Tell whether a server has the model and the adapter that a request needs."""
     adapters = server.models.get(need.model)
--- a/src/arbutuspulley/pool/waits.py
+++ b/src/arbutuspulley/pool/waits.py
@@ -1,5 +1,6 @@
 """How long a model's prompts will wait for its servers, those to come included."""
 
+from arbutuspulley.admission.rates import get_wait
 from arbutuspulley.pool.answers import NEVER, get_load_ms
 from arbutuspulley.pool.copies import CopyIndex, get_copies
 from arbutuspulley.pool.demand import get_rate
@@ -40,17 +41,37 @@
     return at + left / (len(copy_times) * rate)
 
 
+def estimate_limited_wait(index: CopyIndex, model: str, requests: int) -> float:
+    """Return in how many ms servers' rate limits let a request through; 0: not known.
+
+    :param requests: that wait for the model before it.
+    """
+    servers = index.limited.get(model, [])
+    limits = [one.limit for one in servers if one.limit is not None]
+    rate = sum(limit.rate_per_ms for limit in limits)
+    if not rate:
+        return 0.0
+    return min(get_wait(one, now=index.now) for one in limits) + requests / rate
+
+
 def estimate_retry(
-    pool: PoolState, model: str, tokens: float, copy_times: list[float]
+    pool: PoolState,
+    model: str,
+    tokens: float,
+    copy_times: list[float],
+    *,
+    limited_ms: float = 0,
 ) -> int:
     """Return when a refused request will probably get in, in ms.
 
     :param tokens: of the prompts that wait for the model before it.
+    :param limited_ms: how long rate limits keep it from the servers that have the
+        model; 0: none do.
     """
     if copy_times:
         wait_ms = estimate_wait(pool, model, tokens, copy_times)
     else:
-        wait_ms = pool.spec.models[model].load_ms
+        wait_ms = limited_ms or pool.spec.models[model].load_ms
     return int(max(LEAST_RETRY_MS, min(MOST_RETRY_MS, wait_ms)))
 
 
--- a/src/arbutuspulley/routing/local.py
+++ b/src/arbutuspulley/routing/local.py
@@ -74,6 +74,7 @@
     :param most: requests that this instance may have there so that answers come in
         time, as it seems by now.
     :param cut_at: when that was last cut.
+    :param limited_until: until when the rate limit that it names keeps it from more.
     """
 
     in_flight: int = 0
@@ -84,6 +85,7 @@
     suspect_until: int = 0
     most: float = NO_BOUND
     cut_at: int = -CUT_EVERY_MS
+    limited_until: int = 0
 
 
 class LocalRecords(State):
@@ -115,6 +117,7 @@
         for entry in entries
         if not entry.is_leaving
         and entry.incarnation not in avoid
+        and get_record(records, entry).limited_until <= now
         and (
             _has_room(get_record(records, entry), entry, sharers)
             if need is None
@@ -210,6 +213,18 @@
     )
 
 
+def note_limited(records: LocalRecords, entry: ServerEntry, *, until: int) -> None:
+    """A server may get no more for a while by the rate limit that it names."""
+    get_record(records, entry).limited_until = until
+
+
+def note_unlimited(records: LocalRecords, incarnation: str) -> None:
+    """What a server's rate limit was is not what it is now."""
+    record = records.servers.get(incarnation)
+    if record is not None:
+        record.limited_until = 0
+
+
 def forget_others(records: LocalRecords, entries: Iterable[ServerEntry]) -> None:
     """Drop the records of servers that are gone."""
     listed = {entry.incarnation for entry in entries}
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -10,6 +10,7 @@
 from arbutuspulley.node.accounts import Accounts
 from arbutuspulley.node.acquisition import Acquisition, NoServerError
 from arbutuspulley.node.following import put_in_force
+from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import Ask, Digest, Ended, Granted, Refused, Spent
 from arbutuspulley.node.progress import Progress, RequestFailedError
@@ -75,6 +76,7 @@
             link=self.link,
             access=access,
             accounts=Accounts(state=self.state, link=self.link),
+            limits=LimitGuard(state=self.state, link=self.link),
             route=route,
             request=request,
             progress=self.progress,
--- a/tests/test_alone.py
+++ b/tests/test_alone.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import Digest
 from arbutuspulley.node.progress import Progress
@@ -60,6 +61,7 @@
     return ServerChoice(
         state=state,
         link=link,
+        limits=LimitGuard(state=state, link=link),
         route=ROUTE,
         request=request,
         progress=Progress(started_at=now, ends_at=now + 5_000, service="llm"),
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,221 @@
+"""Rate limits of servers: what instances tell each other of them, and who may send."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from arbutuspulley.admission.rates import LOOK_AGAIN_MS
+from arbutuspulley.clock import Clock
+from arbutuspulley.membership.coordinator import CoordinatorState
+from arbutuspulley.node.coordinator import Coordinator
+from arbutuspulley.node.limits import LimitGuard
+from arbutuspulley.node.link import Link
+from arbutuspulley.node.messages import (
+    Digest,
+    Granted,
+    Hello,
+    Permission,
+    Refused,
+    ServerLimit,
+    ServerLimits,
+)
+from arbutuspulley.platform import names
+from arbutuspulley.platform.requests import decode_request
+from tests.node_states import build_info, build_state
+from tests.pools import build_pool, build_server
+from tests.test_local_choice import A
+
+LIMITED = {names.SERVER_LIMIT: "2"}
+
+REQUEST = decode_request(
+    method="GET", path="/", headers=[("X-Arbutuspulley-Attempt-Id", "r0")]
+)
+
+
+class Instance:
+    """An instance with its link; ``told`` is what its coordinator was told."""
+
+    def __init__(self, *, is_linked=True):
+        self.now = [100_000]
+        self.state = build_state(clock=Clock(read=lambda: self.now[0]))
+        self.state.by_incarnation = {A.incarnation: A}
+        self.link = Link(state=self.state)
+        self.told = []
+        if is_linked:
+            self.link.take_local = self.told.extend
+        self.guard = LimitGuard(state=self.state, link=self.link)
+
+    def note_answer(self, headers, *, sent_ago=0):
+        self.guard.note_answer(A, headers, sent_at=self.now[0] - sent_ago)
+
+    def ask(self):
+        return asyncio.run(self.guard.ask(A, REQUEST))
+
+
+def build_coordinator(*, limits=()):
+    """Build an acting coordinator of one pool, and what it sends its own instance."""
+    state = build_state()
+    state.by_incarnation = {A.incarnation: A}
+    for one in limits:
+        state.limits.note_told(one.incarnation, one.per_s, now=0)
+    sent = []
+    coordinator = Coordinator(
+        state=state,
+        lease=CoordinatorState(name="own", link="own:1", boot="b", lease_ms=3_000),
+        receive_local=sent.extend,
+    )
+    coordinator.acts = True
+    coordinator._rates.begin()
+    coordinator._pools = {"llm": build_pool(build_server(A.incarnation, "m0"))}
+    coordinator._rates.apply(coordinator._pools.values())
+    return coordinator, sent
+
+
+def get_limit(coordinator):
+    server = coordinator._pools["llm"].servers[A.incarnation]
+    return None if server.limit is None else server.limit.per_s
+
+
+def test_a_limit_is_told_until_the_coordinator_confirms_it():
+    """Guards against a limit that is lost with a link and never told again."""
+    instance = Instance()
+    limit = ServerLimit(incarnation=A.incarnation, per_s=2.0)
+    instance.note_answer(LIMITED)
+    instance.note_answer(LIMITED)
+    assert instance.told == [limit, limit]
+    instance.link.receive([ServerLimits(limits=(limit,))])
+    instance.note_answer(LIMITED)
+    assert instance.told == [limit, limit]
+    instance.now[0] += 10
+    instance.note_answer({})
+    assert instance.told[2:] == [ServerLimit(incarnation=A.incarnation)]
+
+
+def test_a_limit_that_is_no_number_changes_nothing():
+    instance = Instance()
+    instance.note_answer(LIMITED)
+    instance.now[0] += 10
+    instance.note_answer({names.SERVER_LIMIT: "many"})
+    assert instance.state.limits.get(A.incarnation) == 2.0
+
+
+def test_an_instance_learns_of_limits_that_others_have_read():
+    instance = Instance()
+    limit = ServerLimit(incarnation=A.incarnation, per_s=3.0)
+    instance.link.receive([ServerLimits(limits=(limit,))])
+    assert instance.state.limits.get(A.incarnation) == 3.0
+    instance.link.receive([ServerLimits(limits=(), are_all=True)])
+    assert instance.state.limits.get(A.incarnation) is None
+
+
+def test_an_instance_without_a_coordinator_sends_only_its_own_part():
+    """Guards against instances that each use a whole limit without a coordinator."""
+    instance = Instance(is_linked=False)
+    instance.note_answer(LIMITED)
+    assert instance.ask() == LOOK_AGAIN_MS
+    instance.state.instances = 2
+    assert instance.ask() > 0
+    waits = []
+    for _ in range(10):
+        instance.now[0] += 500
+        waits.append(instance.ask())
+    assert 4 <= waits.count(0) <= 5
+
+
+def test_a_request_to_a_server_without_a_limit_asks_nobody():
+    instance = Instance()
+    assert instance.ask() == 0
+    assert instance.told == []
+
+
+@pytest.mark.parametrize(
+    ("answer", "wait_ms"),
+    [
+        (Granted(key="r0", incarnation="a", address="", is_late=False), 0),
+        (Refused(key="r0", retry_after_ms=300), 300),
+    ],
+    ids=["granted", "refused"],
+)
+def test_a_plain_request_to_a_limited_server_asks_the_coordinator(answer, wait_ms):
+    instance = Instance()
+
+    def reply(messages):
+        if isinstance(messages[0], Permission):
+            loop = asyncio.get_running_loop()
+            loop.call_soon(instance.link.receive, [answer])
+
+    instance.note_answer(LIMITED)
+    instance.link.take_local = reply
+    assert instance.ask() == wait_ms
+
+
+def test_a_coordinator_that_does_not_answer_counts_as_none():
+    """Guards against plain requests that wait for a coordinator of another version."""
+    instance = Instance()
+    instance.note_answer(LIMITED)
+    assert instance.ask() == LOOK_AGAIN_MS
+
+
+def test_a_link_that_has_ended_lets_an_instance_go_by_its_own_part():
+    instance = Instance(is_linked=False)
+    instance.link.receive([Digest(is_holder=True, instances=1)])
+    instance.note_answer(LIMITED)
+    instance.link.cut()
+    assert instance.ask() == 500
+    instance.now[0] += 500
+    assert instance.ask() == 0
+
+
+def test_the_coordinator_keeps_to_what_any_instance_has_read():
+    coordinator, sent = build_coordinator()
+    limit = ServerLimit(incarnation=A.incarnation, per_s=2.0)
+    coordinator._take_one("x", limit, now=0)
+    assert get_limit(coordinator) == 2.0
+    coordinator._share([build_info("own")])
+    assert sent == [ServerLimits(limits=(limit,))]
+    coordinator._share([build_info("own")])
+    assert len(sent) == 1
+
+
+def test_all_permissions_come_out_of_one_bucket():
+    """Guards against a plain server that gets its whole limit from each instance."""
+    coordinator, sent = build_coordinator()
+    coordinator._add_peer([Hello(info=build_info("x"))])
+    limit = ServerLimit(incarnation=A.incarnation, per_s=2.0)
+    coordinator._take_one("own", limit, now=0)
+    coordinator._rates._ledger.get(A.incarnation).left = 1.0
+    for key in ("r0", "r1"):
+        message = Permission(key=key, incarnation=A.incarnation)
+        coordinator._take_one("own", message, now=0)
+    assert [type(one) for one in sent] == [Granted, Refused]
+
+
+def test_the_next_coordinator_keeps_to_limits_that_it_knows_or_is_told():
+    """Guards against a server in need that is sent all again after a takeover."""
+    limit = ServerLimit(incarnation=A.incarnation, per_s=2.0)
+    knows, _ = build_coordinator(limits=(limit,))
+    assert get_limit(knows) == 2.0
+    is_told, _ = build_coordinator()
+    is_told._add_peer([Hello(info=build_info("x"), limits=(limit,))])
+    assert get_limit(is_told) == 2.0
+    again = msgspec.structs.replace(limit, per_s=9.0)
+    is_told._add_peer([Hello(info=build_info("y"), limits=(again,))])
+    assert get_limit(is_told) == 2.0
+
+
+def test_an_instance_that_links_up_is_told_all_limits():
+    limit = ServerLimit(incarnation=A.incarnation, per_s=2.0)
+    coordinator, _ = build_coordinator(limits=(limit,))
+    peer = coordinator._add_peer([Hello(info=build_info("x"))])
+    assert ServerLimits(limits=(limit,), are_all=True) in peer.outgoing
+
+
+def test_a_limit_that_is_over_is_told_to_all():
+    limit = ServerLimit(incarnation=A.incarnation, per_s=2.0)
+    coordinator, sent = build_coordinator(limits=(limit,))
+    over = ServerLimit(incarnation=A.incarnation)
+    coordinator._take_one("x", over, now=0)
+    assert get_limit(coordinator) is None
+    coordinator._share([build_info("own")])
+    assert sent == [ServerLimits(limits=(over,))]
--- /dev/null
+++ b/tests/test_pool_limits.py
@@ -0,0 +1,92 @@
+"""Model servers that name a rate limit: who is granted them, and what is loaded."""
+
+from arbutuspulley.admission.rates import RateLedger
+from arbutuspulley.pool.grants import Grant, Refusal, find_wake, plan_grants
+from arbutuspulley.pool.orders import plan_orders
+from arbutuspulley.ports.fleet import OrderKind
+from tests.pools import add_waiting, build_pool, build_server
+
+
+def limit_server(server, per_s, *, now=0):
+    """Let a server name a limit; its bucket begins empty."""
+    ledger = RateLedger()
+    ledger.name(server.incarnation, per_s, now=now)
+    server.limit = ledger.get(server.incarnation)
+
+
+def grant_all(pool, *, until, every_ms=100):
+    """Let requests come at a steady pace and return what was decided, by time."""
+    decided = []
+    for now in range(0, until, every_ms):
+        add_waiting(pool, f"r{now}", "m0", now=now, tokens=100)
+        decided += [(now, one) for one in plan_grants(pool, now=now)]
+        for server in pool.servers.values():
+            server.runs.clear()
+    return decided
+
+
+def test_a_limited_server_is_granted_no_more_than_it_takes():
+    """Guards against a server in need that is granted by memory and pace alone."""
+    server = build_server("s0", "m0")
+    limit_server(server, 2.0)
+    pool = build_pool(server)
+    decided = grant_all(pool, until=10_000)
+    granted = [now for now, one in decided if isinstance(one, Grant)]
+    assert 18 <= len(granted) <= 20
+
+
+def test_requests_go_to_servers_that_name_no_limit():
+    limited, other = build_server("s0", "m0"), build_server("s1", "m0")
+    limit_server(limited, 0.5)
+    pool = build_pool(limited, other)
+    decided = grant_all(pool, until=4_000)
+    granted = [one.incarnation for _, one in decided if isinstance(one, Grant)]
+    assert len(granted) == 40
+    assert granted.count("s0") <= 2
+
+
+def test_a_request_that_a_limit_keeps_waiting_is_looked_at_again_in_time():
+    server = build_server("s0", "m0")
+    limit_server(server, 2.0)
+    pool = build_pool(server)
+    add_waiting(pool, "r0", "m0", late_at=4_000)
+    assert plan_grants(pool, now=0) == []
+    assert find_wake(pool, now=0) == 500
+    (granted,) = plan_grants(pool, now=500)
+    assert granted.incarnation == "s0"
+
+
+def test_who_can_not_get_through_a_limit_is_refused_at_once_with_when_to_come_back():
+    """Guards against callers that wait in vain for a server in need."""
+    server = build_server("s0", "m0")
+    limit_server(server, 1.0)
+    pool = build_pool(server)
+    for number in range(5):
+        add_waiting(pool, f"r{number}", "m0", arrived_at=number, tokens=100)
+    refused = [one for one in plan_grants(pool, now=5) if isinstance(one, Refusal)]
+    assert [one.key for one in refused] == ["r3", "r4"]
+    assert [one.limited for one in refused] == [1, 1]
+    assert all(3_900 <= one.retry_after_ms <= 4_000 for one in refused)
+
+
+def test_a_model_that_only_limited_servers_have_is_loaded_elsewhere():
+    """Guards against callers that are refused while other servers have room."""
+    limited, other = build_server("s0", "m0"), build_server("s1")
+    limit_server(limited, 0.5)
+    pool = build_pool(limited, other)
+    add_waiting(pool, "r0", "m0")
+    (order,) = plan_orders(pool, now=0)
+    assert (order.kind, order.incarnation, order.model) == (
+        OrderKind.LOAD,
+        "s1",
+        "m0",
+    )
+
+
+def test_nothing_is_loaded_at_a_limited_server_while_others_are_not():
+    limited, other = build_server("s0"), build_server("s1", "m1", "m2")
+    limit_server(limited, 5.0, now=-10_000)
+    pool = build_pool(limited, other)
+    add_waiting(pool, "r0", "m0")
+    orders = plan_orders(pool, now=0)
+    assert [one.incarnation for one in orders] == ["s1"]
