Plan copies by what a limited server takes, not by its bucket of the moment

A server with a limit of 1 request a second counted as a copy of its models in one pass of orders and as none in the next, as its bucket filled and was emptied. While it counted, another copy of a busy model looked spare and could be unloaded for a third model, to be loaded again a moment later; and how long a model had been missed was forgotten.

Plans now count such a server as a copy if its limit is at least half of what one usually takes. The test fails on the code before.

--- a/src/arbutuspulley/pool/copies.py
+++ b/src/arbutuspulley/pool/copies.py
@@ -20,8 +20,10 @@
 
     :param now: as of when, in ms.
     :param copies: servers that have a model, or will have it soon, by model.
-    :param limited: servers that have a model, but may get no request now by the rate
-        limit that they name, by model. They count as no copies.
+    :param limited: servers that have a model, but that the rate limit which they name
+        holds back, by model. They count as no copies.
+    :param least_per_s: requests a second that a limited server must take to count as a
+        copy; ``None``: it counts while it may get one now.
     :param listed: under which models a server is listed, by incarnation.
     """
 
@@ -29,11 +31,17 @@
     copies: dict[str, list[ServerState]] = msgspec.field(default_factory=dict)
     limited: dict[str, list[ServerState]] = msgspec.field(default_factory=dict)
     listed: dict[str, tuple[str, ...]] = msgspec.field(default_factory=dict)
+    least_per_s: float | None = None
 
 
-def index_copies(pool: PoolState, *, now: int) -> CopyIndex:
-    """Build the index of a pool's servers."""
-    index = CopyIndex(now=now)
+def index_copies(
+    pool: PoolState, *, now: int, least_per_s: float | None = None
+) -> CopyIndex:
+    """Build the index of a pool's servers.
+
+    :param least_per_s: see :class:`CopyIndex`.
+    """
+    index = CopyIndex(now=now, least_per_s=least_per_s)
     for server in pool.servers.values():
         _list_server(index, server)
     return index
@@ -55,7 +63,7 @@
 def _list_server(index: CopyIndex, server: ServerState) -> None:
     if not is_usable(server, now=index.now):
         return
-    if get_limit_wait(server, now=index.now):
+    if _is_held_back(index, server):
         for model in server.models:
             index.limited.setdefault(model, []).append(server)
         return
@@ -64,3 +72,9 @@
     index.listed[server.incarnation] = tuple(models)
     for model in models:
         index.copies.setdefault(model, []).append(server)
+
+
+def _is_held_back(index: CopyIndex, server: ServerState) -> bool:
+    if index.least_per_s is None or server.limit is None:
+        return get_limit_wait(server, now=index.now) > 0
+    return server.limit.per_s < index.least_per_s
--- a/src/arbutuspulley/pool/demand.py
+++ b/src/arbutuspulley/pool/demand.py
@@ -138,6 +138,12 @@
     return find_speed(pool, model) * PACE * 1_000
 
 
+def get_request_rate(pool: PoolState) -> float:
+    """Return the requests a second that one copy of a model takes at least."""
+    rates = (get_rate(pool, model) for model in pool.spec.models)
+    return min(rates, default=0.0) / max(1.0, pool.mean_tokens)
+
+
 def get_excess(pool: PoolState, model: str, copies: int) -> float:
     """Return how many requests so many copies would leave waiting.
 
--- a/src/arbutuspulley/pool/room.py
+++ b/src/arbutuspulley/pool/room.py
@@ -11,7 +11,7 @@
     index_copies,
     refresh_copies,
 )
-from arbutuspulley.pool.demand import get_excess
+from arbutuspulley.pool.demand import get_excess, get_request_rate
 from arbutuspulley.pool.state import PoolState, ServerState, estimate_unload
 from arbutuspulley.ports.fleet import EngineSpec
 
@@ -27,6 +27,12 @@
 """What each unload costs by itself, in requests: an order, and a copy less."""
 
 
+LIMITED_PART = 0.5
+"""A server that names a rate limit counts as a copy of its models if it takes this part
+of what one usually takes. By whether it may get a request right now it would count as
+one copy more and one less by turns, and others would be unloaded for it."""
+
+
 class Victim(Value, frozen=True):
     """A model that may leave a server.
 
@@ -85,9 +91,12 @@
 
 def begin_pass(pool: PoolState, *, now: int) -> RoomPass:
     """Begin a pass of orders."""
+    least_per_s: float | None = None
+    if any(one.limit is not None for one in pool.servers.values()):
+        least_per_s = LIMITED_PART * get_request_rate(pool)
     return RoomPass(
         pool=pool,
-        index=index_copies(pool, now=now),
+        index=index_copies(pool, now=now, least_per_s=least_per_s),
         waiting=Counter(one.need.model for one in pool.waiting.values()),
     )
 
--- a/tests/test_pool_limits.py
+++ b/tests/test_pool_limits.py
@@ -1,8 +1,11 @@
 """Model servers that name a rate limit: who is granted them, and what is loaded."""
 
 from arbutuspulley.admission.rates import RateLedger
+from arbutuspulley.pool.copies import get_copies
 from arbutuspulley.pool.grants import Grant, Refusal, find_wake, plan_grants
 from arbutuspulley.pool.orders import plan_orders
+from arbutuspulley.pool.room import SOLE_COST, begin_pass, compute_loss
+from arbutuspulley.pool.state import Demand
 from arbutuspulley.ports.fleet import OrderKind
 from tests.pools import add_waiting, build_pool, build_server
 
@@ -90,3 +93,22 @@
     add_waiting(pool, "r0", "m0")
     orders = plan_orders(pool, now=0)
     assert [one.incarnation for one in orders] == ["s1"]
+
+
+def test_a_copy_at_a_limited_server_does_not_make_another_one_spare():
+    """Guards against models that are unloaded elsewhere each time that a server in need
+    may get a request, and loaded again as it may not."""
+    limited = build_server("s0", "m0")
+    limit_server(limited, 1.0, now=-10_000)
+    other = build_server("s1", "m0", "m1")
+    pool = build_pool(limited, other, demand={"m0": Demand(steady=9_000, swift=9_000)})
+    state = begin_pass(pool, now=0)
+    assert get_copies(state.index, "m0") == [other]
+    assert compute_loss(state, "m0") >= SOLE_COST
+
+
+def test_a_server_with_a_limit_that_hardly_binds_counts_as_a_copy():
+    limited = build_server("s0", "m0")
+    limit_server(limited, 100.0)
+    state = begin_pass(build_pool(limited), now=0)
+    assert get_copies(state.index, "m0") == [limited]
