Leave the requests that a limited server takes to models that only it has

A server in need ran few requests, so it ranked best for each request of a busy model at the moment its bucket had one, and callers of models that only it had were refused. Its rank now adds half a second of waiting. Found by reading; the test fails on the code before.

--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -51,6 +51,9 @@
 FAILURE_COST_MS = 2_000.0
 """What a server that fails all its requests adds to its rank, in ms of waiting."""
 
+LIMITED_COST_MS = 500.0
+"""What a server that names a rate limit adds to its rank, in ms of waiting. The few
+requests that it takes are left to models that no other server has."""
 
 LEAST_KEPT_MS = 1_000
 """How long it is kept what a server has read, in ms: callers of streams notice
@@ -304,6 +307,8 @@
     cost += FAILURE_COST_MS * server.failure_share
     if server.zone != waiting.zone:
         cost += ZONE_COST_MS
+    if server.limit is not None:
+        cost += LIMITED_COST_MS
     return cost
 
 
--- a/tests/test_pool_limits.py
+++ b/tests/test_pool_limits.py
@@ -48,6 +48,19 @@
     assert granted.count("s0") <= 2
 
 
+def test_a_limited_server_is_left_to_models_that_only_it_has():
+    """Guards against callers of a rare model that are refused as the only server that
+    has it spends its limit on models that others have too."""
+    limited, other = build_server("s0", "m0", "m1"), build_server("s1", "m0")
+    limit_server(limited, 1.0, now=-10_000)
+    other.read_until = 300
+    pool = build_pool(limited, other)
+    add_waiting(pool, "busy", "m0", arrived_at=0)
+    add_waiting(pool, "rare", "m1", arrived_at=1)
+    granted = {one.key: one.incarnation for one in plan_grants(pool, now=1)}
+    assert granted == {"rare": "s0"}
+
+
 def test_a_request_that_a_limit_keeps_waiting_is_looked_at_again_in_time():
     server = build_server("s0", "m0")
     limit_server(server, 2.0)
