Move questions to the coordinator and an instance's frames to modules of their own

What waits for an answer of the coordinator is now questions.py, used by grants and by permissions alike; writing an instance's frames is in peer.py, where its frames are. No behaviour is changed; the tests of link, peers, coordinator and nodes pass unchanged.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -3,7 +3,7 @@
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.accounts import Accounts, Payment
 from arbutuspulley.node.limits import LimitGuard
-from arbutuspulley.node.link import Link, LinkLostError, RefusedError
+from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import Ask, Ended, Granted
 from arbutuspulley.node.progress import (
     MOST_REFUSED,
@@ -12,6 +12,7 @@
     get_patience,
     get_priority,
 )
+from arbutuspulley.node.questions import LinkLostError, RefusedError
 from arbutuspulley.node.server_choice import CoordinatorFoundError, ServerChoice
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.ports.fleet import (
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -51,11 +51,10 @@
     ToNode,
     Withdraw,
     decode_from_node,
-    encode_frame,
 )
 from arbutuspulley.node.orders import Orders
 from arbutuspulley.node.pacing import Pacer
-from arbutuspulley.node.peer import Peer
+from arbutuspulley.node.peer import Peer, write_frames
 from arbutuspulley.node.peers import Peers
 from arbutuspulley.node.pool_log import log_grant, log_pool, log_refusal
 from arbutuspulley.node.quotas import Quotas
@@ -89,10 +88,6 @@
 TELL_EVERY_MS = 1_000
 """Time between log lines on what a pool's models are asked for, in ms."""
 
-WRITE_TIMEOUT_S = 2.0
-"""How long an instance may take no bytes, in s. Its link is cut then: it hears nothing
-of the coordinator anyway, and what waits for it takes memory."""
-
 
 class Coordinator:
     """The coordinator's part of a process, idle unless this instance is it.
@@ -259,7 +254,7 @@
                     if peer is None:
                         break
                     writer = asyncio.create_task(
-                        self._write(peer, socket, request.transport)
+                        write_frames(peer, socket, request.transport)
                     )
                 peer.heard_at = self._state.clock.now()
                 self.take(peer.info.name, messages)
@@ -302,31 +297,6 @@
             self._peers.tell_roster()
             self.kick()
 
-    async def _write(
-        self,
-        peer: Peer,
-        socket: web.WebSocketResponse,
-        transport: asyncio.Transport | None,
-    ) -> None:
-        try:
-            while not peer.is_ended:
-                await peer.wake.wait()
-                peer.wake.clear()
-                frame = peer.take_outgoing()
-                if frame:
-                    async with asyncio.timeout(WRITE_TIMEOUT_S):
-                        await socket.send_bytes(encode_frame(frame))
-            # Instances look for the next coordinator as soon as they know of the end.
-            await socket.close()
-        except TimeoutError:
-            log_event(
-                Event.PEER_BEHIND, instance=peer.info.name, queued=len(peer.outgoing)
-            )
-            if transport is not None:
-                transport.abort()
-        except (aiohttp.ClientError, ConnectionError):
-            return
-
     def _take_one(self, origin: str, message: ToCoordinator, *, now: int) -> None:
         if isinstance(message, Ask):
             self._take_ask(origin, message, now=now)
--- a/src/arbutuspulley/node/limits.py
+++ b/src/arbutuspulley/node/limits.py
@@ -4,8 +4,9 @@
 
 from arbutuspulley.admission.rates import LocalRates
 from arbutuspulley.events import Event, log_event
-from arbutuspulley.node.link import Link, LinkLostError, RefusedError
+from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import Permission, ServerLimit, ServerLimits
+from arbutuspulley.node.questions import LinkLostError, RefusedError
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import read_server_limit
 from arbutuspulley.ports.fleet import InboundRequest, ServerEntry
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -36,6 +36,7 @@
     decode_from_coordinator,
     encode_frame,
 )
+from arbutuspulley.node.questions import LinkLostError, Questions, RefusedError
 from arbutuspulley.node.roster import RosterCopy, apply_change
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.ports.fleet import TryEnd
@@ -68,10 +69,6 @@
 """How long opening a link may take, in s."""
 
 
-class LinkLostError(Exception):
-    """No coordinator answers."""
-
-
 class Link:
     """The link to the coordinator, which may be this process itself.
 
@@ -89,13 +86,13 @@
         "_is_closed",
         "_opened_at",
         "_outgoing",
+        "_questions",
         "_roster",
         "_running",
         "_spent",
         "_state",
         "_task",
         "_version_there",
-        "_waiting",
         "_wake",
         "digest",
         "take_limits",
@@ -115,12 +112,12 @@
         self._version_there: int | None = None
         self._opened_at = 0
         self._outgoing: list[ToCoordinator] = []
+        self._questions = Questions()
         self._roster = RosterCopy()
         self._spent: dict[str, int] = {}
         self._running: dict[str, tuple[int, RunningRequest]] = {}
         self._task: asyncio.Task[None] | None = None
         self._wake = asyncio.Event()
-        self._waiting: dict[str, asyncio.Future[Granted]] = {}
         self.digest: Digest | None = None
         self.take_suspicions: Callable[[tuple[Suspicion, ...]], None] = _ignore
         self.take_overdrawn: Callable[[Overdrawn], None] = _ignore
@@ -186,7 +183,7 @@
         if not self.is_up:
             raise LinkLostError("no coordinator")
         try:
-            granted = await self._send_question(ask)
+            granted = await self._questions.ask(ask.key, lambda: self.tell(ask))
         except asyncio.CancelledError:
             self.tell(Withdraw(key=ask.key, service=ask.service))
             raise
@@ -210,20 +207,10 @@
             raise LinkLostError("no coordinator")
         try:
             async with asyncio.timeout(PERMISSION_S):
-                await self._send_question(message)
+                await self._questions.ask(message.key, lambda: self.tell(message))
         except TimeoutError:
             raise LinkLostError("no answer in time") from None
 
-    async def _send_question(self, question: Ask | Permission) -> Granted:
-        """Send a question and wait until it is answered."""
-        future = asyncio.get_running_loop().create_future()
-        self._waiting[question.key] = future
-        self.tell(question)
-        try:
-            return await future
-        finally:
-            self._waiting.pop(question.key, None)
-
     def note_run(self, run: RunningRequest) -> None:
         """A request starts; the next coordinator has to count it."""
         self._running[run.key] = self._state.clock.now(), run
@@ -279,14 +266,8 @@
             self._take_decision(message)
 
     def _take_decision(self, decision: Granted | Refused) -> None:
-        future = self._waiting.get(decision.key)
-        if future is None or future.done():
-            if isinstance(decision, Granted):
-                self._return_grant(decision)
-        elif isinstance(decision, Granted):
-            future.set_result(decision)
-        else:
-            future.set_exception(RefusedError(decision))
+        if not self._questions.take(decision) and isinstance(decision, Granted):
+            self._return_grant(decision)
 
     def _take_roster(self, change: RosterChange) -> None:
         if not apply_change(self._roster, change):
@@ -348,9 +329,7 @@
 
     def drop_waiting(self) -> None:
         """Tell all that wait for a grant that none will come."""
-        for future in self._waiting.values():
-            if not future.done():
-                future.set_exception(LinkLostError("link lost"))
+        self._questions.drop()
         self._outgoing.clear()
         self._spent.clear()
 
@@ -361,13 +340,11 @@
         without an answer, though it has not run and another instance could serve it.
         """
         self._is_closed = True
-        for key, future in self._waiting.items():
-            if not future.done():
-                future.set_exception(RefusedError(Refused(key=key, retry_after_ms=1)))
+        self._questions.refuse()
 
     def check(self) -> None:
         """Give up on a coordinator that has fallen silent; call at intervals."""
-        if self.take_local is None and self._waiting and not self.is_up:
+        if self.take_local is None and self._questions and not self.is_up:
             self.drop_waiting()
 
     def _return_grant(self, granted: Granted) -> None:
@@ -521,12 +498,3 @@
 
 def _ignore(_message: object) -> None:
     """Take nothing in, until someone listens."""
-
-
-class RefusedError(Exception):
-    """The coordinator gave a request up; it has not run."""
-
-    def __init__(self, refused: Refused) -> None:
-        super().__init__("refused")
-        self.retry_after_ms = refused.retry_after_ms
-        self.is_over_quota = refused.is_over_quota
--- a/src/arbutuspulley/node/peer.py
+++ b/src/arbutuspulley/node/peer.py
@@ -3,8 +3,22 @@
 import asyncio
 from collections.abc import Callable
 
+import aiohttp
+from aiohttp import web
+
 from arbutuspulley.admission.freshness import Marks
-from arbutuspulley.node.messages import Digest, Learnt, NodeInfo, ToNode
+from arbutuspulley.events import Event, log_event
+from arbutuspulley.node.messages import (
+    Digest,
+    Learnt,
+    NodeInfo,
+    ToNode,
+    encode_frame,
+)
+
+WRITE_TIMEOUT_S = 2.0
+"""How long an instance may take no bytes, in s. Its link is cut then: it hears nothing
+of the coordinator anyway, and what waits for it takes memory."""
 
 
 class Peer:
@@ -106,3 +120,25 @@
             taken.insert(0, self.build_configuration(self.told))
             self.told = self._due
         return taken
+
+
+async def write_frames(
+    peer: Peer, socket: web.WebSocketResponse, transport: asyncio.Transport | None
+) -> None:
+    """Send what waits for an instance until its link ends."""
+    try:
+        while not peer.is_ended:
+            await peer.wake.wait()
+            peer.wake.clear()
+            frame = peer.take_outgoing()
+            if frame:
+                async with asyncio.timeout(WRITE_TIMEOUT_S):
+                    await socket.send_bytes(encode_frame(frame))
+        # Instances look for the next coordinator as soon as they know of the end.
+        await socket.close()
+    except TimeoutError:
+        log_event(Event.PEER_BEHIND, instance=peer.info.name, queued=len(peer.outgoing))
+        if transport is not None:
+            transport.abort()
+    except (aiohttp.ClientError, ConnectionError):
+        return
--- /dev/null
+++ b/src/arbutuspulley/node/questions.py
@@ -0,0 +1,72 @@
+"""Questions to the coordinator that wait for an answer."""
+
+import asyncio
+from collections.abc import Callable
+
+from arbutuspulley.node.messages import Granted, Refused
+
+
+class LinkLostError(Exception):
+    """No coordinator answers."""
+
+
+class RefusedError(Exception):
+    """The coordinator gave a request up; it has not run."""
+
+    def __init__(self, refused: Refused) -> None:
+        super().__init__("refused")
+        self.retry_after_ms = refused.retry_after_ms
+        self.is_over_quota = refused.is_over_quota
+
+
+class Questions:
+    """The questions that wait, by the attempt that each is about."""
+
+    __slots__ = ("_waiting",)
+
+    def __init__(self) -> None:
+        self._waiting: dict[str, asyncio.Future[Granted]] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self._waiting)
+
+    async def ask(self, key: str, send: Callable[[], None]) -> Granted:
+        """Send a question and wait until it is answered.
+
+        :raises LinkLostError: if the link is lost before.
+        :raises RefusedError: if the coordinator refuses.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[key] = future
+        send()
+        try:
+            return await future
+        finally:
+            self._waiting.pop(key, None)
+
+    def take(self, answer: Granted | Refused) -> bool:
+        """Take in an answer.
+
+        :return: whether anyone waits for it.
+        """
+        future = self._waiting.get(answer.key)
+        if future is None or future.done():
+            return False
+        if isinstance(answer, Granted):
+            future.set_result(answer)
+        else:
+            future.set_exception(RefusedError(answer))
+        return True
+
+    def drop(self) -> None:
+        """Tell all that wait that no answer will come."""
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_exception(LinkLostError("link lost"))
+
+    def refuse(self) -> None:
+        """Refuse all that wait; another instance may serve them at once."""
+        for key, future in self._waiting.items():
+            if not future.done():
+                refused = Refused(key=key, retry_after_ms=1)
+                future.set_exception(RefusedError(refused))
