Count instances that have fallen silent as lost in what a coordinator gives out

The coordinator was among the 28 of 83 instances that were cut off from 6.2 to 11.9 s. Its links did not end, they fell silent; it charged its own callers by the whole rate all the while (36,000 to 46,000 tokens each half second from 7 to 9.5 s), beside the next coordinator, and 88,676 more at once from what it had saved, in the half second after the cut had healed. The limits of servers are given out by the same part.

An instance that is not heard of any more now counts as lost as of then, and a coordinator that most have left goes on with its own part alone, instead of taking over the others' as time passes.

Both tests fail on the code before.

--- a/src/arbutuspulley/node/quotas.py
+++ b/src/arbutuspulley/node/quotas.py
@@ -26,12 +26,13 @@
     long as it may last.
     """
 
-    __slots__ = ("_began_at", "_known", "_ledger", "_lost", "_state")
+    __slots__ = ("_began_at", "_known", "_ledger", "_linked", "_lost", "_state")
 
     def __init__(self, *, state: NodeState) -> None:
         self._state = state
         self._ledger = QuotaLedger()
         self._lost: dict[str, tuple[NodeInfo, int]] = {}
+        self._linked: Sequence[NodeInfo] = ()
         self._known = 0
         self._began_at = 0
 
@@ -39,6 +40,7 @@
         """Begin as a coordinator that no instance is linked to yet."""
         self._ledger.begin()
         self._lost.clear()
+        self._linked = ()
         self._known = self._state.instances
         self._began_at = self._state.clock.now()
 
@@ -94,6 +96,7 @@
         :param ends_ms: after which those use nothing any more; ``None``: they go on.
         """
         now = self._state.clock.now()
+        self._note_silent(linked, now=now)
         self._lost = {
             name: (info, at)
             for name, (info, at) in self._lost.items()
@@ -101,6 +104,10 @@
         }
         lost = [info for info, _at in self._lost.values()]
         among = [*linked, *lost]
+        if len(lost) > len(linked):
+            # This side is cut off rather than the other, where the next coordinator
+            # gives out the rest.
+            ends_ms = None
         part = 1.0
         for info, at in self._lost.values():
             left = get_lost_part(now - at, ends_ms=ends_ms)
@@ -110,6 +117,16 @@
             part *= heard_of / self._known
         return max(0.0, part)
 
+    def _note_silent(self, linked: Sequence[NodeInfo], *, now: int) -> None:
+        """Count those as lost that have fallen silent: their links may end later."""
+        names = {info.name for info in linked}
+        for info in self._linked:
+            if info.is_ready and info.name not in names:
+                self._lost.setdefault(info.name, (info, now))
+        for name in names:
+            self._lost.pop(name, None)
+        self._linked = linked
+
 
 def get_part(info: NodeInfo, *, among: Sequence[NodeInfo]) -> float:
     """Return which part of what all instances share one of them uses by itself."""
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -152,6 +152,31 @@
     assert quotas._ledger.part == 1
 
 
+def test_the_part_of_an_instance_that_has_fallen_silent_is_not_given_out():
+    """Guards against a coordinator that is cut off silently and spends whole quotas
+    beside the next one: the links' ends come seconds later, or never."""
+    quotas = build_quotas(Instance())
+    infos = [build_info(name) for name in ("a", "b", "c", "d")]
+    quotas.set_linked(infos)
+    quotas.set_linked(infos[:1])
+    assert quotas._ledger.part == 0.25
+    quotas.set_linked(infos)
+    assert quotas._ledger.part == 1
+
+
+def test_a_coordinator_that_most_have_left_keeps_to_its_own_part():
+    """Guards against quotas that a cut-off coordinator saves up and spends once the cut
+    has healed."""
+    instance = Instance(withdrawal_ms=5_000)
+    quotas = build_quotas(instance)
+    infos = [build_info(name) for name in ("a", "b", "c", "d")]
+    quotas.set_linked(infos)
+    for _ in range(3):
+        quotas.set_linked(infos[:1])
+        assert quotas._ledger.part == 0.25
+        instance.now[0] += 2_500
+
+
 def test_one_that_stopped_as_planned_or_is_long_gone_keeps_nothing():
     instance = Instance()
     infos = [build_info("a"), build_info("b", is_ready=False), build_info("c")]
