--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -94,6 +94,16 @@
     assert len(burst) == int(get_tolerance(2.0))
 
 
+def test_what_instances_without_a_coordinator_may_use_is_not_given_out():
+    """Guards against a limit that is used twice while some instances are cut off."""
+    ledger = RateLedger()
+    ledger.name("s0", 4.0, now=0)
+    ledger.set_part(0.5, now=0)
+    ledger.set_part(0.5, now=0)
+    sent = [now for now in range(0, 10_000, 10) if not ledger.charge("s0", now=now)]
+    assert 19 <= len(sent) <= 20
+
+
 def test_a_server_that_names_no_limit_gets_all():
     ledger = RateLedger()
     ledger.name("s0", 1.0, now=0)
