Cut the coordinator off the store in the test of limits, too

Kill and freeze were played with real nodes; a coordinator that is cut off while another takes over was not.

--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -1,6 +1,7 @@
 """Real nodes keep together to the rate limits that servers name."""
 
 import asyncio
+import contextlib
 import itertools
 import signal
 
@@ -8,6 +9,7 @@
 import pytest
 
 from scripts.platform_stage import Fleet, ask
+from tests.proxy import Direction, FaultProxy
 
 NODES = ("n1", "n2", "n3", "n4")
 
@@ -27,8 +29,8 @@
 LOSS_AT_S = 3.0
 """When the coordinator is lost, in s."""
 
-FREEZE_S = 2.5
-"""For how long it is frozen, in s; another one takes over meanwhile."""
+LOSS_S = 2.5
+"""For how long it is frozen or cut off, in s; another one takes over meanwhile."""
 
 ASK_EVERY_S = 0.04
 """Time between two requests, to one node after the other."""
@@ -62,21 +64,26 @@
 
 
 def play(folder, scenario):
-    """Run a scenario on nodes that follow one coordinator."""
+    """Run a scenario on nodes that each reach the store by a proxy of their own."""
 
     async def run():
         fleet = Fleet(folder)
-        try:
-            await fleet.open()
-            for name in NODES:
-                await fleet.start_node(name)
-            for name in NODES:
-                await fleet.wait_ready(name)
-            await fleet.wait_coordinator()
-            async with aiohttp.ClientSession() as session:
-                await scenario(fleet, session)
-        finally:
-            await fleet.close()
+        with contextlib.ExitStack() as stack:
+            try:
+                await fleet.open()
+                proxies = {
+                    name: stack.enter_context(FaultProxy(target=fleet.store_address))
+                    for name in NODES
+                }
+                for name in NODES:
+                    await fleet.start_node(name, store=proxies[name].address)
+                for name in NODES:
+                    await fleet.wait_ready(name)
+                await fleet.wait_coordinator()
+                async with aiohttp.ClientSession() as session:
+                    await scenario(fleet, session, proxies)
+            finally:
+                await fleet.close()
 
     asyncio.run(run())
 
@@ -91,7 +98,7 @@
 ):
     """Guards against a server in need that gets as much as before from all nodes."""
 
-    async def scenario(fleet, session):
+    async def scenario(fleet, session, proxies):
         servers = [one for one in fleet.servers if one.incarnation in limited]
         for server in servers:
             server.limit_per_s = LIMIT_PER_S
@@ -106,31 +113,40 @@
     play(tmp_path, scenario)
 
 
+def kill(node, _proxy):
+    node.send_signal(signal.SIGKILL)
+
+
+def freeze(node, _proxy):
+    node.send_signal(signal.SIGSTOP)
+    loop = asyncio.get_running_loop()
+    loop.call_later(LOSS_S, node.send_signal, signal.SIGCONT)
+
+
+def cut_from_store(_node, proxy):
+    proxy.drop(Direction.TO_CLIENT, Direction.TO_TARGET)
+    asyncio.get_running_loop().call_later(LOSS_S, proxy.heal)
+
+
 @pytest.mark.parametrize("path", ["/chat/", "/book/"], ids=["model", "plain"])
-@pytest.mark.parametrize(
-    "how", [signal.SIGKILL, signal.SIGSTOP], ids=["kill", "freeze"]
-)
-def test_a_limit_holds_as_the_coordinator_is_lost(tmp_path, how, path):
+@pytest.mark.parametrize("lose", [kill, freeze, cut_from_store])
+def test_a_limit_holds_as_the_coordinator_is_lost(tmp_path, lose, path):
     """Guards against a limit that is forgotten or used twice at a takeover."""
     model = "m0" if path == "/chat/" else ""
 
-    async def scenario(fleet, session):
+    async def scenario(fleet, session, proxies):
         servers = [one for one in fleet.servers if bool(one.models) == bool(model)]
         for server in servers:
             server.limit_per_s = LIMIT_PER_S
         loop = asyncio.get_running_loop()
         begun = loop.time()
-        coordinator = fleet.nodes[fleet.find_coordinator()]
-        loop.call_later(LOSS_AT_S, coordinator.send_signal, how)
-        if how is signal.SIGSTOP:
-            loop.call_later(
-                LOSS_AT_S + FREEZE_S, coordinator.send_signal, signal.SIGCONT
-            )
+        name = fleet.find_coordinator()
+        loop.call_later(LOSS_AT_S, lose, fleet.nodes[name], proxies[name])
         ends = await ask_all(fleet, session, path, model=model)
         for server in servers:
             told = [at for at in server.arrivals if at >= begun + 1 + TOLD_S]
             assert find_most_in_window(told) <= MOST_IN_WINDOW
-            assert told[-1] > begun + LOSS_AT_S + FREEZE_S
+            assert told[-1] > begun + LOSS_AT_S + LOSS_S
         assert set(ends) <= {200, 503, None}
 
     play(tmp_path, scenario)
