Take out a parameter and a method of rate limits that nobody uses

get_wait could count requests ahead, and the table of limits could tell its length; nothing asked for either since the wait of several requests is estimated in pool/waits.py. No behaviour is changed; the 102 tests of rates, limits, grants and orders pass unchanged.

--- a/src/arbutuspulley/admission/rates.py
+++ b/src/arbutuspulley/admission/rates.py
@@ -90,13 +90,10 @@
     limit.left = min(limit.left, depth)
 
 
-def get_wait(limit: RateLimit, *, now: int, ahead: int = 0) -> int:
-    """Return in how many ms a request may be sent; 0: now.
-
-    :param ahead: requests that go first.
-    """
+def get_wait(limit: RateLimit, *, now: int) -> int:
+    """Return in how many ms a request may be sent; 0: now."""
     refill(limit, now=now)
-    missing = 1 + ahead - limit.left
+    missing = 1 - limit.left
     if missing <= 0:
         return 0
     if limit.depth < 1 or not limit.rate_per_ms:
@@ -228,9 +225,6 @@
     def __init__(self) -> None:
         self._known: dict[str, KnownLimit] = {}
 
-    def __len__(self) -> int:
-        return len(self._known)
-
     def get(self, incarnation: str) -> float | None:
         """Return a server's limit in requests a second; ``None`` if it names none."""
         known = self._known.get(incarnation)
