--- a/tests/test_relayed_changes.py
+++ b/tests/test_relayed_changes.py
@@ -1,19 +1,17 @@
 """Real nodes put a change in force in time though some have lost the store."""
 
 import asyncio
-import contextlib
 import time
 
-import aiohttp
 import pytest
 
 from scripts.platform_stage import (
-    Fleet,
     ask,
     build_configuration,
     build_route,
     wait_until,
 )
+from tests.proxied_nodes import play_on_nodes
 from tests.proxy import Direction, FaultProxy
 
 IN_FORCE_WITHIN_S = 2.0
@@ -29,31 +27,13 @@
 
 
 def play(folder, scenario):
-    """Run a scenario on nodes that each reach the store by a proxy of their own."""
-
-    async def run():
-        fleet = Fleet(folder)
-        with contextlib.ExitStack() as stack:
-            try:
-                await fleet.open()
-                proxies = {
-                    name: stack.enter_context(FaultProxy(target=fleet.store_address))
-                    for name in NODES
-                }
-                for name in NODES:
-                    await fleet.start_node(
-                        name, store=proxies[name].address, lease_ms=LEASE_MS
-                    )
-                for name in NODES:
-                    await fleet.wait_ready(name)
-                await fleet.wait_coordinator()
-                await asyncio.sleep(SETTLE_S)
-                async with aiohttp.ClientSession() as session:
-                    await scenario(fleet, session, proxies)
-            finally:
-                await fleet.close()
-
-    asyncio.run(run())
+    """Run a scenario once all nodes have settled."""
+
+    async def run_settled(fleet, session, proxies):
+        await asyncio.sleep(SETTLE_S)
+        await scenario(fleet, session, proxies)
+
+    play_on_nodes(folder, run_settled, names=NODES, lease_ms=LEASE_MS)
 
 
 def find_resting(fleet):
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -1,15 +1,14 @@
 """Real nodes keep together to the rate limits that servers name."""
 
 import asyncio
-import contextlib
 import itertools
 import signal
 
-import aiohttp
 import pytest
 
-from scripts.platform_stage import Fleet, ask
-from tests.proxy import Direction, FaultProxy
+from scripts.platform_stage import ask
+from tests.proxied_nodes import play_on_nodes
+from tests.proxy import Direction
 
 NODES = ("n1", "n2", "n3", "n4")
 
@@ -64,28 +63,7 @@
 
 
 def play(folder, scenario):
-    """Run a scenario on nodes that each reach the store by a proxy of their own."""
-
-    async def run():
-        fleet = Fleet(folder)
-        with contextlib.ExitStack() as stack:
-            try:
-                await fleet.open()
-                proxies = {
-                    name: stack.enter_context(FaultProxy(target=fleet.store_address))
-                    for name in NODES
-                }
-                for name in NODES:
-                    await fleet.start_node(name, store=proxies[name].address)
-                for name in NODES:
-                    await fleet.wait_ready(name)
-                await fleet.wait_coordinator()
-                async with aiohttp.ClientSession() as session:
-                    await scenario(fleet, session, proxies)
-            finally:
-                await fleet.close()
-
-    asyncio.run(run())
+    play_on_nodes(folder, scenario, names=NODES)
 
 
 @pytest.mark.parametrize(
