--- a/src/arbutuspulley/platform/names.py
+++ b/src/arbutuspulley/platform/names.py
@@ -31,7 +31,8 @@
 """Id of the last event of a stream that reached the client."""
 
 RETRY_AFTER = "Retry-After"
-"""Seconds, with fractions, after which a refused client may retry."""
+"""Seconds, with fractions, after which a refused client may retry. In a server's 503 it
+is how long the server wants no requests from the instance that it answers."""
 
 KEY = "X-Arbutuspulley-Key"
 """A client's API key. It is never forwarded."""
@@ -65,6 +66,9 @@
 """Rate limit of a server over all instances, in requests per second. It applies as
 long as the server's answers have this header."""
 
+SERVER_LEAVING = "Server-Leaving"
+"""``1`` in all answers of a server that is draining."""
+
 CONNECTION_HEADERS = frozenset(
     (
         "connection",
--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -32,15 +32,20 @@
     - ``loses_orders``: reset the connection of an order without applying it.
     - ``loses_order_answers``: apply an order and reset its connection.
     - ``limit_per_s``: rate limit that is announced in answers to requests.
+    - ``is_leaving``: announce in all answers that the server is leaving; the row in the
+      store stays as it is.
+    - ``rest_s``: time without requests that a refusal asks for, in s.
 
     Tests read ``runs`` (number of runs by attempt id), ``headers`` (request headers by
-    attempt id), ``overcommitted`` (loads that exceeded the memory) and ``arrivals``
-    (time of each request, in s of the event loop's clock).
+    attempt id), ``overcommitted`` (loads that exceeded the memory), ``arrivals`` (time
+    of each request, in s of the event loop's clock) and ``attempts`` (attempt id of
+    each arrival).
     """
 
     __slots__ = (
         "address",
         "arrivals",
+        "attempts",
         "breaks_after",
         "crashes_on",
         "delay_s",
@@ -49,6 +54,7 @@
         "headers",
         "incarnation",
         "is_busy",
+        "is_leaving",
         "limit_per_s",
         "load_s",
         "loses_order_answers",
@@ -58,6 +64,7 @@
         "on_break",
         "orders",
         "overcommitted",
+        "rest_s",
         "runs",
         "service",
         "sheds",
@@ -91,7 +98,10 @@
         self.fails = False
         self.delay_s = 0.0
         self.limit_per_s: float | None = None
+        self.is_leaving = False
+        self.rest_s: float | None = None
         self.arrivals: list[float] = []
+        self.attempts: list[str] = []
         self.loses_orders = False
         self.loses_order_answers = False
 
@@ -114,7 +124,9 @@
         if expected not in (None, self.incarnation):
             return web.Response(status=421)
         if request.path == "/report":
-            return web.Response(body=msgspec.json.encode(self._report()))
+            return web.Response(
+                body=msgspec.json.encode(self._report()), headers=self._build_notices()
+            )
         if request.path == "/order":
             return await self._answer_order(request)
         return await self._run(request)
@@ -172,17 +184,20 @@
 
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
-        self.arrivals.append(asyncio.get_running_loop().time())
         attempt = request.headers.get(names.ATTEMPT_ID, "")
-        limit_header = self._build_limit_header()
+        self.arrivals.append(asyncio.get_running_loop().time())
+        self.attempts.append(attempt)
+        notices = self._build_notices()
         model, _, adapter = request.headers.get(names.MODEL, "").partition("/")
         lacks_adapter = model and adapter not in {"", *self.models.get(model, ())}
         if self.sheds or (model and model not in self.models) or lacks_adapter:
             headers = {
                 names.NOT_EXECUTED: "1",
                 names.ATTEMPT_ID: attempt,
-                **limit_header,
+                **notices,
             }
+            if self.rest_s is not None:
+                headers[names.RETRY_AFTER] = str(self.rest_s)
             return web.Response(status=503, headers=headers)
         self.runs[attempt] += 1
         self.headers[attempt] = dict(request.headers)
@@ -195,7 +210,7 @@
         headers = {
             names.ATTEMPT_ID: attempt,
             names.SEAL: f"seal.{self.incarnation}",
-            **limit_header,
+            **notices,
         }
         if self.fails:
             self.on_break()
@@ -204,10 +219,14 @@
             return web.Response(body=b"done:" + body, headers=headers)
         return await self._stream(request, headers)
 
-    def _build_limit_header(self) -> dict[str, str]:
-        if self.limit_per_s is None:
-            return {}
-        return {names.SERVER_LIMIT: str(self.limit_per_s)}
+    def _build_notices(self) -> dict[str, str]:
+        """Return the headers by which the server states its condition."""
+        notices = {}
+        if self.limit_per_s is not None:
+            notices[names.SERVER_LIMIT] = str(self.limit_per_s)
+        if self.is_leaving:
+            notices[names.SERVER_LEAVING] = "1"
+        return notices
 
     async def _stream(
         self, request: web.BaseRequest, headers: dict[str, str]
