Stop sending to a server that says in an answer that it is leaving

What callers saw: nothing yet, but a server that leaves is gone some seconds later, with the requests that it still got.

Cause: the header Server-Leaving was not read. What was known of a leaving server came from its row in the store alone, which lags behind while the store is away.

Each answer to a request, a report or an order is read now. The instance marks the server's entry as leaving, also when the row is written again as ready, and tells the coordinator, which tells all instances; so grants, plans of models, and the choice without a coordinator go by one mark. A hello names the servers that an instance knows, so that the next coordinator knows them. A grant that was under way is returned, event 216. A report that says draining counts, too.

A mark replaces the entry, so a lapsed entry is now recognised by its body instead of by its identity: otherwise a marked one would never have been dropped.

--- a/src/arbutuspulley/events.py
+++ b/src/arbutuspulley/events.py
@@ -48,6 +48,7 @@
     KEY_REFUSED = 213
     QUOTA_EXCEEDED = 214
     WORD_TOO_OLD = 215
+    GRANT_RETURNED = 216
     LEASE_TAKEN = 301
     LEASE_LAPSED = 302
     LEASE_RELEASED = 303
@@ -96,6 +97,7 @@
     SERVER_LIMIT_CHANGED = 807
     SERVER_LIMIT_REFUSED = 808
     SERVER_LIMIT_REACHED = 809
+    SERVER_NOTICE_REFUSED = 810
 
 
 def _encode_line(record: logging.LogRecord, **leading_fields: object) -> bytes:
--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -1,5 +1,6 @@
 """Selection of a server for a request, with or without a coordinator, and charging."""
 
+from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
@@ -173,15 +174,31 @@
             progress.waited_ms += self._state.clock.now() - now
         progress.is_late = granted.is_late
         entry = self._state.by_incarnation.get(granted.incarnation)
-        if entry is None:
-            self.report_end(granted.incarnation, AttemptOutcome.UNUSED)
-            progress.avoid.add(granted.incarnation)
-            progress.refused += 1
-            if progress.refused > MAX_REFUSALS:
-                raise NoServerError("granted server is gone")
-            raise RetryError
+        if entry is None or entry.is_leaving:
+            raise self._return_grant(
+                granted, "gone" if entry is None else "leaving"
+            ) from None
         return entry
 
+    def _return_grant(self, granted: Granted, why: str) -> Exception:
+        """Return a grant that is not used, and exclude its server for this request.
+
+        The coordinator granted the server before it learnt what this instance knows.
+        """
+        progress = self._progress
+        log_event(
+            Event.GRANT_RETURNED,
+            id=self._request.attempt_id,
+            server=granted.incarnation,
+            why=why,
+        )
+        self.report_end(granted.incarnation, AttemptOutcome.UNUSED)
+        progress.avoid.add(granted.incarnation)
+        progress.refused += 1
+        if progress.refused > MAX_REFUSALS:
+            return NoServerError(f"granted server is {why}")
+        return RetryError()
+
     def _build_grant_request(self, need: ModelNeed, now: int) -> GrantRequest:
         progress, route, team = self._progress, self._route, self._access.team
         # After the first event the caller waits for the next one.
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -33,6 +33,7 @@
     GrantRequest,
     Heartbeat,
     Hello,
+    LeavingServers,
     NodeInfo,
     PermissionRequest,
     QuotaUsage,
@@ -60,6 +61,7 @@
 from arbutuspulley.node.rates import Rates
 from arbutuspulley.node.relay import Relay
 from arbutuspulley.node.reports import ReportPoller
+from arbutuspulley.node.server_notices import apply_leaving
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.store_watch import apply_configuration_delta, apply_store_update
 from arbutuspulley.platform.engines import ORDER_TIMEOUT_MS
@@ -289,8 +291,10 @@
             remove_instance(self._pools, name)
         self._quotas.mark_linked(name)
         self._record_limits(messages[0].limits, is_initial=True)
+        self._relay_leaving(messages[0].leaving)
         peer = self._peers.add(messages[0])
         peer.send(self._rates.build_full_limits())
+        peer.send(LeavingServers(incarnations=self._state.leaving.list_all()))
         return peer
 
     def _remove_peer(self, peer: Peer) -> None:
@@ -313,6 +317,10 @@
             self._peers.send(origin, self._rates.answer(message, now=now))
         elif isinstance(message, ServerLimit):
             self._record_limits((message,))
+        elif isinstance(message, LeavingServers):
+            self._relay_leaving(
+                message.incarnations, is_own=origin == self._state.settings.name
+            )
         elif isinstance(message, Heartbeat):
             if self._peers.handle_heartbeat(origin, message):
                 self._report_store_loss()
@@ -342,6 +350,19 @@
         if record(limits, now=self._state.clock.now()):
             self._rates.apply(self._pools.values())
 
+    def _relay_leaving(
+        self, incarnations: tuple[str, ...], *, is_own: bool = False
+    ) -> None:
+        """Mark servers as leaving, and relay those that the instances may not know.
+
+        :param is_own: whether the answer was to this instance, which has marked them.
+        """
+        new = apply_leaving(self._state, incarnations, by="instance")
+        if is_own:
+            new = incarnations
+        if new:
+            self._peers.send_others(LeavingServers(incarnations=new))
+
     def _report_store_loss(self) -> None:
         """Send the status at once if no instance follows the store any more."""
         if self.is_active and not self._peers.is_store_followed():
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -29,6 +29,7 @@
     RequestFailedError,
 )
 from arbutuspulley.node.quota_charging import QuotaCharger
+from arbutuspulley.node.server_notices import read_answer
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import (
     build_headers,
@@ -255,6 +256,7 @@
         self, entry: ServerEntry, response: aiohttp.ClientResponse
     ) -> web.StreamResponse:
         sent_at = self.progress.sent_at
+        read_answer(self._state, entry.incarnation, response.status, response.headers)
         if is_not_run(response.status, response.headers):
             if not is_misdirected(response.status):
                 self._limits.update_from_answer(
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -20,6 +20,7 @@
     GrantRequest,
     Heartbeat,
     Hello,
+    LeavingServers,
     PermissionRequest,
     QuotaExceeded,
     QuotaUsage,
@@ -41,6 +42,7 @@
     RefusedError,
 )
 from arbutuspulley.node.roster import RosterCopy, apply_change
+from arbutuspulley.node.server_notices import apply_leaving
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.store_watch import (
     apply_configuration_delta,
@@ -133,6 +135,7 @@
         self.on_quota_exceeded: Callable[[QuotaExceeded], None] = _ignore
         self.on_rate_limits: Callable[[ServerLimits], None] = _ignore
         self.deliver_local: Callable[[list[ToCoordinator]], None] | None = None
+        state.on_server_notice.append(self.send)
         state.on_store_update.append(self._relay_store_update)
         state.on_store_lost.append(self._report_store_lost)
 
@@ -268,6 +271,9 @@
             if isinstance(message, ServerLimits):
                 self.on_rate_limits(message)
                 continue
+            if isinstance(message, LeavingServers):
+                apply_leaving(self._state, message.incarnations, by="coordinator")
+                continue
             if isinstance(message, RosterChange):
                 self._apply_roster(message)
                 continue
@@ -497,6 +503,7 @@
                 ServerLimit(incarnation=incarnation, per_s=per_s)
                 for incarnation, per_s in state.limits.list_limits().items()
             ),
+            leaving=state.leaving.list_all(),
         )
 
     def build_heartbeat(self) -> Heartbeat:
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -54,6 +54,15 @@
     per_s: float | None = None
 
 
+class LeavingServers(Message, frozen=True, tag="leaving"):
+    """Servers that have stated in an answer that they are leaving.
+
+    The instance that reads it sends it to the coordinator, which sends it to all.
+    """
+
+    incarnations: tuple[str, ...]
+
+
 class Hello(Message, frozen=True, tag="hello"):
     """First message of an instance on a connection to the coordinator.
 
@@ -62,6 +71,7 @@
     :param configuration: version of its active configuration; 0: none.
     :param reads_updates: whether the instance understands :class:`ConfigurationDelta`.
     :param limits: rate limits that the instance knows.
+    :param leaving: incarnations of servers that it knows to be leaving by an answer.
     """
 
     info: NodeInfo
@@ -70,6 +80,7 @@
     configuration: int = 0
     reads_updates: bool = False
     limits: tuple[ServerLimit, ...] = ()
+    leaving: tuple[str, ...] = ()
 
 
 class Heartbeat(Message, frozen=True, tag="beat"):
@@ -347,6 +358,7 @@
     | GrantRequest
     | PermissionRequest
     | ServerLimit
+    | LeavingServers
     | ResponseStarted
     | AttemptEnded
     | QuotaUsage
@@ -361,6 +373,7 @@
     | QuotaExceeded
     | CoordinatorStatus
     | ServerLimits
+    | LeavingServers
     | CoordinatorEstimates
     | SuspicionUpdate
     | RosterChange
--- a/src/arbutuspulley/node/orders.py
+++ b/src/arbutuspulley/node/orders.py
@@ -1,6 +1,7 @@
 """Sends the coordinator's orders to model servers."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 from arbutuspulley.clock import SECOND_MS
@@ -10,6 +11,7 @@
     CoordinatorLeaseState,
 )
 from arbutuspulley.node.pool_log import log_order
+from arbutuspulley.node.server_notices import read_answer
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.engines import ORDER_TIMEOUT_MS, send_order
 from arbutuspulley.pool.answers import PlannedOrder
@@ -95,6 +97,9 @@
             order,
             address=planned.address,
             incarnation=planned.incarnation,
+            read_answer=functools.partial(
+                read_answer, self._state, planned.incarnation
+            ),
             within_ms=get_remaining_ms(),
         )
         if answer is OrderAnswer.UNKNOWN:
--- a/src/arbutuspulley/node/reports.py
+++ b/src/arbutuspulley/node/reports.py
@@ -1,8 +1,10 @@
 """Polls model servers for reports, more often while their state is in doubt."""
 
+import functools
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
+from arbutuspulley.node.server_notices import read_answer, record_leaving
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.engines import fetch_report
 from arbutuspulley.pool.answers import apply_report, list_servers_needing_report
@@ -42,8 +44,13 @@
     async def _fetch(self, pool: PoolState, server: ServerState) -> None:
         requested_at = self._state.clock.now()
         report = await fetch_report(
-            self._state.session, address=server.address, incarnation=server.incarnation
+            self._state.session,
+            address=server.address,
+            incarnation=server.incarnation,
+            read_answer=functools.partial(read_answer, self._state, server.incarnation),
         )
         if report is not None:
+            if report.is_leaving:
+                record_leaving(self._state, server.incarnation, by="report")
             apply_report(pool, server.incarnation, report, asked_at=requested_at)
             self._on_report()
--- a/src/arbutuspulley/node/server_rows.py
+++ b/src/arbutuspulley/node/server_rows.py
@@ -60,10 +60,10 @@
             _drop_lapsed,
             state,
             gone,
-            dict(state.entries),
+            dict(state.entry_bodies),
         )
     else:
-        _drop_entries(state, gone, state.entries)
+        _drop_entries(state, gone, state.entry_bodies)
     if newer:
         _evict_removed_versions(state)
         _rebuild_indexes(state)
@@ -139,6 +139,8 @@
         )
         return
     state.refused_entries.pop(server_id, None)
+    if entry.incarnation in state.leaving:
+        entry = msgspec.structs.replace(entry, is_leaving=True)
     state.entries[server_id] = entry
     state.entry_bodies[server_id] = value
     if before is not None and _differs_in_loaded_models_only(before, entry):
@@ -148,7 +150,29 @@
     if before is None or before.incarnation != entry.incarnation:
         _record_start(state, entry, before)
     if entry.is_leaving and (before is None or not before.is_leaving):
-        log_event(Event.SERVER_LEAVING, server=server_id, service=entry.service)
+        _log_leaving(entry, by="store")
+
+
+def mark_leaving(state: NodeState, incarnation: str, *, by: str) -> bool:
+    """Mark a server as leaving, whatever its row in the store says.
+
+    :param by: how it became known.
+    :return: whether it was not known to be leaving by an answer before.
+    """
+    if not state.leaving.add(incarnation):
+        return False
+    entry = state.by_incarnation.get(incarnation)
+    if entry is not None and not entry.is_leaving:
+        _log_leaving(entry, by=by)
+        state.entries[entry.server_id] = msgspec.structs.replace(entry, is_leaving=True)
+        _rebuild_indexes(state)
+    return True
+
+
+def _log_leaving(entry: ServerEntry, *, by: str) -> None:
+    log_event(
+        Event.SERVER_LEAVING, server=entry.server_id, service=entry.service, by=by
+    )
 
 
 def _differs_in_loaded_models_only(before: ServerEntry, entry: ServerEntry) -> bool:
@@ -187,14 +211,12 @@
     )
 
 
-def _drop_lapsed(
-    state: NodeState, gone: list[str], snapshot: dict[str, ServerEntry]
-) -> None:
+def _drop_lapsed(state: NodeState, gone: list[str], snapshot: dict[str, bytes]) -> None:
     """Drop lapsed entries that were not written again after the store recovered."""
     dropped = [
         server_id
         for server_id in gone
-        if state.entries.get(server_id) is snapshot.get(server_id)
+        if state.entry_bodies.get(server_id) is snapshot.get(server_id)
     ]
     _drop_entries(state, gone, snapshot)
     rows = tuple(
@@ -205,14 +227,18 @@
 
 
 def _drop_entries(
-    state: NodeState, gone: list[str], snapshot: dict[str, ServerEntry]
+    state: NodeState, gone: list[str], snapshot: dict[str, bytes]
 ) -> None:
-    """Drop entries that were not written again since ``snapshot`` was taken."""
+    """Drop entries that were not written again since ``snapshot`` was taken.
+
+    :param snapshot: bodies of the entries at that time, by server id.
+    """
     is_changed = False
     for server_id in gone:
         state.refused_entries.pop(server_id, None)
         entry = state.entries.get(server_id)
-        if entry is not None and snapshot.get(server_id) is entry:
+        body = state.entry_bodies.get(server_id)
+        if entry is not None and snapshot.get(server_id) is body:
             del state.entries[server_id]
             state.entry_bodies.pop(server_id, None)
             state.deferrable_rows.discard(server_id)
@@ -231,4 +257,5 @@
         entry.incarnation: entry for entry in state.entries.values()
     }
     evict_unlisted(state.server_stats, state.entries.values())
+    state.leaving.evict_unlisted(state.by_incarnation)
     state.notify_change()
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -11,8 +11,14 @@
 from arbutuspulley.admission.service_retry_budget import ServiceRetryBudget
 from arbutuspulley.clock import Clock
 from arbutuspulley.membership.capacity import get_capacity
+from arbutuspulley.membership.leaving import LeavingServers
 from arbutuspulley.node.advertisement import get_share_divisor, select_advertised
-from arbutuspulley.node.messages import CoordinatorEstimates, NodeInfo, StoreUpdate
+from arbutuspulley.node.messages import (
+    CoordinatorEstimates,
+    NodeInfo,
+    StoreUpdate,
+    ToCoordinator,
+)
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.versions import Versions
 from arbutuspulley.platform.store import StoreClient
@@ -32,6 +38,8 @@
         exists.
     :param keys: the teams' keys of the active configuration; ``None``: it has no teams.
     :param limits: servers' rate limits that this instance knows.
+    :param leaving: servers that are leaving by their own answers; their entries may
+        still say that they are ready.
     :param entries: registered servers, by server id.
     :param by_incarnation: registered servers by incarnation; ``by_service`` by service.
     :param refused_entries: reasons for which rows were rejected, by server id.
@@ -52,6 +60,8 @@
         becomes its successor.
     :param stopping_at: when SIGTERM arrived, in ms; ``None`` before.
     :param on_change: called after the configuration or the servers have changed.
+    :param on_server_notice: called with what a server has stated in an answer and the
+        coordinator has to know.
     :param on_store_update: called with newer data that the store sent to this process.
     :param on_store_lost: called when this process no longer receives the store's
         changes.
@@ -77,11 +87,13 @@
         "instances",
         "is_coordinator",
         "keys",
+        "leaving",
         "limits",
         "metrics",
         "nodes",
         "nodes_updated_at",
         "on_change",
+        "on_server_notice",
         "on_store_lost",
         "on_store_update",
         "order_session",
@@ -122,6 +134,7 @@
         self.freshness = Freshness()
         self.keys: KeyTable | None = None
         self.limits = KnownRateLimits()
+        self.leaving = LeavingServers()
         self.entry_bodies: dict[str, bytes] = {}
         self.table: RouteTable | None = None
         self.entries: dict[str, ServerEntry] = {}
@@ -145,6 +158,7 @@
         self.in_flight = 0
         self.stopping_at: int | None = None
         self.on_change: list[Callable[[], None]] = []
+        self.on_server_notice: list[Callable[[ToCoordinator], None]] = []
         self.on_store_update: list[Callable[[StoreUpdate], None]] = []
         self.on_store_lost: list[Callable[[], None]] = []
 
@@ -219,6 +233,11 @@
         for call in self.on_change:
             call()
 
+    def notify_server_notice(self, message: ToCoordinator) -> None:
+        """Call the listeners for what servers state in their answers."""
+        for call in self.on_server_notice:
+            call(message)
+
     def notify_store_update(self, update: StoreUpdate) -> None:
         """Call the listeners for changes that the store sent to this process."""
         for call in self.on_store_update:
--- a/src/arbutuspulley/platform/engines.py
+++ b/src/arbutuspulley/platform/engines.py
@@ -1,5 +1,7 @@
 """Control calls to model servers: reports and orders."""
 
+from collections.abc import Callable, Mapping
+
 import aiohttp
 import msgspec
 import yarl
@@ -26,14 +28,27 @@
     421: OrderAnswer.WRONG_SERVER,
 }
 
+AnswerReader = Callable[[int, Mapping[str, str]], None]
+"""Called with status and headers of a server's answer."""
+
 _TIMEOUT = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
 
 
+def _ignore_answer(_status: int, _headers: Mapping[str, str]) -> None:
+    """Do nothing."""
+
+
 async def fetch_report(
-    session: aiohttp.ClientSession, *, address: str, incarnation: str
+    session: aiohttp.ClientSession,
+    *,
+    address: str,
+    incarnation: str,
+    read_answer: AnswerReader = _ignore_answer,
 ) -> ServerReport | None:
     """Fetch a model server's report.
 
+    :param read_answer: called with an answer, unless it shows that the server has
+        restarted.
     :return: ``None`` if there was no usable answer, or the server has restarted since.
         A report without a start time is taken to be of the requested incarnation.
     """
@@ -44,10 +59,13 @@
         async with session.get(url, headers=headers, timeout=_TIMEOUT) as response:
             body = await response.read()
             if response.status != 200:
+                read_answer(response.status, response.headers)
                 return None
             report = decode_report(server_id, body)
-            is_own = report.incarnation in (incarnation, server_id)
-            return report if is_own else None
+            if report.incarnation not in (incarnation, server_id):
+                return None
+            read_answer(response.status, response.headers)
+            return report
     except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
         return None
 
@@ -58,6 +76,7 @@
     *,
     address: str,
     incarnation: str,
+    read_answer: AnswerReader = _ignore_answer,
     within_ms: int = ORDER_TIMEOUT_MS,
 ) -> OrderAnswer:
     """Send an order to a model server.
@@ -65,6 +84,7 @@
     :param session: resets its connections when it closes them, so that an order that
         timed out is not sent later; see
         :func:`~arbutuspulley.platform.transport.open_order_session`.
+    :param read_answer: called with the answer.
     :param within_ms: for how much longer the caller may send orders; 0: not at all.
     :return: ``UNKNOWN`` if there was no answer; the order may still be carried out.
     """
@@ -91,6 +111,7 @@
             url, data=data, headers=headers, timeout=timeout
         ) as response:
             await response.read()
+            read_answer(response.status, response.headers)
             return _ANSWERS.get(response.status, OrderAnswer.REFUSED)
     except aiohttp.ClientConnectorError:
         return OrderAnswer.REFUSED
--- a/src/arbutuspulley/platform/messages.py
+++ b/src/arbutuspulley/platform/messages.py
@@ -175,9 +175,11 @@
     """A model server's report. ``Sequence`` counts accepted orders.
 
     :param born: start time of the server, in Unix ms; 0 if unknown.
+    :param state: ``draining`` if the server is leaving; empty if it does not say.
     """
 
     born: int = msgspec.field(default=0, name="born")
+    state: str = ""
     models: list[WireLoadedModel] = msgspec.field(default_factory=list)
     busy: bool = False
     sequence: int = 0
@@ -281,6 +283,7 @@
     wire = _REPORT.decode(body)
     return ServerReport(
         incarnation=build_incarnation(server_id, wire.born),
+        is_leaving=wire.state == DRAINING,
         is_busy=wire.busy,
         accepted_orders=wire.sequence,
         loaded_models=_decode_loaded_models(wire.models),
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -119,6 +119,17 @@
     return limit
 
 
+def read_leaving(headers: Mapping[str, str]) -> bool:
+    """Return whether a server states in its answer's headers that it is leaving.
+
+    :raises ValueError: if the statement is neither ``0`` nor ``1``.
+    """
+    text = headers.get(names.SERVER_LEAVING, "0").strip()
+    if text not in ("0", "1"):
+        raise ValueError(f"{names.SERVER_LEAVING} {text!r} is neither 0 nor 1")
+    return text == "1"
+
+
 def build_refusal_headers(
     *, attempt_id: str, retry_after_ms: int | None
 ) -> dict[str, str]:
--- a/src/arbutuspulley/ports/fleet.py
+++ b/src/arbutuspulley/ports/fleet.py
@@ -181,6 +181,7 @@
     :param pending: adapters that are being loaded, as ``(model, adapter)``.
     :param in_memory: models whose weights are in host memory.
     :param on_disk: models whose weights are on disk.
+    :param is_leaving: whether the server is draining.
     """
 
     incarnation: str
@@ -190,6 +191,7 @@
     pending: tuple[tuple[str, str], ...]
     in_memory: frozenset[str]
     on_disk: frozenset[str]
+    is_leaving: bool = False
 
 
 class OrderKind(enum.StrEnum):
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -7,7 +7,7 @@
 
 from arbutuspulley.clock import Clock
 from arbutuspulley.node.access import Access
-from arbutuspulley.node.acquisition import Acquisition, NoServerError
+from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import (
@@ -20,7 +20,9 @@
 )
 from arbutuspulley.node.progress import Progress, RequestFailedError
 from arbutuspulley.node.quota_charging import QuotaCharger
+from arbutuspulley.node.server_notices import read_answer
 from arbutuspulley.node.store_watch import activate_configuration
+from arbutuspulley.platform import names
 from arbutuspulley.platform.requests import decode_request
 from arbutuspulley.ports.fleet import AttemptOutcome, LoadedModel, ServerEntry
 from arbutuspulley.routing.route_table import find_route
@@ -169,6 +171,24 @@
     assert trial.list_costs() == [COST, -COST]
 
 
+def test_a_grant_of_a_server_that_is_leaving_by_now_is_returned():
+    """Guards against a grant that was under way as the server's answer to another
+    request said that it is leaving."""
+
+    def read_and_grant(trial):
+        headers = {names.SERVER_LEAVING: "1"}
+        trial.state.entries["e1"] = ENTRY
+        read_answer(trial.state, "e1", 200, headers)
+        return grant()
+
+    trial = Trial(read_and_grant)
+    with pytest.raises(RetryError):
+        trial.get_server()
+    ended = [one for one in trial.sent if isinstance(one, AttemptEnded)]
+    assert [one.how for one in ended] == [AttemptOutcome.UNUSED]
+    assert trial.progress.avoid == {"e1"}
+
+
 def test_a_caller_that_disconnects_while_waiting_is_refunded():
     async def leave(trial):
         task = asyncio.ensure_future(trial.acquisition.get_server())
