Leave a server alone for as long as its refusal asks for

Requests were sent to them again after 60 to 180 ms; many failed three times before they reached the fourth server, and a tenth of two kinds of request was not served.

Cause: Retry-After in a server's 503 was not read. A model server was avoided for 150 ms and one model, a plain one for 0.8 s at most.

An instance keeps until when each server wants nothing from it, and tells the coordinator, which then does not grant it that server. Other instances may use it. The mark is checked again when a grant arrives, in the choice without a coordinator, and by the next coordinator, which learns it from the hello. While an instance that coordinates is itself to leave a server alone, it sends it no reports and orders either. A request that no copy accepts in time is refused at once, with when the first one does.

test_notices_hold_when_the_coordinator_is_lost counted requests from before the server had refused any. It now counts from refusals that ask for rest, as the rule does, and asserts that there were some; the bounds are the same.

--- a/src/arbutuspulley/events.py
+++ b/src/arbutuspulley/events.py
@@ -98,6 +98,7 @@
     SERVER_LIMIT_REFUSED = 808
     SERVER_LIMIT_REACHED = 809
     SERVER_NOTICE_REFUSED = 810
+    SERVER_COOLDOWN = 811
 
 
 def _encode_line(record: logging.LogRecord, **leading_fields: object) -> bytes:
--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -15,6 +15,7 @@
 )
 from arbutuspulley.node.quota_charging import QuotaCharge, QuotaCharger
 from arbutuspulley.node.server_choice import CoordinatorFoundError, ServerChoice
+from arbutuspulley.node.server_notices import get_exclusion
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.ports.fleet import (
     AttemptOutcome,
@@ -134,6 +135,13 @@
         self._recheck_access(entry)
         return entry
 
+    def get_retry_after(self) -> int | None:
+        """Return when a server of the request's service may accept it, in ms from now.
+
+        :return: ``None`` if it is unknown.
+        """
+        return self._choice.get_retry_after()
+
     def report_end(self, incarnation: str, outcome: AttemptOutcome) -> None:
         """Report the outcome of an attempt to the coordinator."""
         if self._request.need is None:
@@ -173,17 +181,17 @@
         finally:
             progress.waited_ms += self._state.clock.now() - now
         progress.is_late = granted.is_late
-        entry = self._state.by_incarnation.get(granted.incarnation)
-        if entry is None or entry.is_leaving:
-            raise self._return_grant(
-                granted, "gone" if entry is None else "leaving"
-            ) from None
-        return entry
+        why = get_exclusion(self._state, granted.incarnation)
+        if why:
+            raise self._return_grant(granted, why)
+        return self._state.by_incarnation[granted.incarnation]
 
     def _return_grant(self, granted: Granted, why: str) -> Exception:
-        """Return a grant that is not used, and exclude its server for this request.
+        """Return a grant of a server that gets no requests from this instance.
+
+        The coordinator granted it before it learnt what this instance knows.
 
-        The coordinator granted the server before it learnt what this instance knows.
+        :return: the error that ends this attempt or the request.
         """
         progress = self._progress
         log_event(
@@ -193,7 +201,8 @@
             why=why,
         )
         self.report_end(granted.incarnation, AttemptOutcome.UNUSED)
-        progress.avoid.add(granted.incarnation)
+        if why != "cooldown":
+            progress.avoid.add(granted.incarnation)
         progress.refused += 1
         if progress.refused > MAX_REFUSALS:
             return NoServerError(f"granted server is {why}")
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -38,6 +38,7 @@
     PermissionRequest,
     QuotaUsage,
     Refused,
+    ServerCooldown,
     ServerLimit,
     StoreUpdate,
     SuspicionUpdate,
@@ -55,6 +56,7 @@
     apply_progress,
     build_waiting_request,
     cancel_request,
+    record_cooldowns,
     remove_instance,
 )
 from arbutuspulley.node.quotas import Quotas
@@ -172,6 +174,7 @@
         self._pools.clear()
         self._inherited = inherited
         self.update_pools()
+        self._record_own_cooldowns()
         self._state.metrics.is_coordinator.set(1)
         self._spawn(self._run_periodic_tasks())
 
@@ -292,6 +295,7 @@
         self._quotas.mark_linked(name)
         self._record_limits(messages[0].limits, is_initial=True)
         self._relay_leaving(messages[0].leaving)
+        self._record_cooldowns(name, messages[0].cooldowns)
         peer = self._peers.add(messages[0])
         peer.send(self._rates.build_full_limits())
         peer.send(LeavingServers(incarnations=self._state.leaving.list_all()))
@@ -321,6 +325,8 @@
             self._relay_leaving(
                 message.incarnations, is_own=origin == self._state.settings.name
             )
+        elif isinstance(message, ServerCooldown):
+            self._record_cooldowns(origin, (message,))
         elif isinstance(message, Heartbeat):
             if self._peers.handle_heartbeat(origin, message):
                 self._report_store_loss()
@@ -363,6 +369,28 @@
         if new:
             self._peers.send_others(LeavingServers(incarnations=new))
 
+    def _record_own_cooldowns(self) -> None:
+        """Record the cooldowns that this instance knew before it coordinated."""
+        active = self._state.cooldowns.list_active(now=self._state.clock.now())
+        self._record_cooldowns(
+            self._state.settings.name,
+            tuple(
+                ServerCooldown(incarnation=incarnation, remaining_ms=remaining_ms)
+                for incarnation, remaining_ms in active.items()
+            ),
+        )
+
+    def _record_cooldowns(
+        self, origin: str, cooldowns: tuple[ServerCooldown, ...]
+    ) -> None:
+        record_cooldowns(
+            self._pools,
+            origin,
+            cooldowns,
+            now=self._state.clock.now(),
+            is_own=origin == self._state.settings.name,
+        )
+
     def _report_store_loss(self) -> None:
         """Send the status at once if no instance follows the store any more."""
         if self.is_active and not self._peers.is_store_followed():
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -29,7 +29,7 @@
     RequestFailedError,
 )
 from arbutuspulley.node.quota_charging import QuotaCharger
-from arbutuspulley.node.server_notices import read_answer
+from arbutuspulley.node.server_notices import get_exclusion, read_answer
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import (
     build_headers,
@@ -187,6 +187,8 @@
         progress.events = 0
         if state.limits.get(entry.incarnation) is not None:
             state.metrics.limited_attempts.inc()
+        if get_exclusion(state, entry.incarnation):
+            state.metrics.excluded_attempts.inc()
         known_crashes = self._poison.count_crashes(self._request)
         outcome = AttemptOutcome.FAILED
         took_ms: int | None = None
@@ -369,7 +371,9 @@
             record_refused(self._state.server_stats, entry, now=self._state.clock.now())
         if progress.refused <= MAX_REFUSALS and self._try_spend_retry():
             return RetryError()
-        return self._build_failure("servers refused")
+        return self._build_failure(
+            "servers refused", retry_after_ms=self._acquisition.get_retry_after()
+        )
 
     def _handle_unreachable(self, entry: ServerEntry) -> Exception:
         progress = self.progress
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -27,6 +27,7 @@
     Refused,
     RosterChange,
     RunningRequest,
+    ServerCooldown,
     ServerLimit,
     ServerLimits,
     StoreUpdate,
@@ -504,6 +505,12 @@
                 for incarnation, per_s in state.limits.list_limits().items()
             ),
             leaving=state.leaving.list_all(),
+            cooldowns=tuple(
+                ServerCooldown(incarnation=incarnation, remaining_ms=remaining_ms)
+                for incarnation, remaining_ms in state.cooldowns.list_active(
+                    now=state.clock.now()
+                ).items()
+            ),
         )
 
     def build_heartbeat(self) -> Heartbeat:
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -63,6 +63,16 @@
     incarnations: tuple[str, ...]
 
 
+class ServerCooldown(Message, frozen=True, tag="cooldown"):
+    """A server wants no requests from the sending instance for a while.
+
+    :param remaining_ms: for how long, in ms.
+    """
+
+    incarnation: str
+    remaining_ms: int
+
+
 class Hello(Message, frozen=True, tag="hello"):
     """First message of an instance on a connection to the coordinator.
 
@@ -72,6 +82,7 @@
     :param reads_updates: whether the instance understands :class:`ConfigurationDelta`.
     :param limits: rate limits that the instance knows.
     :param leaving: incarnations of servers that it knows to be leaving by an answer.
+    :param cooldowns: servers that want no requests from it for a while.
     """
 
     info: NodeInfo
@@ -81,6 +92,7 @@
     reads_updates: bool = False
     limits: tuple[ServerLimit, ...] = ()
     leaving: tuple[str, ...] = ()
+    cooldowns: tuple[ServerCooldown, ...] = ()
 
 
 class Heartbeat(Message, frozen=True, tag="beat"):
@@ -359,6 +371,7 @@
     | PermissionRequest
     | ServerLimit
     | LeavingServers
+    | ServerCooldown
     | ResponseStarted
     | AttemptEnded
     | QuotaUsage
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -27,6 +27,8 @@
         "_teams",
         "attempts",
         "configurations",
+        "cooldowns",
+        "excluded_attempts",
         "first_part",
         "grant_wait",
         "in_flight",
@@ -66,6 +68,16 @@
             "Servers that name a rate limit, as this instance knows",
             registry=registry,
         )
+        self.cooldowns = Counter(
+            "arbutus_cooldowns",
+            "Times for which servers wanted no requests from this instance",
+            registry=registry,
+        )
+        self.excluded_attempts = Counter(
+            "arbutus_excluded_attempts",
+            "Tries at servers that are leaving or wanted no requests; expected: 0",
+            registry=registry,
+        )
         self.orders = Counter(
             "arbutus_orders",
             "Orders to model servers",
--- a/src/arbutuspulley/node/pool_updates.py
+++ b/src/arbutuspulley/node/pool_updates.py
@@ -1,11 +1,14 @@
 """Applies messages of instances to the coordinator's pools."""
 
+from collections.abc import Iterable
+
 from arbutuspulley.node.messages import (
     AttemptEnded,
     CancelRequest,
     GrantRequest,
     Hello,
     ResponseStarted,
+    ServerCooldown,
 )
 from arbutuspulley.pool.state import (
     PoolState,
@@ -96,6 +99,30 @@
             )
 
 
+def record_cooldowns(
+    pools: dict[str, PoolState],
+    origin: str,
+    cooldowns: Iterable[ServerCooldown],
+    *,
+    now: int,
+    is_own: bool,
+) -> None:
+    """Record that servers want no requests from an instance for a while.
+
+    :param origin: the instance.
+    :param is_own: whether it is the coordinator's, which then sends no orders either.
+    """
+    for cooldown in cooldowns:
+        until = now + cooldown.remaining_ms
+        for pool in pools.values():
+            server = pool.servers.get(cooldown.incarnation)
+            if server is None:
+                continue
+            server.cooldowns[origin] = max(until, server.cooldowns.get(origin, 0))
+            if is_own:
+                server.next_order_at = max(server.next_order_at, until)
+
+
 def cancel_request(pools: dict[str, PoolState], message: CancelRequest) -> None:
     """Remove a request whose caller has disconnected."""
     pool = pools.get(message.service)
--- a/src/arbutuspulley/node/reports.py
+++ b/src/arbutuspulley/node/reports.py
@@ -37,6 +37,8 @@
                     server.incarnation, -REPORT_INTERVAL_MS
                 )
                 is_due = now - requested_at >= REPORT_INTERVAL_MS
+                if self._state.cooldowns.get_end(server.incarnation) > now:
+                    continue
                 if server in needing_report or (is_due and not server.is_leaving):
                     self._requested_at[server.incarnation] = now
                     yield self._fetch(pool, server)
--- a/src/arbutuspulley/node/server_choice.py
+++ b/src/arbutuspulley/node/server_choice.py
@@ -7,6 +7,7 @@
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import RunningRequest
 from arbutuspulley.node.progress import Progress
+from arbutuspulley.node.server_notices import list_excluded
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.ports.fleet import (
     InboundRequest,
@@ -102,6 +103,7 @@
         :param is_plain: whether the service runs no models.
         """
         avoid = self._progress.avoid | self._progress.avoid_uncoordinated
+        avoid |= list_excluded(self._state)
         service = self._get_service()
         connections = service.max_connections if service else 0
         return choose_server(
@@ -130,22 +132,33 @@
             set_rate_limited(self._state.server_stats, entry, until=now + wait_ms)
 
     def get_retry_after(self) -> int | None:
-        """Return when a server's rate limit may permit the request, in ms from now.
+        """Return when a server may accept the request, in ms from now.
 
-        :return: ``None`` if no rate limit prevents the request from being served.
+        :return: ``None`` if neither rate limits nor cooldowns exclude all servers.
         """
         now = self._state.clock.now()
-        waits = [until - now for until in self._list_limit_ends() if until > now]
-        return min(waits, default=None)
+        ends = [self._get_exclusion_end(entry) for entry in self._list_staying()]
+        return max(0, min(ends, default=0) - now) or None
 
-    def _list_limit_ends(self) -> list[int]:
-        """Return until when rate limits exclude each of the service's servers."""
+    def _list_exclusion_ends(self) -> list[int]:
+        """Return until when each server that has not failed the request is excluded."""
         return [
-            get_stats(self._state.server_stats, entry).rate_limited_until
-            for entry in self._state.by_service.get(self._progress.service, ())
-            if not entry.is_leaving and entry.incarnation not in self._progress.avoid
+            self._get_exclusion_end(entry)
+            for entry in self._list_staying()
+            if entry.incarnation not in self._progress.avoid
         ]
 
+    def _list_staying(self) -> list[ServerEntry]:
+        entries = self._state.by_service.get(self._progress.service, ())
+        return [entry for entry in entries if not entry.is_leaving]
+
+    def _get_exclusion_end(self, entry: ServerEntry) -> int:
+        """Return until when its rate limit or a cooldown excludes a server, in ms."""
+        return max(
+            get_stats(self._state.server_stats, entry).rate_limited_until,
+            self._state.cooldowns.get_end(entry.incarnation),
+        )
+
     async def choose_plain(self) -> ServerEntry | None:
         """Choose a server of a service without models, or wait for a free slot."""
         until = self._state.clock.now() + int(
@@ -155,7 +168,7 @@
             entry = await self._choose_within_limits(is_plain=True)
             if entry is not None or self._state.clock.now() >= until:
                 return entry
-            if all(limited > until for limited in self._list_limit_ends()):
+            if all(end > until for end in self._list_exclusion_ends()):
                 return None
             await asyncio.sleep(SLOT_POLL_MS / SECOND_MS)
 
--- a/src/arbutuspulley/node/server_notices.py
+++ b/src/arbutuspulley/node/server_notices.py
@@ -3,10 +3,14 @@
 from collections.abc import Iterable, Mapping
 
 from arbutuspulley.events import Event, log_event
-from arbutuspulley.node.messages import LeavingServers
+from arbutuspulley.node.messages import LeavingServers, ServerCooldown
 from arbutuspulley.node.server_rows import mark_leaving
 from arbutuspulley.node.state import NodeState
-from arbutuspulley.platform.requests import is_misdirected, read_leaving
+from arbutuspulley.platform.requests import (
+    is_misdirected,
+    read_cooldown,
+    read_leaving,
+)
 
 
 def read_answer(
@@ -20,12 +24,17 @@
     if is_misdirected(status):
         return
     try:
-        is_leaving = read_leaving(headers)
+        if read_leaving(headers):
+            record_leaving(state, incarnation, by="answer")
     except ValueError as error:
-        log_event(Event.SERVER_NOTICE_REFUSED, server=incarnation, why=str(error))
+        _log_refused(incarnation, error)
+    try:
+        cooldown_ms = read_cooldown(status, headers)
+    except ValueError as error:
+        _log_refused(incarnation, error)
         return
-    if is_leaving:
-        record_leaving(state, incarnation, by="answer")
+    if cooldown_ms:
+        _start_cooldown(state, incarnation, cooldown_ms)
 
 
 def record_leaving(state: NodeState, incarnation: str, *, by: str) -> None:
@@ -37,6 +46,40 @@
         state.notify_server_notice(LeavingServers(incarnations=(incarnation,)))
 
 
+def list_excluded(state: NodeState) -> frozenset[str]:
+    """Return the servers that want no requests from this instance now."""
+    return frozenset(state.cooldowns.list_active(now=state.clock.now()))
+
+
+def get_exclusion(state: NodeState, incarnation: str) -> str:
+    """Return why a server gets no requests from this instance; empty: it may."""
+    entry = state.by_incarnation.get(incarnation)
+    if entry is None:
+        return "gone"
+    if entry.is_leaving:
+        return "leaving"
+    if state.cooldowns.get_end(incarnation) > state.clock.now():
+        return "cooldown"
+    return ""
+
+
+def _start_cooldown(state: NodeState, incarnation: str, cooldown_ms: int) -> None:
+    now = state.clock.now()
+    is_active = state.cooldowns.get_end(incarnation) > now
+    if not state.cooldowns.extend(incarnation, now + cooldown_ms):
+        return
+    state.notify_server_notice(
+        ServerCooldown(incarnation=incarnation, remaining_ms=cooldown_ms)
+    )
+    if not is_active:
+        state.metrics.cooldowns.inc()
+        log_event(Event.SERVER_COOLDOWN, server=incarnation, for_ms=cooldown_ms)
+
+
+def _log_refused(incarnation: str, error: ValueError) -> None:
+    log_event(Event.SERVER_NOTICE_REFUSED, server=incarnation, why=str(error))
+
+
 def apply_leaving(
     state: NodeState, incarnations: Iterable[str], *, by: str
 ) -> tuple[str, ...]:
--- a/src/arbutuspulley/node/server_rows.py
+++ b/src/arbutuspulley/node/server_rows.py
@@ -258,4 +258,5 @@
     }
     evict_unlisted(state.server_stats, state.entries.values())
     state.leaving.evict_unlisted(state.by_incarnation)
+    state.cooldowns.evict(state.by_incarnation, now=state.clock.now())
     state.notify_change()
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from arbutuspulley.admission.cooldowns import Cooldowns
 from arbutuspulley.admission.freshness import CLOCK_DRIFT_MARGIN_MS, Freshness
 from arbutuspulley.admission.keys import KeyTable
 from arbutuspulley.admission.rate_limits import KnownRateLimits
@@ -38,6 +39,7 @@
         exists.
     :param keys: the teams' keys of the active configuration; ``None``: it has no teams.
     :param limits: servers' rate limits that this instance knows.
+    :param cooldowns: servers that want no requests from this instance for a while.
     :param leaving: servers that are leaving by their own answers; their entries may
         still say that they are ready.
     :param entries: registered servers, by server id.
@@ -77,6 +79,7 @@
         "clock",
         "configuration",
         "configuration_body",
+        "cooldowns",
         "deferrable_rows",
         "entries",
         "entry_bodies",
@@ -134,6 +137,7 @@
         self.freshness = Freshness()
         self.keys: KeyTable | None = None
         self.limits = KnownRateLimits()
+        self.cooldowns = Cooldowns()
         self.leaving = LeavingServers()
         self.entry_bodies: dict[str, bytes] = {}
         self.table: RouteTable | None = None
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Iterable, Mapping
 
+from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.platform import names
 from arbutuspulley.platform.incarnations import get_server_id
 from arbutuspulley.ports.fleet import InboundRequest, ModelNeed
@@ -10,6 +11,9 @@
 _MISDIRECTED = 421
 """Status of an answer by another server than the request is meant for."""
 
+_COOLDOWN_STATUSES = frozenset((429, 503))
+"""Statuses of an answer by which a server may ask for a time without requests."""
+
 _NOT_RUN_STATUSES = frozenset((400, _MISDIRECTED, 429, 503))
 """Statuses with which a server may prove that it did not run a request."""
 
@@ -110,11 +114,8 @@
     text = headers.get(names.SERVER_LIMIT)
     if text is None:
         return None
-    try:
-        limit = float(text)
-    except ValueError:
-        limit = math.nan
-    if not (math.isfinite(limit) and limit >= 0):
+    limit = _read_finite(text)
+    if limit is None:
         raise ValueError(f"server limit {text!r} is not a finite number >= 0")
     return limit
 
@@ -130,6 +131,22 @@
     return text == "1"
 
 
+def read_cooldown(status: int, headers: Mapping[str, str]) -> int | None:
+    """Return for how long a server wants no requests from this instance, in ms.
+
+    :param status: status of its answer.
+    :return: ``None`` if it does not say.
+    :raises ValueError: if the time is not a finite number of seconds >= 0.
+    """
+    text = headers.get(names.RETRY_AFTER)
+    if text is None or status not in _COOLDOWN_STATUSES:
+        return None
+    seconds = _read_finite(text)
+    if seconds is None:
+        raise ValueError(f"{names.RETRY_AFTER} {text!r} is not a finite number >= 0")
+    return math.ceil(seconds * SECOND_MS)
+
+
 def build_refusal_headers(
     *, attempt_id: str, retry_after_ms: int | None
 ) -> dict[str, str]:
@@ -183,6 +200,15 @@
     )
 
 
+def _read_finite(text: str) -> float | None:
+    """Return a finite number >= 0; ``None`` if the text is none."""
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
+
+
 def _read_number(text: str | None) -> int | None:
     try:
         return int(float(text)) if text else None
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -25,6 +25,7 @@
 )
 from arbutuspulley.pool.stream_gaps import find_start, record_prefill
 from arbutuspulley.pool.waits import (
+    estimate_cooldown,
     estimate_rate_limit_wait,
     estimate_retry_after,
     estimate_wait,
@@ -141,8 +142,10 @@
         limited_ms = 0.0
         if not times:
             limited_ms = estimate_rate_limit_wait(index, model, requests_ahead[model])
-        min_wait_ms = (
-            _get_min_wait(pool, model, tokens_ahead[model], times) or limited_ms
+        cooldown_ms = estimate_cooldown(index, model, waiting.origin)
+        min_wait_ms = max(
+            _get_min_wait(pool, model, tokens_ahead[model], times) or limited_ms,
+            cooldown_ms,
         )
         if now + min_wait_ms >= waiting.give_up_at:
             del pool.waiting[waiting.key]
@@ -151,7 +154,12 @@
                     key=waiting.key,
                     origin=waiting.origin,
                     retry_after_ms=estimate_retry_after(
-                        pool, model, tokens_ahead[model], times, limited_ms=limited_ms
+                        pool,
+                        model,
+                        tokens_ahead[model],
+                        times,
+                        limited_ms=limited_ms,
+                        cooldown_ms=cooldown_ms,
                     ),
                     model=model,
                     tokens_ahead=tokens_ahead[model],
@@ -187,6 +195,7 @@
         limited_ms = get_rate_limit_wait(server, now=now)
         if limited_ms:
             times.append(now + limited_ms)
+        times.extend(until for until in server.cooldowns.values() if until > now)
     times += [
         until
         for server in pool.servers.values()
@@ -320,6 +329,8 @@
     """Tell whether a server has a request's model and adapter and a free slot."""
     if not is_usable(server, now=now) or server.incarnation in waiting.avoid:
         return False
+    if server.cooldowns.get(waiting.origin, 0) > now:
+        return False
     if not has_model(server, waiting.need, now=now):
         return False
     if len(server.runs) >= server.slots or get_rate_limit_wait(server, now=now):
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -139,6 +139,8 @@
     :param backoff_until: no new requests or orders before this time, in ms.
     :param failures: consecutive failures to connect.
     :param failure_share: moving average of the share of requests that failed.
+    :param cooldowns: until when the server wants no requests from an instance, in ms,
+        by instance.
     :param limit: rate limit that the server states; ``None`` if it states none.
     :param in_memory: models whose weights are in the server's host memory.
     :param on_disk: models whose weights are on the server's disk.
@@ -177,6 +179,7 @@
     backoff_until: int = 0
     failures: int = 0
     failure_share: float = 0
+    cooldowns: dict[str, int] = msgspec.field(default_factory=dict)
     limit: RateLimit | None = None
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
--- a/src/arbutuspulley/pool/waits.py
+++ b/src/arbutuspulley/pool/waits.py
@@ -59,6 +59,17 @@
     return min(get_wait(limit, now=index.now) for limit in limits) + requests / rate
 
 
+def estimate_cooldown(index: CopyIndex, model: str, origin: str) -> int:
+    """Return in how many ms a copy of a model accepts requests of an instance.
+
+    :param origin: the instance.
+    :return: 0 if a copy accepts them now, or if there is no copy.
+    """
+    servers = [*get_copies(index, model), *index.limited.get(model, ())]
+    ends = [server.cooldowns.get(origin, 0) for server in servers]
+    return max(0, min(ends, default=0) - index.now)
+
+
 def estimate_retry_after(
     pool: PoolState,
     model: str,
@@ -66,6 +77,7 @@
     ready_times: list[float],
     *,
     limited_ms: float = 0,
+    cooldown_ms: float = 0,
 ) -> int:
     """Return the retry-after time of a refused request, in ms.
 
@@ -74,11 +86,13 @@
     :param tokens: prompt tokens of the requests that wait for the model before it.
     :param limited_ms: wait for the rate limits of the servers that have the model; 0:
         there is none.
+    :param cooldown_ms: wait until a copy accepts requests of the instance.
     """
     if ready_times:
         wait_ms = estimate_wait(pool, model, tokens, ready_times)
     else:
         wait_ms = limited_ms or pool.spec.models[model].load_ms
+    wait_ms = max(wait_ms, cooldown_ms)
     return int(max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, wait_ms)))
 
 
--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -38,8 +38,9 @@
 
     Tests read ``runs`` (number of runs by attempt id), ``headers`` (request headers by
     attempt id), ``overcommitted`` (loads that exceeded the memory), ``arrivals`` (time
-    of each request, in s of the event loop's clock) and ``attempts`` (attempt id of
-    each arrival).
+    of each request, in s of the event loop's clock), ``attempts`` (attempt id of each
+    arrival) and ``rested`` (attempt id of each request that was refused with a time
+    without requests).
     """
 
     __slots__ = (
@@ -65,6 +66,7 @@
         "orders",
         "overcommitted",
         "rest_s",
+        "rested",
         "runs",
         "service",
         "sheds",
@@ -102,6 +104,7 @@
         self.rest_s: float | None = None
         self.arrivals: list[float] = []
         self.attempts: list[str] = []
+        self.rested: set[str] = set()
         self.loses_orders = False
         self.loses_order_answers = False
 
@@ -198,6 +201,7 @@
             }
             if self.rest_s is not None:
                 headers[names.RETRY_AFTER] = str(self.rest_s)
+                self.rested.add(attempt)
             return web.Response(status=503, headers=headers)
         self.runs[attempt] += 1
         self.headers[attempt] = dict(request.headers)
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -189,6 +189,29 @@
     assert trial.progress.avoid == {"e1"}
 
 
+def test_a_grant_of_a_server_that_wants_no_requests_by_now_is_returned():
+    """Guards against a grant that was under way as the server refused another request
+    and asked for a time without any."""
+
+    def read_and_grant(trial):
+        read_answer(trial.state, "e1", 503, {names.RETRY_AFTER: "2"})
+        return grant()
+
+    trial = Trial(read_and_grant)
+    with pytest.raises(RetryError):
+        trial.get_server()
+    ended = [one for one in trial.sent if isinstance(one, AttemptEnded)]
+    assert [one.how for one in ended] == [AttemptOutcome.UNUSED]
+
+
+def test_without_a_coordinator_a_server_in_cooldown_is_not_chosen():
+    trial = Trial(grant)
+    trial.state.by_service["llm"] = [ENTRY]
+    trial.state.cooldowns.extend("e1", 12_000)
+    assert trial.acquisition._choice.choose(is_plain=False) is None
+    assert trial.acquisition.get_retry_after() == 2_000
+
+
 def test_a_caller_that_disconnects_while_waiting_is_refunded():
     async def leave(trial):
         task = asyncio.ensure_future(trial.acquisition.get_server())
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -10,14 +10,18 @@
 from arbutuspulley.node import server_rows
 from arbutuspulley.node.coordinator import Coordinator
 from arbutuspulley.node.link import Link
-from arbutuspulley.node.messages import Hello, LeavingServers
-from arbutuspulley.node.server_notices import read_answer
+from arbutuspulley.node.messages import Hello, LeavingServers, ServerCooldown
+from arbutuspulley.node.reports import ReportPoller
+from arbutuspulley.node.server_notices import get_exclusion, read_answer
 from arbutuspulley.node.server_rows import apply_server_rows
 from arbutuspulley.platform import names
 from arbutuspulley.platform.messages import decode_report
-from arbutuspulley.platform.requests import read_leaving
+from arbutuspulley.platform.requests import read_cooldown, read_leaving
 from arbutuspulley.platform.store import StoredRow
 from tests.node_states import build_info, build_state
+from tests.pools import build_pool, build_server
+
+RESTING = {names.RETRY_AFTER: "1.5"}
 
 LEAVING = {names.SERVER_LEAVING: "1"}
 
@@ -202,3 +206,75 @@
     instance.link.receive([LeavingServers(incarnations=("s0",))])
     assert instance.is_leaving
     assert instance.sent == []
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (503, {names.RETRY_AFTER: "3"}, 3_000),
+        (503, {names.RETRY_AFTER: "0.2504"}, 251),
+        (429, {names.RETRY_AFTER: "1"}, 1_000),
+        (503, {}, None),
+        (200, {names.RETRY_AFTER: "3"}, None),
+    ],
+)
+def test_reads_for_how_long_a_server_wants_no_requests(status, headers, expected):
+    assert read_cooldown(status, headers) == expected
+
+
+@pytest.mark.parametrize("text", ["", "soon", "-1", "nan", "inf"])
+def test_a_cooldown_that_is_not_a_valid_number_changes_nothing(text):
+    with pytest.raises(ValueError, match="Retry-After"):
+        read_cooldown(503, {names.RETRY_AFTER: text})
+    instance = Instance()
+    instance.read({names.RETRY_AFTER: text, **LEAVING}, status=503)
+    assert instance.state.cooldowns.list_active(now=100_000) == {}
+    assert instance.is_leaving
+
+
+def test_a_server_is_excluded_until_its_cooldown_ends():
+    instance = Instance()
+    instance.read(RESTING, status=503)
+    assert instance.sent == [ServerCooldown(incarnation="s0", remaining_ms=1_500)]
+    assert get_exclusion(instance.state, "s0") == "cooldown"
+    instance.now[0] += 1_500
+    assert get_exclusion(instance.state, "s0") == ""
+    assert get_exclusion(instance.state, "s9") == "gone"
+
+
+def test_a_leaving_server_is_excluded():
+    instance = Instance()
+    instance.read(LEAVING)
+    assert get_exclusion(instance.state, "s0") == "leaving"
+
+
+def test_the_next_coordinator_knows_cooldowns():
+    """Guards against a shedding server that is granted again after a takeover."""
+    instance, other = Instance(), Instance()
+    instance.read(RESTING, status=503)
+    other.read(RESTING, status=503)
+    other.now[0] += 500
+    coordinator = build_coordinator(instance)
+    pool = build_pool(build_server("s0", "m0"))
+    coordinator._pools = {"llm": pool}
+    coordinator._record_own_cooldowns()
+    hello = msgspec.structs.replace(other.link.build_hello(), info=build_info("x"))
+    asyncio.run(link_up(coordinator, hello))
+    assert pool.servers["s0"].cooldowns == {"own": 101_500, "x": 101_000}
+
+
+async def link_up(coordinator, hello):
+    coordinator._add_peer([hello])
+
+
+def test_no_report_is_fetched_during_a_cooldown():
+    """Guards against control calls to a server that wants no requests from the
+    coordinator's instance."""
+    instance = Instance()
+    poller = ReportPoller(state=instance.state, on_report=lambda: None)
+    pool = build_pool(build_server("s0", "m0", accepted_orders=None))
+    instance.read(RESTING, status=503)
+    assert list(poller.poll([pool])) == []
+    instance.now[0] += 1_500
+    (call,) = poller.poll([pool])
+    call.close()
--- a/tests/test_server_choice.py
+++ b/tests/test_server_choice.py
@@ -61,6 +61,33 @@
     assert (entry.incarnation if entry else None) == expected
 
 
+def test_a_request_does_not_wait_for_servers_in_cooldown():
+    """Guards against requests that wait in vain while all servers shed load."""
+
+    async def scenario():
+        state = build_state()
+        state.by_service = {"s": [A, B]}
+        now = state.clock.now()
+        state.cooldowns.extend("a", now + 3_000)
+        state.cooldowns.extend("b", now + 2_000)
+        choice = build_choice(state, avoid=("b",))
+        async with asyncio.timeout(0.01):
+            return await choice.choose_plain(), choice.get_retry_after()
+
+    entry, retry_after_ms = asyncio.run(scenario())
+    assert entry is None
+    assert 1_900 <= retry_after_ms <= 2_000
+
+
+def test_a_server_in_cooldown_is_not_chosen():
+    state = build_state()
+    state.by_service = {"s": [A, B]}
+    state.cooldowns.extend("a", state.clock.now() + 3_000)
+    choice = build_choice(state)
+    assert choice.choose(is_plain=True) is B
+    assert choice.get_retry_after() is None
+
+
 def test_a_request_does_not_wait_for_servers_that_refused_it():
     async def scenario():
         choice = build_choice(build_full(entries=(A, B)), avoid=("a", "b"))
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -73,12 +73,15 @@
     return [end[0] if isinstance(end, tuple) else None for end in ends]
 
 
-def list_arrivals(server, node):
-    """Return the times at which requests of a node reached a server."""
+def list_arrivals(server, node, *, only=None):
+    """Return the times at which requests of a node reached a server.
+
+    :param only: attempt ids of the requests that count; ``None``: all.
+    """
     return [
         at
         for at, attempt in zip(server.arrivals, server.attempts, strict=True)
-        if attempt.startswith(f"{node}-")
+        if attempt.startswith(f"{node}-") and (only is None or attempt in only)
     ]
 
 
@@ -94,12 +97,12 @@
 def find_max_during_rest(server):
     """Return the maximum number of requests of a node within a time of rest.
 
-    Each request of a shedding server is refused and begins another time of rest.
+    Each request that is refused begins another one.
     """
     most = 0
     for node in NODES:
         arrivals = list_arrivals(server, node)
-        for begin in arrivals:
+        for begin in list_arrivals(server, node, only=server.rested):
             window = (begin + REST_GRACE_S, begin + REST_S)
             most = max(most, sum(window[0] <= at < window[1] for at in arrivals))
     return most
@@ -133,7 +136,7 @@
         server = get_server(fleet, told)
         server.sheds, server.rest_s = True, REST_S
         ends = await ask_all(fleet, session, path, model=model)
-        assert server.arrivals
+        assert server.rested
         assert find_max_during_rest(server) <= MAX_DURING_REST
         assert set(ends) == {200}
 
@@ -203,6 +206,7 @@
         late = count_late(leaving)
         late.pop(name)
         assert not any(late.values()), late
+        assert shedding.rested
         assert find_max_during_rest(shedding) <= MAX_DURING_REST
         assert set(ends) <= {200, 503, None}
 
