--- a/src/arbutuspulley/node/store_watch.py
+++ b/src/arbutuspulley/node/store_watch.py
@@ -274,6 +274,7 @@
                 await asyncio.sleep(RELAY_POLL_MS / SECOND_MS)
             longest = get_max_fallback_delay_ms(self._state.instances)
             wait = self._state.rng.uniform(MIN_FALLBACK_DELAY_MS, longest)
+            log_event(Event.RELAY_LOST, table=self._table, wait_ms=int(wait))
             await asyncio.sleep(wait / SECOND_MS)
 
     async def _read_changes(self, version: int | None) -> int | None:
