Notice within half of the bound that no follower hears the store

What callers saw: a route that the operator had added was answered 404 for 1.4 to 1.8 s if the store had fallen silent towards all followers; 2.0 s are allowed, and a loaded machine took 2.004 s.

Cause: a silent store showed only when a long poll timed out, 1.5 s after it was sent, and a change that answers the polls of all followers together lines them up. The idle instance then waited up to 0.15 s for its next check and 0.15 to 0.19 s more, a delay meant for coordinators that change.

The polls of an instance for the two tables now end by turns, half a wait apart, so one of them shows a silence within 585 ms. An answer that is 340 ms overdue is reported at once, while the poll itself goes on; a slow store answers within a third of a second. An instance that the coordinator wants to follow the store, or that hears that nobody does, wakes up at once and calls without the delay.

Weighed: shorter polls, which halve the time at twice the calls; followers of several instances that stagger among themselves, which needs their answers' ages in each heartbeat and gains little, as a heartbeat is up to 250 ms old; reporting an overdue poll alone, which still takes 1.34 s of 2. Polls by turns need no more calls: the wait grows from 1,000 to 1,170 ms to make up for the shared rhythm, 1.709 calls a second and instance where it was 1.714.

--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -392,6 +392,10 @@
             self._confirmation.record_status(status, at=self._last_status_at)
             age_ms = self._heartbeats.get_age(self._last_status_at)
             state.metrics.link_age.set(age_ms / SECOND_MS)
+        if self._is_follower or not status.is_store_followed:
+            state.follow_requested.set()
+        else:
+            state.follow_requested.clear()
         state.instances = status.instances
         state.advertised = status.takers
         state.nodes_updated_at = self._last_status_at
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -1,5 +1,6 @@
 """State that is shared by the components of an instance."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -14,6 +15,7 @@
 from arbutuspulley.membership.capacity import get_capacity
 from arbutuspulley.membership.leaving import LeavingServers
 from arbutuspulley.node.advertisement import get_share_divisor, select_advertised
+from arbutuspulley.node.feed_schedule import FeedSchedule
 from arbutuspulley.node.messages import (
     CoordinatorEstimates,
     NodeInfo,
@@ -52,6 +54,9 @@
     :param store_version: store version up to which all server rows are known.
     :param followed_at: tables whose changes this process receives from the store, and
         the time of the last answer, in ms.
+    :param feed_schedule: schedule of the long polls of those tables.
+    :param follow_requested: set while the coordinator wants this instance to follow the
+        store: as one of few, or because no instance does.
     :param nodes: roster: instances near this one and some others, as last sent by the
         coordinator.
     :param nodes_updated_at: time of the last coordinator status, in ms.
@@ -84,6 +89,8 @@
         "entries",
         "entry_bodies",
         "estimates",
+        "feed_schedule",
+        "follow_requested",
         "followed_at",
         "freshness",
         "in_flight",
@@ -151,6 +158,8 @@
         self.deferrable_rows: set[str] = set()
         self.store_version = 0
         self.followed_at: dict[str, int] = {}
+        self.feed_schedule = FeedSchedule()
+        self.follow_requested = asyncio.Event()
         self.nodes: tuple[NodeInfo, ...] = ()
         self.nodes_updated_at = 0
         self.instances = 0
--- a/src/arbutuspulley/node/store_watch.py
+++ b/src/arbutuspulley/node/store_watch.py
@@ -53,6 +53,10 @@
 """A table without an answer of the store for this long, in ms, is not followed: a call
 that waits for changes is answered or times out within this time."""
 
+OVERDUE_MARGIN_MS = 340
+"""How much later than its wait a long poll may be answered before the store counts as
+silent, in ms. A slow store answers within a third of a second."""
+
 RELAY_POLL_MS = 150
 """Poll interval of whether the store's changes are still relayed, in ms."""
 
@@ -60,7 +64,8 @@
 MAX_FALLBACK_DELAY_MS = 600
 """Bounds of the random delay after which an instance that lost its relay calls the
 store itself, in ms. A coordinator that stops usually has a successor within that time,
-and the jitter spreads the calls of all instances."""
+and the jitter spreads the calls of all instances. The lower bound does not apply if the
+coordinator itself wants this instance to follow the store."""
 
 FALLBACK_DELAY_PER_INSTANCE_MS = 10
 """Increase of the upper bound per instance, in ms. It limits the calls to about a
@@ -271,12 +276,48 @@
         self._failed_at = None
         while self._is_store_relayed():
             while self._is_store_relayed():
-                await asyncio.sleep(RELAY_POLL_MS / SECOND_MS)
+                await self._wait_for_follow_request(RELAY_POLL_MS)
             longest = get_max_fallback_delay_ms(self._state.instances)
             wait = self._state.rng.uniform(MIN_FALLBACK_DELAY_MS, longest)
+            if self._state.follow_requested.is_set():
+                wait -= MIN_FALLBACK_DELAY_MS
             log_event(Event.RELAY_LOST, table=self._table, wait_ms=int(wait))
             await asyncio.sleep(wait / SECOND_MS)
 
+    async def _wait_for_follow_request(self, timeout_ms: int) -> None:
+        """Wait until the coordinator wants this instance to follow the store.
+
+        :param timeout_ms: longest wait, in ms.
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / SECOND_MS):
+                await self._state.follow_requested.wait()
+        except TimeoutError:
+            pass
+
+    async def _poll(self, version: int) -> RowsAnswer:
+        """Make a long poll; the store counts as silent if its answer is overdue.
+
+        :param version: store version after which to ask for changes.
+        """
+        state = self._state
+        schedule = state.feed_schedule
+        wait_ms = schedule.begin(self._table, now=state.clock.now())
+        overdue = asyncio.get_running_loop().call_later(
+            (wait_ms + OVERDUE_MARGIN_MS) / SECOND_MS,
+            self._record_failure,
+            f"no answer to a poll {OVERDUE_MARGIN_MS} ms after its wait",
+        )
+        try:
+            answer = await state.store.wait_for_changes(
+                self._table, after=version, wait_ms=wait_ms
+            )
+            schedule.record_answer(now=state.clock.now())
+            return answer
+        finally:
+            overdue.cancel()
+            schedule.finish(self._table)
+
     async def _read_changes(self, version: int | None) -> int | None:
         """Make one call to the store and apply its answer.
 
@@ -289,7 +330,7 @@
         if version is None:
             answer = await store.read(self._table)
         else:
-            answer = await store.wait_for_changes(self._table, after=version)
+            answer = await self._poll(version)
         self._record_answer()
         now = self._state.clock.now()
         self._state.followed_at[self._table] = now
--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -23,7 +23,7 @@
 this long over a slow link. A shorter timeout would restart the transfer from the
 beginning."""
 
-FEED_WAIT_MS = 1_000
+FEED_WAIT_MS = 1_170
 FEED_TIMEOUT_MARGIN_S = 0.5
 """How long the store may hold a long poll for changes, in ms, and how much later the
 poll times out, in s. A poll that reached the store while it was unresponsive is never
@@ -144,13 +144,16 @@
                 return RowsAnswer(rows=rows, version=version, now_ms=answer.now_ms)
             params["From"] = rows[-1].key + "\x00"
 
-    async def wait_for_changes(self, table: str, *, after: int) -> RowsAnswer:
+    async def wait_for_changes(
+        self, table: str, *, after: int, wait_ms: int = FEED_WAIT_MS
+    ) -> RowsAnswer:
         """Wait for changes of a table's rows.
 
+        :param wait_ms: how long the store may wait for one, in ms.
         :raises HistoryLostError: if the history after ``after`` is gone.
         """
-        params = {"Table": table, "after": str(after), "WaitMs": str(FEED_WAIT_MS)}
-        read_timeout_s = FEED_WAIT_MS / 1_000 + FEED_TIMEOUT_MARGIN_S
+        params = {"Table": table, "after": str(after), "WaitMs": str(wait_ms)}
+        read_timeout_s = wait_ms / 1_000 + FEED_TIMEOUT_MARGIN_S
         answer = await self._get(names.STORE_FEED_PATH, params, read_timeout_s)
         return RowsAnswer(
             rows=_convert_rows(answer), version=answer.ver, now_ms=answer.now_ms
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -229,7 +229,7 @@
         row = StoredRow(key="a", version=3, value=build_value())
         return RowsAnswer(rows=[row], version=3, now_ms=0)
 
-    async def wait_for_changes(self, table, *, after):
+    async def wait_for_changes(self, table, *, after, wait_ms):
         self.calls.append(after)
         await asyncio.sleep(3_600)
 
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -7,7 +7,7 @@
 
 from arbutuspulley.clock import Clock
 from arbutuspulley.events import Event
-from arbutuspulley.node import server_rows, store_watch
+from arbutuspulley.node import feed_schedule, server_rows, store_watch
 from arbutuspulley.node.server_rows import apply_server_rows
 from arbutuspulley.node.store_watch import (
     activate_configuration,
@@ -164,7 +164,7 @@
         self.calls += 1
         return self._answer(0)
 
-    async def wait_for_changes(self, table, *, after):
+    async def wait_for_changes(self, table, *, after, wait_ms):
         self.calls += 1
         while not (answer := self._answer(after)).rows:
             await asyncio.sleep(0.005)
@@ -211,7 +211,7 @@
     async def read(self, table):
         return await self._answer("read")
 
-    async def wait_for_changes(self, table, *, after):
+    async def wait_for_changes(self, table, *, after, wait_ms):
         return await self._answer(after)
 
     async def _answer(self, call):
@@ -291,7 +291,7 @@
         self.calls += 1
         return RowsAnswer(rows=[], version=1, now_ms=0)
 
-    async def wait_for_changes(self, table, *, after):
+    async def wait_for_changes(self, table, *, after, wait_ms):
         self.calls += 1
         raise HistoryLostError(detail="forgotten")
 
@@ -313,3 +313,65 @@
         return state.store.calls
 
     assert 4 <= asyncio.run(scenario()) <= 12
+
+
+class HangingStore(ScriptedStore):
+    """A store that answers one read and then only when it is released."""
+
+    def __init__(self):
+        super().__init__((1,))
+        self.released = asyncio.Event()
+
+    async def wait_for_changes(self, table, *, after, wait_ms):
+        await self.released.wait()
+        self.released.clear()
+        return RowsAnswer(rows=[], version=after, now_ms=0)
+
+
+def test_an_overdue_poll_is_reported_before_it_times_out(monkeypatch):
+    """Guards against a follower that reports a silent store only when its poll fails,
+    while all others wait for changes from it."""
+    monkeypatch.setattr(feed_schedule, "FEED_WAIT_MS", 20)
+    monkeypatch.setattr(feed_schedule, "MIN_WAIT_MS", 20)
+    monkeypatch.setattr(store_watch, "OVERDUE_MARGIN_MS", 20)
+
+    async def scenario():
+        state = build_state()
+        store = state.store = HangingStore()
+        lost = []
+        state.on_store_lost.append(lambda: lost.append(dict(state.followed_at)))
+        task = asyncio.create_task(follow_configuration(state))
+        await asyncio.sleep(0.2)
+        assert lost == [{}]
+        store.released.set()
+        await asyncio.sleep(0.01)
+        assert list(state.followed_at) == [names.OPERATOR_TABLE]
+        task.cancel()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("is_requested", "is_called"), [(True, True), (False, False)])
+def test_a_requested_instance_calls_the_store_without_the_usual_delay(
+    monkeypatch, is_requested, is_called
+):
+    monkeypatch.setattr(store_watch, "MIN_FALLBACK_DELAY_MS", 400)
+    monkeypatch.setattr(store_watch, "RELAY_POLL_MS", 5_000 if is_requested else 1)
+
+    async def scenario():
+        state = build_state()
+        state.instances = 2
+        store = state.store = ScriptedStore((1,))
+        is_relayed = [True]
+        task = asyncio.create_task(
+            follow_configuration(state, is_store_relayed=lambda: is_relayed[0])
+        )
+        await asyncio.sleep(0.01)
+        is_relayed[0] = False
+        if is_requested:
+            state.follow_requested.set()
+        await asyncio.sleep(0.15)
+        task.cancel()
+        return bool(store.calls)
+
+    assert asyncio.run(scenario()) is is_called
