Do not send a request again that is admitted twice

Cause: the state machine of a request made a further attempt for each Admitted event, also while one was running: 9 attempts of 8 allowed, and a second attempt of a request that must run once at most. Callers have not seen it: each request is admitted once today.

An admission counts only while the request waits.

--- a/src/arbutuspulley/delivery/request.py
+++ b/src/arbutuspulley/delivery/request.py
@@ -51,7 +51,7 @@
 
 
 class Admitted(Value, frozen=True):
-    """The request was admitted and may be dispatched."""
+    """The request was admitted and may be dispatched; ignored once it has been."""
 
 
 class NoServer(Value, frozen=True):
@@ -188,7 +188,7 @@
     if isinstance(event, DeadlinePassed) or now >= state.deadline:
         return _fail_past_deadline(state, event)
     if isinstance(event, Admitted):
-        return _dispatch(state)
+        return _dispatch(state) if state.phase is Phase.WAITING else ()
     if isinstance(event, NoServer):
         detail = "no server can take it now"
         return _fail(state, event.code, detail, event.retry_after_ms)
--- a/tests/test_request.py
+++ b/tests/test_request.py
@@ -186,6 +186,17 @@
                 assert effect.error.run_state is RunState.UNKNOWN
 
 
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_a_request_that_is_admitted_again_is_not_sent_twice(repeatable):
+    """Guards against a second attempt beside the first one, which an unrepeatable
+    request must never get."""
+    state = build(repeatable=repeatable)
+    (first,) = life.advance(state, ADMITTED, now=0, try_spend_retry=lambda: True)
+    assert isinstance(first, life.Dispatch)
+    assert life.advance(state, ADMITTED, now=0, try_spend_retry=lambda: True) == ()
+    assert (state.attempts, state.attempt_id) == (1, first.attempt_id)
+
+
 @example(events=[ADMITTED] * 8, repeatable=False, retries=0)
 @given(st.lists(EVENTS, max_size=12), st.booleans(), st.integers(0, 3))
 def test_attempts_stay_within_their_bound_for_any_event_sequence(
