Test that buckets of servers' rate limits begin empty

Taken out on a copy, one at a time: with the buckets of single instances full at the start, only the second new test of test_rates.py fails. With the coordinator's full, the new test of takeovers in a row fails by the bound itself, 16 requests of 11 allowed in 4 s; some older ones fail, too.

--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -144,6 +144,34 @@
     )
 
 
+def test_takeovers_in_a_row_stay_within_a_limit():
+    """Guards against buckets that begin full: each new coordinator would grant another
+    burst."""
+    sent = []
+    for takeover_at in range(0, 8_000, 500):
+        ledger = RateLimitLedger()
+        ledger.reset({"s0": 1.0}, now=takeover_at)
+        sent += [
+            now
+            for now in range(takeover_at, takeover_at + 500, 10)
+            if not ledger.charge("s0", now=now)
+        ]
+    assert find_max_sent(sent) <= get_allowed(1.0)
+
+
+def test_instances_that_learn_of_a_limit_without_a_coordinator_send_no_burst():
+    """Guards against buckets of single instances that begin full, at the moment at
+    which an overloaded server states a limit."""
+    local_limits = [LocalRateLimits() for _ in range(2)]
+    sent = [
+        now
+        for now in range(0, 500, 10)
+        for local in local_limits
+        if not local.charge("s0", 4.0, fraction=1 / 2, now=now)
+    ]
+    assert len(sent) <= 4.0 / 2
+
+
 @settings(deadline=None, max_examples=60)
 @given(
     per_s=st.floats(0, 50),
