Share the eviction of state about unlisted servers, and name the leaving notice

The message had the name of the state that it feeds. Behaviour is the same, but an instance that links up is no longer sent an empty list of leaving servers.

--- a/src/arbutuspulley/admission/cooldowns.py
+++ b/src/arbutuspulley/admission/cooldowns.py
@@ -6,9 +6,7 @@
 
 from collections.abc import Container
 
-MAX_UNLISTED = 50
-"""Largest number of servers without an entry whose cooldowns are kept: an entry may
-lapse while its server is alive."""
+from arbutuspulley.membership.unlisted import evict_unlisted
 
 
 class Cooldowns:
@@ -25,7 +23,7 @@
         :param until: its end, in ms.
         :return: whether it now ends later than before.
         """
-        if until <= self._until.get(incarnation, until - 1):
+        if until <= self.get_end(incarnation):
             return False
         self._until[incarnation] = until
         return True
@@ -47,10 +45,6 @@
 
         :param listed: incarnations of listed servers.
         """
-        for incarnation in [
-            name for name, until in self._until.items() if until <= now
-        ]:
-            del self._until[incarnation]
-        unlisted = [name for name in self._until if name not in listed]
-        for incarnation in unlisted[:-MAX_UNLISTED]:
-            del self._until[incarnation]
+        active = self.list_active(now=now)
+        self._until = {name: self._until[name] for name in active}
+        evict_unlisted(self._until, listed)
--- a/src/arbutuspulley/admission/rate_limits.py
+++ b/src/arbutuspulley/admission/rate_limits.py
@@ -10,12 +10,10 @@
 
 import math
 from collections.abc import Container, Mapping
-from typing import TypeVar
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.data import State
-
-T = TypeVar("T")
+from arbutuspulley.membership.unlisted import evict_unlisted
 
 WINDOW_MS = 4 * SECOND_MS
 """Window in which a server's requests are compared with its limit, in ms."""
@@ -42,10 +40,6 @@
 """Longest wait until an instance without a coordinator checks again, in ms: there may
 be a coordinator by then."""
 
-MAX_UNLISTED = 50
-"""Largest number of servers without an entry whose limits are kept: an entry may lapse
-while its server is alive."""
-
 
 class RateLimit(State):
     """Token bucket of a server.
@@ -192,7 +186,7 @@
 
         :param incarnations: listed servers, whose limits are kept.
         """
-        _evict_unlisted(self._limits, incarnations)
+        evict_unlisted(self._limits, incarnations)
 
 
 class LocalRateLimits:
@@ -239,7 +233,7 @@
 
         :param incarnations: listed servers, whose limits are kept.
         """
-        _evict_unlisted(self._limits, incarnations)
+        evict_unlisted(self._limits, incarnations)
 
 
 class KnownRateLimit(State):
@@ -310,18 +304,10 @@
 
         :param incarnations: listed servers, whose limits are kept.
         """
-        _evict_unlisted(self._known, incarnations)
+        evict_unlisted(self._known, incarnations)
 
     def _set(self, incarnation: str, per_s: float | None, *, now: int) -> None:
         if per_s is None:
             del self._known[incarnation]
         else:
             self._known[incarnation] = KnownRateLimit(per_s=per_s, received_at=now)
-
-
-def _evict_unlisted(by_server: dict[str, T], incarnations: Container[str]) -> None:
-    unlisted = [
-        incarnation for incarnation in by_server if incarnation not in incarnations
-    ]
-    for incarnation in unlisted[:-MAX_UNLISTED]:
-        del by_server[incarnation]
--- a/src/arbutuspulley/membership/leaving.py
+++ b/src/arbutuspulley/membership/leaving.py
@@ -2,9 +2,7 @@
 
 from collections.abc import Container
 
-MAX_UNLISTED = 50
-"""Largest number of servers without an entry that are kept: an entry may lapse while
-its server is alive, and be written again as ready."""
+from arbutuspulley.membership.unlisted import evict_unlisted
 
 
 class LeavingServers:
@@ -41,6 +39,4 @@
 
         :param listed: incarnations of listed servers, which are kept.
         """
-        unlisted = [name for name in self._incarnations if name not in listed]
-        for name in unlisted[:-MAX_UNLISTED]:
-            del self._incarnations[name]
+        evict_unlisted(self._incarnations, listed)
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -33,7 +33,7 @@
     GrantRequest,
     Heartbeat,
     Hello,
-    LeavingServers,
+    LeavingNotice,
     NodeInfo,
     PermissionRequest,
     QuotaUsage,
@@ -298,7 +298,9 @@
         self._record_cooldowns(name, messages[0].cooldowns)
         peer = self._peers.add(messages[0])
         peer.send(self._rates.build_full_limits())
-        peer.send(LeavingServers(incarnations=self._state.leaving.list_all()))
+        leaving = self._state.leaving.list_all()
+        if leaving:
+            peer.send(LeavingNotice(incarnations=leaving))
         return peer
 
     def _remove_peer(self, peer: Peer) -> None:
@@ -321,7 +323,7 @@
             self._peers.send(origin, self._rates.answer(message, now=now))
         elif isinstance(message, ServerLimit):
             self._record_limits((message,))
-        elif isinstance(message, LeavingServers):
+        elif isinstance(message, LeavingNotice):
             self._relay_leaving(
                 message.incarnations, is_own=origin == self._state.settings.name
             )
@@ -367,7 +369,7 @@
         if is_own:
             new = incarnations
         if new:
-            self._peers.send_others(LeavingServers(incarnations=new))
+            self._peers.send_others(LeavingNotice(incarnations=new))
 
     def _record_own_cooldowns(self) -> None:
         """Record the cooldowns that this instance knew before it coordinated."""
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -20,7 +20,7 @@
     GrantRequest,
     Heartbeat,
     Hello,
-    LeavingServers,
+    LeavingNotice,
     PermissionRequest,
     QuotaExceeded,
     QuotaUsage,
@@ -272,7 +272,7 @@
             if isinstance(message, ServerLimits):
                 self.on_rate_limits(message)
                 continue
-            if isinstance(message, LeavingServers):
+            if isinstance(message, LeavingNotice):
                 apply_leaving(self._state, message.incarnations, by="coordinator")
                 continue
             if isinstance(message, RosterChange):
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -54,7 +54,7 @@
     per_s: float | None = None
 
 
-class LeavingServers(Message, frozen=True, tag="leaving"):
+class LeavingNotice(Message, frozen=True, tag="leaving"):
     """Servers that have stated in an answer that they are leaving.
 
     The instance that reads it sends it to the coordinator, which sends it to all.
@@ -370,7 +370,7 @@
     | GrantRequest
     | PermissionRequest
     | ServerLimit
-    | LeavingServers
+    | LeavingNotice
     | ServerCooldown
     | ResponseStarted
     | AttemptEnded
@@ -386,7 +386,7 @@
     | QuotaExceeded
     | CoordinatorStatus
     | ServerLimits
-    | LeavingServers
+    | LeavingNotice
     | CoordinatorEstimates
     | SuspicionUpdate
     | RosterChange
--- a/src/arbutuspulley/node/server_notices.py
+++ b/src/arbutuspulley/node/server_notices.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from arbutuspulley.events import Event, log_event
-from arbutuspulley.node.messages import LeavingServers, ServerCooldown
+from arbutuspulley.node.messages import LeavingNotice, ServerCooldown
 from arbutuspulley.node.server_rows import mark_leaving
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import (
@@ -43,7 +43,7 @@
     :param by: how it says so: ``answer`` or ``report``.
     """
     if mark_leaving(state, incarnation, by=by):
-        state.notify_server_notice(LeavingServers(incarnations=(incarnation,)))
+        state.notify_server_notice(LeavingNotice(incarnations=(incarnation,)))
 
 
 def list_excluded(state: NodeState) -> frozenset[str]:
--- a/tests/test_cooldowns.py
+++ b/tests/test_cooldowns.py
@@ -1,6 +1,7 @@
 """Times for which servers want no requests from an instance."""
 
-from arbutuspulley.admission.cooldowns import MAX_UNLISTED, Cooldowns
+from arbutuspulley.admission.cooldowns import Cooldowns
+from arbutuspulley.membership.unlisted import MAX_UNLISTED
 
 
 def test_a_cooldown_is_only_extended():
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,6 +1,7 @@
 """Servers that are leaving by their own answers."""
 
-from arbutuspulley.membership.leaving import MAX_UNLISTED, LeavingServers
+from arbutuspulley.membership.leaving import LeavingServers
+from arbutuspulley.membership.unlisted import MAX_UNLISTED
 
 
 def test_a_server_is_new_only_once():
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -10,7 +10,7 @@
 from arbutuspulley.node import server_rows
 from arbutuspulley.node.coordinator import Coordinator
 from arbutuspulley.node.link import Link
-from arbutuspulley.node.messages import Hello, LeavingServers, ServerCooldown
+from arbutuspulley.node.messages import Hello, LeavingNotice, ServerCooldown
 from arbutuspulley.node.reports import ReportPoller
 from arbutuspulley.node.server_notices import get_exclusion, read_answer
 from arbutuspulley.node.server_rows import apply_server_rows
@@ -81,7 +81,7 @@
 
 def list_leaving(peer):
     """Return the leaving servers that an instance was sent."""
-    messages = [one for one in peer.outgoing if isinstance(one, LeavingServers)]
+    messages = [one for one in peer.outgoing if isinstance(one, LeavingNotice)]
     return [name for message in messages for name in message.incarnations]
 
 
@@ -107,7 +107,7 @@
     instance.read(LEAVING, status=503)
     assert instance.is_leaving
     assert instance.state.by_service["llm"][0].is_leaving
-    assert instance.sent == [LeavingServers(incarnations=("s0",))]
+    assert instance.sent == [LeavingNotice(incarnations=("s0",))]
 
 
 def test_an_answer_of_another_server_is_ignored():
@@ -177,7 +177,7 @@
         if origin == "own":
             instance.read(LEAVING)
         else:
-            message = LeavingServers(incarnations=("s0",))
+            message = LeavingNotice(incarnations=("s0",))
             for _ in range(2):
                 coordinator.handle_messages(origin, [message])
         return [list_leaving(peer) for peer in peers]
@@ -203,7 +203,7 @@
 
 def test_an_instance_applies_what_the_coordinator_sends():
     instance = Instance()
-    instance.link.receive([LeavingServers(incarnations=("s0",))])
+    instance.link.receive([LeavingNotice(incarnations=("s0",))])
     assert instance.is_leaving
     assert instance.sent == []
 
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -6,13 +6,13 @@
 
 from arbutuspulley.admission.rate_limits import (
     MAX_RECHECK_MS,
-    MAX_UNLISTED,
     WINDOW_MS,
     KnownRateLimits,
     LocalRateLimits,
     RateLimitLedger,
     get_tolerance,
 )
+from arbutuspulley.membership.unlisted import MAX_UNLISTED
 from arbutuspulley.platform import names
 from arbutuspulley.platform.requests import read_server_limit
 
