Call the store again at once after a poll that timed out

A poll that the store took while it was unresponsive is never answered, and with the longer wait it would have timed out 1.67 s after it was sent, of 2 s that a change may take, with up to 0.25 s of backoff to come. A poll now times out 0.34 s after its wait, 1.51 s after it was sent (1.5 before), and is followed by the next call without a backoff: each such poll has taken its wait already. The separate report of overdue polls is not needed any more, as the poll itself ends then.

The wait is an argument of each poll.

--- a/src/arbutuspulley/node/store_watch.py
+++ b/src/arbutuspulley/node/store_watch.py
@@ -53,10 +53,6 @@
 """A table without an answer of the store for this long, in ms, is not followed: a call
 that waits for changes is answered or times out within this time."""
 
-OVERDUE_MARGIN_MS = 340
-"""How much later than its wait a long poll may be answered before the store counts as
-silent, in ms. A slow store answers within a third of a second."""
-
 RELAY_POLL_MS = 150
 """Poll interval of whether the store's changes are still relayed, in ms."""
 
@@ -166,6 +162,10 @@
         """Apply the rows and return the ones that were newer than the known rows."""
 
 
+class _PollTimeoutError(PlatformUnavailableError):
+    """A long poll was not answered in time."""
+
+
 class _TableFollower:
     """Follows the changes of one table.
 
@@ -246,6 +246,10 @@
                 if is_history_lost:
                     backoff_ms = await self._back_off(backoff_ms)
                 is_history_lost = True
+            except _PollTimeoutError as error:
+                # No backoff: the store may have recovered since it took the poll.
+                self._record_failure(error.detail)
+                version = self._get_version()
             except PlatformUnavailableError as error:
                 self._record_failure(error.detail)
                 backoff_ms = await self._back_off(backoff_ms)
@@ -296,27 +300,29 @@
             pass
 
     async def _poll(self, version: int) -> RowsAnswer:
-        """Make a long poll; the store counts as silent if its answer is overdue.
+        """Make a long poll.
 
         :param version: store version after which to ask for changes.
+        :raises _PollTimeoutError: if the store did not answer in time.
         """
         state = self._state
         schedule = state.feed_schedule
-        wait_ms = schedule.begin(self._table, now=state.clock.now())
-        overdue = asyncio.get_running_loop().call_later(
-            (wait_ms + OVERDUE_MARGIN_MS) / SECOND_MS,
-            self._record_failure,
-            f"no answer to a poll {OVERDUE_MARGIN_MS} ms after its wait",
-        )
+        sent_at = state.clock.now()
+        wait_ms = schedule.begin(self._table, now=sent_at)
         try:
             answer = await state.store.wait_for_changes(
                 self._table, after=version, wait_ms=wait_ms
             )
-            schedule.record_answer(now=state.clock.now())
-            return answer
+        except HistoryLostError:
+            raise
+        except PlatformUnavailableError as error:
+            if state.clock.now() - sent_at > wait_ms:
+                raise _PollTimeoutError(detail=error.detail) from error
+            raise
         finally:
-            overdue.cancel()
             schedule.finish(self._table)
+        schedule.record_answer(now=state.clock.now())
+        return answer
 
     async def _read_changes(self, version: int | None) -> int | None:
         """Make one call to the store and apply its answer.
--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -24,12 +24,12 @@
 beginning."""
 
 FEED_WAIT_MS = 1_170
-FEED_TIMEOUT_MARGIN_S = 0.5
+FEED_TIMEOUT_MARGIN_S = 0.34
 """How long the store may hold a long poll for changes, in ms, and how much later the
-poll times out, in s. A poll that reached the store while it was unresponsive is never
-answered, even after the store has recovered. Until it times out, the instance assumes
-that it receives all changes, and so do the instances to which it relays them; they
-have 2 s to apply a change."""
+poll times out, in s; a slow store answers within a third of a second. A poll that
+reached the store while it was unresponsive is never answered, even after the store has
+recovered. Until it times out, the instance assumes that it receives all changes, and so
+do the instances to which it relays them; they have 2 s to apply a change."""
 
 RESULT_RECENT_MS = 2_600
 """How long the result of a call reflects the store's state, in ms: the time until an
@@ -145,7 +145,7 @@
             params["From"] = rows[-1].key + "\x00"
 
     async def wait_for_changes(
-        self, table: str, *, after: int, wait_ms: int = FEED_WAIT_MS
+        self, table: str, *, after: int, wait_ms: int
     ) -> RowsAnswer:
         """Wait for changes of a table's rows.
 
