--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -156,9 +156,11 @@
         instance.read(LEAVING)
         await asyncio.sleep(0.02)
 
-    instance = Instance()
+    instance, updates = Instance(), []
+    instance.state.on_store_update.append(updates.append)
     asyncio.run(lapse(instance))
     assert instance.state.entries == {}
+    assert [row.key for update in updates for row in update.rows] == ["s0"]
 
 
 def test_a_report_tells_that_a_server_is_draining():
