--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -1,16 +1,18 @@
 """Real nodes together keep to the rate limits that servers set."""
 
 import asyncio
-import itertools
-import signal
 
 import pytest
 
-from scripts.platform_testbed import send_request
+from tests.node_load import (
+    LOSS_S,
+    NODES,
+    ask_all,
+    disconnect_from_store,
+    freeze,
+    kill,
+)
 from tests.proxied_nodes import run_on_nodes
-from tests.proxy import Direction
-
-NODES = ("n1", "n2", "n3", "n4")
 
 WINDOW_S = 4.0
 """Length of the window in which requests are counted, in s."""
@@ -28,13 +30,6 @@
 LOSS_AT_S = 3.0
 """When the coordinator is lost, in s."""
 
-LOSS_S = 2.5
-"""Time for which it is frozen or disconnected from the store, in s; another node takes
-over meanwhile."""
-
-ASK_EVERY_S = 0.04
-"""Interval between two requests, to one node after the other, in s."""
-
 
 def find_max_in_window(arrivals):
     """Return the maximum number of requests that arrived in any window."""
@@ -44,27 +39,6 @@
     )
 
 
-async def ask_all(fleet, session, path, *, model=""):
-    """Send requests at a steady pace through all nodes in turn.
-
-    :return: the answers' status codes; ``None``: there was no answer.
-    """
-    loop = asyncio.get_running_loop()
-    until = loop.time() + LOAD_S
-    asked = []
-    for number, name in zip(itertools.count(), itertools.cycle(NODES)):
-        if loop.time() >= until:
-            break
-        front = fleet.addresses[name]["Frontend"]
-        one = send_request(
-            session, front, path, attempt=f"{model}{path}{number}", model=model
-        )
-        asked.append(asyncio.create_task(one))
-        await asyncio.sleep(ASK_EVERY_S)
-    ends = await asyncio.gather(*asked, return_exceptions=True)
-    return [end[0] if isinstance(end, tuple) else None for end in ends]
-
-
 def run_scenario(folder, scenario):
     run_on_nodes(folder, scenario, names=NODES)
 
@@ -83,7 +57,7 @@
         for server in servers:
             server.limit_per_s = LIMIT_PER_S
         begun = asyncio.get_running_loop().time()
-        ends = await ask_all(fleet, session, path, model=model)
+        ends = await ask_all(fleet, session, path, for_s=LOAD_S, model=model)
         for server in servers:
             counted = [at for at in server.arrivals if at >= begun + 1 + PROPAGATION_S]
             assert find_max_in_window(counted) <= MAX_IN_WINDOW
@@ -93,21 +67,6 @@
     run_scenario(tmp_path, scenario)
 
 
-def kill(node, _proxy):
-    node.send_signal(signal.SIGKILL)
-
-
-def freeze(node, _proxy):
-    node.send_signal(signal.SIGSTOP)
-    loop = asyncio.get_running_loop()
-    loop.call_later(LOSS_S, node.send_signal, signal.SIGCONT)
-
-
-def disconnect_from_store(_node, proxy):
-    proxy.drop(Direction.TO_CLIENT, Direction.TO_TARGET)
-    asyncio.get_running_loop().call_later(LOSS_S, proxy.heal)
-
-
 @pytest.mark.parametrize("path", ["/chat/", "/book/"], ids=["model", "plain"])
 @pytest.mark.parametrize("lose", [kill, freeze, disconnect_from_store])
 def test_rate_limit_holds_when_the_coordinator_is_lost(tmp_path, lose, path):
@@ -122,7 +81,7 @@
         begun = loop.time()
         name = fleet.find_coordinator()
         loop.call_later(LOSS_AT_S, lose, fleet.nodes[name], proxies[name])
-        ends = await ask_all(fleet, session, path, model=model)
+        ends = await ask_all(fleet, session, path, for_s=LOAD_S, model=model)
         for server in servers:
             counted = [at for at in server.arrivals if at >= begun + 1 + PROPAGATION_S]
             assert find_max_in_window(counted) <= MAX_IN_WINDOW
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -1,16 +1,18 @@
 """Real nodes act on what servers state about themselves in their answers."""
 
 import asyncio
-import itertools
-import signal
 
 import pytest
 
 from scripts.platform_testbed import send_request
+from tests.node_load import (
+    NODES,
+    ask_all,
+    disconnect_from_store,
+    freeze,
+    kill,
+)
 from tests.proxied_nodes import run_on_nodes
-from tests.proxy import Direction
-
-NODES = ("n1", "n2", "n3", "n4")
 
 DRAIN_S = 2.0
 """Time after a node has relayed that a server is leaving after which the server may get
@@ -31,16 +33,9 @@
 
 LOAD_S = 8.0
 
-ASK_EVERY_S = 0.04
-"""Interval between two requests, to one node after the other, in s."""
-
 LOSS_AT_S = 2.0
 """When the coordinator is lost, in s."""
 
-LOSS_S = 2.5
-"""Time for which it is frozen or disconnected from the store, in s; another node takes
-over meanwhile."""
-
 SERVERS = pytest.mark.parametrize(
     ("told", "path", "model"),
     [("e1", "/chat/", "m0"), ("p1", "/book/", "")],
@@ -52,27 +47,6 @@
     return next(one for one in fleet.servers if one.incarnation == incarnation)
 
 
-async def ask_all(fleet, session, path, *, model=""):
-    """Send requests at a steady pace through all nodes in turn.
-
-    :return: the answers' status codes; ``None``: there was no answer.
-    """
-    loop = asyncio.get_running_loop()
-    until = loop.time() + LOAD_S
-    asked = []
-    for number, name in zip(itertools.count(), itertools.cycle(NODES)):
-        if loop.time() >= until:
-            break
-        front = fleet.addresses[name]["Frontend"]
-        one = send_request(
-            session, front, path, attempt=f"{name}-{number}", model=model
-        )
-        asked.append(asyncio.create_task(one))
-        await asyncio.sleep(ASK_EVERY_S)
-    ends = await asyncio.gather(*asked, return_exceptions=True)
-    return [end[0] if isinstance(end, tuple) else None for end in ends]
-
-
 def list_arrivals(server, node, *, only=None):
     """Return the times at which requests of a node reached a server.
 
@@ -118,7 +92,7 @@
     async def scenario(fleet, session, proxies):
         server = get_server(fleet, told)
         server.is_leaving = True
-        ends = await ask_all(fleet, session, path, model=model)
+        ends = await ask_all(fleet, session, path, for_s=LOAD_S, model=model)
         assert server.arrivals
         assert not any(count_late(server).values()), count_late(server)
         assert set(ends) == {200}
@@ -135,7 +109,7 @@
     async def scenario(fleet, session, proxies):
         server = get_server(fleet, told)
         server.sheds, server.rest_s = True, REST_S
-        ends = await ask_all(fleet, session, path, model=model)
+        ends = await ask_all(fleet, session, path, for_s=LOAD_S, model=model)
         assert server.rested
         assert find_max_during_rest(server) <= MAX_DURING_REST
         assert set(ends) == {200}
@@ -154,7 +128,7 @@
         servers = [get_server(fleet, told), get_server(fleet, told.replace("1", "2"))]
         for server in servers:
             server.sheds, server.rest_s = True, REST_S
-        ends = await ask_all(fleet, session, path, model=model)
+        ends = await ask_all(fleet, session, path, for_s=LOAD_S, model=model)
         for server in servers:
             assert find_max_during_rest(server) <= MAX_DURING_REST
         assert set(ends) == {503}
@@ -171,21 +145,6 @@
     run_on_nodes(tmp_path, scenario, names=NODES)
 
 
-def kill(node, _proxy):
-    node.send_signal(signal.SIGKILL)
-
-
-def freeze(node, _proxy):
-    node.send_signal(signal.SIGSTOP)
-    loop = asyncio.get_running_loop()
-    loop.call_later(LOSS_S, node.send_signal, signal.SIGCONT)
-
-
-def disconnect_from_store(_node, proxy):
-    proxy.drop(Direction.TO_CLIENT, Direction.TO_TARGET)
-    asyncio.get_running_loop().call_later(LOSS_S, proxy.heal)
-
-
 @SERVERS
 @pytest.mark.parametrize("lose", [kill, freeze, disconnect_from_store])
 def test_notices_hold_when_the_coordinator_is_lost(tmp_path, lose, told, path, model):
@@ -201,7 +160,7 @@
         name = fleet.find_coordinator()
         loop.call_later(LOSS_AT_S - 1, setattr, shedding, "sheds", True)
         loop.call_later(LOSS_AT_S, lose, fleet.nodes[name], proxies[name])
-        ends = await ask_all(fleet, session, path, model=model)
+        ends = await ask_all(fleet, session, path, for_s=LOAD_S, model=model)
         # A frozen node may have had no time to act on what it had relayed.
         late = count_late(leaving)
         late.pop(name)
@@ -220,7 +179,7 @@
         leaving, breaking = get_server(fleet, "e1"), get_server(fleet, "e2")
         leaving.is_leaving = True
         breaking.breaks_after = 3
-        await ask_all(fleet, session, "/resumed/", model="m0")
+        await ask_all(fleet, session, "/resumed/", for_s=LOAD_S, model="m0")
         assert not any(count_late(leaving).values()), count_late(leaving)
 
     run_on_nodes(tmp_path, scenario, names=NODES)
