--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -6,18 +6,23 @@
 import pytest
 
 from arbutuspulley.clock import Clock
-from arbutuspulley.membership.coordinator_lease import CoordinatorLeaseState
-from arbutuspulley.node import server_rows
+from arbutuspulley.membership.coordinator_lease import (
+    CoordinatorLeaseState,
+    InheritedLoads,
+)
+from arbutuspulley.node import reports, server_rows
 from arbutuspulley.node.coordinator import Coordinator
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import Hello, LeavingNotice, ServerCooldown
 from arbutuspulley.node.reports import ReportPoller
 from arbutuspulley.node.server_notices import get_exclusion, read_answer
 from arbutuspulley.node.server_rows import apply_server_rows
+from arbutuspulley.node.store_watch import activate_configuration
 from arbutuspulley.platform import names
 from arbutuspulley.platform.messages import decode_report
 from arbutuspulley.platform.requests import read_cooldown, read_leaving
 from arbutuspulley.platform.store import StoredRow
+from scripts.platform_testbed import build_configuration
 from tests.node_states import build_info, build_state
 from tests.pools import build_pool, build_server
 
@@ -265,10 +270,44 @@
     assert pool.servers["s0"].cooldowns == {"own": 101_500, "x": 101_000}
 
 
+def test_an_instance_that_takes_over_keeps_its_own_cooldowns():
+    """Guards against a shedding server that a new coordinator grants to its own
+    instance, which was told to leave it alone."""
+
+    async def take_over(instance):
+        coordinator = build_coordinator(instance)
+        coordinator.is_active = False
+        body = msgspec.json.encode(build_configuration(1))
+        activate_configuration(instance.state, body, by="store")
+        coordinator.activate(InheritedLoads(loads={}, unknown_until=None))
+        cooldowns = coordinator._pools["llm"].servers["s0"].cooldowns
+        coordinator.deactivate()
+        return cooldowns
+
+    instance = Instance()
+    instance.read(RESTING, status=503)
+    assert asyncio.run(take_over(instance)) == {"own": 101_500}
+
+
 async def link_up(coordinator, hello):
     coordinator._add_peer([hello])
 
 
+def test_a_server_that_reports_draining_is_marked(monkeypatch):
+    """Guards against requests to a leaving server that has not answered one yet."""
+
+    async def fetch_report(*_given, **_named):
+        return decode_report("s0", b'{"State": "draining"}')
+
+    monkeypatch.setattr(reports, "fetch_report", fetch_report)
+    instance = Instance()
+    poller = ReportPoller(state=instance.state, on_report=lambda: None)
+    for call in poller.poll([build_pool(build_server("s0", "m0"))]):
+        asyncio.run(call)
+    assert instance.is_leaving
+    assert instance.sent == [LeavingNotice(incarnations=("s0",))]
+
+
 def test_no_report_is_fetched_during_a_cooldown():
     """Guards against control calls to a server that wants no requests from the
     coordinator's instance."""
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -145,6 +145,28 @@
     run_on_nodes(tmp_path, scenario, names=NODES)
 
 
+def test_a_request_without_retries_is_told_when_a_server_accepts_it(tmp_path):
+    """Guards against callers that are told to return while all servers still refuse."""
+
+    async def scenario(fleet, session, proxies):
+        for name in ("p1", "p2"):
+            server = get_server(fleet, name)
+            server.sheds, server.rest_s = True, REST_S
+        front = fleet.addresses["n1"]["Frontend"]
+        waits = []
+        for number in range(2):
+            status, _, headers = await send_request(
+                session, front, "/book/", attempt=f"n1-{number}"
+            )
+            assert status == 503
+            waits.append(float(headers["Retry-After"]))
+        assert waits[0] < 1
+        assert REST_S - 1 < waits[1] <= REST_S
+
+    no_retries = {"RetryBudgetRatio": 0, "RetryBudgetExtra": 0}
+    run_on_nodes(tmp_path, scenario, names=("n1",), **no_retries)
+
+
 @SERVERS
 @pytest.mark.parametrize("lose", [kill, freeze, disconnect_from_store])
 def test_notices_hold_when_the_coordinator_is_lost(tmp_path, lose, told, path, model):
