Log the store's era and the server rows that are ignored

The store's header Store-Era is read from every answer, a refusal included, and logged when it changes (607) or can't be used (608); a row that is ignored as older is logged with both versions and its source (812). No decision changes.

--- a/src/arbutuspulley/events.py
+++ b/src/arbutuspulley/events.py
@@ -83,6 +83,8 @@
     TABLE_RESTORED = 604
     HISTORY_LOST = 605
     RELAY_LOST = 606
+    STORE_ERA_CHANGED = 607
+    STORE_ERA_REFUSED = 608
     PEER_DOWN = 701
     PEER_UP = 702
     CONFIGURATION_FROM_PEER = 703
@@ -100,6 +102,7 @@
     SERVER_LIMIT_REACHED = 809
     SERVER_NOTICE_REFUSED = 810
     SERVER_COOLDOWN = 811
+    SERVER_ROW_IGNORED = 812
 
 
 def _encode_line(record: logging.LogRecord, **leading_fields: object) -> bytes:
--- a/src/arbutuspulley/node/server_rows.py
+++ b/src/arbutuspulley/node/server_rows.py
@@ -34,6 +34,7 @@
     is_full_read: bool,
     was_unavailable: bool,
     version: int = 0,
+    by: str = "store",
 ) -> StoreUpdate:
     """Update the server entries from rows of the store.
 
@@ -43,11 +44,12 @@
     :param is_full_read: whether these are all server rows of the store.
     :param was_unavailable: whether the store was unavailable shortly before.
     :param version: version of the store that the rows were read at; 0: unknown.
+    :param by: source: ``store``, ``coordinator`` or ``follower``.
     :return: the rows that were newer than the known ones.
     """
     if is_full_read:
         rows = [*rows, *_list_missing(state, rows, version)]
-    newer = [row for row in rows if _is_newer(state, row)]
+    newer = [row for row in rows if _is_newer(state, row, by=by)]
     gone = [row.key for row in newer if row.value is None]
     for row in newer:
         state.row_versions[row.key] = row.version
@@ -95,8 +97,16 @@
     ]
 
 
-def _is_newer(state: NodeState, row: StoredRow) -> bool:
+def _is_newer(state: NodeState, row: StoredRow, *, by: str) -> bool:
     known = state.row_versions.get(row.key, -1)
+    if row.version < known and state.entry_bodies.get(row.key) != row.value:
+        log_event(
+            Event.SERVER_ROW_IGNORED,
+            server=row.key,
+            version=row.version,
+            known=known,
+            by=by,
+        )
     if row.version != known:
         return row.version > known
     if row.value is None:
--- a/src/arbutuspulley/node/store_watch.py
+++ b/src/arbutuspulley/node/store_watch.py
@@ -480,6 +480,6 @@
         for row in update.rows
     ]
     applied = apply_server_rows(
-        state, rows, is_full_read=False, was_unavailable=update.was_away
+        state, rows, is_full_read=False, was_unavailable=update.was_away, by=by
     )
     return msgspec.structs.replace(applied, configuration=body if is_newer else b"")
--- a/src/arbutuspulley/platform/names.py
+++ b/src/arbutuspulley/platform/names.py
@@ -69,6 +69,10 @@
 SERVER_LEAVING = "Server-Leaving"
 """``1`` in all answers of a server that is draining."""
 
+STORE_ERA = "Store-Era"
+"""Number that the store sends in all its answers. It rises by one each time the store
+has come back from an older copy of its data."""
+
 CONNECTION_HEADERS = frozenset(
     (
         "connection",
--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -10,6 +10,7 @@
 from arbutuspulley.clock import Clock
 from arbutuspulley.data import State
 from arbutuspulley.platform import names
+from arbutuspulley.platform.era import StoreEra
 from arbutuspulley.platform.messages import WireRows, decode_rows
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
 
@@ -85,7 +86,7 @@
 
     ``is_failing`` is whether the last call that ended got no usable answer, and
     ``is_result_recent`` whether that was recent enough to reflect the store's present
-    state.
+    state. ``era`` is the store's era.
 
     :param address: ``host:port`` of the store.
     :param count_call: called with the name of each call.
@@ -97,6 +98,7 @@
         "_count_call",
         "_result_at",
         "_session",
+        "era",
         "is_failing",
     )
 
@@ -113,6 +115,7 @@
         self._session = session
         self._base = f"http://{address}"
         self._count_call = count_call
+        self.era = StoreEra()
         self.is_failing = False
 
     @property
@@ -220,6 +223,7 @@
         :param read_timeout_s: longest time without data from the store, in s.
         """
         self._count_call(path.strip("/"))
+        called_in = self.era.current
         url = yarl.URL(self._base + path)
         timeout = aiohttp.ClientTimeout(
             total=read_timeout_s + MAX_TRANSFER_S,
@@ -230,6 +234,9 @@
             async with self._session.request(
                 method, url, params=params, data=data, headers=headers, timeout=timeout
             ) as response:
+                self.era.update(
+                    response.headers.get(names.STORE_ERA), called_in=called_in
+                )
                 body = await response.read()
                 self._record_result(failed=response.status in _REFUSED_STATUSES)
                 return response.status, body
