--- a/src/arbutuspulley/standins/fleet_store.py
+++ b/src/arbutuspulley/standins/fleet_store.py
@@ -7,11 +7,13 @@
 import asyncio
 import base64
 import time
+import weakref
 from collections.abc import Callable
 
 import msgspec
 from aiohttp import web
 
+from arbutuspulley.data import Value
 from arbutuspulley.platform import names
 
 MAX_ROWS = 500
@@ -21,6 +23,14 @@
 """Maximum wait of a feed call, in s; the limit of the users' store."""
 
 
+class StoreCopy(Value, frozen=True):
+    """A copy of the store's data."""
+
+    version: int
+    rows: dict[tuple[str, str], tuple[int, bytes]]
+    feed: list[tuple[int, str, str, bytes | None]]
+
+
 class StoreStandin:
     """An in-memory metadata store.
 
@@ -29,20 +39,30 @@
     Tests set these attributes to inject faults:
 
     - ``is_down``: answer every call with 503.
+    - ``is_away``: reset the connection of every call.
     - ``loses_answers``: apply a write and reset its connection.
+    - ``late_write_s``: reset a write's connection and perform the write this many
+      seconds later, if its condition holds then; ``None``: perform it at once.
     - ``delay_s``: delay before each call is handled.
     - ``on_read``: called after each page that is read.
+    - ``era``: sent in each answer; ``None``: not sent. :meth:`restore` increments it.
+    - ``clock_offset_ms``: added to the store's clock.
     """
 
     __slots__ = (
         "_changed",
+        "_connections",
         "_feed",
         "_history",
         "_last_discarded",
         "_rows",
         "calls",
+        "clock_offset_ms",
         "delay_s",
+        "era",
+        "is_away",
         "is_down",
+        "late_write_s",
         "loses_answers",
         "on_read",
         "version",
@@ -54,9 +74,14 @@
         self._last_discarded = 0
         self._history = history
         self._changed = asyncio.Event()
+        self._connections: weakref.WeakSet[asyncio.Transport] = weakref.WeakSet()
         self.version = 0
         self.calls = 0
+        self.era: int | str | None = 1
+        self.clock_offset_ms = 0
+        self.is_away = False
         self.is_down = False
+        self.late_write_s: float | None = None
         self.loses_answers = False
         self.delay_s = 0.0
         self.on_read: Callable[[], None] = lambda: None
@@ -79,7 +104,54 @@
         self._feed.clear()
         self._last_discarded = self.version
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the rows and of the history."""
+        return StoreCopy(
+            version=self.version, rows=dict(self._rows), feed=list(self._feed)
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Begin a new era with an older copy; open connections are reset.
+
+        Versions above the copy's are given out again.
+        """
+        self.version = copy.version
+        self._rows = dict(copy.rows)
+        self._feed = list(copy.feed)
+        if isinstance(self.era, int):
+            self.era += 1
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all connections; calls under way get no answer."""
+        for transport in list(self._connections):
+            transport.abort()
+
+    async def leave(self, for_s: float, *, copy: StoreCopy | None = None) -> None:
+        """Be away for some time, and come back from a copy if one is given.
+
+        :param for_s: time without answers, in s.
+        """
+        self.is_away = True
+        self.reset_connections()
+        await asyncio.sleep(for_s)
+        if copy is not None:
+            self.restore(copy)
+        self.is_away = False
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a call, and state the era in the answer."""
+        transport = request.transport
+        if transport is not None:
+            self._connections.add(transport)
+        if self.is_away and transport is not None:
+            transport.abort()
+        answer = await self._answer(request)
+        if self.era is not None:
+            answer.headers[names.STORE_ERA] = str(self.era)
+        return answer
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a read, feed or transaction call."""
         self.calls += 1
         if self.delay_s:
@@ -87,7 +159,13 @@
         if self.is_down:
             return web.Response(status=503)
         if request.path == names.STORE_TRANSACT_PATH:
-            answer = self._transact(msgspec.json.decode(await request.read()))
+            body = msgspec.json.decode(await request.read())
+            if self.late_write_s is not None and request.transport is not None:
+                loop = asyncio.get_running_loop()
+                loop.call_later(self.late_write_s, self._transact, body)
+                request.transport.abort()
+                return web.Response(status=503)
+            answer = self._transact(body)
             if self.loses_answers and request.transport is not None:
                 request.transport.abort()
             return answer
@@ -142,7 +220,7 @@
         try:
             async with asyncio.timeout(limit):
                 while True:
-                    if after < self._last_discarded:
+                    if after < self._last_discarded or after > self.version:
                         return web.Response(status=410)
                     rows = [
                         _encode(version, changed_table, key, value)
@@ -161,7 +239,7 @@
         body = {
             "Rows": rows,
             "Ver": self.version,
-            "NowMs": time.monotonic() * 1_000,
+            "NowMs": time.monotonic() * 1_000 + self.clock_offset_ms,
             "MorePages": more,
         }
         return web.Response(
