--- a/src/arbutuspulley/node/election.py
+++ b/src/arbutuspulley/node/election.py
@@ -219,7 +219,7 @@
         update_row(
             self._lease,
             row.value if row else None,
-            version=row.version if row else 0,
+            version=row.position.version if row else 0,
         )
 
     async def _check_lease(self) -> None:
@@ -295,7 +295,7 @@
             confirm_claim(
                 self._lease,
                 claim,
-                version=answer.version,
+                version=answer.position.version,
                 sent_at=sent_at,
                 store_ms=answer.now_ms,
             )
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -399,7 +399,7 @@
         state.instances = status.instances
         state.advertised = status.takers
         state.nodes_updated_at = self._last_status_at
-        state.store_version = max(state.store_version, status.store_version)
+        state.store_position = max(state.store_position, status.store_position)
         self._send_newer_configuration()
 
     async def _run(self, address: str) -> None:
@@ -501,7 +501,8 @@
         return Hello(
             info=state.build_info(),
             running=tuple(self.running),
-            store_version=state.store_version,
+            store_version=state.store_position.version,
+            store_era=state.store_position.era,
             configuration=state.configuration_version,
             reads_updates=True,
             limits=tuple(
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -7,6 +7,7 @@
 from arbutuspulley.data import Message
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.ports.fleet import AttemptOutcome, ModelNeed
+from arbutuspulley.ports.store_position import StorePosition
 from arbutuspulley.rpc.messages import Suspicion
 
 
@@ -77,7 +78,8 @@
     """First message of an instance on a connection to the coordinator.
 
     :param running: requests in flight at the instance.
-    :param store_version: store version up to which the instance has the server rows.
+    :param store_version: store version up to which the instance has the server rows,
+        in the era ``store_era``.
     :param configuration: version of its active configuration; 0: none.
     :param reads_updates: whether the instance understands :class:`ConfigurationDelta`.
     :param limits: rate limits that the instance knows.
@@ -93,6 +95,12 @@
     limits: tuple[ServerLimit, ...] = ()
     leaving: tuple[str, ...] = ()
     cooldowns: tuple[ServerCooldown, ...] = ()
+    store_era: int = 0
+
+    @property
+    def store_position(self) -> StorePosition:
+        """Position of the store up to which the instance has the server rows."""
+        return StorePosition(era=self.store_era, version=self.store_version)
 
 
 class Heartbeat(Message, frozen=True, tag="beat"):
@@ -239,7 +247,7 @@
     :param is_store_followed: whether changes of the store currently reach the
         coordinator; the other instances need not call the store then.
     :param store_version: store version up to which all server rows were sent before
-        this message.
+        this message, in the era ``store_era``.
     :param configuration: version of the coordinator's active configuration; 0: none.
         That configuration was sent before this message.
     :param beat: number of the last heartbeat from the receiver; 0: none arrived.
@@ -258,6 +266,12 @@
     beat: int = 0
     number: int = 0
     fresh_beat: int = 0
+    store_era: int = 0
+
+    @property
+    def store_position(self) -> StorePosition:
+        """Position of the store up to which all server rows were sent before."""
+        return StorePosition(era=self.store_era, version=self.store_version)
 
 
 class RosterChange(Message, frozen=True, tag="roster"):
@@ -279,13 +293,20 @@
     """A server row of the store.
 
     :param version: version of the store's transaction that wrote or removed the row.
-        Rows arrive by several paths; the newest version of a row wins.
+        Rows arrive by several paths; the newest position of a row wins.
     :param value: value as stored; empty: the row has been removed.
+    :param era: era in which the row was read; 0: the sender states none.
     """
 
     key: str
     version: int
     value: bytes = b""
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Position of the transaction."""
+        return StorePosition(era=self.era, version=self.version)
 
 
 class StoreUpdate(Message, frozen=True, tag="news"):
--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -254,13 +254,15 @@
         update = self._relay.flush(self._state.clock.now())
         if update is not None:
             self.send_others(update)
+        position = self._relay.store_position
         status = CoordinatorStatus(
             is_holder=is_holder,
             instances=count,
             takers=self._advertised,
             followers=self._relay.followers,
             is_store_followed=self.is_store_followed(),
-            store_version=self._relay.store_version,
+            store_version=position.version,
+            store_era=position.era,
             configuration=self._state.configuration_version,
         )
         self._receive_local([status])
--- a/src/arbutuspulley/node/relay.py
+++ b/src/arbutuspulley/node/relay.py
@@ -3,9 +3,9 @@
 The coordinator follows the store and relays all changes to the other instances. Two
 instances of other data centres follow it as well and send changes to the coordinator: a
 network fault between it and the store then delays nothing, and need not be detected
-first. Each row carries the version of the store that wrote it, and each instance keeps
-the newest version of a row, so that rows which arrive twice, late or by several ways do
-no harm.
+first. Each row carries the store's position at which it was written, and each instance
+keeps the newest position of a row, so that rows which arrive twice, late or by several
+ways do no harm.
 """
 
 from collections.abc import Iterable
@@ -14,6 +14,7 @@
 from arbutuspulley.node.messages import Hello, NodeInfo, RelayedRow, StoreUpdate
 from arbutuspulley.node.server_rows import list_rows
 from arbutuspulley.node.state import NodeState
+from arbutuspulley.ports.store_position import StorePosition
 
 FOLLOWERS = 2
 """Number of instances that follow the store in addition to the coordinator: with the
@@ -52,10 +53,13 @@
         self.followers = ()
 
     @property
-    def store_version(self) -> int:
-        """Version of the store up to which all rows have been sent."""
-        versions = (row.version - 1 for row in self._deferred.values())
-        return min(versions, default=self._state.store_version)
+    def store_position(self) -> StorePosition:
+        """Position of the store up to which all rows have been sent."""
+        before = (
+            StorePosition(era=row.era, version=row.version - 1)
+            for row in self._deferred.values()
+        )
+        return min(before, default=self._state.store_position)
 
     def select_urgent(self, update: StoreUpdate) -> StoreUpdate | None:
         """Return the part of a store update to be sent at once, and defer the rest."""
@@ -86,7 +90,7 @@
 
     def build_catch_up(self, hello: Hello) -> StoreUpdate | None:
         """Return the rows that a newly linked instance is missing."""
-        rows = list_rows(self._state, after=hello.store_version)
+        rows = list_rows(self._state, after=hello.store_position)
         return StoreUpdate(rows=rows) if rows else None
 
     def build_full_configuration(self, _base: int) -> StoreUpdate:
--- a/src/arbutuspulley/node/server_rows.py
+++ b/src/arbutuspulley/node/server_rows.py
@@ -1,6 +1,13 @@
-"""Server entries of an instance, kept up to date from the server rows of the store."""
+"""Server entries of an instance, kept up to date from the server rows of the store.
+
+A store that comes back from an older copy lists rows as they were some seconds ago.
+They become the newest known rows, since whatever is written next is newer, but they
+prove nothing about what is known since then: a server that left has left, and one that
+is missing writes its row again if it is running.
+"""
 
 import asyncio
+from collections.abc import Iterable
 
 import msgspec
 
@@ -12,6 +19,7 @@
 from arbutuspulley.platform.store import StoredRow
 from arbutuspulley.platform.transport import discard_idle_connections
 from arbutuspulley.ports.fleet import ServerEntry
+from arbutuspulley.ports.store_position import NO_POSITION, StorePosition
 from arbutuspulley.routing.local_choice import evict_unlisted
 
 LAPSED_ENTRY_GRACE_MS = 1_800
@@ -19,12 +27,16 @@
 servers write their entries again within about 2 s; a server that left in the meantime
 must get no request later than 2 s after its removal was seen."""
 
+RESTORED_ENTRY_DELAY_MS = 5_000
+"""How long a server whose removal was seen stays removed, in ms, if a copy lists it. By
+then the store has removed the row again unless the server is running."""
+
 MAX_REJECTED_ROWS = 1_000
 """Maximum number of rejected rows that are remembered, so that each is logged once."""
 
-MAX_REMOVED_VERSIONS = 10_000
-"""Maximum number of removed rows whose versions are kept, about 1 MB: the removals of a
-month if some hundred servers are replaced per day."""
+MAX_REMOVED_POSITIONS = 10_000
+"""Maximum number of removed rows whose positions are kept, about 2 MB: the removals of
+a month if some hundred servers are replaced per day."""
 
 
 def apply_server_rows(
@@ -33,95 +45,173 @@
     *,
     is_full_read: bool,
     was_unavailable: bool,
-    version: int = 0,
+    position: StorePosition = NO_POSITION,
     by: str = "store",
 ) -> StoreUpdate:
     """Update the server entries from rows of the store.
 
-    Rows arrive by several paths, and the newest version of each wins: a row that was
+    Rows arrive by several paths, and the newest position of each wins: a row that was
     deferred by a relay must not restore a server that has left since.
 
     :param is_full_read: whether these are all server rows of the store.
     :param was_unavailable: whether the store was unavailable shortly before.
-    :param version: version of the store that the rows were read at; 0: unknown.
+    :param position: position of the store that the rows were read at.
     :param by: source: ``store``, ``coordinator`` or ``follower``.
-    :return: the rows that were newer than the known ones.
+    :return: the rows that were newer than the known ones, and differ from them.
     """
     if is_full_read:
-        rows = [*rows, *_list_missing(state, rows, version)]
+        missing = _list_missing(state, rows, position)
+        rows = [*rows, *missing]
+        was_unavailable = was_unavailable or _is_any_of_earlier_era(state, missing)
     newer = [row for row in rows if _is_newer(state, row, by=by)]
-    gone = [row.key for row in newer if row.value is None]
+    newer = [row for row in newer if not _restamp_unchanged(state, row)]
+    gone = {row.key: row.position for row in newer if row.value is None}
     for row in newer:
-        state.row_versions[row.key] = row.version
-        if row.value is not None:
-            _apply_entry(state, row.key, row.value)
-    state.store_version = max(state.store_version, version)
+        _apply_row(state, row)
+    state.store_position = max(state.store_position, position)
     if was_unavailable and gone:
+        state.lapsing.update(gone)
         asyncio.get_running_loop().call_later(
-            LAPSED_ENTRY_GRACE_MS / SECOND_MS,
-            _drop_lapsed,
-            state,
-            gone,
-            dict(state.entry_bodies),
+            LAPSED_ENTRY_GRACE_MS / SECOND_MS, _drop_lapsed, state, gone
         )
     else:
-        _drop_entries(state, gone, state.entry_bodies)
+        _drop_entries(state, gone)
     if newer:
-        _evict_removed_versions(state)
+        _evict_removed_positions(state)
         _rebuild_indexes(state)
-    relayed = tuple(
-        RelayedRow(key=row.key, version=row.version, value=row.value or b"")
-        for row in newer
-    )
+    relayed = tuple(_build_relayed_row(state, row) for row in newer)
     return StoreUpdate(rows=relayed, was_away=was_unavailable)
 
 
-def list_rows(state: NodeState, *, after: int) -> tuple[RelayedRow, ...]:
-    """Return the server rows that were written after a version of the store."""
+def list_rows(state: NodeState, *, after: StorePosition) -> tuple[RelayedRow, ...]:
+    """Return the server rows that were written after a position of the store."""
     return tuple(
-        RelayedRow(key=key, version=version, value=state.entry_bodies.get(key, b""))
-        for key, version in state.row_versions.items()
-        if version > after
+        RelayedRow(
+            key=key,
+            era=position.era,
+            version=position.version,
+            value=state.entry_bodies.get(key, b""),
+        )
+        for key, position in state.row_positions.items()
+        if position > after
+    )
+
+
+def _build_relayed_row(state: NodeState, row: StoredRow) -> RelayedRow:
+    """Build the message that relays a row, as a removal if the row is not used yet."""
+    is_delayed = row.key not in state.entries and row.key not in state.refused_entries
+    return RelayedRow(
+        key=row.key,
+        era=row.position.era,
+        version=row.position.version,
+        value=b"" if row.value is None or is_delayed else row.value,
     )
 
 
 def _list_missing(
-    state: NodeState, rows: list[StoredRow], version: int
+    state: NodeState, rows: list[StoredRow], position: StorePosition
 ) -> list[StoredRow]:
     """Return removals for known entries that are missing from a full read."""
     present = {row.key for row in rows}
     return [
-        StoredRow(key=key, version=version or known, value=None)
-        for key, known in state.row_versions.items()
-        if key in state.entries and key not in present
+        StoredRow(
+            key=key,
+            position=known if position == NO_POSITION else position,
+            value=None,
+        )
+        for key, known in state.row_positions.items()
+        if key in state.entries and key not in present and key not in state.lapsing
     ]
 
 
+def _is_any_of_earlier_era(state: NodeState, rows: list[StoredRow]) -> bool:
+    return any(state.row_positions[row.key].era < row.position.era for row in rows)
+
+
 def _is_newer(state: NodeState, row: StoredRow, *, by: str) -> bool:
-    known = state.row_versions.get(row.key, -1)
-    if row.version < known and state.entry_bodies.get(row.key) != row.value:
-        log_event(
-            Event.SERVER_ROW_IGNORED,
-            server=row.key,
-            version=row.version,
-            known=known,
-            by=by,
-        )
-    if row.version != known:
-        return row.version > known
+    known = state.row_positions.get(row.key)
+    if known is None:
+        return True
+    if row.position != known:
+        if row.position.era < known.era:
+            _log_ignored(row, known, by=by)
+        return row.position > known
     if row.value is None:
         return row.key in state.entries
     return state.entry_bodies.get(row.key) != row.value
 
 
-def _evict_removed_versions(state: NodeState) -> None:
-    excess = len(state.row_versions) - len(state.entries) - MAX_REMOVED_VERSIONS
+def _log_ignored(row: StoredRow, known: StorePosition, *, by: str) -> None:
+    log_event(
+        Event.SERVER_ROW_IGNORED,
+        server=row.key,
+        era=row.position.era,
+        version=row.position.version,
+        known_era=known.era,
+        known_version=known.version,
+        by=by,
+    )
+
+
+def _restamp_unchanged(state: NodeState, row: StoredRow) -> bool:
+    """Update only the position of a row that a later era lists as it is known.
+
+    :return: whether the row is unchanged.
+    """
+    known = state.row_positions.get(row.key)
+    if known is None or known.era == row.position.era or row.value is None:
+        return False
+    if state.entry_bodies.get(row.key) != row.value:
+        return False
+    state.row_positions[row.key] = row.position
+    state.lapsing.pop(row.key, None)
+    return True
+
+
+def _apply_row(state: NodeState, row: StoredRow) -> None:
+    known = state.row_positions.get(row.key, NO_POSITION)
+    state.row_positions[row.key] = row.position
+    if row.value is None:
+        return
+    is_from_copy = row.position.era > known.era and row.position.version < known.version
+    if is_from_copy and _is_removed_start(state, row):
+        asyncio.get_running_loop().call_later(
+            RESTORED_ENTRY_DELAY_MS / SECOND_MS, _apply_delayed, state, row
+        )
+        return
+    _apply_entry(state, row.key, row.value)
+
+
+def _is_removed_start(state: NodeState, row: StoredRow) -> bool:
+    """Return whether a row is of a start of a server whose removal was seen."""
+    removed_start = state.removed_starts.get(row.key)
+    if removed_start is None or row.value is None:
+        return False
+    try:
+        return decode_server(row.key, row.value).started_ms <= removed_start
+    except (msgspec.MsgspecError, InvalidServerEntryError):
+        return False
+
+
+def _apply_delayed(state: NodeState, row: StoredRow) -> None:
+    """Apply a row of a copy, unless the server's row has been written since."""
+    if state.row_positions.get(row.key) != row.position or row.value is None:
+        return
+    state.removed_starts.pop(row.key, None)
+    _apply_entry(state, row.key, row.value)
+    _rebuild_indexes(state)
+    state.notify_store_update(StoreUpdate(rows=(_build_relayed_row(state, row),)))
+
+
+def _evict_removed_positions(state: NodeState) -> None:
+    excess = len(state.row_positions) - len(state.entries) - MAX_REMOVED_POSITIONS
     if excess <= 0:
         return
-    removed = (key for key in state.row_versions if key not in state.entries)
-    oldest = sorted(removed, key=lambda key: state.row_versions[key])
+    removed = (key for key in state.row_positions if key not in state.entries)
+    oldest = sorted(removed, key=lambda key: state.row_positions[key])
     for key in oldest[:excess]:
-        del state.row_versions[key]
+        del state.row_positions[key]
+        state.removed_starts.pop(key, None)
 
 
 def load_entries(state: NodeState, bodies: dict[str, bytes]) -> None:
@@ -129,7 +219,7 @@
     if state.entries:
         return
     for server_id, body in bodies.items():
-        state.row_versions.setdefault(server_id, 0)
+        state.row_positions.setdefault(server_id, NO_POSITION)
         _apply_entry(state, server_id, body)
     _rebuild_indexes(state)
 
@@ -149,7 +239,11 @@
         )
         return
     state.refused_entries.pop(server_id, None)
-    if entry.incarnation in state.leaving:
+    state.removed_starts.pop(server_id, None)
+    state.lapsing.pop(server_id, None)
+    if entry.is_leaving:
+        state.leaving.add(entry.incarnation)
+    elif entry.incarnation in state.leaving:
         entry = msgspec.structs.replace(entry, is_leaving=True)
     state.entries[server_id] = entry
     state.entry_bodies[server_id] = value
@@ -221,37 +315,35 @@
     )
 
 
-def _drop_lapsed(state: NodeState, gone: list[str], snapshot: dict[str, bytes]) -> None:
-    """Drop lapsed entries that were not written again after the store recovered."""
-    dropped = [
-        server_id
-        for server_id in gone
-        if state.entry_bodies.get(server_id) is snapshot.get(server_id)
-    ]
-    _drop_entries(state, gone, snapshot)
+def _drop_lapsed(state: NodeState, gone: dict[str, StorePosition]) -> None:
+    """Drop lapsed entries that were not written again after the store recovered.
+
+    :param gone: positions at which the rows were removed, by server id.
+    """
+    dropped = {
+        server_id: position
+        for server_id, position in gone.items()
+        if state.lapsing.get(server_id) == position
+    }
+    _drop_entries(state, dropped)
     rows = tuple(
-        RelayedRow(key=key, version=state.row_versions.get(key, 0)) for key in dropped
+        RelayedRow(key=key, era=position.era, version=position.version)
+        for key, position in dropped.items()
     )
     if rows:
         state.notify_store_update(StoreUpdate(rows=rows))
 
 
-def _drop_entries(
-    state: NodeState, gone: list[str], snapshot: dict[str, bytes]
-) -> None:
-    """Drop entries that were not written again since ``snapshot`` was taken.
-
-    :param snapshot: bodies of the entries at that time, by server id.
-    """
+def _drop_entries(state: NodeState, gone: Iterable[str]) -> None:
     is_changed = False
     for server_id in gone:
         state.refused_entries.pop(server_id, None)
-        entry = state.entries.get(server_id)
-        body = state.entry_bodies.get(server_id)
-        if entry is not None and snapshot.get(server_id) is body:
-            del state.entries[server_id]
+        state.lapsing.pop(server_id, None)
+        entry = state.entries.pop(server_id, None)
+        if entry is not None:
             state.entry_bodies.pop(server_id, None)
             state.deferrable_rows.discard(server_id)
+            state.removed_starts[server_id] = entry.started_ms
             is_changed = True
             log_event(Event.SERVER_GONE, server=server_id, service=entry.service)
     if is_changed:
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -26,6 +26,7 @@
 from arbutuspulley.node.versions import Versions
 from arbutuspulley.platform.store import StoreClient
 from arbutuspulley.ports.fleet import FleetConfiguration, NodeSettings, ServerEntry
+from arbutuspulley.ports.store_position import NO_POSITION, StorePosition
 from arbutuspulley.routing.local_choice import LocalServerStats
 from arbutuspulley.routing.route_table import RouteTable
 
@@ -48,10 +49,14 @@
     :param by_incarnation: registered servers by incarnation; ``by_service`` by service.
     :param refused_entries: reasons for which rows were rejected, by server id.
     :param entry_bodies: entries as stored, for other instances.
-    :param row_versions: newest known version of each server row, also of removed rows,
+    :param row_positions: newest known position of each server row, also of removed
+        rows, by server id.
+    :param removed_starts: start time of each server whose row was removed, in Unix ms,
         by server id.
+    :param lapsing: position of the removal of each row that was removed while the store
+        was unavailable, by server id: the server is dropped unless it writes again.
     :param deferrable_rows: servers whose newest row changed only their loaded models.
-    :param store_version: store version up to which all server rows are known.
+    :param store_position: position of the store up to which all server rows are known.
     :param followed_at: tables whose changes this process receives from the store, and
         the time of the last answer, in ms.
     :param feed_schedule: schedule of the long polls of those tables.
@@ -97,6 +102,7 @@
         "instances",
         "is_coordinator",
         "keys",
+        "lapsing",
         "leaving",
         "limits",
         "metrics",
@@ -108,14 +114,15 @@
         "on_store_update",
         "order_session",
         "refused_entries",
+        "removed_starts",
         "rng",
-        "row_versions",
+        "row_positions",
         "server_stats",
         "session",
         "settings",
         "stopping_at",
         "store",
-        "store_version",
+        "store_position",
         "table",
         "versions",
     )
@@ -154,9 +161,11 @@
         self.by_service: dict[str, list[ServerEntry]] = {}
         self.server_stats = LocalServerStats()
         self.budgets: dict[str, ServiceRetryBudget] = {}
-        self.row_versions: dict[str, int] = {}
+        self.row_positions: dict[str, StorePosition] = {}
+        self.removed_starts: dict[str, int] = {}
+        self.lapsing: dict[str, StorePosition] = {}
         self.deferrable_rows: set[str] = set()
-        self.store_version = 0
+        self.store_position = NO_POSITION
         self.followed_at: dict[str, int] = {}
         self.feed_schedule = FeedSchedule()
         self.follow_requested = asyncio.Event()
--- a/src/arbutuspulley/node/store_watch.py
+++ b/src/arbutuspulley/node/store_watch.py
@@ -27,6 +27,7 @@
     RowsAnswer,
     StoredRow,
 )
+from arbutuspulley.ports.store_position import NO_POSITION, StorePosition
 from arbutuspulley.results import ConfigurationError, PlatformUnavailableError
 from arbutuspulley.routing.route_table import build_route_table
 
@@ -92,7 +93,7 @@
         state=state,
         table=names.OPERATOR_TABLE,
         apply_rows=lambda state, rows, **_how: apply_configuration_rows(state, rows),
-        get_version=lambda: None,
+        get_position=lambda: None,
         is_store_relayed=is_store_relayed,
         is_starting=is_starting,
         batch_ms=0,
@@ -116,7 +117,9 @@
         state=state,
         table=names.SERVERS_TABLE,
         apply_rows=apply_server_rows,
-        get_version=lambda: state.store_version or None,
+        get_position=lambda: (
+            None if state.store_position == NO_POSITION else state.store_position
+        ),
         is_store_relayed=is_store_relayed,
         is_starting=is_starting,
         batch_ms=CHANGE_BATCH_MS,
@@ -146,7 +149,7 @@
 class ApplyRows(Protocol):
     """Applies rows of a table.
 
-    ``is_full_read`` is whether these are all rows of the table as of ``version``,
+    ``is_full_read`` is whether these are all rows of the table as of ``position``,
     ``was_unavailable`` whether the store was unavailable shortly before.
     """
 
@@ -157,7 +160,7 @@
         *,
         is_full_read: bool,
         was_unavailable: bool,
-        version: int,
+        position: StorePosition,
     ) -> StoreUpdate:
         """Apply the rows and return the ones that were newer than the known rows."""
 
@@ -173,7 +176,7 @@
     counts, a reader that has missed changes reads the row instead: fetching all missed
     changes may take longer than writing new ones.
 
-    :param get_version: returns the store version after which to ask for changes once a
+    :param get_position: returns the position after which to ask for changes once a
         relay or a call has failed; ``None``: all rows have to be read.
     :param batch_ms: delay after changes, in ms, so that one answer contains several.
     :param wants_newest_only: whether a row's newer value makes the older ones obsolete.
@@ -185,7 +188,7 @@
         "_apply_rows",
         "_batch_ms",
         "_failed_at",
-        "_get_version",
+        "_get_position",
         "_has_missed_versions",
         "_is_starting",
         "_is_store_relayed",
@@ -202,7 +205,7 @@
         state: NodeState,
         table: str,
         apply_rows: ApplyRows,
-        get_version: Callable[[], int | None],
+        get_position: Callable[[], StorePosition | None],
         is_store_relayed: Callable[[], bool],
         is_starting: Callable[[], bool],
         batch_ms: int,
@@ -213,7 +216,7 @@
         self._record_confirmed = record_confirmed
         self._has_missed_versions = False
         self._wants_newest_only = wants_newest_only
-        self._get_version = get_version
+        self._get_position = get_position
         self._is_store_relayed = is_store_relayed
         self._is_starting = is_starting
         self._batch_ms = batch_ms
@@ -226,14 +229,14 @@
         """Read all rows, then wait for changes; start over whenever that fails."""
         backoff_ms = INITIAL_BACKOFF_MS
         is_history_lost = False
-        version: int | None = None
+        position: StorePosition | None = None
         began_at = self._state.clock.now()
         while True:
             if self._is_store_relayed():
                 await self._wait_while_relayed()
-                version = self._get_version()
+                position = self._get_position()
             try:
-                read_after, version = version, await self._read_changes(version)
+                read_after, position = position, await self._read_changes(position)
                 if read_after is not None:
                     is_history_lost = False
                 if not is_history_lost:
@@ -241,19 +244,28 @@
                 await asyncio.sleep(self._batch_ms / SECOND_MS)
                 await self._wait_for_coordinator(since=began_at)
             except HistoryLostError:
-                log_event(Event.HISTORY_LOST, table=self._table, version=version)
-                version = None
+                self._log_history_lost(position)
+                position = None
                 if is_history_lost:
                     backoff_ms = await self._back_off(backoff_ms)
                 is_history_lost = True
             except _PollTimeoutError as error:
                 # No backoff: the store may have recovered since it took the poll.
                 self._record_failure(error.detail)
-                version = self._get_version()
+                position = self._get_position()
             except PlatformUnavailableError as error:
                 self._record_failure(error.detail)
                 backoff_ms = await self._back_off(backoff_ms)
-                version = self._get_version()
+                position = self._get_position()
+
+    def _log_history_lost(self, position: StorePosition | None) -> None:
+        position = position or NO_POSITION
+        log_event(
+            Event.HISTORY_LOST,
+            table=self._table,
+            era=position.era,
+            version=position.version,
+        )
 
     async def _back_off(self, backoff_ms: int) -> int:
         """Wait before the next attempt, with jitter.
@@ -299,10 +311,10 @@
         except TimeoutError:
             pass
 
-    async def _poll(self, version: int) -> RowsAnswer:
+    async def _poll(self, position: StorePosition) -> RowsAnswer:
         """Make a long poll.
 
-        :param version: store version after which to ask for changes.
+        :param position: position after which to ask for changes.
         :raises _PollTimeoutError: if the store did not answer in time.
         """
         state = self._state
@@ -311,7 +323,7 @@
         wait_ms = schedule.begin(self._table, now=sent_at)
         try:
             answer = await state.store.wait_for_changes(
-                self._table, after=version, wait_ms=wait_ms
+                self._table, after=position, wait_ms=wait_ms
             )
         except HistoryLostError:
             raise
@@ -324,46 +336,48 @@
         schedule.record_answer(now=state.clock.now())
         return answer
 
-    async def _read_changes(self, version: int | None) -> int | None:
+    async def _read_changes(
+        self, position: StorePosition | None
+    ) -> StorePosition | None:
         """Make one call to the store and apply its answer.
 
-        :param version: store version after which to ask for changes; ``None``: all rows
-            are read.
-        :return: the version for the next call.
+        :param position: position after which to ask for changes; ``None``: all rows are
+            read.
+        :return: the position for the next call.
         """
         store = self._state.store
         called_at = self._state.clock.now()
-        if version is None:
+        if position is None:
             answer = await store.read(self._table)
         else:
-            answer = await self._poll(version)
+            answer = await self._poll(position)
         self._record_answer()
         now = self._state.clock.now()
         self._state.followed_at[self._table] = now
         update = self._apply_rows(
             self._state,
             answer.rows,
-            is_full_read=version is None,
+            is_full_read=position is None,
             was_unavailable=now - self._recovered_at < LAPSED_ENTRY_GRACE_MS,
-            version=answer.version,
+            position=answer.position,
         )
         self._record_confirmed(called_at)
         if update.configuration or update.rows:
             self._state.notify_store_update(update)
         if self._wants_newest_only and self._check_missed_versions(
-            answer, update, version
+            answer, update, position
         ):
             return None
-        return answer.version
+        return answer.position
 
     def _check_missed_versions(
-        self, answer: RowsAnswer, update: StoreUpdate, version: int | None
+        self, answer: RowsAnswer, update: StoreUpdate, position: StorePosition | None
     ) -> bool:
         """Return whether several versions were missed, so that the row must be read.
 
         Reads then repeat until one returns nothing newer.
         """
-        if version is not None:
+        if position is not None:
             self._has_missed_versions = len(answer.rows) > 1
         elif not update.configuration:
             self._has_missed_versions = False
@@ -474,9 +488,17 @@
     :return: the changes that were newer than the known state.
     """
     body = update.configuration
+    era = state.store_position.era
     is_newer = bool(body) and activate_configuration(state, body, by=by)
     rows = [
-        StoredRow(key=row.key, version=row.version, value=row.value or None)
+        StoredRow(
+            key=row.key,
+            # A process of an earlier release states no era.
+            position=row.position
+            if row.era
+            else StorePosition(era=era, version=row.version),
+            value=row.value or None,
+        )
         for row in update.rows
     ]
     applied = apply_server_rows(
--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -12,6 +12,7 @@
 from arbutuspulley.platform import names
 from arbutuspulley.platform.era import StoreEra
 from arbutuspulley.platform.messages import WireRows, decode_rows
+from arbutuspulley.ports.store_position import StorePosition
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
 
 CALL_TIMEOUT_S = 1.2
@@ -45,26 +46,29 @@
 
 
 class HistoryLostError(PlatformUnavailableError):
-    """The store no longer has the changes after the requested version."""
+    """The store does not have the changes after the requested position.
+
+    It has discarded them, or has come back from a copy since.
+    """
 
 
 class StoredRow(State):
     """A row as stored.
 
-    :param version: version of the transaction that wrote it; 0 if it is absent.
+    :param position: transaction that wrote it, in the era in which it was read.
     :param value: ``None`` if the row is absent.
     """
 
     key: str
-    version: int
+    position: StorePosition
     value: bytes | None
 
 
 class RowsAnswer(State):
-    """Rows, the store's newest version and its monotonic clock in ms."""
+    """Rows, the store's newest position and its monotonic clock in ms."""
 
     rows: list[StoredRow]
-    version: int
+    position: StorePosition
     now_ms: float
 
 
@@ -75,7 +79,7 @@
     """
 
     is_applied: bool
-    version: int
+    position: StorePosition
     now_ms: float
 
 
@@ -131,35 +135,39 @@
         """Read one row, or all rows of a table.
 
         :param key: empty for the whole table.
-        :return: rows, and the version as of the first page: changes made while further
+        :return: rows, and the position as of the first page: changes made while further
             pages were read are then returned by :meth:`wait_for_changes` after it.
+        :raises HistoryLostError: if a new era began while pages were read.
         """
         params = {"Table": table, "part": "", "Limit": str(PAGE_ROWS)}
         if key:
             params.update({"From": key, "To": key + "\x00"})
         rows: list[StoredRow] = []
-        version: int | None = None
+        position: StorePosition | None = None
         while True:
             answer = await self._get(names.STORE_READ_PATH, params, CALL_TIMEOUT_S)
-            rows.extend(_convert_rows(answer))
-            version = answer.ver if version is None else version
-            if not answer.more_pages or not rows:
-                return RowsAnswer(rows=rows, version=version, now_ms=answer.now_ms)
+            position = position or answer.position
+            _check_era(answer.position, expected=position.era)
+            rows.extend(answer.rows)
+            if not answer.has_more or not rows:
+                return RowsAnswer(rows=rows, position=position, now_ms=answer.now_ms)
             params["From"] = rows[-1].key + "\x00"
 
     async def wait_for_changes(
-        self, table: str, *, after: int, wait_ms: int
+        self, table: str, *, after: StorePosition, wait_ms: int
     ) -> RowsAnswer:
         """Wait for changes of a table's rows.
 
         :param wait_ms: how long the store may wait for one, in ms.
-        :raises HistoryLostError: if the history after ``after`` is gone.
+        :raises HistoryLostError: if the history after ``after`` is gone, or the answer
+            is of another era, which may have given out that version again.
         """
-        params = {"Table": table, "after": str(after), "WaitMs": str(wait_ms)}
+        params = {"Table": table, "after": str(after.version), "WaitMs": str(wait_ms)}
         read_timeout_s = wait_ms / 1_000 + FEED_TIMEOUT_MARGIN_S
         answer = await self._get(names.STORE_FEED_PATH, params, read_timeout_s)
+        _check_era(answer.position, expected=after.era)
         return RowsAnswer(
-            rows=_convert_rows(answer), version=answer.ver, now_ms=answer.now_ms
+            rows=answer.rows, position=answer.position, now_ms=answer.now_ms
         )
 
     async def write(
@@ -175,7 +183,7 @@
             "Put": [{**row, "Value": base64.b64encode(value).decode()}],
             "Remove": [],
         }
-        status, answer = await self._call(
+        status, era, answer = await self._call(
             "POST",
             names.STORE_TRANSACT_PATH,
             CALL_TIMEOUT_S,
@@ -188,14 +196,18 @@
             )
         decoded = _decode(answer)
         return WriteAnswer(
-            is_applied=status == 200, version=decoded.ver, now_ms=decoded.now_ms
+            is_applied=status == 200,
+            position=StorePosition(era=era, version=decoded.ver),
+            now_ms=decoded.now_ms,
         )
 
     async def _get(
         self, path: str, params: dict[str, str], read_timeout_s: float
-    ) -> WireRows:
+    ) -> "_Page":
         try:
-            status, body = await self._call("GET", path, read_timeout_s, params=params)
+            status, era, body = await self._call(
+                "GET", path, read_timeout_s, params=params
+            )
         except OutcomeUnknownError as error:
             raise PlatformUnavailableError(detail=error.detail) from error
         if status == 410:
@@ -206,7 +218,7 @@
             raise PlatformUnavailableError(
                 detail=f"the store answered with status {status}"
             )
-        return _decode(body)
+        return _build_page(_decode(body), era=era)
 
     async def _call(
         self,
@@ -217,10 +229,13 @@
         params: dict[str, str] | None = None,
         data: bytes | None = None,
         headers: dict[str, str] | None = None,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, int, bytes]:
         """Make a call and record its result.
 
         :param read_timeout_s: longest time without data from the store, in s.
+        :return: status, era and body of the answer.
+        :raises OutcomeUnknownError: if there is no answer, or one of a later era has
+            arrived meanwhile.
         """
         self._count_call(path.strip("/"))
         called_in = self.era.current
@@ -234,12 +249,16 @@
             async with self._session.request(
                 method, url, params=params, data=data, headers=headers, timeout=timeout
             ) as response:
-                self.era.update(
+                era = self.era.update(
                     response.headers.get(names.STORE_ERA), called_in=called_in
                 )
                 body = await response.read()
                 self._record_result(failed=response.status in _REFUSED_STATUSES)
-                return response.status, body
+                if era < self.era.current:
+                    raise OutcomeUnknownError(
+                        detail=f"{path}: answer of era {era}, now {self.era.current}"
+                    )
+                return response.status, era, body
         except aiohttp.ClientConnectorError as error:
             self._record_result(failed=True)
             raise PlatformUnavailableError(detail=str(error)) from error
@@ -258,10 +277,34 @@
         ) from error
 
 
-def _convert_rows(answer: WireRows) -> list[StoredRow]:
-    return [
+class _Page(State):
+    """One page of an answer."""
+
+    rows: list[StoredRow]
+    position: StorePosition
+    now_ms: float
+    has_more: bool
+
+
+def _build_page(answer: WireRows, *, era: int) -> _Page:
+    rows = [
         StoredRow(
-            key=row.key, version=row.ver, value=None if row.removed else row.value
+            key=row.key,
+            position=StorePosition(era=era, version=row.ver),
+            value=None if row.removed else row.value,
         )
         for row in answer.rows
     ]
+    return _Page(
+        rows=rows,
+        position=StorePosition(era=era, version=answer.ver),
+        now_ms=answer.now_ms,
+        has_more=answer.more_pages,
+    )
+
+
+def _check_era(position: StorePosition, *, expected: int) -> None:
+    if position.era != expected:
+        raise HistoryLostError(
+            detail=f"the store is in era {position.era}, not in {expected}"
+        )
--- a/tests/node_states.py
+++ b/tests/node_states.py
@@ -7,6 +7,7 @@
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.ports.fleet import NodeSettings
+from arbutuspulley.ports.store_position import StorePosition
 
 
 def build_state(*, clock=None, **changes):
@@ -50,3 +51,7 @@
         is_ready=is_ready,
         **changes,
     )
+
+
+def build_position(version, *, era=0):
+    return StorePosition(era=era, version=version)
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -19,7 +19,7 @@
 )
 from arbutuspulley.platform.store import RowsAnswer, StoredRow, WriteAnswer
 from arbutuspulley.results import PlatformUnavailableError
-from tests.node_states import build_state
+from tests.node_states import build_position, build_state
 from tests.test_advertisement import build_area
 
 
@@ -42,15 +42,23 @@
             raise PlatformUnavailableError(detail="away")
         rows = []
         if self.row is not None:
-            rows = [StoredRow(key=key, version=self.version, value=self.row)]
-        return RowsAnswer(rows=rows, version=self.version, now_ms=self._now[0])
+            rows = [
+                StoredRow(
+                    key=key, position=build_position(self.version), value=self.row
+                )
+            ]
+        return RowsAnswer(
+            rows=rows, position=build_position(self.version), now_ms=self._now[0]
+        )
 
     async def write(self, table, *, key, value, expected):
         is_applied = expected == self.version
         if is_applied:
             self.row, self.version = value, self.version + 1
         return WriteAnswer(
-            is_applied=is_applied, version=self.version, now_ms=self._now[0]
+            is_applied=is_applied,
+            position=build_position(self.version),
+            now_ms=self._now[0],
         )
 
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -18,7 +18,7 @@
     encode_frame,
 )
 from arbutuspulley.ports.fleet import ModelNeed
-from tests.node_states import build_info, build_state
+from tests.node_states import build_info, build_position, build_state
 
 INFO = build_info("c")
 
@@ -100,7 +100,7 @@
     assert isinstance(first, Heartbeat) and first.roster == 0
     assert later[-1].roster == 5
     assert state.nodes == (INFO,)
-    assert (state.instances, state.store_version) == (2, 9)
+    assert (state.instances, state.store_position) == (2, build_position(9))
 
 
 def test_a_link_does_not_reconnect_to_an_instance_that_is_not_coordinator():
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -23,7 +23,7 @@
 from arbutuspulley.platform.requests import read_cooldown, read_leaving
 from arbutuspulley.platform.store import StoredRow
 from scripts.platform_testbed import build_configuration
-from tests.node_states import build_info, build_state
+from tests.node_states import build_info, build_position, build_state
 from tests.pools import build_pool, build_server
 
 RESTING = {names.RETRY_AFTER: "1.5"}
@@ -42,7 +42,9 @@
         "Models": [{"Name": "m0", "Version": 1, "Adapters": []}],
         "Sequence": version,
     }
-    return StoredRow(key=key, version=version, value=msgspec.json.encode(value))
+    return StoredRow(
+        key=key, position=build_position(version), value=msgspec.json.encode(value)
+    )
 
 
 def apply_rows(state, *rows, **changes):
@@ -130,7 +132,9 @@
     instance.read(LEAVING)
     apply_rows(instance.state, build_row(2))
     assert instance.is_leaving
-    apply_rows(instance.state, StoredRow(key="s0", version=3, value=None))
+    apply_rows(
+        instance.state, StoredRow(key="s0", position=build_position(3), value=None)
+    )
     apply_rows(instance.state, build_row(4))
     assert instance.is_leaving
 
@@ -154,7 +158,7 @@
     async def lapse(instance):
         apply_server_rows(
             instance.state,
-            [StoredRow(key="s0", version=2, value=None)],
+            [StoredRow(key="s0", position=build_position(2), value=None)],
             is_full_read=False,
             was_unavailable=True,
         )
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -23,7 +23,7 @@
 from arbutuspulley.platform import names
 from arbutuspulley.platform.store import StoredRow
 from scripts.platform_testbed import build_configuration, build_route
-from tests.node_states import build_info, build_state
+from tests.node_states import build_info, build_position, build_state
 
 ACTIVATION_LIMIT_MS = 2_000
 """Time within which a change has to be active everywhere, in ms."""
@@ -102,7 +102,7 @@
     for version in range(2, 14):
         row = StoredRow(
             key=names.CONFIGURATION_KEY,
-            version=version,
+            position=build_position(version),
             value=encode_configuration(version, routes=routes),
         )
         state.notify_store_update(apply_configuration_rows(state, [row]))
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -18,6 +18,7 @@
 from arbutuspulley.standins.fleet_server import ServerStandin
 from arbutuspulley.standins.fleet_store import StoreStandin
 from scripts.platform_testbed import listen
+from tests.node_states import build_position
 from tests.ports import find_free_address
 
 TABLE = "t"
@@ -73,7 +74,7 @@
         await write(client, "a", b"new", 2)
         again = await write(client, "a", b"old", 1)
         (row,) = (await client.read(TABLE, key="a")).rows
-        return again.is_applied, row.value, row.version
+        return again.is_applied, row.value, row.position.version
 
     assert run_with_store(scenario) == (False, b"new", 3)
 
@@ -142,7 +143,9 @@
         standin.remove(TABLE, "a")
         standin.put("other", "x", 1)
         standin.put(TABLE, "c", 2)
-        changes = await client.wait_for_changes(TABLE, after=first.version, wait_ms=100)
+        changes = await client.wait_for_changes(
+            TABLE, after=first.position, wait_ms=100
+        )
         return [(row.key, row.value) for row in changes.rows]
 
     assert run_with_store(scenario) == [("a", None), ("c", b"2")]
@@ -154,7 +157,9 @@
         standin.put(TABLE, "a", 2)
         standin.discard_history()
         with pytest.raises(HistoryLostError):
-            await client.wait_for_changes(TABLE, after=1, wait_ms=100)
+            await client.wait_for_changes(
+                TABLE, after=build_position(1, era=1), wait_ms=100
+            )
 
     run_with_store(scenario)
 
@@ -171,12 +176,114 @@
         standin.on_read = lambda: standin.get(TABLE, "a") and standin.remove(TABLE, "a")
         whole = await client.read(TABLE)
         assert [row.key for row in whole.rows] == ["a", "b", "c", "d"]
-        changes = await client.wait_for_changes(TABLE, after=whole.version, wait_ms=100)
+        changes = await client.wait_for_changes(
+            TABLE, after=whole.position, wait_ms=100
+        )
         return [(row.key, row.value) for row in changes.rows]
 
     assert run_with_store(scenario) == [("a", None)]
 
 
+async def restore(standin, copy):
+    """Let the store come back from a copy, and its connections be seen as reset."""
+    standin.restore(copy)
+    await asyncio.sleep(0.05)
+
+
+def test_positions_of_rows_have_the_era_in_which_they_were_read():
+    async def scenario(standin, client):
+        standin.put(TABLE, "a", 1)
+        copy = standin.copy()
+        standin.put(TABLE, "a", 2)
+        before = await client.read(TABLE)
+        await restore(standin, copy)
+        after = await client.read(TABLE)
+        assert after.rows[0].position > before.rows[0].position
+        return [one.rows[0].position for one in (before, after)]
+
+    positions = [build_position(2, era=1), build_position(1, era=2)]
+    assert run_with_store(scenario) == positions
+
+
+@pytest.mark.parametrize("writes", [0, 1, 5], ids=["beyond", "at", "below the counter"])
+def test_changes_after_a_position_of_another_era_are_lost(writes):
+    """Guards against a poll after a version that the new era has given out again: the
+    store answers it without the rows below that version."""
+
+    async def scenario(standin, client):
+        copy = standin.copy()
+        standin.put(TABLE, "a", 1)
+        position = (await client.read(TABLE)).position
+        await restore(standin, copy)
+        for number in range(writes):
+            standin.put(TABLE, "a", number)
+        with pytest.raises(HistoryLostError):
+            await client.wait_for_changes(TABLE, after=position, wait_ms=100)
+
+    run_with_store(scenario)
+
+
+def test_pages_of_two_eras_are_not_mixed(monkeypatch):
+    """Guards against rows of a read that are partly of the lost history."""
+    monkeypatch.setattr(store, "PAGE_ROWS", 2)
+
+    async def scenario(standin, client):
+        for key in "abc":
+            standin.put(TABLE, key, 1)
+        copy = standin.copy()
+        standin.on_read = lambda: standin.restore(copy) if standin.era == 1 else None
+        with pytest.raises(PlatformUnavailableError):
+            await client.read(TABLE)
+        assert len((await client.read(TABLE)).rows) == 3
+
+    run_with_store(scenario)
+
+
+def test_an_answer_that_was_overtaken_by_a_later_era_is_not_used():
+    """Guards against an answer under way as the store comes back from a copy: a write
+    that it confirms may be lost, and rows that it lists, too."""
+
+    async def scenario(standin, client):
+        outcomes = []
+        await client.read(TABLE)
+        for call in (client.read(TABLE), write(client, "a", b"1", 0)):
+            standin.delay_s = 0.1
+            pending = asyncio.create_task(call)
+            await asyncio.sleep(0.05)
+            client.era.update(str(client.era.current + 1), called_in=1)
+            standin.delay_s = 0.0
+            outcomes.append(await asyncio.gather(pending, return_exceptions=True))
+            standin.era = client.era.current
+        return [type(one) for [one] in outcomes]
+
+    types = [PlatformUnavailableError, OutcomeUnknownError]
+    assert run_with_store(scenario) == types
+
+
+@pytest.mark.parametrize("stated", [None, "x", 1])
+def test_answers_without_a_usable_era_are_read_all_the_same(stated):
+    async def scenario(standin, client):
+        standin.era = 2
+        standin.put(TABLE, "a", 1)
+        await client.read(TABLE)
+        standin.era = stated
+        answer = await client.read(TABLE)
+        return len(answer.rows), answer.position
+
+    assert run_with_store(scenario) == (1, build_position(1, era=2))
+
+
+def test_a_refusal_states_the_era_too():
+    async def scenario(standin, client):
+        standin.era = 3
+        standin.is_down = True
+        with pytest.raises(PlatformUnavailableError):
+            await client.read(TABLE)
+        return client.era.current
+
+    assert run_with_store(scenario) == 3
+
+
 def run_with_server(scenario):
     """Run a scenario with a model server that has m0 loaded and memory for one more."""
 
@@ -279,7 +386,7 @@
             async with asyncio.timeout(3):
                 with pytest.raises(PlatformUnavailableError):
                     await client.wait_for_changes(
-                        "servers", after=1, wait_ms=FEED_WAIT_MS
+                        "servers", after=build_position(1), wait_ms=FEED_WAIT_MS
                     )
 
     asyncio.run(scenario())
@@ -317,8 +424,12 @@
         async with listener, open_session() as session:
             client = StoreClient(session=session, address=address)
             if call == "read":
-                return (await client.read("op")).version
-            return (await client.wait_for_changes("op", after=1, wait_ms=100)).version
+                return (await client.read("op")).position.version
+            return (
+                await client.wait_for_changes(
+                    "op", after=build_position(1), wait_ms=100
+                )
+            ).position.version
 
     if is_accepted:
         assert asyncio.run(scenario()) == 3
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -33,7 +33,7 @@
 from arbutuspulley.platform import names
 from arbutuspulley.platform.store import RowsAnswer, StoredRow
 from scripts.platform_testbed import build_configuration
-from tests.node_states import build_info, build_state
+from tests.node_states import build_info, build_position, build_state
 
 ACTIVATION_LIMIT_MS = 2_000
 """Time within which a change has to be active everywhere, in ms."""
@@ -83,8 +83,14 @@
         StoreUpdate(rows=(build_row("new", 9), build_row("old", 3))),
         by="coordinator",
     )
-    read = [StoredRow(key="c", version=4, value=build_value())]
-    apply_server_rows(state, read, is_full_read=True, was_unavailable=False, version=8)
+    read = [StoredRow(key="c", position=build_position(4), value=build_value())]
+    apply_server_rows(
+        state,
+        read,
+        is_full_read=True,
+        was_unavailable=False,
+        position=build_position(8),
+    )
     assert set(state.entries) == {"new", "c"}
 
 
@@ -126,16 +132,16 @@
         state, StoreUpdate(rows=(build_row("a", 1),)), by="coordinator"
     )
     assert relay.select_urgent(joined).rows == joined.rows
-    state.store_version = 2
+    state.store_position = build_position(2)
     deferred = apply_store_update(
         state, StoreUpdate(rows=(build_row("a", 2, models=("m0",)),)), by="coordinator"
     )
     assert relay.select_urgent(deferred) is None
     # An instance without a coordinator must read the deferred rows from the store.
-    assert relay.store_version == 1
+    assert relay.store_position == build_position(1)
     assert relay.flush(DEFERRED_INTERVAL_MS - 1) is None
     assert relay.flush(DEFERRED_INTERVAL_MS).rows == deferred.rows
-    assert relay.store_version == 2
+    assert relay.store_position == build_position(2)
     drains = StoreUpdate(rows=(build_row("a", 3, state="draining"),))
     assert (
         relay.select_urgent(apply_store_update(state, drains, by="coordinator")).rows
@@ -155,11 +161,11 @@
     relay.select_urgent(
         apply_store_update(state, StoreUpdate(rows=deferred), by="coordinator")
     )
-    state.store_version = 160
+    state.store_position = build_position(160)
     relayed = relay.flush(DEFERRED_INTERVAL_MS).rows
     assert sum(len(row.value) for row in relayed) <= DEFERRED_BATCH_BYTES
     assert relayed == deferred[: len(relayed)] and len(relayed) < len(deferred)
-    assert relay.store_version == deferred[len(relayed)].version - 1
+    assert relay.store_position == build_position(deferred[len(relayed)].version - 1)
     again = relay.flush(2 * DEFERRED_INTERVAL_MS).rows
     assert again == deferred[len(relayed) : len(relayed) + len(again)]
 
@@ -193,7 +199,9 @@
     )
     other = build_state()
     apply_store_update(
-        other, StoreUpdate(rows=list_rows(state, after=0)), by="coordinator"
+        other,
+        StoreUpdate(rows=list_rows(state, after=build_position(0))),
+        by="coordinator",
     )
     assert get_view(other) == get_view(state)
 
@@ -226,11 +234,11 @@
 
     async def read(self, table):
         self.calls.append("read")
-        row = StoredRow(key="a", version=3, value=build_value())
-        return RowsAnswer(rows=[row], version=3, now_ms=0)
+        row = StoredRow(key="a", position=build_position(3), value=build_value())
+        return RowsAnswer(rows=[row], position=build_position(3), now_ms=0)
 
     async def wait_for_changes(self, table, *, after, wait_ms):
-        self.calls.append(after)
+        self.calls.append(after.version)
         await asyncio.sleep(3_600)
 
 
@@ -250,7 +258,7 @@
         )
         await asyncio.sleep(0.03)
         assert state.store.calls == []
-        state.store_version = 11
+        state.store_position = build_position(11)
         relayed[0] = False
         await asyncio.sleep(0.05)
         assert state.store.calls == [11]
@@ -427,7 +435,9 @@
     link.reset_coordinator_state()
     link.receive([build_status(configuration=4, followers=("own",))])
     assert pop_sent_versions(link) == []
-    row = StoredRow(key=names.CONFIGURATION_KEY, version=9, value=encode_version(6))
+    row = StoredRow(
+        key=names.CONFIGURATION_KEY, position=build_position(9), value=encode_version(6)
+    )
     state.notify_store_update(store_watch.apply_configuration_rows(state, [row]))
     assert pop_sent_versions(link) == [(4, 6)]
 
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -18,13 +18,15 @@
 from arbutuspulley.platform.store import HistoryLostError, RowsAnswer, StoredRow
 from arbutuspulley.results import PlatformUnavailableError
 from scripts.platform_testbed import build_configuration
-from tests.node_states import build_state
+from tests.node_states import build_position, build_state
 
 
 def build_row(name, *, state="ready", version=1):
     value = {"Service": "s", "Address": "10.0.0.1:1", "State": state}
     value |= {"Zone": "z", "Slots": 4}
-    return StoredRow(key=name, version=version, value=msgspec.json.encode(value))
+    return StoredRow(
+        key=name, position=build_position(version), value=msgspec.json.encode(value)
+    )
 
 
 def apply_rows(state, *rows, is_full_read=False, was_unavailable=False):
@@ -34,7 +36,7 @@
 
 
 def build_removal(name):
-    return StoredRow(key=name, version=9, value=None)
+    return StoredRow(key=name, position=build_position(9), value=None)
 
 
 @pytest.mark.parametrize(
@@ -70,7 +72,7 @@
 
 def test_an_invalid_entry_does_not_affect_others():
     state = build_state()
-    wrong = StoredRow(key="x", version=1, value=b"[]")
+    wrong = StoredRow(key="x", position=build_position(1), value=b"[]")
     apply_rows(state, wrong, build_row("a"))
     assert set(state.entries) == {"a"}
 
@@ -78,7 +80,7 @@
 def build_start(name, born, *, state="ready"):
     row = msgspec.json.decode(build_row(name, state=state).value)
     value = msgspec.json.encode({**row, "born": born})
-    return StoredRow(key=name, version=born, value=value)
+    return StoredRow(key=name, position=build_position(born), value=value)
 
 
 def test_a_restarted_server_with_the_same_id_is_a_new_incarnation():
@@ -111,7 +113,10 @@
     state = build_state()
     apply_rows(state, build_row("a"), build_row("b"), is_full_read=True)
     for version in range(3):
-        apply_rows(state, StoredRow(key="a", version=version, value=b'{"State": 1}'))
+        apply_rows(
+            state,
+            StoredRow(key="a", position=build_position(version), value=b'{"State": 1}'),
+        )
     assert set(state.entries) == {"b"}
     assert logged.count(Event.SERVER_ENTRY_REFUSED) == 1
     apply_rows(state, build_row("a", version=9))
@@ -158,7 +163,7 @@
             build_row(f"s{number}", version=number)
             for number in range(after + 1, version + 1)
         ]
-        return RowsAnswer(rows=rows, version=version, now_ms=0)
+        return RowsAnswer(rows=rows, position=build_position(version), now_ms=0)
 
     async def read(self, table):
         self.calls += 1
@@ -166,7 +171,7 @@
 
     async def wait_for_changes(self, table, *, after, wait_ms):
         self.calls += 1
-        while not (answer := self._answer(after)).rows:
+        while not (answer := self._answer(after.version)).rows:
             await asyncio.sleep(0.005)
         return answer
 
@@ -212,7 +217,7 @@
         return await self._answer("read")
 
     async def wait_for_changes(self, table, *, after, wait_ms):
-        return await self._answer(after)
+        return await self._answer(after.version)
 
     async def _answer(self, call):
         self.calls.append(call)
@@ -224,12 +229,12 @@
         rows = [
             StoredRow(
                 key=names.CONFIGURATION_KEY,
-                version=version,
+                position=build_position(version),
                 value=msgspec.json.encode(build_configuration(version)),
             )
             for version in outcome
         ]
-        return RowsAnswer(rows=rows, version=max(outcome), now_ms=0)
+        return RowsAnswer(rows=rows, position=build_position(max(outcome)), now_ms=0)
 
 
 def follow_script(follow, *outcomes):
@@ -289,7 +294,7 @@
 
     async def read(self, table):
         self.calls += 1
-        return RowsAnswer(rows=[], version=1, now_ms=0)
+        return RowsAnswer(rows=[], position=build_position(1), now_ms=0)
 
     async def wait_for_changes(self, table, *, after, wait_ms):
         self.calls += 1
@@ -320,10 +325,10 @@
 
     async def wait_for_changes(self, table, *, after, wait_ms):
         if self.calls == ["read"]:
-            self.calls.append(after)
+            self.calls.append(after.version)
             await asyncio.sleep(wait_ms / 1_000 + 0.01)
             raise PlatformUnavailableError(detail="timeout")
-        return await self._answer(after)
+        return await self._answer(after.version)
 
 
 def test_after_a_poll_that_timed_out_the_store_is_called_at_once(monkeypatch):
