Keep the coordinator's lease to one holder over the store's eras

After the store had come back from a copy, the fence of the lease was given to two nodes: the row of the second holder was lost, and the next one counted on from the first. An instance could also claim by the expiry of the copied row while a holder whose renewals were lost still gave orders, and a renewal without an answer could be performed in the new era, over a row that had the expected version once more. Cause: the lease was ordered by the row's version and its own fence alone, both of which a copy sets back.

The first claim of an era writes a row for that era beside the lease, which each later claim of the era expects, and removes those of earlier eras: a write of an earlier era fails from then on. As long as that row is missing, the lease is a copied one: it counts as held by an unknown instance until half a lease after this process has heard of the era, orders wait for a whole one, and its loads are unknown. The holder claims at once, gives no orders for that time and goes on granting. Fences of an era are above those of all earlier ones. The offset to the store's clock is measured anew.

--- a/src/arbutuspulley/membership/coordinator_lease.py
+++ b/src/arbutuspulley/membership/coordinator_lease.py
@@ -10,6 +10,13 @@
 two coordinators that grant at the same time for a moment only misjudge the load. So
 another instance may take over, and grant at once, when half a lease has passed without
 a renewal; it gives orders only after the previous holder's whole lease has expired.
+
+The store may come back from an older copy, which begins a new era. The row is then an
+old one, and a holder that it does not name may still have its lease. So the first claim
+of an era also writes a row for the era, which every later claim expects. Until then the
+lease counts as held by an unknown instance, which renewed it just before the era began;
+a delayed write of an earlier era can no longer be carried out afterwards. The fencing
+tokens of an era are above those of all earlier ones.
 """
 
 import msgspec
@@ -29,6 +36,9 @@
 """How long the successor gives no orders after a release, in ms, if an order of the
 previous holder is unanswered: it may still be in flight on a congested link."""
 
+FENCES_PER_ERA = 1_000_000
+"""Number of fencing tokens of an era: enough for a claim per second in eleven days."""
+
 UNLIMITED_MS = 1 << 40
 """Stands for an unlimited time, in ms."""
 
@@ -39,7 +49,7 @@
     :param holder: name of the instance; empty if the lease was released.
     :param link: address at which other instances reach it.
     :param boot: identifies the holder's process.
-    :param fence: fencing token; each new holder's is one higher.
+    :param fence: fencing token; each new holder's is higher.
     :param expires_ms: expiry time, on the store's clock, like the other times.
     :param renewed_ms: when it was claimed or last renewed.
     :param orders_from_ms: time before which the holder gives no orders, since the
@@ -77,6 +87,10 @@
         difference seen, which comes from the answer with the least delay.
     :param version: version of the row as last read; 0 if absent.
     :param row: the row as last read.
+    :param era: era of the store; 0: the store has not stated one.
+    :param era_seen_at: when this process first heard of the era, on the own clock.
+    :param era_row_version: version of the era's own row; 0: the lease has not been
+        claimed in this era.
     :param held_until: expiry time of the own lease, on the own clock; 0: not held.
     :param orders_allowed_from: time before which the own lease allows no orders, on
         the own clock.
@@ -92,6 +106,9 @@
     offset_ms: float | None = None
     version: int = 0
     row: LeaseRow | None = None
+    era: int = 0
+    era_seen_at: int = 0
+    era_row_version: int = 0
     held_until: float = 0
     orders_allowed_from: float = 0
     fence: int = 0
@@ -107,11 +124,41 @@
         state.offset_ms = offset
 
 
+def update_era(state: CoordinatorLeaseState, era: int, *, now: int) -> bool:
+    """Update the era from an answer of the store that was just received.
+
+    The store's clock may have gone back, too, so the clock offset is measured anew. The
+    own lease goes on: its expiry is on the own clock.
+
+    :return: whether the era has changed.
+    """
+    if era == state.era:
+        return False
+    state.era = era
+    state.era_seen_at = now
+    state.era_row_version = 0
+    state.offset_ms = None
+    return True
+
+
+def is_copied(state: CoordinatorLeaseState) -> bool:
+    """Return whether the row as last read was written in an earlier era."""
+    return state.era != 0 and state.era_row_version == 0
+
+
 def update_row(
-    state: CoordinatorLeaseState, value: bytes | None, *, version: int
+    state: CoordinatorLeaseState,
+    value: bytes | None,
+    *,
+    version: int,
+    era_row_version: int = 0,
 ) -> None:
-    """Update the state with the row as read."""
+    """Update the state with the row as read.
+
+    :param era_row_version: version of the era's own row; 0 if absent.
+    """
     state.version = version
+    state.era_row_version = era_row_version
     try:
         state.row = msgspec.json.decode(value, type=LeaseRow) if value else None
     except msgspec.MsgspecError:
@@ -172,10 +219,9 @@
     """
     if state.offset_ms is None:
         return None
-    row = state.row
-    if row is None or row.holder == state.name:
+    if _may_claim_at_once(state, now=now):
         return 0
-    return max(0, int(_get_free_from(state, row) - (now + state.offset_ms)))
+    return max(0, int(_get_free_from(state, now=now) - (now + state.offset_ms)))
 
 
 def get_free_ms(state: CoordinatorLeaseState, *, now: int) -> int:
@@ -184,17 +230,40 @@
     A lease that no instance has held yet, or that this instance held last, has been
     free for an unlimited time.
     """
-    row = state.row
-    if row is None or row.holder == state.name or state.offset_ms is None:
+    if state.offset_ms is None or _may_claim_at_once(state, now=now):
         return UNLIMITED_MS
-    return max(0, int(now + state.offset_ms - _get_free_from(state, row)))
+    return max(0, int(now + state.offset_ms - _get_free_from(state, now=now)))
+
+
+def _may_claim_at_once(state: CoordinatorLeaseState, *, now: int) -> bool:
+    if state.row is None:
+        return True
+    if is_copied(state):
+        # Another instance may have held the lease since the row was written.
+        return is_holder(state, now=now)
+    return state.row.holder == state.name
 
 
-def _get_free_from(state: CoordinatorLeaseState, row: LeaseRow) -> float:
+def _get_free_from(state: CoordinatorLeaseState, *, now: int) -> float:
     """Return the time from which a lease may be claimed, on the store's clock."""
-    if not row.holder:
-        return row.expires_ms
-    return min(row.expires_ms, row.renewed_ms + state.lease_ms // 2)
+    row, half_lease_ms = state.row, state.lease_ms // 2
+    free_from = 0.0
+    if row is not None:
+        free_from = row.expires_ms
+        if row.holder:
+            free_from = min(free_from, row.renewed_ms + half_lease_ms)
+    if not is_copied(state):
+        return free_from
+    begun = state.era_seen_at + (state.offset_ms or 0.0)
+    return max(_check_copied_time(state, free_from, now=now), begun + half_lease_ms)
+
+
+def _check_copied_time(
+    state: CoordinatorLeaseState, copied_ms: float, *, now: int
+) -> float:
+    """Return a time of a copied row, or 0 if the store's clock has gone back since."""
+    latest = now + (state.offset_ms or 0.0) + state.lease_ms
+    return copied_ms if copied_ms <= latest else 0.0
 
 
 def build_claim(
@@ -208,11 +277,8 @@
     row = state.row
     store_now = now + (state.offset_ms or 0.0)
     fence = row.fence if row else 0
-    orders_allowed_from = row.orders_from_ms if row else 0.0
-    if not is_holder(state, now=now):
-        fence += 1
-    if row is not None and row.holder != state.name:
-        orders_allowed_from = max(orders_allowed_from, row.expires_ms)
+    if is_copied(state) or not is_holder(state, now=now):
+        fence = max(fence, state.fence, state.era * FENCES_PER_ERA) + 1
     return LeaseRow(
         holder=state.name,
         link=state.link,
@@ -220,11 +286,26 @@
         fence=fence,
         expires_ms=store_now + state.lease_ms,
         renewed_ms=store_now,
-        orders_from_ms=orders_allowed_from,
+        orders_from_ms=_get_orders_from(state, now=now),
         loads_ms=_build_loads(state, loads),
     )
 
 
+def _get_orders_from(state: CoordinatorLeaseState, *, now: int) -> float:
+    """Return when the leases of all previous holders have expired, on the store's
+    clock."""
+    row = state.row
+    orders_from = 0.0
+    if row is not None:
+        orders_from = row.orders_from_ms
+        if row.holder != state.name:
+            orders_from = max(orders_from, row.expires_ms)
+    if not is_copied(state):
+        return orders_from
+    all_expired = state.era_seen_at + (state.offset_ms or 0.0) + state.lease_ms
+    return max(all_expired, _check_copied_time(state, orders_from, now=now))
+
+
 def _build_loads(
     state: CoordinatorLeaseState, loads: dict[str, list[int]] | None
 ) -> dict[str, list[float]]:
@@ -241,6 +322,10 @@
     the latest time at which the holder may have given orders.
     """
     row = state.row
+    if is_copied(state):
+        return InheritedLoads(
+            loads={}, unknown_until=state.era_seen_at + state.lease_ms
+        )
     if row is None:
         return InheritedLoads(loads={}, unknown_until=None)
     offset = state.offset_ms or 0.0
@@ -315,6 +400,8 @@
     """
     state.row = claim
     state.version = version
+    if is_copied(state):
+        state.era_row_version = version
     state.fence = claim.fence
     state.held_until = claim.expires_ms - (store_ms - sent_at)
     state.orders_allowed_from = claim.orders_from_ms - (state.offset_ms or 0.0)
--- a/src/arbutuspulley/node/election.py
+++ b/src/arbutuspulley/node/election.py
@@ -17,9 +17,11 @@
     get_claim_wait_ms,
     get_free_ms,
     get_inherited_loads,
+    is_copied,
     is_holder,
     is_own_row,
     mark_lost,
+    update_era,
     update_row,
     update_store_clock,
 )
@@ -27,11 +29,15 @@
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import ToCoordinator
 from arbutuspulley.node.state import NodeState
+from arbutuspulley.platform.store import RowsAnswer, WriteAnswer
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
 
 LEASE_TABLE = "arbutus-lease"
 LEASE_KEY = "coordinator"
 
+ERA_KEY_PREFIX = "era-"
+"""Prefix of the key of an era's own row; the number of the era follows."""
+
 TICK_MS = 100
 """Interval between checks of the lease and the link, in ms."""
 
@@ -81,6 +87,7 @@
         "_lease",
         "_link",
         "_next_read_at",
+        "_obsolete_keys",
         "_outranked_since",
         "_state",
     )
@@ -102,6 +109,7 @@
         self._next_read_at: int | None = None
         self._cooldown_until = 0
         self._accepts_isolation = False
+        self._obsolete_keys: tuple[str, ...] = ()
 
     async def run(self) -> None:
         """Take part until cancelled; a process that is stopping only follows others."""
@@ -211,17 +219,34 @@
         return not self._accepts_isolation and now - since >= ISOLATION_TIMEOUT_MS
 
     async def _read(self) -> None:
-        """Read the lease's row."""
-        answer = await self._state.store.read(LEASE_TABLE, key=LEASE_KEY)
-        now = self._state.clock.now()
-        update_store_clock(self._lease, answer.now_ms, now=now)
-        row = answer.rows[0] if answer.rows else None
+        """Read the lease's row and the era's own row."""
+        answer = await self._state.store.read(LEASE_TABLE)
+        self._apply_answer(answer)
+        rows = {row.key: row for row in answer.rows}
+        row = rows.pop(LEASE_KEY, None)
+        era_row = rows.pop(self._era_key, None)
+        self._obsolete_keys = tuple(rows)
         update_row(
             self._lease,
             row.value if row else None,
             version=row.position.version if row else 0,
+            era_row_version=era_row.position.version if era_row else 0,
         )
 
+    @property
+    def _era_key(self) -> str:
+        return f"{ERA_KEY_PREFIX}{self._lease.era}"
+
+    def _apply_answer(self, answer: RowsAnswer | WriteAnswer) -> bool:
+        """Apply the era and the clock of an answer.
+
+        :return: whether a new era has begun.
+        """
+        now = self._state.clock.now()
+        is_new_era = update_era(self._lease, answer.position.era, now=now)
+        update_store_clock(self._lease, answer.now_ms, now=now)
+        return is_new_era
+
     async def _check_lease(self) -> None:
         """Read the lease, follow its holder, and claim it if it is free."""
         await self._read()
@@ -238,6 +263,10 @@
         row = self._lease.row
         if row is None or not row.boot or row.boot == self._lease.boot:
             return
+        is_linked = self._coordinator.is_active or self._link.is_up
+        if is_linked and is_copied(self._lease):
+            # The row names a previous holder.
+            return
         if self._coordinator.is_active:
             self._step_down("replaced")
         if row.holder != self._lease.name:
@@ -277,20 +306,30 @@
             now=self._state.clock.now(),
             loads=self._coordinator.list_loads(),
         )
-        if not await self._write(claim):
+        if await self._write(claim):
+            return
+        if not is_copied(self._lease):
             mark_lost(self._lease)
             log_event(Event.LEASE_LAPSED, fence=claim.fence)
-            await self._check_lease()
+        await self._check_lease()
 
     async def _write(self, claim: LeaseRow) -> bool:
         sent_at = self._state.clock.now()
+        lease = self._lease
+        put = {LEASE_KEY: msgspec.json.encode(claim)}
+        expected = {LEASE_KEY: lease.version}
+        obsolete: tuple[str, ...] = ()
+        if lease.era:
+            expected[self._era_key] = lease.era_row_version
+        if is_copied(lease):
+            put[self._era_key] = b"{}"
+            obsolete = self._obsolete_keys
         answer = await self._state.store.write(
-            LEASE_TABLE,
-            key=LEASE_KEY,
-            value=msgspec.json.encode(claim),
-            expected=self._lease.version,
+            LEASE_TABLE, expected=expected, put=put, remove=obsolete
         )
-        update_store_clock(self._lease, answer.now_ms, now=self._state.clock.now())
+        if self._apply_answer(answer):
+            # What this process knows of the row is of an earlier era.
+            return False
         if answer.is_applied:
             confirm_claim(
                 self._lease,
@@ -309,7 +348,7 @@
         try:
             if self._lease.version < 0:
                 await self._read()
-            if not is_own_row(self._lease):
+            if not is_own_row(self._lease) or is_copied(self._lease):
                 return
             release = build_release(
                 self._lease,
--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's metadata store."""
 
 import base64
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import aiohttp
 import msgspec
@@ -171,17 +171,29 @@
         )
 
     async def write(
-        self, table: str, *, key: str, value: bytes, expected: int
+        self,
+        table: str,
+        *,
+        expected: dict[str, int],
+        put: dict[str, bytes],
+        remove: Iterable[str] = (),
     ) -> WriteAnswer:
-        """Write a row if it still has the expected version.
+        """Write rows in one transaction if all expected versions hold.
 
-        :param expected: 0 if the row must be absent.
+        :param expected: versions by key; 0: the row must be absent.
+        :param put: values by key.
+        :param remove: keys of rows to remove.
         """
-        row = {"Table": table, "part": "", "Key": key}
         body = {
-            "Expected": [{**row, "Ver": expected}],
-            "Put": [{**row, "Value": base64.b64encode(value).decode()}],
-            "Remove": [],
+            "Expected": [
+                {**_name_row(table, key), "Ver": version}
+                for key, version in expected.items()
+            ],
+            "Put": [
+                {**_name_row(table, key), "Value": base64.b64encode(value).decode()}
+                for key, value in put.items()
+            ],
+            "Remove": [_name_row(table, key) for key in remove],
         }
         status, era, answer = await self._call(
             "POST",
@@ -268,6 +280,10 @@
             raise OutcomeUnknownError(detail=detail) from error
 
 
+def _name_row(table: str, key: str) -> dict[str, str]:
+    return {"Table": table, "part": "", "Key": key}
+
+
 def _decode(body: bytes) -> WireRows:
     try:
         return decode_rows(body)
--- a/tests/test_coordinator_lease.py
+++ b/tests/test_coordinator_lease.py
@@ -1,9 +1,11 @@
 """The coordinator's lease on the store's clock: claims, orders, expiry and release."""
 
+import msgspec
 import pytest
 
 from arbutuspulley.membership.coordinator_lease import (
     EXPIRY_MARGIN_MS,
+    FENCES_PER_ERA,
     UNANSWERED_ORDER_WAIT_MS,
     CoordinatorLeaseState,
     build_claim,
@@ -17,6 +19,7 @@
     is_own_row,
     may_order,
     may_order_during_outage,
+    update_era,
     update_row,
     update_store_clock,
 )
@@ -31,8 +34,6 @@
 
 
 def encode(row):
-    import msgspec
-
     return msgspec.json.encode(row)
 
 
@@ -270,3 +271,75 @@
     release = build_release(old, now=6_600)
     update_row(new, encode(release), version=2)
     assert get_free_ms(new, now=1_700) == 100
+
+
+def build_copied(name, row, *, offset, era=2, now=0):
+    """Build the state of a process that has read a row of an earlier era."""
+    state = build_state(name, offset=offset)
+    update_era(state, era, now=now)
+    update_store_clock(state, now + offset, now=now)
+    update_row(state, encode(row), version=5)
+    return state
+
+
+@pytest.mark.parametrize("holder", ["b", "a", ""], ids=["other", "own", "released"])
+def test_a_copied_row_is_claimed_half_a_lease_after_the_era_began(holder):
+    """Guards against a claim while an instance that has renewed the lease since the
+    copy was made, also after one of this name, still has it."""
+    row = build_claim(build_state("b", offset=0), now=-60_000)
+    state = build_copied("a", msgspec.structs.replace(row, holder=holder), offset=0)
+    assert get_claim_wait_ms(state, now=0) == 1_500
+    assert get_claim_wait_ms(state, now=1_500) == 0
+    assert get_free_ms(state, now=1_600) == 100
+    claim_lease(state, now=1_500)
+    assert not may_order(state, now=2_999)
+    assert may_order(state, now=3_000)
+
+
+def test_a_copied_row_that_still_runs_is_respected():
+    """Guards against a claim before the expiry of a lease that an instance of an
+    earlier release, which writes no row for the era, holds or has held."""
+    state = build_copied("a", build_claim(build_state("b", offset=0), now=0), offset=0)
+    update_row(
+        state, encode(build_claim(build_state("b", offset=0), now=9_000)), version=9
+    )
+    assert get_claim_wait_ms(state, now=9_500) == 1_000
+    claim_lease(state, now=10_500)
+    assert not may_order(state, now=11_999)
+    assert may_order(state, now=12_000)
+
+
+def test_a_lease_is_claimed_in_time_though_the_stores_clock_went_back():
+    """Guards against an instance that waits until the store's clock has come to the
+    expiry time of a copied row, and against a lease that is timed by the old clock."""
+    row = build_claim(build_state("b", offset=90_000_000), now=0)
+    state = build_state("a", offset=90_000_000)
+    update_era(state, 2, now=0)
+    update_store_clock(state, 1_000, now=0)
+    update_row(state, encode(row), version=5)
+    assert get_claim_wait_ms(state, now=1_500) == 0
+    claimed = claim_lease(state, now=1_500)
+    assert claimed.expires_ms == 1_000 + 1_500 + 3_000
+    assert may_order(state, now=3_000)
+    assert not may_order(state, now=1_500 + 3_000)
+
+
+def test_loads_of_a_copied_row_are_unknown():
+    """Guards against loads beyond the weight store's rate limit, as the rows that told
+    of the last ones are lost."""
+    row = build_claim(build_state("b", offset=0), now=0, loads={"llm": [5]})
+    state = build_copied("a", row, offset=0, now=100)
+    inherited = get_inherited_loads(state)
+    assert (inherited.loads, inherited.unknown_until) == ({}, 3_100)
+
+
+def test_fences_of_an_era_are_above_those_of_earlier_eras():
+    """Guards against a fence that the copy has forgotten and that is given again."""
+    old = build_state("a", offset=0)
+    old.fence = 7
+    row = claim_lease(old, now=0)
+    assert row.fence == 8
+    update_era(old, 2, now=100)
+    update_store_clock(old, 100, now=100)
+    assert claim_lease(old, now=100).fence == 2 * FENCES_PER_ERA + 1
+    assert claim_lease(old, now=900).fence == 2 * FENCES_PER_ERA + 1
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -1,198 +1,18 @@
 """When instances claim the coordinator's lease, and when they hand it over."""
 
-import asyncio
 import random
-from types import SimpleNamespace
 
-import msgspec
 import pytest
 
-from arbutuspulley.clock import Clock
 from arbutuspulley.membership.capacity import MAX_CLAIM_DELAY_MS
-from arbutuspulley.membership.coordinator_lease import CoordinatorLeaseState, LeaseRow
-from arbutuspulley.node.election import (
-    HANDOVER_DELAY_MS,
-    LEASE_KEY,
-    LEASE_TABLE,
-    READ_JITTER_MS,
-    Election,
+from arbutuspulley.node.election import HANDOVER_DELAY_MS, READ_JITTER_MS
+from tests.elections import (
+    LeaseStore,
+    build_members,
+    list_leaders,
+    publish_roster,
+    run_members,
 )
-from arbutuspulley.platform.store import RowsAnswer, StoredRow, WriteAnswer
-from arbutuspulley.results import PlatformUnavailableError
-from tests.node_states import build_position, build_state
-from tests.test_advertisement import build_area
-
-
-class LeaseStore:
-    """The lease's row in a store that answers at once; counts the reads."""
-
-    is_failing = False
-
-    def __init__(self, now):
-        self._now = now
-        self.row = None
-        self.version = 0
-        self.reads = 0
-        self.is_unavailable = False
-
-    async def read(self, table, *, key):
-        assert (table, key) == (LEASE_TABLE, LEASE_KEY)
-        self.reads += 1
-        if self.is_unavailable:
-            raise PlatformUnavailableError(detail="away")
-        rows = []
-        if self.row is not None:
-            rows = [
-                StoredRow(
-                    key=key, position=build_position(self.version), value=self.row
-                )
-            ]
-        return RowsAnswer(
-            rows=rows, position=build_position(self.version), now_ms=self._now[0]
-        )
-
-    async def write(self, table, *, key, value, expected):
-        is_applied = expected == self.version
-        if is_applied:
-            self.row, self.version = value, self.version + 1
-        return WriteAnswer(
-            is_applied=is_applied,
-            position=build_position(self.version),
-            now_ms=self._now[0],
-        )
-
-
-class FakeCoordinator:
-    """Stub of a process's coordinator."""
-
-    def __init__(self):
-        self.is_active = False
-        self.isolated_since = None
-        self.best = 0.0
-        self.received = []
-
-    def handle_messages(self, origin, messages):
-        self.received.append((origin, messages))
-
-    def activate(self, _inherited):
-        self.is_active = True
-
-    def deactivate(self):
-        self.is_active = False
-
-    def list_loads(self):
-        return {}
-
-    def find_largest_capacity(self):
-        return self.best
-
-    async def drain_orders(self):
-        return True
-
-
-class FakeLink:
-    """A link that is up while the process at ``address`` is the coordinator."""
-
-    def __init__(self, members, now):
-        self._members = members
-        self._now = now
-        self.up_until = 0
-        self.deliver_local = None
-        self.address = ""
-        self.status = SimpleNamespace(is_holder=True)
-
-    @property
-    def is_up(self):
-        if self.deliver_local is not None:
-            return True
-        if self._now[0] < self.up_until:
-            return True
-        leader = self._members.get(self.address)
-        return leader is not None and leader.coordinator.is_active
-
-    def check_timeout(self):
-        pass
-
-    def build_hello(self):
-        return "what runs here"
-
-    def disconnect(self):
-        self.address = ""
-
-    def fail_pending(self):
-        pass
-
-    def connect_to(self, address):
-        self.address = address
-
-
-class Member:
-    """One process that takes part in elections."""
-
-    def __init__(self, name, members, store, now, *, capacity, seed):
-        state = build_state(clock=Clock(read=lambda: now[0]), name=name)
-        state.settings = msgspec.structs.replace(
-            state.settings, cores=capacity, link_mbps=1_000
-        )
-        state.store = store
-        state.rng = random.Random(seed)
-        self.state = state
-        self.coordinator = FakeCoordinator()
-        self.lease = CoordinatorLeaseState(
-            name=name, link=name, boot=f"{name}-boot", lease_ms=3_000
-        )
-        self.link = FakeLink(members, now)
-        self.election = Election(
-            state=state,
-            lease=self.lease,
-            link=self.link,
-            coordinator=self.coordinator,
-        )
-
-    async def tick(self):
-        try:
-            await self.election._tick()
-        except PlatformUnavailableError:
-            self.lease.version = -1
-
-
-def build_members(capacities, store, now):
-    members = {}
-    for number, capacity in enumerate(capacities):
-        name = f"n{number}"
-        members[name] = Member(
-            name, members, store, now, capacity=capacity, seed=number
-        )
-    return members
-
-
-def run_members(members, now, *, ms, order):
-    async def scenario():
-        for _ in range(0, ms, 20):
-            now[0] += 20
-            tick = list(members.values())
-            order.shuffle(tick)
-            for member in tick:
-                await member.tick()
-
-    asyncio.run(scenario())
-
-
-def list_leaders(members):
-    return [name for name, member in members.items() if member.coordinator.is_active]
-
-
-def publish_roster(members, capacities):
-    """Give all members the roster, as a coordinator does."""
-    area = build_area(*capacities)
-    nodes = tuple(
-        msgspec.structs.replace(info, name=f"n{number}")
-        for number, info in enumerate(area)
-    )
-    for member in members.values():
-        member.state.nodes = nodes
-        member.state.instances = len(nodes)
-
 
 CAPACITIES = [0.125] * 66 + [2.15] * 6
 
@@ -261,7 +81,7 @@
     assert list_leaders(members) == ["n0"]
     run_members(members, now, ms=1_500, order=order)
     assert list_leaders(members) == ["n1"]
-    assert msgspec.json.decode(store.row, type=LeaseRow).fence == 2
+    assert store.lease.fence == 2
 
 
 def test_equal_instances_delay_claims_by_jitter_only():
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -38,7 +38,7 @@
 
 
 async def write(client, key, value, expected):
-    return await client.write(TABLE, key=key, value=value, expected=expected)
+    return await client.write(TABLE, put={key: value}, expected={key: expected})
 
 
 @pytest.mark.parametrize(
