Do not take a copy's configuration for the newest at once

A key that was withdrawn could be accepted for longer than the bound: a store that has come back from a copy may have lost the configuration that withdrew it, and its answer still counted as a confirmation that no newer one exists. An instance that had missed that configuration, or had just started and knew only the copy, went on by that.

A process that has just started first waits for a coordinator, for a second at most, which has the newer configuration if any instance has. Both tests failed before.

--- a/src/arbutuspulley/node/store_watch.py
+++ b/src/arbutuspulley/node/store_watch.py
@@ -70,6 +70,11 @@
 long."""
 
 
+REWRITE_GRACE_MS = 2_000
+"""Time after the store has come back from a copy during which its answers do not
+confirm the active configuration, in ms: a newer one may be lost until it has been
+written again."""
+
 FIRST_COORDINATOR_WAIT_MS = 1_000
 """How long a process that has just started waits for a coordinator's first status
 before it asks the store for changes, in ms. Most find a coordinator within half a
@@ -181,12 +186,16 @@
     :param batch_ms: delay after changes, in ms, so that one answer contains several.
     :param wants_newest_only: whether a row's newer value makes the older ones obsolete.
     :param record_confirmed: called after an answer was applied with the time when its
-        call was sent, in ms: the known state is at least as new as that.
+        call was sent, in ms: the known state is at least as new as that. Not called
+        while the store may lack changes that it had accepted.
     """
 
     __slots__ = (
         "_apply_rows",
         "_batch_ms",
+        "_called_at",
+        "_era",
+        "_era_seen_at",
         "_failed_at",
         "_get_position",
         "_has_missed_versions",
@@ -222,6 +231,9 @@
         self._batch_ms = batch_ms
         self._table = table
         self._apply_rows = apply_rows
+        self._called_at = 0
+        self._era: int | None = None
+        self._era_seen_at = -REWRITE_GRACE_MS
         self._failed_at: int | None = None
         self._recovered_at = -LAPSED_ENTRY_GRACE_MS
 
@@ -243,6 +255,7 @@
                     backoff_ms = INITIAL_BACKOFF_MS
                 await asyncio.sleep(self._batch_ms / SECOND_MS)
                 await self._wait_for_coordinator(since=began_at)
+                self._confirm()
             except HistoryLostError:
                 self._log_history_lost(position)
                 position = None
@@ -346,7 +359,7 @@
         :return: the position for the next call.
         """
         store = self._state.store
-        called_at = self._state.clock.now()
+        self._called_at = self._state.clock.now()
         if position is None:
             answer = await store.read(self._table)
         else:
@@ -354,6 +367,7 @@
         self._record_answer()
         now = self._state.clock.now()
         self._state.followed_at[self._table] = now
+        self._record_era(answer.position.era)
         update = self._apply_rows(
             self._state,
             answer.rows,
@@ -361,7 +375,6 @@
             was_unavailable=now - self._recovered_at < LAPSED_ENTRY_GRACE_MS,
             position=answer.position,
         )
-        self._record_confirmed(called_at)
         if update.configuration or update.rows:
             self._state.notify_store_update(update)
         if self._wants_newest_only and self._check_missed_versions(
@@ -370,6 +383,20 @@
             return None
         return answer.position
 
+    def _record_era(self, era: int) -> None:
+        if self._era is not None and era != self._era:
+            self._era_seen_at = self._state.clock.now()
+        self._era = era
+
+    def _confirm(self) -> None:
+        """Confirm the known state as of the last call, unless a copy may lack changes.
+
+        A process that has just started waits for a coordinator first, which has the
+        configuration that the copy lacks.
+        """
+        if self._called_at - self._era_seen_at >= REWRITE_GRACE_MS:
+            self._record_confirmed(self._called_at)
+
     def _check_missed_versions(
         self, answer: RowsAnswer, update: StoreUpdate, position: StorePosition | None
     ) -> bool:
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -375,3 +375,69 @@
         return bool(store.calls)
 
     assert asyncio.run(scenario()) is is_called
+
+
+class EraStore:
+    """A store that answers polls after 10 ms, in an era that the test sets."""
+
+    is_failing = False
+
+    def __init__(self):
+        self.era = 1
+
+    async def read(self, table):
+        value = msgspec.json.encode(build_configuration(1))
+        position = build_position(1, era=self.era)
+        row = StoredRow(key=names.CONFIGURATION_KEY, position=position, value=value)
+        return RowsAnswer(rows=[row], position=position, now_ms=0)
+
+    async def wait_for_changes(self, table, *, after, wait_ms):
+        await asyncio.sleep(0.01)
+        if after.era != self.era:
+            raise HistoryLostError(detail="another era")
+        return RowsAnswer(rows=[], position=after, now_ms=0)
+
+
+def test_a_copy_does_not_confirm_the_configuration_at_once(monkeypatch):
+    """Guards against a revoked key that is accepted since the store has lost the
+    configuration that revoked it, and has not been given it again yet."""
+    monkeypatch.setattr(store_watch, "REWRITE_GRACE_MS", 150)
+
+    async def scenario():
+        state = build_state()
+        store = state.store = EraStore()
+        task = asyncio.create_task(follow_configuration(state))
+        await asyncio.sleep(0.1)
+        assert state.freshness.get_age(state.clock.now()) < 60
+        store.era = 2
+        changed_at = state.clock.now()
+        await asyncio.sleep(0.12)
+        assert state.freshness.confirmed_at <= changed_at
+        await asyncio.sleep(0.12)
+        assert state.freshness.confirmed_at >= changed_at + 150
+        task.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_a_starting_process_asks_a_coordinator_before_it_trusts_the_store(monkeypatch):
+    """Guards against a process that starts on a copy of the store, and accepts keys
+    that the configuration of its neighbours revokes."""
+    monkeypatch.setattr(store_watch, "RELAY_POLL_MS", 10)
+
+    async def scenario():
+        state = build_state()
+        state.store = EraStore()
+        is_starting = [True]
+        task = asyncio.create_task(
+            follow_configuration(state, is_starting=lambda: is_starting[0])
+        )
+        await asyncio.sleep(0.1)
+        assert state.configuration_version == 1
+        assert state.freshness.confirmed_at is None
+        is_starting[0] = False
+        await asyncio.sleep(0.1)
+        assert state.freshness.confirmed_at is not None
+        task.cancel()
+
+    asyncio.run(scenario())
