Give orders at once at the first start of a deployment

Since the lease is kept to one holder over the store's eras, a model that no server had was refused for a whole lease at the very first start: a missing row looks like one that a copy has lost (test_missing_models_are_loaded_within_memory, 503 for 2 of 4). In the first era that a process hears of, a lease without any row has not been claimed yet, and orders need not wait. In a later one they do.

--- a/src/arbutuspulley/membership/coordinator_lease.py
+++ b/src/arbutuspulley/membership/coordinator_lease.py
@@ -89,6 +89,7 @@
     :param row: the row as last read.
     :param era: era of the store; 0: the store has not stated one.
     :param era_seen_at: when this process first heard of the era, on the own clock.
+    :param is_first_era: whether this process has heard of no earlier era.
     :param era_row_version: version of the era's own row; 0: the lease has not been
         claimed in this era.
     :param held_until: expiry time of the own lease, on the own clock; 0: not held.
@@ -108,6 +109,7 @@
     row: LeaseRow | None = None
     era: int = 0
     era_seen_at: int = 0
+    is_first_era: bool = True
     era_row_version: int = 0
     held_until: float = 0
     orders_allowed_from: float = 0
@@ -134,6 +136,7 @@
     """
     if era == state.era:
         return False
+    state.is_first_era = state.era == 0
     state.era = era
     state.era_seen_at = now
     state.era_row_version = 0
@@ -146,6 +149,15 @@
     return state.era != 0 and state.era_row_version == 0
 
 
+def _may_have_unknown_holder(state: CoordinatorLeaseState) -> bool:
+    """Return whether another process may have the lease without the row saying so.
+
+    Without a row, in the first era that this process hears of, nobody has claimed the
+    lease yet.
+    """
+    return is_copied(state) and (state.row is not None or not state.is_first_era)
+
+
 def update_row(
     state: CoordinatorLeaseState,
     value: bytes | None,
@@ -300,7 +312,7 @@
         orders_from = row.orders_from_ms
         if row.holder != state.name:
             orders_from = max(orders_from, row.expires_ms)
-    if not is_copied(state):
+    if not _may_have_unknown_holder(state):
         return orders_from
     all_expired = state.era_seen_at + (state.offset_ms or 0.0) + state.lease_ms
     return max(all_expired, _check_copied_time(state, orders_from, now=now))
@@ -322,7 +334,7 @@
     the latest time at which the holder may have given orders.
     """
     row = state.row
-    if is_copied(state):
+    if _may_have_unknown_holder(state):
         return InheritedLoads(
             loads={}, unknown_until=state.era_seen_at + state.lease_ms
         )
--- a/tests/test_coordinator_lease.py
+++ b/tests/test_coordinator_lease.py
@@ -324,6 +324,26 @@
     assert not may_order(state, now=1_500 + 3_000)
 
 
+def test_a_copy_without_a_row_is_no_first_start():
+    """Guards against orders beside those of a holder whose first claim is lost, and
+    against loads that a process refuses at the first start of a deployment."""
+    first = build_state("a", offset=0)
+    update_era(first, 1, now=0)
+    update_store_clock(first, 0, now=0)
+    assert get_claim_wait_ms(first, now=0) == 0
+    assert get_inherited_loads(first).unknown_until is None
+    claim_lease(first, now=0)
+    assert may_order(first, now=0)
+    second = build_state("b", offset=0)
+    for era in (1, 2):
+        update_era(second, era, now=0)
+        update_store_clock(second, 0, now=0)
+    assert get_claim_wait_ms(second, now=0) == 0
+    assert get_inherited_loads(second).unknown_until == 3_000
+    claim_lease(second, now=0)
+    assert not may_order(second, now=2_500)
+
+
 def test_loads_of_a_copied_row_are_unknown():
     """Guards against loads beyond the weight store's rate limit, as the rows that told
     of the last ones are lost."""
