Export the store's era, and test two guards that no test missed

arbutus_store_era shows when a store has come back from a copy. The guards against pages of two eras on a connection that outlives the change, and against relaying a server that is known to have gone, had no test that failed without them; the stand-in states the era in which an answer was made.

--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -44,6 +44,7 @@
         "registry",
         "requests",
         "store_calls",
+        "store_era",
         "version",
     )
 
@@ -94,6 +95,9 @@
         self.store_calls = Counter(
             "arbutus_store_calls", "Calls to the store", ["call"], registry=registry
         )
+        self.store_era = Gauge(
+            "arbutus_store_era", "Latest known era of the store", registry=registry
+        )
         self.log_lines = Counter(
             "arbutus_log_lines", "Log lines", ["fate"], registry=registry
         )
--- a/src/arbutuspulley/platform/era.py
+++ b/src/arbutuspulley/platform/era.py
@@ -6,6 +6,7 @@
 """
 
 import re
+from collections.abc import Callable
 
 from arbutuspulley.events import Event, log_event
 
@@ -16,11 +17,15 @@
 
 
 class StoreEra:
-    """The latest era that the store has stated in an answer."""
+    """The latest era that the store has stated in an answer.
 
-    __slots__ = ("_known", "_refused")
+    :param on_change: called with the era when it becomes known and when it changes.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_known", "_on_change", "_refused")
+
+    def __init__(self, *, on_change: Callable[[int], None] = lambda _era: None) -> None:
+        self._on_change = on_change
         self._known: int | None = None
         self._refused: str | None = None
 
@@ -47,11 +52,11 @@
             self._refuse(stated)
             return called_in
         self._refused = None
-        if self._known is None:
-            self._known = era
-        elif era > self._known:
-            log_event(Event.STORE_ERA_CHANGED, before=self._known, now=era)
+        if self._known is None or era > self._known:
+            if self._known is not None:
+                log_event(Event.STORE_ERA_CHANGED, before=self._known, now=era)
             self._known = era
+            self._on_change(era)
         return era
 
     def _refuse(self, stated: str | None) -> None:
--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -94,6 +94,7 @@
 
     :param address: ``host:port`` of the store.
     :param count_call: called with the name of each call.
+    :param on_era: called with the store's era once it is known and when it changes.
     """
 
     __slots__ = (
@@ -113,13 +114,14 @@
         address: str,
         clock: Clock | None = None,
         count_call: Callable[[str], None] = lambda _name: None,
+        on_era: Callable[[int], None] = lambda _era: None,
     ) -> None:
         self._clock = clock or Clock()
         self._result_at = -RESULT_RECENT_MS
         self._session = session
         self._base = f"http://{address}"
         self._count_call = count_call
-        self.era = StoreEra()
+        self.era = StoreEra(on_change=on_era)
         self.is_failing = False
 
     @property
--- a/src/arbutuspulley/programs/node.py
+++ b/src/arbutuspulley/programs/node.py
@@ -127,6 +127,7 @@
             address=settings.store,
             clock=clock,
             count_call=lambda call: metrics.store_calls.labels(call).inc(),
+            on_era=metrics.store_era.set,
         ),
         metrics=metrics,
         rng=random.Random(),
--- a/src/arbutuspulley/standins/fleet_store.py
+++ b/src/arbutuspulley/standins/fleet_store.py
@@ -147,10 +147,13 @@
         if self.is_away and transport is not None:
             transport.abort()
         answer = await self._answer(request)
-        if self.era is not None:
-            answer.headers[names.STORE_ERA] = str(self.era)
+        self._state_era(answer)
         return answer
 
+    def _state_era(self, answer: web.StreamResponse) -> None:
+        if self.era is not None:
+            answer.headers.setdefault(names.STORE_ERA, str(self.era))
+
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a read, feed or transaction call."""
         self.calls += 1
@@ -242,11 +245,13 @@
             "NowMs": time.monotonic() * 1_000 + self.clock_offset_ms,
             "MorePages": more,
         }
-        return web.Response(
+        answer = web.Response(
             status=status,
             body=msgspec.json.encode(body),
             content_type="application/json",
         )
+        self._state_era(answer)
+        return answer
 
 
 def _encode(version: int, table: str, key: str, value: bytes | None) -> dict:
--- a/tests/test_era.py
+++ b/tests/test_era.py
@@ -44,6 +44,14 @@
     assert [event for event, _ in logged] == [Event.STORE_ERA_REFUSED]
 
 
+def test_each_new_era_is_reported_once():
+    reported = []
+    era = StoreEra(on_change=reported.append)
+    for header in (None, "1", "1", "3", "x", "2", "4"):
+        era.update(header, called_in=era.current)
+    assert reported == [1, 3, 4]
+
+
 def test_an_answer_that_was_overtaken_keeps_its_own_era(logged):
     """Guards against versions of the older era that are taken for the newer one's."""
     era = StoreEra()
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -223,9 +223,13 @@
     run_with_store(scenario)
 
 
-def test_pages_of_two_eras_are_not_mixed(monkeypatch):
-    """Guards against rows of a read that are partly of the lost history."""
+@pytest.mark.parametrize("is_reset", [True, False])
+def test_pages_of_two_eras_are_not_mixed(monkeypatch, is_reset):
+    """Guards against rows of a read that are partly of the lost history, also if the
+    connection outlives the store's return."""
     monkeypatch.setattr(store, "PAGE_ROWS", 2)
+    if not is_reset:
+        monkeypatch.setattr(StoreStandin, "reset_connections", lambda _self: None)
 
     async def scenario(standin, client):
         for key in "abc":
--- a/tests/test_server_rows.py
+++ b/tests/test_server_rows.py
@@ -287,3 +287,18 @@
         assert set(state.entries) == {"b"}
 
     run(scenario)
+
+
+def test_others_do_not_use_a_removed_server_that_a_copy_lists():
+    """Guards against a server that an instance knows to have gone, and relays from the
+    copy to one that has missed its removal."""
+
+    async def scenario():
+        state, other = build_state(), build_state()
+        for one in (state, other):
+            read_all(one, build_row("a", 150, era=1), version=200, era=1)
+        receive(state, build_removal("a", 215, era=1))
+        relay(read_all(state, build_row("a", 150, era=2), version=190, era=2), other)
+        assert not state.entries and not other.entries
+
+    run(scenario)
