--- a/scripts/platform_testbed.py
+++ b/scripts/platform_testbed.py
@@ -126,6 +126,10 @@
         self.servers.append(server)
         self.store.put("servers", server.incarnation, server.describe())
 
+    def get_server(self, incarnation: str) -> ServerStandin:
+        """Return the server of an incarnation."""
+        return next(one for one in self.servers if one.incarnation == incarnation)
+
     async def start_node(
         self,
         name: str,
--- a/tests/node_load.py
+++ b/tests/node_load.py
@@ -4,6 +4,8 @@
 import itertools
 import signal
 
+import pytest
+
 from scripts.platform_testbed import send_request
 from tests.proxy import Direction
 
@@ -17,6 +19,14 @@
 node takes over meanwhile."""
 
 
+SERVERS = pytest.mark.parametrize(
+    ("told", "path", "model"),
+    [("e1", "/chat/", "m0"), ("p1", "/book/", "")],
+    ids=["model", "plain"],
+)
+"""One of two servers of each service, with a path and a model that lead to them."""
+
+
 async def ask_all(fleet, session, path, *, for_s, model=""):
     """Send requests at a steady pace through all nodes in turn.
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -391,7 +391,7 @@
                 self._put_server(key)
 
     def _put_server(self, name: str, *, state: str = "ready") -> None:
-        server = self._get_server(name)
+        server = self.fleet.get_server(name)
         if name in self._removed:
             self.fleet.store.remove("servers", name)
             return
@@ -400,9 +400,6 @@
         row = {**server.describe(state=state), "Sequence": next(self._numbers)}
         self.fleet.store.put("servers", name, row)
 
-    def _get_server(self, name: str) -> ServerStandin:
-        return next(one for one in self.fleet.servers if one.incarnation == name)
-
     async def _disturb_server(self, fault: Fault) -> None:
         server = self.fleet.servers[fault.target % len(self.fleet.servers)]
         changes: dict[str, Any] = {
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -39,10 +39,6 @@
     asyncio.run(run())
 
 
-def get_server(fleet, incarnation):
-    return next(one for one in fleet.servers if one.incarnation == incarnation)
-
-
 def test_requests_of_each_kind_are_answered(tmp_path):
     async def scenario(fleet, session):
         front = fleet.addresses["n1"]["Frontend"]
@@ -369,7 +365,7 @@
 def test_a_leaving_server_gets_no_new_requests(tmp_path):
     async def scenario(fleet, session):
         front = fleet.addresses["n1"]["Frontend"]
-        leaving = get_server(fleet, "p1")
+        leaving = fleet.get_server("p1")
         fleet.store.put("servers", "p1", leaving.describe(state="draining"))
         await fleet.wait_log("n1", "server_leaving")
         for number in range(6):
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -7,6 +7,7 @@
 from scripts.platform_testbed import send_request
 from tests.node_load import (
     NODES,
+    SERVERS,
     ask_all,
     disconnect_from_store,
     freeze,
@@ -36,16 +37,6 @@
 LOSS_AT_S = 2.0
 """When the coordinator is lost, in s."""
 
-SERVERS = pytest.mark.parametrize(
-    ("told", "path", "model"),
-    [("e1", "/chat/", "m0"), ("p1", "/book/", "")],
-    ids=["model", "plain"],
-)
-
-
-def get_server(fleet, incarnation):
-    return next(one for one in fleet.servers if one.incarnation == incarnation)
-
 
 def list_arrivals(server, node, *, only=None):
     """Return the times at which requests of a node reached a server.
@@ -90,7 +81,7 @@
     because the store is unavailable."""
 
     async def scenario(fleet, session, proxies):
-        server = get_server(fleet, told)
+        server = fleet.get_server(told)
         server.is_leaving = True
         ends = await ask_all(fleet, session, path, for_s=LOAD_S, model=model)
         assert server.arrivals
@@ -107,7 +98,7 @@
     """Guards against requests that a shedding server refuses again and again."""
 
     async def scenario(fleet, session, proxies):
-        server = get_server(fleet, told)
+        server = fleet.get_server(told)
         server.sheds, server.rest_s = True, REST_S
         ends = await ask_all(fleet, session, path, for_s=LOAD_S, model=model)
         assert server.rested
@@ -125,7 +116,7 @@
     server takes any."""
 
     async def scenario(fleet, session, proxies):
-        servers = [get_server(fleet, told), get_server(fleet, told.replace("1", "2"))]
+        servers = [fleet.get_server(told), fleet.get_server(told.replace("1", "2"))]
         for server in servers:
             server.sheds, server.rest_s = True, REST_S
         ends = await ask_all(fleet, session, path, for_s=LOAD_S, model=model)
@@ -150,7 +141,7 @@
 
     async def scenario(fleet, session, proxies):
         for name in ("p1", "p2"):
-            server = get_server(fleet, name)
+            server = fleet.get_server(name)
             server.sheds, server.rest_s = True, REST_S
         front = fleet.addresses["n1"]["Frontend"]
         waits = []
@@ -174,8 +165,8 @@
     one."""
 
     async def scenario(fleet, session, proxies):
-        leaving = get_server(fleet, told)
-        shedding = get_server(fleet, told.replace("1", "2"))
+        leaving = fleet.get_server(told)
+        shedding = fleet.get_server(told.replace("1", "2"))
         leaving.is_leaving = True
         shedding.rest_s = REST_S
         loop = asyncio.get_running_loop()
@@ -198,7 +189,7 @@
     """Guards against the retry of a stream as a way past a server's notice."""
 
     async def scenario(fleet, session, proxies):
-        leaving, breaking = get_server(fleet, "e1"), get_server(fleet, "e2")
+        leaving, breaking = fleet.get_server("e1"), fleet.get_server("e2")
         leaving.is_leaving = True
         breaking.breaks_after = 3
         await ask_all(fleet, session, "/resumed/", for_s=LOAD_S, model="m0")
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -10,13 +10,13 @@
 from tests.node_load import (
     LOSS_S,
     NODES,
+    SERVERS,
     ask_all,
     disconnect_from_store,
     freeze,
     kill,
 )
 from tests.proxied_nodes import run_on_nodes
-from tests.test_server_notices import get_server
 
 DRAIN_S = 2.0
 """Time after the store has accepted the row of a leaving server after which the server
@@ -33,12 +33,6 @@
 
 LOAD_S = 6.0
 
-SERVERS = pytest.mark.parametrize(
-    ("told", "path", "model"),
-    [("e1", "/chat/", "m0"), ("p1", "/book/", "")],
-    ids=["model", "plain"],
-)
-
 
 async def write_rows(store, server, *, count, state="ready"):
     """Write a server's row several times, each time with another content."""
@@ -85,7 +79,7 @@
     given it a version below the one of a row that it has lost."""
 
     async def scenario(fleet, session, proxies):
-        server = get_server(fleet, told)
+        server = fleet.get_server(told)
         await lose_writes(fleet, server)
         await asyncio.sleep(SETTLE_S)
         since = asyncio.get_running_loop().time()
@@ -105,7 +99,7 @@
     cut off in the older era, or another takes over as coordinator."""
 
     async def scenario(fleet, session, proxies):
-        server = get_server(fleet, told)
+        server = fleet.get_server(told)
         copy = fleet.store.copy()
         await write_rows(fleet.store, server, count=LOST_WRITES)
         await asyncio.sleep(SETTLE_S)
@@ -132,7 +126,7 @@
     """Guards against a change of era during the reads that the last one has caused."""
 
     async def scenario(fleet, session, proxies):
-        server = get_server(fleet, "p1")
+        server = fleet.get_server("p1")
         for _ in range(4):
             copy = fleet.store.copy()
             await write_rows(fleet.store, server, count=LOST_WRITES)
@@ -158,7 +152,7 @@
         for name in ("p1", "p2"):
             fleet.store.remove("servers", name)
         copy = fleet.store.copy()
-        server = get_server(fleet, "p1")
+        server = fleet.get_server("p1")
         fleet.store.put("servers", "p1", server.describe())
         await asyncio.sleep(SETTLE_S)
         asking = asyncio.create_task(ask_all(fleet, session, "/sync/", for_s=LOAD_S))
@@ -179,8 +173,8 @@
     out again: the store answers it without the rows below that version."""
 
     async def scenario(fleet, session, proxies):
-        server = get_server(fleet, told)
-        other = get_server(fleet, told.replace("1", "2"))
+        server = fleet.get_server(told)
+        other = fleet.get_server(told.replace("1", "2"))
         copy = fleet.store.copy()
         await write_rows(fleet.store, other, count=LOST_WRITES)
         await asyncio.sleep(SETTLE_S)
