--- a/tests/soak.py
+++ b/tests/soak.py
@@ -159,7 +159,6 @@
         self.calls: list[Call] = []
         self.broken: list[BrokenPromise] = []
         self._disturbances: dict[str, list[tuple[float, float]]] = {}
-        self._ended_by_us: dict[str, float] = {}
         self._drained_at: dict[str, float] = {}
         self._removed: set[str] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -323,7 +322,6 @@
         if node.returncode is not None:
             return
         if fault.kind in ("kill", "term"):
-            self._ended_by_us[name] = self._now
             node.send_signal(signal.SIGKILL if fault.kind == "kill" else signal.SIGTERM)
             async with asyncio.timeout(GRACE_S + 10):
                 code = await node.wait()
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -34,10 +34,10 @@
 LOAD_S = 6.0
 
 
-async def write_rows(store, server, *, count, state="ready"):
+async def write_rows(store, server, *, count):
     """Write a server's row several times, each time with another content."""
     for number in range(count):
-        row = {**server.describe(state=state), "Sequence": number, "Slots": 9 + number}
+        row = {**server.describe(), "Sequence": number, "Slots": 9 + number}
         store.put("servers", server.incarnation, row)
         await asyncio.sleep(0)
 
@@ -175,10 +175,7 @@
     async def scenario(fleet, session, proxies):
         server = fleet.get_server(told)
         other = fleet.get_server(told.replace("1", "2"))
-        copy = fleet.store.copy()
-        await write_rows(fleet.store, other, count=LOST_WRITES)
-        await asyncio.sleep(SETTLE_S)
-        await fleet.store.leave(AWAY_S, copy=copy)
+        await lose_writes(fleet, other)
         since = asyncio.get_running_loop().time()
         fleet.store.put("servers", told, server.describe(state="draining"))
         await write_rows(fleet.store, other, count=2 * LOST_WRITES)
