Log and count what each instance spends of a service's retry budget

A retry after a server's error left no line at all, and neither log nor metrics said what an instance may spend, by how many requests, and what it has spent.

--- a/src/arbutuspulley/admission/service_retry_budget.py
+++ b/src/arbutuspulley/admission/service_retry_budget.py
@@ -49,14 +49,19 @@
     :return: whether the request may be retried.
     """
     _evict_expired(budget, now=now)
-    extra = get_instance_share(budget.extra, share_divisor=share_divisor)
-    allowed = USABLE_FRACTION * (budget.ratio * len(budget.requests) + extra)
+    allowed = count_allowed_retries(budget, share_divisor=share_divisor)
     if len(budget.retries) + 1 > allowed:
         return False
     budget.retries.append(now)
     return True
 
 
+def count_allowed_retries(budget: ServiceRetryBudget, *, share_divisor: float) -> float:
+    """Return how many retries are allowed for the requests counted in the window."""
+    extra = get_instance_share(budget.extra, share_divisor=share_divisor)
+    return USABLE_FRACTION * (budget.ratio * len(budget.requests) + extra)
+
+
 def _evict_expired(budget: ServiceRetryBudget, *, now: int) -> None:
     for times in (budget.requests, budget.retries):
         while times and times[0] <= now - budget.window_ms:
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -5,7 +5,6 @@
 import aiohttp
 from aiohttp import web
 
-from arbutuspulley.admission.service_retry_budget import record_request, try_spend_retry
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.delivery.stream import (
     EventBuffer,
@@ -29,6 +28,7 @@
     RequestFailedError,
 )
 from arbutuspulley.node.quota_charging import QuotaCharger
+from arbutuspulley.node.retries import Retries
 from arbutuspulley.node.server_notices import get_exclusion, read_answer
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import (
@@ -65,6 +65,7 @@
     :param access: admission by the caller's key.
     :param charger: charges the request to its team's quota.
     :param limits: rate limits of the servers, updated from their answers.
+    :param retries: retry budgets of the services.
     :param client: the caller's HTTP request.
     """
 
@@ -78,6 +79,7 @@
         "_link",
         "_poison",
         "_request",
+        "_retries",
         "_state",
         "progress",
         "route",
@@ -92,6 +94,7 @@
         access: Access,
         charger: QuotaCharger,
         limits: LimitGuard,
+        retries: Retries,
         route: Route,
         request: InboundRequest,
         client: web.BaseRequest,
@@ -104,6 +107,7 @@
         self._access = access
         self.route = route
         self._request = request
+        self._retries = retries
         self._client = client
         self._answer: web.StreamResponse | None = None
         self._event_buffer = EventBuffer()
@@ -142,7 +146,7 @@
         progress = self.progress
         progress.service = choose_service(self.route, rng=self._state.rng)
         now = self._state.clock.now()
-        record_request(self._state.get_budget(progress.service), now=now)
+        self._retries.record_request(progress.service)
         try:
             self._acquisition.charge_plain()
             async with asyncio.timeout((progress.ends_at - now) / SECOND_MS):
@@ -281,6 +285,13 @@
         # may run twice: another server may not have that error.
         if response.status >= 500 and self._may_retry():
             self.progress.avoid.add(self.progress.server)
+            log_event(
+                Event.ATTEMPT_FAILED,
+                id=self._request.attempt_id,
+                server=self.progress.server,
+                why=f"server error {response.status}",
+                repeat=self.route.retry_policy.value,
+            )
             raise RetryError
         if self._answer is not None:
             raise AnswerAbortedError("the stream could not go on")
@@ -424,11 +435,7 @@
         return self._try_spend_retry()
 
     def _try_spend_retry(self) -> bool:
-        return try_spend_retry(
-            self._state.get_budget(self.progress.service),
-            share_divisor=self._state.share_divisor,
-            now=self._state.clock.now(),
-        )
+        return self._retries.try_spend(self.progress.service)
 
     def _build_failure(
         self, reason: str, *, retry_after_ms: int | None = None
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -14,6 +14,7 @@
 from arbutuspulley.node.poison import PoisonGuard
 from arbutuspulley.node.progress import AnswerAbortedError, RequestFailedError
 from arbutuspulley.node.quota_charging import QuotaCharger
+from arbutuspulley.node.retries import Retries
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import build_refusal_headers, decode_request
 from arbutuspulley.ports.fleet import InboundRequest
@@ -34,7 +35,7 @@
 class Frontend:
     """Serves callers' requests."""
 
-    __slots__ = ("_charger", "_limits", "_link", "_poison", "_state")
+    __slots__ = ("_charger", "_limits", "_link", "_poison", "_retries", "_state")
 
     def __init__(self, *, state: NodeState, link: Link, poison: PoisonGuard) -> None:
         self._charger = QuotaCharger(state=state, link=link)
@@ -42,6 +43,7 @@
         self._state = state
         self._link = link
         self._poison = poison
+        self._retries = Retries(state=state)
 
     async def handle(self, client: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -111,6 +113,7 @@
             access=access,
             charger=self._charger,
             limits=self._limits,
+            retries=self._retries,
             route=route,
             request=request,
             client=client,
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -43,6 +43,7 @@
         "refusals",
         "registry",
         "requests",
+        "retries",
         "store_calls",
         "store_era",
         "version",
@@ -59,6 +60,12 @@
             ["how"],
             registry=registry,
         )
+        self.retries = Counter(
+            "arbutus_retries",
+            "Retries by service: sent, or denied by the service's retry budget",
+            ["service", "how"],
+            registry=registry,
+        )
         self.limited_attempts = Counter(
             "arbutus_limited_attempts",
             "Tries at servers that name a rate limit",
