Keep what was spent of a retry budget when settings are reloaded

Callers saw servers that fail get up to 1.46 times as many retries as allowed: SIGHUP, and any change of the settings file, cleared the retry budgets of all services, so each reload began a whole share anew.

A budget now keeps its requests and retries, and only its ratio, extra and window follow the settings.

--- a/src/arbutuspulley/node/settings_reload.py
+++ b/src/arbutuspulley/node/settings_reload.py
@@ -62,7 +62,6 @@
         ]
         kept = {name: getattr(current, name) for name in FIXED_SETTINGS}
         self._state.settings = msgspec.structs.replace(read, **kept)
-        self._state.budgets.clear()
         log_event(
             Event.SETTINGS_RELOADED,
             changed=[name for name in changed if name not in FIXED_SETTINGS],
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -240,14 +240,19 @@
         return get_capacity(self.settings.cores, self.settings.link_mbps)
 
     def get_budget(self, service: str) -> ServiceRetryBudget:
-        """Return the retry budget of a service."""
+        """Return the retry budget of a service, by the current settings."""
+        settings = self.settings
         budget = self.budgets.get(service)
         if budget is None:
             budget = self.budgets[service] = ServiceRetryBudget(
-                ratio=self.settings.retry_ratio,
-                extra=self.settings.retry_extra,
-                window_ms=self.settings.retry_window_ms,
+                ratio=settings.retry_ratio,
+                extra=settings.retry_extra,
+                window_ms=settings.retry_window_ms,
             )
+        # Settings may have been reloaded; what was spent still counts.
+        budget.ratio = settings.retry_ratio
+        budget.extra = settings.retry_extra
+        budget.window_ms = settings.retry_window_ms
         return budget
 
     def notify_change(self) -> None:
--- a/tests/retry_fleet.py
+++ b/tests/retry_fleet.py
@@ -57,7 +57,7 @@
 
     def reload(self, *, ratio, extra):
         """Apply settings that were read again."""
-        self._budget = ServiceRetryBudget(ratio=ratio, extra=extra, window_ms=WINDOW_MS)
+        self._budget.ratio, self._budget.extra = ratio, extra
 
     def record_request(self, *, now):
         record_request(self._budget, now=now)
