Earn retries by requests and use each once, on each instance alone

Cause: each process kept a log of its last window and spent against its own requests in it and a whole share of the allowance. A process that starts has an empty log; callers that move give both instances the same requests to spend by; a fleet that changes is seen differently, and unknown counts as a share of a sixth; a retry counts when it is decided and may arrive up to a time-out later. Class: a limit of all instances whose account dies with a process, or is kept by two at once.

Now a request earns 0.85 of the ratio at the instance that gets it, used once and within a tenth of a window, whoever's callers come or go; a new process begins with a random fraction of one retry. The share of the allowance is the smallest that was told within a window and a timeout, and none without a coordinator or in a process's first window. A retry in flight occupies what is earned later until it has arrived, so none pile up behind a cut; one that finds no server is given back.

Weighed: one account at the coordinator. It could use all that is allowed, but dies with the coordinator, a new one would have to refuse all retries for a window, and plain services would ask it for each.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -5,6 +5,7 @@
 import aiohttp
 from aiohttp import web
 
+from arbutuspulley.admission.service_retry_budget import RetryCharge
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.delivery.stream import (
     EventBuffer,
@@ -73,6 +74,7 @@
         "_access",
         "_acquisition",
         "_answer",
+        "_charge",
         "_client",
         "_event_buffer",
         "_limits",
@@ -110,6 +112,8 @@
         self._retries = retries
         self._client = client
         self._answer: web.StreamResponse | None = None
+        # Charge of the retry that is being made, until it has certainly arrived.
+        self._charge: RetryCharge | None = None
         self._event_buffer = EventBuffer()
         remaining_ms = route.timeout_ms
         if request.wait_ms is not None:
@@ -159,6 +163,7 @@
             raise self._build_timeout() from None
         finally:
             self._acquisition.refund()
+            self._refund_retry()
 
     def _build_timeout(self) -> Exception:
         if self._answer is not None:
@@ -203,6 +208,7 @@
                 address=entry.address,
                 headers=self._build_headers(entry, now),
             )
+            self._settle_retry()
             try:
                 answer = await self._handle_answer(entry, response)
                 outcome = AttemptOutcome.DONE
@@ -231,6 +237,8 @@
             outcome = AttemptOutcome.LEFT
             raise
         finally:
+            if outcome is not AttemptOutcome.UNREACHED:
+                self._settle_retry()
             record_done(
                 stats, entry, took_ms=took_ms, failed=outcome is AttemptOutcome.FAILED
             )
@@ -380,7 +388,7 @@
         if self._request.need is None:
             progress.avoid.add(entry.incarnation)
             record_refused(self._state.server_stats, entry, now=self._state.clock.now())
-        if progress.refused <= MAX_REFUSALS and self._try_spend_retry():
+        if progress.refused <= MAX_REFUSALS and self._try_charge_retry():
             return RetryError()
         return self._build_failure(
             "servers refused", retry_after_ms=self._acquisition.get_retry_after()
@@ -432,10 +440,22 @@
             return False
         if self._poison.get_refusal(self._request) is not None:
             return False
-        return self._try_spend_retry()
+        return self._try_charge_retry()
 
-    def _try_spend_retry(self) -> bool:
-        return self._retries.try_spend(self.progress.service)
+    def _try_charge_retry(self) -> bool:
+        self._charge = self._retries.try_charge(self.progress.service)
+        return self._charge is not None
+
+    def _settle_retry(self) -> None:
+        if self._charge is not None:
+            self._retries.settle(self.progress.service, self._charge)
+            self._charge = None
+
+    def _refund_retry(self) -> None:
+        """Give back a retry that was charged, but for which no server was found."""
+        if self._charge is not None:
+            self._retries.refund(self.progress.service, self._charge)
+            self._charge = None
 
     def _build_failure(
         self, reason: str, *, retry_after_ms: int | None = None
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -400,6 +400,7 @@
         state.advertised = status.takers
         state.nodes_updated_at = self._last_status_at
         state.store_position = max(state.store_position, status.store_position)
+        state.notify_coordinator_status()
         self._send_newer_configuration()
 
     async def _run(self, address: str) -> None:
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -44,6 +44,7 @@
         "registry",
         "requests",
         "retries",
+        "retry_budget",
         "store_calls",
         "store_era",
         "version",
@@ -62,10 +63,16 @@
         )
         self.retries = Counter(
             "arbutus_retries",
-            "Retries by service: sent, or denied by the service's retry budget",
+            "Retries by service: charged to its budget, denied by it, or refunded",
             ["service", "how"],
             registry=registry,
         )
+        self.retry_budget = Gauge(
+            "arbutus_retry_budget",
+            "Retries of a service within the window: allowed, spent, and left now",
+            ["service", "what"],
+            registry=registry,
+        )
         self.limited_attempts = Counter(
             "arbutus_limited_attempts",
             "Tries at servers that name a rate limit",
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -10,7 +10,6 @@
 from arbutuspulley.admission.freshness import CLOCK_DRIFT_MARGIN_MS, Freshness
 from arbutuspulley.admission.keys import KeyTable
 from arbutuspulley.admission.rate_limits import KnownRateLimits
-from arbutuspulley.admission.service_retry_budget import ServiceRetryBudget
 from arbutuspulley.clock import Clock
 from arbutuspulley.membership.capacity import get_capacity
 from arbutuspulley.membership.leaving import LeavingServers
@@ -72,6 +71,7 @@
         becomes its successor.
     :param stopping_at: when SIGTERM arrived, in ms; ``None`` before.
     :param on_change: called after the configuration or the servers have changed.
+    :param on_coordinator_status: called after each status of the coordinator.
     :param on_server_notice: called with what a server has stated in an answer and the
         coordinator has to know.
     :param on_store_update: called with newer data that the store sent to this process.
@@ -83,7 +83,6 @@
         "_share_divisor",
         "_share_divisor_basis",
         "advertised",
-        "budgets",
         "by_incarnation",
         "by_service",
         "clock",
@@ -109,6 +108,7 @@
         "nodes",
         "nodes_updated_at",
         "on_change",
+        "on_coordinator_status",
         "on_server_notice",
         "on_store_lost",
         "on_store_update",
@@ -160,7 +160,6 @@
         self.by_incarnation: dict[str, ServerEntry] = {}
         self.by_service: dict[str, list[ServerEntry]] = {}
         self.server_stats = LocalServerStats()
-        self.budgets: dict[str, ServiceRetryBudget] = {}
         self.row_positions: dict[str, StorePosition] = {}
         self.removed_starts: dict[str, int] = {}
         self.lapsing: dict[str, StorePosition] = {}
@@ -180,6 +179,7 @@
         self.in_flight = 0
         self.stopping_at: int | None = None
         self.on_change: list[Callable[[], None]] = []
+        self.on_coordinator_status: list[Callable[[], None]] = []
         self.on_server_notice: list[Callable[[ToCoordinator], None]] = []
         self.on_store_update: list[Callable[[StoreUpdate], None]] = []
         self.on_store_lost: list[Callable[[], None]] = []
@@ -239,27 +239,16 @@
         """Capacity of this instance, in cores."""
         return get_capacity(self.settings.cores, self.settings.link_mbps)
 
-    def get_budget(self, service: str) -> ServiceRetryBudget:
-        """Return the retry budget of a service, by the current settings."""
-        settings = self.settings
-        budget = self.budgets.get(service)
-        if budget is None:
-            budget = self.budgets[service] = ServiceRetryBudget(
-                ratio=settings.retry_ratio,
-                extra=settings.retry_extra,
-                window_ms=settings.retry_window_ms,
-            )
-        # Settings may have been reloaded; what was spent still counts.
-        budget.ratio = settings.retry_ratio
-        budget.extra = settings.retry_extra
-        budget.window_ms = settings.retry_window_ms
-        return budget
-
     def notify_change(self) -> None:
         """Call the listeners for changes of the configuration or the servers."""
         for call in self.on_change:
             call()
 
+    def notify_coordinator_status(self) -> None:
+        """Call the listeners for statuses of the coordinator."""
+        for call in self.on_coordinator_status:
+            call()
+
     def notify_server_notice(self, message: ToCoordinator) -> None:
         """Call the listeners for what servers state in their answers."""
         for call in self.on_server_notice:
--- a/tests/retry_fleet.py
+++ b/tests/retry_fleet.py
@@ -11,10 +11,12 @@
 import random
 
 from arbutuspulley.admission.service_retry_budget import (
-    ServiceRetryBudget,
+    build_budget,
     record_request,
-    try_spend_retry,
+    settle,
+    try_charge,
 )
+from arbutuspulley.membership.limit_shares import SettledShare, get_instance_share
 from tests.retry_rule import find_excess
 
 WINDOW_MS = 10_000
@@ -47,29 +49,31 @@
         self.name = name
         self.is_alive = True
         self.cut_until = 0
-        self.instances = 0
-        self.is_advertised = True
-        self._budget = ServiceRetryBudget(ratio=ratio, extra=extra, window_ms=WINDOW_MS)
+        self._extra = extra
+        self._share = SettledShare(now=now)
+        self._budget = build_budget(
+            ratio=ratio, window_ms=WINDOW_MS, phase=rng.random()
+        )
 
     def learn_fleet(self, *, instances, now):
         """Apply a status of the coordinator."""
-        self.instances = instances
+        self._share.update(get_instance_share(1.0, share_divisor=instances), now=now)
 
     def reload(self, *, ratio, extra):
         """Apply settings that were read again."""
-        self._budget.ratio, self._budget.extra = ratio, extra
+        self._budget.ratio, self._extra = ratio, extra
 
     def record_request(self, *, now):
         record_request(self._budget, now=now)
 
     def try_charge(self, *, now):
         """Return the charge of a retry; ``None`` if the request may not be retried."""
-        return (
-            try_spend_retry(self._budget, share_divisor=self.instances, now=now) or None
-        )
+        share = self._share.get(window_ms=WINDOW_MS, now=now)
+        return try_charge(self._budget, extra_limit=self._extra * share, now=now)
 
     def settle(self, charge, *, now):
         """Record that a retry has arrived."""
+        settle(self._budget, charge, now=now)
 
 
 class Plan:
@@ -123,6 +127,7 @@
         self._ratio, self._extra = plan.ratio, plan.extra
         self._failing = plan.failing[0]
         self._rate = plan.rates[0] * plan.instances
+        self._ask_at = 0.0
         self._coordinator_back_at = 0
         self.instances = [self._start(now=0) for _ in range(plan.instances)]
         self._shares = self._spread()
@@ -192,7 +197,8 @@
         if instance.is_alive:
             instance.record_request(now=now)
             self._attempt(instance, 1, now)
-        self._at(now + self._rng.expovariate(self._rate / 1_000), self._ask)
+        self._ask_at += self._rng.expovariate(self._rate / 1_000)
+        self._at(self._ask_at, self._ask)
 
     def _attempt(self, instance, number, now):
         if self._rng.random() >= self._failing or number >= MAX_ATTEMPTS:
@@ -253,11 +259,13 @@
         self._at(now + self._rng.uniform(0.5, 1.5) * self._plan.restarts, self._restart)
 
     def _kill(self, number, now):
-        self.instances[number].is_alive = False
+        killed = self.instances[number]
+        killed.is_alive = False
 
         def start(now):
-            started = self._start(now=now, name=self.instances[number].name)
-            self.instances[number] = started
+            # It may have been removed from the fleet meanwhile.
+            if number < len(self.instances) and self.instances[number] is killed:
+                self.instances[number] = self._start(now=now, name=killed.name)
 
         self._at(now + self._rng.uniform(200, 1_500), start)
 
--- a/tests/test_advertisement.py
+++ b/tests/test_advertisement.py
@@ -3,11 +3,8 @@
 import msgspec
 import pytest
 
-from arbutuspulley.admission.service_retry_budget import (
-    ServiceRetryBudget,
-    record_request,
-    try_spend_retry,
-)
+from arbutuspulley.admission.service_retry_budget import build_budget, try_charge
+from arbutuspulley.membership.limit_shares import get_instance_share
 from arbutuspulley.node.advertisement import (
     count_advertised,
     get_share_divisor,
@@ -110,13 +107,10 @@
     state.nodes = tuple(build_area(LARGE, *[SMALL] * 20))
     state.instances, state.advertised = 72, 6
     assert get_max_in_flight(490, share_divisor=state.share_divisor) >= 50
-    budget = ServiceRetryBudget(ratio=0.2, extra=184, window_ms=10_000)
-    record_request(budget, now=0)
-    repeats = sum(
-        try_spend_retry(budget, share_divisor=state.share_divisor, now=1)
-        for _ in range(100)
-    )
-    assert repeats >= 20
+    budget = build_budget(ratio=0.2, window_ms=10_000, phase=0.0)
+    limit = get_instance_share(184, share_divisor=state.share_divisor)
+    charges = [try_charge(budget, extra_limit=limit, now=1) for _ in range(100)]
+    assert 100 - charges.count(None) >= 20
     state.settings = msgspec.structs.replace(state.settings, cores=0.5, link_mbps=5)
     state.nodes = tuple(build_area(LARGE, LARGE, *[SMALL] * 20))
     assert get_max_in_flight(490, share_divisor=state.share_divisor) == 1
--- a/tests/test_retry_sharing.py
+++ b/tests/test_retry_sharing.py
@@ -54,7 +54,7 @@
         instances=instances,
         seeds=seeds,
         rates=(2.0, 20.0),
-        failing=(0.0, 0.1, 0.33, 1.0),
+        failing=(0.0, 0.33, 1.0, 1.0),
         moves=True,
         restarts=4_000,
         resizes=True,
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,13 +1,20 @@
-"""Reuse of idle connections."""
+"""Reuse of idle connections, and which failures prove that nothing was sent."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 from aiohttp import web
 
 from arbutuspulley.platform import transport
 from arbutuspulley.platform.requests import decode_request
-from arbutuspulley.platform.transport import open_session, send_request
+from arbutuspulley.platform.transport import (
+    BrokenError,
+    NotSentError,
+    open_session,
+    send_request,
+)
 
 
 async def count_connections(monkeypatch, keep_alive, idle_times_s):
@@ -59,3 +66,72 @@
     measured by a clock that continues while the machine is suspended."""
     made = asyncio.run(count_connections(monkeypatch, keep_alive, idle_times_s))
     assert made == expected
+
+
+async def send_to(address):
+    request = decode_request(method="GET", path="/", headers=[("Host", "x")])
+    async with open_session() as session:
+        await send_request(session, request, address=address, headers=[])
+
+
+def listen_on_loopback(*, backlog):
+    listener = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+    host, port = listener.getsockname()
+    return listener, f"{host}:{port}"
+
+
+def test_a_connection_that_is_accepted_and_reset_may_have_carried_the_request():
+    """Guards against a retry that is given back although a server has counted it."""
+    listener, address = listen_on_loopback(backlog=1)
+
+    async def scenario():
+        sending = asyncio.create_task(send_to(address))
+        accepted, _ = await asyncio.to_thread(listener.accept)
+        accepted.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        accepted.close()
+        with pytest.raises(BrokenError):
+            await sending
+
+    with listener:
+        asyncio.run(scenario())
+
+
+def test_a_connection_in_the_backlog_of_a_frozen_server_may_have_carried_the_request():
+    """Guards against the same failure where the server accepts nothing: the request is
+    in the hands of the operating system and arrives when the server goes on."""
+    listener, address = listen_on_loopback(backlog=1)
+
+    async def scenario():
+        sending = asyncio.create_task(send_to(address))
+        await asyncio.sleep(2 * transport.CONNECT_TIMEOUT_S)
+        assert not sending.done()
+        sending.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await sending
+        accepted, _ = await asyncio.to_thread(listener.accept)
+        with accepted:
+            assert accepted.recv(100).startswith(b"GET / HTTP/1.1")
+
+    with listener:
+        asyncio.run(scenario())
+
+
+def test_a_full_backlog_proves_that_nothing_was_sent():
+    """Guards against a request that counts as sent although no connection was open."""
+    listener, address = listen_on_loopback(backlog=0)
+    host, port = address.split(":")
+
+    async def scenario():
+        with pytest.raises(NotSentError):
+            await send_to(address)
+
+    with listener:
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex((host, int(port)))
+        asyncio.run(scenario())
+        for filler in fillers:
+            filler.close()
