Settle a retry when it is sent, not when it is decided

The fix before settled a retry at once: the attempt that failed charges the next one, and the clean-up of the same attempt then settled that charge. So retries in flight occupied nothing, and one that found no server was not given back. Seen by test_retries.py: 0 charges in flight at the second attempt, 1 expected; none refunded, 1 expected.

The charge is now settled where the request is sent, also if that fails; it is kept for the next server if no connection could be opened.

The tests cover the shares, reloads, reports and charges of an instance, and each way in which an attempt may end. All six pass.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -202,13 +202,7 @@
         outcome = AttemptOutcome.FAILED
         took_ms: int | None = None
         try:
-            response = await send_request(
-                state.session,
-                self._request,
-                address=entry.address,
-                headers=self._build_headers(entry, now),
-            )
-            self._settle_retry()
+            response = await self._send_request(entry, now)
             try:
                 answer = await self._handle_answer(entry, response)
                 outcome = AttemptOutcome.DONE
@@ -237,8 +231,6 @@
             outcome = AttemptOutcome.LEFT
             raise
         finally:
-            if outcome is not AttemptOutcome.UNREACHED:
-                self._settle_retry()
             record_done(
                 stats, entry, took_ms=took_ms, failed=outcome is AttemptOutcome.FAILED
             )
@@ -252,6 +244,28 @@
             state.metrics.attempts.labels(outcome.value).inc()
             self._acquisition.report_end(entry.incarnation, outcome)
 
+    async def _send_request(
+        self, entry: ServerEntry, now: int
+    ) -> aiohttp.ClientResponse:
+        """Send the request and settle the charge of a retry.
+
+        If no connection could be opened, the next attempt needs no other charge.
+        """
+        is_sent = True
+        try:
+            return await send_request(
+                self._state.session,
+                self._request,
+                address=entry.address,
+                headers=self._build_headers(entry, now),
+            )
+        except NotSentError:
+            is_sent = False
+            raise
+        finally:
+            if is_sent:
+                self._settle_retry()
+
     def _build_headers(self, entry: ServerEntry, now: int) -> list[tuple[str, str]]:
         priority: int | None = None
         if self._request.need is not None:
