Reproduce a server that one instance drops after a copy, and plan storms in the soak

After the store has come back from a copy without a server's row, an instance reads the table just before the server writes the row again and then relies on the relay. The followers read just after, find the row unchanged and relay nothing. The instance drops the server.

The soak plays storms: all servers of a service fail while all nodes are killed three times. It checks the retry budget of each service.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -32,6 +32,7 @@
     send_request,
 )
 from tests.proxy import Direction, FaultProxy
+from tests.retry_rule import find_excess, list_retries
 
 CONTACT_S = 4.0
 """A node, or the store, counts as calm if it was not disturbed for this long, in s."""
@@ -51,6 +52,13 @@
 HEARTBEAT_S = 0.5
 """Interval at which each server writes its row, in s: a copy lacks many versions."""
 
+RETRY_RATIO, RETRY_EXTRA, RETRY_WINDOW_S = 0.2, 50, 10.0
+"""Retry budget of each service; the nodes' settings have the same defaults."""
+
+STORM_KILLS = 3
+"""How often all nodes are killed within a storm, in which all servers of a service
+fail."""
+
 CALLERS_PER_NODE = 3
 CALL_PAUSE_S = 0.08
 LEASE_MS = 3_000
@@ -117,7 +125,17 @@
     "hup",
 )
 STORE_FAULTS = ("copy", "copy", "away", "refuse", "lose", "late", "lag", "forget")
-SERVER_FAULTS = ("drain", "drain", "shed", "limit", "break", "fail", "orders", "change")
+SERVER_FAULTS = (
+    "drain",
+    "drain",
+    "shed",
+    "limit",
+    "break",
+    "fail",
+    "orders",
+    "change",
+    "storm",
+)
 
 
 def build_plan(seed: int, *, seconds: float) -> list[Fault]:
@@ -193,6 +211,7 @@
                 self._check_calls()
                 self._check_drains()
                 self._check_fences()
+                self._check_retries()
             finally:
                 await self.fleet.close()
         return self.broken
@@ -298,6 +317,8 @@
             await self._change_configuration(session)
         elif fault.kind == "drain":
             await self._drain_server(fault)
+        elif fault.kind == "storm":
+            await self._kill_all_while_servers_fail(fault)
         else:
             with self._disturb("servers"):
                 await self._disturb_server(fault)
@@ -353,6 +374,23 @@
         await asyncio.sleep(fault.for_s)
         await asyncio.to_thread(proxy.heal)
 
+    async def _kill_all_while_servers_fail(self, fault: Fault) -> None:
+        service = ("llm", "plain")[fault.target % 2]
+        servers = [one for one in self.fleet.servers if one.service == service]
+        with contextlib.ExitStack() as stack:
+            for what in ("servers", *self.names):
+                stack.enter_context(self._disturb(what))
+            for server in servers:
+                server.fails = True
+            for _ in range(STORM_KILLS):
+                kill = Fault(at=fault.at, kind="kill", target=0, for_s=0.0)
+                await asyncio.gather(
+                    *(self._disturb_node(name, kill) for name in self.names)
+                )
+                await asyncio.sleep(fault.for_s)
+            for server in servers:
+                server.fails = False
+
     async def _disturb_store(self, fault: Fault) -> None:
         store = self.fleet.store
         if fault.kind in ("copy", "away"):
@@ -544,6 +582,33 @@
                         detail=f"{server.incarnation}: {late_s:.3f} s too late",
                     )
 
+    def _check_retries(self) -> None:
+        for service in ("llm", "plain"):
+            arrivals = [
+                pair
+                for server in self.fleet.servers
+                if server.service == service
+                for pair in zip(server.arrivals, server.attempts, strict=True)
+            ]
+            requests = [
+                call.sent_at
+                for call in self.calls
+                if call.path.startswith("/chat/") == (service == "llm")
+            ]
+            excess = find_excess(
+                sorted(requests),
+                list_retries(arrivals),
+                ratio=RETRY_RATIO,
+                extra=RETRY_EXTRA,
+                window=RETRY_WINDOW_S,
+            )
+            if excess is not None and excess.is_broken:
+                self._break(
+                    "retries stay within the budget",
+                    at=excess.at,
+                    detail=f"{service}: {excess}",
+                )
+
     def _check_fences(self) -> None:
         holders: dict[str, set[str]] = {}
         for name in self.names:
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -441,3 +441,65 @@
         task.cancel()
 
     asyncio.run(scenario())
+
+
+class CopiedStore:
+    """A store that comes back from a copy without the row of server ``a``.
+
+    The server writes its row again after the first full read of the new era.
+    """
+
+    is_failing = False
+
+    def __init__(self):
+        self.calls = []
+
+    async def read(self, table):
+        self.calls.append("read")
+        if len(self.calls) == 1:
+            rows = [build_row("a", version=8), build_row("b", version=9)]
+            return self._answer(rows, version=9, era=0)
+        copied = build_row("b", version=5)
+        copied = msgspec.structs.replace(copied, position=build_position(5, era=1))
+        return self._answer([copied], version=5, era=1)
+
+    async def wait_for_changes(self, table, *, after, wait_ms):
+        self.calls.append((after.era, after.version))
+        if after == build_position(9):
+            raise HistoryLostError(detail="the copy is older")
+        if after == build_position(5, era=1):
+            written = build_row("a", version=6)
+            position = build_position(6, era=1)
+            written = msgspec.structs.replace(written, position=position)
+            return self._answer([written], version=6, era=1)
+        await asyncio.sleep(3_600)
+
+    def _answer(self, rows, *, version, era):
+        position = build_position(version, era=era)
+        return RowsAnswer(rows=rows, position=position, now_ms=0)
+
+
+def test_a_row_that_is_written_again_after_the_read_of_a_copy_is_not_missed(
+    monkeypatch,
+):
+    """Guards against a running server that one instance drops: it read the table just
+    before the server wrote its row again, and the followers of the store just after, so
+    that they found it unchanged and relayed nothing."""
+    monkeypatch.setattr(server_rows, "LAPSED_ENTRY_GRACE_MS", 300)
+    monkeypatch.setattr(store_watch, "CHANGE_BATCH_MS", 0)
+
+    async def scenario():
+        state = build_state()
+        store = state.store = CopiedStore()
+        task = asyncio.create_task(
+            follow_servers(state, is_store_relayed=lambda: len(store.calls) >= 3)
+        )
+        await asyncio.sleep(1.0)
+        calls = store.calls[:]
+        task.cancel()
+        return set(state.entries), calls, dict(state.lapsing)
+
+    entries, calls, lapsing = asyncio.run(scenario())
+    assert entries == {"a", "b"}
+    assert not lapsing
+    assert calls == ["read", (0, 9), "read", (1, 5)]
