--- a/src/arbutuspulley/membership/limit_shares.py
+++ b/src/arbutuspulley/membership/limit_shares.py
@@ -29,23 +29,21 @@
     when any instance that is cut off has not used its share for a window: it uses none
     from a timeout after the last status on. An instance that joins, or is back, waits
     for a window, in which the others may have used its share.
-
-    :param now: start of the process, in ms.
     """
 
     __slots__ = ("_changes", "_updated_at")
 
-    def __init__(self, *, now: int) -> None:
+    def __init__(self) -> None:
         # Shares with the times since which they hold, oldest first.
-        self._changes: deque[tuple[int, float]] = deque([(now, 0.0)])
-        self._updated_at = now - SHARE_TIMEOUT_MS - 1
+        self._changes: deque[tuple[int, float]] = deque()
+        self._updated_at: int | None = None
 
     def update(self, share: float, *, now: int) -> None:
         """Apply a share that follows from a status of the coordinator.
 
         :param share: fraction of the limit, from 0 to 1.
         """
-        if now - self._updated_at > SHARE_TIMEOUT_MS:
+        if not self._is_up_to_date(now):
             # The others use less as soon as this instance is back.
             back_at = now - SHARE_TIMEOUT_MS
             self._changes.extend(((back_at, 0.0), (back_at, share)))
@@ -58,9 +56,13 @@
 
         :param window_ms: window in which what is used is limited.
         """
-        if now - self._updated_at > SHARE_TIMEOUT_MS:
+        if not self._is_up_to_date(now):
             return 0.0
         since = now - window_ms - SHARE_TIMEOUT_MS
         while len(self._changes) > 1 and self._changes[1][0] <= since:
             self._changes.popleft()
         return min(share for _at, share in self._changes)
+
+    def _is_up_to_date(self, now: int) -> bool:
+        updated_at = self._updated_at
+        return updated_at is not None and now - updated_at <= SHARE_TIMEOUT_MS
--- a/src/arbutuspulley/node/retries.py
+++ b/src/arbutuspulley/node/retries.py
@@ -47,7 +47,7 @@
     def __init__(self, *, state: NodeState) -> None:
         self._state = state
         self._services: dict[str, _ServiceRetries] = {}
-        self._share = SettledShare(now=state.clock.now())
+        self._share = SettledShare()
         state.on_coordinator_status.append(self._update_share)
 
     def record_request(self, service: str) -> None:
--- a/tests/retry_fleet.py
+++ b/tests/retry_fleet.py
@@ -50,7 +50,7 @@
         self.is_alive = True
         self.cut_until = 0
         self._extra = extra
-        self._share = SettledShare(now=now)
+        self._share = SettledShare()
         self._budget = build_budget(
             ratio=ratio, window_ms=WINDOW_MS, phase=rng.random()
         )
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -18,7 +18,7 @@
 
 def test_a_process_has_no_share_in_its_first_window():
     """Guards against a share that each new process may use anew."""
-    share = SettledShare(now=0)
+    share = SettledShare()
     keep_updating(share, 0.25, begin=500, end=WINDOW_MS + 500)
     assert get(share, WINDOW_MS + 499) == 0
     assert get(share, WINDOW_MS + 500) == 0.25
@@ -27,7 +27,7 @@
 def test_a_smaller_share_applies_at_once_and_a_larger_one_later():
     """Guards against shares that add up to more than one while some instances know
     that the fleet has changed and others do not."""
-    share = SettledShare(now=-20_000)
+    share = SettledShare()
     keep_updating(share, 0.25, begin=-19_000, end=0)
     assert get(share, 0) == 0.25
     keep_updating(share, 0.1, begin=250, end=500)
@@ -41,7 +41,7 @@
 def test_an_instance_without_a_coordinator_loses_its_share():
     """Guards against an instance that is cut off and uses its share of a fleet that
     has shared it out again."""
-    share = SettledShare(now=-20_000)
+    share = SettledShare()
     keep_updating(share, 0.25, begin=-19_000, end=0)
     assert get(share, SHARE_TIMEOUT_MS) == 0.25
     assert get(share, SHARE_TIMEOUT_MS + 1) == 0
@@ -49,7 +49,7 @@
 
 def test_an_instance_that_finds_a_coordinator_again_waits_for_its_share():
     """Guards against a share that another instance has used in the same window."""
-    share = SettledShare(now=-20_000)
+    share = SettledShare()
     keep_updating(share, 0.25, begin=-19_000, end=0)
     back_at = SHARE_TIMEOUT_MS + 1_000
     settled_at = back_at + WINDOW_MS
@@ -59,7 +59,7 @@
 
 
 def test_a_coordinator_that_is_replaced_in_time_does_not_reset_the_share():
-    share = SettledShare(now=-20_000)
+    share = SettledShare()
     keep_updating(share, 0.25, begin=-19_000, end=0)
     share.update(0.25, now=SHARE_TIMEOUT_MS)
     assert get(share, SHARE_TIMEOUT_MS) == 0.25
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -94,6 +94,17 @@
     assert len(charge_all(budget, now=3 * LIFETIME_MS + 1)) == 17
 
 
+def test_a_retry_that_arrives_late_occupies_what_was_earned_meanwhile():
+    """Guards against the same failure where nothing happens before they arrive."""
+    budget = build()
+    record_requests(budget, 100, now=0)
+    charges = charge_all(budget, now=0)
+    record_requests(budget, 100, now=LIFETIME_MS // 2)
+    for charge in charges:
+        settle(budget, charge, now=LIFETIME_MS)
+    assert not charge_all(budget, now=LIFETIME_MS)
+
+
 def test_a_share_in_flight_is_occupied_for_a_window_after_it_has_arrived():
     """Guards against the same failure where the allowance beyond the ratio is used."""
     budget = build(ratio=0.0)
