Tell charges of retries apart by identity, and forget settled shares

Seen by reading the change again, not by callers. Charges are equal if their fields are, so giving one of two alike back could take the other out of the list; the answer to that other request would then have failed with "list.remove(x): x not in list", as test_repeats.py shows on the code before. It takes two retries in flight with nothing left to occupy, of which one finds no server.

Shares were forgotten only when a retry asked for one, so a process that never retries kept each change of its fleet. They are now forgotten with each status too; the tests ask for a share before a later status, as a status may forget what only an earlier time needs.

--- a/src/arbutuspulley/admission/service_retry_budget.py
+++ b/src/arbutuspulley/admission/service_retry_budget.py
@@ -34,7 +34,7 @@
 """Fraction of the fixed allowance that is used; the rest covers bursts of requests."""
 
 
-class _EarnedRetry(State):
+class _EarnedRetry(State, eq=False):
     """A retry that requests have earned.
 
     :param is_used: whether it was used, or is occupied by a retry in flight.
@@ -44,7 +44,7 @@
     is_used: bool = False
 
 
-class RetryCharge(State):
+class RetryCharge(State, eq=False):
     """A retry that was charged to a budget.
 
     :param is_extra: whether it was charged to the share of the fixed allowance.
--- a/src/arbutuspulley/membership/limit_shares.py
+++ b/src/arbutuspulley/membership/limit_shares.py
@@ -38,10 +38,11 @@
         self._changes: deque[tuple[int, float]] = deque()
         self._updated_at: int | None = None
 
-    def update(self, share: float, *, now: int) -> None:
+    def update(self, share: float, *, window_ms: int, now: int) -> None:
         """Apply a share that follows from a status of the coordinator.
 
         :param share: fraction of the limit, from 0 to 1.
+        :param window_ms: window in which what is used is limited.
         """
         if not self._is_up_to_date(now):
             # The others use less as soon as this instance is back.
@@ -50,6 +51,7 @@
         elif share != self._changes[-1][1]:
             self._changes.append((now, share))
         self._updated_at = now
+        self._evict_settled(window_ms=window_ms, now=now)
 
     def get(self, *, window_ms: int, now: int) -> float:
         """Return the share that may be used now.
@@ -58,10 +60,14 @@
         """
         if not self._is_up_to_date(now):
             return 0.0
+        self._evict_settled(window_ms=window_ms, now=now)
+        return min(share for _at, share in self._changes)
+
+    def _evict_settled(self, *, window_ms: int, now: int) -> None:
+        """Evict the shares that a later one has replaced for long enough."""
         since = now - window_ms - SHARE_TIMEOUT_MS
         while len(self._changes) > 1 and self._changes[1][0] <= since:
             self._changes.popleft()
-        return min(share for _at, share in self._changes)
 
     def _is_up_to_date(self, now: int) -> bool:
         updated_at = self._updated_at
--- a/src/arbutuspulley/node/retries.py
+++ b/src/arbutuspulley/node/retries.py
@@ -110,7 +110,9 @@
     def _update_share(self) -> None:
         state = self._state
         share = get_instance_share(1.0, share_divisor=state.share_divisor)
-        self._share.update(share, now=state.clock.now())
+        self._share.update(
+            share, window_ms=state.settings.retry_window_ms, now=state.clock.now()
+        )
 
     def _get_extra_limit(self, now: int) -> float:
         settings = self._state.settings
--- a/tests/retry_fleet.py
+++ b/tests/retry_fleet.py
@@ -57,7 +57,8 @@
 
     def learn_fleet(self, *, instances, now):
         """Apply a status of the coordinator."""
-        self._share.update(get_instance_share(1.0, share_divisor=instances), now=now)
+        share = get_instance_share(1.0, share_divisor=instances)
+        self._share.update(share, window_ms=WINDOW_MS, now=now)
 
     def reload(self, *, ratio, extra):
         """Apply settings that were read again."""
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -129,6 +129,19 @@
     assert count_available(budget, extra_limit=extra_limit, now=0) == before
 
 
+def test_charges_are_told_apart_though_they_are_alike():
+    """Guards against an error when one of two retries in flight is given back and the
+    other one arrives, after what they had occupied has expired."""
+    budget = build()
+    record_requests(budget, 100, now=0)
+    first, second, *_ = charge_all(budget, now=0)
+    record_request(budget, now=LIFETIME_MS)
+    assert first.earned is second.earned is None
+    refund(budget, second)
+    settle(budget, first, now=LIFETIME_MS)
+    assert len(budget.in_flight) == 15
+
+
 def test_fractions_of_a_retry_add_up_over_many_instances():
     """Guards against a budget that is lost where each instance has few requests: 360
     instances used a tenth of it."""
