--- a/tests/node_load.py
+++ b/tests/node_load.py
@@ -19,6 +19,11 @@
 node takes over meanwhile."""
 
 
+RETRIES_AT_ONCE = {"BudgetWindowS": 0.2}
+RETRIES_AFTER_S = 0.8
+"""Bound with which nodes may retry requests soon after they have started, and that
+time, in s: an instance has no share of a retry budget in its first window."""
+
 SERVERS = pytest.mark.parametrize(
     ("told", "path", "model"),
     [("e1", "/chat/", "m0"), ("p1", "/book/", "")],
