Send the load of all tests of real nodes by one function

test_retry_budget.py had a copy of node_load.ask_all with other nodes, another interval and the times of sending; these are parameters now. Checks and bounds are the same.

--- a/tests/node_load.py
+++ b/tests/node_load.py
@@ -32,26 +32,39 @@
 """One of two servers of each service, with a path and a model that lead to them."""
 
 
-async def ask_all(fleet, session, path, *, for_s, model=""):
+async def ask_all(
+    fleet,
+    session,
+    path,
+    *,
+    for_s,
+    model="",
+    names=NODES,
+    every_s=ASK_EVERY_S,
+    on_send=lambda: None,
+):
     """Send requests at a steady pace through all nodes in turn.
 
     An attempt id begins with the name of its node and a hyphen.
 
     :param for_s: duration of the load, in s.
+    :param every_s: interval between two requests, in s.
+    :param on_send: called as each request is sent.
     :return: the answers' status codes; ``None``: there was no answer.
     """
     loop = asyncio.get_running_loop()
     until = loop.time() + for_s
     asked = []
-    for number, name in zip(itertools.count(), itertools.cycle(NODES)):
+    for number, name in zip(itertools.count(), itertools.cycle(names)):
         if loop.time() >= until:
             break
+        on_send()
         front = fleet.addresses[name]["Frontend"]
         one = send_request(
             session, front, path, attempt=f"{name}-{number}", model=model
         )
         asked.append(asyncio.create_task(one))
-        await asyncio.sleep(ASK_EVERY_S)
+        await asyncio.sleep(every_s)
     ends = await asyncio.gather(*asked, return_exceptions=True)
     return [end[0] if isinstance(end, tuple) else None for end in ends]
 
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -1,14 +1,13 @@
 """Real nodes together keep to the retry budget of a service."""
 
 import asyncio
-import itertools
 import random
 import signal
 
 import aiohttp
 import pytest
 
-from scripts.platform_testbed import send_request
+from tests.node_load import ask_all
 from tests.proxied_nodes import run_on_nodes
 from tests.retry_rule import find_excess, list_retries
 
@@ -36,29 +35,6 @@
 """Routes whose requests may be sent again after they have failed."""
 
 
-async def ask_all(fleet, session, path, *, model):
-    """Send requests at a steady pace through all nodes in turn.
-
-    :return: the times at which they were sent, and their status codes; ``None``: there
-        was no answer.
-    """
-    loop = asyncio.get_running_loop()
-    until = loop.time() + LOAD_S
-    sent_at, asked = [], []
-    for number, name in zip(itertools.count(), itertools.cycle(NODES)):
-        if loop.time() >= until:
-            break
-        sent_at.append(loop.time())
-        front = fleet.addresses[name]["Frontend"]
-        one = send_request(
-            session, front, path, attempt=f"{name}-{number}", model=model
-        )
-        asked.append(asyncio.create_task(one))
-        await asyncio.sleep(ASK_EVERY_S)
-    ends = await asyncio.gather(*asked, return_exceptions=True)
-    return sent_at, [end[0] if isinstance(end, tuple) else None for end in ends]
-
-
 async def restart_some(fleet, proxies, rng):
     """Kill half of the nodes and start them again."""
     for name in rng.sample(NODES, len(NODES) // 2):
@@ -88,9 +64,19 @@
         servers = [one for one in fleet.servers if bool(one.models) == bool(model)]
         for server in servers:
             server.fails = True
+        loop, sent_at = asyncio.get_running_loop(), []
         disturbing = asyncio.create_task(keep_disturbing(disturb, fleet, proxies))
         async with aiohttp.ClientSession() as callers:
-            sent_at, seen["ends"] = await ask_all(fleet, callers, path, model=model)
+            seen["ends"] = await ask_all(
+                fleet,
+                callers,
+                path,
+                for_s=LOAD_S,
+                model=model,
+                names=NODES,
+                every_s=ASK_EVERY_S,
+                on_send=lambda: sent_at.append(loop.time()),
+            )
         disturbing.cancel()
         arrivals = [
             pair
