--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -39,7 +39,14 @@
     is_not_run,
     select_answer_headers,
 )
-from arbutuspulley.platform.transport import BrokenError, NotSentError, send_request
+from arbutuspulley.platform.transport import (
+    BrokenError,
+    NotSentError,
+    build_broken_error,
+    read_framing,
+    send_request,
+)
+from arbutuspulley.ports.answers import AnswerEnd
 from arbutuspulley.ports.fleet import (
     AttemptOutcome,
     InboundRequest,
@@ -194,6 +201,7 @@
         progress.may_have_run += 1
         progress.sent_at = now
         progress.events = 0
+        progress.framing = progress.answer_end = None
         if state.limits.get(entry.incarnation) is not None:
             state.metrics.limited_attempts.inc()
         if get_exclusion(state, entry.incarnation):
@@ -203,8 +211,10 @@
         took_ms: int | None = None
         try:
             response = await self._send_request(entry, now)
+            progress.framing = read_framing(response)
             try:
                 answer = await self._handle_answer(entry, response)
+                progress.answer_end = AnswerEnd.COMPLETE
                 outcome = AttemptOutcome.DONE
                 self._poison.clear(self._request)
                 took_ms = state.clock.now() - now
@@ -222,6 +232,7 @@
             record_unreachable(stats, entry, now=state.clock.now())
             raise self._handle_unreachable(entry) from None
         except BrokenError as error:
+            progress.answer_end = error.end
             self._poison.record_crash(
                 self._request, incarnation=entry.incarnation, known=known_crashes
             )
@@ -242,6 +253,10 @@
                     now=state.clock.now(),
                 )
             state.metrics.attempts.labels(outcome.value).inc()
+            if progress.answer_end is not None:
+                state.metrics.answers.labels(
+                    progress.framing or "", progress.answer_end
+                ).inc()
             self._acquisition.report_end(entry.incarnation, outcome)
 
     async def _send_request(
@@ -292,7 +307,7 @@
                 )
             raise _NotRunError
         if not is_answer_to(self._request, response.headers):
-            raise BrokenError("not the answer to this request")
+            raise BrokenError("not the answer to this request", end=AnswerEnd.INVALID)
         self._limits.update_from_answer(entry, response.headers, sent_at=sent_at)
         if self.route.is_stream and response.status < 300:
             return await self._relay_stream(entry, response)
@@ -302,7 +317,7 @@
         try:
             body = await response.read()
         except (aiohttp.ClientError, ConnectionError) as error:
-            raise BrokenError(f"{type(error).__name__}: {error}") from error
+            raise build_broken_error(error) from error
         # After a server error the request counts as run, so it is retried only if it
         # may run twice: another server may not have that error.
         if response.status >= 500 and self._may_retry():
@@ -334,7 +349,7 @@
             try:
                 chunk = await content.readany()
             except (aiohttp.ClientError, ConnectionError) as error:
-                raise BrokenError(f"{type(error).__name__}: {error}") from error
+                raise build_broken_error(error) from error
             if not chunk:
                 break
             events = take_complete_events(self._event_buffer, chunk)
@@ -345,6 +360,7 @@
             await answer.write(events)
             self.progress.last_event_id = self._event_buffer.last_id
         answer = await self._start_answer(response)
+        self.progress.partial_bytes = len(self._event_buffer.partial)
         if self._event_buffer.partial:
             await answer.write(self._event_buffer.partial)
         await answer.write_eof()
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -166,6 +166,9 @@
             pause_aim_ms=exchange.route.gap_target_ms if exchange else 0,
             resumes=progress.resumes if progress else 0,
             is_resumed=request.resumes,
+            framing=progress.framing if progress else None,
+            answer_end=progress.answer_end if progress else None,
+            partial_bytes=progress.partial_bytes if progress else 0,
         )
 
 
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -25,6 +25,7 @@
 
     __slots__ = (
         "_teams",
+        "answers",
         "attempts",
         "configurations",
         "cooldowns",
@@ -61,6 +62,12 @@
             ["how"],
             registry=registry,
         )
+        self.answers = Counter(
+            "arbutus_answers",
+            "Servers' answers by framing and by how they ended",
+            ["framing", "end"],
+            registry=registry,
+        )
         self.retries = Counter(
             "arbutus_retries",
             "Retries by service: charged to its budget, denied by it, or refunded",
--- a/src/arbutuspulley/node/progress.py
+++ b/src/arbutuspulley/node/progress.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from arbutuspulley.data import State
+from arbutuspulley.ports.answers import AnswerEnd, Framing
 from arbutuspulley.ports.fleet import Route, Team
 
 MAX_REFUSALS = 3
@@ -60,6 +61,9 @@
     :param last_event_at: when the last of these events arrived, in ms.
     :param longest_gap_ms: longest time between two events, over all servers, in ms.
     :param resumes: how often the stream was resumed at another server.
+    :param framing: of the last server's answer; ``None`` before its headers arrive.
+    :param answer_end: how the last server's answer ended; ``None`` if it did not.
+    :param partial_bytes: size of an incomplete event at the end of the stream.
     """
 
     started_at: int
@@ -79,6 +83,9 @@
     last_event_at: int = 0
     longest_gap_ms: int = 0
     resumes: int = 0
+    framing: Framing | None = None
+    answer_end: AnswerEnd | None = None
+    partial_bytes: int = 0
     is_late: bool = False
 
 
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -12,7 +12,9 @@
 import aiohttp
 import yarl
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import PayloadEncodingError
 
+from arbutuspulley.ports.answers import AnswerEnd, Framing
 from arbutuspulley.ports.fleet import InboundRequest
 
 CONNECT_TIMEOUT_S = 0.6
@@ -46,6 +48,8 @@
 connection is not reused: the server would read the rest as another request."""
 
 
+_BODILESS_STATUSES = frozenset((204, 304))
+
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER with 0 s: closing discards unsent data and resets the connection."""
 
@@ -57,7 +61,14 @@
 
 
 class BrokenError(Exception):
-    """The connection failed after bytes may have been sent; it may have run."""
+    """The connection failed after bytes may have been sent; it may have run.
+
+    :param end: how the answer ended.
+    """
+
+    def __init__(self, detail: str, *, end: AnswerEnd) -> None:
+        super().__init__(detail)
+        self.end = end
 
 
 class _Connection(ResponseHandler):
@@ -200,7 +211,34 @@
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise NotSentError(str(error)) from error
     except (aiohttp.ClientError, ConnectionError, ValueError) as error:
-        raise BrokenError(f"{type(error).__name__}: {error}") from error
+        raise build_broken_error(error) from error
+
+
+def read_framing(response: aiohttp.ClientResponse) -> Framing:
+    """Return by what the end of an answer's body is recognised."""
+    if response.method == "HEAD" or response.status in _BODILESS_STATUSES:
+        return Framing.NONE
+    headers = response.headers
+    if "chunked" in headers.get("Transfer-Encoding", "").lower():
+        return Framing.CHUNKS
+    if "Content-Length" in headers:
+        return Framing.LENGTH
+    return Framing.CLOSE
+
+
+def build_broken_error(error: Exception) -> BrokenError:
+    """Build the error of an answer that the HTTP library could not read to its end."""
+    return BrokenError(f"{type(error).__name__}: {error}", end=_classify(error))
+
+
+def _classify(error: Exception) -> AnswerEnd:
+    if isinstance(error.__cause__, PayloadEncodingError):
+        return AnswerEnd.SHORT
+    if isinstance(error, aiohttp.ServerDisconnectedError):
+        return AnswerEnd.SHORT
+    if isinstance(error, aiohttp.ClientPayloadError | OSError):
+        return AnswerEnd.RESET
+    return AnswerEnd.INVALID
 
 
 def _record_idle_timeout(
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -17,6 +17,7 @@
 from arbutuspulley.node.quota_charging import QuotaCharger
 from arbutuspulley.node.retries import Retries
 from arbutuspulley.platform.transport import BrokenError, NotSentError
+from arbutuspulley.ports.answers import AnswerEnd
 from arbutuspulley.ports.fleet import (
     InboundRequest,
     RetryPolicy,
@@ -195,7 +196,11 @@
     status, in_flight = run_exchange(
         monkeypatch,
         node,
-        outcomes=[BrokenError("1"), NotSentError("2"), BrokenError("3")],
+        outcomes=[
+            BrokenError("1", end=AnswerEnd.RESET),
+            NotSentError("2"),
+            BrokenError("3", end=AnswerEnd.RESET),
+        ],
     )
     assert status == 502
     assert [len(charges) for charges in in_flight] == [0, 1, 1]
@@ -206,7 +211,9 @@
 def test_a_retry_that_finds_no_server_is_given_back(monkeypatch):
     """Guards against a budget used up by requests that were not sent again."""
     node = build_node_with_retries()
-    status, in_flight = run_exchange(monkeypatch, node, outcomes=[BrokenError("1")])
+    status, in_flight = run_exchange(
+        monkeypatch, node, outcomes=[BrokenError("1", end=AnswerEnd.RESET)]
+    )
     assert status == 502
     assert len(in_flight) == 1
     assert not node.retries._services[SERVICE].budget.in_flight
@@ -218,7 +225,9 @@
     """Guards against a budget used up by servers that nothing has reached."""
     node = Node(retry_ratio=0.0, retry_extra=0)
     status, in_flight = run_exchange(
-        monkeypatch, node, outcomes=[NotSentError("1"), BrokenError("2")]
+        monkeypatch,
+        node,
+        outcomes=[NotSentError("1"), BrokenError("2", end=AnswerEnd.RESET)],
     )
     assert status == 502
     assert len(in_flight) == 2
