--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from arbutuspulley.platform import names
+from arbutuspulley.standins.scripted_answer import AnswerScript, send_scripted_answer
 
 
 class ServerStandin:
@@ -34,6 +35,7 @@
     - ``limit_per_s``: rate limit that is announced in answers to requests.
     - ``is_leaving``: announce in all answers that the server is leaving; the row in the
       store stays as it is.
+    - ``script``: how to answer a request, byte by byte; ``on_break`` is called before.
     - ``rest_s``: time without requests that a refusal asks for, in s.
 
     Tests read ``runs`` (number of runs by attempt id), ``headers`` (request headers by
@@ -68,6 +70,7 @@
         "rest_s",
         "rested",
         "runs",
+        "script",
         "service",
         "sheds",
     )
@@ -98,6 +101,7 @@
         self.on_break: Callable[[], None] = lambda: None
         self.sheds = False
         self.fails = False
+        self.script: AnswerScript | None = None
         self.delay_s = 0.0
         self.limit_per_s: float | None = None
         self.is_leaving = False
@@ -216,6 +220,10 @@
             names.SEAL: f"seal.{self.incarnation}",
             **notices,
         }
+        if self.script is not None:
+            script = self.script
+            self.on_break()
+            await send_scripted_answer(request, script, headers)
         if self.fails:
             self.on_break()
             return web.Response(status=500, headers=headers)
--- /dev/null
+++ b/src/arbutuspulley/standins/scripted_answer.py
@@ -0,0 +1,101 @@
+"""Answers of a server stand-in that are sent byte by byte as a test scripts them."""
+
+import asyncio
+import enum
+import socket
+import struct
+from typing import NoReturn
+
+from aiohttp import web
+
+from arbutuspulley.data import Value
+from arbutuspulley.ports.answers import Framing
+
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""SO_LINGER with 0 s: closing discards unsent data and resets the connection."""
+
+
+class ConnectionEnd(enum.StrEnum):
+    """What the server does after the last byte of an answer.
+
+    ``SILENT``: it sends nothing and closes nothing.
+    """
+
+    CLOSE = "close"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+class AnswerScript(Value, frozen=True):
+    """An answer of a server.
+
+    :param parts: the body, in the parts that are sent together.
+    :param pause_s: time between two parts, and before ``more``, in s.
+    :param framing: how the body is delimited.
+    :param is_short: whether the body ends before its stated length or its last chunk.
+    :param end: what the server does after the last byte.
+    :param content_type: empty for none.
+    :param version: HTTP version of the status line.
+    :param more: bytes that are sent after the end of the answer.
+    """
+
+    parts: tuple[bytes, ...]
+    pause_s: float = 0.0
+    framing: Framing = Framing.CLOSE
+    is_short: bool = False
+    end: ConnectionEnd = ConnectionEnd.CLOSE
+    content_type: str = "text/event-stream"
+    version: str = "1.1"
+    status: int = 200
+    more: bytes = b""
+
+
+async def send_scripted_answer(
+    request: web.BaseRequest, script: AnswerScript, headers: dict[str, str]
+) -> NoReturn:
+    """Send a scripted answer and end the connection as scripted.
+
+    :raises asyncio.CancelledError: always; the connection serves no further request.
+    """
+    transport = request.transport
+    if not isinstance(transport, asyncio.Transport):
+        raise asyncio.CancelledError
+    transport.write(_build_head(script, headers))
+    for number, part in enumerate(script.parts):
+        if number:
+            await asyncio.sleep(script.pause_s)
+        transport.write(_frame(part, script.framing))
+    if script.framing is Framing.CHUNKS and not script.is_short:
+        transport.write(b"0\r\n\r\n")
+    if script.more:
+        await asyncio.sleep(script.pause_s)
+        transport.write(script.more)
+    if script.end is ConnectionEnd.SILENT:
+        await asyncio.Event().wait()
+    if script.end is ConnectionEnd.RESET:
+        opened: socket.socket = transport.get_extra_info("socket")
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        transport.abort()
+    else:
+        transport.close()
+    raise asyncio.CancelledError
+
+
+def _build_head(script: AnswerScript, headers: dict[str, str]) -> bytes:
+    fields = dict(headers)
+    if script.content_type:
+        fields["Content-Type"] = script.content_type
+    if script.framing is Framing.CHUNKS:
+        fields["Transfer-Encoding"] = "chunked"
+    elif script.framing is Framing.LENGTH:
+        length = sum(map(len, script.parts)) + script.is_short
+        fields["Content-Length"] = str(length)
+    lines = [f"HTTP/{script.version} {script.status} Scripted"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def _frame(part: bytes, framing: Framing) -> bytes:
+    if framing is Framing.CHUNKS and part:
+        return b"%x\r\n%b\r\n" % (len(part), part)
+    return part
