Take a stream that ends inside an event for broken off, however it is framed

Cause: the end of the answer's framing was taken for the end of the stream, and an incomplete event that was left over was forwarded with it. An answer with neither a length nor chunks ends by a close, and a process that crashes closes too. Class: the end of a container is taken for the end of what it holds.

Now the stream itself has to end between two events. One that does not is broken off like one that was reset: resumed where its route allows, else the caller's answer is aborted; the request is suspected like any other that its server did not survive. Lines end by LF, CRLF or CR; comments and other lines that belong to no event are forwarded at once and end a stream regularly; an answer on a streaming route that says it is no event stream is forwarded as a body. A stream whose last events have no id is not resumed, as they would come twice.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -8,8 +8,11 @@
 from arbutuspulley.admission.service_retry_budget import RetryCharge
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.delivery.stream import (
+    EVENT_FIELDS,
     EventBuffer,
-    count_events,
+    can_resume,
+    is_inside_event,
+    start_run,
     take_complete_events,
 )
 from arbutuspulley.events import Event, log_event
@@ -33,8 +36,10 @@
 from arbutuspulley.node.server_notices import get_exclusion, read_answer
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import (
+    PLATFORM_EVENT_FIELDS,
     build_headers,
     is_answer_to,
+    is_event_stream,
     is_misdirected,
     is_not_run,
     select_answer_headers,
@@ -121,7 +126,7 @@
         self._answer: web.StreamResponse | None = None
         # Charge of the retry that is being made, until it has certainly arrived.
         self._charge: RetryCharge | None = None
-        self._event_buffer = EventBuffer()
+        self._event_buffer = EventBuffer(fields=EVENT_FIELDS | PLATFORM_EVENT_FIELDS)
         remaining_ms = route.timeout_ms
         if request.wait_ms is not None:
             remaining_ms = min(remaining_ms, request.wait_ms)
@@ -309,7 +314,11 @@
         if not is_answer_to(self._request, response.headers):
             raise BrokenError("not the answer to this request", end=AnswerEnd.INVALID)
         self._limits.update_from_answer(entry, response.headers, sent_at=sent_at)
-        if self.route.is_stream and response.status < 300:
+        if (
+            self.route.is_stream
+            and response.status < 300
+            and is_event_stream(response.headers)
+        ):
             return await self._relay_stream(entry, response)
         return await self._relay_body(response)
 
@@ -344,7 +353,8 @@
     async def _relay_stream(
         self, entry: ServerEntry, response: aiohttp.ClientResponse
     ) -> web.StreamResponse:
-        content = response.content
+        content, buffer = response.content, self._event_buffer
+        start_run(buffer, is_resumed=self._answer is not None)
         while True:
             try:
                 chunk = await content.readany()
@@ -352,17 +362,24 @@
                 raise build_broken_error(error) from error
             if not chunk:
                 break
-            events = take_complete_events(self._event_buffer, chunk)
-            if not events:
+            complete = take_complete_events(buffer, chunk)
+            if not complete:
                 continue
-            self._record_events(entry, events)
+            if buffer.events > self.progress.events:
+                self._record_events(entry)
             answer = await self._start_answer(response)
-            await answer.write(events)
-            self.progress.last_event_id = self._event_buffer.last_id
+            await answer.write(complete)
+            self.progress.last_event_id = buffer.last_id
+        # The end of the answer proves nothing: the regular end of one without a length
+        # is a close, and so is that of a server that crashes.
+        if is_inside_event(buffer):
+            self.progress.partial_bytes = len(buffer.pending)
+            raise BrokenError(
+                "the stream ended inside an event", end=AnswerEnd.INSIDE_EVENT
+            )
         answer = await self._start_answer(response)
-        self.progress.partial_bytes = len(self._event_buffer.partial)
-        if self._event_buffer.partial:
-            await answer.write(self._event_buffer.partial)
+        if buffer.pending:
+            await answer.write(bytes(buffer.pending))
         await answer.write_eof()
         return answer
 
@@ -380,7 +397,7 @@
             await answer.prepare(self._client)
         return self._answer
 
-    def _record_events(self, entry: ServerEntry, events: bytes) -> None:
+    def _record_events(self, entry: ServerEntry) -> None:
         """Count events of a stream and measure the time since the previous ones."""
         progress = self.progress
         now = self._state.clock.now()
@@ -397,7 +414,7 @@
                     took_ms=now - progress.sent_at,
                 )
             )
-        progress.events += count_events(events)
+        progress.events = self._event_buffer.events
         progress.last_event_at = now
 
     def _record_first_part(self) -> None:
@@ -450,7 +467,6 @@
             repeat=self.route.retry_policy.value,
         )
         if self._may_retry():
-            self._event_buffer.partial = b""
             progress.resumes += self._answer is not None
             return RetryError()
         if self._answer is not None:
@@ -461,7 +477,7 @@
         """Return whether a request that may have run may be sent again."""
         if self.route.retry_policy is RetryPolicy.ONCE:
             return False
-        if self._answer is not None and not self.progress.last_event_id:
+        if self._answer is not None and not can_resume(self._event_buffer):
             return False
         return self._is_within_retry_limits()
 
--- a/src/arbutuspulley/platform/names.py
+++ b/src/arbutuspulley/platform/names.py
@@ -27,6 +27,10 @@
 REQUEST_PRIORITY = "X-Arbutuspulley-Request-Priority"
 """Rank at a server, 0 to 9; 0 is served first, 5 if absent."""
 
+WEIGHT_VERSIONS = "X-Arbutuspulley-Weight-Versions"
+"""Version of the weights by which a server answers. An event of a stream from which on
+it is another one begins with a line of this name, in lowercase."""
+
 LAST_EVENT_ID = "Last-Event-Id"
 """Id of the last event of a stream that reached the client."""
 
@@ -52,7 +56,7 @@
         REQUEST_PRIORITY,
         "X-Arbutuspulley-Expect-Version",
         "X-Arbutuspulley-Instance-Id",
-        "X-Arbutuspulley-Weight-Versions",
+        WEIGHT_VERSIONS,
         "X-Arbutuspulley-Hold",
         "X-Arbutuspulley-Pin-Ms",
         "X-Arbutuspulley-Kv-Backup",
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -8,9 +8,14 @@
 from arbutuspulley.platform.incarnations import get_server_id
 from arbutuspulley.ports.fleet import InboundRequest, ModelNeed
 
+PLATFORM_EVENT_FIELDS = frozenset((names.WEIGHT_VERSIONS.lower().encode(),))
+"""Fields of an event beside those of the standard."""
+
 _MISDIRECTED = 421
 """Status of an answer by another server than the request is meant for."""
 
+_EVENT_STREAM = "text/event-stream"
+
 _COOLDOWN_STATUSES = frozenset((429, 503))
 """Statuses of an answer by which a server may ask for a time without requests."""
 
@@ -95,6 +100,15 @@
     return names.SEAL in headers
 
 
+def is_event_stream(headers: Mapping[str, str]) -> bool:
+    """Return whether an answer on a streaming route is an event stream.
+
+    One without a content type is taken for what the route names.
+    """
+    content_type = headers.get("Content-Type", _EVENT_STREAM)
+    return content_type.partition(";")[0].strip().lower() == _EVENT_STREAM
+
+
 def select_answer_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
     """Return the headers of a server's answer that are forwarded to the client."""
     listed = list(headers)
