Reset the connection of an answer without chunks until it is complete

A caller by HTTP/1.0 took each answer for complete that this process could not finish: its connection was closed like after the last byte, whether the server broke off, the time was up, or the process was stopped or killed.

Cause: an abort discards what is unsent and closes; for an answer that ends with its connection that is the regular end. Now such a connection resets on each close, by the operating system too, from before its head is sent until its last byte has left the process's buffer. Answers in chunks and with a length are as before: what is missing of them tells their caller.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -18,6 +18,7 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
+from arbutuspulley.node.answer_writer import begin_answer, complete_answer
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import ResponseStarted
@@ -380,7 +381,7 @@
         answer = await self._start_answer(response)
         if buffer.pending:
             await answer.write(bytes(buffer.pending))
-        await answer.write_eof()
+        await complete_answer(self._client, answer)
         return answer
 
     async def _start_answer(
@@ -388,13 +389,12 @@
     ) -> web.StreamResponse:
         """Send the answer's headers once; a resumed stream keeps the first ones."""
         if self._answer is None:
-            answer = web.StreamResponse(
+            self._answer = await begin_answer(
+                self._client,
                 status=response.status,
                 reason=response.reason,
                 headers=select_answer_headers(response.headers.items()),
             )
-            self._answer = answer
-            await answer.prepare(self._client)
         return self._answer
 
     def _record_events(self, entry: ServerEntry) -> None:
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -8,6 +8,7 @@
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
+from arbutuspulley.node.answer_writer import abort_answer
 from arbutuspulley.node.exchange import Exchange
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
@@ -68,7 +69,7 @@
             )
         except AnswerAbortedError as error:
             self._record_end("cut", request, exchange, status=0, why=str(error))
-            _abort_connection(client)
+            abort_answer(client)
             raise asyncio.CancelledError from None
         except (ConnectionError, asyncio.CancelledError):
             self._record_end("left", request, exchange, status=0)
@@ -210,8 +211,3 @@
 def _make_id(request: InboundRequest, started_at: int) -> str:
     text = f"{started_at} {request.method} {request.path}"
     return hashlib.sha256(text.encode()).hexdigest()[:16]
-
-
-def _abort_connection(client: web.BaseRequest) -> None:
-    if client.transport is not None:
-        client.transport.abort()
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -4,7 +4,6 @@
 import functools
 import re
 import socket
-import struct
 import time
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -16,6 +15,7 @@
 
 from arbutuspulley.ports.answers import AnswerEnd, Framing
 from arbutuspulley.ports.fleet import InboundRequest
+from arbutuspulley.sockets import set_reset_on_close
 
 CONNECT_TIMEOUT_S = 0.6
 """Timeout for opening a connection, in s; data centres are 1 ms apart, and a lost SYN
@@ -50,9 +50,6 @@
 
 _BODILESS_STATUSES = frozenset((204, 304))
 
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""SO_LINGER with 0 s: closing discards unsent data and resets the connection."""
-
 _KEEP_ALIVE = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -256,7 +253,7 @@
 
 def _open_resetting_socket(info: tuple[Any, ...]) -> socket.socket:
     opened = _open_socket(info)
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    set_reset_on_close(opened, True)
     return opened
 
 
--- a/src/arbutuspulley/standins/scripted_answer.py
+++ b/src/arbutuspulley/standins/scripted_answer.py
@@ -2,17 +2,13 @@
 
 import asyncio
 import enum
-import socket
-import struct
 from typing import NoReturn
 
 from aiohttp import web
 
 from arbutuspulley.data import Value
 from arbutuspulley.ports.answers import Framing
-
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""SO_LINGER with 0 s: closing discards unsent data and resets the connection."""
+from arbutuspulley.sockets import set_reset_on_close
 
 
 class ConnectionEnd(enum.StrEnum):
@@ -73,8 +69,7 @@
     if script.end is ConnectionEnd.SILENT:
         await asyncio.Event().wait()
     if script.end is ConnectionEnd.RESET:
-        opened: socket.socket = transport.get_extra_info("socket")
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        set_reset_on_close(transport.get_extra_info("socket"), True)
         transport.abort()
     else:
         transport.close()
