Fail the body of an answer that ends in any way but by its server

An answer without a length that this process stopped reading, as at the end of a session, counted as complete; after an invalid chunk the caller waited for its deadline (3.9 s of 4 in the test) although the answer could not go on.

Cause: the library ends such a body whoever closed the connection, and forgets it when its parser fails.

Each of the six guards was taken out once by hand, and a test fails for each.

--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -11,7 +11,7 @@
 import aiohttp
 import yarl
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.http_exceptions import PayloadEncodingError
+from aiohttp.http_exceptions import HttpProcessingError, PayloadEncodingError
 
 from arbutuspulley.ports.answers import AnswerEnd, Framing
 from arbutuspulley.ports.fleet import InboundRequest
@@ -68,11 +68,23 @@
         self.end = end
 
 
+class _AnswerCutError(aiohttp.ClientPayloadError):
+    """An answer's body ended before its server ended it.
+
+    :param end: how it ended.
+    """
+
+    def __init__(self, detail: str, *, end: AnswerEnd) -> None:
+        super().__init__(detail)
+        self.end = end
+
+
 class _Connection(ResponseHandler):
     """A connection that detects truncated answers and its own idle timeout.
 
-    An answer without a length ends when the connection is closed. The library treats a
-    reset in the same way and would return the truncated answer as complete.
+    An answer without a length ends when the server closes the connection. The library
+    treats a reset, and a close by this process, in the same way and would return the
+    truncated answer as complete. After an invalid chunk it would return nothing.
 
     The library has one idle timeout for all servers, and measures it by a clock that
     stops while the machine is suspended; the server has closed the connection by then.
@@ -92,6 +104,7 @@
         self._idle_timeouts = idle_timeouts
         self._restarts = restarts
         self._last_received_at = 0.0
+        self._has_server_closed = False
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes and record the time."""
@@ -109,12 +122,38 @@
         idle_timeout_s = self._idle_timeouts.get(address, DEFAULT_IDLE_TIMEOUT_S)
         return _read_clock() - self._last_received_at <= idle_timeout_s
 
+    def eof_received(self) -> None:
+        """Record that the server closed the connection."""
+        self._has_server_closed = True
+        super().eof_received()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._fail_body("connection closed", AnswerEnd.CLOSED_LOCALLY)
+        super().close()
+
+    def abort(self) -> None:
+        """Close the connection and discard unsent data."""
+        self._fail_body("connection aborted", AnswerEnd.CLOSED_LOCALLY)
+        super().abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
+        """Process the end of the connection."""
+        if isinstance(self.exception(), HttpProcessingError):
+            self._fail_body("invalid body", AnswerEnd.INVALID)
+        elif self._has_server_closed:
+            pass
+        elif exc is None:
+            self._fail_body("connection closed", AnswerEnd.CLOSED_LOCALLY)
+        else:
+            self._fail_body("connection reset", AnswerEnd.RESET)
         super().connection_lost(exc)
 
+    def _fail_body(self, detail: str, end: AnswerEnd) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(_AnswerCutError(detail, end=end))
+
 
 class _Connector(aiohttp.TCPConnector):
     """Opens connections, and keeps the idle timeouts and restarts of servers."""
@@ -229,6 +268,8 @@
 
 
 def _classify(error: Exception) -> AnswerEnd:
+    if isinstance(error, _AnswerCutError):
+        return error.end
     if isinstance(error.__cause__, PayloadEncodingError):
         return AnswerEnd.SHORT
     if isinstance(error, aiohttp.ServerDisconnectedError):
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 
+import aiohttp
 import pytest
 from aiohttp import web
 
@@ -12,9 +13,13 @@
 from arbutuspulley.platform.transport import (
     BrokenError,
     NotSentError,
+    build_broken_error,
     open_session,
+    read_framing,
     send_request,
 )
+from arbutuspulley.ports.answers import AnswerEnd, Framing
+from arbutuspulley.sockets import set_reset_on_close
 
 
 async def count_connections(monkeypatch, keep_alive, idle_times_s):
@@ -135,3 +140,106 @@
         asyncio.run(scenario())
         for filler in fillers:
             filler.close()
+
+
+HEADS = {
+    Framing.LENGTH: b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n",
+    Framing.CHUNKS: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    Framing.CLOSE: b"HTTP/1.1 200 OK\r\n\r\n",
+}
+BODY = b"0123456789"
+WHOLE = {
+    Framing.LENGTH: BODY,
+    Framing.CHUNKS: b"a\r\n" + BODY + b"\r\n0\r\n\r\n",
+    Framing.CLOSE: BODY,
+}
+
+
+def close_regularly(writer):
+    writer.close()
+
+
+def reset(writer):
+    set_reset_on_close(writer.get_extra_info("socket"), True)
+    writer.transport.abort()
+
+
+async def read_answer(sent, end, *, cut=lambda response: None):
+    """Return the body that is read and how it ended, for bytes sent by a server.
+
+    :param cut: called with the answer while it is read.
+    """
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(sent)
+        await asyncio.sleep(0.05)
+        if end is not None:
+            end(writer)
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    request = decode_request(method="GET", path="/", headers=[("Host", "x")])
+    async with server, open_session() as session:
+        response = await send_request(
+            session, request, address=f"{host}:{port}", headers=[]
+        )
+        framing = read_framing(response)
+        asyncio.get_running_loop().call_later(0.02, cut, response)
+        try:
+            async with asyncio.timeout(1):
+                return framing, await response.read(), AnswerEnd.COMPLETE
+        except aiohttp.ClientError as error:
+            return framing, b"", build_broken_error(error).end
+
+
+@pytest.mark.parametrize("framing", HEADS)
+@pytest.mark.parametrize("end", [close_regularly, None])
+def test_a_complete_answer_is_read_to_its_end(framing, end):
+    """Guards against a complete answer that counts as truncated."""
+    if end is None and framing is Framing.CLOSE:
+        end = close_regularly
+    sent = HEADS[framing] + WHOLE[framing]
+    expected = (framing, BODY, AnswerEnd.COMPLETE)
+    assert asyncio.run(read_answer(sent, end)) == expected
+
+
+@pytest.mark.parametrize(
+    ("framing", "end", "expected"),
+    [
+        (Framing.LENGTH, close_regularly, AnswerEnd.SHORT),
+        (Framing.CHUNKS, close_regularly, AnswerEnd.SHORT),
+        (Framing.LENGTH, reset, AnswerEnd.RESET),
+        (Framing.CHUNKS, reset, AnswerEnd.RESET),
+        (Framing.CLOSE, reset, AnswerEnd.RESET),
+    ],
+)
+def test_a_truncated_answer_is_told_from_a_complete_one(framing, end, expected):
+    """Guards against an answer that its server broke off and that looks complete."""
+    sent = HEADS[framing] + WHOLE[framing][:7]
+    assert asyncio.run(read_answer(sent, end)) == (framing, b"", expected)
+
+
+@pytest.mark.parametrize(
+    "cut",
+    [
+        lambda response: response.connection.transport.abort(),
+        lambda response: response.connection.protocol.abort(),
+        lambda response: response.connection.protocol.close(),
+    ],
+    ids=["transport", "abort", "close"],
+)
+@pytest.mark.parametrize("framing", HEADS)
+def test_an_answer_is_not_complete_where_this_process_closes_it(framing, cut):
+    """Guards against a close of our own, as at the end of the session, that looks like
+    the end of an answer."""
+    sent = HEADS[framing] + WHOLE[framing][:7]
+    expected = (framing, b"", AnswerEnd.CLOSED_LOCALLY)
+    assert asyncio.run(read_answer(sent, None, cut=cut)) == expected
+
+
+def test_an_invalid_chunk_ends_an_answer_at_once():
+    """Guards against a wait for the rest of an answer that can't be read any more."""
+    sent = HEADS[Framing.CHUNKS] + b"a\r\n" + BODY + b"\r\n"
+    seen = asyncio.run(read_answer(sent, lambda writer: writer.write(b"zz\r\n")))
+    assert seen == (Framing.CHUNKS, b"", AnswerEnd.INVALID)
