Log who ended an answer, and give the relay of a stream a module of its own

The final line of a request did not tell a server that was silent until the time was up from a caller that left or a process that stopped. answer_end in events 201 and 212 and in arbutus_answers_total now does; it was left empty for these.

The raw caller of the tests reads from its socket: the streams of asyncio drop what was received before a reset, and test_a_broken_stream_never_looks_complete_to_a_slow_caller failed once by that, in its own reading of the head.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -1,24 +1,16 @@
 """Handling of one request: wait for a server, send, relay the answer, retry."""
 
 import asyncio
+from typing import Any
 
 import aiohttp
 from aiohttp import web
 
 from arbutuspulley.admission.service_retry_budget import RetryCharge
 from arbutuspulley.clock import SECOND_MS
-from arbutuspulley.delivery.stream import (
-    EVENT_FIELDS,
-    EventBuffer,
-    can_resume,
-    is_inside_event,
-    start_run,
-    take_complete_events,
-)
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
-from arbutuspulley.node.answer_writer import begin_answer, complete_answer
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import ResponseStarted
@@ -36,8 +28,8 @@
 from arbutuspulley.node.retries import Retries
 from arbutuspulley.node.server_notices import get_exclusion, read_answer
 from arbutuspulley.node.state import NodeState
+from arbutuspulley.node.stream_relay import StreamRelay
 from arbutuspulley.platform.requests import (
-    PLATFORM_EVENT_FIELDS,
     build_headers,
     is_answer_to,
     is_event_stream,
@@ -48,7 +40,7 @@
 from arbutuspulley.platform.transport import (
     BrokenError,
     NotSentError,
-    build_broken_error,
+    read_body,
     read_framing,
     send_request,
 )
@@ -86,16 +78,14 @@
     __slots__ = (
         "_access",
         "_acquisition",
-        "_answer",
         "_charge",
-        "_client",
-        "_event_buffer",
         "_limits",
         "_link",
         "_poison",
         "_request",
         "_retries",
         "_state",
+        "_stream",
         "progress",
         "route",
     )
@@ -123,11 +113,8 @@
         self.route = route
         self._request = request
         self._retries = retries
-        self._client = client
-        self._answer: web.StreamResponse | None = None
         # Charge of the retry that is being made, until it has certainly arrived.
         self._charge: RetryCharge | None = None
-        self._event_buffer = EventBuffer(fields=EVENT_FIELDS | PLATFORM_EVENT_FIELDS)
         remaining_ms = route.timeout_ms
         if request.wait_ms is not None:
             remaining_ms = min(remaining_ms, request.wait_ms)
@@ -135,6 +122,9 @@
             started_at=started_at,
             ends_at=started_at + remaining_ms - ANSWER_MARGIN_MS,
         )
+        self._stream = StreamRelay(
+            client=client, progress=self.progress, on_events=self._record_events
+        )
         self._acquisition = Acquisition(
             state=state,
             link=link,
@@ -178,8 +168,22 @@
             self._acquisition.refund()
             self._refund_retry()
 
+    def record_interruption(self, end: AnswerEnd) -> None:
+        """Record why the last server's answer was not awaited to its end."""
+        progress = self.progress
+        if progress.may_have_run and progress.answer_end is None:
+            progress.answer_end = end
+            self._count_answer()
+
+    def _count_answer(self) -> None:
+        progress = self.progress
+        self._state.metrics.answers.labels(
+            progress.framing or "", progress.answer_end or ""
+        ).inc()
+
     def _build_timeout(self) -> Exception:
-        if self._answer is not None:
+        self.record_interruption(AnswerEnd.TIMEOUT)
+        if self._stream.has_begun:
             return AnswerAbortedError("time is up")
         if self.progress.may_have_run:
             return RequestFailedError(status=504, reason="time is up")
@@ -260,9 +264,7 @@
                 )
             state.metrics.attempts.labels(outcome.value).inc()
             if progress.answer_end is not None:
-                state.metrics.answers.labels(
-                    progress.framing or "", progress.answer_end
-                ).inc()
+                self._count_answer()
             self._acquisition.report_end(entry.incarnation, outcome)
 
     async def _send_request(
@@ -315,32 +317,27 @@
         if not is_answer_to(self._request, response.headers):
             raise BrokenError("not the answer to this request", end=AnswerEnd.INVALID)
         self._limits.update_from_answer(entry, response.headers, sent_at=sent_at)
-        if (
-            self.route.is_stream
-            and response.status < 300
-            and is_event_stream(response.headers)
-        ):
-            return await self._relay_stream(entry, response)
+        if self._is_streamed(response):
+            return await self._stream.relay(response)
         return await self._relay_body(response)
 
+    def _is_streamed(self, response: aiohttp.ClientResponse) -> bool:
+        if not self.route.is_stream or response.status >= 300:
+            return False
+        return is_event_stream(response.headers)
+
     async def _relay_body(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
-        try:
-            body = await response.read()
-        except (aiohttp.ClientError, ConnectionError) as error:
-            raise build_broken_error(error) from error
+        body = await read_body(response)
         # After a server error the request counts as run, so it is retried only if it
         # may run twice: another server may not have that error.
         if response.status >= 500 and self._may_retry():
             self.progress.avoid.add(self.progress.server)
-            log_event(
-                Event.ATTEMPT_FAILED,
-                id=self._request.attempt_id,
-                server=self.progress.server,
-                why=f"server error {response.status}",
+            self._log_failure(
+                f"server error {response.status}",
                 repeat=self.route.retry_policy.value,
             )
             raise RetryError
-        if self._answer is not None:
+        if self._stream.has_begun:
             raise AnswerAbortedError("the stream could not go on")
         answer = web.Response(
             status=response.status,
@@ -351,53 +348,7 @@
         self._record_first_part()
         return answer
 
-    async def _relay_stream(
-        self, entry: ServerEntry, response: aiohttp.ClientResponse
-    ) -> web.StreamResponse:
-        content, buffer = response.content, self._event_buffer
-        start_run(buffer, is_resumed=self._answer is not None)
-        while True:
-            try:
-                chunk = await content.readany()
-            except (aiohttp.ClientError, ConnectionError) as error:
-                raise build_broken_error(error) from error
-            if not chunk:
-                break
-            complete = take_complete_events(buffer, chunk)
-            if not complete:
-                continue
-            if buffer.events > self.progress.events:
-                self._record_events(entry)
-            answer = await self._start_answer(response)
-            await answer.write(complete)
-            self.progress.last_event_id = buffer.last_id
-        # The end of the answer proves nothing: the regular end of one without a length
-        # is a close, and so is that of a server that crashes.
-        if is_inside_event(buffer):
-            self.progress.partial_bytes = len(buffer.pending)
-            raise BrokenError(
-                "the stream ended inside an event", end=AnswerEnd.INSIDE_EVENT
-            )
-        answer = await self._start_answer(response)
-        if buffer.pending:
-            await answer.write(bytes(buffer.pending))
-        await complete_answer(self._client, answer)
-        return answer
-
-    async def _start_answer(
-        self, response: aiohttp.ClientResponse
-    ) -> web.StreamResponse:
-        """Send the answer's headers once; a resumed stream keeps the first ones."""
-        if self._answer is None:
-            self._answer = await begin_answer(
-                self._client,
-                status=response.status,
-                reason=response.reason,
-                headers=select_answer_headers(response.headers.items()),
-            )
-        return self._answer
-
-    def _record_events(self, entry: ServerEntry) -> None:
+    def _record_events(self, events: int) -> None:
         """Count events of a stream and measure the time since the previous ones."""
         progress = self.progress
         now = self._state.clock.now()
@@ -410,11 +361,11 @@
             self._link.send(
                 ResponseStarted(
                     key=self._request.attempt_id,
-                    incarnation=entry.incarnation,
+                    incarnation=progress.server,
                     took_ms=now - progress.sent_at,
                 )
             )
-        progress.events = self._event_buffer.events
+        progress.events = events
         progress.last_event_at = now
 
     def _record_first_part(self) -> None:
@@ -425,13 +376,7 @@
     def _handle_refusal(self, entry: ServerEntry) -> Exception:
         progress = self.progress
         progress.refused += 1
-        log_event(
-            Event.ATTEMPT_FAILED,
-            id=self._request.attempt_id,
-            server=entry.incarnation,
-            why="refused as not run",
-            tries=progress.refused,
-        )
+        self._log_failure("refused as not run", tries=progress.refused)
         if self._request.need is None:
             progress.avoid.add(entry.incarnation)
             record_refused(self._state.server_stats, entry, now=self._state.clock.now())
@@ -445,13 +390,7 @@
         progress = self.progress
         progress.unreached += 1
         progress.avoid.add(entry.incarnation)
-        log_event(
-            Event.ATTEMPT_FAILED,
-            id=self._request.attempt_id,
-            server=entry.incarnation,
-            why="out of reach",
-            tries=progress.unreached,
-        )
+        self._log_failure("out of reach", tries=progress.unreached)
         if progress.unreached <= MAX_UNREACHABLE:
             return RetryError()
         return self._build_failure("servers out of reach")
@@ -459,25 +398,28 @@
     def _handle_broken(self, entry: ServerEntry, detail: str) -> Exception:
         progress = self.progress
         progress.avoid.add(entry.incarnation)
-        log_event(
-            Event.ATTEMPT_FAILED,
-            id=self._request.attempt_id,
-            server=entry.incarnation,
-            why=detail,
-            repeat=self.route.retry_policy.value,
-        )
+        self._log_failure(detail, repeat=self.route.retry_policy.value)
         if self._may_retry():
-            progress.resumes += self._answer is not None
+            progress.resumes += self._stream.has_begun
             return RetryError()
-        if self._answer is not None:
+        if self._stream.has_begun:
             return AnswerAbortedError(detail)
         return RequestFailedError(status=502, reason="the server broke off")
 
+    def _log_failure(self, why: str, **fields: Any) -> None:
+        log_event(
+            Event.ATTEMPT_FAILED,
+            id=self._request.attempt_id,
+            server=self.progress.server,
+            why=why,
+            **fields,
+        )
+
     def _may_retry(self) -> bool:
         """Return whether a request that may have run may be sent again."""
         if self.route.retry_policy is RetryPolicy.ONCE:
             return False
-        if self._answer is not None and not can_resume(self._event_buffer):
+        if self._stream.has_begun and not self._stream.can_resume:
             return False
         return self._is_within_retry_limits()
 
@@ -507,7 +449,7 @@
         self, reason: str, *, retry_after_ms: int | None = None
     ) -> Exception:
         """Build the error of a request that is not retried any more."""
-        if self._answer is not None:
+        if self._stream.has_begun:
             return AnswerAbortedError(reason)
         if self.progress.may_have_run:
             return RequestFailedError(status=502, reason=reason)
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -18,6 +18,7 @@
 from arbutuspulley.node.retries import Retries
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import build_refusal_headers, decode_request
+from arbutuspulley.ports.answers import AnswerEnd
 from arbutuspulley.ports.fleet import InboundRequest
 from arbutuspulley.routing.route_table import find_route
 
@@ -72,6 +73,8 @@
             abort_answer(client)
             raise asyncio.CancelledError from None
         except (ConnectionError, asyncio.CancelledError):
+            if exchange is not None:
+                exchange.record_interruption(_find_interruption(client))
             self._record_end("left", request, exchange, status=0)
             raise
         finally:
@@ -211,3 +214,11 @@
 def _make_id(request: InboundRequest, started_at: int) -> str:
     text = f"{started_at} {request.method} {request.path}"
     return hashlib.sha256(text.encode()).hexdigest()[:16]
+
+
+def _find_interruption(client: web.BaseRequest) -> AnswerEnd:
+    """Return who ended an answer that was neither completed nor aborted."""
+    transport = client.transport
+    if transport is None or transport.is_closing():
+        return AnswerEnd.CALLER_LEFT
+    return AnswerEnd.STOPPING
--- /dev/null
+++ b/src/arbutuspulley/node/stream_relay.py
@@ -0,0 +1,98 @@
+"""The streamed answer of one request, over all servers that it is read from."""
+
+from collections.abc import Callable
+
+import aiohttp
+from aiohttp import web
+
+from arbutuspulley.delivery.stream import (
+    EVENT_FIELDS,
+    EventBuffer,
+    can_resume,
+    is_inside_event,
+    start_run,
+    take_complete_events,
+)
+from arbutuspulley.node.answer_writer import begin_answer, complete_answer
+from arbutuspulley.node.progress import Progress
+from arbutuspulley.platform.requests import (
+    PLATFORM_EVENT_FIELDS,
+    select_answer_headers,
+)
+from arbutuspulley.platform.transport import BrokenError, read_part
+from arbutuspulley.ports.answers import AnswerEnd
+
+
+class StreamRelay:
+    """Forwards the events of a stream to its caller as they arrive.
+
+    :param client: the caller's HTTP request.
+    :param progress: progress of the request.
+    :param on_events: called when the current server has sent further events, with their
+        number since its answer began.
+    """
+
+    __slots__ = ("_answer", "_buffer", "_client", "_on_events", "_progress")
+
+    def __init__(
+        self,
+        *,
+        client: web.BaseRequest,
+        progress: Progress,
+        on_events: Callable[[int], None],
+    ) -> None:
+        self._answer: web.StreamResponse | None = None
+        self._buffer = EventBuffer(fields=EVENT_FIELDS | PLATFORM_EVENT_FIELDS)
+        self._client = client
+        self._on_events = on_events
+        self._progress = progress
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the head of the answer has been sent to the caller."""
+        return self._answer is not None
+
+    @property
+    def can_resume(self) -> bool:
+        """Whether another server can continue, or begin, the stream."""
+        return can_resume(self._buffer)
+
+    async def relay(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
+        """Forward a server's stream to its end.
+
+        :raises BrokenError: if the server broke it off.
+        """
+        buffer, progress = self._buffer, self._progress
+        start_run(buffer, is_resumed=self.has_begun)
+        while part := await read_part(response):
+            complete = take_complete_events(buffer, part)
+            if not complete:
+                continue
+            if buffer.events > progress.events:
+                self._on_events(buffer.events)
+            answer = await self._begin(response)
+            await answer.write(complete)
+            progress.last_event_id = buffer.last_id
+        # A server that crashes may close the connection, which is also the regular end
+        # of an answer that has neither a length nor chunks.
+        if is_inside_event(buffer):
+            progress.partial_bytes = len(buffer.pending)
+            raise BrokenError(
+                "the stream ended inside an event", end=AnswerEnd.INSIDE_EVENT
+            )
+        answer = await self._begin(response)
+        if buffer.pending:
+            await answer.write(bytes(buffer.pending))
+        await complete_answer(self._client, answer)
+        return answer
+
+    async def _begin(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
+        """Send the head of the answer once; a resumed stream keeps the first one."""
+        if self._answer is None:
+            self._answer = await begin_answer(
+                self._client,
+                status=response.status,
+                reason=response.reason,
+                headers=select_answer_headers(response.headers.items()),
+            )
+        return self._answer
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -247,7 +247,7 @@
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise NotSentError(str(error)) from error
     except (aiohttp.ClientError, ConnectionError, ValueError) as error:
-        raise build_broken_error(error) from error
+        raise _build_broken_error(error) from error
 
 
 def read_framing(response: aiohttp.ClientResponse) -> Framing:
@@ -262,8 +262,29 @@
     return Framing.CLOSE
 
 
-def build_broken_error(error: Exception) -> BrokenError:
-    """Build the error of an answer that the HTTP library could not read to its end."""
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Read the body of an answer to its end.
+
+    :raises BrokenError: if it ends before the server ended it.
+    """
+    try:
+        return await response.read()
+    except (aiohttp.ClientError, ConnectionError) as error:
+        raise _build_broken_error(error) from error
+
+
+async def read_part(response: aiohttp.ClientResponse) -> bytes:
+    """Read what has arrived of the body of an answer; empty at its end.
+
+    :raises BrokenError: if it ends before the server ended it.
+    """
+    try:
+        return await response.content.readany()
+    except (aiohttp.ClientError, ConnectionError) as error:
+        raise _build_broken_error(error) from error
+
+
+def _build_broken_error(error: Exception) -> BrokenError:
     return BrokenError(f"{type(error).__name__}: {error}", end=_classify(error))
 
 
--- a/tests/raw_callers.py
+++ b/tests/raw_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import socket
 
 from arbutuspulley.data import Value
 from scripts.platform_testbed import HOST
@@ -40,10 +41,61 @@
         return self.seen in (Seen.COMPLETE, Seen.CLOSED)
 
 
-async def open_raw(front):
-    """Open a connection to a node; return its reader and writer."""
-    host, port = front.split(":")
-    return await asyncio.open_connection(host, int(port))
+class RawCaller:
+    """A caller's connection to a node.
+
+    The streams of asyncio drop what was received before a reset; a socket does not.
+    """
+
+    __slots__ = ("_received", "_socket")
+
+    def __init__(self):
+        self._received = b""
+        self._socket = socket.socket()
+
+    async def open(self, front):
+        """Connect to a node."""
+        host, port = front.split(":")
+        self._socket.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self._socket, (host, int(port)))
+
+    async def send(self, data):
+        """Send bytes."""
+        await asyncio.get_running_loop().sock_sendall(self._socket, data)
+
+    async def read(self):
+        """Return bytes that have been received; empty after an ordinary close."""
+        data, self._received = self._received, b""
+        if data:
+            return data
+        return await asyncio.get_running_loop().sock_recv(self._socket, 65_536)
+
+    async def read_until(self, end):
+        """Return the bytes up to an end mark."""
+        received = b""
+        while end not in received:
+            received += await self._read_more(received)
+        found, _, self._received = received.partition(end)
+        return found + end
+
+    async def read_exactly(self, size):
+        """Return a number of bytes."""
+        received = bytearray()
+        while len(received) < size:
+            received += await self._read_more(bytes(received))
+        self._received = bytes(received[size:])
+        return bytes(received[:size])
+
+    def close(self):
+        """Close the connection."""
+        self._socket.close()
+
+    async def _read_more(self, received):
+        data = await self.read()
+        if not data:
+            raise asyncio.IncompleteReadError(received, None)
+        return data
 
 
 def build_raw_request(path, *, attempt, model="", version="1.1", method="POST"):
@@ -66,20 +118,21 @@
 
 async def ask_raw(front, path, **fields):
     """Send one request on a connection of its own and read its answer to the end."""
-    reader, writer = await open_raw(front)
+    caller = RawCaller()
     try:
-        writer.write(build_raw_request(path, **fields))
+        await caller.open(front)
+        await caller.send(build_raw_request(path, **fields))
         async with asyncio.timeout(READ_TIMEOUT_S):
-            return await read_raw(reader)
+            return await read_raw(caller)
     finally:
-        writer.close()
+        caller.close()
 
 
-async def read_raw(reader):
+async def read_raw(caller, *, has_body=True):
     """Read one answer."""
     loop = asyncio.get_running_loop()
     asked_at = loop.time()
-    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    head = (await caller.read_until(b"\r\n\r\n")).decode()
     first, *lines = head.strip().split("\r\n")
     pairs = (line.partition(":") for line in lines)
     headers = {name.lower(): value.strip() for name, _, value in pairs}
@@ -90,14 +143,21 @@
         arrivals.append((loop.time() - asked_at, len(body)))
 
     try:
-        seen = await _read_body(reader, headers, take)
+        if not has_body:
+            return RawAnswer(
+                status=_read_status(first),
+                headers=headers,
+                body=b"",
+                seen=Seen.COMPLETE,
+            )
+        seen = await _read_body(caller, headers, take)
     except ConnectionError:
         seen = Seen.RESET
     except asyncio.IncompleteReadError as error:
         body.extend(error.partial)
         seen = Seen.SHORT
     return RawAnswer(
-        status=int(first.split()[1]),
+        status=_read_status(first),
         headers=headers,
         body=bytes(body),
         seen=seen,
@@ -105,16 +165,20 @@
     )
 
 
-async def _read_body(reader, headers, take):
+def _read_status(line):
+    return int(line.split()[1])
+
+
+async def _read_body(caller, headers, take):
     if headers.get("transfer-encoding") == "chunked":
-        while size := int(await reader.readuntil(b"\r\n"), 16):
-            take(await reader.readexactly(size))
-            await reader.readexactly(2)
-        await reader.readexactly(2)
+        while size := int(await caller.read_until(b"\r\n"), 16):
+            take(await caller.read_exactly(size))
+            await caller.read_exactly(2)
+        await caller.read_exactly(2)
         return Seen.COMPLETE
     if "content-length" in headers:
-        take(await reader.readexactly(int(headers["content-length"])))
+        take(await caller.read_exactly(int(headers["content-length"])))
         return Seen.COMPLETE
-    while data := await reader.read(65_536):
+    while data := await caller.read():
         take(data)
     return Seen.CLOSED
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 import signal
 
 import aiohttp
@@ -11,10 +12,11 @@
 from arbutuspulley.ports.answers import Framing
 from arbutuspulley.standins.scripted_answer import AnswerScript, ConnectionEnd
 from scripts.platform_testbed import FULL_STREAM
-from tests.raw_callers import Seen, ask_raw, build_raw_request, open_raw, read_raw
+from tests.raw_callers import RawCaller, Seen, ask_raw, build_raw_request, read_raw
 from tests.test_node import play
 
 EVENTS = tuple(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 7))
+STREAM = b"".join(EVENTS)
 TORN = (*EVENTS[:3], b"id: 4\nda")
 VERSIONS = pytest.mark.parametrize("version", ["1.1", "1.0"])
 
@@ -126,13 +128,15 @@
         event = b"id: 1\ndata: " + b"x" * 100_000 + b"\n\n"
         script = AnswerScript(parts=(event,) * 40, end=ConnectionEnd.RESET)
         script_all(fleet, script)
-        reader, writer = await open_raw(fleet.addresses["n1"]["Frontend"])
-        writer.write(
+        caller = RawCaller()
+        await caller.open(fleet.addresses["n1"]["Frontend"])
+        await caller.send(
             build_raw_request("/chat/slow", attempt="s1", model="m0", version="1.0")
         )
         await asyncio.sleep(1)
-        answer = await read_raw(reader)
-        writer.close()
+        answer = await read_raw(caller)
+        caller.close()
+        assert answer.status == 200
         assert answer.seen is Seen.RESET
 
     play(tmp_path, scenario)
@@ -203,3 +207,146 @@
         assert loop.time() - asked_at < 1
 
     play(tmp_path, scenario)
+
+
+WHOLE = {
+    "lf": EVENTS,
+    "crlf": (STREAM.replace(b"\n", b"\r\n"),),
+    "cr": (STREAM.replace(b"\n", b"\r"),),
+    "no-event": (),
+    "comment-at-end": (STREAM + b": bye\n",),
+    "comment-without-line-end": (STREAM + b": bye",),
+    "reconnection-time-at-end": (STREAM + b"retry: 500\n",),
+    "unknown-field-at-end": (STREAM + b"other: 1\n",),
+    "comments-between": (b": a\n\n", EVENTS[0], b": b\n", EVENTS[1]),
+    "byte-order-mark": (b"\xef\xbb\xbf" + STREAM,),
+    "without-id": (b"data: a\n\n",),
+    "empty-id": (b"id\ndata: a\n\n",),
+    "large-event": (b"id: 1\ndata: " + b"x" * 3_000_000 + b"\n\n",),
+    "bytes": tuple(bytes([byte]) for byte in STREAM[:60] + b"\n\n"),
+}
+
+
+@VERSIONS
+def test_a_complete_stream_is_forwarded_unchanged(tmp_path, version):
+    """Guards against a complete stream that is taken for broken off or altered."""
+
+    async def scenario(fleet, _session):
+        seen, expected = {}, {}
+        framings = (Framing.CLOSE, Framing.CHUNKS, Framing.LENGTH)
+        for name, framing in itertools.product(WHOLE, framings):
+            script_all(fleet, AnswerScript(parts=WHOLE[name], framing=framing))
+            answer = await ask(fleet, "/chat/", version=version)
+            seen[name, framing] = (answer.status, len(answer.body), answer.seen)
+            body = b"".join(WHOLE[name])
+            assert answer.body == body
+            end = Seen.COMPLETE if version == "1.1" else Seen.CLOSED
+            expected[name, framing] = (200, len(body), end)
+        assert seen == expected
+
+    play(tmp_path, scenario)
+
+
+@VERSIONS
+@pytest.mark.parametrize(("route", "model"), [("/chat/", "m0"), ("/book/", "")])
+def test_a_body_that_is_no_event_stream_is_forwarded_unchanged(
+    tmp_path, route, model, version
+):
+    """Guards against a body that is judged as events though its type says otherwise."""
+
+    async def scenario(fleet, _session):
+        framings = (Framing.CLOSE, Framing.CHUNKS, Framing.LENGTH)
+        for framing, server in itertools.product(framings, ("1.0", "1.1")):
+            if (framing, server) == (Framing.CHUNKS, "1.0"):
+                continue
+            script = AnswerScript(
+                parts=(b'{"data": ', b'"id: 1"}'),
+                framing=framing,
+                content_type="application/json",
+                version=server,
+            )
+            for one in fleet.servers:
+                one.script = script
+            answer = await ask(fleet, route, version=version, model=model)
+            assert (answer.status, answer.body) == (200, b'{"data": "id: 1"}')
+            assert answer.seen is Seen.COMPLETE
+
+    play(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("route", ["/chat/", "/resumed/"])
+def test_events_without_an_id_never_come_twice(tmp_path, route):
+    """Guards against a stream that is resumed after an event that another followed."""
+
+    async def scenario(fleet, _session):
+        script_all(
+            fleet,
+            AnswerScript(
+                parts=(*EVENTS[:2], b"data: no id\n\n"),
+                pause_s=0.05,
+                end=ConnectionEnd.RESET,
+            ),
+        )
+        answer = await ask(fleet, route)
+        assert answer.body == b"".join(EVENTS[:2]) + b"data: no id\n\n"
+        assert answer.seen is Seen.SHORT
+        assert sum(server.runs.total() for server in fleet.servers) == 1
+
+    play(tmp_path, scenario, has_retries=True)
+
+
+def find_end(fleet, attempt):
+    """Return the fields of the final log line of a request."""
+    lines = (json.loads(line) for line in fleet.read_log("n1").splitlines())
+    names = ("request_ended", "request_lost")
+    return next(
+        line for line in lines if line["name"] in names and line["id"] == attempt
+    )
+
+
+def test_the_final_log_line_tells_how_an_answer_ended(tmp_path):
+    """Guards against a truncated answer whose cause can't be found in the logs."""
+
+    async def scenario(fleet, _session):
+        seen = {}
+
+        async def record(name, script, *, leaves=False):
+            script_all(fleet, script)
+            attempt = f"log-{name}"
+            asking = asyncio.create_task(
+                ask_raw(
+                    fleet.addresses["n1"]["Frontend"],
+                    f"/chat/{attempt}",
+                    attempt=attempt,
+                    model="m0",
+                )
+            )
+            if leaves:
+                await asyncio.sleep(0.3)
+                asking.cancel()
+            await asyncio.gather(asking, return_exceptions=True)
+            await fleet.wait_log("n1", f'"id":"{attempt}","how"')
+            line = find_end(fleet, attempt)
+            seen[name] = (line["how"], line["framing"], line["answer_end"])
+
+        await record("whole", AnswerScript(parts=EVENTS))
+        await record("torn", AnswerScript(parts=TORN))
+        await record("chunks", AnswerScript(parts=TORN, framing=Framing.CHUNKS))
+        await record(
+            "short", AnswerScript(parts=EVENTS, framing=Framing.LENGTH, is_short=True)
+        )
+        await record("reset", AnswerScript(parts=EVENTS, end=ConnectionEnd.RESET))
+        silent = AnswerScript(parts=EVENTS[:2], end=ConnectionEnd.SILENT)
+        await record("left", silent, leaves=True)
+        await record("silent", silent)
+        assert seen == {
+            "whole": ("done", "close", "complete"),
+            "torn": ("cut", "close", "inside_event"),
+            "chunks": ("cut", "chunks", "inside_event"),
+            "short": ("cut", "length", "short"),
+            "reset": ("cut", "close", "reset"),
+            "left": ("left", "close", "caller_left"),
+            "silent": ("cut", "close", "timeout"),
+        }
+
+    play(tmp_path, scenario)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -4,7 +4,6 @@
 import socket
 import struct
 
-import aiohttp
 import pytest
 from aiohttp import web
 
@@ -13,8 +12,8 @@
 from arbutuspulley.platform.transport import (
     BrokenError,
     NotSentError,
-    build_broken_error,
     open_session,
+    read_body,
     read_framing,
     send_request,
 )
@@ -188,9 +187,9 @@
         asyncio.get_running_loop().call_later(0.02, cut, response)
         try:
             async with asyncio.timeout(1):
-                return framing, await response.read(), AnswerEnd.COMPLETE
-        except aiohttp.ClientError as error:
-            return framing, b"", build_broken_error(error).end
+                return framing, await read_body(response), AnswerEnd.COMPLETE
+        except BrokenError as error:
+            return framing, b"", error.end
 
 
 @pytest.mark.parametrize("framing", HEADS)
