Keep the length that a server states in its answer to HEAD

A caller that asked by HEAD got a length of 0, and on a streaming route the head of an answer in chunks, instead of the length that the server had stated.

Cause: the length is dropped and computed anew from the body that is forwarded, and an answer to HEAD has none. Now an answer without a body is never relayed as a stream and keeps its length.

Evidence: test_an_answer_without_a_body_is_forwarded_unchanged; for HEAD on a streaming route it failed with no length before.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -44,7 +44,7 @@
     read_framing,
     send_request,
 )
-from arbutuspulley.ports.answers import AnswerEnd
+from arbutuspulley.ports.answers import AnswerEnd, Framing
 from arbutuspulley.ports.fleet import (
     AttemptOutcome,
     InboundRequest,
@@ -324,6 +324,8 @@
     def _is_streamed(self, response: aiohttp.ClientResponse) -> bool:
         if not self.route.is_stream or response.status >= 300:
             return False
+        if self.progress.framing is Framing.NONE:
+            return False
         return is_event_stream(response.headers)
 
     async def _relay_body(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
@@ -342,7 +344,10 @@
         answer = web.Response(
             status=response.status,
             reason=response.reason,
-            headers=select_answer_headers(response.headers.items()),
+            headers=select_answer_headers(
+                response.headers.items(),
+                has_body=self.progress.framing is not Framing.NONE,
+            ),
             body=body,
         )
         self._record_first_part()
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -109,13 +109,21 @@
     return content_type.partition(";")[0].strip().lower() == _EVENT_STREAM
 
 
-def select_answer_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
-    """Return the headers of a server's answer that are forwarded to the client."""
+def select_answer_headers(
+    headers: Iterable[tuple[str, str]], *, has_body: bool = True
+) -> list[tuple[str, str]]:
+    """Return the headers of a server's answer that are forwarded to the client.
+
+    :param has_body: if not, the length is that of the body of another answer, which
+        only the server knows.
+    """
     listed = list(headers)
     connection = ",".join(
         value for name, value in listed if name.lower() == "connection"
     )
     dropped = names.CONNECTION_HEADERS | _split_connection_tokens(connection)
+    if not has_body:
+        dropped -= {"content-length"}
     return [header for header in listed if header[0].lower() not in dropped]
 
 
--- a/src/arbutuspulley/standins/scripted_answer.py
+++ b/src/arbutuspulley/standins/scripted_answer.py
@@ -29,6 +29,7 @@
     :param pause_s: time between two parts, and before ``more``, in s.
     :param framing: how the body is delimited.
     :param is_short: whether the body ends before its stated length or its last chunk.
+    :param unsent: bytes of the stated length that are no part, as in answers to HEAD.
     :param end: what the server does after the last byte.
     :param content_type: empty for none.
     :param version: HTTP version of the status line.
@@ -39,6 +40,7 @@
     pause_s: float = 0.0
     framing: Framing = Framing.CLOSE
     is_short: bool = False
+    unsent: int = 0
     end: ConnectionEnd = ConnectionEnd.CLOSE
     content_type: str = "text/event-stream"
     version: str = "1.1"
@@ -83,7 +85,7 @@
     if script.framing is Framing.CHUNKS:
         fields["Transfer-Encoding"] = "chunked"
     elif script.framing is Framing.LENGTH:
-        length = sum(map(len, script.parts)) + script.is_short
+        length = sum(map(len, script.parts)) + script.unsent + script.is_short
         fields["Content-Length"] = str(length)
     lines = [f"HTTP/{script.version} {script.status} Scripted"]
     lines += [f"{name}: {value}" for name, value in fields.items()]
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -274,6 +274,41 @@
     play(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("route", ["/chat/", "/book/"])
+@pytest.mark.parametrize(
+    ("method", "status", "length"),
+    [("HEAD", 200, "12"), ("POST", 204, None), ("POST", 304, None)],
+)
+def test_an_answer_without_a_body_is_forwarded_unchanged(
+    tmp_path, route, method, status, length
+):
+    """Guards against a body or a length that the server did not state."""
+
+    async def scenario(fleet, _session):
+        framing = Framing.CLOSE if length is None else Framing.LENGTH
+        script = AnswerScript(
+            parts=(), status=status, framing=framing, unsent=int(length or 0)
+        )
+        for one in fleet.servers:
+            one.script = script
+        caller = RawCaller()
+        await caller.open(fleet.addresses["n1"]["Frontend"])
+        model = "m0" if route == "/chat/" else ""
+        for attempt in ("b1", "b2"):
+            await caller.send(
+                build_raw_request(
+                    f"{route}{attempt}", attempt=attempt, model=model, method=method
+                )
+            )
+            answer = await read_raw(caller, has_body=False)
+            assert answer.status == status
+            assert answer.headers.get("content-length") == length
+            assert "transfer-encoding" not in answer.headers
+        caller.close()
+
+    play(tmp_path, scenario)
+
+
 @pytest.mark.parametrize("route", ["/chat/", "/resumed/"])
 def test_events_without_an_id_never_come_twice(tmp_path, route):
     """Guards against a stream that is resumed after an event that another followed."""
