Discard an idle connection that has received bytes after an answer

A booking was answered 502 because its server had sent further bytes after an earlier answer: they lay in the idle connection, which was used again, and were taken for the answer to the booking, which may have run by then.

Cause: the pool asks whether a connection is open, not whether something was received on it. Now such a connection counts as lost. Bytes that arrive after the next request was sent are still recognised by the missing attempt id alone; that request fails, as it may have run.

Evidence: test_bytes_after_an_answer_belong_to_no_request failed in three of four cases, 502 for 200. The tests for an answer to another request and for a server that is cut off passed before.

--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -115,6 +115,9 @@
         """Return whether the idle connection may be reused."""
         if self.transport is None or not super().is_connected():
             return False
+        # Bytes that belong to no request would be taken for the next one's answer.
+        if self.should_close:
+            return False
         peer = self.transport.get_extra_info("peername")
         address = f"{peer[0]}:{peer[1]}" if peer else ""
         if self._last_received_at <= self._restarts.get(address, 0):
--- a/src/arbutuspulley/standins/scripted_answer.py
+++ b/src/arbutuspulley/standins/scripted_answer.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from arbutuspulley.data import Value
+from arbutuspulley.platform import names
 from arbutuspulley.ports.answers import Framing
 from arbutuspulley.sockets import set_reset_on_close
 
@@ -34,6 +35,7 @@
     :param content_type: empty for none.
     :param version: HTTP version of the status line.
     :param more: bytes that are sent after the end of the answer.
+    :param attempt_id: of another request that it answers; empty for its own.
     """
 
     parts: tuple[bytes, ...]
@@ -46,6 +48,7 @@
     version: str = "1.1"
     status: int = 200
     more: bytes = b""
+    attempt_id: str = ""
 
 
 async def send_scripted_answer(
@@ -80,6 +83,8 @@
 
 def _build_head(script: AnswerScript, headers: dict[str, str]) -> bytes:
     fields = dict(headers)
+    if script.attempt_id:
+        fields[names.ATTEMPT_ID] = script.attempt_id
     if script.content_type:
         fields["Content-Type"] = script.content_type
     if script.framing is Framing.CHUNKS:
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -330,6 +330,47 @@
     play(tmp_path, scenario, has_retries=True)
 
 
+@pytest.mark.parametrize("pause_s", [0, 0.05])
+@pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKS])
+def test_bytes_after_an_answer_belong_to_no_request(tmp_path, framing, pause_s):
+    """Guards against a second answer on a connection that the next request gets."""
+
+    async def scenario(fleet, _session):
+        script = AnswerScript(
+            parts=(b"done",),
+            pause_s=pause_s,
+            framing=framing,
+            content_type="text/plain",
+            more=b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate",
+            end=ConnectionEnd.SILENT,
+        )
+        for server in fleet.servers:
+            server.script = script
+        for _ in range(6):
+            answer = await ask(fleet, "/book/", model="")
+            assert (answer.status, answer.body) == (200, b"done")
+            await asyncio.sleep(2 * pause_s)
+
+    play(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("route", ["/chat/", "/book/"])
+def test_the_answer_to_another_request_reaches_no_caller(tmp_path, route):
+    """Guards against a caller that gets what another one asked for."""
+
+    async def scenario(fleet, _session):
+        script = AnswerScript(
+            parts=EVENTS, framing=Framing.CHUNKS, attempt_id="of-another"
+        )
+        for server in fleet.servers:
+            server.script = script
+        answer = await ask(fleet, route, model="m0" if route == "/chat/" else "")
+        assert answer.status == 502
+        assert b"piece" not in answer.body
+
+    play(tmp_path, scenario)
+
+
 def find_end(fleet, attempt):
     """Return the fields of the final log line of a request."""
     lines = (json.loads(line) for line in fleet.read_log("n1").splitlines())
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -219,6 +219,17 @@
     assert asyncio.run(read_answer(sent, end)) == (framing, b"", expected)
 
 
+def test_an_answer_is_not_complete_where_its_server_is_cut_off():
+    """Guards against the end of TCP's keep-alive that looks like a close."""
+
+    def lose(response):
+        response.connection.protocol.connection_lost(TimeoutError("timed out"))
+
+    sent = HEADS[Framing.CLOSE] + BODY
+    expected = (Framing.CLOSE, b"", AnswerEnd.RESET)
+    assert asyncio.run(read_answer(sent, None, cut=lose)) == expected
+
+
 @pytest.mark.parametrize(
     "cut",
     [
