Reproduce a server that is dropped by its own removal, and let the soak tear streams

The logs of both tell that all four nodes drop the server (805) just as its row is removed and written again in the same instant.

The soak lets model servers close streams inside an event, without a length or chunks, and a fifth of the requests are sent by HTTP/1.0.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,7 +4,8 @@
 stand-ins in this process. A plan that depends on the seed alone injects faults from
 outside: signals, a proxy between each node and the store, a store that misbehaves and
 comes back from copies, servers that leave, refuse and break off. Callers keep using
-open connections. The promises are checked from what callers and servers see.
+open connections; some speak HTTP/1.0 and get answers without chunks. The promises are
+checked from what callers and servers see.
 
 Run it with ``python -m tests.soak --seed 1 --minutes 1 --processes 4``.
 """
@@ -23,7 +24,9 @@
 import cyclopts
 
 from arbutuspulley.data import State, Value
+from arbutuspulley.ports.answers import Framing
 from arbutuspulley.standins.fleet_server import ServerStandin
+from arbutuspulley.standins.scripted_answer import AnswerScript
 from scripts.platform_testbed import (
     FULL_STREAM,
     Fleet,
@@ -32,6 +35,7 @@
     send_request,
 )
 from tests.proxy import Direction, FaultProxy
+from tests.raw_callers import ask_raw
 from tests.retry_rule import find_excess, list_retries
 
 CONTACT_S = 4.0
@@ -67,6 +71,14 @@
 REFUSED = (408, 421, 429, 503)
 """Statuses that promise that the request has not run and never will."""
 
+TORN_STREAM = AnswerScript(
+    parts=(FULL_STREAM[:60], FULL_STREAM[60:70]), pause_s=0.01, framing=Framing.CLOSE
+)
+"""A stream whose server closes the connection inside an event."""
+
+OLD_CALLER_FRACTION = 0.2
+"""Fraction of the requests that are sent by HTTP/1.0, on connections of their own."""
+
 KINDS = (("/book/", ""), ("/sync/", ""), ("/chat/", "m0"), ("/chat/", "m1"))
 
 
@@ -131,6 +143,7 @@
     "shed",
     "limit",
     "break",
+    "tear",
     "fail",
     "orders",
     "change",
@@ -282,14 +295,29 @@
         address = self.fleet.addresses[name]["Frontend"]
         try:
             async with asyncio.timeout(8):
-                call.status, call.body, _ = await send_request(
-                    session, address, path, attempt=attempt, model=model
-                )
-        except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
+                if self._rng.random() < OLD_CALLER_FRACTION:
+                    await self._call_once(call, address, model)
+                else:
+                    call.status, call.body, _ = await send_request(
+                        session, address, path, attempt=attempt, model=model
+                    )
+        except (
+            aiohttp.ClientError,
+            asyncio.IncompleteReadError,
+            ConnectionError,
+            TimeoutError,
+        ) as error:
             call.body = type(error).__name__.encode()
         call.ended_at = self._now
         return call
 
+    async def _call_once(self, call: Call, address: str, model: str) -> None:
+        answer = await ask_raw(
+            address, call.path, attempt=call.attempt, model=model, version="1.0"
+        )
+        if answer.looks_complete:
+            call.status, call.body = answer.status, answer.body
+
     async def _keep_writing(self) -> None:
         """Write the rows of the servers that run, one after the other."""
         while not self._is_over:
@@ -437,11 +465,15 @@
         self.fleet.store.put("servers", name, row)
 
     async def _disturb_server(self, fault: Fault) -> None:
-        server = self.fleet.servers[fault.target % len(self.fleet.servers)]
+        servers = self.fleet.servers
+        if fault.kind == "tear":
+            servers = [one for one in servers if one.service == "llm"]
+        server = servers[fault.target % len(servers)]
         changes: dict[str, Any] = {
             "shed": {"sheds": True, "rest_s": 0.5},
             "limit": {"limit_per_s": 5.0},
             "break": {"breaks_after": 3},
+            "tear": {"script": TORN_STREAM},
             "fail": {"fails": True},
             "orders": {"loses_order_answers": True},
         }[fault.kind]
--- a/tests/test_server_rows.py
+++ b/tests/test_server_rows.py
@@ -316,3 +316,42 @@
         assert Relay(state=state).select_urgent(update) == update
 
     run(scenario)
+
+
+@pytest.mark.parametrize("was_unavailable", [False, True])
+@pytest.mark.parametrize("born", [10, 20], ids=["same-start", "new-start"])
+def test_a_row_that_is_written_again_within_one_answer_stays_listed(
+    short_delays, born, was_unavailable
+):
+    """Guards against a running server that is dropped until its row changes, since one
+    answer of the store has its removal and the row that followed."""
+
+    async def scenario():
+        state = build_state()
+        receive(state, build_row("a", 1, era=0))
+        update = apply_server_rows(
+            state,
+            [build_removal("a", 2, era=0), build_row("a", 3, era=0, born=born)],
+            is_full_read=False,
+            was_unavailable=was_unavailable,
+            position=build_position(3, era=0),
+        )
+        other = build_state()
+        receive(other, build_row("a", 1, era=0))
+        relay(update, other)
+        await asyncio.sleep(0.1)
+        assert [one.entries["a"].started_ms for one in (state, other)] == [born, born]
+
+    run(scenario)
+
+
+def test_a_row_that_is_removed_after_it_was_written_in_one_answer_is_gone():
+    """Guards against a server that stays listed though its removal came last."""
+
+    async def scenario():
+        state = build_state()
+        receive(state, build_row("a", 1, era=0))
+        receive(state, build_row("a", 2, era=0, slots=5), build_removal("a", 3, era=0))
+        assert "a" not in state.entries
+
+    run(scenario)
