Apply the last row of each server within one answer of the store

Callers were refused by every instance, 503 for 3.4 s in a test of four nodes, though the only server of the service was running and had written its row again.

Cause: one answer had the removal of the row and the row that followed. The row was applied first and then the entry dropped for the removal before it. The position was that of the last row, so only a further change of the row, or another instance's relay of it, listed the server again.

Now only the last row of each key counts.

--- a/src/arbutuspulley/node/server_rows.py
+++ b/src/arbutuspulley/node/server_rows.py
@@ -63,6 +63,7 @@
         missing = _list_missing(state, rows, position)
         rows = [*rows, *missing]
         was_unavailable = was_unavailable or _is_any_of_earlier_era(state, missing)
+    rows = _keep_last(rows)
     newer = [row for row in rows if _is_newer(state, row, by=by)]
     newer = [row for row in newer if not _restamp_unchanged(state, row)]
     gone = {row.key: row.position for row in newer if row.value is None}
@@ -124,6 +125,18 @@
     ]
 
 
+def _keep_last(rows: list[StoredRow]) -> list[StoredRow]:
+    """Return the last row of each key, in order.
+
+    One answer may have a removal and the row that was written after it.
+    """
+    last: dict[str, StoredRow] = {}
+    for row in rows:
+        known = last.pop(row.key, row)
+        last[row.key] = max(row, known, key=lambda one: one.position)
+    return list(last.values())
+
+
 def _is_any_of_earlier_era(state: NodeState, rows: list[StoredRow]) -> bool:
     return any(state.row_positions[row.key].era < row.position.era for row in rows)
 
