Name the requests of each scenario of the promises apart

Cause: the scenarios share a stack whose logs are counted, and named their requests by the identity of an object that is freed between them. Where the next scenario got the same one, its requests had the names, and so the prompts, of the scenario before. What is checked is unchanged.

--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -1,5 +1,6 @@
 """Steps of ``features/promises.feature``, with real processes."""
 
+import itertools
 import signal
 from concurrent.futures import ThreadPoolExecutor
 
@@ -23,6 +24,7 @@
 class World(State):
     """State shared by the steps of a scenario.
 
+    :param number: of the scenario; runs are counted by name over all of them.
     :param server: engine that the scenario's faults affect.
     :param outcomes: outcomes of requests that were sent with retries.
     :param answers: requests that were sent once, with their results.
@@ -31,6 +33,7 @@
     """
 
     stack: running.Stack
+    number: int = msgspec.field(default_factory=itertools.count().__next__)
     server: str = ""
     outcomes: list[Outcome] = []
     answers: list[tuple[ClientRequest, AttemptResult]] = []
@@ -104,7 +107,10 @@
 def _send_all(pool, world, count, model, **kind):
     requests = [
         running.build_inference(
-            f"{model}-{id(world)}-{number}", tokens=20, streamed=number % 2 == 0, **kind
+            f"{model}-{world.number}-{number}",
+            tokens=20,
+            streamed=number % 2 == 0,
+            **kind,
         )
         for number in range(count)
     ]
@@ -142,7 +148,7 @@
 
 @given(parsers.parse('a long answer is being streamed from an engine with "{model}"'))
 def _begin_long(world, pool, model):
-    request = running.build_inference(f"long-{id(world)}", tokens=400, streamed=True)
+    request = running.build_inference(f"long-{world.number}", tokens=400, streamed=True)
     world.long = pool.submit(running.send_with_retries, world.stack, request)
     wait_until(
         lambda: running.count_runs(world.stack, request),
