Log which instance can't reach a server, and for how long it is withheld

A failed connection of one instance keeps a server from all of them for seconds, and nothing said so: the log named the server at that instance only, and a missing copy at the coordinator without a reason. Event 813 has both.

--- a/src/arbutuspulley/events.py
+++ b/src/arbutuspulley/events.py
@@ -104,6 +104,7 @@
     SERVER_NOTICE_REFUSED = 810
     SERVER_COOLDOWN = 811
     SERVER_ROW_IGNORED = 812
+    SERVER_UNREACHABLE = 813
 
 
 def _encode_line(record: logging.LogRecord, **leading_fields: object) -> bytes:
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -344,7 +344,7 @@
         elif isinstance(message, CancelRequest):
             cancel_request(self._pools, message)
         else:
-            apply_progress(self._pools, message, now=now)
+            apply_progress(self._pools, message, origin=origin, now=now)
 
     def _record_limits(
         self, limits: tuple[ServerLimit, ...], *, is_initial: bool = False
--- a/src/arbutuspulley/node/pool_updates.py
+++ b/src/arbutuspulley/node/pool_updates.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.messages import (
     AttemptEnded,
     CancelRequest,
@@ -75,9 +76,16 @@
 
 
 def apply_progress(
-    pools: dict[str, PoolState], message: ResponseStarted | AttemptEnded, *, now: int
+    pools: dict[str, PoolState],
+    message: ResponseStarted | AttemptEnded,
+    *,
+    origin: str,
+    now: int,
 ) -> None:
-    """Record that a run has sent the first part of its answer, or has ended."""
+    """Record that a run has sent the first part of its answer, or has ended.
+
+    :param origin: the instance that sent the message.
+    """
     for pool in pools.values():
         if message.incarnation not in pool.servers:
             continue
@@ -88,6 +96,14 @@
             record_not_run(pool, key, incarnation, now=now)
         elif message.how is AttemptOutcome.UNREACHED:
             record_unreachable(pool, key, incarnation, now=now)
+            server = pool.servers[incarnation]
+            log_event(
+                Event.SERVER_UNREACHABLE,
+                id=key,
+                server=incarnation,
+                instance=origin,
+                withheld_ms=server.backoff_until - now,
+            )
         else:
             record_run_end(
                 pool,
