--- a/scripts/platform_testbed.py
+++ b/scripts/platform_testbed.py
@@ -18,6 +18,8 @@
 
 ROOT = Path(__file__).parents[1]
 
+NODE_PROGRAM = ROOT / "deploy" / "run_node.py"
+
 HOST = "shop.example"
 """Host name of all routes."""
 
@@ -137,6 +139,8 @@
         seeds: tuple[str, ...] = (),
         store: str = "",
         lease_ms: int = 1_500,
+        program: Path = NODE_PROGRAM,
+        environment: dict[str, str] | None = None,
         **bounds: Any,
     ) -> None:
         """Start a node.
@@ -144,6 +148,8 @@
         :param seeds: nodes that its settings name as seeds.
         :param store: address at which it reaches the store; empty: the store's own.
         :param lease_ms: duration of the coordinator's lease, in ms.
+        :param program: program that runs the node.
+        :param environment: additional environment variables.
         :param bounds: additional bounds of the platform.
         """
         ports = [self._reserve_port() for _ in range(4)]
@@ -169,10 +175,14 @@
         with (self.folder / f"{name}.log").open("ab") as log:
             self.nodes[name] = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(ROOT / "deploy" / "run_node.py"),
+                str(program),
                 "--metrics-port",
                 "0",
-                env={**os.environ, "ARBUTUSPULLEY_BOOT": str(path)},
+                env={
+                    **os.environ,
+                    "ARBUTUSPULLEY_BOOT": str(path),
+                    **(environment or {}),
+                },
                 stdout=log,
                 stderr=log,
             )
