Send requests through another instance while the servers can't be reached

Cause: an instance had only its own connections. A failed one was taken for a server that is down, so each request tried up to five servers and was refused, and the instance went on being named to callers.

Now an instance judges its own network: if connections to two servers fail, or all servers are silent and a probe fails, it asks another instance to send the request to the server that was chosen. What it can't reach either counts as down. While an instance reaches no server, callers are named others. A broken connection of such an instance is no crash of its server.

--- a/src/arbutuspulley/events.py
+++ b/src/arbutuspulley/events.py
@@ -105,6 +105,9 @@
     SERVER_COOLDOWN = 811
     SERVER_ROW_IGNORED = 812
     SERVER_UNREACHABLE = 813
+    SERVERS_LOST = 814
+    SERVERS_REGAINED = 815
+    RELAY_REFUSED = 816
 
 
 def _encode_line(record: logging.LogRecord, **leading_fields: object) -> bytes:
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -63,7 +63,7 @@
 from arbutuspulley.node.rates import Rates
 from arbutuspulley.node.relay import Relay
 from arbutuspulley.node.reports import ReportPoller
-from arbutuspulley.node.server_notices import apply_leaving
+from arbutuspulley.node.server_notices import apply_leaving, list_cooldowns
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.store_watch import apply_configuration_delta, apply_store_update
 from arbutuspulley.platform.engines import ORDER_TIMEOUT_MS
@@ -373,14 +373,7 @@
 
     def _record_own_cooldowns(self) -> None:
         """Record the cooldowns that this instance knew before it coordinated."""
-        active = self._state.cooldowns.list_active(now=self._state.clock.now())
-        self._record_cooldowns(
-            self._state.settings.name,
-            tuple(
-                ServerCooldown(incarnation=incarnation, remaining_ms=remaining_ms)
-                for incarnation, remaining_ms in active.items()
-            ),
-        )
+        self._record_cooldowns(self._state.settings.name, list_cooldowns(self._state))
 
     def _record_cooldowns(
         self, origin: str, cooldowns: tuple[ServerCooldown, ...]
--- a/src/arbutuspulley/node/directory.py
+++ b/src/arbutuspulley/node/directory.py
@@ -76,9 +76,14 @@
                 for node in state.nodes
                 if node.is_ready and node.name != state.settings.name
             ]
+        # Callers of an instance that reaches no server need another one's help.
+        reaching = [node for node in nodes if node.reaches_servers]
+        if reaching:
+            nodes = reaching
         # An instance that refuses all keys directs callers to the instances that were
         # last on its roster.
-        if state.is_ready and (state.may_admit or not nodes):
+        may_serve = state.may_admit and (state.reaches_servers or not reaching)
+        if state.is_ready and (may_serve or not nodes):
             nodes.append(state.build_info())
         return nodes
 
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -1,6 +1,7 @@
 """Handling of one request: wait for a server, send, relay the answer, retry."""
 
 import asyncio
+import functools
 from typing import Any
 
 import aiohttp
@@ -27,6 +28,7 @@
 from arbutuspulley.node.quota_charging import QuotaCharger
 from arbutuspulley.node.retries import Retries
 from arbutuspulley.node.server_notices import get_exclusion, read_answer
+from arbutuspulley.node.server_paths import ServerPaths
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.stream_relay import StreamRelay
 from arbutuspulley.platform.requests import (
@@ -42,7 +44,6 @@
     NotSentError,
     read_body,
     read_framing,
-    send_request,
 )
 from arbutuspulley.ports.answers import AnswerEnd, Framing
 from arbutuspulley.ports.fleet import (
@@ -72,6 +73,7 @@
     :param charger: charges the request to its team's quota.
     :param limits: rate limits of the servers, updated from their answers.
     :param retries: retry budgets of the services.
+    :param paths: sends the request to servers.
     :param client: the caller's HTTP request.
     """
 
@@ -81,6 +83,7 @@
         "_charge",
         "_limits",
         "_link",
+        "_paths",
         "_poison",
         "_request",
         "_retries",
@@ -100,6 +103,7 @@
         charger: QuotaCharger,
         limits: LimitGuard,
         retries: Retries,
+        paths: ServerPaths,
         route: Route,
         request: InboundRequest,
         client: web.BaseRequest,
@@ -113,6 +117,7 @@
         self.route = route
         self._request = request
         self._retries = retries
+        self._paths = paths
         # Charge of the retry that is being made, until it has certainly arrived.
         self._charge: RetryCharge | None = None
         remaining_ms = route.timeout_ms
@@ -212,6 +217,8 @@
         progress.sent_at = now
         progress.events = 0
         progress.framing = progress.answer_end = None
+        progress.helper = ""
+        self._paths.record_begun(entry)
         if state.limits.get(entry.incarnation) is not None:
             state.metrics.limited_attempts.inc()
         if get_exclusion(state, entry.incarnation):
@@ -220,7 +227,8 @@
         outcome = AttemptOutcome.FAILED
         took_ms: int | None = None
         try:
-            response = await self._send_request(entry, now)
+            response = await self._send_request(entry)
+            self._record_heard(entry)
             progress.framing = read_framing(response)
             try:
                 answer = await self._handle_answer(entry, response)
@@ -237,21 +245,27 @@
                 if outcome is not AttemptOutcome.DONE:
                     response.close()
         except NotSentError:
-            outcome = AttemptOutcome.UNREACHED
+            outcome = AttemptOutcome.UNUSED
+            if self._paths.blames_server(entry):
+                outcome = AttemptOutcome.UNREACHED
             progress.may_have_run -= 1
             record_unreachable(stats, entry, now=state.clock.now())
             raise self._handle_unreachable(entry) from None
         except BrokenError as error:
             progress.answer_end = error.end
-            self._poison.record_crash(
-                self._request, incarnation=entry.incarnation, known=known_crashes
-            )
+            if self._paths.blames_server(entry):
+                self._poison.record_crash(
+                    self._request, incarnation=entry.incarnation, known=known_crashes
+                )
+            else:
+                outcome = AttemptOutcome.LEFT
             raise self._handle_broken(entry, str(error)) from None
         except asyncio.CancelledError:
             # The caller disconnected or the time is up; neither is the server's fault.
             outcome = AttemptOutcome.LEFT
             raise
         finally:
+            self._paths.record_ended(entry)
             record_done(
                 stats, entry, took_ms=took_ms, failed=outcome is AttemptOutcome.FAILED
             )
@@ -267,20 +281,18 @@
                 self._count_answer()
             self._acquisition.report_end(entry.incarnation, outcome)
 
-    async def _send_request(
-        self, entry: ServerEntry, now: int
-    ) -> aiohttp.ClientResponse:
+    async def _send_request(self, entry: ServerEntry) -> aiohttp.ClientResponse:
         """Send the request and settle the charge of a retry.
 
         If no connection could be opened, the next attempt needs no other charge.
         """
         is_sent = True
         try:
-            return await send_request(
-                self._state.session,
+            return await self._paths.send(
                 self._request,
-                address=entry.address,
-                headers=self._build_headers(entry, now),
+                entry,
+                build_headers=functools.partial(self._build_headers, entry),
+                on_helper=self._record_helper,
             )
         except NotSentError:
             is_sent = False
@@ -289,14 +301,21 @@
             if is_sent:
                 self._settle_retry()
 
-    def _build_headers(self, entry: ServerEntry, now: int) -> list[tuple[str, str]]:
+    def _record_helper(self, link: str) -> None:
+        self.progress.helper = link
+
+    def _record_heard(self, entry: ServerEntry) -> None:
+        if not self.progress.helper:
+            self._paths.record_heard(entry)
+
+    def _build_headers(self, entry: ServerEntry) -> list[tuple[str, str]]:
         priority: int | None = None
         if self._request.need is not None:
             is_late = self.progress.is_late
             priority = LATE_PRIORITY if is_late else min(7, self._acquisition.priority)
         return build_headers(
             self._request,
-            remaining_ms=max(1, self.progress.ends_at - now),
+            remaining_ms=max(1, self.progress.ends_at - self._state.clock.now()),
             incarnation=entry.incarnation,
             priority=priority,
             last_event_id=self.progress.last_event_id,
@@ -372,6 +391,9 @@
             )
         progress.events = events
         progress.last_event_at = now
+        entry = self._state.by_incarnation.get(progress.server)
+        if entry is not None:
+            self._record_heard(entry)
 
     def _record_first_part(self) -> None:
         progress = self.progress
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -16,6 +16,7 @@
 from arbutuspulley.node.progress import AnswerAbortedError, RequestFailedError
 from arbutuspulley.node.quota_charging import QuotaCharger
 from arbutuspulley.node.retries import Retries
+from arbutuspulley.node.server_paths import ServerPaths
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import build_refusal_headers, decode_request
 from arbutuspulley.ports.answers import AnswerEnd
@@ -37,14 +38,25 @@
 class Frontend:
     """Serves callers' requests."""
 
-    __slots__ = ("_charger", "_limits", "_link", "_poison", "_retries", "_state")
+    __slots__ = (
+        "_charger",
+        "_limits",
+        "_link",
+        "_paths",
+        "_poison",
+        "_retries",
+        "_state",
+    )
 
-    def __init__(self, *, state: NodeState, link: Link, poison: PoisonGuard) -> None:
+    def __init__(
+        self, *, state: NodeState, link: Link, poison: PoisonGuard, paths: ServerPaths
+    ) -> None:
         self._charger = QuotaCharger(state=state, link=link)
         self._limits = LimitGuard(state=state, link=link)
         self._state = state
         self._link = link
         self._poison = poison
+        self._paths = paths
         self._retries = Retries(state=state)
 
     async def handle(self, client: web.BaseRequest) -> web.StreamResponse:
@@ -118,6 +130,7 @@
             charger=self._charger,
             limits=self._limits,
             retries=self._retries,
+            paths=self._paths,
             route=route,
             request=request,
             client=client,
@@ -159,6 +172,7 @@
             service=progress.service if progress else "",
             model=f"{need.model}/{need.adapter}" if need else "",
             server=progress.server if progress else "",
+            helper=progress.helper if progress else "",
             waited_ms=progress.waited_ms if progress else 0,
             first_ms=progress.first_ms if progress else None,
             longest_pause_ms=progress.longest_gap_ms if progress else 0,
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -27,7 +27,6 @@
     Refused,
     RosterChange,
     RunningRequest,
-    ServerCooldown,
     ServerLimit,
     ServerLimits,
     StoreUpdate,
@@ -43,7 +42,7 @@
     RefusedError,
 )
 from arbutuspulley.node.roster import RosterCopy, apply_change
-from arbutuspulley.node.server_notices import apply_leaving
+from arbutuspulley.node.server_notices import apply_leaving, list_cooldowns
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.store_watch import (
     apply_configuration_delta,
@@ -511,12 +510,7 @@
                 for incarnation, per_s in state.limits.list_limits().items()
             ),
             leaving=state.leaving.list_all(),
-            cooldowns=tuple(
-                ServerCooldown(incarnation=incarnation, remaining_ms=remaining_ms)
-                for incarnation, remaining_ms in state.cooldowns.list_active(
-                    now=state.clock.now()
-                ).items()
-            ),
+            cooldowns=list_cooldowns(state),
         )
 
     def build_heartbeat(self) -> Heartbeat:
@@ -535,6 +529,7 @@
             configuration=state.configuration_version,
             number=number,
             vouches=self._confirmation.confirmed_status,
+            reaches_servers=state.reaches_servers,
         )
 
 
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -17,6 +17,8 @@
     :param site: the instance's data centre.
     :param capacity: capacity in cores, limited by the bandwidth of its network link.
     :param coordinates: whether the instance is the coordinator.
+    :param link: address at which other instances reach it; empty: unknown.
+    :param reaches_servers: whether it can connect to backend servers.
     """
 
     name: str
@@ -26,6 +28,8 @@
     is_ready: bool
     capacity: float = 1.0
     coordinates: bool = False
+    link: str = ""
+    reaches_servers: bool = True
 
 
 class RunningRequest(Message, frozen=True):
@@ -116,6 +120,7 @@
     :param number: sequence number of the heartbeat on this connection, from 1.
     :param vouches: number of a coordinator status. When that status arrived, no
         configuration newer than the instance's active one existed; 0: not known.
+    :param reaches_servers: whether the instance can connect to backend servers.
     """
 
     is_ready: bool
@@ -125,6 +130,7 @@
     configuration: int = 0
     number: int = 0
     vouches: int = 0
+    reaches_servers: bool = True
 
 
 class GrantRequest(Message, frozen=True, tag="ask"):
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -43,11 +43,13 @@
         "orders",
         "refusals",
         "registry",
+        "relayed",
         "requests",
         "retries",
         "retry_budget",
         "store_calls",
         "store_era",
+        "unreachable_servers",
         "version",
     )
 
@@ -100,6 +102,17 @@
             "Tries at servers that are leaving or wanted no requests; expected: 0",
             registry=registry,
         )
+        self.unreachable_servers = Gauge(
+            "arbutus_unreachable_servers",
+            "Servers that this instance can't connect to",
+            registry=registry,
+        )
+        self.relayed = Counter(
+            "arbutus_relayed",
+            "Requests sent to servers for instances that can't reach them, by outcome",
+            ["outcome"],
+            registry=registry,
+        )
         self.orders = Counter(
             "arbutus_orders",
             "Orders to model servers",
--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -134,8 +134,13 @@
         peer.sent_version = max(peer.sent_version, heartbeat.configuration)
         peer.last_heartbeat = heartbeat.number
         self._confirm_freshness(peer, heartbeat)
-        if peer.info.is_ready != heartbeat.is_ready:
-            peer.info = msgspec.structs.replace(peer.info, is_ready=heartbeat.is_ready)
+        info = msgspec.structs.replace(
+            peer.info,
+            is_ready=heartbeat.is_ready,
+            reaches_servers=heartbeat.reaches_servers,
+        )
+        if peer.info != info:
+            peer.info = info
             self.publish_roster()
         now = self._state.clock.now()
         if (
--- a/src/arbutuspulley/node/progress.py
+++ b/src/arbutuspulley/node/progress.py
@@ -56,6 +56,7 @@
     :param avoid: incarnations that refused or failed the request.
     :param avoid_uncoordinated: incarnations that were tried without a coordinator.
     :param server: incarnation of the last server that the request was sent to.
+    :param helper: link address of the instance that sends it for this one; empty: none.
     :param sent_at: when the request was sent to that server, in ms.
     :param events: number of events of the stream that the last server sent.
     :param last_event_at: when the last of these events arrived, in ms.
@@ -75,6 +76,7 @@
     avoid: set[str] = msgspec.field(default_factory=set)
     avoid_uncoordinated: set[str] = msgspec.field(default_factory=set)
     server: str = ""
+    helper: str = ""
     sent_at: int = 0
     waited_ms: int = 0
     first_ms: int | None = None
--- a/src/arbutuspulley/node/server_notices.py
+++ b/src/arbutuspulley/node/server_notices.py
@@ -51,6 +51,15 @@
     return frozenset(state.cooldowns.list_active(now=state.clock.now()))
 
 
+def list_cooldowns(state: NodeState) -> tuple[ServerCooldown, ...]:
+    """Return the cooldowns of this instance, as messages for a coordinator."""
+    active = state.cooldowns.list_active(now=state.clock.now())
+    return tuple(
+        ServerCooldown(incarnation=incarnation, remaining_ms=remaining_ms)
+        for incarnation, remaining_ms in active.items()
+    )
+
+
 def get_exclusion(state: NodeState, incarnation: str) -> str:
     """Return why a server gets no requests from this instance; empty: it may."""
     entry = state.by_incarnation.get(incarnation)
--- /dev/null
+++ b/src/arbutuspulley/node/server_relay.py
@@ -0,0 +1,182 @@
+"""Sends requests to servers for instances that can't reach them.
+
+The other instance has chosen the server, and has counted, limited and charged the
+request; its answer is forwarded as it comes. A request is never relayed twice.
+"""
+
+import asyncio
+from typing import NoReturn
+
+import aiohttp
+from aiohttp import web
+
+from arbutuspulley.membership.server_reach import (
+    is_suspect,
+    record_failed,
+    record_heard,
+)
+from arbutuspulley.node.answer_writer import abort_answer
+from arbutuspulley.node.link import Link
+from arbutuspulley.node.messages import AttemptEnded
+from arbutuspulley.node.server_notices import get_exclusion, read_answer
+from arbutuspulley.node.state import NodeState
+from arbutuspulley.platform import names
+from arbutuspulley.platform.requests import (
+    select_answer_headers,
+    select_relayed_headers,
+)
+from arbutuspulley.platform.transport import (
+    BrokenError,
+    NotSentError,
+    read_framing,
+    read_part,
+    send_request,
+)
+from arbutuspulley.ports.answers import Framing
+from arbutuspulley.ports.fleet import AttemptOutcome, InboundRequest, ServerEntry
+from arbutuspulley.ports.relaying import RelayOutcome
+
+MAX_RELAYED = 256
+"""Maximum number of requests that are relayed at the same time: some 10 MB and 512
+sockets."""
+
+MAX_RELAYED_BYTES = 16 * 1024 * 1024
+"""Maximum size of their bodies together, in bytes."""
+
+
+class ServerRelay:
+    """Relays requests of other instances to servers."""
+
+    __slots__ = ("_bytes", "_count", "_link", "_state")
+
+    def __init__(self, *, state: NodeState, link: Link) -> None:
+        self._state = state
+        self._link = link
+        self._count = 0
+        self._bytes = 0
+
+    async def handle(self, client: web.BaseRequest) -> web.StreamResponse:
+        """Relay one request, and return the server's answer."""
+        size = client.content_length or 0
+        self._count += 1
+        self._bytes += size
+        self._state.in_flight += 1
+        outcome = RelayOutcome.ANSWERED
+        try:
+            entry = self._find_server(client)
+            return await self._relay(client, entry)
+        except _RefusedError as error:
+            outcome = error.outcome
+            return _build_refusal(outcome)
+        finally:
+            self._count -= 1
+            self._bytes -= size
+            self._state.in_flight -= 1
+            self._state.metrics.relayed.labels(outcome.value).inc()
+
+    def _find_server(self, client: web.BaseRequest) -> ServerEntry:
+        state = self._state
+        is_full = self._count > MAX_RELAYED or self._bytes > MAX_RELAYED_BYTES
+        if is_full or state.stopping_at is not None:
+            raise _RefusedError(RelayOutcome.BUSY)
+        incarnation = client.headers.get(names.RELAY_TO, "")
+        entry = state.by_incarnation.get(incarnation)
+        if entry is None:
+            raise _RefusedError(RelayOutcome.UNKNOWN_SERVER)
+        if get_exclusion(state, incarnation):
+            raise _RefusedError(RelayOutcome.EXCLUDED)
+        return entry
+
+    async def _relay(
+        self, client: web.BaseRequest, entry: ServerEntry
+    ) -> web.StreamResponse:
+        request = await _read_request(client, max_bytes=MAX_RELAYED_BYTES)
+        state = self._state
+        try:
+            response = await send_request(
+                state.session, request, address=entry.address, headers=request.headers
+            )
+        except NotSentError:
+            self._handle_unreached(request, entry)
+        except BrokenError:
+            abort_answer(client)
+            raise asyncio.CancelledError from None
+        record_heard(state.server_reach, entry.address, now=state.clock.now())
+        read_answer(state, entry.incarnation, response.status, response.headers)
+        try:
+            return await _forward(client, response)
+        except BrokenError:
+            abort_answer(client)
+            raise asyncio.CancelledError from None
+        finally:
+            response.close()
+
+    def _handle_unreached(
+        self, request: InboundRequest, entry: ServerEntry
+    ) -> NoReturn:
+        reach = self._state.server_reach
+        record_failed(reach, entry.address, now=self._state.clock.now())
+        if is_suspect(reach):
+            raise _RefusedError(RelayOutcome.CUT_OFF) from None
+        self._link.send(
+            AttemptEnded(
+                key=request.attempt_id,
+                incarnation=entry.incarnation,
+                how=AttemptOutcome.UNREACHED,
+            )
+        )
+        raise _RefusedError(RelayOutcome.UNREACHED) from None
+
+
+class _RefusedError(Exception):
+    """The request was not sent to the server."""
+
+    def __init__(self, outcome: RelayOutcome) -> None:
+        super().__init__(outcome.value)
+        self.outcome = outcome
+
+
+async def _read_request(client: web.BaseRequest, *, max_bytes: int) -> InboundRequest:
+    parts: list[bytes] = []
+    size = 0
+    while part := await client.content.readany():
+        size += len(part)
+        if size > max_bytes:
+            raise _RefusedError(RelayOutcome.BUSY)
+        parts.append(part)
+    return InboundRequest(
+        attempt_id=client.headers.get(names.ATTEMPT_ID, ""),
+        method=client.method,
+        host="",
+        path=client.raw_path,
+        headers=select_relayed_headers(client.headers.items()),
+        wait_ms=None,
+        need=None,
+        body=b"".join(parts),
+    )
+
+
+async def _forward(
+    client: web.BaseRequest, response: aiohttp.ClientResponse
+) -> web.StreamResponse:
+    """Forward a server's answer as it arrives, with its own framing if it has one."""
+    framing = read_framing(response)
+    has_body = framing is not Framing.NONE
+    headers = select_answer_headers(response.headers.items(), has_body=has_body)
+    headers.append((names.RELAY_OUTCOME, RelayOutcome.ANSWERED.value))
+    if not has_body:
+        return web.Response(status=response.status, headers=headers)
+    answer = web.StreamResponse(
+        status=response.status, reason=response.reason, headers=headers
+    )
+    if framing is Framing.LENGTH:
+        answer.content_length = response.content_length
+    await answer.prepare(client)
+    while part := await read_part(response):
+        await answer.write(part)
+    await answer.write_eof()
+    return answer
+
+
+def _build_refusal(outcome: RelayOutcome) -> web.Response:
+    return web.Response(status=503, headers={names.RELAY_OUTCOME: outcome.value})
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -13,6 +13,7 @@
 from arbutuspulley.clock import Clock
 from arbutuspulley.membership.capacity import get_capacity
 from arbutuspulley.membership.leaving import LeavingServers
+from arbutuspulley.membership.server_reach import ServerReach, is_cut_off
 from arbutuspulley.node.advertisement import get_share_divisor, select_advertised
 from arbutuspulley.node.feed_schedule import FeedSchedule
 from arbutuspulley.node.messages import (
@@ -66,6 +67,7 @@
     :param nodes_updated_at: time of the last coordinator status, in ms.
     :param instances: number of instances that the coordinator can reach.
     :param advertised: number of instances whose addresses are given to callers.
+    :param server_reach: servers that this instance can't connect to.
     :param is_coordinator: whether this instance is the coordinator.
     :param estimates: estimates last sent by the coordinator; used if this instance
         becomes its successor.
@@ -117,6 +119,7 @@
         "removed_starts",
         "rng",
         "row_positions",
+        "server_reach",
         "server_stats",
         "session",
         "settings",
@@ -160,6 +163,7 @@
         self.by_incarnation: dict[str, ServerEntry] = {}
         self.by_service: dict[str, list[ServerEntry]] = {}
         self.server_stats = LocalServerStats()
+        self.server_reach = ServerReach()
         self.row_positions: dict[str, StorePosition] = {}
         self.removed_starts: dict[str, int] = {}
         self.lapsing: dict[str, StorePosition] = {}
@@ -189,6 +193,11 @@
         """Whether this instance serves callers."""
         return self.configuration is not None and self.stopping_at is None
 
+    @property
+    def reaches_servers(self) -> bool:
+        """Whether this instance can connect to backend servers."""
+        return not is_cut_off(self.server_reach)
+
     @property
     def may_admit(self) -> bool:
         """Whether keys may be accepted: no key can have been revoked unnoticed."""
@@ -214,6 +223,8 @@
             is_ready=self.is_ready,
             capacity=self.capacity,
             coordinates=self.is_coordinator,
+            link=settings.link,
+            reaches_servers=self.reaches_servers,
         )
 
     @property
--- a/src/arbutuspulley/platform/names.py
+++ b/src/arbutuspulley/platform/names.py
@@ -77,6 +77,12 @@
 """Number that the store sends in all its answers. It rises by one each time the store
 has come back from an older copy of its data."""
 
+RELAY_TO = "Arbutus-Relay-To"
+"""Incarnation of the server to which an instance asks another one to send a request."""
+
+RELAY_OUTCOME = "Arbutus-Relay-Outcome"
+"""What became of such a request; present in all answers to it."""
+
 CONNECTION_HEADERS = frozenset(
     (
         "connection",
@@ -90,6 +96,8 @@
         "upgrade",
         "content-length",
         "expect",
+        RELAY_TO.lower(),
+        RELAY_OUTCOME.lower(),
     )
 )
 """Hop-by-hop headers, and headers that each hop computes itself."""
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -81,6 +81,17 @@
     return headers
 
 
+def select_relayed_headers(
+    headers: Iterable[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Return the headers of a request that another instance wants to be forwarded."""
+    return [
+        header
+        for header in headers
+        if header[0].lower() not in names.CONNECTION_HEADERS
+    ]
+
+
 def is_misdirected(status: int) -> bool:
     """Return whether another server answered than the request was meant for."""
     return status == _MISDIRECTED
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -15,6 +15,7 @@
 
 from arbutuspulley.ports.answers import AnswerEnd, Framing
 from arbutuspulley.ports.fleet import InboundRequest
+from arbutuspulley.settings import split_address
 from arbutuspulley.sockets import set_reset_on_close
 
 CONNECT_TIMEOUT_S = 0.6
@@ -214,6 +215,23 @@
     return session
 
 
+async def probe_connection(address: str, *, timeout_s: float) -> bool:
+    """Return whether a connection to a server can be opened; nothing is sent on it.
+
+    :param address: its ``host:port``.
+    """
+    host, port = split_address(address)
+    loop = asyncio.get_running_loop()
+    info = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", ())
+    with _open_resetting_socket(info) as opened:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await loop.sock_connect(opened, (host, port))
+        except OSError:  # a timeout, too
+            return False
+    return True
+
+
 def discard_idle_connections(session: aiohttp.ClientSession, address: str) -> None:
     """Prevent reuse of the connections to a server that are idle now.
 
--- a/src/arbutuspulley/programs/node.py
+++ b/src/arbutuspulley/programs/node.py
@@ -26,10 +26,13 @@
 from arbutuspulley.node.link import LINK_PATH, Link
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.poison import PoisonGuard
+from arbutuspulley.node.server_paths import ServerPaths
+from arbutuspulley.node.server_relay import ServerRelay
 from arbutuspulley.node.settings_reload import Reloader
 from arbutuspulley.node.shutdown import stop_gracefully
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.store_watch import follow_configuration, follow_servers
+from arbutuspulley.platform import names
 from arbutuspulley.platform.settings import find_settings, read_settings
 from arbutuspulley.platform.store import StoreClient
 from arbutuspulley.platform.transport import open_order_session, open_session
@@ -141,7 +144,10 @@
     )
     coordinator = Coordinator(state=state, lease=lease, receive_local=link.receive)
     election = Election(state=state, lease=lease, link=link, coordinator=coordinator)
-    servers = await _listen(state, link, coordinator, metrics_port)
+    paths = ServerPaths(
+        state=state, on_change=lambda: link.send(link.build_heartbeat())
+    )
+    servers = await _listen(state, link, coordinator, paths, metrics_port)
     log_event(
         Event.STARTED, program=PROGRAM, boot=lease.boot, frontend=settings.frontend
     )
@@ -165,6 +171,7 @@
             ),
             lambda: bootstrap_from_neighbours(state, link),
             election.run,
+            paths.watch,
             reloader.watch,
         )
     ]
@@ -189,14 +196,18 @@
     state: NodeState,
     link: Link,
     coordinator: Coordinator,
+    paths: ServerPaths,
     metrics_port: int,
 ) -> list[asyncio.Server]:
     settings = state.settings
     directory = Directory(state=state)
     poison = PoisonGuard(state=state, link=link)
-    frontend = Frontend(state=state, link=link, poison=poison)
+    frontend = Frontend(state=state, link=link, poison=poison, paths=paths)
+    relay = ServerRelay(state=state, link=link)
 
     async def handle_link(request: web.BaseRequest) -> web.StreamResponse:
+        if names.RELAY_TO in request.headers:
+            return await relay.handle(request)
         if request.path == LINK_PATH:
             return await coordinator.serve_link(request)
         if request.path == SNAPSHOT_PATH:
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -6,7 +6,7 @@
 import pytest
 
 from arbutuspulley.clock import Clock
-from arbutuspulley.node import exchange as exchange_module
+from arbutuspulley.node import server_paths as paths_module
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.exchange import Exchange
 from arbutuspulley.node.limits import LimitGuard
@@ -16,6 +16,7 @@
 from arbutuspulley.node.progress import RequestFailedError
 from arbutuspulley.node.quota_charging import QuotaCharger
 from arbutuspulley.node.retries import Retries
+from arbutuspulley.node.server_paths import ServerPaths
 from arbutuspulley.platform.transport import BrokenError, NotSentError
 from arbutuspulley.ports.answers import AnswerEnd
 from arbutuspulley.ports.fleet import (
@@ -152,7 +153,7 @@
         in_flight.append(node.retries._services[SERVICE].budget.in_flight[:])
         raise outcomes[len(in_flight) - 1]
 
-    monkeypatch.setattr(exchange_module, "send_request", send)
+    monkeypatch.setattr(paths_module, "send_request", send)
     request = InboundRequest(
         attempt_id="r0",
         method="GET",
@@ -171,6 +172,7 @@
         charger=charger,
         limits=LimitGuard(state=state, link=node.link),
         retries=node.retries,
+        paths=ServerPaths(state=state, on_change=lambda: None),
         route=ROUTE,
         request=request,
         client=None,
