Withhold a server from the instance that can't reach it, and only from that one

Cause: the coordinator took the failed connection of one instance for the state of the server and granted it to nobody for 1 to 4 s.

A report now withholds a server from the instance that sent it. It counts as down once two instances that reach servers report it and none has heard from it since; the reports of an instance that reaches none are discarded.

--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -54,6 +54,7 @@
 from arbutuspulley.node.pool_updates import (
     add_running_requests,
     apply_progress,
+    apply_reaching_instances,
     build_waiting_request,
     cancel_request,
     record_cooldowns,
@@ -503,7 +504,9 @@
         logged_at = -LOG_INTERVAL_MS
         while True:
             self._peers.publish_roster()
-            self._update_shares(self._peers.list_linked())
+            linked = self._peers.list_linked()
+            self._update_shares(linked)
+            apply_reaching_instances(self._pools, linked, now=self._state.clock.now())
             self._send_status()
             for report in self._report_poller.poll(self._pools.values()):
                 self._spawn(report)
--- a/src/arbutuspulley/node/pool_updates.py
+++ b/src/arbutuspulley/node/pool_updates.py
@@ -8,9 +8,16 @@
     CancelRequest,
     GrantRequest,
     Hello,
+    NodeInfo,
     ResponseStarted,
     ServerCooldown,
 )
+from arbutuspulley.pool.contact import (
+    apply_reaching,
+    get_withheld_until,
+    record_heard,
+    record_unreachable,
+)
 from arbutuspulley.pool.state import (
     PoolState,
     Run,
@@ -18,7 +25,6 @@
     record_first_event,
     record_not_run,
     record_run_end,
-    record_unreachable,
 )
 from arbutuspulley.ports.fleet import AttemptOutcome
 
@@ -90,19 +96,22 @@
         if message.incarnation not in pool.servers:
             continue
         key, incarnation = message.key, message.incarnation
+        if _has_answered(message):
+            record_heard(pool, incarnation, origin=origin, now=now)
         if isinstance(message, ResponseStarted):
             record_first_event(pool, key, incarnation, took_ms=message.took_ms, now=now)
         elif message.how is AttemptOutcome.NOT_RUN:
             record_not_run(pool, key, incarnation, now=now)
         elif message.how is AttemptOutcome.UNREACHED:
-            record_unreachable(pool, key, incarnation, now=now)
+            record_unreachable(pool, key, incarnation, origin=origin, now=now)
             server = pool.servers[incarnation]
             log_event(
                 Event.SERVER_UNREACHABLE,
                 id=key,
                 server=incarnation,
                 instance=origin,
-                withheld_ms=server.backoff_until - now,
+                is_down=server.backoff_until > now,
+                withheld_ms=get_withheld_until(server, origin) - now,
             )
         else:
             record_run_end(
@@ -115,6 +124,21 @@
             )
 
 
+def apply_reaching_instances(
+    pools: dict[str, PoolState], linked: Iterable[NodeInfo], *, now: int
+) -> None:
+    """Apply which of the linked instances reach servers."""
+    reaching = frozenset(info.name for info in linked if info.reaches_servers)
+    for pool in pools.values():
+        apply_reaching(pool, reaching, now=now)
+
+
+def _has_answered(message: ResponseStarted | AttemptEnded) -> bool:
+    if isinstance(message, ResponseStarted):
+        return True
+    return message.how in (AttemptOutcome.DONE, AttemptOutcome.NOT_RUN)
+
+
 def record_cooldowns(
     pools: dict[str, PoolState],
     origin: str,
@@ -150,7 +174,7 @@
 
 
 def remove_instance(pools: dict[str, PoolState], origin: str) -> None:
-    """Remove all waiting and running requests of an instance whose link is lost."""
+    """Remove what is known of an instance whose link is lost, and its requests."""
     for pool in pools.values():
         for key in [
             key for key, request in pool.waiting.items() if request.origin == origin
@@ -161,3 +185,4 @@
                 key for key, run in server.runs.items() if run.origin == origin
             ]:
                 del server.runs[key]
+            server.unreachable_from.pop(origin, None)
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -10,6 +10,7 @@
 
 from arbutuspulley.admission.rate_limits import consume
 from arbutuspulley.data import Value
+from arbutuspulley.pool.contact import get_withheld_until, list_withheld_ends
 from arbutuspulley.pool.copies import CopyIndex, get_copies, index_copies
 from arbutuspulley.pool.demand import get_copy_token_rate
 from arbutuspulley.pool.state import (
@@ -195,7 +196,7 @@
         limited_ms = get_rate_limit_wait(server, now=now)
         if limited_ms:
             times.append(now + limited_ms)
-        times.extend(until for until in server.cooldowns.values() if until > now)
+        times.extend(until for until in list_withheld_ends(server) if until > now)
     times += [
         until
         for server in pool.servers.values()
@@ -329,7 +330,7 @@
     """Tell whether a server has a request's model and adapter and a free slot."""
     if not is_usable(server, now=now) or server.incarnation in waiting.avoid:
         return False
-    if server.cooldowns.get(waiting.origin, 0) > now:
+    if get_withheld_until(server, waiting.origin) > now:
         return False
     if not has_model(server, waiting.need, now=now):
         return False
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -3,7 +3,6 @@
 import msgspec
 
 from arbutuspulley.admission.rate_limits import RateLimit, get_wait
-from arbutuspulley.clock import compute_backoff_ms
 from arbutuspulley.data import State, Value
 from arbutuspulley.pool.duration import (
     DurationState,
@@ -24,13 +23,6 @@
 15 ms, plus the network delay of the order. Refusals raise it, see
 :func:`record_not_run`."""
 
-INITIAL_BACKOFF_MS = 1_000
-"""Backoff of a server that could not be reached, in ms; doubled at each further
-failure."""
-
-MAX_BACKOFF_MS = 4_000
-"""Maximum backoff, in ms: crashed servers have restarted after 4 to 6 s."""
-
 
 FAILURE_SMOOTHING = 0.1
 """Weight of the newest run in the moving average of a server's failures: about the last
@@ -91,6 +83,19 @@
     is_repeat: bool = False
 
 
+class UnreachableReport(State):
+    """Failed connections of one instance to a server since it last heard from it.
+
+    :param since: first failure, in ms.
+    :param failures: number of failures.
+    :param withheld_until: until when the server is not granted to the instance, in ms.
+    """
+
+    since: int
+    failures: int = 0
+    withheld_until: int = 0
+
+
 class UnansweredLoad(Value, frozen=True):
     """An unanswered load that the server's next incarnation may still carry out.
 
@@ -137,8 +142,10 @@
     :param prefill_until: expected end of the prefill of all granted prompts, in ms.
     :param stream_gaps: prefill between events of its streams.
     :param backoff_until: no new requests or orders before this time, in ms.
-    :param failures: consecutive failures to connect.
+    :param failures: consecutive failures to connect since it counts as down.
     :param failure_share: moving average of the share of requests that failed.
+    :param unreachable_from: failed connections by instance.
+    :param heard_at: when it last answered an instance, in ms.
     :param cooldowns: until when the server wants no requests from an instance, in ms,
         by instance.
     :param limit: rate limit that the server states; ``None`` if it states none.
@@ -179,6 +186,8 @@
     backoff_until: int = 0
     failures: int = 0
     failure_share: float = 0
+    unreachable_from: dict[str, UnreachableReport] = msgspec.field(default_factory=dict)
+    heard_at: int = -1
     cooldowns: dict[str, int] = msgspec.field(default_factory=dict)
     limit: RateLimit | None = None
     in_memory: frozenset[str] = frozenset()
@@ -203,6 +212,7 @@
 
     :param servers: by incarnation.
     :param waiting: waiting requests by key.
+    :param reaching: linked instances that reach servers.
     :param demand: demand by model.
     :param demand_at: time for which ``demand`` is valid, in ms.
     :param demand_since: when demand was first recorded, in ms; ``None``: not yet.
@@ -221,6 +231,7 @@
     spec: EngineSpec
     servers: dict[str, ServerState] = msgspec.field(default_factory=dict)
     waiting: dict[str, WaitingRequest] = msgspec.field(default_factory=dict)
+    reaching: frozenset[str] = frozenset()
     demand: dict[str, Demand] = msgspec.field(default_factory=dict)
     demand_at: int = 0
     demand_since: int | None = None
@@ -356,8 +367,6 @@
             tokens=run.need.prompt_tokens,
             took_ms=took_ms,
         )
-    server.failures = 0
-    server.backoff_until = 0
     if server.unconfirmed_load == run.need.model:
         server.unconfirmed_load = ""
 
@@ -454,21 +463,6 @@
     )
 
 
-def record_unreachable(
-    pool: PoolState, key: str, incarnation: str, *, now: int
-) -> None:
-    """Record that a server could not be connected to, and back off from it."""
-    server = pool.servers.get(incarnation)
-    if server is None:
-        return
-    server.runs.pop(key, None)
-    server.failures += 1
-    server.backoff_until = now + compute_backoff_ms(
-        INITIAL_BACKOFF_MS, max_ms=MAX_BACKOFF_MS, count=server.failures
-    )
-    server.accepted_orders = None
-
-
 def record_not_run(pool: PoolState, key: str, incarnation: str, *, now: int) -> None:
     """Record that a server refused a request as not run.
 
--- a/src/arbutuspulley/pool/waits.py
+++ b/src/arbutuspulley/pool/waits.py
@@ -2,6 +2,7 @@
 
 from arbutuspulley.admission.rate_limits import get_wait
 from arbutuspulley.pool.answers import NEVER, get_load_ms
+from arbutuspulley.pool.contact import get_withheld_until
 from arbutuspulley.pool.copies import CopyIndex, get_copies
 from arbutuspulley.pool.demand import get_copy_token_rate
 from arbutuspulley.pool.state import PoolState, ServerState, estimate_unload_wait
@@ -60,13 +61,13 @@
 
 
 def estimate_cooldown(index: CopyIndex, model: str, origin: str) -> int:
-    """Return in how many ms a copy of a model accepts requests of an instance.
+    """Return in how many ms a copy of a model may be granted to an instance.
 
     :param origin: the instance.
-    :return: 0 if a copy accepts them now, or if there is no copy.
+    :return: 0 if a copy may be granted now, or if there is no copy.
     """
     servers = [*get_copies(index, model), *index.limited.get(model, ())]
-    ends = [server.cooldowns.get(origin, 0) for server in servers]
+    ends = [get_withheld_until(server, origin) for server in servers]
     return max(0, min(ends, default=0) - index.now)
 
 
--- a/tests/test_pool_grants.py
+++ b/tests/test_pool_grants.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from arbutuspulley.pool.contact import record_unreachable
 from arbutuspulley.pool.grants import Grant, Refusal, find_next_wakeup, plan_grants
-from arbutuspulley.pool.state import record_not_run, record_run_end, record_unreachable
+from arbutuspulley.pool.state import record_not_run, record_run_end
 from arbutuspulley.ports.fleet import AttemptOutcome
 from tests.pools import add_waiting, build_pool, build_server
 
@@ -131,9 +132,9 @@
 def test_backoff_of_an_unreachable_server_doubles():
     server = build_server("s0", "m0")
     pool = build_pool(server)
-    record_unreachable(pool, "r0", "s0", now=0)
+    record_unreachable(pool, "r0", "s0", origin="n1", now=0)
     assert server.backoff_until == 1_000
-    record_unreachable(pool, "r0", "s0", now=1_000)
+    record_unreachable(pool, "r0", "s0", origin="n1", now=1_000)
     assert server.backoff_until == 3_000
 
 
