Hand the lease over while the coordinator reaches no server

Models that no server had loaded were refused for 11 s at every instance: the coordinator was cut off from the servers, gave no order from 6.4 to 17.1 s, and went on coordinating, as the store and all instances reached it.

It now hands the lease over once it has reached no server for half a second and another instance does; while cut off, an instance claims a free lease a second after the others. An order or a report without an answer makes it probe the server, since a coordinator often has no callers of its own.

Also a test that a node sends by itself again 2 s after a cut.

--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -196,6 +196,10 @@
         """Return the largest capacity of the other ready instances."""
         return self._peers.find_largest_capacity()
 
+    def has_reaching_peer(self) -> bool:
+        """Return whether another ready instance reaches servers."""
+        return any(info.reaches_servers for info in self._peers.list_ready())
+
     async def drain_orders(self) -> bool:
         """Wait for the orders that are being sent, before the lease is released.
 
--- a/src/arbutuspulley/node/election.py
+++ b/src/arbutuspulley/node/election.py
@@ -75,6 +75,14 @@
 """Time for which an instance with much more capacity must have been linked before the
 lease is handed over to it, in ms: one that has just started may stop again soon."""
 
+CUT_OFF_HANDOVER_MS = 500
+"""Time for which a coordinator must reach no server before it hands the lease over to
+an instance that does, in ms: without orders no model is loaded."""
+
+CUT_OFF_CLAIM_DELAY_MS = 1_000
+"""Additional delay before an instance that reaches no server claims the lease, in ms,
+which lets others go first. It claims it in the end: grants need no path to servers."""
+
 
 class Election:
     """The part of one process in the election."""
@@ -84,6 +92,7 @@
         "_claim_delay_ms",
         "_cooldown_until",
         "_coordinator",
+        "_cut_off_since",
         "_lease",
         "_link",
         "_next_read_at",
@@ -105,6 +114,7 @@
         self._link = link
         self._coordinator = coordinator
         self._outranked_since: int | None = None
+        self._cut_off_since: int | None = None
         self._claim_delay_ms = 0
         self._next_read_at: int | None = None
         self._cooldown_until = 0
@@ -146,6 +156,8 @@
                 await self._renew()
             elif self._is_outranked(now):
                 await self._hand_over("better placed", now=now)
+            elif self._is_cut_off(now):
+                await self._hand_over("no server reached", now=now)
             return
         if self._link.is_up and not self._coordinator.is_active:
             status = self._link.status
@@ -169,6 +181,8 @@
             if info.is_ready and info.name != state.settings.name
         ]
         delay = get_claim_delay_ms(state.capacity, others)
+        if not state.reaches_servers:
+            delay += CUT_OFF_CLAIM_DELAY_MS
         return delay + state.rng.randrange(READ_JITTER_MS)
 
     def _get_read_interval(self) -> int:
@@ -205,8 +219,17 @@
             self._outranked_since = now
         return now - self._outranked_since >= HANDOVER_DELAY_MS
 
+    def _is_cut_off(self, now: int) -> bool:
+        """Tell whether only other instances have reached servers for long enough."""
+        if self._state.reaches_servers or not self._coordinator.has_reaching_peer():
+            self._cut_off_since = None
+            return False
+        if self._cut_off_since is None:
+            self._cut_off_since = now
+        return now - self._cut_off_since >= CUT_OFF_HANDOVER_MS
+
     async def _hand_over(self, why: str, *, now: int) -> None:
-        self._outranked_since = None
+        self._outranked_since = self._cut_off_since = None
         self._cooldown_until = now + CLAIM_COOLDOWN_MS
         await self._release()
         self._step_down(why)
--- a/src/arbutuspulley/node/orders.py
+++ b/src/arbutuspulley/node/orders.py
@@ -104,6 +104,8 @@
         )
         if answer is OrderAnswer.UNKNOWN:
             self._unanswered_at = self._state.clock.now()
+        if answer in (OrderAnswer.UNKNOWN, OrderAnswer.REFUSED):
+            self._state.notify_unanswered(planned.address)
         log_order(planned, answer, fence=order.fence)
         self._state.metrics.orders.labels(planned.kind.value, answer.value).inc()
         on_answer(planned, answer)
--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -197,14 +197,11 @@
 
     def find_largest_capacity(self) -> float:
         """Return the largest capacity of the other ready instances."""
-        return max(
-            (
-                peer.info.capacity
-                for peer in self.list_reachable()
-                if peer.info.is_ready
-            ),
-            default=0.0,
-        )
+        return max((info.capacity for info in self.list_ready()), default=0.0)
+
+    def list_ready(self) -> list[NodeInfo]:
+        """Return descriptions of the other linked instances that serve callers."""
+        return [peer.info for peer in self.list_reachable() if peer.info.is_ready]
 
     def send(self, name: str, message: ToNode) -> None:
         """Send to one instance; nothing if it is not linked."""
--- a/src/arbutuspulley/node/pool_updates.py
+++ b/src/arbutuspulley/node/pool_updates.py
@@ -109,7 +109,7 @@
                 Event.SERVER_UNREACHABLE,
                 id=key,
                 server=incarnation,
-                instance=origin,
+                by=origin,
                 is_down=server.backoff_until > now,
                 withheld_ms=get_withheld_until(server, origin) - now,
             )
--- a/src/arbutuspulley/node/reports.py
+++ b/src/arbutuspulley/node/reports.py
@@ -51,7 +51,9 @@
             incarnation=server.incarnation,
             read_answer=functools.partial(read_answer, self._state, server.incarnation),
         )
-        if report is not None:
+        if report is None:
+            self._state.notify_unanswered(server.address)
+        else:
             if report.is_leaving:
                 record_leaving(self._state, server.incarnation, by="report")
             apply_report(pool, server.incarnation, report, asked_at=requested_at)
--- a/src/arbutuspulley/node/server_paths.py
+++ b/src/arbutuspulley/node/server_paths.py
@@ -84,6 +84,7 @@
         self._probes: dict[str, asyncio.Task[None]] = {}
         self._unhelpful_until: dict[str, int] = {}
         state.on_change.append(self._update_servers)
+        state.on_unanswered.append(self._check)
 
     async def send(
         self,
@@ -154,6 +155,12 @@
                 self._start_probe(address, now=now)
             self._report_change()
 
+    def _check(self, address: str) -> None:
+        """Check whether a silent server can be connected to."""
+        now = self._state.clock.now()
+        if now - self._probed_at >= SILENCE_PROBE_INTERVAL_MS:
+            self._start_probe(address, now=now)
+
     def _list_due_probes(self, now: int) -> list[str]:
         reach = self._state.server_reach
         if is_suspect(reach):
@@ -281,4 +288,4 @@
         now = self._state.clock.now()
         if why != RelayOutcome.EXCLUDED:
             self._unhelpful_until[helper.name] = now + HELPER_BACKOFF_MS
-        log_event(Event.RELAY_REFUSED, instance=helper.name, why=str(why))
+        log_event(Event.RELAY_REFUSED, helper=helper.name, why=str(why))
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -77,6 +77,8 @@
     :param on_server_notice: called with what a server has stated in an answer and the
         coordinator has to know.
     :param on_store_update: called with newer data that the store sent to this process.
+    :param on_unanswered: called with the address of a server that did not answer an
+        order or a request for a report.
     :param on_store_lost: called when this process no longer receives the store's
         changes.
     """
@@ -114,6 +116,7 @@
         "on_server_notice",
         "on_store_lost",
         "on_store_update",
+        "on_unanswered",
         "order_session",
         "refused_entries",
         "removed_starts",
@@ -187,6 +190,7 @@
         self.on_server_notice: list[Callable[[ToCoordinator], None]] = []
         self.on_store_update: list[Callable[[StoreUpdate], None]] = []
         self.on_store_lost: list[Callable[[], None]] = []
+        self.on_unanswered: list[Callable[[str], None]] = []
 
     @property
     def is_ready(self) -> bool:
@@ -274,3 +278,8 @@
         """Call the listeners for the loss of the store's changes."""
         for call in self.on_store_lost:
             call()
+
+    def notify_unanswered(self, address: str) -> None:
+        """Call the listeners for servers that did not answer the coordinator."""
+        for call in self.on_unanswered:
+            call(address)
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import itertools
+import json
 import time
 from collections import Counter
 
@@ -26,6 +27,9 @@
 DETECTION_S = 1.0
 """Time after a cut from which on the nodes have to serve, in s; the rule allows 3 s."""
 
+HEALING_S = 2.0
+"""Time after the end of a cut from which on nodes reach servers by themselves, in s."""
+
 LEAST_RATIO = 0.95
 """Least ratio of answers at nodes that are cut off to those at the others."""
 
@@ -264,3 +268,27 @@
         await load.stop()
 
     run_cut(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("mode", ["hang", "reset"])
+def test_a_node_sends_by_itself_again_soon_after_a_cut(tmp_path, mode):
+    """Guards against a node that goes on sending by others after its cut has ended, and
+    against requests on connections that the servers have closed meanwhile."""
+
+    async def scenario(fleet, session):
+        cut = choose_cut(fleet, count=1)
+        load = Load(fleet, session)
+        fleet.cut(cut, mode)
+        await asyncio.sleep(3)
+        fleet.heal(cut)
+        await asyncio.sleep(HEALING_S)
+        since, logged = time.monotonic(), len(fleet.read_log(cut[0]))
+        await asyncio.sleep(1)
+        await load.stop()
+        ended = fleet.read_log(cut[0])[logged:].splitlines()
+        helpers = [json.loads(line).get("helper", "") for line in ended]
+        assert any(helpers) is False
+        served, sent = load.count(cut, since=since)
+        assert served == sent
+
+    run_cut(tmp_path, scenario)
