--- a/src/arbutuspulley/node/roster.py
+++ b/src/arbutuspulley/node/roster.py
@@ -41,8 +41,8 @@
     return {info.name: info for info in near}
 
 
-def _rank(info: NodeInfo) -> tuple[bool, float, str]:
-    return not info.is_ready, -info.capacity, info.name
+def _rank(info: NodeInfo) -> tuple[bool, bool, float, str]:
+    return not info.is_ready, not info.reaches_servers, -info.capacity, info.name
 
 
 def update_roster(
--- a/src/arbutuspulley/node/server_paths.py
+++ b/src/arbutuspulley/node/server_paths.py
@@ -32,6 +32,9 @@
 MAX_HELPERS = 2
 """Maximum number of other instances that are asked to send one attempt."""
 
+MIN_CAPACITY = 0.05
+"""Least capacity by which a helper is drawn, in cores."""
+
 HELPER_BACKOFF_MS = 1_000
 """Backoff of an instance that could not help, in ms."""
 
@@ -264,16 +267,25 @@
         raise NotSentError("no other instance could send it")
 
     def _choose_helpers(self) -> Iterator[NodeInfo]:
-        """Return instances that may help, those of the own data centre first."""
+        """Return instances that may help, those of the own region first.
+
+        They are drawn by capacity over all data centres: where most of one is cut off,
+        its last instances could not carry the requests of all others.
+        """
         now = self._state.clock.now()
         helpers = [
             helper
             for helper in self._list_helpers()
             if self._unhelpful_until.get(helper.name, 0) <= now
         ]
-        self._state.rng.shuffle(helpers)
-        site = self._state.settings.site
-        helpers.sort(key=lambda helper: helper.site != site)
+        own, rng = self._state.settings, self._state.rng
+        draws = {
+            helper.name: rng.random() ** (1 / max(helper.capacity, MIN_CAPACITY))
+            for helper in helpers
+        }
+        helpers.sort(
+            key=lambda helper: (helper.region != own.region, -draws[helper.name])
+        )
         return iter(helpers[:MAX_HELPERS])
 
     def _list_helpers(self) -> list[NodeInfo]:
