Send brittle servers no more requests at a time than they have room for

A server that states Server-Brittle falls over if it has to refuse more than so many requests in a second. Nothing read that: instances sent plain servers as many requests as each liked, and learnt by a refusal each that one was full.

The coordinator now keeps an account of each such server: an instance asks for a place before it sends a request that was not granted, and gives it back. One refusal makes the room smaller and pauses the server for all; the mark ends with the answers that no longer have it. An instance without a coordinator uses its share of the slots, after those in flight have ended.

--- a/src/arbutuspulley/events.py
+++ b/src/arbutuspulley/events.py
@@ -108,6 +108,7 @@
     SERVERS_LOST = 814
     SERVERS_REGAINED = 815
     RELAY_REFUSED = 816
+    SERVER_BRITTLE = 817
 
 
 def _encode_line(record: logging.LogRecord, **leading_fields: object) -> bytes:
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -26,6 +26,7 @@
 )
 from arbutuspulley.node.link import HEARTBEAT_MS
 from arbutuspulley.node.messages import (
+    AttemptEnded,
     CancelRequest,
     ConfigurationDelta,
     CoordinatorEstimates,
@@ -175,7 +176,7 @@
         self._pools.clear()
         self._inherited = inherited
         self.update_pools()
-        self._record_own_cooldowns()
+        self._record_cooldowns(self._state.settings.name, list_cooldowns(self._state))
         self._state.metrics.is_coordinator.set(1)
         self._spawn(self._run_periodic_tasks())
 
@@ -312,6 +313,7 @@
         if not self._peers.remove(peer):
             return
         remove_instance(self._pools, peer.info.name)
+        self._rates.release_instance(peer.info.name)
         self._quotas.mark_lost(peer.info)
         if self.is_active:
             self._peers.publish_roster()
@@ -325,7 +327,7 @@
             if exceeded is not None:
                 self._peers.send(origin, exceeded)
         elif isinstance(message, PermissionRequest):
-            self._peers.send(origin, self._rates.answer(message, now=now))
+            self._peers.send(origin, self._rates.answer(origin, message, now=now))
         elif isinstance(message, ServerLimit):
             self._record_limits((message,))
         elif isinstance(message, LeavingNotice):
@@ -349,6 +351,8 @@
         elif isinstance(message, CancelRequest):
             cancel_request(self._pools, message)
         else:
+            if isinstance(message, AttemptEnded):
+                self._rates.record_end(message, now=now)
             apply_progress(self._pools, message, origin=origin, now=now)
 
     def _record_limits(
@@ -376,10 +380,6 @@
         if new:
             self._peers.send_others(LeavingNotice(incarnations=new))
 
-    def _record_own_cooldowns(self) -> None:
-        """Record the cooldowns that this instance knew before it coordinated."""
-        self._record_cooldowns(self._state.settings.name, list_cooldowns(self._state))
-
     def _record_cooldowns(
         self, origin: str, cooldowns: tuple[ServerCooldown, ...]
     ) -> None:
@@ -508,9 +508,7 @@
         logged_at = -LOG_INTERVAL_MS
         while True:
             self._peers.publish_roster()
-            linked = self._peers.list_linked()
-            self._update_shares(linked)
-            apply_reaching_instances(self._pools, linked, now=self._state.clock.now())
+            self._apply_linked(self._peers.list_linked())
             self._send_status()
             for report in self._report_poller.poll(self._pools.values()):
                 self._spawn(report)
@@ -522,8 +520,9 @@
                 self._peers.report_outdated()
             await asyncio.sleep(HEARTBEAT_MS / SECOND_MS)
 
-    def _update_shares(self, linked: list[NodeInfo]) -> None:
-        """Update the shares of limits granted here, and send changed limits."""
+    def _apply_linked(self, linked: list[NodeInfo]) -> None:
+        """Update what depends on the linked instances, and send changed limits."""
+        apply_reaching_instances(self._pools, linked, now=self._state.clock.now())
         self._quotas.update_linked(linked)
         self._rates.set_share(self._quotas.compute_share(linked, decay_ms=None))
         changes = self._rates.pop_changes()
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -171,6 +171,7 @@
             raise self._build_timeout() from None
         finally:
             self._acquisition.refund()
+            self._limits.record_end(self._request.attempt_id, AttemptOutcome.UNUSED)
             self._refund_retry()
 
     def record_interruption(self, end: AnswerEnd) -> None:
@@ -280,6 +281,7 @@
             if progress.answer_end is not None:
                 self._count_answer()
             self._acquisition.report_end(entry.incarnation, outcome)
+            self._limits.record_end(self._request.attempt_id, outcome)
 
     async def _send_request(self, entry: ServerEntry) -> aiohttp.ClientResponse:
         """Send the request and settle the charge of a retry.
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -27,7 +27,6 @@
     Refused,
     RosterChange,
     RunningRequest,
-    ServerLimit,
     ServerLimits,
     StoreUpdate,
     SuspicionUpdate,
@@ -42,7 +41,11 @@
     RefusedError,
 )
 from arbutuspulley.node.roster import RosterCopy, apply_change
-from arbutuspulley.node.server_notices import apply_leaving, list_cooldowns
+from arbutuspulley.node.server_notices import (
+    apply_leaving,
+    list_cooldowns,
+    list_server_limits,
+)
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.store_watch import (
     apply_configuration_delta,
@@ -505,10 +508,7 @@
             store_era=state.store_position.era,
             configuration=state.configuration_version,
             reads_updates=True,
-            limits=tuple(
-                ServerLimit(incarnation=incarnation, per_s=per_s)
-                for incarnation, per_s in state.limits.list_limits().items()
-            ),
+            limits=list_server_limits(state),
             leaving=state.leaving.list_all(),
             cooldowns=list_cooldowns(state),
         )
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -47,16 +47,19 @@
 
 
 class ServerLimit(Message, frozen=True, tag="limit"):
-    """The rate limit of a backend server.
+    """The limits that a backend server states in its answers.
 
     The instance that reads it in an answer of the server sends it to the coordinator.
 
     :param per_s: requests per second, for all instances together; ``None``: the server
         states no limit.
+    :param refusals_per_s: refusals per second beyond which the server falls over;
+        ``None``: it is not brittle.
     """
 
     incarnation: str
     per_s: float | None = None
+    refusals_per_s: float | None = None
 
 
 class LeavingNotice(Message, frozen=True, tag="leaving"):
--- a/src/arbutuspulley/node/server_notices.py
+++ b/src/arbutuspulley/node/server_notices.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from arbutuspulley.events import Event, log_event
-from arbutuspulley.node.messages import LeavingNotice, ServerCooldown
+from arbutuspulley.node.messages import LeavingNotice, ServerCooldown, ServerLimit
 from arbutuspulley.node.server_rows import mark_leaving
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import (
@@ -51,6 +51,19 @@
     return frozenset(state.cooldowns.list_active(now=state.clock.now()))
 
 
+def list_server_limits(state: NodeState) -> tuple[ServerLimit, ...]:
+    """Return the limits that this instance knows, as messages for a coordinator."""
+    limits, brittle = state.limits.list_limits(), state.brittle.list_limits()
+    return tuple(
+        ServerLimit(
+            incarnation=incarnation,
+            per_s=limits.get(incarnation),
+            refusals_per_s=brittle.get(incarnation),
+        )
+        for incarnation in limits | brittle
+    )
+
+
 def list_cooldowns(state: NodeState) -> tuple[ServerCooldown, ...]:
     """Return the cooldowns of this instance, as messages for a coordinator."""
     active = state.cooldowns.list_active(now=state.clock.now())
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -42,6 +42,7 @@
         exists.
     :param keys: the teams' keys of the active configuration; ``None``: it has no teams.
     :param limits: servers' rate limits that this instance knows.
+    :param brittle: refusals per second beyond which servers fall over, likewise.
     :param cooldowns: servers that want no requests from this instance for a while.
     :param leaving: servers that are leaving by their own answers; their entries may
         still say that they are ready.
@@ -87,6 +88,7 @@
         "_share_divisor",
         "_share_divisor_basis",
         "advertised",
+        "brittle",
         "by_incarnation",
         "by_service",
         "clock",
@@ -157,6 +159,7 @@
         self.freshness = Freshness()
         self.keys: KeyTable | None = None
         self.limits = KnownRateLimits()
+        self.brittle = KnownRateLimits()
         self.cooldowns = Cooldowns()
         self.leaving = LeavingServers()
         self.entry_bodies: dict[str, bytes] = {}
--- a/src/arbutuspulley/platform/names.py
+++ b/src/arbutuspulley/platform/names.py
@@ -70,6 +70,10 @@
 """Rate limit of a server over all instances, in requests per second. It applies as
 long as the server's answers have this header."""
 
+SERVER_BRITTLE = "Server-Brittle"
+"""Refusals per second for want of room beyond which a server falls over. It applies as
+long as the server's answers have this header."""
+
 SERVER_LEAVING = "Server-Leaving"
 """``1`` in all answers of a server that is draining."""
 
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -11,6 +11,9 @@
 PLATFORM_EVENT_FIELDS = frozenset((names.WEIGHT_VERSIONS.lower().encode(),))
 """Fields of an event beside those of the standard."""
 
+MAX_REFUSALS_PER_S = 10_000
+"""Largest number of refusals per second that a server may state."""
+
 _MISDIRECTED = 421
 """Status of an answer by another server than the request is meant for."""
 
@@ -153,6 +156,24 @@
     return limit
 
 
+def read_server_brittle(headers: Mapping[str, str]) -> float | None:
+    """Return how many requests a second a server may refuse before it falls over.
+
+    :return: ``None`` if the server states none.
+    :raises ValueError: if the number is not above 0, or too large to be meant.
+    """
+    text = headers.get(names.SERVER_BRITTLE)
+    if text is None:
+        return None
+    number = _read_finite(text)
+    if not number or number > MAX_REFUSALS_PER_S:
+        raise ValueError(
+            f"{names.SERVER_BRITTLE} {text!r} is not a number above 0 and up to"
+            f" {MAX_REFUSALS_PER_S}"
+        )
+    return number
+
+
 def read_leaving(headers: Mapping[str, str]) -> bool:
     """Return whether a server states in its answer's headers that it is leaving.
 
--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -13,6 +13,12 @@
 from arbutuspulley.platform import names
 from arbutuspulley.standins.scripted_answer import AnswerScript, send_scripted_answer
 
+DOWN_S = 2.0
+"""How long a server that fell over resets all connections, in s."""
+
+SILENCE_POLL_S = 0.01
+"""Interval at which a silent server looks whether it may go on, in s."""
+
 
 class ServerStandin:
     """One incarnation of a server.
@@ -36,13 +42,18 @@
     - ``is_leaving``: announce in all answers that the server is leaving; the row in the
       store stays as it is.
     - ``script``: how to answer a request, byte by byte; ``on_break`` is called before.
+    - ``room``: requests in flight beyond which it refuses further ones as not run.
+    - ``refusals_per_s``: announced in all answers; if it refuses more for want of room
+      within a second, it falls over: it resets all connections for ``DOWN_S``.
+    - ``is_silent``: send nothing until it is cleared; connections stay open.
     - ``rest_s``: time without requests that a refusal asks for, in s.
 
-    Tests read ``runs`` (number of runs by attempt id), ``headers`` (request headers by
-    attempt id), ``overcommitted`` (loads that exceeded the memory), ``arrivals`` (time
-    of each request, in s of the event loop's clock), ``attempts`` (attempt id of each
-    arrival) and ``rested`` (attempt id of each request that was refused with a time
-    without requests).
+    Tests read ``falls`` (how often it fell over), ``served`` (number of requests that
+    it answered), ``runs`` (number of runs by attempt id), ``headers`` (request headers
+    by attempt id), ``overcommitted`` (loads that exceeded the memory), ``arrivals``
+    (time of each request, in s of the event loop's clock), ``attempts`` (attempt id of
+    each arrival) and ``rested`` (attempt id of each request that was refused with a
+    time without requests).
     """
 
     __slots__ = (
@@ -52,12 +63,16 @@
         "breaks_after",
         "crashes_on",
         "delay_s",
+        "down_until",
         "fails",
+        "falls",
         "fence",
         "headers",
+        "in_flight",
         "incarnation",
         "is_busy",
         "is_leaving",
+        "is_silent",
         "limit_per_s",
         "load_s",
         "loses_order_answers",
@@ -67,10 +82,14 @@
         "on_break",
         "orders",
         "overcommitted",
+        "refusals",
+        "refusals_per_s",
         "rest_s",
         "rested",
+        "room",
         "runs",
         "script",
+        "served",
         "service",
         "sheds",
     )
@@ -111,6 +130,14 @@
         self.rested: set[str] = set()
         self.loses_orders = False
         self.loses_order_answers = False
+        self.room: int | None = None
+        self.refusals_per_s: float | None = None
+        self.is_silent = False
+        self.in_flight = 0
+        self.refusals: list[float] = []
+        self.down_until = 0.0
+        self.falls = 0
+        self.served = 0
 
     def describe(self, *, state: str = "ready") -> dict:
         """Return the server's row in the metadata store."""
@@ -127,6 +154,11 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer an inference or service request, a report call or an order."""
+        while self.is_silent:
+            await asyncio.sleep(SILENCE_POLL_S)
+        if asyncio.get_running_loop().time() < self.down_until and request.transport:
+            request.transport.abort()
+            return web.Response()
         expected = request.headers.get(names.EXPECT_INSTANCE)
         if expected not in (None, self.incarnation):
             return web.Response(status=421)
@@ -136,7 +168,27 @@
             )
         if request.path == "/order":
             return await self._answer_order(request)
-        return await self._run(request)
+        if self.room is not None and self.in_flight >= self.room:
+            return self._refuse_for_room(request)
+        self.in_flight += 1
+        try:
+            return await self._run(request)
+        finally:
+            self.in_flight -= 1
+
+    def _refuse_for_room(self, request: web.BaseRequest) -> web.Response:
+        """Refuse a request, and fall over if that was one too many."""
+        now = asyncio.get_running_loop().time()
+        self.refusals = [at for at in self.refusals if now - at < 1.0] + [now]
+        if self.refusals_per_s is not None and len(self.refusals) > self.refusals_per_s:
+            self.falls += 1
+            self.refusals.clear()
+            self.down_until = now + DOWN_S
+            if request.transport is not None:
+                request.transport.abort()
+        attempt = request.headers.get(names.ATTEMPT_ID, "")
+        headers = {names.NOT_EXECUTED: "1", names.ATTEMPT_ID: attempt}
+        return web.Response(status=503, headers=headers | self._build_notices())
 
     async def _answer_order(self, request: web.BaseRequest) -> web.Response:
         order = msgspec.json.decode(await request.read())
@@ -227,6 +279,7 @@
         if self.fails:
             self.on_break()
             return web.Response(status=500, headers=headers)
+        self.served += 1
         if not model:
             return web.Response(body=b"done:" + body, headers=headers)
         return await self._stream(request, headers)
@@ -238,6 +291,8 @@
             notices[names.SERVER_LIMIT] = str(self.limit_per_s)
         if self.is_leaving:
             notices[names.SERVER_LEAVING] = "1"
+        if self.refusals_per_s is not None:
+            notices[names.SERVER_BRITTLE] = str(self.refusals_per_s)
         return notices
 
     async def _stream(
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -173,9 +173,9 @@
     limit = ServerLimit(incarnation=A.incarnation, per_s=2.0)
     coordinator._handle_message("x", limit, now=0)
     assert get_limit(coordinator) == 2.0
-    coordinator._update_shares([build_info("own")])
+    coordinator._apply_linked([build_info("own")])
     assert sent == [ServerLimits(limits=(limit,))]
-    coordinator._update_shares([build_info("own")])
+    coordinator._apply_linked([build_info("own")])
     assert len(sent) == 1
 
 
@@ -219,5 +219,5 @@
     over = ServerLimit(incarnation=A.incarnation)
     coordinator._handle_message("x", over, now=0)
     assert get_limit(coordinator) is None
-    coordinator._update_shares([build_info("own")])
+    coordinator._apply_linked([build_info("own")])
     assert sent == [ServerLimits(limits=(over,))]
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -15,7 +15,11 @@
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import Hello, LeavingNotice, ServerCooldown
 from arbutuspulley.node.reports import ReportPoller
-from arbutuspulley.node.server_notices import get_exclusion, read_answer
+from arbutuspulley.node.server_notices import (
+    get_exclusion,
+    list_cooldowns,
+    read_answer,
+)
 from arbutuspulley.node.server_rows import apply_server_rows
 from arbutuspulley.node.store_watch import activate_configuration
 from arbutuspulley.platform import names
@@ -268,7 +272,7 @@
     coordinator = build_coordinator(instance)
     pool = build_pool(build_server("s0", "m0"))
     coordinator._pools = {"llm": pool}
-    coordinator._record_own_cooldowns()
+    coordinator._record_cooldowns("own", list_cooldowns(coordinator._state))
     hello = msgspec.structs.replace(other.link.build_hello(), info=build_info("x"))
     asyncio.run(link_up(coordinator, hello))
     assert pool.servers["s0"].cooldowns == {"own": 101_500, "x": 101_000}
