--- a/src/arbutuspulley/node/server_relay.py
+++ b/src/arbutuspulley/node/server_relay.py
@@ -10,6 +10,7 @@
 import aiohttp
 from aiohttp import web
 
+from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.membership.server_reach import (
     is_suspect,
     record_failed,
@@ -43,6 +44,13 @@
 MAX_RELAYED_BYTES = 16 * 1024 * 1024
 """Maximum size of their bodies together, in bytes."""
 
+MAX_RELAY_MS = 120_000
+"""Longest time for which a request without a deadline is relayed, in ms."""
+
+DEADLINE_MARGIN_MS = 500
+"""Time after a request's deadline at which its relay ends, in ms: the instance that
+asked for it ends it before, unless it is frozen."""
+
 
 class ServerRelay:
     """Relays requests of other instances to servers."""
@@ -64,7 +72,12 @@
         outcome = RelayOutcome.ANSWERED
         try:
             entry = self._find_server(client)
-            return await self._relay(client, entry)
+            # An instance that is frozen takes no bytes, and would hold the request.
+            async with asyncio.timeout(_read_timeout_s(client)):
+                return await self._relay(client, entry)
+        except TimeoutError:
+            abort_answer(client)
+            raise asyncio.CancelledError from None
         except _RefusedError as error:
             outcome = error.outcome
             return _build_refusal(outcome)
@@ -136,6 +149,13 @@
         self.outcome = outcome
 
 
+def _read_timeout_s(client: web.BaseRequest) -> float:
+    """Return how long a request may be relayed, from its deadline, in s."""
+    text = client.headers.get(names.DEADLINE, "")
+    deadline_ms = int(text) if text.isdecimal() else MAX_RELAY_MS
+    return min(MAX_RELAY_MS, deadline_ms + DEADLINE_MARGIN_MS) / SECOND_MS
+
+
 async def _read_request(client: web.BaseRequest, *, max_bytes: int) -> InboundRequest:
     parts: list[bytes] = []
     size = 0
--- a/tests/test_server_relay.py
+++ b/tests/test_server_relay.py
@@ -251,6 +251,20 @@
     run_relay(scenario)
 
 
+def test_a_request_is_not_relayed_for_longer_than_its_deadline(monkeypatch):
+    """Guards against an instance that holds the requests of another one that is
+    frozen."""
+
+    async def scenario(relay):
+        monkeypatch.setattr(server_relay, "MAX_RELAY_MS", 100)
+        relay.server.delay_s = 5.0
+        with pytest.raises(BrokenError):
+            await relay.ask()
+        assert relay.state.in_flight == 0
+
+    run_relay(scenario)
+
+
 def test_callers_can_not_ask_for_a_relay():
     request = decode_request(
         method="GET",
