Let the soak cut nodes off from all servers, and make servers brittle or silent

A series of faults of its own, so that the plans of earlier seeds stay as they were: nodes whose connections to servers hang, are reset or refused, one, most or the coordinator; plain servers that say that they are brittle; a server that is silent for 1.5 s. Checked besides: callers of nodes that reach no server are served two thirds as often as the others at least, and brittle servers stand.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,9 +3,10 @@
 Nodes run as processes of their own; the platform's store and the backend servers are
 stand-ins in this process. A plan that depends on the seed alone injects faults from
 outside: signals, a proxy between each node and the store, a store that misbehaves and
-comes back from copies, servers that leave, refuse and break off. Callers keep using
-open connections; some speak HTTP/1.0 and get answers without chunks. The promises are
-checked from what callers and servers see.
+comes back from copies, servers that leave, refuse, break off, fall silent or are
+brittle, nodes that reach no server. Callers keep using open connections; some speak
+HTTP/1.0 and get answers without chunks. The promises are checked from what callers and
+servers see.
 
 Run it with ``python -m tests.soak --seed 1 --minutes 1 --processes 4``.
 """
@@ -29,11 +30,11 @@
 from arbutuspulley.standins.scripted_answer import AnswerScript
 from scripts.platform_testbed import (
     FULL_STREAM,
-    Fleet,
     build_configuration,
     build_route,
     send_request,
 )
+from tests.cut_fleet import CutFleet
 from tests.proxy import Direction, FaultProxy
 from tests.raw_callers import ask_raw
 from tests.retry_rule import find_excess, list_retries
@@ -63,6 +64,18 @@
 """How often all nodes are killed within a storm, in which all servers of a service
 fail."""
 
+NOTICED_S = 1.0
+"""Time after a cut from which on callers are served all the same, in s."""
+
+LEAST_RATIO = 2 / 3
+ALLOWED_FAILURES = 10
+"""Least ratio of what is served at nodes that reach no server to what is served at the
+others, if more requests than these fail there."""
+
+SILENCE_S = 1.5
+BRITTLE_REFUSALS = 2.0
+ALLOWED_FALLS = 2
+
 CALLERS_PER_NODE = 3
 CALL_PAUSE_S = 0.08
 LEASE_MS = 3_000
@@ -140,6 +153,18 @@
     "hup",
 )
 STORE_FAULTS = ("copy", "copy", "away", "refuse", "lose", "late", "lag", "forget")
+CUT_MODES = {
+    "servers hang": "hang",
+    "servers reset": "reset",
+    "servers refuse": "live",
+    "coordinator alone": "hang",
+}
+"""Faults that cut nodes off from all servers, with the mode of the cut."""
+
+REACH_FAULTS = (*CUT_MODES, "silent", "brittle")
+"""Faults of a series of their own, so that the plans of older seeds stay as they
+were."""
+
 SERVER_FAULTS = (
     "drain",
     "drain",
@@ -176,9 +201,27 @@
             for kind in ("drain", "change")
         )
         at += DRAIN_S + 0.5
+    plan.extend(_build_reach_faults(seed, seconds=seconds))
+    plan.sort(key=lambda fault: fault.at)
     return [fault for fault in plan if fault.at < seconds - RECOVERY_S]
 
 
+def _build_reach_faults(seed: int, *, seconds: float) -> list[Fault]:
+    rng = random.Random(f"{seed}-reach")
+    plan: list[Fault] = []
+    at = rng.uniform(2.0, 5.0)
+    while at < seconds - RECOVERY_S:
+        fault = Fault(
+            at=at,
+            kind=rng.choice(REACH_FAULTS),
+            target=rng.randrange(1_000),
+            for_s=rng.uniform(2.0, 5.0),
+        )
+        plan.append(fault)
+        at += fault.for_s + rng.uniform(0.5, 6.0)
+    return plan
+
+
 class Soak:
     """One run of the soak.
 
@@ -187,7 +230,7 @@
 
     def __init__(self, *, seed: int, folder: Path, processes: int) -> None:
         self._rng = random.Random(f"{seed}-callers")
-        self.fleet = Fleet(folder)
+        self.fleet = CutFleet(folder)
         self.names = [f"n{number + 1}" for number in range(processes)]
         self.proxies: dict[str, FaultProxy] = {}
         self.calls: list[Call] = []
@@ -201,6 +244,7 @@
         self._begun_at = 0.0
         self._is_over = False
         self._copies: list[Any] = []
+        self._cuts: list[tuple[frozenset[str], float, float]] = []
 
     async def run(self, plan: list[Fault], *, seconds: float) -> list[BrokenPromise]:
         """Carry out a plan under load and return the broken promises."""
@@ -228,6 +272,8 @@
                 self._check_drains()
                 self._check_fences()
                 self._check_retries()
+                self._check_cuts()
+                self._check_falls()
             finally:
                 await self.fleet.close()
         return self.broken
@@ -338,7 +384,9 @@
 
     async def _inject(self, session: aiohttp.ClientSession, fault: Fault) -> None:
         name = self.names[fault.target % len(self.names)]
-        if fault.kind in NODE_FAULTS:
+        if fault.kind in REACH_FAULTS:
+            await self._disturb_reach(fault)
+        elif fault.kind in NODE_FAULTS:
             with self._disturb(name):
                 await self._disturb_node(name, fault)
         elif fault.kind in STORE_FAULTS:
@@ -405,6 +453,38 @@
         await asyncio.sleep(fault.for_s)
         await asyncio.to_thread(proxy.heal)
 
+    async def _disturb_reach(self, fault: Fault) -> None:
+        if fault.kind == "silent":
+            server = self.fleet.servers[fault.target % len(self.fleet.servers)]
+            server.is_silent = True
+            await asyncio.sleep(min(SILENCE_S, fault.for_s))
+            server.is_silent = False
+            return
+        if fault.kind == "brittle":
+            servers = [one for one in self.fleet.servers if one.service == "plain"]
+            for server in servers:
+                server.refusals_per_s = BRITTLE_REFUSALS
+            await asyncio.sleep(fault.for_s)
+            for server in servers:
+                server.refusals_per_s = None
+            return
+        first = fault.target % len(self.names)
+        count = 1 + fault.target % (len(self.names) - 1)
+        if fault.kind == "coordinator alone":
+            first, count = self.names.index(self.fleet.find_coordinator()), 1
+        ring = [*self.names[first:], *self.names[:first]]
+        cut = frozenset(ring[:count])
+        with contextlib.ExitStack() as stack:
+            for name in cut:
+                stack.enter_context(self._disturb(f"links of {name}"))
+            begun = self._now
+            self.fleet.cut(cut, CUT_MODES[fault.kind])
+            await asyncio.sleep(fault.for_s)
+            self.fleet.heal(cut)
+            self._cuts.append((cut, begun, self._now))
+            # Requests on silent connections end by now.
+            await asyncio.sleep(CONTACT_S)
+
     async def _kill_all_while_servers_fail(self, fault: Fault) -> None:
         service = ("llm", "plain")[fault.target % 2]
         servers = [one for one in self.fleet.servers if one.service == service]
@@ -595,7 +675,9 @@
         if call.status is not None or call.attempt not in reached:
             return False
         window = {"begin": call.sent_at - CONTACT_S, "end": call.ended_at}
-        return all(self._is_calm(what, **window) for what in (call.node, "servers"))
+        links = (f"links of {name}" for name in self.names)
+        calm = (call.node, "servers", *links)
+        return all(self._is_calm(what, **window) for what in calm)
 
     def _check_drains(self) -> None:
         for server in self.fleet.servers:
@@ -645,6 +727,34 @@
                     detail=f"{service}: {excess}",
                 )
 
+    def _check_cuts(self) -> None:
+        """Check that callers of nodes that reach no server are served like others."""
+        for cut, begun, ended in self._cuts:
+            window = {"begin": begun - CONTACT_S, "end": ended}
+            calm = ("store", "servers", *self.names)
+            if not all(self._is_calm(what, **window) for what in calm):
+                continue
+            served: dict[bool, list[bool]] = {True: [], False: []}
+            for call in self.calls:
+                if begun + NOTICED_S <= call.sent_at < ended:
+                    served[call.node in cut].append(call.status == 200)
+            there, others = served[True], served[False]
+            failed = there.count(False)
+            if failed <= ALLOWED_FAILURES or not others:
+                continue
+            if sum(there) / len(there) < LEAST_RATIO * sum(others) / len(others):
+                self._break(
+                    "callers of nodes that reach no server are served",
+                    at=begun,
+                    detail=f"{sorted(cut)}: {sum(there)} of {len(there)}, others"
+                    f" {sum(others)} of {len(others)}",
+                )
+
+    def _check_falls(self) -> None:
+        falls = sum(server.falls for server in self.fleet.servers)
+        if falls > ALLOWED_FALLS:
+            self._break("brittle servers stand", at=self._now, detail=f"{falls} falls")
+
     def _check_fences(self) -> None:
         holders: dict[str, set[str]] = {}
         for name in self.names:
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -13,15 +13,12 @@
 
 from scripts.platform_testbed import (
     FULL_STREAM,
-    Fleet,
     send_request,
 )
-from tests.cut_node import CUT_VARIABLE, PROGRAM, Blackhole, write_cut
+from tests.cut_fleet import CutFleet
 from tests.node_load import RETRIES_AFTER_S, RETRIES_AT_ONCE
 
 NAMES = ("n1", "n2", "n3", "n4")
-CUT_PROGRAM = PROGRAM.parents[1] / "tests" / "cut_node.py"
-
 MODES = pytest.mark.parametrize("mode", ["hang", "reset", "live"])
 
 DETECTION_S = 1.0
@@ -44,42 +41,6 @@
 _numbers = itertools.count()
 
 
-class CutFleet(Fleet):
-    """Nodes that can be cut off from all servers."""
-
-    def __init__(self, folder):
-        super().__init__(folder)
-        self.blackhole = Blackhole()
-
-    async def start_cuttable(self, name):
-        write_cut(self._get_file(name))
-        await self.start_node(
-            name,
-            program=CUT_PROGRAM,
-            environment={CUT_VARIABLE: str(self._get_file(name))},
-            **RETRIES_AT_ONCE,
-        )
-
-    def cut(self, names, mode, *, servers=None):
-        """Cut nodes off from servers; of all servers unless some are given."""
-        chosen = self.servers if servers is None else servers
-        ports = [int(server.address.rpartition(":")[2]) for server in chosen]
-        for name in names:
-            write_cut(
-                self._get_file(name),
-                ports=ports,
-                mode=mode,
-                blackhole=self.blackhole.port,
-            )
-
-    def heal(self, names):
-        for name in names:
-            write_cut(self._get_file(name))
-
-    def _get_file(self, name):
-        return self.folder / f"{name}.cut"
-
-
 def run_cut(folder, scenario, *, names=NAMES):
     """Run a scenario on nodes that follow one coordinator."""
 
@@ -88,7 +49,7 @@
         try:
             await fleet.open()
             for name in names:
-                await fleet.start_cuttable(name)
+                await fleet.start_node(name, **RETRIES_AT_ONCE)
             for name in names:
                 await fleet.wait_ready(name)
             await fleet.wait_coordinator()
@@ -97,7 +58,6 @@
                 await scenario(fleet, session)
         finally:
             await fleet.close()
-            fleet.blackhole.close()
 
     asyncio.run(run())
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 from tests.soak import (
     CONTACT_S,
     NODE_FAULTS,
+    REACH_FAULTS,
     RECOVERY_S,
     SERVER_FAULTS,
     STORE_FAULTS,
@@ -27,9 +28,10 @@
 def test_plans_have_all_faults_and_calm_times():
     plans = [build_plan(seed, seconds=60) for seed in range(50)]
     kinds = {fault.kind for plan in plans for fault in plan}
-    assert kinds == {*NODE_FAULTS, *STORE_FAULTS, *SERVER_FAULTS}
+    assert kinds == {*NODE_FAULTS, *STORE_FAULTS, *SERVER_FAULTS, *REACH_FAULTS}
     for plan in plans:
-        gaps = [after.at - fault.at for fault, after in itertools.pairwise(plan)]
+        series = [fault for fault in plan if fault.kind not in REACH_FAULTS]
+        gaps = [after.at - fault.at for fault, after in itertools.pairwise(series)]
         assert max(gaps) >= CONTACT_S
         assert plan[-1].at < 60 - RECOVERY_S
 
