--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -231,6 +231,7 @@
     info = {"name": "other", "link": "other:9", **changes}
     paths.state.nodes = (build_info(**info),)
     paths.lose_servers()
+    paths.now += HELPER_BACKOFF_MS
     with pytest.raises(NotSentError):
         paths.send("s2")
     assert paths.asked == []
--- a/tests/test_server_relay.py
+++ b/tests/test_server_relay.py
@@ -225,6 +225,18 @@
     run_relay(scenario)
 
 
+def test_the_bodies_of_relayed_requests_are_bounded_together(monkeypatch):
+    async def scenario(relay):
+        monkeypatch.setattr(server_relay, "MAX_RELAYED_BYTES", 8)
+        relay.server.delay_s = 0.2
+        first = asyncio.create_task(relay.get_outcome())
+        await asyncio.sleep(0.1)
+        assert await relay.get_outcome() == RelayOutcome.BUSY
+        assert await first == RelayOutcome.ANSWERED
+
+    run_relay(scenario)
+
+
 def test_a_server_that_wants_rest_gets_it_from_the_relaying_instance():
     """Guards against requests to a server from the instance that it has refused."""
 
