--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -138,7 +138,7 @@
         is_whole = end is ConnectionEnd.CLOSE
     if is_stream and len(sent) % EVENT_BYTES:
         is_whole = False
-    if is_whole and end is ConnectionEnd.SILENT:
+    if end is ConnectionEnd.SILENT and framing is not Framing.CLOSE and not is_short:
         # The next request on that connection would rightly fail.
         end = ConnectionEnd.CLOSE
     script = AnswerScript(
