--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 BIN := .venv/bin
 
-.PHONY: bench bench-control bench-pool setup days demo soak test check format
+.PHONY: bench bench-control bench-pool setup days demo soak fuzz test check format
 setup: .venv/ready
 
 .venv/ready: requirements.lock pyproject.toml
@@ -31,6 +31,10 @@
 soak: setup
 	$(BIN)/python -m tests.soak --seed $(SEED) --minutes $(MINUTES) --processes $(PROCESSES)
 
+# Fuzzes the framing of requests and answers; the options are in tests/fuzz.py.
+fuzz: setup
+	$(BIN)/python -m tests.fuzz --seed $(SEED) --minutes $(MINUTES)
+
 # Plays our own days on the platform's bench; KIT is its folder, SITES its site files.
 days:
 	@test -n "$(KIT)" && test -n "$(SITES)" || { echo "set KIT and SITES"; exit 2; }
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,6 +19,9 @@
 )
 from tests.node_load import RETRIES_AFTER_S, RETRIES_AT_ONCE
 
+INTERPRETER_START_S = 0.15
+"""Time in which the interpreter starts before it runs the first line, in s."""
+
 
 def play(folder, scenario, *, nodes=("n1",), has_retries=False):
     """Run a scenario on a fleet of two model servers and two plain ones.
@@ -599,3 +602,24 @@
         assert took < 3
 
     play(tmp_path, scenario, nodes=("n1", "n2"))
+
+
+def test_a_node_that_starts_survives_sighup(tmp_path):
+    """Guards against a process that is ended by a change of its settings file because
+    it has not installed its handler yet."""
+
+    async def run():
+        fleet = Fleet(tmp_path)
+        try:
+            await fleet.open()
+            await fleet.start_node("n1")
+            await asyncio.sleep(INTERPRETER_START_S)
+            async with aiohttp.ClientSession() as session:
+                while not await fleet.is_ready(session, "n1"):
+                    assert fleet.nodes["n1"].returncode is None
+                    fleet.nodes["n1"].send_signal(signal.SIGHUP)
+                    await asyncio.sleep(0.02)
+        finally:
+            await fleet.close()
+
+    asyncio.run(run())
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -30,6 +30,17 @@
     assert len(view) == 1 + REMOTE_SAMPLE_SIZE
 
 
+def test_roster_prefers_instances_of_other_data_centres_that_reach_servers():
+    """Guards against a data centre without a path to servers whose roster names only
+    instances that can't help."""
+    far = [
+        build_numbered(n, site="b1", capacity=n, reaches_servers=n < 5)
+        for n in range(1, 9)
+    ]
+    view = select_view(far, site="a1")
+    assert set(view) == {f"n{number}" for number in (4, 3, 2, 1)}
+
+
 def test_roster_copies_converge_under_random_changes():
     """Instances join, leave and change at random; each copy that gets the differences,
     or the full roster when it has none, equals the roster at every step."""
