Take back crashes that an instance has counted as it lost its network

An instance that finds that it reaches no servers now takes back what it has counted in the last 4 s; the marks only grow, so it holds in any order. A reset makes it probe the server, as a request that is refused opens no connection by which it would notice.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -254,6 +254,8 @@
             raise self._handle_unreachable(entry) from None
         except BrokenError as error:
             progress.answer_end = error.end
+            if error.end is AnswerEnd.RESET:
+                self._paths.check(entry.address)
             if self._paths.blames_server(entry):
                 self._poison.record_crash(
                     self._request, incarnation=entry.incarnation, known=known_crashes
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -7,10 +7,14 @@
 time after the previous crash was known, is quarantined and not run again.
 """
 
+from collections import deque
+
 from arbutuspulley.delivery.suspects import (
     Judgement,
     SuspectState,
     build_fingerprint,
+    build_mark,
+    clear_deaths,
     clear_suspicion,
     count_deaths,
     evict_expired,
@@ -34,6 +38,13 @@
 MAX_SUSPECTS = 2_000
 """Maximum number of suspects; a server that crashes adds 64 at once."""
 
+RETRACT_MS = 4_000
+"""Age up to which crashes are retracted when this instance finds that it reaches no
+server, in ms: its connections break up to 3 s after a network partition begins."""
+
+MAX_RECENT = 1_000
+"""Maximum number of recent crashes that can be retracted."""
+
 EVICT_INTERVAL_MS = 10_000
 """Interval of evicting old suspects, in ms: a scan of 2,000 takes 7 ms, and a server
 that crashes adds 64 suspects at once."""
@@ -45,12 +56,14 @@
     :param link: link by which suspicions are shared with all instances.
     """
 
-    __slots__ = ("_evict_at", "_link", "_state", "_suspects")
+    __slots__ = ("_evict_at", "_link", "_recent", "_state", "_suspects")
 
     def __init__(self, *, state: NodeState, link: Link) -> None:
         self._state = state
         self._link = link
         self._evict_at = 0
+        # Crashes that this instance has recorded: when, fingerprint, and death mark.
+        self._recent: deque[tuple[int, str, str]] = deque(maxlen=MAX_RECENT)
         self._suspects = SuspectState(suspicions={}, changed_at={})
         link.on_suspicions = self.merge_suspicions
 
@@ -85,9 +98,12 @@
         self._evict_old(now)
         if len(self._suspects.suspicions) >= MAX_SUSPECTS:
             return
+        fingerprint = _get_fingerprint(request)
+        mark = build_mark(server=incarnation, boot_id="")
+        self._recent.append((now, fingerprint, mark))
         suspicion = record_death(
             self._suspects,
-            fingerprint=_get_fingerprint(request),
+            fingerprint=fingerprint,
             server=incarnation,
             boot_id="",
             now=now,
@@ -99,6 +115,25 @@
         log_event(event, id=request.attempt_id, server=incarnation, deaths=deaths)
         self._link.send(SuspicionUpdate(suspicions=(suspicion,)))
 
+    def retract_recent(self) -> None:
+        """Retract recent crashes: the network of this instance broke, not servers.
+
+        Several instances may lose it at once. Each of them recorded a crash of another
+        server, and a harmless request that was in flight at three was quarantined.
+        """
+        now = self._state.clock.now()
+        retracted = []
+        while self._recent:
+            at, fingerprint, mark = self._recent.pop()
+            suspicion = self._suspects.suspicions.get(fingerprint)
+            if now - at <= RETRACT_MS and suspicion is not None:
+                retracted.append(clear_deaths(suspicion, (mark,)))
+        if not retracted:
+            return
+        merge(self._suspects, retracted, now=now)
+        log_event(Event.SUSPECTS_RETRACTED, count=len(retracted))
+        self._link.send(SuspicionUpdate(suspicions=tuple(retracted)))
+
     def clear(self, request: InboundRequest) -> None:
         """Clear a request that completed; it caused no crash."""
         suspicion = self._find(request)
--- a/src/arbutuspulley/node/server_paths.py
+++ b/src/arbutuspulley/node/server_paths.py
@@ -63,6 +63,7 @@
     """Sends requests to servers, and finds out which ones this instance can reach.
 
     :param on_change: called when this instance has lost or regained the servers.
+    :param on_lost: called when it has lost them.
     """
 
     __slots__ = (
@@ -70,15 +71,23 @@
         "_in_flight",
         "_lost_at",
         "_on_change",
+        "_on_lost",
         "_probed_at",
         "_probes",
         "_state",
         "_unhelpful_until",
     )
 
-    def __init__(self, *, state: NodeState, on_change: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        *,
+        state: NodeState,
+        on_change: Callable[[], None],
+        on_lost: Callable[[], None],
+    ) -> None:
         self._state = state
         self._on_change = on_change
+        self._on_lost = on_lost
         # Attempts in flight by server address, on own connections.
         self._in_flight: dict[str, int] = {}
         self._busy_since = 0
@@ -87,7 +96,7 @@
         self._probes: dict[str, asyncio.Task[None]] = {}
         self._unhelpful_until: dict[str, int] = {}
         state.on_change.append(self._update_servers)
-        state.on_unanswered.append(self._check)
+        state.on_unanswered.append(self.check)
 
     async def send(
         self,
@@ -158,8 +167,8 @@
                 self._start_probe(address, now=now)
             self._report_change()
 
-    def _check(self, address: str) -> None:
-        """Check whether a silent server can be connected to."""
+    def check(self, address: str) -> None:
+        """Check soon whether a server that failed can be connected to."""
         now = self._state.clock.now()
         if now - self._probed_at >= SILENCE_PROBE_INTERVAL_MS:
             self._start_probe(address, now=now)
@@ -227,6 +236,7 @@
                 silent_ms=now - reach.heard_at,
                 others=len(self._list_helpers()),
             )
+            self._on_lost()
         else:
             log_event(Event.SERVERS_REGAINED, lost_ms=now - self._lost_at)
             self._lost_at = None
--- a/src/arbutuspulley/programs/node.py
+++ b/src/arbutuspulley/programs/node.py
@@ -144,10 +144,14 @@
     )
     coordinator = Coordinator(state=state, lease=lease, receive_local=link.receive)
     election = Election(state=state, lease=lease, link=link, coordinator=coordinator)
+    poison = PoisonGuard(state=state, link=link)
     paths = ServerPaths(
-        state=state, on_change=lambda: link.send(link.build_heartbeat())
+        state=state,
+        on_change=lambda: link.send(link.build_heartbeat()),
+        on_lost=poison.retract_recent,
     )
-    servers = await _listen(state, link, coordinator, paths, metrics_port)
+    frontend = Frontend(state=state, link=link, poison=poison, paths=paths)
+    servers = await _listen(state, link, coordinator, frontend, metrics_port)
     log_event(
         Event.STARTED, program=PROGRAM, boot=lease.boot, frontend=settings.frontend
     )
@@ -196,13 +200,11 @@
     state: NodeState,
     link: Link,
     coordinator: Coordinator,
-    paths: ServerPaths,
+    frontend: Frontend,
     metrics_port: int,
 ) -> list[asyncio.Server]:
     settings = state.settings
     directory = Directory(state=state)
-    poison = PoisonGuard(state=state, link=link)
-    frontend = Frontend(state=state, link=link, poison=poison, paths=paths)
     relay = ServerRelay(state=state, link=link)
 
     async def handle_link(request: web.BaseRequest) -> web.StreamResponse:
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -11,6 +11,7 @@
 import aiohttp
 import pytest
 
+from arbutuspulley.standins.fleet_server import ServerStandin
 from scripts.platform_testbed import (
     FULL_STREAM,
     send_request,
@@ -210,6 +211,45 @@
     run_cut(tmp_path, scenario)
 
 
+def test_a_request_in_flight_at_nodes_that_lose_their_network_is_not_quarantined(
+    tmp_path,
+):
+    """Guards against seed 5014 of the soak: one request, in flight at three nodes that
+    lost the servers at once, was refused as if it had crashed three servers."""
+
+    async def scenario(fleet, session):
+        cut = choose_cut(fleet, count=3)
+        for name in ("e3", "e4", "e5"):
+            await fleet.add_server(
+                ServerStandin(incarnation=name, service="llm", models=("m0",))
+            )
+        for name in NAMES:
+            await fleet.wait_log(name, '"e5"')
+        for server in fleet.servers:
+            server.delay_s = 0.4
+
+        async def ask(name, number):
+            front = fleet.addresses[name]["Frontend"]
+            attempt = f"{name}-{number}"
+            return await send_request(
+                session, front, "/chat/same", attempt=attempt, model="m0"
+            )
+
+        asked = [asyncio.create_task(ask(name, 0)) for name in cut]
+        await asyncio.sleep(0.2)
+        fleet.cut(cut, "reset")
+        await asyncio.gather(*asked)
+        for server in fleet.servers:
+            server.delay_s = 0.0
+        for number in range(1, 4):
+            await asyncio.gather(*(ask(name, number) for name in cut))
+        for name in NAMES:
+            status, _, _ = await ask(name, 9)
+            assert status == 200
+
+    run_cut(tmp_path, scenario)
+
+
 def test_callers_are_named_other_nodes_meanwhile(tmp_path):
     """Guards against a node that reaches no server and is still named to callers."""
 
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -4,7 +4,7 @@
 
 from arbutuspulley.clock import SECOND_MS, Clock
 from arbutuspulley.node.messages import SuspicionUpdate
-from arbutuspulley.node.poison import MAX_CRASHES, MAX_SUSPECTS, PoisonGuard
+from arbutuspulley.node.poison import MAX_CRASHES, MAX_SUSPECTS, RETRACT_MS, PoisonGuard
 from arbutuspulley.platform.requests import decode_request
 
 
@@ -56,6 +56,37 @@
         assert instance.guard.get_refusal(build_request(b"other")) is None
 
 
+def test_a_request_that_three_instances_lost_with_their_network_is_not_quarantined():
+    """Guards against a harmless request that is refused for hours because instances
+    that lost their network at once each counted a crash of another server."""
+    group = build_group(4)
+    request = build_request()
+    for number, instance in enumerate(group[:3]):
+        crash(instance, f"s{number}", request)
+        # Each has recorded its crash before it hears of the others.
+        instance.is_disconnected = True
+    for instance in group[:3]:
+        instance.is_disconnected = False
+        for suspicion in instance.guard._suspects.suspicions.values():
+            instance.send(SuspicionUpdate(suspicions=(suspicion,)))
+    assert group[3].guard.get_refusal(request) is not None
+    for instance in group[:3]:
+        instance.guard.retract_recent()
+    for instance in group:
+        assert instance.guard.get_refusal(request) is None
+        assert instance.guard.count_crashes(request) == 0
+
+
+def test_only_recent_crashes_are_retracted():
+    (only,) = build_group(1)
+    request = build_request()
+    crash(only, "s0", request)
+    only.now = RETRACT_MS + 1
+    crash(only, "s1", request)
+    only.guard.retract_recent()
+    assert only.guard.count_crashes(request) == 1
+
+
 def test_concurrent_copies_of_a_request_count_as_one_crash():
     """All servers of a service fail at once in a power failure, each with a copy of one
     request in flight that a caller sent several times. The request is not the cause."""
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -172,7 +172,7 @@
         charger=charger,
         limits=LimitGuard(state=state, link=node.link),
         retries=node.retries,
-        paths=ServerPaths(state=state, on_change=lambda: None),
+        paths=ServerPaths(state=state, on_change=lambda: None, on_lost=lambda: None),
         route=ROUTE,
         request=request,
         client=None,
