--- a/tests/soak.py
+++ b/tests/soak.py
@@ -60,6 +60,9 @@
 RETRY_RATIO, RETRY_EXTRA, RETRY_WINDOW_S = 0.2, 50, 10.0
 """Retry budget of each service; the nodes' settings have the same defaults."""
 
+EXIT_S = 0.1
+"""Time in which a process that a signal ends has ended, in s."""
+
 STORM_KILLS = 3
 """How often all nodes are killed within a storm, in which all servers of a service
 fail."""
@@ -432,6 +435,10 @@
             return
         if fault.kind == "hup":
             node.send_signal(signal.SIGHUP)
+            await asyncio.sleep(EXIT_S)
+            if node.returncode == -signal.SIGHUP:
+                # It came before the interpreter had run the program's first line.
+                await self._replace_node(name, node)
             return
         if fault.kind == "freeze":
             node.send_signal(signal.SIGSTOP)
