Build the messages of servers' limits in one place, and start test fleets in one

Found by reading the whole change once more. No behaviour changes; 166 tests of limits, notices, ways, relays and the fuzzer pass, and the 18 of test_cut_off.py.

--- a/scripts/platform_testbed.py
+++ b/scripts/platform_testbed.py
@@ -5,7 +5,7 @@
 import signal
 import socket
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -187,6 +187,17 @@
                 stderr=log,
             )
 
+    async def start_nodes(self, names: Sequence[str], **options: Any) -> None:
+        """Start nodes and wait until they are ready and follow a coordinator.
+
+        :param options: those of :meth:`start_node`.
+        """
+        for name in names:
+            await self.start_node(name, **options)
+        for name in names:
+            await self.wait_ready(name)
+        await self.wait_coordinator()
+
     async def wait_ready(self, name: str) -> None:
         """Wait until a node is ready to serve callers."""
         async with aiohttp.ClientSession() as session:
--- a/src/arbutuspulley/node/rates.py
+++ b/src/arbutuspulley/node/rates.py
@@ -13,6 +13,7 @@
     ServerLimit,
     ServerLimits,
 )
+from arbutuspulley.node.server_notices import build_server_limits
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.pool.state import PoolState
 from arbutuspulley.ports.fleet import AttemptOutcome
@@ -141,12 +142,8 @@
         return ServerLimits(limits=self._build_limits(known), are_all=True)
 
     def _build_limits(self, incarnations: Iterable[str]) -> tuple[ServerLimit, ...]:
-        limits, brittle = self._ledger.list_limits(), self._brittle.list_brittle()
-        return tuple(
-            ServerLimit(
-                incarnation=incarnation,
-                per_s=limits.get(incarnation),
-                refusals_per_s=brittle.get(incarnation),
-            )
-            for incarnation in incarnations
+        return build_server_limits(
+            incarnations,
+            limits=self._ledger.list_limits(),
+            brittle=self._brittle.list_brittle(),
         )
--- a/src/arbutuspulley/node/server_notices.py
+++ b/src/arbutuspulley/node/server_notices.py
@@ -51,19 +51,33 @@
     return frozenset(state.cooldowns.list_active(now=state.clock.now()))
 
 
-def list_server_limits(state: NodeState) -> tuple[ServerLimit, ...]:
-    """Return the limits that this instance knows, as messages for a coordinator."""
-    limits, brittle = state.limits.list_limits(), state.brittle.list_limits()
+def build_server_limits(
+    incarnations: Iterable[str],
+    *,
+    limits: Mapping[str, float],
+    brittle: Mapping[str, float],
+) -> tuple[ServerLimit, ...]:
+    """Build a message for each server.
+
+    :param limits: requests per second, by server.
+    :param brittle: refusals per second beyond which servers fall over.
+    """
     return tuple(
         ServerLimit(
             incarnation=incarnation,
             per_s=limits.get(incarnation),
             refusals_per_s=brittle.get(incarnation),
         )
-        for incarnation in limits | brittle
+        for incarnation in incarnations
     )
 
 
+def list_server_limits(state: NodeState) -> tuple[ServerLimit, ...]:
+    """Return the limits that this instance knows, as messages for a coordinator."""
+    limits, brittle = state.limits.list_limits(), state.brittle.list_limits()
+    return build_server_limits(limits | brittle, limits=limits, brittle=brittle)
+
+
 def list_cooldowns(state: NodeState) -> tuple[ServerCooldown, ...]:
     """Return the cooldowns of this instance, as messages for a coordinator."""
     active = state.cooldowns.list_active(now=state.clock.now())
--- a/src/arbutuspulley/node/server_paths.py
+++ b/src/arbutuspulley/node/server_paths.py
@@ -1,7 +1,7 @@
 """How requests reach servers: by an own connection, or through another instance."""
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import aiohttp
 
@@ -276,7 +276,7 @@
             self._avoid(helper, outcome or "not supported")
         raise NotSentError("no other instance could send it")
 
-    def _choose_helpers(self) -> Iterator[NodeInfo]:
+    def _choose_helpers(self) -> list[NodeInfo]:
         """Return instances that may help, those of the own region first.
 
         They are drawn by capacity over all data centres: where most of one is cut off,
@@ -296,7 +296,7 @@
         helpers.sort(
             key=lambda helper: (helper.region != own.region, -draws[helper.name])
         )
-        return iter(helpers[:MAX_HELPERS])
+        return helpers[:MAX_HELPERS]
 
     def _list_helpers(self) -> list[NodeInfo]:
         own = self._state.settings.name
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -408,11 +408,7 @@
     try:
         await fleet.open()
         # A node that is alone hands its lease over after some seconds.
-        for name in ("n1", "n2"):
-            await fleet.start_node(name, **RETRIES_AT_ONCE)
-        for name in ("n1", "n2"):
-            await fleet.wait_ready(name)
-        await fleet.wait_coordinator()
+        await fleet.start_nodes(("n1", "n2"), **RETRIES_AT_ONCE)
         await asyncio.sleep(RETRIES_AFTER_S)
         yield Fuzzer(fleet=fleet)
     finally:
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -49,11 +49,7 @@
         fleet = CutFleet(folder)
         try:
             await fleet.open()
-            for name in names:
-                await fleet.start_node(name, **RETRIES_AT_ONCE)
-            for name in names:
-                await fleet.wait_ready(name)
-            await fleet.wait_coordinator()
+            await fleet.start_nodes(names, **RETRIES_AT_ONCE)
             await asyncio.sleep(RETRIES_AFTER_S)
             async with aiohttp.ClientSession() as session:
                 await scenario(fleet, session)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -34,11 +34,7 @@
         fleet = Fleet(folder)
         try:
             await fleet.open()
-            for name in nodes:
-                await fleet.start_node(name, **bounds)
-            for name in nodes:
-                await fleet.wait_ready(name)
-            await fleet.wait_coordinator()
+            await fleet.start_nodes(nodes, **bounds)
             if has_retries:
                 await asyncio.sleep(RETRIES_AFTER_S)
             async with aiohttp.ClientSession() as session:
