Test three guards that had no test that fails without them

An instance that doubts its network reports no server as unreached, claims a free lease after the others, and does not use its old connections again.

--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -5,6 +5,7 @@
 import pytest
 
 from arbutuspulley.membership.capacity import MAX_CLAIM_DELAY_MS
+from arbutuspulley.membership.server_reach import record_failed
 from arbutuspulley.node.election import HANDOVER_DELAY_MS, READ_JITTER_MS
 from tests.elections import (
     LeaseStore,
@@ -92,6 +93,22 @@
     assert max(delays) < READ_JITTER_MS < MAX_CLAIM_DELAY_MS
 
 
+def test_an_instance_that_reaches_no_server_claims_after_the_others():
+    """Guards against a lease that goes back to an instance that can give no orders."""
+    now = [1_000]
+    members = build_members([1.0] * 6, LeaseStore(now), now)
+    publish_roster(members, [1.0] * 6)
+    delays = {}
+    for number, (name, member) in enumerate(members.items()):
+        if number < 2:
+            record_failed(member.state.server_reach, "s0:1", now=now[0])
+            record_failed(member.state.server_reach, "s1:1", now=now[0])
+        delays[name] = member.election._draw_claim_delay()
+    cut_off = list(members)[:2]
+    others = [delay for name, delay in delays.items() if name not in cut_off]
+    assert min(delays[name] for name in cut_off) >= max(others) + MAX_CLAIM_DELAY_MS
+
+
 def test_new_coordinator_counts_requests_of_its_own_instance():
     """Other instances report their runs in flight when they connect, but those of the
     coordinator's own instance were not counted: its servers got more requests than they
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -190,6 +190,18 @@
     return node
 
 
+def test_a_server_is_not_blamed_while_the_own_network_is_suspected(monkeypatch):
+    """Guards against reports of servers that only this instance can't connect to."""
+    node = build_node_with_retries()
+    run_exchange(monkeypatch, node, outcomes=[NotSentError("1"), NotSentError("2")])
+    registry = node.state.metrics.registry
+
+    def count(how):
+        return registry.get_sample_value("arbutus_attempts_total", {"how": how})
+
+    assert (count("unreached"), count("unused")) == (1, 1)
+
+
 def test_a_retry_that_could_not_be_sent_keeps_its_charge_for_the_next_server(
     monkeypatch,
 ):
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -229,6 +229,29 @@
     assert paths.paths.blames_server(build_entry("s1"))
 
 
+def test_old_connections_are_not_used_again_after_a_partition(monkeypatch):
+    """Guards against a request on a connection that its server has closed meanwhile."""
+    discarded = []
+    paths = Paths(monkeypatch, reached=SERVERS[:2], helpers=HELPERS)
+    monkeypatch.setattr(
+        server_paths,
+        "discard_idle_connections",
+        lambda _session, address: discarded.append(address),
+    )
+    paths.state.entries = {server: build_entry(server) for server in SERVERS}
+    paths.reached.clear()
+    paths.lose_servers()
+    assert not paths.state.reaches_servers
+    paths.reached = {"s0"}
+
+    async def probe():
+        await paths.paths._probe("s0")
+
+    asyncio.run(probe())
+    assert paths.state.reaches_servers
+    assert sorted(discarded) == list(SERVERS)
+
+
 @pytest.mark.parametrize(
     "changes", [{"reaches_servers": False}, {"is_ready": False}, {"link": ""}]
 )
