Log servers' software versions and the attempt that a caller names

The logs could not tell whether a stream that went on was mixed: not which version a server has as an instance knows it, nor which attempt a caller resumes. The version in a server's row is decoded into a value that can only be compared for equality, and event 804 names it. Events 201 and 212 name the attempt in Resumes, if it is one. No decision uses either yet.

--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -30,6 +30,9 @@
 """How long new streams are accepted after SIGTERM, in ms, which serves callers that
 still use an old address. A stream that starts later may not end before SIGKILL."""
 
+MAX_LOGGED_ID_LENGTH = 64
+"""Length to which the id of another attempt is truncated in log lines."""
+
 NOT_READY_RETRY_MS = 300
 """Retry delay for callers of an instance without a configuration, in ms; it usually has
 one within that time."""
@@ -184,6 +187,7 @@
             pause_aim_ms=exchange.route.gap_target_ms if exchange else 0,
             resumes=progress.resumes if progress else 0,
             is_resumed=request.resumes,
+            resumed_attempt=request.resumed_attempt[:MAX_LOGGED_ID_LENGTH],
             framing=progress.framing if progress else None,
             answer_end=progress.answer_end if progress else None,
             partial_bytes=progress.partial_bytes if progress else 0,
--- a/src/arbutuspulley/node/server_rows.py
+++ b/src/arbutuspulley/node/server_rows.py
@@ -329,6 +329,7 @@
         service=entry.service,
         address=entry.address,
         born_ms=entry.started_ms,
+        version=entry.software_version.name,
     )
 
 
--- a/src/arbutuspulley/platform/messages.py
+++ b/src/arbutuspulley/platform/messages.py
@@ -1,5 +1,6 @@
 """Message bodies on the wire, and their decoding into the ports' types."""
 
+import hashlib
 import re
 from typing import Any
 
@@ -18,6 +19,7 @@
     ServerReport,
     ServiceSpec,
     Share,
+    SoftwareVersion,
     Team,
 )
 from arbutuspulley.results import Code, ConfigurationError
@@ -29,6 +31,9 @@
 """Latency target of a route that sets none, in ms: a second feels immediate to a
 person who reads text."""
 
+MAX_VERSION_LENGTH = 64
+"""Length of a software version, in characters, above which its digest replaces it."""
+
 READY = "ready"
 DRAINING = "draining"
 """``State`` of a server that accepts requests, and of one that is draining."""
@@ -153,6 +158,7 @@
     default is not a server's.
 
     :param born: start time of the server, in Unix ms; 0 if unknown.
+    :param version: of its software; other writers may write anything here.
     """
 
     service: str
@@ -162,6 +168,7 @@
     state: str
     born: int = msgspec.field(default=0, name="born")
     models: list[WireLoadedModel] = msgspec.field(default_factory=list)
+    version: Any = None
 
 
 class WireAvailable(_Wire):
@@ -261,9 +268,19 @@
         slots=wire.slots,
         is_leaving=wire.state == DRAINING,
         loaded_models=_decode_loaded_models(wire.models),
+        software_version=_decode_software_version(wire.version),
     )
 
 
+def _decode_software_version(value: Any) -> SoftwareVersion:
+    """Decode a software version; whatever a row states identifies one."""
+    text = "" if value is None else str(value)
+    if len(text) > MAX_VERSION_LENGTH:
+        digest = hashlib.sha256(text.encode(errors="replace")).hexdigest()
+        text = f"sha256:{digest[:16]}"
+    return SoftwareVersion(name=text)
+
+
 def _check_server(wire: WireServer) -> None:
     if wire.state not in (READY, DRAINING):
         raise InvalidServerEntryError(f"unknown state {wire.state!r}")
--- a/src/arbutuspulley/platform/names.py
+++ b/src/arbutuspulley/platform/names.py
@@ -34,6 +34,9 @@
 LAST_EVENT_ID = "Last-Event-Id"
 """Id of the last event of a stream that reached the client."""
 
+RESUMES = "Resumes"
+"""Id of the attempt that brought the first event of a stream that a client resumes."""
+
 RETRY_AFTER = "Retry-After"
 """Seconds, with fractions, after which a refused client may retry. In a server's 503 it
 is how long the server wants no requests from the instance that it answers."""
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -39,7 +39,8 @@
         if name.lower() not in dropped
         and _normalise_name(name) not in names.RESERVED_HEADERS
     ]
-    keys = [value for name, value in listed if name.lower() == names.KEY.lower()]
+    keys = _list_values(listed, names.KEY)
+    resumed = {value.strip() for value in _list_values(listed, names.RESUMES)}
     return InboundRequest(
         attempt_id=found.get(names.ATTEMPT_ID.lower(), ""),
         method=method,
@@ -49,6 +50,7 @@
         wait_ms=_read_number(found.get(names.DEADLINE.lower())),
         need=_decode_model_need(found),
         resumes=names.LAST_EVENT_ID.lower() in found,
+        resumed_attempt=resumed.pop() if len(resumed) == 1 else "",
         key=keys[0].strip() if len(keys) == 1 else "",
         usage_tokens=_sum_token_usage(found.get(names.TOKEN_USAGE.lower())),
     )
@@ -211,6 +213,10 @@
     return headers
 
 
+def _list_values(headers: Iterable[tuple[str, str]], name: str) -> list[str]:
+    return [value for header, value in headers if header.lower() == name.lower()]
+
+
 def _normalise_name(name: str) -> str:
     """Return a header's name in the spelling to which some servers normalise it."""
     return name.lower().replace("_", "-")
--- a/src/arbutuspulley/ports/fleet.py
+++ b/src/arbutuspulley/ports/fleet.py
@@ -152,6 +152,21 @@
     adapters: tuple[str, ...] = ()
 
 
+class SoftwareVersion(Value, frozen=True):
+    """Version of a backend server's software, not of the weights that it has loaded.
+
+    Versions are equal or not; they have no order.
+
+    :param name: as the server states it; empty: it states none.
+    """
+
+    name: str
+
+
+UNSTATED_VERSION = SoftwareVersion(name="")
+"""Version of servers that state none."""
+
+
 class ServerEntry(Value, frozen=True):
     """A backend server's entry in the platform's registry, as last read.
 
@@ -170,6 +185,7 @@
     slots: int
     is_leaving: bool
     loaded_models: tuple[LoadedModel, ...]
+    software_version: SoftwareVersion = UNSTATED_VERSION
 
 
 class ServerReport(Value, frozen=True):
@@ -269,6 +285,8 @@
         those that only the system may set.
     :param wait_ms: how long the caller waits; ``None`` if unknown.
     :param resumes: whether the caller resumes a broken stream.
+    :param resumed_attempt: id of the attempt that brought the first event of the stream
+        that the caller resumes; empty if it names none or several.
     :param fingerprint: identical for every retry of the request; empty until it is
         needed, which is after the body has been read.
     :param key: the caller's API key, until it has been looked up; empty if it sent
@@ -284,6 +302,7 @@
     wait_ms: int | None
     need: ModelNeed | None
     resumes: bool = False
+    resumed_attempt: str = ""
     body: bytes = b""
     fingerprint: str = ""
     key: str = ""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -137,6 +137,20 @@
     assert report.pending == (("m0", "a5"),)
 
 
+@pytest.mark.parametrize("version", ["v1", "", None, 7, {"a": 1}, "x" * 500, "x" * 501])
+def test_any_software_version_of_a_row_identifies_one(version):
+    """Guards against a server that is not used because its version is odd, and against
+    versions that can't be told apart."""
+    row = {**SERVER_ROW, "Version": version}
+    entry = decode_server("i-1", encode(row))
+    assert entry == decode_server("i-1", encode(row))
+    assert len(entry.software_version.name) <= 64
+    others = [{**SERVER_ROW, "Version": one} for one in ("v1.0", "v2", "x" * 502)]
+    for other in others:
+        one = decode_server("i-1", encode(other))
+        assert one.software_version != entry.software_version
+
+
 def test_rows_with_base64_values_and_removals_are_decoded():
     body = {
         "Rows": [
@@ -207,6 +221,23 @@
     assert [value for name, value in sent if name.lower() == "last-event-id"] == ["9"]
 
 
+@pytest.mark.parametrize(
+    ("named", "expected"),
+    [
+        (["a0"], "a0"),
+        ([" a0 "], "a0"),
+        (["a0", "a0"], "a0"),
+        ([], ""),
+        ([""], ""),
+        (["a0", "a1"], ""),
+    ],
+)
+def test_a_resumed_stream_names_one_attempt_or_none(named, expected):
+    headers = [*HEADERS, *(("resumes", name) for name in named)]
+    request = decode_request(method="POST", path="/", headers=headers)
+    assert request.resumed_attempt == expected
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "expected"),
     [
