--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -16,6 +16,9 @@
 DOWN_S = 2.0
 """How long a server that fell over resets all connections, in s."""
 
+DEFAULT_VERSION = "v1"
+"""Version of a server's software unless a test sets another one."""
+
 SILENCE_POLL_S = 0.01
 """Interval at which a silent server looks whether it may go on, in s."""
 
@@ -47,6 +50,9 @@
       within a second, it falls over: it resets all connections for ``DOWN_S``.
     - ``is_silent``: send nothing until it is cleared; connections stay open.
     - ``rest_s``: time without requests that a refusal asks for, in s.
+    - ``version``: version of its software; the events of its streams name it unless it
+      is the default.
+    - ``pause_s``: time between two events of a stream, in s.
 
     Tests read ``falls`` (how often it fell over), ``served`` (number of requests that
     it answered), ``runs`` (number of runs by attempt id), ``headers`` (request headers
@@ -82,6 +88,7 @@
         "on_break",
         "orders",
         "overcommitted",
+        "pause_s",
         "refusals",
         "refusals_per_s",
         "rest_s",
@@ -92,6 +99,7 @@
         "served",
         "service",
         "sheds",
+        "version",
     )
 
     def __init__(
@@ -138,6 +146,8 @@
         self.down_until = 0.0
         self.falls = 0
         self.served = 0
+        self.version = DEFAULT_VERSION
+        self.pause_s = 0.005
 
     def describe(self, *, state: str = "ready") -> dict:
         """Return the server's row in the metadata store."""
@@ -145,7 +155,7 @@
             "Service": self.service,
             "Address": self.address,
             "Zone": "hall-a",
-            "Version": "v1",
+            "Version": self.version,
             "Slots": 8,
             "State": state,
             "Models": self._list_models(),
@@ -301,6 +311,7 @@
         answer = web.StreamResponse(headers=headers)
         answer.content_type = "text/event-stream"
         await answer.prepare(request)
+        by = "" if self.version == DEFAULT_VERSION else f" by {self.version}"
         first = int(request.headers.get(names.LAST_EVENT_ID, "0")) + 1
         for number in range(first, 7):
             if self.breaks_after is not None and number > self.breaks_after:
@@ -309,7 +320,8 @@
                 if request.transport is not None:
                     request.transport.abort()
                 return answer
-            await answer.write(f"id: {number}\ndata: piece {number}\n\n".encode())
-            await asyncio.sleep(0.005)
+            event = f"id: {number}\ndata: piece {number}{by}\n\n"
+            await answer.write(event.encode())
+            await asyncio.sleep(self.pause_s)
         await answer.write_eof()
         return answer
