Move what runs record out of the pool's state, and look handlers up by type

How granted requests proceed and end is recorded in pool/runs.py now, and a link finds the handler of a message by its type. No behaviour changes; the tests of pools, links and coordinators pass unchanged but for their imports.

--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -1,7 +1,9 @@
 """An instance's WebSocket connection to the coordinator."""
 
 import asyncio
+import functools
 from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -96,6 +98,7 @@
         "_address",
         "_confirmation",
         "_coordinator_version",
+        "_handlers",
         "_heartbeats",
         "_is_closed",
         "_last_status_at",
@@ -119,6 +122,7 @@
         self._state = state
         self._address = ""
         self._confirmation = Confirmation(state=state)
+        self._handlers = self._build_handlers()
         self._heartbeats = HeartbeatTracker(now=state.clock.now())
         self._last_status_at = -COORDINATOR_TIMEOUT_MS
         self._is_closed = False
@@ -259,34 +263,25 @@
     def receive(self, messages: list[ToNode]) -> None:
         """Handle messages from the coordinator."""
         for message in messages:
-            if isinstance(message, CoordinatorStatus):
-                self._apply_status(message)
-                continue
-            if isinstance(message, CoordinatorEstimates):
-                self._state.estimates = message
-                continue
-            if isinstance(message, SuspicionUpdate):
-                self.on_suspicions(message.suspicions)
-                continue
-            if isinstance(message, QuotaExceeded):
-                self.on_quota_exceeded(message)
-                continue
-            if isinstance(message, ServerLimits):
-                self.on_rate_limits(message)
-                continue
-            if isinstance(message, LeavingNotice):
-                apply_leaving(self._state, message.incarnations, by="coordinator")
-                continue
-            if isinstance(message, RosterChange):
-                self._apply_roster(message)
-                continue
-            if isinstance(message, StoreUpdate):
-                apply_store_update(self._state, message, by="coordinator")
-                continue
-            if isinstance(message, ConfigurationDelta):
-                apply_configuration_delta(self._state, message, by="coordinator")
-                continue
-            self._resolve_decision(message)
+            self._handlers[type(message)](message)
+
+    def _build_handlers(self) -> dict[type, Callable[[Any], object]]:
+        state = self._state
+        return {
+            Granted: self._resolve_decision,
+            Refused: self._resolve_decision,
+            CoordinatorStatus: self._apply_status,
+            CoordinatorEstimates: lambda it: setattr(state, "estimates", it),
+            SuspicionUpdate: lambda it: self.on_suspicions(it.suspicions),
+            QuotaExceeded: lambda it: self.on_quota_exceeded(it),
+            ServerLimits: lambda it: self.on_rate_limits(it),
+            LeavingNotice: functools.partial(_apply_leaving, state),
+            RosterChange: self._apply_roster,
+            StoreUpdate: lambda it: apply_store_update(state, it, by="coordinator"),
+            ConfigurationDelta: lambda it: apply_configuration_delta(
+                state, it, by="coordinator"
+            ),
+        }
 
     def _resolve_decision(self, decision: Granted | Refused) -> None:
         if not self._pending.resolve(decision) and isinstance(decision, Granted):
@@ -533,5 +528,9 @@
         )
 
 
+def _apply_leaving(state: NodeState, notice: LeavingNotice) -> None:
+    apply_leaving(state, notice.incarnations, by="coordinator")
+
+
 def _ignore(_message: object) -> None:
     """Do nothing; default of the callbacks."""
--- a/src/arbutuspulley/node/pool_updates.py
+++ b/src/arbutuspulley/node/pool_updates.py
@@ -18,14 +18,12 @@
     record_heard,
     record_unreachable,
 )
-from arbutuspulley.pool.state import (
-    PoolState,
-    Run,
-    WaitingRequest,
+from arbutuspulley.pool.runs import (
     record_first_event,
     record_not_run,
     record_run_end,
 )
+from arbutuspulley.pool.state import PoolState, Run, WaitingRequest
 from arbutuspulley.ports.fleet import AttemptOutcome
 
 LATE_RATIO = 0.75
--- /dev/null
+++ b/src/arbutuspulley/pool/runs.py
@@ -0,0 +1,120 @@
+"""Records how granted requests proceed and end at the servers of a pool."""
+
+from arbutuspulley.pool.duration import record_run_time
+from arbutuspulley.pool.prefill_speed import PrefillSpeedState, add_sample
+from arbutuspulley.pool.state import PoolState, get_prefill_speed, get_size_class
+from arbutuspulley.pool.stream_gaps import record_stream
+from arbutuspulley.ports.fleet import AttemptOutcome
+
+FAILURE_SMOOTHING = 0.1
+"""Weight of the newest run in the moving average of a server's failures: about the last
+ten runs count."""
+
+RETRY_LOAD_MS = 150
+"""Backoff before the next request for a model whose load takes longer than expected, in
+ms."""
+
+MODEL_BACKOFF_MS = 150
+"""Backoff before the next request for a model to a server that refused one, in ms: it
+may be unloading the model once its runs have ended, or be full."""
+
+RETRY_ADAPTER_MS = 20
+"""Backoff before the next request for an adapter whose load takes longer than expected,
+in ms."""
+
+MAX_ADAPTER_LOAD_MS = 120
+"""Maximum expected load time of an adapter, in ms: ten times the usual one."""
+
+
+def record_first_event(
+    pool: PoolState, key: str, incarnation: str, *, took_ms: int, now: int
+) -> None:
+    """Record the first part of an answer, which ends the prefill and confirms the load.
+
+    :param took_ms: time since the request was sent to the server.
+    """
+    server = pool.servers.get(incarnation)
+    run = server.runs.get(key) if server else None
+    if server is None or run is None:
+        return
+    run.first_at = now
+    run.prefill_before_ms = server.stream_gaps.prefill_ms
+    if run.was_prefill_idle:
+        add_sample(
+            _get_speed_state(pool, run.need.model),
+            tokens=run.need.prompt_tokens,
+            took_ms=took_ms,
+        )
+    if server.unconfirmed_load == run.need.model:
+        server.unconfirmed_load = ""
+
+
+def record_run_end(
+    pool: PoolState,
+    key: str,
+    incarnation: str,
+    *,
+    how: AttemptOutcome,
+    now: int,
+    events: int = 0,
+) -> None:
+    """Record the end of a run.
+
+    :param events: number of events of its stream that this server generated.
+    """
+    server = pool.servers.get(incarnation)
+    if server is None:
+        return
+    run = server.runs.pop(key, None)
+    is_failed = how is AttemptOutcome.FAILED
+    server.failure_share += FAILURE_SMOOTHING * (is_failed - server.failure_share)
+    if run is not None and run.first_at is not None and how is AttemptOutcome.DONE:
+        took_ms = now - run.first_at
+        record_run_time(pool.durations, run.need, took_ms=took_ms)
+        record_stream(
+            server.stream_gaps,
+            events=events,
+            took_ms=took_ms,
+            prefill_ms=server.stream_gaps.prefill_ms - run.prefill_before_ms,
+        )
+
+
+def record_not_run(pool: PoolState, key: str, incarnation: str, *, now: int) -> None:
+    """Record that a server refused a request as not run.
+
+    It lacks the model or adapter, or is full. A load may still be in progress, so the
+    server is tried again a little later, and a report is needed before the next order.
+    """
+    server = pool.servers.get(incarnation)
+    if server is None:
+        return
+    run = server.runs.pop(key, None)
+    if run is None:
+        return
+    need = run.need
+    if server.unloading == need.model:
+        return
+    if server.unconfirmed_load == need.model:
+        # The load takes longer than usual, or other loads slow it down. The model is
+        # not removed, because its memory is in use.
+        server.model_backoff_until[need.model] = now + RETRY_LOAD_MS
+        server.next_order_at = now + RETRY_LOAD_MS
+        return
+    server.accepted_orders = None
+    if need.adapter and not run.is_repeat:
+        adapters = server.models.get(need.model, set())
+        adapters.discard(need.adapter)
+        server.adapters_due[need.model, need.adapter] = now + RETRY_ADAPTER_MS
+        pool.adapter_load_ms = min(MAX_ADAPTER_LOAD_MS, pool.adapter_load_ms * 1.25)
+        return
+    server.model_backoff_until[need.model] = now + MODEL_BACKOFF_MS
+
+
+def _get_speed_state(pool: PoolState, model: str) -> PrefillSpeedState:
+    size_class = get_size_class(pool.spec, model)
+    state = pool.speeds.get(size_class)
+    if state is None:
+        state = pool.speeds[size_class] = PrefillSpeedState(
+            prior=get_prefill_speed(pool, model)
+        )
+    return state
--- a/tests/test_pool_grants.py
+++ b/tests/test_pool_grants.py
@@ -4,7 +4,7 @@
 
 from arbutuspulley.pool.contact import record_unreachable
 from arbutuspulley.pool.grants import Grant, Refusal, find_next_wakeup, plan_grants
-from arbutuspulley.pool.state import record_not_run, record_run_end
+from arbutuspulley.pool.runs import record_not_run, record_run_end
 from arbutuspulley.ports.fleet import AttemptOutcome
 from tests.pools import add_waiting, build_pool, build_server
 
--- a/tests/test_pool_orders.py
+++ b/tests/test_pool_orders.py
@@ -12,7 +12,7 @@
 from arbutuspulley.pool.grants import plan_grants
 from arbutuspulley.pool.load_rate import inherit_loads, may_load, record_load
 from arbutuspulley.pool.orders import plan_orders
-from arbutuspulley.pool.state import record_not_run
+from arbutuspulley.pool.runs import record_not_run
 from arbutuspulley.ports.fleet import (
     LoadedModel,
     OrderAnswer,
--- a/tests/test_pool_prefill_speed.py
+++ b/tests/test_pool_prefill_speed.py
@@ -11,12 +11,11 @@
     add_sample,
     get_speed,
 )
+from arbutuspulley.pool.runs import record_first_event, record_run_end
 from arbutuspulley.pool.state import (
     get_prefill_speed,
     inherit_prefill_speeds,
     list_prefill_speeds,
-    record_first_event,
-    record_run_end,
 )
 from arbutuspulley.ports.fleet import AttemptOutcome, ModelSpec
 from tests.pools import add_waiting, build_pool, build_server, build_spec
--- a/tests/test_pool_restart.py
+++ b/tests/test_pool_restart.py
@@ -6,7 +6,8 @@
 from arbutuspulley.pool.eviction import count_used_mb
 from arbutuspulley.pool.grants import plan_grants
 from arbutuspulley.pool.orders import plan_orders
-from arbutuspulley.pool.state import complete_due_loads, record_run_end, update_servers
+from arbutuspulley.pool.runs import record_run_end
+from arbutuspulley.pool.state import complete_due_loads, update_servers
 from arbutuspulley.ports.fleet import (
     AttemptOutcome,
     LoadedModel,
