Keep a stream at the software version that began it

Cause: no choice of a server knew the version. It was not read from the servers' rows, nor Resumes from callers; and what began a stream was known, if at all, to the instance that sent its first event. The version of the first event's server is now a condition like the model: for grants, waiting requests, the choice without a coordinator, retries within an answer and a granted server that differs. It is remembered under the attempt that brought the event by the instance, by the coordinator, which hears of each first event anyhow, and by five other instances that the coordinator tells; a new coordinator learns it from all that link up. Entries expire with the caller's deadline and are bounded in number. A stream that nobody knows goes on only where a service has had one version; otherwise the caller is told at once (2011), as it is where no server of the version is left (2012). A model that the version has lost is loaded there.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -1,10 +1,18 @@
 """Selection of a server for a request, with or without a coordinator, and charging."""
 
+import asyncio
+
+from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
-from arbutuspulley.node.messages import AttemptEnded, Granted, GrantRequest
+from arbutuspulley.node.messages import (
+    AttemptEnded,
+    Granted,
+    GrantRequest,
+    RefusalReason,
+)
 from arbutuspulley.node.pending_requests import LinkLostError, RefusedError
 from arbutuspulley.node.progress import (
     MAX_REFUSALS,
@@ -17,6 +25,13 @@
 from arbutuspulley.node.server_choice import CoordinatorFoundError, ServerChoice
 from arbutuspulley.node.server_notices import get_exclusion
 from arbutuspulley.node.state import NodeState
+from arbutuspulley.node.stream_versions import (
+    GONE_REASON,
+    UNKNOWN_REASON,
+    is_allowed,
+    is_version_gone,
+    resume_stream,
+)
 from arbutuspulley.ports.fleet import (
     AttemptOutcome,
     InboundRequest,
@@ -25,6 +40,13 @@
     ServerEntry,
 )
 
+VERSION_WAIT_MS = 250
+"""How long a request that resumes a stream waits for the stream's version to become
+known, in ms: the message of another instance may be delayed by a retransmission."""
+
+VERSION_POLL_MS = 50
+"""Interval at which such a request is repeated, in ms."""
+
 
 class RetryError(Exception):
     """The request is retried at another server."""
@@ -34,12 +56,20 @@
     """No server is available for the request.
 
     :param retry_after_ms: when the caller should retry, in ms; ``None``: not known.
+    :param may_retry: whether the caller may be served if it retries.
     """
 
-    def __init__(self, reason: str, *, retry_after_ms: int | None = None) -> None:
+    def __init__(
+        self,
+        reason: str,
+        *,
+        retry_after_ms: int | None = None,
+        may_retry: bool = True,
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.retry_after_ms = retry_after_ms
+        self.may_retry = may_retry
 
 
 class Acquisition:
@@ -124,17 +154,26 @@
             is no longer valid.
         """
         need = self._request.need
+        self._check_version()
         if need is not None and self._needs_coordinator():
             entry = await self._wait_for_grant(need)
         else:
             entry = await self._choice.choose_plain()
         if entry is None:
+            self._check_version()
+            if self._progress.is_version_unknown:
+                raise NoServerError(UNKNOWN_REASON, may_retry=False)
             raise NoServerError(
                 "no server has it", retry_after_ms=self._choice.get_retry_after()
             )
         self._recheck_access(entry)
         return entry
 
+    def _check_version(self) -> None:
+        """Check that a server is left at which the request may go on."""
+        if is_version_gone(self._state, self._progress):
+            raise NoServerError(GONE_REASON, may_retry=False)
+
     def get_retry_after(self) -> int | None:
         """Return when a server of the request's service may accept it, in ms from now.
 
@@ -175,17 +214,53 @@
         except LinkLostError:
             return await self._choose_uncoordinated(need)
         except RefusedError as error:
-            raise NoServerError(
-                "refused", retry_after_ms=error.retry_after_ms
-            ) from None
+            if error.reason == RefusalReason.VERSION_UNKNOWN:
+                await self._wait_for_version(error.retry_after_ms)
+                raise RetryError from None
+            raise self._build_refusal(error) from None
         finally:
             progress.waited_ms += self._state.clock.now() - now
         progress.is_late = granted.is_late
-        why = get_exclusion(self._state, granted.incarnation)
+        self._find_version()
+        why = self._get_exclusion(granted.incarnation)
         if why:
             raise self._return_grant(granted, why)
         return self._state.by_incarnation[granted.incarnation]
 
+    def _get_exclusion(self, incarnation: str) -> str:
+        """Return why the request is not sent to a granted server; empty: it is."""
+        why = get_exclusion(self._state, incarnation)
+        if why or is_allowed(self._progress, self._state.by_incarnation[incarnation]):
+            return why
+        return "of another software version"
+
+    def _build_refusal(self, error: RefusedError) -> NoServerError:
+        if error.reason == RefusalReason.VERSION_GONE:
+            return NoServerError(GONE_REASON, may_retry=False)
+        return NoServerError("refused", retry_after_ms=error.retry_after_ms)
+
+    def _find_version(self) -> None:
+        """Look again for the version of the stream that the request resumes."""
+        if self._progress.version is None:
+            resume_stream(self._state, self._request, self._route, self._progress)
+            if self._progress.version is not None:
+                self._progress.version_source = "coordinator"
+
+    async def _wait_for_version(self, retry_after_ms: int) -> None:
+        """Wait until the coordinator may know the stream's version.
+
+        :param retry_after_ms: when it may know, in ms; 0: it should know now.
+        :raises NoServerError: if it is not going to know.
+        """
+        progress = self._progress
+        self._find_version()
+        if progress.version is not None:
+            return
+        waited_ms = self._state.clock.now() - progress.started_at
+        if not retry_after_ms and waited_ms >= VERSION_WAIT_MS:
+            raise NoServerError(UNKNOWN_REASON, may_retry=False)
+        await asyncio.sleep((retry_after_ms or VERSION_POLL_MS) / SECOND_MS)
+
     def _return_grant(self, granted: Granted, why: str) -> Exception:
         """Return a grant of a server that gets no requests from this instance.
 
@@ -227,6 +302,8 @@
             pause_ms=route.gap_target_ms,
             team=team.name if team is not None else "",
             cost=0 if self._charged is not None else self._cost,
+            version=progress.version.name if progress.version else None,
+            resumed_stream=progress.resumed_stream,
         )
 
     async def _request_grant(self, request: GrantRequest) -> Granted:
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -56,6 +56,7 @@
     add_running_requests,
     apply_progress,
     apply_reaching_instances,
+    build_refusal,
     build_waiting_request,
     cancel_request,
     record_cooldowns,
@@ -68,6 +69,7 @@
 from arbutuspulley.node.server_notices import apply_leaving, list_cooldowns
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.store_watch import apply_configuration_delta, apply_store_update
+from arbutuspulley.node.stream_copies import StreamVersionLookup
 from arbutuspulley.platform.engines import ORDER_TIMEOUT_MS
 from arbutuspulley.pool.answers import (
     PlannedOrder,
@@ -115,6 +117,7 @@
         "_relay",
         "_report_poller",
         "_state",
+        "_streams",
         "_tasks",
         "_timer",
         "is_active",
@@ -133,6 +136,7 @@
         self._pools: dict[str, PoolState] = {}
         self._relay = Relay(state=state)
         self._peers = Peers(state=state, relay=self._relay, receive_local=receive_local)
+        self._streams = StreamVersionLookup(state=state, peers=self._peers)
         self._tasks: set[asyncio.Task[None]] = set()
         self._order_sender = OrderSender(state=state, lease=lease)
         self._timer: asyncio.TimerHandle | None = None
@@ -173,6 +177,7 @@
         self._peers.reset()
         self._quotas.reset()
         self._rates.reset()
+        self._streams.reset()
         self._pools.clear()
         self._inherited = inherited
         self.update_pools()
@@ -302,6 +307,7 @@
         self._record_limits(messages[0].limits, is_initial=True)
         self._relay_leaving(messages[0].leaving)
         self._record_cooldowns(name, messages[0].cooldowns)
+        self._streams.record_copies(messages[0].streams)
         peer = self._peers.add(messages[0])
         peer.send(self._rates.build_full_limits())
         leaving = self._state.leaving.list_all()
@@ -353,6 +359,8 @@
         else:
             if isinstance(message, AttemptEnded):
                 self._rates.record_end(message, now=now)
+            else:
+                self._streams.record_started(message)
             apply_progress(self._pools, message, origin=origin, now=now)
 
     def _record_limits(
@@ -403,8 +411,12 @@
     def _handle_grant_request(
         self, origin: str, request: GrantRequest, *, now: int
     ) -> None:
-        # The quota is charged first: if the request is refused for another reason, the
-        # instance refunds the cost.
+        version = self._streams.find_version(origin, request)
+        if isinstance(version, Refused):
+            self._peers.send(origin, version)
+            return
+        # If the request is refused for another reason from here on, the instance
+        # refunds the cost.
         refusal = self._quotas.charge(request, now=now)
         if refusal is not None:
             self._peers.send(origin, refusal)
@@ -421,7 +433,9 @@
                 estimate_token_cost(pool, request.need),
                 now=now,
             )
-        pool.waiting[request.key] = build_waiting_request(origin, request, now=now)
+        pool.waiting[request.key] = build_waiting_request(
+            origin, request, version=version, now=now
+        )
 
     def _run_planning_cycle(self) -> None:
         self._is_planning_scheduled = False
@@ -494,7 +508,7 @@
             )
         else:
             log_refusal(pool, decision)
-            message = Refused(key=decision.key, retry_after_ms=decision.retry_after_ms)
+            message = build_refusal(decision)
         self._peers.send(decision.origin, message)
 
     def _handle_order_answer(
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -14,7 +14,6 @@
 from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
-from arbutuspulley.node.messages import ResponseStarted
 from arbutuspulley.node.poison import PoisonGuard
 from arbutuspulley.node.progress import (
     ANSWER_MARGIN_MS,
@@ -31,6 +30,7 @@
 from arbutuspulley.node.server_paths import ServerPaths
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.stream_relay import StreamRelay
+from arbutuspulley.node.stream_versions import record_first_event, resume_stream
 from arbutuspulley.platform.requests import (
     build_headers,
     is_answer_to,
@@ -157,6 +157,7 @@
             )
         progress = self.progress
         progress.service = choose_service(self.route, rng=self._state.rng)
+        resume_stream(self._state, self._request, self.route, progress)
         now = self._state.clock.now()
         self._retries.record_request(progress.service)
         try:
@@ -202,13 +203,16 @@
             entry = await self._acquisition.get_server()
         except NoServerError as error:
             raise self._build_failure(
-                error.reason, retry_after_ms=error.retry_after_ms
+                error.reason,
+                retry_after_ms=error.retry_after_ms,
+                may_retry=error.may_retry,
             ) from None
         return await self._send(entry)
 
     async def _send(self, entry: ServerEntry) -> web.StreamResponse:
         state, progress = self._state, self.progress
         progress.server = entry.incarnation
+        progress.server_version = entry.software_version
         now = state.clock.now()
         stats = state.server_stats
         record_sent(stats, entry)
@@ -386,13 +390,14 @@
             gap_ms = now - progress.last_event_at
             progress.longest_gap_ms = max(progress.longest_gap_ms, gap_ms)
         if not progress.events:
-            self._link.send(
-                ResponseStarted(
-                    key=self._request.attempt_id,
-                    incarnation=progress.server,
-                    took_ms=now - progress.sent_at,
-                )
+            started = record_first_event(
+                self._state,
+                self._request,
+                self.route,
+                progress,
+                took_ms=now - progress.sent_at,
             )
+            self._link.send(started)
         progress.events = events
         progress.last_event_at = now
         entry = self._state.by_incarnation.get(progress.server)
@@ -477,15 +482,24 @@
             self._charge = None
 
     def _build_failure(
-        self, reason: str, *, retry_after_ms: int | None = None
+        self,
+        reason: str,
+        *,
+        retry_after_ms: int | None = None,
+        may_retry: bool = True,
     ) -> Exception:
-        """Build the error of a request that is not retried any more."""
+        """Build the error of a request that is not retried any more.
+
+        :param may_retry: whether the caller may be served if it retries.
+        """
         if self._stream.has_begun:
             return AnswerAbortedError(reason)
         if self.progress.may_have_run:
             return RequestFailedError(status=502, reason=reason)
+        if may_retry:
+            retry_after_ms = retry_after_ms or RETRY_AFTER_MS
         return RequestFailedError(
-            status=503, reason=reason, retry_after_ms=retry_after_ms or RETRY_AFTER_MS
+            status=503, reason=reason, retry_after_ms=retry_after_ms
         )
 
 
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -160,6 +160,9 @@
     ) -> None:
         self._state.metrics.requests.labels(how).inc()
         progress = exchange.progress if exchange else None
+        if progress is not None and progress.resumed_stream is not None:
+            source = progress.version_source or "unknown"
+            self._state.metrics.resumed_streams.labels(how, source).inc()
         if progress is not None and progress.longest_gap_ms:
             self._state.metrics.longest_gap.observe(progress.longest_gap_ms / SECOND_MS)
         configuration = self._state.configuration
@@ -188,6 +191,10 @@
             resumes=progress.resumes if progress else 0,
             is_resumed=request.resumes,
             resumed_attempt=request.resumed_attempt[:MAX_LOGGED_ID_LENGTH],
+            software_version=progress.version.name
+            if progress and progress.version
+            else None,
+            version_source=progress.version_source if progress else "",
             framing=progress.framing if progress else None,
             answer_end=progress.answer_end if progress else None,
             partial_bytes=progress.partial_bytes if progress else 0,
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -31,6 +31,7 @@
     RunningRequest,
     ServerLimits,
     StoreUpdate,
+    StreamCopies,
     SuspicionUpdate,
     ToCoordinator,
     ToNode,
@@ -54,6 +55,7 @@
     apply_store_update,
     is_following_store,
 )
+from arbutuspulley.node.stream_versions import add_copies, list_copies
 from arbutuspulley.ports.fleet import AttemptOutcome
 from arbutuspulley.rpc.messages import Suspicion
 
@@ -275,6 +277,7 @@
             SuspicionUpdate: lambda it: self.on_suspicions(it.suspicions),
             QuotaExceeded: lambda it: self.on_quota_exceeded(it),
             ServerLimits: lambda it: self.on_rate_limits(it),
+            StreamCopies: lambda it: add_copies(state, (it,)),
             LeavingNotice: functools.partial(_apply_leaving, state),
             RosterChange: self._apply_roster,
             StoreUpdate: lambda it: apply_store_update(state, it, by="coordinator"),
@@ -506,6 +509,7 @@
             limits=list_server_limits(state),
             leaving=state.leaving.list_all(),
             cooldowns=list_cooldowns(state),
+            streams=list_copies(state),
         )
 
     def build_heartbeat(self) -> Heartbeat:
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -1,5 +1,6 @@
 """Messages between instances and the coordinator, encoded as msgpack frames."""
 
+import enum
 from typing import TypeVar
 
 import msgspec
@@ -81,6 +82,18 @@
     remaining_ms: int
 
 
+class StreamCopies(Message, frozen=True, tag="streams"):
+    """Streams of callers that began at one software version of a service.
+
+    :param version: name of the version.
+    :param streams: key of each stream, and for how long it may be resumed, in ms.
+    """
+
+    service: str
+    version: str
+    streams: tuple[tuple[int, int], ...]
+
+
 class Hello(Message, frozen=True, tag="hello"):
     """First message of an instance on a connection to the coordinator.
 
@@ -92,6 +105,7 @@
     :param limits: rate limits that the instance knows.
     :param leaving: incarnations of servers that it knows to be leaving by an answer.
     :param cooldowns: servers that want no requests from it for a while.
+    :param streams: streams that it knows to have begun.
     """
 
     info: NodeInfo
@@ -103,6 +117,7 @@
     leaving: tuple[str, ...] = ()
     cooldowns: tuple[ServerCooldown, ...] = ()
     store_era: int = 0
+    streams: tuple[StreamCopies, ...] = ()
 
     @property
     def store_position(self) -> StorePosition:
@@ -136,6 +151,17 @@
     reaches_servers: bool = True
 
 
+class RefusalReason(enum.StrEnum):
+    """Reasons of a :class:`Refused` beside a lack of capacity or quota.
+
+    ``VERSION_UNKNOWN``: the request resumes a stream whose software version is not
+    known. ``VERSION_GONE``: no server of that version is left.
+    """
+
+    VERSION_UNKNOWN = "version unknown"
+    VERSION_GONE = "version gone"
+
+
 class GrantRequest(Message, frozen=True, tag="ask"):
     """Asks the coordinator for a model server for a request.
 
@@ -148,6 +174,9 @@
     :param pause_ms: gap target between events of the stream, in ms; 0: none.
     :param team: team that is charged for the request; empty: none.
     :param cost: cost to charge to the team; 0: it has been charged already.
+    :param version: software version that the server must have; ``None``: not known.
+    :param resumed_stream: key of the stream that the request resumes; ``None``: it
+        begins one.
     """
 
     key: str
@@ -162,6 +191,8 @@
     pause_ms: int = 0
     team: str = ""
     cost: int = 0
+    version: str | None = None
+    resumed_stream: int | None = None
 
 
 class PermissionRequest(Message, frozen=True, tag="permission"):
@@ -178,11 +209,19 @@
     """The first part of an answer has arrived.
 
     :param took_ms: time since the request was sent to the server, in ms.
+    :param service: service of a stream; empty: the sender states none.
+    :param version: software version that began the stream.
+    :param retention_ms: for how long the stream may be resumed, in ms; 0: not at all.
+    :param stream: key of the stream if the request resumes it; 0: it begins one.
     """
 
     key: str
     incarnation: str
     took_ms: int
+    service: str = ""
+    version: str = ""
+    retention_ms: int = 0
+    stream: int = 0
 
 
 class AttemptEnded(Message, frozen=True, tag="ended"):
@@ -228,11 +267,13 @@
 
     :param is_over_quota: whether the team has used up its quota; the request was not
         charged then.
+    :param reason: one of :class:`RefusalReason`; empty: another one.
     """
 
     key: str
     retry_after_ms: int
     is_over_quota: bool = False
+    reason: str = ""
 
 
 class QuotaExceeded(Message, frozen=True, tag="overdrawn"):
@@ -417,6 +458,7 @@
     | CoordinatorStatus
     | ServerLimits
     | LeavingNotice
+    | StreamCopies
     | CoordinatorEstimates
     | SuspicionUpdate
     | RosterChange
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -45,6 +45,7 @@
         "registry",
         "relayed",
         "requests",
+        "resumed_streams",
         "retries",
         "retry_budget",
         "store_calls",
@@ -70,6 +71,13 @@
             ["framing", "end"],
             registry=registry,
         )
+        self.resumed_streams = Counter(
+            "arbutus_resumed_streams",
+            "Streams that callers resumed, by how that ended and how their software"
+            " version was known",
+            ["how", "source"],
+            registry=registry,
+        )
         self.retries = Counter(
             "arbutus_retries",
             "Retries by service: charged to its budget, denied by it, or refunded",
--- a/src/arbutuspulley/node/pending_requests.py
+++ b/src/arbutuspulley/node/pending_requests.py
@@ -17,6 +17,7 @@
         super().__init__("refused")
         self.retry_after_ms = refused.retry_after_ms
         self.is_over_quota = refused.is_over_quota
+        self.reason = refused.reason
 
 
 class PendingRequests:
--- a/src/arbutuspulley/node/pool_log.py
+++ b/src/arbutuspulley/node/pool_log.py
@@ -36,6 +36,7 @@
         tokens_per_ms=round(get_prefill_speed(pool, refusal.model), 1),
         waited_ms=refusal.waited_ms,
         retry_after_ms=refusal.retry_after_ms,
+        is_version_gone=refusal.is_version_gone,
     )
 
 
--- a/src/arbutuspulley/node/pool_updates.py
+++ b/src/arbutuspulley/node/pool_updates.py
@@ -9,6 +9,8 @@
     GrantRequest,
     Hello,
     NodeInfo,
+    RefusalReason,
+    Refused,
     ResponseStarted,
     ServerCooldown,
 )
@@ -18,13 +20,14 @@
     record_heard,
     record_unreachable,
 )
+from arbutuspulley.pool.grants import Refusal
 from arbutuspulley.pool.runs import (
     record_first_event,
     record_not_run,
     record_run_end,
 )
 from arbutuspulley.pool.state import PoolState, Run, WaitingRequest
-from arbutuspulley.ports.fleet import AttemptOutcome
+from arbutuspulley.ports.fleet import AttemptOutcome, SoftwareVersion
 
 LATE_RATIO = 0.75
 """Share of the latency target after which a waiting request counts as late: the rest is
@@ -35,11 +38,16 @@
 
 
 def build_waiting_request(
-    origin: str, request: GrantRequest, *, now: int
+    origin: str,
+    request: GrantRequest,
+    *,
+    version: SoftwareVersion | None = None,
+    now: int,
 ) -> WaitingRequest:
     """Build the entry of a request that waits for a server.
 
     :param origin: name of the instance that asks.
+    :param version: software version that the server must have; ``None``: any.
     """
     return WaitingRequest(
         key=request.key,
@@ -53,6 +61,16 @@
         avoid=request.avoid,
         is_repeat=request.is_repeat,
         gap_target_ms=request.pause_ms,
+        version=version,
+    )
+
+
+def build_refusal(refusal: Refusal) -> Refused:
+    """Build the message that tells an instance of a refusal."""
+    return Refused(
+        key=refusal.key,
+        retry_after_ms=refusal.retry_after_ms,
+        reason=RefusalReason.VERSION_GONE if refusal.is_version_gone else "",
     )
 
 
--- a/src/arbutuspulley/node/progress.py
+++ b/src/arbutuspulley/node/progress.py
@@ -4,7 +4,7 @@
 
 from arbutuspulley.data import State
 from arbutuspulley.ports.answers import AnswerEnd, Framing
-from arbutuspulley.ports.fleet import Route, Team
+from arbutuspulley.ports.fleet import UNSTATED_VERSION, Route, SoftwareVersion, Team
 
 MAX_REFUSALS = 3
 """Maximum number of servers that refuse a request as not run before it fails."""
@@ -56,6 +56,14 @@
     :param avoid: incarnations that refused or failed the request.
     :param avoid_uncoordinated: incarnations that were tried without a coordinator.
     :param server: incarnation of the last server that the request was sent to.
+    :param server_version: software version of that server.
+    :param version: software version that began the stream: only its servers may go on.
+        ``None`` before the first event, unless the caller resumes a stream.
+    :param version_source: how it is known: ``memory`` of this instance, the
+        ``coordinator``, or the ``first event``.
+    :param resumed_stream: key of the stream that the caller resumes; ``None``: none.
+    :param is_version_unknown: whether the caller resumes a stream whose version is not
+        known, so that no server may go on.
     :param helper: link address of the instance that sends it for this one; empty: none.
     :param sent_at: when the request was sent to that server, in ms.
     :param events: number of events of the stream that the last server sent.
@@ -76,6 +84,11 @@
     avoid: set[str] = msgspec.field(default_factory=set)
     avoid_uncoordinated: set[str] = msgspec.field(default_factory=set)
     server: str = ""
+    server_version: SoftwareVersion = UNSTATED_VERSION
+    version: SoftwareVersion | None = None
+    version_source: str = ""
+    resumed_stream: int | None = None
+    is_version_unknown: bool = False
     helper: str = ""
     sent_at: int = 0
     waited_ms: int = 0
--- a/src/arbutuspulley/node/server_choice.py
+++ b/src/arbutuspulley/node/server_choice.py
@@ -9,6 +9,7 @@
 from arbutuspulley.node.progress import Progress
 from arbutuspulley.node.server_notices import list_excluded
 from arbutuspulley.node.state import NodeState
+from arbutuspulley.node.stream_versions import is_allowed
 from arbutuspulley.ports.fleet import (
     InboundRequest,
     ModelNeed,
@@ -108,7 +109,7 @@
         connections = service.max_connections if service else 0
         return choose_server(
             self._state.server_stats,
-            self._state.by_service.get(self._progress.service, ()),
+            self._list_allowed(),
             zone=self._state.settings.site,
             need=None if is_plain else self._request.need,
             avoid=frozenset(avoid),
@@ -149,8 +150,12 @@
         ]
 
     def _list_staying(self) -> list[ServerEntry]:
+        return [entry for entry in self._list_allowed() if not entry.is_leaving]
+
+    def _list_allowed(self) -> list[ServerEntry]:
+        """Return the servers of the software version that the request needs, if any."""
         entries = self._state.by_service.get(self._progress.service, ())
-        return [entry for entry in entries if not entry.is_leaving]
+        return [entry for entry in entries if is_allowed(self._progress, entry)]
 
     def _get_exclusion_end(self, entry: ServerEntry) -> int:
         """Return until when its rate limit or a cooldown excludes a server, in ms."""
--- a/src/arbutuspulley/node/server_rows.py
+++ b/src/arbutuspulley/node/server_rows.py
@@ -373,6 +373,7 @@
     for entry in state.entries.values():
         by_service.setdefault(entry.service, []).append(entry)
     state.by_service = by_service
+    state.software_versions.update(by_service, now=state.clock.now())
     state.by_incarnation = {
         entry.incarnation: entry for entry in state.entries.values()
     }
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -11,9 +11,11 @@
 from arbutuspulley.admission.keys import KeyTable
 from arbutuspulley.admission.rate_limits import KnownRateLimits
 from arbutuspulley.clock import Clock
+from arbutuspulley.delivery.begun_streams import BegunStreams
 from arbutuspulley.membership.capacity import get_capacity
 from arbutuspulley.membership.leaving import LeavingServers
 from arbutuspulley.membership.server_reach import ServerReach, is_cut_off
+from arbutuspulley.membership.software_versions import ServiceVersions
 from arbutuspulley.node.advertisement import get_share_divisor, select_advertised
 from arbutuspulley.node.feed_schedule import FeedSchedule
 from arbutuspulley.node.messages import (
@@ -69,6 +71,8 @@
     :param instances: number of instances that the coordinator can reach.
     :param advertised: number of instances whose addresses are given to callers.
     :param server_reach: servers that this instance can't connect to.
+    :param software_versions: versions of the servers' software, by service.
+    :param begun_streams: streams that callers may resume, also of other instances.
     :param is_coordinator: whether this instance is the coordinator.
     :param estimates: estimates last sent by the coordinator; used if this instance
         becomes its successor.
@@ -88,6 +92,7 @@
         "_share_divisor",
         "_share_divisor_basis",
         "advertised",
+        "begun_streams",
         "brittle",
         "by_incarnation",
         "by_service",
@@ -128,6 +133,7 @@
         "server_stats",
         "session",
         "settings",
+        "software_versions",
         "stopping_at",
         "store",
         "store_position",
@@ -170,6 +176,8 @@
         self.by_service: dict[str, list[ServerEntry]] = {}
         self.server_stats = LocalServerStats()
         self.server_reach = ServerReach()
+        self.software_versions = ServiceVersions()
+        self.begun_streams = BegunStreams()
         self.row_positions: dict[str, StorePosition] = {}
         self.removed_starts: dict[str, int] = {}
         self.lapsing: dict[str, StorePosition] = {}
--- /dev/null
+++ b/src/arbutuspulley/node/stream_copies.py
@@ -0,0 +1,125 @@
+"""What the coordinator knows of begun streams, and the copies that it hands out."""
+
+import asyncio
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.delivery.begun_streams import BegunStream, build_stream_key
+from arbutuspulley.node.messages import (
+    GrantRequest,
+    RefusalReason,
+    Refused,
+    ResponseStarted,
+    StreamCopies,
+)
+from arbutuspulley.node.peers import Peers
+from arbutuspulley.node.state import NodeState
+from arbutuspulley.node.stream_versions import add_copies, build_copies
+from arbutuspulley.ports.fleet import SoftwareVersion
+
+COPIES = 5
+"""Number of instances that are told of a stream in addition to the coordinator and to
+the instance that began it: of any two thirds that are lost at once, one of these
+remains with a probability of 7 in 8."""
+
+COPY_INTERVAL_MS = 50
+"""Minimum interval between two messages with copies, in ms: what has not been sent is
+lost with the coordinator."""
+
+SETTLING_MS = 2_000
+"""Time after which a new coordinator knows what the other instances know, in ms: they
+look up the lease twice a second and then open a link."""
+
+SETTLING_RETRY_MS = 100
+"""Time after which an instance asks a new coordinator again, in ms."""
+
+
+class StreamVersionLookup:
+    """The versions at which streams have to go on, as the coordinator knows them.
+
+    Copies of what it hears go to some other instances, so that its successor learns
+    from them what neither it nor the instance that began a stream can tell any more.
+    """
+
+    __slots__ = ("_active_since", "_peers", "_pending", "_sent_at", "_state", "_timer")
+
+    def __init__(self, *, state: NodeState, peers: Peers) -> None:
+        self._active_since = 0
+        self._peers = peers
+        self._pending: dict[int, BegunStream] = {}
+        self._sent_at = 0
+        self._state = state
+        self._timer: asyncio.TimerHandle | None = None
+
+    def reset(self) -> None:
+        """Start over; called when this instance becomes the coordinator."""
+        self._active_since = self._state.clock.now()
+        self._pending.clear()
+
+    def record_started(self, message: ResponseStarted) -> None:
+        """Remember the stream of an answer that has started."""
+        if not message.retention_ms:
+            return
+        now = self._state.clock.now()
+        key = message.stream or build_stream_key(message.key)
+        stream = BegunStream(
+            service=message.service,
+            version=SoftwareVersion(name=message.version),
+            expires_at=now + message.retention_ms,
+        )
+        self._state.begun_streams.add(key, stream, now=now)
+        self._pending[key] = stream
+        if self._timer is None:
+            delay_ms = max(0, self._sent_at + COPY_INTERVAL_MS - now)
+            self._timer = asyncio.get_running_loop().call_later(
+                delay_ms / SECOND_MS, self._send_copies
+            )
+
+    def record_copies(self, copies: tuple[StreamCopies, ...]) -> None:
+        """Remember the streams that an instance knows."""
+        add_copies(self._state, copies)
+
+    def _send_copies(self) -> None:
+        self._timer = None
+        self._sent_at = self._state.clock.now()
+        messages = build_copies(self._pending, now=self._sent_at)
+        self._pending.clear()
+        linked = self._peers.list_reachable()
+        for peer in self._state.rng.sample(linked, min(COPIES, len(linked))):
+            for message in messages:
+                peer.send(message)
+
+    def find_version(
+        self, origin: str, request: GrantRequest
+    ) -> SoftwareVersion | Refused | None:
+        """Return the version that a request's server must have; ``None``: any.
+
+        :param origin: the instance that asks. If it does not know the version, it is
+            told before it gets a server.
+        :return: a refusal if the request resumes a stream whose version is not known.
+        """
+        if request.version is not None:
+            return SoftwareVersion(name=request.version)
+        if request.resumed_stream is None:
+            return None
+        now = self._state.clock.now()
+        begun = self._state.begun_streams.find(request.resumed_stream, now=now)
+        if begun is not None:
+            for message in build_copies({request.resumed_stream: begun}, now=now):
+                self._peers.send(origin, message)
+            if begun.service == request.service:
+                return begun.version
+            # The instance chose another service of the route and has to choose again.
+            return self._refuse(request, retry_after_ms=1)
+        if not self._state.software_versions.is_mixed(request.service, now=now):
+            return None
+        is_settling = now - self._active_since < SETTLING_MS
+        return self._refuse(
+            request, retry_after_ms=SETTLING_RETRY_MS if is_settling else 0
+        )
+
+    def _refuse(self, request: GrantRequest, *, retry_after_ms: int) -> Refused:
+        return Refused(
+            key=request.key,
+            retry_after_ms=retry_after_ms,
+            reason=RefusalReason.VERSION_UNKNOWN,
+        )
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -14,6 +14,9 @@
 MAX_REFUSALS_PER_S = 10_000
 """Largest number of refusals per second that a server may state."""
 
+MAX_ATTEMPT_ID_LENGTH = 256
+"""Longest id, in characters, by which a caller can name another attempt."""
+
 _MISDIRECTED = 421
 """Status of an answer by another server than the request is meant for."""
 
@@ -40,7 +43,6 @@
         and _normalise_name(name) not in names.RESERVED_HEADERS
     ]
     keys = _list_values(listed, names.KEY)
-    resumed = {value.strip() for value in _list_values(listed, names.RESUMES)}
     return InboundRequest(
         attempt_id=found.get(names.ATTEMPT_ID.lower(), ""),
         method=method,
@@ -50,7 +52,7 @@
         wait_ms=_read_number(found.get(names.DEADLINE.lower())),
         need=_decode_model_need(found),
         resumes=names.LAST_EVENT_ID.lower() in found,
-        resumed_attempt=resumed.pop() if len(resumed) == 1 else "",
+        resumed_attempt=_read_resumed_attempt(_list_values(listed, names.RESUMES)),
         key=keys[0].strip() if len(keys) == 1 else "",
         usage_tokens=_sum_token_usage(found.get(names.TOKEN_USAGE.lower())),
     )
@@ -213,6 +215,16 @@
     return headers
 
 
+def _read_resumed_attempt(values: list[str]) -> str:
+    """Return the one attempt that is named; empty if none, several or no id are."""
+    named = {value.strip() for value in values}
+    if len(named) != 1:
+        return ""
+    attempt = named.pop()
+    is_id = attempt.isascii() and len(attempt) <= MAX_ATTEMPT_ID_LENGTH
+    return attempt if is_id else ""
+
+
 def _list_values(headers: Iterable[tuple[str, str]], name: str) -> list[str]:
     return [value for header, value in headers if header.lower() == name.lower()]
 
--- a/src/arbutuspulley/pool/copies.py
+++ b/src/arbutuspulley/pool/copies.py
@@ -13,6 +13,7 @@
     get_rate_limit_wait,
     is_usable,
 )
+from arbutuspulley.ports.fleet import SoftwareVersion
 
 
 class CopyIndex(State):
@@ -48,9 +49,17 @@
     return index
 
 
-def get_copies(index: CopyIndex, model: str) -> list[ServerState]:
-    """Return the usable servers that have a model loaded, loading or planned."""
-    return index.copies.get(model, [])
+def get_copies(
+    index: CopyIndex, model: str, version: SoftwareVersion | None = None
+) -> list[ServerState]:
+    """Return the usable servers that have a model loaded, loading or planned.
+
+    :param version: of their software; ``None``: any.
+    """
+    copies = index.copies.get(model, [])
+    if version is None:
+        return copies
+    return [server for server in copies if server.version == version]
 
 
 def reindex_server(index: CopyIndex, server: ServerState) -> None:
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -23,6 +23,7 @@
     get_rate_limit_wait,
     has_model,
     is_usable,
+    is_version_gone,
 )
 from arbutuspulley.pool.stream_gaps import find_start, record_prefill
 from arbutuspulley.pool.waits import (
@@ -32,7 +33,7 @@
     estimate_wait,
     list_copy_ready_times,
 )
-from arbutuspulley.ports.fleet import ModelNeed
+from arbutuspulley.ports.fleet import ModelNeed, SoftwareVersion
 
 CACHE_FRACTION = 0.95
 """Fraction of the KV cache that is granted; beyond it requests preempt each other."""
@@ -74,6 +75,13 @@
     gap_target_ms: int
 
 
+class _Queue(Value, frozen=True):
+    """What waiting requests need alike: a model, and a software version if any."""
+
+    model: str
+    version: SoftwareVersion | None
+
+
 class Grant(Value, frozen=True):
     """Decision that a waiting request is sent to a server now.
 
@@ -103,6 +111,8 @@
     :param copies: servers that have the model loaded, loading or planned.
     :param limited: servers that have the model, but whose rate limits allow no request.
     :param waited_ms: how long it waited.
+    :param is_version_gone: whether no server of the software version that it needs is
+        left.
     """
 
     key: str
@@ -113,6 +123,7 @@
     copies: int
     limited: int
     waited_ms: int
+    is_version_gone: bool = False
 
 
 def plan_grants(pool: PoolState, *, now: int) -> list[Grant | Refusal]:
@@ -125,12 +136,12 @@
     for server in pool.servers.values():
         complete_due_loads(server, now=now)
     decisions: list[Grant | Refusal] = []
-    tokens_ahead: Counter[str] = Counter()
+    tokens_ahead: Counter[_Queue] = Counter()
     requests_ahead: Counter[str] = Counter()
     index = index_copies(pool, now=now)
     ready_times = {
-        model: list_copy_ready_times(pool, model, index)
-        for model in {request.need.model for request in pool.waiting.values()}
+        queue: list_copy_ready_times(pool, queue.model, index, queue.version)
+        for queue in {_get_queue(request) for request in pool.waiting.values()}
     }
     reserved_ms: dict[str, float] = {}
     usages: dict[str, _Usage] = {}
@@ -138,17 +149,19 @@
     for waiting in sorted(
         pool.waiting.values(), key=lambda request: _get_start_order(request, now)
     ):
-        model = waiting.need.model
-        times = ready_times[model]
+        queue = _get_queue(waiting)
+        model = queue.model
+        times = ready_times[queue]
         limited_ms = 0.0
         if not times:
             limited_ms = estimate_rate_limit_wait(index, model, requests_ahead[model])
         cooldown_ms = estimate_cooldown(index, model, waiting.origin)
         min_wait_ms = max(
-            _get_min_wait(pool, model, tokens_ahead[model], times) or limited_ms,
+            _get_min_wait(pool, model, tokens_ahead[queue], times) or limited_ms,
             cooldown_ms,
         )
-        if now + min_wait_ms >= waiting.give_up_at:
+        is_gone = is_version_gone(pool, waiting.version)
+        if is_gone or now + min_wait_ms >= waiting.give_up_at:
             del pool.waiting[waiting.key]
             decisions.append(
                 Refusal(
@@ -157,22 +170,23 @@
                     retry_after_ms=estimate_retry_after(
                         pool,
                         model,
-                        tokens_ahead[model],
+                        tokens_ahead[queue],
                         times,
                         limited_ms=limited_ms,
                         cooldown_ms=cooldown_ms,
                     ),
                     model=model,
-                    tokens_ahead=tokens_ahead[model],
+                    tokens_ahead=tokens_ahead[queue],
                     copies=len(times),
                     limited=len(index.limited.get(model, ())),
                     waited_ms=now - waiting.arrived_at,
+                    is_version_gone=is_gone,
                 )
             )
             continue
         grant = _try_grant(pool, waiting, index, reserved_ms, usages)
         if grant is None:
-            tokens_ahead[model] += waiting.need.prompt_tokens
+            tokens_ahead[queue] += waiting.need.prompt_tokens
             requests_ahead[model] += 1
         else:
             del pool.waiting[waiting.key]
@@ -180,6 +194,10 @@
     return decisions
 
 
+def _get_queue(waiting: WaitingRequest) -> _Queue:
+    return _Queue(model=waiting.need.model, version=waiting.version)
+
+
 def find_next_wakeup(pool: PoolState, *, now: int) -> int | None:
     """Return when :func:`plan_grants` has to run again, in ms.
 
@@ -255,7 +273,7 @@
     now = index.now
     best: ServerState | None = None
     best_cost = best_start = 0.0
-    for server in get_copies(index, waiting.need.model):
+    for server in get_copies(index, waiting.need.model, waiting.version):
         if not _can_start_at(server, waiting, now=now):
             continue
         usage = usages.get(server.incarnation)
--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -36,9 +36,10 @@
     get_rate_limit_wait,
     has_local_weights,
     has_model,
+    has_version,
     is_usable,
 )
-from arbutuspulley.ports.fleet import OrderKind
+from arbutuspulley.ports.fleet import OrderKind, SoftwareVersion
 
 MIN_GAIN = 1.5
 """Minimum net gain of another copy, in requests: the requests that no longer have to
@@ -98,6 +99,7 @@
         order = _plan_next_step(cycle, server)
         if order is not None:
             planned.append(order)
+    _plan_version_copies(cycle, planned)
     _plan_models(cycle, planned)
     return planned
 
@@ -125,20 +127,21 @@
 
 
 def _plan_adapters(pool: PoolState, planned: list[PlannedOrder], *, now: int) -> None:
-    wanted: dict[tuple[str, str], WaitingRequest] = {}
+    wanted: dict[tuple[str, str, SoftwareVersion | None], WaitingRequest] = {}
     for waiting in pool.waiting.values():
-        if waiting.need.adapter:
-            pair = (waiting.need.model, waiting.need.adapter)
-            wanted.setdefault(pair, waiting)
+        need = waiting.need
+        if need.adapter:
+            wanted.setdefault((need.model, need.adapter, waiting.version), waiting)
     ordered: set[str] = set()
-    for (model, adapter), waiting in wanted.items():
+    for waiting in wanted.values():
         if _is_adapter_available(pool, waiting, now=now):
             continue
-        server = _choose_adapter_server(pool, model, adapter, ordered, now=now)
+        server = _choose_adapter_server(pool, waiting, ordered, now=now)
         if server is None:
             continue
         ordered.add(server.incarnation)
-        order = _build_adapter_order(pool, server, model, adapter)
+        need = waiting.need
+        order = _build_adapter_order(pool, server, need.model, need.adapter)
         if order is not None:
             planned.append(order)
 
@@ -150,6 +153,8 @@
     for server in pool.servers.values():
         if not is_usable(server, now=now):
             continue
+        if not has_version(server, waiting.version):
+            continue
         if pair in server.adapters_due:
             return True
         is_free = server.prefill_until - now < ADAPTER_BACKLOG_MS
@@ -160,12 +165,14 @@
 
 
 def _choose_adapter_server(
-    pool: PoolState, model: str, adapter: str, ordered: set[str], *, now: int
+    pool: PoolState, waiting: WaitingRequest, ordered: set[str], *, now: int
 ) -> ServerState | None:
+    model, adapter = waiting.need.model, waiting.need.adapter
     candidates = [
         server
         for server in pool.servers.values()
         if model in server.models
+        and has_version(server, waiting.version)
         and adapter not in server.models[model]
         and server.unloading != model
         and now >= server.model_backoff_until.get(model, 0)
@@ -228,6 +235,30 @@
             heapq.heappush(wanted, (-gain, model))
 
 
+def _plan_version_copies(cycle: PlanningCycle, planned: list[PlannedOrder]) -> None:
+    """Choose servers for models of which a software version has no copy.
+
+    Requests that resume a stream wait for one: no other version may go on.
+    """
+    missing: dict[tuple[str, SoftwareVersion], list[WaitingRequest]] = {}
+    for waiting in cycle.pool.waiting.values():
+        model, version = waiting.need.model, waiting.version
+        if version is None or model not in cycle.pool.spec.models:
+            continue
+        copies = get_copies(cycle.index, model, version)
+        if all(_is_unload_delayed(cycle, server, model) for server in copies):
+            missing.setdefault((model, version), []).append(waiting)
+    for (model, version), requests in missing.items():
+        waited_ms = cycle.index.now - min(one.arrived_at for one in requests)
+        gain = _compute_waiting_gain(waited_ms) + len(requests)
+        server = _choose_server(cycle, model, gain, version=version)
+        if server is None:
+            continue
+        order = _plan_next_step(cycle, server)
+        if order is not None:
+            planned.append(order)
+
+
 def _compute_gain(cycle: PlanningCycle, model: str) -> float:
     """Return how many requests no longer have to wait with another copy of a model."""
     pool, waiting = cycle.pool, cycle.waiting[model]
@@ -270,14 +301,26 @@
     if not waiting:
         return 0.0
     since = pool.missing_since.setdefault(model, now)
-    missing_gain = MISSING_GAIN_PER_S * (now - since) / 1_000
+    return _compute_waiting_gain(now - since)
+
+
+def _compute_waiting_gain(waited_ms: int) -> float:
+    """Return the gain of a copy for which requests have waited for some time."""
+    missing_gain = MISSING_GAIN_PER_S * waited_ms / 1_000
     return MIN_GAIN + min(MAX_MISSING_GAIN, missing_gain)
 
 
-def _choose_server(cycle: PlanningCycle, model: str, gain: float) -> ServerState | None:
+def _choose_server(
+    cycle: PlanningCycle,
+    model: str,
+    gain: float,
+    *,
+    version: SoftwareVersion | None = None,
+) -> ServerState | None:
     """Choose the server for another copy of a model, and plan the load there.
 
     :param gain: requests that no longer have to wait with the copy.
+    :param version: software version of the server; ``None``: any.
     :return: ``None`` if no server is worth it.
     """
     pool, now = cycle.pool, cycle.index.now
@@ -288,7 +331,11 @@
     best: ServerState | None = None
     best_worth = 0.0
     may_load_from_store = may_load(pool, now=now)
-    usable = [server for server in pool.servers.values() if is_usable(server, now=now)]
+    usable = [
+        server
+        for server in pool.servers.values()
+        if is_usable(server, now=now) and has_version(server, version)
+    ]
     are_all_limited = all(server.limit is not None for server in usable)
     for server in usable:
         if server.limit is not None and not are_all_limited:
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -14,7 +14,13 @@
     get_speed,
 )
 from arbutuspulley.pool.stream_gaps import StreamGapState
-from arbutuspulley.ports.fleet import EngineSpec, ModelNeed, ServerEntry
+from arbutuspulley.ports.fleet import (
+    UNSTATED_VERSION,
+    EngineSpec,
+    ModelNeed,
+    ServerEntry,
+    SoftwareVersion,
+)
 
 DEFAULT_ADAPTER_LOAD_MS = 25
 """Initial estimate of an adapter's load time, in ms: adapters of some ten MB take 5 to
@@ -37,6 +43,7 @@
     :param gap_target_ms: longest gap between its events that is on time; 0: any.
     :param avoid: incarnations of servers that refused or failed it.
     :param is_repeat: whether a server has refused it before.
+    :param version: software version that its server must have; ``None``: any.
     """
 
     key: str
@@ -50,6 +57,7 @@
     gap_target_ms: int = 0
     avoid: tuple[str, ...] = ()
     is_repeat: bool = False
+    version: SoftwareVersion | None = None
 
 
 class Run(State):
@@ -105,6 +113,7 @@
     """State of one model server as its coordinator knows it.
 
     :param server_id: id of the server; it keeps it when it restarts.
+    :param version: version of its software.
     :param models: loaded models, each with its loaded adapters.
     :param accepted_orders: orders accepted since its start; ``None`` if a report is
         needed before the next order.
@@ -153,6 +162,7 @@
     zone: str
     slots: int
     server_id: str = ""
+    version: SoftwareVersion = UNSTATED_VERSION
     is_leaving: bool = False
     models: dict[str, set[str]] = msgspec.field(default_factory=dict)
     accepted_orders: int | None = None
@@ -261,6 +271,7 @@
                 server.previous_loads = removed_by_id[entry.server_id].unanswered_loads
         server.is_leaving = entry.is_leaving
         server.address = entry.address
+        server.version = entry.software_version
 
 
 def _build_server(entry: ServerEntry) -> ServerState:
@@ -274,6 +285,19 @@
     )
 
 
+def has_version(server: ServerState, version: SoftwareVersion | None) -> bool:
+    """Tell whether a server has a version of the software; ``None``: any."""
+    return version is None or server.version == version
+
+
+def is_version_gone(pool: PoolState, version: SoftwareVersion | None) -> bool:
+    """Tell whether no server of a version is left."""
+    return version is not None and not any(
+        server.version == version and not server.is_leaving
+        for server in pool.servers.values()
+    )
+
+
 def is_usable(server: ServerState, *, now: int) -> bool:
     """Tell whether a server may get new requests and orders."""
     return not server.is_leaving and now >= server.backoff_until
--- a/src/arbutuspulley/pool/waits.py
+++ b/src/arbutuspulley/pool/waits.py
@@ -6,6 +6,7 @@
 from arbutuspulley.pool.copies import CopyIndex, get_copies
 from arbutuspulley.pool.demand import get_copy_token_rate
 from arbutuspulley.pool.state import PoolState, ServerState, estimate_unload_wait
+from arbutuspulley.ports.fleet import SoftwareVersion
 
 MIN_RETRY_AFTER_MS = 200
 MAX_RETRY_AFTER_MS = 4_000
@@ -14,14 +15,21 @@
 s."""
 
 
-def list_copy_ready_times(pool: PoolState, model: str, index: CopyIndex) -> list[float]:
+def list_copy_ready_times(
+    pool: PoolState,
+    model: str,
+    index: CopyIndex,
+    version: SoftwareVersion | None = None,
+) -> list[float]:
     """Return in how many ms each copy of a model will be ready, earliest first.
 
     A copy that is being loaded, or waits for the unload of another model, does not
     start prompts yet. If it counted as ready, refused callers would retry too early and
     meet the same queue; they retry only once.
+
+    :param version: software version of the servers; ``None``: any.
     """
-    copies = get_copies(index, model)
+    copies = get_copies(index, model, version)
     return sorted(
         _estimate_ready_time(pool, server, model, now=index.now) for server in copies
     )
--- a/tests/node_states.py
+++ b/tests/node_states.py
@@ -6,7 +6,7 @@
 from arbutuspulley.node.messages import NodeInfo
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.state import NodeState
-from arbutuspulley.ports.fleet import NodeSettings
+from arbutuspulley.ports.fleet import LoadedModel, NodeSettings, ServerEntry
 from arbutuspulley.ports.store_position import StorePosition
 
 
@@ -41,6 +41,23 @@
     )
 
 
+def build_entry(name, **changes):
+    """Build a model server's entry."""
+    values = {
+        "server_id": name,
+        "incarnation": name,
+        "started_ms": 0,
+        "service": "llm",
+        "address": "127.0.0.1:1",
+        "zone": "a1",
+        "slots": 8,
+        "is_leaving": False,
+        "loaded_models": (LoadedModel(model="m0"),),
+        **changes,
+    }
+    return ServerEntry(**values)
+
+
 def build_info(name, *, site="a1", is_ready=True, **changes):
     """Build an instance's description; its region is the first letter of its site."""
     return NodeInfo(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -230,6 +230,8 @@
         ([], ""),
         ([""], ""),
         (["a0", "a1"], ""),
+        (["\udcff"], ""),
+        (["x" * 257], ""),
     ],
 )
 def test_a_resumed_stream_names_one_attempt_or_none(named, expected):
--- a/tests/test_without_coordinator.py
+++ b/tests/test_without_coordinator.py
@@ -9,14 +9,12 @@
 from arbutuspulley.node.server_choice import ServerChoice
 from arbutuspulley.ports.fleet import (
     InboundRequest,
-    LoadedModel,
     ModelNeed,
     RetryPolicy,
     Route,
-    ServerEntry,
     Share,
 )
-from tests.node_states import build_state
+from tests.node_states import build_entry, build_state
 
 NEED = ModelNeed(model="m0", adapter="", prompt_tokens=1_000, output_tokens=50)
 
@@ -36,17 +34,7 @@
 
 
 def build_choice(state, link):
-    entry = ServerEntry(
-        server_id="s0",
-        incarnation="s0",
-        started_ms=0,
-        service="llm",
-        address="127.0.0.1:1",
-        zone="a1",
-        slots=8,
-        is_leaving=False,
-        loaded_models=(LoadedModel(model="m0"),),
-    )
+    entry = build_entry("s0")
     state.by_service = {"llm": [entry]}
     request = InboundRequest(
         attempt_id="r0",
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -105,7 +105,7 @@
 
 
 async def begin_streams(fleet, session, name, *, count):
-    """Begin streams at a node, and wait until each has brought an event.
+    """Begin streams at a node, and wait until each has brought two events.
 
     :return: the streams, and the tasks that read them.
     """
@@ -113,6 +113,6 @@
     streams = [VersionedStream(attempt=f"{name}-s{number}") for number in range(count)]
     tasks = [asyncio.create_task(stream.read(session, address)) for stream in streams]
     async with asyncio.timeout(5):
-        while not all(stream.numbers for stream in streams):
+        while not all(len(stream.numbers) > 1 for stream in streams):
             await asyncio.sleep(0.005)
     return streams, tasks
