Make the only version in service no condition for a resumed stream

Where all servers of a service have one version, a stream that goes on waited in a queue of its own, and a model that no server had was loaded for it ahead of all others. The coordinator drops the condition there, so that a service of one version is served as before. Resumes is read on routes of streams only.

--- a/src/arbutuspulley/node/stream_copies.py
+++ b/src/arbutuspulley/node/stream_copies.py
@@ -93,21 +93,25 @@
     ) -> SoftwareVersion | Refused | None:
         """Return the version that a request's server must have; ``None``: any.
 
+        Where no other version is in service, requests for one need no queue and no
+        copies of their own.
+
         :param origin: the instance that asks. If it does not know the version, it is
             told before it gets a server.
         :return: a refusal if the request resumes a stream whose version is not known.
         """
+        now = self._state.clock.now()
         if request.version is not None:
-            return SoftwareVersion(name=request.version)
+            version = SoftwareVersion(name=request.version)
+            return self._drop_if_only(request.service, version, now=now)
         if request.resumed_stream is None:
             return None
-        now = self._state.clock.now()
         begun = self._state.begun_streams.find(request.resumed_stream, now=now)
         if begun is not None:
             for message in build_copies({request.resumed_stream: begun}, now=now):
                 self._peers.send(origin, message)
             if begun.service == request.service:
-                return begun.version
+                return self._drop_if_only(request.service, begun.version, now=now)
             # The instance chose another service of the route and has to choose again.
             return self._refuse(request, retry_after_ms=1)
         if not self._state.software_versions.is_mixed(request.service, now=now):
@@ -117,6 +121,12 @@
             request, retry_after_ms=SETTLING_RETRY_MS if is_settling else 0
         )
 
+    def _drop_if_only(
+        self, service: str, version: SoftwareVersion, *, now: int
+    ) -> SoftwareVersion | None:
+        known = self._state.software_versions.list_known(service, now=now)
+        return None if known == {version} else version
+
     def _refuse(self, request: GrantRequest, *, retry_after_ms: int) -> Refused:
         return Refused(
             key=request.key,
--- a/src/arbutuspulley/node/stream_versions.py
+++ b/src/arbutuspulley/node/stream_versions.py
@@ -42,7 +42,8 @@
 
     :raises RequestFailedError: if the route has no share at the service that began it.
     """
-    progress.resumed_stream = get_resumed_stream(request)
+    if route.is_stream:
+        progress.resumed_stream = get_resumed_stream(request)
     if progress.resumed_stream is None:
         return
     now = state.clock.now()
--- a/tests/test_stream_copies.py
+++ b/tests/test_stream_copies.py
@@ -117,6 +117,17 @@
     assert Bench(V1, V2).ask(version="v2") == V2
 
 
+def test_the_only_version_in_service_is_no_condition():
+    """Guards against resumed streams that wait in a queue of their own, ahead of which
+    models are loaded, where all servers have one version."""
+    bench = Bench(V1, V1)
+    copies = StreamCopies(service="llm", version="v1", streams=((KEY, 9_000),))
+    bench.lookup.record_copies((copies,))
+    assert bench.ask() is None
+    assert bench.ask(version="v1") is None
+    assert bench.ask(version="v2") == V2
+
+
 @pytest.mark.parametrize("age_ms", [0, SETTLING_MS])
 def test_an_unknown_stream_waits_only_for_a_new_coordinator(age_ms):
     """Guards against streams that are refused as unknown while the instances that know
