Take frames, running requests, served links and pending retries out of large files

Each part goes into a module with one job: frames, running_requests, link_server, and PendingRetry in retries. No behaviour changes; the tests of links, coordinators, notices, limits, retries and mixed versions pass unchanged but for renamed calls.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -185,7 +185,7 @@
         """Report the outcome of an attempt to the coordinator."""
         if self._request.need is None:
             return
-        self._link.remove_run(self._request.attempt_id)
+        self._link.runs.remove(self._request.attempt_id)
         self._link.send(
             AttemptEnded(
                 key=self._request.attempt_id,
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -10,10 +10,6 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-import aiohttp
-import msgspec
-from aiohttp import web
-
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.membership.coordinator_lease import (
@@ -45,11 +41,10 @@
     SuspicionUpdate,
     ToCoordinator,
     ToNode,
-    decode_from_node,
 )
 from arbutuspulley.node.orders import OrderSender
 from arbutuspulley.node.pacing import Pacer
-from arbutuspulley.node.peer import Peer, write_frames
+from arbutuspulley.node.peer import Peer
 from arbutuspulley.node.peers import Peers
 from arbutuspulley.node.pool_log import log_grant, log_pool, log_refusal
 from arbutuspulley.node.pool_updates import (
@@ -253,38 +248,6 @@
         if any(not isinstance(message, QuotaUsage) for message in messages):
             self.schedule_planning()
 
-    async def serve_link(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serve one instance's link until it is closed."""
-        socket = web.WebSocketResponse(compress=False, max_msg_size=1 << 20)
-        await socket.prepare(request)
-        if not self.is_active:
-            await socket.close()
-            return socket
-        peer: Peer | None = None
-        writer: asyncio.Task[None] | None = None
-        try:
-            async for message in socket:
-                if message.type is not aiohttp.WSMsgType.BINARY or not self.is_active:
-                    break
-                messages = decode_from_node(message.data)
-                if peer is None:
-                    peer = self._add_peer(messages)
-                    if peer is None:
-                        break
-                    writer = asyncio.create_task(
-                        write_frames(peer, socket, request.transport)
-                    )
-                peer.last_message_at = self._state.clock.now()
-                self.handle_messages(peer.info.name, messages)
-        except msgspec.MsgspecError as error:
-            log_event(Event.PEER_DOWN, detail=f"unreadable frame: {error}")
-        finally:
-            if writer is not None:
-                writer.cancel()
-            if peer is not None:
-                self._remove_peer(peer)
-        return socket
-
     def schedule_planning(self) -> None:
         """Schedule one planning cycle soon, for all messages that arrive until then."""
         if self.is_active and not self._is_planning_scheduled:
@@ -294,7 +257,11 @@
                 self._grant_pacer.get_delay(loop.time()), self._run_planning_cycle
             )
 
-    def _add_peer(self, messages: list[ToCoordinator]) -> Peer | None:
+    def add_peer(self, messages: list[ToCoordinator]) -> Peer | None:
+        """Add the instance whose first messages these are; ``None``: they are not.
+
+        Its link is served by :func:`arbutuspulley.node.link_server.serve_link`.
+        """
         if not messages or not isinstance(messages[0], Hello):
             return None
         name = messages[0].info.name
@@ -315,7 +282,8 @@
             peer.send(LeavingNotice(incarnations=leaving))
         return peer
 
-    def _remove_peer(self, peer: Peer) -> None:
+    def remove_peer(self, peer: Peer) -> None:
+        """Remove an instance whose link has ended."""
         if not self._peers.remove(peer):
             return
         remove_instance(self._pools, peer.info.name)
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -7,7 +7,6 @@
 import aiohttp
 from aiohttp import web
 
-from arbutuspulley.admission.service_retry_budget import RetryCharge
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
@@ -25,7 +24,7 @@
     RequestFailedError,
 )
 from arbutuspulley.node.quota_charging import QuotaCharger
-from arbutuspulley.node.retries import Retries
+from arbutuspulley.node.retries import PendingRetry, Retries
 from arbutuspulley.node.server_notices import get_exclusion, read_answer
 from arbutuspulley.node.server_paths import ServerPaths
 from arbutuspulley.node.state import NodeState
@@ -80,13 +79,13 @@
     __slots__ = (
         "_access",
         "_acquisition",
-        "_charge",
         "_limits",
         "_link",
         "_paths",
         "_poison",
         "_request",
         "_retries",
+        "_retry",
         "_state",
         "_stream",
         "progress",
@@ -118,8 +117,7 @@
         self._request = request
         self._retries = retries
         self._paths = paths
-        # Charge of the retry that is being made, until it has certainly arrived.
-        self._charge: RetryCharge | None = None
+        self._retry = PendingRetry(retries=retries)
         remaining_ms = route.timeout_ms
         if request.wait_ms is not None:
             remaining_ms = min(remaining_ms, request.wait_ms)
@@ -173,7 +171,7 @@
         finally:
             self._acquisition.refund()
             self._limits.record_end(self._request.attempt_id, AttemptOutcome.UNUSED)
-            self._refund_retry()
+            self._retry.refund()
 
     def record_interruption(self, end: AnswerEnd) -> None:
         """Record why the last server's answer was not awaited to its end."""
@@ -307,7 +305,7 @@
             raise
         finally:
             if is_sent:
-                self._settle_retry()
+                self._retry.settle()
 
     def _record_helper(self, link: str) -> None:
         self.progress.helper = link
@@ -416,7 +414,9 @@
         if self._request.need is None:
             progress.avoid.add(entry.incarnation)
             record_refused(self._state.server_stats, entry, now=self._state.clock.now())
-        if progress.refused <= MAX_REFUSALS and self._try_charge_retry():
+        if progress.refused <= MAX_REFUSALS and self._retry.try_charge(
+            self.progress.service
+        ):
             return RetryError()
         return self._build_failure(
             "servers refused", retry_after_ms=self._acquisition.get_retry_after()
@@ -464,22 +464,7 @@
             return False
         if self._poison.get_refusal(self._request) is not None:
             return False
-        return self._try_charge_retry()
-
-    def _try_charge_retry(self) -> bool:
-        self._charge = self._retries.try_charge(self.progress.service)
-        return self._charge is not None
-
-    def _settle_retry(self) -> None:
-        if self._charge is not None:
-            self._retries.settle(self.progress.service, self._charge)
-            self._charge = None
-
-    def _refund_retry(self) -> None:
-        """Give back a retry that was charged, but for which no server was found."""
-        if self._charge is not None:
-            self._retries.refund(self.progress.service, self._charge)
-            self._charge = None
+        return self._retry.try_charge(self.progress.service)
 
     def _build_failure(
         self,
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -11,6 +11,7 @@
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.confirmation import Confirmation
+from arbutuspulley.node.frames import decode_from_coordinator, encode_frame
 from arbutuspulley.node.heartbeats import HeartbeatTracker
 from arbutuspulley.node.messages import (
     AttemptEnded,
@@ -35,8 +36,6 @@
     SuspicionUpdate,
     ToCoordinator,
     ToNode,
-    decode_from_coordinator,
-    encode_frame,
 )
 from arbutuspulley.node.pending_requests import (
     LinkLostError,
@@ -44,6 +43,7 @@
     RefusedError,
 )
 from arbutuspulley.node.roster import RosterCopy, apply_change
+from arbutuspulley.node.running_requests import RunningRequests
 from arbutuspulley.node.server_notices import (
     apply_leaving,
     list_cooldowns,
@@ -90,10 +90,11 @@
 class Link:
     """The link to the coordinator, which may run in this process.
 
-    ``deliver_local`` passes messages to the coordinator in this process; ``None`` while
-    this instance is not the coordinator. ``on_suspicions`` is called with suspicions of
-    requests that crash servers, ``on_quota_exceeded`` with teams that have used more
-    than their quota, ``on_rate_limits`` with servers' rate limits.
+    ``runs`` are this instance's requests in flight. ``deliver_local`` passes messages
+    to the coordinator in this process; ``None`` while this instance is not it.
+    ``on_suspicions`` is called with suspicions of requests that crash servers,
+    ``on_quota_exceeded`` with teams that have used more than their quota,
+    ``on_rate_limits`` with servers' rate limits.
     """
 
     __slots__ = (
@@ -108,7 +109,6 @@
         "_outgoing",
         "_pending",
         "_roster",
-        "_running",
         "_state",
         "_task",
         "_usage",
@@ -117,6 +117,7 @@
         "on_quota_exceeded",
         "on_rate_limits",
         "on_suspicions",
+        "runs",
         "status",
     )
 
@@ -136,9 +137,9 @@
         self._pending = PendingRequests()
         self._roster = RosterCopy()
         self._usage: dict[str, int] = {}
-        self._running: dict[str, tuple[int, RunningRequest]] = {}
         self._task: asyncio.Task[None] | None = None
         self._wake = asyncio.Event()
+        self.runs = RunningRequests(clock=state.clock)
         self.status: CoordinatorStatus | None = None
         self.on_suspicions: Callable[[tuple[Suspicion, ...]], None] = _ignore
         self.on_quota_exceeded: Callable[[QuotaExceeded], None] = _ignore
@@ -185,15 +186,6 @@
         """Address of the coordinator that the link connects to; empty: none."""
         return self._address
 
-    @property
-    def running(self) -> list[RunningRequest]:
-        """Requests in flight, with the time that each has run."""
-        now = self._state.clock.now()
-        return [
-            msgspec.structs.replace(run, ran_ms=now - started_at)
-            for started_at, run in self._running.values()
-        ]
-
     async def request_grant(self, request: GrantRequest) -> Granted:
         """Ask the coordinator for a server and wait for the grant.
 
@@ -211,7 +203,7 @@
         except asyncio.CancelledError:
             self.send(CancelRequest(key=request.key, service=request.service))
             raise
-        self.add_run(
+        self.runs.add(
             RunningRequest(
                 key=request.key,
                 incarnation=granted.incarnation,
@@ -237,14 +229,6 @@
         except TimeoutError:
             raise LinkLostError("permission not answered in time") from None
 
-    def add_run(self, run: RunningRequest) -> None:
-        """Add a started request, which the next coordinator has to count."""
-        self._running[run.key] = self._state.clock.now(), run
-
-    def remove_run(self, key: str) -> None:
-        """Remove a request that has ended."""
-        self._running.pop(key, None)
-
     def send(self, message: ToCoordinator) -> None:
         """Queue a message for sending; it is lost if there is no coordinator."""
         if self.deliver_local is not None:
@@ -501,7 +485,7 @@
         state = self._state
         return Hello(
             info=state.build_info(),
-            running=tuple(self.running),
+            running=self.runs.list_all(),
             store_version=state.store_position.version,
             store_era=state.store_position.era,
             configuration=state.configuration_version,
--- a/src/arbutuspulley/node/peer.py
+++ b/src/arbutuspulley/node/peer.py
@@ -8,12 +8,12 @@
 
 from arbutuspulley.admission.freshness import MessageTimes
 from arbutuspulley.events import Event, log_event
+from arbutuspulley.node.frames import encode_frame
 from arbutuspulley.node.messages import (
     CoordinatorEstimates,
     CoordinatorStatus,
     NodeInfo,
     ToNode,
-    encode_frame,
 )
 
 WRITE_TIMEOUT_S = 2.0
--- a/src/arbutuspulley/node/retries.py
+++ b/src/arbutuspulley/node/retries.py
@@ -146,6 +146,38 @@
         retries.denied = 0
 
 
+class PendingRetry:
+    """The retry of one request that is being made, until it has certainly arrived.
+
+    :param retries: retry budgets of the services.
+    """
+
+    __slots__ = ("_charge", "_retries", "_service")
+
+    def __init__(self, *, retries: Retries) -> None:
+        self._charge: RetryCharge | None = None
+        self._retries = retries
+        self._service = ""
+
+    def try_charge(self, service: str) -> bool:
+        """Charge the retry; return whether the request may be retried."""
+        self._service = service
+        self._charge = self._retries.try_charge(service)
+        return self._charge is not None
+
+    def settle(self) -> None:
+        """Record that the retry has arrived."""
+        if self._charge is not None:
+            self._retries.settle(self._service, self._charge)
+            self._charge = None
+
+    def refund(self) -> None:
+        """Give back a retry that was charged, but for which no server was found."""
+        if self._charge is not None:
+            self._retries.refund(self._service, self._charge)
+            self._charge = None
+
+
 def _evict_expired(times: deque[int], *, now: int) -> None:
     while times and times[0] <= now:
         times.popleft()
--- a/src/arbutuspulley/node/server_choice.py
+++ b/src/arbutuspulley/node/server_choice.py
@@ -188,7 +188,7 @@
             raise CoordinatorFoundError
         entry = await self._choose_within_limits(is_plain=False)
         if entry is not None:
-            self._link.add_run(
+            self._link.runs.add(
                 RunningRequest(
                     key=self._request.attempt_id,
                     incarnation=entry.incarnation,
--- a/src/arbutuspulley/programs/node.py
+++ b/src/arbutuspulley/programs/node.py
@@ -24,6 +24,7 @@
 from arbutuspulley.node.election import Election
 from arbutuspulley.node.frontend import Frontend
 from arbutuspulley.node.link import LINK_PATH, Link
+from arbutuspulley.node.link_server import serve_link
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.poison import PoisonGuard
 from arbutuspulley.node.server_paths import ServerPaths
@@ -211,7 +212,7 @@
         if names.RELAY_TO in request.headers:
             return await relay.handle(request)
         if request.path == LINK_PATH:
-            return await coordinator.serve_link(request)
+            return await serve_link(state, coordinator, request)
         if request.path == SNAPSHOT_PATH:
             return web.Response(body=build_snapshot(state, link))
         return web.Response(status=404)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -24,13 +24,13 @@
     coordinator.is_active = True
     server = build_server("s0", "m0")
     coordinator._pools = {"llm": build_pool(server)}
-    coordinator._add_peer([build_hello()])
+    coordinator.add_peer([build_hello()])
     for key in ("ended", "runs"):
         add_run(server, key, "m0")
         server.runs[key].origin = "x"
     need = server.runs["runs"].need
     hello = build_hello(RunningRequest(key="runs", incarnation="s0", need=need))
-    coordinator._add_peer([hello])
+    coordinator.add_peer([hello])
     coordinator._handle_message("x", hello, now=0)
     assert set(server.runs) == {"runs"}
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -182,7 +182,7 @@
 def test_all_permissions_use_one_token_bucket():
     """Guards against a plain server that gets its full limit from each instance."""
     coordinator, sent = build_coordinator()
-    coordinator._add_peer([Hello(info=build_info("x"))])
+    coordinator.add_peer([Hello(info=build_info("x"))])
     limit = ServerLimit(incarnation=A.incarnation, per_s=2.0)
     coordinator._handle_message("own", limit, now=0)
     coordinator._rates._ledger.get(A.incarnation).balance = 1.0
@@ -199,17 +199,17 @@
     knows, _ = build_coordinator(limits=(limit,))
     assert get_limit(knows) == 2.0
     receives, _ = build_coordinator()
-    receives._add_peer([Hello(info=build_info("x"), limits=(limit,))])
+    receives.add_peer([Hello(info=build_info("x"), limits=(limit,))])
     assert get_limit(receives) == 2.0
     again = msgspec.structs.replace(limit, per_s=9.0)
-    receives._add_peer([Hello(info=build_info("y"), limits=(again,))])
+    receives.add_peer([Hello(info=build_info("y"), limits=(again,))])
     assert get_limit(receives) == 2.0
 
 
 def test_an_instance_that_connects_receives_all_limits():
     limit = ServerLimit(incarnation=A.incarnation, per_s=2.0)
     coordinator, _ = build_coordinator(limits=(limit,))
-    peer = coordinator._add_peer([Hello(info=build_info("x"))])
+    peer = coordinator.add_peer([Hello(info=build_info("x"))])
     assert ServerLimits(limits=(limit,), are_all=True) in peer.outgoing
 
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from arbutuspulley.clock import Clock
+from arbutuspulley.node.frames import decode_from_node, encode_frame
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import (
     CoordinatorStatus,
@@ -14,8 +15,6 @@
     Hello,
     RosterChange,
     RunningRequest,
-    decode_from_node,
-    encode_frame,
 )
 from arbutuspulley.ports.fleet import ModelNeed
 from tests.node_states import build_info, build_position, build_state
@@ -114,8 +113,8 @@
     link = Link(state=build_state(clock=Clock(read=lambda: now[0])))
     need = ModelNeed(model="m", adapter="", prompt_tokens=1, output_tokens=1)
     for key in ("a", "b"):
-        link.add_run(RunningRequest(key=key, incarnation="s", need=need))
+        link.runs.add(RunningRequest(key=key, incarnation="s", need=need))
         now[0] += 300
-    link.remove_run("b")
+    link.runs.remove("b")
     (run,) = link.build_hello().running
     assert (run.key, run.ran_ms) == ("a", 600)
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -188,7 +188,7 @@
 
     async def tell():
         coordinator = build_coordinator(instance)
-        peers = [coordinator._add_peer([Hello(info=build_info(n))]) for n in "xy"]
+        peers = [coordinator.add_peer([Hello(info=build_info(n))]) for n in "xy"]
         if origin == "own":
             instance.read(LEAVING)
         else:
@@ -208,9 +208,9 @@
 
     async def link_up():
         coordinator = build_coordinator(instance)
-        coordinator._add_peer([Hello(info=build_info("x"))])
-        coordinator._add_peer([other.link.build_hello()])
-        return list_leaving(coordinator._add_peer([Hello(info=build_info("y"))]))
+        coordinator.add_peer([Hello(info=build_info("x"))])
+        coordinator.add_peer([other.link.build_hello()])
+        return list_leaving(coordinator.add_peer([Hello(info=build_info("y"))]))
 
     assert asyncio.run(link_up()) == ["s0"]
     assert instance.is_leaving
@@ -298,7 +298,7 @@
 
 
 async def link_up(coordinator, hello):
-    coordinator._add_peer([hello])
+    coordinator.add_peer([hello])
 
 
 def test_a_server_that_reports_draining_is_marked(monkeypatch):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,15 +4,17 @@
 import pytest
 
 from arbutuspulley.clock import Clock
+from arbutuspulley.node.frames import (
+    decode_from_coordinator,
+    decode_from_node,
+    encode_frame,
+)
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import (
     ConfigurationDelta,
     CoordinatorStatus,
     Heartbeat,
     Hello,
-    decode_from_coordinator,
-    decode_from_node,
-    encode_frame,
 )
 from arbutuspulley.node.peers import Peers
 from arbutuspulley.node.relay import Relay
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,6 +10,7 @@
 
 from arbutuspulley.clock import Clock
 from arbutuspulley.node import store_watch
+from arbutuspulley.node.frames import decode_from_coordinator
 from arbutuspulley.node.link import HEARTBEAT_MS, Link
 from arbutuspulley.node.messages import (
     ConfigurationDelta,
@@ -17,7 +18,6 @@
     Hello,
     RelayedRow,
     StoreUpdate,
-    decode_from_coordinator,
 )
 from arbutuspulley.node.relay import DEFERRED_BATCH_BYTES, DEFERRED_INTERVAL_MS, Relay
 from arbutuspulley.node.server_rows import apply_server_rows, list_rows
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -5,10 +5,9 @@
 import msgspec
 import pytest
 
+from arbutuspulley.node.frames import decode_from_coordinator, encode_frame
 from arbutuspulley.node.messages import (
     ConfigurationDelta,
-    decode_from_coordinator,
-    encode_frame,
 )
 from arbutuspulley.node.versions import MAX_OLDER_BYTES, MAX_VERSIONS, Versions
 from scripts.platform_testbed import build_configuration, build_route
--- a/tests/test_without_coordinator.py
+++ b/tests/test_without_coordinator.py
@@ -97,7 +97,7 @@
         link = Link(state=state)
         link.receive([CoordinatorStatus(is_holder=True)])
         await build_choice(state, link).choose_uncoordinated(NEED)
-        return link.running
+        return link.runs.list_all()
 
     (run,) = asyncio.run(scenario())
     assert (run.key, run.incarnation, run.pause_ms) == ("r0", "s0", 250)
