Refuse requests whose attempt id or model is not UTF-8

A caller who sent an attempt id with bytes that are not UTF-8 got 500, and the instance lost its link to the coordinator: the grant request could not be encoded, the writer of the link ended, and all requests that waited for a grant failed with it. Other headers are forwarded with any bytes, as before.

--- a/src/arbutuspulley/events.py
+++ b/src/arbutuspulley/events.py
@@ -120,7 +120,19 @@
         "name": record.getMessage(),
         **getattr(record, "event_fields", {}),
     }
-    return msgspec.json.encode(line, enc_hook=str)
+    try:
+        return msgspec.json.encode(line, enc_hook=str)
+    except UnicodeEncodeError:
+        # A caller's attempt id may have bytes that are not UTF-8.
+        return msgspec.json.encode(
+            {
+                name: value.encode(errors="backslashreplace").decode()
+                if isinstance(value, str)
+                else value
+                for name, value in line.items()
+            },
+            enc_hook=str,
+        )
 
 
 class _JsonFormatter(logging.Formatter):
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -18,9 +18,14 @@
 from arbutuspulley.node.retries import Retries
 from arbutuspulley.node.server_paths import ServerPaths
 from arbutuspulley.node.state import NodeState
-from arbutuspulley.platform.requests import build_refusal_headers, decode_request
+from arbutuspulley.platform.requests import (
+    build_refusal_headers,
+    decode_request,
+    find_undecodable,
+)
 from arbutuspulley.ports.answers import AnswerEnd
 from arbutuspulley.ports.fleet import InboundRequest
+from arbutuspulley.results import Code
 from arbutuspulley.routing.route_table import find_route
 
 BODY_TIMEOUT_S = 10.0
@@ -109,6 +114,12 @@
                 reason="no configuration yet",
                 retry_after_ms=NOT_READY_RETRY_MS,
             )
+        undecodable = find_undecodable(client.headers.items())
+        if undecodable:
+            raise RequestFailedError(
+                status=400,
+                reason=f"{Code.BAD_PARAMETER.value} header {undecodable} is not UTF-8",
+            )
         limits = state.configuration.limits
         if _count_header_bytes(client) > limits.header_bytes:
             raise RequestFailedError(status=431, reason="headers too large")
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -58,6 +58,28 @@
     )
 
 
+def find_undecodable(headers: Iterable[tuple[str, str]]) -> str:
+    """Return a header that names a request or its model and is not UTF-8.
+
+    Messages to other instances can't carry it.
+
+    :return: empty if there is none.
+    """
+    checked = {names.ATTEMPT_ID.lower(), names.MODEL.lower()}
+    for name, value in headers:
+        if name.lower() in checked and not _is_encodable(value):
+            return name
+    return ""
+
+
+def _is_encodable(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def build_headers(
     request: InboundRequest,
     *,
