Send the rows that linking instances lack in small frames

An instance that starts knows no position of the store, so it was sent all rows as one message and one frame. For each of 300 that is some hundred KB of objects and over a megabyte of bytes, at the same moment, and a frame that takes over 2 s to write breaks its link, after which all begins anew. A link keeps the keys of the rows that are missing and sends 100 rows a frame, as they are then; other messages go between. A status tells the position only once all were sent. The test's largest frame was 350 KB with the rows of 3,000 stand-ins and is below 64 KB now.

--- a/src/arbutuspulley/node/peer.py
+++ b/src/arbutuspulley/node/peer.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import aiohttp
+import msgspec
 from aiohttp import web
 
 from arbutuspulley.admission.freshness import MessageTimes
@@ -22,6 +23,10 @@
 memory."""
 
 
+ROWS_PER_FRAME = 100
+"""Maximum number of rows in a frame to an instance that lacks rows, about 50 KB."""
+
+
 class Peer:
     """An instance that is linked to this coordinator.
 
@@ -44,7 +49,9 @@
     """
 
     __slots__ = (
+        "_build_rows",
         "_due_version",
+        "_missing_rows",
         "build_configuration",
         "configuration",
         "follows_store",
@@ -78,7 +85,9 @@
         self.statuses = MessageTimes()
         self.configuration = self.sent_version = configuration
         self.build_configuration = build_configuration
+        self._build_rows: Callable[[list[str]], ToNode] | None = None
         self._due_version = 0
+        self._missing_rows: list[str] = []
         self.outgoing: list[ToNode] = []
         self.wake = asyncio.Event()
         self.misses_store: bool | None = None
@@ -115,18 +124,47 @@
         if version > self.sent_version:
             self.wake.set()
 
+    def send_rows(
+        self, keys: list[str], build_rows: Callable[[list[str]], ToNode]
+    ) -> None:
+        """Send the server rows that the instance lacks, some in each frame.
+
+        All at once, the rows of thousands of servers for hundreds of instances that
+        link up together would take hundreds of MB, and the write of one frame longer
+        than :data:`WRITE_TIMEOUT_S`.
+
+        :param build_rows: returns a message with rows as they are when it is called.
+        """
+        self._missing_rows, self._build_rows = keys, build_rows
+        if keys:
+            self.wake.set()
+
     def pop_outgoing(self) -> list[ToNode]:
         """Return the messages to be sent now, in their order.
 
-        The configuration comes first: status messages and grants may refer to it.
+        The configuration comes first: status messages and grants may refer to it. While
+        rows are missing, a status does not tell up to where they were sent.
         """
         messages, self.outgoing = self.outgoing, []
+        if self._missing_rows and self._build_rows is not None:
+            keys = self._missing_rows[:ROWS_PER_FRAME]
+            self._missing_rows = self._missing_rows[ROWS_PER_FRAME:]
+            if self._missing_rows:
+                messages = [_remove_position(message) for message in messages]
+                self.wake.set()
+            messages.insert(0, self._build_rows(keys))
         if self._due_version > self.sent_version:
             messages.insert(0, self.build_configuration(self.sent_version))
             self.sent_version = self._due_version
         return messages
 
 
+def _remove_position(message: ToNode) -> ToNode:
+    if not isinstance(message, CoordinatorStatus):
+        return message
+    return msgspec.structs.replace(message, store_version=0, store_era=0)
+
+
 async def write_frames(
     peer: Peer, socket: web.WebSocketResponse, transport: asyncio.Transport | None
 ) -> None:
--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -104,9 +104,7 @@
             ),
         )
         peer.send_configuration(self._state.configuration_version)
-        update = self._relay.build_catch_up(hello)
-        if update is not None:
-            peer.send(update)
+        peer.send_rows(self._relay.list_missing_rows(hello), self._relay.build_rows)
         log_event(Event.PEER_UP, instance=info.name)
         return peer
 
--- a/src/arbutuspulley/node/relay.py
+++ b/src/arbutuspulley/node/relay.py
@@ -12,7 +12,7 @@
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.node.messages import Hello, NodeInfo, RelayedRow, StoreUpdate
-from arbutuspulley.node.server_rows import list_rows
+from arbutuspulley.node.server_rows import build_rows, list_row_keys
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.ports.store_position import StorePosition
 
@@ -88,10 +88,13 @@
             rows.append(self._deferred.pop(row.key))
         return StoreUpdate(rows=tuple(rows)) if rows else None
 
-    def build_catch_up(self, hello: Hello) -> StoreUpdate | None:
-        """Return the rows that a newly linked instance is missing."""
-        rows = list_rows(self._state, after=hello.store_position)
-        return StoreUpdate(rows=rows) if rows else None
+    def list_missing_rows(self, hello: Hello) -> list[str]:
+        """Return the keys of the rows that a newly linked instance is missing."""
+        return list_row_keys(self._state, after=hello.store_position)
+
+    def build_rows(self, keys: Iterable[str]) -> StoreUpdate:
+        """Return the newest known rows of servers, for an instance that lacks them."""
+        return StoreUpdate(rows=build_rows(self._state, keys))
 
     def build_full_configuration(self, _base: int) -> StoreUpdate:
         """Return the configuration for an instance that does not understand deltas."""
--- a/src/arbutuspulley/node/server_rows.py
+++ b/src/arbutuspulley/node/server_rows.py
@@ -86,6 +86,16 @@
 
 def list_rows(state: NodeState, *, after: StorePosition) -> tuple[RelayedRow, ...]:
     """Return the server rows that were written after a position of the store."""
+    return build_rows(state, list_row_keys(state, after=after))
+
+
+def list_row_keys(state: NodeState, *, after: StorePosition) -> list[str]:
+    """Return the keys of the rows that were written after a position of the store."""
+    return [key for key, position in state.row_positions.items() if position > after]
+
+
+def build_rows(state: NodeState, keys: Iterable[str]) -> tuple[RelayedRow, ...]:
+    """Return the newest known rows of servers; forgotten ones are left out."""
     return tuple(
         RelayedRow(
             key=key,
@@ -93,8 +103,8 @@
             version=position.version,
             value=state.entry_bodies.get(key, b""),
         )
-        for key, position in state.row_positions.items()
-        if position > after
+        for key in keys
+        if (position := state.row_positions.get(key)) is not None
     )
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,21 +15,27 @@
     CoordinatorStatus,
     Heartbeat,
     Hello,
+    StoreUpdate,
 )
 from arbutuspulley.node.peers import Peers
 from arbutuspulley.node.relay import Relay
 from arbutuspulley.node.store_watch import (
     activate_configuration,
     apply_configuration_rows,
+    apply_store_update,
 )
 from arbutuspulley.platform import names
 from arbutuspulley.platform.store import StoredRow
 from scripts.platform_testbed import build_configuration, build_route
 from tests.node_states import build_info, build_position, build_state
+from tests.test_relay import build_row
 
 ACTIVATION_LIMIT_MS = 2_000
 """Time within which a change has to be active everywhere, in ms."""
 
+MAX_FRAME_BYTES = 64 * 1_024
+"""Size up to which a frame is written without waiting for the receiver."""
+
 LINK_BYTES_PER_MS = 12_500
 """Bandwidth of the coordinator's link: 100 Mbit/s."""
 
@@ -193,3 +199,31 @@
     assert peers.handle_heartbeat("a", Heartbeat(is_ready=True))
     assert not peers.is_store_followed()
     assert not peers.handle_heartbeat("a", Heartbeat(is_ready=True))
+
+
+def test_instances_that_link_up_together_get_their_rows_in_small_frames():
+    """Guards against a coordinator that runs out of memory, and whose writes time out,
+    as hundreds of instances start at once and lack the rows of all servers."""
+    state, peers = build_peers(1)
+    rows = [build_row(f"s{number}", number + 1) for number in range(3_000)]
+    apply_store_update(state, StoreUpdate(rows=tuple(rows)), by="coordinator")
+    state.store_position = build_position(3_000)
+    peer = peers.add(Hello(info=build_info("x"), configuration=1))
+    queued = len(encode_frame(peer.outgoing))
+    assert queued < MAX_FRAME_BYTES
+    other = build_state()
+    link = Link(state=other)
+    frames = 0
+    peers.send_status(is_holder=True)
+    while peer.wake.is_set():
+        assert other.store_position < state.store_position
+        peer.wake.clear()
+        frame = encode_frame(peer.pop_outgoing())
+        assert len(frame) < MAX_FRAME_BYTES
+        link.receive(decode_from_coordinator(frame))
+        frames += 1
+        if peer.wake.is_set():
+            peers.send_status(is_holder=True)
+    assert frames > 10
+    assert other.entries == state.entries
+    assert other.store_position == state.store_position
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -192,11 +192,9 @@
     rows = (build_row("a", 1), build_row("b", 2), RelayedRow(key="c", version=7))
     apply_store_update(state, StoreUpdate(rows=rows), by="coordinator")
     info = build_info("x")
-    update = relay.build_catch_up(Hello(info=info, store_version=1, configuration=4))
-    assert {one.key for one in update.rows} == {"b", "c"}
-    assert (
-        relay.build_catch_up(Hello(info=info, store_version=7, configuration=5)) is None
-    )
+    missing = relay.list_missing_rows(Hello(info=info, store_version=1))
+    assert {one.key for one in relay.build_rows(missing).rows} == {"b", "c"}
+    assert relay.list_missing_rows(Hello(info=info, store_version=7)) == []
     other = build_state()
     apply_store_update(
         other,
--- a/tests/test_server_rows.py
+++ b/tests/test_server_rows.py
@@ -69,6 +69,12 @@
     monkeypatch.setattr(server_rows, "RESTORED_ENTRY_DELAY_MS", 80)
 
 
+def catch_up(state, hello, other):
+    """Relay to an instance what it lacks by its first message."""
+    source = Relay(state=state)
+    relay(source.build_rows(source.list_missing_rows(hello)), other)
+
+
 def test_a_row_of_a_later_era_is_newer_though_its_version_is_lower():
     """Guards against requests to a server whose row that says it is leaving has a
     version below the one of a row that the store has lost."""
@@ -234,7 +240,7 @@
         store_version=other.store_position.version,
         store_era=other.store_position.era,
     )
-    relay(Relay(state=state).build_catch_up(hello), other)
+    catch_up(state, hello, other)
     assert list_rows(other, after=build_position(0)) == list_rows(
         state, after=build_position(0)
     )
@@ -254,7 +260,7 @@
         read_all(starting, *copied, version=190, era=2)
         assert set(starting.entries) == {"a", "b"}
         hello = Hello(info=build_info("x"), store_version=190, store_era=1)
-        relay(Relay(state=state).build_catch_up(hello), starting)
+        catch_up(state, hello, starting)
         assert set(starting.entries) == {"b"}
 
     run(scenario)
