--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -16,18 +16,25 @@
     Granted,
     GrantRequest,
     QuotaUsage,
+    RefusalReason,
     Refused,
 )
 from arbutuspulley.node.progress import Progress, RequestFailedError
 from arbutuspulley.node.quota_charging import QuotaCharger
 from arbutuspulley.node.server_notices import read_answer
 from arbutuspulley.node.store_watch import activate_configuration
+from arbutuspulley.node.stream_versions import GONE_REASON
 from arbutuspulley.platform import names
 from arbutuspulley.platform.requests import decode_request
-from arbutuspulley.ports.fleet import AttemptOutcome, LoadedModel, ServerEntry
+from arbutuspulley.ports.fleet import (
+    AttemptOutcome,
+    LoadedModel,
+    ServerEntry,
+    SoftwareVersion,
+)
 from arbutuspulley.routing.route_table import find_route
 from scripts.platform_testbed import HOST, build_configuration
-from tests.node_states import build_state
+from tests.node_states import build_entry, build_state
 
 ENTRY = ServerEntry(
     server_id="e1",
@@ -237,3 +244,53 @@
     assert trial.acquisition._charged is None
     assert trial.list_costs() == []
     assert trial.link._pop_usage() == []
+
+
+def continue_stream(trial, version, *, listed=True):
+    """Let the request go on with a stream of a version, which ``e1`` may not have."""
+    trial.progress.version = SoftwareVersion(name=version)
+    trial.progress.resumed_stream = 1
+    trial.state.by_service["llm"] = [ENTRY]
+    if listed:
+        other = build_entry("e2", software_version=trial.progress.version)
+        trial.state.by_service["llm"].append(other)
+
+
+def test_a_granted_server_of_another_version_is_returned():
+    """Guards against a coordinator of an earlier release, or with other rows, which
+    grants a server that may not go on with the stream."""
+    trial = Trial(grant)
+    continue_stream(trial, "v2")
+    with pytest.raises(RetryError):
+        trial.get_server()
+    ended = [one for one in trial.sent if isinstance(one, AttemptEnded)]
+    assert [one.how for one in ended] == [AttemptOutcome.UNUSED]
+    assert trial.progress.avoid == {"e1"}
+
+
+def test_a_granted_server_goes_on_with_no_stream_of_unknown_version():
+    trial = Trial(grant)
+    trial.progress.is_version_unknown = True
+    with pytest.raises(RetryError):
+        trial.get_server()
+    assert trial.progress.avoid == {"e1"}
+
+
+def test_no_grant_is_awaited_for_a_version_that_is_gone():
+    """Guards against a stream that waits for a coordinator, or for a server without
+    one, although no server of its version is left."""
+    trial = Trial(refuse)
+    continue_stream(trial, "v2", listed=False)
+    with pytest.raises(NoServerError) as failed:
+        trial.get_server()
+    assert failed.value.reason == GONE_REASON
+    assert not failed.value.may_retry
+    assert not trial.sent
+
+
+def test_a_refusal_tells_that_the_version_is_gone():
+    trial = Trial(lambda one: refuse(one, reason=RefusalReason.VERSION_GONE))
+    continue_stream(trial, "v2")
+    with pytest.raises(NoServerError) as failed:
+        trial.get_server()
+    assert (failed.value.reason, failed.value.may_retry) == (GONE_REASON, False)
--- a/tests/test_begun_streams.py
+++ b/tests/test_begun_streams.py
@@ -28,16 +28,17 @@
     assert streams.find(build_stream_key("a2"), now=0) is None
 
 
-@pytest.mark.parametrize("other", [build_stream(V2), build_stream(service="chat")])
+@pytest.mark.parametrize("other", [{"version": V2}, {"service": "chat"}])
 def test_what_is_known_of_a_stream_stays(other):
     """Guards against a caller who sends the attempt id of another one, and thereby
     lets the other's stream go on at another version."""
     streams = BegunStreams()
+    later = build_stream(**other, expires_at=20_000)
     streams.add(1, build_stream(), now=0)
-    streams.add(1, other, now=1)
+    streams.add(1, later, now=1)
     assert streams.find(1, now=1) == build_stream()
-    streams.add(1, other, now=10_000)
-    assert streams.find(1, now=1) == other
+    streams.add(1, later, now=10_000)
+    assert streams.find(1, now=10_000) == later
 
 
 def test_a_stream_that_is_resumed_is_remembered_for_longer():
--- a/tests/test_pool_versions.py
+++ b/tests/test_pool_versions.py
@@ -92,8 +92,8 @@
     the only copy of its model there is gone."""
     pool = build_pool(
         build_server("s1", "m0", version=V1),
-        build_server("s2", "m1", version=V2),
         build_server("s3", version=V1),
+        build_server("s2", "m1", version=V2),
     )
     add_waiting(pool, "a", "m0", version=V2)
     [order] = plan_orders(pool, now=10)
@@ -124,6 +124,7 @@
     spec = build_spec()
     pool = build_pool(
         build_server("s1", "m0", version=V1),
+        build_server("s3", "m0", version=V1),
         build_server("s2", "m0", version=V2),
         spec=spec,
     )
