--- a/src/arbutuspulley/programs/story.py
+++ b/src/arbutuspulley/programs/story.py
@@ -7,6 +7,7 @@
 from arbutuspulley.programs.log_lines import LogLine, open_sources, read_lines
 
 _ID_FIELD = "id"
+_RESUMED_FIELD = "resumed_attempt"
 _HIDDEN = frozenset(("time_ms", "instance", "event", "name", _ID_FIELD))
 
 ORDER_SLACK_MS = 50
@@ -19,15 +20,34 @@
 def build_timeline(lines: Iterable[LogLine], request_id: str) -> list[str]:
     """Return the events of a request in order, one text for each log line.
 
+    If its stream was resumed by further attempts, or it is one of them, all attempts
+    are shown, each line with the id of its attempt.
+
     :param request_id: request id that the caller sent.
     """
-    own = [line for line in lines if line.fields.get(_ID_FIELD) == request_id]
+    named = [line for line in lines if line.fields.get(_ID_FIELD)]
+    attempts = _list_attempts(named, request_id)
+    own = [line for line in named if line.fields[_ID_FIELD] in attempts]
     own.sort(key=lambda line: line.time_ms)
     ordered = _order_by_step(own)
     if not ordered:
         return []
     started_ms = min(line.time_ms for line in ordered)
-    return [_show(line, started_ms) for line in ordered]
+    hidden = _HIDDEN if len(attempts) == 1 else _HIDDEN - {_ID_FIELD}
+    return [_show(line, started_ms, hidden) for line in ordered]
+
+
+def _list_attempts(lines: list[LogLine], request_id: str) -> set[str]:
+    """Return the ids of all attempts at the stream that a request belongs to."""
+    begun_by = {
+        str(line.fields[_ID_FIELD]): str(line.fields[_RESUMED_FIELD])
+        for line in lines
+        if line.fields.get(_RESUMED_FIELD)
+    }
+    first = begun_by.get(request_id, request_id)
+    return {request_id, first} | {
+        attempt for attempt, begun in begun_by.items() if begun == first
+    }
 
 
 def print_timeline(request_id: str, paths: list[Path]) -> int:
@@ -61,10 +81,10 @@
     return _STEPS.index(line.name) if line.name in _STEPS else len(_STEPS) - 1
 
 
-def _show(line: LogLine, started_ms: int) -> str:
+def _show(line: LogLine, started_ms: int, hidden: frozenset[str]) -> str:
     fields = " ".join(
         f"{name}={value}"
         for name, value in line.fields.items()
-        if name not in _HIDDEN and value not in ("", None)
+        if name not in hidden and value not in ("", None)
     )
     return f"+{line.time_ms - started_ms:>6} ms  {line.instance}  {line.name}  {fields}"
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -44,6 +44,26 @@
     ]
 
 
+@pytest.mark.parametrize("request_id", ["a1", "a2", "a3"])
+def test_a_stream_is_followed_over_all_its_attempts(request_id):
+    """Guards against a complaint about a mixed or broken stream that shows only one of
+    the attempts at it."""
+    texts = build_texts(
+        build(1_000, "n1", "server_granted", id="a1", server="e1"),
+        build(2_000, "n1", "request_lost", id="a1", resumed_attempt=""),
+        build(3_000, "n2", "request_lost", id="a2", resumed_attempt="a1"),
+        build(4_000, "n3", "request_ended", id="a3", resumed_attempt="a1"),
+        build(4_500, "n3", "request_ended", id="b1", resumed_attempt="b0"),
+        request=request_id,
+    )
+    assert texts == [
+        "+     0 ms  n1  server_granted  id=a1 server=e1",
+        "+  1000 ms  n1  request_lost  id=a1",
+        "+  2000 ms  n2  request_lost  id=a2 resumed_attempt=a1",
+        "+  3000 ms  n3  request_ended  id=a3 resumed_attempt=a1",
+    ]
+
+
 @pytest.mark.parametrize("text", ["", "not json", "{", "[1]", '{"id": "r1"}', "x {y"])
 def test_text_that_is_no_log_line_is_skipped(text):
     assert len(build_texts(text, build(1, "n1", "request_lost", id="r1"))) == 1
