Let torn streams of the soak name the version of their server

Traced by the logs of all nodes: both servers of each were of v2; the soak's fault that tears streams sends a fixed script, whose events name no version and so count as v1. The script is built for the server's version; it is the same as before for v1. The check and its bound stay.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -99,11 +99,6 @@
 REFUSED = (408, 421, 429, 503)
 """Statuses that promise that the request has not run and never will."""
 
-TORN_STREAM = AnswerScript(
-    parts=(FULL_STREAM[:60], FULL_STREAM[60:70]), pause_s=0.01, framing=Framing.CLOSE
-)
-"""A stream whose server closes the connection inside an event."""
-
 OLD_CALLER_FRACTION = 0.2
 """Fraction of the requests that are sent by HTTP/1.0, on connections of their own."""
 
@@ -113,6 +108,18 @@
 KINDS = (("/book/", ""), ("/sync/", ""), ("/chat/", "m0"), ("/chat/", "m1"))
 
 
+def _build_torn_stream(server: ServerStandin) -> AnswerScript:
+    """Return a stream whose server closes the connection inside its fourth event."""
+    is_other = server.version == OTHER_VERSION
+    stream = STREAM_OF_OTHER_VERSION if is_other else FULL_STREAM
+    cut = stream.index(b"id: 4")
+    return AnswerScript(
+        parts=(stream[: cut - 3], stream[cut - 3 : cut + 7]),
+        pause_s=0.01,
+        framing=Framing.CLOSE,
+    )
+
+
 class Fault(Value, frozen=True):
     """One step of the plan.
 
@@ -604,7 +611,7 @@
             "shed": {"sheds": True, "rest_s": 0.5},
             "limit": {"limit_per_s": 5.0},
             "break": {"breaks_after": 3},
-            "tear": {"script": TORN_STREAM},
+            "tear": {"script": _build_torn_stream(server)},
             "fail": {"fails": True},
             "orders": {"loses_order_answers": True},
         }[fault.kind]
