Copy what is known of a stream, not what was said last

A caller that sent the attempt id of another one's stream could let instances that knew neither hear of the later version, so that the other caller's stream would have gone on there at the wrong one: the coordinator kept what it knew, but copied what it had just heard. Found in a reading of the change; the test fails without it with ['v1', 'v2']. The copies tell what the coordinator knows now.

--- a/src/arbutuspulley/node/stream_copies.py
+++ b/src/arbutuspulley/node/stream_copies.py
@@ -66,8 +66,9 @@
             version=SoftwareVersion(name=message.version),
             expires_at=now + message.retention_ms,
         )
-        self._state.begun_streams.add(key, stream, now=now)
-        self._pending[key] = stream
+        streams = self._state.begun_streams
+        streams.add(key, stream, now=now)
+        self._pending[key] = streams.find(key, now=now) or stream
         if self._timer is None:
             delay_ms = max(0, self._sent_at + COPY_INTERVAL_MS - now)
             self._timer = asyncio.get_running_loop().call_later(
--- a/tests/test_stream_copies.py
+++ b/tests/test_stream_copies.py
@@ -173,6 +173,22 @@
     asyncio.run(scenario())
 
 
+def test_copies_tell_what_is_known_of_a_stream():
+    """Guards against a caller who sends the attempt id of another one, and thereby
+    lets instances that know neither stream hear of the wrong version."""
+
+    async def scenario():
+        bench = Bench(V1, V2, peers=1)
+        bench.lookup.record_started(build_started(version="v1"))
+        await settle()
+        bench.lookup.record_started(build_started(version="v2"))
+        await settle()
+        told = [one.version for one in bench.peers.linked[0].received]
+        assert told == ["v1", "v1"]
+
+    asyncio.run(scenario())
+
+
 def test_answers_that_can_not_be_resumed_are_not_copied():
     async def scenario():
         bench = Bench(V1)
