--- a/tests/node_states.py
+++ b/tests/node_states.py
@@ -6,7 +6,14 @@
 from arbutuspulley.node.messages import NodeInfo
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.state import NodeState
-from arbutuspulley.ports.fleet import LoadedModel, NodeSettings, ServerEntry
+from arbutuspulley.ports.fleet import (
+    LoadedModel,
+    NodeSettings,
+    RetryPolicy,
+    Route,
+    ServerEntry,
+    Share,
+)
 from arbutuspulley.ports.store_position import StorePosition
 
 
@@ -58,6 +65,23 @@
     return ServerEntry(**values)
 
 
+def build_stream_route(*services):
+    """Build the route of streams that may be resumed."""
+    return Route(
+        name="chat",
+        host="h",
+        prefix="/",
+        retry_policy=RetryPolicy.RESUME,
+        is_stream=True,
+        timeout_ms=5_000,
+        latency_target_ms=400,
+        gap_target_ms=250,
+        priority=0,
+        max_attempts=2,
+        shares=tuple(Share(service=service, weight=1) for service in services),
+    )
+
+
 def build_info(name, *, site="a1", is_ready=True, **changes):
     """Build an instance's description; its region is the first letter of its site."""
     return NodeInfo(
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -18,28 +18,13 @@
 from arbutuspulley.ports.fleet import (
     UNSTATED_VERSION,
     InboundRequest,
-    RetryPolicy,
-    Route,
-    Share,
     SoftwareVersion,
 )
-from tests.node_states import build_entry, build_state
+from tests.node_states import build_entry, build_state, build_stream_route
 
 V1, V2 = SoftwareVersion(name="v1"), SoftwareVersion(name="v2")
 
-ROUTE = Route(
-    name="chat",
-    host="h",
-    prefix="/",
-    retry_policy=RetryPolicy.RESUME,
-    is_stream=True,
-    timeout_ms=5_000,
-    latency_target_ms=400,
-    gap_target_ms=250,
-    priority=0,
-    max_attempts=2,
-    shares=(Share(service="llm", weight=1), Share(service="canary", weight=1)),
-)
+ROUTE = build_stream_route("llm", "canary")
 
 
 class Bench:
--- a/tests/test_without_coordinator.py
+++ b/tests/test_without_coordinator.py
@@ -10,27 +10,12 @@
 from arbutuspulley.ports.fleet import (
     InboundRequest,
     ModelNeed,
-    RetryPolicy,
-    Route,
-    Share,
 )
-from tests.node_states import build_entry, build_state
+from tests.node_states import build_entry, build_state, build_stream_route
 
 NEED = ModelNeed(model="m0", adapter="", prompt_tokens=1_000, output_tokens=50)
 
-ROUTE = Route(
-    name="chat",
-    host="h",
-    prefix="/",
-    retry_policy=RetryPolicy.RESUME,
-    is_stream=True,
-    timeout_ms=5_000,
-    latency_target_ms=400,
-    gap_target_ms=250,
-    priority=0,
-    max_attempts=2,
-    shares=(Share(service="llm", weight=1),),
-)
+ROUTE = build_stream_route("llm")
 
 
 def build_choice(state, link):
