Log which request a crash counts against, and break-offs that count as none

Events 208, 209 and 218 name the request by the start of its fingerprint, the same at all instances; event 219 says why a break-off is not counted; a metric counts both. What is counted stays as it was.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -264,6 +264,12 @@
                 )
             else:
                 outcome = AttemptOutcome.LEFT
+                self._poison.record_ignored(
+                    self._request,
+                    incarnation=entry.incarnation,
+                    known=known_crashes,
+                    why="own network doubted",
+                )
             raise self._handle_broken(entry, str(error)) from None
         except asyncio.CancelledError:
             # The caller disconnected or the time is up; neither is the server's fault.
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -27,6 +27,7 @@
         "_teams",
         "answers",
         "attempts",
+        "break_offs",
         "configurations",
         "cooldowns",
         "excluded_attempts",
@@ -71,6 +72,12 @@
             ["framing", "end"],
             registry=registry,
         )
+        self.break_offs = Counter(
+            "arbutus_break_offs",
+            "Servers that broke off a request, by whether it counts as a crash",
+            ["how"],
+            registry=registry,
+        )
         self.resumed_streams = Counter(
             "arbutus_resumed_streams",
             "Streams that callers resumed, by how that ended and how their software"
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -45,6 +45,12 @@
 MAX_RECENT = 1_000
 """Maximum number of recent crashes that can be retracted."""
 
+LOGGED_FINGERPRINT_LENGTH = 12
+"""Length to which fingerprints are truncated in log lines."""
+
+MAX_LOGGED_REQUESTS = 10
+"""Maximum number of requests that a log line names; it also has their count."""
+
 EVICT_INTERVAL_MS = 10_000
 """Interval of evicting old suspects, in ms: a scan of 2,000 takes 7 ms, and a server
 that crashes adds 64 suspects at once."""
@@ -93,10 +99,22 @@
             servers failed at once; that counts as one crash.
         """
         if self.count_crashes(request) != known:
+            self.record_ignored(
+                request,
+                incarnation=incarnation,
+                known=known,
+                why="sent before an earlier crash was known",
+            )
             return
         now = self._state.clock.now()
         self._evict_old(now)
         if len(self._suspects.suspicions) >= MAX_SUSPECTS:
+            self.record_ignored(
+                request,
+                incarnation=incarnation,
+                known=known,
+                why="too many suspects",
+            )
             return
         fingerprint = _get_fingerprint(request)
         mark = build_mark(server=incarnation, boot_id="")
@@ -112,9 +130,35 @@
         event = Event.SUSPECT_RECORDED
         if deaths >= MAX_CRASHES:
             event = Event.REQUEST_QUARANTINED
-        log_event(event, id=request.attempt_id, server=incarnation, deaths=deaths)
+        log_event(
+            event,
+            id=request.attempt_id,
+            request=fingerprint[:LOGGED_FINGERPRINT_LENGTH],
+            server=incarnation,
+            known=known,
+            deaths=deaths,
+        )
+        self._state.metrics.break_offs.labels("counted").inc()
         self._link.send(SuspicionUpdate(suspicions=(suspicion,)))
 
+    def record_ignored(
+        self, request: InboundRequest, *, incarnation: str, known: int, why: str
+    ) -> None:
+        """Record that a server broke off a request and that no crash is counted.
+
+        :param known: number of crashes that were known when the request was sent.
+        """
+        log_event(
+            Event.BREAK_OFF_IGNORED,
+            id=request.attempt_id,
+            request=_get_fingerprint(request)[:LOGGED_FINGERPRINT_LENGTH],
+            server=incarnation,
+            known=known,
+            deaths=self.count_crashes(request),
+            why=why,
+        )
+        self._state.metrics.break_offs.labels("ignored").inc()
+
     def retract_recent(self) -> None:
         """Retract recent crashes: the network of this instance broke, not servers.
 
@@ -131,7 +175,14 @@
         if not retracted:
             return
         merge(self._suspects, retracted, now=now)
-        log_event(Event.SUSPECTS_RETRACTED, count=len(retracted))
+        log_event(
+            Event.SUSPECTS_RETRACTED,
+            count=len(retracted),
+            requests=[
+                one.fingerprint[:LOGGED_FINGERPRINT_LENGTH]
+                for one in retracted[:MAX_LOGGED_REQUESTS]
+            ],
+        )
         self._link.send(SuspicionUpdate(suspicions=tuple(retracted)))
 
     def clear(self, request: InboundRequest) -> None:
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -4,6 +4,7 @@
 
 from arbutuspulley.clock import SECOND_MS, Clock
 from arbutuspulley.node.messages import SuspicionUpdate
+from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.poison import MAX_CRASHES, MAX_SUSPECTS, RETRACT_MS, PoisonGuard
 from arbutuspulley.platform.requests import decode_request
 
@@ -14,6 +15,7 @@
     def __init__(self, group):
         self.now = 0
         self.clock = Clock(read=lambda: self.now)
+        self.metrics = NodeMetrics()
         self.is_disconnected = False
         self.group = group
         group.append(self)
