Test, failing, that a request that crashes servers stops reaching them

A unit test shows the cause without a network: with two servers out of reach, a connection that a third one breaks off counts as no crash.

--- /dev/null
+++ b/src/arbutuspulley/delivery/crash_records.py
@@ -0,0 +1,298 @@
+"""Which requests crash backend servers, from the answers that servers broke off.
+
+An instance whose connection to a server breaks can't tell whether the server crashed,
+whether the request crashed it, or whether the network between them broke. So each break
+counts as a crash under the request, and later evidence takes it back: the same
+incarnation of the server answers a request that was sent afterwards, or the request
+completes anywhere. What an instance believes about its own network takes nothing back.
+
+Crashes count one after the other: copies of a request that were sent before an earlier
+crash was known count as one with it, since a power failure or a network partition ends
+them all at once.
+"""
+
+from collections.abc import Iterable
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.delivery.suspects import (
+    QUARANTINE_MS,
+    SUSPICION_MS,
+    build_mark,
+    clear_deaths,
+    merge_suspicions,
+)
+from arbutuspulley.rpc.messages import Suspicion
+
+MAX_CRASHES = 3
+"""Number of crashes after which a request is quarantined. A harmless request, which is
+sent at most twice, can be in flight at two crashes: with a limit of two, one that was
+twice in flight beside the cause was quarantined with it."""
+
+MIN_SERVERS_FOR_TRIAL = 2
+"""Number of servers that have crashed under a request from which on its copies are sent
+one at a time."""
+
+TRIAL_MS = 2 * SECOND_MS
+"""Longest time for which copies of a request wait for the one that is on trial, in
+ms."""
+
+MAX_SUSPECTS = 2_000
+"""Maximum number of suspects; a server that crashes adds 64 at once."""
+
+EVICTED_SHARE = 0.1
+"""Share of the suspects that are evicted at once when there are too many."""
+
+MAX_MARKS = 32
+"""Maximum number of crashes that are kept of one request."""
+
+EVICT_INTERVAL_MS = 10 * SECOND_MS
+"""Interval of evicting old suspects, in ms: a scan of 2,000 takes 7 ms, and a server
+that crashes adds 64 suspects at once."""
+
+_UNSTATED_DEPTH = 1_000
+"""Depth of a crash of an instance that states none: it counts by itself."""
+
+
+def count_crashes(suspicion: Suspicion | None) -> int:
+    """Return the number of crashes, one after the other, that are not taken back."""
+    if suspicion is None:
+        return 0
+    count = 0
+    for depth in sorted(_list_depths(suspicion).values()):
+        if depth >= count:
+            count += 1
+    return count
+
+
+def count_servers(suspicion: Suspicion | None) -> int:
+    """Return the number of servers that have crashed, at once or one by one."""
+    return 0 if suspicion is None else len(_list_depths(suspicion))
+
+
+def _list_depths(suspicion: Suspicion) -> dict[str, int]:
+    """Return how many crashes were known when the request was sent, by server."""
+    depths: dict[str, int] = {}
+    for mark in set(suspicion.deaths) - set(suspicion.cleared):
+        incarnation, depth = _parse_mark(mark)
+        depths[incarnation] = max(depth, depths.get(incarnation, 0))
+    return depths
+
+
+def _parse_mark(mark: str) -> tuple[str, int]:
+    incarnation, _, depth = mark.rpartition("/")
+    return incarnation, int(depth) if depth.isdecimal() else _UNSTATED_DEPTH
+
+
+class CrashRecords:
+    """Crashes that one instance knows of, its own and those of others.
+
+    Times are in ms of the instance's clock. It keeps at most :data:`MAX_SUSPECTS`
+    requests, one that is quarantined for :data:`QUARANTINE_MS` and any other for
+    :data:`SUSPICION_MS` after its last change.
+    """
+
+    __slots__ = ("_changed_at", "_evict_at", "_known_at", "_suspicions", "_trials")
+
+    def __init__(self) -> None:
+        self._suspicions: dict[str, Suspicion] = {}
+        self._changed_at: dict[str, int] = {}
+        # When each crash became known here, by incarnation and fingerprint.
+        self._known_at: dict[str, dict[str, int]] = {}
+        # Other instances that run a request on trial, and until when that counts.
+        self._trials: dict[str, tuple[str, int]] = {}
+        self._evict_at = 0
+
+    def __len__(self) -> int:
+        return len(self._suspicions)
+
+    def find(self, fingerprint: str) -> Suspicion | None:
+        """Return what is known of a request; ``None``: nothing."""
+        return self._suspicions.get(fingerprint)
+
+    def record(
+        self, fingerprint: str, *, incarnation: str, known: int, now: int
+    ) -> Suspicion:
+        """Record that a server broke off a request.
+
+        :param known: number of crashes that were known when the request was sent.
+        """
+        mark = build_mark(server=incarnation, boot_id=str(known))
+        suspicion = Suspicion(fingerprint=fingerprint, deaths=(mark,))
+        self.merge((suspicion,), now=now)
+        return self._suspicions.get(fingerprint, suspicion)
+
+    def clear(self, fingerprint: str, *, now: int) -> Suspicion | None:
+        """Take back all crashes of a request that completed.
+
+        :return: what other instances have to know; ``None``: nothing.
+        """
+        suspicion = self._suspicions.get(fingerprint)
+        if suspicion is None or not count_servers(suspicion):
+            return None
+        self.merge((clear_deaths(suspicion, suspicion.deaths),), now=now)
+        return self._suspicions.get(fingerprint)
+
+    def clear_server(
+        self, incarnation: str, *, sent_at: int, now: int
+    ) -> tuple[Suspicion, ...]:
+        """Take back crashes of a server that has answered.
+
+        :param sent_at: when the request was sent that it answered; crashes that became
+            known later are not taken back.
+        :return: what other instances have to know.
+        """
+        known = self._known_at.get(incarnation)
+        if known is None:
+            return ()
+        cleared = tuple(
+            self._build_cleared(fingerprint, incarnation)
+            for fingerprint, known_at in known.items()
+            if known_at < sent_at
+        )
+        self.merge(cleared, now=now)
+        return cleared
+
+    def _build_cleared(self, fingerprint: str, incarnation: str) -> Suspicion:
+        marks = [
+            mark
+            for mark in self._suspicions[fingerprint].deaths
+            if _parse_mark(mark)[0] == incarnation
+        ]
+        return Suspicion(
+            fingerprint=fingerprint, deaths=tuple(marks), cleared=tuple(marks)
+        )
+
+    def merge(
+        self,
+        suspicions: Iterable[Suspicion],
+        *,
+        ages_ms: Iterable[int] = (),
+        now: int,
+    ) -> tuple[Suspicion, ...]:
+        """Merge suspicions; the order in which they are merged makes no difference.
+
+        :param ages_ms: how long ago each one changed last, as far as stated.
+        :return: those that have changed.
+        """
+        self._evict_expired(now)
+        ages = iter(ages_ms)
+        changed = []
+        for suspicion in suspicions:
+            at = now - max(0, next(ages, 0))
+            known = self._suspicions.get(suspicion.fingerprint)
+            merged = _truncate(merge_suspicions(known, suspicion))
+            if merged != known:
+                self._store(merged, at=at, now=now)
+                changed.append(merged)
+        self._evict_excess()
+        return tuple(changed)
+
+    def _store(self, suspicion: Suspicion, *, at: int, now: int) -> None:
+        fingerprint = suspicion.fingerprint
+        before = self._suspicions.get(fingerprint)
+        self._suspicions[fingerprint] = suspicion
+        self._changed_at[fingerprint] = max(at, self._changed_at.get(fingerprint, at))
+        crashed = _list_depths(suspicion)
+        for mark in () if before is None else before.deaths:
+            incarnation, _ = _parse_mark(mark)
+            if incarnation not in crashed:
+                self._forget_mark(incarnation, fingerprint)
+        for incarnation in crashed:
+            self._known_at.setdefault(incarnation, {}).setdefault(fingerprint, now)
+
+    def list_worst(self, count: int) -> list[Suspicion]:
+        """Return the requests under which the most servers have crashed."""
+        counted = [(count_crashes(one), one) for one in self._suspicions.values()]
+        counted = [(crashes, one) for crashes, one in counted if crashes]
+        counted.sort(key=lambda pair: pair[0], reverse=True)
+        return [one for _, one in counted[:count]]
+
+    def get_age_ms(self, fingerprint: str, *, now: int) -> int:
+        """Return how long ago the suspicion changed last, in ms."""
+        return now - self._changed_at.get(fingerprint, now)
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Return whether a request is not to be run any more."""
+        return count_crashes(self._suspicions.get(fingerprint)) >= MAX_CRASHES
+
+    def needs_trial(self, fingerprint: str) -> bool:
+        """Return whether copies of a request are to be sent one at a time."""
+        servers = count_servers(self._suspicions.get(fingerprint))
+        return servers >= MIN_SERVERS_FOR_TRIAL
+
+    def record_trial(self, fingerprint: str, instance: str, *, now: int) -> None:
+        """Record that another instance sends a copy of a request."""
+        if len(self._trials) < MAX_SUSPECTS:
+            self._trials[fingerprint] = (instance, now + TRIAL_MS)
+
+    def end_trial(self, fingerprint: str, instance: str) -> None:
+        """Record that another instance's copy of a request has ended."""
+        if self._trials.get(fingerprint, ("", 0))[0] == instance:
+            del self._trials[fingerprint]
+
+    def is_on_trial(self, fingerprint: str, *, now: int) -> bool:
+        """Return whether another instance runs a copy of a request."""
+        return now < self._trials.get(fingerprint, ("", 0))[1]
+
+    def get_time_to_expiry_ms(self, fingerprint: str, *, now: int) -> int:
+        """Return the time in ms until a suspicion expires if unchanged."""
+        life_ms = QUARANTINE_MS if self.is_quarantined(fingerprint) else SUSPICION_MS
+        return self._changed_at[fingerprint] + life_ms - now
+
+    def _evict_expired(self, now: int) -> None:
+        if now < self._evict_at:
+            return
+        self._evict_at = now + EVICT_INTERVAL_MS
+        for fingerprint in list(self._suspicions):
+            if self.get_time_to_expiry_ms(fingerprint, now=now) <= 0:
+                self._forget(fingerprint)
+        for fingerprint, (_, until) in list(self._trials.items()):
+            if until <= now:
+                del self._trials[fingerprint]
+
+    def _evict_excess(self) -> None:
+        """Evict the oldest of those requests that have been at the fewest crashes."""
+        if len(self._suspicions) <= MAX_SUSPECTS:
+            return
+        ranked = sorted(
+            self._suspicions,
+            key=lambda one: (
+                count_crashes(self._suspicions[one]),
+                self._changed_at[one],
+            ),
+        )
+        excess = len(ranked) - MAX_SUSPECTS
+        for fingerprint in ranked[: excess + int(MAX_SUSPECTS * EVICTED_SHARE)]:
+            self._forget(fingerprint)
+
+    def _forget(self, fingerprint: str) -> None:
+        suspicion = self._suspicions.pop(fingerprint)
+        del self._changed_at[fingerprint]
+        self._trials.pop(fingerprint, None)
+        for mark in suspicion.deaths:
+            self._forget_mark(_parse_mark(mark)[0], fingerprint)
+
+    def _forget_mark(self, incarnation: str, fingerprint: str) -> None:
+        known = self._known_at.get(incarnation)
+        if known is None:
+            return
+        known.pop(fingerprint, None)
+        if not known:
+            del self._known_at[incarnation]
+
+
+def _truncate(suspicion: Suspicion) -> Suspicion:
+    """Keep only so many crashes of a request, those that count most."""
+    if len(suspicion.deaths) <= MAX_MARKS and len(suspicion.cleared) <= MAX_MARKS:
+        return suspicion
+    cleared = set(suspicion.cleared)
+    ranked = sorted(
+        suspicion.deaths, key=lambda mark: (mark in cleared, -_parse_mark(mark)[1])
+    )
+    kept = ranked[:MAX_MARKS]
+    return Suspicion(
+        fingerprint=suspicion.fingerprint,
+        deaths=tuple(sorted(kept)),
+        cleared=tuple(sorted(cleared.intersection(kept))),
+        clear=cleared.issuperset(kept),
+    )
--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -37,7 +37,7 @@
     - ``sheds``: refuse every request as not run.
     - ``fails``: answer every request with 500, after calling ``on_break``.
     - ``crashes_on``: a request whose body contains these bytes is counted as run, its
-      connection is reset, and ``on_break`` is called.
+      connection is reset after ``crash_delay_s``, and ``on_break`` is called.
     - ``delay_s``: delay before the answer to a request.
     - ``loses_orders``: reset the connection of an order without applying it.
     - ``loses_order_answers``: apply an order and reset its connection.
@@ -67,6 +67,7 @@
         "arrivals",
         "attempts",
         "breaks_after",
+        "crash_delay_s",
         "crashes_on",
         "delay_s",
         "down_until",
@@ -125,6 +126,7 @@
         self.headers: dict[str, dict[str, str]] = {}
         self.breaks_after: int | None = None
         self.crashes_on = b""
+        self.crash_delay_s = 0.0
         self.on_break: Callable[[], None] = lambda: None
         self.sheds = False
         self.fails = False
@@ -272,7 +274,9 @@
         self.runs[attempt] += 1
         self.headers[attempt] = dict(request.headers)
         if self.crashes_on and self.crashes_on in body and request.transport:
-            request.transport.abort()
+            await asyncio.sleep(self.crash_delay_s)
+            if request.transport is not None:
+                request.transport.abort()
             self.on_break()
             return web.Response()
         if self.delay_s:
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -6,6 +6,7 @@
 import pytest
 
 from arbutuspulley.clock import Clock
+from arbutuspulley.membership.server_reach import ServerReach
 from arbutuspulley.node import server_paths as paths_module
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.exchange import Exchange
@@ -247,3 +248,16 @@
     assert len(in_flight) == 2
     assert node.read_metric("arbutus_retries_total", how="charged") is None
     assert node.read_metric("arbutus_retries_total", how="denied") == 1
+
+
+def test_a_crash_counts_while_other_servers_can_not_be_connected_to(monkeypatch):
+    """Guards against a request that goes on crashing servers because those that crashed
+    before it was sent are taken for a fault of the own network."""
+    node = build_node_with_retries()
+    node.state.server_reach = ServerReach(known=12, heard_at=1)
+    broken = BrokenError("reset", end=AnswerEnd.RESET)
+    monkeypatch.setattr(ServerPaths, "check", lambda _self, _address: None)
+    run_exchange(
+        monkeypatch, node, outcomes=[NotSentError("1"), NotSentError("2"), broken]
+    )
+    assert node.read_metric("arbutus_break_offs_total", how="counted") == 1
