Count crashes under a request whatever an instance believes of its network

Callers saw servers crash one after the other under copies of one request: three crashes should have stopped it, eight came. An instance that could not connect to two servers took its own network for broken, and counted no crash meanwhile. A request that crashes servers makes every instance believe that, so nobody counted its third crash. An instance that could not connect to half of the servers went further: it took back, for all, what it had counted in the last 4 s.

Both guards were there for harmless requests at an instance that is cut off. They judged by the instance's own connections. Now each broken connection counts, and evidence about the server takes it back: the same incarnation answers a request that was sent after the crash was known, to any instance. Crashes count in turn: a mark says how many were known when its request was sent, so that copies that were in flight together in a power failure or a cut count as one. After two servers have crashed under a request its copies are sent one at a time, the first after a random time, and a request that waited for a server is checked again before it is sent. The number of suspects is bounded for those that others tell of, too, and new ones replace those with one crash instead of being dropped.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -146,13 +146,9 @@
         :raises RequestFailedError: if the request failed without an answer.
         :raises AnswerAbortedError: if the answer has begun and can't be completed.
         """
-        refused_ms = self._poison.get_refusal(self._request)
-        if refused_ms is not None:
-            raise RequestFailedError(
-                status=503,
-                reason="it crashed the servers that ran it",
-                retry_after_ms=refused_ms,
-            )
+        refused = self._find_crash_refusal()
+        if refused is not None:
+            raise refused
         progress = self.progress
         progress.service = choose_service(self.route, rng=self._state.rng)
         resume_stream(self._state, self._request, self.route, progress)
@@ -205,8 +201,34 @@
                 retry_after_ms=error.retry_after_ms,
                 may_retry=error.may_retry,
             ) from None
+        await self._check_crashes(entry)
         return await self._send(entry)
 
+    async def _check_crashes(self, entry: ServerEntry) -> None:
+        """Check again that the request may be sent to its server.
+
+        Servers may have crashed under copies of it while it waited.
+        """
+        may_send = False
+        try:
+            await self._poison.delay_trial(self._request)
+            refused = self._find_crash_refusal()
+            if refused is not None:
+                raise refused
+            may_send = True
+        finally:
+            if not may_send:
+                self._acquisition.report_end(entry.incarnation, AttemptOutcome.UNUSED)
+
+    def _find_crash_refusal(self) -> Exception | None:
+        """Return the error of a request that servers crashed under, if it is one."""
+        refusal = self._poison.get_refusal(self._request)
+        if refusal is None:
+            return None
+        return self._build_failure(
+            refusal.reason, retry_after_ms=refusal.retry_after_ms
+        )
+
     async def _send(self, entry: ServerEntry) -> web.StreamResponse:
         state, progress = self._state, self.progress
         progress.server = entry.incarnation
@@ -226,7 +248,7 @@
             state.metrics.limited_attempts.inc()
         if get_exclusion(state, entry.incarnation):
             state.metrics.excluded_attempts.inc()
-        known_crashes = self._poison.count_crashes(self._request)
+        known_crashes = self._poison.begin_attempt(self._request)
         outcome = AttemptOutcome.FAILED
         took_ms: int | None = None
         try:
@@ -258,18 +280,11 @@
             progress.answer_end = error.end
             if error.end is AnswerEnd.RESET:
                 self._paths.check(entry.address)
-            if self._paths.blames_server(entry):
-                self._poison.record_crash(
-                    self._request, incarnation=entry.incarnation, known=known_crashes
-                )
-            else:
+            if not self._paths.blames_server(entry):
                 outcome = AttemptOutcome.LEFT
-                self._poison.record_ignored(
-                    self._request,
-                    incarnation=entry.incarnation,
-                    known=known_crashes,
-                    why="own network doubted",
-                )
+            self._poison.record_crash(
+                self._request, incarnation=entry.incarnation, known=known_crashes
+            )
             raise self._handle_broken(entry, str(error)) from None
         except asyncio.CancelledError:
             # The caller disconnected or the time is up; neither is the server's fault.
@@ -277,6 +292,7 @@
             raise
         finally:
             self._paths.record_ended(entry)
+            self._poison.end_attempt(self._request)
             record_done(
                 stats, entry, took_ms=took_ms, failed=outcome is AttemptOutcome.FAILED
             )
@@ -348,6 +364,7 @@
         if not is_answer_to(self._request, response.headers):
             raise BrokenError("not the answer to this request", end=AnswerEnd.INVALID)
         self._limits.update_from_answer(entry, response.headers, sent_at=sent_at)
+        self._poison.record_answer(entry.incarnation, sent_at=sent_at)
         if self._is_streamed(response):
             return await self._stream.relay(response)
         return await self._relay_body(response)
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -57,7 +57,6 @@
 )
 from arbutuspulley.node.stream_versions import add_copies, list_copies
 from arbutuspulley.ports.fleet import AttemptOutcome
-from arbutuspulley.rpc.messages import Suspicion
 
 LINK_PATH = "/link"
 """Path of the WebSocket at an instance's link address."""
@@ -141,7 +140,7 @@
         self._wake = asyncio.Event()
         self.runs = RunningRequests(clock=state.clock)
         self.status: CoordinatorStatus | None = None
-        self.on_suspicions: Callable[[tuple[Suspicion, ...]], None] = _ignore
+        self.on_suspicions: Callable[[SuspicionUpdate], None] = _ignore
         self.on_quota_exceeded: Callable[[QuotaExceeded], None] = _ignore
         self.on_rate_limits: Callable[[ServerLimits], None] = _ignore
         self.deliver_local: Callable[[list[ToCoordinator]], None] | None = None
@@ -258,7 +257,7 @@
             Refused: self._resolve_decision,
             CoordinatorStatus: self._apply_status,
             CoordinatorEstimates: lambda it: setattr(state, "estimates", it),
-            SuspicionUpdate: lambda it: self.on_suspicions(it.suspicions),
+            SuspicionUpdate: lambda it: self.on_suspicions(it),
             QuotaExceeded: lambda it: self.on_quota_exceeded(it),
             ServerLimits: lambda it: self.on_rate_limits(it),
             StreamCopies: lambda it: add_copies(state, (it,)),
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -90,6 +90,33 @@
     streams: tuple[tuple[int, int], ...]
 
 
+class Trial(Message, frozen=True):
+    """A copy of a request that an instance sends while others wait for its outcome.
+
+    :param fingerprint: hash of caller and body.
+    :param has_ended: whether the server does not work on it any more.
+    """
+
+    fingerprint: str
+    instance: str
+    has_ended: bool = False
+
+
+class SuspicionUpdate(Message, frozen=True, tag="suspected"):
+    """Requests that are suspected of crashing servers, or were cleared of it.
+
+    A request is suspect if it was in flight when a server broke off. The instance that
+    sees it informs the coordinator, which informs all instances.
+
+    :param ages_ms: how long ago each suspicion changed; empty: just now.
+    :param trials: copies of suspects that begin or end.
+    """
+
+    suspicions: tuple[Suspicion, ...] = ()
+    ages_ms: tuple[int, ...] = ()
+    trials: tuple[Trial, ...] = ()
+
+
 class Hello(Message, frozen=True, tag="hello"):
     """First message of an instance on a connection to the coordinator.
 
@@ -398,16 +425,6 @@
     checksum: int
 
 
-class SuspicionUpdate(Message, frozen=True, tag="suspected"):
-    """Requests that are suspected of crashing servers, or were cleared of it.
-
-    A request is suspect if it was in flight when a server broke off. The instance that
-    sees it informs the coordinator, which informs all instances.
-    """
-
-    suspicions: tuple[Suspicion, ...]
-
-
 class ServerLimits(Message, frozen=True, tag="limits"):
     """Rate limits of servers that the coordinator knows.
 
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -7,43 +7,29 @@
 time after the previous crash was known, is quarantined and not run again.
 """
 
-from collections import deque
-
-from arbutuspulley.delivery.suspects import (
-    Judgement,
-    SuspectState,
-    build_fingerprint,
-    build_mark,
-    clear_deaths,
-    clear_suspicion,
-    count_deaths,
-    evict_expired,
-    get_time_to_expiry_ms,
-    judge,
-    merge,
-    record_death,
+import asyncio
+
+from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.data import Value
+from arbutuspulley.delivery.crash_records import (
+    MAX_CRASHES,
+    TRIAL_MS,
+    count_crashes,
+    count_servers,
 )
+from arbutuspulley.delivery.suspects import build_fingerprint
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.link import Link
-from arbutuspulley.node.messages import SuspicionUpdate
+from arbutuspulley.node.messages import SuspicionUpdate, Trial
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.ports.fleet import InboundRequest
-from arbutuspulley.rpc.messages import Suspicion
 
-MAX_CRASHES = 3
-"""Number of crashes after which a request is quarantined. A harmless request, which is
-sent at most twice, can be in flight at two crashes: with a limit of two, one that was
-twice in flight beside the cause was quarantined with it."""
+TRIAL_RETRY_MS = 300
+"""Retry delay while another copy of a request is on trial, in ms."""
 
-MAX_SUSPECTS = 2_000
-"""Maximum number of suspects; a server that crashes adds 64 at once."""
-
-RETRACT_MS = 4_000
-"""Age up to which crashes are retracted when this instance finds that it reaches no
-server, in ms: its connections break up to 3 s after a network partition begins."""
-
-MAX_RECENT = 1_000
-"""Maximum number of recent crashes that can be retracted."""
+TRIAL_SPREAD_MS = 200
+"""Time over which copies that would be sent at once are spread, in ms, so that the
+first one is known to the other instances before they send theirs."""
 
 LOGGED_FINGERPRINT_LENGTH = 12
 """Length to which fingerprints are truncated in log lines."""
@@ -51,9 +37,15 @@
 MAX_LOGGED_REQUESTS = 10
 """Maximum number of requests that a log line names; it also has their count."""
 
-EVICT_INTERVAL_MS = 10_000
-"""Interval of evicting old suspects, in ms: a scan of 2,000 takes 7 ms, and a server
-that crashes adds 64 suspects at once."""
+
+class PoisonRefusal(Value, frozen=True):
+    """Why a request is not sent to a server now.
+
+    :param retry_after_ms: when it may be retried, in ms.
+    """
+
+    reason: str
+    retry_after_ms: int
 
 
 class PoisonGuard:
@@ -62,32 +54,90 @@
     :param link: link by which suspicions are shared with all instances.
     """
 
-    __slots__ = ("_evict_at", "_link", "_recent", "_state", "_suspects")
+    __slots__ = ("_link", "_own_trials", "_records", "_state")
 
     def __init__(self, *, state: NodeState, link: Link) -> None:
         self._state = state
         self._link = link
-        self._evict_at = 0
-        # Crashes that this instance has recorded: when, fingerprint, and death mark.
-        self._recent: deque[tuple[int, str, str]] = deque(maxlen=MAX_RECENT)
-        self._suspects = SuspectState(suspicions={}, changed_at={})
-        link.on_suspicions = self.merge_suspicions
+        self._records = state.crash_records
+        # Requests of this instance that are on trial, and until when that counts.
+        self._own_trials: dict[str, tuple[InboundRequest, int]] = {}
+        link.on_suspicions = self.merge_update
 
     def count_crashes(self, request: InboundRequest) -> int:
         """Return the number of known crashes with the request in flight."""
-        return count_deaths(self._find(request))
+        if not len(self._records):
+            return 0
+        return count_crashes(self._records.find(_get_fingerprint(request)))
 
-    def get_refusal(self, request: InboundRequest) -> int | None:
-        """Return when a quarantined request may be retried, in ms.
-
-        :return: ``None`` if the request is not quarantined and may run.
-        """
-        suspicion = self._find(request)
-        judgement = judge(suspicion, max_deaths=MAX_CRASHES)
-        if suspicion is None or judgement is not Judgement.QUARANTINED:
+    def get_refusal(self, request: InboundRequest) -> PoisonRefusal | None:
+        """Return why a request is not to be sent now; ``None``: it may be sent."""
+        if not len(self._records):
             return None
         now = self._state.clock.now()
-        return get_time_to_expiry_ms(self._suspects, suspicion.fingerprint, now=now)
+        fingerprint = _get_fingerprint(request)
+        if self._records.is_quarantined(fingerprint):
+            return PoisonRefusal(
+                reason="it crashed the servers that ran it",
+                retry_after_ms=self._records.get_time_to_expiry_ms(
+                    fingerprint, now=now
+                ),
+            )
+        if self._is_on_trial(request, fingerprint, now=now):
+            return PoisonRefusal(
+                reason="another copy of it runs after it was at crashes of servers",
+                retry_after_ms=TRIAL_RETRY_MS,
+            )
+        return None
+
+    def _is_on_trial(
+        self, request: InboundRequest, fingerprint: str, *, now: int
+    ) -> bool:
+        if not self._records.needs_trial(fingerprint):
+            return False
+        own, until = self._own_trials.get(fingerprint, (request, 0))
+        if own is not request and now < until:
+            return True
+        return self._records.is_on_trial(fingerprint, now=now)
+
+    async def delay_trial(self, request: InboundRequest) -> None:
+        """Wait for a random time before a request whose copies run one at a time."""
+        if not len(self._records):
+            return
+        if self._records.needs_trial(_get_fingerprint(request)):
+            delay_ms = self._state.rng.random() * TRIAL_SPREAD_MS
+            await asyncio.sleep(delay_ms / SECOND_MS)
+
+    def begin_attempt(self, request: InboundRequest) -> int:
+        """Record that a request is about to be sent to a server.
+
+        :return: the number of crashes that are known with it in flight.
+        """
+        if not len(self._records):
+            return 0
+        fingerprint = _get_fingerprint(request)
+        if self._records.needs_trial(fingerprint):
+            until = self._state.clock.now() + TRIAL_MS
+            self._own_trials[fingerprint] = (request, until)
+            self._send_trial(fingerprint)
+        return self.count_crashes(request)
+
+    def end_attempt(self, request: InboundRequest) -> None:
+        """Record that a server does not work on a request any more."""
+        if not self._own_trials:
+            return
+        fingerprint = _get_fingerprint(request)
+        if self._own_trials.get(fingerprint, (None, 0))[0] is request:
+            del self._own_trials[fingerprint]
+            self._send_trial(fingerprint, has_ended=True)
+
+    def _send_trial(self, fingerprint: str, *, has_ended: bool = False) -> None:
+        trial = Trial(
+            fingerprint=fingerprint,
+            instance=self._state.settings.name,
+            has_ended=has_ended,
+        )
+        self._link.send(SuspicionUpdate(trials=(trial,)))
 
     def record_crash(
         self, request: InboundRequest, *, incarnation: str, known: int
@@ -98,38 +148,22 @@
             more are known now, several copies of the request were in flight, or several
             servers failed at once; that counts as one crash.
         """
-        if self.count_crashes(request) != known:
-            self.record_ignored(
-                request,
-                incarnation=incarnation,
-                known=known,
-                why="sent before an earlier crash was known",
-            )
-            return
-        now = self._state.clock.now()
-        self._evict_old(now)
-        if len(self._suspects.suspicions) >= MAX_SUSPECTS:
-            self.record_ignored(
-                request,
-                incarnation=incarnation,
-                known=known,
-                why="too many suspects",
-            )
-            return
+        before = self.count_crashes(request)
         fingerprint = _get_fingerprint(request)
-        mark = build_mark(server=incarnation, boot_id="")
-        self._recent.append((now, fingerprint, mark))
-        suspicion = record_death(
-            self._suspects,
-            fingerprint=fingerprint,
-            server=incarnation,
-            boot_id="",
-            now=now,
+        suspicion = self._records.record(
+            fingerprint,
+            incarnation=incarnation,
+            known=known,
+            now=self._state.clock.now(),
         )
-        deaths = count_deaths(suspicion)
-        event = Event.SUSPECT_RECORDED
-        if deaths >= MAX_CRASHES:
+        deaths = count_crashes(suspicion)
+        is_counted = deaths > before
+        if not is_counted:
+            event = Event.BREAK_OFF_IGNORED
+        elif deaths >= MAX_CRASHES:
             event = Event.REQUEST_QUARANTINED
+        else:
+            event = Event.SUSPECT_RECORDED
         log_event(
             event,
             id=request.attempt_id,
@@ -137,79 +171,54 @@
             server=incarnation,
             known=known,
             deaths=deaths,
+            servers=count_servers(suspicion),
         )
-        self._state.metrics.break_offs.labels("counted").inc()
+        how = "counted" if is_counted else "ignored"
+        self._state.metrics.break_offs.labels(how).inc()
         self._link.send(SuspicionUpdate(suspicions=(suspicion,)))
 
-    def record_ignored(
-        self, request: InboundRequest, *, incarnation: str, known: int, why: str
-    ) -> None:
-        """Record that a server broke off a request and that no crash is counted.
+    def record_answer(self, incarnation: str, *, sent_at: int) -> None:
+        """Take back crashes of a server that has answered; it was not it that failed.
 
-        :param known: number of crashes that were known when the request was sent.
+        :param sent_at: when the request was sent that it answered, in ms.
         """
-        log_event(
-            Event.BREAK_OFF_IGNORED,
-            id=request.attempt_id,
-            request=_get_fingerprint(request)[:LOGGED_FINGERPRINT_LENGTH],
-            server=incarnation,
-            known=known,
-            deaths=self.count_crashes(request),
-            why=why,
+        cleared = self._records.clear_server(
+            incarnation, sent_at=sent_at, now=self._state.clock.now()
         )
-        self._state.metrics.break_offs.labels("ignored").inc()
-
-    def retract_recent(self) -> None:
-        """Retract recent crashes: the network of this instance broke, not servers.
-
-        Several instances may lose it at once. Each of them recorded a crash of another
-        server, and a harmless request that was in flight at three was quarantined.
-        """
-        now = self._state.clock.now()
-        retracted = []
-        while self._recent:
-            at, fingerprint, mark = self._recent.pop()
-            suspicion = self._suspects.suspicions.get(fingerprint)
-            if now - at <= RETRACT_MS and suspicion is not None:
-                retracted.append(clear_deaths(suspicion, (mark,)))
-        if not retracted:
+        if not cleared:
             return
-        merge(self._suspects, retracted, now=now)
         log_event(
             Event.SUSPECTS_RETRACTED,
-            count=len(retracted),
+            count=len(cleared),
+            server=incarnation,
             requests=[
                 one.fingerprint[:LOGGED_FINGERPRINT_LENGTH]
-                for one in retracted[:MAX_LOGGED_REQUESTS]
+                for one in cleared[:MAX_LOGGED_REQUESTS]
             ],
         )
-        self._link.send(SuspicionUpdate(suspicions=tuple(retracted)))
+        self._link.send(SuspicionUpdate(suspicions=cleared))
 
     def clear(self, request: InboundRequest) -> None:
         """Clear a request that completed; it caused no crash."""
-        suspicion = self._find(request)
-        if suspicion is None or not count_deaths(suspicion):
+        if not len(self._records):
             return
-        fingerprint = suspicion.fingerprint
-        clear_suspicion(self._suspects, fingerprint, now=self._state.clock.now())
-        cleared = self._suspects.suspicions[fingerprint]
-        self._link.send(SuspicionUpdate(suspicions=(cleared,)))
+        cleared = self._records.clear(
+            _get_fingerprint(request), now=self._state.clock.now()
+        )
+        if cleared is not None:
+            self._link.send(SuspicionUpdate(suspicions=(cleared,)))
 
-    def merge_suspicions(self, suspicions: tuple[Suspicion, ...]) -> None:
-        """Merge suspicions from another instance."""
+    def merge_update(self, update: SuspicionUpdate) -> None:
+        """Merge what another instance has recorded."""
         now = self._state.clock.now()
-        self._evict_old(now)
-        merge(self._suspects, suspicions[:MAX_SUSPECTS], now=now)
-
-    def _evict_old(self, now: int) -> None:
-        if now >= self._evict_at:
-            self._evict_at = now + EVICT_INTERVAL_MS
-            evict_expired(self._suspects, now=now)
-
-    def _find(self, request: InboundRequest) -> Suspicion | None:
-        if not self._suspects.suspicions:
-            return None
-        return self._suspects.suspicions.get(_get_fingerprint(request))
+        self._records.merge(update.suspicions, ages_ms=update.ages_ms, now=now)
+        for trial in update.trials:
+            if trial.instance == self._state.settings.name:
+                continue
+            if trial.has_ended:
+                self._records.end_trial(trial.fingerprint, trial.instance)
+            else:
+                self._records.record_trial(trial.fingerprint, trial.instance, now=now)
 
 
 def _get_fingerprint(request: InboundRequest) -> str:
--- a/src/arbutuspulley/node/server_paths.py
+++ b/src/arbutuspulley/node/server_paths.py
@@ -63,7 +63,6 @@
     """Sends requests to servers, and finds out which ones this instance can reach.
 
     :param on_change: called when this instance has lost or regained the servers.
-    :param on_lost: called when it has lost them.
     """
 
     __slots__ = (
@@ -71,7 +70,6 @@
         "_in_flight",
         "_lost_at",
         "_on_change",
-        "_on_lost",
         "_probed_at",
         "_probes",
         "_state",
@@ -83,11 +81,9 @@
         *,
         state: NodeState,
         on_change: Callable[[], None],
-        on_lost: Callable[[], None],
     ) -> None:
         self._state = state
         self._on_change = on_change
-        self._on_lost = on_lost
         # Attempts in flight by server address, on own connections.
         self._in_flight: dict[str, int] = {}
         self._busy_since = 0
@@ -236,7 +232,6 @@
                 silent_ms=now - reach.heard_at,
                 others=len(self._list_helpers()),
             )
-            self._on_lost()
         else:
             log_event(Event.SERVERS_REGAINED, lost_ms=now - self._lost_at)
             self._lost_at = None
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -12,6 +12,7 @@
 from arbutuspulley.admission.rate_limits import KnownRateLimits
 from arbutuspulley.clock import Clock
 from arbutuspulley.delivery.begun_streams import BegunStreams
+from arbutuspulley.delivery.crash_records import CrashRecords
 from arbutuspulley.membership.capacity import get_capacity
 from arbutuspulley.membership.leaving import LeavingServers
 from arbutuspulley.membership.server_reach import ServerReach, is_cut_off
@@ -73,6 +74,7 @@
     :param server_reach: servers that this instance can't connect to.
     :param software_versions: versions of the servers' software, by service.
     :param begun_streams: streams that callers may resume, also of other instances.
+    :param crash_records: requests that were in flight as servers crashed, likewise.
     :param is_coordinator: whether this instance is the coordinator.
     :param estimates: estimates last sent by the coordinator; used if this instance
         becomes its successor.
@@ -100,6 +102,7 @@
         "configuration",
         "configuration_body",
         "cooldowns",
+        "crash_records",
         "deferrable_rows",
         "entries",
         "entry_bodies",
@@ -178,6 +181,7 @@
         self.server_reach = ServerReach()
         self.software_versions = ServiceVersions()
         self.begun_streams = BegunStreams()
+        self.crash_records = CrashRecords()
         self.row_positions: dict[str, StorePosition] = {}
         self.removed_starts: dict[str, int] = {}
         self.lapsing: dict[str, StorePosition] = {}
--- a/src/arbutuspulley/programs/node.py
+++ b/src/arbutuspulley/programs/node.py
@@ -147,9 +147,7 @@
     election = Election(state=state, lease=lease, link=link, coordinator=coordinator)
     poison = PoisonGuard(state=state, link=link)
     paths = ServerPaths(
-        state=state,
-        on_change=lambda: link.send(link.build_heartbeat()),
-        on_lost=poison.retract_recent,
+        state=state, on_change=lambda: link.send(link.build_heartbeat())
     )
     frontend = Frontend(state=state, link=link, poison=poison, paths=paths)
     servers = await _listen(state, link, coordinator, frontend, metrics_port)
--- /dev/null
+++ b/tests/test_crash_records.py
@@ -0,0 +1,94 @@
+"""What an instance keeps of requests that were in flight as servers crashed."""
+
+import pytest
+
+from arbutuspulley.delivery.crash_records import (
+    MAX_CRASHES,
+    MAX_MARKS,
+    MAX_SUSPECTS,
+    CrashRecords,
+    count_crashes,
+    count_servers,
+)
+from arbutuspulley.delivery.suspects import QUARANTINE_MS, SUSPICION_MS
+from arbutuspulley.rpc.messages import Suspicion
+
+
+def record_crashes(records, fingerprint, *, count=MAX_CRASHES, now=0):
+    for known in range(count):
+        records.record(
+            fingerprint, incarnation=f"{fingerprint}{known}", known=known, now=now
+        )
+
+
+def list_incarnations(records):
+    return set(records._known_at)
+
+
+def test_suspects_are_bounded_and_the_worst_are_kept():
+    """Guards against memory that grows with each crash, and against a request that is
+    not recorded because many others were in flight at crashes before."""
+    records = CrashRecords()
+    record_crashes(records, "worst")
+    for number in range(MAX_SUSPECTS + 10):
+        records.record(f"r{number}", incarnation=f"s{number}", known=0, now=number)
+        assert len(records) <= MAX_SUSPECTS
+    assert records.is_quarantined("worst")
+    assert records.find(f"r{MAX_SUSPECTS + 9}") is not None
+    assert records.find("r0") is None
+    assert "s0" not in list_incarnations(records)
+
+
+def test_what_other_instances_tell_is_bounded():
+    records = CrashRecords()
+    records.merge(
+        [
+            Suspicion(fingerprint=f"r{number}", deaths=("s/0",))
+            for number in range(2 * MAX_SUSPECTS)
+        ],
+        now=0,
+    )
+    assert len(records) <= MAX_SUSPECTS
+    records.merge(
+        [
+            Suspicion(
+                fingerprint="many", deaths=tuple(f"s{n}/{n % 4}" for n in range(500))
+            )
+        ],
+        now=0,
+    )
+    assert len(records.find("many").deaths) == MAX_MARKS
+    assert records.is_quarantined("many")
+    assert len(list_incarnations(records)) <= MAX_MARKS + 1
+
+
+@pytest.mark.parametrize(
+    ("count", "life_ms"),
+    [(MAX_CRASHES - 1, SUSPICION_MS), (MAX_CRASHES, QUARANTINE_MS)],
+)
+def test_suspects_expire(count, life_ms):
+    records = CrashRecords()
+    record_crashes(records, "old", count=count)
+    assert records.get_time_to_expiry_ms("old", now=0) == life_ms
+    for passed_ms, is_kept in ((life_ms - 1, True), (life_ms + 20_000, False)):
+        records.record("new", incarnation="s", known=0, now=passed_ms)
+        assert (records.find("old") is not None) is is_kept
+    assert list_incarnations(records) == {"s"}
+
+
+def test_crashes_stated_by_an_older_release_count_one_by_one():
+    suspicion = Suspicion(fingerprint="r", deaths=("s0/", "s1/", "s2/"))
+    assert count_crashes(suspicion) == MAX_CRASHES
+    assert count_servers(suspicion) == MAX_CRASHES
+
+
+def test_crashes_of_copies_that_were_sent_at_once_count_as_one():
+    suspicion = Suspicion(fingerprint="r", deaths=("s0/0", "s1/0", "s2/1", "s3/1"))
+    assert (count_crashes(suspicion), count_servers(suspicion)) == (2, 4)
+
+
+def test_merging_again_changes_nothing():
+    """Guards against instances that tell each other of the same crash for ever."""
+    records = CrashRecords()
+    record_crashes(records, "r")
+    assert records.merge([records.find("r")], now=5) == ()
