Tell instances that link up which requests crashed servers

A process that started knew of no earlier crashes, and what an instance recorded while no coordinator was there was lost with the message: three more servers crashed under a request that all instances had refused, once each had been restarted.

Ages keep a quarantine from growing with each process that starts. An older release ignores the field.

--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -56,6 +56,7 @@
     is_following_store,
 )
 from arbutuspulley.node.stream_versions import add_copies, list_copies
+from arbutuspulley.node.suspects import build_suspects
 from arbutuspulley.ports.fleet import AttemptOutcome
 
 LINK_PATH = "/link"
@@ -493,6 +494,7 @@
             leaving=state.leaving.list_all(),
             cooldowns=list_cooldowns(state),
             streams=list_copies(state),
+            suspects=build_suspects(state),
         )
 
     def build_heartbeat(self) -> Heartbeat:
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -129,6 +129,7 @@
     :param leaving: incarnations of servers that it knows to be leaving by an answer.
     :param cooldowns: servers that want no requests from it for a while.
     :param streams: streams that it knows to have begun.
+    :param suspects: requests that it knows to have been in flight at crashes.
     """
 
     info: NodeInfo
@@ -141,6 +142,7 @@
     cooldowns: tuple[ServerCooldown, ...] = ()
     store_era: int = 0
     streams: tuple[StreamCopies, ...] = ()
+    suspects: SuspicionUpdate = SuspicionUpdate()
 
     @property
     def store_position(self) -> StorePosition:
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -11,7 +11,9 @@
     count_servers,
 )
 from arbutuspulley.delivery.suspects import QUARANTINE_MS, SUSPICION_MS
+from arbutuspulley.node.suspects import MAX_SUSPECTS_IN_UPDATE, build_suspects
 from arbutuspulley.rpc.messages import Suspicion
+from tests.node_states import build_state
 
 
 def record_crashes(records, fingerprint, *, count=MAX_CRASHES, now=0):
@@ -76,6 +78,31 @@
     assert list_incarnations(records) == {"s"}
 
 
+def test_a_process_that_starts_does_not_prolong_a_quarantine():
+    """Guards against a request that is refused for ever because each process that
+    starts counts its quarantine from then."""
+    state, late = build_state(), CrashRecords()
+    record_crashes(state.crash_records, "old", now=state.clock.now() - SUSPICION_MS)
+    update = build_suspects(state)
+    late.merge(update.suspicions, ages_ms=update.ages_ms, now=0)
+    left_ms = late.get_time_to_expiry_ms("old", now=0)
+    assert left_ms == pytest.approx(QUARANTINE_MS - SUSPICION_MS, abs=1_000)
+
+
+def test_an_instance_that_links_up_is_told_of_the_worst():
+    """Guards against a process that starts and sends on what crashed servers before."""
+    state = build_state()
+    for number in range(3 * MAX_SUSPECTS_IN_UPDATE):
+        state.crash_records.record(f"r{number}", incarnation="s", known=0, now=0)
+    record_crashes(state.crash_records, "worst")
+    record_crashes(state.crash_records, "cleared")
+    state.crash_records.clear("cleared", now=0)
+    told = [one.fingerprint for one in build_suspects(state).suspicions]
+    assert told[0] == "worst"
+    assert "cleared" not in told
+    assert len(told) == MAX_SUSPECTS_IN_UPDATE
+
+
 def test_crashes_stated_by_an_older_release_count_one_by_one():
     suspicion = Suspicion(fingerprint="r", deaths=("s0/", "s1/", "s2/"))
     assert count_crashes(suspicion) == MAX_CRASHES
