Keep a request suspect that a server answered with an error

A request that crashes servers was cleared of it by any complete answer, a 500 of a server too, and could then crash three more. Servers answer some requests with errors of their own; that the request would not have crashed this one does not follow. Answers from 500 on clear nothing.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -36,6 +36,7 @@
     is_event_stream,
     is_misdirected,
     is_not_run,
+    is_server_error,
     select_answer_headers,
 )
 from arbutuspulley.platform.transport import (
@@ -259,7 +260,8 @@
                 answer = await self._handle_answer(entry, response)
                 progress.answer_end = AnswerEnd.COMPLETE
                 outcome = AttemptOutcome.DONE
-                self._poison.clear(self._request)
+                if not is_server_error(response.status):
+                    self._poison.clear(self._request)
                 took_ms = state.clock.now() - now
                 return answer
             except _NotRunError:
@@ -380,7 +382,7 @@
         body = await read_body(response)
         # After a server error the request counts as run, so it is retried only if it
         # may run twice: another server may not have that error.
-        if response.status >= 500 and self._may_retry():
+        if is_server_error(response.status) and self._may_retry():
             self.progress.avoid.add(self.progress.server)
             self._log_failure(
                 f"server error {response.status}",
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -133,6 +133,11 @@
     return status in _NOT_RUN_STATUSES and names.NOT_EXECUTED in headers
 
 
+def is_server_error(status: int) -> bool:
+    """Return whether an answer reports an error of the server, not of the request."""
+    return status >= 500
+
+
 def is_answer_to(request: InboundRequest, headers: Mapping[str, str]) -> bool:
     """Return whether an answer comes from a server and belongs to this request."""
     if headers.get(names.ATTEMPT_ID, "") != request.attempt_id:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -27,6 +27,9 @@
 EVERY_S = 0.15
 """Interval at which they do, in s."""
 
+TOLD_S = 0.2
+"""Time after which all nodes know what one of them, or the store, has seen, in s."""
+
 MAX_REFUSED_S = 3.0
 """Time after which a harmless request is served once the servers are back, in s."""
 
@@ -278,19 +281,30 @@
     it with an error of its own before it crashed."""
 
     async def scenario(fleet, session):
-        callers = Callers(fleet, session, "unsafe", every_s=0.3)
-        plain = [one for one in fleet.servers if one.service == "plain"]
-
-        async def answer_with_errors():
-            for server in itertools.cycle(plain):
-                server.fails, server.crashes_on = True, b""
-                await asyncio.sleep(0.3)
-                server.fails, server.crashes_on = False, POISON
+        path, model = ROUTES["unsafe"]
+
+        async def ask(number):
+            await asyncio.sleep(DOWN_S + TOLD_S)
+            return await fleet.ask(
+                session,
+                NAMES[number % len(NAMES)],
+                path,
+                attempt=f"a{number}",
+                body=POISON,
+                model=model,
+            )
 
-        erring = asyncio.create_task(answer_with_errors())
-        await callers.repeat()
-        erring.cancel()
-        callers.check()
+        assert [await ask(0), await ask(1)] == [502, 502]
+        on_break = [server.on_break for server in fleet.servers]
+        for server in fleet.servers:
+            server.fails, server.crashes_on = True, b""
+            server.on_break = lambda: None
+        assert await ask(2) == 500
+        for server, crash in zip(fleet.servers, on_break, strict=True):
+            server.fails, server.crashes_on = False, POISON
+            server.on_break = crash
+        assert [await ask(3), await ask(4)] == [502, 503]
+        assert len(fleet.crashes) == 3
 
     run_crashes(tmp_path, scenario, plain=6)
 
