Test guards of suspect requests that no test without a network had missed

Each of the 35 guards of the crash records, of the trials and of what instances tell each other was taken out once by hand on a clone.

--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -1,19 +1,26 @@
 """What an instance keeps of requests that were in flight as servers crashed."""
 
+import msgspec
 import pytest
 
 from arbutuspulley.delivery.crash_records import (
+    EVICT_INTERVAL_MS,
     MAX_CRASHES,
     MAX_MARKS,
     MAX_SUSPECTS,
+    TRIAL_MS,
     CrashRecords,
     count_crashes,
     count_servers,
 )
 from arbutuspulley.delivery.suspects import QUARANTINE_MS, SUSPICION_MS
+from arbutuspulley.membership.coordinator_lease import CoordinatorLeaseState
+from arbutuspulley.node.coordinator import Coordinator
+from arbutuspulley.node.link import Link
+from arbutuspulley.node.messages import Hello, SuspicionUpdate
 from arbutuspulley.node.suspects import MAX_SUSPECTS_IN_UPDATE, build_suspects
 from arbutuspulley.rpc.messages import Suspicion
-from tests.node_states import build_state
+from tests.node_states import build_info, build_state
 
 
 def record_crashes(records, fingerprint, *, count=MAX_CRASHES, now=0):
@@ -119,3 +126,66 @@
     records = CrashRecords()
     record_crashes(records, "r")
     assert records.merge([records.find("r")], now=5) == ()
+
+
+def test_one_server_counts_once_however_many_crashes_were_known():
+    """Guards against copies on one server that count as several crashes, or as fewer
+    than those that came before."""
+    for number in range(20):
+        first, second = f"a{number}", f"b{number}"
+        suspicion = Suspicion(
+            fingerprint="r", deaths=(f"{first}/0", f"{first}/1", f"{second}/0")
+        )
+        assert (count_crashes(suspicion), count_servers(suspicion)) == (2, 2)
+
+
+def test_old_news_does_not_shorten_a_quarantine():
+    """Guards against a request that is sent again early because an instance that links
+    up tells of an older crash."""
+    records = CrashRecords()
+    record_crashes(records, "r", now=100_000)
+    older = Suspicion(fingerprint="r", deaths=("s9/0",))
+    assert records.merge([older], ages_ms=[50_000], now=100_000)
+    assert records.get_time_to_expiry_ms("r", now=100_000) == QUARANTINE_MS
+
+
+def test_trials_of_other_instances_are_bounded_and_end_by_themselves():
+    """Guards against memory that grows with instances that are killed."""
+    records = CrashRecords()
+    for number in range(MAX_SUSPECTS + 10):
+        records.record_trial(f"r{number}", "n1", now=0)
+    assert len(records._trials) == MAX_SUSPECTS
+    records.merge([], now=TRIAL_MS + EVICT_INTERVAL_MS)
+    assert not records._trials
+
+
+def test_a_coordinator_learns_what_instances_know_and_tells_all_others():
+    """Guards against crashes that only a lost coordinator, or one instance, knew."""
+    knowing, state = build_state(), build_state()
+    record_crashes(knowing.crash_records, "known")
+    record_crashes(state.crash_records, "own")
+    lease = CoordinatorLeaseState(name="own", link="own:1", boot="b", lease_ms=3_000)
+    coordinator = Coordinator(
+        state=state, lease=lease, receive_local=lambda _messages: None
+    )
+    coordinator.is_active = True
+    hello = Hello(info=build_info("x"))
+    peer = coordinator.add_peer([hello])
+    assert list_told(peer) == {"own"}
+    linking = Link(state=knowing).build_hello()
+    late = coordinator.add_peer(
+        [msgspec.structs.replace(linking, info=build_info("y"))]
+    )
+    assert state.crash_records.is_quarantined("known")
+    assert list_told(peer) == {"own", "known"}
+    assert list_told(late) == {"own", "known"}
+
+
+def list_told(peer):
+    """Return the requests that an instance has been told of."""
+    return {
+        suspicion.fingerprint
+        for message in peer.outgoing
+        if isinstance(message, SuspicionUpdate)
+        for suspicion in message.suspicions
+    }
