Try a quarantined request once more, as it may be harmless

A model of instances, servers and callers in virtual time plays the real crash records over each pair of five troubles (tests/crash_model.py).

The coordinator's instance alone tries a quarantined request again: after 5 to 10 s if an instance has seen it complete before, or if other quarantined requests were at each of its crashes, else after 60 to 120 s. One that never completed is tried once, within the three retries that are allowed; one that did is tried again at doubled times up to ten minutes.

--- a/src/arbutuspulley/delivery/crash_records.py
+++ b/src/arbutuspulley/delivery/crash_records.py
@@ -13,7 +13,7 @@
 
 from collections.abc import Iterable
 
-from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.clock import SECOND_MS, compute_backoff_ms
 from arbutuspulley.delivery.suspects import (
     QUARANTINE_MS,
     SUSPICION_MS,
@@ -28,6 +28,30 @@
 sent at most twice, can be in flight at two crashes: with a limit of two, one that was
 twice in flight beside the cause was quarantined with it."""
 
+RETRIAL_DELAY_MS = 5 * SECOND_MS
+MAX_RETRIAL_DELAY_MS = 600 * SECOND_MS
+"""Time after which a quarantined request that is likely harmless is tried once more, in
+ms, doubled at each further crash up to the maximum."""
+
+UNEXPLAINED_RETRIAL_DELAY_MS = 60 * SECOND_MS
+"""The same time for a request that nothing speaks for, in ms."""
+
+MAX_RETRIALS = 1
+"""Number of times that a quarantined request is tried again if it has never completed.
+"""
+
+MAX_COMPLETED = 4_096
+"""Number of the requests that completed last that are known by their fingerprints, some
+0.5 MB."""
+
+RETRIAL_SPREAD = 1.0
+"""Share of that delay over which retrials are spread, so that those of requests that
+were at the same crashes do not run together."""
+
+RETRIAL_POLL_MS = SECOND_MS
+"""Retry delay while another instance is to try a quarantined request once more, in
+ms."""
+
 MIN_SERVERS_FOR_TRIAL = 2
 """Number of servers that have crashed under a request from which on its copies are sent
 one at a time."""
@@ -49,6 +73,9 @@
 """Interval of evicting old suspects, in ms: a scan of 2,000 takes 7 ms, and a server
 that crashes adds 64 suspects at once."""
 
+_COMPLETED_MARK = "completed"
+"""Entry among the cleared crashes of a request that completed before it was at one."""
+
 _UNSTATED_DEPTH = 1_000
 """Depth of a crash of an instance that states none: it counts by itself."""
 
@@ -91,7 +118,14 @@
     :data:`SUSPICION_MS` after its last change.
     """
 
-    __slots__ = ("_changed_at", "_evict_at", "_known_at", "_suspicions", "_trials")
+    __slots__ = (
+        "_changed_at",
+        "_completed",
+        "_evict_at",
+        "_known_at",
+        "_suspicions",
+        "_trials",
+    )
 
     def __init__(self) -> None:
         self._suspicions: dict[str, Suspicion] = {}
@@ -100,6 +134,8 @@
         self._known_at: dict[str, dict[str, int]] = {}
         # Other instances that run a request on trial, and until when that counts.
         self._trials: dict[str, tuple[str, int]] = {}
+        # Requests that completed here, the last one at the end.
+        self._completed: dict[str, None] = {}
         self._evict_at = 0
 
     def __len__(self) -> int:
@@ -117,15 +153,23 @@
         :param known: number of crashes that were known when the request was sent.
         """
         mark = build_mark(server=incarnation, boot_id=str(known))
-        suspicion = Suspicion(fingerprint=fingerprint, deaths=(mark,))
+        suspicion = Suspicion(
+            fingerprint=fingerprint,
+            deaths=(mark,),
+            cleared=(_COMPLETED_MARK,) if fingerprint in self._completed else (),
+        )
         self.merge((suspicion,), now=now)
         return self._suspicions.get(fingerprint, suspicion)
 
     def clear(self, fingerprint: str, *, now: int) -> Suspicion | None:
-        """Take back all crashes of a request that completed.
+        """Record that a request completed, and take back all crashes under it.
 
         :return: what other instances have to know; ``None``: nothing.
         """
+        self._completed.pop(fingerprint, None)
+        self._completed[fingerprint] = None
+        if len(self._completed) > MAX_COMPLETED:
+            del self._completed[next(iter(self._completed))]
         suspicion = self._suspicions.get(fingerprint)
         if suspicion is None or not count_servers(suspicion):
             return None
@@ -215,6 +259,44 @@
         """Return whether a request is not to be run any more."""
         return count_crashes(self._suspicions.get(fingerprint)) >= MAX_CRASHES
 
+    def get_wait_ms(self, fingerprint: str, *, may_retry: bool, now: int) -> int:
+        """Return for how long a request is not to be run, in ms; 0: it may run.
+
+        :param may_retry: whether this instance may try a quarantined request once more;
+            only one may, as others would do so at the same time.
+
+        A harmless request that many callers send may be in flight at each crash that
+        another one, or a power failure, causes. Only a further run tells them apart.
+        """
+        if not self.is_quarantined(fingerprint):
+            return 0
+        expiry_ms = max(1, self.get_time_to_expiry_ms(fingerprint, now=now))
+        suspicion = self._suspicions[fingerprint]
+        retrials = count_crashes(suspicion) - MAX_CRASHES
+        has_completed = _COMPLETED_MARK in suspicion.cleared
+        if retrials >= MAX_RETRIALS and not has_completed:
+            return expiry_ms
+        is_likely_harmless = has_completed or self._is_explained(suspicion)
+        delay_ms = compute_backoff_ms(
+            RETRIAL_DELAY_MS if is_likely_harmless else UNEXPLAINED_RETRIAL_DELAY_MS,
+            max_ms=MAX_RETRIAL_DELAY_MS,
+            count=1 + retrials,
+        )
+        retrial_at = self._changed_at[fingerprint] + _spread(delay_ms, fingerprint)
+        least_ms = 0 if may_retry else RETRIAL_POLL_MS
+        return min(expiry_ms, max(least_ms, retrial_at - now))
+
+    def _is_explained(self, suspicion: Suspicion) -> bool:
+        """Return whether other quarantined requests were at each of its crashes."""
+        return all(
+            any(
+                self.is_quarantined(other)
+                for other in self._known_at.get(incarnation, ())
+                if other != suspicion.fingerprint
+            )
+            for incarnation in _list_depths(suspicion)
+        )
+
     def needs_trial(self, fingerprint: str) -> bool:
         """Return whether copies of a request are to be sent one at a time."""
         servers = count_servers(self._suspicions.get(fingerprint))
@@ -281,6 +363,12 @@
             del self._known_at[incarnation]
 
 
+def _spread(delay_ms: int, fingerprint: str) -> int:
+    """Prolong a delay by a share that depends on the request, alike everywhere."""
+    share = int(fingerprint[:4], 16) / 0xFFFF
+    return int(delay_ms * (1 + RETRIAL_SPREAD * share))
+
+
 def _truncate(suspicion: Suspicion) -> Suspicion:
     """Keep only so many crashes of a request, those that count most."""
     if len(suspicion.deaths) <= MAX_MARKS and len(suspicion.cleared) <= MAX_MARKS:
@@ -293,6 +381,6 @@
     return Suspicion(
         fingerprint=suspicion.fingerprint,
         deaths=tuple(sorted(kept)),
-        cleared=tuple(sorted(cleared.intersection(kept))),
+        cleared=tuple(sorted(cleared.intersection((*kept, _COMPLETED_MARK)))),
         clear=cleared.issuperset(kept),
     )
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -76,12 +76,12 @@
             return None
         now = self._state.clock.now()
         fingerprint = _get_fingerprint(request)
-        if self._records.is_quarantined(fingerprint):
+        wait_ms = self._records.get_wait_ms(
+            fingerprint, may_retry=self._state.is_coordinator, now=now
+        )
+        if wait_ms:
             return PoisonRefusal(
-                reason="it crashed the servers that ran it",
-                retry_after_ms=self._records.get_time_to_expiry_ms(
-                    fingerprint, now=now
-                ),
+                reason="it crashed the servers that ran it", retry_after_ms=wait_ms
             )
         if self._is_on_trial(request, fingerprint, now=now):
             return PoisonRefusal(
@@ -200,8 +200,6 @@
 
     def clear(self, request: InboundRequest) -> None:
         """Clear a request that completed; it caused no crash."""
-        if not len(self._records):
-            return
         cleared = self._records.clear(
             _get_fingerprint(request), now=self._state.clock.now()
         )
--- /dev/null
+++ b/tests/crash_model.py
@@ -0,0 +1,376 @@
+"""A model of instances, servers and callers in virtual time, without a network.
+
+The instances' crash records and guards are the real ones. Links, servers, callers and
+troubles are modelled: messages take time, are lost without a coordinator, and wait for
+an instance that is frozen. Everything is drawn from one seed.
+"""
+
+import heapq
+import itertools
+import random
+
+from arbutuspulley.clock import Clock
+from arbutuspulley.delivery.crash_records import CrashRecords
+from arbutuspulley.node.messages import SuspicionUpdate
+from arbutuspulley.node.metrics import NodeMetrics
+from arbutuspulley.node.poison import TRIAL_SPREAD_MS, PoisonGuard
+from arbutuspulley.node.suspects import build_suspects
+from arbutuspulley.platform.requests import decode_request
+from tests.node_states import build_state
+
+CONTACT_MS = 3_000
+"""Time after the third crash, or after a trouble of an instance, from which on retries
+count, in ms."""
+
+DOWN_MS = (200, 3_500)
+"""Shortest and longest time from a crash to the next start of a server, in ms."""
+
+MESSAGE_MS = (1, 6)
+"""Shortest and longest time that a message takes on one link, in ms."""
+
+RUN_MS = {True: (5, 400), False: (20, 1_500)}
+"""How long requests run, in ms: those that crash their server, and harmless ones."""
+
+PLAY_MS = 150_000
+QUIET_MS = 128_000
+"""Duration of a play, and of its end without troubles, in ms."""
+
+METRICS = NodeMetrics()
+SETTINGS = build_state().settings
+
+MAX_ATTEMPTS = 2
+
+
+class ModelInstance:
+    """An instance: its guard, its link, and what it can reach."""
+
+    def __init__(self, model, name):
+        self.model = model
+        self.name = name
+        self.clock = Clock(read=lambda: model.now)
+        self.metrics = METRICS
+        self.settings = SETTINGS.__class__(
+            **{field: getattr(SETTINGS, field) for field in SETTINGS.__struct_fields__}
+            | {"name": name}
+        )
+        self.frozen_until = 0
+        self.cut_until = 0
+        self.troubled_until = 0
+        self.start()
+
+    @property
+    def is_coordinator(self):
+        return self.model.coordinator is self
+
+    def start(self):
+        """Start as a process that knows nothing."""
+        self.boot = object()
+        self.crash_records = CrashRecords()
+        self.guard = PoisonGuard(state=self, link=self)
+        self.is_linked = False
+        self.model.after(self.model.draw((50, 800)), self.link_up)
+
+    def link_up(self):
+        """Exchange what is known with the coordinator, once there is one."""
+        coordinator = self.model.coordinator
+        if coordinator is None or coordinator is self:
+            return
+        self.is_linked = True
+        self.model.deliver(coordinator, build_suspects(self), relays=True)
+        self.model.deliver(self, build_suspects(coordinator))
+
+    def send(self, message):
+        """Send to the coordinator, which relays to all."""
+        coordinator = self.model.coordinator
+        if coordinator is None or not (self.is_linked or coordinator is self):
+            return
+        self.model.deliver(coordinator, message, relays=True)
+
+    def receive(self, message, *, relays):
+        self.guard.merge_update(message)
+        if relays and self.model.coordinator is self:
+            for other in self.model.instances:
+                if other is not self and other.is_linked:
+                    self.model.deliver(other, message)
+
+
+class ModelServer:
+    """A server, which runs requests and crashes."""
+
+    def __init__(self, number):
+        self.number = number
+        self.starts = 0
+        self.is_up = True
+        self.runs = {}
+
+    @property
+    def incarnation(self):
+        return f"s{self.number}.{self.starts}"
+
+
+class Attempt:
+    """One run of a request at a server."""
+
+    def __init__(self, *, instance, request, server, known, sent_at, left):
+        self.instance = instance
+        self.boot = instance.boot
+        self.request = request
+        self.server = server
+        self.incarnation = server.incarnation
+        self.known = known
+        self.sent_at = sent_at
+        self.left = left
+
+
+class CrashModel:
+    """One play of a plan of troubles."""
+
+    def __init__(self, *, seed, instances=6, servers=3, poisons=1, copies=1, every_ms):
+        self.rng = random.Random(seed)
+        self.now = 0
+        self._events = []
+        self._numbers = itertools.count()
+        self.coordinator = None
+        self.instances = []
+        for number in range(instances):
+            self.instances.append(ModelInstance(self, f"n{number}"))
+        self.servers = [ModelServer(number) for number in range(servers)]
+        self.copies = copies
+        self.every_ms = every_ms
+        self.poisons = [b"poison%d" % number for number in range(poisons)]
+        self.crashes = {body: [] for body in self.poisons}
+        self.retries = {body: [] for body in self.poisons}
+        self.answers = []
+        self.elect()
+
+    def draw(self, bounds):
+        return self.rng.uniform(*bounds)
+
+    def after(self, delay_ms, call, *args):
+        entry = (self.now + delay_ms, next(self._numbers), call, args)
+        heapq.heappush(self._events, entry)
+
+    def run(self):
+        """Play to the end."""
+        for body in self.poisons:
+            self.after(self.draw((500, 1_500)), self.repeat, body, self.every_ms)
+        for number in range(3):
+            body = b"harmless%d" % number
+            self.after(self.draw((0, 300)), self.repeat, body, 120)
+        while self._events and self.now < PLAY_MS:
+            self.now, _, call, args = heapq.heappop(self._events)
+            call(*args)
+
+    def elect(self):
+        """Make another instance the coordinator; all others link up to it."""
+        now = self.now
+        able = [one for one in self.instances if one.frozen_until <= now]
+        others = [one for one in able if one is not self.coordinator]
+        self.coordinator = self.rng.choice(others)
+        for one in self.instances:
+            one.is_linked = False
+            self.after(self.draw((20, 500)), one.link_up)
+
+    def lose_coordinator(self):
+        """Let no instance coordinate for a while."""
+        self.coordinator = None
+        for one in self.instances:
+            one.is_linked = False
+        self.after(self.draw((300, 2_000)), self.elect)
+
+    def deliver(self, instance, message, *, relays=False):
+        boot = instance.boot
+
+        def arrive():
+            if instance.boot is not boot:
+                return
+            if instance.frozen_until > self.now:
+                self.after(instance.frozen_until - self.now, arrive)
+                return
+            instance.receive(message, relays=relays)
+
+        assert isinstance(message, SuspicionUpdate)
+        self.after(self.draw(MESSAGE_MS), arrive)
+
+    def repeat(self, body, every_ms):
+        """Send a request again and again, some copies at once."""
+        copies = self.copies if body in self.crashes else 1
+        for instance in self.rng.sample(self.instances, copies):
+            self.ask(instance, build_request(body), MAX_ATTEMPTS)
+        self.after(
+            self.draw((0.5 * every_ms, 1.5 * every_ms)), self.repeat, body, every_ms
+        )
+
+    def ask(self, instance, request, left):
+        if instance.frozen_until > self.now:
+            self.after(
+                instance.frozen_until - self.now, self.ask, instance, request, left
+            )
+            return
+        if instance.guard.get_refusal(request) is not None:
+            self.record_answer(instance, request, "refused")
+            return
+        fingerprint = request.fingerprint
+        delay_ms = 0.0
+        if fingerprint and instance.crash_records.needs_trial(fingerprint):
+            delay_ms = self.rng.random() * TRIAL_SPREAD_MS
+        self.after(delay_ms, self.send, instance, instance.boot, request, left)
+
+    def send(self, instance, boot, request, left):
+        if instance.boot is not boot:
+            return
+        if instance.guard.get_refusal(request) is not None:
+            self.record_answer(instance, request, "refused")
+            return
+        server = self.rng.choice(self.servers)
+        if not server.is_up or not self.can_send(instance):
+            self.record_answer(instance, request, "out of reach")
+            return
+        known = instance.guard.begin_attempt(request)
+        attempt = Attempt(
+            instance=instance,
+            request=request,
+            server=server,
+            known=known,
+            sent_at=self.now,
+            left=left - 1,
+        )
+        is_poison = request.body in self.crashes
+        if is_poison:
+            self.record_retry(instance, request)
+        server.runs[attempt] = server.incarnation
+        run_ms = self.draw(RUN_MS[is_poison])
+        self.after(run_ms, self.crash if is_poison else self.finish, attempt)
+
+    def can_send(self, instance):
+        """Return whether the instance, or another one for it, reaches the servers."""
+        return any(one.cut_until <= self.now for one in (instance, *self.instances))
+
+    def record_retry(self, instance, request):
+        crashes = self.crashes[request.body]
+        is_late = len(crashes) >= 3 and self.now > sorted(crashes)[2] + CONTACT_MS
+        if is_late and self.now > instance.troubled_until + CONTACT_MS:
+            self.retries[request.body].append(self.now)
+
+    def crash(self, attempt):
+        if attempt.server.runs.get(attempt) != attempt.server.incarnation:
+            return
+        self.crashes[attempt.request.body].append(self.now)
+        self.crash_server(attempt.server)
+
+    def crash_server(self, server):
+        if not server.is_up:
+            return
+        server.is_up = False
+        runs, server.runs = list(server.runs), {}
+        for attempt in runs:
+            self.after(self.draw(MESSAGE_MS), self.break_off, attempt)
+        self.after(self.draw(DOWN_MS), self.start_server, server)
+
+    def start_server(self, server):
+        server.starts += 1
+        server.is_up = True
+
+    def finish(self, attempt):
+        if attempt.server.runs.pop(attempt, None) is None:
+            return
+        self.after(self.draw(MESSAGE_MS), self.complete, attempt)
+
+    def complete(self, attempt):
+        instance, request = attempt.instance, attempt.request
+        if instance.boot is not attempt.boot:
+            return
+        instance.guard.record_answer(attempt.incarnation, sent_at=attempt.sent_at)
+        instance.guard.clear(request)
+        instance.guard.end_attempt(request)
+        self.record_answer(instance, request, "served")
+
+    def break_off(self, attempt):
+        instance = attempt.instance
+        if instance.boot is not attempt.boot:
+            return
+        if instance.frozen_until > self.now:
+            self.after(instance.frozen_until - self.now, self.break_off, attempt)
+            return
+        instance.guard.record_crash(
+            attempt.request, incarnation=attempt.incarnation, known=attempt.known
+        )
+        instance.guard.end_attempt(attempt.request)
+        if attempt.left:
+            self.ask(instance, attempt.request, attempt.left)
+        else:
+            self.record_answer(instance, attempt.request, "broken off")
+
+    def record_answer(self, instance, request, how):
+        self.answers.append((self.now, instance.name, request.body, how))
+
+    def kill(self, instance):
+        """Kill an instance; it starts again."""
+        for server in self.servers:
+            for attempt in [one for one in server.runs if one.instance is instance]:
+                if attempt.request.body not in self.crashes:
+                    del server.runs[attempt]
+        if self.coordinator is instance:
+            self.lose_coordinator()
+        self.trouble(instance, 0)
+        instance.start()
+
+    def freeze(self, instance):
+        duration_ms = self.draw((300, 4_000))
+        instance.frozen_until = self.now + duration_ms
+        self.trouble(instance, duration_ms)
+        if self.coordinator is instance and duration_ms > 1_000:
+            self.lose_coordinator()
+
+    def cut(self, instance):
+        """Cut an instance off from all servers; its connections are reset or hang."""
+        duration_ms = self.draw((500, 5_000))
+        instance.cut_until = self.now + duration_ms
+        delay_ms = self.rng.choice((1, 2_500))
+        for server in self.servers:
+            for attempt in [one for one in server.runs if one.instance is instance]:
+                if attempt.request.body not in self.crashes:
+                    del server.runs[attempt]
+                    self.after(delay_ms, self.break_off, attempt)
+
+    def lose_power(self):
+        """Crash most servers at once."""
+        for server in self.servers:
+            if self.rng.random() < 0.8:
+                self.crash_server(server)
+
+    def trouble(self, instance, duration_ms):
+        instance.troubled_until = self.now + duration_ms
+
+
+def build_request(body):
+    request = decode_request(method="POST", path="/x", headers=[("Host", "x")])
+    request.body = body
+    return request
+
+
+def strike(model, kind):
+    """Let a kind of trouble strike now."""
+    some = model.rng.sample(model.instances, model.rng.randint(1, 3))
+    if kind == "power":
+        model.lose_power()
+    elif kind == "coordinator":
+        model.lose_coordinator()
+    else:
+        for instance in some:
+            getattr(model, kind)(instance)
+
+
+KINDS = ("kill", "freeze", "cut", "power", "coordinator")
+"""Kinds of trouble."""
+
+
+def play(*, seed, kinds, **options):
+    """Play a model in which troubles strike some times each, until its quiet end."""
+    model = CrashModel(seed=seed, **options)
+    for kind in kinds:
+        for _ in range(model.rng.randint(1, 4)):
+            at = model.draw((0, PLAY_MS - QUIET_MS - 5_000))
+            model.after(at, strike, model, kind)
+    model.run()
+    return model
--- /dev/null
+++ b/tests/test_crash_promises.py
@@ -0,0 +1,54 @@
+"""Both promises on requests that crash servers, over each pair of troubles."""
+
+import itertools
+
+import pytest
+
+from tests.crash_model import KINDS, PLAY_MS, play
+
+MAX_RETRIES = 3
+"""Number of late retries of one request that may reach servers."""
+
+SEEDS = 6
+"""Number of seeds of each pair."""
+
+SERVED_MS = 4_000
+"""Time at the end of a play in which all harmless requests are served, in ms."""
+
+PAIRS = [*itertools.combinations(KINDS, 2), *((kind, kind) for kind in KINDS)]
+
+
+def list_options(seed):
+    """Return the sizes of a play: few servers or many, copies at once or one by one."""
+    return {
+        "servers": (2, 3, 9, 30)[seed % 4],
+        "poisons": 1 + seed % 2,
+        "copies": (1, 1, 4)[seed % 3],
+        "every_ms": (150, 600, 2_000)[seed % 3],
+    }
+
+
+@pytest.mark.parametrize("kinds", PAIRS, ids="-".join)
+def test_crashing_requests_stop_and_harmless_ones_are_served(kinds):
+    """Guards against a request that goes on crashing servers after a pair of troubles,
+    and against harmless ones, sent by all callers alike, that are refused after it."""
+    first = SEEDS * PAIRS.index(kinds)
+    for seed in range(first, first + SEEDS):
+        model = play(seed=seed, kinds=kinds, **list_options(seed))
+        for body, late in model.retries.items():
+            assert len(late) <= MAX_RETRIES, (seed, body, model.crashes[body])
+        quiet = [
+            (name, body, how)
+            for at, name, body, how in model.answers
+            if at > PLAY_MS - SERVED_MS and body not in model.crashes
+        ]
+        assert len(quiet) > 50, seed
+        assert [one for one in quiet if one[2] != "served"] == [], seed
+
+
+def test_the_same_seed_plays_the_same():
+    """Guards against a seed that does not repeat what it found."""
+    first, second = (
+        play(seed=7, kinds=("kill", "cut"), servers=3, every_ms=150) for _ in range(2)
+    )
+    assert first.answers == second.answers
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -5,10 +5,15 @@
 
 from arbutuspulley.delivery.crash_records import (
     EVICT_INTERVAL_MS,
+    MAX_COMPLETED,
     MAX_CRASHES,
     MAX_MARKS,
+    MAX_RETRIAL_DELAY_MS,
     MAX_SUSPECTS,
+    RETRIAL_DELAY_MS,
+    RETRIAL_POLL_MS,
     TRIAL_MS,
+    UNEXPLAINED_RETRIAL_DELAY_MS,
     CrashRecords,
     count_crashes,
     count_servers,
@@ -110,6 +115,90 @@
     assert len(told) == MAX_SUSPECTS_IN_UPDATE
 
 
+POISON, HARMLESS = "00", "80"
+"""Fingerprints; by them retrials are spread over time."""
+
+
+def get_wait_ms(records, fingerprint, *, now, may_retry=True):
+    return records.get_wait_ms(fingerprint, may_retry=may_retry, now=now)
+
+
+def test_a_request_that_completed_before_is_tried_again_soon_and_then_later():
+    """Guards against a harmless request that is refused for hours because it was in
+    flight at each crash that another one, or a power failure, caused."""
+    records = CrashRecords()
+    records.clear(HARMLESS, now=0)
+    record_crashes(records, HARMLESS)
+    first_ms = get_wait_ms(records, HARMLESS, now=0)
+    assert RETRIAL_DELAY_MS < first_ms < 2 * RETRIAL_DELAY_MS
+    assert get_wait_ms(records, HARMLESS, now=first_ms) == 0
+    for retrial in range(1, 20):
+        records.record(
+            HARMLESS, incarnation=f"r{retrial}", known=2 + retrial, now=first_ms
+        )
+        again_ms = get_wait_ms(records, HARMLESS, now=first_ms)
+        assert again_ms >= min(
+            2**retrial * RETRIAL_DELAY_MS, MAX_RETRIAL_DELAY_MS, QUARANTINE_MS
+        )
+        assert again_ms <= 2 * MAX_RETRIAL_DELAY_MS
+
+
+def test_a_request_that_nothing_speaks_for_is_tried_again_once():
+    """Guards against a request that crashes a server again every few seconds."""
+    records = CrashRecords()
+    record_crashes(records, POISON)
+    wait_ms = get_wait_ms(records, POISON, now=0)
+    assert wait_ms == UNEXPLAINED_RETRIAL_DELAY_MS
+    records.record(POISON, incarnation="again", known=MAX_CRASHES, now=wait_ms)
+    assert get_wait_ms(records, POISON, now=wait_ms) == QUARANTINE_MS
+
+
+def test_only_one_instance_tries_a_request_again():
+    """Guards against instances that all crash a server as the same time is over."""
+    records = CrashRecords()
+    record_crashes(records, POISON)
+    due = UNEXPLAINED_RETRIAL_DELAY_MS
+    assert get_wait_ms(records, POISON, now=due) == 0
+    wait_ms = get_wait_ms(records, POISON, now=due, may_retry=False)
+    assert wait_ms == RETRIAL_POLL_MS
+
+
+def test_a_request_whose_crashes_others_explain_is_tried_again_soon():
+    """Guards against a harmless request that waits long though all of its crashes are
+    those of others, and against one that is tried early though one crash is not."""
+    records, mixed = CrashRecords(), CrashRecords()
+    for number in range(MAX_CRASHES):
+        for fingerprint in (POISON, HARMLESS):
+            server = f"s{number}"
+            records.record(fingerprint, incarnation=server, known=number, now=0)
+            if number == 0 and fingerprint == POISON:
+                server = "alone"
+            mixed.record(fingerprint, incarnation=server, known=number, now=0)
+    harmless_ms = get_wait_ms(records, HARMLESS, now=0)
+    assert harmless_ms < 2 * RETRIAL_DELAY_MS
+    assert get_wait_ms(records, POISON, now=0) != harmless_ms
+    assert get_wait_ms(mixed, POISON, now=0) >= UNEXPLAINED_RETRIAL_DELAY_MS
+
+
+def test_what_completed_is_told_with_a_crash_and_bounded():
+    """Guards against a harmless request that only the instance knows as such at which
+    it completed, and against memory that grows with each request."""
+    records, other = CrashRecords(), CrashRecords()
+    for number in range(MAX_COMPLETED + 10):
+        records.clear(f"{number:05}", now=0)
+        if number == MAX_COMPLETED - 1:
+            records.clear("00000", now=0)
+    assert len(records._completed) == MAX_COMPLETED
+    for fingerprint, is_soon in (("00001", False), ("00000", True), ("00100", True)):
+        record_crashes(records, fingerprint)
+        other.merge([records.find(fingerprint)], now=0)
+        wait_ms = get_wait_ms(other, fingerprint, now=0)
+        assert (wait_ms < UNEXPLAINED_RETRIAL_DELAY_MS) is is_soon
+    many = [f"m{number}/0" for number in range(2 * MAX_MARKS)]
+    other.merge([Suspicion(fingerprint="00100", deaths=tuple(many))], now=0)
+    assert get_wait_ms(other, "00100", now=0) < UNEXPLAINED_RETRIAL_DELAY_MS
+
+
 def test_crashes_stated_by_an_older_release_count_one_by_one():
     suspicion = Suspicion(fingerprint="r", deaths=("s0/", "s1/", "s2/"))
     assert count_crashes(suspicion) == MAX_CRASHES
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -5,7 +5,12 @@
 import pytest
 
 from arbutuspulley.clock import SECOND_MS, Clock
-from arbutuspulley.delivery.crash_records import MAX_CRASHES, TRIAL_MS, CrashRecords
+from arbutuspulley.delivery.crash_records import (
+    MAX_CRASHES,
+    TRIAL_MS,
+    UNEXPLAINED_RETRIAL_DELAY_MS,
+    CrashRecords,
+)
 from arbutuspulley.node.messages import SuspicionUpdate
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.poison import TRIAL_RETRY_MS, PoisonGuard
@@ -22,6 +27,7 @@
         self.metrics = NodeMetrics()
         self.crash_records = CrashRecords()
         self.settings = build_state(name=f"n{len(group)}").settings
+        self.is_coordinator = False
         self.is_disconnected = False
         self.group = group
         group.append(self)
@@ -241,3 +247,19 @@
         crash(first, f"s{number}", request)
     assert first.guard.get_refusal(request) is not None
     assert second.guard.get_refusal(request) is None
+
+
+def test_the_coordinator_alone_tries_a_quarantined_request_again():
+    """Guards against instances that all crash a server as the same time is over."""
+    first, second = build_group()
+    request = build_request()
+    for number in range(MAX_CRASHES):
+        crash(first, f"s{number}", request)
+    first.is_coordinator = True
+    for instance in (first, second):
+        instance.now += 2 * UNEXPLAINED_RETRIAL_DELAY_MS
+    assert second.guard.get_refusal(request) is not None
+    assert first.guard.get_refusal(request) is None
+    crash(first, "again", request)
+    for instance in (first, second):
+        assert instance.guard.get_refusal(request).retry_after_ms > 3_600 * SECOND_MS
