Tell instances that link up which requests were cleared of crashes

A harmless request stayed refused at some instances: the message that cleared it was lost with a coordinator, and the exchange as instances link up named only requests that are suspect.

Requests whose crashes were all taken back are named last, those that changed last first.

--- a/src/arbutuspulley/delivery/crash_records.py
+++ b/src/arbutuspulley/delivery/crash_records.py
@@ -245,11 +245,17 @@
             self._known_at.setdefault(incarnation, {}).setdefault(fingerprint, now)
 
     def list_worst(self, count: int) -> list[Suspicion]:
-        """Return the requests under which the most servers have crashed."""
-        counted = [(count_crashes(one), one) for one in self._suspicions.values()]
-        counted = [(crashes, one) for crashes, one in counted if crashes]
-        counted.sort(key=lambda pair: pair[0], reverse=True)
-        return [one for _, one in counted[:count]]
+        """Return the requests with the most crashes, and those that changed last.
+
+        Those of which all crashes were taken back come last; an instance that has not
+        heard of that has to.
+        """
+        ranked = sorted(
+            self._suspicions.values(),
+            key=lambda one: (count_crashes(one), self._changed_at[one.fingerprint]),
+            reverse=True,
+        )
+        return ranked[:count]
 
     def get_age_ms(self, fingerprint: str, *, now: int) -> int:
         """Return how long ago the suspicion changed last, in ms."""
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -115,6 +115,17 @@
     assert len(told) == MAX_SUSPECTS_IN_UPDATE
 
 
+def test_an_instance_that_links_up_is_told_what_was_taken_back():
+    """Guards against a harmless request that one instance goes on refusing because the
+    message that cleared it was lost with a coordinator."""
+    state, late = build_state(), CrashRecords()
+    record_crashes(state.crash_records, "r")
+    late.merge([state.crash_records.find("r")], now=0)
+    state.crash_records.clear("r", now=0)
+    late.merge(build_suspects(state).suspicions, now=0)
+    assert not late.is_quarantined("r")
+
+
 POISON, HARMLESS = "00", "80"
 """Fingerprints; by them retrials are spread over time."""
 
