--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -4,7 +4,11 @@
 its server broke off is suspect, and all instances are informed. A harmless request that
 was in flight beside the cause completes when it is retried, which clears it; its caller
 sends it at most twice. A request that was in flight at three crashes, and was sent each
-time after the previous crash was known, is quarantined and not run again.
+time after the previous crash was known, is quarantined. The coordinator's instance
+tries it again later, since a harmless request may have been at each of them.
+
+What counts as a crash, and what takes it back, is decided in
+:mod:`arbutuspulley.delivery.crash_records`.
 """
 
 import asyncio
