Bound how often a request that completed before is tried again

Found by reading: a request that completed before was tried again after each crash, at doubled times, so four times within 75 to 150 s. One that completes at times and crashes servers at others would have reached servers more often than the three times that are allowed. It is now tried twice soon, then every 10 to 20 minutes. A quarantine that had expired refused its request with a delay of 1 ms until another crash was recorded; it ends by itself now.

--- a/src/arbutuspulley/delivery/crash_records.py
+++ b/src/arbutuspulley/delivery/crash_records.py
@@ -13,7 +13,7 @@
 
 from collections.abc import Iterable
 
-from arbutuspulley.clock import SECOND_MS, compute_backoff_ms
+from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.delivery.suspects import (
     QUARANTINE_MS,
     SUSPICION_MS,
@@ -29,9 +29,13 @@
 twice in flight beside the cause was quarantined with it."""
 
 RETRIAL_DELAY_MS = 5 * SECOND_MS
-MAX_RETRIAL_DELAY_MS = 600 * SECOND_MS
 """Time after which a quarantined request that is likely harmless is tried once more, in
-ms, doubled at each further crash up to the maximum."""
+ms, doubled for the second time."""
+
+MAX_SOON_RETRIALS = 2
+RARE_RETRIAL_DELAY_MS = 600 * SECOND_MS
+"""Number of times that such a request is tried again soon, and the delay of any further
+time, in ms."""
 
 UNEXPLAINED_RETRIAL_DELAY_MS = 60 * SECOND_MS
 """The same time for a request that nothing speaks for, in ms."""
@@ -42,7 +46,7 @@
 
 MAX_COMPLETED = 4_096
 """Number of the requests that completed last that are known by their fingerprints, some
-0.5 MB."""
+0.2 MB."""
 
 RETRIAL_SPREAD = 1.0
 """Share of that delay over which retrials are spread, so that those of requests that
@@ -276,18 +280,18 @@
         """
         if not self.is_quarantined(fingerprint):
             return 0
-        expiry_ms = max(1, self.get_time_to_expiry_ms(fingerprint, now=now))
+        expiry_ms = max(0, self.get_time_to_expiry_ms(fingerprint, now=now))
         suspicion = self._suspicions[fingerprint]
         retrials = count_crashes(suspicion) - MAX_CRASHES
         has_completed = _COMPLETED_MARK in suspicion.cleared
         if retrials >= MAX_RETRIALS and not has_completed:
             return expiry_ms
-        is_likely_harmless = has_completed or self._is_explained(suspicion)
-        delay_ms = compute_backoff_ms(
-            RETRIAL_DELAY_MS if is_likely_harmless else UNEXPLAINED_RETRIAL_DELAY_MS,
-            max_ms=MAX_RETRIAL_DELAY_MS,
-            count=1 + retrials,
-        )
+        if retrials >= MAX_SOON_RETRIALS:
+            delay_ms = RARE_RETRIAL_DELAY_MS
+        elif has_completed or self._is_explained(suspicion):
+            delay_ms = RETRIAL_DELAY_MS << retrials
+        else:
+            delay_ms = UNEXPLAINED_RETRIAL_DELAY_MS
         retrial_at = self._changed_at[fingerprint] + _spread(delay_ms, fingerprint)
         least_ms = 0 if may_retry else RETRIAL_POLL_MS
         return min(expiry_ms, max(least_ms, retrial_at - now))
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -8,8 +8,9 @@
     MAX_COMPLETED,
     MAX_CRASHES,
     MAX_MARKS,
-    MAX_RETRIAL_DELAY_MS,
+    MAX_SOON_RETRIALS,
     MAX_SUSPECTS,
+    RARE_RETRIAL_DELAY_MS,
     RETRIAL_DELAY_MS,
     RETRIAL_POLL_MS,
     TRIAL_MS,
@@ -148,10 +149,20 @@
             HARMLESS, incarnation=f"r{retrial}", known=2 + retrial, now=first_ms
         )
         again_ms = get_wait_ms(records, HARMLESS, now=first_ms)
-        assert again_ms >= min(
-            2**retrial * RETRIAL_DELAY_MS, MAX_RETRIAL_DELAY_MS, QUARANTINE_MS
-        )
-        assert again_ms <= 2 * MAX_RETRIAL_DELAY_MS
+        if retrial < MAX_SOON_RETRIALS:
+            assert 2 * RETRIAL_DELAY_MS < again_ms < 4 * RETRIAL_DELAY_MS
+        else:
+            assert RARE_RETRIAL_DELAY_MS < again_ms < 2 * RARE_RETRIAL_DELAY_MS
+
+
+def test_a_quarantine_ends_although_nothing_happens_meanwhile():
+    """Guards against a request that is refused for ever because suspects are evicted
+    only as others are recorded."""
+    records = CrashRecords()
+    record_crashes(records, POISON, count=MAX_CRASHES + 1)
+    assert get_wait_ms(records, POISON, now=QUARANTINE_MS - 1) == 1
+    assert get_wait_ms(records, POISON, now=QUARANTINE_MS) == 0
+    assert get_wait_ms(records, POISON, now=QUARANTINE_MS + 1, may_retry=False) == 0
 
 
 def test_a_request_that_nothing_speaks_for_is_tried_again_once():
