Build the errors of failed requests beside the progress they depend on

Errors of requests are built by functions of progress.py; what instances tell each other as they link up is in suspects.py.

--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -65,7 +65,7 @@
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.store_watch import apply_configuration_delta, apply_store_update
 from arbutuspulley.node.stream_copies import StreamVersionLookup
-from arbutuspulley.node.suspects import build_suspects
+from arbutuspulley.node.suspects import build_suspects, relay_suspects
 from arbutuspulley.platform.engines import ORDER_TIMEOUT_MS
 from arbutuspulley.pool.answers import (
     PlannedOrder,
@@ -276,15 +276,13 @@
         self._relay_leaving(messages[0].leaving)
         self._record_cooldowns(name, messages[0].cooldowns)
         self._streams.record_copies(messages[0].streams)
-        self._relay_suspects(messages[0].suspects)
+        relay_suspects(self._state, messages[0].suspects, send=self._peers.send_others)
         peer = self._peers.add(messages[0])
         peer.send(self._rates.build_full_limits())
         leaving = self._state.leaving.list_all()
         if leaving:
             peer.send(LeavingNotice(incarnations=leaving))
-        suspects = build_suspects(self._state)
-        if suspects.suspicions:
-            peer.send(suspects)
+        peer.send(build_suspects(self._state))
         return peer
 
     def remove_peer(self, peer: Peer) -> None:
@@ -361,16 +359,6 @@
         if new:
             self._peers.send_others(LeavingNotice(incarnations=new))
 
-    def _relay_suspects(self, suspects: SuspicionUpdate) -> None:
-        """Record what an instance knows as it links up, and relay what is new."""
-        changed = self._state.crash_records.merge(
-            suspects.suspicions,
-            ages_ms=suspects.ages_ms,
-            now=self._state.clock.now(),
-        )
-        if changed:
-            self._peers.send_others(SuspicionUpdate(suspicions=changed))
-
     def _record_cooldowns(
         self, origin: str, cooldowns: tuple[ServerCooldown, ...]
     ) -> None:
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -18,10 +18,11 @@
     ANSWER_MARGIN_MS,
     MAX_REFUSALS,
     MAX_UNREACHABLE,
-    RETRY_AFTER_MS,
     AnswerAbortedError,
     Progress,
     RequestFailedError,
+    build_failure,
+    build_timeout,
 )
 from arbutuspulley.node.quota_charging import QuotaCharger
 from arbutuspulley.node.retries import PendingRetry, Retries
@@ -164,7 +165,10 @@
                     except RetryError:
                         continue
         except TimeoutError:
-            raise self._build_timeout() from None
+            self.record_interruption(AnswerEnd.TIMEOUT)
+            raise build_timeout(
+                self.progress, has_begun=self._stream.has_begun
+            ) from None
         finally:
             self._acquisition.refund()
             self._limits.record_end(self._request.attempt_id, AttemptOutcome.UNUSED)
@@ -183,16 +187,6 @@
             progress.framing or "", progress.answer_end or ""
         ).inc()
 
-    def _build_timeout(self) -> Exception:
-        self.record_interruption(AnswerEnd.TIMEOUT)
-        if self._stream.has_begun:
-            return AnswerAbortedError("time is up")
-        if self.progress.may_have_run:
-            return RequestFailedError(status=504, reason="time is up")
-        return RequestFailedError(
-            status=503, reason="no server in time", retry_after_ms=RETRY_AFTER_MS
-        )
-
     async def _attempt(self) -> web.StreamResponse:
         try:
             entry = await self._acquisition.get_server()
@@ -498,18 +492,13 @@
         retry_after_ms: int | None = None,
         may_retry: bool = True,
     ) -> Exception:
-        """Build the error of a request that is not retried any more.
-
-        :param may_retry: whether the caller may be served if it retries.
-        """
-        if self._stream.has_begun:
-            return AnswerAbortedError(reason)
-        if self.progress.may_have_run:
-            return RequestFailedError(status=502, reason=reason)
-        if may_retry:
-            retry_after_ms = retry_after_ms or RETRY_AFTER_MS
-        return RequestFailedError(
-            status=503, reason=reason, retry_after_ms=retry_after_ms
+        """Build the error of a request that is not retried any more."""
+        return build_failure(
+            self.progress,
+            reason,
+            has_begun=self._stream.has_begun,
+            retry_after_ms=retry_after_ms,
+            may_retry=may_retry,
         )
 
 
--- a/src/arbutuspulley/node/progress.py
+++ b/src/arbutuspulley/node/progress.py
@@ -104,6 +104,39 @@
     is_late: bool = False
 
 
+def build_failure(
+    progress: Progress,
+    reason: str,
+    *,
+    has_begun: bool,
+    retry_after_ms: int | None = None,
+    may_retry: bool = True,
+) -> Exception:
+    """Build the error of a request that is not retried any more.
+
+    :param has_begun: whether the caller has received a part of the answer.
+    :param may_retry: whether the caller may be served if it retries.
+    """
+    if has_begun:
+        return AnswerAbortedError(reason)
+    if progress.may_have_run:
+        return RequestFailedError(status=502, reason=reason)
+    if may_retry:
+        retry_after_ms = retry_after_ms or RETRY_AFTER_MS
+    return RequestFailedError(status=503, reason=reason, retry_after_ms=retry_after_ms)
+
+
+def build_timeout(progress: Progress, *, has_begun: bool) -> Exception:
+    """Build the error of a request whose time is up.
+
+    :param has_begun: whether the caller has received a part of the answer.
+    """
+    if not has_begun and progress.may_have_run:
+        return RequestFailedError(status=504, reason="time is up")
+    reason = "time is up" if has_begun else "no server in time"
+    return build_failure(progress, reason, has_begun=has_begun)
+
+
 def get_priority(route: Route, team: Team | None) -> int:
     """Return a request's priority: that of its team, else that of its route."""
     if team is None or team.priority is None:
--- a/src/arbutuspulley/node/suspects.py
+++ b/src/arbutuspulley/node/suspects.py
@@ -1,6 +1,8 @@
-"""What an instance tells of requests that were in flight at crashes of servers."""
+"""What instances that link up tell each other of requests at crashes of servers."""
 
-from arbutuspulley.node.messages import SuspicionUpdate
+from collections.abc import Callable
+
+from arbutuspulley.node.messages import SuspicionUpdate, ToNode
 from arbutuspulley.node.state import NodeState
 
 MAX_SUSPECTS_IN_UPDATE = 100
@@ -19,3 +21,17 @@
             records.get_age_ms(one.fingerprint, now=now) for one in suspicions
         ),
     )
+
+
+def relay_suspects(
+    state: NodeState, update: SuspicionUpdate, *, send: Callable[[ToNode], None]
+) -> None:
+    """Record what an instance that links up knows, and relay what is new.
+
+    :param send: sends to all other instances.
+    """
+    changed = state.crash_records.merge(
+        update.suspicions, ages_ms=update.ages_ms, now=state.clock.now()
+    )
+    if changed:
+        send(SuspicionUpdate(suspicions=changed))
