--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -9,6 +9,8 @@
 import itertools
 import random
 
+import msgspec
+
 from arbutuspulley.clock import Clock
 from arbutuspulley.delivery.crash_records import CrashRecords
 from arbutuspulley.node.messages import SuspicionUpdate
@@ -35,10 +37,14 @@
 QUIET_MS = 128_000
 """Duration of a play, and of its end without troubles, in ms."""
 
-METRICS = NodeMetrics()
-SETTINGS = build_state().settings
+HARMLESS_EVERY_MS = 120
+"""Interval at which each harmless request is repeated, in ms."""
 
 MAX_ATTEMPTS = 2
+"""Number of servers to which a caller's request is sent."""
+
+METRICS = NodeMetrics()
+SETTINGS = build_state().settings
 
 
 class ModelInstance:
@@ -49,10 +55,7 @@
         self.name = name
         self.clock = Clock(read=lambda: model.now)
         self.metrics = METRICS
-        self.settings = SETTINGS.__class__(
-            **{field: getattr(SETTINGS, field) for field in SETTINGS.__struct_fields__}
-            | {"name": name}
-        )
+        self.settings = msgspec.structs.replace(SETTINGS, name=name)
         self.frozen_until = 0
         self.cut_until = 0
         self.troubled_until = 0
@@ -156,7 +159,7 @@
             self.after(self.draw((500, 1_500)), self.repeat, body, self.every_ms)
         for number in range(3):
             body = b"harmless%d" % number
-            self.after(self.draw((0, 300)), self.repeat, body, 120)
+            self.after(self.draw((0, 300)), self.repeat, body, HARMLESS_EVERY_MS)
         while self._events and self.now < PLAY_MS:
             self.now, _, call, args = heapq.heappop(self._events)
             call(*args)
@@ -223,7 +226,7 @@
             self.record_answer(instance, request, "refused")
             return
         server = self.rng.choice(self.servers)
-        if not server.is_up or not self.can_send(instance):
+        if not server.is_up or not self.can_send():
             self.record_answer(instance, request, "out of reach")
             return
         known = instance.guard.begin_attempt(request)
@@ -242,9 +245,9 @@
         run_ms = self.draw(RUN_MS[is_poison])
         self.after(run_ms, self.crash if is_poison else self.finish, attempt)
 
-    def can_send(self, instance):
-        """Return whether the instance, or another one for it, reaches the servers."""
-        return any(one.cut_until <= self.now for one in (instance, *self.instances))
+    def can_send(self):
+        """Return whether an instance is left that reaches the servers."""
+        return any(one.cut_until <= self.now for one in self.instances)
 
     def record_retry(self, instance, request):
         crashes = self.crashes[request.body]
