Log the parts of prompts and the age of answers that servers broke off

The three hypotheses about prompt parts that crash servers can't be told apart by what instances log: an event that counts a crash under a request names neither the parts of its prompt nor whether its answer had begun.

The adapter reads the ids of all parts but the last one, in order, at most 31 of them; ids that are not hexadecimal are left out.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -236,6 +236,7 @@
         progress.may_have_run += 1
         progress.sent_at = now
         progress.events = 0
+        progress.begun_at = None
         progress.framing = progress.answer_end = None
         progress.helper = ""
         self._paths.record_begun(entry)
@@ -279,7 +280,10 @@
             if not self._paths.blames_server(entry):
                 outcome = AttemptOutcome.LEFT
             self._poison.record_crash(
-                self._request, incarnation=entry.incarnation, known=known_crashes
+                self._request,
+                incarnation=entry.incarnation,
+                known=known_crashes,
+                begun_at=progress.begun_at,
             )
             raise self._handle_broken(entry, str(error)) from None
         except asyncio.CancelledError:
@@ -407,6 +411,7 @@
             gap_ms = now - progress.last_event_at
             progress.longest_gap_ms = max(progress.longest_gap_ms, gap_ms)
         if not progress.events:
+            progress.begun_at = now
             started = record_first_event(
                 self._state,
                 self._request,
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -38,6 +38,9 @@
 LOGGED_FINGERPRINT_LENGTH = 12
 """Length to which fingerprints are truncated in log lines."""
 
+LOGGED_PART_LENGTH = 16
+"""Length to which ids of parts of prompts are truncated in log lines."""
+
 MAX_LOGGED_REQUESTS = 10
 """Maximum number of requests that a log line names; it also has their count."""
 
@@ -144,21 +147,26 @@
         self._link.send(SuspicionUpdate(trials=(trial,)))
 
     def record_crash(
-        self, request: InboundRequest, *, incarnation: str, known: int
+        self,
+        request: InboundRequest,
+        *,
+        incarnation: str,
+        known: int,
+        begun_at: int | None = None,
     ) -> None:
         """Record that a server broke off with the request in flight.
 
         :param known: number of crashes that were known when the request was sent. If
             more are known now, several copies of the request were in flight, or several
             servers failed at once; that counts as one crash.
+        :param begun_at: when the answer's first event arrived, in ms; ``None``: none
+            had.
         """
         before = self.count_crashes(request)
         fingerprint = _get_fingerprint(request)
+        now = self._state.clock.now()
         suspicion = self._records.record(
-            fingerprint,
-            incarnation=incarnation,
-            known=known,
-            now=self._state.clock.now(),
+            fingerprint, incarnation=incarnation, known=known, now=now
         )
         deaths = count_crashes(suspicion)
         is_counted = deaths > before
@@ -176,6 +184,8 @@
             known=known,
             deaths=deaths,
             servers=count_servers(suspicion),
+            parts=[part[:LOGGED_PART_LENGTH] for part in request.shared_parts],
+            begun_ms=None if begun_at is None else now - begun_at,
         )
         how = "counted" if is_counted else "ignored"
         self._state.metrics.break_offs.labels(how).inc()
--- a/src/arbutuspulley/node/progress.py
+++ b/src/arbutuspulley/node/progress.py
@@ -67,6 +67,7 @@
     :param helper: link address of the instance that sends it for this one; empty: none.
     :param sent_at: when the request was sent to that server, in ms.
     :param events: number of events of the stream that the last server sent.
+    :param begun_at: when the first of these events arrived, in ms; ``None``: none has.
     :param last_event_at: when the last of these events arrived, in ms.
     :param longest_gap_ms: longest time between two events, over all servers, in ms.
     :param resumes: how often the stream was resumed at another server.
@@ -95,6 +96,7 @@
     first_ms: int | None = None
     last_event_id: str = ""
     events: int = 0
+    begun_at: int | None = None
     last_event_at: int = 0
     longest_gap_ms: int = 0
     resumes: int = 0
--- a/src/arbutuspulley/platform/names.py
+++ b/src/arbutuspulley/platform/names.py
@@ -21,6 +21,10 @@
 TOKEN_USAGE = "X-Arbutuspulley-Token-Usage"
 """``PROMPT,OUTPUT``: tokens in the prompt, maximum tokens generated."""
 
+PROMPT_PREFIX = "X-Arbutuspulley-Prompt-Prefix"
+"""Parts of the prompt in order, as ``ID:TOKENS,ID:TOKENS``; ids are hexadecimal. The
+last part belongs to the request or its session alone, the others may be shared."""
+
 LENGTH_HINT = "X-Arbutuspulley-Length-Hint"
 """Output tokens that the client expects; often inaccurate."""
 
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -1,6 +1,7 @@
 """Headers of clients' requests and of servers' answers: decoding and building."""
 
 import math
+import re
 from collections.abc import Iterable, Mapping
 
 from arbutuspulley.clock import SECOND_MS
@@ -17,6 +18,12 @@
 MAX_ATTEMPT_ID_LENGTH = 256
 """Longest id, in characters, by which a caller can name another attempt."""
 
+MAX_PROMPT_PARTS = 32
+"""Maximum number of parts of a prompt that are read; further ones are only forwarded.
+"""
+
+_PART_ID = re.compile(r"[0-9a-f]{1,64}")
+
 _MISDIRECTED = 421
 """Status of an answer by another server than the request is meant for."""
 
@@ -55,6 +62,7 @@
         resumed_attempt=_read_resumed_attempt(_list_values(listed, names.RESUMES)),
         key=keys[0].strip() if len(keys) == 1 else "",
         usage_tokens=_sum_token_usage(found.get(names.TOKEN_USAGE.lower())),
+        shared_parts=_read_shared_parts(_list_values(listed, names.PROMPT_PREFIX)),
     )
 
 
@@ -252,6 +260,16 @@
     return attempt if is_id else ""
 
 
+def _read_shared_parts(values: list[str]) -> tuple[str, ...]:
+    """Return the ids of the parts of a prompt that other requests may share, in order.
+
+    These are all but the last one. Parts without a readable id are left out.
+    """
+    listed = ",".join(values).split(",", MAX_PROMPT_PARTS)[:MAX_PROMPT_PARTS]
+    ids = [part.partition(":")[0].strip().lower() for part in listed[:-1]]
+    return tuple(dict.fromkeys(part for part in ids if _PART_ID.fullmatch(part)))
+
+
 def _list_values(headers: Iterable[tuple[str, str]], name: str) -> list[str]:
     return [value for header, value in headers if header.lower() == name.lower()]
 
--- a/src/arbutuspulley/ports/fleet.py
+++ b/src/arbutuspulley/ports/fleet.py
@@ -292,6 +292,8 @@
     :param key: the caller's API key, until it has been looked up; empty if it sent
         none or several. It is never logged.
     :param usage_tokens: token usage that the caller states; ``None`` if it states none.
+    :param shared_parts: ids of the parts of its prompt that other requests may have,
+        too, in the order of the prompt.
     """
 
     attempt_id: str
@@ -307,6 +309,7 @@
     fingerprint: str = ""
     key: str = ""
     usage_tokens: int | None = None
+    shared_parts: tuple[str, ...] = ()
 
 
 class NodeSettings(Value, frozen=True):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -13,6 +13,7 @@
     decode_server,
 )
 from arbutuspulley.platform.requests import (
+    MAX_PROMPT_PARTS,
     build_headers,
     build_refusal_headers,
     decode_request,
@@ -334,3 +335,27 @@
         path.write_text(text)
     with pytest.raises(SettingError):
         read_settings(path)
+
+
+@pytest.mark.parametrize(
+    ("values", "parts"),
+    [
+        ([], ()),
+        (["5c1e07a2:800"], ()),
+        (["5c1e07a2:800,91bd3f06:410,e4402b7d:250"], ("5c1e07a2", "91bd3f06")),
+        (["5C1E07A2:800, 91bd3f06 :410", "e4402b7d:250"], ("5c1e07a2", "91bd3f06")),
+        (["aa:1,aa:1,bb:2"], ("aa",)),
+        (["aa,:3,zz:1,\udcff:1,bb:x,cc:1"], ("aa", "bb")),
+        (
+            [",".join(f"{number:x}:1" for number in range(900))],
+            tuple(f"{number:x}" for number in range(MAX_PROMPT_PARTS - 1)),
+        ),
+    ],
+)
+def test_the_parts_of_a_prompt_that_may_be_shared_are_read(values, parts):
+    """Guards against parts that are missed or taken for others because of how a caller
+    writes them, and against thousands of them."""
+    headers = [("X-Arbutuspulley-Prompt-Prefix", value) for value in values]
+    request = decode_request(method="POST", path="/", headers=headers)
+    assert request.shared_parts == parts
+    assert request.headers == headers
