--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -38,6 +38,8 @@
     - ``fails``: answer every request with 500, after calling ``on_break``.
     - ``crashes_on``: a request whose body contains these bytes is counted as run, its
       connection is reset after ``crash_delay_s``, and ``on_break`` is called.
+    - ``crashing_parts``: likewise for a request with one of these parts in its prompt,
+      after the first ``events_before_crash`` events of its answer.
     - ``delay_s``: delay before the answer to a request.
     - ``loses_orders``: reset the connection of an order without applying it.
     - ``loses_order_answers``: apply an order and reset its connection.
@@ -69,8 +71,10 @@
         "breaks_after",
         "crash_delay_s",
         "crashes_on",
+        "crashing_parts",
         "delay_s",
         "down_until",
+        "events_before_crash",
         "fails",
         "falls",
         "fence",
@@ -126,6 +130,8 @@
         self.headers: dict[str, dict[str, str]] = {}
         self.breaks_after: int | None = None
         self.crashes_on = b""
+        self.crashing_parts: frozenset[str] = frozenset()
+        self.events_before_crash = 0
         self.crash_delay_s = 0.0
         self.on_break: Callable[[], None] = lambda: None
         self.sheds = False
@@ -273,19 +279,14 @@
             return web.Response(status=503, headers=headers)
         self.runs[attempt] += 1
         self.headers[attempt] = dict(request.headers)
-        if self.crashes_on and self.crashes_on in body and request.transport:
-            await asyncio.sleep(self.crash_delay_s)
-            if request.transport is not None:
-                request.transport.abort()
-            self.on_break()
-            return web.Response()
+        has_crashing_part = self._has_crashing_part(request)
+        if has_crashing_part and self.events_before_crash:
+            return await self._stream(request, {**notices, **self._sign(attempt)})
+        if has_crashing_part or (self.crashes_on and self.crashes_on in body):
+            return await self._crash(request)
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
-        headers = {
-            names.ATTEMPT_ID: attempt,
-            names.SEAL: f"seal.{self.incarnation}",
-            **notices,
-        }
+        headers = {**self._sign(attempt), **notices}
         if self.script is not None:
             script = self.script
             self.on_break()
@@ -298,6 +299,21 @@
             return web.Response(body=b"done:" + body, headers=headers)
         return await self._stream(request, headers)
 
+    def _sign(self, attempt: str) -> dict[str, str]:
+        return {names.ATTEMPT_ID: attempt, names.SEAL: f"seal.{self.incarnation}"}
+
+    def _has_crashing_part(self, request: web.BaseRequest) -> bool:
+        prompt = request.headers.get(names.PROMPT_PREFIX, "")
+        parts = {part.partition(":")[0] for part in prompt.split(",")}
+        return not self.crashing_parts.isdisjoint(parts)
+
+    async def _crash(self, request: web.BaseRequest) -> web.Response:
+        await asyncio.sleep(self.crash_delay_s)
+        if request.transport is not None:
+            request.transport.abort()
+        self.on_break()
+        return web.Response()
+
     def _build_notices(self) -> dict[str, str]:
         """Return the headers by which the server states its condition."""
         notices = {}
@@ -317,7 +333,11 @@
         await answer.prepare(request)
         by = "" if self.version == DEFAULT_VERSION else f" by {self.version}"
         first = int(request.headers.get(names.LAST_EVENT_ID, "0")) + 1
+        crashes_at = first + self.events_before_crash
         for number in range(first, 7):
+            if number == crashes_at and self._has_crashing_part(request):
+                await self._crash(request)
+                return answer
             if self.breaks_after is not None and number > self.breaks_after:
                 self.on_break()
                 await answer.write(b"id: torn")
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -13,6 +13,9 @@
 POISON = b"poison"
 """Body of a request that crashes the servers that run it."""
 
+POISON_PART, OTHER_POISON_PART = "bad0", "bad1"
+"""Ids of parts of prompts that crash the servers that answer a request with them."""
+
 CRASH_DELAY_S = 0.1
 """Time for which a server runs such a request before it crashes, in s."""
 
@@ -23,8 +26,10 @@
 class CrashFleet(CutFleet):
     """A fleet whose servers crash under :data:`POISON`.
 
-    A server that crashes resets all its connections and refuses new ones. After a while
-    it starts at the same address as another incarnation.
+    They also crash under a prompt that has :data:`POISON_PART`, or the other one, after
+    ``events_before_crash`` events of its answer. A server that crashes resets all its
+    connections and refuses new ones. After a while it starts at the same address as
+    another incarnation.
 
     :param down_s: time from a crash to the next start, in s.
     """
@@ -35,6 +40,7 @@
         self._handlers = {}
         self._starts = 0
         self._tasks = []
+        self.events_before_crash = 0
         # Time of each crash, in s of the event loop's clock.
         self.crashes = []
 
@@ -76,6 +82,8 @@
         )
         server.address = f"{host}:{listener.sockets[0].getsockname()[1]}"
         server.crashes_on = POISON
+        server.crashing_parts = frozenset((POISON_PART, OTHER_POISON_PART))
+        server.events_before_crash = self.events_before_crash
         server.crash_delay_s = CRASH_DELAY_S
         server.on_break = lambda: self.crash(server)
         self._handlers[server] = handler, listener
