Quarantine parts of prompts that crash servers

Cause: a suspect was a whole request, by a hash of caller, path and body.

A server that breaks off now counts as crashed under each shared part of the prompts that it had not been answering for half a second. An answer that is complete, or has been coming for that long, acquits all parts of its prompt. Parts that travel together are at the same crashes, so these are explained by as few causes as possible: quarantined requests first, then parts that were never answered, those at more crashes, those later in the prompt. Three crashes in turn that nothing else explains quarantine a part, five if it was answered before. While it is suspect, prompts with it are sent one at a time. All instances know the same marks and conclude the same; the coordinator relays what tells something new, and instances that link up are told.

--- a/src/arbutuspulley/delivery/crash_records.py
+++ b/src/arbutuspulley/delivery/crash_records.py
@@ -18,7 +18,6 @@
     QUARANTINE_MS,
     SUSPICION_MS,
     build_mark,
-    clear_deaths,
     merge_suspicions,
 )
 from arbutuspulley.rpc.messages import Suspicion
@@ -88,8 +87,16 @@
     """Return the number of crashes, one after the other, that are not taken back."""
     if suspicion is None:
         return 0
+    return count_in_turn(list_crashes(suspicion).values())
+
+
+def count_in_turn(depths: Iterable[int]) -> int:
+    """Return how many crashes came one after the other.
+
+    :param depths: for each crash, how many were known when the request was sent.
+    """
     count = 0
-    for depth in sorted(_list_depths(suspicion).values()):
+    for depth in sorted(depths):
         if depth >= count:
             count += 1
     return count
@@ -97,11 +104,14 @@
 
 def count_servers(suspicion: Suspicion | None) -> int:
     """Return the number of servers that have crashed, at once or one by one."""
-    return 0 if suspicion is None else len(_list_depths(suspicion))
+    return 0 if suspicion is None else len(list_crashes(suspicion))
 
 
-def _list_depths(suspicion: Suspicion) -> dict[str, int]:
-    """Return how many crashes were known when the request was sent, by server."""
+def list_crashes(suspicion: Suspicion) -> dict[str, int]:
+    """Return the crashes that are not taken back, by the server's incarnation.
+
+    :return: how many were known when the request was sent that was in flight at each.
+    """
     depths: dict[str, int] = {}
     for mark in set(suspicion.deaths) - set(suspicion.cleared):
         incarnation, depth = _parse_mark(mark)
@@ -129,6 +139,7 @@
         "_known_at",
         "_suspicions",
         "_trials",
+        "changes",
     )
 
     def __init__(self) -> None:
@@ -141,6 +152,8 @@
         # Requests that completed here, the last one at the end.
         self._completed: dict[str, None] = {}
         self._evict_at = 0
+        # Number of changes so far.
+        self.changes = 0
 
     def __len__(self) -> int:
         return len(self._suspicions)
@@ -156,14 +169,21 @@
 
         :param known: number of crashes that were known when the request was sent.
         """
+        suspicion = self.build_crash(fingerprint, incarnation=incarnation, known=known)
+        self.merge((suspicion,), now=now)
+        return self._suspicions.get(fingerprint, suspicion)
+
+    def build_crash(
+        self, fingerprint: str, *, incarnation: str, known: int, position: int = 0
+    ) -> Suspicion:
+        """Build what is to be merged, here and elsewhere, to record one crash."""
         mark = build_mark(server=incarnation, boot_id=str(known))
-        suspicion = Suspicion(
+        return Suspicion(
             fingerprint=fingerprint,
             deaths=(mark,),
             cleared=(_COMPLETED_MARK,) if fingerprint in self._completed else (),
+            position=position,
         )
-        self.merge((suspicion,), now=now)
-        return self._suspicions.get(fingerprint, suspicion)
 
     def clear(self, fingerprint: str, *, now: int) -> Suspicion | None:
         """Record that a request completed, and take back all crashes under it.
@@ -177,8 +197,10 @@
         suspicion = self._suspicions.get(fingerprint)
         if suspicion is None or not count_servers(suspicion):
             return None
-        self.merge((clear_deaths(suspicion, suspicion.deaths),), now=now)
-        return self._suspicions.get(fingerprint)
+        marks = tuple(set(suspicion.deaths) - set(suspicion.cleared))
+        cleared = Suspicion(fingerprint=fingerprint, deaths=marks, cleared=marks)
+        self.merge((cleared,), now=now)
+        return cleared
 
     def clear_server(
         self, incarnation: str, *, sent_at: int, now: int
@@ -228,7 +250,7 @@
         for suspicion in suspicions:
             at = now - max(0, next(ages, 0))
             known = self._suspicions.get(suspicion.fingerprint)
-            merged = _truncate(merge_suspicions(known, suspicion))
+            merged = self._merge_one(suspicion)
             if merged != known:
                 self._store(merged, at=at, now=now)
                 changed.append(merged)
@@ -236,11 +258,12 @@
         return tuple(changed)
 
     def _store(self, suspicion: Suspicion, *, at: int, now: int) -> None:
+        self.changes += 1
         fingerprint = suspicion.fingerprint
         before = self._suspicions.get(fingerprint)
         self._suspicions[fingerprint] = suspicion
         self._changed_at[fingerprint] = max(at, self._changed_at.get(fingerprint, at))
-        crashed = _list_depths(suspicion)
+        crashed = list_crashes(suspicion)
         for mark in () if before is None else before.deaths:
             incarnation, _ = _parse_mark(mark)
             if incarnation not in crashed:
@@ -280,15 +303,37 @@
         """
         if not self.is_quarantined(fingerprint):
             return 0
-        expiry_ms = max(0, self.get_time_to_expiry_ms(fingerprint, now=now))
         suspicion = self._suspicions[fingerprint]
-        retrials = count_crashes(suspicion) - MAX_CRASHES
-        has_completed = _COMPLETED_MARK in suspicion.cleared
+        return self.get_retrial_wait_ms(
+            fingerprint,
+            retrials=count_crashes(suspicion) - MAX_CRASHES,
+            is_explained=self._is_explained(suspicion),
+            may_retry=may_retry,
+            now=now,
+        )
+
+    def get_retrial_wait_ms(
+        self,
+        fingerprint: str,
+        *,
+        retrials: int,
+        is_explained: bool,
+        may_retry: bool,
+        now: int,
+    ) -> int:
+        """Return for how long a suspect that is quarantined is not to be run, in ms.
+
+        :param retrials: how often it was tried again.
+        :param is_explained: whether others explain its crashes.
+        :param may_retry: whether this instance may try it once more.
+        """
+        expiry_ms = max(0, self.get_time_to_expiry_ms(fingerprint, now=now))
+        has_completed = self.has_completed(fingerprint)
         if retrials >= MAX_RETRIALS and not has_completed:
             return expiry_ms
         if retrials >= MAX_SOON_RETRIALS:
             delay_ms = RARE_RETRIAL_DELAY_MS
-        elif has_completed or self._is_explained(suspicion):
+        elif has_completed or is_explained:
             delay_ms = RETRIAL_DELAY_MS << retrials
         else:
             delay_ms = UNEXPLAINED_RETRIAL_DELAY_MS
@@ -296,6 +341,30 @@
         least_ms = 0 if may_retry else RETRIAL_POLL_MS
         return min(expiry_ms, max(least_ms, retrial_at - now))
 
+    def has_completed(self, fingerprint: str) -> bool:
+        """Return whether a suspect completed before it was at a crash."""
+        suspicion = self._suspicions.get(fingerprint)
+        return suspicion is not None and _COMPLETED_MARK in suspicion.cleared
+
+    def is_crash_explained(self, incarnation: str) -> bool:
+        """Return whether a quarantined request was in flight as a server crashed."""
+        return any(
+            self.is_quarantined(fingerprint)
+            for fingerprint in self._known_at.get(incarnation, ())
+        )
+
+    def select_news(self, suspicions: Iterable[Suspicion]) -> tuple[Suspicion, ...]:
+        """Return those that :meth:`merge` would change something by."""
+        return tuple(
+            one
+            for one in suspicions
+            if self._merge_one(one) != self._suspicions.get(one.fingerprint)
+        )
+
+    def _merge_one(self, suspicion: Suspicion) -> Suspicion:
+        known = self._suspicions.get(suspicion.fingerprint)
+        return _truncate(merge_suspicions(known, suspicion))
+
     def _is_explained(self, suspicion: Suspicion) -> bool:
         """Return whether other quarantined requests were at each of its crashes."""
         return all(
@@ -304,7 +373,7 @@
                 for other in self._known_at.get(incarnation, ())
                 if other != suspicion.fingerprint
             )
-            for incarnation in _list_depths(suspicion)
+            for incarnation in list_crashes(suspicion)
         )
 
     def needs_trial(self, fingerprint: str) -> bool:
@@ -358,6 +427,7 @@
             self._forget(fingerprint)
 
     def _forget(self, fingerprint: str) -> None:
+        self.changes += 1
         suspicion = self._suspicions.pop(fingerprint)
         del self._changed_at[fingerprint]
         self._trials.pop(fingerprint, None)
@@ -393,4 +463,5 @@
         deaths=tuple(sorted(kept)),
         cleared=tuple(sorted(cleared.intersection((*kept, _COMPLETED_MARK)))),
         clear=cleared.issuperset(kept),
+        position=suspicion.position,
     )
--- a/src/arbutuspulley/delivery/suspects.py
+++ b/src/arbutuspulley/delivery/suspects.py
@@ -110,6 +110,7 @@
         deaths=tuple(sorted(deaths)),
         cleared=tuple(sorted(cleared)),
         clear=deaths <= cleared,
+        position=max(first.position, second.position),
     )
 
 
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -65,7 +65,11 @@
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.store_watch import apply_configuration_delta, apply_store_update
 from arbutuspulley.node.stream_copies import StreamVersionLookup
-from arbutuspulley.node.suspects import build_suspects, relay_suspects
+from arbutuspulley.node.suspects import (
+    build_suspects,
+    drop_known_parts,
+    relay_suspects,
+)
 from arbutuspulley.platform.engines import ORDER_TIMEOUT_MS
 from arbutuspulley.pool.answers import (
     PlannedOrder,
@@ -324,7 +328,7 @@
         elif isinstance(message, Hello):
             add_running_requests(self._pools, origin, message, now=now)
         elif isinstance(message, SuspicionUpdate):
-            self._peers.send_all(message)
+            self._relay_suspicions(origin, message)
         elif isinstance(message, CancelRequest):
             cancel_request(self._pools, message)
         else:
@@ -334,6 +338,13 @@
                 self._streams.record_started(message)
             apply_progress(self._pools, message, origin=origin, now=now)
 
+    def _relay_suspicions(self, origin: str, update: SuspicionUpdate) -> None:
+        # What this instance has recorded itself is known here, but to no other one.
+        if origin != self._state.settings.name:
+            update = drop_known_parts(self._state, update)
+        if update.suspicions or update.trials or update.parts:
+            self._peers.send_all(update)
+
     def _record_limits(
         self, limits: tuple[ServerLimit, ...], *, is_initial: bool = False
     ) -> None:
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.delivery.part_records import ESTABLISHED_MS
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
@@ -38,6 +39,7 @@
     is_misdirected,
     is_not_run,
     is_server_error,
+    is_success,
     select_answer_headers,
 )
 from arbutuspulley.platform.transport import (
@@ -237,6 +239,7 @@
         progress.sent_at = now
         progress.events = 0
         progress.begun_at = None
+        progress.is_established = False
         progress.framing = progress.answer_end = None
         progress.helper = ""
         self._paths.record_begun(entry)
@@ -257,6 +260,8 @@
                 outcome = AttemptOutcome.DONE
                 if not is_server_error(response.status):
                     self._poison.clear(self._request)
+                if is_success(response.status):
+                    self._poison.clear_parts(self._request)
                 took_ms = state.clock.now() - now
                 return answer
             except _NotRunError:
@@ -422,10 +427,19 @@
             self._link.send(started)
         progress.events = events
         progress.last_event_at = now
+        self._acquit_parts(now)
         entry = self._state.by_incarnation.get(progress.server)
         if entry is not None:
             self._record_heard(entry)
 
+    def _acquit_parts(self, now: int) -> None:
+        progress = self.progress
+        if progress.is_established or progress.begun_at is None:
+            return
+        if now - progress.begun_at >= ESTABLISHED_MS:
+            progress.is_established = True
+            self._poison.clear_parts(self._request)
+
     def _record_first_part(self) -> None:
         progress = self.progress
         progress.first_ms = self._state.clock.now() - progress.started_at
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -93,7 +93,7 @@
 class Trial(Message, frozen=True):
     """A copy of a request that an instance sends while others wait for its outcome.
 
-    :param fingerprint: hash of caller and body.
+    :param fingerprint: hash of caller and body, or what stands for a part of prompts.
     :param has_ended: whether the server does not work on it any more.
     """
 
@@ -103,18 +103,22 @@
 
 
 class SuspicionUpdate(Message, frozen=True, tag="suspected"):
-    """Requests that are suspected of crashing servers, or were cleared of it.
+    """Requests and parts of prompts that are suspected of crashing servers, or cleared.
 
-    A request is suspect if it was in flight when a server broke off. The instance that
+    They are suspect if they were in flight when a server broke off. The instance that
     sees it informs the coordinator, which informs all instances.
 
     :param ages_ms: how long ago each suspicion changed; empty: just now.
     :param trials: copies of suspects that begin or end.
+    :param parts: what is known of parts of prompts, by their ids.
+    :param part_ages_ms: how long ago each of these changed; empty: just now.
     """
 
     suspicions: tuple[Suspicion, ...] = ()
     ages_ms: tuple[int, ...] = ()
     trials: tuple[Trial, ...] = ()
+    parts: tuple[Suspicion, ...] = ()
+    part_ages_ms: tuple[int, ...] = ()
 
 
 class Hello(Message, frozen=True, tag="hello"):
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -42,6 +42,7 @@
         "log_lines",
         "longest_gap",
         "orders",
+        "quarantined_parts",
         "refusals",
         "registry",
         "relayed",
@@ -78,6 +79,11 @@
             ["how"],
             registry=registry,
         )
+        self.quarantined_parts = Gauge(
+            "arbutus_quarantined_parts",
+            "Parts of prompts that are refused because they crashed servers",
+            registry=registry,
+        )
         self.resumed_streams = Counter(
             "arbutus_resumed_streams",
             "Streams that callers resumed, by how that ended and how their software"
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -7,11 +7,16 @@
 time after the previous crash was known, is quarantined. The coordinator's instance
 tries it again later, since a harmless request may have been at each of them.
 
+Requests that are never alike may crash servers by one part of their prompts. Such a
+part is quarantined for all of them; the others that travel with it are not.
+
 What counts as a crash, and what takes it back, is decided in
-:mod:`arbutuspulley.delivery.crash_records`.
+:mod:`arbutuspulley.delivery.crash_records`; which part of a prompt is the cause in
+:mod:`arbutuspulley.delivery.part_records`.
 """
 
 import asyncio
+from collections.abc import Iterator
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.data import Value
@@ -21,12 +26,14 @@
     count_crashes,
     count_servers,
 )
+from arbutuspulley.delivery.part_records import ESTABLISHED_MS
 from arbutuspulley.delivery.suspects import build_fingerprint
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import SuspicionUpdate, Trial
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.ports.fleet import InboundRequest
+from arbutuspulley.rpc.messages import Suspicion
 
 TRIAL_RETRY_MS = 300
 """Retry delay while another copy of a request is on trial, in ms."""
@@ -45,6 +52,21 @@
 """Maximum number of requests that a log line names; it also has their count."""
 
 
+PART_KEY_PREFIX = "part "
+"""Prefix by which a part of prompts on trial differs from a request on trial."""
+
+
+class KnownCrashes(Value, frozen=True):
+    """Crashes that were known as a request was sent.
+
+    :param request: crashes with the request in flight.
+    :param parts: crashes with each shared part of its prompt in flight, in order.
+    """
+
+    request: int = 0
+    parts: tuple[int, ...] = ()
+
+
 class PoisonRefusal(Value, frozen=True):
     """Why a request is not sent to a server now.
 
@@ -56,18 +78,22 @@
 
 
 class PoisonGuard:
-    """Tracks suspect requests and refuses quarantined ones.
+    """Tracks suspect requests and parts of prompts, and refuses quarantined ones.
 
     :param link: link by which suspicions are shared with all instances.
     """
 
-    __slots__ = ("_link", "_own_trials", "_records", "_state")
+    __slots__ = ("_guilty", "_link", "_own_trials", "_parts", "_records", "_state")
 
     def __init__(self, *, state: NodeState, link: Link) -> None:
         self._state = state
         self._link = link
         self._records = state.crash_records
-        # Requests of this instance that are on trial, and until when that counts.
+        self._parts = state.part_records
+        # Quarantined parts that were logged.
+        self._guilty: frozenset[str] = frozenset()
+        # Requests of this instance that are on trial, and until when that counts, by
+        # their fingerprints and the parts of their prompts.
         self._own_trials: dict[str, tuple[InboundRequest, int]] = {}
         link.on_suspicions = self.merge_update
 
@@ -79,68 +105,90 @@
 
     def get_refusal(self, request: InboundRequest) -> PoisonRefusal | None:
         """Return why a request is not to be sent now; ``None``: it may be sent."""
-        if not len(self._records):
+        if not self._has_suspects():
             return None
         now = self._state.clock.now()
-        fingerprint = _get_fingerprint(request)
+        may_retry = self._state.is_coordinator
         wait_ms = self._records.get_wait_ms(
-            fingerprint, may_retry=self._state.is_coordinator, now=now
+            _get_fingerprint(request), may_retry=may_retry, now=now
         )
         if wait_ms:
             return PoisonRefusal(
                 reason="it crashed the servers that ran it", retry_after_ms=wait_ms
             )
-        if self._is_on_trial(request, fingerprint, now=now):
+        quarantined = self._parts.find_quarantined(
+            request.shared_parts, may_retry=may_retry, now=now
+        )
+        if quarantined is not None:
+            part = quarantined.part[:LOGGED_PART_LENGTH]
+            return PoisonRefusal(
+                reason=f"part {part} of its prompt crashed the servers that answered",
+                retry_after_ms=quarantined.wait_ms,
+            )
+        if any(
+            self._is_on_trial(key, request, now=now)
+            for key in self._list_trial_keys(request)
+        ):
             return PoisonRefusal(
                 reason="another copy of it runs after it was at crashes of servers",
                 retry_after_ms=TRIAL_RETRY_MS,
             )
         return None
 
-    def _is_on_trial(
-        self, request: InboundRequest, fingerprint: str, *, now: int
-    ) -> bool:
-        if not self._records.needs_trial(fingerprint):
-            return False
-        own, until = self._own_trials.get(fingerprint, (request, 0))
+    def _has_suspects(self) -> bool:
+        return bool(len(self._records) or len(self._parts))
+
+    def _list_trial_keys(self, request: InboundRequest) -> Iterator[str]:
+        """Return for what the request is to be sent alone, itself or parts of it."""
+        fingerprint = _get_fingerprint(request)
+        if self._records.needs_trial(fingerprint):
+            yield fingerprint
+        for part in request.shared_parts:
+            if self._parts.needs_trial(part):
+                yield PART_KEY_PREFIX + part
+
+    def _is_on_trial(self, key: str, request: InboundRequest, *, now: int) -> bool:
+        own, until = self._own_trials.get(key, (request, 0))
         if own is not request and now < until:
             return True
-        return self._records.is_on_trial(fingerprint, now=now)
+        return self._records.is_on_trial(key, now=now)
+
+    def needs_trial(self, request: InboundRequest) -> bool:
+        """Return whether a request is to be sent alone, itself or by its prompt."""
+        return self._has_suspects() and any(self._list_trial_keys(request))
 
     async def delay_trial(self, request: InboundRequest) -> None:
         """Wait for a random time before a request whose copies run one at a time."""
-        if not len(self._records):
-            return
-        if self._records.needs_trial(_get_fingerprint(request)):
+        if self.needs_trial(request):
             delay_ms = self._state.rng.random() * TRIAL_SPREAD_MS
             await asyncio.sleep(delay_ms / SECOND_MS)
 
-    def begin_attempt(self, request: InboundRequest) -> int:
+    def begin_attempt(self, request: InboundRequest) -> KnownCrashes:
         """Record that a request is about to be sent to a server.
 
-        :return: the number of crashes that are known with it in flight.
+        :return: the crashes that are known.
         """
-        if not len(self._records):
-            return 0
-        fingerprint = _get_fingerprint(request)
-        if self._records.needs_trial(fingerprint):
-            until = self._state.clock.now() + TRIAL_MS
-            self._own_trials[fingerprint] = (request, until)
-            self._send_trial(fingerprint)
-        return self.count_crashes(request)
+        if not self._has_suspects():
+            return KnownCrashes()
+        until = self._state.clock.now() + TRIAL_MS
+        for key in self._list_trial_keys(request):
+            self._own_trials[key] = (request, until)
+            self._send_trial(key)
+        return KnownCrashes(
+            request=self.count_crashes(request),
+            parts=self._parts.count_crashes(request.shared_parts),
+        )
 
     def end_attempt(self, request: InboundRequest) -> None:
         """Record that a server does not work on a request any more."""
-        if not self._own_trials:
-            return
-        fingerprint = _get_fingerprint(request)
-        if self._own_trials.get(fingerprint, (None, 0))[0] is request:
-            del self._own_trials[fingerprint]
-            self._send_trial(fingerprint, has_ended=True)
+        ended = [key for key, (own, _) in self._own_trials.items() if own is request]
+        for key in ended:
+            del self._own_trials[key]
+            self._send_trial(key, has_ended=True)
 
-    def _send_trial(self, fingerprint: str, *, has_ended: bool = False) -> None:
+    def _send_trial(self, key: str, *, has_ended: bool = False) -> None:
         trial = Trial(
-            fingerprint=fingerprint,
+            fingerprint=key,
             instance=self._state.settings.name,
             has_ended=has_ended,
         )
@@ -151,14 +199,14 @@
         request: InboundRequest,
         *,
         incarnation: str,
-        known: int,
+        known: KnownCrashes,
         begun_at: int | None = None,
     ) -> None:
         """Record that a server broke off with the request in flight.
 
-        :param known: number of crashes that were known when the request was sent. If
-            more are known now, several copies of the request were in flight, or several
-            servers failed at once; that counts as one crash.
+        :param known: crashes that were known when the request was sent. If more are
+            known now, several copies of the request were in flight, or several servers
+            failed at once; that counts as one crash.
         :param begun_at: when the answer's first event arrived, in ms; ``None``: none
             had.
         """
@@ -166,8 +214,17 @@
         fingerprint = _get_fingerprint(request)
         now = self._state.clock.now()
         suspicion = self._records.record(
-            fingerprint, incarnation=incarnation, known=known, now=now
+            fingerprint, incarnation=incarnation, known=known.request, now=now
         )
+        is_established = begun_at is not None and now - begun_at >= ESTABLISHED_MS
+        parts: tuple[Suspicion, ...] = ()
+        if not is_established:
+            parts = self._parts.record(
+                request.shared_parts,
+                incarnation=incarnation,
+                known=known.parts,
+                now=now,
+            )
         deaths = count_crashes(suspicion)
         is_counted = deaths > before
         if not is_counted:
@@ -181,7 +238,7 @@
             id=request.attempt_id,
             request=fingerprint[:LOGGED_FINGERPRINT_LENGTH],
             server=incarnation,
-            known=known,
+            known=known.request,
             deaths=deaths,
             servers=count_servers(suspicion),
             parts=[part[:LOGGED_PART_LENGTH] for part in request.shared_parts],
@@ -189,17 +246,18 @@
         )
         how = "counted" if is_counted else "ignored"
         self._state.metrics.break_offs.labels(how).inc()
-        self._link.send(SuspicionUpdate(suspicions=(suspicion,)))
+        self._link.send(SuspicionUpdate(suspicions=(suspicion,), parts=parts))
+        self._log_quarantines()
 
     def record_answer(self, incarnation: str, *, sent_at: int) -> None:
         """Take back crashes of a server that has answered; it was not it that failed.
 
         :param sent_at: when the request was sent that it answered, in ms.
         """
-        cleared = self._records.clear_server(
-            incarnation, sent_at=sent_at, now=self._state.clock.now()
-        )
-        if not cleared:
+        now = self._state.clock.now()
+        cleared = self._records.clear_server(incarnation, sent_at=sent_at, now=now)
+        parts = self._parts.clear_server(incarnation, sent_at=sent_at, now=now)
+        if not cleared and not parts:
             return
         log_event(
             Event.SUSPECTS_RETRACTED,
@@ -209,8 +267,10 @@
                 one.fingerprint[:LOGGED_FINGERPRINT_LENGTH]
                 for one in cleared[:MAX_LOGGED_REQUESTS]
             ],
+            parts=len(parts),
         )
-        self._link.send(SuspicionUpdate(suspicions=cleared))
+        self._link.send(SuspicionUpdate(suspicions=cleared, parts=parts))
+        self._log_quarantines()
 
     def clear(self, request: InboundRequest) -> None:
         """Clear a request that completed; it caused no crash."""
@@ -220,10 +280,19 @@
         if cleared is not None:
             self._link.send(SuspicionUpdate(suspicions=(cleared,)))
 
+    def clear_parts(self, request: InboundRequest) -> None:
+        """Acquit the parts of a prompt that a server answered."""
+        cleared = self._parts.clear(request.shared_parts, now=self._state.clock.now())
+        if cleared:
+            self._link.send(SuspicionUpdate(parts=cleared))
+            self._log_quarantines()
+
     def merge_update(self, update: SuspicionUpdate) -> None:
         """Merge what another instance has recorded."""
         now = self._state.clock.now()
         self._records.merge(update.suspicions, ages_ms=update.ages_ms, now=now)
+        self._parts.merge(update.parts, ages_ms=update.part_ages_ms, now=now)
+        self._log_quarantines()
         for trial in update.trials:
             if trial.instance == self._state.settings.name:
                 continue
@@ -232,6 +301,22 @@
             else:
                 self._records.record_trial(trial.fingerprint, trial.instance, now=now)
 
+    def _log_quarantines(self) -> None:
+        """Log which parts are quarantined from now on, and which no longer are."""
+        guilty = self._parts.list_guilty()
+        before, self._guilty = self._guilty, frozenset(guilty)
+        self._state.metrics.quarantined_parts.set(len(guilty))
+        for part in sorted(self._guilty - before):
+            log_event(
+                Event.PART_QUARANTINED,
+                part=part[:LOGGED_PART_LENGTH],
+                deaths=guilty[part],
+                was_answered=self._parts.was_answered(part),
+                position=self._parts.get_position(part),
+            )
+        for part in sorted(before - self._guilty):
+            log_event(Event.PART_RELEASED, part=part[:LOGGED_PART_LENGTH])
+
 
 def _get_fingerprint(request: InboundRequest) -> str:
     if not request.fingerprint:
--- a/src/arbutuspulley/node/progress.py
+++ b/src/arbutuspulley/node/progress.py
@@ -68,6 +68,7 @@
     :param sent_at: when the request was sent to that server, in ms.
     :param events: number of events of the stream that the last server sent.
     :param begun_at: when the first of these events arrived, in ms; ``None``: none has.
+    :param is_established: whether that answer has acquitted the parts of the prompt.
     :param last_event_at: when the last of these events arrived, in ms.
     :param longest_gap_ms: longest time between two events, over all servers, in ms.
     :param resumes: how often the stream was resumed at another server.
@@ -97,6 +98,7 @@
     last_event_id: str = ""
     events: int = 0
     begun_at: int | None = None
+    is_established: bool = False
     last_event_at: int = 0
     longest_gap_ms: int = 0
     resumes: int = 0
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -13,6 +13,7 @@
 from arbutuspulley.clock import Clock
 from arbutuspulley.delivery.begun_streams import BegunStreams
 from arbutuspulley.delivery.crash_records import CrashRecords
+from arbutuspulley.delivery.part_records import PartRecords
 from arbutuspulley.membership.capacity import get_capacity
 from arbutuspulley.membership.leaving import LeavingServers
 from arbutuspulley.membership.server_reach import ServerReach, is_cut_off
@@ -75,6 +76,7 @@
     :param software_versions: versions of the servers' software, by service.
     :param begun_streams: streams that callers may resume, also of other instances.
     :param crash_records: requests that were in flight as servers crashed, likewise.
+    :param part_records: parts of prompts that were, likewise.
     :param is_coordinator: whether this instance is the coordinator.
     :param estimates: estimates last sent by the coordinator; used if this instance
         becomes its successor.
@@ -128,6 +130,7 @@
         "on_store_update",
         "on_unanswered",
         "order_session",
+        "part_records",
         "refused_entries",
         "removed_starts",
         "rng",
@@ -182,6 +185,7 @@
         self.software_versions = ServiceVersions()
         self.begun_streams = BegunStreams()
         self.crash_records = CrashRecords()
+        self.part_records = PartRecords(requests=self.crash_records)
         self.row_positions: dict[str, StorePosition] = {}
         self.removed_starts: dict[str, int] = {}
         self.lapsing: dict[str, StorePosition] = {}
--- a/src/arbutuspulley/node/suspects.py
+++ b/src/arbutuspulley/node/suspects.py
@@ -1,24 +1,30 @@
-"""What instances that link up tell each other of requests at crashes of servers."""
+"""What instances tell each other of requests and parts of prompts at crashes."""
 
 from collections.abc import Callable
 
+import msgspec
+
 from arbutuspulley.node.messages import SuspicionUpdate, ToNode
 from arbutuspulley.node.state import NodeState
 
 MAX_SUSPECTS_IN_UPDATE = 100
-"""Maximum number of suspects that an instance is told of as it links up, about 20
-KB."""
+"""Maximum number of suspect requests that an instance is told of as it links up, about
+20 KB; the same for parts of prompts."""
 
 
 def build_suspects(state: NodeState) -> SuspicionUpdate:
     """Return what this instance knows, for one that has just linked up."""
     now = state.clock.now()
-    records = state.crash_records
-    suspicions = records.list_worst(MAX_SUSPECTS_IN_UPDATE)
+    requests = state.crash_records.list_worst(MAX_SUSPECTS_IN_UPDATE)
+    parts = state.part_records.list_worst(MAX_SUSPECTS_IN_UPDATE)
     return SuspicionUpdate(
-        suspicions=tuple(suspicions),
+        suspicions=tuple(requests),
         ages_ms=tuple(
-            records.get_age_ms(one.fingerprint, now=now) for one in suspicions
+            state.crash_records.get_age_ms(one.fingerprint, now=now) for one in requests
+        ),
+        parts=tuple(parts),
+        part_ages_ms=tuple(
+            state.part_records.get_age_ms(one.fingerprint, now=now) for one in parts
         ),
     )
 
@@ -30,8 +36,19 @@
 
     :param send: sends to all other instances.
     """
+    now = state.clock.now()
     changed = state.crash_records.merge(
-        update.suspicions, ages_ms=update.ages_ms, now=state.clock.now()
+        update.suspicions, ages_ms=update.ages_ms, now=now
     )
-    if changed:
-        send(SuspicionUpdate(suspicions=changed))
+    parts = state.part_records.merge(update.parts, ages_ms=update.part_ages_ms, now=now)
+    if changed or parts:
+        send(SuspicionUpdate(suspicions=changed, parts=parts))
+
+
+def drop_known_parts(state: NodeState, update: SuspicionUpdate) -> SuspicionUpdate:
+    """Return an update without what is known here of parts of prompts.
+
+    Many instances see the same crash under a part, and answers that acquit it.
+    """
+    parts = state.part_records.select_news(update.parts)
+    return msgspec.structs.replace(update, parts=parts)
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -146,6 +146,11 @@
     return status >= 500
 
 
+def is_success(status: int) -> bool:
+    """Return whether an answer is what the request asked for."""
+    return 200 <= status < 300
+
+
 def is_answer_to(request: InboundRequest, headers: Mapping[str, str]) -> bool:
     """Return whether an answer comes from a server and belongs to this request."""
     if headers.get(names.ATTEMPT_ID, "") != request.attempt_id:
--- a/src/arbutuspulley/rpc/messages.py
+++ b/src/arbutuspulley/rpc/messages.py
@@ -50,20 +50,22 @@
 
 
 class Suspicion(Message, frozen=True):
-    """A request that was in flight on a server when the server crashed.
+    """A request, or a part of prompts, in flight on a server when the server crashed.
 
-    :param fingerprint: hash of caller and body.
+    :param fingerprint: hash of caller and body; of a part its id.
     :param deaths: servers that crashed while it ran, with their boot id:
         ``server/boot_id``; with ``#trial_id`` for a trial that is still running.
     :param clear: whether it has since completed while running alone on a server.
     :param cleared: the deaths that it was cleared of. Both sets only grow, so that
         suspicions of several instances can be merged in any order.
+    :param position: last place of a part in the prompts that had it; the first is 0.
     """
 
     fingerprint: str
     deaths: tuple[str, ...] = ()
     clear: bool = False
     cleared: tuple[str, ...] = ()
+    position: int = 0
 
 
 class CallerUsage(Message, frozen=True):
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from arbutuspulley.clock import SECOND_MS, Clock
+from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.delivery.crash_records import (
     MAX_CRASHES,
     TRIAL_MS,
@@ -12,39 +12,9 @@
     CrashRecords,
 )
 from arbutuspulley.node.messages import SuspicionUpdate
-from arbutuspulley.node.metrics import NodeMetrics
-from arbutuspulley.node.poison import TRIAL_RETRY_MS, PoisonGuard
+from arbutuspulley.node.poison import TRIAL_RETRY_MS, KnownCrashes
 from arbutuspulley.platform.requests import decode_request
-from tests.node_states import build_state
-
-
-class Instance:
-    """An instance that sends to its group's guards unless it is disconnected."""
-
-    def __init__(self, group):
-        self.now = 0
-        self.clock = Clock(read=lambda: self.now)
-        self.metrics = NodeMetrics()
-        self.crash_records = CrashRecords()
-        self.settings = build_state(name=f"n{len(group)}").settings
-        self.is_coordinator = False
-        self.is_disconnected = False
-        self.group = group
-        group.append(self)
-        self.guard = PoisonGuard(state=self, link=self)
-
-    def send(self, message):
-        assert isinstance(message, SuspicionUpdate)
-        if self.is_disconnected:
-            return
-        for other in self.group:
-            if not other.is_disconnected:
-                other.guard.merge_update(message)
-
-
-def build_group(count=2):
-    group = []
-    return [Instance(group) for _ in range(count)]
+from tests.guard_groups import build_group
 
 
 def build_request(body=b"poison", path="/chat/"):
@@ -104,7 +74,7 @@
 
 def build_fingerprint_of(request):
     guard = build_group(1)[0].guard
-    guard.record_crash(request, incarnation="x", known=0)
+    guard.record_crash(request, incarnation="x", known=KnownCrashes())
     return request.fingerprint
 
 
@@ -181,8 +151,8 @@
     first, second, third = build_group(3)
     request = build_request()
     crash(first, "s0", request)
-    second.guard.record_crash(request, incarnation="s0", known=0)
-    third.guard.record_crash(request, incarnation="s0", known=1)
+    second.guard.record_crash(request, incarnation="s0", known=KnownCrashes())
+    third.guard.record_crash(request, incarnation="s0", known=KnownCrashes(request=1))
     assert third.guard.count_crashes(request) == 1
 
 
--- a/tests/test_suspect_requests.py
+++ b/tests/test_suspect_requests.py
@@ -9,7 +9,7 @@
 from arbutuspulley.delivery.crash_records import MAX_CRASHES
 from arbutuspulley.node import poison as poison_module
 from arbutuspulley.node.acquisition import Acquisition
-from arbutuspulley.node.poison import TRIAL_SPREAD_MS
+from arbutuspulley.node.poison import TRIAL_SPREAD_MS, KnownCrashes
 from arbutuspulley.node.progress import RequestFailedError
 from arbutuspulley.platform import names
 from arbutuspulley.platform.transport import BrokenError
@@ -54,7 +54,7 @@
         node.poison.record_crash(
             request or build_request(),
             incarnation=f"lost{number}",
-            known=0 if at_once else number,
+            known=KnownCrashes(request=0 if at_once else number),
         )
 
 
@@ -176,6 +176,6 @@
     node = build_node_with_retries()
     other = build_request()
     other.path = "/other"
-    node.poison.record_crash(other, incarnation="s0", known=0)
+    node.poison.record_crash(other, incarnation="s0", known=KnownCrashes())
     answer_after_crash(monkeypatch, node, Answer(status), retry_policy=RetryPolicy.ONCE)
     assert node.poison.count_crashes(other) == 0
