--- a/src/arbutuspulley/delivery/crash_records.py
+++ b/src/arbutuspulley/delivery/crash_records.py
@@ -294,6 +294,21 @@
         )
         return ranked[:count]
 
+    def attest_completed(
+        self, suspicions: Iterable[Suspicion]
+    ) -> tuple[Suspicion, ...]:
+        """Return what others have to know of suspects that completed here before.
+
+        :param suspicions: as told by another instance, which may not know of it.
+        """
+        return tuple(
+            Suspicion(fingerprint=one.fingerprint, cleared=(_COMPLETED_MARK,))
+            for one in suspicions
+            if one.deaths
+            and one.fingerprint in self._completed
+            and not self.has_completed(one.fingerprint)
+        )
+
     def get_age_ms(self, fingerprint: str, *, now: int) -> int:
         """Return how long ago the suspicion changed last, in ms."""
         return now - self._changed_at.get(fingerprint, now)
--- a/src/arbutuspulley/delivery/part_records.py
+++ b/src/arbutuspulley/delivery/part_records.py
@@ -163,6 +163,10 @@
         self._records.merge(listed, ages_ms=ages_ms, now=now)
         return news
 
+    def attest_answered(self, suspicions: Iterable[Suspicion]) -> tuple[Suspicion, ...]:
+        """Return what others have to know of suspect parts that were answered here."""
+        return self._records.attest_completed(suspicions)
+
     def select_news(self, suspicions: Iterable[Suspicion]) -> tuple[Suspicion, ...]:
         """Return those that tell something new."""
         return self._records.select_news(suspicions)
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -293,6 +293,7 @@
         now = self._state.clock.now()
         self._records.merge(update.suspicions, ages_ms=update.ages_ms, now=now)
         self._parts.merge(update.parts, ages_ms=update.part_ages_ms, now=now)
+        self._attest_harmless(update, now=now)
         self._log_quarantines()
         for trial in update.trials:
             if trial.instance == self._state.settings.name:
@@ -302,6 +303,16 @@
             else:
                 self._records.record_trial(trial.fingerprint, trial.instance, now=now)
 
+    def _attest_harmless(self, update: SuspicionUpdate, *, now: int) -> None:
+        """Tell all instances which suspects completed here before they were suspect."""
+        requests = self._records.attest_completed(update.suspicions)
+        parts = self._parts.attest_answered(update.parts)
+        if not requests and not parts:
+            return
+        self._records.merge(requests, now=now)
+        self._parts.merge(parts, now=now)
+        self._link.send(SuspicionUpdate(suspicions=requests, parts=parts))
+
     def _log_quarantines(self) -> None:
         """Log which parts are quarantined from now on, and which no longer are."""
         guilty = self._parts.list_guilty()
--- a/tests/test_crash_promises.py
+++ b/tests/test_crash_promises.py
@@ -65,6 +65,14 @@
         check_play(play(seed=seed, kinds=kinds, **options), seed)
 
 
+def test_a_harmless_request_is_served_although_those_who_saw_it_answered_are_killed():
+    """Guards against a harmless request that is refused for hours because an instance
+    counted its crashes that did not know that it had completed."""
+    kinds = ("kill", "power")
+    options = {**list_options(12), "tries_others": True}
+    check_play(play(seed=12, kinds=kinds, **options), 12)
+
+
 def test_the_same_seed_plays_the_same():
     """Guards against a seed that does not repeat what it found."""
     first, second = (
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -105,6 +105,17 @@
         assert instance.guard.get_refusal(other) is None
 
 
+def test_instances_tell_which_suspect_parts_they_saw_answered():
+    """Guards against blaming a part as early as one that was never answered, because
+    the instance that counts the crashes is not the one that saw the answers."""
+    first, second = build_group()
+    second.guard.clear_parts(build_request("f:1,1:1"))
+    crash_all(first)
+    for instance in (first, second):
+        assert instance.part_records.was_answered("f")
+        assert instance.guard.get_refusal(build_request("f:1,2:1")) is None
+
+
 def test_an_instance_that_links_up_is_told_of_parts_and_their_ages():
     """Guards against processes that start and send prompts that crash servers."""
     first, second = (build_group(1)[0] for _ in range(2))
