Give up answers that servers send without end

A server in trouble may send bytes that are no answer until its caller closes, in a head or a body. A body was read into memory at 300 to 470 MB a second until the deadline, so a few requests ended the process at its memory limit; interim answers, empty lines, sizes and extensions of chunks were read for as long, without growing.

Framing beyond 256 KB, and 16 bytes for each byte of the body, ends an answer as invalid. A body that is read as a whole, and an event, may take 8 MB, all of them together 64 MB; reports of servers and answers to orders, too.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -130,7 +130,10 @@
             ends_at=started_at + remaining_ms - ANSWER_MARGIN_MS,
         )
         self._stream = StreamRelay(
-            client=client, progress=self.progress, on_events=self._record_events
+            client=client,
+            progress=self.progress,
+            held=state.held_bytes,
+            on_events=self._record_events,
         )
         self._acquisition = Acquisition(
             state=state,
@@ -382,7 +385,7 @@
         return is_event_stream(response.headers)
 
     async def _relay_body(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
-        body = await read_body(response)
+        body = await read_body(response, held=self._state.held_bytes)
         # After a server error the request counts as run, so it is retried only if it
         # may run twice: another server may not have that error.
         if is_server_error(response.status) and self._may_retry():
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -29,6 +29,7 @@
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.versions import Versions
 from arbutuspulley.platform.store import StoreClient
+from arbutuspulley.platform.transport import HeldBytes
 from arbutuspulley.ports.fleet import FleetConfiguration, NodeSettings, ServerEntry
 from arbutuspulley.ports.store_position import NO_POSITION, StorePosition
 from arbutuspulley.routing.local_choice import LocalServerStats
@@ -77,6 +78,7 @@
     :param begun_streams: streams that callers may resume, also of other instances.
     :param crash_records: requests that were in flight as servers crashed, likewise.
     :param part_records: parts of prompts that were, likewise.
+    :param held_bytes: bytes of servers' answers that can't be forwarded yet.
     :param is_coordinator: whether this instance is the coordinator.
     :param estimates: estimates last sent by the coordinator; used if this instance
         becomes its successor.
@@ -113,6 +115,7 @@
         "follow_requested",
         "followed_at",
         "freshness",
+        "held_bytes",
         "in_flight",
         "instances",
         "is_coordinator",
@@ -185,6 +188,7 @@
         self.software_versions = ServiceVersions()
         self.begun_streams = BegunStreams()
         self.crash_records = CrashRecords()
+        self.held_bytes = HeldBytes()
         self.part_records = PartRecords(requests=self.crash_records)
         self.row_positions: dict[str, StorePosition] = {}
         self.removed_starts: dict[str, int] = {}
--- a/src/arbutuspulley/node/stream_relay.py
+++ b/src/arbutuspulley/node/stream_relay.py
@@ -19,7 +19,7 @@
     PLATFORM_EVENT_FIELDS,
     select_answer_headers,
 )
-from arbutuspulley.platform.transport import BrokenError, read_part
+from arbutuspulley.platform.transport import BrokenError, HeldBytes, read_part
 from arbutuspulley.ports.answers import AnswerEnd
 
 
@@ -28,22 +28,35 @@
 
     :param client: the caller's HTTP request.
     :param progress: progress of the request.
+    :param held: what is held of all answers until it can be forwarded.
     :param on_events: called when the current server has sent further events, with their
         number since its answer began.
     """
 
-    __slots__ = ("_answer", "_buffer", "_client", "_on_events", "_progress")
+    __slots__ = (
+        "_answer",
+        "_buffer",
+        "_client",
+        "_held",
+        "_held_here",
+        "_on_events",
+        "_progress",
+    )
 
     def __init__(
         self,
         *,
         client: web.BaseRequest,
         progress: Progress,
+        held: HeldBytes,
         on_events: Callable[[int], None],
     ) -> None:
         self._answer: web.StreamResponse | None = None
         self._buffer = EventBuffer(fields=EVENT_FIELDS | PLATFORM_EVENT_FIELDS)
         self._client = client
+        self._held = held
+        # Bytes of the stream that are held now.
+        self._held_here = 0
         self._on_events = on_events
         self._progress = progress
 
@@ -60,12 +73,19 @@
     async def relay(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
         """Forward a server's stream to its end.
 
-        :raises BrokenError: if the server broke it off.
+        :raises BrokenError: if the server broke it off, or an event is too large.
         """
+        try:
+            return await self._relay(response)
+        finally:
+            self._hold(0)
+
+    async def _relay(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
         buffer, progress = self._buffer, self._progress
         start_run(buffer, is_resumed=self.has_begun)
         while part := await read_part(response):
             complete = take_complete_events(buffer, part)
+            self._hold(len(buffer.pending))
             if not complete:
                 continue
             if buffer.events > progress.events:
@@ -86,6 +106,10 @@
         await complete_answer(self._client, answer)
         return answer
 
+    def _hold(self, size: int) -> None:
+        before, self._held_here = self._held_here, size
+        self._held.change(before=before, now=size)
+
     async def _begin(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
         """Send the head of the answer once; a resumed stream keeps the first one."""
         if self._answer is None:
--- a/src/arbutuspulley/platform/engines.py
+++ b/src/arbutuspulley/platform/engines.py
@@ -10,6 +10,7 @@
 from arbutuspulley.platform import names
 from arbutuspulley.platform.incarnations import get_server_id
 from arbutuspulley.platform.messages import decode_report
+from arbutuspulley.platform.transport import BrokenError, read_body
 from arbutuspulley.ports.fleet import OrderAnswer, ServerOrder, ServerReport
 
 CALL_TIMEOUT_S = 0.8
@@ -57,7 +58,7 @@
     headers = {names.EXPECT_INSTANCE: server_id}
     try:
         async with session.get(url, headers=headers, timeout=_TIMEOUT) as response:
-            body = await response.read()
+            body = await read_body(response)
             if response.status != 200:
                 read_answer(response.status, response.headers)
                 return None
@@ -66,7 +67,7 @@
                 return None
             read_answer(response.status, response.headers)
             return report
-    except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
+    except (aiohttp.ClientError, BrokenError, TimeoutError, msgspec.MsgspecError):
         return None
 
 
@@ -110,10 +111,10 @@
         async with session.post(
             url, data=data, headers=headers, timeout=timeout
         ) as response:
-            await response.read()
+            await read_body(response)
             read_answer(response.status, response.headers)
             return _ANSWERS.get(response.status, OrderAnswer.REFUSED)
     except aiohttp.ClientConnectorError:
         return OrderAnswer.REFUSED
-    except (aiohttp.ClientError, TimeoutError):
+    except (aiohttp.ClientError, BrokenError, TimeoutError):
         return OrderAnswer.UNKNOWN
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -58,6 +58,22 @@
     """No byte of the request reached the server; it certainly did not run."""
 
 
+MAX_FRAMING_BYTES = 256 * 1_024
+"""Maximum size of what an answer has beside its body, in bytes: heads and chunk sizes.
+"""
+
+MAX_FRAMING_PER_BODY_BYTE = 16
+"""What it may have in addition for each byte of the body; a chunk of one byte needs 5.
+"""
+
+MAX_HELD_BYTES = 8 * 1_024 * 1_024
+"""Maximum size of what is held of one answer until it can be forwarded, in bytes: a
+body that is read as a whole, or an event."""
+
+MAX_ALL_HELD_BYTES = 64 * 1_024 * 1_024
+"""Maximum size of what is held of all answers, in bytes."""
+
+
 class BrokenError(Exception):
     """The connection failed after bytes may have been sent; it may have run.
 
@@ -69,6 +85,31 @@
         self.end = end
 
 
+class HeldBytes:
+    """Bytes of answers that are held until they can be forwarded.
+
+    :ivar total: size of all of them.
+    """
+
+    __slots__ = ("total",)
+
+    def __init__(self) -> None:
+        self.total = 0
+
+    def change(self, *, before: int, now: int) -> None:
+        """Record how much is held of one answer.
+
+        :raises BrokenError: if that has become too much.
+        """
+        self.total += now - before
+        is_excess = now > MAX_HELD_BYTES or self.total > MAX_ALL_HELD_BYTES
+        if now > before and is_excess:
+            raise BrokenError(
+                f"{now} bytes to hold, beside {self.total - now} of other answers",
+                end=AnswerEnd.INVALID,
+            )
+
+
 class _AnswerCutError(aiohttp.ClientPayloadError):
     """An answer's body ended before its server ended it.
 
@@ -87,6 +128,8 @@
     treats a reset, and a close by this process, in the same way and would return the
     truncated answer as complete. After an invalid chunk it would return nothing.
 
+    The library bounds each line of a head, but not the bytes that lead to no body.
+
     The library has one idle timeout for all servers, and measures it by a clock that
     stops while the machine is suspended; the server has closed the connection by then.
 
@@ -105,12 +148,35 @@
         self._idle_timeouts = idle_timeouts
         self._restarts = restarts
         self._last_received_at = 0.0
+        self._received_bytes = 0
         self._has_server_closed = False
 
+    def set_response_params(self, **options: Any) -> None:
+        """Prepare the connection for the next answer."""
+        self._received_bytes = 0
+        super().set_response_params(**options)
+
     def data_received(self, data: bytes) -> None:
         """Process received bytes and record the time."""
         self._last_received_at = _read_clock()
+        self._received_bytes += len(data)
         super().data_received(data)
+        if self._has_excess_framing():
+            self._give_up("more framing than an answer has")
+
+    def _has_excess_framing(self) -> bool:
+        body_bytes = 0 if self._payload is None else self._payload.total_bytes
+        framing_bytes = self._received_bytes - body_bytes
+        allowed_bytes = MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * body_bytes
+        return framing_bytes > allowed_bytes
+
+    def _give_up(self, detail: str) -> None:
+        if self.transport is None:
+            return
+        self.set_exception(HttpProcessingError(message=detail))
+        self._fail_body(detail, AnswerEnd.INVALID)
+        # Unlike abort() of this class, it keeps the error.
+        self.transport.abort()
 
     def is_connected(self) -> bool:
         """Return whether the idle connection may be reused."""
@@ -283,15 +349,26 @@
     return Framing.CLOSE
 
 
-async def read_body(response: aiohttp.ClientResponse) -> bytes:
+async def read_body(
+    response: aiohttp.ClientResponse, *, held: HeldBytes | None = None
+) -> bytes:
     """Read the body of an answer to its end.
 
-    :raises BrokenError: if it ends before the server ended it.
+    :param held: what is held of other answers meanwhile.
+    :raises BrokenError: if it ends before the server ended it, or is too large.
     """
+    held = held or HeldBytes()
+    body = bytearray()
     try:
-        return await response.read()
-    except (aiohttp.ClientError, ConnectionError) as error:
-        raise _build_broken_error(error) from error
+        while part := await read_part(response):
+            body += part
+            held.change(before=len(body) - len(part), now=len(body))
+    except BrokenError:
+        response.close()
+        raise
+    finally:
+        held.change(before=len(body), now=0)
+    return bytes(body)
 
 
 async def read_part(response: aiohttp.ClientResponse) -> bytes:
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,113 @@
+"""Servers that send bytes that are no answer until their caller closes."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from arbutuspulley.platform.requests import decode_request
+from arbutuspulley.platform.transport import (
+    BrokenError,
+    open_session,
+    read_body,
+    send_request,
+)
+from arbutuspulley.ports.answers import AnswerEnd
+from arbutuspulley.standins.scripted_answer import AnswerScript, ConnectionEnd
+from tests.raw_callers import ask_raw
+from tests.test_node import play
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+ENDLESS = {
+    "status line": (b"", b"H" * 1_000),
+    "no HTTP": (b"", b"\x00\xff" * 500),
+    "header": (HEAD + b"X: ", b"y" * 1_000),
+    "headers": (HEAD, b"X: y\r\n" * 200),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+    "empty lines": (b"", b"\r\n" * 500),
+    "body": (HEAD + b"\r\n", b"z" * 1_000),
+    "body of a length": (HEAD + b"Content-Length: 99999999999\r\n\r\n", b"z" * 1_000),
+    "chunks": (CHUNKED, b"3e8\r\n" + b"z" * 1_000 + b"\r\n"),
+    "size of a chunk": (CHUNKED, b"0" * 1_000),
+    "extension of a chunk": (CHUNKED + b"3e8;", b"a" * 1_000),
+    "trailers": (CHUNKED + b"0\r\n", b"X: y\r\n" * 200),
+}
+"""What servers send first, and then without end."""
+
+FAILS_WITHIN_S = 2.0
+"""Time within which such an answer is given up, in s."""
+
+MAX_SENT_BYTES = 64 * 1_024 * 1_024
+"""What its server can send by then, in the buffers of both ends, too."""
+
+
+async def receive(head, rest):
+    """Ask a server that sends a head and then the rest for ever.
+
+    :return: the error by which that ends, and how many bytes the server sent.
+    """
+    sent = 0
+    left = asyncio.Event()
+
+    async def serve(reader, writer):
+        nonlocal sent
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head)
+            while True:
+                writer.write(rest * 20)
+                sent += len(rest) * 20
+                await writer.drain()
+        writer.close()
+        left.set()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    request = decode_request(method="GET", path="/", headers=[("Host", "x")])
+    async with server, open_session() as session:
+        with pytest.raises(BrokenError) as failed:
+            async with asyncio.timeout(FAILS_WITHIN_S):
+                response = await send_request(
+                    session, request, address=f"{host}:{port}", headers=[]
+                )
+                await read_body(response)
+        response = None
+        async with asyncio.timeout(FAILS_WITHIN_S):
+            await left.wait()
+    return failed.value, sent
+
+
+@pytest.mark.parametrize("what", ENDLESS)
+def test_an_answer_without_end_is_given_up(what):
+    """Guards against a process that runs out of memory, or spends its time reading,
+    until the deadline of a request to a server that sends without end."""
+    error, sent = asyncio.run(receive(*ENDLESS[what]))
+    assert error.end is AnswerEnd.INVALID
+    assert sent < MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize("route", ["/chat/", "/sync/"])
+def test_a_request_to_a_server_that_sends_without_end_fails_soon(tmp_path, route):
+    """Guards against a stream of which one event, or a body that, takes all memory."""
+
+    async def scenario(fleet, _session):
+        endless = AnswerScript(
+            parts=(b"data: ", *(b"x" * 1_000_000 for _ in range(40))),
+            pause_s=0.01,
+            end=ConnectionEnd.SILENT,
+        )
+        for server in fleet.servers:
+            server.script = endless
+        async with asyncio.timeout(FAILS_WITHIN_S):
+            answer = await ask_raw(
+                fleet.addresses["n1"]["Frontend"],
+                f"{route}x",
+                attempt="a1",
+                model="m0" if route == "/chat/" else "",
+                version="1.1",
+            )
+        assert answer.status == 502
+
+    play(tmp_path, scenario)
