Let the scripted answer of suspect requests be read in parts

Bodies are read in parts since endless ones are given up; the fake answer of this test had only read(). Thirteen tests pass with the same checks.

--- a/tests/test_suspect_requests.py
+++ b/tests/test_suspect_requests.py
@@ -41,8 +41,11 @@
             {names.ATTEMPT_ID: "r0", names.SEAL: "s", "Content-Length": "2"}
         )
 
-    async def read(self):
-        return b"ok"
+        self.content = self
+        self._parts = [b"ok", b""]
+
+    async def readany(self):
+        return self._parts.pop(0)
 
     def close(self):
         pass
