Test guards of quarantined parts that no test without a network had missed

Taken out by hand on a clone, five guards had no test that failed: news of parts for which a server is heard again (three), parts that a coordinator relays to others although it knows the requests, and the trial of a part that was answered before. Each has one now.

--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -179,3 +179,29 @@
     assert update not in peer.outgoing
     asyncio.run(handle(state.settings.name))
     assert update in peer.outgoing
+
+
+def test_a_server_that_is_heard_again_releases_a_part_at_all_instances():
+    """Guards against a part that stays refused although connections broke, not servers,
+    where the requests that it was in were cleared before."""
+    first, second = build_group()
+    for number in range(MAX_CRASHES):
+        crash(first, "f:1,0:1", number)
+        first.guard.clear(build_request("f:1,0:1", number))
+    assert second.guard.get_refusal(build_request("f:1,1:1")) is not None
+    for instance in (first, second):
+        instance.now += 10
+    first.guard.record_answer("s1", sent_at=5)
+    for instance in (first, second):
+        assert instance.guard.get_refusal(build_request("f:1,1:1")) is None
+
+
+def test_a_coordinator_relays_parts_although_it_knows_the_requests():
+    """Guards against news of parts that only come with those of requests."""
+    (instance,), state = build_group(1), build_state()
+    crash_all(instance)
+    update = build_suspects(instance)
+    state.crash_records.merge(update.suspicions, now=0)
+    sent = []
+    relay_suspects(state, update, send=sent.append)
+    assert [len(message.parts) for message in sent] == [2]
--- a/tests/test_part_records.py
+++ b/tests/test_part_records.py
@@ -261,3 +261,11 @@
     started = time.process_time()
     assert len(crashes.guilty) == MAX_SUSPECTS
     assert time.process_time() - started < 1.0
+
+
+def test_a_quarantined_part_that_was_answered_before_is_tried_alone():
+    """Guards against crashing many servers at once as such a part is tried again."""
+    crashes = Crashes()
+    crashes.answer("f")
+    crashes.crash("f", times=MAX_CRASHES_OF_ANSWERED)
+    assert crashes.records.needs_trial("f")
