Take no link between instances for an endless answer

Since the links broke with the first bytes: they are connections of the same class, and what they carry has no body to compare with. Every instance coordinated alone or none did.

Upgraded connections are not judged. A link over which twice the bound goes in frames failed before.

--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -165,6 +165,9 @@
             self._give_up("more framing than an answer has")
 
     def _has_excess_framing(self) -> bool:
+        if self._payload_parser is not None:
+            # Frames of a link between instances, which is no answer.
+            return False
         body_bytes = 0 if self._payload is None else self._payload.total_bytes
         framing_bytes = self._received_bytes - body_bytes
         allowed_bytes = MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * body_bytes
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,9 +4,11 @@
 import contextlib
 
 import pytest
+from aiohttp import web
 
 from arbutuspulley.platform.requests import decode_request
 from arbutuspulley.platform.transport import (
+    MAX_FRAMING_BYTES,
     BrokenError,
     open_session,
     read_body,
@@ -111,3 +113,34 @@
         assert answer.status == 502
 
     play(tmp_path, scenario)
+
+
+def test_a_link_may_carry_any_number_of_frames():
+    """Guards against links between instances that are taken for endless answers."""
+
+    async def run():
+        received = 0
+
+        async def accept(request):
+            link = web.WebSocketResponse(max_msg_size=0)
+            await link.prepare(request)
+            async for message in link:
+                await link.send_bytes(message.data)
+            return link
+
+        server = await asyncio.get_running_loop().create_server(
+            web.Server(accept), "127.0.0.1", 0
+        )
+        host, port = server.sockets[0].getsockname()
+        url = f"http://{host}:{port}/"
+        async with (
+            server,
+            open_session() as session,
+            session.ws_connect(url) as link,
+        ):
+            for _ in range(8):
+                await link.send_bytes(bytes(MAX_FRAMING_BYTES // 4))
+                received += len((await link.receive()).data)
+        assert received == 2 * MAX_FRAMING_BYTES
+
+    asyncio.run(run())
