--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -5,18 +5,19 @@
 import pytest
 
 from arbutuspulley.clock import SECOND_MS
-from arbutuspulley.delivery.crash_records import MAX_CRASHES
+from arbutuspulley.delivery.crash_records import MAX_CRASHES, RETRIAL_DELAY_MS
 from arbutuspulley.delivery.part_records import ESTABLISHED_MS
 from arbutuspulley.membership.coordinator_lease import CoordinatorLeaseState
 from arbutuspulley.node.coordinator import Coordinator
 from arbutuspulley.node.messages import Hello, SuspicionUpdate
-from arbutuspulley.node.poison import TRIAL_RETRY_MS
+from arbutuspulley.node.poison import TRIAL_RETRY_MS, KnownCrashes
 from arbutuspulley.node.suspects import (
     build_suspects,
     drop_known_parts,
     relay_suspects,
 )
 from arbutuspulley.platform.requests import decode_request
+from arbutuspulley.rpc.messages import Suspicion
 from tests.guard_groups import build_group
 from tests.node_states import build_info, build_state
 
@@ -116,6 +117,35 @@
         assert instance.guard.get_refusal(build_request("f:1,2:1")) is None
 
 
+def test_an_instance_says_once_that_a_suspect_part_was_answered():
+    """Guards against news that instances send each other for ever."""
+    first, second = build_group()
+    second.guard.clear_parts(build_request("f:1,e:1,1:1"))
+    sent = []
+    second.send = sent.append
+    crash(first, "f:1,0:1", 0)
+    assert len(sent) == 1
+    second.guard.merge_update(build_suspects(first))
+    cleared = Suspicion(fingerprint="e", cleared=("s9/0",))
+    second.guard.merge_update(SuspicionUpdate(parts=(cleared,)))
+    assert len(sent) == 1
+
+
+def test_a_request_whose_crashes_a_part_explains_is_tried_again_soon():
+    """Guards against a harmless request that is refused for minutes because it was on
+    the servers that a part of others crashed."""
+    (only,) = build_group(1)
+    beside = build_request("", 99)
+    for number in range(MAX_CRASHES):
+        crash(only, "f:1,0:1", number)
+        known = KnownCrashes(request=number)
+        only.guard.record_crash(beside, incarnation=f"s{number}", known=known)
+    crash(only, "f:1,0:1", MAX_CRASHES)
+    assert only.guard.get_refusal(build_request("f:1,1:1")) is not None
+    wait_ms = only.guard.get_refusal(beside).retry_after_ms
+    assert wait_ms <= 2 * RETRIAL_DELAY_MS
+
+
 def test_an_instance_that_links_up_is_told_of_parts_and_their_ages():
     """Guards against processes that start and send prompts that crash servers."""
     first, second = (build_group(1)[0] for _ in range(2))
@@ -201,7 +231,7 @@
     (instance,), state = build_group(1), build_state()
     crash_all(instance)
     update = build_suspects(instance)
-    state.crash_records.merge(update.suspicions, now=0)
+    state.crash_records.merge(update.suspicions, now=state.clock.now())
     sent = []
     relay_suspects(state, update, send=sent.append)
     assert [len(message.parts) for message in sent] == [2]
--- a/tests/test_part_records.py
+++ b/tests/test_part_records.py
@@ -7,6 +7,7 @@
 
 from arbutuspulley.delivery.crash_records import (
     MAX_CRASHES,
+    MAX_MARKS,
     MAX_RETRIALS,
     MAX_SUSPECTS,
     RETRIAL_DELAY_MS,
@@ -269,3 +270,24 @@
     crashes.answer("f")
     crashes.crash("f", times=MAX_CRASHES_OF_ANSWERED)
     assert crashes.records.needs_trial("f")
+
+
+def test_what_others_explain_since_it_was_counted_is_counted_again():
+    """Guards against blaming a part by crashes of which others turned out to be the
+    cause."""
+    crashes = Crashes()
+    crashes.crash("f", times=4)
+    crashes.crash("fe", times=3)
+    crashes.crash("ed", times=3)
+    crashes.crash("d", times=2)
+    assert crashes.guilty == {"f", "d"}
+
+
+def test_the_place_of_a_part_is_kept_whatever_is_forgotten_of_it():
+    """Guards against blaming a part before those that come later in the prompt, after
+    so many crashes that not all of them are kept."""
+    crashes = Crashes()
+    for _ in range(2 * MAX_MARKS):
+        crashes.crash("af")
+        crashes.answer("af")
+    assert crashes.records.get_position("f") == 1
