Merge news of parts once, and drop what no caller uses

No behaviour changes. News of parts were merged twice, once to find what is new and once to keep it; the merge itself tells. Whether an answer has been coming long enough to acquit its prompt was computed in two places. Verdicts kept which crashes they explain without a reader, clear() listed the marks twice, and judge(max_deaths), count_deaths() and PartRecords.find() had no caller left.

--- a/src/arbutuspulley/delivery/crash_records.py
+++ b/src/arbutuspulley/delivery/crash_records.py
@@ -201,9 +201,11 @@
         if len(self._completed) > MAX_COMPLETED:
             del self._completed[next(iter(self._completed))]
         suspicion = self._suspicions.get(fingerprint)
-        if suspicion is None or not count_servers(suspicion):
+        if suspicion is None:
             return None
         marks = tuple(set(suspicion.deaths) - set(suspicion.cleared))
+        if not marks:
+            return None
         cleared = Suspicion(fingerprint=fingerprint, deaths=marks, cleared=marks)
         self.merge((cleared,), now=now)
         return cleared
--- a/src/arbutuspulley/delivery/part_records.py
+++ b/src/arbutuspulley/delivery/part_records.py
@@ -40,6 +40,14 @@
 in ms. A server that the prompt crashes may still send the first events."""
 
 
+def is_established(begun_at: int | None, *, now: int) -> bool:
+    """Return whether an answer has been coming long enough to acquit its prompt.
+
+    :param begun_at: when its first event arrived, in ms; ``None``: none has.
+    """
+    return begun_at is not None and now - begun_at >= ESTABLISHED_MS
+
+
 class QuarantinedPart(Value, frozen=True):
     """A part that is not to be sent to servers now.
 
@@ -51,16 +59,14 @@
 
 
 class Verdicts(Value, frozen=True):
-    """What explains the crashes that one instance knows of.
+    """Which parts explain the crashes that one instance knows of.
 
     :param guilty: quarantined parts, with the number of crashes in turn that only they
         explain.
-    :param explained: incarnations of the servers that crashed by these.
     :param based_on: changes of the records from which this was concluded.
     """
 
     guilty: dict[str, int] = {}
-    explained: frozenset[str] = frozenset()
     based_on: tuple[int, int] = (0, 0)
 
 
@@ -114,10 +120,6 @@
     def __len__(self) -> int:
         return len(self._records)
 
-    def find(self, part: str) -> Suspicion | None:
-        """Return what is known of a part; ``None``: nothing."""
-        return self._records.find(part)
-
     def was_answered(self, part: str) -> bool:
         """Return whether a suspect part was answered before it was at a crash."""
         return self._records.has_completed(part)
@@ -185,9 +187,9 @@
         :return: those that told something new.
         """
         listed = tuple(suspicions)
-        news = self._records.select_news(listed)
-        self._records.merge(listed, ages_ms=ages_ms, now=now)
-        return news
+        merged = self._records.merge(listed, ages_ms=ages_ms, now=now)
+        changed = {one.fingerprint for one in merged}
+        return tuple(one for one in listed if one.fingerprint in changed)
 
     def attest_answered(self, suspicions: Iterable[Suspicion]) -> tuple[Suspicion, ...]:
         """Return what others have to know of suspect parts that were answered here."""
@@ -251,9 +253,7 @@
         based_on = (self._records.changes, self._requests.changes)
         if self._verdicts.based_on != based_on:
             guilty, explained = self._explain_crashes()
-            self._verdicts = Verdicts(
-                guilty=guilty, explained=explained, based_on=based_on
-            )
+            self._verdicts = Verdicts(guilty=guilty, based_on=based_on)
             self._requests.set_explained(explained)
         return self._verdicts
 
--- a/src/arbutuspulley/delivery/suspects.py
+++ b/src/arbutuspulley/delivery/suspects.py
@@ -63,25 +63,19 @@
     return f"{mark}{_TRIAL_SEPARATOR}{trial_id}" if trial_id else mark
 
 
-def judge(
-    suspicion: Suspicion | None,
-    *,
-    ignoring: str = "",
-    max_deaths: int = DEATHS_TO_QUARANTINE,
-) -> Judgement:
+def judge(suspicion: Suspicion | None, *, ignoring: str = "") -> Judgement:
     """Return whether and how a request may be run.
 
     :param ignoring: death mark to leave out: that of the requester's own trial.
-    :param max_deaths: deaths after which the request is no longer run.
     """
     if suspicion is None:
         return Judgement.CLEAR
     marks = set(suspicion.deaths) - set(suspicion.cleared) - {ignoring}
     certain = {mark for mark in marks if _TRIAL_SEPARATOR not in mark}
-    if len(certain) >= max_deaths:
+    if len(certain) >= DEATHS_TO_QUARANTINE:
         return Judgement.QUARANTINED
     deaths = {mark.partition(_TRIAL_SEPARATOR)[0] for mark in marks}
-    if len(deaths) >= max_deaths:
+    if len(deaths) >= DEATHS_TO_QUARANTINE:
         return Judgement.ON_TRIAL
     return Judgement.SUSPECT if deaths else Judgement.CLEAR
 
@@ -114,13 +108,6 @@
     )
 
 
-def count_deaths(suspicion: Suspicion | None) -> int:
-    """Return the number of deaths of a request that are not cleared."""
-    if suspicion is None:
-        return 0
-    return len(set(suspicion.deaths) - set(suspicion.cleared))
-
-
 def record_death(
     state: SuspectState, *, fingerprint: str, server: str, boot_id: str, now: int
 ) -> Suspicion:
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from arbutuspulley.clock import SECOND_MS
-from arbutuspulley.delivery.part_records import ESTABLISHED_MS
+from arbutuspulley.delivery.part_records import is_established
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
@@ -437,9 +437,9 @@
 
     def _acquit_parts(self, now: int) -> None:
         progress = self.progress
-        if progress.is_established or progress.begun_at is None:
+        if progress.is_established:
             return
-        if now - progress.begun_at >= ESTABLISHED_MS:
+        if is_established(progress.begun_at, now=now):
             progress.is_established = True
             self._poison.clear_parts(self._request)
 
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -26,7 +26,7 @@
     count_crashes,
     count_servers,
 )
-from arbutuspulley.delivery.part_records import ESTABLISHED_MS
+from arbutuspulley.delivery.part_records import is_established
 from arbutuspulley.delivery.suspects import build_fingerprint
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.link import Link
@@ -217,9 +217,8 @@
         suspicion = self._records.record(
             fingerprint, incarnation=incarnation, known=known.request, now=now
         )
-        is_established = begun_at is not None and now - begun_at >= ESTABLISHED_MS
         parts: tuple[Suspicion, ...] = ()
-        if not is_established:
+        if not is_established(begun_at, now=now):
             parts = self._parts.record(
                 request.shared_parts,
                 incarnation=incarnation,
