Test guards of endless answers that no test had missed

Of eight guards taken out by hand on a clone four had no test that failed: the bound of all held bytes, what is given back of it after a body, and the framing that is counted anew for each answer on a kept connection have one now. That a stream gives back what it held at its end has none yet.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,8 +8,11 @@
 
 from arbutuspulley.platform.requests import decode_request
 from arbutuspulley.platform.transport import (
+    MAX_ALL_HELD_BYTES,
     MAX_FRAMING_BYTES,
+    MAX_HELD_BYTES,
     BrokenError,
+    HeldBytes,
     open_session,
     read_body,
     send_request,
@@ -144,3 +147,56 @@
         assert received == 2 * MAX_FRAMING_BYTES
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("size", [1_000, MAX_HELD_BYTES + 1])
+def test_what_was_held_of_an_answer_is_given_back(size):
+    """Guards against answers that are given up since earlier ones still count."""
+
+    async def run():
+        held = HeldBytes()
+        server = await asyncio.get_running_loop().create_server(
+            web.Server(lambda _: answer(size)), "127.0.0.1", 0
+        )
+        async with server, open_session() as session:
+            with contextlib.suppress(BrokenError):
+                await read_body(await ask(server, session), held=held)
+        return held.total
+
+    assert asyncio.run(run()) == 0
+
+
+def test_all_answers_together_hold_a_bounded_number_of_bytes():
+    """Guards against memory that many large answers take at once."""
+    held = HeldBytes()
+    for _ in range(MAX_ALL_HELD_BYTES // MAX_HELD_BYTES):
+        held.change(before=0, now=MAX_HELD_BYTES)
+    with pytest.raises(BrokenError):
+        held.change(before=0, now=1)
+
+
+def test_the_framing_of_earlier_answers_does_not_count():
+    """Guards against a kept connection that is given up after many answers."""
+
+    async def run():
+        server = await asyncio.get_running_loop().create_server(
+            web.Server(lambda _: answer(0)), "127.0.0.1", 0
+        )
+        async with server, open_session() as session:
+            for _ in range(2 * MAX_FRAMING_BYTES // HEADER_BYTES):
+                assert await read_body(await ask(server, session)) == b""
+
+    asyncio.run(run())
+
+
+HEADER_BYTES = 8_000
+
+
+async def answer(size):
+    return web.Response(body=bytes(size), headers={"X": "y" * HEADER_BYTES})
+
+
+async def ask(server, session):
+    host, port = server.sockets[0].getsockname()
+    request = decode_request(method="GET", path="/", headers=[("Host", "x")])
+    return await send_request(session, request, address=f"{host}:{port}", headers=[])
