--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -177,16 +177,22 @@
 
 def test_the_framing_of_earlier_answers_does_not_count():
     """Guards against a kept connection that is given up after many answers."""
+    peers = set()
+
+    async def record(request):
+        peers.add(request.transport.get_extra_info("peername"))
+        return await answer(0)
 
     async def run():
         server = await asyncio.get_running_loop().create_server(
-            web.Server(lambda _: answer(0)), "127.0.0.1", 0
+            web.Server(record), "127.0.0.1", 0
         )
         async with server, open_session() as session:
             for _ in range(2 * MAX_FRAMING_BYTES // HEADER_BYTES):
                 assert await read_body(await ask(server, session)) == b""
 
     asyncio.run(run())
+    assert len(peers) == 1
 
 
 HEADER_BYTES = 8_000
