Try suspects again soon whose servers crashed at once

Callers saw: after three power failures within 6 s, requests of two harmless parts of prompts were refused (503) for one to two minutes. With answers that begin only after 0.6 s the part that all prompts share was refused, and so everything was.

Cause: a part in flight at three crashes in turn without an answer between was quarantined for a minute at least, whatever the crashes looked like. 0.7 s between two failures are hardly enough for an answer to acquit it, and after the first one such prompts go one at a time, so that the next ones look like crashes of a cause.

Change: two crashes reported within 50 ms, of copies sent before either was known, are what a power failure looks like. What has such a pair among its crashes is tried again after 1.5 to 3 s by the coordinator's instance, and then as before. A part that crashes servers costs one more of them if many requests with it come at once, none otherwise.

--- a/src/arbutuspulley/delivery/crash_records.py
+++ b/src/arbutuspulley/delivery/crash_records.py
@@ -11,6 +11,7 @@
 them all at once.
 """
 
+import itertools
 from collections.abc import Iterable
 
 from arbutuspulley.clock import SECOND_MS
@@ -39,6 +40,13 @@
 UNEXPLAINED_RETRIAL_DELAY_MS = 60 * SECOND_MS
 """The same time for a request that nothing speaks for, in ms."""
 
+FIRST_RETRIAL_DELAY_MS = 3 * SECOND_MS // 2
+"""The same time before the first try of one that was on several servers that crashed at
+once, as in a power failure, in ms."""
+
+AT_ONCE_MS = 50
+"""Longest time between the reports of two crashes that happened at once, in ms."""
+
 MAX_RETRIALS = 1
 """Number of times that a quarantined request is tried again if it has never completed.
 """
@@ -367,18 +375,38 @@
         """
         expiry_ms = max(0, self.get_time_to_expiry_ms(fingerprint, now=now))
         is_likely_harmless = is_explained or self.has_completed(fingerprint)
-        if retrials >= MAX_RETRIALS and not is_likely_harmless:
+        may_be_outage = self._was_on_several(fingerprint)
+        max_retrials = MAX_RETRIALS + may_be_outage
+        if retrials >= max_retrials and not is_likely_harmless:
             return expiry_ms
         if retrials >= MAX_SOON_RETRIALS:
             delay_ms = RARE_RETRIAL_DELAY_MS
         elif is_likely_harmless:
             delay_ms = RETRIAL_DELAY_MS << retrials
+        elif retrials == 0 and may_be_outage:
+            delay_ms = FIRST_RETRIAL_DELAY_MS
         else:
             delay_ms = UNEXPLAINED_RETRIAL_DELAY_MS
         retrial_at = self._changed_at[fingerprint] + _spread(delay_ms, fingerprint)
         least_ms = 0 if may_retry else RETRIAL_POLL_MS
         return min(expiry_ms, max(least_ms, retrial_at - now))
 
+    def _was_on_several(self, fingerprint: str) -> bool:
+        """Return whether servers that crashed at once had a suspect in flight.
+
+        It may be the cause on each of them, or a power failure may have ended them all.
+        """
+        crashes = sorted(
+            (depth, self._known_at[incarnation][fingerprint])
+            for incarnation, depth in list_crashes(
+                self._suspicions[fingerprint]
+            ).items()
+        )
+        return any(
+            depth == later_depth and later - earlier <= AT_ONCE_MS
+            for (depth, earlier), (later_depth, later) in itertools.pairwise(crashes)
+        )
+
     def has_completed(self, fingerprint: str) -> bool:
         """Return whether a suspect completed before it was at a crash."""
         suspicion = self._suspicions.get(fingerprint)
--- a/tests/test_part_records.py
+++ b/tests/test_part_records.py
@@ -6,6 +6,8 @@
 import pytest
 
 from arbutuspulley.delivery.crash_records import (
+    AT_ONCE_MS,
+    FIRST_RETRIAL_DELAY_MS,
     MAX_CRASHES,
     MAX_MARKS,
     MAX_RETRIALS,
@@ -182,6 +184,26 @@
     assert crashes.get_wait_ms("f") == 0
 
 
+def test_a_part_that_was_on_servers_that_crashed_at_once_is_tried_again_soon():
+    """Guards against a harmless part that is refused for minutes because power failures
+    ended all servers before any of them had answered, and against one that crashes
+    servers and is tried every few seconds."""
+    crashes = Crashes()
+    for number in range(3):
+        crashes.records.record("f", incarnation=f"p{number}", known=(0,), now=0)
+    for _ in range(MAX_CRASHES - 1):
+        crashes.now += 2 * AT_ONCE_MS
+        crashes.crash("f")
+    assert crashes.guilty == {"f"}
+    assert crashes.get_wait_ms("f") <= 2 * FIRST_RETRIAL_DELAY_MS
+    crashes.now += 2 * FIRST_RETRIAL_DELAY_MS
+    assert crashes.get_wait_ms("f", may_retry=False) == RETRIAL_POLL_MS
+    crashes.crash("f")
+    assert crashes.get_wait_ms("f") >= UNEXPLAINED_RETRIAL_DELAY_MS
+    crashes.crash("f")
+    assert crashes.get_wait_ms("f") == QUARANTINE_MS
+
+
 @pytest.mark.parametrize(
     ("answered", "crashed", "is_on_trial"),
     [("", 1, False), ("", 2, True), ("f", 2, False)],
