--- /dev/null
+++ b/tests/virtual_fleet.py
@@ -0,0 +1,265 @@
+"""A fleet of real instances in virtual time, in one process."""
+
+import asyncio
+import gc
+import logging
+
+import aiohttp
+import yaml
+from aiohttp import web
+
+from arbutuspulley.node.metrics import NodeMetrics
+from arbutuspulley.platform.settings import read_settings
+from arbutuspulley.programs.node import serve
+from arbutuspulley.simulation import (
+    Network,
+    Party,
+    VirtualLoop,
+    get_party,
+    simulate_sources,
+)
+from arbutuspulley.standins.fleet_server import ServerStandin
+from arbutuspulley.standins.fleet_store import StoreStandin
+from scripts.platform_testbed import build_configuration, send_request
+
+HOST = "127.0.0.1"
+LISTENERS = ("Frontend", "Ready", "ControlPlane", "DirectoryService")
+
+LAPSE_S = 2.4
+"""Time after a crash at which the row of a server is removed, in s."""
+
+ANSWER_TIMEOUT_S = 6
+"""How long a caller waits for an answer, in s."""
+
+
+class _Recorder(logging.Handler):
+    """Keeps the events of all instances, in order."""
+
+    def __init__(self, fleet):
+        super().__init__()
+        self._fleet = fleet
+
+    def emit(self, record):
+        party = get_party()
+        self._fleet.events.append(
+            (
+                round(self._fleet.now_s * 1_000, 3),
+                party.name if party else "",
+                record.getMessage(),
+                getattr(record, "event_fields", {}),
+            )
+        )
+
+
+class VirtualFleet:
+    """The store, servers and instances of one simulation.
+
+    :param folder: directory for settings files.
+    """
+
+    def __init__(self, folder, *, loop, network):
+        self.folder = folder
+        self.loop = loop
+        self.network = network
+        self.store = StoreStandin()
+        self.events = []
+        self.guilty_crashes = []
+        self._all_servers = []
+        self._options = {}
+        self.servers = {}
+        self.instances = {}
+        self.addresses = {}
+        self.parties = {}
+        self._starts = 0
+        self._started_s = loop.time()
+
+    @property
+    def now_s(self):
+        """Virtual time since the start, in s."""
+        return self.loop.time() - self._started_s
+
+    async def open(self, *, servers=6):
+        """Start the store, servers with a model, and two plain ones."""
+        party = self._add_party("store")
+        self._store_address = await self._listen(self.store.handle, party)
+        self.store.put("op", "config", build_configuration(1))
+        for number in range(servers):
+            await self.start_server(f"e{number}", service="llm", models=("m0",))
+        for number in range(2):
+            await self.start_server(f"p{number}", service="plain")
+
+    async def start_server(self, name, *, port=0, incarnation=None, **options):
+        """Start a server and register it."""
+        party = self._add_party(name)
+        server = ServerStandin(incarnation=incarnation or name, **options)
+        server.delay_s, server.pause_s = 0.05, 0.05
+        server.address = await self._listen(server.handle, party, port=port)
+        server.on_break = lambda: self._crash_by_request(name)
+        self.servers[name] = server
+        self._all_servers.append(server)
+        self._options[name] = options
+        self.store.put("servers", server.incarnation, server.describe())
+
+    def _crash_by_request(self, name):
+        self.guilty_crashes.append(self.now_s)
+        self.crash(name)
+
+    def count_runs(self, attempt):
+        """Return how often servers ran a request."""
+        return sum(server.runs[attempt] for server in self._all_servers)
+
+    def list_arrivals(self):
+        """Return when each request arrived at a server, in s, and its attempt id."""
+        return [
+            (at - self._started_s, attempt)
+            for server in self._all_servers
+            for at, attempt in zip(server.arrivals, server.attempts, strict=True)
+        ]
+
+    def crash(self, name, *, down_s=1.2):
+        """Crash a server; after a while it starts again at its address."""
+        if self.parties[name].is_dead:
+            return
+        self.loop.kill(self.parties[name])
+        server = self.servers[name]
+        self.run_later(LAPSE_S, self.store.remove, "servers", server.incarnation)
+        self.run_later(down_s, self._restart, name)
+
+    def _restart(self, name):
+        self._starts += 1
+        port = int(self.servers[name].address.rpartition(":")[2])
+        crashing = self.servers[name].crashing_parts
+        incarnation = f"{name}.{self._starts}"
+
+        async def start():
+            await self.start_server(
+                name, port=port, incarnation=incarnation, **self._options[name]
+            )
+            self.servers[name].crashing_parts = crashing
+
+        asyncio.get_running_loop().create_task(start())
+
+    def start_instance(self, name, **bounds):
+        """Start an instance, at the addresses that it had before."""
+        if name not in self.addresses:
+            self.addresses[name] = {
+                listener: f"{HOST}:{self.network.find_port()}" for listener in LISTENERS
+            }
+        settings = {
+            "NodeName": name,
+            "Zone": "hall-a",
+            "Region": "riga",
+            "Listen": self.addresses[name],
+            "Seeds": [],
+            "Bounds": {
+                "GraceS": 3,
+                "LeaseMs": 1_500,
+                "RequireFencing": True,
+                **bounds,
+            },
+            "Platform": {"Address": self._store_address},
+        }
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        party = self._add_party(name)
+        self.instances[name] = self.loop.create_task(
+            serve(read_settings(path), path, metrics=NodeMetrics(), metrics_port=0),
+            context=party.build_context(),
+            name=name,
+        )
+
+    def kill(self, name):
+        """Kill an instance."""
+        self.loop.kill(self.parties[name])
+
+    def find_coordinator(self):
+        """Return the instance that took the lease last."""
+        return [event[1] for event in self.events if event[2] == "lease_taken"][-1]
+
+    def list_events(self, name):
+        """Return the events of a name."""
+        return [event for event in self.events if event[2] == name]
+
+    async def ask(self, session, name, path, *, attempt, model="", body=b"", **headers):
+        """Send a request through an instance.
+
+        :return: status and body; status 0 if no connection was opened, and ``None``
+            if it broke off.
+        """
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                status, body, _ = await send_request(
+                    session,
+                    self.addresses[name]["Frontend"],
+                    path,
+                    attempt=attempt,
+                    model=model,
+                    body=body,
+                    **headers,
+                )
+                return status, body
+        except aiohttp.ClientConnectorError:
+            return 0, b""
+        except (aiohttp.ClientError, TimeoutError, ConnectionError):
+            return None
+
+    def run_later(self, delay_s, function, *args):
+        """Call a function later, whatever happens to the parties."""
+        self.loop.call_later(delay_s, function, *args, context=self.build_context())
+
+    def build_context(self):
+        """Return a context that belongs to none of the parties."""
+        return Party(name="world").build_context()
+
+    def _add_party(self, name):
+        self.parties[name] = Party(name=name)
+        return self.parties[name]
+
+    async def _listen(self, handler, party, *, port=0):
+        def factory():
+            return web.Server(handler, access_log=None)
+
+        context = party.build_context()
+        server = context.run(factory)
+        listener = context.run(self.network.listen, server, (HOST, port))
+        return f"{HOST}:{listener.address[1]}"
+
+
+def run_fleet(folder, scenario, *, seed):
+    """Run a scenario on a fleet, and return the fleet after it.
+
+    :param scenario: coroutine function that takes the fleet and a caller's session.
+    """
+    network = Network(seed=seed)
+    loop = VirtualLoop(network=network)
+    fleet = VirtualFleet(folder, loop=loop, network=network)
+    logger = logging.getLogger("arbutuspulley")
+    # The stand-ins' own connections break when they crash.
+    logging.getLogger("aiohttp.server").disabled = True
+    recorder = _Recorder(fleet)
+    level = logger.level
+    logger.addHandler(recorder)
+    logger.setLevel(logging.INFO)
+
+    async def run():
+        await fleet.open()
+        async with aiohttp.ClientSession() as session:
+            await scenario(fleet, session)
+
+    asyncio.set_event_loop(loop)
+    try:
+        with simulate_sources(loop, seed=seed):
+            loop.run_until_complete(
+                loop.create_task(run(), context=Party(name="callers").build_context())
+            )
+    finally:
+        logger.removeHandler(recorder)
+        logger.setLevel(level)
+        logging.disable(logging.CRITICAL)
+        loop.dispose()
+        # What is collected later would log what it finds unclosed.
+        gc.collect()
+        logging.disable(logging.NOTSET)
+        logging.getLogger("aiohttp.server").disabled = False
+        asyncio.set_event_loop(None)
+    return fleet
