Schedule for the kernel and choose contexts in one place each

Three timers of the simulated network each built an empty context, and two methods of the loop each chose the current one.

--- a/src/arbutuspulley/simulation/loop.py
+++ b/src/arbutuspulley/simulation/loop.py
@@ -122,9 +122,7 @@
         context: contextvars.Context | None = None,
     ) -> asyncio.Handle:
         """Schedule a callback, which runs unless its party is dead by then."""
-        # An empty context is false.
-        context = contextvars.copy_context() if context is None else context
-        guarded = self._guard(callback, context)
+        guarded, context = self._guard(callback, context)
         return super().call_soon(guarded, *args, context=context)
 
     def call_at(  # type: ignore[override]
@@ -135,18 +133,19 @@
         context: contextvars.Context | None = None,
     ) -> asyncio.TimerHandle:
         """Schedule a callback at a time, as :meth:`call_soon` does."""
-        # An empty context is false.
-        context = contextvars.copy_context() if context is None else context
-        guarded = self._guard(callback, context)
+        guarded, context = self._guard(callback, context)
         return super().call_at(when, guarded, *args, context=context)
 
     def _guard(
-        self, callback: Callable[..., object], context: contextvars.Context
-    ) -> Callable[..., object]:
+        self, callback: Callable[..., object], context: contextvars.Context | None
+    ) -> tuple[Callable[..., object], contextvars.Context]:
+        """Return what to schedule, and in which context; ``None``: the current one."""
+        # An empty context is false.
+        context = contextvars.copy_context() if context is None else context
         party = get_party(context)
         if party is None:
-            return callback
-        return functools.partial(self._run_for, party, callback, context)
+            return callback, context
+        return functools.partial(self._run_for, party, callback, context), context
 
     def _run_for(
         self,
@@ -212,12 +211,9 @@
     ) -> asyncio.Task[Any]:
         task: asyncio.Task[Any] = asyncio.Task(coroutine, loop=loop, **options)
         self._all_tasks[task] = None
-        task.add_done_callback(self._forget_task, context=contextvars.Context())
+        task.add_done_callback(self._all_tasks.pop, context=contextvars.Context())
         return task
 
-    def _forget_task(self, task: asyncio.Task[Any]) -> None:
-        self._all_tasks.pop(task, None)
-
     def _process_events(self, event_list: list[object]) -> None:
         pass
 
--- a/src/arbutuspulley/simulation/network.py
+++ b/src/arbutuspulley/simulation/network.py
@@ -396,15 +396,7 @@
         earliest_s = sender.arrival_s + ORDER_S
         arrival_s = max(self._loop.time() + self._draw_delay_s(), earliest_s)
         sender.arrival_s = arrival_s
-        # The kernel receives for a party that is frozen, and none for a dead one.
-        self._loop.call_at(
-            arrival_s,
-            self._arrive,
-            sender,
-            receive,
-            item,
-            context=contextvars.Context(),
-        )
+        self._call_at(arrival_s, self._arrive, sender, receive, item)
 
     def _arrive(
         self, sender: MemoryTransport, receive: Callable[..., None], item: object
@@ -416,17 +408,19 @@
     def _release(self, sender: MemoryTransport) -> None:
         """Hand over what is due, in order, or wait for the end of a cut."""
         if self._find_cut(sender.party, sender.peer.party) is Cut.SILENT:
-            self._loop.call_later(
-                DELAY_MS[1] / SECOND_MS,
-                self._release,
-                sender,
-                context=contextvars.Context(),
-            )
+            again_s = self._loop.time() + DELAY_MS[1] / SECOND_MS
+            self._call_at(again_s, self._release, sender)
             return
         while sender.held:
             receive, item = sender.held.popleft()
             receive(item)
 
+    def _call_at(
+        self, at_s: float, callback: Callable[..., object], *args: object
+    ) -> None:
+        """Call something for the kernel, which runs although a party is frozen."""
+        self._loop.call_at(at_s, callback, *args, context=contextvars.Context())
+
     def call(
         self, end: MemoryTransport, callback: Callable[..., object], *args: object
     ) -> None:
@@ -460,9 +454,7 @@
 
     def _break(self, end: MemoryTransport, how: Cut) -> None:
         delay_s = SILENCE_S if how is Cut.SILENT else 0.0
-        self._loop.call_later(
-            delay_s, self._lose_if_cut, end, context=contextvars.Context()
-        )
+        self._call_at(self._loop.time() + delay_s, self._lose_if_cut, end)
 
     def _lose_if_cut(self, end: MemoryTransport) -> None:
         if self._find_cut(end.party, end.peer.party) is not None:
