Run the tests in several processes

One after another the tests take 1,900 s, mostly asleep while real processes start, crash and wait.

pytest-xdist runs them in two thirds of the cores; idle workers take tests over from busy ones, since a few files last for minutes. A test that measures processor time runs by itself afterwards. WORKERS=1 runs all of them in order. A node that exits while a test waits for it is reported at once with its log.

--- a/Makefile
+++ b/Makefile
@@ -46,8 +46,17 @@
 	$(BIN)/ruff check src tests scripts examples deploy
 	$(BIN)/mypy src scripts
 
+# Two thirds of the cores, since most of the time tests wait for real processes. Tests
+# that measure time or processor time run by themselves after the others.
+WORKERS ?= $(shell expr \( $$(nproc) \* 2 + 2 \) / 3)
+
 test: check
+ifeq ($(WORKERS),1)
 	$(BIN)/pytest -q
+else
+	$(BIN)/pytest -q -n $(WORKERS) --dist worksteal -m "not alone" --durations=10
+	$(BIN)/pytest -q -m alone
+endif
 
 format: setup
 	$(BIN)/ruff format src tests scripts examples
--- a/scripts/platform_testbed.py
+++ b/scripts/platform_testbed.py
@@ -26,6 +26,9 @@
 WAIT_TIMEOUT_S = 15
 """Timeout of every wait, in s."""
 
+LOG_EXCERPT = 2_000
+"""Characters of a node's log that are shown if it exits while it starts."""
+
 FULL_STREAM = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 7))
 """A complete stream of a model."""
 
@@ -199,9 +202,20 @@
         await self.wait_coordinator()
 
     async def wait_ready(self, name: str) -> None:
-        """Wait until a node is ready to serve callers."""
+        """Wait until a node is ready to serve callers.
+
+        :raises AssertionError: if it is not ready in time, or has exited.
+        """
         async with aiohttp.ClientSession() as session:
-            await wait_until(lambda: self.is_ready(session, name), f"{name} ready")
+
+            async def look() -> bool:
+                status = self.nodes[name].returncode
+                if status is not None:
+                    log = self.read_log(name)[-LOG_EXCERPT:]
+                    raise AssertionError(f"{name} exited with {status}: {log}")
+                return await self.is_ready(session, name)
+
+            await wait_until(look, f"{name} ready")
 
     async def is_ready(self, session: aiohttp.ClientSession, name: str) -> bool:
         """Return whether a node reports that it is ready to serve callers."""
--- a/tests/test_part_records.py
+++ b/tests/test_part_records.py
@@ -291,6 +291,7 @@
     assert crashes.get_wait_ms("f") == 0
 
 
+@pytest.mark.alone
 def test_many_suspects_are_judged_soon():
     """Guards against verdicts that hold up all requests, as they take seconds where
     many parts were at crashes."""
