Keep a team within its quota at a replaced coordinator

Its lease lapsed, the other instances elected a successor at 4.7 s, and both charged the same quotas until 11.8 s: the old one had its bucket full, the new one filled up before the surge, so the team had its burst twice. After 2 s the new one also took over the shares of the instances that had stayed with the old one.

A coordinator that does not hold the lease, and has lost instances, now keeps only its share of the tolerance, as instances without a coordinator do. Its successor reserves the shares of the instances that it has not seen for as long as they may confirm keys.

--- a/src/arbutuspulley/admission/quota.py
+++ b/src/arbutuspulley/admission/quota.py
@@ -13,6 +13,8 @@
 import random
 from collections.abc import Iterable
 
+import msgspec
+
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.data import State, Value
 from arbutuspulley.ports.fleet import Team
@@ -152,11 +154,21 @@
 
     :param limits: limits by team; the usage of teams without one is not limited.
     :param refill_fraction: fraction of each rate that is refilled here.
+    :param may_be_replaced: whether another coordinator may charge the same quotas. The
+        buckets then hold only this fraction of the tolerance, as those of instances
+        without a coordinator do: the other one grants the burst.
     """
 
-    __slots__ = ("_buckets", "_has_limits", "limits", "refill_fraction")
+    __slots__ = (
+        "_buckets",
+        "_has_limits",
+        "limits",
+        "may_be_replaced",
+        "refill_fraction",
+    )
 
     def __init__(self) -> None:
+        self.may_be_replaced = False
         self.limits: dict[str, QuotaLimit] = {}
         self.refill_fraction = 1.0
         self._buckets: dict[str, TokenBucket] = {}
@@ -166,6 +178,7 @@
         """Drop all buckets; the earlier usage is unknown from now on."""
         self._buckets.clear()
         self._has_limits = False
+        self.may_be_replaced = False
 
     def set_limits(self, limits: dict[str, QuotaLimit], *, now: int) -> None:
         """Apply the limits of a configuration.
@@ -185,13 +198,27 @@
         self._buckets = buckets
         self.limits = limits
 
-    def set_refill_fraction(self, fraction: float, *, now: int) -> None:
-        """Set the fraction of each rate that is refilled from now on."""
-        if fraction == self.refill_fraction:
+    def set_refill_fraction(
+        self, fraction: float, *, now: int, may_be_replaced: bool = False
+    ) -> None:
+        """Set the fraction of each rate that is refilled from now on.
+
+        :param may_be_replaced: see :class:`QuotaLedger`.
+        """
+        is_same = fraction == self.refill_fraction
+        if is_same and may_be_replaced == self.may_be_replaced:
             return
-        for team, bucket in self._buckets.items():
-            refill(bucket, self.limits[team], now=now, fraction=self.refill_fraction)
+        for team in self._buckets:
+            self._get_refilled(team, self._get_limit(self.limits[team]), now)
         self.refill_fraction = fraction
+        self.may_be_replaced = may_be_replaced
+
+    def _get_limit(self, limit: QuotaLimit) -> QuotaLimit:
+        """Return the limit of a team's bucket here."""
+        if not self.may_be_replaced:
+            return limit
+        capacity = limit.tolerance * self.refill_fraction
+        return msgspec.structs.replace(limit, capacity=capacity, tolerance=capacity)
 
     def charge(self, team: str, cost: float, *, now: int) -> int:
         """Charge a request to its team.
@@ -201,6 +228,7 @@
         limit = self.limits.get(team)
         if limit is None:
             return 0
+        limit = self._get_limit(limit)
         return try_consume(
             self._get_refilled(team, limit, now),
             limit,
@@ -216,6 +244,7 @@
         limit = self.limits.get(team)
         if limit is None:
             return 0
+        limit = self._get_limit(limit)
         bucket = self._get_refilled(team, limit, now)
         bucket.balance = min(limit.capacity, bucket.balance - cost)
         if bucket.balance >= 0:
@@ -228,7 +257,9 @@
     def get_balance(self, team: str, *, now: int) -> float | None:
         """Return a team's balance in units; ``None`` if it has no limit."""
         limit = self.limits.get(team)
-        return None if limit is None else self._get_refilled(team, limit, now).balance
+        if limit is None:
+            return None
+        return self._get_refilled(team, self._get_limit(limit), now).balance
 
     def _get_refilled(self, team: str, limit: QuotaLimit, now: int) -> TokenBucket:
         bucket = self._buckets[team]
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -521,7 +521,7 @@
     def _apply_linked(self, linked: list[NodeInfo]) -> None:
         """Update what depends on the linked instances, and send changed limits."""
         apply_reaching_instances(self._pools, linked, now=self._state.clock.now())
-        self._quotas.update_linked(linked)
+        self._quotas.update_linked(linked, is_holder=self._is_sole_coordinator())
         self._rates.set_share(self._quotas.compute_share(linked, decay_ms=None))
         changes = self._rates.pop_changes()
         if changes is not None:
@@ -539,11 +539,14 @@
         demand = {name: list_demand(pool) for name, pool in self._pools.items()}
         self._peers.send_estimates(CoordinatorEstimates(speeds=speeds, demand=demand))
 
+    def _is_sole_coordinator(self) -> bool:
+        """Tell whether no other instance can hold the lease now."""
+        now = self._state.clock.now()
+        return is_holder(self._lease, now=now) or self._may_order_during_outage()
+
     def _send_status(self) -> None:
         now = self._state.clock.now()
-        count = self._peers.send_status(
-            is_holder=is_holder(self._lease, now=now) or self._may_order_during_outage()
-        )
+        count = self._peers.send_status(is_holder=self._is_sole_coordinator())
         if count > 1:
             self.isolated_since = None
         elif self.isolated_since is None:
--- a/src/arbutuspulley/node/quotas.py
+++ b/src/arbutuspulley/node/quotas.py
@@ -97,21 +97,40 @@
         if info.is_ready:
             self._lost[info.name] = info, self._state.clock.now()
 
-    def update_linked(self, linked: Sequence[NodeInfo]) -> None:
+    def update_linked(
+        self, linked: Sequence[NodeInfo], *, is_holder: bool = True
+    ) -> None:
         """Update the share of each quota that may be granted; call at intervals.
 
         :param linked: the linked instances, including this one.
+        :param is_holder: whether no other instance can hold the lease. Otherwise
+            another coordinator may charge for the instances that have left.
         """
-        share = self.compute_share(linked, decay_ms=self._state.settings.revocation_ms)
-        self._ledger.set_refill_fraction(share, now=self._state.clock.now())
+        share = self.compute_share(
+            linked, decay_ms=self._state.settings.revocation_ms, is_holder=is_holder
+        )
+        self._ledger.set_refill_fraction(
+            share,
+            now=self._state.clock.now(),
+            may_be_replaced=self._is_on_lost_side(len(linked), is_holder=is_holder),
+        )
+
+    def _is_on_lost_side(self, linked: int, *, is_holder: bool) -> bool:
+        """Tell whether the next coordinator may be among the instances that left."""
+        return len(self._lost) > linked or (bool(self._lost) and not is_holder)
 
     def compute_share(
-        self, linked: Sequence[NodeInfo], *, decay_ms: int | None
+        self,
+        linked: Sequence[NodeInfo],
+        *,
+        decay_ms: int | None,
+        is_holder: bool = True,
     ) -> float:
         """Return the share of a limit not reserved for instances without a link.
 
         :param decay_ms: time after which an instance without a link uses nothing any
             more, in ms; ``None``: it continues.
+        :param is_holder: see :meth:`update_linked`.
         """
         now = self._state.clock.now()
         self._mark_unreachable(linked, now=now)
@@ -122,7 +141,8 @@
         }
         lost = [info for info, _at in self._lost.values()]
         among = [*linked, *lost]
-        if len(lost) > len(linked):
+        expected_ms = RECONNECT_GRACE_MS if decay_ms is None else decay_ms
+        if self._is_on_lost_side(len(linked), is_holder=is_holder):
             # This coordinator is on the disconnected side; on the other side, the next
             # coordinator grants the rest.
             decay_ms = None
@@ -131,7 +151,9 @@
             reserved = get_disconnected_fraction(now - at, decay_ms=decay_ms)
             share -= reserved * get_local_share(info, among=among)
         counted = len(linked) + len(lost)
-        if now - self._started_at < RECONNECT_GRACE_MS and self._expected > counted:
+        if now - self._started_at < expected_ms and self._expected > counted:
+            # Some may be linked to a coordinator that has lost the store, and use their
+            # shares until they can't confirm keys any more.
             share *= counted / self._expected
         return max(0.0, share)
 
--- a/tests/test_quota_charging.py
+++ b/tests/test_quota_charging.py
@@ -211,6 +211,75 @@
     assert quotas._ledger.refill_fraction == 1
 
 
+def test_a_replaced_coordinator_and_its_successor_stay_within_a_quota():
+    """Guards against a team that uses its burst at two coordinators: one has lost the
+    store and its lease, but still charges for the instances that have lost it, too;
+    the other one was elected by all the rest, and its bucket has filled up since."""
+    revocation_ms, window_ms, surge_at = 5_000, 8_000, 2_500
+    team = msgspec.structs.replace(TEAM, burst=4_000)
+    settings = {
+        "revocation_ms": revocation_ms,
+        "quota_overage": 0.1,
+        "quota_extra": 100,
+    }
+    infos = [build_info(f"i{number}") for number in range(60)]
+    kept, gone = infos[:21], infos[21:]
+    old, new = Instance(**settings), Instance(**settings)
+    for instance in (old, new):
+        instance.state.configuration = msgspec.structs.replace(
+            instance.state.configuration, teams=(team,)
+        )
+    replaced = build_quotas(old, linked=60)
+    replaced.update_linked(infos)
+    old.now[0] += 20_000
+    new.now[0] = old.now[0]
+    successor = build_quotas(new, linked=60)
+    usage = []
+    for elapsed_ms in range(0, surge_at + window_ms, 10):
+        if elapsed_ms % 250 == 0:
+            replaced.update_linked(kept, is_holder=False)
+            successor.update_linked(gone)
+        now = old.now[0]
+        # Instances that can't confirm keys any more serve nobody.
+        for quotas in (
+            (replaced, successor) if elapsed_ms < revocation_ms else (successor,)
+        ):
+            while elapsed_ms >= surge_at and not charge_grant_request(
+                quotas, 50, now=now
+            ):
+                usage.append(50)
+        old.now[0] += 10
+        new.now[0] += 10
+    allowed = team.rate_per_s * window_ms / 1_000 + team.burst
+    assert sum(usage) <= allowed * 1.1 + 100
+
+
+def test_a_new_coordinator_reserves_shares_while_keys_may_be_confirmed_elsewhere():
+    """Guards against full quotas beside those that instances use which follow a
+    coordinator without the store."""
+    instance = Instance(revocation_ms=5_000)
+    infos = [build_info(name) for name in ("a", "b", "c", "d")]
+    quotas = build_quotas(instance, linked=4)
+    shares = []
+    for elapsed_ms in (2_000, 2_990, 10):
+        instance.now[0] += elapsed_ms
+        quotas.update_linked(infos[:3])
+        shares.append(quotas._ledger.refill_fraction)
+    assert shares == [0.75, 0.75, 1]
+
+
+def test_a_coordinator_without_the_store_grants_the_burst_while_none_has_left():
+    """Guards against refusals below the quota while the store is unavailable to all:
+    no other coordinator can be elected then."""
+    instance = Instance(revocation_ms=5_000)
+    quotas = build_quotas(instance)
+    infos = [build_info(name) for name in ("a", "b", "c")]
+    instance.now[0] += 5_000
+    quotas.update_linked(infos, is_holder=False)
+    now = instance.now[0]
+    assert charge_grant_request(quotas, 1_000, now=now) is None
+
+
 def test_instances_with_more_capacity_have_larger_shares():
     strong = [build_info(f"s{n}", capacity=4.0) for n in range(2)]
     small = [build_info(f"w{n}", capacity=0.5) for n in range(10)]
