Spread the retry times of refused callers, and refuse at once what can't be loaded

Cause: each refused caller was told a time computed by itself, so that the callers of a model came back together and counted as new. Requests for a model without a copy waited until their callers gave up, even if no load could be completed before.

Change: with shares_contended, refused requests are recorded at the coordinator by fingerprint. The n-th refused caller is told when the waiting requests and the refused ones before it will have been started; one that comes back at that time or later counts from its first arrival. A request whose model has no copy is refused at once if a lower bound of the load's end is after the time at which it gives up.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -5,6 +5,7 @@
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
+from arbutuspulley.node.fingerprints import build_return_fingerprint
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import (
@@ -289,6 +290,8 @@
         is_begun = progress.first_ms is not None
         since = progress.last_event_at if is_begun else progress.started_at
         target_ms = route.gap_target_ms if is_begun else route.latency_target_ms
+        team_name = team.name if team is not None else ""
+        shares_contended = self._state.settings.shares_contended
         return GrantRequest(
             key=self._request.attempt_id,
             service=progress.service,
@@ -300,10 +303,16 @@
             avoid=tuple(progress.avoid),
             is_repeat=bool(progress.server),
             pause_ms=route.gap_target_ms,
-            team=team.name if team is not None else "",
+            team=team_name,
             cost=0 if self._charged is not None else self._cost,
             version=progress.version.name if progress.version else None,
             resumed_stream=progress.resumed_stream,
+            fingerprint=(
+                build_return_fingerprint(self._request, team=team_name)
+                if shares_contended
+                else 0
+            ),
+            ends_in_ms=max(0, progress.ends_at - now) if shares_contended else 0,
         )
 
     async def _request_grant(self, request: GrantRequest) -> Granted:
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -46,7 +46,12 @@
 from arbutuspulley.node.pacing import Pacer
 from arbutuspulley.node.peer import Peer
 from arbutuspulley.node.peers import Peers
-from arbutuspulley.node.pool_log import log_grant, log_pool, log_refusal
+from arbutuspulley.node.pool_log import (
+    count_decision,
+    log_grant,
+    log_pool,
+    log_refusal,
+)
 from arbutuspulley.node.pool_updates import (
     add_running_requests,
     apply_progress,
@@ -418,7 +423,11 @@
                 now=now,
             )
         pool.waiting[request.key] = build_waiting_request(
-            origin, request, version=version, now=now
+            origin,
+            request,
+            version=version,
+            returns=pool.returns if pool.shares_contended else None,
+            now=now,
         )
 
     def _run_planning_cycle(self) -> None:
@@ -493,6 +502,7 @@
         else:
             log_refusal(pool, decision)
             message = build_refusal(decision)
+        count_decision(self._state.metrics, decision)
         self._peers.send(decision.origin, message)
 
     def _handle_order_answer(
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -206,6 +206,9 @@
     :param version: software version that the server must have; ``None``: not known.
     :param resumed_stream: key of the stream that the request resumes; ``None``: it
         begins one.
+    :param fingerprint: identical when the caller sends the request again; 0: not known.
+    :param ends_in_ms: how long the caller waits for the complete answer, in ms; 0: not
+        known.
     """
 
     key: str
@@ -222,6 +225,8 @@
     cost: int = 0
     version: str | None = None
     resumed_stream: int | None = None
+    fingerprint: int = 0
+    ends_in_ms: int = 0
 
 
 class PermissionRequest(Message, frozen=True, tag="permission"):
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -50,9 +50,12 @@
         "resumed_streams",
         "retries",
         "retry_budget",
+        "return_wait",
+        "returns",
         "store_calls",
         "store_era",
         "unreachable_servers",
+        "unservable",
         "version",
     )
 
@@ -128,6 +131,23 @@
             "Servers that this instance can't connect to",
             registry=registry,
         )
+        self.returns = Counter(
+            "arbutus_returns",
+            "Refused requests that came back, by outcome and whether too early",
+            ["how"],
+            registry=registry,
+        )
+        self.return_wait = Histogram(
+            "arbutus_return_seconds",
+            "Wait of requests that came back at the time they were told",
+            registry=registry,
+            buckets=_SECONDS,
+        )
+        self.unservable = Counter(
+            "arbutus_unservable",
+            "Requests refused at once as their model can't be loaded in time",
+            registry=registry,
+        )
         self.relayed = Counter(
             "arbutus_relayed",
             "Requests sent to servers for instances that can't reach them, by outcome",
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -27,8 +27,8 @@
     count_servers,
 )
 from arbutuspulley.delivery.part_records import is_established
-from arbutuspulley.delivery.suspects import build_fingerprint
 from arbutuspulley.events import Event, log_event
+from arbutuspulley.node.fingerprints import get_fingerprint
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import SuspicionUpdate, Trial
 from arbutuspulley.node.state import NodeState
@@ -101,7 +101,7 @@
         """Return the number of known crashes with the request in flight."""
         if not len(self._records):
             return 0
-        return count_crashes(self._records.find(_get_fingerprint(request)))
+        return count_crashes(self._records.find(get_fingerprint(request)))
 
     def get_refusal(self, request: InboundRequest) -> PoisonRefusal | None:
         """Return why a request is not to be sent now; ``None``: it may be sent."""
@@ -120,7 +120,7 @@
                 retry_after_ms=quarantined.wait_ms,
             )
         wait_ms = self._records.get_wait_ms(
-            _get_fingerprint(request), may_retry=may_retry, now=now
+            get_fingerprint(request), may_retry=may_retry, now=now
         )
         if wait_ms:
             return PoisonRefusal(
@@ -141,7 +141,7 @@
 
     def _list_trial_keys(self, request: InboundRequest) -> Iterator[str]:
         """Return for what the request is to be sent alone, itself or parts of it."""
-        fingerprint = _get_fingerprint(request)
+        fingerprint = get_fingerprint(request)
         if self._records.needs_trial(fingerprint):
             yield fingerprint
         for part in request.shared_parts:
@@ -212,7 +212,7 @@
             had.
         """
         before = self.count_crashes(request)
-        fingerprint = _get_fingerprint(request)
+        fingerprint = get_fingerprint(request)
         now = self._state.clock.now()
         suspicion = self._records.record(
             fingerprint, incarnation=incarnation, known=known.request, now=now
@@ -275,7 +275,7 @@
     def clear(self, request: InboundRequest) -> None:
         """Clear a request that completed; it caused no crash."""
         cleared = self._records.clear(
-            _get_fingerprint(request), now=self._state.clock.now()
+            get_fingerprint(request), now=self._state.clock.now()
         )
         if cleared is not None:
             self._link.send(SuspicionUpdate(suspicions=(cleared,)))
@@ -327,13 +327,3 @@
             )
         for part in sorted(before - self._guilty):
             log_event(Event.PART_RELEASED, part=part[:LOGGED_PART_LENGTH])
-
-
-def _get_fingerprint(request: InboundRequest) -> str:
-    if not request.fingerprint:
-        request.fingerprint = build_fingerprint(
-            caller=request.host,
-            path=f"{request.method} {request.path}",
-            body=request.body,
-        )
-    return request.fingerprint
--- a/src/arbutuspulley/node/pool_log.py
+++ b/src/arbutuspulley/node/pool_log.py
@@ -2,7 +2,9 @@
 
 from collections import Counter
 
+from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
+from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.pool.answers import PlannedOrder, list_servers_needing_report
 from arbutuspulley.pool.copies import get_copies, index_copies
 from arbutuspulley.pool.demand import get_demand
@@ -22,6 +24,7 @@
         runs=grant.runs,
         waiting=len(pool.waiting),
     )
+    _log_return(grant, outcome="granted")
 
 
 def log_refusal(pool: PoolState, refusal: Refusal) -> None:
@@ -37,6 +40,41 @@
         waited_ms=refusal.waited_ms,
         retry_after_ms=refusal.retry_after_ms,
         is_version_gone=refusal.is_version_gone,
+        is_promised=refusal.is_promised,
+        is_unservable=refusal.is_unservable,
+    )
+    _log_return(refusal, outcome="refused")
+
+
+def count_decision(metrics: NodeMetrics, decision: Grant | Refusal) -> None:
+    """Count how refused callers fare that have come back, and refusals at once."""
+    if isinstance(decision, Refusal) and decision.is_unservable:
+        metrics.unservable.inc()
+    returned = decision.returned
+    if returned is None:
+        return
+    how = "refused" if isinstance(decision, Refusal) else "granted"
+    if returned.late_ms < 0:
+        metrics.returns.labels(f"early_{how}").inc()
+        return
+    metrics.returns.labels(how).inc()
+    if isinstance(decision, Grant):
+        metrics.return_wait.observe(decision.waited_ms / SECOND_MS)
+
+
+def _log_return(decision: Grant | Refusal, *, outcome: str) -> None:
+    """Log how a refused caller fares that has come back."""
+    returned = decision.returned
+    if returned is None:
+        return
+    log_event(
+        Event.REQUEST_RETURNED,
+        id=decision.key,
+        outcome=outcome,
+        late_ms=returned.late_ms,
+        waited_ms=decision.waited_ms,
+        credit_ms=returned.credit_ms,
+        was_promised=returned.is_promised,
     )
 
 
--- a/src/arbutuspulley/node/pool_updates.py
+++ b/src/arbutuspulley/node/pool_updates.py
@@ -21,6 +21,7 @@
     record_unreachable,
 )
 from arbutuspulley.pool.grants import Refusal
+from arbutuspulley.pool.returns import ReturnState, find_return
 from arbutuspulley.pool.runs import (
     record_first_event,
     record_not_run,
@@ -42,13 +43,19 @@
     request: GrantRequest,
     *,
     version: SoftwareVersion | None = None,
+    returns: ReturnState | None = None,
     now: int,
 ) -> WaitingRequest:
     """Build the entry of a request that waits for a server.
 
     :param origin: name of the instance that asks.
     :param version: software version that the server must have; ``None``: any.
+    :param returns: refused requests, of which this may be one; ``None``: they are not
+        recorded.
     """
+    returned = None
+    if returns is not None and request.fingerprint and not request.is_repeat:
+        returned = find_return(returns, request.fingerprint, now=now)
     return WaitingRequest(
         key=request.key,
         origin=origin,
@@ -62,6 +69,9 @@
         is_repeat=request.is_repeat,
         gap_target_ms=request.pause_ms,
         version=version,
+        fingerprint=request.fingerprint,
+        ends_at=now + request.ends_in_ms if request.ends_in_ms else 0,
+        returned=returned,
     )
 
 
--- a/src/arbutuspulley/pool/eviction.py
+++ b/src/arbutuspulley/pool/eviction.py
@@ -12,6 +12,7 @@
     reindex_server,
 )
 from arbutuspulley.pool.demand import estimate_excess_requests, get_copy_request_rate
+from arbutuspulley.pool.server_watch import list_unserved
 from arbutuspulley.pool.state import PoolState, ServerState, estimate_unload_wait
 from arbutuspulley.ports.fleet import EngineSpec
 
@@ -100,10 +101,14 @@
     min_requests_per_s: float | None = None
     if any(server.limit is not None for server in pool.servers.values()):
         min_requests_per_s = LIMITED_COPY_FRACTION * get_copy_request_rate(pool)
+    waiting = Counter(request.need.model for request in pool.waiting.values())
+    if pool.shares_contended:
+        fingerprints = {request.fingerprint for request in pool.waiting.values()}
+        waiting.update(list_unserved(pool.server_watch, waiting=fingerprints, now=now))
     return PlanningCycle(
         pool=pool,
         index=index_copies(pool, now=now, min_requests_per_s=min_requests_per_s),
-        waiting=Counter(request.need.model for request in pool.waiting.values()),
+        waiting=waiting,
     )
 
 
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -13,6 +13,10 @@
 from arbutuspulley.pool.contact import get_withheld_until, list_withheld_ends
 from arbutuspulley.pool.copies import CopyIndex, get_copies, index_copies
 from arbutuspulley.pool.demand import get_copy_token_rate
+from arbutuspulley.pool.retry_times import RetryTime, choose_retry_time
+from arbutuspulley.pool.returns import ReturnedCaller, forget_request
+from arbutuspulley.pool.servability import estimate_min_load_wait
+from arbutuspulley.pool.server_watch import observe_servers, record_unserved
 from arbutuspulley.pool.state import (
     PoolState,
     Run,
@@ -90,6 +94,8 @@
         lower priority at the server.
     :param waited_ms: how long it waited.
     :param runs: requests in flight at the server.
+    :param returned: record of the request's earlier refusal; ``None``: it was not
+        refused.
     """
 
     key: str
@@ -99,6 +105,7 @@
     is_late: bool
     waited_ms: int
     runs: int
+    returned: ReturnedCaller | None = None
 
 
 class Refusal(Value, frozen=True):
@@ -113,6 +120,10 @@
     :param waited_ms: how long it waited.
     :param is_version_gone: whether no server of the software version that it needs is
         left.
+    :param is_promised: whether it is expected to be served if it is sent again then.
+    :param is_unservable: whether it was refused at once as its model has no copy, and
+        none can be loaded in time.
+    :param returned: record of its earlier refusal; ``None``: it was not refused.
     """
 
     key: str
@@ -124,6 +135,9 @@
     limited: int
     waited_ms: int
     is_version_gone: bool = False
+    is_promised: bool = False
+    is_unservable: bool = False
+    returned: ReturnedCaller | None = None
 
 
 def plan_grants(pool: PoolState, *, now: int) -> list[Grant | Refusal]:
@@ -143,6 +157,8 @@
         queue: list_copy_ready_times(pool, queue.model, index, queue.version)
         for queue in {_get_queue(request) for request in pool.waiting.values()}
     }
+    load_waits = _estimate_load_waits(pool, ready_times, now=now)
+    queued: dict[str, float] = {}
     reserved_ms: dict[str, float] = {}
     usages: dict[str, _Usage] = {}
     pool.next_start_at = None
@@ -157,30 +173,55 @@
             limited_ms = estimate_rate_limit_wait(index, model, requests_ahead[model])
         cooldown_ms = estimate_cooldown(index, model, waiting.origin)
         min_wait_ms = max(
-            _get_min_wait(pool, model, tokens_ahead[queue], times) or limited_ms,
+            _get_min_wait(pool, model, tokens_ahead[queue], times)
+            or limited_ms
+            or load_waits.get(queue, 0.0),
             cooldown_ms,
         )
         is_gone = is_version_gone(pool, waiting.version)
         if is_gone or now + min_wait_ms >= waiting.give_up_at:
             del pool.waiting[waiting.key]
+            is_unservable = queue in load_waits and now < waiting.give_up_at
+            if is_unservable:
+                record_unserved(
+                    pool.server_watch,
+                    waiting.fingerprint or waiting.key,
+                    model=model,
+                    until=waiting.give_up_at,
+                )
+            if pool.shares_contended and not is_gone:
+                retry = choose_retry_time(
+                    pool,
+                    waiting,
+                    index,
+                    queued,
+                    ready_times=times,
+                    delay_ms=max(limited_ms, cooldown_ms),
+                )
+            else:
+                retry_after_ms = estimate_retry_after(
+                    pool,
+                    model,
+                    tokens_ahead[queue],
+                    times,
+                    limited_ms=limited_ms,
+                    cooldown_ms=cooldown_ms,
+                )
+                retry = RetryTime(retry_after_ms=retry_after_ms)
             decisions.append(
                 Refusal(
                     key=waiting.key,
                     origin=waiting.origin,
-                    retry_after_ms=estimate_retry_after(
-                        pool,
-                        model,
-                        tokens_ahead[queue],
-                        times,
-                        limited_ms=limited_ms,
-                        cooldown_ms=cooldown_ms,
-                    ),
+                    retry_after_ms=retry.retry_after_ms,
                     model=model,
                     tokens_ahead=tokens_ahead[queue],
                     copies=len(times),
                     limited=len(index.limited.get(model, ())),
                     waited_ms=now - waiting.arrived_at,
                     is_version_gone=is_gone,
+                    is_promised=retry.is_promised,
+                    is_unservable=is_unservable,
+                    returned=waiting.returned,
                 )
             )
             continue
@@ -190,6 +231,7 @@
             requests_ahead[model] += 1
         else:
             del pool.waiting[waiting.key]
+            forget_request(pool.returns, waiting.fingerprint)
             decisions.append(grant)
     return decisions
 
@@ -228,6 +270,25 @@
     return max(now + 1, int(min(times, default=now + 50)))
 
 
+def _estimate_load_waits(
+    pool: PoolState, ready_times: dict[_Queue, list[float]], *, now: int
+) -> dict[_Queue, float]:
+    """Return how long loads of the models without a copy take at least, in ms.
+
+    :return: only queues whose model can't be loaded at once. The servers of a software
+        version that a stream needs may be few, and are not considered.
+    """
+    if not pool.shares_contended:
+        return {}
+    observe_servers(pool.server_watch, pool.servers.keys(), now=now)
+    waits = {
+        queue: estimate_min_load_wait(pool, queue.model, now=now)
+        for queue, times in ready_times.items()
+        if not times and queue.version is None
+    }
+    return {queue: wait_ms for queue, wait_ms in waits.items() if wait_ms}
+
+
 def _get_min_wait(
     pool: PoolState, model: str, tokens: float, ready_times: list[float]
 ) -> float:
@@ -252,8 +313,9 @@
     start time, late ones in order of arrival.
     """
     is_late = now >= waiting.late_at
-    due_at = 0 if is_late else waiting.late_at
-    return is_late, waiting.priority, due_at, waiting.arrived_at
+    credit_ms = waiting.returned.credit_ms if waiting.returned else 0
+    due_at = 0 if is_late else waiting.late_at - credit_ms
+    return is_late, waiting.priority, due_at, waiting.arrived_at - credit_ms
 
 
 def _try_grant(
@@ -421,4 +483,5 @@
         is_late=is_late,
         waited_ms=now - waiting.arrived_at,
         runs=runs,
+        returned=waiting.returned,
     )
--- a/src/arbutuspulley/pool/load_rate.py
+++ b/src/arbutuspulley/pool/load_rate.py
@@ -67,6 +67,32 @@
         pool.loads += [unknown_until] * _get_max_concurrent_loads(pool)
 
 
+def estimate_min_slot_wait(pool: PoolState, *, now: int) -> float:
+    """Return a lower bound of the time until a load from the store may start, in ms.
+
+    Orders in flight may turn out not to have started a load; they don't count.
+    """
+    in_flight = sum(
+        server.is_order_in_flight and bool(server.loading)
+        for server in pool.servers.values()
+    )
+    ends = sorted(
+        0 if server.is_order_in_flight else max(0, server.loading_until - now)
+        for server in pool.servers.values()
+        if server.loading and not has_local_weights(server, server.loading)
+    )
+    wait_ms = 0.0
+    too_many = len(ends) - _get_max_concurrent_loads(pool) + 1
+    if too_many > 0:
+        wait_ms = float(ends[too_many - 1])
+    recent = list_recent_loads(pool, now=now)
+    max_loads = pool.spec.loads_per_s * WINDOW_MS / 1_000 + BURST_LOADS
+    too_many = math.ceil(len(recent) - in_flight + 1 - max_loads)
+    if too_many > 0:
+        wait_ms = max(wait_ms, float(recent[too_many - 1] + WINDOW_MS - now))
+    return wait_ms
+
+
 def _count_running_loads(pool: PoolState, *, now: int) -> int:
     return sum(
         bool(server.loading) and not has_local_weights(server, server.loading)
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -13,6 +13,8 @@
     PrefillSpeedState,
     get_speed,
 )
+from arbutuspulley.pool.returns import ReturnedCaller, ReturnState
+from arbutuspulley.pool.server_watch import ServerWatch
 from arbutuspulley.pool.stream_gaps import StreamGapState
 from arbutuspulley.ports.fleet import (
     UNSTATED_VERSION,
@@ -44,6 +46,9 @@
     :param avoid: incarnations of servers that refused or failed it.
     :param is_repeat: whether a server has refused it before.
     :param version: software version that its server must have; ``None``: any.
+    :param fingerprint: identical when its caller sends it again; 0: not known.
+    :param ends_at: until when its caller waits for the answer, in ms; 0: not known.
+    :param returned: record of its earlier refusal; ``None``: it was not refused.
     """
 
     key: str
@@ -58,6 +63,9 @@
     avoid: tuple[str, ...] = ()
     is_repeat: bool = False
     version: SoftwareVersion | None = None
+    fingerprint: int = 0
+    ends_at: int = 0
+    returned: ReturnedCaller | None = None
 
 
 class Run(State):
@@ -231,6 +239,8 @@
     :param shares_contended: whether teams and ranks get fair shares, see
         :class:`~arbutuspulley.ports.fleet.NodeSettings`.
     :param learns_server_speeds: whether each server's speed is estimated by itself.
+    :param returns: refused requests whose callers may come back.
+    :param server_watch: what decides whether a model without a copy can be loaded.
     """
 
     service: str
@@ -250,6 +260,8 @@
     durations: DurationState = msgspec.field(default_factory=DurationState)
     shares_contended: bool = False
     learns_server_speeds: bool = False
+    returns: ReturnState = msgspec.field(default_factory=ReturnState)
+    server_watch: ServerWatch = msgspec.field(default_factory=ServerWatch)
 
 
 def update_servers(pool: PoolState, entries: list[ServerEntry]) -> None:
