--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -8,12 +8,14 @@
 
 from collections import Counter
 
+import msgspec
+
 from arbutuspulley.admission.rate_limits import consume
 from arbutuspulley.data import Value
 from arbutuspulley.pool.contact import get_withheld_until, list_withheld_ends
 from arbutuspulley.pool.copies import CopyIndex, get_copies, index_copies
 from arbutuspulley.pool.demand import get_copy_token_rate
-from arbutuspulley.pool.retry_times import RetryTime, choose_retry_time
+from arbutuspulley.pool.retry_times import RefusedRequest, spread_retry_times
 from arbutuspulley.pool.returns import ReturnedCaller, forget_request
 from arbutuspulley.pool.servability import estimate_min_load_wait
 from arbutuspulley.pool.server_watch import observe_servers, record_unserved
@@ -158,7 +160,7 @@
         for queue in {_get_queue(request) for request in pool.waiting.values()}
     }
     load_waits = _estimate_load_waits(pool, ready_times, now=now)
-    queued: dict[str, float] = {}
+    refused: dict[int, RefusedRequest] = {}
     reserved_ms: dict[str, float] = {}
     usages: dict[str, _Usage] = {}
     pool.next_start_at = None
@@ -189,37 +191,30 @@
                     model=model,
                     until=waiting.give_up_at,
                 )
-            if pool.shares_contended and not is_gone:
-                retry = choose_retry_time(
-                    pool,
-                    waiting,
-                    index,
-                    queued,
+            if not is_gone:
+                refused[len(decisions)] = RefusedRequest(
+                    waiting=waiting,
                     ready_times=times,
                     delay_ms=max(limited_ms, cooldown_ms),
                 )
-            else:
-                retry_after_ms = estimate_retry_after(
-                    pool,
-                    model,
-                    tokens_ahead[queue],
-                    times,
-                    limited_ms=limited_ms,
-                    cooldown_ms=cooldown_ms,
-                )
-                retry = RetryTime(retry_after_ms=retry_after_ms)
             decisions.append(
                 Refusal(
                     key=waiting.key,
                     origin=waiting.origin,
-                    retry_after_ms=retry.retry_after_ms,
+                    retry_after_ms=estimate_retry_after(
+                        pool,
+                        model,
+                        tokens_ahead[queue],
+                        times,
+                        limited_ms=limited_ms,
+                        cooldown_ms=cooldown_ms,
+                    ),
                     model=model,
                     tokens_ahead=tokens_ahead[queue],
                     copies=len(times),
                     limited=len(index.limited.get(model, ())),
                     waited_ms=now - waiting.arrived_at,
                     is_version_gone=is_gone,
-                    is_promised=retry.is_promised,
                     is_unservable=is_unservable,
                     returned=waiting.returned,
                 )
@@ -233,6 +228,13 @@
             del pool.waiting[waiting.key]
             forget_request(pool.returns, waiting.fingerprint)
             decisions.append(grant)
+    if pool.shares_contended:
+        for position, retry in spread_retry_times(pool, refused, index).items():
+            decisions[position] = msgspec.structs.replace(
+                decisions[position],
+                retry_after_ms=retry.retry_after_ms,
+                is_promised=retry.is_promised,
+            )
     return decisions
 
 
--- a/src/arbutuspulley/pool/returns.py
+++ b/src/arbutuspulley/pool/returns.py
@@ -149,8 +149,8 @@
         _remove_expected(state, record)
 
 
-def get_expected_cost(state: ReturnState, model: str, *, now: int) -> float:
-    """Return the cost of a model's requests that are expected back, in prompt tokens.
+def list_expected_costs(state: ReturnState, *, now: int) -> dict[str, float]:
+    """Return the cost of the requests that are expected back, by model, in tokens.
 
     :param now: in ms.
     """
@@ -159,7 +159,7 @@
         record = state.records.get(fingerprint)
         if record is not None and record.told_at + RETURN_GRACE_MS == lapsed_at:
             _remove_expected(state, record)
-    return state.expected.get(model, 0.0)
+    return state.expected
 
 
 def evict_expired(state: ReturnState, *, now: int) -> None:
