--- a/scripts/compare_returns.py
+++ b/scripts/compare_returns.py
@@ -9,7 +9,9 @@
 
 * ``hasty callers``: 1.4 times the capacity for 10 s; three callers in ten are hasty;
 * ``outage``: 0.8 of the capacity; no server can be reached for 3 s; no one is hasty;
-* ``outage, hasty``: the same with three callers in ten hasty.
+* ``outage, hasty``: the same with three callers in ten hasty;
+* ``rare models``: 0.7 of the capacity; one caller in ten asks for one of 24 further
+  models, for which there are 8 places, and which take 2.5 s to load.
 
 Compared on the same requests:
 
@@ -17,7 +19,9 @@
 * ``spread``: times are spread, but callers that return count as new;
 * ``spread, order``: they count from their first arrival, if they come at the time told;
 * ``no promise, no time``: as before, but callers whose turn can't come within their
-  time are told no time, and don't return.
+  time are told no time, and don't return;
+* ``all wait``: as ``spread, order``, but callers of a model that can't be loaded in
+  time wait until they give up, as today.
 
 Reported as mean, minimum and maximum over the seeds, in per cent: patient callers that
 were refused and are served at their first return; that were refused again then; hasty
@@ -25,7 +29,9 @@
 time. Further the number of requests for each caller, and which fraction of the promised
 times was kept, and the mean time from the first sending to the first event of callers
 that were refused and then served, in ms. A dash: there are no such callers. "In time"
-is counted from the last sending.
+is counted from the last sending. ``rare models`` also prints which callers of the
+further models are served, in per cent, and how long each of those that were refused had
+waited in vain, in ms.
 """
 
 import concurrent.futures
@@ -35,24 +41,36 @@
 import math
 import random
 import statistics
+import sys
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 import msgspec
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.data import State, Value
+from arbutuspulley.pool import grants
+from arbutuspulley.pool.answers import PlannedOrder, apply_order_answer
 from arbutuspulley.pool.demand import estimate_token_cost, record_demand
 from arbutuspulley.pool.grants import Grant, Refusal, find_next_wakeup, plan_grants
+from arbutuspulley.pool.orders import plan_orders
 from arbutuspulley.pool.returns import ReturnedCaller, find_return
 from arbutuspulley.pool.runs import record_first_event, record_run_end
 from arbutuspulley.pool.state import PoolState, ServerState, WaitingRequest
-from arbutuspulley.ports.fleet import AttemptOutcome, EngineSpec, ModelNeed, ModelSpec
+from arbutuspulley.ports.fleet import (
+    AttemptOutcome,
+    EngineSpec,
+    ModelNeed,
+    ModelSpec,
+    OrderAnswer,
+)
 
 SEEDS = range(4)
 SERVERS = 8
 MODELS = ("m0", "m1", "m2", "m3")
 MODEL_WEIGHTS = (4, 2, 1, 1)
+RARE_MODELS = tuple(f"r{number}" for number in range(24))
 SLOTS = 12
 LENGTH_MS = 20 * SECOND_MS
 SURGE_MS = range(3_000, 13_000)
@@ -69,6 +87,9 @@
 """Interval of the decisions, in ms: the coordinator takes them for all messages that
 arrive in a few ms together."""
 
+ORDER_MS = 10
+"""Time until an order is answered, in ms."""
+
 PROCESSES = 3
 
 PREFILL_TOKENS_PER_MS = 20.0
@@ -86,6 +107,7 @@
     surge: float = 1.0
     hasty: float = 0.0
     has_outage: bool = False
+    rare: float = 0.0
 
 
 class Variant(Value, frozen=True):
@@ -95,6 +117,7 @@
     is_spread: bool = True
     is_ordered: bool = True
     tells_all: bool = True
+    refuses_at_once: bool = True
 
 
 class Caller(State):
@@ -112,6 +135,7 @@
     promised: int = 0
     kept: int = 0
     was_promised: bool = False
+    waited_in_vain_ms: int = 0
 
 
 class Result(Value, frozen=True):
@@ -125,18 +149,22 @@
     requests: float
     kept: float
     until_served: float
+    rare: float
+    in_vain: float
 
 
 WORKLOADS = (
     Workload(name="hasty callers", load=0.8, surge=1.75, hasty=0.3),
     Workload(name="outage", load=0.8, has_outage=True),
     Workload(name="outage, hasty", load=0.8, hasty=0.3, has_outage=True),
+    Workload(name="rare models", load=0.7, rare=0.1),
 )
 VARIANTS = (
     Variant(name="today", is_spread=False, is_ordered=False),
     Variant(name="spread", is_ordered=False),
     Variant(name="spread, order"),
     Variant(name="no promise, no time", tells_all=False),
+    Variant(name="all wait", refuses_at_once=False),
 )
 
 
@@ -151,7 +179,11 @@
         callers.append(
             Caller(
                 number=len(callers) + 1,
-                model=rng.choices(MODELS, MODEL_WEIGHTS)[0],
+                model=(
+                    rng.choice(RARE_MODELS)
+                    if rng.random() < workload.rare
+                    else rng.choices(MODELS, MODEL_WEIGHTS)[0]
+                ),
                 tokens=min(4_000, int(rng.lognormvariate(6.5, 0.6)) + 80),
                 arrived_at=int(at),
                 is_hasty=rng.random() < workload.hasty,
@@ -167,16 +199,16 @@
             name=name,
             size_mb=34_000,
             adapter_mb=1,
-            load_ms=1_500,
-            disk_load_ms=500,
-            warm_load_ms=400,
+            load_ms=2_500,
+            disk_load_ms=1_000,
+            warm_load_ms=800,
         )
-        for name in MODELS
+        for name in MODELS + RARE_MODELS
     ]
     spec = EngineSpec(
         slots=SLOTS,
         cache_tokens=200_000,
-        memory_mb=80_000,
+        memory_mb=110_000,
         adapter_slots=8,
         loads_per_s=4,
         models={one.name: one for one in specs},
@@ -202,6 +234,7 @@
         self, workload: Workload, variant: Variant, callers: list[Caller], seed: int
     ) -> None:
         self.variant = variant
+        self._has_orders = workload.rare > 0
         self.callers = {one.number: one for one in callers}
         self.pool = build_pool(variant)
         self._rng = random.Random(seed + 1_000)
@@ -224,6 +257,8 @@
             for decision in plan_grants(self.pool, now=now):
                 caller = self.callers[int(decision.key.split("-")[0])]
                 self._apply(caller, decision, now)
+            if self._has_orders:
+                self._send_orders(now)
             wakeup = find_next_wakeup(self.pool, now=now)
             if wakeup is not None and (
                 planned_at is None or planned_at <= now or wakeup < planned_at
@@ -237,6 +272,13 @@
     def _wake(self, _: None, now: int) -> None:
         """Do nothing: the decisions follow."""
 
+    def _send_orders(self, now: int) -> None:
+        for order in plan_orders(self.pool, now=now):
+            self._schedule(now + ORDER_MS, self._accept, order)
+
+    def _accept(self, order: PlannedOrder, now: int) -> None:
+        apply_order_answer(self.pool, order, OrderAnswer.ACCEPTED, now=now)
+
     def _begin_outage(self, _: None, now: int) -> None:
         for server in self.pool.servers.values():
             server.backoff_until = OUTAGE_MS.stop
@@ -292,6 +334,7 @@
             self._start(caller, decision, now)
             return
         caller.refused += 1
+        caller.waited_in_vain_ms += decision.waited_ms
         if caller.is_hasty:
             self._schedule(now + HASTY_DELAY_MS, self._send, caller)
             return
@@ -347,7 +390,12 @@
 def simulate(workload: Workload, variant: Variant, seed: int) -> Result:
     """Run a variant on the callers of a seed."""
     callers = draw_callers(workload, seed)
-    Simulation(workload, variant, callers, seed).run()
+    simulation = Simulation(workload, variant, callers, seed)
+    if variant.refuses_at_once:
+        simulation.run()
+    else:
+        with mock.patch.object(grants, "estimate_min_load_wait", return_value=0.0):
+            simulation.run()
     patient = [one for one in callers if one.refused and not one.is_hasty]
     hasty = [one for one in callers if one.refused and one.is_hasty]
     served = [one for one in callers if one.first_at is not None]
@@ -355,6 +403,8 @@
         one for one in served if (one.first_at or 0) - one.sent_at <= LATENCY_TARGET_MS
     ]
     at_once = sum(one.refused == 1 and one.first_at is not None for one in patient)
+    rare = [one for one in callers if one.model in RARE_MODELS]
+    in_vain = [one.waited_in_vain_ms for one in rare if one.refused]
     promised = sum(one.promised for one in callers)
     return Result(
         first_return=_get_percentage(at_once, len(patient)),
@@ -371,17 +421,25 @@
         until_served=statistics.mean(
             (one.first_at or 0) - one.arrived_at for one in served if one.refused
         ),
+        rare=_get_percentage(sum(one.first_at is not None for one in rare), len(rare)),
+        in_vain=statistics.mean(in_vain) if in_vain else math.nan,
     )
 
 
-def main() -> None:
-    """Print a line for each workload and variant."""
+def main(names: list[str]) -> None:
+    """Print a line for each workload and variant.
+
+    :param names: of the workloads; empty: all.
+    """
     for workload in WORKLOADS:
+        if names and workload.name not in names:
+            continue
         print(f"{workload.name}:")
         print(
             "  way                  first return        refused again       "
             "hasty served        served              in time             requests"
-            "            kept                until served"
+            "            kept                until served        rare served"
+            "         in vain"
         )
         for variant in VARIANTS:
             with concurrent.futures.ProcessPoolExecutor(PROCESSES) as executor:
@@ -406,4 +464,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    main(sys.argv[1:])
--- a/src/arbutuspulley/pool/retry_times.py
+++ b/src/arbutuspulley/pool/retry_times.py
@@ -5,6 +5,8 @@
 callers before it will have been started. Without it, each time is computed by itself.
 """
 
+from collections import Counter
+
 import msgspec
 
 from arbutuspulley.data import State, Value
@@ -142,23 +144,24 @@
     expected = list_expected_costs(pool.returns, now=index.now)
     overlaps = costs.overlaps.get(model)
     if overlaps is None:
-        others = waiting.keys() | expected.keys()
-        overlaps = costs.overlaps[model] = _find_overlaps(index, model, others)
+        overlaps = costs.overlaps[model] = _find_overlaps(index, model)
     return sum(
         fraction * (waiting.get(other, 0.0) + expected.get(other, 0.0))
         for other, fraction in overlaps.items()
     )
 
 
-def _find_overlaps(index: CopyIndex, model: str, others: set[str]) -> dict[str, float]:
-    servers = {server.incarnation for server in get_copies(index, model)}
-    overlaps = {model: 1.0}
-    for other in others - {model}:
-        copies = get_copies(index, other)
-        shared = sum(server.incarnation in servers for server in copies)
-        if shared:
-            overlaps[other] = shared / len(copies)
-    return overlaps
+def _find_overlaps(index: CopyIndex, model: str) -> dict[str, float]:
+    copies = get_copies(index, model)
+    shared = Counter(
+        other
+        for server in copies
+        for other in index.models_by_server.get(server.incarnation, ())
+    )
+    overlaps = {
+        other: count / len(get_copies(index, other)) for other, count in shared.items()
+    }
+    return overlaps | {model: 1.0}
 
 
 def _get_patience(waiting: WaitingRequest, *, now: int) -> float:
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -294,3 +294,20 @@
     with pytest.raises(NoServerError) as failed:
         trial.get_server()
     assert (failed.value.reason, failed.value.may_retry) == (GONE_REASON, False)
+
+
+@pytest.mark.parametrize("shares_contended", [True, False])
+def test_grant_request_identifies_the_callers_request(shares_contended):
+    """A refused caller that came back counted as new. Without contended shares, nothing
+    more is sent than before."""
+    trial = Trial(grant)
+    trial.state.settings = msgspec.structs.replace(
+        trial.state.settings, shares_contended=shares_contended
+    )
+    trial.get_server()
+    (request,) = [one for one in trial.sent if isinstance(one, GrantRequest)]
+    if shares_contended:
+        assert 0 < request.fingerprint < 1 << 64
+        assert request.ends_in_ms == 10_000
+    else:
+        assert (request.fingerprint, request.ends_in_ms) == (0, 0)
--- a/tests/test_pool_returns.py
+++ b/tests/test_pool_returns.py
@@ -11,6 +11,8 @@
 import pytest
 
 from arbutuspulley.node.messages import GrantRequest
+from arbutuspulley.node.metrics import NodeMetrics
+from arbutuspulley.node.pool_log import count_decision
 from arbutuspulley.node.pool_updates import build_waiting_request
 from arbutuspulley.pool import returns
 from arbutuspulley.pool.grants import Grant, Refusal, plan_grants
@@ -226,3 +228,17 @@
         None
     )
     assert list(state.records) == [7]
+
+
+@pytest.mark.parametrize(
+    ("late_ms", "outcome"), [(3, "refused"), (-3, "early_refused")]
+)
+def test_refused_returns_are_counted_by_whether_they_came_too_early(late_ms, outcome):
+    """Operators tell callers that ignore the time from times that are not kept."""
+    returned = ReturnedCaller(late_ms=late_ms, credit_ms=9, is_promised=True)
+    (refusal,) = refuse_callers(build_busy_pool(), 1, returned=returned)
+    metrics = NodeMetrics()
+    count_decision(metrics, refusal)
+    text = metrics.write().decode()
+    assert f'arbutus_returns_total{{how="{outcome}"}} 1.0' in text
+    assert "arbutus_unservable_total 0.0" in text
