--- a/src/arbutuspulley/node/pool_updates.py
+++ b/src/arbutuspulley/node/pool_updates.py
@@ -26,6 +26,7 @@
     record_not_run,
     record_run_end,
 )
+from arbutuspulley.pool.start_order import refund_grant
 from arbutuspulley.pool.state import PoolState, Run, WaitingRequest
 from arbutuspulley.ports.fleet import AttemptOutcome, SoftwareVersion
 
@@ -62,6 +63,7 @@
         is_repeat=request.is_repeat,
         gap_target_ms=request.pause_ms,
         version=version,
+        team=request.team,
     )
 
 
@@ -112,6 +114,9 @@
         if message.incarnation not in pool.servers:
             continue
         key, incarnation = message.key, message.incarnation
+        run = pool.servers[incarnation].runs.get(key)
+        if run is not None and _has_not_run(message):
+            refund_grant(pool, run, now=now)
         if _has_answered(message):
             record_heard(pool, incarnation, origin=origin, now=now)
         if isinstance(message, ResponseStarted):
@@ -155,6 +160,14 @@
     return message.how in (AttemptOutcome.DONE, AttemptOutcome.NOT_RUN)
 
 
+def _has_not_run(message: ResponseStarted | AttemptEnded) -> bool:
+    return isinstance(message, AttemptEnded) and message.how in (
+        AttemptOutcome.NOT_RUN,
+        AttemptOutcome.UNREACHED,
+        AttemptOutcome.UNUSED,
+    )
+
+
 def record_cooldowns(
     pools: dict[str, PoolState],
     origin: str,
--- a/src/arbutuspulley/platform/messages.py
+++ b/src/arbutuspulley/platform/messages.py
@@ -123,6 +123,7 @@
 
     :param unit: unit of ``RatePerS`` and ``Burst``: ``requests`` (also if empty) or
         ``tokens``.
+    :param weight: weight of the team's share of contended servers; 0: as 1.
     """
 
     name: str
@@ -132,6 +133,7 @@
     burst: float = 0
     unit: str = REQUESTS
     plain_tokens: float = 0
+    weight: float = 0
 
 
 class WireConfiguration(_Wire):
@@ -338,6 +340,7 @@
         ("RatePerS", wire.rate_per_s),
         ("Burst", wire.burst),
         ("PlainTokens", wire.plain_tokens),
+        ("Weight", wire.weight),
     ):
         if value < 0:
             raise _build_team_error(wire, f"{field} is {value:g}")
@@ -351,6 +354,7 @@
         burst=wire.burst,
         counts_tokens=wire.unit == TOKENS,
         default_tokens=int(wire.plain_tokens),
+        weight=wire.weight or 1.0,
     )
 
 
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -13,6 +13,7 @@
 from arbutuspulley.pool.contact import get_withheld_until, list_withheld_ends
 from arbutuspulley.pool.copies import CopyIndex, get_copies, index_copies
 from arbutuspulley.pool.demand import get_copy_token_rate
+from arbutuspulley.pool.start_order import charge_grant, order_waiting
 from arbutuspulley.pool.state import (
     PoolState,
     Run,
@@ -90,6 +91,7 @@
         lower priority at the server.
     :param waited_ms: how long it waited.
     :param runs: requests in flight at the server.
+    :param is_preferred: whether it was granted before requests of higher ranks.
     """
 
     key: str
@@ -99,6 +101,7 @@
     is_late: bool
     waited_ms: int
     runs: int
+    is_preferred: bool = False
 
 
 class Refusal(Value, frozen=True):
@@ -129,7 +132,7 @@
 def plan_grants(pool: PoolState, *, now: int) -> list[Grant | Refusal]:
     """Decide which waiting requests start or are refused, in order of urgency.
 
-    Requests that can still meet their latency target come first.
+    The order is that of :func:`~arbutuspulley.pool.start_order.order_waiting`.
 
     :param now: in ms.
     """
@@ -146,9 +149,7 @@
     reserved_ms: dict[str, float] = {}
     usages: dict[str, _Usage] = {}
     pool.next_start_at = None
-    for waiting in sorted(
-        pool.waiting.values(), key=lambda request: _get_start_order(request, now)
-    ):
+    for waiting in order_waiting(pool, now=now):
         queue = _get_queue(waiting)
         model = queue.model
         times = ready_times[queue]
@@ -245,17 +246,6 @@
     return estimate_wait(pool, model, tokens, [0.0] * len(ready_times))
 
 
-def _get_start_order(waiting: WaitingRequest, now: int) -> tuple[bool, int, int, int]:
-    """Return the sort key of a request; the lowest starts first.
-
-    Requests that can still meet their latency target start in order of their latest
-    start time, late ones in order of arrival.
-    """
-    is_late = now >= waiting.late_at
-    due_at = 0 if is_late else waiting.late_at
-    return is_late, waiting.priority, due_at, waiting.arrived_at
-
-
 def _try_grant(
     pool: PoolState,
     waiting: WaitingRequest,
@@ -421,4 +411,5 @@
         is_late=is_late,
         waited_ms=now - waiting.arrived_at,
         runs=runs,
+        is_preferred=charge_grant(pool, server, waiting, now=now),
     )
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -8,6 +8,7 @@
     DurationState,
     estimate_remaining_time,
 )
+from arbutuspulley.pool.fair_shares import FairShares
 from arbutuspulley.pool.prefill_speed import (
     DEFAULT_SPEED,
     PrefillSpeedState,
@@ -44,6 +45,7 @@
     :param avoid: incarnations of servers that refused or failed it.
     :param is_repeat: whether a server has refused it before.
     :param version: software version that its server must have; ``None``: any.
+    :param team: team that its share counts for; all without one have one share.
     """
 
     key: str
@@ -58,6 +60,7 @@
     avoid: tuple[str, ...] = ()
     is_repeat: bool = False
     version: SoftwareVersion | None = None
+    team: str = ""
 
 
 class Run(State):
@@ -72,6 +75,9 @@
     :param was_prefill_idle: whether its server had no prefill in progress when it was
         granted.
     :param is_repeat: whether a server has refused it before.
+    :param team: team whose share it is charged to.
+    :param priority: rank in which it is charged.
+    :param charged: cost that its team was charged, in prompt tokens; 0: none.
     """
 
     origin: str
@@ -82,6 +88,9 @@
     first_at: int | None = None
     was_prefill_idle: bool = False
     is_repeat: bool = False
+    team: str = ""
+    priority: int = 0
+    charged: float = 0
 
 
 class UnreachableReport(State):
@@ -230,6 +239,7 @@
     :param durations: estimated run times.
     :param shares_contended: whether teams and ranks get fair shares, see
         :class:`~arbutuspulley.ports.fleet.NodeSettings`.
+    :param shares: what teams and ranks were granted.
     :param learns_server_speeds: whether each server's speed is estimated by itself.
     """
 
@@ -249,6 +259,7 @@
     speeds: dict[str, PrefillSpeedState] = msgspec.field(default_factory=dict)
     durations: DurationState = msgspec.field(default_factory=DurationState)
     shares_contended: bool = False
+    shares: FairShares = msgspec.field(default_factory=FairShares)
     learns_server_speeds: bool = False
 
 
--- a/src/arbutuspulley/ports/fleet.py
+++ b/src/arbutuspulley/ports/fleet.py
@@ -66,6 +66,7 @@
     :param burst: capacity of its token bucket beyond the rate.
     :param counts_tokens: whether rate and burst are in tokens, not in requests.
     :param default_tokens: cost of a request that does not state its token usage.
+    :param weight: weight of its share of contended model servers.
     """
 
     name: str
@@ -75,6 +76,7 @@
     burst: float = 0
     counts_tokens: bool = False
     default_tokens: int = 0
+    weight: float = 1.0
 
 
 class ModelSpec(Value, frozen=True):
