--- a/scripts/compare_shares.py
+++ b/scripts/compare_shares.py
@@ -53,6 +53,9 @@
 GAP_TARGET_MS = 250
 LATE_RATIO = 0.75
 GIVE_UP_MS = 4_000
+CYCLE_MS = 5
+"""Least time between planning cycles without an arrival or an answer."""
+
 ORDERS = ("strict ranks", "arrival", "fair shares")
 
 app = cyclopts.App(help="Compare orders of waiting requests.")
@@ -180,7 +183,9 @@
         )
         for number in range(SERVERS)
     }
-    return PoolState(service="llm", spec=spec, servers=servers, shares_contended=is_fair)
+    return PoolState(
+        service="llm", spec=spec, servers=servers, shares_contended=is_fair
+    )
 
 
 def _build_waiting(key: str, one: Arrival, *, order: str) -> WaitingRequest:
@@ -254,14 +259,12 @@
             heapq.heappush(due, event)
         wake = find_next_wakeup(pool, now=now)
         if wake is not None:
-            wake_at = wake
-            heapq.heappush(due, (wake, next(serial), "wake", 0, ""))
+            wake_at = max(wake, now + CYCLE_MS)
+            heapq.heappush(due, (wake_at, next(serial), "wake", 0, ""))
     return Result(arrivals=arrivals, waits=waits, in_time=in_time)
 
 
-def _prefill(
-    free_at: dict[str, float], grant: Grant, one: Arrival, *, now: int
-) -> int:
+def _prefill(free_at: dict[str, float], grant: Grant, one: Arrival, *, now: int) -> int:
     """Return when a prompt's first event comes, in ms."""
     begin = max(float(now), free_at[grant.incarnation])
     free_at[grant.incarnation] = begin + one.tokens / TOKENS_PER_MS
--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -127,6 +127,7 @@
             request=request,
             progress=progress,
             first_part_timeout_ms=self._first_part_timeout_ms,
+            team=access.team.name if access.team is not None else "",
         )
         self.priority = get_priority(route, access.team)
 
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -46,7 +46,12 @@
 from arbutuspulley.node.pacing import Pacer
 from arbutuspulley.node.peer import Peer
 from arbutuspulley.node.peers import Peers
-from arbutuspulley.node.pool_log import log_grant, log_pool, log_refusal
+from arbutuspulley.node.pool_log import (
+    log_grant,
+    log_pool,
+    log_refusal,
+    log_shares,
+)
 from arbutuspulley.node.pool_updates import (
     add_running_requests,
     apply_progress,
@@ -82,9 +87,11 @@
     list_demand,
     record_demand,
 )
+from arbutuspulley.pool.fair_shares import list_weights
 from arbutuspulley.pool.grants import Grant, Refusal, find_next_wakeup, plan_grants
 from arbutuspulley.pool.load_rate import inherit_loads, list_recent_loads
 from arbutuspulley.pool.orders import plan_orders
+from arbutuspulley.pool.start_order import evict_unused_shares
 from arbutuspulley.pool.state import (
     PoolState,
     inherit_prefill_speeds,
@@ -227,6 +234,7 @@
                 pool = self._pools[name] = self._build_pool(name, service.engine)
             pool.spec = service.engine
             pool.shares_contended = self._state.settings.shares_contended
+            pool.shares.weights = list_weights(configuration.teams or ())
             pool.learns_server_speeds = self._state.settings.learns_server_speeds
             update_servers(pool, self._state.by_service.get(name, []))
         self._rates.apply(self._pools.values())
@@ -484,6 +492,8 @@
     def _send_decision(self, pool: PoolState, decision: Grant | Refusal) -> None:
         if isinstance(decision, Grant):
             log_grant(pool, decision)
+            if decision.is_preferred:
+                self._state.metrics.preferred_grants.inc()
             message: ToNode = Granted(
                 key=decision.key,
                 incarnation=decision.incarnation,
@@ -533,6 +543,8 @@
         for pool in self._pools.values():
             decay_demand(pool, now=now)
             log_pool(pool, may_order=self._may_order(now), now=now)
+            log_shares(pool, now=now)
+            evict_unused_shares(pool, now=now)
 
     def _send_estimates(self) -> None:
         speeds = {name: list_prefill_speeds(pool) for name, pool in self._pools.items()}
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -235,7 +235,8 @@
         progress.server_version = entry.software_version
         now = state.clock.now()
         stats = state.server_stats
-        record_sent(stats, entry)
+        team = self._get_team_name()
+        record_sent(stats, entry, team=team)
         # Counted before the first byte may be sent: the time may run out, or the caller
         # may disconnect, before anything is received.
         progress.may_have_run += 1
@@ -302,7 +303,11 @@
             self._paths.record_ended(entry)
             self._poison.end_attempt(self._request)
             record_done(
-                stats, entry, took_ms=took_ms, failed=outcome is AttemptOutcome.FAILED
+                stats,
+                entry,
+                took_ms=took_ms,
+                failed=outcome is AttemptOutcome.FAILED,
+                team=team,
             )
             if took_ms is not None and not self.route.is_stream:
                 adjust_concurrency_limit(
@@ -317,6 +322,10 @@
             self._acquisition.report_end(entry.incarnation, outcome)
             self._limits.record_end(self._request.attempt_id, outcome)
 
+    def _get_team_name(self) -> str:
+        team = self._access.team
+        return team.name if team is not None else ""
+
     async def _send_request(self, entry: ServerEntry) -> aiohttp.ClientResponse:
         """Send the request and settle the charge of a retry.
 
@@ -355,7 +364,7 @@
             incarnation=entry.incarnation,
             priority=priority,
             last_event_id=self.progress.last_event_id,
-            team=self._access.team.name if self._access.team is not None else "",
+            team=self._get_team_name(),
         )
 
     async def _handle_answer(
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -42,6 +42,7 @@
         "log_lines",
         "longest_gap",
         "orders",
+        "preferred_grants",
         "quarantined_parts",
         "refusals",
         "registry",
@@ -50,6 +51,7 @@
         "resumed_streams",
         "retries",
         "retry_budget",
+        "share_denials",
         "store_calls",
         "store_era",
         "unreachable_servers",
@@ -174,6 +176,17 @@
             registry=registry,
             buckets=_SECONDS,
         )
+        self.preferred_grants = Counter(
+            "arbutus_preferred_grants",
+            "Requests of the lowest rank granted before those of higher ranks",
+            registry=registry,
+        )
+        self.share_denials = Counter(
+            "arbutus_share_denials",
+            "Requests that waited or failed without a coordinator for their team's"
+            " share of a server",
+            registry=registry,
+        )
         self.in_flight = Gauge(
             "arbutus_in_flight", "Requests in flight", registry=registry
         )
--- a/src/arbutuspulley/node/pool_log.py
+++ b/src/arbutuspulley/node/pool_log.py
@@ -6,10 +6,16 @@
 from arbutuspulley.pool.answers import PlannedOrder, list_servers_needing_report
 from arbutuspulley.pool.copies import get_copies, index_copies
 from arbutuspulley.pool.demand import get_demand
+from arbutuspulley.pool.fair_shares import get_clock
 from arbutuspulley.pool.grants import Grant, Refusal
 from arbutuspulley.pool.state import PoolState, get_prefill_speed, list_prefill_speeds
 from arbutuspulley.ports.fleet import OrderAnswer
 
+MIN_LOGGED_ACCOUNTS = 2
+MAX_LOGGED_ACCOUNTS = 20
+"""Bounds on the number of teams and ranks in a line on shares: one alone has nothing to
+share, and a line stays below a kilobyte or two."""
+
 
 def log_grant(pool: PoolState, grant: Grant) -> None:
     """Log that a request is granted a server."""
@@ -55,6 +61,29 @@
     )
 
 
+def log_shares(pool: PoolState, *, now: int) -> None:
+    """Log the clocks of the teams with waiting requests, if there are several."""
+    waiting = Counter(
+        (request.priority, request.team) for request in pool.waiting.values()
+    )
+    if not pool.shares_contended or len(waiting) < MIN_LOGGED_ACCOUNTS:
+        return
+    log_event(
+        Event.SHARES_TOLD,
+        service=pool.service,
+        teams=[
+            {
+                "rank": rank,
+                "team": team,
+                "waiting": count,
+                "clock": int(get_clock(pool.shares, rank, team, now=now)),
+            }
+            for (rank, team), count in waiting.most_common(MAX_LOGGED_ACCOUNTS)
+        ],
+        credits={name: int(credit) for name, credit in pool.shares.credits.items()},
+    )
+
+
 def log_pool(pool: PoolState, *, may_order: bool, now: int) -> None:
     """Log the demand for each model, and where it is loaded."""
     waiting = Counter(request.need.model for request in pool.waiting.values())
--- a/src/arbutuspulley/node/server_choice.py
+++ b/src/arbutuspulley/node/server_choice.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import RunningRequest
@@ -21,6 +22,7 @@
     choose_server,
     get_max_in_flight,
     get_stats,
+    record_team_denied,
     set_rate_limited,
 )
 
@@ -56,6 +58,7 @@
     :param limits: rate limits of the servers.
     :param first_part_timeout_ms: how long the caller waits for the first part of the
         answer, in ms.
+    :param team: name of the caller's team; empty: none.
     """
 
     __slots__ = (
@@ -66,6 +69,7 @@
         "_request",
         "_route",
         "_state",
+        "_team",
     )
 
     def __init__(
@@ -78,6 +82,7 @@
         request: InboundRequest,
         progress: Progress,
         first_part_timeout_ms: int,
+        team: str = "",
     ) -> None:
         self._state = state
         self._link = link
@@ -86,6 +91,7 @@
         self._request = request
         self._progress = progress
         self._first_part_timeout_ms = first_part_timeout_ms
+        self._team = team
 
     def has_models(self) -> bool:
         """Return whether the request's service runs models."""
@@ -105,21 +111,24 @@
         """
         avoid = self._progress.avoid | self._progress.avoid_uncoordinated
         avoid |= list_excluded(self._state)
-        service = self._get_service()
-        connections = service.max_connections if service else 0
+        has_shares = self._state.settings.shares_contended and not is_plain
         return choose_server(
             self._state.server_stats,
             self._list_allowed(),
             zone=self._state.settings.site,
             need=None if is_plain else self._request.need,
             avoid=frozenset(avoid),
-            max_in_flight=get_max_in_flight(
-                connections, share_divisor=self._state.share_divisor
-            ),
+            max_in_flight=self._get_max_in_flight(),
             share_divisor=self._state.share_divisor,
+            team=self._team if has_shares else None,
             now=self._state.clock.now(),
         )
 
+    def _get_max_in_flight(self) -> int:
+        service = self._get_service()
+        connections = service.max_connections if service else 0
+        return get_max_in_flight(connections, share_divisor=self._state.share_divisor)
+
     async def _choose_within_limits(self, *, is_plain: bool) -> ServerEntry | None:
         """Choose the best server whose rate limit permits the request."""
         while True:
@@ -187,6 +196,8 @@
         if await self.wait_for_coordinator():
             raise CoordinatorFoundError
         entry = await self._choose_within_limits(is_plain=False)
+        if entry is None:
+            entry = await self._wait_for_server(need)
         if entry is not None:
             self._link.runs.add(
                 RunningRequest(
@@ -200,16 +211,52 @@
             # this request again only by a coordinator's grant, as the coordinator can
             # have the adapter loaded.
             self._progress.avoid_uncoordinated.add(entry.incarnation)
-            return entry
+        return entry
+
+    async def _wait_for_server(self, need: ModelNeed) -> ServerEntry | None:
+        """Wait for a coordinator, or for this team's share of a server.
+
+        :raises CoordinatorFoundError: if a coordinator can be asked now.
+        """
+        has_shares = self._state.settings.shares_contended
         until = self._state.clock.now() + min(
             COORDINATOR_WAIT_MS, self._first_part_timeout_ms
         )
+        if has_shares:
+            self._record_denied(need, is_first=True)
         while not self._link.can_request and self._state.clock.now() < until:
             await asyncio.sleep(LINK_POLL_MS / SECOND_MS)
+            if has_shares and not self._link.can_request:
+                entry = await self._choose_within_limits(is_plain=False)
+                if entry is not None:
+                    return entry
+                self._record_denied(need)
         if self._link.can_request:
             raise CoordinatorFoundError
         return None
 
+    def _record_denied(self, need: ModelNeed, *, is_first: bool = False) -> None:
+        """Record that no server is free for the team.
+
+        :param is_first: whether to log and count it.
+        """
+        is_over_share = record_team_denied(
+            self._state.server_stats,
+            self._list_allowed(),
+            need=need,
+            team=self._team,
+            max_in_flight=self._get_max_in_flight(),
+            now=self._state.clock.now(),
+        )
+        if is_first and is_over_share:
+            self._state.metrics.share_denials.inc()
+            log_event(
+                Event.SHARE_USED_UP,
+                id=self._request.attempt_id,
+                team=self._team,
+                model=need.model,
+            )
+
     async def wait_for_coordinator(self) -> bool:
         """Wait briefly if no coordinator status has arrived since this process started.
 
--- a/src/arbutuspulley/pool/fair_shares.py
+++ b/src/arbutuspulley/pool/fair_shares.py
@@ -22,6 +22,7 @@
 import msgspec
 
 from arbutuspulley.data import State
+from arbutuspulley.ports.fleet import Team
 
 CLOCK_TIME_CONSTANT_MS = 2_000
 """Time constant with which clocks decay, in ms. Some dozens of grants per team: with a
@@ -67,6 +68,11 @@
     preferred: set[str] = msgspec.field(default_factory=set)
 
 
+def list_weights(teams: Iterable[Team]) -> dict[str, float]:
+    """Return the weights that the configuration states, without those of 1."""
+    return {team.name: team.weight for team in teams if team.weight != 1}
+
+
 def get_weight(shares: FairShares, team: str) -> float:
     """Return a team's weight."""
     return shares.weights.get(team, 1.0)
@@ -81,9 +87,7 @@
     return 0.0 if clock is None else _decay(clock.cost, now - clock.updated_at)
 
 
-def charge(
-    shares: FairShares, rank: int, team: str, *, cost: float, now: int
-) -> None:
+def charge(shares: FairShares, rank: int, team: str, *, cost: float, now: int) -> None:
     """Advance a team's clock by a grant.
 
     :param cost: in prompt tokens.
--- a/src/arbutuspulley/pool/start_order.py
+++ b/src/arbutuspulley/pool/start_order.py
@@ -193,9 +193,7 @@
     taken: set[str] = set()
     for request in requests:
         contended = [
-            name
-            for name in servers[request.need.model].incarnations
-            if name in lowest
+            name for name in servers[request.need.model].incarnations if name in lowest
         ]
         if not contended or any(lowest[name] != request.priority for name in contended):
             continue
@@ -204,6 +202,6 @@
         if not is_first:
             continue
         cost = estimate_token_cost(pool, request.need)
-        if all([cap_credit(pool.shares, name, cost) for name in contended]):
+        if all(cap_credit(pool.shares, name, cost) for name in contended):
             preferred.append(request)
     return preferred
--- a/src/arbutuspulley/routing/local_choice.py
+++ b/src/arbutuspulley/routing/local_choice.py
@@ -14,6 +14,13 @@
 from arbutuspulley.data import State
 from arbutuspulley.membership.limit_shares import get_instance_share
 from arbutuspulley.ports.fleet import ModelNeed, ServerEntry
+from arbutuspulley.routing.local_shares import (
+    TeamUsage,
+    is_within_share,
+    record_begun,
+    record_denied,
+    record_ended,
+)
 
 UNREACHABLE_BACKOFF_MS = 500
 """Backoff after a connection to a server fails, in ms; it doubles with each further
@@ -82,6 +89,7 @@
     :param decreased_at: time of the last decrease of that limit, in ms.
     :param rate_limited_until: time until which its rate limit excludes the server, in
         ms.
+    :param teams: own requests by team.
     """
 
     in_flight: int = 0
@@ -93,6 +101,7 @@
     concurrency_limit: float = UNLIMITED
     decreased_at: int = -DECREASE_INTERVAL_MS
     rate_limited_until: int = 0
+    teams: TeamUsage = msgspec.field(default_factory=TeamUsage)
 
 
 class LocalServerStats(State):
@@ -110,6 +119,7 @@
     avoid: frozenset[str],
     max_in_flight: int,
     share_divisor: float = 1,
+    team: str | None = None,
     now: int,
 ) -> ServerEntry | None:
     """Return the best server, or ``None`` if none is eligible.
@@ -119,6 +129,8 @@
     :param avoid: incarnations that have refused or failed this request.
     :param max_in_flight: requests that this instance may have in flight at one server.
     :param share_divisor: number by which an instance divides a shared limit.
+    :param team: team that may use only its share of ``max_in_flight`` while others
+        want theirs; ``None``: teams have no shares.
     """
     usable = [
         entry
@@ -132,6 +144,12 @@
             else any(loaded.model == need.model for loaded in entry.loaded_models)
         )
         and get_stats(stats, entry).in_flight < max_in_flight
+        and (
+            team is None
+            or is_within_share(
+                get_stats(stats, entry).teams, team, limit=max_in_flight, now=now
+            )
+        )
     ]
     available = [
         entry for entry in usable if get_stats(stats, entry).backoff_until <= now
@@ -170,20 +188,57 @@
     )
 
 
-def record_sent(stats: LocalServerStats, entry: ServerEntry) -> None:
-    """Record that a request is sent."""
-    get_stats(stats, entry).in_flight += 1
+def record_team_denied(
+    stats: LocalServerStats,
+    entries: Iterable[ServerEntry],
+    *,
+    need: ModelNeed,
+    team: str,
+    max_in_flight: int,
+    now: int,
+) -> bool:
+    """Record that a team's request found no server of its model free.
+
+    :return: whether only the team's share excluded it from one.
+    """
+    is_over_share = False
+    for entry in entries:
+        server = get_stats(stats, entry)
+        if all(loaded.model != need.model for loaded in entry.loaded_models):
+            continue
+        if server.in_flight >= max_in_flight:
+            record_denied(server.teams, team, now=now)
+        elif not is_within_share(server.teams, team, limit=max_in_flight, now=now):
+            is_over_share = True
+    return is_over_share
+
+
+def record_sent(stats: LocalServerStats, entry: ServerEntry, *, team: str = "") -> None:
+    """Record that a request is sent.
+
+    :param team: team of its caller.
+    """
+    server = get_stats(stats, entry)
+    server.in_flight += 1
+    record_begun(server.teams, team)
 
 
 def record_done(
-    stats: LocalServerStats, entry: ServerEntry, *, took_ms: int | None, failed: bool
+    stats: LocalServerStats,
+    entry: ServerEntry,
+    *,
+    took_ms: int | None,
+    failed: bool,
+    team: str = "",
 ) -> None:
     """Record that a request has ended.
 
     :param took_ms: duration of the answer; ``None`` if there is none.
     :param failed: whether the server failed the request.
+    :param team: as it was given to :func:`record_sent`.
     """
     server = get_stats(stats, entry)
+    record_ended(server.teams, team)
     server.in_flight = max(0, server.in_flight - 1)
     if took_ms is not None:
         server.duration_ms += EWMA_WEIGHT * (took_ms - server.duration_ms)
