--- a/src/arbutuspulley/pool/start_order.py
+++ b/src/arbutuspulley/pool/start_order.py
@@ -30,6 +30,8 @@
     is_usable,
 )
 
+MAX_LEAD = 4.0
+
 
 def order_waiting(pool: PoolState, *, now: int) -> list[WaitingRequest]:
     """Return the waiting requests in the order in which they may start.
@@ -167,7 +169,8 @@
             cost = estimate_token_cost(pool, request.need)
             clock += cost / get_weight(shares, request.team)
         reached[account] = clock
-    return sorted(requests, key=lambda one: (one.priority, clocks[one.key]))
+    lead = MAX_LEAD * pool.mean_tokens
+    return sorted(requests, key=lambda one: (one.priority, clocks[one.key] // lead))
 
 
 def _prefer_lowest_rank(
