--- a/scripts/compare_shares.py
+++ b/scripts/compare_shares.py
@@ -17,6 +17,7 @@
 
 import heapq
 import itertools
+import math
 import random
 import statistics
 from collections.abc import Iterator
@@ -223,6 +224,7 @@
     pool = build_pool(is_fair=order == "fair shares")
     waits: list[int | None] = [None] * len(arrivals)
     in_time = [False] * len(arrivals)
+    servers = pool.servers.values()
     free_at = dict.fromkeys(pool.servers, 0.0)
     # Arrivals, first events, ends and wake-ups, each with its time and kind.
     serial = itertools.count()
@@ -249,6 +251,13 @@
         elif kind == "end":
             how = AttemptOutcome.DONE
             record_run_end(pool, str(number), server, how=how, now=now)
+        free_from = math.ceil(min(one.prefill_until for one in servers))
+        if kind != "wake" and free_from > now:
+            # No prompt can start yet, except late ones slightly ahead of time.
+            if not now < wake_at <= free_from:
+                wake_at = free_from
+                heapq.heappush(due, (wake_at, next(serial), "wake", 0, ""))
+            continue
         for decision in plan_grants(pool, now=now):
             if isinstance(decision, Refusal):
                 continue
@@ -257,9 +266,9 @@
             first = _prefill(free_at, decision, arrivals[granted], now=now)
             event = (first, next(serial), "first", granted, decision.incarnation)
             heapq.heappush(due, event)
-        wake = find_next_wakeup(pool, now=now)
+        wake = pool.next_start_at or find_next_wakeup(pool, now=now)
         if wake is not None:
-            wake_at = max(wake, now + CYCLE_MS)
+            wake_at = max(math.ceil(wake), now + CYCLE_MS)
             heapq.heappush(due, (wake_at, next(serial), "wake", 0, ""))
     return Result(arrivals=arrivals, waits=waits, in_time=in_time)
 
--- a/tests/test_local_choice.py
+++ b/tests/test_local_choice.py
@@ -15,8 +15,10 @@
     record_done,
     record_refused,
     record_sent,
+    record_team_denied,
     record_unreachable,
 )
+from arbutuspulley.routing.local_shares import DENIED_MS
 
 
 def build_entry(name, *, zone="z1", is_leaving=False, models=()):
@@ -215,3 +217,42 @@
     complete_requests(stats, took_ms=900, count=20, now=0, running=9)
     need = ModelNeed(model="m1", adapter="", prompt_tokens=1, output_tokens=1)
     assert choose(stats, [build_entry("a", models=("m1",))], need=need) == "a"
+
+
+def test_a_team_has_its_share_of_the_limit_while_others_find_none_free():
+    """Guards against a busy team that holds all of an instance's requests in flight at
+    a server while no coordinator answers."""
+    stats = LocalServerStats()
+    loaded = build_entry("a", models=["m0"])
+    need = ModelNeed(model="m0", adapter="", prompt_tokens=1, output_tokens=1)
+
+    def choose_for(team, *, now=0):
+        return choose_server(
+            stats,
+            [loaded],
+            zone="z1",
+            need=need,
+            avoid=frozenset(),
+            max_in_flight=8,
+            team=team,
+            now=now,
+        )
+
+    def deny(team):
+        return record_team_denied(
+            stats, [loaded], need=need, team=team, max_in_flight=8, now=0
+        )
+
+    for team in ["busy"] * 7 + ["small"]:
+        assert choose_for(team) is loaded
+        record_sent(stats, loaded, team=team)
+    assert choose_for("other") is None
+    assert not deny("other")
+    for _ in range(3):
+        record_done(stats, loaded, took_ms=10, failed=False, team="busy")
+    # The small team leaves 7 of 8: 3.5 for each of the two that want more.
+    assert choose_for("busy") is None
+    assert deny("busy")
+    assert choose_for("other") is loaded
+    assert choose_for(None) is loaded
+    assert choose_for("busy", now=DENIED_MS) is loaded
