--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -10,8 +10,20 @@
 from arbutuspulley.pool.grants import Grant, plan_grants
 from arbutuspulley.pool.start_order import evict_unused_shares, order_waiting
 from arbutuspulley.ports.fleet import AttemptOutcome, ModelNeed
+from scripts.compare_shares import (
+    SURGING_TEAM,
+    TEAMS,
+    draw_arrivals,
+    find_loss,
+    simulate,
+)
 from tests.pools import add_waiting, build_pool, build_server
 
+LOAD = 0.8
+SEED = 1
+TAKEOVER_MS = 14_000
+"""Arrivals of the comparison, and when another coordinator takes over, in ms."""
+
 TOKENS = 1_000
 GRANT_MS = 63
 """Time between the starts of two such prompts on a server, in ms."""
@@ -240,3 +252,38 @@
     values = {"key": "r", "service": "llm", "need": need, "zone": "z", "priority": 1}
     request = GrantRequest(aim_ms=500, left_ms=900, team="a", cost=0, **values)
     assert build_waiting_request("n1", request, now=0).team == "a"
+
+
+def test_one_team_with_six_times_its_load_costs_the_others_little():
+    """Guards against a surge of one team that makes requests of others late, and
+    against fair shares that serve urgent ranks later than strict ranks do."""
+    arrivals = draw_arrivals(SEED, load=LOAD, surge_rank=2)
+    usual = [one for one in arrivals if not one.is_surge]
+    fair, strict = (
+        simulate(arrivals, order=order) for order in ("fair shares", "strict ranks")
+    )
+    loss = find_loss(fair, simulate(usual, order="fair shares"))
+    assert loss <= 0.02
+    assert loss < find_loss(strict, simulate(usual, order="strict ranks"))
+    for ranks in ({"rank": 0}, {"rank": 1}):
+        assert fair.get_fraction(**ranks) >= strict.get_fraction(**ranks) - 0.01
+    mean = fair.get_fraction()
+    assert min(fair.get_fraction(team=team) for team in range(TEAMS)) >= mean / 4
+    assert min(fair.get_fraction(rank=rank) for rank in range(3)) >= mean / 4
+
+
+def test_a_successor_without_clocks_serves_the_others_as_well_after_two_seconds():
+    """Guards against a surge that displaces other teams after a coordinator's end."""
+    arrivals = draw_arrivals(SEED, load=LOAD, surge_rank=2)
+    kept = simulate(arrivals, order="fair shares")
+    lost = simulate(arrivals, order="fair shares", takeover_ms=TAKEOVER_MS)
+    after = range(TAKEOVER_MS + 2_000, TAKEOVER_MS + 7_000)
+    fractions = []
+    for result in (kept, lost):
+        found = [
+            in_time
+            for one, in_time in zip(arrivals, result.in_time, strict=True)
+            if one.at in after and one.team != SURGING_TEAM
+        ]
+        fractions.append(sum(found) / len(found))
+    assert fractions[1] >= fractions[0] - 0.02
--- a/tests/test_without_coordinator.py
+++ b/tests/test_without_coordinator.py
@@ -2,15 +2,20 @@
 
 import asyncio
 
+import pytest
+
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import CoordinatorStatus
 from arbutuspulley.node.progress import Progress
 from arbutuspulley.node.server_choice import ServerChoice
 from arbutuspulley.ports.fleet import (
+    FleetConfiguration,
     InboundRequest,
     ModelNeed,
+    ServiceSpec,
 )
+from arbutuspulley.routing.local_choice import record_done, record_sent
 from tests.node_states import build_entry, build_state, build_stream_route
 
 NEED = ModelNeed(model="m0", adapter="", prompt_tokens=1_000, output_tokens=50)
@@ -18,7 +23,15 @@
 ROUTE = build_stream_route("llm")
 
 
-def build_choice(state, link):
+def put_connections(state, connections):
+    """Set how many connections a server accepts from all instances."""
+    spec = ServiceSpec(name="llm", max_connections=connections)
+    state.configuration = FleetConfiguration(
+        version=1, routes=(), services={"llm": spec}
+    )
+
+
+def build_choice(state, link, **changes):
     entry = build_entry("s0")
     state.by_service = {"llm": [entry]}
     request = InboundRequest(
@@ -39,6 +52,7 @@
         request=request,
         progress=Progress(started_at=now, ends_at=now + 5_000, service="llm"),
         first_part_timeout_ms=2_000,
+        **changes,
     )
 
 
@@ -86,3 +100,32 @@
 
     (run,) = asyncio.run(scenario())
     assert (run.key, run.incarnation, run.pause_ms) == ("r0", "s0", 250)
+
+
+@pytest.mark.parametrize("shares_contended", [False, True])
+def test_a_team_waits_for_its_share_while_others_find_nothing_free(shares_contended):
+    """Guards against a team that takes each slot of a server that another team's
+    request waits for, and deployments without fair shares against such waits."""
+
+    async def scenario():
+        state = build_state(shares_contended=shares_contended)
+        put_connections(state, 60)
+        entry = build_entry("s0")
+        for _ in range(8):
+            record_sent(state.server_stats, entry, team="busy")
+        waiting, busy = (
+            build_choice(state, Link(state=state), team=team)
+            for team in ("other", "busy")
+        )
+        task = asyncio.create_task(waiting.choose_uncoordinated(NEED))
+        await asyncio.sleep(0.01)
+        for _ in range(2):
+            record_done(
+                state.server_stats, entry, took_ms=10, failed=False, team="busy"
+            )
+        chosen = busy.choose(is_plain=False)
+        return chosen, await task
+
+    chosen, entry = asyncio.run(scenario())
+    assert (chosen is None) is shares_contended
+    assert (entry is not None) is shares_contended
