--- a/tests/test_without_coordinator.py
+++ b/tests/test_without_coordinator.py
@@ -31,7 +31,7 @@
     )
 
 
-def build_choice(state, link, **changes):
+def build_choice(state, link, *, waited_ms=0, **changes):
     entry = build_entry("s0")
     state.by_service = {"llm": [entry]}
     request = InboundRequest(
@@ -50,7 +50,9 @@
         limits=LimitGuard(state=state, link=link),
         route=ROUTE,
         request=request,
-        progress=Progress(started_at=now, ends_at=now + 5_000, service="llm"),
+        progress=Progress(
+            started_at=now - waited_ms, ends_at=now + 5_000, service="llm"
+        ),
         first_part_timeout_ms=2_000,
         **changes,
     )
@@ -114,7 +116,7 @@
         for _ in range(8):
             record_sent(state.server_stats, entry, team="busy")
         waiting, busy = (
-            build_choice(state, Link(state=state), team=team)
+            build_choice(state, Link(state=state), team=team, waited_ms=5_000)
             for team in ("other", "busy")
         )
         task = asyncio.create_task(waiting.choose_uncoordinated(NEED))
