--- a/src/arbutuspulley/node/pool_updates.py
+++ b/src/arbutuspulley/node/pool_updates.py
@@ -27,6 +27,7 @@
     record_not_run,
     record_run_end,
 )
+from arbutuspulley.pool.start_order import refund_grant
 from arbutuspulley.pool.state import PoolState, Run, WaitingRequest
 from arbutuspulley.ports.fleet import AttemptOutcome, SoftwareVersion
 
@@ -72,6 +73,7 @@
         fingerprint=request.fingerprint,
         ends_at=now + request.ends_in_ms if request.ends_in_ms else 0,
         returned=returned,
+        team=request.team,
     )
 
 
@@ -122,6 +124,9 @@
         if message.incarnation not in pool.servers:
             continue
         key, incarnation = message.key, message.incarnation
+        run = pool.servers[incarnation].runs.get(key)
+        if run is not None and _has_not_run(message):
+            refund_grant(pool, run, now=now)
         if _has_answered(message):
             record_heard(pool, incarnation, origin=origin, now=now)
         if isinstance(message, ResponseStarted):
@@ -165,6 +170,14 @@
     return message.how in (AttemptOutcome.DONE, AttemptOutcome.NOT_RUN)
 
 
+def _has_not_run(message: ResponseStarted | AttemptEnded) -> bool:
+    return isinstance(message, AttemptEnded) and message.how in (
+        AttemptOutcome.NOT_RUN,
+        AttemptOutcome.UNREACHED,
+        AttemptOutcome.UNUSED,
+    )
+
+
 def record_cooldowns(
     pools: dict[str, PoolState],
     origin: str,
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -19,6 +19,7 @@
 from arbutuspulley.pool.returns import ReturnedCaller, forget_request
 from arbutuspulley.pool.servability import estimate_min_load_wait
 from arbutuspulley.pool.server_watch import observe_servers, record_unserved
+from arbutuspulley.pool.start_order import charge_grant, order_waiting
 from arbutuspulley.pool.state import (
     PoolState,
     Run,
@@ -98,6 +99,7 @@
     :param runs: requests in flight at the server.
     :param returned: record of the request's earlier refusal; ``None``: it was not
         refused.
+    :param is_preferred: whether it was granted before requests of higher ranks.
     """
 
     key: str
@@ -108,6 +110,7 @@
     waited_ms: int
     runs: int
     returned: ReturnedCaller | None = None
+    is_preferred: bool = False
 
 
 class Refusal(Value, frozen=True):
@@ -145,7 +148,7 @@
 def plan_grants(pool: PoolState, *, now: int) -> list[Grant | Refusal]:
     """Decide which waiting requests start or are refused, in order of urgency.
 
-    Requests that can still meet their latency target come first.
+    The order is that of :func:`~arbutuspulley.pool.start_order.order_waiting`.
 
     :param now: in ms.
     """
@@ -164,9 +167,7 @@
     reserved_ms: dict[str, float] = {}
     usages: dict[str, _Usage] = {}
     pool.next_start_at = None
-    for waiting in sorted(
-        pool.waiting.values(), key=lambda request: _get_start_order(request, now)
-    ):
+    for waiting in order_waiting(pool, now=now):
         queue = _get_queue(waiting)
         model = queue.model
         times = ready_times[queue]
@@ -308,18 +309,6 @@
     return estimate_wait(pool, model, tokens, [0.0] * len(ready_times))
 
 
-def _get_start_order(waiting: WaitingRequest, now: int) -> tuple[bool, int, int, int]:
-    """Return the sort key of a request; the lowest starts first.
-
-    Requests that can still meet their latency target start in order of their latest
-    start time, late ones in order of arrival.
-    """
-    is_late = now >= waiting.late_at
-    credit_ms = waiting.returned.credit_ms if waiting.returned else 0
-    due_at = 0 if is_late else waiting.late_at - credit_ms
-    return is_late, waiting.priority, due_at, waiting.arrived_at - credit_ms
-
-
 def _try_grant(
     pool: PoolState,
     waiting: WaitingRequest,
@@ -486,4 +475,5 @@
         waited_ms=now - waiting.arrived_at,
         runs=runs,
         returned=waiting.returned,
+        is_preferred=charge_grant(pool, server, waiting, now=now),
     )
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -8,6 +8,7 @@
     DurationState,
     estimate_remaining_time,
 )
+from arbutuspulley.pool.fair_shares import FairShares
 from arbutuspulley.pool.prefill_speed import (
     DEFAULT_SPEED,
     PrefillSpeedState,
@@ -52,6 +53,7 @@
     :param fingerprint: identical when its caller sends it again; 0: not known.
     :param ends_at: until when its caller waits for the answer, in ms; 0: not known.
     :param returned: record of its earlier refusal; ``None``: it was not refused.
+    :param team: team that its share counts for; all without one have one share.
     """
 
     key: str
@@ -69,6 +71,7 @@
     fingerprint: int = 0
     ends_at: int = 0
     returned: ReturnedCaller | None = None
+    team: str = ""
 
 
 class Run(State):
@@ -83,6 +86,9 @@
     :param was_prefill_idle: whether its server had no prefill in progress when it was
         granted.
     :param is_repeat: whether a server has refused it before.
+    :param team: team whose share it is charged to.
+    :param priority: rank in which it is charged.
+    :param charged: cost that its team was charged, in prompt tokens; 0: none.
     """
 
     origin: str
@@ -93,6 +99,9 @@
     first_at: int | None = None
     was_prefill_idle: bool = False
     is_repeat: bool = False
+    team: str = ""
+    priority: int = 0
+    charged: float = 0
 
 
 class UnreachableReport(State):
@@ -245,6 +254,7 @@
     :param durations: estimated run times.
     :param shares_contended: whether teams and ranks get fair shares, see
         :class:`~arbutuspulley.ports.fleet.NodeSettings`.
+    :param shares: what teams and ranks were granted.
     :param learns_server_speeds: whether each server's speed is estimated by itself.
     :param returns: refused requests whose callers may come back.
     :param server_watch: what decides whether a model without a copy can be loaded.
@@ -267,6 +277,7 @@
     speeds: dict[str, PrefillSpeedState] = msgspec.field(default_factory=dict)
     durations: DurationState = msgspec.field(default_factory=DurationState)
     shares_contended: bool = False
+    shares: FairShares = msgspec.field(default_factory=FairShares)
     learns_server_speeds: bool = False
     returns: ReturnState = msgspec.field(default_factory=ReturnState)
     server_watch: ServerWatch = msgspec.field(default_factory=ServerWatch)
