--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from arbutuspulley.clock import Clock
 from arbutuspulley.delivery.begun_streams import build_stream_key
 from arbutuspulley.membership.coordinator_lease import (
@@ -18,6 +20,7 @@
     StreamCopies,
 )
 from arbutuspulley.node.pool_updates import add_running_requests
+from arbutuspulley.pool.returns import record_refusal
 from arbutuspulley.ports.fleet import ModelNeed, SoftwareVersion
 from tests.node_states import build_entry, build_info, build_state
 from tests.pools import add_run, build_pool, build_server
@@ -111,3 +114,39 @@
         assert sent[-1].reason == RefusalReason.VERSION_UNKNOWN
         assert sent[-1].retry_after_ms
         now[0] += 60_000
+
+
+@pytest.mark.parametrize("shares_contended", [True, False])
+def test_coordinator_recognises_refused_requests_only_with_contended_shares(
+    shares_contended,
+):
+    """Guards against records that are kept but never looked up, and against another
+    order of requests in deployments without the setting."""
+    now = 10_000
+    coordinator = build_coordinator(build_state(clock=Clock(read=lambda: now)))
+    coordinator.is_active = True
+    pool = build_pool(build_server("s0", "m0"), shares_contended=shares_contended)
+    coordinator._pools = {"llm": pool}
+    record_refusal(
+        pool.returns,
+        7,
+        model="m0",
+        cost=1.0,
+        first_arrived_at=8_000,
+        told_at=9_000,
+        is_promised=True,
+        now=8_000,
+    )
+    request = GrantRequest(
+        key="r1",
+        service="llm",
+        need=ModelNeed(model="m0", adapter="", prompt_tokens=1, output_tokens=1),
+        zone="z1",
+        priority=1,
+        aim_ms=100,
+        left_ms=1_000,
+        fingerprint=7,
+    )
+    coordinator._handle_message("x", request, now=now)
+    returned = pool.waiting["r1"].returned
+    assert (returned and returned.credit_ms) == (2_000 if shares_contended else None)
--- a/tests/test_returns_load.py
+++ b/tests/test_returns_load.py
@@ -1,7 +1,7 @@
 """Refused callers that come back, compared with today's way on the same arrivals.
 
-The load: 1.4 times the capacity for 10 s, three callers in ten repeat each 50 ms; and an
-outage of 3 s of all servers.
+The load: 1.4 times the capacity for 10 s, three callers in ten repeat each 50 ms; and
+an outage of 3 s of all servers.
 """
 
 import pytest
