Bound what answers hold by the memory of the process (unfinished)

Cause: the bound is a constant, and unsent bytes of slow readers don't count. Change: HeldBytes counts them and aborts answers in a fixed order.

--- a/scripts/platform_testbed.py
+++ b/scripts/platform_testbed.py
@@ -141,6 +141,8 @@
         lease_ms: int = 1_500,
         program: Path = NODE_PROGRAM,
         environment: dict[str, str] | None = None,
+        limits: dict[str, float] | None = None,
+        metrics_port: int = 0,
         **bounds: Any,
     ) -> None:
         """Start a node.
@@ -150,6 +152,8 @@
         :param lease_ms: duration of the coordinator's lease, in ms.
         :param program: program that runs the node.
         :param environment: additional environment variables.
+        :param limits: limits of its instance, as in the settings file.
+        :param metrics_port: port of its metrics; 0: none.
         :param bounds: additional bounds of the platform.
         """
         ports = [self._reserve_port() for _ in range(4)]
@@ -167,6 +171,7 @@
                 "RequireFencing": True,
                 **bounds,
             },
+            "Limits": limits or {},
             "Platform": {"Address": store or self.store_address},
         }
         path = self.folder / f"{name}.yaml"
@@ -177,7 +182,7 @@
                 sys.executable,
                 str(program),
                 "--metrics-port",
-                "0",
+                str(metrics_port),
                 env={
                     **os.environ,
                     "ARBUTUSPULLEY_BOOT": str(path),
--- a/src/arbutuspulley/node/answer_writer.py
+++ b/src/arbutuspulley/node/answer_writer.py
@@ -1,9 +1,59 @@
-"""Sending of a streamed answer, so that its caller can tell a truncated one."""
+"""Sending of answers, so that callers can tell a truncated one."""
+
+from collections.abc import Callable
+from typing import Any
 
 from aiohttp import HttpVersion11, web
 
 from arbutuspulley.sockets import set_reset_on_close
 
+SLICE_BYTES = 64 * 1_024
+"""Size of the slices in which large parts are written, in bytes. The connection copies
+what it can't send at once, so a slow reader would occupy a large part twice."""
+
+
+class HeldResponse(web.Response):
+    """A complete answer that counts as held until it is sent.
+
+    :param on_write: called while it is written.
+    :param on_end: called when it is written, or its connection has failed.
+    """
+
+    def __init__(
+        self,
+        *,
+        on_write: Callable[[], None],
+        on_end: Callable[[], None],
+        **options: Any,
+    ) -> None:
+        super().__init__(**options)
+        self._on_write = on_write
+        self._on_end = on_end
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Send the body and the end of the answer."""
+        body = self.body
+        try:
+            if isinstance(body, bytes) and len(body) > SLICE_BYTES:
+                await write_slices(self, body, on_write=self._on_write)
+                self.body = None
+            await super().write_eof(data)
+        finally:
+            self._on_end()
+
+
+async def write_slices(
+    answer: web.StreamResponse, data: bytes, *, on_write: Callable[[], None]
+) -> None:
+    """Write a part of an answer so that little of it waits in the write buffer.
+
+    :param on_write: called before each slice.
+    """
+    view = memoryview(data)
+    for start in range(0, len(data), SLICE_BYTES):
+        on_write()
+        await answer.write(view[start : start + SLICE_BYTES])
+
 
 async def begin_answer(
     client: web.BaseRequest,
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -12,6 +12,7 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
+from arbutuspulley.node.answer_writer import HeldResponse
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.poison import PoisonGuard
@@ -32,6 +33,7 @@
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.stream_relay import StreamRelay
 from arbutuspulley.node.stream_versions import record_first_event, resume_stream
+from arbutuspulley.platform.memory_bound import AnswerKind, HeldAnswer
 from arbutuspulley.platform.requests import (
     build_headers,
     is_answer_to,
@@ -43,10 +45,11 @@
     select_answer_headers,
 )
 from arbutuspulley.platform.transport import (
+    AnswerAbandonedError,
     BrokenError,
     NotSentError,
-    read_body,
     read_framing,
+    read_held_body,
 )
 from arbutuspulley.ports.answers import AnswerEnd, Framing
 from arbutuspulley.ports.fleet import (
@@ -83,6 +86,7 @@
     __slots__ = (
         "_access",
         "_acquisition",
+        "_client",
         "_limits",
         "_link",
         "_paths",
@@ -113,6 +117,7 @@
         started_at: int,
     ) -> None:
         self._state = state
+        self._client = client
         self._limits = limits
         self._link = link
         self._poison = poison
@@ -131,6 +136,8 @@
         )
         self._stream = StreamRelay(
             client=client,
+            attempt_id=request.attempt_id,
+            retry_policy=route.retry_policy,
             progress=self.progress,
             held=state.held_bytes,
             on_events=self._record_events,
@@ -294,6 +301,10 @@
                 begun_at=progress.begun_at,
             )
             raise self._handle_broken(entry, str(error)) from None
+        except AnswerAbandonedError as error:
+            progress.answer_end = AnswerEnd.CLOSED_LOCALLY
+            outcome = AttemptOutcome.LEFT
+            raise self._build_failure(str(error), may_retry=False) from None
         except asyncio.CancelledError:
             # The caller disconnected or the time is up; neither is the server's fault.
             outcome = AttemptOutcome.LEFT
@@ -385,7 +396,26 @@
         return is_event_stream(response.headers)
 
     async def _relay_body(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
-        body = await read_body(response, held=self._state.held_bytes)
+        held = self._state.held_bytes
+        reading = HeldAnswer(
+            attempt_id=self._request.attempt_id,
+            get_kind=lambda: _get_body_kind(self.route, reading),
+            content=response.content,
+            transport=None if self._client is None else self._client.transport,
+        )
+        body = await read_held_body(response, reading, held=held)
+        try:
+            answer = self._build_answer(response, body, reading)
+        except BaseException:
+            held.remove(reading)
+            raise
+        if not isinstance(answer, HeldResponse):
+            held.remove(reading)
+        return answer
+
+    def _build_answer(
+        self, response: aiohttp.ClientResponse, body: bytes, reading: HeldAnswer
+    ) -> web.StreamResponse:
         # After a server error the request counts as run, so it is retried only if it
         # may run twice: another server may not have that error.
         if is_server_error(response.status) and self._may_retry():
@@ -397,17 +427,24 @@
             raise RetryError
         if self._stream.has_begun:
             raise AnswerAbortedError("the stream could not go on")
-        answer = web.Response(
-            status=response.status,
-            reason=response.reason,
-            headers=select_answer_headers(
+        options: dict[str, Any] = {
+            "status": response.status,
+            "reason": response.reason,
+            "headers": select_answer_headers(
                 response.headers.items(),
                 has_body=self.progress.framing is not Framing.NONE,
             ),
-            body=body,
-        )
+            "body": body,
+        }
+        held = self._state.held_bytes
         self._record_first_part()
-        return answer
+        if not held.is_bound_by_memory:
+            return web.Response(**options)
+        return HeldResponse(
+            on_write=lambda: held.record_unsent(reading),
+            on_end=lambda: held.remove(reading),
+            **options,
+        )
 
     def _record_events(self, events: int) -> None:
         """Count events of a stream and measure the time since the previous ones."""
@@ -524,5 +561,11 @@
         )
 
 
+def _get_body_kind(route: Route, answer: HeldAnswer) -> AnswerKind:
+    if route.retry_policy is not RetryPolicy.ONCE:
+        return AnswerKind.REPEATABLE
+    return AnswerKind.COMPLETE if answer.is_received else AnswerKind.ONCE
+
+
 class _NotRunError(Exception):
     """The server confirmed that it did not run the request."""
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -25,6 +25,7 @@
 
     __slots__ = (
         "_teams",
+        "aborted_answers",
         "answers",
         "attempts",
         "break_offs",
@@ -33,6 +34,8 @@
         "excluded_attempts",
         "first_part",
         "grant_wait",
+        "held_bytes",
+        "held_bytes_bound",
         "in_flight",
         "instances_behind",
         "is_coordinator",
@@ -42,6 +45,7 @@
         "log_lines",
         "longest_gap",
         "orders",
+        "paused_answers",
         "quarantined_parts",
         "refusals",
         "registry",
@@ -146,6 +150,25 @@
             ["team", "why"],
             registry=registry,
         )
+        self.held_bytes = Gauge(
+            "arbutus_held_bytes", "Bytes held of servers' answers", registry=registry
+        )
+        self.held_bytes_bound = Gauge(
+            "arbutus_held_bytes_bound",
+            "Most bytes of servers' answers to hold",
+            registry=registry,
+        )
+        self.aborted_answers = Counter(
+            "arbutus_aborted_answers",
+            "Answers aborted for the bound on memory, by kind",
+            ["kind"],
+            registry=registry,
+        )
+        self.paused_answers = Counter(
+            "arbutus_paused_answers",
+            "New answers that were not read for a while, near the bound on memory",
+            registry=registry,
+        )
         self._teams: set[str] = set()
         self.store_calls = Counter(
             "arbutus_store_calls", "Calls to the store", ["call"], registry=registry
--- a/src/arbutuspulley/node/server_relay.py
+++ b/src/arbutuspulley/node/server_relay.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import NoReturn
 
 import aiohttp
@@ -22,11 +23,13 @@
 from arbutuspulley.node.server_notices import get_exclusion, read_answer
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform import names
+from arbutuspulley.platform.memory_bound import AnswerKind, HeldAnswer
 from arbutuspulley.platform.requests import (
     select_answer_headers,
     select_relayed_headers,
 )
 from arbutuspulley.platform.transport import (
+    AnswerAbandonedError,
     BrokenError,
     NotSentError,
     read_framing,
@@ -117,13 +120,45 @@
         record_heard(state.server_reach, entry.address, now=state.clock.now())
         read_answer(state, entry.incarnation, response.status, response.headers)
         try:
-            return await _forward(client, response)
-        except BrokenError:
+            return await self._forward(client, response, request.attempt_id)
+        except (BrokenError, AnswerAbandonedError):
             abort_answer(client)
             raise asyncio.CancelledError from None
         finally:
             response.close()
 
+    async def _forward(
+        self, client: web.BaseRequest, response: aiohttp.ClientResponse, attempt_id: str
+    ) -> web.StreamResponse:
+        """Forward an answer, and count what is held of it.
+
+        This instance does not know whether the request may run again.
+        """
+        held = self._state.held_bytes
+        reading = HeldAnswer(
+            attempt_id=attempt_id,
+            get_kind=lambda: (
+                AnswerKind.COMPLETE if reading.is_received else AnswerKind.ONCE
+            ),
+            content=response.content,
+            transport=client.transport,
+        )
+
+        def record(part: bytes) -> None:
+            reading.taken += len(part)
+            if held.is_bound_by_memory:
+                held.update(reading, len(part))
+
+        with held.reading(reading):
+            answer = await _forward(
+                client,
+                response,
+                on_part=record,
+                on_received=lambda: held.complete(reading),
+            )
+        held.remove(reading)
+        return answer
+
     def _handle_unreached(
         self, request: InboundRequest, entry: ServerEntry
     ) -> NoReturn:
@@ -177,9 +212,17 @@
 
 
 async def _forward(
-    client: web.BaseRequest, response: aiohttp.ClientResponse
+    client: web.BaseRequest,
+    response: aiohttp.ClientResponse,
+    *,
+    on_part: Callable[[bytes], None],
+    on_received: Callable[[], None],
 ) -> web.StreamResponse:
-    """Forward a server's answer as it arrives, with its own framing if it has one."""
+    """Forward a server's answer as it arrives, with its own framing if it has one.
+
+    :param on_part: called with each part before it is written, and with none after it.
+    :param on_received: called when the server has ended the answer.
+    """
     framing = read_framing(response)
     has_body = framing is not Framing.NONE
     headers = select_answer_headers(response.headers.items(), has_body=has_body)
@@ -193,7 +236,10 @@
         answer.content_length = response.content_length
     await answer.prepare(client)
     while part := await read_part(response):
+        on_part(part)
         await answer.write(part)
+        on_part(b"")
+    on_received()
     await answer.write_eof()
     return answer
 
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -14,6 +14,7 @@
 from arbutuspulley.delivery.begun_streams import BegunStreams
 from arbutuspulley.delivery.crash_records import CrashRecords
 from arbutuspulley.delivery.part_records import PartRecords
+from arbutuspulley.events import Event, log_event
 from arbutuspulley.membership.capacity import get_capacity
 from arbutuspulley.membership.leaving import LeavingServers
 from arbutuspulley.membership.server_reach import ServerReach, is_cut_off
@@ -28,6 +29,7 @@
 )
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.versions import Versions
+from arbutuspulley.platform.memory_bound import HeldAnswer
 from arbutuspulley.platform.store import StoreClient
 from arbutuspulley.platform.transport import HeldBytes
 from arbutuspulley.ports.fleet import FleetConfiguration, NodeSettings, ServerEntry
@@ -78,7 +80,7 @@
     :param begun_streams: streams that callers may resume, also of other instances.
     :param crash_records: requests that were in flight as servers crashed, likewise.
     :param part_records: parts of prompts that were, likewise.
-    :param held_bytes: bytes of servers' answers that can't be forwarded yet.
+    :param held_bytes: bytes of servers' answers that this process holds.
     :param is_coordinator: whether this instance is the coordinator.
     :param estimates: estimates last sent by the coordinator; used if this instance
         becomes its successor.
@@ -188,7 +190,13 @@
         self.software_versions = ServiceVersions()
         self.begun_streams = BegunStreams()
         self.crash_records = CrashRecords()
-        self.held_bytes = HeldBytes()
+        self.held_bytes = HeldBytes(
+            get_memory_mb=lambda: self.settings.memory_mb,
+            on_abort=self._record_aborted_answer,
+            on_pause=self._record_paused_answer,
+        )
+        metrics.held_bytes.set_function(lambda: self.held_bytes.total)
+        metrics.held_bytes_bound.set_function(lambda: self.held_bytes.bound)
         self.part_records = PartRecords(requests=self.crash_records)
         self.row_positions: dict[str, StorePosition] = {}
         self.removed_starts: dict[str, int] = {}
@@ -277,6 +285,28 @@
         """Capacity of this instance, in cores."""
         return get_capacity(self.settings.cores, self.settings.link_mbps)
 
+    def _record_aborted_answer(self, answer: HeldAnswer) -> None:
+        kind = answer.get_kind().value
+        self.metrics.aborted_answers.labels(kind).inc()
+        log_event(
+            Event.ANSWER_ABORTED,
+            id=answer.attempt_id,
+            kind=kind,
+            bytes=answer.size,
+            held=self.held_bytes.total,
+            bound=self.held_bytes.bound,
+        )
+
+    def _record_paused_answer(self, answer: HeldAnswer, paused_ms: int) -> None:
+        self.metrics.paused_answers.inc()
+        log_event(
+            Event.ANSWER_PAUSED,
+            id=answer.attempt_id,
+            paused_ms=paused_ms,
+            held=self.held_bytes.total,
+            bound=self.held_bytes.bound,
+        )
+
     def notify_change(self) -> None:
         """Call the listeners for changes of the configuration or the servers."""
         for call in self.on_change:
--- /dev/null
+++ b/src/arbutuspulley/platform/memory_bound.py
@@ -0,0 +1,178 @@
+"""Bound on the memory that answers take, and which answers are aborted over it.
+
+Decisions only: nothing here reads or writes a connection.
+"""
+
+import asyncio
+import enum
+from collections.abc import Callable, Iterable, Sequence
+from typing import Protocol
+
+BYTES_PER_MB = 1_000_000
+
+PROCESS_MB = 80.0
+"""Memory that the process needs beside answers, in MB. A node without load took 47 MB,
+and 20 KB more for each request in flight; the rest is for 300 of these, the state of a
+coordinator and bodies of requests."""
+
+HELD_FRACTION = 1 / 3
+"""Fraction of the other memory that answers may take. A counted byte occupies more than
+one: buffers grow in steps, and parts are copied on their way."""
+
+NEAR_FRACTION = 0.75
+"""Fraction of the bound from which large new answers are not read yet."""
+
+SMALL_ANSWER_BYTES = 256 * 1_024
+"""Answers up to this length may use what is left below the bound."""
+
+MIN_PAUSED_BYTES = 64 * 1_024
+"""Answers are read without delay up to this size."""
+
+MIN_ABORTED_BYTES = 64 * 1_024
+"""Answers below this size are not aborted for the bound: an answer whose caller reads
+holds less, and its loss would free little. A caller that stops reading leaves more: the
+write buffer alone takes this much before writing pauses."""
+
+MAX_PAUSE_MS = 1_500
+"""Longest time for which an answer is not read, in ms; servers abort one that stays
+unread for some seconds."""
+
+
+class AnswerKind(enum.StrEnum):
+    """Kinds of answers, in the order in which they are aborted over the bound.
+
+    ``RESUMABLE``: a stream that its caller can resume. ``REPEATABLE``: the answer to a
+    request that may run again. ``ONCE``: one that may not, whose answer is incomplete.
+    ``COMPLETE``: likewise, and the answer has been received; it is never aborted.
+    """
+
+    RESUMABLE = "resumable"
+    REPEATABLE = "repeatable"
+    ONCE = "once"
+    COMPLETE = "complete"
+
+
+_ABORT_ORDER = (AnswerKind.RESUMABLE, AnswerKind.REPEATABLE, AnswerKind.ONCE)
+
+
+class ReceivedBytes(Protocol):
+    """The part of a server's answer that counts what has been received of it."""
+
+    total_bytes: int
+
+
+class HeldAnswer:
+    """What is held of one answer, from the first byte received to the last one sent.
+
+    :param attempt_id: of its request.
+    :param get_kind: returns its kind, which may change while it arrives.
+    :param content: counts the bytes received from the server; ``None``: not counted.
+    :param transport: connection to the caller; ``None``: unsent bytes don't count.
+
+    :ivar held: bytes that were read and have not been given to the caller's connection.
+    :ivar taken: bytes of the body that were read.
+    :ivar size: bytes that count for it, as last measured.
+    :ivar planned: expected length of the answer, once it is read; 0: unknown.
+    :ivar abort: ends the answer; called over the bound.
+    :ivar is_aborted: whether it was aborted for the bound.
+    :ivar is_received: whether it was received from the server to its end.
+    """
+
+    __slots__ = (
+        "abort",
+        "attempt_id",
+        "content",
+        "get_kind",
+        "held",
+        "is_aborted",
+        "is_received",
+        "planned",
+        "size",
+        "taken",
+        "transport",
+    )
+
+    def __init__(
+        self,
+        *,
+        attempt_id: str,
+        get_kind: Callable[[], AnswerKind],
+        content: ReceivedBytes | None = None,
+        transport: asyncio.WriteTransport | None = None,
+    ) -> None:
+        self.attempt_id = attempt_id
+        self.get_kind = get_kind
+        self.content = content
+        self.transport = transport
+        self.held = 0
+        self.taken = 0
+        self.size = 0
+        self.planned = 0
+        self.abort: Callable[[], None] = lambda: None
+        self.is_aborted = False
+        self.is_received = False
+
+    def count_bytes(self) -> int:
+        """Return the bytes held now: unread, not yet forwarded, and unsent."""
+        unread = 0
+        if self.content is not None:
+            unread = max(0, self.content.total_bytes - self.taken)
+        return unread + self.held + self.count_unsent()
+
+    def count_unsent(self) -> int:
+        """Return the bytes in the write buffer of the caller's connection."""
+        if self.transport is None or self.transport.is_closing():
+            return 0
+        return self.transport.get_write_buffer_size()
+
+
+def compute_bound(memory_mb: float, *, most: int) -> int:
+    """Return how many bytes of answers may be held.
+
+    :param memory_mb: memory of the process, in MB; 0: unknown.
+    :param most: bound if the memory is unknown or large, in bytes.
+    """
+    if memory_mb <= 0:
+        return most
+    free_mb = max(0.0, memory_mb - PROCESS_MB)
+    return min(most, int(free_mb * HELD_FRACTION * BYTES_PER_MB))
+
+
+def choose_aborted(answers: Iterable[HeldAnswer], *, excess: int) -> list[HeldAnswer]:
+    """Return the answers to abort, so that the rest holds fewer bytes.
+
+    :param excess: by how many bytes.
+    """
+    by_kind: dict[AnswerKind, list[HeldAnswer]] = {kind: [] for kind in AnswerKind}
+    for answer in answers:
+        if answer.size >= MIN_ABORTED_BYTES:
+            by_kind[answer.get_kind()].append(answer)
+    chosen: list[HeldAnswer] = []
+    for kind in _ABORT_ORDER:
+        for answer in sorted(by_kind[kind], key=_get_size, reverse=True):
+            if excess <= 0:
+                return chosen
+            chosen.append(answer)
+            excess -= answer.size
+    return chosen
+
+
+def may_read(
+    answer: HeldAnswer, answers: Sequence[HeldAnswer], *, expected: int, bound: int
+) -> bool:
+    """Return whether a new answer may be read now.
+
+    :param answers: all answers of which something is held.
+    :param expected: length of the new one, in bytes; 0: unknown.
+    """
+    others = [other for other in answers if other is not answer]
+    if not any(other.size for other in others):
+        return True
+    reserved = sum(max(other.size, other.planned) for other in others)
+    is_small = 0 < expected <= SMALL_ANSWER_BYTES
+    limit = bound if is_small else NEAR_FRACTION * bound
+    return reserved + max(expected, answer.size) <= limit
+
+
+def _get_size(answer: HeldAnswer) -> int:
+    return answer.size
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -1,11 +1,12 @@
 """HTTP client of a process; its errors show whether a request may have been sent."""
 
 import asyncio
+import contextlib
 import functools
 import re
 import socket
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 import aiohttp
@@ -13,6 +14,15 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError, PayloadEncodingError
 
+from arbutuspulley.platform.memory_bound import (
+    MAX_PAUSE_MS,
+    MIN_PAUSED_BYTES,
+    AnswerKind,
+    HeldAnswer,
+    choose_aborted,
+    compute_bound,
+    may_read,
+)
 from arbutuspulley.ports.answers import AnswerEnd, Framing
 from arbutuspulley.ports.fleet import InboundRequest
 from arbutuspulley.settings import split_address
@@ -73,6 +83,12 @@
 MAX_ALL_HELD_BYTES = 64 * 1_024 * 1_024
 """Maximum size of what is held of all answers, in bytes."""
 
+MEASURE_INTERVAL_S = 0.05
+"""How often all answers are measured while the total is within the bound, in s."""
+
+PAUSE_POLL_S = 0.02
+"""Interval at which an answer that is not read yet looks for room, in s."""
+
 
 class BrokenError(Exception):
     """The connection failed after bytes may have been sent; it may have run.
@@ -85,17 +101,59 @@
         self.end = end
 
 
+class AnswerAbandonedError(Exception):
+    """This process gave up an answer to stay within its memory."""
+
+
 class HeldBytes:
-    """Bytes of answers that are held until they can be forwarded.
+    """Bytes of answers that are held, and the bound on them.
+
+    While the bound follows from the memory of the process, it counts what is unread
+    from servers and unsent to callers as well, and answers are aborted in the order of
+    :class:`AnswerKind`. Otherwise it counts bytes that can't be forwarded yet, and the
+    next answer that grows over the bound fails.
+
+    :param get_memory_mb: returns the memory of the process, in MB; 0: unknown.
+    :param on_abort: called with each answer that is aborted for the bound.
+    :param on_pause: called with each answer that was not read for a while, and how long
+        that was, in ms.
 
     :ivar total: size of all of them.
     """
 
-    __slots__ = ("total",)
+    __slots__ = (
+        "_answers",
+        "_get_memory_mb",
+        "_measured_at",
+        "_on_abort",
+        "_on_pause",
+        "total",
+    )
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        get_memory_mb: Callable[[], float] = lambda: 0.0,
+        on_abort: Callable[[HeldAnswer], None] = lambda _: None,
+        on_pause: Callable[[HeldAnswer, int], None] = lambda _, __: None,
+    ) -> None:
+        self._answers: dict[HeldAnswer, None] = {}
+        self._get_memory_mb = get_memory_mb
+        self._measured_at = 0.0
+        self._on_abort = on_abort
+        self._on_pause = on_pause
         self.total = 0
 
+    @property
+    def bound(self) -> int:
+        """Maximum size of what is held of all answers, in bytes."""
+        return compute_bound(self._get_memory_mb(), most=MAX_ALL_HELD_BYTES)
+
+    @property
+    def is_bound_by_memory(self) -> bool:
+        """Whether the bound follows from the memory of the process."""
+        return self.bound < MAX_ALL_HELD_BYTES
+
     def change(self, *, before: int, now: int) -> None:
         """Record how much is held of one answer.
 
@@ -109,6 +167,148 @@
                 end=AnswerEnd.INVALID,
             )
 
+    @contextlib.contextmanager
+    def reading(self, answer: HeldAnswer) -> Iterator[None]:
+        """Count an answer while this task reads it.
+
+        :raises AnswerAbandonedError: if it was aborted for the bound.
+        """
+        task = asyncio.current_task()
+        if task is not None:
+            answer.abort = functools.partial(_cancel, task)
+        self._answers[answer] = None
+        try:
+            yield
+        except BaseException as error:
+            self.remove(answer)
+            if not isinstance(error, asyncio.CancelledError) or not answer.is_aborted:
+                raise
+            # If the time is up or the caller has left as well, that comes first.
+            if task is not None and task.uncancel() > 0:
+                raise
+            raise AnswerAbandonedError("out of memory for answers") from None
+
+    def update(self, answer: HeldAnswer, held: int) -> None:
+        """Record how much is held of an answer that this task reads.
+
+        :param held: bytes that were read and have not been forwarded.
+        :raises BrokenError: if that is too much for one answer, or for all of them
+            while the memory of the process is unknown.
+        :raises AnswerAbandonedError: if the answer has to be aborted for the bound.
+        """
+        answer.held = held
+        if answer not in self._answers:
+            return
+        if not self.is_bound_by_memory:
+            before, answer.size = answer.size, held
+            self.change(before=before, now=held)
+            return
+        bound = self.bound
+        self._measure(answer)
+        if held > min(MAX_HELD_BYTES, bound // 2):
+            raise BrokenError(f"{held} bytes to hold", end=AnswerEnd.INVALID)
+        now = asyncio.get_running_loop().time()
+        if self.total > bound or now - self._measured_at > MEASURE_INTERVAL_S:
+            self._measured_at = now
+            self._measure_all()
+        if self.total > bound:
+            self._make_room(answer, bound)
+
+    def complete(self, answer: HeldAnswer) -> None:
+        """Count an answer that was received until it is sent.
+
+        Its task may have ended; the caller's connection tells when nothing is left.
+        """
+        answer.content, answer.is_received = None, True
+        transport = answer.transport
+        if transport is not None:
+            answer.abort = transport.abort
+        self.record_unsent(answer)
+
+    def record_unsent(self, answer: HeldAnswer) -> None:
+        """Measure an answer that is being sent."""
+        if answer in self._answers and self.is_bound_by_memory:
+            self._measure(answer)
+
+    def remove(self, answer: HeldAnswer) -> None:
+        """Stop to count an answer, but for what is unsent of a complete one."""
+        if answer not in self._answers:
+            return
+        answer.held = answer.planned = 0
+        answer.content = None
+        is_unsent = answer.is_received and not answer.is_aborted
+        if is_unsent and self.is_bound_by_memory and answer.count_unsent():
+            answer.get_kind = _get_complete
+            self._measure(answer)
+            return
+        self._drop(answer)
+
+    async def wait_for_room(self, answer: HeldAnswer, *, expected: int) -> None:
+        """Wait until a new answer may be read, but no longer than servers let it wait.
+
+        :param expected: its length in bytes; 0: unknown.
+        """
+        if not self.is_bound_by_memory:
+            return
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        while self.is_bound_by_memory:
+            self._measure_all()
+            if may_read(
+                answer, list(self._answers), expected=expected, bound=self.bound
+            ):
+                break
+            if loop.time() - began_at > MAX_PAUSE_MS / 1_000:
+                break
+            await asyncio.sleep(PAUSE_POLL_S)
+        answer.planned = expected
+        paused_ms = int((loop.time() - began_at) * 1_000)
+        if paused_ms >= PAUSE_POLL_S * 1_000:
+            self._on_pause(answer, paused_ms)
+
+    def _make_room(self, current: HeldAnswer, bound: int) -> None:
+        for answer in choose_aborted(self._answers, excess=self.total - bound):
+            self._on_abort(answer)
+            answer.is_aborted, abort = True, answer.abort
+            self._drop(answer)
+            if answer is not current:
+                abort()
+        if current.is_aborted:
+            raise AnswerAbandonedError("out of memory for answers")
+
+    def _measure_all(self) -> None:
+        for answer in list(self._answers):
+            transport = answer.transport
+            is_gone = transport is None or transport.is_closing()
+            self._measure(answer)
+            if answer.is_received and (is_gone or not answer.size):
+                self._drop(answer)
+
+    def _measure(self, answer: HeldAnswer) -> None:
+        before, answer.size = answer.size, answer.count_bytes()
+        self.total += answer.size - before
+
+    def _drop(self, answer: HeldAnswer) -> None:
+        del self._answers[answer]
+        self.total -= answer.size
+        answer.size = 0
+        # The functions that it calls may refer to it in turn, so that what it refers to
+        # would stay until the next collection of cycles.
+        answer.content = answer.transport = None
+        answer.abort, answer.get_kind = _do_nothing, _get_complete
+
+
+def _cancel(task: "asyncio.Task[Any]") -> None:
+    task.cancel()
+
+
+def _do_nothing() -> None:
+    pass
+
+
+def _get_complete() -> AnswerKind:
+    return AnswerKind.COMPLETE
+
 
 class _AnswerCutError(aiohttp.ClientPayloadError):
     """An answer's body ended before its server ended it.
@@ -352,6 +552,35 @@
     return Framing.CLOSE
 
 
+async def read_held_body(
+    response: aiohttp.ClientResponse, answer: HeldAnswer, *, held: HeldBytes
+) -> bytes:
+    """Read the body of an answer to its end, within the bound on all answers.
+
+    It counts until it is removed from what is held.
+
+    :raises BrokenError: if it ends before the server ended it, or is too large.
+    :raises AnswerAbandonedError: if it was aborted for the bound.
+    """
+    body = bytearray()
+    expected = response.content_length or 0
+    is_admitted = False
+    try:
+        with held.reading(answer):
+            while part := await read_part(response):
+                body += part
+                answer.taken += len(part)
+                held.update(answer, len(body))
+                if not is_admitted and max(expected, len(body)) > MIN_PAUSED_BYTES:
+                    is_admitted = True
+                    await held.wait_for_room(answer, expected=expected)
+            held.complete(answer)
+    except BrokenError:
+        response.close()
+        raise
+    return bytes(body)
+
+
 async def read_body(
     response: aiohttp.ClientResponse, *, held: HeldBytes | None = None
 ) -> bytes:
