--- a/src/arbutuspulley/platform/memory_bound.py
+++ b/src/arbutuspulley/platform/memory_bound.py
@@ -29,9 +29,13 @@
 """Answers are read without delay up to this size."""
 
 MIN_ABORTED_BYTES = 64 * 1_024
-"""Answers below this size are not aborted for the bound: an answer whose caller reads
-holds less, and its loss would free little. A caller that stops reading leaves more: the
-write buffer alone takes this much before writing pauses."""
+"""Answers below this size are not aborted for the bound: their loss would free little.
+A caller that stops reading leaves more: the write buffer alone takes this much before
+writing pauses."""
+
+STALL_S = 0.25
+"""Time after which a caller that has taken no byte counts as one that does not read, in
+s: the gap between two events that callers accept."""
 
 MAX_PAUSE_MS = 1_500
 """Longest time for which an answer is not read, in ms; servers abort one that stays
@@ -52,7 +56,15 @@
     COMPLETE = "complete"
 
 
-_ABORT_ORDER = (AnswerKind.RESUMABLE, AnswerKind.REPEATABLE, AnswerKind.ONCE)
+_ABORT_ORDER = (
+    (AnswerKind.RESUMABLE, True),
+    (AnswerKind.REPEATABLE, True),
+    (AnswerKind.RESUMABLE, False),
+    (AnswerKind.REPEATABLE, False),
+    (AnswerKind.ONCE, True),
+    (AnswerKind.ONCE, False),
+)
+"""Kinds of answers, and whether their callers have stopped to read."""
 
 
 class ReceivedBytes(Protocol):
@@ -72,6 +84,9 @@
     :ivar held: bytes that were read and have not been given to the caller's connection.
     :ivar taken: bytes of the body that were read.
     :ivar size: bytes that count for it, as last measured.
+    :ivar unsent: bytes in the write buffer of the caller's connection, likewise.
+    :ivar moved_at: when the caller last took bytes, or had none to take, in s of the
+        event loop's clock.
     :ivar planned: expected length of the answer, once it is read; 0: unknown.
     :ivar abort: ends the answer; called over the bound.
     :ivar is_aborted: whether it was aborted for the bound.
@@ -86,10 +101,12 @@
         "held",
         "is_aborted",
         "is_received",
+        "moved_at",
         "planned",
         "size",
         "taken",
         "transport",
+        "unsent",
     )
 
     def __init__(
@@ -107,20 +124,25 @@
         self.held = 0
         self.taken = 0
         self.size = 0
+        self.unsent = 0
+        self.moved_at = 0.0
         self.planned = 0
         self.abort: Callable[[], None] = lambda: None
         self.is_aborted = False
         self.is_received = False
 
-    def count_bytes(self) -> int:
-        """Return the bytes held now: unread, not yet forwarded, and unsent."""
+    def measure(self, *, now: float) -> None:
+        """Count the bytes held now: unread, not yet forwarded, and unsent."""
         unread = 0
         if self.content is not None:
             unread = max(0, self.content.total_bytes - self.taken)
-        return unread + self.held + self.count_unsent()
+        unsent = self._count_unsent()
+        if not unsent or unsent < self.unsent:
+            self.moved_at = now
+        self.unsent = unsent
+        self.size = unread + self.held + unsent
 
-    def count_unsent(self) -> int:
-        """Return the bytes in the write buffer of the caller's connection."""
+    def _count_unsent(self) -> int:
         if self.transport is None or self.transport.is_closing():
             return 0
         return self.transport.get_write_buffer_size()
@@ -138,18 +160,26 @@
     return min(most, int(free_mb * HELD_FRACTION * BYTES_PER_MB))
 
 
-def choose_aborted(answers: Iterable[HeldAnswer], *, excess: int) -> list[HeldAnswer]:
+def choose_aborted(
+    answers: Iterable[HeldAnswer], *, excess: int, now: float
+) -> list[HeldAnswer]:
     """Return the answers to abort, so that the rest holds fewer bytes.
 
+    Streams come first, then answers that may be repeated, the largest of each first,
+    as long as their callers don't read; those whose callers do follow in the same
+    order. An incomplete answer to a request that may not run again is the last.
+
     :param excess: by how many bytes.
+    :param now: time, in s of the event loop's clock.
     """
-    by_kind: dict[AnswerKind, list[HeldAnswer]] = {kind: [] for kind in AnswerKind}
+    groups: dict[tuple[AnswerKind, bool], list[HeldAnswer]] = {}
     for answer in answers:
         if answer.size >= MIN_ABORTED_BYTES:
-            by_kind[answer.get_kind()].append(answer)
+            is_stalled = answer.unsent > 0 and now - answer.moved_at >= STALL_S
+            groups.setdefault((answer.get_kind(), is_stalled), []).append(answer)
     chosen: list[HeldAnswer] = []
-    for kind in _ABORT_ORDER:
-        for answer in sorted(by_kind[kind], key=_get_size, reverse=True):
+    for group in _ABORT_ORDER:
+        for answer in sorted(groups.get(group, ()), key=_get_size, reverse=True):
             if excess <= 0:
                 return chosen
             chosen.append(answer)
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -204,15 +204,16 @@
             self.change(before=before, now=held)
             return
         bound = self.bound
-        self._measure(answer)
+        now = asyncio.get_running_loop().time()
+        answer.moved_at = now
+        self._measure(answer, now)
         if held > min(MAX_HELD_BYTES, bound // 2):
             raise BrokenError(f"{held} bytes to hold", end=AnswerEnd.INVALID)
-        now = asyncio.get_running_loop().time()
         if self.total > bound or now - self._measured_at > MEASURE_INTERVAL_S:
             self._measured_at = now
-            self._measure_all()
+            self._measure_all(now)
         if self.total > bound:
-            self._make_room(answer, bound)
+            self._make_room(answer, bound, now)
 
     def complete(self, answer: HeldAnswer) -> None:
         """Count an answer that was received until it is sent.
@@ -226,9 +227,10 @@
         self.record_unsent(answer)
 
     def record_unsent(self, answer: HeldAnswer) -> None:
-        """Measure an answer that is being sent."""
+        """Measure an answer of which a further slice is being sent."""
         if answer in self._answers and self.is_bound_by_memory:
-            self._measure(answer)
+            answer.moved_at = asyncio.get_running_loop().time()
+            self._measure(answer, answer.moved_at)
 
     def remove(self, answer: HeldAnswer) -> None:
         """Stop to count an answer, but for what is unsent of a complete one."""
@@ -237,10 +239,11 @@
         answer.held = answer.planned = 0
         answer.content = None
         is_unsent = answer.is_received and not answer.is_aborted
-        if is_unsent and self.is_bound_by_memory and answer.count_unsent():
+        if is_unsent and self.is_bound_by_memory:
             answer.get_kind = _get_complete
-            self._measure(answer)
-            return
+            self._measure(answer, asyncio.get_running_loop().time())
+            if answer.size:
+                return
         self._drop(answer)
 
     async def wait_for_room(self, answer: HeldAnswer, *, expected: int) -> None:
@@ -253,7 +256,7 @@
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         while self.is_bound_by_memory:
-            self._measure_all()
+            self._measure_all(loop.time())
             if may_read(
                 answer, list(self._answers), expected=expected, bound=self.bound
             ):
@@ -266,8 +269,9 @@
         if paused_ms >= PAUSE_POLL_S * 1_000:
             self._on_pause(answer, paused_ms)
 
-    def _make_room(self, current: HeldAnswer, bound: int) -> None:
-        for answer in choose_aborted(self._answers, excess=self.total - bound):
+    def _make_room(self, current: HeldAnswer, bound: int, now: float) -> None:
+        excess = self.total - bound
+        for answer in choose_aborted(self._answers, excess=excess, now=now):
             self._on_abort(answer)
             answer.is_aborted, abort = True, answer.abort
             self._drop(answer)
@@ -276,16 +280,17 @@
         if current.is_aborted:
             raise AnswerAbandonedError("out of memory for answers")
 
-    def _measure_all(self) -> None:
+    def _measure_all(self, now: float) -> None:
         for answer in list(self._answers):
             transport = answer.transport
             is_gone = transport is None or transport.is_closing()
-            self._measure(answer)
+            self._measure(answer, now)
             if answer.is_received and (is_gone or not answer.size):
                 self._drop(answer)
 
-    def _measure(self, answer: HeldAnswer) -> None:
-        before, answer.size = answer.size, answer.count_bytes()
+    def _measure(self, answer: HeldAnswer, now: float) -> None:
+        before = answer.size
+        answer.measure(now=now)
         self.total += answer.size - before
 
     def _drop(self, answer: HeldAnswer) -> None:
--- /dev/null
+++ b/tests/test_memory_bound.py
@@ -0,0 +1,368 @@
+"""The bound on what answers hold, by the memory of an instance; slow readers."""
+
+import asyncio
+import contextlib
+import json
+import socket
+import types
+
+import aiohttp
+import msgspec
+import pytest
+
+from arbutuspulley.platform.memory_bound import (
+    MIN_ABORTED_BYTES,
+    PROCESS_MB,
+    STALL_S,
+    AnswerKind,
+    HeldAnswer,
+    choose_aborted,
+    compute_bound,
+    may_read,
+)
+from arbutuspulley.platform.transport import (
+    MAX_ALL_HELD_BYTES,
+    AnswerAbandonedError,
+    HeldBytes,
+)
+from arbutuspulley.ports.answers import Framing
+from arbutuspulley.standins.fleet_server import ServerStandin
+from arbutuspulley.standins.scripted_answer import AnswerScript
+from scripts.measure_held_memory import BIG_EVENT, open_reader, read_resident_mb
+from scripts.platform_testbed import Fleet, build_configuration, build_route
+from scripts.platform_testbed import send_request as ask
+from tests.node_states import build_state
+
+MEMORY_MB = 160
+
+LIMITS = {"MemoryMb": MEMORY_MB}
+
+BODY = bytes(range(256)) * 16_000
+
+PART_BYTES = 512 * 1_024
+"""Size of what is read at once, by which the total may exceed the bound until answers
+are aborted, in bytes."""
+
+EVENTS = 200
+
+
+def build_answer(kind, size, *, is_stalled=False):
+    answer = HeldAnswer(attempt_id=f"{kind}{size}", get_kind=lambda: kind)
+    answer.size = size
+    answer.unsent = size if is_stalled else 0
+    return answer
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "expected"),
+    [
+        (0, MAX_ALL_HELD_BYTES),
+        (100_000, MAX_ALL_HELD_BYTES),
+        (PROCESS_MB + 30, 10_000_000),
+        (PROCESS_MB - 30, 0),
+    ],
+)
+def test_the_bound_leaves_room_for_the_process(memory_mb, expected):
+    assert compute_bound(memory_mb, most=MAX_ALL_HELD_BYTES) == pytest.approx(expected)
+
+
+def test_answers_are_aborted_by_kind_and_then_by_size():
+    """Guards against results that are lost although a stream could be resumed, and
+    against callers that read and lose an answer for those who don't."""
+    answers = [
+        build_answer(kind, size * 1_024, is_stalled=is_stalled)
+        for kind in reversed(AnswerKind)
+        for size in (100, 300, 200)
+        for is_stalled in (False, True)
+    ]
+    order = choose_aborted(answers, excess=10**9, now=STALL_S)
+    found = [(one.get_kind().value, one.unsent > 0, one.size >> 10) for one in order]
+    assert found == [
+        (kind, is_stalled, size)
+        for kind, is_stalled in (
+            ("resumable", True),
+            ("repeatable", True),
+            ("resumable", False),
+            ("repeatable", False),
+            ("once", True),
+            ("once", False),
+        )
+        for size in (300, 200, 100)
+    ]
+    assert choose_aborted(answers, excess=500 << 10, now=STALL_S) == order[:2]
+
+
+def test_an_answer_that_flows_is_not_aborted():
+    """Guards against fast readers that pay for the memory of slow ones."""
+    answers = [build_answer(AnswerKind.RESUMABLE, MIN_ABORTED_BYTES - 1)] * 100
+    assert not choose_aborted(answers, excess=10**9, now=STALL_S)
+
+
+@pytest.mark.parametrize(
+    ("held", "expected", "may"),
+    [(0, 9_000_000, True), (6_000_000, 2_000_000, False), (9_500_000, 200_000, True)],
+)
+def test_a_large_new_answer_is_not_read_near_the_bound(held, expected, may):
+    """Guards against answers that are aborted for a new one that could have waited."""
+    new = build_answer(AnswerKind.ONCE, 0)
+    others = [build_answer(AnswerKind.COMPLETE, held)] if held else []
+    answers = [*others, new]
+    assert may_read(new, answers, expected=expected, bound=10_000_000) is may
+
+
+@pytest.mark.parametrize("memory_mb", [0, 100_000])
+def test_without_a_low_memory_only_unforwarded_bytes_count(memory_mb):
+    """Guards against decisions that change where the memory is unknown or large."""
+
+    async def run():
+        held = HeldBytes(get_memory_mb=lambda: memory_mb)
+        transport = types.SimpleNamespace(
+            is_closing=lambda: False,
+            get_write_buffer_size=lambda: 10**9,
+            abort=lambda: None,
+        )
+        answer = HeldAnswer(
+            attempt_id="a",
+            get_kind=lambda: AnswerKind.RESUMABLE,
+            content=types.SimpleNamespace(total_bytes=10**9),
+            transport=transport,
+        )
+        with held.reading(answer):
+            held.update(answer, 100)
+            assert held.total == 100
+            await held.wait_for_room(answer, expected=10**9)
+            held.complete(answer)
+            assert held.total == 100
+            held.remove(answer)
+        assert held.total == 0
+
+    asyncio.run(run())
+
+
+def test_a_reloaded_setting_changes_the_bound():
+    state = build_state()
+    assert state.held_bytes.bound == MAX_ALL_HELD_BYTES
+    state.settings = msgspec.structs.replace(state.settings, memory_mb=PROCESS_MB + 30)
+    assert state.held_bytes.bound == pytest.approx(10_000_000)
+
+
+def test_an_answer_that_may_not_be_repeated_is_aborted_last():
+    """Guards against a bound that only holds while other answers can be aborted."""
+
+    async def run():
+        held = HeldBytes(get_memory_mb=lambda: PROCESS_MB + 3)
+        complete = [build_answer(AnswerKind.COMPLETE, 0) for _ in range(2)]
+        growing = build_answer(AnswerKind.ONCE, 0)
+        with held.reading(complete[0]), held.reading(complete[1]):
+            for answer in complete:
+                held.update(answer, 300_000)
+            with pytest.raises(AnswerAbandonedError), held.reading(growing):
+                held.update(growing, 300_000)
+                held.update(growing, 450_000)
+            assert held.total == 600_000
+
+    asyncio.run(run())
+
+
+def build_fleet_configuration():
+    routes = (
+        build_route("/events/", "events", "streaming", Resumable=True),
+        build_route("/safe/", "bodies", "safe"),
+        build_route("/unsafe/", "bodies", "unsafe"),
+    )
+    for route in routes:
+        route["TimeoutMs"] = 60_000
+    built = build_configuration(2, routes=routes)
+    built["Services"] += [
+        {"Name": name, "MaxConnections": 1_000} for name in ("events", "bodies")
+    ]
+    return built
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(folder, limits):
+    """Start a node and servers of streams and of bodies of 4 MB."""
+    fleet = Fleet(folder)
+    scripts = {
+        "events": AnswerScript(
+            parts=(BIG_EVENT,) * EVENTS, framing=Framing.CHUNKS, pause_s=0.005
+        ),
+        "bodies": AnswerScript(parts=(BODY,), framing=Framing.LENGTH),
+    }
+    with socket.socket() as reserved:
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind(("127.0.0.1", 0))
+        port = reserved.getsockname()[1]
+        try:
+            await fleet.open()
+            fleet.store.put("op", "config", build_fleet_configuration())
+            for number in range(24):
+                service = "events" if number % 2 else "bodies"
+                server = ServerStandin(incarnation=f"s{number}", service=service)
+                server.script = scripts[service]
+                await fleet.add_server(server)
+            await fleet.start_nodes(("n1",), limits=limits, metrics_port=port)
+            yield fleet, port
+        finally:
+            await fleet.close()
+
+
+async def read_metrics(port):
+    """Return the node's metrics by name and labels."""
+    url = f"http://127.0.0.1:{port}/metrics"
+    async with aiohttp.ClientSession() as session, session.get(url) as answer:
+        lines = (await answer.text()).splitlines()
+    pairs = (line.rsplit(" ", 1) for line in lines if not line.startswith("#"))
+    return {name: float(value) for name, value in pairs}
+
+
+def list_events(fleet, name):
+    lines = [json.loads(line) for line in fleet.read_log("n1").splitlines()]
+    return [line for line in lines if line["name"] == name]
+
+
+async def open_readers(fleet, opened, path, count):
+    """Open callers that read nothing until they are told."""
+    front = fleet.addresses["n1"]["Frontend"]
+    for _ in range(count):
+        attempt = f"{path[1]}{len(opened)}"
+        opened.append(await open_reader(front, path, attempt=attempt))
+
+
+async def read_all(opened):
+    """Read an answer with a length to its end."""
+    loop, received = asyncio.get_running_loop(), bytearray()
+    async with asyncio.timeout(10):
+        while b"\r\n\r\n" not in received or len(received) < len(BODY):
+            part = await loop.sock_recv(opened, 1 << 20)
+            if not part:
+                break
+            received += part
+        head, _, body = bytes(received).partition(b"\r\n\r\n")
+        while part and len(body) < len(BODY):
+            part = await loop.sock_recv(opened, 1 << 20)
+            body += part
+    assert head.startswith(b"HTTP/1.1 200")
+    return body
+
+
+def test_slow_readers_stay_within_the_memory_of_a_small_instance(tmp_path):
+    """Guards against an instance of 160 MB that is killed for its memory since many
+    callers don't read, against fast readers that are aborted or paused for them,
+    against a lost result of a request that may not run again, and against servers that
+    are blamed for answers that this instance aborted."""
+
+    async def read_fast(session, fleet, number):
+        front = fleet.addresses["n1"]["Frontend"]
+        return [
+            await ask(session, front, "/events/fast", attempt=f"f{number}.{turn}")
+            for turn in range(4)
+        ]
+
+    async def scenario():
+        opened, samples = [], []
+        async with (
+            open_fleet(tmp_path, LIMITS) as (fleet, port),
+            aiohttp.ClientSession() as session,
+        ):
+
+            async def watch():
+                while True:
+                    samples.append((await read_metrics(port))["arbutus_held_bytes"])
+                    await asyncio.sleep(0.03)
+
+            watching = asyncio.create_task(watch())
+            await open_readers(fleet, opened, "/unsafe/x", 2)
+            await asyncio.sleep(0.5)
+            fast = [
+                asyncio.create_task(read_fast(session, fleet, number))
+                for number in range(4)
+            ]
+            for _ in range(6):
+                await open_readers(fleet, opened, "/events/x", 10)
+                await asyncio.sleep(0.4)
+            await open_readers(fleet, opened, "/safe/x", 10)
+            answers = [one for each in await asyncio.gather(*fast) for one in each]
+            await asyncio.sleep(2)
+            watching.cancel()
+            metrics = await read_metrics(port)
+            peak_mb = read_resident_mb(fleet.nodes["n1"].pid, field="VmHWM")
+            bound = metrics["arbutus_held_bytes_bound"]
+            print(f"peak {peak_mb} MB, held {max(samples)}, bound {bound}")
+            assert bound == compute_bound(MEMORY_MB, most=MAX_ALL_HELD_BYTES)
+            assert bound / 2 < max(samples) <= bound + PART_BYTES
+            assert peak_mb < MEMORY_MB
+            assert {(status, len(body)) for status, body, _ in answers} == {
+                (200, EVENTS * len(BIG_EVENT))
+            }
+            ends = list_events(fleet, "request_ended")
+            pauses = [
+                end["longest_pause_ms"] for end in ends if end["id"].startswith("f")
+            ]
+            print(f"longest gaps of fast readers {sorted(pauses)[-3:]} ms")
+            assert max(pauses) < 1_000
+            assert list_events(fleet, "answer_aborted")
+            assert not list_events(fleet, "attempt_failed")
+            assert 'arbutus_attempts_total{how="failed"}' not in metrics
+            for one in opened[:2]:
+                assert await read_all(one) == BODY
+            for one in opened:
+                one.close()
+
+    asyncio.run(scenario())
+
+
+def test_streams_are_aborted_before_answers_that_may_be_repeated(tmp_path):
+    """Guards against an order that depends on which answer happens to grow."""
+
+    async def scenario():
+        opened = []
+        async with open_fleet(tmp_path, LIMITS) as (fleet, port):
+            await open_readers(fleet, opened, "/unsafe/x", 2)
+            await open_readers(fleet, opened, "/safe/x", 2)
+            await asyncio.sleep(0.5)
+            await open_readers(fleet, opened, "/events/x", 4)
+            await asyncio.sleep(0.5)
+            assert not list_events(fleet, "answer_aborted")
+            await open_readers(fleet, opened, "/unsafe/x", 5)
+            await asyncio.sleep(3)
+            aborted = list_events(fleet, "answer_aborted")
+            kinds = [event["kind"] for event in aborted]
+            assert kinds[:6] == ["resumable"] * 4 + ["repeatable"] * 2
+            assert set(kinds[6:]) <= {"once"}
+            resumable = [event["bytes"] for event in aborted[:4]]
+            metrics = await read_metrics(port)
+            name = 'arbutus_aborted_answers_total{kind="resumable"}'
+            assert metrics[name] == len(resumable)
+            cut = [
+                event
+                for event in list_events(fleet, "request_lost")
+                if event["path"] == "/events/x"
+            ]
+            assert {event["how"] for event in cut} == {"cut"}
+            for one in opened[:2]:
+                assert await read_all(one) == BODY
+            for one in opened:
+                one.close()
+
+    asyncio.run(scenario())
+
+
+def test_unsent_bytes_do_not_count_without_a_known_memory(tmp_path):
+    """Guards against answers that are aborted or paused while the setting is off."""
+
+    async def scenario():
+        opened = []
+        async with open_fleet(tmp_path, {}) as (fleet, port):
+            await open_readers(fleet, opened, "/safe/x", 10)
+            await asyncio.sleep(2)
+            metrics = await read_metrics(port)
+            assert metrics["arbutus_held_bytes"] == 0
+            assert metrics["arbutus_held_bytes_bound"] == MAX_ALL_HELD_BYTES
+            for one in opened:
+                assert await read_all(one) == BODY
+                one.close()
+            assert not list_events(fleet, "answer_aborted")
+            assert not list_events(fleet, "answer_paused")
+
+    asyncio.run(scenario())
