--- a/scripts/measure_held_memory.py
+++ b/scripts/measure_held_memory.py
@@ -161,6 +161,8 @@
                     ),
                     return_exceptions=True,
                 )
+        # The node writes its lines with a delay.
+        await asyncio.sleep(0.5)
         lines = [json.loads(line) for line in fleet.read_log("n1").splitlines()]
         gaps = [
             line["longest_pause_ms"]
