Bound answers by 8 MB at least, and count relayed ones in a test

Cause: below 80 MB of memory the bound would have been 0 and each answer aborted; an answer over half the bound counted as its server's fault. Change: a least bound, and such an answer is aborted like others.

--- a/scripts/measure_held_memory.py
+++ b/scripts/measure_held_memory.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 
@@ -43,7 +44,9 @@
     raise ValueError(field)
 
 
-async def open_reader(front: str, path: str, *, attempt: str) -> socket.socket:
+async def open_reader(
+    front: str, path: str, *, attempt: str, headers: tuple[str, ...] = ()
+) -> socket.socket:
     """Send a request on a connection of its own and read nothing."""
     host, _, port = front.partition(":")
     loop = asyncio.get_running_loop()
@@ -57,6 +60,7 @@
         f"X-Arbutuspulley-Attempt-Id: {attempt}",
         "X-Arbutuspulley-Deadline-Ms: 60000",
         "Content-Length: 0",
+        *headers,
     ]
     await loop.sock_sendall(opened, "\r\n".join([*lines, "", ""]).encode())
     return opened
@@ -124,6 +128,7 @@
     """Print the longest gaps of 16 streams that are read beside slow readers."""
     fleet = Fleet(folder)
     opened: list[socket.socket] = []
+    headers: dict[str, Any] = {"X-Arbutuspulley-Deadline-Ms": "30000"}
     script = AnswerScript(
         parts=(BIG_EVENT,) * 200, framing=Framing.CHUNKS, pause_s=0.005
     )
@@ -155,7 +160,7 @@
                             front,
                             "/events/x",
                             attempt=f"f{turn}.{number}",
-                            **{"X-Arbutuspulley-Deadline-Ms": "30000"},
+                            **headers,
                         )
                         for number in range(4)
                     ),
--- a/src/arbutuspulley/platform/memory_bound.py
+++ b/src/arbutuspulley/platform/memory_bound.py
@@ -19,6 +19,10 @@
 """Fraction of the other memory that answers may take. A counted byte occupies more than
 one: buffers grow in steps, and parts are copied on their way."""
 
+MIN_BOUND_BYTES = 8_000_000
+"""Least bound on what answers take, in bytes, also where the memory is less than the
+process needs: with none, each answer would be aborted."""
+
 NEAR_FRACTION = 0.75
 """Fraction of the bound from which large new answers are not read yet."""
 
@@ -159,8 +163,9 @@
     """
     if memory_mb <= 0:
         return most
-    free_mb = max(0.0, memory_mb - PROCESS_MB)
-    return min(most, int(free_mb * HELD_FRACTION * BYTES_PER_MB))
+    free_mb = memory_mb - PROCESS_MB
+    share = int(free_mb * HELD_FRACTION * BYTES_PER_MB)
+    return min(most, max(MIN_BOUND_BYTES, share))
 
 
 def choose_aborted(
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -207,8 +207,11 @@
         now = asyncio.get_running_loop().time()
         answer.moved_at = now
         self._measure(answer, now)
-        if held > min(MAX_HELD_BYTES, bound // 2):
+        if held > MAX_HELD_BYTES:
             raise BrokenError(f"{held} bytes to hold", end=AnswerEnd.INVALID)
+        if held > bound // 2:
+            self._abort(answer)
+            raise AnswerAbandonedError("out of memory for this answer")
         if self.total > bound or now - self._measured_at > MEASURE_INTERVAL_S:
             self._measured_at = now
             self._measure_all(now)
@@ -272,14 +275,18 @@
     def _make_room(self, current: HeldAnswer, bound: int, now: float) -> None:
         excess = self.total - bound
         for answer in choose_aborted(self._answers, excess=excess, now=now):
-            self._on_abort(answer)
-            answer.is_aborted, abort = True, answer.abort
-            self._drop(answer)
+            abort = answer.abort
+            self._abort(answer)
             if answer is not current:
                 abort()
         if current.is_aborted:
             raise AnswerAbandonedError("out of memory for answers")
 
+    def _abort(self, answer: HeldAnswer) -> None:
+        self._on_abort(answer)
+        answer.is_aborted = True
+        self._drop(answer)
+
     def _measure_all(self, now: float) -> None:
         for answer in list(self._answers):
             transport = answer.transport
--- a/tests/test_memory_bound.py
+++ b/tests/test_memory_bound.py
@@ -10,9 +10,13 @@
 import aiohttp
 import msgspec
 import pytest
+from aiohttp import web
 
+from arbutuspulley.node.server_relay import ServerRelay
+from arbutuspulley.platform import names
 from arbutuspulley.platform.memory_bound import (
     MIN_ABORTED_BYTES,
+    MIN_BOUND_BYTES,
     PROCESS_MB,
     STALL_S,
     AnswerKind,
@@ -25,14 +29,15 @@
     MAX_ALL_HELD_BYTES,
     AnswerAbandonedError,
     HeldBytes,
+    open_session,
 )
 from arbutuspulley.ports.answers import Framing
 from arbutuspulley.standins.fleet_server import ServerStandin
 from arbutuspulley.standins.scripted_answer import AnswerScript
 from scripts.measure_held_memory import BIG_EVENT, open_reader, read_resident_mb
-from scripts.platform_testbed import Fleet, build_configuration, build_route
+from scripts.platform_testbed import Fleet, build_configuration, build_route, listen
 from scripts.platform_testbed import send_request as ask
-from tests.node_states import build_state
+from tests.node_states import build_entry, build_state
 
 MEMORY_MB = 160
 
@@ -60,7 +65,7 @@
         (0, MAX_ALL_HELD_BYTES),
         (100_000, MAX_ALL_HELD_BYTES),
         (PROCESS_MB + 30, 10_000_000),
-        (PROCESS_MB - 30, 0),
+        (PROCESS_MB - 30, MIN_BOUND_BYTES),
     ],
 )
 def test_the_bound_leaves_room_for_the_process(memory_mb, expected):
@@ -145,16 +150,16 @@
     """Guards against a bound that only holds while other answers can be aborted."""
 
     async def run():
-        held = HeldBytes(get_memory_mb=lambda: PROCESS_MB + 3)
+        held = HeldBytes(get_memory_mb=lambda: PROCESS_MB)
         complete = [build_answer(AnswerKind.COMPLETE, 0) for _ in range(2)]
         growing = build_answer(AnswerKind.ONCE, 0)
         with held.reading(complete[0]), held.reading(complete[1]):
             for answer in complete:
-                held.update(answer, 300_000)
+                held.update(answer, 2_400_000)
             with pytest.raises(AnswerAbandonedError), held.reading(growing):
-                held.update(growing, 300_000)
-                held.update(growing, 450_000)
-            assert held.total == 600_000
+                held.update(growing, 2_400_000)
+                held.update(growing, 3_600_000)
+            assert held.total == 4_800_000
 
     asyncio.run(run())
 
@@ -224,17 +229,17 @@
         opened.append(await open_reader(front, path, attempt=attempt))
 
 
-async def read_all(opened):
+async def read_all(opened, *, size):
     """Read an answer with a length to its end."""
     loop, received = asyncio.get_running_loop(), bytearray()
     async with asyncio.timeout(10):
-        while b"\r\n\r\n" not in received or len(received) < len(BODY):
+        while b"\r\n\r\n" not in received or len(received) < size:
             part = await loop.sock_recv(opened, 1 << 20)
             if not part:
                 break
             received += part
         head, _, body = bytes(received).partition(b"\r\n\r\n")
-        while part and len(body) < len(BODY):
+        while part and len(body) < size:
             part = await loop.sock_recv(opened, 1 << 20)
             body += part
     assert head.startswith(b"HTTP/1.1 200")
@@ -310,7 +315,7 @@
             name = 'arbutus_attempts_total{how="failed"}'
             assert metrics.get(name, 0) == len(failed)
             for one in opened[:2]:
-                assert await read_all(one) == BODY
+                assert await read_all(one, size=len(BODY)) == BODY
             for one in opened:
                 one.close()
 
@@ -346,13 +351,41 @@
             ]
             assert {event["how"] for event in cut} == {"cut"}
             for one in opened[:2]:
-                assert await read_all(one) == BODY
+                assert await read_all(one, size=len(BODY)) == BODY
             for one in opened:
                 one.close()
 
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(("memory_mb", "counts"), [(MEMORY_MB, True), (0, False)])
+def test_answers_that_are_relayed_for_other_instances_count(memory_mb, counts):
+    """Guards against a helper of cut-off instances that runs out of memory."""
+
+    async def serve(_request):
+        return web.Response(body=BODY * 2)
+
+    async def scenario():
+        state = build_state(memory_mb=memory_mb)
+        relay = ServerRelay(state=state, link=None)
+        server, address = await listen(serve)
+        helper, front = await listen(relay.handle)
+        state.by_incarnation = {"e1": build_entry("e1", address=address)}
+        async with server, helper, open_session() as state.session:
+            opened = await open_reader(
+                front, "/x", attempt="a1", headers=(f"{names.RELAY_TO}: e1",)
+            )
+            await asyncio.sleep(0.5)
+            assert (state.held_bytes.total > MIN_ABORTED_BYTES) is counts
+            assert await read_all(opened, size=2 * len(BODY)) == BODY * 2
+            opened.close()
+            await asyncio.sleep(0.2)
+            assert state.in_flight == 0
+            assert state.held_bytes.total == 0
+
+    asyncio.run(scenario())
+
+
 def test_unsent_bytes_do_not_count_without_a_known_memory(tmp_path):
     """Guards against answers that are aborted or paused while the setting is off."""
 
@@ -365,7 +398,7 @@
             assert metrics["arbutus_held_bytes"] == 0
             assert metrics["arbutus_held_bytes_bound"] == MAX_ALL_HELD_BYTES
             for one in opened:
-                assert await read_all(one) == BODY
+                assert await read_all(one, size=len(BODY)) == BODY
                 one.close()
             assert not list_events(fleet, "answer_aborted")
             assert not list_events(fleet, "answer_paused")
