--- a/scripts/platform_testbed.py
+++ b/scripts/platform_testbed.py
@@ -144,6 +144,8 @@
         lease_ms: int = 1_500,
         program: Path = NODE_PROGRAM,
         environment: dict[str, str] | None = None,
+        limits: dict[str, float] | None = None,
+        metrics_port: int = 0,
         **bounds: Any,
     ) -> None:
         """Start a node.
@@ -153,6 +155,8 @@
         :param lease_ms: duration of the coordinator's lease, in ms.
         :param program: program that runs the node.
         :param environment: additional environment variables.
+        :param limits: limits of its instance, as in the settings file.
+        :param metrics_port: port of its metrics; 0: none.
         :param bounds: additional bounds of the platform.
         """
         ports = [self._reserve_port() for _ in range(4)]
@@ -170,6 +174,7 @@
                 "RequireFencing": True,
                 **bounds,
             },
+            "Limits": limits or {},
             "Platform": {"Address": store or self.store_address},
         }
         path = self.folder / f"{name}.yaml"
@@ -180,7 +185,7 @@
                 sys.executable,
                 str(program),
                 "--metrics-port",
-                "0",
+                str(metrics_port),
                 env={
                     **os.environ,
                     "ARBUTUSPULLEY_BOOT": str(path),
