Begin second attempts of silent plain requests

A few slow answers decide the high percentiles that callers see. A request that may be repeated now gets a second attempt at another plain server once its first one has been silent for longer than the running 95th percentile of its route's time to first byte. Both attempts are accounted for separately; the first usable answer is taken as it is, and the other connection is closed at once. Second attempts are charged to a budget of their own, by the mechanism of the retry budget, and to the retry budget. With a ratio of 0 nothing of it runs.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -1,6 +1,7 @@
 """Selection of a server for a request, with or without a coordinator, and charging."""
 
 import asyncio
+from collections.abc import Callable
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
@@ -135,7 +136,7 @@
 
         :raises RequestFailedError: if the team's quota is used up.
         """
-        if not self._needs_coordinator():
+        if not self.needs_coordinator:
             self._charge_once()
 
     def refund(self) -> None:
@@ -155,7 +156,7 @@
         """
         need = self._request.need
         self._check_version()
-        if need is not None and self._needs_coordinator():
+        if need is not None and self.needs_coordinator:
             entry = await self._wait_for_grant(need)
         else:
             entry = await self._choice.choose_plain()
@@ -169,6 +170,15 @@
         self._recheck_access(entry)
         return entry
 
+    def choose_second(
+        self, is_eligible: Callable[[ServerEntry], bool]
+    ) -> ServerEntry | None:
+        """Return a plain server for a second attempt; ``None``: there is none now.
+
+        :param is_eligible: whether a second attempt may begin at a server.
+        """
+        return self._choice.choose(is_plain=True, is_eligible=is_eligible)
+
     def _check_version(self) -> None:
         """Check that a server is left at which the request may go on."""
         if is_version_gone(self._state, self._progress):
@@ -195,7 +205,9 @@
             )
         )
 
-    def _needs_coordinator(self) -> bool:
+    @property
+    def needs_coordinator(self) -> bool:
+        """Whether servers of the request's service are granted by a coordinator."""
         return self._request.need is not None and self._choice.has_models()
 
     def _charge_once(self) -> None:
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -12,6 +12,7 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
+from arbutuspulley.node.hedges import Hedge, Hedges, OvertakenError, SecondAttempt
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.poison import PoisonGuard
@@ -74,6 +75,7 @@
 
     :param access: admission by the caller's key.
     :param charger: charges the request to its team's quota.
+    :param hedges: budgets of second attempts.
     :param limits: rate limits of the servers, updated from their answers.
     :param retries: retry budgets of the services.
     :param paths: sends the request to servers.
@@ -83,6 +85,8 @@
     __slots__ = (
         "_access",
         "_acquisition",
+        "_hedge",
+        "_hedges",
         "_limits",
         "_link",
         "_paths",
@@ -104,6 +108,7 @@
         poison: PoisonGuard,
         access: Access,
         charger: QuotaCharger,
+        hedges: Hedges,
         limits: LimitGuard,
         retries: Retries,
         paths: ServerPaths,
@@ -113,6 +118,7 @@
         started_at: int,
     ) -> None:
         self._state = state
+        self._hedges = hedges
         self._limits = limits
         self._link = link
         self._poison = poison
@@ -146,6 +152,19 @@
             progress=self.progress,
             remaining_ms=remaining_ms - ANSWER_MARGIN_MS,
         )
+        self._hedge = Hedge(
+            hedges=hedges,
+            state=state,
+            acquisition=self._acquisition,
+            limits=limits,
+            paths=paths,
+            poison=poison,
+            retries=retries,
+            route=route,
+            request=request,
+            progress=self.progress,
+            build_headers=self._build_headers,
+        )
 
     async def run(self) -> web.StreamResponse:
         """Return the answer to the caller.
@@ -161,6 +180,7 @@
         resume_stream(self._state, self._request, self.route, progress)
         now = self._state.clock.now()
         self._retries.record_request(progress.service)
+        self._hedges.record_request(progress.service)
         try:
             self._acquisition.charge_plain()
             async with asyncio.timeout((progress.ends_at - now) / SECOND_MS):
@@ -175,6 +195,7 @@
                 self.progress, has_begun=self._stream.has_begun
             ) from None
         finally:
+            self._hedge.close()
             self._acquisition.refund()
             self._limits.record_end(self._request.attempt_id, AttemptOutcome.UNUSED)
             self._retry.refund()
@@ -193,6 +214,9 @@
         ).inc()
 
     async def _attempt(self) -> web.StreamResponse:
+        second = self._hedge.take()
+        if second is not None:
+            return await self._send(second.entry, second)
         try:
             entry = await self._acquisition.get_server()
         except NoServerError as error:
@@ -229,32 +253,48 @@
             refusal.reason, retry_after_ms=refusal.retry_after_ms
         )
 
-    async def _send(self, entry: ServerEntry) -> web.StreamResponse:
+    async def _send(
+        self, entry: ServerEntry, second: SecondAttempt | None = None
+    ) -> web.StreamResponse:
+        """Send the request to a server and return its answer to the caller.
+
+        :param second: the second attempt at the server, which was sent already.
+        """
         state, progress = self._state, self.progress
         progress.server = entry.incarnation
         progress.server_version = entry.software_version
-        now = state.clock.now()
+        now = state.clock.now() if second is None else second.sent_at
         stats = state.server_stats
-        record_sent(stats, entry)
-        # Counted before the first byte may be sent: the time may run out, or the caller
-        # may disconnect, before anything is received.
-        progress.may_have_run += 1
         progress.sent_at = now
         progress.events = 0
         progress.begun_at = None
         progress.is_established = False
         progress.framing = progress.answer_end = None
-        progress.helper = ""
-        self._paths.record_begun(entry)
+        progress.helper = "" if second is None else second.helper
+        if second is None:
+            record_sent(stats, entry)
+            # Counted before the first byte may be sent: the time may run out, or the
+            # caller may disconnect, before anything is received.
+            progress.may_have_run += 1
+            self._paths.record_begun(entry)
         if state.limits.get(entry.incarnation) is not None:
             state.metrics.limited_attempts.inc()
         if get_exclusion(state, entry.incarnation):
             state.metrics.excluded_attempts.inc()
-        known_crashes = self._poison.begin_attempt(self._request)
+        if second is None:
+            known_crashes = self._poison.begin_attempt(self._request)
+        else:
+            known_crashes = second.known_crashes
         outcome = AttemptOutcome.FAILED
         took_ms: int | None = None
         try:
-            response = await self._send_request(entry)
+            if second is None:
+                response = await self._hedge.send_first(
+                    functools.partial(self._send_request, entry), known_crashes
+                )
+            else:
+                response = await self._hedge.receive(second)
+                progress.helper = second.helper
             self._record_heard(entry)
             progress.framing = read_framing(response)
             try:
@@ -294,6 +334,10 @@
                 begun_at=progress.begun_at,
             )
             raise self._handle_broken(entry, str(error)) from None
+        except OvertakenError:
+            outcome = AttemptOutcome.LEFT
+            progress.answer_end = AnswerEnd.CLOSED_LOCALLY
+            raise
         except asyncio.CancelledError:
             # The caller disconnected or the time is up; neither is the server's fault.
             outcome = AttemptOutcome.LEFT
@@ -455,6 +499,8 @@
         if self._request.need is None:
             progress.avoid.add(entry.incarnation)
             record_refused(self._state.server_stats, entry, now=self._state.clock.now())
+        if self._hedge.is_in_flight:
+            return RetryError()
         if progress.refused <= MAX_REFUSALS and self._retry.try_charge(
             self.progress.service
         ):
@@ -468,7 +514,7 @@
         progress.unreached += 1
         progress.avoid.add(entry.incarnation)
         self._log_failure("out of reach", tries=progress.unreached)
-        if progress.unreached <= MAX_UNREACHABLE:
+        if progress.unreached <= MAX_UNREACHABLE or self._hedge.is_in_flight:
             return RetryError()
         return self._build_failure("servers out of reach")
 
@@ -496,6 +542,8 @@
         """Return whether a request that may have run may be sent again."""
         if self.route.retry_policy is RetryPolicy.ONCE:
             return False
+        if self._hedge.is_in_flight:
+            return True
         if self._stream.has_begun and not self._stream.can_resume:
             return False
         return self._is_within_retry_limits()
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -10,6 +10,7 @@
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.answer_writer import abort_answer
 from arbutuspulley.node.exchange import Exchange
+from arbutuspulley.node.hedges import Hedges
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.poison import PoisonGuard
@@ -48,6 +49,7 @@
 
     __slots__ = (
         "_charger",
+        "_hedges",
         "_limits",
         "_link",
         "_paths",
@@ -60,6 +62,7 @@
         self, *, state: NodeState, link: Link, poison: PoisonGuard, paths: ServerPaths
     ) -> None:
         self._charger = QuotaCharger(state=state, link=link)
+        self._hedges = Hedges(state=state)
         self._limits = LimitGuard(state=state, link=link)
         self._state = state
         self._link = link
@@ -142,6 +145,7 @@
             poison=self._poison,
             access=access,
             charger=self._charger,
+            hedges=self._hedges,
             limits=self._limits,
             retries=self._retries,
             paths=self._paths,
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -31,6 +31,7 @@
         "configurations",
         "cooldowns",
         "excluded_attempts",
+        "first_byte",
         "first_part",
         "grant_wait",
         "in_flight",
@@ -50,6 +51,7 @@
         "resumed_streams",
         "retries",
         "retry_budget",
+        "second_attempts",
         "store_calls",
         "store_era",
         "unreachable_servers",
@@ -103,6 +105,21 @@
             ["service", "what"],
             registry=registry,
         )
+        self.second_attempts = Counter(
+            "arbutus_second_attempts",
+            "Second attempts beside a silent first one: begun, won, lost, or withheld"
+            " and why",
+            ["service", "how", "why"],
+            registry=registry,
+        )
+        self.first_byte = Histogram(
+            "arbutus_first_byte_seconds",
+            "Until a first attempt answers or is overtaken, by whether a second one was"
+            " begun and won",
+            ["second"],
+            registry=registry,
+            buckets=_SECONDS,
+        )
         self.limited_attempts = Counter(
             "arbutus_limited_attempts",
             "Tries at servers that name a rate limit",
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -103,6 +103,15 @@
             return 0
         return count_crashes(self._records.find(_get_fingerprint(request)))
 
+    def is_suspect(self, request: InboundRequest) -> bool:
+        """Return whether a request, or a part of its prompt, was at a known crash."""
+        if not self._has_suspects():
+            return False
+        return bool(
+            self.count_crashes(request)
+            or any(self._parts.count_crashes(request.shared_parts))
+        )
+
     def get_refusal(self, request: InboundRequest) -> PoisonRefusal | None:
         """Return why a request is not to be sent now; ``None``: it may be sent."""
         if not self._has_suspects():
--- a/src/arbutuspulley/node/server_choice.py
+++ b/src/arbutuspulley/node/server_choice.py
@@ -1,6 +1,7 @@
 """Choice of a server for a request from the local state of this instance."""
 
 import asyncio
+from collections.abc import Callable
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.node.limits import LimitGuard
@@ -98,10 +99,16 @@
             return None
         return configuration.services.get(self._progress.service)
 
-    def choose(self, *, is_plain: bool) -> ServerEntry | None:
+    def choose(
+        self,
+        *,
+        is_plain: bool,
+        is_eligible: Callable[[ServerEntry], bool] | None = None,
+    ) -> ServerEntry | None:
         """Return the best server; ``None``: no server is eligible.
 
         :param is_plain: whether the service runs no models.
+        :param is_eligible: further condition that the server has to meet.
         """
         avoid = self._progress.avoid | self._progress.avoid_uncoordinated
         avoid |= list_excluded(self._state)
@@ -109,7 +116,9 @@
         connections = service.max_connections if service else 0
         return choose_server(
             self._state.server_stats,
-            self._list_allowed(),
+            filter(is_eligible, self._list_allowed())
+            if is_eligible is not None
+            else self._list_allowed(),
             zone=self._state.settings.site,
             need=None if is_plain else self._request.need,
             avoid=frozenset(avoid),
--- a/src/arbutuspulley/routing/local_choice.py
+++ b/src/arbutuspulley/routing/local_choice.py
@@ -193,6 +193,20 @@
         server.failures = server.refusals = 0
 
 
+def record_overtaken(
+    stats: LocalServerStats, entry: ServerEntry, *, silent_ms: int
+) -> None:
+    """Record that a server was silent until another one had answered the request.
+
+    Its answer would have taken longer than that, but how long is not known. Without
+    this, a slow server whose answers are never awaited would look as fast as before.
+
+    :param silent_ms: time since the request was sent to it.
+    """
+    server = get_stats(stats, entry)
+    server.duration_ms += EWMA_WEIGHT * max(0.0, silent_ms - server.duration_ms)
+
+
 def adjust_concurrency_limit(
     stats: LocalServerStats, entry: ServerEntry, *, latency_target_ms: int, now: int
 ) -> None:
--- a/tests/lone_exchanges.py
+++ b/tests/lone_exchanges.py
@@ -8,6 +8,7 @@
 from arbutuspulley.node import server_paths as paths_module
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.exchange import Exchange
+from arbutuspulley.node.hedges import Hedges
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import CoordinatorStatus
@@ -135,6 +136,7 @@
         poison=node.poison,
         access=Access(state=state, route=route, request=request),
         charger=QuotaCharger(state=state, link=node.link),
+        hedges=Hedges(state=state),
         limits=LimitGuard(state=state, link=node.link),
         retries=node.retries,
         paths=ServerPaths(state=state, on_change=lambda: None),
