Begin second attempts of silent streams at model servers

Streams at model servers need a grant. A grant request for a second attempt is granted or refused at once: never while a request of the pool waits, never where its prompt can't start now, and under a key of its own, so that the end or the withdrawal of one attempt leaves the other's slot alone. It is neither charged to the team nor counted as demand. Older coordinators, which would queue it, are not asked. The first byte of a stream is that of its body, since servers may send the headers long before the first event.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
@@ -48,6 +50,10 @@
 VERSION_POLL_MS = 50
 """Interval at which such a request is repeated, in ms."""
 
+SECOND_KEY_SUFFIX = "\n2"
+"""What is appended to the attempt id for the key of a second attempt's grant. A header
+has no line end, so no caller's id ends in it."""
+
 
 class RetryError(Exception):
     """The request is retried at another server."""
@@ -179,6 +185,39 @@
         """
         return self._choice.choose(is_plain=True, is_eligible=is_eligible)
 
+    @property
+    def can_ask_second(self) -> bool:
+        """Whether the coordinator grants or refuses second attempts at once."""
+        status = self._link.status
+        return self._link.is_up and status is not None and status.grants_second
+
+    async def request_second(self) -> ServerEntry | None:
+        """Return a model server for a second attempt; ``None``: there is none now.
+
+        The end of the attempt must be reported, whether it is sent or not.
+        """
+        need = self._request.need
+        if need is None:
+            return None
+        now = self._state.clock.now()
+        asked = msgspec.structs.replace(
+            self._build_grant_request(need, now),
+            key=self.get_key(is_second=True),
+            avoid=(*self._progress.avoid, self._progress.server),
+            is_repeat=True,
+            cost=0,
+            is_second=True,
+        )
+        try:
+            granted = await self._link.request_grant(asked)
+        except (LinkLostError, RefusedError):
+            return None
+        if self._get_exclusion(granted.incarnation):
+            outcome = AttemptOutcome.UNUSED
+            self.report_end(granted.incarnation, outcome, is_second=True)
+            return None
+        return self._state.by_incarnation[granted.incarnation]
+
     def _check_version(self) -> None:
         """Check that a server is left at which the request may go on."""
         if is_version_gone(self._state, self._progress):
@@ -191,14 +230,25 @@
         """
         return self._choice.get_retry_after()
 
-    def report_end(self, incarnation: str, outcome: AttemptOutcome) -> None:
-        """Report the outcome of an attempt to the coordinator."""
+    def get_key(self, *, is_second: bool) -> str:
+        """Return the key by which the coordinator knows an attempt."""
+        suffix = SECOND_KEY_SUFFIX if is_second else ""
+        return self._request.attempt_id + suffix
+
+    def report_end(
+        self, incarnation: str, outcome: AttemptOutcome, *, is_second: bool = False
+    ) -> None:
+        """Report the outcome of an attempt to the coordinator.
+
+        :param is_second: whether it began beside one that was silent.
+        """
         if self._request.need is None:
             return
-        self._link.runs.remove(self._request.attempt_id)
+        key = self.get_key(is_second=is_second)
+        self._link.runs.remove(key)
         self._link.send(
             AttemptEnded(
-                key=self._request.attempt_id,
+                key=key,
                 incarnation=incarnation,
                 how=outcome,
                 events=self._progress.events,
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -82,7 +82,13 @@
     list_demand,
     record_demand,
 )
-from arbutuspulley.pool.grants import Grant, Refusal, find_next_wakeup, plan_grants
+from arbutuspulley.pool.grants import (
+    Grant,
+    Refusal,
+    find_next_wakeup,
+    grant_at_once,
+    plan_grants,
+)
 from arbutuspulley.pool.load_rate import inherit_loads, list_recent_loads
 from arbutuspulley.pool.orders import plan_orders
 from arbutuspulley.pool.state import (
@@ -91,7 +97,7 @@
     list_prefill_speeds,
     update_servers,
 )
-from arbutuspulley.ports.fleet import EngineSpec, OrderAnswer
+from arbutuspulley.ports.fleet import EngineSpec, OrderAnswer, SoftwareVersion
 
 LOG_INTERVAL_MS = 1_000
 """Interval between log lines on the demand for a pool's models, in ms."""
@@ -399,6 +405,9 @@
         if isinstance(version, Refused):
             self._peers.send(origin, version)
             return
+        if request.is_second:
+            self._answer_second(origin, request, version=version, now=now)
+            return
         # If the request is refused for another reason from here on, the instance
         # refunds the cost.
         refusal = self._quotas.charge(request, now=now)
@@ -421,6 +430,28 @@
             origin, request, version=version, now=now
         )
 
+    def _answer_second(
+        self,
+        origin: str,
+        request: GrantRequest,
+        *,
+        version: SoftwareVersion | None,
+        now: int,
+    ) -> None:
+        """Grant a server for a second attempt at once, or refuse it.
+
+        It is neither charged nor counted as demand, as the first attempt was.
+        """
+        state, pool = self._state, self._pools.get(request.service)
+        limited = state.limits.list_limits() | state.brittle.list_limits()
+        waiting = build_waiting_request(origin, request, version=version, now=now)
+        waiting.avoid = (*waiting.avoid, *limited)
+        grant = None if pool is None else grant_at_once(pool, waiting, now=now)
+        if pool is None or grant is None:
+            self._peers.send(origin, Refused(key=request.key, retry_after_ms=0))
+        else:
+            self._send_decision(pool, grant)
+
     def _run_planning_cycle(self) -> None:
         self._is_planning_scheduled = False
         if not self.is_active:
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import aiohttp
+import msgspec
 from aiohttp import web
 
 from arbutuspulley.clock import SECOND_MS
@@ -271,6 +272,7 @@
         progress.is_established = False
         progress.framing = progress.answer_end = None
         progress.helper = "" if second is None else second.helper
+        progress.is_second = second is not None
         if second is None:
             record_sent(stats, entry)
             # Counted before the first byte may be sent: the time may run out, or the
@@ -295,7 +297,6 @@
             else:
                 response = await self._hedge.receive(second)
                 progress.helper = second.helper
-            self._record_heard(entry)
             progress.framing = read_framing(response)
             try:
                 answer = await self._handle_answer(entry, response)
@@ -358,7 +359,9 @@
             state.metrics.attempts.labels(outcome.value).inc()
             if progress.answer_end is not None:
                 self._count_answer()
-            self._acquisition.report_end(entry.incarnation, outcome)
+            self._acquisition.report_end(
+                entry.incarnation, outcome, is_second=second is not None
+            )
             self._limits.record_end(self._request.attempt_id, outcome)
 
     async def _send_request(self, entry: ServerEntry) -> aiohttp.ClientResponse:
@@ -368,12 +371,14 @@
         """
         is_sent = True
         try:
-            return await self._paths.send(
+            response = await self._paths.send(
                 self._request,
                 entry,
                 build_headers=functools.partial(self._build_headers, entry),
                 on_helper=self._record_helper,
             )
+            self._record_heard(entry)
+            return response
         except NotSentError:
             is_sent = False
             raise
@@ -418,7 +423,8 @@
         self._limits.update_from_answer(entry, response.headers, sent_at=sent_at)
         self._poison.record_answer(entry.incarnation, sent_at=sent_at)
         if self._is_streamed(response):
-            return await self._stream.relay(response)
+            first = self._hedge.take_first_part(response)
+            return await self._stream.relay(response, first=first)
         return await self._relay_body(response)
 
     def _is_streamed(self, response: aiohttp.ClientResponse) -> bool:
@@ -471,6 +477,9 @@
                 progress,
                 took_ms=now - progress.sent_at,
             )
+            if progress.is_second:
+                run = self._acquisition.get_key(is_second=True)
+                started = msgspec.structs.replace(started, run=run)
             self._link.send(started)
         progress.events = events
         progress.last_event_at = now
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -194,6 +194,7 @@
             model=f"{need.model}/{need.adapter}" if need else "",
             server=progress.server if progress else "",
             helper=progress.helper if progress else "",
+            is_second=progress.is_second if progress else False,
             waited_ms=progress.waited_ms if progress else 0,
             first_ms=progress.first_ms if progress else None,
             longest_pause_ms=progress.longest_gap_ms if progress else 0,
--- a/src/arbutuspulley/node/hedges.py
+++ b/src/arbutuspulley/node/hedges.py
@@ -42,12 +42,18 @@
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.requests import (
     is_answer_to,
+    is_event_stream,
     is_misdirected,
     is_not_run,
     is_server_error,
 )
-from arbutuspulley.platform.transport import BrokenError, NotSentError
-from arbutuspulley.ports.answers import AnswerEnd
+from arbutuspulley.platform.transport import (
+    BrokenError,
+    NotSentError,
+    read_framing,
+    read_part,
+)
+from arbutuspulley.ports.answers import AnswerEnd, Framing
 from arbutuspulley.ports.fleet import (
     AttemptOutcome,
     InboundRequest,
@@ -146,8 +152,10 @@
 
     __slots__ = (
         "_acquisition",
+        "_asking",
         "_build_headers",
         "_first_at",
+        "_first_parts",
         "_has_started",
         "_hedges",
         "_is_considered",
@@ -192,6 +200,9 @@
         self._has_started = False
         self._is_considered = False
         self._first_at = 0
+        # What has been read of streams that nobody has taken over.
+        self._first_parts: dict[Response, bytes] = {}
+        self._asking: asyncio.Task[ServerEntry | None] | None = None
         # The first attempt while it is silent and a second one may interrupt it.
         self._scope: asyncio.Timeout | None = None
         self._second: SecondAttempt | None = None
@@ -217,7 +228,7 @@
         self._first_at = self._state.clock.now()
         delay_ms = self._get_delay()
         if delay_ms is None:
-            response = await send()
+            response = await self._receive_first(send)
         else:
             response = await self._send_watched(send, known, delay_ms)
         self._record_first_byte("lost" if self._has_started else "none")
@@ -257,6 +268,8 @@
     def close(self) -> None:
         """End the second attempt, if one goes on; its connection is closed."""
         self._close(is_judged=False)
+        for response in list(self._first_parts):
+            self.take_first_part(response)
 
     def _close(self, *, is_judged: bool) -> None:
         """End the second attempt.
@@ -268,9 +281,14 @@
         if second is None or second.task is None:
             return
         if not second.task.cancel():
-            _close_answer(second.task)
+            self._close_answer(second.task)
         self._end_lost(second, AttemptOutcome.LEFT, is_judged=is_judged)
 
+    def _close_answer(self, task: asyncio.Task[Response]) -> None:
+        if not task.cancelled() and task.exception() is None:
+            self.take_first_part(task.result())
+            task.result().close()
+
     async def _send_watched(
         self,
         send: Callable[[], Awaitable[Response]],
@@ -284,16 +302,23 @@
                 self._scope = scope
                 timer = loop.call_later(delay_ms / SECOND_MS, self._begin, known)
                 try:
-                    return await send()
+                    return await self._receive_first(send)
                 finally:
                     timer.cancel()
                     self._scope = None
+                    if self._asking is not None:
+                        self._asking.cancel()
         except TimeoutError:
             if not scope.expired():
                 raise
             self._record_overtaken()
             raise OvertakenError from None
 
+    async def _receive_first(self, send: Callable[[], Awaitable[Response]]) -> Response:
+        response = await send()
+        await self._read_first_part(response)
+        return response
+
     def _record_overtaken(self) -> None:
         """Record that the first attempt was silent until the second one answered."""
         self._record_first_byte("won")
@@ -309,7 +334,10 @@
         """Return after which silence a second attempt begins; ``None``: none may."""
         if self._is_considered or self._progress.first_ms is not None:
             return None
-        if not may_hedge(self._route) or self._acquisition.needs_coordinator:
+        if not may_hedge(self._route):
+            return None
+        acquisition = self._acquisition
+        if acquisition.needs_coordinator and not acquisition.can_ask_second:
             return None
         return self._hedges.get_delay(self._route.name)
 
@@ -318,10 +346,14 @@
         if self._scope is None:
             return
         self._is_considered = True
-        entry = self._acquisition.choose_second(self._is_eligible)
-        why = find_reason(self._describe(known, has_server=entry is not None))
-        if why is not None or entry is None:
-            self._withhold(why or Withheld.NO_SERVER)
+        needs_grant = self._acquisition.needs_coordinator
+        entry: ServerEntry | None = None
+        if not needs_grant:
+            entry = self._acquisition.choose_second(self._is_eligible)
+        has_server = needs_grant or entry is not None
+        why = find_reason(self._describe(known, has_server=has_server))
+        if why is not None:
+            self._withhold(why)
             return
         budget = self._hedges.get_budget(self._progress.service)
         charge = hedge_budget.try_charge(budget, now=self._state.clock.now())
@@ -333,7 +365,36 @@
             hedge_budget.refund(budget, charge)
             self._withhold(Withheld.RETRY_BUDGET)
             return
-        self._start(entry, charge, retry)
+        if entry is not None:
+            self._start(entry, charge, retry)
+            return
+        loop = asyncio.get_running_loop()
+        self._asking = loop.create_task(self._acquisition.request_second())
+        self._asking.add_done_callback(
+            functools.partial(self._handle_grant, charge, retry)
+        )
+
+    def _handle_grant(
+        self,
+        charge: RetryCharge,
+        retry: PendingRetry,
+        task: asyncio.Task[ServerEntry | None],
+    ) -> None:
+        """Begin the second attempt at a granted server, if it is still wanted."""
+        self._asking = None
+        entry = None if task.cancelled() else task.result()
+        is_wanted = self._scope is not None
+        if entry is not None and is_wanted and self._can_reach(entry):
+            self._start(entry, charge, retry)
+            return
+        if entry is not None:
+            outcome = AttemptOutcome.UNUSED
+            self._acquisition.report_end(entry.incarnation, outcome, is_second=True)
+        retry.refund()
+        budget = self._hedges.get_budget(self._progress.service)
+        hedge_budget.refund(budget, charge)
+        if is_wanted:
+            self._withhold(Withheld.NO_SERVER)
 
     def _describe(self, known: KnownCrashes, *, has_server: bool) -> Situation:
         state, progress, route = self._state, self._progress, self._route
@@ -368,23 +429,27 @@
         them: those of other instances are not known here.
         """
         state, incarnation = self._state, entry.incarnation
-        now = state.clock.now()
         if incarnation == self._progress.server:
             return False
         if state.limits.get(incarnation) is not None:
             return False
         if state.brittle.get(incarnation) is not None:
             return False
-        reach = state.server_reach
-        if not is_reachable(reach, entry.address) or entry.address in (
-            reach.unreachable_since
-        ):
-            return False
-        if is_down(reach, entry.address, now=now):
+        if not self._can_reach(entry):
             return False
         stats = get_stats(state.server_stats, entry)
+        if stats.backoff_until > state.clock.now():
+            return False
         slots = get_instance_share(entry.slots, share_divisor=state.share_divisor)
-        return stats.backoff_until <= now and stats.in_flight < max(1.0, slots)
+        return stats.in_flight < max(1.0, slots)
+
+    def _can_reach(self, entry: ServerEntry) -> bool:
+        """Return whether this instance connects to a server itself."""
+        reach, address = self._state.server_reach, entry.address
+        if address in reach.unreachable_since:
+            return False
+        now = self._state.clock.now()
+        return is_reachable(reach, address) and not is_down(reach, address, now=now)
 
     def _start(
         self, entry: ServerEntry, charge: RetryCharge, retry: PendingRetry
@@ -425,8 +490,34 @@
         )
         if not second.helper:
             self._paths.record_heard(second.entry)
+        await self._read_first_part(response)
         return response
 
+    async def _read_first_part(self, response: Response) -> None:
+        """Wait for the first part of a stream.
+
+        A server may send the headers of a stream as soon as it has the request, long
+        before its first event, so they don't show that its answer has begun.
+        """
+        if not self._route.is_stream or not _is_usable(self._request, response):
+            return
+        is_event_answer = response.status < 300 and is_event_stream(response.headers)
+        if not is_event_answer or read_framing(response) is Framing.NONE:
+            return
+        try:
+            part = self._first_parts[response] = await read_part(response)
+            self._state.held_bytes.change(before=0, now=len(part))
+        except BaseException:
+            self.take_first_part(response)
+            response.close()
+            raise
+
+    def take_first_part(self, response: Response) -> bytes:
+        """Return what has been read of a stream, which its reader takes over."""
+        part = self._first_parts.pop(response, b"")
+        self._state.held_bytes.change(before=len(part), now=0)
+        return part
+
     def _handle_done(self, second: SecondAttempt, task: asyncio.Task[Response]) -> None:
         """Handle the end of a second attempt's silence."""
         if second is not self._second:
@@ -519,6 +610,7 @@
             failed=outcome is AttemptOutcome.FAILED,
         )
         self._state.metrics.attempts.labels(outcome.value).inc()
+        self._acquisition.report_end(second.entry.incarnation, outcome, is_second=True)
         self._settle(second, has_run=has_run)
         self._record_result(second, has_won=False, is_judged=is_judged)
 
@@ -589,8 +681,3 @@
     if is_server_error(response.status):
         return False
     return is_answer_to(request, response.headers)
-
-
-def _close_answer(task: asyncio.Task[Response]) -> None:
-    if not task.cancelled() and task.exception() is None:
-        task.result().close()
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -206,6 +206,9 @@
     :param version: software version that the server must have; ``None``: not known.
     :param resumed_stream: key of the stream that the request resumes; ``None``: it
         begins one.
+    :param is_second: whether it is for a second attempt beside one that is running. It
+        is granted or refused at once, and never waits. An older coordinator would let
+        it wait; see ``grants_second`` of :class:`CoordinatorStatus`.
     """
 
     key: str
@@ -222,6 +225,7 @@
     cost: int = 0
     version: str | None = None
     resumed_stream: int | None = None
+    is_second: bool = False
 
 
 class PermissionRequest(Message, frozen=True, tag="permission"):
@@ -242,6 +246,7 @@
     :param version: software version that began the stream.
     :param retention_ms: for how long the stream may be resumed, in ms; 0: not at all.
     :param stream: key of the stream if the request resumes it; 0: it begins one.
+    :param run: key of the grant request if it is another one; empty: ``key``.
     """
 
     key: str
@@ -251,6 +256,7 @@
     version: str = ""
     retention_ms: int = 0
     stream: int = 0
+    run: str = ""
 
 
 class AttemptEnded(Message, frozen=True, tag="ended"):
@@ -333,6 +339,8 @@
     :param number: sequence number of the status on this connection, from 1.
     :param fresh_beat: number of a heartbeat from the receiver. When it was sent, no
         configuration newer than ``configuration`` existed; 0: not known of any.
+    :param grants_second: whether the coordinator understands grant requests for second
+        attempts.
     """
 
     is_holder: bool
@@ -346,6 +354,7 @@
     number: int = 0
     fresh_beat: int = 0
     store_era: int = 0
+    grants_second: bool = False
 
     @property
     def store_position(self) -> StorePosition:
--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -264,6 +264,7 @@
             store_version=position.version,
             store_era=position.era,
             configuration=self._state.configuration_version,
+            grants_second=True,
         )
         self._receive_local([status])
         for peer in self._by_name.values():
--- a/src/arbutuspulley/node/pool_updates.py
+++ b/src/arbutuspulley/node/pool_updates.py
@@ -115,7 +115,9 @@
         if _has_answered(message):
             record_heard(pool, incarnation, origin=origin, now=now)
         if isinstance(message, ResponseStarted):
-            record_first_event(pool, key, incarnation, took_ms=message.took_ms, now=now)
+            record_first_event(
+                pool, message.run or key, incarnation, took_ms=message.took_ms, now=now
+            )
         elif message.how is AttemptOutcome.NOT_RUN:
             record_not_run(pool, key, incarnation, now=now)
         elif message.how is AttemptOutcome.UNREACHED:
--- a/src/arbutuspulley/node/progress.py
+++ b/src/arbutuspulley/node/progress.py
@@ -64,6 +64,7 @@
     :param resumed_stream: key of the stream that the caller resumes; ``None``: none.
     :param is_version_unknown: whether the caller resumes a stream whose version is not
         known, so that no server may go on.
+    :param is_second: whether that attempt began beside one that was silent.
     :param helper: link address of the instance that sends it for this one; empty: none.
     :param sent_at: when the request was sent to that server, in ms.
     :param events: number of events of the stream that the last server sent.
@@ -91,6 +92,7 @@
     version_source: str = ""
     resumed_stream: int | None = None
     is_version_unknown: bool = False
+    is_second: bool = False
     helper: str = ""
     sent_at: int = 0
     waited_ms: int = 0
--- a/src/arbutuspulley/node/stream_relay.py
+++ b/src/arbutuspulley/node/stream_relay.py
@@ -70,20 +70,26 @@
         """Whether another server can continue, or begin, the stream."""
         return can_resume(self._buffer)
 
-    async def relay(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
+    async def relay(
+        self, response: aiohttp.ClientResponse, *, first: bytes = b""
+    ) -> web.StreamResponse:
         """Forward a server's stream to its end.
 
+        :param first: what has been read of it already.
         :raises BrokenError: if the server broke it off, or an event is too large.
         """
         try:
-            return await self._relay(response)
+            return await self._relay(response, first)
         finally:
             self._hold(0)
 
-    async def _relay(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
+    async def _relay(
+        self, response: aiohttp.ClientResponse, first: bytes
+    ) -> web.StreamResponse:
         buffer, progress = self._buffer, self._progress
         start_run(buffer, is_resumed=self.has_begun)
-        while part := await read_part(response):
+        while part := first or await read_part(response):
+            first = b""
             complete = take_complete_events(buffer, part)
             self._hold(len(buffer.pending))
             if not complete:
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -194,6 +194,25 @@
     return decisions
 
 
+def grant_at_once(
+    pool: PoolState, waiting: WaitingRequest, *, now: int
+) -> Grant | None:
+    """Grant a server for a second attempt if it may start now; it never waits.
+
+    While any request of the pool waits, none is granted: it might need the same server,
+    or the memory of a model that a second attempt would keep in use.
+
+    :param waiting: the second attempt, which is not among the pool's waiting requests.
+    """
+    if pool.waiting:
+        return None
+    for server in pool.servers.values():
+        complete_due_loads(server, now=now)
+    # A late request might start ahead of the prefill rate.
+    waiting.late_at = now + 1
+    return _try_grant(pool, waiting, index_copies(pool, now=now), {}, {})
+
+
 def _get_queue(waiting: WaitingRequest) -> _Queue:
     return _Queue(model=waiting.need.model, version=waiting.version)
 
--- a/tests/hedged_exchanges.py
+++ b/tests/hedged_exchanges.py
@@ -6,6 +6,7 @@
 from multidict import CIMultiDict
 
 from arbutuspulley.node import server_paths as paths_module
+from arbutuspulley.node import stream_relay as relay_module
 from arbutuspulley.platform import names
 from arbutuspulley.ports.fleet import RetryPolicy
 from tests.lone_exchanges import ROUTE, SERVICE, LoneNode, build_exchange
@@ -132,3 +133,52 @@
     assert not exchange._hedges.get_budget(SERVICE).budget.in_flight
     assert not node.retries._services[SERVICE].budget.in_flight
     assert not node.state.held_bytes.total
+
+
+class FakeStream(FakeResponse):
+    """A stream whose headers arrive at once and whose first event arrives later."""
+
+    def __init__(self, server, *, first_s=0.0, events=(b"1", b"2"), **changes):
+        super().__init__(
+            server, headers={"Content-Type": "text/event-stream"}, **changes
+        )
+        self.parts = [b"id: " + one + b"\ndata: x\n\n" for one in events]
+        self.first_s = first_s
+        self.is_cancelled = False
+
+    async def readany(self):
+        first_s, self.first_s = self.first_s, 0.0
+        try:
+            await asyncio.sleep(first_s)
+        except asyncio.CancelledError:
+            self.is_cancelled = True
+            raise
+        part = self.parts.pop(0) if self.parts else b""
+        if isinstance(part, Exception):
+            raise part
+        return part
+
+
+class FakeAnswer:
+    """The answer to the caller."""
+
+    def __init__(self):
+        self.written = b""
+
+    async def write(self, part):
+        self.written += part
+
+
+def patch_answer(monkeypatch):
+    """Replace the caller's connection; return the answer that is written to it."""
+    answer = FakeAnswer()
+
+    async def begin(_client, **_head):
+        return answer
+
+    async def complete(_client, _answer):
+        pass
+
+    monkeypatch.setattr(relay_module, "begin_answer", begin)
+    monkeypatch.setattr(relay_module, "complete_answer", complete)
+    return answer
