Tell both attempts apart in a request's story, and spare loaded services

arbutus story shows the grant of a second attempt under its request and names the attempt that each line of either server belongs to.

--- a/src/arbutuspulley/delivery/hedging.py
+++ b/src/arbutuspulley/delivery/hedging.py
@@ -38,6 +38,12 @@
 """Least time to the deadline at which a second attempt begins, in latency targets."""
 
 
+MAX_LOAD = 0.75
+"""Fraction of its share of a plain service's slots that an instance may have in use as
+a second attempt begins. In a simulation (scripts/compare_hedging.py), second attempts
+at a load of 0.9 made first ones wait longer without this rule."""
+
+
 class Withheld(enum.StrEnum):
     """Why no second attempt begins although the first one is silent.
 
--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -11,6 +11,7 @@
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import (
+    SECOND_KEY_SUFFIX,
     AttemptEnded,
     Granted,
     GrantRequest,
@@ -50,10 +51,6 @@
 VERSION_POLL_MS = 50
 """Interval at which such a request is repeated, in ms."""
 
-SECOND_KEY_SUFFIX = "\n2"
-"""What is appended to the attempt id for the key of a second attempt's grant. A header
-has no line end, so no caller's id ends in it."""
-
 
 class RetryError(Exception):
     """The request is retried at another server."""
--- a/src/arbutuspulley/node/hedges.py
+++ b/src/arbutuspulley/node/hedges.py
@@ -21,6 +21,7 @@
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.data import State
 from arbutuspulley.delivery.hedging import (
+    MAX_LOAD,
     FirstByteTimes,
     Situation,
     Withheld,
@@ -414,13 +415,21 @@
         )
 
     def _is_full(self, now: int) -> bool:
-        """Return whether a server of the service has refused a request as full."""
-        stats = self._state.server_stats
-        return any(
-            get_stats(stats, entry).refusals
-            and get_stats(stats, entry).backoff_until > now
-            for entry in self._state.by_service.get(self._progress.service, ())
-        )
+        """Return whether a plain service is nearly full, as this instance sees it.
+
+        That is so if one of its servers has refused a request as full, or if this
+        instance uses most of its share of their slots.
+        """
+        if self._acquisition.needs_coordinator:
+            return False
+        state = self._state
+        entries = state.by_service.get(self._progress.service, ())
+        stats = [get_stats(state.server_stats, entry) for entry in entries]
+        if any(one.refusals and one.backoff_until > now for one in stats):
+            return True
+        slots = sum(entry.slots for entry in entries if not entry.is_leaving)
+        share = get_instance_share(slots, share_divisor=state.share_divisor)
+        return sum(one.in_flight for one in stats) > max(1.0, MAX_LOAD * share)
 
     def _is_eligible(self, entry: ServerEntry) -> bool:
         """Return whether a second attempt may begin at a server, if it is allowed to.
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -191,6 +191,11 @@
     VERSION_GONE = "version gone"
 
 
+SECOND_KEY_SUFFIX = "\n2"
+"""What is appended to the attempt id for the key of a second attempt's grant. A header
+has no line end, so no caller's id ends in it."""
+
+
 class GrantRequest(Message, frozen=True, tag="ask"):
     """Asks the coordinator for a model server for a request.
 
--- a/src/arbutuspulley/programs/story.py
+++ b/src/arbutuspulley/programs/story.py
@@ -4,6 +4,9 @@
 from collections.abc import Iterable
 from pathlib import Path
 
+import msgspec
+
+from arbutuspulley.node.messages import SECOND_KEY_SUFFIX
 from arbutuspulley.programs.log_lines import LogLine, open_sources, read_lines
 
 _ID_FIELD = "id"
@@ -16,6 +19,16 @@
 
 _STEPS = ("server_granted", "attempt_failed", "request_refused", "request_lost")
 
+_SECOND_BEGUN = "second_attempt_begun"
+_SECOND_STEPS = (
+    _SECOND_BEGUN,
+    "second_attempt_won",
+    "second_attempt_lost",
+    "second_attempt_withheld",
+)
+"""Steps of a second attempt. Like failed attempts, they come after a grant and before
+the end, in the order of their times."""
+
 
 def build_timeline(lines: Iterable[LogLine], request_id: str) -> list[str]:
     """Return the events of a request in order, one text for each log line.
@@ -25,7 +38,7 @@
 
     :param request_id: request id that the caller sent.
     """
-    named = [line for line in lines if line.fields.get(_ID_FIELD)]
+    named = [_strip_suffix(line) for line in lines if line.fields.get(_ID_FIELD)]
     attempts = _list_attempts(named, request_id)
     own = [line for line in named if line.fields[_ID_FIELD] in attempts]
     own.sort(key=lambda line: line.time_ms)
@@ -34,7 +47,31 @@
         return []
     started_ms = min(line.time_ms for line in ordered)
     hidden = _HIDDEN if len(attempts) == 1 else _HIDDEN - {_ID_FIELD}
-    return [_show(line, started_ms, hidden) for line in ordered]
+    labels = _label_servers(ordered)
+    return [_show(line, started_ms, hidden, labels) for line in ordered]
+
+
+def _strip_suffix(line: LogLine) -> LogLine:
+    """Return a line under its request's id if the id is that of a second grant."""
+    named = str(line.fields[_ID_FIELD])
+    if not named.endswith(SECOND_KEY_SUFFIX):
+        return line
+    fields = {**line.fields, _ID_FIELD: named.removesuffix(SECOND_KEY_SUFFIX)}
+    return msgspec.structs.replace(line, fields=fields)
+
+
+def _label_servers(lines: list[LogLine]) -> dict[tuple[str, str], str]:
+    """Return which attempt each server got, by request id and server, where it had two.
+
+    Both attempts have the id of the request, so their lines differ by the server only.
+    """
+    labels: dict[tuple[str, str], str] = {}
+    for line in lines:
+        if line.name == _SECOND_BEGUN:
+            named = str(line.fields[_ID_FIELD])
+            labels[named, str(line.fields.get("first_server"))] = "first attempt"
+            labels[named, str(line.fields.get("server"))] = "second attempt"
+    return labels
 
 
 def _list_attempts(lines: list[LogLine], request_id: str) -> set[str]:
@@ -78,13 +115,23 @@
 
 
 def _rank(line: LogLine) -> int:
+    if line.name in _SECOND_STEPS:
+        return _STEPS.index("attempt_failed")
     return _STEPS.index(line.name) if line.name in _STEPS else len(_STEPS) - 1
 
 
-def _show(line: LogLine, started_ms: int, hidden: frozenset[str]) -> str:
+def _show(
+    line: LogLine,
+    started_ms: int,
+    hidden: frozenset[str],
+    labels: dict[tuple[str, str], str],
+) -> str:
     fields = " ".join(
         f"{name}={value}"
         for name, value in line.fields.items()
         if name not in hidden and value not in ("", None)
     )
-    return f"+{line.time_ms - started_ms:>6} ms  {line.instance}  {line.name}  {fields}"
+    named, server = str(line.fields[_ID_FIELD]), str(line.fields.get("server"))
+    label = labels.get((named, server), "")
+    shown = f"{fields}  ({label})" if label else fields
+    return f"+{line.time_ms - started_ms:>6} ms  {line.instance}  {line.name}  {shown}"
--- a/tests/test_hedged_streams.py
+++ b/tests/test_hedged_streams.py
@@ -5,9 +5,10 @@
 import msgspec
 import pytest
 
-from arbutuspulley.node.acquisition import SECOND_KEY_SUFFIX, Acquisition
+from arbutuspulley.node.acquisition import Acquisition
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import (
+    SECOND_KEY_SUFFIX,
     AttemptEnded,
     CancelRequest,
     CoordinatorStatus,
--- a/tests/test_hedges.py
+++ b/tests/test_hedges.py
@@ -186,7 +186,12 @@
 
 def _fill_second(exchange):
     state = exchange._state
-    get_stats(state.server_stats, state.by_service[SERVICE][1]).in_flight = 8
+    second = state.by_service[SERVICE][1]
+    get_stats(state.server_stats, second).in_flight = 2
+    # The service is far from full, but the request may not go to its largest server.
+    large = msgspec.structs.replace(second, incarnation="large", slots=60)
+    state.by_service[SERVICE].append(large)
+    exchange.progress.avoid.add("large")
 
 
 def _refuse_at_second(exchange):
@@ -194,6 +199,12 @@
     record_refused(state.server_stats, state.by_service[SERVICE][1], now=0)
 
 
+def _use_most_slots(exchange):
+    state = exchange._state
+    first = state.by_service[SERVICE][0]
+    get_stats(state.server_stats, first).in_flight = 2
+
+
 def _cut_off(exchange):
     reach = exchange._state.server_reach
     reach.known = 2
@@ -246,6 +257,7 @@
         (_bind_to_version, Withheld.NO_SERVER),
         (_fill_second, Withheld.NO_SERVER),
         (_refuse_at_second, Withheld.FULL),
+        (_use_most_slots, Withheld.FULL),
         (_cut_off, Withheld.CUT_OFF),
         (_lose_often, Withheld.LOSING),
         (_end_soon, Withheld.LATE),
@@ -266,7 +278,8 @@
         if record.msg == "second_attempt_withheld"
     ]
     assert withheld == [why.value]
-    if change not in (_take_budget, _take_retry_budget, _fill_second):
+    unpaired = _take_budget, _take_retry_budget, _fill_second, _use_most_slots
+    if change not in unpaired:
         check_paired(node, exchange)
 
 
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -80,3 +80,33 @@
     assert print_timeline("r9", [path]) == 1
     assert "r9" in capsys.readouterr().err
     assert print_timeline("r1", [path]) == 0
+
+
+def test_both_attempts_of_a_request_are_told_apart():
+    """Guards against a second attempt whose grant is missing, and against lines of two
+    servers of which nobody can tell which one was first."""
+    texts = build_texts(
+        build(1_000, "n2", "server_granted", id="r1", server="e1"),
+        build(1_100, "n2", "server_granted", id="r1\n2", server="e2"),
+        build(
+            1_101,
+            "n1",
+            "second_attempt_begun",
+            id="r1",
+            server="e2",
+            first_server="e1",
+            silent_ms=90,
+        ),
+        build(1_110, "n1", "attempt_failed", id="r1", server="e1", why="reset"),
+        build(1_130, "n1", "second_attempt_won", id="r1", server="e2"),
+        build(1_130, "n1", "request_ended", id="r1", server="e2", status=200),
+    )
+    assert texts == [
+        "+     0 ms  n2  server_granted  server=e1  (first attempt)",
+        "+   100 ms  n2  server_granted  server=e2  (second attempt)",
+        "+   101 ms  n1  second_attempt_begun  server=e2 first_server=e1 silent_ms=90"
+        "  (second attempt)",
+        "+   110 ms  n1  attempt_failed  server=e1 why=reset  (first attempt)",
+        "+   130 ms  n1  second_attempt_won  server=e2  (second attempt)",
+        "+   130 ms  n1  request_ended  server=e2 status=200  (second attempt)",
+    ]
