--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -446,7 +446,9 @@
         limited = state.limits.list_limits() | state.brittle.list_limits()
         waiting = build_waiting_request(origin, request, version=version, now=now)
         waiting.avoid = (*waiting.avoid, *limited)
-        grant = None if pool is None else grant_at_once(pool, waiting, now=now)
+        grant: Grant | None = None
+        if pool is not None and self.is_active:
+            grant = grant_at_once(pool, waiting, now=now)
         if pool is None or grant is None:
             self._peers.send(origin, Refused(key=request.key, retry_after_ms=0))
         else:
--- a/src/arbutuspulley/node/hedges.py
+++ b/src/arbutuspulley/node/hedges.py
@@ -384,7 +384,10 @@
         """Begin the second attempt at a granted server, if it is still wanted."""
         self._asking = None
         entry = None if task.cancelled() else task.result()
-        is_wanted = self._scope is not None
+        # A server may have crashed under a copy of it meanwhile.
+        is_wanted = self._scope is not None and not self._poison.is_suspect(
+            self._request
+        )
         if entry is not None and is_wanted and self._can_reach(entry):
             self._start(entry, charge, retry)
             return
--- a/tests/test_hedged_streams.py
+++ b/tests/test_hedged_streams.py
@@ -250,6 +250,10 @@
     pool = build_pool(build_server("s0", "m0"), build_server("s1", "m0"))
     coordinator._pools = {"llm": pool}
     state.limits.update_from_answer("s1", 5.0, sent_at=0, now=0)
+    coordinator.is_active = False
+    _ask(coordinator, team="t", cost=50)
+    coordinator.is_active = True
+    assert sent.pop() == Refused(key=SECOND, retry_after_ms=0)
     _ask(coordinator, avoid=("s0",), team="t", cost=50)
     assert sent == [Refused(key=SECOND, retry_after_ms=0)]
     _ask(coordinator, team="t", cost=50)
