Charge the attempt that follows an unsent second one

If the first server failed while the second attempt was under way, the request waited for the second one. If that could not be sent, its charge was returned and a third server got the request without one, so the retry budget could be exceeded. The request now takes the charge over.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -317,6 +317,8 @@
                     response.close()
         except NotSentError:
             outcome = AttemptOutcome.UNUSED
+            if second is not None:
+                self._retry.take_over(second.retry)
             if self._paths.blames_server(entry):
                 outcome = AttemptOutcome.UNREACHED
             progress.may_have_run -= 1
--- a/src/arbutuspulley/node/hedges.py
+++ b/src/arbutuspulley/node/hedges.py
@@ -245,24 +245,29 @@
     async def receive(self, second: SecondAttempt) -> Response:
         """Return the answer of a second attempt that was taken over.
 
+        If nothing was sent, its charge to the retry budget is left to the request.
+
         :raises NotSentError: if nothing was sent to its server.
         :raises BrokenError: if its server may have run it and did not answer.
         """
         if second.task is None:
             raise RuntimeError("the second attempt was not sent")
         has_won = has_run = False
+        is_sent = True
         try:
             response = await second.task
             has_run = not is_not_run(response.status, response.headers)
             has_won = _is_usable(self._request, response)
             return response
         except NotSentError:
-            second.retry.refund()
+            is_sent = False
             raise
         except BaseException:
             has_run = True
             raise
         finally:
+            if is_sent:
+                second.retry.settle()
             self._settle(second, has_run=has_run)
             self._record_result(second, has_won=has_won)
 
@@ -623,16 +628,16 @@
         )
         self._state.metrics.attempts.labels(outcome.value).inc()
         self._acquisition.report_end(second.entry.incarnation, outcome, is_second=True)
+        second.retry.settle()
         self._settle(second, has_run=has_run)
         self._record_result(second, has_won=False, is_judged=is_judged)
 
     def _settle(self, second: SecondAttempt, *, has_run: bool) -> None:
-        """Settle both charges; that of a second attempt that did not run is returned.
+        """Settle its charge to the budget of second attempts, or return it.
 
-        The retry budget limits what arrives at servers, which includes what they
-        refuse, so its charge is returned only where nothing was sent.
+        That to the retry budget is returned only where nothing was sent: it limits what
+        arrives at servers, which includes what they refuse.
         """
-        second.retry.settle()
         charge, second.charge = second.charge, None
         if charge is None:
             return
--- a/src/arbutuspulley/node/retries.py
+++ b/src/arbutuspulley/node/retries.py
@@ -165,6 +165,17 @@
         self._charge = self._retries.try_charge(service)
         return self._charge is not None
 
+    def take_over(self, other: "PendingRetry") -> None:
+        """Take over the charge of another attempt that was not sent.
+
+        The next attempt uses it, as the request may have arrived by an earlier one.
+        """
+        if self._charge is not None:
+            other.refund()
+            return
+        self._charge, other._charge = other._charge, None
+        self._service = other._service
+
     def settle(self) -> None:
         """Record that the retry has arrived."""
         if self._charge is not None:
--- a/tests/test_hedges.py
+++ b/tests/test_hedges.py
@@ -235,6 +235,15 @@
     )
 
 
+def _suspect_later(exchange):
+    _call_soon(lambda: _suspect(exchange))
+
+
+def _suspect_before(exchange):
+    _suspect(exchange)
+    _call_soon(lambda: exchange._poison.clear(exchange._request))
+
+
 def _suspect_part(exchange):
     part = "ab" * 8
     request = build_request()
@@ -261,7 +270,8 @@
         (_cut_off, Withheld.CUT_OFF),
         (_lose_often, Withheld.LOSING),
         (_end_soon, Withheld.LATE),
-        (_suspect, Withheld.SUSPECT),
+        (_suspect_later, Withheld.SUSPECT),
+        (_suspect_before, Withheld.SUSPECT),
         (_suspect_part, Withheld.SUSPECT),
     ],
 )
@@ -406,6 +416,22 @@
     check_paired(node, exchange)
 
 
+def test_the_charge_of_an_unsent_second_attempt_pays_for_the_next_one(monkeypatch):
+    """Guards against a request that arrives again without a charge to the retry budget,
+    after the first server has failed and the second one could not be reached."""
+    acts = (0.05, broken()), (0.1, NotSentError("1"))
+    servers = Servers(*acts, (0, FakeResponse("s2")))
+    answer, exchange, node = run_hedged(monkeypatch, servers)
+    assert answer.body == b"body of s2"
+    assert node.read_metric("arbutus_retries_total", how="charged") == 1
+    assert node.read_metric("arbutus_retries_total", how="refunded") is None
+    check_paired(node, exchange)
+    error, exchange, node = run_hedged(monkeypatch, Servers(*acts))
+    assert error.status == 502
+    assert node.read_metric("arbutus_retries_total", how="refunded") == 1
+    check_paired(node, exchange)
+
+
 def test_a_server_error_of_either_does_not_win(monkeypatch):
     """Guards against an error that is returned while the other server would answer."""
     for acts, body in (
--- /dev/null
+++ b/tests/test_hedging_nodes.py
@@ -0,0 +1,74 @@
+"""Second attempts of real instances, at plain and at model servers."""
+
+import asyncio
+import time
+
+import aiohttp
+import pytest
+
+from scripts.platform_testbed import FULL_STREAM, Fleet, send_request
+
+RATIO = {"ARBUTUS_NODE_HEDGE_RATIO": "1"}
+SLOW_S = 3.0
+WINDOW_S = 2
+"""Window of the budgets, in s. An earned attempt can be used for a tenth of it, which
+must be longer than the silence after which a second one begins."""
+
+ROUNDS = 3
+
+
+@pytest.mark.parametrize(
+    ("path", "model", "slow"), [("/sync/x", "", "p1"), ("/resumed/x", "m0", "e1")]
+)
+def test_a_slow_server_does_not_delay_callers(tmp_path, path, model, slow):
+    """Guards against second attempts that begin only in tests of parts: settings, the
+    coordinator's grants, and two servers that get one attempt id."""
+    answer = FULL_STREAM if model else b"done:"
+
+    async def scenario(fleet, session):
+        front = fleet.addresses["n2"]["Frontend"]
+
+        async def send(attempt):
+            begun_at = time.monotonic()
+            status, body, headers = await send_request(
+                session, front, path, attempt=attempt, model=model
+            )
+            assert (status, body) == (200, answer)
+            assert headers["X-Arbutuspulley-Attempt-Id"] == attempt
+            return time.monotonic() - begun_at
+
+        for number in range(15):
+            await asyncio.gather(send(f"a{number}"), send(f"b{number}"))
+        fleet.get_server(slow).delay_s = SLOW_S
+        for number in range(ROUNDS):
+            took_s = await asyncio.gather(send(f"c{number}"), send(f"d{number}"))
+            assert max(took_s) < SLOW_S / 2, fleet.read_log("n2")[-3000:]
+        log = fleet.read_log("n2")
+        assert "second_attempt_won" in log
+        both = [
+            attempt
+            for attempt in fleet.get_server(slow).runs
+            if any(
+                attempt in server.runs
+                for server in fleet.servers
+                if server.incarnation != slow
+            )
+        ]
+        assert both
+        assert all(count == 1 for one in fleet.servers for count in one.runs.values())
+        assert "internal_error" not in log
+
+    async def run():
+        fleet = Fleet(tmp_path)
+        try:
+            await fleet.open()
+            await fleet.start_nodes(
+                ("n1", "n2"), environment=RATIO, BudgetWindowS=WINDOW_S
+            )
+            await asyncio.sleep(1.5 * WINDOW_S)
+            async with aiohttp.ClientSession() as session:
+                await scenario(fleet, session)
+        finally:
+            await fleet.close()
+
+    asyncio.run(run())
