--- a/tests/test_hedged_streams.py
+++ b/tests/test_hedged_streams.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from arbutuspulley.membership.server_reach import record_failed
 from arbutuspulley.node.acquisition import Acquisition
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import (
@@ -167,6 +168,26 @@
     check_paired(node, exchange)
 
 
+def test_a_grant_of_a_server_that_is_out_of_reach_is_returned(monkeypatch):
+    """Guards against second attempts that other instances would have to send, and
+    against a slot that stays taken for one that is not sent."""
+
+    def lose_second(exchange):
+        state = exchange._state
+        state.server_reach.known = 12
+        record_failed(state.server_reach, state.by_incarnation["s1"].address, now=0)
+
+    grants = Grants("s0", "s1")
+    servers = Servers((0.1, FakeStream("s0")), (0, FakeStream("s1")))
+    _, exchange, node = run_granted(monkeypatch, grants, servers, change=lose_second)
+    assert len(servers.sent) == 1
+    assert grants.list_ends() == {
+        ("r0", "s0"): AttemptOutcome.DONE,
+        (SECOND, "s1"): AttemptOutcome.UNUSED,
+    }
+    check_paired(node, exchange)
+
+
 def test_an_older_coordinator_is_not_asked(monkeypatch):
     """Guards against second attempts that wait in the queue of a coordinator that
     takes them for first ones."""
