--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -271,7 +271,7 @@
         progress.begun_at = None
         progress.is_established = False
         progress.framing = progress.answer_end = None
-        progress.helper = "" if second is None else second.helper
+        progress.helper = ""
         progress.is_second = second is not None
         if second is None:
             record_sent(stats, entry)
--- a/tests/hedged_exchanges.py
+++ b/tests/hedged_exchanges.py
@@ -52,12 +52,15 @@
 
     :ivar sent: addresses in the order in which the request was sent.
     :ivar cut: addresses whose connection was closed while they were silent.
+    :ivar closed: those of them whose connection was closed as the request ended, not
+        only as the event loop did.
     """
 
     def __init__(self, *acts):
         self.acts = list(acts)
         self.sent = []
         self.cut = []
+        self.closed = []
         self.headers = []
 
     async def send(self, _session, _request, *, address, headers):
@@ -114,6 +117,7 @@
             answer = error
         # Tasks and callbacks of the attempt that lost.
         await asyncio.sleep(0.01)
+        servers.closed = list(servers.cut)
         return answer, exchange
 
     answer, exchange = asyncio.run(run())
--- a/tests/test_hedges.py
+++ b/tests/test_hedges.py
@@ -21,7 +21,7 @@
 )
 from arbutuspulley.membership.server_reach import record_failed
 from arbutuspulley.node import exchange as exchange_module
-from arbutuspulley.node.progress import RequestFailedError
+from arbutuspulley.node.progress import MAX_UNREACHABLE, RequestFailedError
 from arbutuspulley.platform import names
 from arbutuspulley.platform.transport import BrokenError, NotSentError
 from arbutuspulley.ports.answers import AnswerEnd
@@ -60,7 +60,7 @@
     assert time.monotonic() - started < 1
     assert answer.body == b"body of s1"
     assert answer.headers[names.SEAL] == "seal of s1"
-    assert servers.cut == servers.sent[:1]
+    assert servers.closed == servers.sent[:1]
     assert count_events(caplog, "second_attempt_begun") == 1
     assert count_events(caplog, "second_attempt_won") == 1
     assert exchange.progress.server == node.state.by_service[SERVICE][1].incarnation
@@ -74,7 +74,7 @@
         answer, exchange, node = run_hedged(monkeypatch, servers)
     assert answer.body == b"body of s0"
     assert answer.headers[names.SEAL] == "seal of s0"
-    assert servers.cut == servers.sent[1:]
+    assert servers.closed == servers.sent[1:]
     assert count_events(caplog, "second_attempt_lost") == 1
     check_paired(node, exchange)
 
@@ -432,6 +432,17 @@
     check_paired(node, exchange)
 
 
+def test_the_second_attempt_goes_on_after_the_last_unreachable_server(monkeypatch):
+    """Guards against a request that fails while a server works on it."""
+    servers = Servers((0.05, NotSentError("1")), (0.1, FakeResponse("s1")))
+
+    def fail_before(exchange):
+        exchange.progress.unreached = MAX_UNREACHABLE
+
+    answer, _, _ = run_hedged(monkeypatch, servers, change=fail_before)
+    assert answer.body == b"body of s1"
+
+
 def test_a_server_error_of_either_does_not_win(monkeypatch):
     """Guards against an error that is returned while the other server would answer."""
     for acts, body in (
@@ -469,7 +480,7 @@
     servers = Servers((LONG_S, FakeResponse("s0")), (LONG_S, FakeResponse("s1")))
     error, exchange, node = run_hedged(monkeypatch, servers, route=route)
     assert error.status == 504
-    assert sorted(servers.cut) == sorted(servers.sent)
+    assert sorted(servers.closed) == sorted(servers.sent)
     assert len(servers.sent) == 2
     for headers in servers.headers:
         assert int(dict(headers)[names.DEADLINE]) <= 300
@@ -490,10 +501,11 @@
         task.cancel()
         await asyncio.wait({task})
         await asyncio.sleep(0.01)
+        servers.closed = list(servers.cut)
         return exchange
 
     exchange = asyncio.run(run())
-    assert sorted(servers.cut) == sorted(servers.sent)
+    assert sorted(servers.closed) == sorted(servers.sent)
     assert len(servers.sent) == 2
     check_paired(node, exchange)
 
@@ -527,12 +539,13 @@
     assert not exchange._limits._places
 
 
-def test_a_helper_is_noted_with_its_own_attempt(monkeypatch):
+@pytest.mark.parametrize(("relayed", "helper"), [("s0", ""), ("s1", "helper:1")])
+def test_a_helper_is_noted_with_its_own_attempt(monkeypatch, relayed, helper):
     """Guards against an answer of the own connection that is noted as relayed."""
     servers = Servers((LONG_S, FakeResponse("s0")), (0, FakeResponse("s1")))
 
     async def send(self, request, entry, *, build_headers, on_helper):
-        if entry.incarnation == "s0":
+        if entry.incarnation == relayed:
             on_helper("helper:1")
         return await servers.send(
             None, request, address=entry.address, headers=build_headers()
@@ -541,7 +554,7 @@
     monkeypatch.setattr(exchange_module.ServerPaths, "send", send)
     answer, exchange, _ = run_hedged(monkeypatch, servers)
     assert answer.body == b"body of s1"
-    assert exchange.progress.helper == ""
+    assert exchange.progress.helper == helper
 
 
 def test_an_overtaken_server_does_not_look_fast(monkeypatch):
