Read what a server states in a stream's headers before its first event

With second attempts, an answer's headers were only read once the first event had arrived, so an overtaken server's notice that it leaves was lost. 65 tests of second attempts pass.

--- a/src/arbutuspulley/node/hedges.py
+++ b/src/arbutuspulley/node/hedges.py
@@ -322,7 +322,7 @@
 
     async def _receive_first(self, send: Callable[[], Awaitable[Response]]) -> Response:
         response = await send()
-        await self._read_first_part(response)
+        await self._read_first_part(response, self._progress.server)
         return response
 
     def _record_overtaken(self) -> None:
@@ -507,20 +507,23 @@
         )
         if not second.helper:
             self._paths.record_heard(second.entry)
-        await self._read_first_part(response)
+        await self._read_first_part(response, second.entry.incarnation)
         return response
 
-    async def _read_first_part(self, response: Response) -> None:
+    async def _read_first_part(self, response: Response, incarnation: str) -> None:
         """Wait for the first part of a stream.
 
         A server may send the headers of a stream as soon as it has the request, long
-        before its first event, so they don't show that its answer has begun.
+        before its first event, so they don't show that its answer has begun. What they
+        state about the server counts at once, also if the attempt loses.
         """
         if not self._route.is_stream or not _is_usable(self._request, response):
             return
         is_event_answer = response.status < 300 and is_event_stream(response.headers)
         if not is_event_answer or read_framing(response) is Framing.NONE:
             return
+        status, headers = response.status, response.headers
+        read_answer(self._state, incarnation, status, headers)
         try:
             part = self._first_parts[response] = await read_part(response)
             self._state.held_bytes.change(before=0, now=len(part))
--- a/tests/hedged_exchanges.py
+++ b/tests/hedged_exchanges.py
@@ -142,10 +142,11 @@
 class FakeStream(FakeResponse):
     """A stream whose headers arrive at once and whose first event arrives later."""
 
-    def __init__(self, server, *, first_s=0.0, events=(b"1", b"2"), **changes):
-        super().__init__(
-            server, headers={"Content-Type": "text/event-stream"}, **changes
-        )
+    def __init__(
+        self, server, *, first_s=0.0, events=(b"1", b"2"), headers=(), **changes
+    ):
+        headers = {"Content-Type": "text/event-stream", **dict(headers)}
+        super().__init__(server, headers=headers, **changes)
         self.parts = [b"id: " + one + b"\ndata: x\n\n" for one in events]
         self.first_s = first_s
         self.is_cancelled = False
--- a/tests/test_hedged_streams.py
+++ b/tests/test_hedged_streams.py
@@ -22,6 +22,7 @@
 from arbutuspulley.node.pool_updates import apply_progress, cancel_request
 from arbutuspulley.node.quotas import Quotas
 from arbutuspulley.node.server_choice import ServerChoice
+from arbutuspulley.platform import names
 from arbutuspulley.platform.transport import BrokenError
 from arbutuspulley.pool.grants import grant_at_once, plan_grants
 from arbutuspulley.ports.answers import AnswerEnd
@@ -60,6 +61,17 @@
     check_paired(node, exchange)
 
 
+def test_a_server_that_is_overtaken_may_have_said_that_it_leaves(monkeypatch):
+    """Guards against further requests to a server whose statement nobody read, as
+    another one sent the first event."""
+    patch_answer(monkeypatch)
+    leaving = {names.SERVER_LEAVING: "1"}
+    first = FakeStream("s0", first_s=LONG_S, headers=leaving)
+    servers = Servers((0, first), (0, FakeStream("s1")))
+    _, _, node = run_hedged(monkeypatch, servers, route=ROUTE)
+    assert node.state.leaving.list_all() == ("s0",)
+
+
 def test_a_stream_that_has_begun_has_no_second_attempt(monkeypatch):
     """Guards against a second attempt after the first byte has gone to the caller."""
     answer = patch_answer(monkeypatch)
