Close an answer that arrives as its request is cancelled

A second attempt's answer that arrived in the same step of the event loop in which the caller left was neither read nor closed.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -279,11 +279,10 @@
             # caller may disconnect, before anything is received.
             progress.may_have_run += 1
             self._paths.record_begun(entry)
-        if state.limits.get(entry.incarnation) is not None:
-            state.metrics.limited_attempts.inc()
-        if get_exclusion(state, entry.incarnation):
-            state.metrics.excluded_attempts.inc()
-        if second is None:
+            if state.limits.get(entry.incarnation) is not None:
+                state.metrics.limited_attempts.inc()
+            if get_exclusion(state, entry.incarnation):
+                state.metrics.excluded_attempts.inc()
             known_crashes = self._poison.begin_attempt(self._request)
         else:
             known_crashes = second.known_crashes
--- a/src/arbutuspulley/node/hedges.py
+++ b/src/arbutuspulley/node/hedges.py
@@ -264,6 +264,9 @@
             raise
         except BaseException:
             has_run = True
+            if second.task.done():
+                # The request may have been cancelled just as the answer arrived.
+                self._close_answer(second.task)
             raise
         finally:
             if is_sent:
--- a/tests/test_hedges.py
+++ b/tests/test_hedges.py
@@ -21,6 +21,7 @@
 )
 from arbutuspulley.membership.server_reach import record_failed
 from arbutuspulley.node import exchange as exchange_module
+from arbutuspulley.node.hedges import Hedge
 from arbutuspulley.node.progress import MAX_UNREACHABLE, RequestFailedError
 from arbutuspulley.platform import names
 from arbutuspulley.platform.transport import BrokenError, NotSentError
@@ -510,6 +511,31 @@
     check_paired(node, exchange)
 
 
+def test_a_caller_that_leaves_as_the_answer_arrives_leaves_no_connection(monkeypatch):
+    """Guards against an answer that nobody reads or closes."""
+    node = build_hedging_node()
+    second = FakeResponse("s1")
+    servers = Servers((0.05, NotSentError("1")), (0.1, second))
+    handle_done = Hedge._handle_done
+
+    async def run():
+        exchange = build_hedged(monkeypatch, node, servers)
+        request = asyncio.create_task(exchange.run())
+
+        def leave(hedge, attempt, task):
+            handle_done(hedge, attempt, task)
+            request.cancel()
+
+        monkeypatch.setattr(Hedge, "_handle_done", leave)
+        await asyncio.wait({request})
+        assert request.cancelled()
+        return exchange
+
+    exchange = asyncio.run(run())
+    assert second.is_closed
+    check_paired(node, exchange)
+
+
 def test_the_quota_is_charged_once(monkeypatch):
     """Guards against a team that pays for the attempts of the system."""
     charged = []
