--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -1,6 +1,9 @@
 """Selection of a server for a request, with or without a coordinator, and charging."""
 
 import asyncio
+from collections.abc import Callable
+
+import msgspec
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
@@ -9,6 +12,7 @@
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import (
+    SECOND_KEY_SUFFIX,
     AttemptEnded,
     Granted,
     GrantRequest,
@@ -132,12 +136,17 @@
         )
         self.priority = get_priority(route, access.team)
 
+    def get_team_name(self) -> str:
+        """Return the name of the caller's team; empty: it has none."""
+        team = self._access.team
+        return team.name if team is not None else ""
+
     def charge_plain(self) -> None:
         """Charge a request that needs no coordinator.
 
         :raises RequestFailedError: if the team's quota is used up.
         """
-        if not self._needs_coordinator():
+        if not self.needs_coordinator:
             self._charge_once()
 
     def refund(self) -> None:
@@ -157,7 +166,7 @@
         """
         need = self._request.need
         self._check_version()
-        if need is not None and self._needs_coordinator():
+        if need is not None and self.needs_coordinator:
             entry = await self._wait_for_grant(need)
         else:
             entry = await self._choice.choose_plain()
@@ -171,6 +180,48 @@
         self._recheck_access(entry)
         return entry
 
+    def choose_second(
+        self, is_eligible: Callable[[ServerEntry], bool]
+    ) -> ServerEntry | None:
+        """Return a plain server for a second attempt; ``None``: there is none now.
+
+        :param is_eligible: whether a second attempt may begin at a server.
+        """
+        return self._choice.choose(is_plain=True, is_eligible=is_eligible)
+
+    @property
+    def can_ask_second(self) -> bool:
+        """Whether the coordinator grants or refuses second attempts at once."""
+        status = self._link.status
+        return self._link.is_up and status is not None and status.grants_second
+
+    async def request_second(self) -> ServerEntry | None:
+        """Return a model server for a second attempt; ``None``: there is none now.
+
+        The end of the attempt must be reported, whether it is sent or not.
+        """
+        need = self._request.need
+        if need is None:
+            return None
+        now = self._state.clock.now()
+        asked = msgspec.structs.replace(
+            self._build_grant_request(need, now),
+            key=self.get_key(is_second=True),
+            avoid=(*self._progress.avoid, self._progress.server),
+            is_repeat=True,
+            cost=0,
+            is_second=True,
+        )
+        try:
+            granted = await self._link.request_grant(asked)
+        except (LinkLostError, RefusedError):
+            return None
+        if self._get_exclusion(granted.incarnation):
+            outcome = AttemptOutcome.UNUSED
+            self.report_end(granted.incarnation, outcome, is_second=True)
+            return None
+        return self._state.by_incarnation[granted.incarnation]
+
     def _check_version(self) -> None:
         """Check that a server is left at which the request may go on."""
         if is_version_gone(self._state, self._progress):
@@ -183,21 +234,34 @@
         """
         return self._choice.get_retry_after()
 
-    def report_end(self, incarnation: str, outcome: AttemptOutcome) -> None:
-        """Report the outcome of an attempt to the coordinator."""
+    def get_key(self, *, is_second: bool) -> str:
+        """Return the key by which the coordinator knows an attempt."""
+        suffix = SECOND_KEY_SUFFIX if is_second else ""
+        return self._request.attempt_id + suffix
+
+    def report_end(
+        self, incarnation: str, outcome: AttemptOutcome, *, is_second: bool = False
+    ) -> None:
+        """Report the outcome of an attempt to the coordinator.
+
+        :param is_second: whether it began beside one that was silent.
+        """
         if self._request.need is None:
             return
-        self._link.runs.remove(self._request.attempt_id)
+        key = self.get_key(is_second=is_second)
+        self._link.runs.remove(key)
         self._link.send(
             AttemptEnded(
-                key=self._request.attempt_id,
+                key=key,
                 incarnation=incarnation,
                 how=outcome,
                 events=self._progress.events,
             )
         )
 
-    def _needs_coordinator(self) -> bool:
+    @property
+    def needs_coordinator(self) -> bool:
+        """Whether servers of the request's service are granted by a coordinator."""
         return self._request.need is not None and self._choice.has_models()
 
     def _charge_once(self) -> None:
@@ -286,12 +350,12 @@
         return RetryError()
 
     def _build_grant_request(self, need: ModelNeed, now: int) -> GrantRequest:
-        progress, route, team = self._progress, self._route, self._access.team
+        progress, route = self._progress, self._route
         # After the first event the caller waits for the next one.
         is_begun = progress.first_ms is not None
         since = progress.last_event_at if is_begun else progress.started_at
         target_ms = route.gap_target_ms if is_begun else route.latency_target_ms
-        team_name = team.name if team is not None else ""
+        team_name = self.get_team_name()
         shares_contended = self._state.settings.shares_contended
         return GrantRequest(
             key=self._request.attempt_id,
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import aiohttp
+import msgspec
 from aiohttp import web
 
 from arbutuspulley.clock import SECOND_MS
@@ -13,6 +14,7 @@
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
 from arbutuspulley.node.answer_writer import HeldResponse
+from arbutuspulley.node.hedges import Hedge, Hedges, OvertakenError, SecondAttempt
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.poison import PoisonGuard
@@ -77,6 +79,7 @@
 
     :param access: admission by the caller's key.
     :param charger: charges the request to its team's quota.
+    :param hedges: budgets of second attempts.
     :param limits: rate limits of the servers, updated from their answers.
     :param retries: retry budgets of the services.
     :param paths: sends the request to servers.
@@ -87,6 +90,8 @@
         "_access",
         "_acquisition",
         "_client",
+        "_hedge",
+        "_hedges",
         "_limits",
         "_link",
         "_paths",
@@ -108,6 +113,7 @@
         poison: PoisonGuard,
         access: Access,
         charger: QuotaCharger,
+        hedges: Hedges,
         limits: LimitGuard,
         retries: Retries,
         paths: ServerPaths,
@@ -118,6 +124,7 @@
     ) -> None:
         self._state = state
         self._client = client
+        self._hedges = hedges
         self._limits = limits
         self._link = link
         self._poison = poison
@@ -153,6 +160,19 @@
             progress=self.progress,
             remaining_ms=remaining_ms - ANSWER_MARGIN_MS,
         )
+        self._hedge = Hedge(
+            hedges=hedges,
+            state=state,
+            acquisition=self._acquisition,
+            limits=limits,
+            paths=paths,
+            poison=poison,
+            retries=retries,
+            route=route,
+            request=request,
+            progress=self.progress,
+            build_headers=self._build_headers,
+        )
 
     async def run(self) -> web.StreamResponse:
         """Return the answer to the caller.
@@ -168,6 +188,7 @@
         resume_stream(self._state, self._request, self.route, progress)
         now = self._state.clock.now()
         self._retries.record_request(progress.service)
+        self._hedges.record_request(progress.service)
         try:
             self._acquisition.charge_plain()
             async with asyncio.timeout((progress.ends_at - now) / SECOND_MS):
@@ -182,6 +203,7 @@
                 self.progress, has_begun=self._stream.has_begun
             ) from None
         finally:
+            self._hedge.close()
             self._acquisition.refund()
             self._limits.record_end(self._request.attempt_id, AttemptOutcome.UNUSED)
             self._retry.refund()
@@ -200,6 +222,9 @@
         ).inc()
 
     async def _attempt(self) -> web.StreamResponse:
+        second = self._hedge.take()
+        if second is not None:
+            return await self._send(second.entry, second)
         try:
             entry = await self._acquisition.get_server()
         except NoServerError as error:
@@ -236,34 +261,49 @@
             refusal.reason, retry_after_ms=refusal.retry_after_ms
         )
 
-    async def _send(self, entry: ServerEntry) -> web.StreamResponse:
+    async def _send(
+        self, entry: ServerEntry, second: SecondAttempt | None = None
+    ) -> web.StreamResponse:
+        """Send the request to a server and return its answer to the caller.
+
+        :param second: the second attempt at the server, which was sent already.
+        """
         state, progress = self._state, self.progress
         progress.server = entry.incarnation
         progress.server_version = entry.software_version
-        now = state.clock.now()
+        now = state.clock.now() if second is None else second.sent_at
         stats = state.server_stats
-        team = self._get_team_name()
-        record_sent(stats, entry, team=team)
-        # Counted before the first byte may be sent: the time may run out, or the caller
-        # may disconnect, before anything is received.
-        progress.may_have_run += 1
+        team = self._acquisition.get_team_name()
         progress.sent_at = now
         progress.events = 0
         progress.begun_at = None
         progress.is_established = False
         progress.framing = progress.answer_end = None
         progress.helper = ""
-        self._paths.record_begun(entry)
-        if state.limits.get(entry.incarnation) is not None:
-            state.metrics.limited_attempts.inc()
-        if get_exclusion(state, entry.incarnation):
-            state.metrics.excluded_attempts.inc()
-        known_crashes = self._poison.begin_attempt(self._request)
+        progress.is_second = second is not None
+        if second is None:
+            record_sent(stats, entry, team=team)
+            # Counted before the first byte may be sent: the time may run out, or the
+            # caller may disconnect, before anything is received.
+            progress.may_have_run += 1
+            self._paths.record_begun(entry)
+            if state.limits.get(entry.incarnation) is not None:
+                state.metrics.limited_attempts.inc()
+            if get_exclusion(state, entry.incarnation):
+                state.metrics.excluded_attempts.inc()
+            known_crashes = self._poison.begin_attempt(self._request)
+        else:
+            known_crashes = second.known_crashes
         outcome = AttemptOutcome.FAILED
         took_ms: int | None = None
         try:
-            response = await self._send_request(entry)
-            self._record_heard(entry)
+            if second is None:
+                response = await self._hedge.send_first(
+                    functools.partial(self._send_request, entry), known_crashes
+                )
+            else:
+                response = await self._hedge.receive(second)
+                progress.helper = second.helper
             progress.framing = read_framing(response)
             try:
                 answer = await self._handle_answer(entry, response)
@@ -284,6 +324,8 @@
                     response.close()
         except NotSentError:
             outcome = AttemptOutcome.UNUSED
+            if second is not None:
+                self._retry.take_over(second.retry)
             if self._paths.blames_server(entry):
                 outcome = AttemptOutcome.UNREACHED
             progress.may_have_run -= 1
@@ -306,6 +348,10 @@
             progress.answer_end = AnswerEnd.CLOSED_LOCALLY
             outcome = AttemptOutcome.LEFT
             raise self._build_failure(str(error), may_retry=False) from None
+        except OvertakenError:
+            outcome = AttemptOutcome.LEFT
+            progress.answer_end = AnswerEnd.CLOSED_LOCALLY
+            raise
         except asyncio.CancelledError:
             # The caller disconnected or the time is up; neither is the server's fault.
             outcome = AttemptOutcome.LEFT
@@ -330,13 +376,11 @@
             state.metrics.attempts.labels(outcome.value).inc()
             if progress.answer_end is not None:
                 self._count_answer()
-            self._acquisition.report_end(entry.incarnation, outcome)
+            self._acquisition.report_end(
+                entry.incarnation, outcome, is_second=second is not None
+            )
             self._limits.record_end(self._request.attempt_id, outcome)
 
-    def _get_team_name(self) -> str:
-        team = self._access.team
-        return team.name if team is not None else ""
-
     async def _send_request(self, entry: ServerEntry) -> aiohttp.ClientResponse:
         """Send the request and settle the charge of a retry.
 
@@ -344,12 +388,14 @@
         """
         is_sent = True
         try:
-            return await self._paths.send(
+            response = await self._paths.send(
                 self._request,
                 entry,
                 build_headers=functools.partial(self._build_headers, entry),
                 on_helper=self._record_helper,
             )
+            self._record_heard(entry)
+            return response
         except NotSentError:
             is_sent = False
             raise
@@ -375,7 +421,7 @@
             incarnation=entry.incarnation,
             priority=priority,
             last_event_id=self.progress.last_event_id,
-            team=self._get_team_name(),
+            team=self._acquisition.get_team_name(),
         )
 
     async def _handle_answer(
@@ -394,7 +440,8 @@
         self._limits.update_from_answer(entry, response.headers, sent_at=sent_at)
         self._poison.record_answer(entry.incarnation, sent_at=sent_at)
         if self._is_streamed(response):
-            return await self._stream.relay(response)
+            first = self._hedge.take_first_part(response)
+            return await self._stream.relay(response, first=first)
         return await self._relay_body(response)
 
     def _is_streamed(self, response: aiohttp.ClientResponse) -> bool:
@@ -473,6 +520,9 @@
                 progress,
                 took_ms=now - progress.sent_at,
             )
+            if progress.is_second:
+                run = self._acquisition.get_key(is_second=True)
+                started = msgspec.structs.replace(started, run=run)
             self._link.send(started)
         progress.events = events
         progress.last_event_at = now
@@ -501,6 +551,8 @@
         if self._request.need is None:
             progress.avoid.add(entry.incarnation)
             record_refused(self._state.server_stats, entry, now=self._state.clock.now())
+        if self._hedge.is_in_flight:
+            return RetryError()
         if progress.refused <= MAX_REFUSALS and self._retry.try_charge(
             self.progress.service
         ):
@@ -514,7 +566,7 @@
         progress.unreached += 1
         progress.avoid.add(entry.incarnation)
         self._log_failure("out of reach", tries=progress.unreached)
-        if progress.unreached <= MAX_UNREACHABLE:
+        if progress.unreached <= MAX_UNREACHABLE or self._hedge.is_in_flight:
             return RetryError()
         return self._build_failure("servers out of reach")
 
@@ -542,6 +594,8 @@
         """Return whether a request that may have run may be sent again."""
         if self.route.retry_policy is RetryPolicy.ONCE:
             return False
+        if self._hedge.is_in_flight:
+            return True
         if self._stream.has_begun and not self._stream.can_resume:
             return False
         return self._is_within_retry_limits()
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -191,6 +191,11 @@
     VERSION_GONE = "version gone"
 
 
+SECOND_KEY_SUFFIX = "\n2"
+"""What is appended to the attempt id for the key of a second attempt's grant. A header
+has no line end, so no caller's id ends in it."""
+
+
 class GrantRequest(Message, frozen=True, tag="ask"):
     """Asks the coordinator for a model server for a request.
 
@@ -209,6 +214,9 @@
     :param fingerprint: identical when the caller sends the request again; 0: not known.
     :param ends_in_ms: how long the caller waits for the complete answer, in ms; 0: not
         known.
+    :param is_second: whether it is for a second attempt beside one that is running. It
+        is granted or refused at once, and never waits. An older coordinator would let
+        it wait; see ``grants_second`` of :class:`CoordinatorStatus`.
     """
 
     key: str
@@ -227,6 +235,7 @@
     resumed_stream: int | None = None
     fingerprint: int = 0
     ends_in_ms: int = 0
+    is_second: bool = False
 
 
 class PermissionRequest(Message, frozen=True, tag="permission"):
@@ -247,6 +256,7 @@
     :param version: software version that began the stream.
     :param retention_ms: for how long the stream may be resumed, in ms; 0: not at all.
     :param stream: key of the stream if the request resumes it; 0: it begins one.
+    :param run: key of the grant request if it is another one; empty: ``key``.
     """
 
     key: str
@@ -256,6 +266,7 @@
     version: str = ""
     retention_ms: int = 0
     stream: int = 0
+    run: str = ""
 
 
 class AttemptEnded(Message, frozen=True, tag="ended"):
@@ -338,6 +349,8 @@
     :param number: sequence number of the status on this connection, from 1.
     :param fresh_beat: number of a heartbeat from the receiver. When it was sent, no
         configuration newer than ``configuration`` existed; 0: not known of any.
+    :param grants_second: whether the coordinator understands grant requests for second
+        attempts.
     """
 
     is_holder: bool
@@ -351,6 +364,7 @@
     number: int = 0
     fresh_beat: int = 0
     store_era: int = 0
+    grants_second: bool = False
 
     @property
     def store_position(self) -> StorePosition:
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -32,6 +32,7 @@
         "configurations",
         "cooldowns",
         "excluded_attempts",
+        "first_byte",
         "first_part",
         "grant_wait",
         "held_bytes",
@@ -57,6 +58,7 @@
         "retry_budget",
         "return_wait",
         "returns",
+        "second_attempts",
         "share_denials",
         "store_calls",
         "store_era",
@@ -112,6 +114,21 @@
             ["service", "what"],
             registry=registry,
         )
+        self.second_attempts = Counter(
+            "arbutus_second_attempts",
+            "Second attempts beside a silent first one: begun, won, lost, or withheld"
+            " and why",
+            ["service", "how", "why"],
+            registry=registry,
+        )
+        self.first_byte = Histogram(
+            "arbutus_first_byte_seconds",
+            "Until a first attempt answers or is overtaken, by whether a second one was"
+            " begun and won",
+            ["second"],
+            registry=registry,
+            buckets=_SECONDS,
+        )
         self.limited_attempts = Counter(
             "arbutus_limited_attempts",
             "Tries at servers that name a rate limit",
--- a/src/arbutuspulley/node/stream_relay.py
+++ b/src/arbutuspulley/node/stream_relay.py
@@ -86,9 +86,12 @@
         """Whether another server can continue, or begin, the stream."""
         return can_resume(self._buffer)
 
-    async def relay(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
+    async def relay(
+        self, response: aiohttp.ClientResponse, *, first: bytes = b""
+    ) -> web.StreamResponse:
         """Forward a server's stream to its end.
 
+        :param first: what has been read of it already.
         :raises BrokenError: if the server broke it off, or an event is too large.
         :raises AnswerAbandonedError: if it was aborted for the bound on memory.
         """
@@ -101,16 +104,17 @@
         )
         self._is_received = False
         with self._held.reading(answer):
-            relayed = await self._relay(response, answer)
+            relayed = await self._relay(response, answer, first)
         self._held.remove(answer)
         return relayed
 
     async def _relay(
-        self, response: aiohttp.ClientResponse, held: HeldAnswer
+        self, response: aiohttp.ClientResponse, held: HeldAnswer, first: bytes
     ) -> web.StreamResponse:
         buffer, progress = self._buffer, self._progress
         start_run(buffer, is_resumed=self.has_begun)
-        while part := await read_part(response):
+        while part := first or await read_part(response):
+            first = b""
             held.taken += len(part)
             complete = take_complete_events(buffer, part)
             del part
