Learn relative speeds of model servers

Servers of one service differ in speed, and decisions treated them alike.

Each server incarnation gets a relative speed from first events and decode time of stream events. Grants, waits, copies and evictions use it, and the expected number of streams with too long a gap enters the choice of a server. Speeds are inherited by the next coordinator. Nothing changes unless the setting is on.

--- a/src/arbutuspulley/events.py
+++ b/src/arbutuspulley/events.py
@@ -113,6 +113,7 @@
     SERVERS_REGAINED = 815
     RELAY_REFUSED = 816
     SERVER_BRITTLE = 817
+    SERVER_SPEED_CHANGED = 818
 
 
 def _encode_line(record: logging.LogRecord, **leading_fields: object) -> bytes:
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -46,7 +46,13 @@
 from arbutuspulley.node.pacing import Pacer
 from arbutuspulley.node.peer import Peer
 from arbutuspulley.node.peers import Peers
-from arbutuspulley.node.pool_log import log_grant, log_pool, log_refusal
+from arbutuspulley.node.pool_log import (
+    count_uneven_servers,
+    log_grant,
+    log_pool,
+    log_refusal,
+    log_server_speeds,
+)
 from arbutuspulley.node.pool_updates import (
     add_running_requests,
     apply_progress,
@@ -88,7 +94,9 @@
 from arbutuspulley.pool.state import (
     PoolState,
     inherit_prefill_speeds,
+    inherit_server_speeds,
     list_prefill_speeds,
+    list_server_speeds,
     update_servers,
 )
 from arbutuspulley.ports.fleet import EngineSpec, OrderAnswer
@@ -190,6 +198,7 @@
         self.is_active = False
         self._state.is_coordinator = False
         self._state.metrics.is_coordinator.set(0)
+        count_uneven_servers(self._state.metrics, ())
         if self._timer is not None:
             self._timer.cancel()
         for task in list(self._tasks):
@@ -234,7 +243,11 @@
 
     def _build_pool(self, service: str, spec: EngineSpec) -> PoolState:
         """Build a pool that starts with the estimates of previous coordinators."""
-        pool = PoolState(service=service, spec=spec)
+        pool = PoolState(
+            service=service,
+            spec=spec,
+            learns_server_speeds=self._state.settings.learns_server_speeds,
+        )
         inherited, estimates = self._inherited, self._state.estimates
         inherit_loads(
             pool,
@@ -242,6 +255,7 @@
             unknown_until=inherited.unknown_until,
         )
         inherit_prefill_speeds(pool, estimates.speeds.get(service, {}))
+        inherit_server_speeds(pool, estimates.server_speeds.get(service, {}))
         now = self._state.clock.now()
         inherit_demand(pool, estimates.demand.get(service, {}), now=now)
         return pool
@@ -484,6 +498,8 @@
     def _send_decision(self, pool: PoolState, decision: Grant | Refusal) -> None:
         if isinstance(decision, Grant):
             log_grant(pool, decision)
+            if pool.learns_server_speeds:
+                self._state.metrics.expected_gaps.inc(decision.gap_risk)
             message: ToNode = Granted(
                 key=decision.key,
                 incarnation=decision.incarnation,
@@ -533,11 +549,22 @@
         for pool in self._pools.values():
             decay_demand(pool, now=now)
             log_pool(pool, may_order=self._may_order(now), now=now)
+            log_server_speeds(pool)
+        count_uneven_servers(self._state.metrics, self._pools.values())
 
     def _send_estimates(self) -> None:
         speeds = {name: list_prefill_speeds(pool) for name, pool in self._pools.items()}
         demand = {name: list_demand(pool) for name, pool in self._pools.items()}
-        self._peers.send_estimates(CoordinatorEstimates(speeds=speeds, demand=demand))
+        server_speeds = {
+            name: list_server_speeds(pool)
+            for name, pool in self._pools.items()
+            if pool.learns_server_speeds
+        }
+        self._peers.send_estimates(
+            CoordinatorEstimates(
+                speeds=speeds, demand=demand, server_speeds=server_speeds
+            )
+        )
 
     def _send_status(self) -> None:
         now = self._state.clock.now()
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -448,10 +448,13 @@
     :param speeds: prefill speed of a server in prompt tokens per ms, by service and
         kind of model.
     :param demand: demand in prompt tokens per second, by service and model.
+    :param server_speeds: speed of a server relative to others, by service and
+        incarnation; only of servers that differ.
     """
 
     speeds: dict[str, dict[str, float]]
     demand: dict[str, dict[str, float]] = {}
+    server_speeds: dict[str, dict[str, float]] = {}
 
 
 ToCoordinator = (
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -31,6 +31,7 @@
         "configurations",
         "cooldowns",
         "excluded_attempts",
+        "expected_gaps",
         "first_part",
         "grant_wait",
         "in_flight",
@@ -52,6 +53,7 @@
         "retry_budget",
         "store_calls",
         "store_era",
+        "uneven_servers",
         "unreachable_servers",
         "version",
     )
@@ -128,6 +130,19 @@
             "Servers that this instance can't connect to",
             registry=registry,
         )
+        self.uneven_servers = Gauge(
+            "arbutus_uneven_servers",
+            "Model servers that are faster or slower than others; 0 at instances that"
+            " don't coordinate",
+            ["how"],
+            registry=registry,
+        )
+        self.expected_gaps = Counter(
+            "arbutus_expected_gaps",
+            "Streams that were expected to get a gap over their target when prompts"
+            " started",
+            registry=registry,
+        )
         self.relayed = Counter(
             "arbutus_relayed",
             "Requests sent to servers for instances that can't reach them, by outcome",
--- a/src/arbutuspulley/node/pool_log.py
+++ b/src/arbutuspulley/node/pool_log.py
@@ -1,12 +1,15 @@
 """Log lines of the coordinator's decisions, each with the values behind it."""
 
 from collections import Counter
+from collections.abc import Iterable
 
 from arbutuspulley.events import Event, log_event
+from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.pool.answers import PlannedOrder, list_servers_needing_report
 from arbutuspulley.pool.copies import get_copies, index_copies
 from arbutuspulley.pool.demand import get_demand
 from arbutuspulley.pool.grants import Grant, Refusal
+from arbutuspulley.pool.server_speed import has_changed
 from arbutuspulley.pool.state import PoolState, get_prefill_speed, list_prefill_speeds
 from arbutuspulley.ports.fleet import OrderAnswer
 
@@ -77,3 +80,27 @@
         },
         models=models,
     )
+
+
+def log_server_speeds(pool: PoolState) -> None:
+    """Log the servers whose relative speed has changed."""
+    for server in pool.servers.values():
+        speed = server.speed
+        if not has_changed(speed):
+            continue
+        log_event(
+            Event.SERVER_SPEED_CHANGED,
+            server=server.incarnation,
+            speed=round(speed.value, 2),
+            before=round(speed.reported, 2),
+            samples=speed.count,
+            event_ms=round(server.stream_gaps.event_ms),
+        )
+        speed.reported = speed.value
+
+
+def count_uneven_servers(metrics: NodeMetrics, pools: Iterable[PoolState]) -> None:
+    """Set how many servers are faster or slower than their class."""
+    values = [server.speed.value for pool in pools for server in pool.servers.values()]
+    metrics.uneven_servers.labels("fast").set(sum(value > 1 for value in values))
+    metrics.uneven_servers.labels("slow").set(sum(value < 1 for value in values))
--- a/src/arbutuspulley/pool/demand.py
+++ b/src/arbutuspulley/pool/demand.py
@@ -8,7 +8,12 @@
 import math
 
 from arbutuspulley.pool.duration import estimate_run_time
-from arbutuspulley.pool.state import Demand, PoolState, get_prefill_speed
+from arbutuspulley.pool.state import (
+    Demand,
+    PoolState,
+    ServerState,
+    get_prefill_speed,
+)
 from arbutuspulley.ports.fleet import ModelNeed
 
 SLOW_HALF_LIFE_MS = 3_000
@@ -143,9 +148,15 @@
     return 1 - 0.5 ** (observed_ms / half_life_ms)
 
 
-def get_copy_token_rate(pool: PoolState, model: str) -> float:
-    """Return the capacity of one copy of a model, in prompt tokens a second."""
-    return get_prefill_speed(pool, model) * PREFILL_FRACTION * 1_000
+def get_copy_token_rate(
+    pool: PoolState, model: str, server: ServerState | None = None
+) -> float:
+    """Return the capacity of one copy of a model, in prompt tokens a second.
+
+    :param server: server of the copy; ``None``: one as fast as its class.
+    """
+    rate = get_prefill_speed(pool, model) * PREFILL_FRACTION * 1_000
+    return rate if server is None else rate * server.speed.value
 
 
 def get_copy_request_rate(pool: PoolState) -> float:
@@ -154,10 +165,12 @@
     return min(rates, default=0.0) / max(1.0, pool.mean_tokens)
 
 
-def estimate_excess_requests(pool: PoolState, model: str, copies: int) -> float:
+def estimate_excess_requests(pool: PoolState, model: str, copies: float) -> float:
     """Return how many requests would have to wait, given the number of copies.
 
     Without a copy, all of them do.
+
+    :param copies: sum of the speeds of their servers.
     """
     demand = get_demand(pool, model)
     excess = max(
--- a/src/arbutuspulley/pool/eviction.py
+++ b/src/arbutuspulley/pool/eviction.py
@@ -1,5 +1,6 @@
 """Choice and cost of the models and adapters to evict from a server."""
 
+import math
 from collections import Counter
 
 import msgspec
@@ -11,7 +12,12 @@
     index_copies,
     reindex_server,
 )
-from arbutuspulley.pool.demand import estimate_excess_requests, get_copy_request_rate
+from arbutuspulley.pool.demand import (
+    estimate_excess_requests,
+    get_copy_request_rate,
+    get_demand,
+)
+from arbutuspulley.pool.server_speed import sum_speeds
 from arbutuspulley.pool.state import PoolState, ServerState, estimate_unload_wait
 from arbutuspulley.ports.fleet import EngineSpec
 
@@ -26,6 +32,10 @@
 UNLOAD_COST = 0.1
 """Fixed cost of each unload, in requests: it takes an order and removes a copy."""
 
+SPEED_FIT = 0.5
+"""Gain of a copy of a model with twice the mean demand on a server of twice the usual
+speed, in requests: more than the weights in host memory, so that busy models get to
+fast servers, and less than the last copy of a model and its unload together."""
 
 LIMITED_COPY_FRACTION = 0.5
 """Fraction of the usual request rate of a copy that a server's rate limit must allow
@@ -81,15 +91,19 @@
     of a model to load and a server.
 
     :param waiting: number of waiting requests by model.
-    :param eviction_costs: results of :func:`compute_eviction_cost` by model.
+    :param eviction_costs: results of :func:`compute_eviction_cost` by model and speed
+        of the server.
     :param options: eviction options of servers, by incarnation.
+    :param mean_demand: demand for each copy, in prompt tokens a second; ``None``: not
+        computed yet.
     """
 
     pool: PoolState
     index: CopyIndex
     waiting: Counter[str]
-    eviction_costs: dict[str, float] = msgspec.field(default_factory=dict)
+    eviction_costs: dict[str, dict[float, float]] = msgspec.field(default_factory=dict)
     options: dict[str, EvictionOptions] = msgspec.field(default_factory=dict)
+    mean_demand: float | None = None
 
 
 def begin_cycle(pool: PoolState, *, now: int) -> PlanningCycle:
@@ -192,8 +206,12 @@
     cycle: PlanningCycle, server: ServerState, model: str
 ) -> EvictionCandidate:
     """Compute the cost of evicting a model from a server."""
-    if model not in cycle.eviction_costs:
-        cycle.eviction_costs[model] = compute_eviction_cost(cycle, model)
+    costs = cycle.eviction_costs.setdefault(model, {})
+    cost = costs.get(server.speed.value)
+    if cost is None:
+        cost = compute_eviction_cost(cycle, model, speed=server.speed.value)
+        costs[server.speed.value] = cost
+    cost = max(0.0, cost + rate_speed_fit(cycle, server, model))
     wait_ms = estimate_unload_wait(cycle.pool, server, model, now=cycle.index.now)
     spec = cycle.pool.spec.models.get(model)
     size_mb = 0.0
@@ -201,19 +219,49 @@
         size_mb = spec.size_mb + spec.adapter_mb * len(server.models[model])
     return EvictionCandidate(
         model=model,
-        cost=cycle.eviction_costs[model] + UNLOAD_WAIT_COST_PER_S * wait_ms / 1_000,
+        cost=cost + UNLOAD_WAIT_COST_PER_S * wait_ms / 1_000,
         wait_ms=wait_ms,
         size_mb=size_mb,
     )
 
 
-def compute_eviction_cost(cycle: PlanningCycle, model: str) -> float:
-    """Return the cost of one copy less of a model, in requests that have to wait."""
+def rate_speed_fit(
+    cycle: PlanningCycle, server: ServerState, model: str, *, new_copies: int = 0
+) -> float:
+    """Return how well the demand for a model fits the speed of a server, in requests.
+
+    Busy models belong on fast servers, and rare ones on slow servers, where their few
+    prompts delay few streams.
+
+    :param new_copies: planned copies in addition to the existing ones.
+    """
+    if server.speed.value == 1:
+        return 0.0
     pool = cycle.pool
-    copies = len(get_copies(cycle.index, model))
-    cost = estimate_excess_requests(pool, model, copies - 1) - estimate_excess_requests(
-        pool, model, copies
-    )
+    if cycle.mean_demand is None:
+        total = sum(get_demand(pool, model) for model in pool.demand)
+        copies = sum(len(found) for found in cycle.index.copies.values())
+        cycle.mean_demand = total / max(1, copies)
+    if not cycle.mean_demand:
+        return 0.0
+    copies = max(1, len(get_copies(cycle.index, model)) + new_copies)
+    demand = get_demand(pool, model) / copies / cycle.mean_demand
+    return SPEED_FIT * min(1.0, demand - 1) * math.log2(server.speed.value)
+
+
+def compute_eviction_cost(
+    cycle: PlanningCycle, model: str, *, speed: float = 1
+) -> float:
+    """Return the cost of one copy less of a model, in requests that have to wait.
+
+    :param speed: relative speed of the server that evicts it.
+    """
+    pool = cycle.pool
+    found = get_copies(cycle.index, model)
+    copies, capacity = len(found), sum_speeds(found)
+    cost = estimate_excess_requests(
+        pool, model, capacity - speed
+    ) - estimate_excess_requests(pool, model, capacity)
     cost += cycle.waiting[model] / max(1, copies)
     if copies <= 1:
         cost += LAST_COPY_COST
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -13,6 +13,9 @@
 from arbutuspulley.pool.contact import get_withheld_until, list_withheld_ends
 from arbutuspulley.pool.copies import CopyIndex, get_copies, index_copies
 from arbutuspulley.pool.demand import get_copy_token_rate
+from arbutuspulley.pool.duration import estimate_run_time
+from arbutuspulley.pool.gap_risk import estimate_gap_risk, estimate_stream_risk
+from arbutuspulley.pool.server_speed import sum_speeds
 from arbutuspulley.pool.state import (
     PoolState,
     Run,
@@ -25,7 +28,11 @@
     is_usable,
     is_version_gone,
 )
-from arbutuspulley.pool.stream_gaps import find_start, record_prefill
+from arbutuspulley.pool.stream_gaps import (
+    find_start,
+    record_prefill,
+    sum_recent_prefill,
+)
 from arbutuspulley.pool.waits import (
     estimate_cooldown,
     estimate_rate_limit_wait,
@@ -59,6 +66,18 @@
 """Cost of a server with a rate limit, in ms of waiting. The few requests that it takes
 are reserved for models that no other server has."""
 
+GAP_COST_MS = 1_000.0
+"""Cost of a stream that gets a gap over its target, in ms of waiting: it is as late as
+one whose first event is late, which has about that long."""
+
+MIN_RISK_REDUCTION = 0.3
+"""Least number of streams that a better server must be expected to save for a request
+to wait for it."""
+
+MAX_RISK_WAIT_FRACTION = 0.5
+"""Part of the time until a request is late that it may wait for a better server: the
+estimate of when that has a free slot is rough."""
+
 MIN_PREFILL_RETENTION_MS = 1_000
 """Minimum time for which prefills of a server are kept, in ms: callers of streams
 notice gaps of some hundred ms."""
@@ -69,10 +88,12 @@
 
     :param tokens: tokens that they may occupy in the KV cache.
     :param gap_target_ms: lowest gap target of their streams; 0: none has a target.
+    :param streams: number of streams with a gap target.
     """
 
     tokens: int
     gap_target_ms: int
+    streams: int = 0
 
 
 class _Queue(Value, frozen=True):
@@ -90,6 +111,8 @@
         lower priority at the server.
     :param waited_ms: how long it waited.
     :param runs: requests in flight at the server.
+    :param gap_risk: number of streams that are expected to get a gap over their target
+        because of it; 0 unless speeds of servers are learnt.
     """
 
     key: str
@@ -99,6 +122,7 @@
     is_late: bool
     waited_ms: int
     runs: int
+    gap_risk: float = 0
 
 
 class Refusal(Value, frozen=True):
@@ -143,6 +167,7 @@
         queue: list_copy_ready_times(pool, queue.model, index, queue.version)
         for queue in {_get_queue(request) for request in pool.waiting.values()}
     }
+    _update_copy_speeds(pool, index)
     reserved_ms: dict[str, float] = {}
     usages: dict[str, _Usage] = {}
     pool.next_start_at = None
@@ -194,6 +219,15 @@
     return decisions
 
 
+def _update_copy_speeds(pool: PoolState, index: CopyIndex) -> None:
+    by_model = pool.server_speeds.by_model
+    by_model.clear()
+    if all(server.speed.value == 1 for server in pool.servers.values()):
+        return
+    for model, copies in index.copies.items():
+        by_model[model] = sum_speeds(copies) / len(copies)
+
+
 def _get_queue(waiting: WaitingRequest) -> _Queue:
     return _Queue(model=waiting.need.model, version=waiting.version)
 
@@ -272,8 +306,9 @@
     """
     now = index.now
     best: ServerState | None = None
-    best_cost = best_start = 0.0
-    for server in get_copies(index, waiting.need.model, waiting.version):
+    best_cost = best_start = best_risk = risk = 0.0
+    copies = get_copies(index, waiting.need.model, waiting.version)
+    for server in copies:
         if not _can_start_at(server, waiting, now=now):
             continue
         usage = usages.get(server.incarnation)
@@ -284,11 +319,19 @@
         start = _find_start(pool, server, usage, waiting, now=now)
         cost = start - now + reserved_ms.get(server.incarnation, 0.0)
         cost += _compute_cost(server, waiting)
+        if pool.learns_server_speeds:
+            risk = _estimate_risk(pool, server, usage, waiting, start=start, now=now)
+            cost += GAP_COST_MS * risk
         if best is None or cost < best_cost:
-            best, best_cost, best_start = server, cost, start
+            best, best_cost, best_start, best_risk = server, cost, start, risk
     if best is None:
         return None
     is_late = now >= waiting.late_at
+    if best_risk >= MIN_RISK_REDUCTION:
+        until = _find_safer_start(pool, copies, waiting, usages, best_risk, now=now)
+        if until is not None:
+            _record_next_start(pool, until)
+            return None
     is_reserved = best.incarnation in reserved_ms
     head_start_ms = LATE_HEAD_START_MS if is_late and not is_reserved else 0
     if is_reserved or best_start > now + head_start_ms:
@@ -297,11 +340,13 @@
         if not is_late:
             ahead_ms = reserved_ms.get(best.incarnation, 0.0)
             reserved_ms[best.incarnation] = ahead_ms + _get_prefill_ms(
-                pool, waiting.need
+                pool, waiting.need, best
             )
         return None
     usage = usages.pop(best.incarnation)
-    return _grant(pool, best, waiting, usage, now=now, is_late=is_late)
+    return _grant(
+        pool, best, waiting, usage, now=now, is_late=is_late, gap_risk=best_risk
+    )
 
 
 def _record_next_start(pool: PoolState, start: float) -> None:
@@ -323,15 +368,93 @@
     """
     start = find_start(
         server.stream_gaps,
-        prefill_ms=_get_prefill_ms(pool, waiting.need),
+        prefill_ms=_get_prefill_ms(pool, waiting.need, server),
         gap_target_ms=usage.gap_target_ms,
         now=now,
     )
     return max(start, server.prefill_until)
 
 
-def _get_prefill_ms(pool: PoolState, need: ModelNeed) -> float:
-    return need.prompt_tokens / get_prefill_speed(pool, need.model)
+def _get_prefill_ms(pool: PoolState, need: ModelNeed, server: ServerState) -> float:
+    speed = get_prefill_speed(pool, need.model) * server.speed.value
+    return need.prompt_tokens / speed
+
+
+def _estimate_risk(
+    pool: PoolState,
+    server: ServerState,
+    usage: _Usage,
+    waiting: WaitingRequest,
+    *,
+    start: float,
+    now: int,
+) -> float:
+    """Return how many streams get too long a gap if a prompt starts on a server.
+
+    These are the streams there, and the new one itself once other prompts follow.
+
+    :param start: when it may start there, in ms.
+    """
+    gaps = server.stream_gaps
+    risk = 0.0
+    if usage.streams:
+        recent_ms = sum_recent_prefill(gaps, since=start - gaps.event_ms)
+        risk = estimate_gap_risk(
+            pool.server_speeds,
+            server.speed,
+            streams=usage.streams,
+            gap_target_ms=usage.gap_target_ms,
+            event_ms=gaps.event_ms,
+            prefill_ms=recent_ms + _get_prefill_ms(pool, waiting.need, server),
+            now=now,
+        )
+    if waiting.gap_target_ms:
+        risk += estimate_stream_risk(
+            pool.server_speeds,
+            server.speed,
+            prompts=len(server.runs),
+            gap_target_ms=waiting.gap_target_ms,
+            event_ms=gaps.event_ms,
+        )
+    return risk
+
+
+def _find_safer_start(
+    pool: PoolState,
+    copies: list[ServerState],
+    waiting: WaitingRequest,
+    usages: dict[str, _Usage],
+    risk: float,
+    *,
+    now: int,
+) -> float | None:
+    """Return until when a request waits for a full server with a lower risk, in ms.
+
+    :param risk: lowest risk of the servers on which it may start now.
+    :return: ``None`` if it does not wait.
+    """
+    left_ms = waiting.late_at - waiting.arrived_at
+    until = waiting.arrived_at + MAX_RISK_WAIT_FRACTION * left_ms
+    if now >= until:
+        return None
+    for server in copies:
+        if len(server.runs) < server.slots or not is_usable(server, now=now):
+            continue
+        if not has_model(server, waiting.need, now=now):
+            continue
+        if server.incarnation in waiting.avoid:
+            continue
+        run_ms = estimate_run_time(pool.durations, waiting.need)
+        if now + run_ms / server.slots > until:
+            continue
+        usage = usages.get(server.incarnation)
+        if usage is None:
+            usage = usages[server.incarnation] = _sum_usage(server)
+        start = max(float(now), server.prefill_until)
+        other = _estimate_risk(pool, server, usage, waiting, start=start, now=now)
+        if other <= risk - MIN_RISK_REDUCTION:
+            return until
+    return None
 
 
 def _sum_usage(server: ServerState) -> _Usage:
@@ -341,6 +464,7 @@
         gap_target_ms=min(
             (run.gap_target_ms for run in runs if run.gap_target_ms), default=0
         ),
+        streams=sum(run.gap_target_ms > 0 for run in runs),
     )
 
 
@@ -369,7 +493,7 @@
 
 def _compute_cost(server: ServerState, waiting: WaitingRequest) -> float:
     """Return the cost of a server in addition to the wait for it, in ms of waiting."""
-    cost = RUN_COST_MS * len(server.runs)
+    cost = RUN_COST_MS * len(server.runs) / server.speed.value
     cost += FAILURE_COST_MS * server.failure_share
     if server.zone != waiting.zone:
         cost += ZONE_COST_MS
@@ -386,6 +510,7 @@
     *,
     now: int,
     is_late: bool,
+    gap_risk: float,
 ) -> Grant:
     need = waiting.need
     runs = len(server.runs)
@@ -398,19 +523,23 @@
         was_prefill_idle=server.prefill_until <= now,
         is_repeat=waiting.is_repeat,
         gap_target_ms=0 if is_late else waiting.gap_target_ms,
+        streams=runs,
     )
+    if pool.learns_server_speeds:
+        pool.server_speeds.prompts.append(
+            need.prompt_tokens / get_prefill_speed(pool, need.model)
+        )
     record_prefill(
         server.stream_gaps,
-        _get_prefill_ms(pool, need),
+        _get_prefill_ms(pool, need, server),
         retention_ms=max(
             MIN_PREFILL_RETENTION_MS, usage.gap_target_ms, waiting.gap_target_ms
         ),
         now=now,
     )
     begin = max(float(now), server.prefill_until)
-    server.prefill_until = begin + need.prompt_tokens * 1_000 / get_copy_token_rate(
-        pool, need.model
-    )
+    rate = get_copy_token_rate(pool, need.model, server)
+    server.prefill_until = begin + need.prompt_tokens * 1_000 / rate
     if need.adapter:
         server.adapter_used_at[need.model, need.adapter] = now
     return Grant(
@@ -421,4 +550,5 @@
         is_late=is_late,
         waited_ms=now - waiting.arrived_at,
         runs=runs,
+        gap_risk=gap_risk,
     )
--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -25,9 +25,11 @@
     choose_adapter_to_evict,
     count_used_mb,
     plan_eviction,
+    rate_speed_fit,
     update_cycle,
 )
 from arbutuspulley.pool.load_rate import may_load, record_load
+from arbutuspulley.pool.server_speed import sum_speeds
 from arbutuspulley.pool.state import (
     PoolState,
     ServerState,
@@ -263,7 +265,9 @@
     """Return how many requests no longer have to wait with another copy of a model."""
     pool, waiting = cycle.pool, cycle.waiting[model]
     found = get_copies(cycle.index, model)
-    copies = sum(not _is_unload_delayed(cycle, server, model) for server in found)
+    copies = sum_speeds(
+        server for server in found if not _is_unload_delayed(cycle, server, model)
+    )
     gain = estimate_excess_requests(pool, model, copies) - estimate_excess_requests(
         pool, model, copies + 1
     )
@@ -284,8 +288,13 @@
     )
 
 
-def _estimate_relieved(pool: PoolState, model: str, waiting: int, copies: int) -> float:
-    """Return how many of a model's waiting requests another copy would take over."""
+def _estimate_relieved(
+    pool: PoolState, model: str, waiting: int, copies: float
+) -> float:
+    """Return how many of a model's waiting requests another copy would take over.
+
+    :param copies: sum of the speeds of the servers with a copy.
+    """
     requests_per_copy = (
         get_copy_token_rate(pool, model) * COPY_BACKLOG_MS / 1_000 / pool.mean_tokens
     )
@@ -293,7 +302,7 @@
 
 
 def _compute_missing_gain(
-    pool: PoolState, model: str, waiting: int, copies: int, *, now: int
+    pool: PoolState, model: str, waiting: int, copies: float, *, now: int
 ) -> float:
     if copies:
         pool.missing_since.pop(model, None)
@@ -365,6 +374,7 @@
             - plan.cost
             - RUN_COST * len(server.runs)
             + LOCAL_WEIGHTS_GAIN * is_local
+            + rate_speed_fit(cycle, server, model, new_copies=1)
         )
         if best is None or worth > best_worth:
             best, best_worth = server, worth
--- a/src/arbutuspulley/pool/prefill_speed.py
+++ b/src/arbutuspulley/pool/prefill_speed.py
@@ -48,6 +48,8 @@
     :param samples: prompt tokens and time to the first event in ms of recent requests.
     :param speed: last computed estimate, in tokens a ms; 0: not computed yet.
     :param new_samples: requests since then.
+    :param overhead_ms: part of the time to the first event that does not depend on the
+        prompt.
     """
 
     prior: float = DEFAULT_SPEED
@@ -56,6 +58,7 @@
     )
     speed: float = 0
     new_samples: int = 0
+    overhead_ms: float = 0
 
 
 def add_sample(state: PrefillSpeedState, *, tokens: int, took_ms: float) -> None:
@@ -75,6 +78,7 @@
     if not state.speed or state.new_samples >= REFRESH_SAMPLES:
         state.new_samples = 0
         state.speed = _compute_speed(state)
+        state.overhead_ms = _compute_overhead(state)
     return state.speed
 
 
@@ -89,3 +93,9 @@
         )
     slope = max(1 / MAX_SPEED, statistics.median(slopes))
     return max(MIN_SPEED, 1 / slope)
+
+
+def _compute_overhead(state: PrefillSpeedState) -> float:
+    return max(
+        0.0, statistics.median(took - n / state.speed for n, took in state.samples)
+    )
--- a/src/arbutuspulley/pool/runs.py
+++ b/src/arbutuspulley/pool/runs.py
@@ -1,9 +1,16 @@
 """Records how granted requests proceed and end at the servers of a pool."""
 
 from arbutuspulley.pool.duration import record_run_time
-from arbutuspulley.pool.prefill_speed import PrefillSpeedState, add_sample
-from arbutuspulley.pool.state import PoolState, get_prefill_speed, get_size_class
-from arbutuspulley.pool.stream_gaps import record_stream
+from arbutuspulley.pool.prefill_speed import PrefillSpeedState, add_sample, get_speed
+from arbutuspulley.pool.server_speed import record_event_time, record_first_event_time
+from arbutuspulley.pool.state import (
+    PoolState,
+    Run,
+    ServerState,
+    get_prefill_speed,
+    get_size_class,
+)
+from arbutuspulley.pool.stream_gaps import MIN_EVENTS, get_event_time, record_stream
 from arbutuspulley.ports.fleet import AttemptOutcome
 
 FAILURE_SMOOTHING = 0.1
@@ -40,10 +47,12 @@
     run.first_at = now
     run.prefill_before_ms = server.stream_gaps.prefill_ms
     if run.was_prefill_idle:
+        if pool.learns_server_speeds:
+            _record_first_event_speed(pool, server, run, took_ms=took_ms, now=now)
         add_sample(
             _get_speed_state(pool, run.need.model),
             tokens=run.need.prompt_tokens,
-            took_ms=took_ms,
+            took_ms=took_ms * server.speed.value,
         )
     if server.unconfirmed_load == run.need.model:
         server.unconfirmed_load = ""
@@ -71,12 +80,21 @@
     if run is not None and run.first_at is not None and how is AttemptOutcome.DONE:
         took_ms = now - run.first_at
         record_run_time(pool.durations, run.need, took_ms=took_ms)
+        prefill_ms = server.stream_gaps.prefill_ms - run.prefill_before_ms
         record_stream(
-            server.stream_gaps,
-            events=events,
-            took_ms=took_ms,
-            prefill_ms=server.stream_gaps.prefill_ms - run.prefill_before_ms,
+            server.stream_gaps, events=events, took_ms=took_ms, prefill_ms=prefill_ms
         )
+        if pool.learns_server_speeds and events >= MIN_EVENTS:
+            record_event_time(
+                pool.server_speeds,
+                server.speed,
+                size_class=get_size_class(pool.spec, run.need.model),
+                streams=(run.streams + len(server.runs)) // 2,
+                event_ms=get_event_time(
+                    events=events, took_ms=took_ms, prefill_ms=prefill_ms
+                ),
+                at=now - took_ms / 2,
+            )
 
 
 def record_not_run(pool: PoolState, key: str, incarnation: str, *, now: int) -> None:
@@ -110,6 +128,25 @@
     server.model_backoff_until[need.model] = now + MODEL_BACKOFF_MS
 
 
+def _record_first_event_speed(
+    pool: PoolState, server: ServerState, run: Run, *, took_ms: int, now: int
+) -> None:
+    if server.unconfirmed_load == run.need.model:
+        # The rest of a load that takes longer than expected is part of this time.
+        return
+    state = _get_speed_state(pool, run.need.model)
+    prefill_ms = run.need.prompt_tokens / get_speed(state)
+    record_first_event_time(
+        pool.server_speeds,
+        server.speed,
+        size_class=get_size_class(pool.spec, run.need.model),
+        streams=run.streams,
+        expected_ms=state.overhead_ms + prefill_ms,
+        took_ms=took_ms,
+        now=now,
+    )
+
+
 def _get_speed_state(pool: PoolState, model: str) -> PrefillSpeedState:
     size_class = get_size_class(pool.spec, model)
     state = pool.speeds.get(size_class)
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -13,6 +13,11 @@
     PrefillSpeedState,
     get_speed,
 )
+from arbutuspulley.pool.server_speed import (
+    PoolSpeedState,
+    ServerSpeedState,
+    build_inherited_speed,
+)
 from arbutuspulley.pool.stream_gaps import StreamGapState
 from arbutuspulley.ports.fleet import (
     UNSTATED_VERSION,
@@ -72,6 +77,7 @@
     :param was_prefill_idle: whether its server had no prefill in progress when it was
         granted.
     :param is_repeat: whether a server has refused it before.
+    :param streams: runs on its server when it was granted, before it.
     """
 
     origin: str
@@ -82,6 +88,7 @@
     first_at: int | None = None
     was_prefill_idle: bool = False
     is_repeat: bool = False
+    streams: int = 0
 
 
 class UnreachableReport(State):
@@ -143,6 +150,8 @@
     :param order_answered_at: when the last order was answered or timed out, in ms.
     :param prefill_until: expected end of the prefill of all granted prompts, in ms.
     :param stream_gaps: prefill between events of its streams.
+    :param speed: its speed relative to its class; always 1 unless
+        ``PoolState.learns_server_speeds`` is set.
     :param backoff_until: no new requests or orders before this time, in ms.
     :param failures: consecutive failures to connect since it counts as down.
     :param failure_share: moving average of the share of requests that failed.
@@ -186,6 +195,7 @@
     order_answered_at: int = 0
     prefill_until: float = 0
     stream_gaps: StreamGapState = msgspec.field(default_factory=StreamGapState)
+    speed: ServerSpeedState = msgspec.field(default_factory=ServerSpeedState)
     backoff_until: int = 0
     failures: int = 0
     failure_share: float = 0
@@ -231,6 +241,7 @@
     :param shares_contended: whether teams and ranks get fair shares, see
         :class:`~arbutuspulley.ports.fleet.NodeSettings`.
     :param learns_server_speeds: whether each server's speed is estimated by itself.
+    :param server_speeds: what the speeds of servers are compared with.
     """
 
     service: str
@@ -250,6 +261,7 @@
     durations: DurationState = msgspec.field(default_factory=DurationState)
     shares_contended: bool = False
     learns_server_speeds: bool = False
+    server_speeds: PoolSpeedState = msgspec.field(default_factory=PoolSpeedState)
 
 
 def update_servers(pool: PoolState, entries: list[ServerEntry]) -> None:
@@ -269,6 +281,9 @@
         server = pool.servers.get(incarnation)
         if server is None:
             server = _build_server(entry)
+            speed = pool.server_speeds.inherited.pop(incarnation, None)
+            if speed is not None:
+                server.speed = build_inherited_speed(speed)
             pool.servers[incarnation] = server
             if entry.server_id in removed_by_id:
                 # All other state belongs to the previous incarnation. An order names
@@ -407,6 +422,27 @@
         pool.speeds.setdefault(size_class, PrefillSpeedState(prior=speed))
 
 
+def list_server_speeds(pool: PoolState) -> dict[str, float]:
+    """Return the speeds of servers outside the deadband, for a successor.
+
+    :return: speeds by incarnation, with two digits.
+    """
+    return {
+        server.incarnation: round(server.speed.value, 2)
+        for server in pool.servers.values()
+        if server.speed.value != 1
+    }
+
+
+def inherit_server_speeds(pool: PoolState, speeds: dict[str, float]) -> None:
+    """Start with the speeds of servers that the previous coordinator has estimated.
+
+    :param speeds: by incarnation; applied to servers once they are known.
+    """
+    if pool.learns_server_speeds:
+        pool.server_speeds.inherited = dict(speeds)
+
+
 def estimate_unload_wait(
     pool: PoolState, server: ServerState, model: str, *, now: int
 ) -> float:
--- a/src/arbutuspulley/pool/stream_gaps.py
+++ b/src/arbutuspulley/pool/stream_gaps.py
@@ -87,10 +87,30 @@
     """
     if events < MIN_EVENTS:
         return
-    event_ms = max(0.0, took_ms - prefill_ms) / (events - 1)
+    event_ms = get_event_time(events=events, took_ms=took_ms, prefill_ms=prefill_ms)
     state.event_ms += EVENT_SMOOTHING * (event_ms - state.event_ms)
 
 
+def get_event_time(*, events: int, took_ms: float, prefill_ms: float) -> float:
+    """Return the mean decode time of a stream's events, in ms.
+
+    :param events: number of its events, at least 2.
+    :param took_ms: time from its first event to its last.
+    :param prefill_ms: prefill time of the server within that time.
+    """
+    return max(0.0, took_ms - prefill_ms) / (events - 1)
+
+
+def sum_recent_prefill(state: StreamGapState, *, since: float) -> float:
+    """Return the prefill time of a server after a time, in ms."""
+    total_ms = 0.0
+    for prefill in reversed(state.prefills):
+        if prefill.end <= since:
+            break
+        total_ms += prefill.end - max(prefill.begin, since)
+    return total_ms
+
+
 def find_start(
     state: StreamGapState, *, prefill_ms: float, gap_target_ms: int, now: int
 ) -> float:
--- a/src/arbutuspulley/pool/waits.py
+++ b/src/arbutuspulley/pool/waits.py
@@ -44,6 +44,7 @@
     :param ready_times: as :func:`list_copy_ready_times` returns them; not empty.
     """
     rate = get_copy_token_rate(pool, model) / 1_000
+    rate *= pool.server_speeds.by_model.get(model, 1)
     remaining, elapsed_ms = float(tokens), ready_times[0]
     for copies, next_at in enumerate(ready_times[1:], start=1):
         started = copies * rate * (next_at - elapsed_ms)
