--- a/src/arbutuspulley/pool/runs.py
+++ b/src/arbutuspulley/pool/runs.py
@@ -2,7 +2,11 @@
 
 from arbutuspulley.pool.duration import record_run_time
 from arbutuspulley.pool.prefill_speed import PrefillSpeedState, add_sample, get_speed
-from arbutuspulley.pool.server_speed import record_event_time, record_first_event_time
+from arbutuspulley.pool.server_speed import (
+    record_event_time,
+    record_first_event_time,
+    update_reference,
+)
 from arbutuspulley.pool.state import (
     PoolState,
     Run,
@@ -95,6 +99,7 @@
                 ),
                 at=now - took_ms / 2,
             )
+            update_reference(pool.server_speeds, pool.servers.values())
 
 
 def record_not_run(pool: PoolState, key: str, incarnation: str, *, now: int) -> None:
@@ -145,6 +150,7 @@
         took_ms=took_ms,
         now=now,
     )
+    update_reference(pool.server_speeds, pool.servers.values())
 
 
 def _get_speed_state(pool: PoolState, model: str) -> PrefillSpeedState:
--- a/src/arbutuspulley/pool/server_speed.py
+++ b/src/arbutuspulley/pool/server_speed.py
@@ -49,10 +49,12 @@
 SHRINKAGE_SAMPLES = 2
 """Weight of the prior speed of 1, in observations."""
 
-MAX_CONFIDENCE = 0.95
-"""Upper bound of the weight of the observations against the prior. Speeds and
-expectations are only known relative to each other; the rest of the weight keeps the
-mean speed of all servers at 1."""
+REFERENCE_SMOOTHING = 0.1
+"""Part of the way that the reference moves to the median of all servers at a time: with
+half of the servers slow, the median jumps between two values."""
+
+REFERENCE_SAMPLES = 8
+"""Observations of all servers after which the reference is updated."""
 
 STREAMS_PER_BUCKET = 4
 """Width of the classes of concurrent streams: a third of a server with 12 slots."""
@@ -92,6 +94,8 @@
     """Relative speed of one server incarnation.
 
     :param value: estimated speed; 1: that of its class.
+    :param log_value: logarithm of the speed relative to the expectations, which may
+        have drifted from the reference.
     :param samples: time in ms and logarithm of the speed of recent observations.
     :param count: number of observations so far.
     :param slow_at: time of the last first event that showed a slow phase, in ms.
@@ -101,6 +105,7 @@
     """
 
     value: float = 1.0
+    log_value: float = 0
     samples: deque[tuple[float, float]] = msgspec.field(
         default_factory=lambda: deque(maxlen=MAX_SAMPLES)
     )
@@ -131,6 +136,9 @@
     :param sorted_factors: the same, with those assumed before, in order.
     :param new_factors: deviations since these were sorted.
     :param prompts: prefill times of recent prompts at a server of speed 1, in ms.
+    :param reference: median of the servers' ``log_value``, smoothed. Speeds and
+        expectations are only known relative to each other; without it, both drift.
+    :param new_samples: observations since the reference was updated.
     :param inherited: speeds that the previous coordinator has estimated, by
         incarnation.
     :param by_model: mean speed of a model's copies in the current planning cycle.
@@ -150,6 +158,8 @@
     prompts: deque[float] = msgspec.field(
         default_factory=lambda: deque(maxlen=MAX_PROMPTS)
     )
+    reference: float = 0
+    new_samples: int = 0
     inherited: dict[str, float] = msgspec.field(default_factory=dict)
     by_model: dict[str, float] = msgspec.field(default_factory=dict)
 
@@ -189,7 +199,7 @@
         pool_speeds.sorted_factors = sorted([*PRIOR_FACTORS, *pool_speeds.factors])
     server.slow_factor = factor if factor >= SLOW_FACTOR else 0
     server.slow_at = now
-    _add_sample(server, level - math.log(ratio), at=now)
+    _add_sample(pool_speeds, server, level - math.log(ratio), at=now)
 
 
 def record_event_time(
@@ -212,7 +222,21 @@
     key = size_class, streams // STREAMS_PER_BUCKET
     level = _update_baseline(pool_speeds.events, key, event_ms * server.value)
     if level is not None:
-        _add_sample(server, level - math.log(event_ms), at=at)
+        _add_sample(pool_speeds, server, level - math.log(event_ms), at=at)
+
+
+def update_reference(pool_speeds: PoolSpeedState, servers: Iterable[HasSpeed]) -> None:
+    """Update the speed that counts as 1, if there were enough observations."""
+    if pool_speeds.new_samples < REFERENCE_SAMPLES:
+        return
+    pool_speeds.new_samples = 0
+    speeds = [one.speed for one in servers if one.speed.count >= MIN_SAMPLES]
+    if not speeds:
+        return
+    median = statistics.median(speed.log_value for speed in speeds)
+    pool_speeds.reference += REFERENCE_SMOOTHING * (median - pool_speeds.reference)
+    for speed in speeds:
+        speed.value = _compute_value(speed.log_value - pool_speeds.reference)
 
 
 def get_slower_share(pool_speeds: PoolSpeedState, factor: float) -> float:
@@ -233,7 +257,8 @@
     """
     value = min(MAX_SERVER_SPEED, max(MIN_SERVER_SPEED, value))
     state = ServerSpeedState(value=value, reported=value, count=MAX_SAMPLES)
-    sample = 0.0, math.log(value) / _get_confidence(MAX_SAMPLES)
+    state.log_value = math.log(value)
+    sample = 0.0, state.log_value / _get_confidence(MAX_SAMPLES)
     state.samples.extend([sample] * WINDOW_SAMPLES)
     return state
 
@@ -265,15 +290,18 @@
     return level
 
 
-def _add_sample(server: ServerSpeedState, log_speed: float, *, at: float) -> None:
+def _add_sample(
+    pool_speeds: PoolSpeedState,
+    server: ServerSpeedState,
+    log_speed: float,
+    *,
+    at: float,
+) -> None:
+    pool_speeds.new_samples += 1
     server.samples.append((at, log_speed))
     server.count += 1
-    server.value = _compute_value(server)
-
-
-def _compute_value(server: ServerSpeedState) -> float:
     if server.count < MIN_SAMPLES:
-        return 1.0
+        return
     samples = sorted(server.samples, reverse=True)
     since = samples[0][0] - WINDOW_MS
     values = [
@@ -281,11 +309,15 @@
         for index, (at, log_speed) in enumerate(samples)
         if index < WINDOW_SAMPLES or at >= since
     ]
-    log_value = statistics.median(values) * _get_confidence(server.count)
+    server.log_value = statistics.median(values) * _get_confidence(server.count)
+    server.value = _compute_value(server.log_value - pool_speeds.reference)
+
+
+def _compute_value(log_value: float) -> float:
     if abs(log_value) <= math.log(1 + DEADBAND):
         return 1.0
     return min(MAX_SERVER_SPEED, max(MIN_SERVER_SPEED, math.exp(log_value)))
 
 
 def _get_confidence(count: int) -> float:
-    return min(MAX_CONFIDENCE, count / (count + SHRINKAGE_SAMPLES))
+    return count / (count + SHRINKAGE_SAMPLES)
