Copy models to faster servers where their prompts delay streams

The expected number of delayed streams adds to the gain of a copy on a server that is faster by a fifth.

--- a/scripts/compare_server_speeds.py
+++ b/scripts/compare_server_speeds.py
@@ -56,7 +56,7 @@
 """Three in four requests are for a tenth of the models, see ``bench_pool``."""
 
 ORDER_INTERVAL_MS = 50
-WARM_UP_MS = 5_000
+WARM_UP_MS = 10_000
 """Time from the start that doesn't count: servers have no models, and no speeds are
 known."""
 
@@ -113,6 +113,7 @@
 
     @property
     def long_gap_share(self) -> float:
+        """Share of the streams that had a gap over the target."""
         return sum(self.long_gaps.values()) / max(1, sum(self.ended.values()))
 
 
--- a/src/arbutuspulley/pool/gap_risk.py
+++ b/src/arbutuspulley/pool/gap_risk.py
@@ -6,6 +6,11 @@
 learnt from first events, see :mod:`arbutuspulley.pool.server_speed`.
 """
 
+import math
+
+import msgspec
+
+from arbutuspulley.data import State
 from arbutuspulley.pool.server_speed import (
     PoolSpeedState,
     ServerSpeedState,
@@ -20,6 +25,49 @@
 MIN_TARGET_FRACTION = 0.1
 """Least part of the gap target that remains after the margin."""
 
+HARM_HALF_LIFE_MS = 3_000
+"""Half-life of the moving average of the streams that get too long gaps, in ms: that of
+the demand for a model."""
+
+
+class ModelHarm(State):
+    """Moving average of the streams that a model's prompts delay too much.
+
+    :param per_s: expected streams a second, as of ``at``.
+    :param at: in ms.
+    """
+
+    per_s: float = 0
+    at: int = 0
+
+
+class GapRiskState(State):
+    """What a pool's prompts are expected to do to its streams, by model."""
+
+    harm: dict[str, ModelHarm] = msgspec.field(default_factory=dict)
+
+
+def record_harm(state: GapRiskState, model: str, risk: float, *, now: int) -> None:
+    """Record that a prompt has started.
+
+    :param risk: number of streams that get too long a gap because of it.
+    :param now: in ms.
+    """
+    harm = state.harm.get(model)
+    if harm is None:
+        harm = state.harm[model] = ModelHarm(at=now)
+    harm.per_s = get_harm(state, model, now=now)
+    harm.per_s += risk * 1_000 * math.log(2) / HARM_HALF_LIFE_MS
+    harm.at = now
+
+
+def get_harm(state: GapRiskState, model: str, *, now: int) -> float:
+    """Return how many streams a second get too long gaps because of a model."""
+    harm = state.harm.get(model)
+    if harm is None:
+        return 0.0
+    return harm.per_s * 0.5 ** ((now - harm.at) / HARM_HALF_LIFE_MS)
+
 
 def estimate_gap_risk(
     pool_speeds: PoolSpeedState,
--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -14,7 +14,11 @@
 from arbutuspulley.pool.copies import CopyIndex, get_copies, index_copies
 from arbutuspulley.pool.demand import get_copy_token_rate
 from arbutuspulley.pool.duration import estimate_run_time
-from arbutuspulley.pool.gap_risk import estimate_gap_risk, estimate_stream_risk
+from arbutuspulley.pool.gap_risk import (
+    estimate_gap_risk,
+    estimate_stream_risk,
+    record_harm,
+)
 from arbutuspulley.pool.server_speed import sum_speeds
 from arbutuspulley.pool.state import (
     PoolState,
@@ -529,6 +533,7 @@
         pool.server_speeds.prompts.append(
             need.prompt_tokens / get_prefill_speed(pool, need.model)
         )
+        record_harm(pool.gap_risk, need.model, gap_risk, now=now)
     record_prefill(
         server.stream_gaps,
         _get_prefill_ms(pool, need, server),
--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -28,6 +28,7 @@
     rate_speed_fit,
     update_cycle,
 )
+from arbutuspulley.pool.gap_risk import get_harm
 from arbutuspulley.pool.load_rate import may_load, record_load
 from arbutuspulley.pool.server_speed import sum_speeds
 from arbutuspulley.pool.state import (
@@ -59,6 +60,15 @@
 """Backlog that one copy can work off within latency targets, in ms: the rest of
 targets of some 600 ms after a prompt's own prefill and the order of a load."""
 
+HARM_HORIZON_S = 5.0
+"""Time over which a copy on a faster server is counted to save streams from too long
+gaps, in s. Speeds last longer than the demand for a model; with a longer time, loads
+follow demand that has moved on."""
+
+MIN_SPEED_RATIO = 1.2
+"""Ratio of a server's speed to that of a model's copies from which it counts as faster:
+estimates vary by less than that."""
+
 RUN_COST = 0.05
 """Cost of each request that runs on a server when a model is loaded there, in requests:
 all models of a server share its batch."""
@@ -272,11 +282,21 @@
         pool, model, copies + 1
     )
     gain += _estimate_relieved(pool, model, waiting, copies)
+    if found:
+        gain += _compute_faster_gain(cycle, model)
     return gain + _compute_missing_gain(
         pool, model, waiting, copies, now=cycle.index.now
     )
 
 
+def _compute_faster_gain(cycle: PlanningCycle, model: str) -> float:
+    """Return how many streams a copy on a faster server saves from too long gaps."""
+    pool = cycle.pool
+    if not pool.learns_server_speeds:
+        return 0.0
+    return HARM_HORIZON_S * get_harm(pool.gap_risk, model, now=cycle.index.now)
+
+
 def _is_unload_delayed(cycle: PlanningCycle, server: ServerState, model: str) -> bool:
     """Tell whether a planned load is delayed by a long wait for an unload."""
     if server.planned != model or not server.unloading:
@@ -345,6 +365,9 @@
         for server in pool.servers.values()
         if is_usable(server, now=now) and has_version(server, version)
     ]
+    copies = get_copies(cycle.index, model)
+    mean_speed = sum_speeds(copies) / max(1, len(copies))
+    slower_gain = gain - _compute_faster_gain(cycle, model) if copies else gain
     are_all_limited = all(server.limit is not None for server in usable)
     for server in usable:
         if server.limit is not None and not are_all_limited:
@@ -364,7 +387,8 @@
         if plan is None:
             continue
         saved_ms = spec.load_ms - get_load_ms(server, spec)
-        discounted_gain = gain * max(
+        is_faster = server.speed.value >= MIN_SPEED_RATIO * mean_speed
+        discounted_gain = (gain if is_faster else slower_gain) * max(
             0.0, 1 - (plan.wait_ms - saved_ms) / GAIN_HORIZON_MS
         )
         if discounted_gain - plan.cost < MIN_GAIN + server.planned_gain:
--- a/src/arbutuspulley/pool/server_speed.py
+++ b/src/arbutuspulley/pool/server_speed.py
@@ -32,12 +32,17 @@
 events vary by about that much, and decisions must not follow random variation."""
 
 WINDOW_MS = 1_600
-"""Time span of the observations that count, in ms. A lasting change shows in half of
-them after 0.8 s, and a slow phase of 600 ms never does."""
+"""Time span of the newest observations, in ms. A lasting change shows in half of them
+after 0.8 s, and a slow phase of 600 ms never does."""
 
 WINDOW_SAMPLES = 5
-"""Least number of observations that count, however old: two slow ones in five don't
-change the median."""
+"""Least number of the newest observations, however old: two slow ones in five don't
+change their median."""
+
+CHANGE = 0.25
+"""Deviation of the median of the newest observations from that of all kept ones, from
+which it is used instead: less is random variation, with which copies of a model would
+move between servers."""
 
 MIN_SAMPLES = 3
 """Observations before a server counts as faster or slower than its class: the median
@@ -309,7 +314,11 @@
         for index, (at, log_speed) in enumerate(samples)
         if index < WINDOW_SAMPLES or at >= since
     ]
-    server.log_value = statistics.median(values) * _get_confidence(server.count)
+    log_value = statistics.median(one for _at, one in samples)
+    newest = statistics.median(values)
+    if abs(newest - log_value) > math.log(1 + CHANGE):
+        log_value = newest
+    server.log_value = log_value * _get_confidence(server.count)
     server.value = _compute_value(server.log_value - pool_speeds.reference)
 
 
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -8,6 +8,7 @@
     DurationState,
     estimate_remaining_time,
 )
+from arbutuspulley.pool.gap_risk import GapRiskState
 from arbutuspulley.pool.prefill_speed import (
     DEFAULT_SPEED,
     PrefillSpeedState,
@@ -242,6 +243,8 @@
         :class:`~arbutuspulley.ports.fleet.NodeSettings`.
     :param learns_server_speeds: whether each server's speed is estimated by itself.
     :param server_speeds: what the speeds of servers are compared with.
+    :param gap_risk: what prompts are expected to do to streams; empty unless speeds of
+        servers are learnt.
     """
 
     service: str
@@ -262,6 +265,7 @@
     shares_contended: bool = False
     learns_server_speeds: bool = False
     server_speeds: PoolSpeedState = msgspec.field(default_factory=PoolSpeedState)
+    gap_risk: GapRiskState = msgspec.field(default_factory=GapRiskState)
 
 
 def update_servers(pool: PoolState, entries: list[ServerEntry]) -> None:
