Compute a prompt's prefill time once for all servers

With speeds learnt, it was computed twice for each candidate. The risk of a new stream is cached for each server until its runs change.

--- a/src/arbutuspulley/pool/grants.py
+++ b/src/arbutuspulley/pool/grants.py
@@ -8,6 +8,8 @@
 
 from collections import Counter
 
+import msgspec
+
 from arbutuspulley.admission.rate_limits import consume
 from arbutuspulley.data import Value
 from arbutuspulley.pool.contact import get_withheld_until, list_withheld_ends
@@ -93,11 +95,14 @@
     :param tokens: tokens that they may occupy in the KV cache.
     :param gap_target_ms: lowest gap target of their streams; 0: none has a target.
     :param streams: number of streams with a gap target.
+    :param stream_risks: probability that later prompts delay a new stream too much, by
+        its gap target; filled on demand.
     """
 
     tokens: int
     gap_target_ms: int
     streams: int = 0
+    stream_risks: dict[int, float] = msgspec.field(default_factory=dict)
 
 
 class _Queue(Value, frozen=True):
@@ -312,6 +317,7 @@
     best: ServerState | None = None
     best_cost = best_start = best_risk = risk = 0.0
     copies = get_copies(index, waiting.need.model, waiting.version)
+    class_prefill_ms = _get_class_prefill_ms(pool, waiting.need) if copies else 0.0
     for server in copies:
         if not _can_start_at(server, waiting, now=now):
             continue
@@ -320,11 +326,20 @@
             usage = usages[server.incarnation] = _sum_usage(server)
         if not _has_memory(pool, server, usage, waiting):
             continue
-        start = _find_start(pool, server, usage, waiting, now=now)
+        prefill_ms = class_prefill_ms / server.speed.value
+        start = _find_start(server, usage, prefill_ms, now=now)
         cost = start - now + reserved_ms.get(server.incarnation, 0.0)
         cost += _compute_cost(server, waiting)
         if pool.learns_server_speeds:
-            risk = _estimate_risk(pool, server, usage, waiting, start=start, now=now)
+            risk = _estimate_risk(
+                pool,
+                server,
+                usage,
+                waiting,
+                start=start,
+                prefill_ms=prefill_ms,
+                now=now,
+            )
             cost += GAP_COST_MS * risk
         if best is None or cost < best_cost:
             best, best_cost, best_start, best_risk = server, cost, start, risk
@@ -359,12 +374,7 @@
 
 
 def _find_start(
-    pool: PoolState,
-    server: ServerState,
-    usage: _Usage,
-    waiting: WaitingRequest,
-    *,
-    now: int,
+    server: ServerState, usage: _Usage, prefill_ms: float, *, now: int
 ) -> float:
     """Return when a prompt may start on a server, in ms.
 
@@ -372,7 +382,7 @@
     """
     start = find_start(
         server.stream_gaps,
-        prefill_ms=_get_prefill_ms(pool, waiting.need, server),
+        prefill_ms=prefill_ms,
         gap_target_ms=usage.gap_target_ms,
         now=now,
     )
@@ -380,8 +390,12 @@
 
 
 def _get_prefill_ms(pool: PoolState, need: ModelNeed, server: ServerState) -> float:
-    speed = get_prefill_speed(pool, need.model) * server.speed.value
-    return need.prompt_tokens / speed
+    return _get_class_prefill_ms(pool, need) / server.speed.value
+
+
+def _get_class_prefill_ms(pool: PoolState, need: ModelNeed) -> float:
+    """Return the prefill time of a prompt at a server of speed 1, in ms."""
+    return need.prompt_tokens / get_prefill_speed(pool, need.model)
 
 
 def _estimate_risk(
@@ -391,6 +405,7 @@
     waiting: WaitingRequest,
     *,
     start: float,
+    prefill_ms: float,
     now: int,
 ) -> float:
     """Return how many streams get too long a gap if a prompt starts on a server.
@@ -409,18 +424,22 @@
             streams=usage.streams,
             gap_target_ms=usage.gap_target_ms,
             event_ms=gaps.event_ms,
-            prefill_ms=recent_ms + _get_prefill_ms(pool, waiting.need, server),
+            prefill_ms=recent_ms + prefill_ms,
             now=now,
         )
-    if waiting.gap_target_ms:
-        risk += estimate_stream_risk(
+    target_ms = waiting.gap_target_ms
+    if not target_ms:
+        return risk
+    stream_risk = usage.stream_risks.get(target_ms)
+    if stream_risk is None:
+        stream_risk = usage.stream_risks[target_ms] = estimate_stream_risk(
             pool.server_speeds,
             server.speed,
             prompts=len(server.runs),
-            gap_target_ms=waiting.gap_target_ms,
+            gap_target_ms=target_ms,
             event_ms=gaps.event_ms,
         )
-    return risk
+    return risk + stream_risk
 
 
 def _find_safer_start(
@@ -455,7 +474,15 @@
         if usage is None:
             usage = usages[server.incarnation] = _sum_usage(server)
         start = max(float(now), server.prefill_until)
-        other = _estimate_risk(pool, server, usage, waiting, start=start, now=now)
+        other = _estimate_risk(
+            pool,
+            server,
+            usage,
+            waiting,
+            start=start,
+            prefill_ms=_get_prefill_ms(pool, waiting.need, server),
+            now=now,
+        )
         if other <= risk - MIN_RISK_REDUCTION:
             return until
     return None
@@ -530,9 +557,7 @@
         streams=runs,
     )
     if pool.learns_server_speeds:
-        pool.server_speeds.prompts.append(
-            need.prompt_tokens / get_prefill_speed(pool, need.model)
-        )
+        pool.server_speeds.prompts.append(_get_class_prefill_ms(pool, need))
         record_harm(pool.gap_risk, need.model, gap_risk, now=now)
     record_prefill(
         server.stream_gaps,
