--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -69,6 +69,10 @@
 """Ratio of a server's speed to that of a model's copies from which it counts as faster:
 estimates vary by less than that."""
 
+MAX_USED_FRACTION = 0.5
+"""Fraction of a server's slots in use from which a copy there saves no streams from too
+long gaps, however fast it is. Otherwise models evict each other from full servers."""
+
 RUN_COST = 0.05
 """Cost of each request that runs on a server when a model is loaded there, in requests:
 all models of a server share its batch."""
@@ -367,7 +371,8 @@
     ]
     copies = get_copies(cycle.index, model)
     mean_speed = sum_speeds(copies) / max(1, len(copies))
-    slower_gain = gain - _compute_faster_gain(cycle, model) if copies else gain
+    faster_gain = _compute_faster_gain(cycle, model) if copies else 0.0
+    gain -= faster_gain
     are_all_limited = all(server.limit is not None for server in usable)
     for server in usable:
         if server.limit is not None and not are_all_limited:
@@ -387,8 +392,11 @@
         if plan is None:
             continue
         saved_ms = spec.load_ms - get_load_ms(server, spec)
-        is_faster = server.speed.value >= MIN_SPEED_RATIO * mean_speed
-        discounted_gain = (gain if is_faster else slower_gain) * max(
+        total_gain = gain
+        if faster_gain and server.speed.value >= MIN_SPEED_RATIO * mean_speed:
+            free = 1 - len(server.runs) / max(1, server.slots) / MAX_USED_FRACTION
+            total_gain += faster_gain * max(0.0, free)
+        discounted_gain = total_gain * max(
             0.0, 1 - (plan.wait_ms - saved_ms) / GAIN_HORIZON_MS
         )
         if discounted_gain - plan.cost < MIN_GAIN + server.planned_gain:
