--- a/scripts/compare_server_speeds.py
+++ b/scripts/compare_server_speeds.py
@@ -9,7 +9,7 @@
 * ``even``: all servers are treated alike;
 * ``learnt``: the coordinator learns the speeds;
 * ``learnt, no risk``: it does, but ignores the expected number of long gaps;
-* ``given``: it is given the true speeds.
+* ``given``: it is given the true speeds, and knows the risk.
 """
 
 import math
@@ -94,11 +94,11 @@
 class Result(State):
     """Counts of one run of a policy; by server speed where a speed is the key.
 
-    :param offered: requests that arrived.
+    :param offered: requests that arrived after the warm-up, as all others counted.
     :param in_time: requests whose first event and gaps met their targets.
     :param ended: streams that ended, by speed.
     :param long_gaps: those that had a gap over the target, by speed.
-    :param tokens: tokens of work done, by speed and second.
+    :param work: prompt tokens prefilled, by server and second.
     """
 
     offered: int = 0
@@ -108,15 +108,28 @@
     loads: int = 0
     ended: Counter[float] = msgspec.field(default_factory=Counter)
     long_gaps: Counter[float] = msgspec.field(default_factory=Counter)
-    work: Counter[tuple[float, int]] = msgspec.field(default_factory=Counter)
+    work: Counter[tuple[str, int]] = msgspec.field(default_factory=Counter)
     pool: PoolState | None = None
 
+    def sum_work(self, speed: float) -> int:
+        """Return the prompt tokens that servers of a speed prefilled."""
+        return sum(
+            tokens
+            for (name, second), tokens in self.work.items()
+            if get_true_speed(name) == speed and second * 1_000 >= WARM_UP_MS
+        )
+
     @property
     def long_gap_share(self) -> float:
         """Share of the streams that had a gap over the target."""
         return sum(self.long_gaps.values()) / max(1, sum(self.ended.values()))
 
 
+def get_true_speed(name: str) -> float:
+    """Return the speed of a server, by its name."""
+    return SPEEDS[int(name[1:]) % len(SPEEDS)]
+
+
 def simulate(
     policy: str,
     *,
@@ -134,8 +147,8 @@
     rng, phase_rng = random.Random(seed), random.Random(seed + 1)
     pool = build_pool(policy)
     engines = {
-        server.incarnation: Engine(server=server, speed=SPEEDS[number % 3])
-        for number, server in enumerate(pool.servers.values())
+        name: Engine(server=server, speed=get_true_speed(name))
+        for name, server in pool.servers.items()
     }
     result = Result(pool=pool)
     streams: dict[str, Stream] = {}
@@ -261,7 +274,7 @@
         done = min(stream.prefill_left, left_ms * PREFILL_TOKENS_PER_MS)
         stream.prefill_left -= done
         left_ms -= done / PREFILL_TOKENS_PER_MS
-        result.work[engine.speed, now // 1_000] += int(done)
+        result.work[name, now // 1_000] += int(done)
         if stream.prefill_left <= 0:
             engine.prefills.popleft()
             stream.first_at = stream.event_at = now
@@ -344,8 +357,8 @@
             for one in results:
                 ended.update(one.ended)
                 gaps.update(one.long_gaps)
-                for (speed, _second), tokens in one.work.items():
-                    work[speed] += tokens
+                for speed in SPEEDS:
+                    work[speed] += one.sum_work(speed)
             by_speed = "  ".join(
                 f"{speed}: {gaps[speed] / max(1, ended[speed]):.3f}"
                 f" of {ended[speed]}, work {work[speed] / max(1, work[1.0]):.2f}"
--- a/src/arbutuspulley/pool/runs.py
+++ b/src/arbutuspulley/pool/runs.py
@@ -88,18 +88,16 @@
         record_stream(
             server.stream_gaps, events=events, took_ms=took_ms, prefill_ms=prefill_ms
         )
-        if pool.learns_server_speeds and events >= MIN_EVENTS:
-            record_event_time(
-                pool.server_speeds,
-                server.speed,
-                size_class=get_size_class(pool.spec, run.need.model),
-                streams=(run.streams + len(server.runs)) // 2,
-                event_ms=get_event_time(
-                    events=events, took_ms=took_ms, prefill_ms=prefill_ms
-                ),
-                at=now - took_ms / 2,
+        if pool.learns_server_speeds:
+            _record_event_speed(
+                pool,
+                server,
+                run,
+                events=events,
+                took_ms=took_ms,
+                prefill_ms=prefill_ms,
+                now=now,
             )
-            update_reference(pool.server_speeds, pool.servers.values())
 
 
 def record_not_run(pool: PoolState, key: str, incarnation: str, *, now: int) -> None:
@@ -145,7 +143,7 @@
         pool.server_speeds,
         server.speed,
         size_class=get_size_class(pool.spec, run.need.model),
-        streams=run.streams,
+        streams=run.streams or 0,
         expected_ms=state.overhead_ms + prefill_ms,
         took_ms=took_ms,
         now=now,
@@ -153,6 +151,30 @@
     update_reference(pool.server_speeds, pool.servers.values())
 
 
+def _record_event_speed(
+    pool: PoolState,
+    server: ServerState,
+    run: Run,
+    *,
+    events: int,
+    took_ms: int,
+    prefill_ms: float,
+    now: int,
+) -> None:
+    if run.streams is None or events < MIN_EVENTS:
+        # Of a run that another coordinator granted, the first event is not known.
+        return
+    record_event_time(
+        pool.server_speeds,
+        server.speed,
+        size_class=get_size_class(pool.spec, run.need.model),
+        streams=(run.streams + len(server.runs)) // 2,
+        event_ms=get_event_time(events=events, took_ms=took_ms, prefill_ms=prefill_ms),
+        at=now - took_ms / 2,
+    )
+    update_reference(pool.server_speeds, pool.servers.values())
+
+
 def _get_speed_state(pool: PoolState, model: str) -> PrefillSpeedState:
     size_class = get_size_class(pool.spec, model)
     state = pool.speeds.get(size_class)
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -78,7 +78,8 @@
     :param was_prefill_idle: whether its server had no prefill in progress when it was
         granted.
     :param is_repeat: whether a server has refused it before.
-    :param streams: runs on its server when it was granted, before it.
+    :param streams: runs on its server when it was granted, before it; ``None`` if
+        another coordinator granted it.
     """
 
     origin: str
@@ -89,7 +90,7 @@
     first_at: int | None = None
     was_prefill_idle: bool = False
     is_repeat: bool = False
-    streams: int = 0
+    streams: int | None = None
 
 
 class UnreachableReport(State):
