Require a lasting change in most of the newest observations

Busy servers of speed 1.6 were estimated at 0.78 to 1.2 for seconds when two slow phases fell into one window.

A change now needs three in five of the newest observations instead of their median.

--- a/scripts/compare_server_speeds.py
+++ b/scripts/compare_server_speeds.py
@@ -56,9 +56,9 @@
 """Three in four requests are for a tenth of the models, see ``bench_pool``."""
 
 ORDER_INTERVAL_MS = 50
-WARM_UP_MS = 10_000
-"""Time from the start that doesn't count: servers have no models, and no speeds are
-known."""
+WARM_UP_MS = 20_000
+"""Time from the start that doesn't count: servers have no models, no speeds are known,
+and copies are where they were loaded without them."""
 
 app = cyclopts.App(help="Compare policies for servers of uneven speed.")
 
@@ -119,11 +119,6 @@
             if get_true_speed(name) == speed and second * 1_000 >= WARM_UP_MS
         )
 
-    @property
-    def long_gap_share(self) -> float:
-        """Share of the streams that had a gap over the target."""
-        return sum(self.long_gaps.values()) / max(1, sum(self.ended.values()))
-
 
 def get_true_speed(name: str) -> float:
     """Return the speed of a server, by its name."""
@@ -135,7 +130,7 @@
     *,
     seed: int,
     requests_per_s: float,
-    seconds: float = 40,
+    seconds: float = 45,
     on_step: Callable[[int, dict[str, Engine], PoolState], PoolState | None]
     | None = None,
 ) -> Result:
@@ -342,7 +337,7 @@
         tuple[float, ...], cyclopts.Parameter(help="Requests a second.")
     ] = (20.0, 30.0, 40.0),
     seeds: Annotated[int, cyclopts.Parameter(help="Number of seeds.")] = 3,
-    seconds: Annotated[float, cyclopts.Parameter(help="Simulated time.")] = 40,
+    seconds: Annotated[float, cyclopts.Parameter(help="Simulated time.")] = 45,
 ) -> None:
     """Run all policies and print a line for each policy and rate."""
     print("rate  policy            in time  first in time  refused  loads  long gaps")
--- a/src/arbutuspulley/pool/server_speed.py
+++ b/src/arbutuspulley/pool/server_speed.py
@@ -40,9 +40,10 @@
 change their median."""
 
 CHANGE = 0.25
-"""Deviation of the median of the newest observations from that of all kept ones, from
-which it is used instead: less is random variation, with which copies of a model would
-move between servers."""
+CHANGED_FRACTION = 0.6
+"""Fraction of the newest observations that deviate by how much from the median of all
+kept ones, from which their median is used instead: less is random variation, with which
+copies of a model would move between servers."""
 
 MIN_SAMPLES = 3
 """Observations before a server counts as faster or slower than its class: the median
@@ -316,7 +317,11 @@
     ]
     log_value = statistics.median(one for _at, one in samples)
     newest = statistics.median(values)
-    if abs(newest - log_value) > math.log(1 + CHANGE):
+    direction = math.copysign(1, newest - log_value)
+    deviating = sum(
+        (one - log_value) * direction > math.log(1 + CHANGE) for one in values
+    )
+    if deviating >= CHANGED_FRACTION * len(values):
         log_value = newest
     server.log_value = log_value * _get_confidence(server.count)
     server.value = _compute_value(server.log_value - pool_speeds.reference)
