--- a/src/arbutuspulley/pool/server_speed.py
+++ b/src/arbutuspulley/pool/server_speed.py
@@ -39,6 +39,11 @@
 """Least number of the newest observations, however old: two slow ones in five don't
 change their median."""
 
+RECOVERY_SAMPLES = 2
+"""Newest observations that show that a slow server has become faster. Slow phases only
+lengthen answers, so a fast one says more than a slow one; and a slow server gets few
+requests, so waiting for more of them took 4 s."""
+
 CHANGE = 0.25
 CHANGED_FRACTION = 0.6
 """Fraction of the newest observations that deviate by how much from the median of all
@@ -321,8 +326,11 @@
     deviating = sum(
         (one - log_value) * direction > math.log(1 + CHANGE) for one in values
     )
+    recovered = values[:RECOVERY_SAMPLES]
     if deviating >= CHANGED_FRACTION * len(values):
         log_value = newest
+    elif server.value < 1 and min(recovered) - log_value > math.log(1 + CHANGE):
+        log_value = statistics.mean(recovered)
     server.log_value = log_value * _get_confidence(server.count)
     server.value = _compute_value(server.log_value - pool_speeds.reference)
 
