--- a/tests/test_pool_server_speed.py
+++ b/tests/test_pool_server_speed.py
@@ -110,13 +110,14 @@
 
 
 def test_slow_server_gets_its_share_of_the_work():
-    """Under overload, work is in proportion to the speeds."""
+    """At a load that fills all servers, work is in proportion to their speeds. Prompts
+    differ too much in length for a shorter run to show that."""
     busy = {"SERVERS": 6, "MODELS": 2, "BUSY_MODELS": 2, "GAP_TARGET_MS": 0}
     busy |= {"PHASE_FRACTION": 0.0, "WARM_UP_MS": 5_000}
     with mock.patch.multiple(compare_server_speeds, **busy):
         results = [
-            simulate("learnt", seed=seed, requests_per_s=40, seconds=25)
-            for seed in SEEDS[:2]
+            simulate("learnt", seed=seed, requests_per_s=36, seconds=22)
+            for seed in SEEDS
         ]
     usual = sum(result.sum_work(1.0) for result in results)
     for speed in SPEEDS:
