Leave out servers that can't gain a copy before planning evictions

With speeds learnt, models without a faster server were planned in each cycle, and evictions were planned for servers that are not faster.

--- a/src/arbutuspulley/pool/eviction.py
+++ b/src/arbutuspulley/pool/eviction.py
@@ -94,6 +94,7 @@
     :param eviction_costs: results of :func:`compute_eviction_cost` by model and speed
         of the server.
     :param options: eviction options of servers, by incarnation.
+    :param max_speed: highest relative speed of the servers.
     :param mean_demand: demand for each copy, in prompt tokens a second; ``None``: not
         computed yet.
     """
@@ -103,6 +104,7 @@
     waiting: Counter[str]
     eviction_costs: dict[str, dict[float, float]] = msgspec.field(default_factory=dict)
     options: dict[str, EvictionOptions] = msgspec.field(default_factory=dict)
+    max_speed: float = 1
     mean_demand: float | None = None
 
 
@@ -118,6 +120,9 @@
         pool=pool,
         index=index_copies(pool, now=now, min_requests_per_s=min_requests_per_s),
         waiting=Counter(request.need.model for request in pool.waiting.values()),
+        max_speed=max(
+            (server.speed.value for server in pool.servers.values()), default=1
+        ),
     )
 
 
--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -286,8 +286,7 @@
         pool, model, copies + 1
     )
     gain += _estimate_relieved(pool, model, waiting, copies)
-    if found:
-        gain += _compute_faster_gain(cycle, model)
+    gain += _compute_faster_gain(cycle, model)
     return gain + _compute_missing_gain(
         pool, model, waiting, copies, now=cycle.index.now
     )
@@ -296,7 +295,11 @@
 def _compute_faster_gain(cycle: PlanningCycle, model: str) -> float:
     """Return how many streams a copy on a faster server saves from too long gaps."""
     pool = cycle.pool
-    if not pool.learns_server_speeds:
+    copies = get_copies(cycle.index, model)
+    if not pool.learns_server_speeds or not copies:
+        return 0.0
+    mean_speed = sum_speeds(copies) / len(copies)
+    if cycle.max_speed < MIN_SPEED_RATIO * mean_speed:
         return 0.0
     return HARM_HORIZON_S * get_harm(pool.gap_risk, model, now=cycle.index.now)
 
@@ -358,7 +361,8 @@
     """
     pool, now = cycle.pool, cycle.index.now
     spec = pool.spec.models[model]
-    if gain * (1 + spec.load_ms / GAIN_HORIZON_MS) < MIN_GAIN:
+    max_factor = 1 + spec.load_ms / GAIN_HORIZON_MS
+    if gain * max_factor < MIN_GAIN:
         # Too little even without evictions and with local weights.
         return None
     best: ServerState | None = None
@@ -371,7 +375,7 @@
     ]
     copies = get_copies(cycle.index, model)
     mean_speed = sum_speeds(copies) / max(1, len(copies))
-    faster_gain = _compute_faster_gain(cycle, model) if copies else 0.0
+    faster_gain = _compute_faster_gain(cycle, model)
     gain -= faster_gain
     are_all_limited = all(server.limit is not None for server in usable)
     for server in usable:
@@ -388,14 +392,16 @@
         is_local = has_local_weights(server, model)
         if not is_local and not may_load_from_store:
             continue
-        plan = plan_eviction(cycle, server, model)
-        if plan is None:
-            continue
-        saved_ms = spec.load_ms - get_load_ms(server, spec)
         total_gain = gain
         if faster_gain and server.speed.value >= MIN_SPEED_RATIO * mean_speed:
             free = 1 - len(server.runs) / max(1, server.slots) / MAX_USED_FRACTION
             total_gain += faster_gain * max(0.0, free)
+        if total_gain * max_factor < MIN_GAIN + server.planned_gain:
+            continue
+        plan = plan_eviction(cycle, server, model)
+        if plan is None:
+            continue
+        saved_ms = spec.load_ms - get_load_ms(server, spec)
         discounted_gain = total_gain * max(
             0.0, 1 - (plan.wait_ms - saved_ms) / GAIN_HORIZON_MS
         )
