--- a/tests/test_pool_server_speed.py
+++ b/tests/test_pool_server_speed.py
@@ -14,6 +14,8 @@
 
 from arbutuspulley.node.frames import decode_from_coordinator, encode_frame
 from arbutuspulley.node.messages import CoordinatorEstimates
+from arbutuspulley.node.metrics import NodeMetrics
+from arbutuspulley.node.pool_log import count_uneven_servers, log_server_speeds
 from arbutuspulley.pool.copies import index_copies
 from arbutuspulley.pool.demand import (
     get_copy_token_rate,
@@ -440,3 +442,17 @@
     record_first_event(pool, "w", "s0", took_ms=900, now=900)
     record_run_end(pool, "w", "s0", how=AttemptOutcome.DONE, now=1_000, events=2)
     assert pool.server_speeds.first_events == {}
+
+
+def test_changed_speed_is_reported_once():
+    """Operators look up since when a server has been slow."""
+    pool = build_pool("learnt")
+    pool.servers["s0"].speed.value = 0.6
+    metrics = NodeMetrics()
+    with mock.patch("arbutuspulley.node.pool_log.log_event") as log:
+        log_server_speeds(pool)
+        log_server_speeds(pool)
+    assert [call.kwargs["speed"] for call in log.call_args_list] == [0.6]
+    count_uneven_servers(metrics, [pool])
+    assert metrics.uneven_servers.labels("slow")._value.get() == 1
+    assert metrics.uneven_servers.labels("fast")._value.get() == 0
