--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -48,9 +48,11 @@
 from arbutuspulley.node.peers import Peers
 from arbutuspulley.node.pool_log import (
     count_decision,
+    count_uneven_servers,
     log_grant,
     log_pool,
     log_refusal,
+    log_server_speeds,
     log_shares,
 )
 from arbutuspulley.node.pool_updates import (
@@ -102,7 +104,9 @@
 from arbutuspulley.pool.state import (
     PoolState,
     inherit_prefill_speeds,
+    inherit_server_speeds,
     list_prefill_speeds,
+    list_server_speeds,
     update_servers,
 )
 from arbutuspulley.ports.fleet import EngineSpec, OrderAnswer, SoftwareVersion
@@ -204,6 +208,7 @@
         self.is_active = False
         self._state.is_coordinator = False
         self._state.metrics.is_coordinator.set(0)
+        count_uneven_servers(self._state.metrics, ())
         if self._timer is not None:
             self._timer.cancel()
         for task in list(self._tasks):
@@ -249,7 +254,11 @@
 
     def _build_pool(self, service: str, spec: EngineSpec) -> PoolState:
         """Build a pool that starts with the estimates of previous coordinators."""
-        pool = PoolState(service=service, spec=spec)
+        pool = PoolState(
+            service=service,
+            spec=spec,
+            learns_server_speeds=self._state.settings.learns_server_speeds,
+        )
         inherited, estimates = self._inherited, self._state.estimates
         inherit_loads(
             pool,
@@ -257,6 +266,7 @@
             unknown_until=inherited.unknown_until,
         )
         inherit_prefill_speeds(pool, estimates.speeds.get(service, {}))
+        inherit_server_speeds(pool, estimates.server_speeds.get(service, {}))
         now = self._state.clock.now()
         inherit_demand(pool, estimates.demand.get(service, {}), now=now)
         return pool
@@ -532,6 +542,8 @@
             log_grant(pool, decision)
             if decision.is_preferred:
                 self._state.metrics.preferred_grants.inc()
+            if pool.learns_server_speeds:
+                self._state.metrics.expected_gaps.inc(decision.gap_risk)
             message: ToNode = Granted(
                 key=decision.key,
                 incarnation=decision.incarnation,
@@ -584,11 +596,22 @@
             log_pool(pool, may_order=self._may_order(now), now=now)
             log_shares(pool, now=now)
             evict_unused_shares(pool, now=now)
+            log_server_speeds(pool)
+        count_uneven_servers(self._state.metrics, self._pools.values())
 
     def _send_estimates(self) -> None:
         speeds = {name: list_prefill_speeds(pool) for name, pool in self._pools.items()}
         demand = {name: list_demand(pool) for name, pool in self._pools.items()}
-        self._peers.send_estimates(CoordinatorEstimates(speeds=speeds, demand=demand))
+        server_speeds = {
+            name: list_server_speeds(pool)
+            for name, pool in self._pools.items()
+            if pool.learns_server_speeds
+        }
+        self._peers.send_estimates(
+            CoordinatorEstimates(
+                speeds=speeds, demand=demand, server_speeds=server_speeds
+            )
+        )
 
     def _is_sole_coordinator(self) -> bool:
         """Tell whether no other instance can hold the lease now."""
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -32,6 +32,7 @@
         "configurations",
         "cooldowns",
         "excluded_attempts",
+        "expected_gaps",
         "first_byte",
         "first_part",
         "grant_wait",
@@ -62,6 +63,7 @@
         "share_denials",
         "store_calls",
         "store_era",
+        "uneven_servers",
         "unreachable_servers",
         "unservable",
         "version",
@@ -171,6 +173,19 @@
             "Requests refused at once as their model can't be loaded in time",
             registry=registry,
         )
+        self.uneven_servers = Gauge(
+            "arbutus_uneven_servers",
+            "Model servers that are faster or slower than others; 0 at instances that"
+            " don't coordinate",
+            ["how"],
+            registry=registry,
+        )
+        self.expected_gaps = Counter(
+            "arbutus_expected_gaps",
+            "Streams that were expected to get a gap over their target when prompts"
+            " started",
+            registry=registry,
+        )
         self.relayed = Counter(
             "arbutus_relayed",
             "Requests sent to servers for instances that can't reach them, by outcome",
--- a/src/arbutuspulley/pool/orders.py
+++ b/src/arbutuspulley/pool/orders.py
@@ -25,9 +25,12 @@
     choose_adapter_to_evict,
     count_used_mb,
     plan_eviction,
+    rate_speed_fit,
     update_cycle,
 )
+from arbutuspulley.pool.gap_risk import get_harm
 from arbutuspulley.pool.load_rate import may_load, record_load
+from arbutuspulley.pool.server_speed import sum_speeds
 from arbutuspulley.pool.state import (
     PoolState,
     ServerState,
@@ -57,6 +60,19 @@
 """Backlog that one copy can work off within latency targets, in ms: the rest of
 targets of some 600 ms after a prompt's own prefill and the order of a load."""
 
+HARM_HORIZON_S = 5.0
+"""Time over which a copy on a faster server is counted to save streams from too long
+gaps, in s. Speeds last longer than the demand for a model; with a longer time, loads
+follow demand that has moved on."""
+
+MIN_SPEED_RATIO = 1.2
+"""Ratio of a server's speed to that of a model's copies from which it counts as faster:
+estimates vary by less than that."""
+
+MAX_USED_FRACTION = 0.5
+"""Fraction of a server's slots in use from which a copy there saves no streams from too
+long gaps, however fast it is. Otherwise models evict each other from full servers."""
+
 RUN_COST = 0.05
 """Cost of each request that runs on a server when a model is loaded there, in requests:
 all models of a server share its batch."""
@@ -263,16 +279,31 @@
     """Return how many requests no longer have to wait with another copy of a model."""
     pool, waiting = cycle.pool, cycle.waiting[model]
     found = get_copies(cycle.index, model)
-    copies = sum(not _is_unload_delayed(cycle, server, model) for server in found)
+    copies = sum_speeds(
+        server for server in found if not _is_unload_delayed(cycle, server, model)
+    )
     gain = estimate_excess_requests(pool, model, copies) - estimate_excess_requests(
         pool, model, copies + 1
     )
     gain += _estimate_relieved(pool, model, waiting, copies)
+    gain += _compute_faster_gain(cycle, model)
     return gain + _compute_missing_gain(
         pool, model, waiting, copies, now=cycle.index.now
     )
 
 
+def _compute_faster_gain(cycle: PlanningCycle, model: str) -> float:
+    """Return how many streams a copy on a faster server saves from too long gaps."""
+    pool = cycle.pool
+    copies = get_copies(cycle.index, model)
+    if not pool.learns_server_speeds or not copies:
+        return 0.0
+    mean_speed = sum_speeds(copies) / len(copies)
+    if cycle.max_speed < MIN_SPEED_RATIO * mean_speed:
+        return 0.0
+    return HARM_HORIZON_S * get_harm(pool.gap_risk, model, now=cycle.index.now)
+
+
 def _is_unload_delayed(cycle: PlanningCycle, server: ServerState, model: str) -> bool:
     """Tell whether a planned load is delayed by a long wait for an unload."""
     if server.planned != model or not server.unloading:
@@ -284,8 +315,13 @@
     )
 
 
-def _estimate_relieved(pool: PoolState, model: str, waiting: int, copies: int) -> float:
-    """Return how many of a model's waiting requests another copy would take over."""
+def _estimate_relieved(
+    pool: PoolState, model: str, waiting: int, copies: float
+) -> float:
+    """Return how many of a model's waiting requests another copy would take over.
+
+    :param copies: sum of the speeds of the servers with a copy.
+    """
     requests_per_copy = (
         get_copy_token_rate(pool, model) * COPY_BACKLOG_MS / 1_000 / pool.mean_tokens
     )
@@ -293,7 +329,7 @@
 
 
 def _compute_missing_gain(
-    pool: PoolState, model: str, waiting: int, copies: int, *, now: int
+    pool: PoolState, model: str, waiting: int, copies: float, *, now: int
 ) -> float:
     if copies:
         pool.missing_since.pop(model, None)
@@ -325,7 +361,8 @@
     """
     pool, now = cycle.pool, cycle.index.now
     spec = pool.spec.models[model]
-    if gain * (1 + spec.load_ms / GAIN_HORIZON_MS) < MIN_GAIN:
+    max_factor = 1 + spec.load_ms / GAIN_HORIZON_MS
+    if gain * max_factor < MIN_GAIN:
         # Too little even without evictions and with local weights.
         return None
     best: ServerState | None = None
@@ -336,6 +373,10 @@
         for server in pool.servers.values()
         if is_usable(server, now=now) and has_version(server, version)
     ]
+    copies = get_copies(cycle.index, model)
+    mean_speed = sum_speeds(copies) / max(1, len(copies))
+    faster_gain = _compute_faster_gain(cycle, model)
+    gain -= faster_gain
     are_all_limited = all(server.limit is not None for server in usable)
     for server in usable:
         if server.limit is not None and not are_all_limited:
@@ -351,11 +392,17 @@
         is_local = has_local_weights(server, model)
         if not is_local and not may_load_from_store:
             continue
+        total_gain = gain
+        if faster_gain and server.speed.value >= MIN_SPEED_RATIO * mean_speed:
+            free = 1 - len(server.runs) / max(1, server.slots) / MAX_USED_FRACTION
+            total_gain += faster_gain * max(0.0, free)
+        if total_gain * max_factor < MIN_GAIN + server.planned_gain:
+            continue
         plan = plan_eviction(cycle, server, model)
         if plan is None:
             continue
         saved_ms = spec.load_ms - get_load_ms(server, spec)
-        discounted_gain = gain * max(
+        discounted_gain = total_gain * max(
             0.0, 1 - (plan.wait_ms - saved_ms) / GAIN_HORIZON_MS
         )
         if discounted_gain - plan.cost < MIN_GAIN + server.planned_gain:
@@ -365,6 +412,7 @@
             - plan.cost
             - RUN_COST * len(server.runs)
             + LOCAL_WEIGHTS_GAIN * is_local
+            + rate_speed_fit(cycle, server, model, new_copies=1)
         )
         if best is None or worth > best_worth:
             best, best_worth = server, worth
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -9,12 +9,18 @@
     estimate_remaining_time,
 )
 from arbutuspulley.pool.fair_shares import FairShares
+from arbutuspulley.pool.gap_risk import GapRiskState
 from arbutuspulley.pool.prefill_speed import (
     DEFAULT_SPEED,
     PrefillSpeedState,
     get_speed,
 )
 from arbutuspulley.pool.returns import ReturnedCaller, ReturnState
+from arbutuspulley.pool.server_speed import (
+    PoolSpeedState,
+    ServerSpeedState,
+    build_inherited_speed,
+)
 from arbutuspulley.pool.server_watch import ServerWatch
 from arbutuspulley.pool.stream_gaps import StreamGapState
 from arbutuspulley.ports.fleet import (
@@ -89,6 +95,8 @@
     :param team: team whose share it is charged to.
     :param priority: rank in which it is charged.
     :param charged: cost that its team was charged, in prompt tokens; 0: none.
+    :param streams: runs on its server when it was granted, before it; ``None`` if
+        another coordinator granted it.
     """
 
     origin: str
@@ -102,6 +110,7 @@
     team: str = ""
     priority: int = 0
     charged: float = 0
+    streams: int | None = None
 
 
 class UnreachableReport(State):
@@ -165,6 +174,8 @@
     :param order_answered_at: when the last order was answered or timed out, in ms.
     :param prefill_until: expected end of the prefill of all granted prompts, in ms.
     :param stream_gaps: prefill between events of its streams.
+    :param speed: its speed relative to its class; always 1 unless
+        ``PoolState.learns_server_speeds`` is set.
     :param backoff_until: no new requests or orders before this time, in ms.
     :param failures: consecutive failures to connect since it counts as down.
     :param failure_share: moving average of the share of requests that failed.
@@ -209,6 +220,7 @@
     order_answered_at: int = 0
     prefill_until: float = 0
     stream_gaps: StreamGapState = msgspec.field(default_factory=StreamGapState)
+    speed: ServerSpeedState = msgspec.field(default_factory=ServerSpeedState)
     backoff_until: int = 0
     failures: int = 0
     failure_share: float = 0
@@ -258,6 +270,9 @@
     :param learns_server_speeds: whether each server's speed is estimated by itself.
     :param returns: refused requests whose callers may come back.
     :param server_watch: what decides whether a model without a copy can be loaded.
+    :param server_speeds: what the speeds of servers are compared with.
+    :param gap_risk: what prompts are expected to do to streams; empty unless speeds of
+        servers are learnt.
     """
 
     service: str
@@ -281,6 +296,8 @@
     learns_server_speeds: bool = False
     returns: ReturnState = msgspec.field(default_factory=ReturnState)
     server_watch: ServerWatch = msgspec.field(default_factory=ServerWatch)
+    server_speeds: PoolSpeedState = msgspec.field(default_factory=PoolSpeedState)
+    gap_risk: GapRiskState = msgspec.field(default_factory=GapRiskState)
 
 
 def update_servers(pool: PoolState, entries: list[ServerEntry]) -> None:
@@ -300,6 +317,9 @@
         server = pool.servers.get(incarnation)
         if server is None:
             server = _build_server(entry)
+            speed = pool.server_speeds.inherited.pop(incarnation, None)
+            if speed is not None:
+                server.speed = build_inherited_speed(speed)
             pool.servers[incarnation] = server
             if entry.server_id in removed_by_id:
                 # All other state belongs to the previous incarnation. An order names
@@ -438,6 +458,27 @@
         pool.speeds.setdefault(size_class, PrefillSpeedState(prior=speed))
 
 
+def list_server_speeds(pool: PoolState) -> dict[str, float]:
+    """Return the speeds of servers outside the deadband, for a successor.
+
+    :return: speeds by incarnation, with two digits.
+    """
+    return {
+        server.incarnation: round(server.speed.value, 2)
+        for server in pool.servers.values()
+        if server.speed.value != 1
+    }
+
+
+def inherit_server_speeds(pool: PoolState, speeds: dict[str, float]) -> None:
+    """Start with the speeds of servers that the previous coordinator has estimated.
+
+    :param speeds: by incarnation; applied to servers once they are known.
+    """
+    if pool.learns_server_speeds:
+        pool.server_speeds.inherited = dict(speeds)
+
+
 def estimate_unload_wait(
     pool: PoolState, server: ServerState, model: str, *, now: int
 ) -> float:
