--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -46,7 +46,13 @@
 from arbutuspulley.node.pacing import Pacer
 from arbutuspulley.node.peer import Peer
 from arbutuspulley.node.peers import Peers
-from arbutuspulley.node.pool_log import log_grant, log_pool, log_refusal
+from arbutuspulley.node.pool_log import (
+    count_decision,
+    log_grant,
+    log_pool,
+    log_refusal,
+    log_shares,
+)
 from arbutuspulley.node.pool_updates import (
     add_running_requests,
     apply_progress,
@@ -82,9 +88,11 @@
     list_demand,
     record_demand,
 )
+from arbutuspulley.pool.fair_shares import list_weights
 from arbutuspulley.pool.grants import Grant, Refusal, find_next_wakeup, plan_grants
 from arbutuspulley.pool.load_rate import inherit_loads, list_recent_loads
 from arbutuspulley.pool.orders import plan_orders
+from arbutuspulley.pool.start_order import evict_unused_shares
 from arbutuspulley.pool.state import (
     PoolState,
     inherit_prefill_speeds,
@@ -227,6 +235,7 @@
                 pool = self._pools[name] = self._build_pool(name, service.engine)
             pool.spec = service.engine
             pool.shares_contended = self._state.settings.shares_contended
+            pool.shares.weights = list_weights(configuration.teams or ())
             pool.learns_server_speeds = self._state.settings.learns_server_speeds
             update_servers(pool, self._state.by_service.get(name, []))
         self._rates.apply(self._pools.values())
@@ -418,7 +427,11 @@
                 now=now,
             )
         pool.waiting[request.key] = build_waiting_request(
-            origin, request, version=version, now=now
+            origin,
+            request,
+            version=version,
+            returns=pool.returns if pool.shares_contended else None,
+            now=now,
         )
 
     def _run_planning_cycle(self) -> None:
@@ -484,6 +497,8 @@
     def _send_decision(self, pool: PoolState, decision: Grant | Refusal) -> None:
         if isinstance(decision, Grant):
             log_grant(pool, decision)
+            if decision.is_preferred:
+                self._state.metrics.preferred_grants.inc()
             message: ToNode = Granted(
                 key=decision.key,
                 incarnation=decision.incarnation,
@@ -493,6 +508,7 @@
         else:
             log_refusal(pool, decision)
             message = build_refusal(decision)
+        count_decision(self._state.metrics, decision)
         self._peers.send(decision.origin, message)
 
     def _handle_order_answer(
@@ -521,7 +537,7 @@
     def _apply_linked(self, linked: list[NodeInfo]) -> None:
         """Update what depends on the linked instances, and send changed limits."""
         apply_reaching_instances(self._pools, linked, now=self._state.clock.now())
-        self._quotas.update_linked(linked)
+        self._quotas.update_linked(linked, is_holder=self._is_sole_coordinator())
         self._rates.set_share(self._quotas.compute_share(linked, decay_ms=None))
         changes = self._rates.pop_changes()
         if changes is not None:
@@ -533,17 +549,22 @@
         for pool in self._pools.values():
             decay_demand(pool, now=now)
             log_pool(pool, may_order=self._may_order(now), now=now)
+            log_shares(pool, now=now)
+            evict_unused_shares(pool, now=now)
 
     def _send_estimates(self) -> None:
         speeds = {name: list_prefill_speeds(pool) for name, pool in self._pools.items()}
         demand = {name: list_demand(pool) for name, pool in self._pools.items()}
         self._peers.send_estimates(CoordinatorEstimates(speeds=speeds, demand=demand))
 
+    def _is_sole_coordinator(self) -> bool:
+        """Tell whether no other instance can hold the lease now."""
+        now = self._state.clock.now()
+        return is_holder(self._lease, now=now) or self._may_order_during_outage()
+
     def _send_status(self) -> None:
         now = self._state.clock.now()
-        count = self._peers.send_status(
-            is_holder=is_holder(self._lease, now=now) or self._may_order_during_outage()
-        )
+        count = self._peers.send_status(is_holder=self._is_sole_coordinator())
         if count > 1:
             self.isolated_since = None
         elif self.isolated_since is None:
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -45,6 +45,7 @@
         "log_lines",
         "longest_gap",
         "orders",
+        "preferred_grants",
         "paused_answers",
         "quarantined_parts",
         "refusals",
@@ -54,9 +55,13 @@
         "resumed_streams",
         "retries",
         "retry_budget",
+        "return_wait",
+        "returns",
+        "share_denials",
         "store_calls",
         "store_era",
         "unreachable_servers",
+        "unservable",
         "version",
     )
 
@@ -132,6 +137,23 @@
             "Servers that this instance can't connect to",
             registry=registry,
         )
+        self.returns = Counter(
+            "arbutus_returns",
+            "Refused requests that came back, by outcome and whether too early",
+            ["how"],
+            registry=registry,
+        )
+        self.return_wait = Histogram(
+            "arbutus_return_seconds",
+            "Wait of requests that came back at the time they were told",
+            registry=registry,
+            buckets=_SECONDS,
+        )
+        self.unservable = Counter(
+            "arbutus_unservable",
+            "Requests refused at once as their model can't be loaded in time",
+            registry=registry,
+        )
         self.relayed = Counter(
             "arbutus_relayed",
             "Requests sent to servers for instances that can't reach them, by outcome",
@@ -197,6 +219,17 @@
             registry=registry,
             buckets=_SECONDS,
         )
+        self.preferred_grants = Counter(
+            "arbutus_preferred_grants",
+            "Requests of the lowest rank granted before those of higher ranks",
+            registry=registry,
+        )
+        self.share_denials = Counter(
+            "arbutus_share_denials",
+            "Requests that waited or failed without a coordinator for their team's"
+            " share of a server",
+            registry=registry,
+        )
         self.in_flight = Gauge(
             "arbutus_in_flight", "Requests in flight", registry=registry
         )
--- a/src/arbutuspulley/node/pool_log.py
+++ b/src/arbutuspulley/node/pool_log.py
@@ -2,14 +2,22 @@
 
 from collections import Counter
 
+from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
+from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.pool.answers import PlannedOrder, list_servers_needing_report
 from arbutuspulley.pool.copies import get_copies, index_copies
 from arbutuspulley.pool.demand import get_demand
+from arbutuspulley.pool.fair_shares import get_clock
 from arbutuspulley.pool.grants import Grant, Refusal
 from arbutuspulley.pool.state import PoolState, get_prefill_speed, list_prefill_speeds
 from arbutuspulley.ports.fleet import OrderAnswer
 
+MIN_LOGGED_ACCOUNTS = 2
+MAX_LOGGED_ACCOUNTS = 20
+"""Bounds on the number of teams and ranks in a line on shares: one alone has nothing to
+share, and a line stays below a kilobyte or two."""
+
 
 def log_grant(pool: PoolState, grant: Grant) -> None:
     """Log that a request is granted a server."""
@@ -22,6 +30,7 @@
         runs=grant.runs,
         waiting=len(pool.waiting),
     )
+    _log_return(grant, outcome="granted")
 
 
 def log_refusal(pool: PoolState, refusal: Refusal) -> None:
@@ -37,6 +46,41 @@
         waited_ms=refusal.waited_ms,
         retry_after_ms=refusal.retry_after_ms,
         is_version_gone=refusal.is_version_gone,
+        is_promised=refusal.is_promised,
+        is_unservable=refusal.is_unservable,
+    )
+    _log_return(refusal, outcome="refused")
+
+
+def count_decision(metrics: NodeMetrics, decision: Grant | Refusal) -> None:
+    """Count how refused callers fare that have come back, and refusals at once."""
+    if isinstance(decision, Refusal) and decision.is_unservable:
+        metrics.unservable.inc()
+    returned = decision.returned
+    if returned is None:
+        return
+    how = "refused" if isinstance(decision, Refusal) else "granted"
+    if returned.late_ms < 0:
+        metrics.returns.labels(f"early_{how}").inc()
+        return
+    metrics.returns.labels(how).inc()
+    if isinstance(decision, Grant):
+        metrics.return_wait.observe(decision.waited_ms / SECOND_MS)
+
+
+def _log_return(decision: Grant | Refusal, *, outcome: str) -> None:
+    """Log how a refused caller fares that has come back."""
+    returned = decision.returned
+    if returned is None:
+        return
+    log_event(
+        Event.REQUEST_RETURNED,
+        id=decision.key,
+        outcome=outcome,
+        late_ms=returned.late_ms,
+        waited_ms=decision.waited_ms,
+        credit_ms=returned.credit_ms,
+        was_promised=returned.is_promised,
     )
 
 
@@ -55,6 +99,29 @@
     )
 
 
+def log_shares(pool: PoolState, *, now: int) -> None:
+    """Log the clocks of the teams with waiting requests, if there are several."""
+    waiting = Counter(
+        (request.priority, request.team) for request in pool.waiting.values()
+    )
+    if not pool.shares_contended or len(waiting) < MIN_LOGGED_ACCOUNTS:
+        return
+    log_event(
+        Event.SHARES_TOLD,
+        service=pool.service,
+        teams=[
+            {
+                "rank": rank,
+                "team": team,
+                "waiting": count,
+                "clock": int(get_clock(pool.shares, rank, team, now=now)),
+            }
+            for (rank, team), count in waiting.most_common(MAX_LOGGED_ACCOUNTS)
+        ],
+        credits={name: int(credit) for name, credit in pool.shares.credits.items()},
+    )
+
+
 def log_pool(pool: PoolState, *, may_order: bool, now: int) -> None:
     """Log the demand for each model, and where it is loaded."""
     waiting = Counter(request.need.model for request in pool.waiting.values())
--- a/src/arbutuspulley/node/pool_updates.py
+++ b/src/arbutuspulley/node/pool_updates.py
@@ -21,11 +21,13 @@
     record_unreachable,
 )
 from arbutuspulley.pool.grants import Refusal
+from arbutuspulley.pool.returns import ReturnState, find_return
 from arbutuspulley.pool.runs import (
     record_first_event,
     record_not_run,
     record_run_end,
 )
+from arbutuspulley.pool.start_order import refund_grant
 from arbutuspulley.pool.state import PoolState, Run, WaitingRequest
 from arbutuspulley.ports.fleet import AttemptOutcome, SoftwareVersion
 
@@ -42,13 +44,19 @@
     request: GrantRequest,
     *,
     version: SoftwareVersion | None = None,
+    returns: ReturnState | None = None,
     now: int,
 ) -> WaitingRequest:
     """Build the entry of a request that waits for a server.
 
     :param origin: name of the instance that asks.
     :param version: software version that the server must have; ``None``: any.
+    :param returns: refused requests, of which this may be one; ``None``: they are not
+        recorded.
     """
+    returned = None
+    if returns is not None and request.fingerprint and not request.is_repeat:
+        returned = find_return(returns, request.fingerprint, now=now)
     return WaitingRequest(
         key=request.key,
         origin=origin,
@@ -62,6 +70,10 @@
         is_repeat=request.is_repeat,
         gap_target_ms=request.pause_ms,
         version=version,
+        fingerprint=request.fingerprint,
+        ends_at=now + request.ends_in_ms if request.ends_in_ms else 0,
+        returned=returned,
+        team=request.team,
     )
 
 
@@ -112,6 +124,9 @@
         if message.incarnation not in pool.servers:
             continue
         key, incarnation = message.key, message.incarnation
+        run = pool.servers[incarnation].runs.get(key)
+        if run is not None and _has_not_run(message):
+            refund_grant(pool, run, now=now)
         if _has_answered(message):
             record_heard(pool, incarnation, origin=origin, now=now)
         if isinstance(message, ResponseStarted):
@@ -155,6 +170,14 @@
     return message.how in (AttemptOutcome.DONE, AttemptOutcome.NOT_RUN)
 
 
+def _has_not_run(message: ResponseStarted | AttemptEnded) -> bool:
+    return isinstance(message, AttemptEnded) and message.how in (
+        AttemptOutcome.NOT_RUN,
+        AttemptOutcome.UNREACHED,
+        AttemptOutcome.UNUSED,
+    )
+
+
 def record_cooldowns(
     pools: dict[str, PoolState],
     origin: str,
--- a/src/arbutuspulley/pool/state.py
+++ b/src/arbutuspulley/pool/state.py
@@ -8,11 +8,14 @@
     DurationState,
     estimate_remaining_time,
 )
+from arbutuspulley.pool.fair_shares import FairShares
 from arbutuspulley.pool.prefill_speed import (
     DEFAULT_SPEED,
     PrefillSpeedState,
     get_speed,
 )
+from arbutuspulley.pool.returns import ReturnedCaller, ReturnState
+from arbutuspulley.pool.server_watch import ServerWatch
 from arbutuspulley.pool.stream_gaps import StreamGapState
 from arbutuspulley.ports.fleet import (
     UNSTATED_VERSION,
@@ -28,6 +31,9 @@
 :func:`arbutuspulley.pool.runs.record_not_run`."""
 
 
+DEFAULT_UNLOAD_MS = 30
+"""Initial and least estimate of the duration of an unload without runs, in ms."""
+
 DEFAULT_PROMPT_TOKENS = 1_200
 """Assumed prompt tokens of a request before the first one: a page or two of text."""
 
@@ -44,6 +50,10 @@
     :param avoid: incarnations of servers that refused or failed it.
     :param is_repeat: whether a server has refused it before.
     :param version: software version that its server must have; ``None``: any.
+    :param fingerprint: identical when its caller sends it again; 0: not known.
+    :param ends_at: until when its caller waits for the answer, in ms; 0: not known.
+    :param returned: record of its earlier refusal; ``None``: it was not refused.
+    :param team: team that its share counts for; all without one have one share.
     """
 
     key: str
@@ -58,6 +68,10 @@
     avoid: tuple[str, ...] = ()
     is_repeat: bool = False
     version: SoftwareVersion | None = None
+    fingerprint: int = 0
+    ends_at: int = 0
+    returned: ReturnedCaller | None = None
+    team: str = ""
 
 
 class Run(State):
@@ -72,6 +86,9 @@
     :param was_prefill_idle: whether its server had no prefill in progress when it was
         granted.
     :param is_repeat: whether a server has refused it before.
+    :param team: team whose share it is charged to.
+    :param priority: rank in which it is charged.
+    :param charged: cost that its team was charged, in prompt tokens; 0: none.
     """
 
     origin: str
@@ -82,6 +99,9 @@
     first_at: int | None = None
     was_prefill_idle: bool = False
     is_repeat: bool = False
+    team: str = ""
+    priority: int = 0
+    charged: float = 0
 
 
 class UnreachableReport(State):
@@ -140,6 +160,8 @@
     :param unanswered_loads: unanswered loads by model.
     :param previous_loads: unanswered loads of the previous incarnation with the same
         server id, by model.
+    :param unloaded_at: when a server without runs of the model accepted an unload, in
+        ms; ``None`` once another order was answered.
     :param order_answered_at: when the last order was answered or timed out, in ms.
     :param prefill_until: expected end of the prefill of all granted prompts, in ms.
     :param stream_gaps: prefill between events of its streams.
@@ -183,6 +205,7 @@
     unanswered_model: str = ""
     unanswered_loads: dict[str, UnansweredLoad] = msgspec.field(default_factory=dict)
     previous_loads: dict[str, UnansweredLoad] = msgspec.field(default_factory=dict)
+    unloaded_at: int | None = None
     order_answered_at: int = 0
     prefill_until: float = 0
     stream_gaps: StreamGapState = msgspec.field(default_factory=StreamGapState)
@@ -226,11 +249,15 @@
     :param next_start_at: earliest time at which a request that waits for prefill on a
         server may start, in ms; ``None`` if no request does.
     :param adapter_load_ms: expected load time of an adapter.
+    :param unload_ms: expected duration of an unload without runs.
     :param speeds: estimated prefill speeds by size class, see :func:`get_size_class`.
     :param durations: estimated run times.
     :param shares_contended: whether teams and ranks get fair shares, see
         :class:`~arbutuspulley.ports.fleet.NodeSettings`.
+    :param shares: what teams and ranks were granted.
     :param learns_server_speeds: whether each server's speed is estimated by itself.
+    :param returns: refused requests whose callers may come back.
+    :param server_watch: what decides whether a model without a copy can be loaded.
     """
 
     service: str
@@ -246,10 +273,14 @@
     loads: list[int] = msgspec.field(default_factory=list)
     next_start_at: float | None = None
     adapter_load_ms: float = DEFAULT_ADAPTER_LOAD_MS
+    unload_ms: float = DEFAULT_UNLOAD_MS
     speeds: dict[str, PrefillSpeedState] = msgspec.field(default_factory=dict)
     durations: DurationState = msgspec.field(default_factory=DurationState)
     shares_contended: bool = False
+    shares: FairShares = msgspec.field(default_factory=FairShares)
     learns_server_speeds: bool = False
+    returns: ReturnState = msgspec.field(default_factory=ReturnState)
+    server_watch: ServerWatch = msgspec.field(default_factory=ServerWatch)
 
 
 def update_servers(pool: PoolState, entries: list[ServerEntry]) -> None:
