Tell a delayed event loop from an unreachable server and a stalled caller

Three copies of the test of slow readers beside other load failed. A turn of the instance's event loop then took up to 1.9 s. Connections that the operating system had opened timed out after 0.6 s, the instance took its own network for cut off and refused up to 200 attempts as out of reach. The time of such a turn also counted as one in which callers took nothing.

A connection that times out while the event loop is delayed is tried again, up to 5 times; a probe looks whether its connection is open. One turn counts at most 50 ms for the time in which a caller takes nothing.

--- a/src/arbutuspulley/platform/memory_bound.py
+++ b/src/arbutuspulley/platform/memory_bound.py
@@ -93,7 +93,7 @@
     :ivar size: bytes that count for it, as last measured.
     :ivar unsent: bytes in the write buffer of the caller's connection, likewise.
     :ivar moved_at: when the caller last took bytes, or had none to take, in s of the
-        event loop's clock.
+        clock that :meth:`measure` is given.
     :ivar planned: expected length of the answer, once it is read; 0: unknown.
     :ivar abort: ends the answer; called over the bound.
     :ivar is_aborted: whether it was aborted for the bound.
@@ -178,7 +178,7 @@
     to a request that may not run again is the last.
 
     :param excess: by how many bytes.
-    :param now: time, in s of the event loop's clock.
+    :param now: time, in s of the clock that they were measured by.
     """
     groups: dict[_Group, list[HeldAnswer]] = {group: [] for group in _Group}
     for answer in answers:
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -32,6 +32,18 @@
 """Timeout for opening a connection, in s; data centres are 1 ms apart, and a lost SYN
 is retransmitted after a second at the earliest."""
 
+PULSE_S = 0.1
+"""Interval at which the delay of the event loop is measured while a connection is
+opened, in s."""
+
+MAX_DELAY_S = 0.1
+"""Delay of the event loop, in s, above which the timeout of a connection tells nothing.
+Opening one takes some turns of the event loop. On a machine with other load a turn took
+up to 1.9 s, and connections timed out that the operating system had opened."""
+
+MAX_DELAYED_CONNECTS = 5
+"""How often a connection is tried that times out while the event loop is delayed."""
+
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 """How long an idle connection is kept, in s, if the server does not state its idle
 timeout. A request that is sent while the server closes the connection may have run."""
@@ -86,6 +98,11 @@
 MEASURE_INTERVAL_S = 0.05
 """How often all answers are measured while the total is within the bound, in s."""
 
+MAX_STALL_STEP_S = 0.05
+"""How much one turn of the event loop counts at most for the time in which a caller
+takes nothing, in s. Connections are written once in a turn. On a machine with other
+load a turn took up to 1.9 s, after which callers that read looked like others."""
+
 PAUSE_POLL_S = 0.02
 """Interval at which an answer that is not read yet looks for room, in s."""
 
@@ -124,9 +141,12 @@
     __slots__ = (
         "_answers",
         "_get_memory_mb",
+        "_has_turned",
         "_measured_at",
         "_on_abort",
         "_on_pause",
+        "_stall_clock",
+        "_turned_at",
         "total",
     )
 
@@ -139,9 +159,12 @@
     ) -> None:
         self._answers: dict[HeldAnswer, None] = {}
         self._get_memory_mb = get_memory_mb
+        self._has_turned = True
         self._measured_at = 0.0
         self._on_abort = on_abort
         self._on_pause = on_pause
+        self._stall_clock = 0.0
+        self._turned_at = 0.0
         self.total = 0
 
     @property
@@ -205,8 +228,9 @@
             return
         bound = self.bound
         now = asyncio.get_running_loop().time()
-        answer.moved_at = now
-        self._measure(answer, now)
+        stall_clock = self._read_stall_clock()
+        answer.moved_at = stall_clock
+        self._measure(answer, stall_clock)
         if held > MAX_HELD_BYTES:
             raise BrokenError(f"{held} bytes to hold", end=AnswerEnd.INVALID)
         if held > bound // 2:
@@ -214,9 +238,9 @@
             raise AnswerAbandonedError("out of memory for this answer")
         if self.total > bound or now - self._measured_at > MEASURE_INTERVAL_S:
             self._measured_at = now
-            self._measure_all(now)
+            self._measure_all(stall_clock)
         if self.total > bound:
-            self._make_room(answer, bound, now)
+            self._make_room(answer, bound, stall_clock)
 
     def complete(self, answer: HeldAnswer) -> None:
         """Count an answer that was received until it is sent.
@@ -232,7 +256,7 @@
     def record_unsent(self, answer: HeldAnswer) -> None:
         """Measure an answer of which a further slice is being sent."""
         if answer in self._answers and self.is_bound_by_memory:
-            answer.moved_at = asyncio.get_running_loop().time()
+            answer.moved_at = self._read_stall_clock()
             self._measure(answer, answer.moved_at)
 
     def remove(self, answer: HeldAnswer) -> None:
@@ -244,7 +268,7 @@
         is_unsent = answer.is_received and not answer.is_aborted
         if is_unsent and self.is_bound_by_memory:
             answer.get_kind = _get_complete
-            self._measure(answer, asyncio.get_running_loop().time())
+            self._measure(answer, self._read_stall_clock())
             if answer.size:
                 return
         self._drop(answer)
@@ -259,7 +283,7 @@
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         while self.is_bound_by_memory:
-            self._measure_all(loop.time())
+            self._measure_all(self._read_stall_clock())
             if may_read(
                 answer, list(self._answers), expected=expected, bound=self.bound
             ):
@@ -272,6 +296,23 @@
         if paused_ms >= PAUSE_POLL_S * 1_000:
             self._on_pause(answer, paused_ms)
 
+    def _read_stall_clock(self) -> float:
+        """Return the clock by which callers that take nothing are told, in s.
+
+        It advances only as this process has had turns in which it could write to them.
+        """
+        if self._has_turned:
+            loop = asyncio.get_running_loop()
+            now = loop.time()
+            self._stall_clock += min(MAX_STALL_STEP_S, now - self._turned_at)
+            self._turned_at = now
+            self._has_turned = False
+            loop.call_soon(self._record_turn)
+        return self._stall_clock
+
+    def _record_turn(self) -> None:
+        self._has_turned = True
+
     def _make_room(self, current: HeldAnswer, bound: int, now: float) -> None:
         excess = self.total - bound
         for answer in choose_aborted(self._answers, excess=excess, now=now):
@@ -464,6 +505,43 @@
         )
         self._factory = factory
 
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Any],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Any:
+        """Return a connection; a timeout by a delay of the event loop doesn't count."""
+        for _ in range(MAX_DELAYED_CONNECTS - 1):
+            with _measure_delay(self._loop) as read_delay:
+                try:
+                    return await super().connect(req, traces, timeout)
+                except TimeoutError:
+                    if read_delay() <= MAX_DELAY_S:
+                        raise
+        return await super().connect(req, traces, timeout)
+
+
+@contextlib.contextmanager
+def _measure_delay(loop: asyncio.AbstractEventLoop) -> Iterator[Callable[[], float]]:
+    """Return a function that tells how late the event loop has been, in s."""
+    delay_s = 0.0
+    timer: asyncio.TimerHandle
+
+    def start() -> asyncio.TimerHandle:
+        return loop.call_later(PULSE_S, beat, loop.time() + PULSE_S)
+
+    def beat(due_at: float) -> None:
+        nonlocal delay_s, timer
+        delay_s += loop.time() - due_at
+        timer = start()
+
+    timer = start()
+    try:
+        yield lambda: delay_s
+    finally:
+        timer.cancel()
+
 
 def open_session() -> aiohttp.ClientSession:
     """Open a client session. It never retries a request by itself."""
@@ -508,11 +586,22 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await loop.sock_connect(opened, (host, port))
-        except OSError:  # a timeout, too
+        except TimeoutError:
+            # After a delay of the event loop, the timeout may come first.
+            return _is_connected(opened)
+        except OSError:
             return False
     return True
 
 
+def _is_connected(opened: socket.socket) -> bool:
+    try:
+        opened.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 def discard_idle_connections(session: aiohttp.ClientSession, address: str) -> None:
     """Prevent reuse of the connections to a server that are idle now.
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 
 import pytest
 from aiohttp import web
@@ -13,6 +14,7 @@
     BrokenError,
     NotSentError,
     open_session,
+    probe_connection,
     read_body,
     read_framing,
     send_request,
@@ -141,6 +143,31 @@
             filler.close()
 
 
+@pytest.mark.parametrize("turns", range(1, 6))
+def test_a_delayed_event_loop_is_no_evidence_against_a_server(turns):
+    """Guards against an instance on a machine with other load that takes its own delay
+    for a network that is cut off: all its requests were refused as out of reach."""
+
+    async def answer(_request):
+        return web.Response()
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(web.Server(answer), "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with server:
+            address = f"{host}:{port}"
+            sending = asyncio.create_task(send_to(address))
+            probing = asyncio.create_task(probe_connection(address, timeout_s=0.25))
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            time.sleep(transport.CONNECT_TIMEOUT_S + 0.15)
+            await sending
+            assert await probing
+
+    asyncio.run(scenario())
+
+
 HEADS = {
     Framing.LENGTH: b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n",
     Framing.CHUNKS: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
