Give a connection more time while the event loop is delayed

With the same timeout all 5 tries failed where one turn took 1 to 4 s: opening a connection takes some turns. Each try now has twice the timeout of the previous one, and a timeout counts if the loop was not delayed for 0.5 s of it.

--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -36,13 +36,15 @@
 """Interval at which the delay of the event loop is measured while a connection is
 opened, in s."""
 
-MAX_DELAY_S = 0.1
-"""Delay of the event loop, in s, above which the timeout of a connection tells nothing.
-Opening one takes some turns of the event loop. On a machine with other load a turn took
-up to 1.9 s, and connections timed out that the operating system had opened."""
+MIN_CONNECT_S = 0.5
+"""How much of the time of a connection the event loop must not be delayed, in s, so
+that a timeout tells something. Opening one takes some turns of the event loop. On a
+machine with other load a turn took 1 to 4 s, and connections timed out that the
+operating system had opened."""
 
 MAX_DELAYED_CONNECTS = 5
-"""How often a connection is tried that times out while the event loop is delayed."""
+"""How often a connection is tried that times out while the event loop is delayed, each
+time with twice the timeout: with the same one, all 5 timed out."""
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 """How long an idle connection is kept, in s, if the server does not state its idle
@@ -513,12 +515,14 @@
     ) -> Any:
         """Return a connection; a timeout by a delay of the event loop doesn't count."""
         for _ in range(MAX_DELAYED_CONNECTS - 1):
+            timeout_s = timeout.sock_connect or 0.0
             with _measure_delay(self._loop) as read_delay:
                 try:
                     return await super().connect(req, traces, timeout)
                 except TimeoutError:
-                    if read_delay() <= MAX_DELAY_S:
+                    if timeout_s - read_delay() >= MIN_CONNECT_S:
                         raise
+            timeout = aiohttp.ClientTimeout(total=None, sock_connect=2 * timeout_s)
         return await super().connect(req, traces, timeout)
 
 
