--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -279,13 +279,17 @@
         """Wait until a new answer may be read, but no longer than servers let it wait.
 
         :param expected: its length in bytes; 0: unknown.
+        :raises AnswerAbandonedError: if it has to be aborted for the bound.
         """
         if not self.is_bound_by_memory:
             return
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         while self.is_bound_by_memory:
-            self._measure_all(self._read_stall_clock())
+            stall_clock = self._read_stall_clock()
+            self._measure_all(stall_clock)
+            if self.total > self.bound:
+                self._make_room(answer, self.bound, stall_clock)
             if may_read(
                 answer, list(self._answers), expected=expected, bound=self.bound
             ):
