--- a/tests/test_memory_bound.py
+++ b/tests/test_memory_bound.py
@@ -197,6 +197,26 @@
     assert asyncio.run(run()) == [expected]
 
 
+def test_an_answer_that_waits_finds_the_bound_exceeded():
+    """Guards against bytes over the bound that stay until another answer moves."""
+
+    async def run():
+        held = HeldBytes(get_memory_mb=lambda: PROCESS_MB)
+        received = types.SimpleNamespace(total_bytes=0)
+        stream = build_answer(AnswerKind.RESUMABLE, 0)
+        stream.content = received
+        waiting = build_answer(AnswerKind.ONCE, 0)
+        with held.reading(stream), held.reading(waiting):
+            stream.abort = lambda: None
+            held.update(waiting, 100_000)
+            received.total_bytes = 2 * held.bound
+            await held.wait_for_room(waiting, expected=200_000)
+            assert held.total == 100_000
+            assert stream.is_aborted
+
+    asyncio.run(run())
+
+
 def build_fleet_configuration():
     routes = (
         build_route("/events/", "events", "streaming", Resumable=True),
