--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -119,6 +119,7 @@
     play_versions(tmp_path, scenario)
 
 
+@pytest.mark.alone
 def test_a_stream_is_taken_up_where_its_instance_has_started_again(tmp_path):
     """Guards against an instance that has forgotten its streams and asks nobody."""
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -440,6 +440,7 @@
     play(tmp_path, scenario, nodes=("n1", "n2"))
 
 
+@pytest.mark.alone
 def test_a_stopping_coordinator_connects_to_its_successor(tmp_path):
     """The coordinator gets SIGTERM, and a caller with an old address asks it for a
     model that has to be loaded. Guards against a stopping process that no longer looks
@@ -548,6 +549,7 @@
     play(tmp_path, scenario, nodes=("n1", "n2"))
 
 
+@pytest.mark.alone
 def test_a_stopping_coordinator_stays_active_while_it_has_no_successor(tmp_path):
     """The store is unavailable, and the coordinator gets SIGTERM. Guards against
     stepping down at once although no other instance can take the lease: until the store
