--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -187,6 +187,7 @@
     run_crashes(tmp_path, scenario, plain=8, models=8, down_s=4.0)
 
 
+@pytest.mark.alone
 @pytest.mark.parametrize("every_s", [0.6, 1.6])
 @pytest.mark.parametrize("kind", ["safe", "unsafe", "model"])
 def test_copies_that_callers_send_at_once_stop_reaching_servers(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -575,6 +575,7 @@
     play(tmp_path, scenario, nodes=("n1", "n2"))
 
 
+@pytest.mark.alone
 def test_without_a_coordinator_a_request_is_refused_quickly(tmp_path):
     """The store is unavailable and the coordinator is killed. A caller of a model that
     no server has must be refused with a retry delay instead of waiting until it
--- a/tests/test_teams.py
+++ b/tests/test_teams.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import aiohttp
+import pytest
 
 from scripts.platform_testbed import (
     FULL_STREAM,
@@ -77,6 +78,7 @@
     return found
 
 
+@pytest.mark.alone
 def test_servers_get_the_team_and_never_the_key(tmp_path):
     async def scenario(fleet, session):
         address = front(fleet)
