Reproduce streams that go on at another version after a power failure

What callers saw: streams that they took up again after all instances had been killed at once were joined from two software versions, or none of them went on.

--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import signal
 
 import aiohttp
 
@@ -116,3 +117,11 @@
         while not all(len(stream.numbers) > 1 for stream in streams):
             await asyncio.sleep(0.005)
     return streams, tasks
+
+
+async def kill_all(fleet):
+    """Kill all nodes at the same moment, and wait until they are gone."""
+    for node in fleet.nodes.values():
+        node.send_signal(signal.SIGKILL)
+    for node in fleet.nodes.values():
+        await node.wait()
