Find unwritten records without a scan of all rows

Callers with deadlines of ten minutes would keep some 12,000 rows, and each write, up to 20 a second, looked at all of them for those to be written. They are listed by themselves now.

--- a/src/arbutuspulley/delivery/stream_records.py
+++ b/src/arbutuspulley/delivery/stream_records.py
@@ -5,11 +5,12 @@
 began just before all processes were killed has no record and is refused.
 """
 
+import itertools
 from collections.abc import Iterable, Mapping
 
 import msgspec
 
-from arbutuspulley.data import Message, State, Value
+from arbutuspulley.data import Message, Value
 from arbutuspulley.delivery.begun_streams import MAX_RETENTION_MS, BegunStream
 from arbutuspulley.ports.fleet import SoftwareVersion
 
@@ -62,16 +63,6 @@
     remove: tuple[str, ...]
 
 
-class _KnownRow(State):
-    """A row as this process knows it.
-
-    :param is_written: whether the store has acknowledged it.
-    """
-
-    row: RecordRow
-    is_written: bool
-
-
 class StreamJournal:
     """The records that a process writes, and those that it has taken over.
 
@@ -86,6 +77,7 @@
         "_pending",
         "_rows",
         "_stored",
+        "_unwritten",
         "_writer",
         "awaits_records",
     )
@@ -94,8 +86,10 @@
         self.awaits_records = False
         self._number = 0
         self._pending: dict[int, BegunStream] = {}
-        self._rows: dict[str, _KnownRow] = {}
+        self._rows: dict[str, RecordRow] = {}
         self._stored: set[int] = set()
+        # Keys of rows that the store has not acknowledged, in order.
+        self._unwritten: dict[str, None] = {}
         self._writer = writer
 
     def __len__(self) -> int:
@@ -104,9 +98,7 @@
     @property
     def has_unwritten(self) -> bool:
         """Whether anything has to be written."""
-        return bool(self._pending) or any(
-            not known.is_written for known in self._rows.values()
-        )
+        return bool(self._pending) or bool(self._unwritten)
 
     def add(self, key: int, stream: BegunStream) -> bool:
         """Add a stream to the next row.
@@ -126,37 +118,42 @@
         :param store_now: reading of the store's clock at ``now``, in ms.
         """
         self._seal(now=now, store_now=store_now)
-        expired = [
-            key
-            for key, known in self._rows.items()
-            if known.row.expires_at + REMOVAL_MARGIN_MS <= store_now
-        ][:MAX_REMOVED_ROWS]
-        written = [key for key in expired if self._rows[key].is_written]
-        for key in expired:
-            self._stored.difference_update(_list_keys(self._rows.pop(key).row))
+        removed = self._pop_expired(store_now)
         put = {
-            key: msgspec.msgpack.encode(known.row)
-            for key, known in self._list_unwritten()
+            key: msgspec.msgpack.encode(self._rows[key])
+            for key in itertools.islice(self._unwritten, MAX_BATCH_ROWS)
         }
-        if not put and not written:
+        if not put and not removed:
             return None
-        return RecordBatch(put=put, remove=tuple(written))
+        return RecordBatch(put=put, remove=removed)
+
+    def _pop_expired(self, store_now: int) -> tuple[str, ...]:
+        """Forget expired rows, and return those that the store has.
+
+        A removal that fails leaves its row to the next coordinator.
+        """
+        latest = store_now - REMOVAL_MARGIN_MS
+        expired = [key for key, row in self._rows.items() if row.expires_at <= latest]
+        del expired[MAX_REMOVED_ROWS:]
+        removed = tuple(key for key in expired if key not in self._unwritten)
+        for key in expired:
+            self._stored.difference_update(_list_keys(self._rows.pop(key)))
+            self._unwritten.pop(key, None)
+        return removed
 
     def confirm(self, batch: RecordBatch) -> None:
         """Record that a batch has been written."""
         for key in batch.put:
-            if key in self._rows:
-                self._rows[key].is_written = True
+            self._unwritten.pop(key, None)
 
     def restart(self) -> None:
         """Let all rows be written again: the store has come back from an older copy."""
-        for known in self._rows.values():
-            known.is_written = False
+        self._unwritten = dict.fromkeys(self._rows)
 
     def adopt(self, rows: Mapping[str, RecordRow]) -> None:
         """Take over rows that another process has written."""
         for key, row in rows.items():
-            self._rows.setdefault(key, _KnownRow(row=row, is_written=True))
+            self._rows.setdefault(key, row)
             self._stored.update(_list_keys(row))
         for stream in self._stored.intersection(self._pending):
             del self._pending[stream]
@@ -164,20 +161,10 @@
 
     def release(self) -> None:
         """Leave the written rows to another process, which takes them over."""
-        self._rows = {
-            key: known for key, known in self._rows.items() if not known.is_written
-        }
-        self._stored = {
-            key for known in self._rows.values() for key in _list_keys(known.row)
-        }
+        self._rows = {key: self._rows[key] for key in self._unwritten}
+        self._stored = {key for row in self._rows.values() for key in _list_keys(row)}
         self.awaits_records = True
 
-    def _list_unwritten(self) -> list[tuple[str, _KnownRow]]:
-        rows = [
-            (key, known) for key, known in self._rows.items() if not known.is_written
-        ]
-        return rows[:MAX_BATCH_ROWS]
-
     def _seal(self, *, now: int, store_now: int) -> None:
         """Put the pending streams into rows."""
         pending = [
@@ -189,9 +176,9 @@
         for start in range(0, len(pending), MAX_ROW_STREAMS):
             part = dict(pending[start : start + MAX_ROW_STREAMS])
             self._number += 1
-            row = build_row(part, now=now, store_now=store_now)
             key = f"{self._writer}-{self._number}"
-            self._rows[key] = _KnownRow(row=row, is_written=False)
+            self._rows[key] = build_row(part, now=now, store_now=store_now)
+            self._unwritten[key] = None
             self._stored.update(part)
 
 
