Read the store again after the wait for a coordinator

What callers saw: an instance without a coordinator refused a stream as unknown (2011) that another such instance had recorded since its last read.

Cause: the store was read before the wait for a coordinator, and not after it. It is read once more before the request is refused. The test failed before.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -177,7 +177,7 @@
         if entry is None:
             self._check_version()
             if self._progress.is_version_unknown:
-                raise self._build_unknown()
+                raise await self._look_up_again()
             raise NoServerError(
                 "no server has it", retry_after_ms=self._choice.get_retry_after()
             )
@@ -324,8 +324,14 @@
         progress.is_store_read = await self._state.look_up_streams()
         self._find_version(source="store")
 
-    def _build_unknown(self) -> NoServerError:
-        """Build the error of a request that resumes a stream of unknown version."""
+    async def _look_up_again(self) -> Exception:
+        """Look again for a stream that an instance may have recorded meanwhile.
+
+        :return: the error that ends this attempt or the request.
+        """
+        await self._look_up_version()
+        if not self._progress.is_version_unknown:
+            return RetryError()
         if self._progress.is_store_read:
             return NoServerError(UNKNOWN_REASON, may_retry=False)
         return NoServerError(UNREAD_REASON, retry_after_ms=UNREAD_RETRY_MS)
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -6,6 +6,7 @@
 import pytest
 
 from arbutuspulley.clock import Clock
+from arbutuspulley.delivery.begun_streams import BegunStream, build_stream_key
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
 from arbutuspulley.node.limits import LimitGuard
@@ -62,10 +63,12 @@
     """One request at an instance that is its own coordinator.
 
     :param decide: returns the coordinator's answer to a grant request; ``None``: none.
+    :param clock: clock of the instance; ``None``: it stands still at 10 s.
+    :param headers: further headers of the request.
     """
 
-    def __init__(self, decide):
-        self.state = build_state(clock=Clock(read=lambda: 10_000))
+    def __init__(self, decide, *, clock=None, headers=()):
+        self.state = build_state(clock=clock or Clock(read=lambda: 10_000))
         put_teams(self.state, 1, "k1")
         self.state.by_incarnation["e1"] = ENTRY
         self.sent = []
@@ -81,12 +84,14 @@
                 ("X-Arbutuspulley-Key", "k1"),
                 ("X-Arbutuspulley-Model", "m0"),
                 ("X-Arbutuspulley-Token-Usage", "100,20"),
+                *headers,
             ],
         )
         route = find_route(self.state.table, host=HOST, path="/chat/1")
         access = Access(state=self.state, route=route, request=request)
         access.check()
-        self.progress = Progress(started_at=10_000, ends_at=20_000, service="llm")
+        now = self.state.clock.now()
+        self.progress = Progress(started_at=now, ends_at=now + 10_000, service="llm")
         self.acquisition = Acquisition(
             state=self.state,
             link=self.link,
@@ -276,6 +281,35 @@
     assert trial.progress.avoid == {"e1"}
 
 
+def test_the_store_is_read_again_after_the_wait_for_a_coordinator():
+    """Guards against a stream that is refused as unknown by what the store held before
+    another instance without a coordinator recorded it."""
+    trial = Trial(grant, clock=Clock(), headers=[("Resumes", "r0")])
+    trial.link.deliver_local = None
+    trial.link.status = CoordinatorStatus(is_holder=True)
+    trial.state.by_service["llm"] = [ENTRY]
+    trial.progress.resumed_stream = build_stream_key("r0")
+    trial.progress.is_version_unknown = True
+    trial.state.software_versions.awaits_history = True
+    reads = []
+
+    async def read():
+        reads.append(trial.state.clock.now())
+        if len(reads) > 1:
+            now = trial.state.clock.now()
+            stream = BegunStream(
+                service="llm", version=ENTRY.software_version, expires_at=now + 9_000
+            )
+            trial.state.begun_streams.add(build_stream_key("r0"), stream, now=now)
+        return True
+
+    trial.state.look_up_streams = read
+    with pytest.raises(RetryError):
+        trial.get_server()
+    assert trial.progress.version == ENTRY.software_version
+    assert trial.progress.version_source == "store"
+
+
 def test_no_grant_is_awaited_for_a_version_that_is_gone():
     """Guards against a stream that waits for a coordinator, or for a server without
     one, although no server of its version is left."""
