Use a coordinator's grant before the versions of earlier are known

What callers saw: an instance that started while the store was away gave back each grant for a stream that it did not know, and refused it in the end, though one version served and the coordinator knew that.

Cause: until the history of versions is read, every service counts as mixed at that instance. A coordinator grants nothing to a stream whose version it does not know in a mixed service, so its grant is used. The test failed before.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -292,6 +292,9 @@
             progress.waited_ms += self._state.clock.now() - now
         progress.is_late = granted.is_late
         self._find_version()
+        if self._state.software_versions.awaits_history:
+            # The coordinator refuses streams whose version it does not know.
+            progress.is_version_unknown = False
         why = self._get_exclusion(granted.incarnation)
         if why:
             raise self._return_grant(granted, why)
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -281,6 +281,15 @@
     assert trial.progress.avoid == {"e1"}
 
 
+def test_a_grant_is_used_before_the_versions_in_service_earlier_are_known():
+    """Guards against callers who are refused where one version serves, by an instance
+    that started while the store was away, though the coordinator knows better."""
+    trial = Trial(grant)
+    trial.state.software_versions.awaits_history = True
+    trial.progress.is_version_unknown = True
+    assert trial.get_server() is ENTRY
+
+
 def test_the_store_is_read_again_after_the_wait_for_a_coordinator():
     """Guards against a stream that is refused as unknown by what the store held before
     another instance without a coordinator recorded it."""
