Remove expired rows of streams until the store has acknowledged it

What callers see: nothing, but each outage of the store left all rows in it that expired meanwhile, up to 20 a second. Each new coordinator, and each instance without one, then read them, until a coordinator took them over.

Cause: a row was forgotten as its removal was sent. A row whose write had got no answer was forgotten without a removal.

Measured: the two tests of it in tests/test_stream_records.py pass; four others still fail, for other faults.

--- a/src/arbutuspulley/delivery/stream_records.py
+++ b/src/arbutuspulley/delivery/stream_records.py
@@ -5,6 +5,7 @@
 began just before all processes were killed has no record and is refused.
 """
 
+import itertools
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -66,10 +67,12 @@
     """A row as this process knows it.
 
     :param is_written: whether the store has acknowledged it.
+    :param is_sent: whether it may be in the store.
     """
 
     row: RecordRow
     is_written: bool
+    is_sent: bool
 
 
 class StreamJournal:
@@ -84,6 +87,7 @@
     __slots__ = (
         "_number",
         "_pending",
+        "_removed",
         "_rows",
         "_stored",
         "_writer",
@@ -94,6 +98,8 @@
         self.awaits_records = False
         self._number = 0
         self._pending: dict[int, BegunStream] = {}
+        # Keys of expired rows that may still be in the store, oldest first.
+        self._removed: dict[str, None] = {}
         self._rows: dict[str, _KnownRow] = {}
         self._stored: set[int] = set()
         self._writer = writer
@@ -126,27 +132,21 @@
         :param store_now: reading of the store's clock at ``now``, in ms.
         """
         self._seal(now=now, store_now=store_now)
-        expired = [
-            key
-            for key, known in self._rows.items()
-            if known.row.expires_at + REMOVAL_MARGIN_MS <= store_now
-        ][:MAX_REMOVED_ROWS]
-        written = [key for key in expired if self._rows[key].is_written]
-        for key in expired:
-            self._stored.difference_update(_list_keys(self._rows.pop(key).row))
-        put = {
-            key: msgspec.msgpack.encode(known.row)
-            for key, known in self._list_unwritten()
-        }
-        if not put and not written:
-            return None
-        return RecordBatch(put=put, remove=tuple(written))
+        self._expire(store_now)
+        remove = tuple(itertools.islice(self._removed, MAX_REMOVED_ROWS))
+        put: dict[str, bytes] = {}
+        for key, known in self._list_unwritten():
+            known.is_sent = True
+            put[key] = msgspec.msgpack.encode(known.row)
+        return RecordBatch(put=put, remove=remove) if put or remove else None
 
     def confirm(self, batch: RecordBatch) -> None:
         """Record that a batch has been written."""
         for key in batch.put:
             if key in self._rows:
                 self._rows[key].is_written = True
+        for key in batch.remove:
+            self._removed.pop(key, None)
 
     def restart(self) -> None:
         """Let all rows be written again: the store has come back from an older copy."""
@@ -156,7 +156,9 @@
     def adopt(self, rows: Mapping[str, RecordRow]) -> None:
         """Take over rows that another process has written."""
         for key, row in rows.items():
-            self._rows.setdefault(key, _KnownRow(row=row, is_written=True))
+            self._rows.setdefault(
+                key, _KnownRow(row=row, is_written=True, is_sent=True)
+            )
             self._stored.update(_list_keys(row))
         for stream in self._stored.intersection(self._pending):
             del self._pending[stream]
@@ -172,6 +174,19 @@
         }
         self.awaits_records = True
 
+    def _expire(self, store_now: int) -> None:
+        """Forget rows whose streams have expired, and let them be removed."""
+        expired = [
+            key
+            for key, known in self._rows.items()
+            if known.row.expires_at + REMOVAL_MARGIN_MS <= store_now
+        ]
+        for key in expired:
+            known = self._rows.pop(key)
+            self._stored.difference_update(_list_keys(known.row))
+            if known.is_sent:
+                self._removed[key] = None
+
     def _list_unwritten(self) -> list[tuple[str, _KnownRow]]:
         rows = [
             (key, known) for key, known in self._rows.items() if not known.is_written
@@ -191,7 +206,7 @@
             self._number += 1
             row = build_row(part, now=now, store_now=store_now)
             key = f"{self._writer}-{self._number}"
-            self._rows[key] = _KnownRow(row=row, is_written=False)
+            self._rows[key] = _KnownRow(row=row, is_written=False, is_sent=False)
             self._stored.update(part)
 
 
