Record a resumed stream for the deadline of its latest attempt

What callers see: a stream that goes on after one power failure is refused (2011) after the next one, if the row of its first attempt has expired meanwhile: each attempt states a deadline of its own.

And of several rows that name a stream, the one that was read last counted, not the one that expires last.

A new coordinator therefore has to know both clocks as it takes rows over.

--- a/src/arbutuspulley/delivery/stream_records.py
+++ b/src/arbutuspulley/delivery/stream_records.py
@@ -27,6 +27,10 @@
 """Time for which a row is kept after its streams have expired, in ms: the store's clock
 may go back when the store comes back from a copy."""
 
+MIN_EXTENSION_MS = 1_000
+"""Minimum time by which a stream must be resumable for longer than its row states to be
+recorded again, in ms: less than the margin for which streams are kept."""
+
 KEY_BYTES = 8
 """Size of a stream's key in a row."""
 
@@ -68,9 +72,11 @@
 
     :param is_written: whether the store has acknowledged it.
     :param is_sent: whether it may be in the store.
+    :param until: when the last of its streams expires, in ms of the own clock.
     """
 
     row: RecordRow
+    until: int
     is_written: bool
     is_sent: bool
 
@@ -101,7 +107,7 @@
         # Keys of expired rows that may still be in the store, oldest first.
         self._removed: dict[str, None] = {}
         self._rows: dict[str, _KnownRow] = {}
-        self._stored: set[int] = set()
+        self._stored: dict[int, _KnownRow] = {}
         self._writer = writer
 
     def __len__(self) -> int:
@@ -119,10 +125,12 @@
 
         :return: ``False`` if it is in a row, or about to be, already.
         """
-        if key in self._stored or key in self._pending:
+        if self._is_stored(key, stream):
             return False
-        self._pending[key] = stream
-        return True
+        pending = self._pending.get(key)
+        if pending is None or pending.expires_at < stream.expires_at:
+            self._pending[key] = stream
+        return pending is None
 
     def take_batch(self, *, now: int, store_now: int) -> RecordBatch | None:
         """Return what to write next; ``None``: nothing.
@@ -153,15 +161,21 @@
         for known in self._rows.values():
             known.is_written = False
 
-    def adopt(self, rows: Mapping[str, RecordRow]) -> None:
-        """Take over rows that another process has written."""
+    def adopt(self, rows: Mapping[str, RecordRow], *, now: int, store_now: int) -> None:
+        """Take over rows that another process has written.
+
+        :param store_now: reading of the store's clock at ``now``, in ms.
+        """
         for key, row in rows.items():
-            self._rows.setdefault(
-                key, _KnownRow(row=row, is_written=True, is_sent=True)
-            )
-            self._stored.update(_list_keys(row))
-        for stream in self._stored.intersection(self._pending):
-            del self._pending[stream]
+            until = row.expires_at - store_now + now
+            known = _KnownRow(row=row, until=until, is_written=True, is_sent=True)
+            if self._rows.setdefault(key, known) is known:
+                self._index(known)
+        self._pending = {
+            key: stream
+            for key, stream in self._pending.items()
+            if not self._is_stored(key, stream)
+        }
         self.awaits_records = False
 
     def release(self) -> None:
@@ -169,11 +183,22 @@
         self._rows = {
             key: known for key, known in self._rows.items() if not known.is_written
         }
-        self._stored = {
-            key for known in self._rows.values() for key in _list_keys(known.row)
-        }
+        self._stored.clear()
+        for known in self._rows.values():
+            self._index(known)
         self.awaits_records = True
 
+    def _is_stored(self, key: int, stream: BegunStream) -> bool:
+        """Return whether a row names a stream for as long as it can be resumed."""
+        known = self._stored.get(key)
+        return known is not None and stream.expires_at < known.until + MIN_EXTENSION_MS
+
+    def _index(self, known: _KnownRow) -> None:
+        for key in _list_keys(known.row):
+            other = self._stored.get(key)
+            if other is None or other.until < known.until:
+                self._stored[key] = known
+
     def _expire(self, store_now: int) -> None:
         """Forget rows whose streams have expired, and let them be removed."""
         expired = [
@@ -183,7 +208,9 @@
         ]
         for key in expired:
             known = self._rows.pop(key)
-            self._stored.difference_update(_list_keys(known.row))
+            for stream in _list_keys(known.row):
+                if self._stored.get(stream) is known:
+                    del self._stored[stream]
             if known.is_sent:
                 self._removed[key] = None
 
@@ -206,8 +233,10 @@
             self._number += 1
             row = build_row(part, now=now, store_now=store_now)
             key = f"{self._writer}-{self._number}"
-            self._rows[key] = _KnownRow(row=row, is_written=False, is_sent=False)
-            self._stored.update(part)
+            until = row.expires_at - store_now + now
+            known = _KnownRow(row=row, until=until, is_written=False, is_sent=False)
+            self._rows[key] = known
+            self._index(known)
 
 
 def build_row(
@@ -250,6 +279,8 @@
 ) -> dict[int, BegunStream]:
     """Return the streams of some rows that have not expired.
 
+    Of several rows that name a stream, the one that expires last counts.
+
     :param store_now: reading of the store's clock at ``now``, in ms.
     """
     streams: dict[int, BegunStream] = {}
@@ -263,7 +294,10 @@
                 version=SoftwareVersion(name=group.version),
                 expires_at=now + remaining_ms,
             )
-            streams.update(dict.fromkeys(_split_keys(group.keys), stream))
+            for key in _split_keys(group.keys):
+                known = streams.setdefault(key, stream)
+                if known.expires_at < stream.expires_at:
+                    streams[key] = stream
     return streams
 
 
--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -143,7 +143,9 @@
         await self._write_histories()
         mixed = state.software_versions.list_mixed(now=state.clock.now())
         if mixed and journal.awaits_records:
-            journal.adopt(await self._read_streams())
+            rows = await self._read_streams()
+            now = state.clock.now()
+            journal.adopt(rows, now=now, store_now=now + self._offset_ms)
             self._mixed = frozenset()
         if mixed != self._mixed:
             self._mixed = mixed
