Bound the size of rows of streams, not only the number of streams

What callers see: where very many services are mixed at once, no stream is recorded any more, and all are refused (2011) after a power failure.

Cause: each service and version takes up to 140 bytes of a row, which the bound of 4,000 streams left out.

A row now also ends at 36,000 bytes, so that 20 rows fit a transaction of 1 MB in base64.

--- a/src/arbutuspulley/delivery/stream_records.py
+++ b/src/arbutuspulley/delivery/stream_records.py
@@ -6,7 +6,7 @@
 """
 
 import itertools
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
 
@@ -15,7 +15,12 @@
 from arbutuspulley.ports.fleet import SoftwareVersion
 
 MAX_ROW_STREAMS = 4_000
-"""Maximum number of streams in a row: a row of the store holds 64 KB."""
+MAX_ROW_BYTES = 36_000
+"""Maximum number of streams in a row, and its maximum size: a row of the store holds 64
+KB, and a transaction 1 MB with all rows in base64."""
+
+GROUP_BYTES = 40
+"""Maximum size of a group in a row without its names and keys."""
 
 MAX_BATCH_ROWS = 20
 """Maximum number of rows in a transaction: it holds 1 MB and 100 rows."""
@@ -228,8 +233,7 @@
             if stream.expires_at > now
         ]
         self._pending.clear()
-        for start in range(0, len(pending), MAX_ROW_STREAMS):
-            part = dict(pending[start : start + MAX_ROW_STREAMS])
+        for part in _split_streams(pending):
             self._number += 1
             row = build_row(part, now=now, store_now=store_now)
             key = f"{self._writer}-{self._number}"
@@ -239,6 +243,30 @@
             self._index(known)
 
 
+def _split_streams(
+    streams: Iterable[tuple[int, BegunStream]],
+) -> Iterator[dict[int, BegunStream]]:
+    """Split streams into parts that fit a row each."""
+    part: dict[int, BegunStream] = {}
+    groups: set[tuple[str, SoftwareVersion]] = set()
+    size = 0
+    for key, stream in streams:
+        group = (stream.service, stream.version)
+        size += KEY_BYTES + (0 if group in groups else _measure_group(*group))
+        if size > MAX_ROW_BYTES or len(part) == MAX_ROW_STREAMS:
+            yield part
+            part, groups = {}, set()
+            size = KEY_BYTES + _measure_group(*group)
+        part[key] = stream
+        groups.add(group)
+    if part:
+        yield part
+
+
+def _measure_group(service: str, version: SoftwareVersion) -> int:
+    return GROUP_BYTES + len(service.encode()) + len(version.name.encode())
+
+
 def build_row(
     streams: Mapping[int, BegunStream], *, now: int, store_now: int
 ) -> RecordRow:
