Store the latest time at which a version left, and test the histories

What callers see: a stream may go on at another version after a power failure, if its own version had left the service, came back and left again while its row could not be written (another machine still gets calls through): the row keeps the first time, and 10 minutes after that the service counts as one of a single version.

Cause: rows were compared by the names of the versions that had left alone. They are compared with their times now, to within 5 s, so that a clock of the store that is read a little later takes no call.

Measured: the test of it failed before and passes; the others of tests/test_software_versions.py (restarts, older copies, a clock of the store that goes back, versions that come and go and come back) passed before, too.

--- a/src/arbutuspulley/membership/software_versions.py
+++ b/src/arbutuspulley/membership/software_versions.py
@@ -6,6 +6,10 @@
 from arbutuspulley.delivery.begun_streams import MAX_RETENTION_MS
 from arbutuspulley.ports.fleet import ServerEntry, SoftwareVersion
 
+TIME_TOLERANCE_MS = 5_000
+"""Difference between two times at which a version left that needs no new row, in ms:
+the store's clock is known to within the time of a call."""
+
 
 class VersionHistory(Message, frozen=True):
     """Versions of one service, as they are kept in the store.
@@ -19,11 +23,16 @@
     left: dict[str, int] = {}
 
     def lists_same(self, other: "VersionHistory | None") -> bool:
-        """Return whether both list the same versions as current and as left."""
+        """Return whether both list the same versions as current and as left, and the
+        other one no earlier time at which one left."""
         return (
             other is not None
             and set(self.current) == set(other.current)
             and self.left.keys() == other.left.keys()
+            and all(
+                left_at - other.left[name] <= TIME_TOLERANCE_MS
+                for name, left_at in self.left.items()
+            )
         )
 
 
