Let a new coordinator read the records of streams at once

What callers see: after a change of the coordinator or a power failure, callers that resume are told 2013 and Retry-After for longer than need be: 0.5 s, up to 3.6 s at 360 instances.

Cause: an instance that becomes the coordinator was in the middle of the interval of one without a coordinator, as each change of a server's row begins one, and waited for its end.

Becoming the coordinator ends the interval. Measured in virtual time: the records are read within 25 ms with 0, 6 and 360 known instances; before, they were not.

--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -57,6 +57,7 @@
     """Reads and writes the records of this process; see :mod:`.stream_store`."""
 
     __slots__ = (
+        "_coordinating",
         "_histories",
         "_mixed",
         "_offset_ms",
@@ -67,6 +68,7 @@
     )
 
     def __init__(self, *, state: NodeState) -> None:
+        self._coordinating = asyncio.Event()
         self._histories: dict[str, VersionHistory] = {}
         self._mixed: frozenset[str] = frozenset()
         self._offset_ms = 0
@@ -84,6 +86,7 @@
         self._was_coordinator = False
         self._state.stream_journal.release()
         self._state.stream_journal_changed.set()
+        self._coordinating.set()
 
     def restart(self, _era: int) -> None:
         """Write everything again; called when a new era of the store is seen."""
@@ -127,7 +130,16 @@
         except TimeoutError:
             return
         if not state.is_coordinator or self._was_coordinator:
-            await asyncio.sleep(self._get_interval_ms() / SECOND_MS)
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait for the interval, or until this instance becomes the coordinator."""
+        self._coordinating.clear()
+        try:
+            async with asyncio.timeout(self._get_interval_ms() / SECOND_MS):
+                await self._coordinating.wait()
+        except TimeoutError:
+            return
 
     def _get_interval_ms(self) -> int:
         if self._state.is_coordinator:
--- a/tests/test_stream_store.py
+++ b/tests/test_stream_store.py
@@ -525,3 +525,26 @@
         assert await staying
 
     play(scenario)
+
+
+@pytest.mark.parametrize("instances", [0, 6, 360])
+def test_a_new_coordinator_reads_the_records_at_once(instances):
+    """Guards against callers who are told for seconds that the store can't be read, as
+    the new coordinator still waits for the interval of an instance without one."""
+
+    async def scenario(store):
+        first = await start(store, V1, V2)
+        first.begin(1)
+        await pass_ms(100)
+        await first.kill()
+        second = await start(store, V1, V2, is_coordinator=False)
+        second.state.instances = instances
+        await pass_ms(10_000)
+        second.set_versions(V1, V2)
+        await pass_ms(1)
+        second.coordinate()
+        await pass_ms(5 * CALL_MS)
+        assert second.find(1) == V1
+        assert not second.state.stream_journal.awaits_records
+
+    play(scenario)
