Read the versions' history again when an instance becomes the coordinator

What callers see: after a power failure a stream may go on at another version, if its own came back as the coordinator changed, more than 10 minutes before: the row says that it had left, or does not name it, and no process that starts knows it. Where more than 100 services have servers, no version was stored at all.

Cause: each process compared the versions with the row as it had read or written it itself last, which another coordinator may have replaced since, and replaced the row by what it had seen itself. All services went into one call, which holds 100 rows.

A new coordinator reads the rows again, adds what they say, and writes what differs, 100 rows a call: one more read for each change of the coordinator.

Measured: the three tests of it, with a store in virtual time, failed before and pass.

--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -1,14 +1,16 @@
 """Keeps in the store what has to outlive all processes of streams and their versions.
 
 The coordinator writes, as it hears of all streams; an instance without a coordinator
-writes what it begins. Each process reads once which versions were in service before it
-started. The streams are read by a new coordinator, and by an instance that has none
-when a caller resumes one that it does not know.
+writes what it begins. Each process reads which versions were in service before it
+started, and again when it becomes the coordinator. The streams are read by a new
+coordinator, and by an instance that has none when a caller resumes one that it does not
+know.
 
-A service with one software version has no records.
+No stream of a service with one software version is recorded.
 """
 
 import asyncio
+import itertools
 
 import msgspec
 
@@ -41,6 +43,10 @@
 """Minimum of that time for each known instance, in ms: together they make up to a
 hundred calls a second."""
 
+MAX_BATCH_HISTORIES = 100
+"""Maximum number of services whose versions are written in a transaction: it holds 100
+rows."""
+
 INITIAL_BACKOFF_MS = 100
 MAX_BACKOFF_MS = 1_000
 """Backoff after a failed call, in ms; doubled up to the maximum."""
@@ -152,6 +158,8 @@
     async def _coordinate(self) -> None:
         """Do the coordinator's part: the versions, and streams that have no record."""
         state, journal = self._state, self._state.stream_journal
+        if not self._was_coordinator:
+            await self._read_history()
         await self._write_histories()
         mixed = state.software_versions.list_mixed(now=state.clock.now())
         if mixed and journal.awaits_records:
@@ -199,8 +207,6 @@
     async def _read_history(self) -> None:
         state = self._state
         answer = await state.store.read(VERSIONS_TABLE)
-        if not state.software_versions.awaits_history:
-            return
         now = self._record_clock(answer.now_ms)
         self._histories = _decode_histories(answer)
         state.software_versions.add_history(
@@ -238,17 +244,21 @@
             for service, history in histories.items()
             if not history.lists_same(self._histories.get(service))
         }
-        if not changed:
-            return
+        remaining = iter(changed.items())
+        while part := dict(itertools.islice(remaining, MAX_BATCH_HISTORIES)):
+            await self._write_part(part)
+
+    async def _write_part(self, histories: dict[str, VersionHistory]) -> None:
+        state = self._state
         put = {
             service: msgspec.json.encode(history)
-            for service, history in changed.items()
+            for service, history in histories.items()
         }
         era = state.store.era.current
         answer = await state.store.write(VERSIONS_TABLE, expected={}, put=put)
         self._record_clock(answer.now_ms)
         if era == state.store.era.current:
-            self._histories.update(changed)
+            self._histories.update(histories)
 
     async def _write_streams(self) -> None:
         state = self._state
--- a/tests/test_stream_store.py
+++ b/tests/test_stream_store.py
@@ -548,3 +548,58 @@
         assert not second.state.stream_journal.awaits_records
 
     play(scenario)
+
+
+def test_a_coordinator_that_takes_over_again_stores_versions_that_came_back():
+    """Guards against a version that is current and left at once: the row of another
+    coordinator says that it left, and this one believes that its own row still
+    stands. Ten minutes later no process that starts would know the version."""
+
+    async def scenario(store):
+        first = await start(store, V1, V2)
+        first.state.is_coordinator = False
+        second = await start(store, V1, V2)
+        for process in (first, second):
+            process.set_versions(V2)
+        await pass_ms(1_000)
+        await second.kill()
+        first.set_versions(V1, V2)
+        first.coordinate()
+        await pass_ms(MAX_RETENTION_MS)
+        await first.kill()
+        third = await start(store, V2)
+        assert third.is_mixed()
+
+    play(scenario)
+
+
+def test_a_new_coordinator_keeps_what_only_the_store_knows():
+    """Guards against a coordinator that replaces the versions of its predecessor by
+    those that it has seen itself."""
+
+    async def scenario(store):
+        first = await start(store, V2, is_coordinator=False)
+        second = await start(store, V1, V2)
+        await second.kill()
+        first.coordinate()
+        await pass_ms(1_000)
+        await first.kill()
+        third = await start(store, V2)
+        assert third.is_mixed()
+
+    play(scenario)
+
+
+def test_versions_of_many_services_are_stored():
+    """Guards against a call with more entries than the store takes."""
+
+    async def scenario(store):
+        process = await start(store, V1, V2)
+        entries = [build_entry("s1", software_version=V1)]
+        services = {f"service-{number}": entries for number in range(250)}
+        process.state.software_versions.update(services, now=get_now())
+        process.state.notify_change()
+        await pass_ms(1_000)
+        assert store.tables[VERSIONS_TABLE].keys() == {"llm", *services}
+
+    play(scenario)
