--- a/src/arbutuspulley/delivery/stream_records.py
+++ b/src/arbutuspulley/delivery/stream_records.py
@@ -6,16 +6,21 @@
 """
 
 import itertools
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
 
-from arbutuspulley.data import Message, Value
+from arbutuspulley.data import Message, State, Value
 from arbutuspulley.delivery.begun_streams import MAX_RETENTION_MS, BegunStream
 from arbutuspulley.ports.fleet import SoftwareVersion
 
 MAX_ROW_STREAMS = 4_000
-"""Maximum number of streams in a row: a row of the store holds 64 KB."""
+MAX_ROW_BYTES = 36_000
+"""Maximum number of streams in a row, and its maximum size: a row of the store holds 64
+KB, and a transaction 1 MB with all rows in base64."""
+
+GROUP_BYTES = 40
+"""Maximum size of a group in a row without its names and keys."""
 
 MAX_BATCH_ROWS = 20
 """Maximum number of rows in a transaction: it holds 1 MB and 100 rows."""
@@ -27,6 +32,10 @@
 """Time for which a row is kept after its streams have expired, in ms: the store's clock
 may go back when the store comes back from a copy."""
 
+MIN_EXTENSION_MS = 1_000
+"""Minimum time by which a stream must be resumable for longer than its row states to be
+recorded again, in ms: less than the margin for which streams are kept."""
+
 KEY_BYTES = 8
 """Size of a stream's key in a row."""
 
@@ -63,6 +72,18 @@
     remove: tuple[str, ...]
 
 
+class _KnownRow(State):
+    """A row as this process knows it.
+
+    :param is_sent: whether it may be in the store.
+    :param until: when the last of its streams expires, in ms of the own clock.
+    """
+
+    row: RecordRow
+    until: int
+    is_sent: bool
+
+
 class StreamJournal:
     """The records that a process writes, and those that it has taken over.
 
@@ -75,6 +96,7 @@
     __slots__ = (
         "_number",
         "_pending",
+        "_removed",
         "_rows",
         "_stored",
         "_unwritten",
@@ -86,8 +108,10 @@
         self.awaits_records = False
         self._number = 0
         self._pending: dict[int, BegunStream] = {}
-        self._rows: dict[str, RecordRow] = {}
-        self._stored: set[int] = set()
+        # Keys of expired rows that may still be in the store, oldest first.
+        self._removed: dict[str, None] = {}
+        self._rows: dict[str, _KnownRow] = {}
+        self._stored: dict[int, _KnownRow] = {}
         # Keys of rows that the store has not acknowledged, in order.
         self._unwritten: dict[str, None] = {}
         self._writer = writer
@@ -97,18 +121,20 @@
 
     @property
     def has_unwritten(self) -> bool:
-        """Whether anything has to be written."""
-        return bool(self._pending) or bool(self._unwritten)
+        """Whether a row has to be written, beside those of streams added since."""
+        return bool(self._unwritten)
 
     def add(self, key: int, stream: BegunStream) -> bool:
         """Add a stream to the next row.
 
         :return: ``False`` if it is in a row, or about to be, already.
         """
-        if key in self._stored or key in self._pending:
+        if self._is_stored(key, stream):
             return False
-        self._pending[key] = stream
-        return True
+        pending = self._pending.get(key)
+        if pending is None or pending.expires_at < stream.expires_at:
+            self._pending[key] = stream
+        return pending is None
 
     def take_batch(self, *, now: int, store_now: int) -> RecordBatch | None:
         """Return what to write next; ``None``: nothing.
@@ -118,53 +144,78 @@
         :param store_now: reading of the store's clock at ``now``, in ms.
         """
         self._seal(now=now, store_now=store_now)
-        removed = self._pop_expired(store_now)
-        put = {
-            key: msgspec.msgpack.encode(self._rows[key])
-            for key in itertools.islice(self._unwritten, MAX_BATCH_ROWS)
-        }
-        if not put and not removed:
-            return None
-        return RecordBatch(put=put, remove=removed)
-
-    def _pop_expired(self, store_now: int) -> tuple[str, ...]:
-        """Forget expired rows, and return those that the store has.
-
-        A removal that fails leaves its row to the next coordinator.
-        """
-        latest = store_now - REMOVAL_MARGIN_MS
-        expired = [key for key, row in self._rows.items() if row.expires_at <= latest]
-        del expired[MAX_REMOVED_ROWS:]
-        removed = tuple(key for key in expired if key not in self._unwritten)
-        for key in expired:
-            self._stored.difference_update(_list_keys(self._rows.pop(key)))
-            self._unwritten.pop(key, None)
-        return removed
+        self._expire(store_now)
+        remove = tuple(itertools.islice(self._removed, MAX_REMOVED_ROWS))
+        put: dict[str, bytes] = {}
+        for key in itertools.islice(self._unwritten, MAX_BATCH_ROWS):
+            known = self._rows[key]
+            known.is_sent = True
+            put[key] = msgspec.msgpack.encode(known.row)
+        return RecordBatch(put=put, remove=remove) if put or remove else None
 
     def confirm(self, batch: RecordBatch) -> None:
         """Record that a batch has been written."""
         for key in batch.put:
             self._unwritten.pop(key, None)
+        for key in batch.remove:
+            self._removed.pop(key, None)
 
     def restart(self) -> None:
         """Let all rows be written again: the store has come back from an older copy."""
         self._unwritten = dict.fromkeys(self._rows)
 
-    def adopt(self, rows: Mapping[str, RecordRow]) -> None:
-        """Take over rows that another process has written."""
+    def adopt(self, rows: Mapping[str, RecordRow], *, now: int, store_now: int) -> None:
+        """Take over rows that another process has written.
+
+        :param store_now: reading of the store's clock at ``now``, in ms.
+        """
         for key, row in rows.items():
-            self._rows.setdefault(key, row)
-            self._stored.update(_list_keys(row))
-        for stream in self._stored.intersection(self._pending):
-            del self._pending[stream]
+            until = row.expires_at - store_now + now
+            known = _KnownRow(row=row, until=until, is_sent=True)
+            if self._rows.setdefault(key, known) is known:
+                self._index(known)
+        self._pending = {
+            key: stream
+            for key, stream in self._pending.items()
+            if not self._is_stored(key, stream)
+        }
         self.awaits_records = False
 
     def release(self) -> None:
         """Leave the written rows to another process, which takes them over."""
         self._rows = {key: self._rows[key] for key in self._unwritten}
-        self._stored = {key for row in self._rows.values() for key in _list_keys(row)}
+        self._stored.clear()
+        for known in self._rows.values():
+            self._index(known)
         self.awaits_records = True
 
+    def _is_stored(self, key: int, stream: BegunStream) -> bool:
+        """Return whether a row names a stream for as long as it can be resumed."""
+        known = self._stored.get(key)
+        return known is not None and stream.expires_at < known.until + MIN_EXTENSION_MS
+
+    def _index(self, known: _KnownRow) -> None:
+        for key in _list_keys(known.row):
+            other = self._stored.get(key)
+            if other is None or other.until < known.until:
+                self._stored[key] = known
+
+    def _expire(self, store_now: int) -> None:
+        """Forget rows whose streams have expired, and let them be removed."""
+        expired = [
+            key
+            for key, known in self._rows.items()
+            if known.row.expires_at + REMOVAL_MARGIN_MS <= store_now
+        ]
+        for key in expired:
+            known = self._rows.pop(key)
+            self._unwritten.pop(key, None)
+            for stream in _list_keys(known.row):
+                if self._stored.get(stream) is known:
+                    del self._stored[stream]
+            if known.is_sent:
+                self._removed[key] = None
+
     def _seal(self, *, now: int, store_now: int) -> None:
         """Put the pending streams into rows."""
         pending = [
@@ -173,13 +224,39 @@
             if stream.expires_at > now
         ]
         self._pending.clear()
-        for start in range(0, len(pending), MAX_ROW_STREAMS):
-            part = dict(pending[start : start + MAX_ROW_STREAMS])
+        for part in _split_streams(pending):
             self._number += 1
+            row = build_row(part, now=now, store_now=store_now)
             key = f"{self._writer}-{self._number}"
-            self._rows[key] = build_row(part, now=now, store_now=store_now)
+            until = row.expires_at - store_now + now
+            known = _KnownRow(row=row, until=until, is_sent=False)
+            self._rows[key] = known
             self._unwritten[key] = None
-            self._stored.update(part)
+            self._index(known)
+
+
+def _split_streams(
+    streams: Iterable[tuple[int, BegunStream]],
+) -> Iterator[dict[int, BegunStream]]:
+    """Split streams into parts that fit a row each."""
+    part: dict[int, BegunStream] = {}
+    groups: set[tuple[str, SoftwareVersion]] = set()
+    size = 0
+    for key, stream in streams:
+        group = (stream.service, stream.version)
+        size += KEY_BYTES + (0 if group in groups else _measure_group(*group))
+        if size > MAX_ROW_BYTES or len(part) == MAX_ROW_STREAMS:
+            yield part
+            part, groups = {}, set()
+            size = KEY_BYTES + _measure_group(*group)
+        part[key] = stream
+        groups.add(group)
+    if part:
+        yield part
+
+
+def _measure_group(service: str, version: SoftwareVersion) -> int:
+    return GROUP_BYTES + len(service.encode()) + len(version.name.encode())
 
 
 def build_row(
@@ -222,6 +299,8 @@
 ) -> dict[int, BegunStream]:
     """Return the streams of some rows that have not expired.
 
+    Of several rows that name a stream, the one that expires last counts.
+
     :param store_now: reading of the store's clock at ``now``, in ms.
     """
     streams: dict[int, BegunStream] = {}
@@ -235,7 +314,10 @@
                 version=SoftwareVersion(name=group.version),
                 expires_at=now + remaining_ms,
             )
-            streams.update(dict.fromkeys(_split_keys(group.keys), stream))
+            for key in _split_keys(group.keys):
+                known = streams.setdefault(key, stream)
+                if known.expires_at < stream.expires_at:
+                    streams[key] = stream
     return streams
 
 
