Lose power several times, and while servers come and go

Three real nodes and servers of two or three versions. All nodes are killed at the same moment: several times in a row, again before there is a coordinator, again while the nodes start, and just after streams began. Servers of the old version leave before, during and right after it, by removal or as draining, and servers of a third version appear meanwhile. Each test checks that no stream is mixed, and that all streams whose version serves go on.

The tests of versions that left are as strict as before, and now also check that no stream of that version ends. The store's stand-in counts written rows by table.

--- a/src/arbutuspulley/standins/fleet_store.py
+++ b/src/arbutuspulley/standins/fleet_store.py
@@ -8,6 +8,7 @@
 import base64
 import time
 import weakref
+from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -47,6 +48,9 @@
     - ``on_read``: called after each page that is read.
     - ``era``: sent in each answer; ``None``: not sent. :meth:`restore` increments it.
     - ``clock_offset_ms``: added to the store's clock.
+
+    Tests read ``calls`` (number of calls) and ``writes`` (number of rows that calls
+    have written or removed, by table).
     """
 
     __slots__ = (
@@ -66,6 +70,7 @@
         "loses_answers",
         "on_read",
         "version",
+        "writes",
     )
 
     def __init__(self, *, history: int = 1_000) -> None:
@@ -77,6 +82,7 @@
         self._connections: weakref.WeakSet[asyncio.Transport] = weakref.WeakSet()
         self.version = 0
         self.calls = 0
+        self.writes: Counter[str] = Counter()
         self.era: int | str | None = 1
         self.clock_offset_ms = 0
         self.is_away = False
@@ -99,6 +105,14 @@
         row = self._rows.get((table, key))
         return row[1] if row else None
 
+    def list_rows(self, table: str) -> dict[str, bytes]:
+        """Return the values of a table's rows, by key."""
+        return {
+            key: value
+            for (named, key), (_version, value) in self._rows.items()
+            if named == table
+        }
+
     def discard_history(self) -> None:
         """Discard all kept changes; feeds that need them are answered with 410."""
         self._feed.clear()
@@ -201,6 +215,7 @@
             for row in body["Put"]
         ]
         changes += [(row["Table"], row["Key"], None) for row in body["Remove"]]
+        self.writes.update(table for table, _key, _value in changes)
         self._write(changes)
         return self._build_answer([])
 
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -25,8 +25,11 @@
 STREAMS = 10
 
 
-def play_versions(folder, scenario, *, other=2, nodes=NODES):
-    """Run a scenario on a fleet of two servers of one version and some of another."""
+def play_versions(folder, scenario, *, other=2, nodes=NODES, **options):
+    """Run a scenario on a fleet of two servers of one version and some of another.
+
+    :param options: those of :meth:`Fleet.start_node`.
+    """
 
     async def run(fleet, session):
         await add_versions(fleet, other=other)
@@ -34,7 +37,7 @@
             await fleet.wait_log(name, f'"e{other + 2}"')
         await scenario(fleet, session)
 
-    play(folder, run, nodes=nodes, has_retries=True)
+    play(folder, run, nodes=nodes, has_retries=True, **options)
 
 
 def break_next(fleet):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -23,12 +23,13 @@
 """Time in which the interpreter starts before it runs the first line, in s."""
 
 
-def play(folder, scenario, *, nodes=("n1",), has_retries=False):
+def play(folder, scenario, *, nodes=("n1",), has_retries=False, **options):
     """Run a scenario on a fleet of two model servers and two plain ones.
 
     :param has_retries: whether the nodes may retry requests from the start.
+    :param options: those of :meth:`Fleet.start_node`.
     """
-    bounds = RETRIES_AT_ONCE if has_retries else {}
+    bounds = {**options, **(RETRIES_AT_ONCE if has_retries else {})}
 
     async def run():
         fleet = Fleet(folder)
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -10,6 +10,7 @@
 from scripts.platform_testbed import HOST
 
 OTHER_VERSION = "v2"
+THIRD_VERSION = "v3"
 LAST_EVENT = 6
 
 PAUSE_S = 0.06
@@ -17,20 +18,28 @@
 
 DEADLINE_MS = 4_000
 
+LONG_DEADLINE_MS = 60_000
+"""Deadline of a caller who outlasts several failures, in ms."""
+
 _EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+(?: by (\S+))?\n\n")
 
 
 class VersionedStream:
     """A stream as its caller has received it, over all attempts.
 
+    ``refusals`` holds the code and the ``Retry-After`` header of each answer without
+    events.
+
     :param attempt: id of the attempt that brought the first event.
     """
 
-    def __init__(self, *, attempt):
+    def __init__(self, *, attempt, deadline_ms=DEADLINE_MS):
         self.attempt = attempt
+        self.deadline_ms = deadline_ms
         self.numbers = []
         self.versions = []
         self.statuses = []
+        self.refusals = []
 
     @property
     def is_complete(self):
@@ -53,7 +62,7 @@
         sent = {
             "Host": HOST,
             "X-Arbutuspulley-Attempt-Id": attempt,
-            "X-Arbutuspulley-Deadline-Ms": str(DEADLINE_MS),
+            "X-Arbutuspulley-Deadline-Ms": str(self.deadline_ms),
             "X-Arbutuspulley-Model": model,
             "X-Arbutuspulley-Token-Usage": "100,20",
             **{name: value for name, value in headers.items() if value is not None},
@@ -79,18 +88,20 @@
                 self.numbers.append(int(found[1]))
                 self.versions.append((found[2] or DEFAULT_VERSION.encode()).decode())
             pending = pending[pending.rfind(b"\n\n") + 2 :]
+        if answer.status != 200:
+            code = pending.split()[0].decode() if pending else ""
+            self.refusals.append((code, answer.headers.get("Retry-After")))
 
 
-async def add_versions(fleet, *, other=2):
-    """Let servers of another version run beside the two of the default one.
+async def add_versions(fleet, *, other=2, version=OTHER_VERSION):
+    """Let servers of another version run beside those of the default one.
 
     :param other: number of servers of the other version, all with model ``m0``.
     """
-    for number in range(other):
-        server = ServerStandin(
-            incarnation=f"e{number + 3}", service="llm", models=("m0",)
-        )
-        server.version = OTHER_VERSION
+    first = len(list_engines(fleet)) + 1
+    for number in range(first, first + other):
+        server = ServerStandin(incarnation=f"e{number}", service="llm", models=("m0",))
+        server.version = version
         await fleet.add_server(server)
 
 
@@ -105,16 +116,22 @@
         server.pause_s = PAUSE_S
 
 
-async def begin_streams(fleet, session, name, *, count):
-    """Begin streams at a node, and wait until each has brought two events.
+async def begin_streams(
+    fleet, session, name, *, count, events=2, prefix="", deadline_ms=DEADLINE_MS
+):
+    """Begin streams at a node, and wait until each has brought some events.
 
+    :param prefix: put before the attempt ids.
     :return: the streams, and the tasks that read them.
     """
     address = fleet.addresses[name]["Frontend"]
-    streams = [VersionedStream(attempt=f"{name}-s{number}") for number in range(count)]
+    streams = [
+        VersionedStream(attempt=f"{prefix}{name}-s{number}", deadline_ms=deadline_ms)
+        for number in range(count)
+    ]
     tasks = [asyncio.create_task(stream.read(session, address)) for stream in streams]
     async with asyncio.timeout(5):
-        while not all(len(stream.numbers) > 1 for stream in streams):
+        while not all(len(stream.numbers) >= events for stream in streams):
             await asyncio.sleep(0.005)
     return streams, tasks
 
