Reproduce streams mixed after the store lost a version while no node ran

What callers see: all nodes are killed, and the store comes back from a copy that is older than the second version. Nodes that start before its servers are registered again know one version, and streams of the other go on at it.

Cause: the row of a service's versions doesn't say in which era of the store it was written, so a node that starts takes an outdated one for complete.

--- a/tests/test_power_failures_store.py
+++ b/tests/test_power_failures_store.py
@@ -256,7 +256,7 @@
     play_versions(tmp_path, scenario)
 
 
-@pytest.mark.parametrize("registered", ["both", "new"])
+@pytest.mark.parametrize("registered", ["both", "old", "new"])
 def test_versions_that_are_lost_while_no_node_runs(tmp_path, registered):
     """Guards against a stream that goes on at the only version that is known, as the
     store's copy is older than the other version and its streams."""
