Reproduce what is forgotten when all instances are killed at once

What callers would see: a request, or a part of prompts, that crashes servers crashes some more each time that all instances are killed at the same moment; and a team is served several times its quota just after that.

Cause: crashes are known to processes alone. An instance that has heard of no coordinator since it started takes itself for the only one, and so uses the whole of a quota by itself.

--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -382,6 +382,11 @@
         self.trouble(instance, 0)
         instance.start()
 
+    def kill_all(self):
+        """Kill all instances at the same moment; they start again."""
+        for instance in self.instances:
+            self.kill(instance)
+
     def freeze(self, instance):
         duration_ms = self.draw((300, 4_000))
         instance.frozen_until = self.now + duration_ms
