Charge no quota before the number of instances is known

What callers would see: a team is served several times its quota just after all instances were killed at once.

Cause: an instance that has no coordinator charges its share of each quota, one over the number of instances. Before the first status of a coordinator that number is unknown, and counted as one, so that each instance used the whole quota.

A request with a quota is now answered 503, not run, with Retry-After until the instance has followed a coordinator once. Two tests of local charges took the unknown number for one; they state it now, and assert what they did.

--- a/src/arbutuspulley/node/quota_charging.py
+++ b/src/arbutuspulley/node/quota_charging.py
@@ -10,7 +10,7 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import QuotaExceeded
-from arbutuspulley.node.progress import RequestFailedError
+from arbutuspulley.node.progress import RETRY_AFTER_MS, RequestFailedError
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.ports.fleet import InboundRequest, NodeSettings, Team
 
@@ -41,7 +41,8 @@
     The coordinator charges a request when it receives the grant request. Requests that
     need no grant are charged afterwards: the instance reports their cost to the
     coordinator, which announces the teams that have exceeded their quota. Without a
-    coordinator the instance charges its own share of the quota.
+    coordinator the instance charges its own share of the quota, once a coordinator has
+    told it how many instances there are.
     """
 
     __slots__ = ("_link", "_local", "_refused_until", "_state")
@@ -66,7 +67,8 @@
     def charge(self, team: Team, cost: int, *, attempt_id: str) -> QuotaCharge:
         """Charge a request for which no grant is requested.
 
-        :raises RequestFailedError: if the team has used up its quota.
+        :raises RequestFailedError: if the team has used up its quota, or if this
+            instance's share of it is not known yet.
         """
         now = self._state.clock.now()
         if self._link.is_up:
@@ -76,6 +78,13 @@
                 raise self.build_refusal(team.name, attempt_id, wait_ms)
             self._link.report_usage(team.name, cost)
             return QuotaCharge(team=team.name, cost=cost, is_local=False)
+        if not self._state.instances:
+            # Other instances may have started at the same moment.
+            raise RequestFailedError(
+                status=503,
+                reason="this instance's share of the team's quota is not known yet",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
         fraction = get_disconnected_fraction(
             self._local.get_uncoordinated_ms(now),
             decay_ms=self._state.settings.revocation_ms,
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -237,6 +237,7 @@
     trial = Trial(grant)
     trial.link.deliver_local = None
     trial.link.status = CoordinatorStatus(is_holder=True)
+    trial.state.instances = 1
     trial.state.by_service["llm"] = [ENTRY]
     assert trial.get_server() is ENTRY
     assert trial.acquisition._charged.is_local
--- a/tests/test_lost_memory.py
+++ b/tests/test_lost_memory.py
@@ -32,6 +32,10 @@
 STARTS_AT_MS = (0, 2_000, 5_000)
 """When all instances start within one window of the quotas, in ms."""
 
+TOLD_AFTER_MS = 1_000
+"""Time after a start when instances are told how many they are, in ms; then they lose
+their coordinator again."""
+
 STEP_MS = 20
 
 INSTANCES = 6
@@ -84,6 +88,7 @@
         state.configuration = FleetConfiguration(
             version=1, routes=(), services={}, teams=(team,)
         )
+        self.state = state
         self._charger = QuotaCharger(state=state, link=Link(state=state))
         self._team = team
 
@@ -110,8 +115,11 @@
         ]
         for at in range(begin, min(end, begin + 2 * SECOND_MS), STEP_MS):
             now[0] = at
+            if at == begin + TOLD_AFTER_MS:
+                for one in instances:
+                    one.state.instances = INSTANCES
             usage += [(at, cost) for one in instances if one.charge(cost)]
-    assert not usage or find_max_usage(usage) <= get_allowed(team)
+    assert 0 < find_max_usage(usage) <= get_allowed(team)
 
 
 def test_coordinators_that_start_again_stay_within_a_quota():
--- a/tests/test_quota_charging.py
+++ b/tests/test_quota_charging.py
@@ -78,6 +78,7 @@
 
 def test_without_a_coordinator_an_instance_charges_its_own_share():
     instance = Instance()
+    instance.state.instances = 1
     assert instance.charge(500).is_local
     with pytest.raises(RequestFailedError) as raised:
         instance.charge(500)
@@ -86,6 +87,15 @@
     instance.charge(500)
 
 
+def test_an_instance_that_knows_no_coordinator_yet_charges_nothing():
+    """Guards against instances that all start at once and each use a whole quota."""
+    instance = Instance()
+    with pytest.raises(RequestFailedError) as raised:
+        instance.charge(1)
+    assert raised.value.status == 503
+    assert raised.value.retry_after_ms
+
+
 def test_a_refund_after_the_link_was_closed_is_lost():
     instance = Instance(is_coordinator=True)
     quota_charge = instance.charge(200)
