Reproduce loads beyond the weight store's rate after two kills of all

What the weight store would see: more loads than its rate allows, where all instances are killed twice, the second time less than 0.9 s after a coordinator has claimed the lease.

Cause: a new coordinator inherits the loads of the lease's row, and assumes as many unknown ones as its predecessor may have ordered since it wrote the row. It writes both with its first renewal. If it is killed before, its successor knows neither what the one before had ordered unknown to the row, nor that there was one.

--- a/tests/test_lost_memory.py
+++ b/tests/test_lost_memory.py
@@ -3,18 +3,29 @@
 See ``docs/design/lost-memory.md``; real nodes are in ``test_lost_memory_nodes.py``.
 """
 
+import asyncio
 import random
 
 import pytest
 
 from arbutuspulley.admission.quota import QuotaLedger, build_limits
 from arbutuspulley.clock import SECOND_MS, Clock
+from arbutuspulley.membership.coordinator_lease import may_order
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.progress import RequestFailedError
 from arbutuspulley.node.quota_charging import QuotaCharger
-from arbutuspulley.ports.fleet import FleetConfiguration
+from arbutuspulley.pool.load_rate import (
+    WINDOW_MS,
+    inherit_loads,
+    list_recent_loads,
+    may_load,
+    record_load,
+)
+from arbutuspulley.ports.fleet import FleetConfiguration, ModelSpec
 from tests.crash_model import CrashModel
+from tests.elections import FakeCoordinator, LeaseStore, build_members
 from tests.node_states import build_state
+from tests.pools import build_pool, build_server, build_spec
 from tests.test_crash_promises import check_play, list_options
 from tests.test_quota import (
     TOLERANCE,
@@ -38,6 +49,29 @@
 
 STEP_MS = 20
 
+LIVES = 4
+DOWN_MS = 500
+"""Number of coordinators that are killed, and the time until the next one starts, in
+ms."""
+
+LOADS_PER_S = 2
+CEILING_OVERAGE = 1.1
+SERVERS = 30
+
+LOADING_SPEC = build_spec(
+    loads_per_s=LOADS_PER_S,
+    models={
+        "m0": ModelSpec(
+            name="m0",
+            size_mb=30,
+            adapter_mb=0,
+            load_ms=4_000,
+            disk_load_ms=4_000,
+            warm_load_ms=4_000,
+        )
+    },
+)
+
 INSTANCES = 6
 
 
@@ -135,3 +169,65 @@
         while not ledger.charge("t", 200, now=at):
             usage.append((at, 200))
     assert find_max_usage(usage) <= get_allowed(team)
+
+
+class LoadingCoordinator(FakeCoordinator):
+    """Coordinator that loads from the weight store whenever it may."""
+
+    def __init__(self, ordered):
+        super().__init__()
+        self._ordered = ordered
+        self._pool = None
+
+    def activate(self, inherited):
+        super().activate(inherited)
+        servers = [build_server(f"e{number}") for number in range(SERVERS)]
+        self._pool = build_pool(*servers, spec=LOADING_SPEC)
+        inherit_loads(
+            self._pool,
+            inherited.loads.get("llm", []),
+            unknown_until=inherited.unknown_until,
+        )
+
+    def list_loads(self):
+        if not self.is_active:
+            return None
+        now = max(self._ordered, default=0)
+        return {"llm": list_recent_loads(self._pool, now=now)}
+
+    def load(self, *, now):
+        for server in self._pool.servers.values():
+            if not server.loading and may_load(self._pool, now=now):
+                server.loading = "m0"
+                record_load(self._pool, now=now)
+                self._ordered.append(now)
+
+
+@pytest.mark.parametrize("killed_after_ms", [300, 700, 1_200])
+def test_coordinators_that_are_killed_soon_stay_within_the_weight_stores_rate(
+    killed_after_ms,
+):
+    """Guards against loads that each of several coordinators ordered before it was
+    killed, of which its successor counts those of the last one alone."""
+    now, ordered = [0], []
+    store = LeaseStore(now)
+    for number in range(LIVES):
+        members = build_members([1.0], store, now)
+        member = members["n0"]
+        member.lease.boot = f"boot-{number}"
+        member.coordinator = LoadingCoordinator(ordered)
+        member.election._coordinator = member.coordinator
+        claimed_at = None
+        while claimed_at is None or now[0] < claimed_at + killed_after_ms:
+            now[0] += STEP_MS
+            asyncio.run(member.tick())
+            if not member.coordinator.is_active:
+                continue
+            claimed_at = now[0] if claimed_at is None else claimed_at
+            if may_order(member.lease, now=now[0]):
+                member.coordinator.load(now=now[0])
+        now[0] += DOWN_MS
+    most = max(
+        sum(begin <= at < begin + WINDOW_MS for at in ordered) for begin in ordered
+    )
+    assert most <= LOADS_PER_S * WINDOW_MS / 1_000 * CEILING_OVERAGE + 3
