Record inherited loads as soon as the lease is claimed

What the weight store saw: more loads than its rate allows, where coordinators were killed before their first renewal.

Cause: the row of a claim repeats the loads of the row before. What the previous holder may have ordered since is added by the first renewal, up to 0.9 s later. And a coordinator without a configuration has no pools, so that it renewed with no loads at all.

A coordinator now renews at once after its claim, which is one more write for each takeover, and keeps the inherited loads of services that it has no pool of yet.

--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -174,11 +174,14 @@
         state.on_store_lost.append(self._report_store_loss)
 
     def list_loads(self) -> dict[str, list[int]] | None:
-        """Return when loads were ordered, by service; ``None`` if not coordinating."""
+        """Return when loads were ordered, by service; ``None`` if not coordinating.
+
+        Those of services without a pool yet are the loads of previous coordinators.
+        """
         if not self.is_active:
             return None
         now = self._state.clock.now()
-        return {
+        return self._inherited.loads | {
             pool.service: list_recent_loads(pool, now=now)
             for pool in self._pools.values()
         }
--- a/src/arbutuspulley/node/election.py
+++ b/src/arbutuspulley/node/election.py
@@ -316,6 +316,9 @@
             # The coordinator has no link to its own instance, which reports its running
             # requests here.
             self._deliver_locally([self._link.build_hello()])
+            # The claim's row has only the loads that the previous row had. A successor
+            # also has to count those that the previous holder may have ordered since.
+            await self._renew()
 
     def _deliver_locally(self, messages: list[ToCoordinator]) -> None:
         self._coordinator.handle_messages(self._state.settings.name, messages)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -150,3 +150,17 @@
     coordinator._handle_message("x", request, now=now)
     returned = pool.waiting["r1"].returned
     assert (returned and returned.credit_ms) == (2_000 if shares_contended else None)
+
+
+def test_inherited_loads_are_kept_until_the_configuration_is_known():
+    """Guards against loads that a coordinator without a configuration removes from the
+    lease's row, of which its successor then knows nothing."""
+    coordinator = build_coordinator(build_state())
+
+    async def activate():
+        coordinator.activate(InheritedLoads(loads={"llm": [7]}, unknown_until=None))
+        loads = coordinator.list_loads()
+        coordinator.deactivate()
+        return loads
+
+    assert asyncio.run(activate()) == {"llm": [7]}
