Find the coordinator of a test's fleet by when it took the lease

A test that kills the coordinator killed another node once: the first node had been started so late, on a busy machine, that it took the lease over from the second one, and the node that comes last by name was taken for the coordinator (the caller was answered 200 instead of 503, seen in test_without_a_coordinator_a_request_is_refused_ quickly at a load average of 20). The last lease_taken line decides now.

--- a/scripts/platform_testbed.py
+++ b/scripts/platform_testbed.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import aiohttp
+import msgspec
 import yaml
 from aiohttp import web
 
@@ -250,9 +251,14 @@
         await wait_until(look, "a coordinator")
 
     def find_coordinator(self) -> str:
-        """Return the node that was started last of those that acquired the lease."""
-        taken = [name for name in self.nodes if "lease_taken" in self.read_log(name)]
-        return taken[-1]
+        """Return the node that acquired the lease last."""
+        return max(self.nodes, key=self._get_lease_time)
+
+    def _get_lease_time(self, name: str) -> int:
+        """Return when a node last acquired the lease, in Unix ms; 0: never."""
+        lines = self.read_log(name).splitlines()
+        taken = [line for line in lines if '"name":"lease_taken"' in line]
+        return msgspec.json.decode(taken[-1])["time_ms"] if taken else 0
 
     def read_log(self, name: str) -> str:
         """Return a node's log."""
