Don't rely on rows of versions from before the store's newest era

What callers saw: the store came back from a copy that is older than a new version while no instance ran, and instances that started before its servers had written their rows again let its streams go on at the old one.

Cause: a row didn't say in which era of the store it was written, so an outdated one was taken for complete. A row names its era now. Of a service whose row is of an earlier one, unknown streams wait for up to 3 s after the start, in which servers write their rows again; nothing is written for it meanwhile.

--- a/src/arbutuspulley/membership/software_versions.py
+++ b/src/arbutuspulley/membership/software_versions.py
@@ -11,22 +11,32 @@
 the store's clock is known to within the time of a call."""
 
 
+SETTLING_MS = 3_000
+"""Time for which a row of versions that may be incomplete is not relied on, in ms:
+servers write theirs again within two seconds of the store's return."""
+
+
 class VersionHistory(Message, frozen=True):
     """Versions of one service, as they are kept in the store.
 
     :param current: names of the versions that servers have.
     :param left: when the last server of each other version left, in ms of the store's
         clock, by name.
+    :param era: era of the store in which the row was written. In a later one, the store
+        has come back from a copy, which may lack newer versions, and no process was
+        left to write them again.
     """
 
     current: tuple[str, ...] = ()
     left: dict[str, int] = {}
+    era: int = 0
 
     def lists_same(self, other: "VersionHistory | None") -> bool:
-        """Return whether both list the same versions as current and as left, and the
-        other one no earlier time at which one left."""
+        """Return whether both are of one era, list the same versions as current and as
+        left, and the other one no earlier time at which one left."""
         return (
             other is not None
+            and self.era == other.era
             and set(self.current) == set(other.current)
             and self.left.keys() == other.left.keys()
             and all(
@@ -42,10 +52,19 @@
     A version counts until no stream that its servers began can be resumed any more.
     """
 
-    __slots__ = ("_current", "_gone_at", "awaits_history")
+    __slots__ = (
+        "_confirmed",
+        "_current",
+        "_gone_at",
+        "_settled_at",
+        "awaits_history",
+    )
 
     def __init__(self) -> None:
+        # Services whose history is complete.
+        self._confirmed: frozenset[str] = frozenset()
         self._current: dict[str, frozenset[SoftwareVersion]] = {}
+        self._settled_at = 0
         self._gone_at: dict[tuple[str, SoftwareVersion], int] = {}
         # Whether the store has not said yet which versions were in service before this
         # process started.
@@ -70,7 +89,12 @@
         self._current = current
 
     def add_history(
-        self, histories: Mapping[str, VersionHistory], *, now: int, store_now: int
+        self,
+        histories: Mapping[str, VersionHistory],
+        *,
+        now: int,
+        store_now: int,
+        era: int = 0,
     ) -> None:
         """Add the versions that were in service before this process started.
 
@@ -78,7 +102,15 @@
 
         :param histories: as stored, by service.
         :param store_now: reading of the store's clock at ``now``, in ms.
+        :param era: era of the store in which they were read.
         """
+        if self.awaits_history:
+            self.awaits_history = False
+            # No rows at all: no process has run here before.
+            self._settled_at = now + SETTLING_MS if histories else now
+            self._confirmed = frozenset(
+                name for name, history in histories.items() if history.era == era
+            )
         for service, history in histories.items():
             left = dict.fromkeys(history.current, store_now) | history.left
             for name, left_at in left.items():
@@ -86,15 +118,27 @@
                 gone_at = now - max(0, store_now - left_at)
                 self._gone_at[pair] = max(gone_at, self._gone_at.get(pair, gone_at))
 
-    def build_history(self, *, now: int, store_now: int) -> dict[str, VersionHistory]:
-        """Return what the store has to keep, by service."""
+    def is_settling(self, service: str, *, now: int) -> bool:
+        """Return whether the versions of a service may not be complete yet."""
+        if self.awaits_history:
+            return True
+        return now < self._settled_at and service not in self._confirmed
+
+    def build_history(
+        self, *, now: int, store_now: int, era: int = 0
+    ) -> dict[str, VersionHistory]:
+        """Return what the store has to keep, by service, as far as it is complete.
+
+        :param era: era of the store.
+        """
         return {
-            service: self._build_history(service, now=now, store_now=store_now)
+            service: self._build_history(service, now=now, store_now=store_now, era=era)
             for service in self._list_services()
+            if not self.is_settling(service, now=now)
         }
 
     def _build_history(
-        self, service: str, *, now: int, store_now: int
+        self, service: str, *, now: int, store_now: int, era: int
     ) -> VersionHistory:
         current = self._current.get(service, frozenset())
         return VersionHistory(
@@ -106,6 +150,7 @@
                 and version not in current
                 and now - gone_at < MAX_RETENTION_MS
             },
+            era=era,
         )
 
     def list_known(self, service: str, *, now: int) -> frozenset[SoftwareVersion]:
@@ -122,14 +167,18 @@
 
         That is so as long as it is not known which ones were in service before.
         """
-        return self.awaits_history or len(self.list_known(service, now=now)) > 1
+        return self.is_settling(service, now=now) or self.has_several(service, now=now)
+
+    def has_several(self, service: str, *, now: int) -> bool:
+        """Return whether several versions of a service are known."""
+        return len(self.list_known(service, now=now)) > 1
 
     def list_mixed(self, *, now: int) -> frozenset[str]:
         """Return the services that are known to be mixed."""
         return frozenset(
             service
             for service in self._list_services()
-            if len(self.list_known(service, now=now)) > 1
+            if self.has_several(service, now=now)
         )
 
     def _list_services(self) -> set[str]:
--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -292,7 +292,7 @@
             progress.waited_ms += self._state.clock.now() - now
         progress.is_late = granted.is_late
         self._find_version()
-        if self._state.software_versions.awaits_history:
+        if self._is_settling():
             # The coordinator refuses streams whose version it does not know.
             progress.is_version_unknown = False
         why = self._get_exclusion(granted.incarnation)
@@ -322,11 +322,18 @@
         if self._link.can_request and self.needs_coordinator:
             return
         is_unnamed = progress.resumed_stream == UNNAMED_STREAM
-        if is_unnamed and not self._state.software_versions.awaits_history:
+        if is_unnamed and not self._is_settling():
             return
-        progress.is_store_read = await self._state.look_up_streams()
+        is_read = await self._state.look_up_streams()
+        progress.is_store_read = is_read and not self._is_settling()
         self._find_version(source="store")
 
+    def _is_settling(self) -> bool:
+        """Return whether the versions of the service may not be complete yet."""
+        return self._state.software_versions.is_settling(
+            self._progress.service, now=self._state.clock.now()
+        )
+
     async def _look_up_again(self) -> Exception:
         """Look again for a stream that an instance may have recorded meanwhile.
 
--- a/src/arbutuspulley/node/stream_copies.py
+++ b/src/arbutuspulley/node/stream_copies.py
@@ -124,9 +124,13 @@
                 return self._drop_if_only(request.service, begun.version, now=now)
             # The instance chose another service of the route and has to choose again.
             return self._refuse(request, retry_after_ms=1)
-        if not self._state.software_versions.is_mixed(request.service, now=now):
+        versions = self._state.software_versions
+        if not versions.is_mixed(request.service, now=now):
             return None
-        if now - self._active_since < SETTLING_MS:
+        is_settling = not versions.awaits_history and versions.is_settling(
+            request.service, now=now
+        )
+        if is_settling or now - self._active_since < SETTLING_MS:
             return self._refuse(request, retry_after_ms=SETTLING_RETRY_MS)
         if self._state.stream_journal.awaits_records:
             return Refused(
@@ -140,7 +144,7 @@
         self, service: str, version: SoftwareVersion, *, now: int
     ) -> SoftwareVersion | None:
         versions = self._state.software_versions
-        if versions.awaits_history:
+        if versions.is_settling(service, now=now):
             return version
         return None if versions.list_known(service, now=now) == {version} else version
 
--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -210,9 +210,11 @@
         now = self._record_clock(answer.now_ms)
         self._histories = _decode_histories(answer)
         state.software_versions.add_history(
-            self._histories, now=now, store_now=now + self._offset_ms
+            self._histories,
+            now=now,
+            store_now=now + self._offset_ms,
+            era=answer.position.era,
         )
-        state.software_versions.awaits_history = False
         state.stream_journal_changed.set()
 
     async def _read_streams(self) -> dict[str, RecordRow]:
@@ -237,7 +239,7 @@
         state = self._state
         now = state.clock.now()
         histories = state.software_versions.build_history(
-            now=now, store_now=now + self._offset_ms
+            now=now, store_now=now + self._offset_ms, era=state.store.era.current
         )
         changed = {
             service: history
@@ -289,10 +291,9 @@
     now = state.clock.now()
     versions = state.software_versions
     stream = state.begun_streams.find(key, now=now)
-    if stream is None or versions.awaits_history:
+    if stream is None or not versions.has_several(stream.service, now=now):
         return
-    is_mixed = versions.is_mixed(stream.service, now=now)
-    if is_mixed and state.stream_journal.add(key, stream):
+    if state.stream_journal.add(key, stream):
         state.stream_journal_changed.set()
 
 
--- a/tests/test_power_failures_store.py
+++ b/tests/test_power_failures_store.py
@@ -1,6 +1,7 @@
 """Streams after all instances were killed at once, while the store fails too."""
 
 import asyncio
+import functools
 
 import pytest
 
@@ -45,6 +46,9 @@
 AWAY_S = 0.5
 """How long the store is away, in s."""
 
+LATE_S = 1.0
+"""When servers write their rows again after the nodes have started, in s."""
+
 STORE_DELAY_S = 0.3
 """Time in which a slow store answers, in s."""
 
@@ -281,6 +285,29 @@
     play(tmp_path, scenario, nodes=NODES, has_retries=True)
 
 
+def test_versions_that_servers_register_again_late(tmp_path):
+    """Guards against a stream that goes on at the version that is registered first, as
+    the store's copy is older than the other one and no process remembers it."""
+
+    async def scenario(fleet, session):
+        copy = fleet.store.copy()
+        await add_versions(fleet)
+        for name in NODES:
+            await fleet.wait_log(name, '"e4"')
+        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
+        await wait_recorded(fleet, streams)
+        await lose_power(fleet, streams, tasks)
+        fleet.store.restore(copy)
+        await start_again(fleet)
+        asyncio.get_running_loop().call_later(
+            LATE_S, functools.partial(register_servers, fleet, version=OTHER_VERSION)
+        )
+        await take_up(streams, session, fleet.addresses["n2"]["Frontend"])
+        check_unmixed(streams)
+
+    play(tmp_path, scenario, nodes=NODES, has_retries=True)
+
+
 def test_one_version_needs_no_records(tmp_path):
     """Guards against streams that are refused after a power failure, and calls of the
     store for them, although nothing can be mixed."""
