Reset the stand-in store's connections in order

A weak set iterates by address, so that a simulation in which the store comes back from a copy played differently in each process.

--- a/src/arbutuspulley/standins/fleet_store.py
+++ b/src/arbutuspulley/standins/fleet_store.py
@@ -74,7 +74,10 @@
         self._last_discarded = 0
         self._history = history
         self._changed = asyncio.Event()
-        self._connections: weakref.WeakSet[asyncio.Transport] = weakref.WeakSet()
+        # In order: a simulation resets them alike in each run.
+        self._connections: weakref.WeakKeyDictionary[asyncio.Transport, None] = (
+            weakref.WeakKeyDictionary()
+        )
         self.version = 0
         self.calls = 0
         self.era: int | str | None = 1
@@ -143,7 +146,7 @@
         """Answer a call, and state the era in the answer."""
         transport = request.transport
         if transport is not None:
-            self._connections.add(transport)
+            self._connections[transport] = None
         if self.is_away and transport is not None:
             transport.abort()
         answer = await self._answer(request)
