Play plans with software versions and resumed streams in virtual time

Power failures, rollouts of a new software version and a store that comes back from an older copy were played by tests of one scenario each; their pairs, and each of them several times in a row, by none.

The virtual fleet runs servers of several versions. Callers resume streams that break off, or that they leave in the middle, at other instances within their deadline. New kinds of trouble are outage, release and rollback; they are played in pairs with each other and with kill, store, freeze and crash. New promises: no stream holds events of two versions, and resumed streams go on at least half as often as new ones begin.

--- a/tests/test_virtual_promises.py
+++ b/tests/test_virtual_promises.py
@@ -6,10 +6,26 @@
 import pytest
 
 from scripts.platform_testbed import FULL_STREAM
-from tests.virtual_plans import END_S, KINDS, Plan, Sent, Trouble, draw_plan, play
-from tests.virtual_promises import list_broken
+from tests.virtual_plans import (
+    END_S,
+    KINDS,
+    OTHER_KINDS,
+    VERSION_KINDS,
+    Plan,
+    Sent,
+    Trouble,
+    draw_plan,
+    draw_version_plan,
+    play,
+)
+from tests.virtual_promises import CONTACT_S, MIN_TAKEN_UP, list_broken
+from tests.virtual_streams import CalledStream, Try
 
 PAIRS = list(itertools.combinations_with_replacement(KINDS, 2))
+VERSION_PAIRS = [
+    *itertools.combinations_with_replacement(VERSION_KINDS, 2),
+    *itertools.product(VERSION_KINDS, OTHER_KINDS),
+]
 
 
 @pytest.mark.parametrize("kinds", PAIRS, ids="-".join)
@@ -19,6 +35,54 @@
     assert list_broken(play(tmp_path, plan)) == {}, plan
 
 
+@pytest.mark.parametrize("kinds", VERSION_PAIRS, ids="-".join)
+def test_streams_keep_to_their_version_over_each_pair_of_troubles(tmp_path, kinds):
+    """Guards against a version that is remembered through one trouble and is forgotten
+    through another beside it, or in a second one of its kind."""
+    plan = draw_version_plan(0, kinds)
+    assert list_broken(play(tmp_path, plan)) == {}, plan
+
+
+def test_a_plan_with_versions_plays_the_same_again(tmp_path):
+    """Guards against a promise that is broken by a seed once and never again."""
+    troubles = (
+        Trouble(kind="rollback", at_s=7.0, for_s=0.5),
+        Trouble(kind="outage", at_s=8.0, for_s=1.0),
+    )
+    plan = Plan(seed=1, troubles=troubles, has_versions=True, end_s=11.0)
+    first, second = play(tmp_path, plan), play(tmp_path, plan)
+    assert [one.versions for one in first.streams] == [
+        one.versions for one in second.streams
+    ]
+    assert first.fleet.events == second.fleet.events
+
+
+def test_streams_of_a_version_that_leaves_in_an_outage_do_not_go_on(tmp_path):
+    """Guards against a stream that goes on at the version that is left, as the servers
+    of its own leave while no process runs."""
+    plan = draw_version_plan(2, ("outage", "release"))
+    played = play(tmp_path, plan)
+    begun = {stream.versions[0] for stream in played.streams if stream.versions}
+    assert begun == {"v1", "v2"}
+    assert played.fleet.list_serving("v1") == []
+    assert list_broken(played) == {}
+
+
+def test_many_streams_are_taken_up_at_each_version_after_an_outage(tmp_path):
+    """Guards against a comparison of shares that too few streams ever reach."""
+    outage = Trouble(kind="outage", at_s=10.0, for_s=1.0)
+    plan = Plan(seed=2, troubles=(outage,), has_versions=True, end_s=20.0)
+    played = play(tmp_path, plan)
+    taken_up = [
+        one.versions[0]
+        for one in played.streams
+        if len(one.tries) > 1 and not one.is_dropped
+    ]
+    assert len(taken_up) >= MIN_TAKEN_UP
+    assert len(set(taken_up)) == 2
+    assert list_broken(played) == {}
+
+
 class Trace:
     """A play that was not played."""
 
@@ -26,6 +90,7 @@
         self.fleet = self
         self.plan = Plan(seed=0, troubles=())
         self.sent = {}
+        self.streams = []
         self.troubled_until = {"n1": 0.0}
         self.guilty_crashes = [1.0, 2.0, 3.0, 4.0, 5.0]
         self.runs = collections.Counter()
@@ -47,6 +112,21 @@
         self.runs[attempt] = runs
         self.arrivals += [(at_s, attempt)] * runs
 
+    def add_stream(self, *, versions=("v1",) * 6, goes_on=True, **changes):
+        """Add a stream that broke off after two events and was taken up."""
+        stream = CalledStream(attempt=f"c{len(self.streams)}", at_s=20.0)
+        last = 6 if goes_on else 2
+        stream.numbers = list(range(1, last + 1))
+        stream.versions = list(versions[:last])
+        stream.statuses = [None, 200 if goes_on else 503]
+        stream.has_ended = goes_on
+        tried = {"name": "n1", "in_touch_s": CONTACT_S + 1, "servers": 2, **changes}
+        stream.tries = [
+            Try(at_s=20.0, events=2, **{**tried, "servers": 2}),
+            Try(at_s=20.5, events=last - 2, **tried),
+        ]
+        self.streams.append(stream)
+
 
 BROKEN = {
     "find_repeated": {"path": "/book/x", "runs": 2},
@@ -72,6 +152,62 @@
     assert list(list_broken(trace)) == [promise]
 
 
+def build_stream_trace(*, going_on, lost, **changes):
+    """Build a trace with streams that were taken up after an outage.
+
+    :param changes: of the last try at those that are lost.
+    """
+    trace = Trace()
+    trace.plan = Plan(seed=0, troubles=(Trouble(kind="outage", at_s=10.0, for_s=1.0),))
+    for _ in range(going_on):
+        trace.add_stream()
+    for _ in range(lost):
+        trace.add_stream(goes_on=False, **changes)
+    return trace
+
+
+def test_a_stream_of_two_versions_is_found():
+    """Guards against a check that passes whatever it sees."""
+    trace = build_stream_trace(going_on=1, lost=0)
+    assert list_broken(trace) == {}
+    trace.add_stream(versions=("v1", "v1", "v2", "v2", "v2", "v2"))
+    assert list_broken(trace) == {"find_mixed": ["c1"]}
+
+
+def test_streams_that_are_lost_more_often_than_new_ones_are_found():
+    """Guards against a check that passes whatever it sees."""
+    trace = build_stream_trace(going_on=6, lost=6)
+    assert list_broken(trace) == {}
+    trace.add_stream(goes_on=False)
+    assert list(list_broken(trace)) == ["find_lost_streams"]
+
+
+def test_streams_that_callers_left_do_not_hide_lost_ones():
+    """Guards against a share in which streams that are easy to resume outweigh those
+    that an outage broke off."""
+    trace = build_stream_trace(going_on=0, lost=12)
+    for _ in range(40):
+        trace.add_stream()
+        trace.streams[-1].is_dropped = True
+    assert list(list_broken(trace)) == ["find_lost_streams"]
+
+
+@pytest.mark.parametrize(
+    "excuse",
+    [{"servers": 1}, {"in_touch_s": CONTACT_S - 1}],
+    ids=["one server of the version", "instance just back"],
+)
+def test_streams_without_a_fair_try_may_be_lost(excuse):
+    assert list_broken(build_stream_trace(going_on=0, lost=12, **excuse)) == {}
+
+
+def test_a_stream_that_ends_as_complete_before_its_last_event_is_found():
+    """Guards against a check of whole streams that leaves resumed ones out."""
+    trace = build_stream_trace(going_on=1, lost=0)
+    trace.streams[0].numbers.remove(3)
+    assert list_broken(trace) == {"find_incomplete": ["c0"]}
+
+
 def test_callers_of_an_instance_that_hangs_are_found(tmp_path):
     """Guards against a check that no play can fail, as each caller stops waiting."""
     freeze = Trouble(kind="freeze", at_s=10.0, for_s=20.0)
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -24,6 +24,7 @@
     """A stream as its caller has received it, over all attempts.
 
     :param attempt: id of the attempt that brought the first event.
+    :ivar has_ended: whether an answer of status 200 has ended, and not broken off.
     """
 
     def __init__(self, *, attempt):
@@ -31,6 +32,7 @@
         self.numbers = []
         self.versions = []
         self.statuses = []
+        self.has_ended = False
 
     @property
     def is_complete(self):
@@ -64,6 +66,7 @@
             async with session.post(url, headers=sent) as answer:
                 status = answer.status
                 await self._read_events(answer)
+                self.has_ended = status == 200
         except (aiohttp.ClientError, ConnectionError, TimeoutError):
             pass
         self.statuses.append(status)
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -18,7 +18,7 @@
     get_party,
     simulate_sources,
 )
-from arbutuspulley.standins.fleet_server import ServerStandin
+from arbutuspulley.standins.fleet_server import DEFAULT_VERSION, ServerStandin
 from arbutuspulley.standins.fleet_store import StoreStandin
 from scripts.platform_testbed import build_configuration, send_request
 
@@ -28,6 +28,15 @@
 LAPSE_S = 2.4
 """Time after a crash at which the row of a server is removed, in s."""
 
+DRAIN_S = 2.0
+"""Time for which a server announces in its row that it leaves, in s."""
+
+LEAVING_S = 0.3
+"""Time for which a server goes on serving after its row was removed, in s."""
+
+ANNOUNCE_S = 0.5
+"""Time after the store came back at which servers write their rows again, in s."""
+
 ANSWER_TIMEOUT_S = 6
 """How long a caller waits for an answer, in s."""
 
@@ -55,6 +64,7 @@
     """The store, servers and instances of one simulation.
 
     :param folder: directory for settings files.
+    :ivar pause_s: time between two events of a stream of servers that start, in s.
     """
 
     def __init__(self, folder, *, loop, network):
@@ -64,6 +74,9 @@
         self.store = StoreStandin()
         self.events = []
         self.guilty_crashes = []
+        self.pause_s = 0.05
+        self._leaving = set()
+        self._left = set()
         self._all_servers = []
         self._options = {}
         self.servers = {}
@@ -88,16 +101,28 @@
         for number in range(2):
             await self.start_server(f"p{number}", service="plain")
 
-    async def start_server(self, name, *, port=0, incarnation=None, **options):
-        """Start a server and register it."""
+    async def start_server(
+        self,
+        name,
+        *,
+        port=0,
+        incarnation=None,
+        version=DEFAULT_VERSION,
+        **options,
+    ):
+        """Start a server and register it.
+
+        :param version: version of its software.
+        """
         party = self._add_party(name)
         server = ServerStandin(incarnation=incarnation or name, **options)
-        server.delay_s, server.pause_s = 0.05, 0.05
+        server.version = version
+        server.delay_s, server.pause_s = 0.05, self.pause_s
         server.address = await self._listen(server.handle, party, port=port)
         server.on_break = lambda: self._crash_by_request(name)
         self.servers[name] = server
         self._all_servers.append(server)
-        self._options[name] = options
+        self._options[name] = {"version": version, **options}
         self.store.put("servers", server.incarnation, server.describe())
 
     def _crash_by_request(self, name):
@@ -126,6 +151,8 @@
         self.run_later(down_s, self._restart, name)
 
     def _restart(self, name):
+        if name in self._leaving:
+            return
         self._starts += 1
         port = int(self.servers[name].address.rpartition(":")[2])
         crashing = self.servers[name].crashing_parts
@@ -139,6 +166,53 @@
 
         asyncio.get_running_loop().create_task(start())
 
+    def list_serving(self, version):
+        """Return the servers of a version that run models and don't leave."""
+        return [
+            name
+            for name, server in self.servers.items()
+            if server.service == "llm"
+            and server.version == version
+            and name not in self._leaving
+            and not self.parties[name].is_dead
+        ]
+
+    def drain(self, name):
+        """Let a server announce that it leaves, and leave."""
+        self._leaving.add(name)
+        self._announce(name)
+        self.run_later(DRAIN_S, self._remove, name)
+        self.run_later(DRAIN_S + LEAVING_S, self.loop.kill, self.parties[name])
+
+    def _remove(self, name):
+        self._left.add(name)
+        self.store.remove("servers", self.servers[name].incarnation)
+
+    def _announce(self, name):
+        """Write a server's row, as servers do from time to time."""
+        if not self._is_registered(name):
+            return
+        server = self.servers[name]
+        state = "draining" if name in self._leaving else "ready"
+        self.store.put("servers", server.incarnation, server.describe(state=state))
+
+    def _is_registered(self, name):
+        return name not in self._left and not self.parties[name].is_dead
+
+    async def roll_back(self, for_s, copy):
+        """Let the store be away for some time, and come back from an older copy."""
+        await self.store.leave(for_s, copy=copy)
+        await asyncio.sleep(ANNOUNCE_S)
+        for name in self.servers:
+            self._announce(name)
+        await asyncio.sleep(LAPSE_S)
+        registered = [
+            server for name, server in self.servers.items() if self._is_registered(name)
+        ]
+        for server in self._all_servers:
+            if server not in registered:
+                self.store.remove("servers", server.incarnation)
+
     def start_instance(self, name, **bounds):
         """Start an instance, at the addresses that it had before."""
         if name not in self.addresses:
--- a/tests/virtual_plans.py
+++ b/tests/virtual_plans.py
@@ -10,6 +10,7 @@
 
 from arbutuspulley.simulation import Cut
 from tests.virtual_fleet import run_fleet
+from tests.virtual_streams import StreamCallers
 
 NAMES = ("n1", "n2", "n3", "n4")
 
@@ -22,9 +23,15 @@
 END_S = 50.0
 """When callers stop, in s."""
 
+VERSIONS_END_S = 28.0
+"""When callers stop in plans with versions, in s."""
+
 EVERY_S = 0.06
 """Time between two requests, in s."""
 
+VERSIONS_EVERY_S = 0.2
+"""The same in plans with versions, beside streams, in s."""
+
 GUILTY_EVERY_S = 0.6
 """Time between two requests with a part that crashes servers, in s."""
 
@@ -45,6 +52,29 @@
 """Kinds of trouble: of an instance, its connections to the servers or to the other
 instances, the store, some servers, and all of them."""
 
+VERSION_KINDS = ("outage", "release", "rollback")
+"""Kinds of trouble for streams of several software versions: all instances are killed
+at the same moment, servers of a new version take the place of older ones, and the store
+comes back from an older copy."""
+
+OTHER_KINDS = ("kill", "store", "freeze", "crash")
+"""Kinds of trouble that are played beside those."""
+
+OTHER_SERVERS = 3
+"""Number of servers of the second version, and of each that is released."""
+
+STREAM_PAUSE_S = 0.2
+"""Time between two events of a stream in plans with versions, in s: a trouble strikes
+in the middle of many."""
+
+LEAVING_S = 1.5
+"""Time after servers began to leave within which outages are drawn beside releases, in
+s: streams of their version break off that are taken up without it."""
+
+COPY_EVERY_S = 1.0
+MAX_COPIES = 4
+"""Time between two copies of the store, in s, and the number of those that are kept."""
+
 PLACES = ("any", "coordinator")
 """Which instance a trouble strikes."""
 
@@ -69,11 +99,16 @@
     """What to play. The same plan plays the same.
 
     :param is_guilty: whether requests come with a part that crashes servers.
+    :param has_versions: whether servers of several software versions serve, and callers
+        resume streams.
+    :param end_s: when callers stop, in s.
     """
 
     seed: int
     troubles: tuple[Trouble, ...]
     is_guilty: bool = False
+    has_versions: bool = False
+    end_s: float = END_S
 
 
 class Sent(msgspec.Struct):
@@ -109,20 +144,55 @@
     return Plan(seed=seed, troubles=tuple(troubles), is_guilty=rng.random() < 0.5)
 
 
+def draw_version_plan(seed, kinds):
+    """Draw a plan likewise, with several software versions and resumed streams.
+
+    Beside releases, outages strike while servers leave.
+    """
+    plan = draw_plan(seed, kinds)
+    rng = random.Random(f"{seed} {kinds} versions")
+    releases = [one for one in plan.troubles if one.kind == "release"]
+    troubles = [
+        _move_beside(rng.choice(releases), trouble, rng)
+        if releases and trouble.kind == "outage"
+        else trouble
+        for trouble in plan.troubles
+    ]
+    return msgspec.structs.replace(
+        plan,
+        troubles=tuple(troubles),
+        is_guilty=False,
+        has_versions=True,
+        end_s=VERSIONS_END_S,
+    )
+
+
+def _move_beside(release, trouble, rng):
+    leaving_s = release.at_s + release.for_s
+    at_s = round(leaving_s + rng.uniform(0, LEAVING_S), 3)
+    return msgspec.structs.replace(trouble, at_s=at_s)
+
+
 class Play:
     """One play of a plan: what callers sent, and what the fleet did.
 
     :ivar sent: requests by attempt id.
+    :ivar streams: streams that callers resume.
     :ivar troubled_until: end of the last trouble of each instance, in s.
     """
 
     def __init__(self, plan):
         self.plan = plan
         self.sent = {}
+        self.streams = []
         self.troubled_until = dict.fromkeys(NAMES, 0.0)
         self.fleet = None
         self._rng = random.Random(plan.seed)
         self._asked = set()
+        self._background = set()
+        self._copies = []
+        self._releases = 0
+        self._versions = 1
 
     def run(self, folder):
         """Play the plan to its end."""
@@ -135,18 +205,25 @@
             fleet.start_instance(name)
         for server in fleet.servers.values():
             server.crashing_parts = frozenset((GUILTY_PART,))
+        if self.plan.has_versions:
+            await self._add_versions()
         for trouble in self.plan.troubles:
             fleet.run_later(trouble.at_s, self._strike, trouble)
         await asyncio.sleep(START_S)
-        flows = [self._send_many(session, EVERY_S, is_guilty=False)]
+        every_s = VERSIONS_EVERY_S if self.plan.has_versions else EVERY_S
+        flows = [self._send_many(session, every_s, is_guilty=False)]
+        if self.plan.has_versions:
+            callers = StreamCallers(play=self, session=session, names=NAMES)
+            flows.append(callers.run())
         if self.plan.is_guilty:
             flows.append(self._send_many(session, GUILTY_EVERY_S, is_guilty=True))
         await asyncio.gather(*flows)
         await asyncio.gather(*self._asked)
 
     async def _send_many(self, session, every_s, *, is_guilty):
-        paths = itertools.cycle(PATHS[:1] if is_guilty else PATHS)
-        while self.fleet.now_s < END_S:
+        harmless = PATHS[1:] if self.plan.has_versions else PATHS
+        paths = itertools.cycle(PATHS[:1] if is_guilty else harmless)
+        while self.fleet.now_s < self.plan.end_s:
             asked = self._send(session, next(paths), is_guilty=is_guilty)
             self._asked.add(asyncio.create_task(asked))
             await asyncio.sleep(every_s)
@@ -173,6 +250,30 @@
             if answer is not None:
                 sent.status, sent.body = answer
 
+    async def _add_versions(self):
+        """Let servers of a second version serve, and streams last for some time."""
+        self.fleet.pause_s = STREAM_PAUSE_S
+        for server in self.fleet.servers.values():
+            server.pause_s = STREAM_PAUSE_S
+        releases = any(trouble.kind == "release" for trouble in self.plan.troubles)
+        if not releases or self._rng.random() < 0.5:
+            await self._start_version()
+        self._keep_copy()
+
+    async def _start_version(self):
+        """Start servers of a version that is newer than all before."""
+        self._versions += 1
+        version = f"v{self._versions}"
+        for number in range(OTHER_SERVERS):
+            await self.fleet.start_server(
+                f"{version}-e{number}", service="llm", models=("m0",), version=version
+            )
+
+    def _keep_copy(self):
+        if not self.fleet.store.is_away:
+            self._copies = [*self._copies, self.fleet.store.copy()][-MAX_COPIES:]
+        self.fleet.run_later(COPY_EVERY_S, self._keep_copy)
+
     def _strike(self, trouble):
         getattr(self, f"_{trouble.kind}")(trouble, self._choose(trouble))
 
@@ -248,6 +349,34 @@
         for server in sorted(self.fleet.servers):
             self.fleet.crash(server)
 
+    def _outage(self, trouble, _name):
+        for name in NAMES:
+            self._kill(trouble, name)
+
+    def _release(self, trouble, _name):
+        """Start servers of a new version; later the oldest leave, all or some."""
+        self._releases += 1
+        self._spawn(self._start_version())
+        leaving = f"v{self._releases}"
+        has_rest = self._rng.random() < 0.5
+        self.fleet.run_later(trouble.for_s, self._withdraw, leaving, has_rest)
+
+    def _withdraw(self, version, has_rest):
+        serving = self.fleet.list_serving(version)
+        for name in serving[has_rest:]:
+            self.fleet.drain(name)
+
+    def _rollback(self, trouble, _name):
+        for name in NAMES:
+            self._mark(name, trouble.for_s)
+        copy = self._rng.choice(self._copies)
+        self._spawn(self.fleet.roll_back(trouble.for_s, copy))
+
+    def _spawn(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
 
 def play(folder, plan):
     """Play a plan."""
--- a/tests/virtual_promises.py
+++ b/tests/virtual_promises.py
@@ -1,7 +1,7 @@
 """Promises to callers, judged on a play from outside."""
 
 from scripts.platform_testbed import FULL_STREAM
-from tests.virtual_plans import END_S, PATHS
+from tests.virtual_plans import PATHS
 
 CONTACT_S = 3.0
 """Time after a trouble, and after the fifth crash, from which on requests count, in s.
@@ -14,6 +14,17 @@
 QUIET_S = 5.0
 """Time at the end of a play in which all harmless requests are served, in s."""
 
+MIN_TAKEN_UP = 12
+MIN_SERVERS = 2
+"""Number of streams that are taken up from which on their share is compared, and of
+servers of their version that serve meanwhile."""
+
+BESIDE_S = 1.0
+"""How far from a try at a resumed stream new streams are compared with it, in s."""
+
+PLANNED_KINDS = ("terminate", "release")
+"""Kinds of trouble that are planned work."""
+
 NOT_RUN = (408, 421, 429, 503)
 """Statuses that promise that the request has not run and never will."""
 
@@ -40,11 +51,66 @@
 
 def find_incomplete(play):
     """Return streams that ended as complete and are not (MIXED, ORDER)."""
-    return [
+    found = [
         attempt
         for attempt, sent in play.sent.items()
         if sent.path == PATHS[0] and sent.status == 200 and sent.body != FULL_STREAM
     ]
+    return found + [
+        stream.attempt
+        for stream in play.streams
+        if stream.has_ended and not stream.is_complete
+    ]
+
+
+def find_mixed(play):
+    """Return streams that hold events of two software versions (ORDER)."""
+    return [stream.attempt for stream in play.streams if stream.is_mixed]
+
+
+def find_lost_streams(play):
+    """Return resumed streams that don't go on, if too many don't (LOST).
+
+    Those that broke off and those that their callers left are judged each by itself.
+    """
+    return [
+        attempt
+        for is_dropped in (False, True)
+        for attempt in _find_lost(play, is_dropped=is_dropped)
+    ]
+
+
+def _find_lost(play, *, is_dropped):
+    gone_on, lost, times = 0, [], []
+    for stream in play.streams:
+        if stream.is_dropped != is_dropped:
+            continue
+        fair = [one for one in stream.tries[1:] if one.servers >= MIN_SERVERS]
+        tried = [one for one in fair if one.in_touch_s > CONTACT_S]
+        went = [one for one in fair if one.events]
+        if not tried and not went:
+            continue
+        times += [one.at_s for one in went or tried]
+        if went:
+            gone_on += 1
+        else:
+            lost.append(stream.attempt)
+    taken_up = gone_on + len(lost)
+    if taken_up < MIN_TAKEN_UP:
+        return []
+    return lost if gone_on < taken_up * _get_begun_share(play, times) / 2 else []
+
+
+def _get_begun_share(play, times):
+    """Return the share of new streams beside some times that begin."""
+    firsts = [
+        stream.tries[0]
+        for stream in play.streams
+        if stream.tries and any(abs(stream.at_s - at) < BESIDE_S for at in times)
+    ]
+    counted = [one for one in firsts if one.in_touch_s > CONTACT_S]
+    begun = sum(one.events > 0 for one in counted)
+    return begun / len(counted) if counted else 0.0
 
 
 def find_late_guilty(play):
@@ -65,22 +131,33 @@
 
 def find_unserved(play):
     """Return harmless requests that were not served long after all troubles."""
-    return [
+    quiet_s = play.plan.end_s - QUIET_S
+    found = [
         (attempt, sent.path, sent.status)
         for attempt, sent in play.sent.items()
-        if sent.at_s > END_S - QUIET_S and not sent.is_guilty and sent.status != 200
+        if sent.at_s > quiet_s and not sent.is_guilty and sent.status != 200
+    ]
+    return found + [
+        (stream.attempt, stream.numbers, stream.statuses)
+        for stream in play.streams
+        if stream.at_s > quiet_s and not stream.is_complete
     ]
 
 
 def find_cut_by_planned_work(play):
     """Return requests that broke off though instances only stopped in order (LOST)."""
-    if any(trouble.kind != "terminate" for trouble in play.plan.troubles):
+    if any(trouble.kind not in PLANNED_KINDS for trouble in play.plan.troubles):
         return []
-    return [
+    found = [
         attempt
         for attempt, sent in play.sent.items()
         if sent.status is None and not sent.is_guilty
     ]
+    return found + [
+        stream.attempt
+        for stream in play.streams
+        if None in stream.statuses and not stream.is_dropped
+    ]
 
 
 def find_unanswered(play):
@@ -92,6 +169,8 @@
     find_repeated: 0,
     find_run_though_refused: 0,
     find_incomplete: 0,
+    find_mixed: 0,
+    find_lost_streams: 0,
     find_late_guilty: MAX_LATE,
     find_unserved: 0,
     find_cut_by_planned_work: 0,
