Excuse lost streams in virtual time whose record the store could not get

Likewise a store that comes back from an older copy may lack records that nobody else has.

The excuse needs an outage beside the trouble of the store; streams that were recorded before it count as before.

--- a/tests/test_virtual_promises.py
+++ b/tests/test_virtual_promises.py
@@ -201,6 +201,40 @@
     assert list_broken(build_stream_trace(going_on=0, lost=12, **excuse)) == {}
 
 
+def add_troubles(trace, *troubles):
+    trace.plan = Plan(seed=0, troubles=(*trace.plan.troubles, *troubles))
+
+
+def test_streams_of_which_the_store_got_no_record_may_be_lost():
+    trace = build_stream_trace(going_on=0, lost=12)
+    add_troubles(trace, Trouble(kind="outage", at_s=20.4, for_s=0.1))
+    assert list(list_broken(trace)) == ["find_lost_streams"]
+    add_troubles(trace, Trouble(kind="store", at_s=19.9, for_s=0.6))
+    assert list_broken(trace) == {}
+
+
+def test_streams_that_began_before_the_store_was_away_may_not_be_lost():
+    """Guards against an excuse that covers streams which the store has recorded."""
+    trace = build_stream_trace(going_on=0, lost=12)
+    add_troubles(
+        trace,
+        Trouble(kind="store", at_s=20.3, for_s=0.6),
+        Trouble(kind="outage", at_s=20.4, for_s=0.1),
+    )
+    assert list(list_broken(trace)) == ["find_lost_streams"]
+
+
+def test_a_store_that_is_away_without_an_outage_excuses_no_lost_stream():
+    """Guards against an excuse although the instances know the streams."""
+    trace = build_stream_trace(going_on=0, lost=12)
+    add_troubles(
+        trace,
+        Trouble(kind="store", at_s=19.9, for_s=0.6),
+        Trouble(kind="rollback", at_s=19.9, for_s=0.6),
+    )
+    assert list(list_broken(trace)) == ["find_lost_streams"]
+
+
 def test_a_stream_that_ends_as_complete_before_its_last_event_is_found():
     """Guards against a check of whole streams that leaves resumed ones out."""
     trace = build_stream_trace(going_on=1, lost=0)
