--- a/tests/virtual_plans.py
+++ b/tests/virtual_plans.py
@@ -23,8 +23,8 @@
 END_S = 50.0
 """When callers stop, in s."""
 
-VERSIONS_END_S = 28.0
-"""When callers stop in plans with versions, in s."""
+SETTLED_S = 9.0
+"""Time after the last trouble at which callers stop in plans with versions, in s."""
 
 EVERY_S = 0.06
 """Time between two requests, in s."""
@@ -160,10 +160,10 @@
     ]
     return msgspec.structs.replace(
         plan,
+        end_s=max(one.at_s + one.for_s for one in troubles) + SETTLED_S,
         troubles=tuple(troubles),
         is_guilty=False,
         has_versions=True,
-        end_s=VERSIONS_END_S,
     )
 
 
