--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -31,6 +31,7 @@
     events.
 
     :param attempt: id of the attempt that brought the first event.
+    :ivar has_ended: whether an answer of status 200 has ended, and not broken off.
     """
 
     def __init__(self, *, attempt, deadline_ms=DEADLINE_MS):
@@ -40,6 +41,7 @@
         self.versions = []
         self.statuses = []
         self.refusals = []
+        self.has_ended = False
 
     @property
     def is_complete(self):
@@ -73,6 +75,7 @@
             async with session.post(url, headers=sent) as answer:
                 status = answer.status
                 await self._read_events(answer)
+                self.has_ended = status == 200
         except (aiohttp.ClientError, ConnectionError, TimeoutError):
             pass
         self.statuses.append(status)
