Move the soak's plan into a module of its own

Nothing but the place of the plan changes: which faults are injected when is in tests/soak_plan.py, and how they are injected and what is promised stays in tests/soak.py.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,17 +7,15 @@
 import pytest
 
 from arbutuspulley.standins.fleet_server import ServerStandin
-from tests.soak import (
+from tests.soak import Call, Soak, run_soak
+from tests.soak_plan import (
     CONTACT_S,
     NODE_FAULTS,
     REACH_FAULTS,
     RECOVERY_S,
     SERVER_FAULTS,
     STORE_FAULTS,
-    Call,
-    Soak,
     build_plan,
-    run_soak,
 )
 from tests.version_fleet import VersionedStream
 
