Kill all nodes at the same moment in the soak

Streams had gone on at another version after a power failure, and no run of the soak could show it: its storms kill all nodes while all servers of a service fail, and its callers' streams last 30 ms.

- "power" kills all nodes, once or twice in a row, 0.3 to 2 s each, while callers read 24 slow streams.
Some take up theirs as soon as the nodes run, the others 4 s later, beside as many that begin a stream;
- "release" replaces all servers of one version by servers of the other one, from 4 s before a failure to 4 s after it; the store may be away or come back from a copy.

Each run ends with a failure after a calm time, so that the new promise is judged: of 12 or more streams that are taken up while two servers of their version serve, at least half as large a share goes on as of new streams begin. power.txt, beside the logs, has the figures of each failure.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,8 +6,10 @@
 comes back from copies, servers that leave, refuse, break off, fall silent or are
 brittle, nodes that reach no server. Callers keep using open connections; some speak
 HTTP/1.0 and get answers without chunks; some resume streams at other nodes while
-servers of two software versions serve. The promises are checked from what callers and
-servers see.
+servers of two software versions serve, also after all nodes were killed at the same
+moment. The promises are checked from what callers and servers see.
+
+``power.txt`` beside the logs tells how many streams went on after each power failure.
 
 Run it with ``python -m tests.soak --seed 1 --minutes 1 --processes 4``.
 """
@@ -28,13 +30,14 @@
 
 from arbutuspulley.data import State, Value
 from arbutuspulley.ports.answers import Framing
-from arbutuspulley.standins.fleet_server import ServerStandin
+from arbutuspulley.standins.fleet_server import DEFAULT_VERSION, ServerStandin
 from arbutuspulley.standins.scripted_answer import AnswerScript
 from scripts.platform_testbed import (
     FULL_STREAM,
     build_configuration,
     build_route,
     send_request,
+    wait_until,
 )
 from tests.cut_fleet import CutFleet
 from tests.proxy import Direction, FaultProxy
@@ -49,8 +52,23 @@
     RECOVERY_S,
     STORE_FAULTS,
     Fault,
+    build_last_failure,
     build_plan,
 )
+from tests.soak_power import (
+    EARLY_ATTEMPTS,
+    EARLY_PAUSE_S,
+    EARLY_STEP,
+    EVENT_PAUSE_S,
+    STREAM_PAUSE_S,
+    STREAMS,
+    Outcome,
+    PowerFailure,
+    list_outages,
+    list_served_versions,
+    read_stream,
+    wait_begun,
+)
 from tests.version_fleet import OTHER_VERSION, VersionedStream
 
 APPLY_S = 2.0
@@ -107,6 +125,9 @@
 REPEATABLE_PATHS = ("/sync/", "/v")
 """Paths of routes whose requests may run more than once."""
 
+POWER_CALLER = "power"
+"""Beginning of the attempt ids of callers whose streams a power failure breaks off."""
+
 KINDS = (("/book/", ""), ("/sync/", ""), ("/chat/", "m0"), ("/chat/", "m1"))
 
 
@@ -176,6 +197,9 @@
         self._is_over = False
         self._copies: list[Any] = []
         self._cuts: list[tuple[frozenset[str], float, float]] = []
+        self._last_failure = build_last_failure(seed)
+        self._power = asyncio.Lock()
+        self.failures: list[PowerFailure] = []
 
     async def run(self, plan: list[Fault], *, seconds: float) -> list[BrokenPromise]:
         """Carry out a plan under load and return the broken promises."""
@@ -201,10 +225,13 @@
                     await asyncio.gather(*self._tasks)
                     await asyncio.sleep(max(RECOVERY_S, GRACE_S))
                     await self._check_recovery(session)
+                    await self._fail_power(session, self._last_failure)
+                    await asyncio.gather(*self._tasks)
                     self._is_over = True
                     await asyncio.gather(writing, *callers)
                 self._check_calls()
                 self._check_streams()
+                self._check_failures()
                 self._check_drains()
                 self._check_fences()
                 self._check_retries()
@@ -351,6 +378,10 @@
             await self._drain_server(fault)
         elif fault.kind == "storm":
             await self._kill_all_while_servers_fail(fault)
+        elif fault.kind == "power":
+            await self._fail_power(session, fault)
+        elif fault.kind == "release":
+            await self._release_version(fault)
         else:
             with self._disturb("servers"):
                 await self._disturb_server(fault)
@@ -444,8 +475,15 @@
         """Start a node again that has ended, once, however many faults wait for it."""
         if self.fleet.nodes[name] is ended and ended.pid not in self._replaced:
             self._replaced.add(ended.pid)
-            await self._start_node(name)
-            await self.fleet.wait_ready(name)
+            async with self._power:
+                await self._start_node(name)
+            node = self.fleet.nodes[name]
+            try:
+                await self.fleet.wait_ready(name)
+            except AssertionError:
+                # Who killed it meanwhile starts it again.
+                if node.returncode != -signal.SIGKILL:
+                    raise
 
     async def _kill_all_while_servers_fail(self, fault: Fault) -> None:
         service = ("llm", "plain")[fault.target % 2]
@@ -464,6 +502,121 @@
             for server in servers:
                 server.fails = False
 
+    async def _fail_power(self, session: aiohttp.ClientSession, fault: Fault) -> None:
+        """Kill all nodes at the same moment, and let callers take up their streams."""
+        rng = random.Random(f"{fault.target}-{fault.for_s}")
+        failure = PowerFailure(begun_at=self._now)
+        servers = [*self.fleet.servers]
+        with self._disturb(POWER_CALLER):
+            streams = await self._break_streams(session, fault, failure, rng=rng)
+            await asyncio.sleep(CONTACT_S)
+            begun = [self._add_stream() for _ in streams]
+            failure.taken_up, failure.begun = await asyncio.gather(
+                self._read_all(session, streams, rng=rng),
+                self._read_all(session, begun, rng=rng),
+            )
+        failure.ended_at = self._now
+        failure.versions = list_served_versions(
+            [one for one in servers if one.incarnation not in self._drained_at]
+        )
+        self.failures.append(failure)
+
+    async def _break_streams(
+        self,
+        session: aiohttp.ClientSession,
+        fault: Fault,
+        failure: PowerFailure,
+        *,
+        rng: random.Random,
+    ) -> list[VersionedStream]:
+        """Kill all nodes while callers read streams, and start them again.
+
+        :return: the streams that have begun and that no caller has taken up yet.
+        """
+        broken: list[VersionedStream] = []
+        streams = [self._add_stream() for _ in range(STREAMS)]
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self._slow_down_streams())
+            reading = asyncio.create_task(self._read_all(session, streams, rng=rng))
+            begun = await wait_begun(streams, rng=rng)
+            failure.killed_at = self._now
+            for name in self.names:
+                stack.enter_context(self._disturb(name))
+            for off_s, on_s in list_outages(fault):
+                await self._cut_power(session, off_s)
+                if not broken:
+                    await reading
+                    broken = [one for one in begun if not one.is_complete]
+                    for stream in broken[::EARLY_STEP]:
+                        self._spawn(self._take_up_early(session, stream))
+                await asyncio.sleep(on_s)
+        failure.ready_at = self._now
+        early = broken[::EARLY_STEP]
+        return [one for one in broken if one not in early]
+
+    async def _cut_power(self, session: aiohttp.ClientSession, off_s: float) -> None:
+        async with self._power:
+            ended = dict(self.fleet.nodes)
+            for node in ended.values():
+                if node.returncode is None:
+                    node.send_signal(signal.SIGKILL)
+            await asyncio.gather(*(node.wait() for node in ended.values()))
+            await asyncio.sleep(off_s)
+        await asyncio.gather(
+            *(self._replace_node(name, node) for name, node in ended.items())
+        )
+
+        async def look() -> bool:
+            return all([await self.fleet.is_ready(session, name) for name in ended])
+
+        await wait_until(look, "nodes that are ready after a power failure")
+
+    @contextlib.contextmanager
+    def _slow_down_streams(self) -> Any:
+        servers = [*self.fleet.servers]
+        for server in servers:
+            server.pause_s = STREAM_PAUSE_S
+        try:
+            yield
+        finally:
+            for server in servers:
+                server.pause_s = EVENT_PAUSE_S
+
+    def _add_stream(self) -> VersionedStream:
+        stream = VersionedStream(attempt=f"{POWER_CALLER}-{next(self._numbers)}")
+        self.streams.append(stream)
+        return stream
+
+    async def _read_all(
+        self,
+        session: aiohttp.ClientSession,
+        streams: list[VersionedStream],
+        *,
+        rng: random.Random,
+    ) -> list[Outcome]:
+        return await asyncio.gather(
+            *(
+                self._read_at(session, stream, rng.choice(self.names))
+                for stream in streams
+            )
+        )
+
+    async def _read_at(
+        self, session: aiohttp.ClientSession, stream: VersionedStream, name: str
+    ) -> Outcome:
+        address = self.fleet.addresses[name]["Frontend"]
+        return await read_stream(stream, session, address, timeout_s=RESUME_TIMEOUT_S)
+
+    async def _take_up_early(
+        self, session: aiohttp.ClientSession, stream: VersionedStream
+    ) -> None:
+        rng = random.Random(stream.attempt)
+        for _ in range(EARLY_ATTEMPTS):
+            await self._read_at(session, stream, rng.choice(self.names))
+            if stream.is_complete:
+                break
+            await asyncio.sleep(EARLY_PAUSE_S)
+
     async def _disturb_store(self, fault: Fault) -> None:
         store = self.fleet.store
         if fault.kind in ("copy", "away"):
@@ -529,20 +682,45 @@
         for field, value in normal.items():
             setattr(server, field, value)
 
-    async def _drain_server(self, fault: Fault) -> None:
-        """Replace a server: a new one registers, the old one drains and goes."""
-        ready = [
+    def _list_ready_servers(self) -> list[ServerStandin]:
+        return [
             one for one in self.fleet.servers if one.incarnation not in self._drained_at
         ]
+
+    async def _drain_server(self, fault: Fault) -> None:
+        """Replace a server by one of any software version."""
+        ready = self._list_ready_servers()
         old = ready[fault.target % len(ready)]
+        version = OTHER_VERSION if next(self._numbers) % 2 else DEFAULT_VERSION
+        await self._replace_server(old, version=version)
+
+    async def _release_version(self, fault: Fault) -> None:
+        """Replace all servers of one of two versions, or half of those of the only one,
+        by servers of the other version."""
+        engines = [one for one in self._list_ready_servers() if one.service == "llm"]
+        versions = sorted({one.version for one in engines})
+        version = versions[fault.target % len(versions)]
+        leaving = [one for one in engines if one.version == version]
+        if len(versions) == 1:
+            leaving = leaving[::2]
+        other = DEFAULT_VERSION if version == OTHER_VERSION else OTHER_VERSION
+        await asyncio.gather(
+            *(self._replace_server(one, version=other) for one in leaving)
+        )
+
+    async def _replace_server(self, old: ServerStandin, *, version: str) -> None:
+        """Replace a server: a new one registers, the old one drains and goes.
+
+        :param version: version of the new server's software, if it runs models.
+        """
         number = next(self._numbers)
         new = ServerStandin(
             incarnation=f"{old.service[0]}y{number}",
             service=old.service,
             models=("m0", "m1") if old.service == "llm" else (),
         )
-        if new.models and number % 2:
-            new.version = OTHER_VERSION
+        if new.models:
+            new.version = version
         await self.fleet.add_server(new)
         await asyncio.sleep(1.0)
         store = self.fleet.store
@@ -643,6 +821,37 @@
                         detail=detail,
                     )
 
+    def _check_failures(self) -> None:
+        """Check that streams go on after power failures."""
+        with (self.fleet.folder / "power.txt").open("w") as log:
+            for failure in self.failures:
+                is_calm = self._is_failure_calm(failure)
+                at = failure.killed_at - self._begun_at
+                calm = "calm" if is_calm else "not calm"
+                log.write(f"{at:.3f} s, {calm}: {failure.describe()}\n")
+                loss = failure.describe_loss()
+                if is_calm and loss:
+                    self._break(
+                        "streams go on after a power failure",
+                        at=failure.killed_at,
+                        detail=loss,
+                    )
+
+    def _is_failure_calm(self, failure: PowerFailure) -> bool:
+        """Return whether nothing but the failure disturbed its streams."""
+        begin, end = failure.begun_at - CONTACT_S, failure.ended_at
+        links = (f"links of {name}" for name in self.names)
+        calm = ("store", "servers", *links)
+        if not all(self._is_calm(what, begin=begin, end=end) for what in calm):
+            return False
+        # The failure itself disturbs the nodes between these two spans.
+        spans = ((begin, failure.killed_at - 0.001), (failure.ready_at + 0.001, end))
+        return all(
+            self._is_calm(name, begin=start, end=stop)
+            for name in self.names
+            for start, stop in spans
+        )
+
     def _is_whole(self, call: Call) -> bool:
         if call.path.startswith("/chat/"):
             return call.body in (FULL_STREAM, STREAM_OF_OTHER_VERSION)
--- a/tests/soak_plan.py
+++ b/tests/soak_plan.py
@@ -56,6 +56,14 @@
 """Faults of a series of their own, so that the plans of older seeds stay as they
 were."""
 
+POWER_FAULTS = ("power", "release")
+"""Kinds of a series of its own: all nodes are killed at the same moment, and servers of
+one software version are replaced by servers of another one."""
+
+RELEASE_FRACTION, STORE_FRACTION = 0.7, 0.4
+"""Fractions of the power failures beside which a version is released, and beside which
+the store is away."""
+
 SERVER_FAULTS = (
     "drain",
     "drain",
@@ -93,6 +101,7 @@
         )
         at += DRAIN_S + 0.5
     plan.extend(_build_reach_faults(seed, seconds=seconds))
+    plan.extend(build_power_faults(seed, seconds=seconds))
     plan.sort(key=lambda fault: fault.at)
     return [fault for fault in plan if fault.at < seconds - RECOVERY_S]
 
@@ -111,3 +120,44 @@
         plan.append(fault)
         at += fault.for_s + rng.uniform(0.5, 6.0)
     return plan
+
+
+def build_power_faults(seed: int, *, seconds: float) -> list[Fault]:
+    """Return the power failures of a seed, and the faults that overlap with them."""
+    rng = random.Random(f"{seed}-power")
+    plan: list[Fault] = []
+    at = rng.uniform(4.0, 10.0)
+    while at < seconds - 2 * RECOVERY_S:
+        plan.append(_build_power_failure(rng, at=at))
+        if rng.random() < RELEASE_FRACTION:
+            beside = Fault(
+                at=at + rng.uniform(-4.0, 4.0),
+                kind="release",
+                target=rng.randrange(1_000),
+                for_s=0.0,
+            )
+            plan.append(beside)
+        if rng.random() < STORE_FRACTION:
+            beside = Fault(
+                at=at + rng.uniform(-1.0, 3.0),
+                kind=rng.choice(("copy", "away")),
+                target=rng.randrange(1_000),
+                for_s=rng.uniform(0.2, 2.5),
+            )
+            plan.append(beside)
+        at += rng.uniform(14.0, 24.0)
+    return plan
+
+
+def build_last_failure(seed: int) -> Fault:
+    """Return the power failure after all other faults of a seed."""
+    return _build_power_failure(random.Random(f"{seed}-last"), at=0.0)
+
+
+def _build_power_failure(rng: random.Random, *, at: float) -> Fault:
+    return Fault(
+        at=at,
+        kind="power",
+        target=rng.randrange(1_000),
+        for_s=rng.uniform(0.3, 2.0),
+    )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,12 +11,15 @@
 from tests.soak_plan import (
     CONTACT_S,
     NODE_FAULTS,
+    POWER_FAULTS,
     REACH_FAULTS,
     RECOVERY_S,
     SERVER_FAULTS,
     STORE_FAULTS,
     build_plan,
+    build_power_faults,
 )
+from tests.soak_power import Outcome, PowerFailure
 from tests.version_fleet import VersionedStream
 
 
@@ -28,9 +31,17 @@
 def test_plans_have_all_faults_and_calm_times():
     plans = [build_plan(seed, seconds=60) for seed in range(50)]
     kinds = {fault.kind for plan in plans for fault in plan}
-    assert kinds == {*NODE_FAULTS, *STORE_FAULTS, *SERVER_FAULTS, *REACH_FAULTS}
-    for plan in plans:
-        series = [fault for fault in plan if fault.kind not in REACH_FAULTS]
+    assert kinds == {
+        *NODE_FAULTS,
+        *STORE_FAULTS,
+        *SERVER_FAULTS,
+        *REACH_FAULTS,
+        *POWER_FAULTS,
+    }
+    for seed, plan in enumerate(plans):
+        power = build_power_faults(seed, seconds=60)
+        others = [fault for fault in plan if fault not in power]
+        series = [fault for fault in others if fault.kind not in REACH_FAULTS]
         gaps = [after.at - fault.at for fault, after in itertools.pairwise(series)]
         assert max(gaps) >= CONTACT_S
         assert plan[-1].at < 60 - RECOVERY_S
@@ -72,6 +83,57 @@
     assert len(soak.broken) == expected
 
 
+@pytest.mark.parametrize(
+    ("went_on", "count", "new", "is_loss"),
+    [(5, 12, 12, True), (6, 12, 12, False), (5, 12, 8, False), (0, 11, 12, False)],
+)
+def test_too_few_streams_that_go_on_after_a_power_failure_are_a_loss(
+    went_on, count, new, is_loss
+):
+    failure = PowerFailure(begun_at=0.0, versions=frozenset({"v1"}))
+    failure.taken_up = [
+        Outcome(version="v1", goes_on=number < went_on) for number in range(count)
+    ]
+    # Streams of a version with too few servers do not count.
+    failure.taken_up += [Outcome(version="v2", goes_on=False)] * 20
+    failure.begun = [
+        Outcome(version="v1", goes_on=number < new) for number in range(12)
+    ]
+    assert bool(failure.describe_loss()) == is_loss
+
+
+@pytest.mark.parametrize(
+    ("what", "span", "expected"),
+    [
+        ("n1", (12.0, 15.0), True),
+        ("n1", (12.0, 15.5), False),
+        ("n2", (3.0, 7.0), False),
+        ("n2", (1.0, 5.0), True),
+        ("store", (13.0, 14.0), False),
+        ("links of n2", (18.0, 19.0), False),
+    ],
+)
+def test_only_the_power_failure_itself_may_disturb_the_streams_that_count(
+    tmp_path, what, span, expected
+):
+    soak = Soak(seed=1, folder=tmp_path, processes=2)
+    failure = PowerFailure(begun_at=11.0, killed_at=12.0, ready_at=15.0, ended_at=20.0)
+    soak._disturbances[what] = [span]
+    assert soak._is_failure_calm(failure) == expected
+
+
+def test_a_loss_after_a_power_failure_breaks_a_promise(tmp_path):
+    soak = Soak(seed=1, folder=tmp_path, processes=1)
+    failure = PowerFailure(begun_at=11.0, versions=frozenset({"v1"}))
+    failure.taken_up = [Outcome(version="v1", goes_on=False)] * 12
+    failure.begun = [Outcome(version="v1", goes_on=True)] * 12
+    soak.failures.append(failure)
+    soak._check_failures()
+    assert [one.promise for one in soak.broken] == [
+        "streams go on after a power failure"
+    ]
+
+
 def test_a_node_that_two_faults_end_is_started_once(tmp_path, monkeypatch):
     """Guards against seed 5012: a node was told to stop and killed meanwhile. Both
     faults started it again; the second process found its port in use and ended."""
