--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -46,7 +46,8 @@
     - ``limit_per_s``: rate limit that is announced in answers to requests.
     - ``is_leaving``: announce in all answers that the server is leaving; the row in the
       store stays as it is.
-    - ``script``: how to answer a request, byte by byte; ``on_break`` is called before.
+    - ``script``: how to answer a request, byte by byte, or a function that returns that
+      for the last event that its caller has; ``on_break`` is called before.
     - ``room``: requests in flight beyond which it refuses further ones as not run.
     - ``refusals_per_s``: announced in all answers; if it refuses more for want of room
       within a second, it falls over: it resets all connections for ``DOWN_S``.
@@ -136,7 +137,7 @@
         self.on_break: Callable[[], None] = lambda: None
         self.sheds = False
         self.fails = False
-        self.script: AnswerScript | None = None
+        self.script: AnswerScript | Callable[[int], AnswerScript] | None = None
         self.delay_s = 0.0
         self.limit_per_s: float | None = None
         self.is_leaving = False
@@ -289,6 +290,8 @@
         headers = {**self._sign(attempt), **notices}
         if self.script is not None:
             script = self.script
+            if not isinstance(script, AnswerScript):
+                script = script(_get_last_event(request))
             self.on_break()
             await send_scripted_answer(request, script, headers)
         if self.fails:
@@ -332,7 +335,7 @@
         answer.content_type = "text/event-stream"
         await answer.prepare(request)
         by = "" if self.version == DEFAULT_VERSION else f" by {self.version}"
-        first = int(request.headers.get(names.LAST_EVENT_ID, "0")) + 1
+        first = _get_last_event(request) + 1
         crashes_at = first + self.events_before_crash
         for number in range(first, 7):
             if number == crashes_at and self._has_crashing_part(request):
@@ -349,3 +352,7 @@
             await asyncio.sleep(self.pause_s)
         await answer.write_eof()
         return answer
+
+
+def _get_last_event(request: web.BaseRequest) -> int:
+    return int(request.headers.get(names.LAST_EVENT_ID, "0"))
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -16,6 +16,7 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 import random
 import re
@@ -131,13 +132,19 @@
 KINDS = (("/book/", ""), ("/sync/", ""), ("/chat/", "m0"), ("/chat/", "m1"))
 
 
-def _build_torn_stream(server: ServerStandin) -> AnswerScript:
-    """Return a stream whose server closes the connection inside its fourth event."""
+def _build_torn_stream(server: ServerStandin, last_event: int) -> AnswerScript:
+    """Return a stream whose server closes the connection inside its fourth event, or
+    inside the next one of a caller who has that already.
+
+    :param last_event: number of the last event that the caller has.
+    """
     is_other = server.version == OTHER_VERSION
     stream = STREAM_OF_OTHER_VERSION if is_other else FULL_STREAM
-    cut = stream.index(b"id: 4")
+    stream = stream[stream.index(b"id: %d\n" % (last_event + 1)) :]
+    cut = stream.index(b"id: %d\n" % max(4, last_event + 1))
+    before = max(0, cut - 3)
     return AnswerScript(
-        parts=(stream[: cut - 3], stream[cut - 3 : cut + 7]),
+        parts=tuple(filter(None, (stream[:before], stream[before : cut + 7]))),
         pause_s=0.01,
         framing=Framing.CLOSE,
     )
@@ -671,7 +678,7 @@
             "shed": {"sheds": True, "rest_s": 0.5},
             "limit": {"limit_per_s": 5.0},
             "break": {"breaks_after": 3},
-            "tear": {"script": _build_torn_stream(server)},
+            "tear": {"script": functools.partial(_build_torn_stream, server)},
             "fail": {"fails": True},
             "orders": {"loses_order_answers": True},
         }[fault.kind]
