Reproduce streams refused for good before the servers are read

What callers see: after all nodes were killed, streams are refused with 2012 and without Retry-After although servers of their version serve.

Cause: the new coordinator has read the streams and not yet the servers' rows, so the version has no server.

--- a/src/arbutuspulley/standins/fleet_store.py
+++ b/src/arbutuspulley/standins/fleet_store.py
@@ -48,6 +48,7 @@
     - ``on_read``: called after each page that is read.
     - ``era``: sent in each answer; ``None``: not sent. :meth:`restore` increments it.
     - ``clock_offset_ms``: added to the store's clock.
+    - ``unreadable``: table whose reads and feeds are answered with 503; empty: none.
 
     Tests read ``calls`` (number of calls) and ``writes`` (number of rows that calls
     have written or removed, by table).
@@ -69,6 +70,7 @@
         "late_write_s",
         "loses_answers",
         "on_read",
+        "unreadable",
         "version",
         "writes",
     )
@@ -90,6 +92,7 @@
         self.late_write_s: float | None = None
         self.loses_answers = False
         self.delay_s = 0.0
+        self.unreadable = ""
         self.on_read: Callable[[], None] = lambda: None
 
     def put(self, table: str, key: str, value: object) -> None:
@@ -173,7 +176,7 @@
         self.calls += 1
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
-        if self.is_down:
+        if self.is_down or request.query.get("Table") == self.unreadable:
             return web.Response(status=503)
         if request.path == names.STORE_TRANSACT_PATH:
             body = msgspec.json.decode(await request.read())
--- a/tests/test_power_failures_store.py
+++ b/tests/test_power_failures_store.py
@@ -124,6 +124,30 @@
     play_versions(tmp_path, scenario)
 
 
+def test_no_version_is_gone_until_the_servers_are_read(tmp_path):
+    """Guards against a coordinator that refuses streams for good as no server of their
+    version is left, where it has not read the servers yet."""
+
+    async def scenario(fleet, session):
+        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
+        await wait_recorded(fleet, streams)
+        await lose_power(fleet, streams, tasks)
+        fleet.store.unreadable = "servers"
+        await start_again(fleet)
+        address = fleet.addresses["n2"]["Frontend"]
+        going_on = asyncio.create_task(take_up(streams, session, address))
+        await asyncio.sleep(AWAY_S)
+        fleet.store.unreadable = ""
+        await going_on
+        refusals = [one for stream in streams for one in stream.refusals]
+        assert not [code for code, _ in refusals if code == "2012"]
+        await take_up(streams, session, address)
+        assert list_mixed(streams) == []
+        assert list_broken(streams) == []
+
+    play_versions(tmp_path, scenario)
+
+
 @FAILURE
 def test_streams_that_begin_without_the_store_are_recorded_later(tmp_path, failure):
     """Guards against a record that is given up as the store was away when the stream
