Refuse no stream for good before the servers are read

What callers saw: after all nodes had been killed, streams were refused with 2012 and without Retry-After although servers of their version served.

Cause: a version without a server counts as gone, and a new coordinator may have read the streams before the servers' rows.

An instance that knows no server of any service now takes no version for gone, and a coordinator that knows none tells callers 2013 with Retry-After.

--- a/src/arbutuspulley/node/stream_copies.py
+++ b/src/arbutuspulley/node/stream_copies.py
@@ -111,6 +111,9 @@
         :return: a refusal if the request resumes a stream whose version is not known.
         """
         now = self._state.clock.now()
+        resumes = request.version is not None or request.resumed_stream is not None
+        if resumes and not self._state.by_service:
+            return self._refuse_unread(request)
         if request.version is not None:
             version = SoftwareVersion(name=request.version)
             return self._drop_if_only(request.service, version, now=now)
@@ -129,11 +132,7 @@
         if now - self._active_since < SETTLING_MS:
             return self._refuse(request, retry_after_ms=SETTLING_RETRY_MS)
         if self._state.stream_journal.awaits_records:
-            return Refused(
-                key=request.key,
-                retry_after_ms=UNREAD_RETRY_MS,
-                reason=RefusalReason.VERSION_UNREAD,
-            )
+            return self._refuse_unread(request)
         return self._refuse(request, retry_after_ms=0)
 
     def _drop_if_only(
@@ -144,6 +143,13 @@
             return version
         return None if versions.list_known(service, now=now) == {version} else version
 
+    def _refuse_unread(self, request: GrantRequest) -> Refused:
+        return Refused(
+            key=request.key,
+            retry_after_ms=UNREAD_RETRY_MS,
+            reason=RefusalReason.VERSION_UNREAD,
+        )
+
     def _refuse(self, request: GrantRequest, *, retry_after_ms: int) -> Refused:
         return Refused(
             key=request.key,
--- a/src/arbutuspulley/node/stream_versions.py
+++ b/src/arbutuspulley/node/stream_versions.py
@@ -92,8 +92,13 @@
 
 
 def is_version_gone(state: NodeState, progress: Progress) -> bool:
-    """Return whether no server is left at which a request may go on."""
-    return progress.version is not None and not any(
+    """Return whether no server is left at which a request may go on.
+
+    Where no server of any service is known, their rows have not been read yet.
+    """
+    if progress.version is None or not state.by_service:
+        return False
+    return not any(
         entry.software_version == progress.version and not entry.is_leaving
         for entry in state.by_service.get(progress.service, ())
     )
