--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -298,6 +298,7 @@
     trial.link.deliver_local = None
     trial.link.status = CoordinatorStatus(is_holder=True)
     trial.state.by_service["llm"] = [ENTRY]
+    trial.state.instances = 1
     trial.progress.resumed_stream = build_stream_key("r0")
     trial.progress.is_version_unknown = True
     trial.state.software_versions.awaits_history = True
