Describe the write intervals of instances without a coordinator as they are

The docstring named 0.5 s as the minimum; that is the time of an instance that knows no number of instances.

--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -36,12 +36,12 @@
 the last one has no record."""
 
 LONE_INTERVAL_MS = 500
-"""Minimum time between two writes of an instance without a coordinator, in ms: all
-instances of a large fleet may lose theirs at once."""
+"""Time between two writes of an instance that has followed no coordinator yet, in ms:
+all instances of a large fleet may have started at once."""
 
 LONE_INTERVAL_PER_INSTANCE_MS = 10
-"""Minimum of that time for each known instance, in ms: together they make up to a
-hundred calls a second."""
+"""That time for each known instance if it has lost its coordinator, in ms: together
+they make up to a hundred calls a second."""
 
 MAX_BATCH_HISTORIES = 100
 """Maximum number of services whose versions are written in a transaction: it holds 100
