--- a/tests/test_power_failures_store.py
+++ b/tests/test_power_failures_store.py
@@ -89,6 +89,20 @@
         await asyncio.sleep(UNREAD_RETRY_MS / SECOND_MS)
 
 
+async def begin_at_versions(fleet, session):
+    """Begin streams at two versions, one of which a copy of the store lacks.
+
+    :return: the copy, the streams, and the tasks that read them.
+    """
+    copy = fleet.store.copy()
+    await add_versions(fleet)
+    for name in NODES:
+        await fleet.wait_log(name, '"e4"')
+    streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
+    await wait_recorded(fleet, streams)
+    return copy, streams, tasks
+
+
 @FAILURE
 def test_streams_go_on_once_the_store_can_be_read(tmp_path, failure):
     """Guards against a stream that is refused for good, or goes on anywhere, as its
@@ -260,12 +274,7 @@
     back, and leaves before the power fails."""
 
     async def scenario(fleet, session):
-        copy = fleet.store.copy()
-        await add_versions(fleet)
-        for name in NODES:
-            await fleet.wait_log(name, '"e4"')
-        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
-        await wait_recorded(fleet, streams)
+        copy, streams, tasks = await begin_at_versions(fleet, session)
         await fleet.store.leave(AWAY_S, copy=copy)
         await wait_recorded(fleet, streams)
         await lose_power(fleet, streams, tasks)
@@ -305,12 +314,7 @@
     store's copy is older than the other version and its streams."""
 
     async def scenario(fleet, session):
-        copy = fleet.store.copy()
-        await add_versions(fleet)
-        for name in NODES:
-            await fleet.wait_log(name, '"e4"')
-        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
-        await wait_recorded(fleet, streams)
+        copy, streams, tasks = await begin_at_versions(fleet, session)
         await lose_power(fleet, streams, tasks)
         fleet.store.restore(copy)
         if registered != "old":
@@ -329,12 +333,7 @@
     the store's copy is older than the other one and no process remembers it."""
 
     async def scenario(fleet, session):
-        copy = fleet.store.copy()
-        await add_versions(fleet)
-        for name in NODES:
-            await fleet.wait_log(name, '"e4"')
-        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
-        await wait_recorded(fleet, streams)
+        copy, streams, tasks = await begin_at_versions(fleet, session)
         await lose_power(fleet, streams, tasks)
         fleet.store.restore(copy)
         await start_again(fleet)
