Count the leases that are taken after the kill in a test of versions

test_a_stream_goes_on_at_its_version_without_a_coordinator failed in 3 of 46 runs beside load. Traced in the log of one: the lease of 1.5 s lapsed as the nodes started, and the node that stays took it then, before any stream began and before the kills. The check is that no lease is taken without the store; it counted those before, too. It counts from the kill on now, which is as strict for what it guards against.

--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -154,12 +154,13 @@
         coordinator = fleet.find_coordinator()
         others = [name for name in NODES if name != coordinator]
         streams, tasks = await begin_streams(fleet, session, others[0], count=STREAMS)
+        taken_before = fleet.read_log(others[1]).count("lease_taken")
         fleet.store.is_down = True
         for name in (coordinator, others[0]):
             fleet.nodes[name].send_signal(signal.SIGKILL)
         await asyncio.gather(*tasks)
         await take_up(streams, session, fleet.addresses[others[1]]["Frontend"])
-        assert fleet.read_log(others[1]).count("lease_taken") == 0
+        assert fleet.read_log(others[1]).count("lease_taken") == taken_before
         assert not [stream.versions for stream in streams if stream.is_mixed]
         assert [stream.statuses for stream in streams if not stream.is_complete] == []
 
