Keep crashes of requests and parts in the store

What callers saw: after all instances were killed at once, a request or a part of prompts that had been quarantined crashed three servers more, each time.

Cause: crashes and quarantines were known to processes alone.

The table arbutus-crashes now has a row for each suspect that was at two crashes or more in turn, with its age and its end on the store's clock. The coordinator writes what changes 50 ms later; an instance without one reads the table again and writes what it has recorded since. Each process reads the table at its start and as it becomes the coordinator, which also writes again what an older copy of the store lacks. Nothing is written while no request crashes servers, and no request waits.

The model of crashes has a store; the plays that were there leave it away, as before.

--- a/src/arbutuspulley/delivery/crash_records.py
+++ b/src/arbutuspulley/delivery/crash_records.py
@@ -12,7 +12,7 @@
 """
 
 import itertools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.delivery.suspects import (
@@ -138,6 +138,8 @@
     Times are in ms of the instance's clock. It keeps at most :data:`MAX_SUSPECTS`
     requests, one that is quarantined for :data:`QUARANTINE_MS` and any other for
     :data:`SUSPICION_MS` after its last change.
+
+    ``on_change`` is called with the fingerprint of each one that changes or is dropped.
     """
 
     __slots__ = (
@@ -150,6 +152,7 @@
         "_suspicions",
         "_trials",
         "changes",
+        "on_change",
     )
 
     def __init__(self) -> None:
@@ -168,6 +171,7 @@
         self._explained: frozenset[str] = frozenset()
         # Number of changes so far.
         self.changes = 0
+        self.on_change: Callable[[str], None] = _ignore
 
     def __len__(self) -> int:
         return len(self._suspicions)
@@ -290,6 +294,11 @@
             self._suspects.discard(fingerprint)
         for incarnation in crashed:
             self._known_at.setdefault(incarnation, {}).setdefault(fingerprint, now)
+        self.on_change(fingerprint)
+
+    def list_names(self) -> list[str]:
+        """Return the fingerprints of all suspects."""
+        return list(self._suspicions)
 
     def list_worst(self, count: int) -> list[Suspicion]:
         """Return the requests with the most crashes, and those that changed last.
@@ -497,6 +506,7 @@
         self._trials.pop(fingerprint, None)
         for mark in suspicion.deaths:
             self._forget_mark(_parse_mark(mark)[0], fingerprint)
+        self.on_change(fingerprint)
 
     def _forget_mark(self, incarnation: str, fingerprint: str) -> None:
         known = self._known_at.get(incarnation)
@@ -507,6 +517,10 @@
             del self._known_at[incarnation]
 
 
+def _ignore(_fingerprint: str) -> None:
+    """Do nothing; default of the callback."""
+
+
 def _spread(delay_ms: int, fingerprint: str) -> int:
     """Prolong a delay by a share that depends on the request, alike everywhere."""
     share = int(fingerprint[:4], 16) / 0xFFFF
--- a/src/arbutuspulley/delivery/part_records.py
+++ b/src/arbutuspulley/delivery/part_records.py
@@ -107,31 +107,33 @@
 
     Bounds and times are those of :class:`CrashRecords`.
 
+    ``records`` are the crashes under each part by itself.
+
     :param requests: crashes under whole requests.
     """
 
-    __slots__ = ("_records", "_requests", "_verdicts")
+    __slots__ = ("_requests", "_verdicts", "records")
 
     def __init__(self, *, requests: CrashRecords) -> None:
         self._requests = requests
-        self._records = CrashRecords()
+        self.records = CrashRecords()
         self._verdicts = Verdicts()
 
     def __len__(self) -> int:
-        return len(self._records)
+        return len(self.records)
 
     def was_answered(self, part: str) -> bool:
         """Return whether a suspect part was answered before it was at a crash."""
-        return self._records.has_completed(part)
+        return self.records.has_completed(part)
 
     def get_position(self, part: str) -> int:
         """Return the last place of a suspect part in the prompts that had it."""
-        suspicion = self._records.find(part)
+        suspicion = self.records.find(part)
         return 0 if suspicion is None else suspicion.position
 
     def count_crashes(self, parts: Iterable[str]) -> tuple[int, ...]:
         """Return how many crashes in turn are known under each part."""
-        return tuple(count_crashes(self._records.find(part)) for part in parts)
+        return tuple(count_crashes(self.records.find(part)) for part in parts)
 
     def record(
         self,
@@ -150,7 +152,7 @@
         """
         stated = [*known, *(0 for _ in parts)]
         crashes = tuple(
-            self._records.build_crash(
+            self.records.build_crash(
                 part,
                 incarnation=incarnation,
                 known=stated[position],
@@ -165,14 +167,14 @@
 
         :return: what other instances have to know.
         """
-        cleared = [self._records.clear(part, now=now) for part in parts]
+        cleared = [self.records.clear(part, now=now) for part in parts]
         return tuple(one for one in cleared if one is not None)
 
     def clear_server(
         self, incarnation: str, *, sent_at: int, now: int
     ) -> tuple[Suspicion, ...]:
         """Take back crashes of a server, as :meth:`CrashRecords.clear_server` does."""
-        return self._records.clear_server(incarnation, sent_at=sent_at, now=now)
+        return self.records.clear_server(incarnation, sent_at=sent_at, now=now)
 
     def merge(
         self,
@@ -187,25 +189,25 @@
         :return: those that told something new.
         """
         listed = tuple(suspicions)
-        merged = self._records.merge(listed, ages_ms=ages_ms, now=now)
+        merged = self.records.merge(listed, ages_ms=ages_ms, now=now)
         changed = {one.fingerprint for one in merged}
         return tuple(one for one in listed if one.fingerprint in changed)
 
     def attest_answered(self, suspicions: Iterable[Suspicion]) -> tuple[Suspicion, ...]:
         """Return what others have to know of suspect parts that were answered here."""
-        return self._records.attest_completed(suspicions)
+        return self.records.attest_completed(suspicions)
 
     def select_news(self, suspicions: Iterable[Suspicion]) -> tuple[Suspicion, ...]:
         """Return those that tell something new."""
-        return self._records.select_news(suspicions)
+        return self.records.select_news(suspicions)
 
     def list_worst(self, count: int) -> list[Suspicion]:
         """Return the parts with the most crashes, and those that changed last."""
-        return self._records.list_worst(count)
+        return self.records.list_worst(count)
 
     def get_age_ms(self, part: str, *, now: int) -> int:
         """Return how long ago the suspicion changed last, in ms."""
-        return self._records.get_age_ms(part, now=now)
+        return self.records.get_age_ms(part, now=now)
 
     def list_guilty(self) -> dict[str, int]:
         """Return the quarantined parts, with the crashes in turn that they explain."""
@@ -223,7 +225,7 @@
         for part in parts:
             if part not in guilty:
                 continue
-            wait_ms = self._records.get_retrial_wait_ms(
+            wait_ms = self.records.get_retrial_wait_ms(
                 part,
                 retrials=guilty[part] - self._get_limit(_Suspect(name=part)),
                 is_explained=False,
@@ -240,7 +242,7 @@
         One that was answered before is not, unless it is quarantined: many prompts may
         share it.
         """
-        suspicion = self._records.find(part)
+        suspicion = self.records.find(part)
         if suspicion is None:
             return False
         if part in self._judge().guilty:
@@ -250,7 +252,7 @@
 
     def _judge(self) -> Verdicts:
         """Return the verdicts on what is known now."""
-        based_on = (self._records.changes, self._requests.changes)
+        based_on = (self.records.changes, self._requests.changes)
         if self._verdicts.based_on != based_on:
             guilty, explained = self._explain_crashes()
             self._verdicts = Verdicts(guilty=guilty, based_on=based_on)
@@ -265,7 +267,7 @@
         """
         suspects = {
             _Suspect(name=name, is_part=is_part): crashes
-            for is_part, records in ((True, self._records), (False, self._requests))
+            for is_part, records in ((True, self.records), (False, self._requests))
             for name, crashes in records.list_suspects().items()
         }
         guilty: dict[str, int] = {}
@@ -301,7 +303,7 @@
         return MAX_CRASHES
 
     def _rank(self, suspect: _Suspect, count: int) -> _Rank:
-        records = self._records if suspect.is_part else self._requests
+        records = self.records if suspect.is_part else self._requests
         return _Rank(
             was_answered=records.has_completed(suspect.name),
             count=count,
--- a/src/arbutuspulley/programs/node.py
+++ b/src/arbutuspulley/programs/node.py
@@ -21,6 +21,7 @@
     build_snapshot,
 )
 from arbutuspulley.node.coordinator import Coordinator
+from arbutuspulley.node.crash_store import CrashStore
 from arbutuspulley.node.directory import Directory
 from arbutuspulley.node.election import Election
 from arbutuspulley.node.frontend import Frontend
@@ -169,6 +170,7 @@
     def apply_era(era: int) -> None:
         metrics.store_era.set(era)
         streams.restart(era)
+        crashes.restart(era)
 
     link = Link(state=state)
     lease = CoordinatorLeaseState(
@@ -180,6 +182,7 @@
     coordinator = Coordinator(state=state, lease=lease, receive_local=link.receive)
     election = Election(state=state, lease=lease, link=link, coordinator=coordinator)
     poison = PoisonGuard(state=state, link=link)
+    crashes = CrashStore(state=state, merge=poison.merge_update)
     paths = ServerPaths(
         state=state, on_change=lambda: link.send(link.build_heartbeat())
     )
@@ -209,6 +212,7 @@
             lambda: bootstrap_from_neighbours(state, link),
             election.run,
             streams.run,
+            crashes.run,
             paths.watch,
             reloader.watch,
         )
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -14,6 +14,11 @@
 from arbutuspulley.clock import Clock
 from arbutuspulley.delivery.crash_records import CrashRecords
 from arbutuspulley.delivery.part_records import PartRecords
+from arbutuspulley.node.crash_store import (
+    LONE_INTERVAL_MS,
+    WRITE_INTERVAL_MS,
+    CrashJournal,
+)
 from arbutuspulley.node.messages import SuspicionUpdate
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.poison import TRIAL_SPREAD_MS, PoisonGuard
@@ -40,6 +45,9 @@
 MESSAGE_MS = (1, 6)
 """Shortest and longest time that a message takes on one link, in ms."""
 
+STORE_MS = (2, 30)
+"""Shortest and longest time of a call to the store, in ms."""
+
 RUN_MS = {True: (5, 400), False: (20, 1_500)}
 """How long requests run, in ms: those that crash their server, and harmless ones."""
 
@@ -82,7 +90,63 @@
         self.part_records = PartRecords(requests=self.crash_records)
         self.guard = PoisonGuard(state=self, link=self)
         self.is_linked = False
+        self.journal = CrashJournal(
+            clock=self.clock,
+            requests=self.crash_records,
+            parts=self.part_records.records,
+            on_change=self.schedule_write,
+        )
+        self.is_writing = False
         self.model.after(self.model.draw((50, 800)), self.link_up)
+        self.call_store(self.read_rows)
+
+    def call_store(self, call, *args, delay_ms=0):
+        """Call the store, unless it is away; the call is lost with this process."""
+        if not self.model.has_store:
+            return
+        boot = self.boot
+
+        def arrive():
+            if self.boot is not boot:
+                return
+            if self.frozen_until > self.model.now:
+                self.model.after(self.frozen_until - self.model.now, arrive)
+                return
+            call(*args)
+
+        delay_ms += self.model.store_rng.uniform(*STORE_MS)
+        self.model.after(delay_ms, arrive)
+
+    def read_rows(self):
+        update = self.journal.adopt(self.model.rows, store_now=self.model.now)
+        self.guard.merge_update(update)
+
+    def read_again(self):
+        self.journal.awaits_rows = True
+        self.schedule_write()
+
+    def schedule_write(self):
+        if self.is_writing:
+            return
+        self.is_writing = True
+        delay_ms = WRITE_INTERVAL_MS if self.is_coordinator else LONE_INTERVAL_MS
+        self.call_store(self.write, delay_ms=delay_ms)
+
+    def write(self):
+        self.is_writing = False
+        if not self.is_coordinator and self.model.coordinator is not None:
+            self.journal.leave_to_coordinator(heard_at=self.model.now)
+            return
+        if self.journal.awaits_rows or not self.is_coordinator:
+            self.read_rows()
+        batch = self.journal.take_batch(store_now=self.model.now)
+        if batch is None:
+            return
+        self.model.rows |= batch.put
+        for key in batch.remove:
+            self.model.rows.pop(key, None)
+        self.journal.confirm(batch)
+        self.schedule_write()
 
     def link_up(self):
         """Exchange what is known with the coordinator, once there is one."""
@@ -143,6 +207,7 @@
     :param bad_parts: number of parts of prompts that do, in requests never alike.
     :param copies: number of instances through which they come at once.
     :param tries_others: whether instances that can't connect to a server try others.
+    :param has_store: whether the store serves; else it is away all the time.
     """
 
     def __init__(
@@ -155,8 +220,12 @@
         bad_parts=0,
         copies=1,
         tries_others=False,
+        has_store=True,
         every_ms,
     ):
+        self.has_store = has_store
+        self.rows = {}
+        self.store_rng = random.Random(seed)
         self.rng = random.Random(seed)
         self.now = 0
         self._events = []
@@ -205,6 +274,7 @@
             self.after(ELECT_AGAIN_MS, self.elect)
             return
         self.coordinator = self.rng.choice(others)
+        self.coordinator.read_again()
         for one in self.instances:
             one.is_linked = False
             self.after(self.draw((20, 500)), one.link_up)
@@ -439,9 +509,9 @@
 """Kinds of trouble."""
 
 
-def play(*, seed, kinds, **options):
+def play(*, seed, kinds, has_store=False, **options):
     """Play a model in which troubles strike some times each, until its quiet end."""
-    model = CrashModel(seed=seed, **options)
+    model = CrashModel(seed=seed, has_store=has_store, **options)
     for kind in kinds:
         for _ in range(model.rng.randint(1, 4)):
             at = model.draw((0, PLAY_MS - QUIET_MS - 5_000))
--- a/tests/test_crash_promises.py
+++ b/tests/test_crash_promises.py
@@ -65,6 +65,17 @@
         check_play(play(seed=seed, kinds=kinds, **options), seed)
 
 
+@pytest.mark.parametrize("other", KINDS)
+def test_both_promises_hold_where_the_store_keeps_crashes(other):
+    """Guards against suspects read from the store that are judged otherwise than those
+    that instances tell each other of; elsewhere here the store is away."""
+    first = SEEDS * KINDS.index(other)
+    for seed in range(first, first + SEEDS):
+        options = {**list_options(seed), "bad_parts": seed % 2, "tries_others": True}
+        model = play(seed=seed, kinds=("kill", other), has_store=True, **options)
+        check_play(model, seed)
+
+
 def test_a_harmless_request_is_served_although_those_who_saw_it_answered_are_killed():
     """Guards against a harmless request that is refused for hours because an instance
     counted its crashes that did not know that it had completed."""
