--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -25,8 +25,9 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.membership.software_versions import VersionHistory
 from arbutuspulley.node.state import NodeState
+from arbutuspulley.node.store_writing import repeat_step
 from arbutuspulley.platform.store import RowsAnswer, StoredRow
-from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
+from arbutuspulley.results import PlatformUnavailableError
 
 STREAMS_TABLE = "arbutus-streams"
 VERSIONS_TABLE = "arbutus-versions"
@@ -47,10 +48,6 @@
 """Maximum number of services whose versions are written in a transaction: it holds 100
 rows."""
 
-INITIAL_BACKOFF_MS = 100
-MAX_BACKOFF_MS = 1_000
-"""Backoff after a failed call, in ms; doubled up to the maximum."""
-
 REMOVAL_INTERVAL_MS = 5_000
 """Interval of removing expired rows while no stream begins, in ms."""
 
@@ -102,17 +99,13 @@
 
     async def run(self) -> None:
         """Read the versions' history, then write what changes; never returns."""
-        backoff_ms = INITIAL_BACKOFF_MS
-        while True:
-            try:
-                await self._step()
-                backoff_ms = INITIAL_BACKOFF_MS
-            except (PlatformUnavailableError, OutcomeUnknownError) as error:
-                log_event(Event.STREAM_RECORDS_DELAYED, detail=error.detail)
-                jitter = self._state.rng.uniform(0.5, 1.0)
-                await asyncio.sleep(backoff_ms * jitter / SECOND_MS)
-                backoff_ms = min(MAX_BACKOFF_MS, 2 * backoff_ms)
-                self._state.stream_journal_changed.set()
+        await repeat_step(
+            self._step, rng=self._state.rng, on_failure=self._report_failure
+        )
+
+    def _report_failure(self, detail: str) -> None:
+        log_event(Event.STREAM_RECORDS_DELAYED, detail=detail)
+        self._state.stream_journal_changed.set()
 
     async def _step(self) -> None:
         """Wait for a change, and write it."""
--- a/tests/test_stream_store.py
+++ b/tests/test_stream_store.py
@@ -11,9 +11,9 @@
     REMOVAL_MARGIN_MS,
     decode_row,
 )
+from arbutuspulley.node.store_writing import MAX_BACKOFF_MS
 from arbutuspulley.node.stream_store import (
     LONE_INTERVAL_MS,
-    MAX_BACKOFF_MS,
     MIN_READ_INTERVAL_MS,
     REMOVAL_INTERVAL_MS,
     STREAMS_TABLE,
