Keep the versions that have left by service

Callers: nothing, but for requests that wait as the coordinator is busy. It builds the histories of all services at each change of a server's row, and each 50 ms while streams of a mixed service begin.

Cause: each service looked through the versions of all services that have left, which a rolling release makes as many as there are services.

Change: the versions are kept by service.

Measured: build_history() and list_mixed() together, each service with one version that has left, one run: 4.4 ms before and 1.0 ms after at 200 services, 99.1 ms and 6.2 ms at 1,000.

--- a/src/arbutuspulley/membership/software_versions.py
+++ b/src/arbutuspulley/membership/software_versions.py
@@ -65,7 +65,7 @@
         self._confirmed: frozenset[str] = frozenset()
         self._current: dict[str, frozenset[SoftwareVersion]] = {}
         self._settled_at = 0
-        self._gone_at: dict[tuple[str, SoftwareVersion], int] = {}
+        self._gone_at: dict[str, dict[SoftwareVersion, int]] = {}
         # Whether the store has not said yet which versions were in service before this
         # process started.
         self.awaits_history = False
@@ -80,11 +80,11 @@
         }
         for service, versions in self._current.items():
             for version in versions - current.get(service, frozenset()):
-                self._gone_at[service, version] = now
+                self._gone_at.setdefault(service, {})[version] = now
         self._gone_at = {
-            pair: gone_at
-            for pair, gone_at in self._gone_at.items()
-            if now - gone_at < MAX_RETENTION_MS
+            service: gone
+            for service in self._gone_at
+            if (gone := self._list_gone(service, now=now))
         }
         self._current = current
 
@@ -114,9 +114,10 @@
         for service, history in histories.items():
             left = dict.fromkeys(history.current, store_now) | history.left
             for name, left_at in left.items():
-                pair = (service, SoftwareVersion(name=name))
+                gone = self._gone_at.setdefault(service, {})
+                version = SoftwareVersion(name=name)
                 gone_at = now - max(0, store_now - left_at)
-                self._gone_at[pair] = max(gone_at, self._gone_at.get(pair, gone_at))
+                gone[version] = max(gone_at, gone.get(version, gone_at))
 
     def is_settling(self, service: str, *, now: int) -> bool:
         """Return whether the versions of a service may not be complete yet."""
@@ -145,22 +146,16 @@
             current=tuple(sorted(version.name for version in current)),
             left={
                 version.name: gone_at - now + store_now
-                for (name, version), gone_at in self._gone_at.items()
-                if name == service
-                and version not in current
-                and now - gone_at < MAX_RETENTION_MS
+                for version, gone_at in self._list_gone(service, now=now).items()
+                if version not in current
             },
             era=era,
         )
 
     def list_known(self, service: str, *, now: int) -> frozenset[SoftwareVersion]:
         """Return the versions whose streams may still be resumed."""
-        gone = {
-            version
-            for (name, version), gone_at in self._gone_at.items()
-            if name == service and now - gone_at < MAX_RETENTION_MS
-        }
-        return self._current.get(service, frozenset()) | gone
+        gone = self._list_gone(service, now=now)
+        return self._current.get(service, frozenset()).union(gone)
 
     def is_mixed(self, service: str, *, now: int) -> bool:
         """Return whether streams of several versions may be resumed at a service.
@@ -182,4 +177,12 @@
         )
 
     def _list_services(self) -> set[str]:
-        return {*self._current, *(service for service, _version in self._gone_at)}
+        return {*self._current, *self._gone_at}
+
+    def _list_gone(self, service: str, *, now: int) -> dict[SoftwareVersion, int]:
+        """Return when the versions left whose streams may still be resumed."""
+        return {
+            version: gone_at
+            for version, gone_at in self._gone_at.get(service, {}).items()
+            if now - gone_at < MAX_RETENTION_MS
+        }
