Read the records anew each time an instance becomes the coordinator

Callers: a stream is refused though its record is in the store, if the coordinator lost the lease while it read the records, another one wrote, and the first took the lease again before its read had ended.

Cause: the end of the first read marked the records as read for the new term, too.

Change: a read that began in an earlier term is dropped.

Measured: test_a_coordinator_again_reads_what_was_written_in_between failed before and passes; tests/test_stream_store.py passes.

--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -70,6 +70,7 @@
         "_read_at",
         "_reading",
         "_state",
+        "_term",
         "_was_coordinator",
     )
 
@@ -81,6 +82,8 @@
         self._read_at = -MIN_READ_INTERVAL_MS
         self._reading: asyncio.Task[bool] | None = None
         self._state = state
+        # Number of times that this instance has become the coordinator.
+        self._term = 0
         self._was_coordinator = False
         state.software_versions.awaits_history = True
         state.stream_journal.awaits_records = True
@@ -89,6 +92,7 @@
         state.on_coordinating.append(self._start_coordinating)
 
     def _start_coordinating(self) -> None:
+        self._term += 1
         self._was_coordinator = False
         self._state.stream_journal.release()
         self._state.stream_journal_changed.set()
@@ -158,19 +162,23 @@
     async def _coordinate(self) -> None:
         """Do the coordinator's part: the versions, and streams that have no record."""
         state, journal = self._state, self._state.stream_journal
+        term = self._term
         if not self._was_coordinator:
             await self._read_history()
         await self._write_histories()
         mixed = state.software_versions.list_mixed(now=state.clock.now())
         if mixed and journal.awaits_records:
             rows = await self._read_streams()
+            if term != self._term:
+                # Another coordinator may have written since.
+                return
             now = state.clock.now()
             journal.adopt(rows, now=now, store_now=now + self._offset_ms)
             self._mixed = frozenset()
         if mixed != self._mixed:
             self._mixed = mixed
             self._add_missing()
-        self._was_coordinator = True
+        self._was_coordinator = term == self._term
 
     def _add_missing(self) -> None:
         """Add streams that began before their service had several versions."""
