Test streams whose version only their records name

Fails: a record is in the store, and the row of versions lacks its version, as there was no coordinator to write it, or as a late write replaced it. After all processes were killed the service counts as having one version, nobody reads the records, and the stream goes on at the other version.

--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -2,6 +2,7 @@
 
 from arbutuspulley.node.stream_store import (
     STREAMS_TABLE,
+    VERSIONS_TABLE,
     WRITE_INTERVAL_MS,
 )
 from tests.test_stream_store import CALL_MS, V1, V2, pass_ms, play, start
@@ -23,6 +24,19 @@
     process.client.read = read_late
 
 
+def delay_next_write(process, table, delay_ms):
+    """Let the next write of a process to a table reach the store late."""
+    write = process.client.write
+
+    async def write_late(name, **rows):
+        if name == table:
+            process.client.write = write
+            await pass_ms(delay_ms)
+        return await write(name, **rows)
+
+    process.client.write = write_late
+
+
 def test_a_coordinator_again_reads_what_was_written_in_between():
     """Guards against a coordinator that lost the lease while it read the records, and
     that relies on that read as it has the lease again."""
@@ -42,3 +56,48 @@
         assert first.find(1) == V1
 
     play(scenario)
+
+
+def test_a_version_that_only_records_of_streams_name_counts():
+    """Guards against a stream that goes on at another version although its record is in
+    the store: its version came and left while there was no coordinator."""
+
+    async def scenario(store):
+        first = await start(store, V1)
+        await first.kill()
+        second = await start(store, V1, is_coordinator=False)
+        second.set_versions(V1, V2)
+        second.begin(1, version=V2)
+        await pass_ms(1_000)
+        assert store.list_keys() == {1}
+        second.set_versions(V1)
+        await second.kill()
+        third = await start(store, V1)
+        assert third.find(1) == V2
+        assert third.is_mixed()
+
+    play(scenario)
+
+
+def test_a_late_write_of_another_coordinator_forgets_no_version():
+    """Guards against a stream that goes on at another version, as the write of a former
+    coordinator came late and replaced the versions that its successor had written."""
+
+    async def scenario(store):
+        first = await start(store, V1, is_coordinator=False)
+        delay_next_write(first, VERSIONS_TABLE, 1_000)
+        first.coordinate()
+        await pass_ms(100)
+        second = await start(store, V1, V2)
+        second.begin(1, version=V2)
+        await pass_ms(WRITTEN_MS)
+        second.set_versions(V1)
+        await pass_ms(1_000)
+        assert b"v2" not in store.tables[VERSIONS_TABLE]["llm"]
+        await first.kill()
+        await second.kill()
+        third = await start(store, V1)
+        assert third.find(1) == V2
+        assert third.is_mixed()
+
+    play(scenario)
