Let versions count that only records of streams name

Callers: a stream whose record is in the store goes on at another version after all processes were killed, if the row of versions lacks its version: there was no coordinator to write it, or a late write of a former one replaced it.

Cause: a new coordinator reads the records only of services that it knows to be mixed.

Change: it reads them once in any case, before it writes the versions, and their versions count as if they had left just now. A service with one version pays one read for each new coordinator; its test names that read instead of none, and still allows no other call and no row.

--- a/src/arbutuspulley/membership/software_versions.py
+++ b/src/arbutuspulley/membership/software_versions.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from arbutuspulley.data import Message
-from arbutuspulley.delivery.begun_streams import MAX_RETENTION_MS
+from arbutuspulley.delivery.begun_streams import MAX_RETENTION_MS, BegunStream
 from arbutuspulley.ports.fleet import ServerEntry, SoftwareVersion
 
 TIME_TOLERANCE_MS = 5_000
@@ -119,6 +119,16 @@
                 gone_at = now - max(0, store_now - left_at)
                 gone[version] = max(gone_at, gone.get(version, gone_at))
 
+    def add_streams(self, streams: Iterable[BegunStream], *, now: int) -> None:
+        """Add the versions of recorded streams, which the history may lack.
+
+        One that is not known otherwise may have left just now.
+        """
+        for service, version in {
+            (stream.service, stream.version) for stream in streams
+        }:
+            self._gone_at.setdefault(service, {}).setdefault(version, now)
+
     def is_settling(self, service: str, *, now: int) -> bool:
         """Return whether the versions of a service may not be complete yet."""
         if self.awaits_history:
--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -165,9 +165,7 @@
         term = self._term
         if not self._was_coordinator:
             await self._read_history()
-        await self._write_histories()
-        mixed = state.software_versions.list_mixed(now=state.clock.now())
-        if mixed and journal.awaits_records:
+        if journal.awaits_records:
             rows = await self._read_streams()
             if term != self._term:
                 # Another coordinator may have written since.
@@ -175,6 +173,8 @@
             now = state.clock.now()
             journal.adopt(rows, now=now, store_now=now + self._offset_ms)
             self._mixed = frozenset()
+        await self._write_histories()
+        mixed = state.software_versions.list_mixed(now=state.clock.now())
         if mixed != self._mixed:
             self._mixed = mixed
             self._add_missing()
@@ -234,6 +234,7 @@
         streams = list_streams(rows.values(), now=now, store_now=now + self._offset_ms)
         for key, stream in streams.items():
             state.begun_streams.add(key, stream, now=now)
+        state.software_versions.add_streams(streams.values(), now=now)
         log_event(Event.STREAM_RECORDS_READ, rows=len(rows), streams=len(streams))
         return rows
 
