Test records as the store comes back with a clock that is ahead

Fails: each record whose time of expiry is over by the new clock is removed, and a record that is written again states its expiry by the clock of the era before.

--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -1,5 +1,7 @@
 """Records of streams when processes, coordinators and the store fail together."""
 
+import pytest
+
 from arbutuspulley.node.stream_store import (
     STREAMS_TABLE,
     VERSIONS_TABLE,
@@ -101,3 +103,26 @@
         assert third.is_mixed()
 
     play(scenario)
+
+
+@pytest.mark.parametrize("ahead_ms", [0, 3_600_000])
+def test_a_clock_that_is_ahead_in_a_new_era_expires_nothing(ahead_ms):
+    """Guards against records that are removed early, or versions that are forgotten, as
+    the store comes back with a clock that is ahead of the one before."""
+
+    async def scenario(store):
+        first = await start(store, V1, V2)
+        first.begin(1, version=V2)
+        await pass_ms(WRITTEN_MS)
+        first.set_versions(V1)
+        await pass_ms(WRITTEN_MS)
+        store.restore(store.copy())
+        store.clock_offset_ms += ahead_ms
+        first.begin(2)
+        await pass_ms(1_000)
+        await first.kill()
+        second = await start(store, V1)
+        assert (second.find(1), second.find(2)) == (V2, V1)
+        assert second.is_mixed()
+
+    play(scenario)
