State the times of records by the store's clock of the present era

Callers: after the store has come back with a clock that is ahead, streams are refused once all processes were killed, though processes had lived to write their records again.

Cause: a record's expiry was stated, and judged, by the clock of the era in which the record was first built.

Change: records expire by the own clock; their expiry is computed as they are written, by a reading of the store's clock of this era, which costs one read an era.

Measured: test_a_clock_that_is_ahead_in_a_new_era_expires_nothing failed before (an hour ahead) and passes; the tests of the records and their store pass.

--- a/src/arbutuspulley/delivery/stream_records.py
+++ b/src/arbutuspulley/delivery/stream_records.py
@@ -144,13 +144,17 @@
         :param store_now: reading of the store's clock at ``now``, in ms.
         """
         self._seal(now=now, store_now=store_now)
-        self._expire(store_now)
+        self._expire(now)
         remove = tuple(itertools.islice(self._removed, MAX_REMOVED_ROWS))
         put: dict[str, bytes] = {}
         for key in itertools.islice(self._unwritten, MAX_BATCH_ROWS):
             known = self._rows[key]
             known.is_sent = True
-            put[key] = msgspec.msgpack.encode(known.row)
+            # The store's clock may be another one than when the row was built.
+            row = msgspec.structs.replace(
+                known.row, expires_at=known.until - now + store_now
+            )
+            put[key] = msgspec.msgpack.encode(row)
         return RecordBatch(put=put, remove=remove) if put or remove else None
 
     def confirm(self, batch: RecordBatch) -> None:
@@ -200,12 +204,12 @@
             if other is None or other.until < known.until:
                 self._stored[key] = known
 
-    def _expire(self, store_now: int) -> None:
+    def _expire(self, now: int) -> None:
         """Forget rows whose streams have expired, and let them be removed."""
         expired = [
             key
             for key, known in self._rows.items()
-            if known.row.expires_at + REMOVAL_MARGIN_MS <= store_now
+            if known.until + REMOVAL_MARGIN_MS <= now
         ]
         for key in expired:
             known = self._rows.pop(key)
--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -65,6 +65,7 @@
     __slots__ = (
         "_coordinating",
         "_histories",
+        "_is_clock_read",
         "_mixed",
         "_offset_ms",
         "_read_at",
@@ -77,6 +78,8 @@
     def __init__(self, *, state: NodeState) -> None:
         self._coordinating = asyncio.Event()
         self._histories: dict[str, VersionHistory] = {}
+        # Whether the store's clock has been read in its present era.
+        self._is_clock_read = False
         self._mixed: frozenset[str] = frozenset()
         self._offset_ms = 0
         self._read_at = -MIN_READ_INTERVAL_MS
@@ -101,6 +104,7 @@
     def restart(self, _era: int) -> None:
         """Write everything again; called when a new era of the store is seen."""
         self._histories.clear()
+        self._is_clock_read = False
         self._state.stream_journal.restart()
         self._state.stream_journal_changed.set()
 
@@ -241,11 +245,19 @@
     def _record_clock(self, store_ms: float) -> int:
         """Record a reading of the store's clock, and return the own clock's."""
         now = self._state.clock.now()
+        self._is_clock_read = True
         self._offset_ms = int(store_ms) - now
         return now
 
+    async def _read_clock(self) -> None:
+        """Read the store's clock, unless that was done in this era."""
+        if not self._is_clock_read:
+            answer = await self._state.store.read(VERSIONS_TABLE)
+            self._record_clock(answer.now_ms)
+
     async def _write_histories(self) -> None:
         state = self._state
+        await self._read_clock()
         now = state.clock.now()
         histories = state.software_versions.build_history(
             now=now, store_now=now + self._offset_ms, era=state.store.era.current
@@ -274,6 +286,7 @@
     async def _write_streams(self) -> None:
         state = self._state
         while True:
+            await self._read_clock()
             now = state.clock.now()
             batch = state.stream_journal.take_batch(
                 now=now, store_now=now + self._offset_ms
