Test a look-up that is answered by an earlier read

Fails: within a second of a read, an instance answers for a stream by that read, though the stream's record was written since, and refuses the stream for good (2011). Requests of plain services look up so with a coordinator, too.

--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -3,6 +3,7 @@
 import pytest
 
 from arbutuspulley.node.stream_store import (
+    MIN_READ_INTERVAL_MS,
     STREAMS_TABLE,
     VERSIONS_TABLE,
     WRITE_INTERVAL_MS,
@@ -126,3 +127,21 @@
         assert second.is_mixed()
 
     play(scenario)
+
+
+@pytest.mark.parametrize("since_ms", [0, MIN_READ_INTERVAL_MS // 2])
+def test_a_look_up_finds_what_was_written_before_it(since_ms):
+    """Guards against a stream that is refused for good by a read from before its record
+    was written."""
+
+    async def scenario(store):
+        alone = await start(store, V1, V2, is_coordinator=False)
+        await alone.streams.look_up()
+        coordinator = await start(store, V1, V2)
+        coordinator.begin(1)
+        await pass_ms(WRITTEN_MS + since_ms)
+        assert store.list_keys() == {1}
+        assert await alone.streams.look_up()
+        assert alone.find(1) == V1
+
+    play(scenario)
