--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -62,22 +62,28 @@
     __slots__ = (
         "_coordinating",
         "_histories",
+        "_is_clock_read",
         "_mixed",
         "_offset_ms",
         "_read_at",
         "_reading",
         "_state",
+        "_term",
         "_was_coordinator",
     )
 
     def __init__(self, *, state: NodeState) -> None:
         self._coordinating = asyncio.Event()
         self._histories: dict[str, VersionHistory] = {}
+        # Whether the store's clock has been read in its present era.
+        self._is_clock_read = False
         self._mixed: frozenset[str] = frozenset()
         self._offset_ms = 0
         self._read_at = -MIN_READ_INTERVAL_MS
         self._reading: asyncio.Task[bool] | None = None
         self._state = state
+        # Number of times that this instance has become the coordinator.
+        self._term = 0
         self._was_coordinator = False
         state.software_versions.awaits_history = True
         state.stream_journal.awaits_records = True
@@ -86,6 +92,7 @@
         state.on_coordinating.append(self._start_coordinating)
 
     def _start_coordinating(self) -> None:
+        self._term += 1
         self._was_coordinator = False
         self._state.stream_journal.release()
         self._state.stream_journal_changed.set()
@@ -94,6 +101,7 @@
     def restart(self, _era: int) -> None:
         """Write everything again; called when a new era of the store is seen."""
         self._histories.clear()
+        self._is_clock_read = False
         self._state.stream_journal.restart()
         self._state.stream_journal_changed.set()
 
@@ -151,19 +159,23 @@
     async def _coordinate(self) -> None:
         """Do the coordinator's part: the versions, and streams that have no record."""
         state, journal = self._state, self._state.stream_journal
+        term = self._term
         if not self._was_coordinator:
             await self._read_history()
-        await self._write_histories()
-        mixed = state.software_versions.list_mixed(now=state.clock.now())
-        if mixed and journal.awaits_records:
+        if journal.awaits_records:
             rows = await self._read_streams()
+            if term != self._term:
+                # Another coordinator may have written since.
+                return
             now = state.clock.now()
             journal.adopt(rows, now=now, store_now=now + self._offset_ms)
             self._mixed = frozenset()
+        await self._write_histories()
+        mixed = state.software_versions.list_mixed(now=state.clock.now())
         if mixed != self._mixed:
             self._mixed = mixed
             self._add_missing()
-        self._was_coordinator = True
+        self._was_coordinator = term == self._term
 
     def _add_missing(self) -> None:
         """Add streams that began before their service had several versions."""
@@ -219,17 +231,26 @@
         streams = list_streams(rows.values(), now=now, store_now=now + self._offset_ms)
         for key, stream in streams.items():
             state.begun_streams.add(key, stream, now=now)
+        state.software_versions.add_streams(streams.values(), now=now)
         log_event(Event.STREAM_RECORDS_READ, rows=len(rows), streams=len(streams))
         return rows
 
     def _record_clock(self, store_ms: float) -> int:
         """Record a reading of the store's clock, and return the own clock's."""
         now = self._state.clock.now()
+        self._is_clock_read = True
         self._offset_ms = int(store_ms) - now
         return now
 
+    async def _read_clock(self) -> None:
+        """Read the store's clock, unless that was done in this era."""
+        if not self._is_clock_read:
+            answer = await self._state.store.read(VERSIONS_TABLE)
+            self._record_clock(answer.now_ms)
+
     async def _write_histories(self) -> None:
         state = self._state
+        await self._read_clock()
         now = state.clock.now()
         histories = state.software_versions.build_history(
             now=now, store_now=now + self._offset_ms, era=state.store.era.current
@@ -258,6 +279,7 @@
     async def _write_streams(self) -> None:
         state = self._state
         while True:
+            await self._read_clock()
             now = state.clock.now()
             batch = state.stream_journal.take_batch(
                 now=now, store_now=now + self._offset_ms
