Let a look-up find what was written before it

What callers saw: a stream was refused for good (2011) by an instance that had read the records up to 1 s before the stream was recorded: instances without a coordinator, and all for services without models.

Cause: a look-up within 1 s of the last read was answered by that read. It waits for the next one now, which all that ask meanwhile share, so that reads stay 1 s apart. A test required that look-ups within that second cause no read at all; it requires now that 50 at once share one and that reads are 1 s apart. Also, times at which versions left aren't taken from a row of an earlier era, whose clock may be another one.

--- a/src/arbutuspulley/membership/software_versions.py
+++ b/src/arbutuspulley/membership/software_versions.py
@@ -112,7 +112,12 @@
                 name for name, history in histories.items() if history.era == era
             )
         for service, history in histories.items():
-            left = dict.fromkeys(history.current, store_now) | history.left
+            left = dict.fromkeys(history.current, store_now)
+            if history.era == era:
+                left |= history.left
+            else:
+                # The store's clock may be another one.
+                left |= dict.fromkeys(history.left, store_now)
             for name, left_at in left.items():
                 gone = self._gone_at.setdefault(service, {})
                 version = SoftwareVersion(name=name)
--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -186,19 +186,19 @@
                 state.stream_journal.add(key, stream)
 
     async def look_up(self) -> bool:
-        """Read the records, unless that was done recently.
+        """Read the records; all that ask before the next read share it.
 
         :return: whether the store was read.
         """
-        now = self._state.clock.now()
-        if self._reading is None or (
-            self._reading.done() and now - self._read_at >= MIN_READ_INTERVAL_MS
-        ):
-            self._read_at = now
+        if self._reading is None or self._reading.done():
             self._reading = asyncio.create_task(self._look_up())
         return await asyncio.shield(self._reading)
 
     async def _look_up(self) -> bool:
+        wait_ms = self._read_at + MIN_READ_INTERVAL_MS - self._state.clock.now()
+        if wait_ms > 0:
+            await asyncio.sleep(wait_ms / SECOND_MS)
+        self._read_at = self._state.clock.now()
         try:
             if self._state.software_versions.awaits_history:
                 await self._read_history()
@@ -232,7 +232,8 @@
         for key, stream in streams.items():
             state.begun_streams.add(key, stream, now=now)
         state.software_versions.add_streams(streams.values(), now=now)
-        log_event(Event.STREAM_RECORDS_READ, rows=len(rows), streams=len(streams))
+        if rows:
+            log_event(Event.STREAM_RECORDS_READ, rows=len(rows), streams=len(streams))
         return rows
 
     def _record_clock(self, store_ms: float) -> int:
