Record streams beside a coordinator of an older release

What callers would see: during a rolling restart into this release a power failure refuses all streams of mixed services, or lets them go on at another version: the coordinator of the older release records nothing, the instances left it to it, and one that had just started used its grant.

Cause: an instance took any coordinator for one that records streams. The coordinator's status says so now; without that, instances record their own streams, and use no grant that they can't check. Found in review; the test of the link fails before, 78 tests of links, grants and power failures pass.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -292,7 +292,7 @@
             progress.waited_ms += self._state.clock.now() - now
         progress.is_late = granted.is_late
         self._find_version()
-        if self._is_settling():
+        if self._is_settling() and self._link.records_streams:
             # The coordinator refuses streams whose version it does not know.
             progress.is_version_unknown = False
         why = self._get_exclusion(granted.incarnation)
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -529,7 +529,7 @@
                 run = self._acquisition.get_key(is_second=True)
                 started = msgspec.structs.replace(started, run=run)
             self._link.send(started)
-            if not self._link.is_up:
+            if not self._link.records_streams:
                 store_stream(self._state, get_stream_key(started))
         progress.events = events
         progress.last_event_at = now
--- a/src/arbutuspulley/node/link.py
+++ b/src/arbutuspulley/node/link.py
@@ -156,6 +156,16 @@
             return True
         return self._state.clock.now() - self._last_status_at < COORDINATOR_TIMEOUT_MS
 
+    @property
+    def records_streams(self) -> bool:
+        """Whether a coordinator keeps in the store which version began each stream.
+
+        One of an older release does not.
+        """
+        if self.deliver_local is not None:
+            return True
+        return self.is_up and self.status is not None and self.status.records_streams
+
     @property
     def is_store_relayed(self) -> bool:
         """Whether the coordinator relays all changes of the store to this instance."""
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -353,6 +353,8 @@
         configuration newer than ``configuration`` existed; 0: not known of any.
     :param grants_second: whether the coordinator understands grant requests for second
         attempts.
+    :param records_streams: whether the coordinator records in the store which software
+        version began each stream, and reads these records.
     """
 
     is_holder: bool
@@ -367,6 +369,7 @@
     fresh_beat: int = 0
     store_era: int = 0
     grants_second: bool = False
+    records_streams: bool = False
 
     @property
     def store_position(self) -> StorePosition:
--- a/src/arbutuspulley/node/peers.py
+++ b/src/arbutuspulley/node/peers.py
@@ -265,6 +265,7 @@
             store_era=position.era,
             configuration=self._state.configuration_version,
             grants_second=True,
+            records_streams=True,
         )
         self._receive_local([status])
         for peer in self._by_name.values():
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -118,3 +118,15 @@
     link.runs.remove("b")
     (run,) = link.build_hello().running
     assert (run.key, run.ran_ms) == ("a", 600)
+
+
+def test_a_coordinator_of_an_older_release_records_no_streams():
+    """Guards against streams without a record while releases of this program are mixed,
+    as the instances leave it to a coordinator that doesn't do it."""
+    link = Link(state=build_state(clock=Clock(read=lambda: 10_000)))
+    assert not link.records_streams
+    link.receive([CoordinatorStatus(is_holder=True)])
+    assert link.is_up
+    assert not link.records_streams
+    link.receive([CoordinatorStatus(is_holder=True, records_streams=True)])
+    assert link.records_streams
