--- a/src/arbutuspulley/membership/software_versions.py
+++ b/src/arbutuspulley/membership/software_versions.py
@@ -11,7 +11,7 @@
 the store's clock is known to within the time of a call."""
 
 
-SETTLING_MS = 3_000
+HISTORY_SETTLING_MS = 3_000
 """Time for which a row of versions that may be incomplete is not relied on, in ms:
 servers write theirs again within two seconds of the store's return."""
 
@@ -32,8 +32,11 @@
     era: int = 0
 
     def lists_same(self, other: "VersionHistory | None") -> bool:
-        """Return whether both are of one era, list the same versions as current and as
-        left, and the other one no earlier time at which one left."""
+        """Return whether the other one, as stored, needs no update by this one.
+
+        Both are of one era and list the same versions as current and as left. The
+        stored times at which versions left may be later, but not earlier.
+        """
         return (
             other is not None
             and self.era == other.era
@@ -107,7 +110,7 @@
         if self.awaits_history:
             self.awaits_history = False
             # No rows at all: no process has run here before.
-            self._settled_at = now + SETTLING_MS if histories else now
+            self._settled_at = now + HISTORY_SETTLING_MS if histories else now
             self._confirmed = frozenset(
                 name for name, history in histories.items() if history.era == era
             )
--- a/src/arbutuspulley/programs/node.py
+++ b/src/arbutuspulley/programs/node.py
@@ -160,6 +160,7 @@
             address=settings.store,
             clock=clock,
             count_call=lambda call: metrics.store_calls.labels(call).inc(),
+            # Defined below: what it updates needs the state.
             on_era=lambda era: apply_era(era),
         ),
         metrics=metrics,
