Tell a coordinator that has read no servers from one that has none left

What callers would see: after the last server of a service had gone, a stream whose version was known was told 2013, to come back, instead of 2012.

Cause: the check for unread rows of servers asked whether any server is listed now, and not whether any has been.

--- a/src/arbutuspulley/membership/software_versions.py
+++ b/src/arbutuspulley/membership/software_versions.py
@@ -61,6 +61,7 @@
         "_gone_at",
         "_settled_at",
         "awaits_history",
+        "has_listed",
     )
 
     def __init__(self) -> None:
@@ -72,6 +73,8 @@
         # Whether the store has not said yet which versions were in service before this
         # process started.
         self.awaits_history = False
+        # Whether any server has been registered here: else their rows are unread.
+        self.has_listed = False
 
     def update(
         self, by_service: Mapping[str, Iterable[ServerEntry]], *, now: int
@@ -90,6 +93,7 @@
             if (gone := self._list_gone(service, now=now))
         }
         self._current = current
+        self.has_listed |= bool(current)
 
     def add_history(
         self,
--- a/src/arbutuspulley/node/stream_copies.py
+++ b/src/arbutuspulley/node/stream_copies.py
@@ -112,7 +112,7 @@
         """
         now = self._state.clock.now()
         resumes = request.version is not None or request.resumed_stream is not None
-        if resumes and not self._state.by_service:
+        if resumes and not self._state.software_versions.has_listed:
             return self._refuse_unread(request)
         if request.version is not None:
             version = SoftwareVersion(name=request.version)
