--- a/tests/stream_record_costs.py
+++ b/tests/stream_record_costs.py
@@ -32,10 +32,9 @@
     list_streams,
 )
 from arbutuspulley.membership.software_versions import VersionHistory
+from arbutuspulley.node.store_writing import INITIAL_BACKOFF_MS, MAX_BACKOFF_MS
 from arbutuspulley.node.stream_store import (
-    INITIAL_BACKOFF_MS,
     LONE_INTERVAL_PER_INSTANCE_MS,
-    MAX_BACKOFF_MS,
     STREAMS_TABLE,
     VERSIONS_TABLE,
     WRITE_INTERVAL_MS,
