Compute the backoff of the store's writers as elsewhere

The loop that repeats their calls doubled the time by itself, though the clock's module has compute_backoff_ms for that.

--- a/src/arbutuspulley/node/store_writing.py
+++ b/src/arbutuspulley/node/store_writing.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.clock import SECOND_MS, compute_backoff_ms
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
 
 INITIAL_BACKOFF_MS = 100
@@ -22,12 +22,15 @@
 
     :param on_failure: called with the reason before the backoff.
     """
-    backoff_ms = INITIAL_BACKOFF_MS
+    failures = 0
     while True:
         try:
             await step()
-            backoff_ms = INITIAL_BACKOFF_MS
+            failures = 0
         except (PlatformUnavailableError, OutcomeUnknownError) as error:
+            failures += 1
             on_failure(error.detail)
+            backoff_ms = compute_backoff_ms(
+                INITIAL_BACKOFF_MS, max_ms=MAX_BACKOFF_MS, count=failures
+            )
             await asyncio.sleep(backoff_ms * rng.uniform(0.5, 1.0) / SECOND_MS)
-            backoff_ms = min(MAX_BACKOFF_MS, 2 * backoff_ms)
