Tell unread rows of servers by one check at instance and coordinator

What callers would see: once the last server of all services had gone, a caller whose stream's version was known waited for a coordinator instead of being told 2012 at once.

Cause: the instance asked whether any server is listed now, the coordinator, since, whether any has been. Both ask the latter now.

--- a/src/arbutuspulley/node/stream_versions.py
+++ b/src/arbutuspulley/node/stream_versions.py
@@ -94,9 +94,9 @@
 def is_version_gone(state: NodeState, progress: Progress) -> bool:
     """Return whether no server is left at which a request may go on.
 
-    Where no server of any service is known, their rows have not been read yet.
+    Until any server has been listed, their rows have not been read yet.
     """
-    if progress.version is None or not state.by_service:
+    if progress.version is None or not state.software_versions.has_listed:
         return False
     return not any(
         entry.software_version == progress.version and not entry.is_leaving
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -260,6 +260,7 @@
     if listed:
         other = build_entry("e2", software_version=trial.progress.version)
         trial.state.by_service["llm"].append(other)
+    trial.state.software_versions.update(trial.state.by_service, now=10_000)
 
 
 def test_a_granted_server_of_another_version_is_returned():
@@ -333,6 +334,19 @@
     assert not trial.sent
 
 
+def test_a_version_is_gone_once_the_last_server_of_all_services_is():
+    """Guards against a caller who waits as if no rows of servers had been read yet,
+    where the last server has gone."""
+    trial = Trial(refuse)
+    continue_stream(trial, "v2", listed=False)
+    trial.state.by_service.clear()
+    trial.state.software_versions.update({}, now=10_000)
+    with pytest.raises(NoServerError) as failed:
+        trial.get_server()
+    assert failed.value.reason == GONE_REASON
+    assert not trial.sent
+
+
 def test_a_refusal_tells_that_the_version_is_gone():
     trial = Trial(lambda one: refuse(one, reason=RefusalReason.VERSION_GONE))
     continue_stream(trial, "v2")
