Write the rows of streams, versions and crashes by one function

Three places wrote rows without a condition, noted the store's clock and asked whether a new era had begun meanwhile. write_rows does that now and says whether the store has kept the rows.

--- a/src/arbutuspulley/node/crash_store.py
+++ b/src/arbutuspulley/node/crash_store.py
@@ -23,7 +23,7 @@
 from arbutuspulley.node.link import COORDINATOR_TIMEOUT_MS
 from arbutuspulley.node.messages import SuspicionUpdate
 from arbutuspulley.node.state import NodeState
-from arbutuspulley.node.store_writing import repeat_step
+from arbutuspulley.node.store_writing import repeat_step, write_rows
 from arbutuspulley.rpc.messages import Suspicion
 
 CRASHES_TABLE = "arbutus-crashes"
@@ -287,13 +287,12 @@
             batch = journal.take_batch(store_now=self._read_store_clock())
             if batch is None:
                 return
-            era = state.store.era.current
             put = {key: msgspec.msgpack.encode(row) for key, row in batch.put.items()}
-            answer = await state.store.write(
-                CRASHES_TABLE, expected={}, put=put, remove=batch.remove
+            written = await write_rows(
+                state.store, CRASHES_TABLE, put=put, remove=batch.remove
             )
-            self._record_clock(answer.now_ms)
-            if era == state.store.era.current:
+            self._record_clock(written.now_ms)
+            if written.is_kept:
                 journal.confirm(batch)
 
     def _record_clock(self, store_ms: float) -> None:
--- a/src/arbutuspulley/node/store_writing.py
+++ b/src/arbutuspulley/node/store_writing.py
@@ -1,10 +1,12 @@
-"""Repeats calls to the store that are made behind the work, with backoff."""
+"""Writes to the store that are made behind the work, repeated with backoff."""
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from arbutuspulley.clock import SECOND_MS, compute_backoff_ms
+from arbutuspulley.data import Value
+from arbutuspulley.platform.store import StoreClient
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
 
 INITIAL_BACKOFF_MS = 100
@@ -34,3 +36,28 @@
                 INITIAL_BACKOFF_MS, max_ms=MAX_BACKOFF_MS, count=failures
             )
             await asyncio.sleep(backoff_ms * rng.uniform(0.5, 1.0) / SECOND_MS)
+
+
+class WrittenRows(Value, frozen=True):
+    """Result of a write.
+
+    :param now_ms: reading of the store's clock, in ms.
+    :param is_kept: whether the store has them: it has not come back from a copy since
+        the call.
+    """
+
+    now_ms: float
+    is_kept: bool
+
+
+async def write_rows(
+    store: StoreClient, table: str, *, put: dict[str, bytes], remove: Iterable[str] = ()
+) -> WrittenRows:
+    """Write and remove rows of a table in one transaction, whatever is there.
+
+    :raises PlatformUnavailableError: if nothing was done.
+    :raises OutcomeUnknownError: if the answer was lost.
+    """
+    era = store.era.current
+    answer = await store.write(table, expected={}, put=put, remove=remove)
+    return WrittenRows(now_ms=answer.now_ms, is_kept=era == store.era.current)
--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -25,7 +25,7 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.membership.software_versions import VersionHistory
 from arbutuspulley.node.state import NodeState
-from arbutuspulley.node.store_writing import repeat_step
+from arbutuspulley.node.store_writing import repeat_step, write_rows
 from arbutuspulley.platform.store import RowsAnswer, StoredRow
 from arbutuspulley.results import PlatformUnavailableError
 
@@ -266,15 +266,13 @@
             await self._write_part(part)
 
     async def _write_part(self, histories: dict[str, VersionHistory]) -> None:
-        state = self._state
         put = {
             service: msgspec.json.encode(history)
             for service, history in histories.items()
         }
-        era = state.store.era.current
-        answer = await state.store.write(VERSIONS_TABLE, expected={}, put=put)
-        self._record_clock(answer.now_ms)
-        if era == state.store.era.current:
+        written = await write_rows(self._state.store, VERSIONS_TABLE, put=put)
+        self._record_clock(written.now_ms)
+        if written.is_kept:
             self._histories.update(histories)
 
     async def _write_streams(self) -> None:
@@ -293,12 +291,11 @@
 
     async def _write_batch(self, batch: RecordBatch) -> None:
         state = self._state
-        era = state.store.era.current
-        answer = await state.store.write(
-            STREAMS_TABLE, expected={}, put=batch.put, remove=batch.remove
+        written = await write_rows(
+            state.store, STREAMS_TABLE, put=batch.put, remove=batch.remove
         )
-        self._record_clock(answer.now_ms)
-        if era == state.store.era.current:
+        self._record_clock(written.now_ms)
+        if written.is_kept:
             state.stream_journal.confirm(batch)
 
 
