Begin recorded streams, and check that all go on, in one place

14 tests of power failures repeated the wait for records after the streams had begun, and 11 the two checks that none is mixed and all have ended.

--- a/tests/power_fleet.py
+++ b/tests/power_fleet.py
@@ -37,6 +37,16 @@
     )
 
 
+async def begin_recorded(fleet, session, name, **options):
+    """Begin streams, and wait until the store has a record of each.
+
+    :param options: those of :func:`begin`.
+    """
+    streams, tasks = await begin(fleet, session, name, **options)
+    await wait_recorded(fleet, streams)
+    return streams, tasks
+
+
 async def lose_power(fleet, streams, tasks):
     """Kill all nodes, and wait until all streams have broken off.
 
@@ -140,6 +150,12 @@
     ]
 
 
+def check_complete(streams):
+    """Check that no stream is mixed, and that all have ended."""
+    assert list_mixed(streams) == []
+    assert list_broken(streams) == []
+
+
 def check_refused(streams, *, gone):
     """Check that no stream is mixed, and that only those of some versions are refused.
 
--- a/tests/test_power_failures.py
+++ b/tests/test_power_failures.py
@@ -6,10 +6,11 @@
 
 from tests.power_fleet import (
     begin,
+    begin_recorded,
+    check_complete,
     check_refused,
     drain_servers,
     has_coordinator,
-    list_broken,
     list_mixed,
     lose_power,
     remove_holder,
@@ -57,8 +58,7 @@
         await lose_power(fleet, streams, tasks)
         await start_again(fleet)
         await take_up(streams, session, fleet.addresses["n2"]["Frontend"])
-        assert list_mixed(streams) == []
-        assert list_broken(streams) == []
+        check_complete(streams)
 
     play_versions(tmp_path, scenario)
 
@@ -90,8 +90,7 @@
     of its own were taken away while no process ran."""
 
     async def scenario(fleet, session):
-        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
-        await wait_recorded(fleet, streams)
+        streams, tasks = await begin_recorded(fleet, session, "n1", count=STREAMS)
         await lose_power(fleet, streams, tasks)
         leave(fleet, version=OLD_VERSION)
         await start_again(fleet)
@@ -109,8 +108,7 @@
     of its own go before the new coordinator has learned of the streams."""
 
     async def scenario(fleet, session):
-        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
-        await wait_recorded(fleet, streams)
+        streams, tasks = await begin_recorded(fleet, session, "n1", count=STREAMS)
         await lose_power(fleet, streams, tasks)
         await start_again(fleet, has_coordinator=False)
         leave(fleet, version=OLD_VERSION)
@@ -128,8 +126,7 @@
     failure, and against ones of the others that are refused for its sake."""
 
     async def scenario(fleet, session):
-        first, tasks = await begin(fleet, session, "n1", count=STREAMS)
-        await wait_recorded(fleet, first)
+        first, tasks = await begin_recorded(fleet, session, "n1", count=STREAMS)
         await lose_power(fleet, first, tasks)
         leave(fleet, version=OLD_VERSION)
         await add_versions(fleet, version=THIRD_VERSION)
@@ -141,8 +138,9 @@
             fleet.addresses["n2"]["Frontend"],
         )
         check_refused([one for one in first if one not in kept], gone={OLD_VERSION})
-        second, tasks = await begin(fleet, session, "n3", count=STREAMS, prefix="b-")
-        await wait_recorded(fleet, second)
+        second, tasks = await begin_recorded(
+            fleet, session, "n3", count=STREAMS, prefix="b-"
+        )
         await lose_power(fleet, second, tasks)
         leave(fleet, version=OTHER_VERSION)
         await start_again(fleet)
@@ -159,8 +157,7 @@
     those of its predecessor, and adds its own."""
 
     async def scenario(fleet, session):
-        streams, tasks = await begin(fleet, session, "n1", count=EACH)
-        await wait_recorded(fleet, streams)
+        streams, tasks = await begin_recorded(fleet, session, "n1", count=EACH)
         await lose_power(fleet, streams, tasks)
         for number, name in enumerate(("n2", "n3")):
             await start_again(fleet)
@@ -175,8 +172,7 @@
             streams += begun
         await start_again(fleet)
         await take_up(streams, session, fleet.addresses["n2"]["Frontend"])
-        assert list_mixed(streams) == []
-        assert list_broken(streams) == []
+        check_complete(streams)
 
     play_versions(tmp_path, scenario)
 
@@ -186,8 +182,7 @@
     fails again before there is one."""
 
     async def scenario(fleet, session):
-        streams, tasks = await begin(fleet, session, "n1", count=EACH)
-        await wait_recorded(fleet, streams)
+        streams, tasks = await begin_recorded(fleet, session, "n1", count=EACH)
         await lose_power(fleet, streams, tasks)
         await remove_holder(fleet)
         await start_again(fleet, has_coordinator=False, lease_ms=LEASE_MS)
@@ -203,8 +198,7 @@
         await start_again(fleet, has_coordinator=False, lease_ms=LEASE_MS)
         await take_up(streams, session, fleet.addresses[other]["Frontend"])
         assert not has_coordinator(fleet)
-        assert list_mixed(streams) == []
-        assert list_broken(streams) == []
+        check_complete(streams)
 
     play_versions(tmp_path, scenario, lease_ms=LEASE_MS)
 
@@ -215,8 +209,7 @@
     knows which of them matter."""
 
     async def scenario(fleet, session):
-        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
-        await wait_recorded(fleet, streams)
+        streams, tasks = await begin_recorded(fleet, session, "n1", count=STREAMS)
         await lose_power(fleet, streams, tasks)
         for delay_s in delays_s:
             await start_all(fleet)
@@ -224,8 +217,7 @@
             await kill_all(fleet)
         await start_again(fleet)
         await take_up(streams, session, fleet.addresses["n2"]["Frontend"])
-        assert list_mixed(streams) == []
-        assert list_broken(streams) == []
+        check_complete(streams)
 
     play_versions(tmp_path, scenario)
 
--- a/tests/test_power_failures_store.py
+++ b/tests/test_power_failures_store.py
@@ -11,6 +11,8 @@
 from tests.power_fleet import (
     LONG_PAUSE_S,
     begin,
+    begin_recorded,
+    check_complete,
     has_coordinator,
     list_broken,
     list_mixed,
@@ -98,8 +100,7 @@
     await add_versions(fleet)
     for name in NODES:
         await fleet.wait_log(name, '"e4"')
-    streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
-    await wait_recorded(fleet, streams)
+    streams, tasks = await begin_recorded(fleet, session, "n1", count=STREAMS)
     return copy, streams, tasks
 
 
@@ -109,8 +110,7 @@
     record can't be read just now."""
 
     async def scenario(fleet, session):
-        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
-        await wait_recorded(fleet, streams)
+        streams, tasks = await begin_recorded(fleet, session, "n1", count=STREAMS)
         await lose_power(fleet, streams, tasks)
         await remove_holder(fleet)
         await start_again(fleet, has_coordinator=False, lease_ms=LEASE_MS)
@@ -124,8 +124,7 @@
         setattr(fleet.store, failure, False)
         await asyncio.sleep(UNREAD_RETRY_MS / SECOND_MS)
         await take_up(streams, session, address)
-        assert list_mixed(streams) == []
-        assert list_broken(streams) == []
+        check_complete(streams)
 
     play_versions(tmp_path, scenario, lease_ms=LEASE_MS)
 
@@ -136,8 +135,7 @@
     not read for what is not there."""
 
     async def scenario(fleet, session):
-        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
-        await wait_recorded(fleet, streams)
+        streams, tasks = await begin_recorded(fleet, session, "n1", count=STREAMS)
         await lose_power(fleet, streams, tasks)
         setattr(fleet.store, failure, True)
         await start_all(fleet)
@@ -151,8 +149,7 @@
             await fleet.wait_ready(name)
         await fleet.wait_coordinator()
         await take_up_as_told(streams, session, fleet.addresses["n2"]["Frontend"])
-        assert list_mixed(streams) == []
-        assert list_broken(streams) == []
+        check_complete(streams)
 
     play_versions(tmp_path, scenario)
 
@@ -162,8 +159,7 @@
     version is left, where it has not read the servers yet."""
 
     async def scenario(fleet, session):
-        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
-        await wait_recorded(fleet, streams)
+        streams, tasks = await begin_recorded(fleet, session, "n1", count=STREAMS)
         await lose_power(fleet, streams, tasks)
         fleet.store.unreadable = "servers"
         await start_again(fleet)
@@ -175,8 +171,7 @@
         refusals = [one for stream in streams for one in stream.refusals]
         assert not [code for code, _ in refusals if code == "2012"]
         await take_up_as_told(streams, session, address)
-        assert list_mixed(streams) == []
-        assert list_broken(streams) == []
+        check_complete(streams)
 
     play_versions(tmp_path, scenario)
 
@@ -196,8 +191,7 @@
         await lose_power(fleet, streams, tasks)
         await start_again(fleet)
         await take_up(streams, session, fleet.addresses["n2"]["Frontend"])
-        assert list_mixed(streams) == []
-        assert list_broken(streams) == []
+        check_complete(streams)
 
     play_versions(tmp_path, scenario)
 
@@ -228,8 +222,7 @@
 
     async def scenario(fleet, session):
         copy = fleet.store.copy()
-        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
-        await wait_recorded(fleet, streams)
+        streams, tasks = await begin_recorded(fleet, session, "n1", count=STREAMS)
         if kills_coordinator:
             name = fleet.find_coordinator()
             fleet.nodes[name].kill()
@@ -239,8 +232,7 @@
         await lose_power(fleet, streams, tasks)
         await start_again(fleet)
         await take_up(streams, session, fleet.addresses["n2"]["Frontend"])
-        assert list_mixed(streams) == []
-        assert list_broken(streams) == []
+        check_complete(streams)
 
     play_versions(tmp_path, scenario)
 
@@ -251,8 +243,7 @@
 
     async def scenario(fleet, session):
         copy = fleet.store.copy()
-        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
-        await wait_recorded(fleet, streams)
+        streams, tasks = await begin_recorded(fleet, session, "n1", count=STREAMS)
         await lose_power(fleet, streams, tasks)
         await start_again(fleet)
         for name in NODES:
@@ -263,8 +254,7 @@
         await kill_all(fleet)
         await start_again(fleet)
         await take_up(streams, session, fleet.addresses["n2"]["Frontend"])
-        assert list_mixed(streams) == []
-        assert list_broken(streams) == []
+        check_complete(streams)
 
     play_versions(tmp_path, scenario)
 
@@ -295,8 +285,7 @@
 
     async def scenario(fleet, session):
         copy = fleet.store.copy()
-        streams, tasks = await begin(fleet, session, "n1", count=STREAMS)
-        await wait_recorded(fleet, streams)
+        streams, tasks = await begin_recorded(fleet, session, "n1", count=STREAMS)
         await lose_power(fleet, streams, tasks)
         fleet.store.restore(copy)
         if registered == "new":
@@ -388,7 +377,6 @@
         await lose_power(fleet, streams, tasks)
         await start_again(fleet)
         await take_up(streams, session, fleet.addresses["n2"]["Frontend"])
-        assert list_mixed(streams) == []
-        assert list_broken(streams) == []
+        check_complete(streams)
 
     play_versions(tmp_path, scenario)
