Test each guard of the streams' versions without a network

Each guard was taken out once by hand. Three were missed by all tests: a coordinator that can't read the records, streams that an instance tells as it links up, and a grant of an older release while versions are unread. Two, of rows of versions that may be outdated and of servers that are not listed yet, were found by tests of real nodes alone.

--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -292,6 +292,20 @@
     assert trial.get_server() is ENTRY
 
 
+def test_a_grant_of_an_older_release_is_given_back_while_versions_are_unread(
+    monkeypatch,
+):
+    """Guards against a stream that goes on at another version by the grant of a
+    coordinator that reads no records."""
+    trial = Trial(grant)
+    monkeypatch.setattr(Link, "records_streams", False)
+    trial.state.software_versions.awaits_history = True
+    trial.progress.is_version_unknown = True
+    with pytest.raises(RetryError):
+        trial.get_server()
+    assert trial.progress.avoid == {"e1"}
+
+
 def test_the_store_is_read_again_after_the_wait_for_a_coordinator():
     """Guards against a stream that is refused as unknown by what the store held before
     another instance without a coordinator recorded it."""
--- a/tests/test_stream_copies.py
+++ b/tests/test_stream_copies.py
@@ -6,6 +6,12 @@
 
 from arbutuspulley.clock import Clock
 from arbutuspulley.delivery.begun_streams import build_stream_key
+from arbutuspulley.delivery.stream_records import decode_row, list_streams
+from arbutuspulley.membership.software_versions import (
+    HISTORY_SETTLING_MS,
+    ServiceVersions,
+    VersionHistory,
+)
 from arbutuspulley.node.messages import (
     GrantRequest,
     RefusalReason,
@@ -17,8 +23,10 @@
     COPIES,
     COPY_INTERVAL_MS,
     SETTLING_MS,
+    SETTLING_RETRY_MS,
     StreamVersionLookup,
 )
+from arbutuspulley.node.stream_versions import UNREAD_RETRY_MS
 from arbutuspulley.ports.fleet import ModelNeed, SoftwareVersion
 from tests.node_states import build_entry, build_state
 
@@ -139,6 +147,53 @@
     assert bool(refused.retry_after_ms) is (age_ms < SETTLING_MS)
 
 
+def test_an_unknown_stream_comes_back_while_the_records_are_unread():
+    """Guards against a caller who is refused for good, or loops until its deadline, by
+    a coordinator that can't read the records of its predecessors."""
+    bench = Bench(V1, V2)
+    bench.state.stream_journal.awaits_records = True
+    assert bench.ask().retry_after_ms == SETTLING_RETRY_MS
+    bench.now += SETTLING_MS
+    refused = bench.ask()
+    assert refused.reason == RefusalReason.VERSION_UNREAD
+    assert refused.retry_after_ms == UNREAD_RETRY_MS
+
+
+def test_no_stream_goes_on_before_any_server_is_listed():
+    """Guards against a coordinator that takes a version for gone, or for the only one,
+    before it has read the rows of servers."""
+    bench = Bench()
+    bench.state.software_versions = ServiceVersions()
+    for asked in ({}, {"version": "v1", "resumed_stream": None}):
+        assert bench.ask(**asked).reason == RefusalReason.VERSION_UNREAD
+
+
+def test_an_unknown_stream_waits_while_a_row_of_versions_may_be_outdated():
+    """Guards against a stream that goes on at the only version that is registered, as
+    the store came back from a copy without the other one."""
+    bench = Bench(V1)
+    bench.now += SETTLING_MS
+    versions = bench.state.software_versions
+    versions.awaits_history = True
+    history = VersionHistory(current=("v1",), era=1)
+    versions.add_history({"llm": history}, now=bench.now, store_now=0, era=2)
+    assert bench.ask().retry_after_ms == SETTLING_RETRY_MS
+    assert bench.ask(version="v1") == V1
+    bench.now += HISTORY_SETTLING_MS
+    assert bench.ask() is None
+
+
+def test_streams_that_an_instance_tells_are_recorded():
+    """Guards against a stream without a record that began while there was no
+    coordinator, and of which the next one is told as the instance links up."""
+    bench = Bench(V1, V2)
+    copies = StreamCopies(service="llm", version="v1", streams=((KEY, 9_000),))
+    bench.lookup.record_copies((copies,))
+    batch = bench.state.stream_journal.take_batch(now=bench.now, store_now=bench.now)
+    [row] = map(decode_row, batch.put.values())
+    assert list_streams([row], now=0, store_now=0)[KEY].version == V1
+
+
 def test_an_unknown_stream_may_run_anywhere_at_one_version():
     assert Bench(V1, V1).ask() is None
 
