State the era in the rows that the tests' store returns

The stand-in of the streams' store returned rows of era 0 in every era, so that each process that started counted its services as not settled, which hid that two guards had no test: versions that only records name, and rows that are renewed in a new era.

--- a/tests/test_stream_store.py
+++ b/tests/test_stream_store.py
@@ -11,6 +11,7 @@
     REMOVAL_MARGIN_MS,
     decode_row,
 )
+from arbutuspulley.membership.software_versions import HISTORY_SETTLING_MS
 from arbutuspulley.node.store_writing import MAX_BACKOFF_MS
 from arbutuspulley.node.stream_store import (
     LONE_INTERVAL_MS,
@@ -93,11 +94,11 @@
     async def read(self, table):
         await self._call(table, "read")
         rows = [
-            StoredRow(key=key, position=build_position(1), value=value)
+            StoredRow(key=key, position=self._position, value=value)
             for key, value in sorted(self.store.tables[table].items())
         ]
         return RowsAnswer(
-            rows=rows, position=build_position(1), now_ms=self.store.get_now()
+            rows=rows, position=self._position, now_ms=self.store.get_now()
         )
 
     async def write(self, table, *, expected, put, remove=()):
@@ -109,9 +110,13 @@
         if self.store.fault == "lost":
             raise OutcomeUnknownError(detail="lost")
         return WriteAnswer(
-            is_applied=True, position=build_position(1), now_ms=self.store.get_now()
+            is_applied=True, position=self._position, now_ms=self.store.get_now()
         )
 
+    @property
+    def _position(self):
+        return build_position(1, era=self.store.era)
+
     async def _call(self, table, kind):
         called_in = self.era.current
         self.store.calls.append((table, kind))
@@ -342,6 +347,23 @@
     play(scenario)
 
 
+def test_rows_of_an_earlier_era_are_renewed_once_they_can_be_relied_on():
+    """Guards against a row that no process brings up to date, so that each later start
+    keeps callers of unknown streams waiting."""
+
+    async def scenario(store):
+        first = await start(store, V1)
+        await first.kill()
+        store.restore(store.copy())
+        second = await start(store, V1)
+        await pass_ms(HISTORY_SETTLING_MS + 2 * REMOVAL_INTERVAL_MS)
+        await second.kill()
+        third = await start(store, V1)
+        assert not third.is_mixed()
+
+    play(scenario)
+
+
 def test_a_stream_goes_on_after_each_of_several_power_failures():
     """Guards against a stream that is forgotten with the deadline of its first attempt,
     though each of its attempts has one of its own."""
