Test that outdated rows of versions are not renewed too early

The guard was taken out by hand, and no test failed: a coordinator that is killed within the settling time would have stated its rows for the new era, and the next one would have relied on them. The test fails without the guard.

--- a/tests/test_stream_store.py
+++ b/tests/test_stream_store.py
@@ -347,6 +347,23 @@
     play(scenario)
 
 
+def test_rows_of_an_earlier_era_are_not_renewed_before_servers_have_registered():
+    """Guards against a coordinator that is killed soon after its start, having stated
+    for a new era what it could not know yet."""
+
+    async def scenario(store):
+        first = await start(store, V1)
+        await first.kill()
+        store.restore(store.copy())
+        second = await start(store, V1)
+        await pass_ms(HISTORY_SETTLING_MS - 1_000)
+        await second.kill()
+        third = await start(store, V1)
+        assert third.is_mixed()
+
+    play(scenario)
+
+
 def test_rows_of_an_earlier_era_are_renewed_once_they_can_be_relied_on():
     """Guards against a row that no process brings up to date, so that each later start
     keeps callers of unknown streams waiting."""
