Test streams whose servers are replaced at their addresses in an outage

Beside servers that are removed or drain while no process runs: servers of a third version at the addresses of the old one.

--- a/tests/power_fleet.py
+++ b/tests/power_fleet.py
@@ -9,6 +9,7 @@
 from tests.node_load import RETRIES_AT_ONCE
 from tests.version_fleet import (
     LONG_DEADLINE_MS,
+    THIRD_VERSION,
     begin_streams,
     kill_all,
     list_engines,
@@ -109,6 +110,15 @@
         fleet.store.put("servers", server.incarnation, row)
 
 
+def replace_servers(fleet, *, version):
+    """Let servers of another version run at the addresses of those of a version."""
+    for server in list_servers(fleet, version):
+        fleet.store.remove("servers", server.incarnation)
+        server.incarnation = f"{server.incarnation}-again"
+        server.version = THIRD_VERSION
+        fleet.store.put("servers", server.incarnation, server.describe())
+
+
 def register_servers(fleet, *, version):
     """Write the rows of the servers of a version."""
     for server in list_servers(fleet, version):
--- a/tests/test_power_failures.py
+++ b/tests/test_power_failures.py
@@ -14,6 +14,7 @@
     list_mixed,
     lose_power,
     remove_holder,
+    replace_servers,
     start_again,
     start_all,
     stop_servers,
@@ -82,7 +83,7 @@
     play_versions(tmp_path, scenario)
 
 
-@LEAVE
+@pytest.mark.parametrize("leave", [stop_servers, drain_servers, replace_servers])
 def test_streams_of_a_version_that_left_during_a_power_failure_are_refused(
     tmp_path, leave
 ):
