Report an instance as ready once it can accept keys

Seen as 503 for 200 at the first request of test_servers_get_the_team_and_never_the_key.

Cause: where keys have to stop working within a bound (RevokeMs), an instance accepts none before the configuration that it has read is confirmed, and it confirms it only after it has waited for a coordinator, for up to 1 s. It was reported as ready as soon as it had a configuration.

Change: /readyz answers 503 until the first confirmation, for at most 1.5 s after the start, as none comes while the store is unavailable and public routes are served then too. What instances tell each other is as it was. The directory listed such an instance only if there was no other already.

A new test of the readiness without a network covers both.

--- a/src/arbutuspulley/node/directory.py
+++ b/src/arbutuspulley/node/directory.py
@@ -18,13 +18,19 @@
 ROSTER_TIMEOUT_MS = 5_000
 """How long a roster stays valid if no newer one arrives, in ms."""
 
+FIRST_CONFIRMATION_WAIT_MS = 1_500
+"""How long after its start an instance is not reported as ready because it can accept
+no key yet, in ms. The first confirmation of the configuration takes up to 1 s; while
+the store is unavailable none comes, and public routes are served all the same."""
+
 
 class Directory:
     """Answers directory queries and readiness probes."""
 
-    __slots__ = ("_state",)
+    __slots__ = ("_started_at", "_state")
 
     def __init__(self, *, state: NodeState) -> None:
+        self._started_at = state.clock.now()
         self._state = state
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -41,7 +47,16 @@
 
     async def handle_ready(self, _request: web.BaseRequest) -> web.StreamResponse:
         """Answer whether this instance serves callers."""
-        return web.Response(status=200 if self._state.is_ready else 503)
+        state = self._state
+        is_ready = state.is_ready and not self._awaits_confirmation()
+        return web.Response(status=200 if is_ready else 503)
+
+    def _awaits_confirmation(self) -> bool:
+        """Return whether keys are refused until the first confirmation arrives."""
+        state = self._state
+        if state.freshness.confirmed_at is not None or state.may_admit:
+            return False
+        return state.clock.now() - self._started_at < FIRST_CONFIRMATION_WAIT_MS
 
     def list_addresses(self, *, site: str, region: str) -> list[str]:
         """Return addresses of instances that a caller should use.
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,11 +1,17 @@
-"""Addresses of instances that the directory gives to callers."""
+"""Addresses of instances that the directory gives to callers, and readiness."""
+
+import asyncio
 
 import msgspec
 import pytest
 
 from arbutuspulley.admission.keys import build_key_table
 from arbutuspulley.clock import Clock
-from arbutuspulley.node.directory import ROSTER_TIMEOUT_MS, Directory
+from arbutuspulley.node.directory import (
+    FIRST_CONFIRMATION_WAIT_MS,
+    ROSTER_TIMEOUT_MS,
+    Directory,
+)
 from arbutuspulley.node.store_watch import activate_configuration
 from scripts.platform_testbed import build_configuration
 from tests.node_states import build_info, build_state
@@ -85,3 +91,46 @@
     assert {address.partition(":")[0] for address in named} == {"n1", "n2"}
     state.nodes = ()
     assert directory.list_addresses(site="a1", region="a") == ["own:1"]
+
+
+def is_reported_ready(directory):
+    return asyncio.run(directory.handle_ready(None)).status == 200
+
+
+def test_an_instance_is_not_ready_before_it_can_accept_keys():
+    """Guards against an instance that gets callers as soon as it has a configuration,
+    and refuses each of their keys until the configuration is confirmed."""
+    now = [10]
+    state = build_ready(now=now, revocation_ms=5_000)
+    state.keys = build_key_table(())
+    directory = Directory(state=state)
+    assert not is_reported_ready(directory)
+    state.freshness.confirm(10, source="store")
+    assert is_reported_ready(directory)
+    now[0] += 5_000
+    assert not state.may_admit
+    assert is_reported_ready(directory)
+
+
+def test_an_instance_that_starts_while_the_store_is_unavailable_is_ready_soon():
+    """Guards against an instance that serves no public route while nobody can confirm
+    the configuration."""
+    now = [10]
+    state = build_ready(now=now, revocation_ms=5_000)
+    state.keys = build_key_table(())
+    directory = Directory(state=state)
+    now[0] += FIRST_CONFIRMATION_WAIT_MS - 1
+    assert not is_reported_ready(directory)
+    now[0] += 1
+    assert is_reported_ready(directory)
+
+
+def test_an_instance_without_teams_is_ready_once_it_has_a_configuration():
+    """Guards against an instance that waits for a confirmation that it doesn't need."""
+    state = build_state(clock=Clock(read=lambda: 10), revocation_ms=5_000)
+    directory = Directory(state=state)
+    assert not is_reported_ready(directory)
+    activate_configuration(
+        state, msgspec.json.encode(build_configuration(1)), by="store"
+    )
+    assert is_reported_ready(directory)
