Return a grant whose stream turns out to have no service left

Callers saw nothing; the coordinator counted a run that does not exist.

Cause: a request that resumes a stream looks again for the stream's version when its grant arrives. If another instance's message told meanwhile that the stream was begun at a service in which the route has no share, the request was refused (503) without a report of the end of its grant. The coordinator kept the run until the instance's link ended, and the instance kept it among its running requests, which it tells each later coordinator.

Found by reading. Change: the end is reported as not used.

A caller that leaves while its grant arrives was read, too: the request is cancelled at the coordinator then, which removes a granted run as well.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -291,7 +291,11 @@
         finally:
             progress.waited_ms += self._state.clock.now() - now
         progress.is_late = granted.is_late
-        self._find_version()
+        try:
+            self._find_version()
+        except RequestFailedError:
+            self.report_end(granted.incarnation, AttemptOutcome.UNUSED)
+            raise
         if self._is_settling() and self._link.records_streams:
             # The coordinator refuses streams whose version it does not know.
             progress.is_version_unknown = False
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -275,6 +275,30 @@
     assert trial.progress.avoid == {"e1"}
 
 
+def test_a_grant_is_returned_if_the_stream_was_begun_at_a_service_without_a_share():
+    """Guards against a run that the coordinator, and each later one, counts for as long
+    as the instance is linked, of a request that was refused after its grant."""
+
+    def record_and_grant(trial):
+        stream = BegunStream(
+            service="other", version=SoftwareVersion(name="v1"), expires_at=20_000
+        )
+        trial.state.begun_streams.add(build_stream_key("r0"), stream, now=10_000)
+        return grant()
+
+    trial = Trial(record_and_grant, headers=[("Resumes", "r0")])
+    with pytest.raises(RequestFailedError) as raised:
+        trial.get_server()
+    assert raised.value.reason == GONE_REASON
+    ended = [one for one in trial.sent if isinstance(one, AttemptEnded)]
+    assert [(one.incarnation, one.how) for one in ended] == [
+        ("e1", AttemptOutcome.UNUSED)
+    ]
+    assert trial.link.runs.list_all() == ()
+    trial.acquisition.refund()
+    assert trial.list_costs() == [COST, -COST]
+
+
 def test_a_granted_server_goes_on_with_no_stream_of_unknown_version():
     trial = Trial(grant)
     trial.progress.is_version_unknown = True
