Renew a short lease before others may claim it

Callers saw: with a lease (LeaseMs) shorter than 1.8 s, an instance that started took the lease from a coordinator that was running, and both granted for up to 0.2 s. In tests, whose lease is 1.5 s, this began runs with two coordinators.

Cause: others may claim a lease that has not been renewed for half of its duration, but it was renewed each 0.9 s whatever its duration was.

Evidence, from a failed run of test_another_instance_takes_over_from_a_killed_ coordinator (times since the first line, in ms): 106 n1 takes the lease with the first fence; 792 n2 starts, its machine being busy; 900 n2 reads the row, not renewed since, and takes the lease with the second fence; n2 is killed as the last to take it; 1011 n1 loads a model with the first fence, as it has not tried to renew yet; 1027 n1 finds that its lease has lapsed. The assertion saw the first fence for the second.

Change: the lease is renewed after 0.3 of its duration, at most 0.9 s; that is what a lease of 3 s had.

Measured, without a network: of leases of 1.0, 1.5, 2.0 and 3.0 s the test fails for the first two before and passes for all after it.

--- a/src/arbutuspulley/membership/coordinator_lease.py
+++ b/src/arbutuspulley/membership/coordinator_lease.py
@@ -24,7 +24,11 @@
 from arbutuspulley.data import Message, State, Value
 
 RENEW_INTERVAL_MS = 900
-"""Interval of renewals, in ms: three fit into a lease of 3 s."""
+"""Longest interval of renewals, in ms: three fit into a lease of 3 s."""
+
+RENEW_INTERVAL_RATIO = 0.3
+"""Longest interval of renewals as a share of the lease's duration. Other instances may
+claim a lease that has not been renewed for half of it."""
 
 EXPIRY_MARGIN_MS = 400
 """How long before the written expiry a holder stops giving orders, in ms: an order
@@ -117,6 +121,11 @@
     renewed_at: int = 0
 
 
+def get_renew_interval_ms(state: CoordinatorLeaseState) -> int:
+    """Return how long after a renewal the lease is renewed again, in ms."""
+    return min(RENEW_INTERVAL_MS, int(state.lease_ms * RENEW_INTERVAL_RATIO))
+
+
 def update_store_clock(
     state: CoordinatorLeaseState, store_ms: float, *, now: int
 ) -> None:
--- a/src/arbutuspulley/node/election.py
+++ b/src/arbutuspulley/node/election.py
@@ -8,7 +8,6 @@
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.membership.capacity import get_claim_delay_ms, has_much_more_capacity
 from arbutuspulley.membership.coordinator_lease import (
-    RENEW_INTERVAL_MS,
     CoordinatorLeaseState,
     LeaseRow,
     build_claim,
@@ -17,6 +16,7 @@
     get_claim_wait_ms,
     get_free_ms,
     get_inherited_loads,
+    get_renew_interval_ms,
     is_copied,
     is_holder,
     is_own_row,
@@ -151,7 +151,7 @@
         if is_holder(self._lease, now=now) and self._coordinator.is_active:
             if (
                 self._state.stopping_at is None
-                and now - self._lease.renewed_at >= RENEW_INTERVAL_MS
+                and now - self._lease.renewed_at >= get_renew_interval_ms(self._lease)
             ):
                 await self._renew()
             elif self._is_outranked(now):
--- a/tests/elections.py
+++ b/tests/elections.py
@@ -157,7 +157,7 @@
 class Member:
     """One process that takes part in elections."""
 
-    def __init__(self, name, members, store, now, *, capacity, seed):
+    def __init__(self, name, members, store, now, *, capacity, seed, lease_ms=3_000):
         state = build_state(clock=Clock(read=lambda: now[0]), name=name)
         state.settings = msgspec.structs.replace(
             state.settings, cores=capacity, link_mbps=1_000
@@ -167,7 +167,7 @@
         self.state = state
         self.coordinator = FakeCoordinator()
         self.lease = CoordinatorLeaseState(
-            name=name, link=name, boot=f"{name}-boot", lease_ms=3_000
+            name=name, link=name, boot=f"{name}-boot", lease_ms=lease_ms
         )
         self.link = FakeLink(members, now)
         self.election = Election(
@@ -184,12 +184,13 @@
             self.lease.version = -1
 
 
-def build_members(capacities, store, now):
+def build_members(capacities, store, now, **options):
+    """Build processes; the options are those of :class:`Member`."""
     members = {}
     for number, capacity in enumerate(capacities):
         name = f"n{number}"
         members[name] = Member(
-            name, members, store, now, capacity=capacity, seed=number
+            name, members, store, now, capacity=capacity, seed=number, **options
         )
     return members
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -54,6 +54,24 @@
     assert store.reads - reads <= 4 * len(members)
 
 
+@pytest.mark.parametrize("lease_ms", [1_000, 1_500, 2_000, 3_000])
+def test_an_instance_that_starts_does_not_take_the_lease_from_a_running_holder(
+    lease_ms,
+):
+    """Guards against renewals that come later than half of a short lease, from when on
+    an instance that reads the row may claim it."""
+    for started_ms in range(0, lease_ms, 20):
+        now = [1_000]
+        store = LeaseStore(now)
+        members = build_members([1.0, 1.0], store, now, lease_ms=lease_ms)
+        late = members.pop("n1")
+        run_members(members, now, ms=2_000 + started_ms, order=random.Random(1))
+        members["n1"] = late
+        run_members(members, now, ms=200, order=random.Random(1))
+        assert list_leaders(members) == ["n0"]
+        assert store.lease.holder == "n0"
+
+
 def test_lease_read_rate_is_limited_while_the_store_is_unavailable():
     """195 instances without a coordinator read the lease 490 times a second."""
     now = [1_000]
