Stop coordinating only once the lease can be read

Callers saw: 503 for a model that had to be loaded, while the store was unavailable and the coordinator got SIGTERM, until the store was back.

Cause: a coordinator that stops goes on while its last call to the store failed. A long poll that the store holds may be answered after it has become unavailable to all other calls. The coordinator then took it for available, marked its lease as lost, could not release it, and stopped coordinating all the same, so that nobody coordinated.

Change: a coordinator that stops reads the lease, for 0.5 s at most, before it gives anything up, and tries again if it can't. When the time for serving is over it stops as before.

test_a_copied_row_is_not_released states the new parameter; what it checks is unchanged.

--- a/src/arbutuspulley/node/election.py
+++ b/src/arbutuspulley/node/election.py
@@ -71,6 +71,10 @@
 If no other instance claims it meanwhile, an isolated one really is alone, and keeps the
 lease the next time."""
 
+RELEASE_READ_TIMEOUT_MS = 500
+"""Timeout of the read that precedes the release of the lease at a planned stop, in ms:
+it is repeated, and callers with an old address are served meanwhile."""
+
 HANDOVER_DELAY_MS = 3_000
 """Time for which an instance with much more capacity must have been linked before the
 lease is handed over to it, in ms: one that has just started may stop again soon."""
@@ -133,13 +137,35 @@
                 self._lease.version = -1
             await asyncio.sleep(TICK_MS / SECOND_MS)
 
-    async def release_lease(self) -> None:
-        """Release the lease at a planned stop."""
+    async def release_lease(self, *, is_final: bool) -> bool:
+        """Release the lease at a planned stop.
+
+        :param is_final: whether to stop coordinating even if the store is unavailable,
+            so that no other instance can take the lease.
+        :return: whether this instance has stopped coordinating.
+        """
         was_active = self._coordinator.is_active
+        if was_active and not is_final and not await self._reaches_store():
+            return False
         if is_holder(self._lease, now=self._state.clock.now()):
             await self._release()
         if was_active:
             self._step_down("stopping")
+        return True
+
+    async def _reaches_store(self) -> bool:
+        """Return whether the lease can be read now."""
+        try:
+            async with asyncio.timeout(RELEASE_READ_TIMEOUT_MS / SECOND_MS):
+                await self._read()
+        except PlatformUnavailableError as error:
+            detail = error.detail
+        except TimeoutError:
+            detail = "the store did not answer in time"
+        else:
+            return True
+        log_event(Event.LEASE_UNSETTLED, detail=detail)
+        return False
 
     async def _tick(self) -> None:
         now = self._state.clock.now()
--- a/src/arbutuspulley/node/shutdown.py
+++ b/src/arbutuspulley/node/shutdown.py
@@ -32,11 +32,10 @@
         # While the store is unavailable no other instance can take the lease: callers
         # were without a coordinator for 5 s, and waited in vain until they left.
         if not is_lease_released and not state.store.is_failing:
-            await election.release_lease()
-            is_lease_released = True
+            is_lease_released = await election.release_lease(is_final=False)
         await asyncio.sleep(POLL_INTERVAL_MS / SECOND_MS)
     if not is_lease_released:
-        await election.release_lease()
+        await election.release_lease(is_final=True)
     link.close()
     for server in servers:
         server.close()
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -1,10 +1,12 @@
 """When instances claim the coordinator's lease, and when they hand it over."""
 
+import asyncio
 import random
 
 import pytest
 
 from arbutuspulley.membership.capacity import MAX_CLAIM_DELAY_MS
+from arbutuspulley.membership.coordinator_lease import is_holder
 from arbutuspulley.membership.server_reach import record_failed
 from arbutuspulley.node.election import HANDOVER_DELAY_MS, READ_JITTER_MS
 from tests.elections import (
@@ -72,6 +74,38 @@
         assert store.lease.holder == "n0"
 
 
+def test_a_stopping_coordinator_goes_on_until_the_lease_can_be_released():
+    """Guards against a coordinator that stops although the store is unavailable, so
+    that no other instance can take over: its last call that ended may have been a long
+    poll, which was answered."""
+    now = [1_000]
+    store = LeaseStore(now)
+    members = build_members([1.0], store, now)
+    run_members(members, now, ms=2_000, order=random.Random(1))
+    member = members["n0"]
+    store.is_unavailable = True
+    # A renewal has failed.
+    member.lease.version = -1
+    assert not asyncio.run(member.election.release_lease(is_final=False))
+    assert list_leaders(members) == ["n0"]
+    assert is_holder(member.lease, now=now[0])
+    store.is_unavailable = False
+    assert asyncio.run(member.election.release_lease(is_final=False))
+    assert list_leaders(members) == []
+    assert not store.lease.holder
+
+
+def test_a_coordinator_that_has_to_exit_stops_although_the_store_is_unavailable():
+    """Guards against a process that coordinates until it is killed."""
+    now = [1_000]
+    store = LeaseStore(now)
+    members = build_members([1.0], store, now)
+    run_members(members, now, ms=2_000, order=random.Random(1))
+    store.is_unavailable = True
+    assert asyncio.run(members["n0"].election.release_lease(is_final=True))
+    assert list_leaders(members) == []
+
+
 def test_lease_read_rate_is_limited_while_the_store_is_unavailable():
     """195 instances without a coordinator read the lease 490 times a second."""
     now = [1_000]
--- a/tests/test_election_eras.py
+++ b/tests/test_election_eras.py
@@ -264,7 +264,7 @@
 
     async def scenario():
         await member.election._read()
-        await member.election.release_lease()
+        await member.election.release_lease(is_final=False)
 
     asyncio.run(scenario())
     assert simulation.store.rows == rows
