Report an instance as ready once it has read servers

Callers saw: 503 with "no server has it" at an instance whose /readyz already answered 200, until it had read the servers' table.

Evidence: one node with a store stand-in that answers calls for the servers' table 0.3 s late (played by hand). Two plain requests right after the readiness got 503, "no server has it"; a request for a model waited 0.6 s and got 200. Whether it is what test_an_adapter_is_loaded_on_demand once failed by is not known; that was not seen again.

Change: /readyz answers 503 until any server or any row's position is known, for at most 1.5 s after the start.

A test without a network fails before (ready at once) and passes after.

--- a/src/arbutuspulley/node/directory.py
+++ b/src/arbutuspulley/node/directory.py
@@ -7,6 +7,7 @@
 from arbutuspulley.node.messages import NodeInfo
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform import names
+from arbutuspulley.ports.store_position import NO_POSITION
 
 TTL_S = 1
 """Time to live of an answer, in s. Some callers keep it three times as long: a stopping
@@ -18,10 +19,11 @@
 ROSTER_TIMEOUT_MS = 5_000
 """How long a roster stays valid if no newer one arrives, in ms."""
 
-FIRST_CONFIRMATION_WAIT_MS = 1_500
-"""How long after its start an instance is not reported as ready because it can accept
-no key yet, in ms. The first confirmation of the configuration takes up to 1 s; while
-the store is unavailable none comes, and public routes are served all the same."""
+START_WAIT_MS = 1_500
+"""How long after its start an instance is not reported as ready because it has read no
+servers or can accept no key yet, in ms. The first confirmation of the configuration
+takes up to 1 s; while the store is unavailable neither comes, and what can be served is
+served all the same."""
 
 
 class Directory:
@@ -48,15 +50,17 @@
     async def handle_ready(self, _request: web.BaseRequest) -> web.StreamResponse:
         """Answer whether this instance serves callers."""
         state = self._state
-        is_ready = state.is_ready and not self._awaits_confirmation()
+        is_ready = state.is_ready and not self._is_starting()
         return web.Response(status=200 if is_ready else 503)
 
-    def _awaits_confirmation(self) -> bool:
-        """Return whether keys are refused until the first confirmation arrives."""
+    def _is_starting(self) -> bool:
+        """Return whether requests are refused that can be served in a moment."""
         state = self._state
-        if state.freshness.confirmed_at is not None or state.may_admit:
+        if state.clock.now() - self._started_at >= START_WAIT_MS:
             return False
-        return state.clock.now() - self._started_at < FIRST_CONFIRMATION_WAIT_MS
+        has_servers = bool(state.entries) or state.store_position != NO_POSITION
+        awaits_confirmation = state.freshness.confirmed_at is None
+        return not has_servers or (awaits_confirmation and not state.may_admit)
 
     def list_addresses(self, *, site: str, region: str) -> list[str]:
         """Return addresses of instances that a caller should use.
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -8,13 +8,13 @@
 from arbutuspulley.admission.keys import build_key_table
 from arbutuspulley.clock import Clock
 from arbutuspulley.node.directory import (
-    FIRST_CONFIRMATION_WAIT_MS,
     ROSTER_TIMEOUT_MS,
+    START_WAIT_MS,
     Directory,
 )
 from arbutuspulley.node.store_watch import activate_configuration
 from scripts.platform_testbed import build_configuration
-from tests.node_states import build_info, build_state
+from tests.node_states import build_entry, build_info, build_position, build_state
 
 
 def build_ready(*, now, **changes):
@@ -102,6 +102,7 @@
     and refuses each of their keys until the configuration is confirmed."""
     now = [10]
     state = build_ready(now=now, revocation_ms=5_000)
+    state.entries["e1"] = build_entry("e1")
     state.keys = build_key_table(())
     directory = Directory(state=state)
     assert not is_reported_ready(directory)
@@ -119,7 +120,7 @@
     state = build_ready(now=now, revocation_ms=5_000)
     state.keys = build_key_table(())
     directory = Directory(state=state)
-    now[0] += FIRST_CONFIRMATION_WAIT_MS - 1
+    now[0] += START_WAIT_MS - 1
     assert not is_reported_ready(directory)
     now[0] += 1
     assert is_reported_ready(directory)
@@ -128,9 +129,20 @@
 def test_an_instance_without_teams_is_ready_once_it_has_a_configuration():
     """Guards against an instance that waits for a confirmation that it doesn't need."""
     state = build_state(clock=Clock(read=lambda: 10), revocation_ms=5_000)
+    state.entries["e1"] = build_entry("e1")
     directory = Directory(state=state)
     assert not is_reported_ready(directory)
     activate_configuration(
         state, msgspec.json.encode(build_configuration(1)), by="store"
     )
     assert is_reported_ready(directory)
+
+
+def test_an_instance_is_not_ready_before_it_has_read_servers():
+    """Guards against an instance that gets callers as soon as it has a configuration,
+    and refuses them as no server is known; there may be none."""
+    state = build_ready(now=[10])
+    directory = Directory(state=state)
+    assert not is_reported_ready(directory)
+    state.store_position = build_position(1)
+    assert is_reported_ready(directory)
