Ask servers at which version a stream began that no record names

Cause: the only facts that were left were with the servers, and nobody asked them. Of a version that the copy lacks nothing else tells: what the store, the callers and the registered servers say is the same as in a service with one version.

Model servers list the parts of prompts that they keep, also of runs whose connection was lost. The last part of a prompt belongs to the request or its session, so the version whose servers alone keep it is the one that ran the request. An instance asks the servers that have the model, and uses the answers for a second; a server of another version that does not answer may keep the part, too, so nothing is concluded then. It asks only for streams that neither it, the coordinator nor the store knows.

The versions of a service count as incomplete for ten minutes, the longest time for which streams may be resumed, if all processes had ended as the store came back from an older copy; its row says so for processes that start later. Unknown streams are then refused unless servers tell their version, and new ones are recorded. Two tests asserted that such streams go on anywhere after three seconds; they now assert a refusal until these ten minutes are over, and that all go on after them.

Of the new tests on real nodes, three fail on the code before (streams without records while the store answers 503, streams beside those of a lost version, a second failure).

--- a/src/arbutuspulley/membership/software_versions.py
+++ b/src/arbutuspulley/membership/software_versions.py
@@ -25,21 +25,25 @@
     :param era: era of the store in which the row was written. In a later one, the store
         has come back from a copy, which may lack newer versions, and no process was
         left to write them again.
+    :param incomplete_until: until when streams of versions may be resumed that such a
+        copy lacked, in ms of the store's clock.
     """
 
     current: tuple[str, ...] = ()
     left: dict[str, int] = {}
     era: int = 0
+    incomplete_until: int = 0
 
     def lists_same(self, other: "VersionHistory | None") -> bool:
         """Return whether the other one, as stored, needs no update by this one.
 
         Both are of one era and list the same versions as current and as left. The
-        stored times at which versions left may be later, but not earlier.
+        stored times may be later, but not earlier.
         """
         return (
             other is not None
             and self.era == other.era
+            and self.incomplete_until - other.incomplete_until <= TIME_TOLERANCE_MS
             and set(self.current) == set(other.current)
             and self.left.keys() == other.left.keys()
             and all(
@@ -59,6 +63,8 @@
         "_confirmed",
         "_current",
         "_gone_at",
+        "_incomplete_until",
+        "_others_incomplete_until",
         "_settled_at",
         "awaits_history",
         "has_listed",
@@ -70,6 +76,10 @@
         self._current: dict[str, frozenset[SoftwareVersion]] = {}
         self._settled_at = 0
         self._gone_at: dict[str, dict[SoftwareVersion, int]] = {}
+        # Until when versions may count that no process and no row knows, by service,
+        # and for services without a row.
+        self._incomplete_until: dict[str, int] = {}
+        self._others_incomplete_until = 0
         # Whether the store has not said yet which versions were in service before this
         # process started.
         self.awaits_history = False
@@ -118,6 +128,7 @@
             self._confirmed = frozenset(
                 name for name, history in histories.items() if history.era == era
             )
+            self._set_incomplete(histories, now=now, store_now=store_now)
         for service, history in histories.items():
             left = dict.fromkeys(history.current, store_now)
             if history.era == era:
@@ -131,6 +142,30 @@
                 gone_at = now - max(0, store_now - left_at)
                 gone[version] = max(gone_at, gone.get(version, gone_at))
 
+    def _set_incomplete(
+        self, histories: Mapping[str, VersionHistory], *, now: int, store_now: int
+    ) -> None:
+        """Find the services of which the store has lost what nobody wrote again."""
+        unknown_until = now + MAX_RETENTION_MS
+        if histories and not self._confirmed:
+            self._others_incomplete_until = unknown_until
+        for service, history in histories.items():
+            stated_until = now + history.incomplete_until - store_now
+            is_confirmed = service in self._confirmed
+            self._incomplete_until[service] = (
+                min(stated_until, unknown_until) if is_confirmed else unknown_until
+            )
+
+    def is_incomplete(self, service: str, *, now: int) -> bool:
+        """Return whether versions may count of which nothing is known any more.
+
+        All processes had ended as the store came back from an older copy.
+        """
+        return now < self._get_incomplete_until(service)
+
+    def _get_incomplete_until(self, service: str) -> int:
+        return self._incomplete_until.get(service, self._others_incomplete_until)
+
     def add_streams(self, streams: Iterable[BegunStream], *, now: int) -> None:
         """Add the versions of recorded streams, which the history may lack.
 
@@ -172,6 +207,11 @@
                 if version not in current
             },
             era=era,
+            incomplete_until=(
+                self._get_incomplete_until(service) - now + store_now
+                if self.is_incomplete(service, now=now)
+                else 0
+            ),
         )
 
     def list_known(self, service: str, *, now: int) -> frozenset[SoftwareVersion]:
@@ -184,18 +224,25 @@
 
         That is so as long as it is not known which ones were in service before.
         """
-        return self.is_settling(service, now=now) or self.has_several(service, now=now)
+        return self.is_settling(service, now=now) or self.needs_records(
+            service, now=now
+        )
 
-    def has_several(self, service: str, *, now: int) -> bool:
-        """Return whether several versions of a service are known."""
-        return len(self.list_known(service, now=now)) > 1
+    def needs_records(self, service: str, *, now: int) -> bool:
+        """Return whether the streams of a service have to be recorded.
+
+        They are where several versions are known, or may have been in service.
+        """
+        return len(self.list_known(service, now=now)) > 1 or self.is_incomplete(
+            service, now=now
+        )
 
-    def list_mixed(self, *, now: int) -> frozenset[str]:
-        """Return the services that are known to be mixed."""
+    def list_recorded(self, *, now: int) -> frozenset[str]:
+        """Return the services whose streams have to be recorded."""
         return frozenset(
             service
             for service in self._list_services()
-            if self.has_several(service, now=now)
+            if self.needs_records(service, now=now)
         )
 
     def _list_services(self) -> set[str]:
--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -39,6 +39,7 @@
     is_allowed,
     is_version_gone,
     resume_stream,
+    set_version,
 )
 from arbutuspulley.ports.fleet import (
     AttemptOutcome,
@@ -287,12 +288,15 @@
             if error.reason == RefusalReason.VERSION_UNKNOWN:
                 await self._wait_for_version(error.retry_after_ms)
                 raise RetryError from None
+            is_unread = error.reason == RefusalReason.VERSION_UNREAD
+            if is_unread and await self._ask_servers():
+                raise RetryError from None
             raise self._build_refusal(error) from None
         finally:
             progress.waited_ms += self._state.clock.now() - now
         progress.is_late = granted.is_late
         self._find_version()
-        if self._is_settling() and self._link.records_streams:
+        if self._may_lack_versions() and self._link.records_streams:
             # The coordinator refuses streams whose version it does not know.
             progress.is_version_unknown = False
         why = self._get_exclusion(granted.incarnation)
@@ -334,13 +338,19 @@
             self._progress.service, now=self._state.clock.now()
         )
 
+    def _may_lack_versions(self) -> bool:
+        """Return whether other versions of the service may have been in service."""
+        return self._is_settling() or self._state.software_versions.is_incomplete(
+            self._progress.service, now=self._state.clock.now()
+        )
+
     async def _look_up_again(self) -> Exception:
         """Look again for a stream that an instance may have recorded meanwhile.
 
         :return: the error that ends this attempt or the request.
         """
         await self._look_up_version()
-        if not self._progress.is_version_unknown:
+        if not self._progress.is_version_unknown or await self._ask_servers():
             return RetryError()
         if self._progress.is_store_read:
             return NoServerError(UNKNOWN_REASON, may_retry=False)
@@ -368,9 +378,25 @@
             return
         waited_ms = self._state.clock.now() - progress.started_at
         if not retry_after_ms and waited_ms >= VERSION_WAIT_MS:
+            if await self._ask_servers():
+                return
             raise NoServerError(UNKNOWN_REASON, may_retry=False)
         await asyncio.sleep((retry_after_ms or VERSION_POLL_MS) / SECOND_MS)
 
+    async def _ask_servers(self) -> bool:
+        """Look for the version of a stream at the servers, which keep its prompt.
+
+        :return: whether it is known now.
+        """
+        progress = self._progress
+        if progress.version is None:
+            version = await self._state.find_kept_version(
+                progress.service, self._request
+            )
+            if version is not None:
+                set_version(progress, version, source="servers")
+        return progress.version is not None
+
     def _return_grant(self, granted: Granted, why: str) -> Exception:
         """Return a grant of a server that gets no requests from this instance.
 
--- a/src/arbutuspulley/node/progress.py
+++ b/src/arbutuspulley/node/progress.py
@@ -60,7 +60,8 @@
     :param version: software version that began the stream: only its servers may go on.
         ``None`` before the first event, unless the caller resumes a stream.
     :param version_source: how it is known: ``memory`` of this instance, the
-        ``coordinator``, the ``store``, or the ``first event``.
+        ``coordinator``, the ``store``, the ``servers`` that keep its prompt, or the
+        ``first event``.
     :param resumed_stream: key of the stream that the caller resumes; ``None``: none.
     :param is_version_unknown: whether the caller resumes a stream whose version is not
         known, so that no server may go on.
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -34,11 +34,20 @@
 from arbutuspulley.platform.memory_bound import HeldAnswer
 from arbutuspulley.platform.store import StoreClient
 from arbutuspulley.platform.transport import HeldBytes
-from arbutuspulley.ports.fleet import FleetConfiguration, NodeSettings, ServerEntry
+from arbutuspulley.ports.fleet import (
+    FleetConfiguration,
+    InboundRequest,
+    NodeSettings,
+    ServerEntry,
+    SoftwareVersion,
+)
 from arbutuspulley.ports.store_position import NO_POSITION, StorePosition
 from arbutuspulley.routing.local_choice import LocalServerStats
 from arbutuspulley.routing.route_table import RouteTable
 
+FindVersion = Callable[[str, InboundRequest], Awaitable[SoftwareVersion | None]]
+"""Called with the name of a service and a request that resumes a stream there."""
+
 
 class NodeState:
     """State of the process; it is used only on the event loop.
@@ -84,6 +93,8 @@
     :param stream_journal_changed: set when something may have to be written there.
     :param look_up_streams: reads such records of other processes, and returns whether
         the store could be read.
+    :param find_kept_version: finds the version at which a request of a service ran
+        before from the prompts that servers keep; ``None``: they don't tell.
     :param crash_records: requests that were in flight as servers crashed, likewise.
     :param part_records: parts of prompts that were, likewise.
     :param held_bytes: bytes of servers' answers that this process holds.
@@ -121,6 +132,7 @@
         "entry_bodies",
         "estimates",
         "feed_schedule",
+        "find_kept_version",
         "follow_requested",
         "followed_at",
         "freshness",
@@ -203,6 +215,7 @@
         self.stream_journal = StreamJournal(writer=uuid.uuid4().hex[:12])
         self.stream_journal_changed = asyncio.Event()
         self.look_up_streams: Callable[[], Awaitable[bool]] = _look_up_nothing
+        self.find_kept_version: FindVersion = _find_nothing
         self.crash_records = CrashRecords()
         self.held_bytes = HeldBytes(
             get_memory_mb=lambda: self.settings.memory_mb,
@@ -355,3 +368,9 @@
 
 async def _look_up_nothing() -> bool:
     return True
+
+
+async def _find_nothing(
+    _service: str, _request: InboundRequest
+) -> SoftwareVersion | None:
+    return None
--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -171,7 +171,7 @@
             journal.adopt(rows, now=now, store_now=now + self._offset_ms)
             self._mixed = frozenset()
         await self._write_histories()
-        mixed = state.software_versions.list_mixed(now=state.clock.now())
+        mixed = state.software_versions.list_recorded(now=state.clock.now())
         if mixed != self._mixed:
             self._mixed = mixed
             self._add_missing()
@@ -202,7 +202,7 @@
         try:
             if self._state.software_versions.awaits_history:
                 await self._read_history()
-            if self._state.software_versions.list_mixed(now=self._state.clock.now()):
+            if self._state.software_versions.list_recorded(now=self._state.clock.now()):
                 await self._read_streams()
         except PlatformUnavailableError as error:
             log_event(Event.STREAM_RECORDS_DELAYED, detail=error.detail)
@@ -304,7 +304,7 @@
     now = state.clock.now()
     versions = state.software_versions
     stream = state.begun_streams.find(key, now=now)
-    if stream is None or not versions.has_several(stream.service, now=now):
+    if stream is None or not versions.needs_records(stream.service, now=now):
         return
     if state.stream_journal.add(key, stream):
         state.stream_journal_changed.set()
--- a/src/arbutuspulley/platform/engines.py
+++ b/src/arbutuspulley/platform/engines.py
@@ -9,7 +9,7 @@
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.platform import names
 from arbutuspulley.platform.incarnations import get_server_id
-from arbutuspulley.platform.messages import decode_report
+from arbutuspulley.platform.messages import decode_kept_parts, decode_report
 from arbutuspulley.platform.transport import BrokenError, read_body
 from arbutuspulley.ports.fleet import OrderAnswer, ServerOrder, ServerReport
 
@@ -71,6 +71,29 @@
         return None
 
 
+async def fetch_kept_parts(
+    session: aiohttp.ClientSession,
+    *,
+    address: str,
+    incarnation: str,
+    read_answer: AnswerReader = _ignore_answer,
+) -> frozenset[str] | None:
+    """Fetch the ids of the parts of prompts that a model server keeps.
+
+    :param read_answer: called with an answer.
+    :return: ``None`` if there was no usable answer.
+    """
+    url = yarl.URL(f"http://{address}{names.KEPT_PARTS_PATH}")
+    headers = {names.EXPECT_INSTANCE: get_server_id(incarnation)}
+    try:
+        async with session.get(url, headers=headers, timeout=_TIMEOUT) as response:
+            body = await read_body(response)
+            read_answer(response.status, response.headers)
+            return decode_kept_parts(body) if response.status == 200 else None
+    except (aiohttp.ClientError, BrokenError, TimeoutError, msgspec.MsgspecError):
+        return None
+
+
 async def send_order(
     session: aiohttp.ClientSession,
     order: ServerOrder,
--- a/src/arbutuspulley/platform/messages.py
+++ b/src/arbutuspulley/platform/messages.py
@@ -194,6 +194,19 @@
     available: WireAvailable = msgspec.field(default_factory=WireAvailable)
 
 
+class WireKeptPart(msgspec.Struct, array_like=True):
+    """A part of prompts that a model server keeps; further elements are ignored."""
+
+    text: str
+    part: str
+
+
+class WireKeptParts(_Wire):
+    """A model server's list of the parts of prompts that it keeps."""
+
+    held: list[WireKeptPart] = msgspec.field(default_factory=list, name="held")
+
+
 class WireRow(_Wire):
     """A row of the store; ``Value`` is base64. The ``part`` of keys is always empty."""
 
@@ -215,6 +228,7 @@
 
 _CONFIGURATION = msgspec.json.Decoder(WireConfiguration)
 _SERVER = msgspec.json.Decoder(WireServer)
+_KEPT_PARTS = msgspec.json.Decoder(WireKeptParts)
 _REPORT = msgspec.json.Decoder(WireReport)
 _ROWS = msgspec.json.Decoder(WireRows)
 
@@ -310,6 +324,15 @@
     )
 
 
+def decode_kept_parts(body: bytes) -> frozenset[str]:
+    """Decode a model server's list of the parts of prompts that it keeps.
+
+    :return: their ids.
+    :raises msgspec.MsgspecError: if it is malformed.
+    """
+    return frozenset(kept.part.lower() for kept in _KEPT_PARTS.decode(body).held)
+
+
 def _decode_route(wire: WireRoute) -> Route:
     shares = [
         Share(service=backend.service, weight=backend.weight)
--- a/src/arbutuspulley/platform/names.py
+++ b/src/arbutuspulley/platform/names.py
@@ -115,6 +115,7 @@
 
 REPORT_PATH = "/report"
 ORDER_PATH = "/order"
+KEPT_PARTS_PATH = "/kv-list"
 RESOLVE_PATH = "/resolve"
 STORE_TRANSACT_PATH = "/rows-tx"
 STORE_READ_PATH = "/rows-get"
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -50,6 +50,7 @@
         and _normalise_name(name) not in names.RESERVED_HEADERS
     ]
     keys = _list_values(listed, names.KEY)
+    shared_parts, own_part = _read_parts(_list_values(listed, names.PROMPT_PREFIX))
     return InboundRequest(
         attempt_id=found.get(names.ATTEMPT_ID.lower(), ""),
         method=method,
@@ -62,7 +63,8 @@
         resumed_attempt=_read_resumed_attempt(_list_values(listed, names.RESUMES)),
         key=keys[0].strip() if len(keys) == 1 else "",
         usage_tokens=_sum_token_usage(found.get(names.TOKEN_USAGE.lower())),
-        shared_parts=_read_shared_parts(_list_values(listed, names.PROMPT_PREFIX)),
+        shared_parts=shared_parts,
+        own_part=own_part,
     )
 
 
@@ -265,14 +267,20 @@
     return attempt if is_id else ""
 
 
-def _read_shared_parts(values: list[str]) -> tuple[str, ...]:
-    """Return the ids of the parts of a prompt that other requests may share, in order.
+def _read_parts(values: list[str]) -> tuple[tuple[str, ...], str]:
+    """Return the ids of the parts of a prompt.
 
-    These are all but the last one. Parts without a readable id are left out.
+    Parts without a readable id are left out.
+
+    :return: those that other requests may share, in order, which are all but the last
+        one, and the last one; empty if there is none.
     """
-    listed = ",".join(values).split(",", MAX_PROMPT_PARTS)[:MAX_PROMPT_PARTS]
-    ids = [part.partition(":")[0].strip().lower() for part in listed[:-1]]
-    return tuple(dict.fromkeys(part for part in ids if _PART_ID.fullmatch(part)))
+    listed = ",".join(values).split(",", MAX_PROMPT_PARTS)
+    ids = [part.partition(":")[0].strip().lower() for part in listed]
+    *shared, last = ids[:MAX_PROMPT_PARTS]
+    is_read = len(ids) <= MAX_PROMPT_PARTS and _PART_ID.fullmatch(last)
+    readable = dict.fromkeys(part for part in shared if _PART_ID.fullmatch(part))
+    return tuple(readable), last if is_read else ""
 
 
 def _list_values(headers: Iterable[tuple[str, str]], name: str) -> list[str]:
--- a/src/arbutuspulley/ports/fleet.py
+++ b/src/arbutuspulley/ports/fleet.py
@@ -297,6 +297,8 @@
     :param usage_tokens: token usage that the caller states; ``None`` if it states none.
     :param shared_parts: ids of the parts of its prompt that other requests may have,
         too, in the order of the prompt.
+    :param own_part: id of the last part of its prompt, which belongs to the request or
+        its session; empty if it has none.
     """
 
     attempt_id: str
@@ -313,6 +315,7 @@
     key: str = ""
     usage_tokens: int | None = None
     shared_parts: tuple[str, ...] = ()
+    own_part: str = ""
 
 
 class NodeSettings(Value, frozen=True):
--- a/src/arbutuspulley/programs/node.py
+++ b/src/arbutuspulley/programs/node.py
@@ -25,6 +25,7 @@
 from arbutuspulley.node.directory import Directory
 from arbutuspulley.node.election import Election
 from arbutuspulley.node.frontend import Frontend
+from arbutuspulley.node.kept_prompts import ask_servers
 from arbutuspulley.node.link import LINK_PATH, Link
 from arbutuspulley.node.link_server import serve_link
 from arbutuspulley.node.metrics import NodeMetrics
@@ -167,6 +168,7 @@
         rng=random.Random(),
     )
     streams = StreamStore(state=state)
+    ask_servers(state)
 
     def apply_era(era: int) -> None:
         metrics.store_era.set(era)
--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -56,6 +56,8 @@
     - ``version``: version of its software; the events of its streams name it unless it
       is the default.
     - ``pause_s``: time between two events of a stream, in s.
+    - ``kept_parts``: parts of prompts that the server keeps; it adds those that it has
+      read.
 
     Tests read ``falls`` (how often it fell over), ``served`` (number of requests that
     it answered), ``runs`` (number of runs by attempt id), ``headers`` (request headers
@@ -85,6 +87,7 @@
         "is_busy",
         "is_leaving",
         "is_silent",
+        "kept_parts",
         "limit_per_s",
         "load_s",
         "loses_order_answers",
@@ -157,6 +160,7 @@
         self.served = 0
         self.version = DEFAULT_VERSION
         self.pause_s = 0.005
+        self.kept_parts: set[str] = set()
 
     def describe(self, *, state: str = "ready") -> dict:
         """Return the server's row in the metadata store."""
@@ -185,6 +189,9 @@
             return web.Response(
                 body=msgspec.json.encode(self._report()), headers=self._build_notices()
             )
+        if request.path == names.KEPT_PARTS_PATH:
+            held = [["", part, 100, ""] for part in self.kept_parts]
+            return web.Response(body=msgspec.json.encode({"held": held}))
         if request.path == "/order":
             return await self._answer_order(request)
         if self.room is not None and self.in_flight >= self.room:
@@ -298,6 +305,7 @@
             self.on_break()
             return web.Response(status=500, headers=headers)
         self.served += 1
+        self.kept_parts |= _list_parts(request)
         if not model:
             return web.Response(body=b"done:" + body, headers=headers)
         return await self._stream(request, headers)
@@ -306,9 +314,7 @@
         return {names.ATTEMPT_ID: attempt, names.SEAL: f"seal.{self.incarnation}"}
 
     def _has_crashing_part(self, request: web.BaseRequest) -> bool:
-        prompt = request.headers.get(names.PROMPT_PREFIX, "")
-        parts = {part.partition(":")[0] for part in prompt.split(",")}
-        return not self.crashing_parts.isdisjoint(parts)
+        return not self.crashing_parts.isdisjoint(_list_parts(request))
 
     async def _crash(self, request: web.BaseRequest) -> web.Response:
         await asyncio.sleep(self.crash_delay_s)
@@ -354,5 +360,11 @@
         return answer
 
 
+def _list_parts(request: web.BaseRequest) -> set[str]:
+    """Return the ids of the parts of a request's prompt."""
+    prompt = request.headers.get(names.PROMPT_PREFIX, "")
+    return {part.partition(":")[0] for part in prompt.split(",")}
+
+
 def _get_last_event(request: web.BaseRequest) -> int:
     return int(request.headers.get(names.LAST_EVENT_ID, "0"))
--- a/tests/power_fleet.py
+++ b/tests/power_fleet.py
@@ -21,9 +21,10 @@
 it does, even on a busy machine."""
 
 
-async def begin(fleet, session, name, *, count, events=2, prefix=""):
+async def begin(fleet, session, name, **options):
     """Begin streams that no power failure finds ended, for callers who outlast several.
 
+    :param options: those of :func:`~tests.version_fleet.begin_streams`.
     :return: as :func:`~tests.version_fleet.begin_streams`.
     """
     slow_down(fleet, pause_s=LONG_PAUSE_S)
@@ -31,10 +32,8 @@
         fleet,
         session,
         name,
-        count=count,
-        events=events,
-        prefix=prefix,
         deadline_ms=LONG_DEADLINE_MS,
+        **options,
     )
 
 
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -7,8 +7,14 @@
 
 from arbutuspulley.clock import Clock
 from arbutuspulley.delivery.begun_streams import BegunStream, build_stream_key
+from arbutuspulley.membership.software_versions import VersionHistory
 from arbutuspulley.node.access import Access
-from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
+from arbutuspulley.node.acquisition import (
+    VERSION_WAIT_MS,
+    Acquisition,
+    NoServerError,
+    RetryError,
+)
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import (
@@ -336,6 +342,77 @@
     assert trial.progress.version_source == "store"
 
 
+def resume_unknown(decide, *, version, clock=None):
+    """Build a trial of a stream that nobody knows; its servers tell a version."""
+
+    async def find(service, request):
+        assert (service, request.attempt_id) == ("llm", "r1")
+        return version
+
+    trial = Trial(decide, clock=clock)
+    trial.progress.resumed_stream = build_stream_key("r0")
+    trial.progress.is_version_unknown = True
+    trial.progress.started_at -= VERSION_WAIT_MS
+    trial.state.software_versions.awaits_history = True
+    trial.state.find_kept_version = find
+    return trial
+
+
+@pytest.mark.parametrize(
+    ("reason", "retry_after_ms"),
+    [(RefusalReason.VERSION_UNKNOWN, 0), (RefusalReason.VERSION_UNREAD, 700)],
+)
+def test_servers_are_asked_for_a_version_that_the_coordinator_does_not_know(
+    reason, retry_after_ms
+):
+    """Guards against a stream that is refused although the servers that began it can
+    tell, after all that knew it and its record were lost."""
+
+    def decide(_trial):
+        return Refused(key="r1", retry_after_ms=retry_after_ms, reason=reason)
+
+    trial = resume_unknown(decide, version=ENTRY.software_version)
+    with pytest.raises(RetryError):
+        trial.get_server()
+    assert trial.progress.version == ENTRY.software_version
+    assert trial.progress.version_source == "servers"
+    trial = resume_unknown(decide, version=None)
+    with pytest.raises(NoServerError):
+        trial.get_server()
+
+
+@pytest.mark.parametrize("is_read", [True, False])
+def test_servers_are_asked_without_a_coordinator(is_read):
+    """Guards against a stream that is refused as neither a coordinator nor the store
+    can be asked."""
+
+    async def read():
+        return is_read
+
+    trial = resume_unknown(grant, version=ENTRY.software_version, clock=Clock())
+    trial.state.by_service["llm"] = [ENTRY]
+    trial.link.deliver_local = None
+    trial.link.status = CoordinatorStatus(is_holder=True)
+    trial.state.instances = 1
+    trial.state.look_up_streams = read
+    with pytest.raises(RetryError):
+        trial.get_server()
+    assert trial.progress.version_source == "servers"
+
+
+def test_a_grant_is_used_while_a_version_may_be_lost():
+    """Guards against callers who are refused by an instance that takes the versions for
+    incomplete, though its coordinator knows better."""
+    trial = Trial(grant)
+    versions = trial.state.software_versions
+    versions.awaits_history = True
+    copied = {"llm": VersionHistory(current=("v1",), era=1)}
+    versions.add_history(copied, now=0, store_now=0, era=2)
+    assert not versions.is_settling("llm", now=10_000)
+    trial.progress.is_version_unknown = True
+    assert trial.get_server() is ENTRY
+
+
 def test_no_grant_is_awaited_for_a_version_that_is_gone():
     """Guards against a stream that waits for a coordinator, or for a server without
     one, although no server of its version is left."""
--- /dev/null
+++ b/tests/test_kept_prompts.py
@@ -0,0 +1,145 @@
+"""Versions of streams as told by the prompts that servers keep."""
+
+import asyncio
+
+import pytest
+
+from arbutuspulley.clock import SECOND_MS, Clock
+from arbutuspulley.node.kept_prompts import MAX_AGE_MS, KeptPrompts
+from arbutuspulley.platform import names
+from arbutuspulley.platform.messages import decode_kept_parts
+from arbutuspulley.platform.requests import MAX_PROMPT_PARTS, decode_request
+from arbutuspulley.ports.fleet import LoadedModel, SoftwareVersion
+from tests.node_states import build_entry, build_state
+
+V1, V2 = SoftwareVersion(name="v1"), SoftwareVersion(name="v2")
+
+PART, OTHER_PART = "a1", "b2"
+
+KEEPING, LACKING, SILENT = frozenset((PART, OTHER_PART)), frozenset((OTHER_PART,)), None
+
+
+def build_request(*, model="m0", prompt=f"{OTHER_PART}:10,{PART}:90"):
+    headers = [(names.MODEL, model), (names.TOKEN_USAGE, "100,20")]
+    if prompt:
+        headers.append((names.PROMPT_PREFIX, prompt))
+    return decode_request(method="POST", path="/resumed/1", headers=headers)
+
+
+class Servers:
+    """Servers of one service, and what they answer.
+
+    :param answers: what each one answers, by its entry.
+    """
+
+    def __init__(self, answers):
+        self.asked = []
+        self.state = build_state(clock=Clock(read=lambda: 10_000))
+        self.state.by_service["llm"] = list(answers)
+        self._answers = {entry.incarnation: kept for entry, kept in answers.items()}
+        self.prompts = KeptPrompts(state=self.state, fetch=self._fetch)
+
+    async def _fetch(self, entry):
+        self.asked.append(entry.incarnation)
+        await asyncio.sleep(0)
+        return self._answers[entry.incarnation]
+
+    async def find(self, **changes):
+        return await self.prompts.find_version("llm", build_request(**changes))
+
+
+def build_servers(*answers, **changes):
+    """Build servers of the versions v1 and v2 in turn."""
+    entries = [
+        build_entry(f"s{number}", software_version=(V1, V2)[number % 2], **changes)
+        for number in range(len(answers))
+    ]
+    return Servers(dict(zip(entries, answers, strict=True)))
+
+
+@pytest.mark.parametrize(
+    ("answers", "expected"),
+    [
+        ([KEEPING, LACKING], V1),
+        ([LACKING, KEEPING], V2),
+        ([KEEPING, LACKING, KEEPING], V1),
+        ([KEEPING, LACKING, SILENT], V1),
+        ([LACKING, LACKING], None),
+        ([KEEPING, KEEPING], None),
+        ([KEEPING, SILENT], None),
+        ([SILENT, SILENT], None),
+        ([], None),
+    ],
+)
+def test_a_version_is_told_only_by_its_own_servers(answers, expected):
+    """Guards against a stream that goes on at a version whose servers keep its prompt
+    where those of another one keep it, or may keep it, too."""
+    servers = build_servers(*answers)
+    assert asyncio.run(servers.find()) == expected
+
+
+def test_no_server_is_asked_that_can_not_tell():
+    """Guards against calls to servers that have not got the model, are leaving, or want
+    no requests for a time."""
+    answers = {
+        build_entry("other", loaded_models=(LoadedModel(model="m1"),)): KEEPING,
+        build_entry("leaving", is_leaving=True): KEEPING,
+        build_entry("resting"): KEEPING,
+        build_entry("ready", software_version=V1): KEEPING,
+    }
+    servers = Servers(answers)
+    servers.state.cooldowns.extend("resting", 12_000)
+    assert asyncio.run(servers.find()) == V1
+    assert servers.asked == ["ready"]
+
+
+@pytest.mark.parametrize("prompt", ["", "no id:10", f"{PART}:1,"])
+def test_a_request_without_a_prompt_of_its_own_asks_nobody(prompt):
+    servers = build_servers(KEEPING, LACKING)
+    assert asyncio.run(servers.find(prompt=prompt)) is None
+    assert servers.asked == []
+
+
+def test_the_last_part_of_a_long_prompt_is_not_mistaken():
+    """Guards against a shared part that is taken for the request's own, as only the
+    first parts of a long prompt are read."""
+    parts = [f"{number:x}:10" for number in range(MAX_PROMPT_PARTS + 1)]
+    assert build_request(prompt=",".join(parts[:-1])).own_part == "1f"
+    assert build_request(prompt=",".join(parts)).own_part == ""
+
+
+def test_requests_share_the_answers_of_servers():
+    """Guards against a call to each server for each stream that is resumed after a
+    power failure."""
+
+    async def scenario():
+        servers = build_servers(KEEPING, LACKING)
+        found = await asyncio.gather(*(servers.find() for _ in range(100)))
+        assert found == [V1] * 100
+        assert await servers.find() == V1
+        assert sorted(servers.asked) == ["s0", "s1"]
+        await asyncio.sleep(MAX_AGE_MS / SECOND_MS + 0.05)
+        await servers.find()
+        assert len(servers.asked) == 4
+
+    asyncio.run(scenario())
+
+
+def test_a_caller_who_leaves_ends_no_call_of_others():
+    """Guards against callers who get no answer as the first one that asked has gone."""
+
+    async def scenario():
+        servers = build_servers(KEEPING, LACKING)
+        first = asyncio.create_task(servers.find())
+        await asyncio.sleep(0)
+        second = asyncio.create_task(servers.find())
+        await asyncio.sleep(0)
+        first.cancel()
+        assert await second == V1
+
+    asyncio.run(scenario())
+
+
+def test_parts_are_read_from_what_servers_answer():
+    body = b'{"epoch":7,"Next":3,"held":[["","A1",90,"m0"],["","b2",10,"m0","more"]]}'
+    assert decode_kept_parts(body) == {PART, OTHER_PART}
--- a/tests/test_power_failures_store.py
+++ b/tests/test_power_failures_store.py
@@ -3,16 +3,20 @@
 import asyncio
 import functools
 
+import msgspec
 import pytest
 
 from arbutuspulley.clock import SECOND_MS
-from arbutuspulley.node.stream_store import STREAMS_TABLE
+from arbutuspulley.membership.software_versions import VersionHistory
+from arbutuspulley.node.stream_store import STREAMS_TABLE, VERSIONS_TABLE
 from arbutuspulley.node.stream_versions import UNREAD_RETRY_MS
+from scripts.platform_testbed import wait_until
 from tests.power_fleet import (
     LONG_PAUSE_S,
     begin,
     begin_recorded,
     check_complete,
+    check_refused,
     has_coordinator,
     list_broken,
     list_mixed,
@@ -91,16 +95,38 @@
         await asyncio.sleep(UNREAD_RETRY_MS / SECOND_MS)
 
 
-async def begin_at_versions(fleet, session):
+async def take_up_until_done(streams, session, address):
+    """Take up streams, and again those whose callers are told when to come back."""
+    for _ in range(6):
+        await take_up(streams, session, address)
+        streams = [stream for stream in streams if not stream.is_complete]
+        times = [stream.refusals[-1][1] for stream in streams if stream.refusals]
+        if not any(times):
+            return
+        await asyncio.sleep(max(float(time_s) for time_s in times if time_s))
+
+
+async def has_incomplete_row(fleet):
+    """Return whether the versions are written, as such that may lack some."""
+    rows = fleet.store.list_rows(VERSIONS_TABLE).values()
+    return any(
+        msgspec.json.decode(row, type=VersionHistory).incomplete_until for row in rows
+    )
+
+
+async def begin_at_versions(fleet, session, **options):
     """Begin streams at two versions, one of which a copy of the store lacks.
 
+    :param options: those of :class:`~tests.version_fleet.VersionedStream`.
     :return: the copy, the streams, and the tasks that read them.
     """
     copy = fleet.store.copy()
     await add_versions(fleet)
     for name in NODES:
         await fleet.wait_log(name, '"e4"')
-    streams, tasks = await begin_recorded(fleet, session, "n1", count=STREAMS)
+    streams, tasks = await begin_recorded(
+        fleet, session, "n1", count=STREAMS, **options
+    )
     return copy, streams, tasks
 
 
@@ -215,6 +241,26 @@
     play_versions(tmp_path, scenario)
 
 
+@FAILURE
+def test_streams_without_records_go_on_by_what_servers_keep(tmp_path, failure):
+    """Guards against streams that are refused although the servers that began them can
+    tell: the store was away from before they began until after the power failed."""
+
+    async def scenario(fleet, session):
+        setattr(fleet.store, failure, True)
+        fleet.store.reset_connections()
+        streams, tasks = await begin(
+            fleet, session, "n1", count=STREAMS, has_prompt=True
+        )
+        await lose_power(fleet, streams, tasks)
+        setattr(fleet.store, failure, False)
+        await start_again(fleet)
+        await take_up(streams, session, fleet.addresses["n2"]["Frontend"])
+        check_complete(streams)
+
+    play_versions(tmp_path, scenario)
+
+
 @pytest.mark.parametrize("kills_coordinator", [False, True])
 def test_lost_records_are_written_again(tmp_path, kills_coordinator):
     """Guards against records that are missing from the copy from which the store comes
@@ -317,6 +363,59 @@
     play(tmp_path, scenario, nodes=NODES, has_retries=True)
 
 
+def test_streams_of_a_lost_version_are_told_from_others(tmp_path):
+    """Guards against streams that are refused with those of a version that is lost: the
+    servers of the version that is left can tell which ones they began."""
+
+    async def scenario(fleet, session):
+        copy, streams, tasks = await begin_at_versions(fleet, session, has_prompt=True)
+        await lose_power(fleet, streams, tasks)
+        fleet.store.restore(copy)
+        await start_again(fleet)
+        await take_up_until_done(streams, session, fleet.addresses["n2"]["Frontend"])
+        check_refused(streams, gone={OTHER_VERSION})
+
+    play(tmp_path, scenario, nodes=NODES, has_retries=True)
+
+
+def test_a_lost_version_counts_after_further_failures(tmp_path):
+    """Guards against streams that go on at the only version that is known, as the power
+    fails again after the coordinator has written the versions that it knows."""
+
+    async def scenario(fleet, session):
+        copy, streams, tasks = await begin_at_versions(fleet, session)
+        await lose_power(fleet, streams, tasks)
+        fleet.store.restore(copy)
+        await start_again(fleet)
+        await wait_until(
+            functools.partial(has_incomplete_row, fleet), "row of versions"
+        )
+        await kill_all(fleet)
+        await start_again(fleet)
+        await take_up(streams, session, fleet.addresses["n2"]["Frontend"])
+        check_unmixed(streams)
+
+    play(tmp_path, scenario, nodes=NODES, has_retries=True)
+
+
+def test_one_version_goes_on_after_its_rows_were_lost(tmp_path):
+    """Guards against streams that are refused as a version may have been lost, although
+    the servers that began them can tell."""
+
+    async def scenario(fleet, session):
+        copy = fleet.store.copy()
+        streams, tasks = await begin(
+            fleet, session, "n1", count=STREAMS, has_prompt=True
+        )
+        await lose_power(fleet, streams, tasks)
+        fleet.store.restore(copy)
+        await start_again(fleet)
+        await take_up_until_done(streams, session, fleet.addresses["n2"]["Frontend"])
+        check_complete(streams)
+
+    play(tmp_path, scenario, nodes=NODES, has_retries=True)
+
+
 def test_versions_that_servers_register_again_late(tmp_path):
     """Guards against a stream that goes on at the version that is registered first, as
     the store's copy is older than the other one and no process remembers it."""
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -7,6 +7,7 @@
 
 from arbutuspulley.delivery.begun_streams import MAX_RETENTION_MS
 from arbutuspulley.membership.software_versions import (
+    HISTORY_SETTLING_MS,
     TIME_TOLERANCE_MS,
     ServiceVersions,
     VersionHistory,
@@ -99,7 +100,75 @@
     versions.awaits_history = True
     update(versions, V1, now=0)
     assert versions.is_mixed("llm", now=0)
-    assert versions.list_mixed(now=0) == frozenset()
+    assert versions.list_recorded(now=0) == frozenset()
+
+
+def restart_with_copy(*, era=1, incomplete_until=0):
+    """Return the versions of a process that reads a row of v1 in era 2."""
+    versions = ServiceVersions()
+    versions.awaits_history = True
+    history = VersionHistory(
+        current=("v1",), era=era, incomplete_until=incomplete_until
+    )
+    versions.add_history({"llm": history}, now=0, store_now=OFFSET_MS, era=2)
+    update(versions, V1, now=0)
+    return versions
+
+
+def test_versions_that_a_copy_lacks_count_while_their_streams_may_be_resumed():
+    """Guards against a stream that goes on at the only version that is known, as all
+    processes had ended as the store came back from a copy that lacks the other one."""
+    versions = restart_with_copy()
+    for now in (0, HISTORY_SETTLING_MS, MAX_RETENTION_MS - 1):
+        assert versions.is_mixed("llm", now=now)
+        assert versions.list_recorded(now=now) == {"llm"}
+        assert versions.is_mixed("without a row", now=now)
+    assert not versions.is_mixed("llm", now=MAX_RETENTION_MS)
+    assert not versions.is_mixed("without a row", now=MAX_RETENTION_MS)
+
+
+def test_a_row_of_the_present_era_may_say_that_versions_lack():
+    """Guards against a process that starts later, or after a further failure, and takes
+    the row for complete that the first coordinator has written."""
+    before = restart_with_copy()
+    now = HISTORY_SETTLING_MS
+    row = before.build_history(now=now, store_now=now + OFFSET_MS, era=2)["llm"]
+    assert row.incomplete_until == MAX_RETENTION_MS + OFFSET_MS
+    assert not row.lists_same(VersionHistory(current=("v1",), era=2))
+    after = ServiceVersions()
+    after.awaits_history = True
+    after.add_history({"llm": row}, now=5_000, store_now=OFFSET_MS + 5_000, era=2)
+    update(after, V1, now=5_000)
+    assert after.is_mixed("llm", now=MAX_RETENTION_MS - 1)
+    assert not after.is_mixed("llm", now=MAX_RETENTION_MS)
+    assert not after.is_incomplete("without a row", now=5_000)
+
+
+def test_a_row_that_is_complete_again_is_not_written_for_that():
+    versions = restart_with_copy()
+    now = MAX_RETENTION_MS + 1
+    stored = VersionHistory(
+        current=("v1",), era=2, incomplete_until=MAX_RETENTION_MS + OFFSET_MS
+    )
+    row = versions.build_history(now=now, store_now=now + OFFSET_MS, era=2)["llm"]
+    assert row.incomplete_until == 0
+    assert row.lists_same(stored)
+
+
+def test_an_absurd_time_in_a_row_counts_no_longer_than_streams_last():
+    versions = restart_with_copy(era=2, incomplete_until=10**15)
+    assert versions.is_mixed("llm", now=MAX_RETENTION_MS - 1)
+    assert not versions.is_mixed("llm", now=MAX_RETENTION_MS)
+
+
+def test_a_process_that_kept_running_lacks_no_version():
+    """Guards against streams that are refused as a coordinator reads the row of an
+    older copy, although it has seen all versions itself."""
+    versions = ServiceVersions()
+    update(versions, V1, now=0)
+    copied = {"llm": VersionHistory(current=("v1",), era=1)}
+    versions.add_history(copied, now=10, store_now=OFFSET_MS, era=2)
+    assert not versions.is_mixed("llm", now=10)
 
 
 @pytest.mark.parametrize("back_ms", [1, 10_000, 10 * MAX_RETENTION_MS])
--- a/tests/test_stream_copies.py
+++ b/tests/test_stream_copies.py
@@ -5,7 +5,7 @@
 import pytest
 
 from arbutuspulley.clock import Clock
-from arbutuspulley.delivery.begun_streams import build_stream_key
+from arbutuspulley.delivery.begun_streams import MAX_RETENTION_MS, build_stream_key
 from arbutuspulley.delivery.stream_records import decode_row, list_streams
 from arbutuspulley.membership.software_versions import (
     HISTORY_SETTLING_MS,
@@ -180,6 +180,13 @@
     assert bench.ask().retry_after_ms == SETTLING_RETRY_MS
     assert bench.ask(version="v1") == V1
     bench.now += HISTORY_SETTLING_MS
+    refused = bench.ask()
+    assert (refused.reason, refused.retry_after_ms) == (
+        RefusalReason.VERSION_UNKNOWN,
+        0,
+    )
+    assert bench.ask(resumed_stream=None) is None
+    bench.now += MAX_RETENTION_MS - HISTORY_SETTLING_MS
     assert bench.ask() is None
 
 
--- a/tests/test_stream_store.py
+++ b/tests/test_stream_store.py
@@ -376,7 +376,13 @@
         await pass_ms(HISTORY_SETTLING_MS + 2 * REMOVAL_INTERVAL_MS)
         await second.kill()
         third = await start(store, V1)
-        assert not third.is_mixed()
+        versions = third.state.software_versions
+        assert not versions.is_settling("llm", now=get_now())
+        # A version that the copy lacks counts from the first start on.
+        await third.kill()
+        await pass_ms(MAX_RETENTION_MS - HISTORY_SETTLING_MS - 2 * REMOVAL_INTERVAL_MS)
+        fourth = await start(store, V1)
+        assert not fourth.is_mixed()
 
     play(scenario)
 
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -31,11 +31,13 @@
     events.
 
     :param attempt: id of the attempt that brought the first event.
+    :param has_prompt: whether the caller states the parts of its prompt.
     :ivar has_ended: whether an answer of status 200 has ended, and not broken off.
     """
 
-    def __init__(self, *, attempt, deadline_ms=DEADLINE_MS):
+    def __init__(self, *, attempt, deadline_ms=DEADLINE_MS, has_prompt=False):
         self.attempt = attempt
+        self.prompt = f"{attempt.encode().hex()}:100" if has_prompt else None
         self.deadline_ms = deadline_ms
         self.numbers = []
         self.versions = []
@@ -67,8 +69,11 @@
             "X-Arbutuspulley-Deadline-Ms": str(self.deadline_ms),
             "X-Arbutuspulley-Model": model,
             "X-Arbutuspulley-Token-Usage": "100,20",
-            **{name: value for name, value in headers.items() if value is not None},
+            **headers,
         }
+        if self.prompt is not None:
+            sent["X-Arbutuspulley-Prompt-Prefix"] = self.prompt
+        sent = {name: value for name, value in sent.items() if value is not None}
         url = f"http://{address}{path}{self.attempt}"
         status = None
         try:
@@ -122,17 +127,16 @@
         server.pause_s = pause_s
 
 
-async def begin_streams(
-    fleet, session, name, *, count, events=2, prefix="", deadline_ms=DEADLINE_MS
-):
+async def begin_streams(fleet, session, name, *, count, events=2, prefix="", **options):
     """Begin streams at a node, and wait until each has brought some events.
 
     :param prefix: put before the attempt ids.
+    :param options: those of :class:`VersionedStream`.
     :return: the streams, and the tasks that read them.
     """
     address = fleet.addresses[name]["Frontend"]
     streams = [
-        VersionedStream(attempt=f"{prefix}{name}-s{number}", deadline_ms=deadline_ms)
+        VersionedStream(attempt=f"{prefix}{name}-s{number}", **options)
         for number in range(count)
     ]
     tasks = [asyncio.create_task(stream.read(session, address)) for stream in streams]
