Ask servers only for versions that are not known

What callers saw: nothing yet; an instance used a whole core for minutes in a test whose nodes start without the store.

Cause: as the coordinator had not read the servers, it refused a request whose version was known (2013). The search at the servers then returned that the version is known, so that the request was sent to the coordinator again at once, without end.

The search now returns whether it has found a version, and a known one is told to come back.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -386,16 +386,16 @@
     async def _ask_servers(self) -> bool:
         """Look for the version of a stream at the servers, which keep its prompt.
 
-        :return: whether it is known now.
+        :return: whether it was not known before, and is now.
         """
         progress = self._progress
-        if progress.version is None:
-            version = await self._state.find_kept_version(
-                progress.service, self._request
-            )
-            if version is not None:
-                set_version(progress, version, source="servers")
-        return progress.version is not None
+        if progress.version is not None:
+            return False
+        version = await self._state.find_kept_version(progress.service, self._request)
+        if version is None:
+            return False
+        set_version(progress, version, source="servers")
+        return True
 
     def _return_grant(self, granted: Granted, why: str) -> Exception:
         """Return a grant of a server that gets no requests from this instance.
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -381,6 +381,23 @@
         trial.get_server()
 
 
+def test_no_coordinator_is_asked_again_at_once_for_a_version_that_is_known():
+    """Guards against an instance that asks a coordinator without a pause, as long as
+    that one has not read the servers."""
+    asked = []
+
+    def decide(trial):
+        asked.append(trial)
+        return refuse(reason=RefusalReason.VERSION_UNREAD)
+
+    trial = resume_unknown(decide, version=ENTRY.software_version)
+    trial.progress.version = ENTRY.software_version
+    with pytest.raises(NoServerError) as failed:
+        trial.get_server()
+    assert failed.value.retry_after_ms == 700
+    assert len(asked) == 1
+
+
 @pytest.mark.parametrize("is_read", [True, False])
 def test_servers_are_asked_without_a_coordinator(is_read):
     """Guards against a stream that is refused as neither a coordinator nor the store
