Ask servers for kept prompts as soon as a coordinator takes over

Cause: connections to an instance without power stay open, so callers resume only after their longest gap, 8 s there. By then new prompts have displaced those of the streams.

A coordinator that knows no stream as it takes over, as after the loss of all processes, asks all servers of services whose streams need records once, 50 at a time, and keeps for a minute which version's servers alone keep each part, 100,000 parts at most. A request that resumes an unknown stream states the key of its last part. Parts that were not read for want of room may be of any version, as those of servers that did not answer.

A new test on real nodes, whose servers forget the prompts before callers come back, is served by this alone.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.delivery.prompt_index import build_part_key
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.fingerprints import build_return_fingerprint
@@ -442,6 +443,11 @@
             cost=0 if self._charged is not None else self._cost,
             version=progress.version.name if progress.version else None,
             resumed_stream=progress.resumed_stream,
+            prompt=(
+                build_part_key(self._request.own_part)
+                if progress.is_version_unknown
+                else 0
+            ),
             fingerprint=(
                 build_return_fingerprint(self._request, team=team_name)
                 if shares_contended
--- a/src/arbutuspulley/node/kept_prompts.py
+++ b/src/arbutuspulley/node/kept_prompts.py
@@ -4,6 +4,10 @@
 last part belongs to the request or its session alone, so the servers that keep it tell
 the software version at which the request ran, although neither a process nor the store
 has a record of the stream.
+
+A coordinator that knows no stream as it takes over asks all servers of services whose
+streams need records, before new prompts displace those of the streams that broke off.
+An instance asks for a single stream that the coordinator does not know.
 """
 
 import asyncio
@@ -11,6 +15,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 
 from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.server_notices import read_answer
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform.engines import fetch_kept_parts
@@ -20,6 +25,14 @@
 """Time for which a server's answer is used for further requests, in ms: after a power
 failure many streams are resumed at once."""
 
+MAX_CALLS = 50
+"""Maximum number of servers that the coordinator asks at the same time."""
+
+READ_TIMEOUT_MS = 5_000
+READ_POLL_MS = 50
+"""How long a new coordinator waits until it has read the servers and their versions, in
+ms, and the interval at which it looks."""
+
 FetchParts = Callable[[ServerEntry], Awaitable[frozenset[str] | None]]
 """Asks a server which parts of prompts it keeps; ``None``: it did not answer."""
 
@@ -61,11 +74,8 @@
 
     def _may_ask(self, entry: ServerEntry, model: str) -> bool:
         """Return whether a server may keep prompts of a model, and may be asked."""
-        if entry.is_leaving:
-            return False
-        if self._state.cooldowns.get_end(entry.incarnation) > self._state.clock.now():
-            return False
-        return any(loaded.model == model for loaded in entry.loaded_models)
+        has_model = any(loaded.model == model for loaded in entry.loaded_models)
+        return has_model and may_ask(self._state, entry)
 
     async def _ask(self, entry: ServerEntry) -> frozenset[str] | None:
         asked = self._asked.get(entry.incarnation)
@@ -78,6 +88,69 @@
         return await asyncio.shield(asked)
 
 
+class PromptCollector:
+    """Asks servers as this instance becomes the coordinator.
+
+    :param fetch: asks a server.
+    """
+
+    __slots__ = ("_coordinating", "_fetch", "_state")
+
+    def __init__(self, *, state: NodeState, fetch: FetchParts) -> None:
+        self._coordinating = asyncio.Event()
+        self._fetch = fetch
+        self._state = state
+        state.on_coordinating.append(self._start)
+
+    def _start(self) -> None:
+        if not len(self._state.begun_streams):
+            self._coordinating.set()
+
+    async def run(self) -> None:
+        """Ask servers each time that it is needed; never returns."""
+        while True:
+            await self._coordinating.wait()
+            self._coordinating.clear()
+            if await self._wait_until_read():
+                await self._collect()
+
+    async def _wait_until_read(self) -> bool:
+        """Wait until the servers and their versions have been read."""
+        versions, clock = self._state.software_versions, self._state.clock
+        until = clock.now() + READ_TIMEOUT_MS
+        while versions.awaits_history or not versions.has_listed:
+            if clock.now() >= until:
+                return False
+            await asyncio.sleep(READ_POLL_MS / SECOND_MS)
+        return True
+
+    async def _collect(self) -> None:
+        state, now = self._state, self._state.clock.now()
+        state.prompt_index.restart(now=now)
+        entries = [
+            entry
+            for service in state.software_versions.list_recorded(now=now)
+            for entry in state.by_service.get(service, ())
+            if entry.loaded_models and may_ask(state, entry)
+        ]
+        calls = asyncio.Semaphore(MAX_CALLS)
+
+        async def ask(entry: ServerEntry) -> None:
+            async with calls:
+                is_full = state.prompt_index.is_full
+                parts = None if is_full else await self._fetch(entry)
+                state.prompt_index.add(entry.service, entry.software_version, parts)
+
+        await asyncio.gather(*(ask(entry) for entry in entries))
+        log_event(Event.KEPT_PROMPTS_READ, servers=len(entries))
+
+
+def may_ask(state: NodeState, entry: ServerEntry) -> bool:
+    """Return whether a server may be asked: it neither leaves nor wants no requests."""
+    is_resting = state.cooldowns.get_end(entry.incarnation) > state.clock.now()
+    return not entry.is_leaving and not is_resting
+
+
 def select_version(
     entries: list[ServerEntry],
     answers: Mapping[str, frozenset[str] | None],
@@ -101,8 +174,8 @@
     return next(iter(keeping)) if len(keeping) == 1 and silent <= keeping else None
 
 
-def ask_servers(state: NodeState) -> None:
-    """Let this process ask servers where streams began that nobody knows."""
+def build_fetch(state: NodeState) -> FetchParts:
+    """Build the call that asks a server over the network."""
 
     async def fetch(entry: ServerEntry) -> frozenset[str] | None:
         return await fetch_kept_parts(
@@ -112,4 +185,4 @@
             read_answer=functools.partial(read_answer, state, entry.incarnation),
         )
 
-    state.find_kept_version = KeptPrompts(state=state, fetch=fetch).find_version
+    return fetch
--- a/src/arbutuspulley/node/messages.py
+++ b/src/arbutuspulley/node/messages.py
@@ -219,6 +219,8 @@
     :param is_second: whether it is for a second attempt beside one that is running. It
         is granted or refused at once, and never waits. An older coordinator would let
         it wait; see ``grants_second`` of :class:`CoordinatorStatus`.
+    :param prompt: key of the last part of its prompt if it resumes a stream whose
+        version is not known; 0: not stated.
     """
 
     key: str
@@ -238,6 +240,7 @@
     fingerprint: int = 0
     ends_in_ms: int = 0
     is_second: bool = False
+    prompt: int = 0
 
 
 class PermissionRequest(Message, frozen=True, tag="permission"):
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -15,6 +15,7 @@
 from arbutuspulley.delivery.begun_streams import BegunStreams
 from arbutuspulley.delivery.crash_records import CrashRecords
 from arbutuspulley.delivery.part_records import PartRecords
+from arbutuspulley.delivery.prompt_index import PromptIndex
 from arbutuspulley.delivery.stream_records import StreamJournal
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.membership.capacity import get_capacity
@@ -95,6 +96,8 @@
         the store could be read.
     :param find_kept_version: finds the version at which a request of a service ran
         before from the prompts that servers keep; ``None``: they don't tell.
+    :param prompt_index: parts of prompts that servers kept as this instance became the
+        coordinator.
     :param crash_records: requests that were in flight as servers crashed, likewise.
     :param part_records: parts of prompts that were, likewise.
     :param held_bytes: bytes of servers' answers that this process holds.
@@ -157,6 +160,7 @@
         "on_unanswered",
         "order_session",
         "part_records",
+        "prompt_index",
         "refused_entries",
         "removed_starts",
         "rng",
@@ -215,6 +219,7 @@
         self.stream_journal = StreamJournal(writer=uuid.uuid4().hex[:12])
         self.stream_journal_changed = asyncio.Event()
         self.look_up_streams: Callable[[], Awaitable[bool]] = _look_up_nothing
+        self.prompt_index = PromptIndex()
         self.find_kept_version: FindVersion = _find_nothing
         self.crash_records = CrashRecords()
         self.held_bytes = HeldBytes(
--- a/src/arbutuspulley/node/stream_copies.py
+++ b/src/arbutuspulley/node/stream_copies.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from arbutuspulley.clock import SECOND_MS
-from arbutuspulley.delivery.begun_streams import BegunStream
+from arbutuspulley.delivery.begun_streams import BegunStream, compute_retention_ms
 from arbutuspulley.node.messages import (
     GrantRequest,
     RefusalReason,
@@ -15,6 +15,7 @@
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.stream_store import store_stream
 from arbutuspulley.node.stream_versions import (
+    UNNAMED_STREAM,
     UNREAD_RETRY_MS,
     add_copies,
     build_copies,
@@ -121,12 +122,7 @@
             return None
         begun = self._state.begun_streams.find(request.resumed_stream, now=now)
         if begun is not None:
-            for message in build_copies({request.resumed_stream: begun}, now=now):
-                self._peers.send(origin, message)
-            if begun.service == request.service:
-                return self._drop_if_only(request.service, begun.version, now=now)
-            # The instance chose another service of the route and has to choose again.
-            return self._refuse(request, retry_after_ms=1)
+            return self._apply_version(origin, request, begun, now=now)
         versions = self._state.software_versions
         if not versions.is_mixed(request.service, now=now):
             return None
@@ -135,10 +131,31 @@
         )
         if is_settling or now - self._active_since < SETTLING_MS:
             return self._refuse(request, retry_after_ms=SETTLING_RETRY_MS)
+        kept = self._state.prompt_index.find(request.service, request.prompt, now=now)
+        if kept is not None and request.resumed_stream != UNNAMED_STREAM:
+            begun = BegunStream(
+                service=request.service,
+                version=kept,
+                expires_at=now + compute_retention_ms(request.left_ms),
+            )
+            self._state.begun_streams.add(request.resumed_stream, begun, now=now)
+            store_stream(self._state, request.resumed_stream)
+            return self._apply_version(origin, request, begun, now=now)
         if self._state.stream_journal.awaits_records:
             return self._refuse_unread(request)
         return self._refuse(request, retry_after_ms=0)
 
+    def _apply_version(
+        self, origin: str, request: GrantRequest, begun: BegunStream, *, now: int
+    ) -> SoftwareVersion | Refused | None:
+        """Tell an instance of a stream, and return the version that it has to have."""
+        for message in build_copies({request.resumed_stream or 0: begun}, now=now):
+            self._peers.send(origin, message)
+        if begun.service == request.service:
+            return self._drop_if_only(request.service, begun.version, now=now)
+        # The instance chose another service of the route and has to choose again.
+        return self._refuse(request, retry_after_ms=1)
+
     def _drop_if_only(
         self, service: str, version: SoftwareVersion, *, now: int
     ) -> SoftwareVersion | None:
--- a/src/arbutuspulley/programs/node.py
+++ b/src/arbutuspulley/programs/node.py
@@ -25,7 +25,7 @@
 from arbutuspulley.node.directory import Directory
 from arbutuspulley.node.election import Election
 from arbutuspulley.node.frontend import Frontend
-from arbutuspulley.node.kept_prompts import ask_servers
+from arbutuspulley.node.kept_prompts import KeptPrompts, PromptCollector, build_fetch
 from arbutuspulley.node.link import LINK_PATH, Link
 from arbutuspulley.node.link_server import serve_link
 from arbutuspulley.node.metrics import NodeMetrics
@@ -168,7 +168,9 @@
         rng=random.Random(),
     )
     streams = StreamStore(state=state)
-    ask_servers(state)
+    fetch_parts = build_fetch(state)
+    state.find_kept_version = KeptPrompts(state=state, fetch=fetch_parts).find_version
+    prompts = PromptCollector(state=state, fetch=fetch_parts)
 
     def apply_era(era: int) -> None:
         metrics.store_era.set(era)
@@ -215,6 +217,7 @@
             lambda: bootstrap_from_neighbours(state, link),
             election.run,
             streams.run,
+            prompts.run,
             crashes.run,
             paths.watch,
             reloader.watch,
--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -363,7 +363,7 @@
 def _list_parts(request: web.BaseRequest) -> set[str]:
     """Return the ids of the parts of a request's prompt."""
     prompt = request.headers.get(names.PROMPT_PREFIX, "")
-    return {part.partition(":")[0] for part in prompt.split(",")}
+    return {part.partition(":")[0] for part in prompt.split(",") if part}
 
 
 def _get_last_event(request: web.BaseRequest) -> int:
--- a/tests/test_kept_prompts.py
+++ b/tests/test_kept_prompts.py
@@ -5,7 +5,14 @@
 import pytest
 
 from arbutuspulley.clock import SECOND_MS, Clock
-from arbutuspulley.node.kept_prompts import MAX_AGE_MS, KeptPrompts
+from arbutuspulley.delivery.begun_streams import BegunStream
+from arbutuspulley.delivery.prompt_index import build_part_key
+from arbutuspulley.node.kept_prompts import (
+    MAX_AGE_MS,
+    READ_POLL_MS,
+    KeptPrompts,
+    PromptCollector,
+)
 from arbutuspulley.platform import names
 from arbutuspulley.platform.messages import decode_kept_parts
 from arbutuspulley.platform.requests import MAX_PROMPT_PARTS, decode_request
@@ -37,9 +44,9 @@
         self.state = build_state(clock=Clock(read=lambda: 10_000))
         self.state.by_service["llm"] = list(answers)
         self._answers = {entry.incarnation: kept for entry, kept in answers.items()}
-        self.prompts = KeptPrompts(state=self.state, fetch=self._fetch)
+        self.prompts = KeptPrompts(state=self.state, fetch=self.fetch)
 
-    async def _fetch(self, entry):
+    async def fetch(self, entry):
         self.asked.append(entry.incarnation)
         await asyncio.sleep(0)
         return self._answers[entry.incarnation]
@@ -143,3 +150,51 @@
 def test_parts_are_read_from_what_servers_answer():
     body = b'{"epoch":7,"Next":3,"held":[["","A1",90,"m0"],["","b2",10,"m0","more"]]}'
     assert decode_kept_parts(body) == {PART, OTHER_PART}
+
+
+def collect(servers, *, knows_stream=False):
+    """Let a coordinator take over, and return what it has collected."""
+
+    async def scenario():
+        state = servers.state
+        if knows_stream:
+            stream = BegunStream(service="llm", version=V1, expires_at=20_000)
+            state.begun_streams.add(1, stream, now=10_000)
+        collector = PromptCollector(state=state, fetch=servers.fetch)
+        running = asyncio.create_task(collector.run())
+        for call in state.on_coordinating:
+            call()
+        await asyncio.sleep(0.02)
+        state.software_versions.update(state.by_service, now=10_000)
+        await asyncio.sleep(2 * READ_POLL_MS / SECOND_MS)
+        running.cancel()
+        return state.prompt_index
+
+    return asyncio.run(scenario())
+
+
+def test_a_coordinator_that_knows_no_stream_asks_once_it_has_read_the_servers():
+    """Guards against prompts that others have displaced by the time at which callers
+    resume their streams, after all processes have ended."""
+    servers = build_servers(KEEPING, LACKING)
+    index = collect(servers)
+    assert sorted(servers.asked) == ["s0", "s1"]
+    assert index.find("llm", build_part_key(PART), now=10_001) == V1
+
+
+def test_a_coordinator_asks_no_servers_that_can_not_tell():
+    """Guards against calls to each server at each change of the coordinator, and to
+    those that have no models, are leaving, or want no requests for a time."""
+    known = build_servers(KEEPING, LACKING)
+    collect(known, knows_stream=True)
+    one_version = Servers({build_entry("s0", software_version=V1): KEEPING})
+    collect(one_version)
+    unfit = build_servers(KEEPING, LACKING, is_leaving=True)
+    collect(unfit)
+    empty = build_servers(KEEPING, LACKING, loaded_models=())
+    collect(empty)
+    resting = build_servers(KEEPING, LACKING)
+    resting.state.cooldowns.extend("s0", 12_000)
+    collect(resting)
+    asked = [one.asked for one in (known, one_version, unfit, empty, resting)]
+    assert asked == [[], [], [], [], ["s1"]]
--- a/tests/test_power_failures_store.py
+++ b/tests/test_power_failures_store.py
@@ -261,6 +261,28 @@
     play_versions(tmp_path, scenario)
 
 
+def test_streams_go_on_although_other_prompts_displace_theirs(tmp_path):
+    """Guards against streams that are refused as callers resume them some seconds after
+    the failure, when the servers keep the prompts of others."""
+
+    async def scenario(fleet, session):
+        fleet.store.is_down = True
+        fleet.store.reset_connections()
+        streams, tasks = await begin(
+            fleet, session, "n1", count=STREAMS, has_prompt=True
+        )
+        await lose_power(fleet, streams, tasks)
+        fleet.store.is_down = False
+        await start_again(fleet)
+        await fleet.wait_log(fleet.find_coordinator(), "kept_prompts_read")
+        for server in fleet.servers:
+            server.kept_parts.clear()
+        await take_up_until_done(streams, session, fleet.addresses["n2"]["Frontend"])
+        check_complete(streams)
+
+    play_versions(tmp_path, scenario)
+
+
 @pytest.mark.parametrize("kills_coordinator", [False, True])
 def test_lost_records_are_written_again(tmp_path, kills_coordinator):
     """Guards against records that are missing from the copy from which the store comes
--- a/tests/test_stream_copies.py
+++ b/tests/test_stream_copies.py
@@ -6,6 +6,7 @@
 
 from arbutuspulley.clock import Clock
 from arbutuspulley.delivery.begun_streams import MAX_RETENTION_MS, build_stream_key
+from arbutuspulley.delivery.prompt_index import build_part_key
 from arbutuspulley.delivery.stream_records import decode_row, list_streams
 from arbutuspulley.membership.software_versions import (
     HISTORY_SETTLING_MS,
@@ -26,7 +27,7 @@
     SETTLING_RETRY_MS,
     StreamVersionLookup,
 )
-from arbutuspulley.node.stream_versions import UNREAD_RETRY_MS
+from arbutuspulley.node.stream_versions import UNNAMED_STREAM, UNREAD_RETRY_MS
 from arbutuspulley.ports.fleet import ModelNeed, SoftwareVersion
 from tests.node_states import build_entry, build_state
 
@@ -190,6 +191,23 @@
     assert bench.ask() is None
 
 
+def test_an_unknown_stream_goes_on_where_servers_keep_its_prompt():
+    """Guards against streams that are refused as no process and no record names them,
+    although the servers told the new coordinator where their prompts are."""
+    bench = Bench(V1, V2)
+    index = bench.state.prompt_index
+    index.restart(now=bench.now)
+    index.add("llm", V2, {"a1"})
+    assert bench.ask(prompt=build_part_key("a1")).retry_after_ms == SETTLING_RETRY_MS
+    bench.now += SETTLING_MS
+    assert bench.ask(prompt=build_part_key("b2")).retry_after_ms == 0
+    assert bench.ask(resumed_stream=UNNAMED_STREAM, prompt=build_part_key("a1")) != V2
+    assert bench.ask(prompt=build_part_key("a1")) == V2
+    [(name, told)] = bench.peers.sent
+    assert (name, told.version, told.streams[0][0]) == ("n2", "v2", KEY)
+    assert bench.ask() == V2
+
+
 def test_streams_that_an_instance_tells_are_recorded():
     """Guards against a stream without a record that began while there was no
     coordinator, and of which the next one is told as the instance links up."""
