Conclude nothing from kept prompts while other servers can't be asked

What callers saw: nothing yet; the test shows that a stream of v1 may go on at v2. Servers of v1 that were leaving, or wanted no requests for a time, were left out of those that are asked, as if they could not keep the prompt.

Cause: the last part of a prompt may be kept at two versions: by a session's earlier or later request, or a second attempt that did not bring the first event. In a release the servers of the old version leave, so exactly those that would contradict were not heard.

Such servers now count like those that do not answer: nothing is concluded for another version. An unrecorded stream of the new version is refused while servers of the old one that have its model are still leaving.

--- a/src/arbutuspulley/node/kept_prompts.py
+++ b/src/arbutuspulley/node/kept_prompts.py
@@ -50,22 +50,22 @@
         entries = [
             entry
             for entry in self._state.by_service.get(service, ())
-            if self._may_ask(entry, model)
+            if any(loaded.model == model for loaded in entry.loaded_models)
         ]
-        answers = await asyncio.gather(*(self._ask(entry) for entry in entries))
+        asked = [entry for entry in entries if self._may_ask(entry)]
+        answers = await asyncio.gather(*(self._ask(entry) for entry in asked))
         by_incarnation = {
             entry.incarnation: answer
-            for entry, answer in zip(entries, answers, strict=True)
+            for entry, answer in zip(asked, answers, strict=True)
         }
         return select_version(entries, by_incarnation, part=request.own_part)
 
-    def _may_ask(self, entry: ServerEntry, model: str) -> bool:
-        """Return whether a server may keep prompts of a model, and may be asked."""
+    def _may_ask(self, entry: ServerEntry) -> bool:
+        """Return whether a server accepts calls of this instance."""
         if entry.is_leaving:
             return False
-        if self._state.cooldowns.get_end(entry.incarnation) > self._state.clock.now():
-            return False
-        return any(loaded.model == model for loaded in entry.loaded_models)
+        cooldown_end = self._state.cooldowns.get_end(entry.incarnation)
+        return cooldown_end <= self._state.clock.now()
 
     async def _ask(self, entry: ServerEntry) -> frozenset[str] | None:
         asked = self._asked.get(entry.incarnation)
@@ -86,14 +86,15 @@
 ) -> SoftwareVersion | None:
     """Return the version whose servers alone keep a part of prompts.
 
-    A server that did not answer may keep it, too.
+    A server that did not answer, or was not asked, may keep it, too.
 
+    :param entries: servers that have the model.
     :param answers: ids of the parts that each server keeps, by incarnation; ``None``:
-        it did not answer.
+        it did not answer. Servers that were not asked are left out.
     """
     keeping, silent = set(), set()
     for entry in entries:
-        kept = answers[entry.incarnation]
+        kept = answers.get(entry.incarnation)
         if kept is None:
             silent.add(entry.software_version)
         elif part in kept:
--- a/tests/test_kept_prompts.py
+++ b/tests/test_kept_prompts.py
@@ -83,8 +83,8 @@
     no requests for a time."""
     answers = {
         build_entry("other", loaded_models=(LoadedModel(model="m1"),)): KEEPING,
-        build_entry("leaving", is_leaving=True): KEEPING,
-        build_entry("resting"): KEEPING,
+        build_entry("leaving", is_leaving=True, software_version=V1): KEEPING,
+        build_entry("resting", software_version=V1): KEEPING,
         build_entry("ready", software_version=V1): KEEPING,
     }
     servers = Servers(answers)
@@ -93,6 +93,22 @@
     assert servers.asked == ["ready"]
 
 
+@pytest.mark.parametrize("state", ["leaving", "resting"])
+def test_a_server_that_is_not_asked_may_keep_a_prompt(state):
+    """Guards against a stream that goes on at another version, which keeps its prompt
+    of an earlier request of the session or of a second attempt, as the servers that
+    began it are leaving or want no requests for a time."""
+    answers = {
+        build_entry(state, is_leaving=state == "leaving", software_version=V1): KEEPING,
+        build_entry("ready", software_version=V2): KEEPING,
+    }
+    servers = Servers(answers)
+    if state == "resting":
+        servers.state.cooldowns.extend(state, 12_000)
+    assert asyncio.run(servers.find()) is None
+    assert servers.asked == ["ready"]
+
+
 @pytest.mark.parametrize("prompt", ["", "no id:10", f"{PART}:1,"])
 def test_a_request_without_a_prompt_of_its_own_asks_nobody(prompt):
     servers = build_servers(KEEPING, LACKING)
