Let versions that a living process has written count as complete again

What callers saw: nothing yet; tests show that an instance that reads the rows of an older copy just before the coordinator, which kept running, writes them again refuses streams that it does not know (2011, no Retry-After) for ten minutes, where its service has one version: those of plain services, and all while it has no coordinator. As the next coordinator it makes the others do so, too, by its row.

Cause: whether versions may be missing was decided by the first row that a process reads, and never again.

A row of the present era is now believed when it is read later: its writer knew all versions, or states itself until when some may be missing. A new coordinator reads the rows anyhow; an instance that looks for a stream reads them, too, while it lacks versions, once a second at most.

--- a/src/arbutuspulley/membership/software_versions.py
+++ b/src/arbutuspulley/membership/software_versions.py
@@ -129,6 +129,8 @@
                 name for name, history in histories.items() if history.era == era
             )
             self._set_incomplete(histories, now=now, store_now=store_now)
+        else:
+            self._confirm_written(histories, now=now, store_now=store_now, era=era)
         for service, history in histories.items():
             left = dict.fromkeys(history.current, store_now)
             if history.era == era:
@@ -156,6 +158,36 @@
                 min(stated_until, unknown_until) if is_confirmed else unknown_until
             )
 
+    def _confirm_written(
+        self,
+        histories: Mapping[str, VersionHistory],
+        *,
+        now: int,
+        store_now: int,
+        era: int,
+    ) -> None:
+        """Apply what a process has written since that knows which versions there were.
+
+        It had not ended as the store came back from an older copy, or it states itself
+        until when versions may be missing.
+        """
+        written = {
+            service: now + history.incomplete_until - store_now
+            for service, history in histories.items()
+            if history.era == era
+        }
+        self._confirmed |= written.keys()
+        for service, until in written.items():
+            if until < self._get_incomplete_until(service):
+                self._incomplete_until[service] = until
+
+    def has_incomplete(self, *, now: int) -> bool:
+        """Return whether any service is incomplete; see :meth:`is_incomplete`."""
+        latest = max(
+            self._incomplete_until.values(), default=self._others_incomplete_until
+        )
+        return now < max(latest, self._others_incomplete_until)
+
     def is_incomplete(self, service: str, *, now: int) -> bool:
         """Return whether versions may count of which nothing is known any more.
 
--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -198,11 +198,13 @@
         wait_ms = self._read_at + MIN_READ_INTERVAL_MS - self._state.clock.now()
         if wait_ms > 0:
             await asyncio.sleep(wait_ms / SECOND_MS)
-        self._read_at = self._state.clock.now()
+        self._read_at = now = self._state.clock.now()
+        versions = self._state.software_versions
         try:
-            if self._state.software_versions.awaits_history:
+            # A process that knows all versions may have written them meanwhile.
+            if versions.awaits_history or versions.has_incomplete(now=now):
                 await self._read_history()
-            if self._state.software_versions.list_recorded(now=self._state.clock.now()):
+            if versions.list_recorded(now=self._state.clock.now()):
                 await self._read_streams()
         except PlatformUnavailableError as error:
             log_event(Event.STREAM_RECORDS_DELAYED, detail=error.detail)
--- a/tests/test_stream_store.py
+++ b/tests/test_stream_store.py
@@ -387,6 +387,46 @@
     play(scenario)
 
 
+async def restart_beside_a_coordinator(store):
+    """Let a process read the rows of an older copy just before a coordinator, which
+    kept running, writes them again; return both processes."""
+    first = await start(store, V1)
+    store.restore(store.copy())
+    second = await start(store, V1, is_coordinator=False)
+    assert second.is_mixed()
+    await first.client.read(VERSIONS_TABLE)
+    await pass_ms(2 * WRITE_INTERVAL_MS)
+    return first, second
+
+
+def test_a_process_that_read_an_outdated_row_reads_it_again():
+    """Guards against streams that an instance refuses for ten minutes as a version may
+    be missing, although the coordinator has written all versions meanwhile."""
+
+    async def scenario(store):
+        _first, second = await restart_beside_a_coordinator(store)
+        assert await second.state.look_up_streams()
+        assert not second.is_mixed()
+
+    play(scenario)
+
+
+def test_a_new_coordinator_goes_by_the_versions_of_one_that_knew_all():
+    """Guards against a row by which all instances refuse unknown streams for ten
+    minutes, as the new coordinator has started while the row was outdated."""
+
+    async def scenario(store):
+        first, second = await restart_beside_a_coordinator(store)
+        await first.kill()
+        second.coordinate()
+        await pass_ms(2 * REMOVAL_INTERVAL_MS)
+        assert not second.is_mixed()
+        third = await start(store, V1)
+        assert not third.is_mixed()
+
+    play(scenario)
+
+
 def test_a_stream_goes_on_after_each_of_several_power_failures():
     """Guards against a stream that is forgotten with the deadline of its first attempt,
     though each of its attempts has one of its own."""
