Date rows of crashes by the store's clock of a new era

What callers saw: nothing yet; tests show that a quarantine ends early: the store comes back with a clock that is ahead, all instances are killed later, and the next one takes the rows for expired. What is quarantined then crashes as many servers again.

Cause: a row was written again only if its suspicion had changed. After a new era the rows of the copy list the same crashes, but their times are those of the former clock; rows of streams are dated anew in this case, those of crashes were not.

A row that expires over 5 s earlier than its suspicion is written again. Result: the two cases of the new test in test_crash_store.py fail before and pass now.

--- a/src/arbutuspulley/node/crash_store.py
+++ b/src/arbutuspulley/node/crash_store.py
@@ -51,6 +51,12 @@
 """Interval of removing expired rows while nothing changes, in ms."""
 
 
+MAX_EARLY_EXPIRY_MS = 5_000
+"""How much earlier a row may expire than its suspicion without being written again, in
+ms: the store's clock is known to within the time of a call, and may be another one in
+a new era."""
+
+
 class CrashRow(Message, frozen=True):
     """A row of the store.
 
@@ -143,9 +149,7 @@
             row, stored = self._build_row(key, store_now=store_now), self._rows.get(key)
             if row is None and stored is not None:
                 remove.append(key)
-            elif row is not None and (
-                stored is None or stored.suspicion != row.suspicion
-            ):
+            elif row is not None and not _is_up_to_date(stored, row):
                 put[key] = row
             else:
                 self._changed.pop(key, None)
@@ -316,5 +320,14 @@
     return row
 
 
+def _is_up_to_date(stored: CrashRow | None, row: CrashRow) -> bool:
+    """Return whether a stored row needs no update by another one."""
+    return (
+        stored is not None
+        and stored.suspicion == row.suspicion
+        and row.expires_at - stored.expires_at <= MAX_EARLY_EXPIRY_MS
+    )
+
+
 def _compute_age_ms(row: CrashRow, store_now: int) -> int:
     return max(0, store_now - row.changed_at)
--- a/tests/test_crash_store.py
+++ b/tests/test_crash_store.py
@@ -33,6 +33,7 @@
 
     def __init__(self, now):
         self._now = now
+        self.clock_offset_ms = 0
         self.era = SimpleNamespace(current=0)
         self.rows = {}
         self.writes = []
@@ -41,6 +42,9 @@
         self.losing = 0
         self.on_write = lambda: None
 
+    def get_now(self):
+        return self._now[0] + self.clock_offset_ms
+
     def _check(self, table):
         assert table == CRASHES_TABLE
         if self.failing:
@@ -54,7 +58,7 @@
             StoredRow(key=key, position=build_position(1), value=value)
             for key, value in self.rows.items()
         ]
-        return RowsAnswer(rows=rows, position=build_position(1), now_ms=self._now[0])
+        return RowsAnswer(rows=rows, position=build_position(1), now_ms=self.get_now())
 
     async def write(self, table, *, expected, put, remove):
         self._check(table)
@@ -68,7 +72,7 @@
             self.losing -= 1
             raise OutcomeUnknownError(detail="lost")
         return WriteAnswer(
-            is_applied=True, position=build_position(1), now_ms=self._now[0]
+            is_applied=True, position=build_position(1), now_ms=self.get_now()
         )
 
 
@@ -210,6 +214,30 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("lead_ms", [QUARANTINE_MS // 2, 2 * QUARANTINE_MS])
+def test_rows_are_written_again_by_the_clock_of_a_new_era(lead_ms):
+    """Guards against a quarantine that ends early, or with the next power failure, as
+    the store comes back with a clock that is ahead of that by which a row is dated."""
+
+    async def scenario(store, now):
+        first = Process(store, now)
+        first.crash()
+        await wait_for(lambda: store.rows)
+        store.clock_offset_ms = lead_ms
+        store.era.current = 1
+        first.crashes.restart(1)
+        await asyncio.sleep(IDLE_S)
+        assert len(store.writes) == 2
+        await first.kill()
+        now[0] += QUARANTINE_MS - 1
+        second = Process(store, now)
+        await wait_for(lambda: second.requests.find("aa"))
+        assert second.count() == MAX_CRASHES
+        await second.kill()
+
+    play(scenario)
+
+
 def test_a_write_that_ends_in_another_era_is_not_taken_for_lasting():
     """Guards against a row that the copy lacks as it was written just before."""
 
