Ask no servers for a stream before all have written their rows again

What callers saw: nothing yet; the test shows that without a coordinator a stream goes on at the version whose servers are registered first, after all processes were killed and the store has come back from an older copy.

Cause: for 3 s after such a start servers may not be listed yet. A coordinator keeps callers waiting meanwhile; an instance without one asked the servers that it knew. Those of the other version could not contradict.

An instance without a coordinator refuses such a stream (2013, Retry-After 1 s) until that time is over, and asks then. Result: the new test of test_acquisition.py fails before and passes now.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -338,6 +338,13 @@
             self._progress.service, now=self._state.clock.now()
         )
 
+    def _may_know_all_servers(self) -> bool:
+        """Return whether no servers are awaited that write their rows again.
+
+        They do so after the store has come back from an older copy.
+        """
+        return self._state.software_versions.awaits_history or not self._is_settling()
+
     def _may_lack_versions(self) -> bool:
         """Return whether other versions of the service may have been in service."""
         return self._is_settling() or self._state.software_versions.is_incomplete(
@@ -350,7 +357,9 @@
         :return: the error that ends this attempt or the request.
         """
         await self._look_up_version()
-        if not self._progress.is_version_unknown or await self._ask_servers():
+        if not self._progress.is_version_unknown:
+            return RetryError()
+        if self._may_know_all_servers() and await self._ask_servers():
             return RetryError()
         if self._progress.is_store_read:
             return NoServerError(UNKNOWN_REASON, may_retry=False)
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -30,7 +30,7 @@
 from arbutuspulley.node.quota_charging import QuotaCharger
 from arbutuspulley.node.server_notices import read_answer
 from arbutuspulley.node.store_watch import activate_configuration
-from arbutuspulley.node.stream_versions import GONE_REASON
+from arbutuspulley.node.stream_versions import GONE_REASON, UNREAD_REASON
 from arbutuspulley.platform import names
 from arbutuspulley.platform.requests import decode_request
 from arbutuspulley.ports.fleet import (
@@ -400,6 +400,30 @@
     assert trial.progress.version_source == "servers"
 
 
+def test_servers_are_asked_once_all_have_written_their_rows_again():
+    """Guards against a stream that goes on at the version that is registered first, as
+    servers of the other one, which keep its prompt, too, are not listed again yet."""
+
+    async def read():
+        return True
+
+    clock = Clock()
+    trial = resume_unknown(grant, version=ENTRY.software_version, clock=clock)
+    trial.state.by_service["llm"] = [ENTRY]
+    trial.link.deliver_local = None
+    trial.link.status = CoordinatorStatus(is_holder=True)
+    trial.state.instances = 1
+    trial.state.look_up_streams = read
+    copied = {"llm": VersionHistory(current=("v1",), era=1)}
+    versions = trial.state.software_versions
+    versions.add_history(copied, now=clock.now(), store_now=0, era=2)
+    assert versions.is_settling("llm", now=clock.now())
+    with pytest.raises(NoServerError) as failed:
+        trial.get_server()
+    assert failed.value.reason == UNREAD_REASON
+    assert failed.value.may_retry
+
+
 def test_a_grant_is_used_while_a_version_may_be_lost():
     """Guards against callers who are refused by an instance that takes the versions for
     incomplete, though its coordinator knows better."""
