Replace a row that may lack versions once all are known

Cause: a coordinator that has started with the rows of an older copy writes that versions may be missing. One that kept running and takes over lists the same versions, so its row counted as equal, and processes that start later go by the stored one.

A row that may lack versions is written again if those that are known are complete; one whose time is over is not. Result: the new test of test_stream_store.py fails before and passes now.

--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -23,7 +23,10 @@
     list_streams,
 )
 from arbutuspulley.events import Event, log_event
-from arbutuspulley.membership.software_versions import VersionHistory
+from arbutuspulley.membership.software_versions import (
+    TIME_TOLERANCE_MS,
+    VersionHistory,
+)
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.store_writing import repeat_step, write_rows
 from arbutuspulley.platform.store import RowsAnswer, StoredRow
@@ -255,13 +258,16 @@
         state = self._state
         await self._read_clock()
         now = state.clock.now()
+        store_now = now + self._offset_ms
         histories = state.software_versions.build_history(
-            now=now, store_now=now + self._offset_ms, era=state.store.era.current
+            now=now, store_now=store_now, era=state.store.era.current
         )
         changed = {
             service: history
             for service, history in histories.items()
-            if not history.lists_same(self._histories.get(service))
+            if not _is_up_to_date(
+                self._histories.get(service), history, store_now=store_now
+            )
         }
         remaining = iter(changed.items())
         while part := dict(itertools.islice(remaining, MAX_BATCH_HISTORIES)):
@@ -312,6 +318,20 @@
         state.stream_journal_changed.set()
 
 
+def _is_up_to_date(
+    stored: VersionHistory | None, history: VersionHistory, *, store_now: int
+) -> bool:
+    """Return whether a stored history needs no update by another one.
+
+    One that may lack versions does if the other one is complete: its writer has started
+    before the row was written again that an older copy of the store held.
+    """
+    if stored is None or not history.lists_same(stored):
+        return False
+    incomplete_ms = stored.incomplete_until - store_now
+    return history.incomplete_until > 0 or incomplete_ms <= TIME_TOLERANCE_MS
+
+
 def _decode_histories(answer: RowsAnswer) -> dict[str, VersionHistory]:
     histories: dict[str, VersionHistory] = {}
     for row in answer.rows:
--- a/tests/test_stream_store.py
+++ b/tests/test_stream_store.py
@@ -427,6 +427,29 @@
     play(scenario)
 
 
+def test_a_row_that_may_lack_versions_is_replaced_by_one_that_is_complete():
+    """Guards against processes that refuse unknown streams by the row of a coordinator
+    that had just started, although the present one knows all versions."""
+
+    async def scenario(store):
+        first = await start(store, V1)
+        first.state.is_coordinator = False
+        store.restore(store.copy())
+        second = await start(store, V1)
+        await pass_ms(HISTORY_SETTLING_MS + 2 * REMOVAL_INTERVAL_MS)
+        await second.kill()
+        first.coordinate()
+        await pass_ms(2 * REMOVAL_INTERVAL_MS)
+        writes = store.count(VERSIONS_TABLE, "write")
+        third = await start(store, V1, is_coordinator=False)
+        assert not third.is_mixed()
+        first.state.notify_change()
+        await pass_ms(REMOVAL_INTERVAL_MS)
+        assert store.count(VERSIONS_TABLE, "write") == writes
+
+    play(scenario)
+
+
 def test_a_stream_goes_on_after_each_of_several_power_failures():
     """Guards against a stream that is forgotten with the deadline of its first attempt,
     though each of its attempts has one of its own."""
