State when streams of one version are recorded, and when kept prompts mislead

The module said that no stream of a service with one version is recorded; those of a service whose versions may have been lost are. The set of these services is named by what is done with them. No behaviour changes.

--- a/src/arbutuspulley/membership/software_versions.py
+++ b/src/arbutuspulley/membership/software_versions.py
@@ -10,7 +10,6 @@
 """Difference between two times at which a version left that needs no new row, in ms:
 the store's clock is known to within the time of a call."""
 
-
 HISTORY_SETTLING_MS = 3_000
 """Time for which a row of versions that may be incomplete is not relied on, in ms:
 servers write theirs again within two seconds of the store's return."""
@@ -254,7 +253,7 @@
     def is_mixed(self, service: str, *, now: int) -> bool:
         """Return whether streams of several versions may be resumed at a service.
 
-        That is so as long as it is not known which ones were in service before.
+        That counts as so as long as it is not known which ones were in service before.
         """
         return self.is_settling(service, now=now) or self.needs_records(
             service, now=now
--- a/src/arbutuspulley/node/kept_prompts.py
+++ b/src/arbutuspulley/node/kept_prompts.py
@@ -4,6 +4,10 @@
 last part belongs to the request or its session alone, so the servers that keep it tell
 the software version at which the request ran, although neither a process nor the store
 has a record of the stream.
+
+The evidence is false if a session's other requests, or a second attempt that brought no
+event, ran at another version, and the servers that began the stream are gone or have
+displaced the part since. Nothing bounds this but how few streams have no record.
 """
 
 import asyncio
--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -6,7 +6,8 @@
 coordinator, and by an instance that has none when a caller resumes one that it does not
 know.
 
-No stream of a service with one software version is recorded.
+No stream of a service with one software version is recorded, unless the store may have
+lost another one that was in service while no process ran.
 """
 
 import asyncio
@@ -66,10 +67,10 @@
         "_coordinating",
         "_histories",
         "_is_clock_read",
-        "_mixed",
         "_offset_ms",
         "_read_at",
         "_reading",
+        "_recorded",
         "_state",
         "_term",
         "_was_coordinator",
@@ -80,10 +81,11 @@
         self._histories: dict[str, VersionHistory] = {}
         # Whether the store's clock has been read in its present era.
         self._is_clock_read = False
-        self._mixed: frozenset[str] = frozenset()
         self._offset_ms = 0
         self._read_at = -MIN_READ_INTERVAL_MS
         self._reading: asyncio.Task[bool] | None = None
+        # Services whose streams are recorded.
+        self._recorded: frozenset[str] = frozenset()
         self._state = state
         # Number of times that this instance has become the coordinator.
         self._term = 0
@@ -172,20 +174,20 @@
                 return
             now = state.clock.now()
             journal.adopt(rows, now=now, store_now=now + self._offset_ms)
-            self._mixed = frozenset()
+            self._recorded = frozenset()
         await self._write_histories()
-        mixed = state.software_versions.list_recorded(now=state.clock.now())
-        if mixed != self._mixed:
-            self._mixed = mixed
+        recorded = state.software_versions.list_recorded(now=state.clock.now())
+        if recorded != self._recorded:
+            self._recorded = recorded
             self._add_missing()
         self._was_coordinator = term == self._term
 
     def _add_missing(self) -> None:
-        """Add streams that began before their service had several versions."""
+        """Add streams that began before those of their service were recorded."""
         state = self._state
         streams = state.begun_streams.list_newest(MAX_STREAMS, now=state.clock.now())
         for key, stream in streams.items():
-            if stream.service in self._mixed:
+            if stream.service in self._recorded:
                 state.stream_journal.add(key, stream)
 
     async def look_up(self) -> bool:
@@ -308,7 +310,7 @@
 
 
 def store_stream(state: NodeState, key: int) -> None:
-    """Let a stream be recorded in the store, if its service has several versions."""
+    """Let a stream be recorded in the store, if those of its service have to be."""
     now = state.clock.now()
     versions = state.software_versions
     stream = state.begun_streams.find(key, now=now)
