Bound how many servers are asked at once for a stream

Cause: the calls were made all at once, and the connections of a process have no limit.

At most 100 calls of an instance run at a time. The time for which an answer is used begins as it arrives, so that servers that wait for their turn are not asked twice. Result: the new test of test_kept_prompts.py, with three times as many servers as calls, fails before and passes now.

--- a/src/arbutuspulley/node/kept_prompts.py
+++ b/src/arbutuspulley/node/kept_prompts.py
@@ -24,6 +24,10 @@
 """Time for which a server's answer is used for further requests, in ms: after a power
 failure many streams are resumed at once."""
 
+MAX_CALLS = 100
+"""Maximum number of servers that an instance asks at the same time, so that it opens
+few connections in a large fleet. The number was not measured."""
+
 FetchParts = Callable[[ServerEntry], Awaitable[frozenset[str] | None]]
 """Asks a server which parts of prompts it keeps; ``None``: it did not answer."""
 
@@ -34,12 +38,13 @@
     :param fetch: asks a server.
     """
 
-    __slots__ = ("_asked", "_fetch", "_state")
+    __slots__ = ("_asked", "_fetch", "_state", "_turns")
 
     def __init__(self, *, state: NodeState, fetch: FetchParts) -> None:
         self._asked: dict[str, asyncio.Future[frozenset[str] | None]] = {}
         self._fetch = fetch
         self._state = state
+        self._turns = asyncio.Semaphore(MAX_CALLS)
 
     async def find_version(
         self, service: str, request: InboundRequest
@@ -74,13 +79,21 @@
     async def _ask(self, entry: ServerEntry) -> frozenset[str] | None:
         asked = self._asked.get(entry.incarnation)
         if asked is None:
-            asked = asyncio.ensure_future(self._fetch(entry))
+            asked = asyncio.ensure_future(self._fetch_in_turn(entry))
             self._asked[entry.incarnation] = asked
-            asyncio.get_running_loop().call_later(
-                MAX_AGE_MS / SECOND_MS, self._asked.pop, entry.incarnation
-            )
+            asked.add_done_callback(lambda _asked: self._expire(entry.incarnation))
         return await asyncio.shield(asked)
 
+    async def _fetch_in_turn(self, entry: ServerEntry) -> frozenset[str] | None:
+        async with self._turns:
+            return await self._fetch(entry)
+
+    def _expire(self, incarnation: str) -> None:
+        """Forget an answer that has just arrived once it is too old."""
+        asyncio.get_running_loop().call_later(
+            MAX_AGE_MS / SECOND_MS, self._asked.pop, incarnation
+        )
+
 
 def select_version(
     entries: list[ServerEntry],
--- a/tests/test_kept_prompts.py
+++ b/tests/test_kept_prompts.py
@@ -5,7 +5,7 @@
 import pytest
 
 from arbutuspulley.clock import SECOND_MS, Clock
-from arbutuspulley.node.kept_prompts import MAX_AGE_MS, KeptPrompts
+from arbutuspulley.node.kept_prompts import MAX_AGE_MS, MAX_CALLS, KeptPrompts
 from arbutuspulley.platform import names
 from arbutuspulley.platform.messages import decode_kept_parts
 from arbutuspulley.platform.requests import MAX_PROMPT_PARTS, decode_request
@@ -141,6 +141,25 @@
     asyncio.run(scenario())
 
 
+def test_many_servers_are_asked_in_turn():
+    """Guards against thousands of connections that an instance opens at once as a
+    stream of a model is resumed that all servers of a large fleet have."""
+    running = most = 0
+
+    async def fetch(_entry):
+        nonlocal running, most
+        running += 1
+        most = max(most, running)
+        await asyncio.sleep(0.001)
+        running -= 1
+        return KEEPING
+
+    servers = build_servers(*[KEEPING] * (3 * MAX_CALLS))
+    prompts = KeptPrompts(state=servers.state, fetch=fetch)
+    asyncio.run(prompts.find_version("llm", build_request()))
+    assert most == MAX_CALLS
+
+
 def test_a_caller_who_leaves_ends_no_call_of_others():
     """Guards against callers who get no answer as the first one that asked has gone."""
 
