--- a/src/arbutuspulley/node/kept_prompts.py
+++ b/src/arbutuspulley/node/kept_prompts.py
@@ -8,6 +8,10 @@
 A coordinator that knows no stream as it takes over asks all servers of services whose
 streams need records, before new prompts displace those of the streams that broke off.
 An instance asks for a single stream that the coordinator does not know.
+
+The evidence is false if a session's other requests, or a second attempt that brought no
+event, ran at another version, and the servers that began the stream are gone or have
+displaced the part since. Nothing bounds this but how few streams have no record.
 """
 
 import asyncio
@@ -26,7 +30,7 @@
 failure many streams are resumed at once."""
 
 MAX_CALLS = 50
-"""Maximum number of servers that the coordinator asks at the same time."""
+"""Maximum number of servers that an instance asks at the same time."""
 
 READ_TIMEOUT_MS = 5_000
 READ_POLL_MS = 50
@@ -43,12 +47,13 @@
     :param fetch: asks a server.
     """
 
-    __slots__ = ("_asked", "_fetch", "_state")
+    __slots__ = ("_asked", "_fetch", "_state", "_turns")
 
     def __init__(self, *, state: NodeState, fetch: FetchParts) -> None:
         self._asked: dict[str, asyncio.Future[frozenset[str] | None]] = {}
         self._fetch = fetch
         self._state = state
+        self._turns = asyncio.Semaphore(MAX_CALLS)
 
     async def find_version(
         self, service: str, request: InboundRequest
@@ -63,30 +68,34 @@
         entries = [
             entry
             for entry in self._state.by_service.get(service, ())
-            if self._may_ask(entry, model)
+            if any(loaded.model == model for loaded in entry.loaded_models)
         ]
-        answers = await asyncio.gather(*(self._ask(entry) for entry in entries))
+        asked = [entry for entry in entries if not is_resting(self._state, entry)]
+        answers = await asyncio.gather(*(self._ask(entry) for entry in asked))
         by_incarnation = {
             entry.incarnation: answer
-            for entry, answer in zip(entries, answers, strict=True)
+            for entry, answer in zip(asked, answers, strict=True)
         }
         return select_version(entries, by_incarnation, part=request.own_part)
 
-    def _may_ask(self, entry: ServerEntry, model: str) -> bool:
-        """Return whether a server may keep prompts of a model, and may be asked."""
-        has_model = any(loaded.model == model for loaded in entry.loaded_models)
-        return has_model and may_ask(self._state, entry)
-
     async def _ask(self, entry: ServerEntry) -> frozenset[str] | None:
         asked = self._asked.get(entry.incarnation)
         if asked is None:
-            asked = asyncio.ensure_future(self._fetch(entry))
+            asked = asyncio.ensure_future(self._fetch_in_turn(entry))
             self._asked[entry.incarnation] = asked
-            asyncio.get_running_loop().call_later(
-                MAX_AGE_MS / SECOND_MS, self._asked.pop, entry.incarnation
-            )
+            asked.add_done_callback(lambda _asked: self._expire(entry.incarnation))
         return await asyncio.shield(asked)
 
+    async def _fetch_in_turn(self, entry: ServerEntry) -> frozenset[str] | None:
+        async with self._turns:
+            return await self._fetch(entry)
+
+    def _expire(self, incarnation: str) -> None:
+        """Forget an answer that has just arrived once it is too old."""
+        asyncio.get_running_loop().call_later(
+            MAX_AGE_MS / SECOND_MS, self._asked.pop, incarnation
+        )
+
 
 class PromptCollector:
     """Asks servers as this instance becomes the coordinator.
@@ -115,15 +124,24 @@
                 await self._collect()
 
     async def _wait_until_read(self) -> bool:
-        """Wait until the servers and their versions have been read."""
-        versions, clock = self._state.software_versions, self._state.clock
+        """Wait until the servers and their versions have been read.
+
+        After the store has come back from an older copy servers write their rows again.
+        """
+        clock = self._state.clock
         until = clock.now() + READ_TIMEOUT_MS
-        while versions.awaits_history or not versions.has_listed:
+        while not self._is_read(now=clock.now()):
             if clock.now() >= until:
                 return False
             await asyncio.sleep(READ_POLL_MS / SECOND_MS)
         return True
 
+    def _is_read(self, *, now: int) -> bool:
+        versions = self._state.software_versions
+        return versions.has_listed and not any(
+            versions.is_settling(service, now=now) for service in self._state.by_service
+        )
+
     async def _collect(self) -> None:
         state, now = self._state, self._state.clock.now()
         state.prompt_index.restart(now=now)
@@ -131,24 +149,23 @@
             entry
             for service in state.software_versions.list_recorded(now=now)
             for entry in state.by_service.get(service, ())
-            if entry.loaded_models and may_ask(state, entry)
+            if entry.loaded_models
         ]
         calls = asyncio.Semaphore(MAX_CALLS)
 
         async def ask(entry: ServerEntry) -> None:
             async with calls:
-                is_full = state.prompt_index.is_full
-                parts = None if is_full else await self._fetch(entry)
+                skipped = state.prompt_index.is_full or is_resting(state, entry)
+                parts = None if skipped else await self._fetch(entry)
                 state.prompt_index.add(entry.service, entry.software_version, parts)
 
         await asyncio.gather(*(ask(entry) for entry in entries))
         log_event(Event.KEPT_PROMPTS_READ, servers=len(entries))
 
 
-def may_ask(state: NodeState, entry: ServerEntry) -> bool:
-    """Return whether a server may be asked: it neither leaves nor wants no requests."""
-    is_resting = state.cooldowns.get_end(entry.incarnation) > state.clock.now()
-    return not entry.is_leaving and not is_resting
+def is_resting(state: NodeState, entry: ServerEntry) -> bool:
+    """Return whether a server wants no calls for a time."""
+    return state.cooldowns.get_end(entry.incarnation) > state.clock.now()
 
 
 def select_version(
@@ -159,14 +176,15 @@
 ) -> SoftwareVersion | None:
     """Return the version whose servers alone keep a part of prompts.
 
-    A server that did not answer may keep it, too.
+    A server that did not answer, or was not asked, may keep it, too.
 
+    :param entries: servers that have the model.
     :param answers: ids of the parts that each server keeps, by incarnation; ``None``:
-        it did not answer.
+        it did not answer. Servers that were not asked are left out.
     """
     keeping, silent = set(), set()
     for entry in entries:
-        kept = answers[entry.incarnation]
+        kept = answers.get(entry.incarnation)
         if kept is None:
             silent.add(entry.software_version)
         elif part in kept:
--- a/src/arbutuspulley/node/stream_store.py
+++ b/src/arbutuspulley/node/stream_store.py
@@ -6,7 +6,8 @@
 coordinator, and by an instance that has none when a caller resumes one that it does not
 know.
 
-No stream of a service with one software version is recorded.
+No stream of a service with one software version is recorded, unless the store may have
+lost another one that was in service while no process ran.
 """
 
 import asyncio
@@ -23,7 +24,10 @@
     list_streams,
 )
 from arbutuspulley.events import Event, log_event
-from arbutuspulley.membership.software_versions import VersionHistory
+from arbutuspulley.membership.software_versions import (
+    TIME_TOLERANCE_MS,
+    VersionHistory,
+)
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.store_writing import repeat_step, write_rows
 from arbutuspulley.platform.store import RowsAnswer, StoredRow
@@ -63,10 +67,10 @@
         "_coordinating",
         "_histories",
         "_is_clock_read",
-        "_mixed",
         "_offset_ms",
         "_read_at",
         "_reading",
+        "_recorded",
         "_state",
         "_term",
         "_was_coordinator",
@@ -77,10 +81,11 @@
         self._histories: dict[str, VersionHistory] = {}
         # Whether the store's clock has been read in its present era.
         self._is_clock_read = False
-        self._mixed: frozenset[str] = frozenset()
         self._offset_ms = 0
         self._read_at = -MIN_READ_INTERVAL_MS
         self._reading: asyncio.Task[bool] | None = None
+        # Services whose streams are recorded.
+        self._recorded: frozenset[str] = frozenset()
         self._state = state
         # Number of times that this instance has become the coordinator.
         self._term = 0
@@ -169,20 +174,20 @@
                 return
             now = state.clock.now()
             journal.adopt(rows, now=now, store_now=now + self._offset_ms)
-            self._mixed = frozenset()
+            self._recorded = frozenset()
         await self._write_histories()
-        mixed = state.software_versions.list_recorded(now=state.clock.now())
-        if mixed != self._mixed:
-            self._mixed = mixed
+        recorded = state.software_versions.list_recorded(now=state.clock.now())
+        if recorded != self._recorded:
+            self._recorded = recorded
             self._add_missing()
         self._was_coordinator = term == self._term
 
     def _add_missing(self) -> None:
-        """Add streams that began before their service had several versions."""
+        """Add streams that began before those of their service were recorded."""
         state = self._state
         streams = state.begun_streams.list_newest(MAX_STREAMS, now=state.clock.now())
         for key, stream in streams.items():
-            if stream.service in self._mixed:
+            if stream.service in self._recorded:
                 state.stream_journal.add(key, stream)
 
     async def look_up(self) -> bool:
@@ -198,11 +203,13 @@
         wait_ms = self._read_at + MIN_READ_INTERVAL_MS - self._state.clock.now()
         if wait_ms > 0:
             await asyncio.sleep(wait_ms / SECOND_MS)
-        self._read_at = self._state.clock.now()
+        self._read_at = now = self._state.clock.now()
+        versions = self._state.software_versions
         try:
-            if self._state.software_versions.awaits_history:
+            # A process that knows all versions may have written them meanwhile.
+            if versions.awaits_history or versions.has_incomplete(now=now):
                 await self._read_history()
-            if self._state.software_versions.list_recorded(now=self._state.clock.now()):
+            if versions.list_recorded(now=self._state.clock.now()):
                 await self._read_streams()
         except PlatformUnavailableError as error:
             log_event(Event.STREAM_RECORDS_DELAYED, detail=error.detail)
@@ -253,13 +260,16 @@
         state = self._state
         await self._read_clock()
         now = state.clock.now()
+        store_now = now + self._offset_ms
         histories = state.software_versions.build_history(
-            now=now, store_now=now + self._offset_ms, era=state.store.era.current
+            now=now, store_now=store_now, era=state.store.era.current
         )
         changed = {
             service: history
             for service, history in histories.items()
-            if not history.lists_same(self._histories.get(service))
+            if not _is_up_to_date(
+                self._histories.get(service), history, store_now=store_now
+            )
         }
         remaining = iter(changed.items())
         while part := dict(itertools.islice(remaining, MAX_BATCH_HISTORIES)):
@@ -300,7 +310,7 @@
 
 
 def store_stream(state: NodeState, key: int) -> None:
-    """Let a stream be recorded in the store, if its service has several versions."""
+    """Let a stream be recorded in the store, if those of its service have to be."""
     now = state.clock.now()
     versions = state.software_versions
     stream = state.begun_streams.find(key, now=now)
@@ -310,6 +320,20 @@
         state.stream_journal_changed.set()
 
 
+def _is_up_to_date(
+    stored: VersionHistory | None, history: VersionHistory, *, store_now: int
+) -> bool:
+    """Return whether a stored history needs no update by another one.
+
+    One that may lack versions does if the other one is complete: its writer has started
+    before the row was written again that an older copy of the store held.
+    """
+    if stored is None or not history.lists_same(stored):
+        return False
+    incomplete_ms = stored.incomplete_until - store_now
+    return history.incomplete_until > 0 or incomplete_ms <= TIME_TOLERANCE_MS
+
+
 def _decode_histories(answer: RowsAnswer) -> dict[str, VersionHistory]:
     histories: dict[str, VersionHistory] = {}
     for row in answer.rows:
