--- a/src/arbutuspulley/membership/software_versions.py
+++ b/src/arbutuspulley/membership/software_versions.py
@@ -10,7 +10,6 @@
 """Difference between two times at which a version left that needs no new row, in ms:
 the store's clock is known to within the time of a call."""
 
-
 HISTORY_SETTLING_MS = 3_000
 """Time for which a row of versions that may be incomplete is not relied on, in ms:
 servers write theirs again within two seconds of the store's return."""
@@ -25,21 +24,25 @@
     :param era: era of the store in which the row was written. In a later one, the store
         has come back from a copy, which may lack newer versions, and no process was
         left to write them again.
+    :param incomplete_until: until when streams of versions may be resumed that such a
+        copy lacked, in ms of the store's clock.
     """
 
     current: tuple[str, ...] = ()
     left: dict[str, int] = {}
     era: int = 0
+    incomplete_until: int = 0
 
     def lists_same(self, other: "VersionHistory | None") -> bool:
         """Return whether the other one, as stored, needs no update by this one.
 
         Both are of one era and list the same versions as current and as left. The
-        stored times at which versions left may be later, but not earlier.
+        stored times may be later, but not earlier.
         """
         return (
             other is not None
             and self.era == other.era
+            and self.incomplete_until - other.incomplete_until <= TIME_TOLERANCE_MS
             and set(self.current) == set(other.current)
             and self.left.keys() == other.left.keys()
             and all(
@@ -59,6 +62,8 @@
         "_confirmed",
         "_current",
         "_gone_at",
+        "_incomplete_until",
+        "_others_incomplete_until",
         "_settled_at",
         "awaits_history",
         "has_listed",
@@ -70,6 +75,10 @@
         self._current: dict[str, frozenset[SoftwareVersion]] = {}
         self._settled_at = 0
         self._gone_at: dict[str, dict[SoftwareVersion, int]] = {}
+        # Until when versions may count that no process and no row knows, by service,
+        # and for services without a row.
+        self._incomplete_until: dict[str, int] = {}
+        self._others_incomplete_until = 0
         # Whether the store has not said yet which versions were in service before this
         # process started.
         self.awaits_history = False
@@ -118,6 +127,9 @@
             self._confirmed = frozenset(
                 name for name, history in histories.items() if history.era == era
             )
+            self._set_incomplete(histories, now=now, store_now=store_now)
+        else:
+            self._confirm_written(histories, now=now, store_now=store_now, era=era)
         for service, history in histories.items():
             left = dict.fromkeys(history.current, store_now)
             if history.era == era:
@@ -131,6 +143,60 @@
                 gone_at = now - max(0, store_now - left_at)
                 gone[version] = max(gone_at, gone.get(version, gone_at))
 
+    def _set_incomplete(
+        self, histories: Mapping[str, VersionHistory], *, now: int, store_now: int
+    ) -> None:
+        """Find the services of which the store has lost what nobody wrote again."""
+        unknown_until = now + MAX_RETENTION_MS
+        if histories and not self._confirmed:
+            self._others_incomplete_until = unknown_until
+        for service, history in histories.items():
+            stated_until = now + history.incomplete_until - store_now
+            is_confirmed = service in self._confirmed
+            self._incomplete_until[service] = (
+                min(stated_until, unknown_until) if is_confirmed else unknown_until
+            )
+
+    def _confirm_written(
+        self,
+        histories: Mapping[str, VersionHistory],
+        *,
+        now: int,
+        store_now: int,
+        era: int,
+    ) -> None:
+        """Apply what a process has written since that knows which versions there were.
+
+        It had not ended as the store came back from an older copy, or it states itself
+        until when versions may be missing.
+        """
+        written = {
+            service: now + history.incomplete_until - store_now
+            for service, history in histories.items()
+            if history.era == era
+        }
+        self._confirmed |= written.keys()
+        for service, until in written.items():
+            if until < self._get_incomplete_until(service):
+                self._incomplete_until[service] = until
+
+    def has_incomplete(self, *, now: int) -> bool:
+        """Return whether any service is incomplete; see :meth:`is_incomplete`."""
+        latest = max(
+            self._incomplete_until.values(), default=self._others_incomplete_until
+        )
+        return now < max(latest, self._others_incomplete_until)
+
+    def is_incomplete(self, service: str, *, now: int) -> bool:
+        """Return whether versions may count of which nothing is known any more.
+
+        All processes had ended as the store came back from an older copy.
+        """
+        return now < self._get_incomplete_until(service)
+
+    def _get_incomplete_until(self, service: str) -> int:
+        return self._incomplete_until.get(service, self._others_incomplete_until)
+
     def add_streams(self, streams: Iterable[BegunStream], *, now: int) -> None:
         """Add the versions of recorded streams, which the history may lack.
 
@@ -172,6 +238,11 @@
                 if version not in current
             },
             era=era,
+            incomplete_until=(
+                self._get_incomplete_until(service) - now + store_now
+                if self.is_incomplete(service, now=now)
+                else 0
+            ),
         )
 
     def list_known(self, service: str, *, now: int) -> frozenset[SoftwareVersion]:
@@ -182,20 +253,27 @@
     def is_mixed(self, service: str, *, now: int) -> bool:
         """Return whether streams of several versions may be resumed at a service.
 
-        That is so as long as it is not known which ones were in service before.
+        That counts as so as long as it is not known which ones were in service before.
         """
-        return self.is_settling(service, now=now) or self.has_several(service, now=now)
+        return self.is_settling(service, now=now) or self.needs_records(
+            service, now=now
+        )
 
-    def has_several(self, service: str, *, now: int) -> bool:
-        """Return whether several versions of a service are known."""
-        return len(self.list_known(service, now=now)) > 1
+    def needs_records(self, service: str, *, now: int) -> bool:
+        """Return whether the streams of a service have to be recorded.
+
+        They are where several versions are known, or may have been in service.
+        """
+        return len(self.list_known(service, now=now)) > 1 or self.is_incomplete(
+            service, now=now
+        )
 
-    def list_mixed(self, *, now: int) -> frozenset[str]:
-        """Return the services that are known to be mixed."""
+    def list_recorded(self, *, now: int) -> frozenset[str]:
+        """Return the services whose streams have to be recorded."""
         return frozenset(
             service
             for service in self._list_services()
-            if self.has_several(service, now=now)
+            if self.needs_records(service, now=now)
         )
 
     def _list_services(self) -> set[str]:
--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.delivery.prompt_index import build_part_key
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
 from arbutuspulley.node.fingerprints import build_return_fingerprint
@@ -39,6 +40,7 @@
     is_allowed,
     is_version_gone,
     resume_stream,
+    set_version,
 )
 from arbutuspulley.ports.fleet import (
     AttemptOutcome,
@@ -287,6 +289,9 @@
             if error.reason == RefusalReason.VERSION_UNKNOWN:
                 await self._wait_for_version(error.retry_after_ms)
                 raise RetryError from None
+            is_unread = error.reason == RefusalReason.VERSION_UNREAD
+            if is_unread and await self._ask_servers():
+                raise RetryError from None
             raise self._build_refusal(error) from None
         finally:
             progress.waited_ms += self._state.clock.now() - now
@@ -296,7 +301,7 @@
         except RequestFailedError:
             self.report_end(granted.incarnation, AttemptOutcome.UNUSED)
             raise
-        if self._is_settling() and self._link.records_streams:
+        if self._may_lack_versions() and self._link.records_streams:
             # The coordinator refuses streams whose version it does not know.
             progress.is_version_unknown = False
         why = self._get_exclusion(granted.incarnation)
@@ -338,6 +343,19 @@
             self._progress.service, now=self._state.clock.now()
         )
 
+    def _may_know_all_servers(self) -> bool:
+        """Return whether no servers are awaited that write their rows again.
+
+        They do so after the store has come back from an older copy.
+        """
+        return self._state.software_versions.awaits_history or not self._is_settling()
+
+    def _may_lack_versions(self) -> bool:
+        """Return whether other versions of the service may have been in service."""
+        return self._is_settling() or self._state.software_versions.is_incomplete(
+            self._progress.service, now=self._state.clock.now()
+        )
+
     async def _look_up_again(self) -> Exception:
         """Look again for a stream that an instance may have recorded meanwhile.
 
@@ -346,6 +364,8 @@
         await self._look_up_version()
         if not self._progress.is_version_unknown:
             return RetryError()
+        if self._may_know_all_servers() and await self._ask_servers():
+            return RetryError()
         if self._progress.is_store_read:
             return NoServerError(UNKNOWN_REASON, may_retry=False)
         return NoServerError(UNREAD_REASON, retry_after_ms=UNREAD_RETRY_MS)
@@ -372,9 +392,25 @@
             return
         waited_ms = self._state.clock.now() - progress.started_at
         if not retry_after_ms and waited_ms >= VERSION_WAIT_MS:
+            if await self._ask_servers():
+                return
             raise NoServerError(UNKNOWN_REASON, may_retry=False)
         await asyncio.sleep((retry_after_ms or VERSION_POLL_MS) / SECOND_MS)
 
+    async def _ask_servers(self) -> bool:
+        """Look for the version of a stream at the servers, which keep its prompt.
+
+        :return: whether it was not known before, and is now.
+        """
+        progress = self._progress
+        if progress.version is not None:
+            return False
+        version = await self._state.find_kept_version(progress.service, self._request)
+        if version is None:
+            return False
+        set_version(progress, version, source="servers")
+        return True
+
     def _return_grant(self, granted: Granted, why: str) -> Exception:
         """Return a grant of a server that gets no requests from this instance.
 
@@ -420,6 +456,11 @@
             cost=0 if self._charged is not None else self._cost,
             version=progress.version.name if progress.version else None,
             resumed_stream=progress.resumed_stream,
+            prompt=(
+                build_part_key(self._request.own_part)
+                if progress.is_version_unknown
+                else 0
+            ),
             fingerprint=(
                 build_return_fingerprint(self._request, team=team_name)
                 if shares_contended
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -7,8 +7,14 @@
 
 from arbutuspulley.clock import Clock
 from arbutuspulley.delivery.begun_streams import BegunStream, build_stream_key
+from arbutuspulley.membership.software_versions import VersionHistory
 from arbutuspulley.node.access import Access
-from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
+from arbutuspulley.node.acquisition import (
+    VERSION_WAIT_MS,
+    Acquisition,
+    NoServerError,
+    RetryError,
+)
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import (
@@ -24,7 +30,7 @@
 from arbutuspulley.node.quota_charging import QuotaCharger
 from arbutuspulley.node.server_notices import read_answer
 from arbutuspulley.node.store_watch import activate_configuration
-from arbutuspulley.node.stream_versions import GONE_REASON
+from arbutuspulley.node.stream_versions import GONE_REASON, UNREAD_REASON
 from arbutuspulley.platform import names
 from arbutuspulley.platform.requests import decode_request
 from arbutuspulley.ports.fleet import (
@@ -360,6 +366,118 @@
     assert trial.progress.version_source == "store"
 
 
+def resume_unknown(decide, *, version, clock=None):
+    """Build a trial of a stream that nobody knows; its servers tell a version."""
+
+    async def find(service, request):
+        assert (service, request.attempt_id) == ("llm", "r1")
+        return version
+
+    trial = Trial(decide, clock=clock)
+    trial.progress.resumed_stream = build_stream_key("r0")
+    trial.progress.is_version_unknown = True
+    trial.progress.started_at -= VERSION_WAIT_MS
+    trial.state.software_versions.awaits_history = True
+    trial.state.find_kept_version = find
+    return trial
+
+
+@pytest.mark.parametrize(
+    ("reason", "retry_after_ms"),
+    [(RefusalReason.VERSION_UNKNOWN, 0), (RefusalReason.VERSION_UNREAD, 700)],
+)
+def test_servers_are_asked_for_a_version_that_the_coordinator_does_not_know(
+    reason, retry_after_ms
+):
+    """Guards against a stream that is refused although the servers that began it can
+    tell, after all that knew it and its record were lost."""
+
+    def decide(_trial):
+        return Refused(key="r1", retry_after_ms=retry_after_ms, reason=reason)
+
+    trial = resume_unknown(decide, version=ENTRY.software_version)
+    with pytest.raises(RetryError):
+        trial.get_server()
+    assert trial.progress.version == ENTRY.software_version
+    assert trial.progress.version_source == "servers"
+    trial = resume_unknown(decide, version=None)
+    with pytest.raises(NoServerError):
+        trial.get_server()
+
+
+def test_no_coordinator_is_asked_again_at_once_for_a_version_that_is_known():
+    """Guards against an instance that asks a coordinator without a pause, as long as
+    that one has not read the servers."""
+    asked = []
+
+    def decide(trial):
+        asked.append(trial)
+        return refuse(reason=RefusalReason.VERSION_UNREAD)
+
+    trial = resume_unknown(decide, version=ENTRY.software_version)
+    trial.progress.version = ENTRY.software_version
+    with pytest.raises(NoServerError) as failed:
+        trial.get_server()
+    assert failed.value.retry_after_ms == 700
+    assert len(asked) == 1
+
+
+@pytest.mark.parametrize("is_read", [True, False])
+def test_servers_are_asked_without_a_coordinator(is_read):
+    """Guards against a stream that is refused as neither a coordinator nor the store
+    can be asked."""
+
+    async def read():
+        return is_read
+
+    trial = resume_unknown(grant, version=ENTRY.software_version, clock=Clock())
+    trial.state.by_service["llm"] = [ENTRY]
+    trial.link.deliver_local = None
+    trial.link.status = CoordinatorStatus(is_holder=True)
+    trial.state.instances = 1
+    trial.state.look_up_streams = read
+    with pytest.raises(RetryError):
+        trial.get_server()
+    assert trial.progress.version_source == "servers"
+
+
+def test_servers_are_asked_once_all_have_written_their_rows_again():
+    """Guards against a stream that goes on at the version that is registered first, as
+    servers of the other one, which keep its prompt, too, are not listed again yet."""
+
+    async def read():
+        return True
+
+    clock = Clock()
+    trial = resume_unknown(grant, version=ENTRY.software_version, clock=clock)
+    trial.state.by_service["llm"] = [ENTRY]
+    trial.link.deliver_local = None
+    trial.link.status = CoordinatorStatus(is_holder=True)
+    trial.state.instances = 1
+    trial.state.look_up_streams = read
+    copied = {"llm": VersionHistory(current=("v1",), era=1)}
+    versions = trial.state.software_versions
+    versions.add_history(copied, now=clock.now(), store_now=0, era=2)
+    assert versions.is_settling("llm", now=clock.now())
+    with pytest.raises(NoServerError) as failed:
+        trial.get_server()
+    assert failed.value.reason == UNREAD_REASON
+    assert failed.value.may_retry
+
+
+def test_a_grant_is_used_while_a_version_may_be_lost():
+    """Guards against callers who are refused by an instance that takes the versions for
+    incomplete, though its coordinator knows better."""
+    trial = Trial(grant)
+    versions = trial.state.software_versions
+    versions.awaits_history = True
+    copied = {"llm": VersionHistory(current=("v1",), era=1)}
+    versions.add_history(copied, now=0, store_now=0, era=2)
+    assert not versions.is_settling("llm", now=10_000)
+    trial.progress.is_version_unknown = True
+    assert trial.get_server() is ENTRY
+
+
 def test_no_grant_is_awaited_for_a_version_that_is_gone():
     """Guards against a stream that waits for a coordinator, or for a server without
     one, although no server of its version is left."""
