Let the soak go on when SIGHUP ends a node that another fault starts

Cause, in the soak's script: the fault "hup" sent SIGHUP to a process whose interpreter had not run the first line of run_node.py, which ignores the signal. The fault itself starts such a node again after 0.1 s, but the storm that had started it raised first. SIGKILL in the same place was already passed over.

Change: _replace_node leaves a node that ended by SIGHUP to the fault that sent it, as it does with SIGKILL. Any other exit still ends the soak, which has a test now.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -488,8 +488,9 @@
             try:
                 await self.fleet.wait_ready(name)
             except AssertionError:
-                # Who killed it meanwhile starts it again.
-                if node.returncode != -signal.SIGKILL:
+                # Who killed it meanwhile, or sent SIGHUP before the interpreter had run
+                # the program's first line, starts it again.
+                if node.returncode not in (-signal.SIGKILL, -signal.SIGHUP):
                     raise
 
     async def _kill_all_while_servers_fail(self, fault: Fault) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import signal
 from types import SimpleNamespace
 
 import pytest
@@ -159,6 +160,45 @@
     assert started == ["n1"]
 
 
+@pytest.mark.parametrize("end", [signal.SIGKILL, signal.SIGHUP])
+def test_a_node_that_another_fault_ends_as_it_starts_is_left_to_that(
+    tmp_path, monkeypatch, end
+):
+    """Guards against seed 108: a soak that ended without a result, as a signal came
+    before the first line of a node that was started again."""
+    soak = Soak(seed=1, folder=tmp_path, processes=1)
+    ended = SimpleNamespace(pid=1)
+    soak.fleet.nodes["n1"] = ended
+
+    async def start(name):
+        soak.fleet.nodes[name] = SimpleNamespace(pid=2, returncode=-end)
+
+    async def wait_ready(name):
+        raise AssertionError(f"{name} exited with {-end}")
+
+    monkeypatch.setattr(soak, "_start_node", start)
+    monkeypatch.setattr(soak.fleet, "wait_ready", wait_ready)
+    asyncio.run(soak._replace_node("n1", ended))
+
+
+def test_a_node_that_ends_by_itself_as_it_starts_ends_the_soak(tmp_path, monkeypatch):
+    """Guards against a soak that passes over nodes that can't start."""
+    soak = Soak(seed=1, folder=tmp_path, processes=1)
+    ended = SimpleNamespace(pid=1)
+    soak.fleet.nodes["n1"] = ended
+
+    async def start(name):
+        soak.fleet.nodes[name] = SimpleNamespace(pid=2, returncode=1)
+
+    async def wait_ready(name):
+        raise AssertionError(f"{name} exited with 1")
+
+    monkeypatch.setattr(soak, "_start_node", start)
+    monkeypatch.setattr(soak.fleet, "wait_ready", wait_ready)
+    with pytest.raises(AssertionError, match="exited with 1"):
+        asyncio.run(soak._replace_node("n1", ended))
+
+
 @pytest.mark.parametrize("seed", [1])
 def test_promises_hold_in_a_short_soak(tmp_path, seed):
     """Guards against promises that break only when faults overlap."""
