Play surges of a team and uneven servers with the other troubles

Seen: the plans of the simulation had no servers of uneven speed and no team that sends many times its usual load, so that fair shares, returns and learnt speeds were never played beside kills, outages, freezes and a store that fails.

New promises: shares in a surge, no uneven server without requests, none with more than its room, returns not refused more often than new callers.

--- a/tests/test_virtual_promises.py
+++ b/tests/test_virtual_promises.py
@@ -91,6 +91,9 @@
         self.plan = Plan(seed=0, troubles=())
         self.sent = {}
         self.streams = []
+        self.calls = []
+        self.load_changes = []
+        self.troubled_spans = []
         self.troubled_until = {"n1": 0.0}
         self.guilty_crashes = [1.0, 2.0, 3.0, 4.0, 5.0]
         self.runs = collections.Counter()
--- a/tests/virtual_promises.py
+++ b/tests/virtual_promises.py
@@ -1,5 +1,7 @@
 """Promises to callers, judged on a play from outside."""
 
+import itertools
+
 from scripts.platform_testbed import FULL_STREAM
 from tests.virtual_plans import PATHS
 
@@ -27,6 +29,32 @@
 """Time after which the store has a record of a begun stream, and after which it has all
 of them again once it is back, in s."""
 
+ON_TIME_S = 0.5
+"""Time within which the first event of a team's request is on time, in s; the target
+of its route."""
+
+MAX_SURGE_LOSS = 0.02
+MIN_SHARE_RATIO = 0.25
+"""Bounds of docs/design/contended-load.md for the share of requests on time: how much
+the other teams lose in a surge, all together, and the least of a team to that of all.
+"""
+
+DRAINED_S = 5.0
+"""Time after a surge in which callers that it delayed may come back, in s."""
+
+MIN_TEAM_CALLS = 8
+MIN_CALLS = 40
+MIN_RETURNS = 12
+"""Number of calls of a team, of calls of all other teams, and of returns of a team from
+which on their shares are compared."""
+
+MAX_DEVIATIONS = 2.5
+"""Standard deviations by which a share of few returns may exceed that of new callers.
+"""
+
+MAX_IDLE_S = 3.0
+"""Time without requests after which a server counts as left out, in s."""
+
 PLANNED_KINDS = ("terminate", "release")
 """Kinds of trouble that are planned work."""
 
@@ -193,6 +221,132 @@
     ]
 
 
+def find_displaced_teams(play):
+    """Return teams that lose too much of what is served on time in a surge (FAIR).
+
+    What the other teams lose is that of the first tries. The share of a team is that of
+    the last ones: as callers of a team that sends more come back, its new ones wait.
+    """
+    surges = [change for change in play.load_changes if change[2] == "surge"]
+    surging = {team for *_times, team in surges}
+    during, beside, by_team = [], [], {}
+    for call in play.calls:
+        tried = call.tries[0]
+        if not _is_calm(play, tried.at_s):
+            continue
+        is_during = any(begin <= tried.at_s < end for begin, end, *_rest in surges)
+        if is_during:
+            by_team.setdefault(call.team, []).append(_is_on_time(call.tries[-1]))
+        if call.team in surging:
+            continue
+        if is_during:
+            during.append(_is_on_time(tried))
+        elif not any(begin < tried.at_s < end + DRAINED_S for begin, end, *_ in surges):
+            beside.append(_is_on_time(tried))
+    found = []
+    if min(len(during), len(beside)) >= MIN_CALLS:
+        loss = _get_share(beside) - _get_share(during)
+        if round(loss, 6) > MAX_SURGE_LOSS:
+            found.append(("others", round(loss, 3)))
+    least = MIN_SHARE_RATIO * _get_share(
+        [one for team in by_team.values() for one in team]
+    )
+    return found + [
+        (team, round(_get_share(calls), 3))
+        for team, calls in sorted(by_team.items())
+        if len(calls) >= MIN_TEAM_CALLS and _get_share(calls) < least
+    ]
+
+
+def _is_on_time(tried):
+    first_s = tried.first_event_s
+    return tried.status == 200 and first_s is not None and first_s <= ON_TIME_S
+
+
+def _get_share(calls):
+    return sum(calls) / len(calls) if calls else 0.0
+
+
+def _is_calm(play, at_s):
+    """Return whether no trouble but of the load strikes a request sent at a time."""
+    return not any(
+        begin - ON_TIME_S < at_s < end + CONTACT_S for begin, end in play.troubled_spans
+    )
+
+
+def find_idle_servers(play):
+    """Return uneven servers that get no requests for too long (IDLE)."""
+    found = []
+    for begin, end in _list_calm_spans(play):
+        for name, arrivals in play.fleet.list_model_arrivals().items():
+            inside = sorted(at for at in arrivals if begin <= at <= end)
+            times = [begin, *inside, end]
+            longest = max(after - at for at, after in itertools.pairwise(times))
+            if longest > MAX_IDLE_S:
+                found.append((name, round(begin, 3), round(longest, 3)))
+    return found
+
+
+def _list_calm_spans(play):
+    """Return when servers are uneven and nothing else happens, as begins and ends."""
+    spans = [change[:2] for change in play.load_changes if change[2] == "uneven"]
+    for begin, end in play.troubled_spans:
+        spans = [
+            part
+            for first, last in spans
+            for part in ((first, min(last, begin)), (max(first, end + CONTACT_S), last))
+            if part[0] < part[1]
+        ]
+    return spans
+
+
+def find_crowded_servers(play):
+    """Return when a server got more requests than its room (ROOM)."""
+    if not play.plan.has_teams:
+        return []
+    return [one for one in play.fleet.crowded if _is_calm(play, one[0])]
+
+
+def find_refused_returns(play):
+    """Return teams whose callers are refused more often as they come back when told
+    than new ones are beside them (TURN)."""
+    found = []
+    for team in sorted({call.team for call in play.calls}):
+        tries = [
+            tried
+            for call in play.calls
+            if call.team == team
+            for tried in call.tries
+            if _is_calm(play, tried.at_s)
+        ]
+        returns = [one for one in tries if one.is_return]
+        new = [
+            one.status in NOT_RUN
+            for one in tries
+            if not one.is_return
+            and any(abs(one.at_s - other.at_s) < BESIDE_S for other in returns)
+        ]
+        again = [one.status in NOT_RUN for one in returns]
+        if len(again) < MIN_RETURNS or not new:
+            continue
+        share = _get_share([*again, *new])
+        # Two shares of the same chance scatter by this standard deviation.
+        scatter = (share * (1 - share) * (1 / len(again) + 1 / len(new))) ** 0.5
+        if _get_share(again) > _get_share(new) + MAX_DEVIATIONS * scatter:
+            found.append((team, sum(again), len(again), sum(new), len(new)))
+    return found
+
+
+def find_unserved_teams(play):
+    """Return teams' callers that were not served long after all troubles."""
+    quiet_s = play.plan.end_s - QUIET_S
+    return [
+        call.attempt
+        for call in play.calls
+        if call.tries[0].at_s > quiet_s and call.tries[-1].status != 200
+    ]
+
+
 def find_unanswered(play):
     """Return requests whose callers gave up waiting, after their deadline."""
     return [attempt for attempt, sent in play.sent.items() if not sent.is_over]
@@ -207,6 +361,11 @@
     find_late_guilty: MAX_LATE,
     find_unserved: 0,
     find_cut_by_planned_work: 0,
+    find_displaced_teams: 0,
+    find_idle_servers: 0,
+    find_crowded_servers: 0,
+    find_refused_returns: 0,
+    find_unserved_teams: 0,
     find_unanswered: 0,
 }
 """Each promise, with the number of requests that may break it."""
