Compare first events with observed prefill times only

Cause: the first observation of a size class was compared with an assumed prefill time (5 ms; the servers take 53). The expectation began with that ratio of 10.6 and comes down slowly, as each step is bounded. Meanwhile all later first events, which are compared with an observed 53 ms, look fast: the speed follows whichever server happens to have the samples.

Change: pool/runs.py records no first event for the speeds before the size class has one observed first event. pool/server_speed.py is unchanged.

Effects on a deployment were not measured.

--- a/src/arbutuspulley/pool/runs.py
+++ b/src/arbutuspulley/pool/runs.py
@@ -138,6 +138,10 @@
         # The rest of a load that takes longer than expected is part of this time.
         return
     state = _get_speed_state(pool, run.need.model)
+    if not state.samples:
+        # The expected time is only assumed. All later first events would be compared
+        # with this one, and their servers would seem fast.
+        return
     prefill_ms = run.need.prompt_tokens / get_speed(state)
     record_first_event_time(
         pool.server_speeds,
--- a/tests/test_virtual_teams.py
+++ b/tests/test_virtual_teams.py
@@ -65,6 +65,15 @@
     assert len(refused) > 20
 
 
+def test_servers_of_even_speed_count_as_even_from_the_start(tmp_path):
+    """Guards against a first event that is compared with an assumed prefill time, by
+    which all later ones seem fast: even servers had speeds of up to 2.4 for 2 s."""
+    plan = Plan(seed=1, troubles=(), has_teams=True, end_s=10.0)
+    fleet = play(tmp_path, plan).fleet
+    assert fleet.list_events("server_speed_changed") == []
+    assert sum(map(len, fleet.list_model_arrivals().values())) > 50
+
+
 def test_uneven_servers_get_their_speeds_again_after_a_crash(tmp_path):
     """Guards against plans in which a crash makes uneven servers even."""
     troubles = (
