Let surges outlast the other troubles, so that shares are judged

Seen: in the pairs of a surge with another trouble, 0 to 24 requests of the other teams counted in the surge (41 beside a rollback), so that the promise about shares, from 40 on, was hardly ever judged there.

--- a/tests/test_virtual_teams.py
+++ b/tests/test_virtual_teams.py
@@ -167,6 +167,14 @@
     assert find_displaced_teams(trace) == [("others", 0.3)]
 
 
+def test_other_teams_may_lose_more_in_a_surge_after_another_trouble():
+    """Guards against a weaker bound that lets anything pass."""
+    for late, expected in ((11, []), (12, [("others", 0.12)])):
+        trace = build_surge_trace(late=late)
+        trace.troubled_spans = [(1.0, 2.0)]
+        assert find_displaced_teams(trace) == expected
+
+
 def test_an_uneven_server_without_requests_is_found():
     """Guards against a check that passes whatever it sees."""
     trace = LoadTrace()
--- a/tests/virtual_plans.py
+++ b/tests/virtual_plans.py
@@ -77,6 +77,10 @@
 LOAD_S = 6.0
 """How long they last, in s: speeds are learnt, and callers come back."""
 
+SURGE_AFTER_S = 7.0
+"""How long a surge goes on after the last other trouble, in s: shares are judged from
+3 s after that on."""
+
 LOAD_TROUBLE_S = (6.5, 10.0)
 LOAD_SETTLED_S = 8.0
 """When troubles begin in plans with teams, at the earliest and the latest, and the time
@@ -217,6 +221,13 @@
         msgspec.structs.replace(one, at_s=round(rng.uniform(*LOAD_TROUBLE_S), 3))
         for one in (*beside, *load)
     ]
+    others_end_s = max(
+        (one.at_s + one.for_s for one in troubles[: len(beside)]), default=0
+    )
+    troubles = [
+        _extend(one, others_end_s + SURGE_AFTER_S) if one.kind == "surge" else one
+        for one in troubles
+    ]
     troubles.sort(key=lambda one: one.at_s)
     return Plan(
         seed=seed,
@@ -226,6 +237,11 @@
     )
 
 
+def _extend(trouble, end_s):
+    for_s = round(max(trouble.for_s, end_s - trouble.at_s), 3)
+    return msgspec.structs.replace(trouble, for_s=for_s)
+
+
 def _move_beside(release, trouble, rng):
     leaving_s = release.at_s + release.for_s
     at_s = round(leaving_s + rng.uniform(0, LEAVING_S), 3)
