Leave a node that another fault has replaced to that fault

Cause, in the soak's script, as the code and the plan tell (a storm at 25.4 s, SIGTERM to n2 at 26.0 s, a power failure at 26.2 s): the storm waits for whichever process is n2's, which another fault had replaced and the power failure killed, but judged by the end of the process that it had started.

Change: a process that was replaced meanwhile is left to who replaced it, who waits for it.

Measured: the new test failed before ("n1 exited with -9") and passes with the change.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -488,6 +488,9 @@
             try:
                 await self.fleet.wait_ready(name)
             except AssertionError:
+                if self.fleet.nodes[name] is not node:
+                    # Who has started it again meanwhile waits for it.
+                    return
                 if node.returncode == -signal.SIGHUP:
                     # It came before the interpreter had run the program's first line.
                     await self._replace_node(name, node)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -213,6 +213,27 @@
             asyncio.run(soak._cut_power(None, 0.0))
 
 
+def test_a_node_that_another_fault_replaces_as_it_starts_is_left_to_that(
+    tmp_path, monkeypatch
+):
+    """Guards against seed 134: a node was told to stop as it started, and the one that
+    replaced it was killed; the soak ended without a result."""
+    soak = Soak(seed=1, folder=tmp_path, processes=1)
+    ended = SimpleNamespace(pid=1)
+    soak.fleet.nodes["n1"] = ended
+
+    async def start(name):
+        soak.fleet.nodes[name] = SimpleNamespace(pid=2, returncode=0)
+
+    async def wait_ready(name):
+        soak.fleet.nodes[name] = SimpleNamespace(pid=3, returncode=-signal.SIGKILL)
+        raise AssertionError(f"{name} exited with -9")
+
+    monkeypatch.setattr(soak, "_start_node", start)
+    monkeypatch.setattr(soak.fleet, "wait_ready", wait_ready)
+    asyncio.run(soak._replace_node("n1", ended))
+
+
 def test_a_node_that_ends_by_itself_as_it_starts_ends_the_soak(tmp_path, monkeypatch):
     """Guards against a soak that passes over nodes that can't start."""
     soak = Soak(seed=1, folder=tmp_path, processes=1)
