--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import signal
 from types import SimpleNamespace
 
 import pytest
@@ -159,6 +160,98 @@
     assert started == ["n1"]
 
 
+@pytest.mark.parametrize(("end", "starts"), [(signal.SIGKILL, 1), (signal.SIGHUP, 2)])
+def test_a_node_that_a_signal_ends_as_it_starts_is_started_again(
+    tmp_path, monkeypatch, end, starts
+):
+    """Guards against seed 108: a signal came before the first line of a node that was
+    started again, and the fault that had sent it saw its end too late. Who kills a node
+    waits for its end."""
+    soak = Soak(seed=1, folder=tmp_path, processes=1)
+    ended = SimpleNamespace(pid=1)
+    soak.fleet.nodes["n1"] = ended
+    started = []
+
+    async def start(name):
+        started.append(name)
+        code = -end if len(started) == 1 else None
+        soak.fleet.nodes[name] = SimpleNamespace(pid=1 + len(started), returncode=code)
+
+    async def wait_ready(name):
+        if soak.fleet.nodes[name].returncode is not None:
+            raise AssertionError(f"{name} exited with {-end}")
+
+    monkeypatch.setattr(soak, "_start_node", start)
+    monkeypatch.setattr(soak.fleet, "wait_ready", wait_ready)
+    asyncio.run(soak._replace_node("n1", ended))
+    assert len(started) == starts
+
+
+@pytest.mark.parametrize("is_replaced", [True, False])
+def test_a_power_failure_waits_for_nodes_that_a_storm_starts_again(
+    tmp_path, monkeypatch, is_replaced
+):
+    """Guards against seed 127: with 8 nodes on a busy machine, a storm killed nodes
+    within the 15 s in which all had to be ready, and the soak ended without a result.
+    """
+    soak = Soak(seed=1, folder=tmp_path, processes=1)
+    waits = []
+
+    async def wait_until(_condition, what):
+        waits.append(what)
+        if len(waits) == 1:
+            if is_replaced:
+                soak.fleet.nodes["n1"] = SimpleNamespace(pid=2)
+            raise AssertionError(what)
+
+    monkeypatch.setattr("tests.soak.wait_until", wait_until)
+    if is_replaced:
+        asyncio.run(soak._cut_power(None, 0.0))
+        assert len(waits) == 2
+    else:
+        with pytest.raises(AssertionError, match="ready after a power failure"):
+            asyncio.run(soak._cut_power(None, 0.0))
+
+
+def test_a_node_that_another_fault_replaces_as_it_starts_is_left_to_that(
+    tmp_path, monkeypatch
+):
+    """Guards against seed 134: a node was told to stop as it started, and the one that
+    replaced it was killed; the soak ended without a result."""
+    soak = Soak(seed=1, folder=tmp_path, processes=1)
+    ended = SimpleNamespace(pid=1)
+    soak.fleet.nodes["n1"] = ended
+
+    async def start(name):
+        soak.fleet.nodes[name] = SimpleNamespace(pid=2, returncode=0)
+
+    async def wait_ready(name):
+        soak.fleet.nodes[name] = SimpleNamespace(pid=3, returncode=-signal.SIGKILL)
+        raise AssertionError(f"{name} exited with -9")
+
+    monkeypatch.setattr(soak, "_start_node", start)
+    monkeypatch.setattr(soak.fleet, "wait_ready", wait_ready)
+    asyncio.run(soak._replace_node("n1", ended))
+
+
+def test_a_node_that_ends_by_itself_as_it_starts_ends_the_soak(tmp_path, monkeypatch):
+    """Guards against a soak that passes over nodes that can't start."""
+    soak = Soak(seed=1, folder=tmp_path, processes=1)
+    ended = SimpleNamespace(pid=1)
+    soak.fleet.nodes["n1"] = ended
+
+    async def start(name):
+        soak.fleet.nodes[name] = SimpleNamespace(pid=2, returncode=1)
+
+    async def wait_ready(name):
+        raise AssertionError(f"{name} exited with 1")
+
+    monkeypatch.setattr(soak, "_start_node", start)
+    monkeypatch.setattr(soak.fleet, "wait_ready", wait_ready)
+    with pytest.raises(AssertionError, match="exited with 1"):
+        asyncio.run(soak._replace_node("n1", ended))
+
+
 @pytest.mark.parametrize("seed", [1])
 def test_promises_hold_in_a_short_soak(tmp_path, seed):
     """Guards against promises that break only when faults overlap."""
