Let the processes that tests start read compiled modules

With PYTHONDONTWRITEBYTECODE=1, as this machine sets it, nothing is kept in __pycache__, so each node that a test starts compiles the project anew, and each pytest worker rewrites all test files. make test clears the variable; the files are ignored by git and made anew when a source changes.

--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,10 @@
 # Tests that measure time or processor time run by themselves after the others.
 WORKERS ?= $(shell expr \( $$(nproc) + 1 \) / 2 - 1)
 
+# Some machines set this variable. Each process that a test starts then compiles the
+# project anew, which is a quarter of the processor time that a node needs to start.
+test: export PYTHONDONTWRITEBYTECODE =
+
 test: check
 ifeq ($(WORKERS),1)
 	$(BIN)/pytest -q
