Bound the records of streams by what a process remembers

Cause: only the expiry of a row removed it, while the streams in memory are bounded at 100,000.

The oldest rows are forgotten beyond that number, and removed from the store.

--- a/src/arbutuspulley/delivery/stream_records.py
+++ b/src/arbutuspulley/delivery/stream_records.py
@@ -11,7 +11,11 @@
 import msgspec
 
 from arbutuspulley.data import Message, State, Value
-from arbutuspulley.delivery.begun_streams import MAX_RETENTION_MS, BegunStream
+from arbutuspulley.delivery.begun_streams import (
+    MAX_RETENTION_MS,
+    MAX_STREAMS,
+    BegunStream,
+)
 from arbutuspulley.ports.fleet import SoftwareVersion
 
 MAX_ROW_STREAMS = 4_000
@@ -205,20 +209,29 @@
                 self._stored[key] = known
 
     def _expire(self, now: int) -> None:
-        """Forget rows whose streams have expired, and let them be removed."""
+        """Forget rows whose streams have expired, and let them be removed.
+
+        The oldest ones are forgotten, too, beyond the number of streams that a process
+        remembers.
+        """
         expired = [
             key
             for key, known in self._rows.items()
             if known.until + REMOVAL_MARGIN_MS <= now
         ]
         for key in expired:
-            known = self._rows.pop(key)
-            self._unwritten.pop(key, None)
-            for stream in _list_keys(known.row):
-                if self._stored.get(stream) is known:
-                    del self._stored[stream]
-            if known.is_sent:
-                self._removed[key] = None
+            self._forget(key)
+        while len(self._stored) > MAX_STREAMS:
+            self._forget(next(iter(self._rows)))
+
+    def _forget(self, key: str) -> None:
+        known = self._rows.pop(key)
+        self._unwritten.pop(key, None)
+        for stream in _list_keys(known.row):
+            if self._stored.get(stream) is known:
+                del self._stored[stream]
+        if known.is_sent:
+            self._removed[key] = None
 
     def _seal(self, *, now: int, store_now: int) -> None:
         """Put the pending streams into rows."""
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from arbutuspulley.delivery import stream_records
 from arbutuspulley.delivery.begun_streams import MAX_RETENTION_MS, BegunStream
 from arbutuspulley.delivery.stream_records import (
     MAX_BATCH_ROWS,
@@ -406,3 +407,22 @@
         replay.write("done")
     restored = {key for key in replay.rows if key in replay.copied}
     assert replay.rows.keys() <= restored
+
+
+def test_records_are_bounded(monkeypatch):
+    """Guards against a coordinator that runs out of memory as callers state deadlines
+    of ten minutes: the oldest records are given up."""
+    monkeypatch.setattr(stream_records, "MAX_STREAMS", 10)
+    journal = StreamJournal(writer="w")
+    kept = {}
+    for first in range(1, 21, 5):
+        fill(journal, range(first, first + 5))
+        batch = take(journal)
+        assert len(batch.put) == 1
+        kept |= batch.put
+        for key in batch.remove:
+            del kept[key]
+        journal.confirm(batch)
+    rows = [decode_row(value) for value in kept.values()]
+    streams = list_streams(rows, now=NOW, store_now=STORE_NOW)
+    assert set(streams) == set(range(11, 21))
