Search for the version of a stream in a module of its own

One rule serves all ways now: servers are not asked while they may still write their rows again after an older copy of the store.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -1,11 +1,9 @@
 """Selection of a server for a request, with or without a coordinator, and charging."""
 
-import asyncio
 from collections.abc import Callable
 
 import msgspec
 
-from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.delivery.prompt_index import build_part_key
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.access import Access
@@ -34,14 +32,12 @@
 from arbutuspulley.node.stream_versions import (
     GONE_REASON,
     UNKNOWN_REASON,
-    UNNAMED_STREAM,
     UNREAD_REASON,
     UNREAD_RETRY_MS,
     is_allowed,
     is_version_gone,
-    resume_stream,
-    set_version,
 )
+from arbutuspulley.node.version_search import VersionSearch
 from arbutuspulley.ports.fleet import (
     AttemptOutcome,
     InboundRequest,
@@ -50,13 +46,6 @@
     ServerEntry,
 )
 
-VERSION_WAIT_MS = 250
-"""How long a request that resumes a stream waits for the stream's version to become
-known, in ms: the message of another instance may be delayed by a retransmission."""
-
-VERSION_POLL_MS = 50
-"""Interval at which such a request is repeated, in ms."""
-
 
 class RetryError(Exception):
     """The request is retried at another server."""
@@ -103,6 +92,7 @@
         "_request",
         "_route",
         "_state",
+        "_versions",
         "priority",
     )
 
@@ -129,6 +119,9 @@
         self._cost = charger.get_cost(access.team, request)
         self._charged: QuotaCharge | None = None
         self._first_part_timeout_ms = get_first_part_timeout_ms(route, remaining_ms)
+        self._versions = VersionSearch(
+            state=state, route=route, request=request, progress=progress
+        )
         self._choice = ServerChoice(
             state=state,
             link=link,
@@ -287,21 +280,22 @@
             return await self._choose_uncoordinated(need)
         except RefusedError as error:
             if error.reason == RefusalReason.VERSION_UNKNOWN:
-                await self._wait_for_version(error.retry_after_ms)
-                raise RetryError from None
+                if await self._versions.wait_for_coordinator(error.retry_after_ms):
+                    raise RetryError from None
+                raise NoServerError(UNKNOWN_REASON, may_retry=False) from None
             is_unread = error.reason == RefusalReason.VERSION_UNREAD
-            if is_unread and await self._ask_servers():
+            if is_unread and await self._versions.ask_servers():
                 raise RetryError from None
             raise self._build_refusal(error) from None
         finally:
             progress.waited_ms += self._state.clock.now() - now
         progress.is_late = granted.is_late
         try:
-            self._find_version()
+            self._versions.find()
         except RequestFailedError:
             self.report_end(granted.incarnation, AttemptOutcome.UNUSED)
             raise
-        if self._may_lack_versions() and self._link.records_streams:
+        if self._versions.may_lack_versions and self._link.records_streams:
             # The coordinator refuses streams whose version it does not know.
             progress.is_version_unknown = False
         why = self._get_exclusion(granted.incarnation)
@@ -325,36 +319,11 @@
 
     async def _look_up_version(self) -> None:
         """Look for the version of a stream in the store if no coordinator can tell."""
-        progress = self._progress
-        if not progress.is_version_unknown:
+        if not self._progress.is_version_unknown:
             return
         if self._link.can_request and self.needs_coordinator:
             return
-        is_unnamed = progress.resumed_stream == UNNAMED_STREAM
-        if is_unnamed and not self._is_settling():
-            return
-        is_read = await self._state.look_up_streams()
-        progress.is_store_read = is_read and not self._is_settling()
-        self._find_version(source="store")
-
-    def _is_settling(self) -> bool:
-        """Return whether the versions of the service may not be complete yet."""
-        return self._state.software_versions.is_settling(
-            self._progress.service, now=self._state.clock.now()
-        )
-
-    def _may_know_all_servers(self) -> bool:
-        """Return whether no servers are awaited that write their rows again.
-
-        They do so after the store has come back from an older copy.
-        """
-        return self._state.software_versions.awaits_history or not self._is_settling()
-
-    def _may_lack_versions(self) -> bool:
-        """Return whether other versions of the service may have been in service."""
-        return self._is_settling() or self._state.software_versions.is_incomplete(
-            self._progress.service, now=self._state.clock.now()
-        )
+        await self._versions.look_up()
 
     async def _look_up_again(self) -> Exception:
         """Look again for a stream that an instance may have recorded meanwhile.
@@ -362,55 +331,13 @@
         :return: the error that ends this attempt or the request.
         """
         await self._look_up_version()
-        if not self._progress.is_version_unknown:
-            return RetryError()
-        if self._may_know_all_servers() and await self._ask_servers():
+        is_known = not self._progress.is_version_unknown
+        if is_known or await self._versions.ask_servers():
             return RetryError()
         if self._progress.is_store_read:
             return NoServerError(UNKNOWN_REASON, may_retry=False)
         return NoServerError(UNREAD_REASON, retry_after_ms=UNREAD_RETRY_MS)
 
-    def _find_version(self, *, source: str = "coordinator") -> None:
-        """Look again for the version of the stream that the request resumes.
-
-        :param source: who has told it, if it is known now.
-        """
-        if self._progress.version is None:
-            resume_stream(self._state, self._request, self._route, self._progress)
-            if self._progress.version is not None:
-                self._progress.version_source = source
-
-    async def _wait_for_version(self, retry_after_ms: int) -> None:
-        """Wait until the coordinator may know the stream's version.
-
-        :param retry_after_ms: when it may know, in ms; 0: it should know now.
-        :raises NoServerError: if it is not going to know.
-        """
-        progress = self._progress
-        self._find_version()
-        if progress.version is not None:
-            return
-        waited_ms = self._state.clock.now() - progress.started_at
-        if not retry_after_ms and waited_ms >= VERSION_WAIT_MS:
-            if await self._ask_servers():
-                return
-            raise NoServerError(UNKNOWN_REASON, may_retry=False)
-        await asyncio.sleep((retry_after_ms or VERSION_POLL_MS) / SECOND_MS)
-
-    async def _ask_servers(self) -> bool:
-        """Look for the version of a stream at the servers, which keep its prompt.
-
-        :return: whether it was not known before, and is now.
-        """
-        progress = self._progress
-        if progress.version is not None:
-            return False
-        version = await self._state.find_kept_version(progress.service, self._request)
-        if version is None:
-            return False
-        set_version(progress, version, source="servers")
-        return True
-
     def _return_grant(self, granted: Granted, why: str) -> Exception:
         """Return a grant of a server that gets no requests from this instance.
 
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -9,12 +9,7 @@
 from arbutuspulley.delivery.begun_streams import BegunStream, build_stream_key
 from arbutuspulley.membership.software_versions import VersionHistory
 from arbutuspulley.node.access import Access
-from arbutuspulley.node.acquisition import (
-    VERSION_WAIT_MS,
-    Acquisition,
-    NoServerError,
-    RetryError,
-)
+from arbutuspulley.node.acquisition import Acquisition, NoServerError, RetryError
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
 from arbutuspulley.node.messages import (
@@ -31,6 +26,7 @@
 from arbutuspulley.node.server_notices import read_answer
 from arbutuspulley.node.store_watch import activate_configuration
 from arbutuspulley.node.stream_versions import GONE_REASON, UNREAD_REASON
+from arbutuspulley.node.version_search import VERSION_WAIT_MS
 from arbutuspulley.platform import names
 from arbutuspulley.platform.requests import decode_request
 from arbutuspulley.ports.fleet import (
@@ -133,7 +129,7 @@
 
 
 def refuse(_trial=None, **changes):
-    return Refused(key="r1", retry_after_ms=700, **changes)
+    return Refused(**{"key": "r1", "retry_after_ms": 700, **changes})
 
 
 def revoke_and_grant(trial):
@@ -422,6 +418,20 @@
     assert len(asked) == 1
 
 
+def test_the_coordinator_is_asked_again_while_servers_write_their_rows_again():
+    """Guards against a stream that is refused for good by an instance that has started
+    later than its coordinator, and asks no servers yet."""
+    trial = resume_unknown(
+        lambda _trial: refuse(reason=RefusalReason.VERSION_UNKNOWN, retry_after_ms=0),
+        version=ENTRY.software_version,
+    )
+    copied = {"llm": VersionHistory(current=("v1",), era=1)}
+    trial.state.software_versions.add_history(copied, now=10_000, store_now=0, era=2)
+    with pytest.raises(RetryError):
+        trial.get_server()
+    assert trial.progress.version is None
+
+
 @pytest.mark.parametrize("is_read", [True, False])
 def test_servers_are_asked_without_a_coordinator(is_read):
     """Guards against a stream that is refused as neither a coordinator nor the store
