Conclude nothing from prompts before all servers have answered

Cause: the coordinator looked streams up in an index that was still being filled. A server that had not answered yet counted as if it kept nothing.

Change: the answers are gathered in an index of their own, which takes the old one's place once all have answered or timed out.

--- a/src/arbutuspulley/node/kept_prompts.py
+++ b/src/arbutuspulley/node/kept_prompts.py
@@ -19,6 +19,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 
 from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.delivery.prompt_index import PromptIndex
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.server_notices import read_answer
 from arbutuspulley.node.state import NodeState
@@ -143,8 +144,10 @@
         )
 
     async def _collect(self) -> None:
+        """Ask all servers; nothing is concluded before all have answered."""
         state, now = self._state, self._state.clock.now()
-        state.prompt_index.restart(now=now)
+        index = PromptIndex()
+        index.restart(now=now)
         entries = [
             entry
             for service in state.software_versions.list_recorded(now=now)
@@ -155,11 +158,12 @@
 
         async def ask(entry: ServerEntry) -> None:
             async with calls:
-                skipped = state.prompt_index.is_full or is_resting(state, entry)
+                skipped = index.is_full or is_resting(state, entry)
                 parts = None if skipped else await self._fetch(entry)
-                state.prompt_index.add(entry.service, entry.software_version, parts)
+                index.add(entry.service, entry.software_version, parts)
 
         await asyncio.gather(*(ask(entry) for entry in entries))
+        state.prompt_index = index
         log_event(Event.KEPT_PROMPTS_READ, servers=len(entries))
 
 
--- a/tests/test_kept_prompts.py
+++ b/tests/test_kept_prompts.py
@@ -217,6 +217,40 @@
     assert index.find("llm", build_part_key(PART), now=10_001) == V1
 
 
+@pytest.mark.parametrize(("late", "expected"), [(KEEPING, None), (LACKING, V1)])
+def test_a_coordinator_goes_by_no_answer_before_all_have_arrived(late, expected):
+    """Guards against a stream that goes on at the version whose servers answer first,
+    while those of the other one, which keep its prompt, too, still have to."""
+
+    async def scenario():
+        servers = build_servers(KEEPING, late)
+        state = servers.state
+        is_released = asyncio.Event()
+
+        async def fetch(entry):
+            if entry.software_version == V2:
+                await is_released.wait()
+            return await servers.fetch(entry)
+
+        def find():
+            return state.prompt_index.find("llm", build_part_key(PART), now=10_001)
+
+        collector = PromptCollector(state=state, fetch=fetch)
+        state.software_versions.update(state.by_service, now=10_000)
+        running = asyncio.create_task(collector.run())
+        for call in state.on_coordinating:
+            call()
+        await asyncio.sleep(0.02)
+        assert servers.asked == ["s0"]
+        assert find() is None
+        is_released.set()
+        await asyncio.sleep(0.02)
+        assert find() == expected
+        running.cancel()
+
+    asyncio.run(scenario())
+
+
 def test_a_coordinator_asks_no_servers_that_can_not_tell():
     """Guards against calls to each server at each change of the coordinator, and to
     those that have no models or want no requests for a time."""
