Remove adopted rows of streams whatever clock wrote them

What callers saw: nothing. Rows stayed in the store and in the coordinator's memory for as long as the store's clock was behind the one that wrote them.

Cause: the streams of a row that is read count for ten minutes at most, the row that is taken over did not.

Change: the same bound for both.

Measured: test_adopted_rows_are_removed_whatever_their_clock_was failed before; it passes with the other tests of records and of the store.

--- a/src/arbutuspulley/delivery/stream_records.py
+++ b/src/arbutuspulley/delivery/stream_records.py
@@ -178,7 +178,8 @@
         :param store_now: reading of the store's clock at ``now``, in ms.
         """
         for key, row in rows.items():
-            until = row.expires_at - store_now + now
+            # The row may have been written by another clock.
+            until = now + min(row.expires_at - store_now, MAX_RETENTION_MS)
             known = _KnownRow(row=row, until=until, is_sent=True)
             if self._rows.setdefault(key, known) is known:
                 self._index(known)
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -300,6 +300,17 @@
     assert set(take(journal, later=30_000).remove) == {"a-1", "b-1"}
 
 
+def test_adopted_rows_are_removed_whatever_their_clock_was():
+    """Guards against rows that stay for hours, as the store has come back with a clock
+    that is behind the one by which they expire."""
+    journal = StreamJournal(writer="b")
+    row = build_row({1: build_stream()}, now=NOW, store_now=STORE_NOW + 10**9)
+    adopt(journal, {"a-1": row})
+    later = MAX_RETENTION_MS + REMOVAL_MARGIN_MS
+    assert take(journal, later=later - 1) is None
+    assert take(journal, later=later).remove == ("a-1",)
+
+
 def test_a_former_coordinator_leaves_written_rows_alone():
     """Guards against two processes that remove the same rows, and streams that are in
     no row as the coordinator changed before they were written."""
