Look for the version again if another one appears during a request

What callers saw: a resumed stream that no process knew could go on at another version, if that replaced its own while the request was on the way (a retry, a wait for a coordinator).

Cause: whether the version was unknown was found out once, as the request arrived.

Change: it is found out before each server is chosen.

Measured: test_a_stream_of_unknown_version_goes_on_nowhere_once_another_one_appears failed before and passes after. A version that appears within the wait of one choice is not covered.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -163,6 +163,7 @@
             is no longer valid.
         """
         need = self._request.need
+        self._versions.update_unknown()
         await self._look_up_version()
         self._check_version()
         if need is not None and self.needs_coordinator:
--- a/src/arbutuspulley/node/version_search.py
+++ b/src/arbutuspulley/node/version_search.py
@@ -49,6 +49,15 @@
             self._progress.service, now=self._state.clock.now()
         )
 
+    def update_unknown(self) -> None:
+        """Take the version for unknown if another one has appeared meanwhile."""
+        progress = self._progress
+        if progress.resumed_stream is None or progress.version is not None:
+            return
+        progress.is_version_unknown |= self._state.software_versions.is_mixed(
+            progress.service, now=self._state.clock.now()
+        )
+
     def find(self, *, source: str = "coordinator") -> None:
         """Look for it among the streams that this instance knows by now.
 
--- a/tests/test_acquisition.py
+++ b/tests/test_acquisition.py
@@ -513,6 +513,20 @@
     assert not trial.sent
 
 
+def test_a_stream_of_unknown_version_goes_on_nowhere_once_another_one_appears():
+    """Guards against a stream that goes on at the version whose servers replaced those
+    of its own while its request was on the way."""
+    trial = Trial(grant)
+    trial.progress.resumed_stream = build_stream_key("r0")
+    other = build_entry("e2", software_version=SoftwareVersion(name="v2"))
+    for entry in (ENTRY, other):
+        trial.state.by_service["llm"] = [entry]
+        trial.state.software_versions.update({"llm": [entry]}, now=10_000)
+    with pytest.raises(RetryError):
+        trial.get_server()
+    assert trial.progress.is_version_unknown
+
+
 def test_a_refusal_tells_that_the_version_is_gone():
     trial = Trial(lambda one: refuse(one, reason=RefusalReason.VERSION_GONE))
     continue_stream(trial, "v2")
