Add a red test for shares of a route that differ in version

Nothing is mended: records and the search for a version go by service, not by route. On this code a stream that nobody knows goes on at the other share.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -105,6 +105,19 @@
     assert all(is_allowed(progress, one) for one in bench.state.by_service["llm"])
 
 
+def test_an_unknown_stream_goes_on_nowhere_where_shares_differ_in_version():
+    """Guards against a stream that is drawn to the other share of its route, whose
+    servers have another version, after all that knew it were killed."""
+    bench = Bench(V1)
+    bench.state.by_service["canary"] = [
+        build_entry("s9", software_version=V2, service="canary")
+    ]
+    bench.state.software_versions.update(bench.state.by_service, now=bench.now)
+    progress = bench.resume("a9", service="canary")
+    entries = [one for some in bench.state.by_service.values() for one in some]
+    assert not any(is_allowed(progress, one) for one in entries)
+
+
 def test_a_stream_goes_on_at_the_service_that_began_it():
     """Guards against a stream that is drawn to the other share of its route."""
     bench = Bench(V1)
