Let nodes that tests cut off handle signals before they import modules

Cause, in the soak's script: its nodes are started by tests/cut_node.py, which imported the HTTP client to replace its sockets before it ran run_node.py. SIGTERM had its default action until then; tested run_node.py alone.

Change: run_node.py runs first, sets its handlers and imports the program; then the sockets are replaced and the program starts. The soak's check is as it was.

--- a/tests/cut_node.py
+++ b/tests/cut_node.py
@@ -11,7 +11,6 @@
 import os
 import runpy
 import socket
-import sys
 import threading
 import time
 import weakref
@@ -145,7 +144,6 @@
 
 
 def _patch():
-    sys.path.insert(0, str(PROGRAM.parents[1] / "src"))
     from arbutuspulley.platform import transport
 
     class _Sockets:
@@ -156,7 +154,8 @@
 
 
 if __name__ == "__main__":
-    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+    # First: the program handles signals before it imports its modules.
+    _program = runpy.run_path(str(PROGRAM))
     CUT = _Cut(Path(os.environ[CUT_VARIABLE]))
     _patch()
-    runpy.run_path(str(PROGRAM), run_name="__main__")
+    _program["main"]()
