Revert "Read the records at once when a coordinator is lost before it answers"

The streams are now sent to servers without a coordinator, but the two or three servers of their version and model need longer than the 2 s for which their callers wait: 94 left.

Knowing the version sooner does not help while there is no room; the order in which resumed and new streams get it has to be decided first.

--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -275,14 +275,9 @@
     async def _wait_for_grant(self, need: ModelNeed) -> ServerEntry | None:
         progress = self._progress
         now = self._state.clock.now()
-        could_ask = self._link.can_request
         try:
             granted = await self._request_grant(self._build_grant_request(need, now))
         except LinkLostError:
-            if could_ask:
-                # The coordinator was lost before it told the version of a stream.
-                await self._look_up_version()
-                self._check_version()
             return await self._choose_uncoordinated(need)
         except RefusedError as error:
             if error.reason == RefusalReason.VERSION_UNKNOWN:
