Move the account of held bytes out of the HTTP client

The client of servers kept the account of what all answers hold, which requests of clients are about to count in as well. It stands in a module of its own now; the fleet of servers with long answers that its tests use stands in one, too, for further tests.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -42,6 +42,7 @@
     resume_stream,
 )
 from arbutuspulley.platform.connections import FOREIGN_ANSWER
+from arbutuspulley.platform.held_bytes import AnswerAbandonedError, BrokenError
 from arbutuspulley.platform.memory_bound import AnswerKind, HeldAnswer
 from arbutuspulley.platform.requests import (
     build_headers,
@@ -55,8 +56,6 @@
     select_answer_headers,
 )
 from arbutuspulley.platform.transport import (
-    AnswerAbandonedError,
-    BrokenError,
     NotSentError,
     count_calls_before,
     read_framing,
--- a/src/arbutuspulley/node/server_relay.py
+++ b/src/arbutuspulley/node/server_relay.py
@@ -23,14 +23,13 @@
 from arbutuspulley.node.server_notices import get_exclusion, read_answer
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.platform import names
+from arbutuspulley.platform.held_bytes import AnswerAbandonedError, BrokenError
 from arbutuspulley.platform.memory_bound import AnswerKind, HeldAnswer
 from arbutuspulley.platform.requests import (
     select_answer_headers,
     select_relayed_headers,
 )
 from arbutuspulley.platform.transport import (
-    AnswerAbandonedError,
-    BrokenError,
     NotSentError,
     read_framing,
     read_part,
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -34,9 +34,9 @@
 from arbutuspulley.node.rejected_rows import RejectedRows
 from arbutuspulley.node.server_view import ServerView
 from arbutuspulley.node.versions import Versions
+from arbutuspulley.platform.held_bytes import HeldBytes
 from arbutuspulley.platform.memory_bound import HeldAnswer
 from arbutuspulley.platform.store import StoreClient
-from arbutuspulley.platform.transport import HeldBytes
 from arbutuspulley.ports.fleet import (
     FleetConfiguration,
     InboundRequest,
--- a/src/arbutuspulley/node/stream_relay.py
+++ b/src/arbutuspulley/node/stream_relay.py
@@ -19,12 +19,13 @@
     write_slices,
 )
 from arbutuspulley.node.progress import Progress
+from arbutuspulley.platform.held_bytes import BrokenError, HeldBytes
 from arbutuspulley.platform.memory_bound import AnswerKind, HeldAnswer
 from arbutuspulley.platform.requests import (
     PLATFORM_EVENT_FIELDS,
     select_answer_headers,
 )
-from arbutuspulley.platform.transport import BrokenError, HeldBytes, read_part
+from arbutuspulley.platform.transport import read_part
 from arbutuspulley.ports.answers import AnswerEnd
 from arbutuspulley.ports.fleet import RetryPolicy
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,16 +8,14 @@
 
 from arbutuspulley.platform import names
 from arbutuspulley.platform.connections import MAX_FRAMING_BYTES
-from arbutuspulley.platform.requests import decode_request
-from arbutuspulley.platform.transport import (
+from arbutuspulley.platform.held_bytes import (
     MAX_ALL_HELD_BYTES,
     MAX_HELD_BYTES,
     BrokenError,
     HeldBytes,
-    open_session,
-    read_body,
-    send_request,
 )
+from arbutuspulley.platform.requests import decode_request
+from arbutuspulley.platform.transport import open_session, read_body, send_request
 from arbutuspulley.ports.answers import AnswerEnd
 from arbutuspulley.standins.scripted_answer import AnswerScript, ConnectionEnd
 from tests.raw_callers import ask_raw
--- a/tests/test_memory_bound.py
+++ b/tests/test_memory_bound.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import contextlib
-import json
-import socket
 import statistics
 import time
 import types
@@ -15,6 +13,11 @@
 
 from arbutuspulley.node.server_relay import ServerRelay
 from arbutuspulley.platform import names
+from arbutuspulley.platform.held_bytes import (
+    MAX_ALL_HELD_BYTES,
+    AnswerAbandonedError,
+    HeldBytes,
+)
 from arbutuspulley.platform.memory_bound import (
     MIN_ABORTED_BYTES,
     MIN_BOUND_BYTES,
@@ -26,32 +29,21 @@
     compute_bound,
     may_read,
 )
-from arbutuspulley.platform.transport import (
-    MAX_ALL_HELD_BYTES,
-    AnswerAbandonedError,
-    HeldBytes,
-    open_session,
-)
-from arbutuspulley.ports.answers import Framing
-from arbutuspulley.standins.fleet_server import ServerStandin
-from arbutuspulley.standins.scripted_answer import AnswerScript
+from arbutuspulley.platform.transport import open_session
 from scripts.measure_held_memory import BIG_EVENT, open_reader, read_resident_mb
-from scripts.platform_testbed import Fleet, build_configuration, build_route, listen
+from scripts.platform_testbed import listen
 from scripts.platform_testbed import send_request as ask
+from tests.answer_fleet import BODY, EVENTS, list_events, open_fleet, read_metrics
 from tests.node_states import build_entry, build_state
 
 MEMORY_MB = 160
 
 LIMITS = {"MemoryMb": MEMORY_MB}
 
-BODY = bytes(range(256)) * 16_000
-
 PART_BYTES = 512 * 1_024
 """Size of what is read at once, by which the total may exceed the bound until answers
 are aborted, in bytes."""
 
-EVENTS = 200
-
 
 def build_answer(kind, size, *, is_stalled=False):
     answer = HeldAnswer(attempt_id=f"{kind}{size}", get_kind=lambda: kind)
@@ -217,63 +209,6 @@
     asyncio.run(run())
 
 
-def build_fleet_configuration():
-    routes = (
-        build_route("/events/", "events", "streaming", Resumable=True),
-        build_route("/safe/", "bodies", "safe"),
-        build_route("/unsafe/", "bodies", "unsafe"),
-    )
-    for route in routes:
-        route["TimeoutMs"] = 60_000
-    built = build_configuration(2, routes=routes)
-    built["Services"] += [
-        {"Name": name, "MaxConnections": 1_000} for name in ("events", "bodies")
-    ]
-    return built
-
-
-@contextlib.asynccontextmanager
-async def open_fleet(folder, limits):
-    """Start a node and servers of streams and of bodies of 4 MB."""
-    fleet = Fleet(folder)
-    scripts = {
-        "events": AnswerScript(
-            parts=(BIG_EVENT,) * EVENTS, framing=Framing.CHUNKS, pause_s=0.005
-        ),
-        "bodies": AnswerScript(parts=(BODY,), framing=Framing.LENGTH),
-    }
-    with socket.socket() as reserved:
-        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        reserved.bind(("127.0.0.1", 0))
-        port = reserved.getsockname()[1]
-        try:
-            await fleet.open()
-            fleet.store.put("op", "config", build_fleet_configuration())
-            for number in range(24):
-                service = "events" if number % 2 else "bodies"
-                server = ServerStandin(incarnation=f"s{number}", service=service)
-                server.script = scripts[service]
-                await fleet.add_server(server)
-            await fleet.start_nodes(("n1",), limits=limits, metrics_port=port)
-            yield fleet, port
-        finally:
-            await fleet.close()
-
-
-async def read_metrics(port):
-    """Return the node's metrics by name and labels."""
-    url = f"http://127.0.0.1:{port}/metrics"
-    async with aiohttp.ClientSession() as session, session.get(url) as answer:
-        lines = (await answer.text()).splitlines()
-    pairs = (line.rsplit(" ", 1) for line in lines if not line.startswith("#"))
-    return {name: float(value) for name, value in pairs}
-
-
-def list_events(fleet, name):
-    lines = [json.loads(line) for line in fleet.read_log("n1").splitlines()]
-    return [line for line in lines if line["name"] == name]
-
-
 async def open_readers(fleet, opened, path, count):
     """Open callers that read nothing until they are told."""
     front = fleet.addresses["n1"]["Frontend"]
