Keep what clients call their requests at a bounded length

A client chooses the names of its attempts, models and adapters, up to the size of its headers. Each was kept in tables, sent to the coordinator, written to the store and logged at its full length, and so was a path of up to 64 KB: a few thousand requests with names of 13 KB took 132 MB of an instance of 120, frames with a batch of them exceed the 1 MiB that a link carries, and 2,000 buffered log lines are 128 MB where the reader of the log is slow.

Names over 256 characters are shortened where they are read, to their beginning and a digest, so that different names stay different; the headers that servers receive, and the id in a refusal, are the client's own. Paths are logged up to 256 characters, and the log buffer is bounded by bytes as well as by lines.

--- a/src/arbutuspulley/events.py
+++ b/src/arbutuspulley/events.py
@@ -201,6 +201,10 @@
 MAX_BUFFERED_LINES = 2_000
 """Maximum number of lines buffered for standard output; about 600 KB."""
 
+MAX_BUFFERED_BYTES = 2_000_000
+"""Maximum size of these lines, in bytes: what clients and servers send may make a line
+longer."""
+
 FLUSH_INTERVAL_MS = 50
 """Time between writes to standard output, in ms; batches lines per system call."""
 
@@ -238,6 +242,7 @@
         self._count_line = count_line
         self._clock = clock
         self._lines: deque[bytes] = deque()
+        self._line_bytes = 0
         self._unwritten = b""
         self._rate_window_s = 0
         self._ordinary_count = 0
@@ -250,7 +255,12 @@
         if not self._try_admit(number in _PER_REQUEST_EVENTS):
             self._count_line("dropped")
             return
-        self._lines.append(_encode_line(record, instance=self._instance) + b"\n")
+        line = _encode_line(record, instance=self._instance) + b"\n"
+        if self._line_bytes + len(line) > MAX_BUFFERED_BYTES:
+            self._count_line("dropped")
+            return
+        self._lines.append(line)
+        self._line_bytes += len(line)
         self._count_line("written")
         self._schedule_flush()
 
@@ -261,6 +271,7 @@
             if not self._unwritten:
                 self._unwritten = b"".join(self._lines)
                 self._lines.clear()
+                self._line_bytes = 0
             try:
                 written = os.write(self._descriptor, self._unwritten)
             except BlockingIOError:
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -23,6 +23,7 @@
     build_refusal_headers,
     decode_request,
     find_undecodable,
+    get_sent_attempt_id,
 )
 from arbutuspulley.ports.answers import AnswerEnd
 from arbutuspulley.ports.fleet import InboundRequest
@@ -36,6 +37,13 @@
 """How long new streams are accepted after SIGTERM, in ms, which serves callers that
 still use an old address. A stream that starts later may not end before SIGKILL."""
 
+BODY_RETRY_MS = 1_000
+"""Retry delay for callers whose body there is no room for, in ms: other requests end
+meanwhile, or are refused as their bodies don't arrive."""
+
+MAX_LOGGED_PATH_LENGTH = 256
+"""Length to which a path is truncated in log lines."""
+
 MAX_LOGGED_ID_LENGTH = 64
 """Length to which the id of another attempt is truncated in log lines."""
 
@@ -188,7 +196,7 @@
             how=how,
             status=status,
             why=why,
-            path=request.path,
+            path=request.path[:MAX_LOGGED_PATH_LENGTH],
             version=configuration.version if configuration else 0,
             service=progress.service if progress else "",
             model=f"{need.model}/{need.adapter}" if need else "",
@@ -222,7 +230,8 @@
         status=error.status,
         text=f"{error.reason}\n",
         headers=build_refusal_headers(
-            attempt_id=request.attempt_id, retry_after_ms=error.retry_after_ms
+            attempt_id=get_sent_attempt_id(request),
+            retry_after_ms=error.retry_after_ms,
         ),
     )
 
--- a/src/arbutuspulley/node/server_relay.py
+++ b/src/arbutuspulley/node/server_relay.py
@@ -28,6 +28,7 @@
 from arbutuspulley.platform.requests import (
     select_answer_headers,
     select_relayed_headers,
+    shorten_name,
 )
 from arbutuspulley.platform.transport import (
     NotSentError,
@@ -203,7 +204,7 @@
             raise _RefusedError(RelayOutcome.BUSY)
         parts.append(part)
     return InboundRequest(
-        attempt_id=client.headers.get(names.ATTEMPT_ID, ""),
+        attempt_id=shorten_name(client.headers.get(names.ATTEMPT_ID, "")),
         method=client.method,
         host="",
         path=client.raw_path,
--- a/src/arbutuspulley/platform/connections.py
+++ b/src/arbutuspulley/platform/connections.py
@@ -35,6 +35,7 @@
 
 from arbutuspulley.data import State, Value
 from arbutuspulley.platform import names
+from arbutuspulley.platform.requests import shorten_name
 from arbutuspulley.ports.answers import AnswerEnd
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0
@@ -271,7 +272,8 @@
 
     def _find_owner(self, call: Call, message: RawResponseMessage) -> _Owner:
         """Return which call an answer belongs to; see the module."""
-        named = set(message.headers.getall(names.ATTEMPT_ID, ())) - {""}
+        listed = message.headers.getall(names.ATTEMPT_ID, ())
+        named = set(map(shorten_name, listed)) - {""}
         if len(named) > 1:
             return _Owner.UNKNOWN
         if named:
@@ -306,7 +308,7 @@
             ExtraAnswer(
                 address=self._get_address(),
                 attempt=call.attempt,
-                named=message.headers.get(names.ATTEMPT_ID, ""),
+                named=shorten_name(message.headers.get(names.ATTEMPT_ID, "")),
                 status=message.code,
                 is_dropped=is_dropped,
             )
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -1,5 +1,6 @@
 """Headers of clients' requests and of servers' answers: decoding and building."""
 
+import hashlib
 import math
 import re
 from collections.abc import Iterable, Mapping
@@ -20,8 +21,12 @@
 """Largest number of tokens that a request can state; a larger one counts as this. No
 model has as long a context, and the sum of a billion requests fits into 64 bits."""
 
-MAX_ATTEMPT_ID_LENGTH = 256
-"""Longest id, in characters, by which a caller can name another attempt."""
+MAX_NAME_LENGTH = 256
+"""Longest name by which a client's attempt, model or adapter is known, in characters.
+"""
+
+_DIGEST_LENGTH = 32
+"""Length of the digest that replaces the end of a longer one, in characters."""
 
 MAX_PROMPT_PARTS = 32
 """Maximum number of parts of a prompt that are read; further ones are only forwarded.
@@ -60,7 +65,7 @@
     keys = _list_values(listed, names.KEY)
     shared_parts, own_part = _read_parts(_list_values(listed, names.PROMPT_PREFIX))
     return InboundRequest(
-        attempt_id=found.get(names.ATTEMPT_ID.lower(), ""),
+        attempt_id=shorten_name(found.get(names.ATTEMPT_ID.lower(), "")),
         method=method,
         host=found.get("host", "").partition(":")[0].lower(),
         path=path,
@@ -76,6 +81,18 @@
     )
 
 
+def shorten_name(name: str) -> str:
+    """Return a name of bounded length that differs as its original does.
+
+    Names are kept in tables, sent to other instances and written to the store and logs.
+    What a server receives is the original.
+    """
+    if len(name) <= MAX_NAME_LENGTH:
+        return name
+    digest = hashlib.sha256(name.encode(errors="surrogateescape")).hexdigest()
+    return name[: MAX_NAME_LENGTH - _DIGEST_LENGTH] + digest[:_DIGEST_LENGTH]
+
+
 def find_undecodable(headers: Iterable[tuple[str, str]]) -> str:
     """Return a header that names a request or its model and is not UTF-8.
 
@@ -171,7 +188,7 @@
 
 def is_answer_to(request: InboundRequest, headers: Mapping[str, str]) -> bool:
     """Return whether an answer comes from a server and belongs to this request."""
-    if headers.get(names.ATTEMPT_ID, "") != request.attempt_id:
+    if shorten_name(headers.get(names.ATTEMPT_ID, "")) != request.attempt_id:
         return False
     return names.SEAL in headers
 
@@ -263,6 +280,12 @@
     return math.ceil(min(seconds * SECOND_MS, MAX_TIME_MS))
 
 
+def get_sent_attempt_id(request: InboundRequest) -> str:
+    """Return the id that a client sent, or the one that its request was given."""
+    named = _list_values(request.headers, names.ATTEMPT_ID)
+    return named[-1] if named else request.attempt_id
+
+
 def build_refusal_headers(
     *, attempt_id: str, retry_after_ms: int | None
 ) -> dict[str, str]:
@@ -279,7 +302,7 @@
     if len(named) != 1:
         return ""
     attempt = named.pop()
-    is_id = attempt.isascii() and len(attempt) <= MAX_ATTEMPT_ID_LENGTH
+    is_id = attempt.isascii() and len(attempt) <= MAX_NAME_LENGTH
     return attempt if is_id else ""
 
 
@@ -335,7 +358,7 @@
     named = found.get(names.MODEL.lower(), "")
     if not named:
         return None
-    model, _, adapter = named.partition("/")
+    model, _, adapter = map(shorten_name, named.partition("/"))
     prompt, _, output = found.get(names.TOKEN_USAGE.lower(), "").partition(",")
     return ModelNeed(
         model=model,
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -25,6 +25,7 @@
 )
 from arbutuspulley.platform.held_bytes import BrokenError, HeldBytes
 from arbutuspulley.platform.memory_bound import MIN_PAUSED_BYTES, HeldAnswer
+from arbutuspulley.platform.requests import shorten_name
 from arbutuspulley.ports.answers import AnswerEnd, Framing
 from arbutuspulley.ports.fleet import InboundRequest
 from arbutuspulley.settings import split_address
@@ -180,7 +181,7 @@
 
 def read_named_attempt(response: aiohttp.ClientResponse) -> str:
     """Return the attempt that an answer names; empty: none."""
-    return response.headers.get(names.ATTEMPT_ID, "")
+    return shorten_name(response.headers.get(names.ATTEMPT_ID, ""))
 
 
 def count_calls_before(response: aiohttp.ClientResponse) -> int:
