Forward request bodies with a Content-Encoding as they came

The HTTP library decompressed the body of a request that names a Content-Encoding, and the node forwarded what came out under the same headers: a server got another body than its client had sent, an invalid one was refused by the node, and a few KB could become MBs. It was found by listing what grows with what clients send.

The parser of clients' connections leaves bodies as they are. test_a_body_is_received_as_it_was_sent fails before (400), and passes.

--- a/src/arbutuspulley/clients/connections.py
+++ b/src/arbutuspulley/clients/connections.py
@@ -95,6 +95,7 @@
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
             max_headers=MAX_HEADERS,
+            auto_decompress=False,
             payload_exception=RequestPayloadError,
             max_msg_queue_size=MAX_AHEAD,
         )
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -366,6 +366,18 @@
     run(test)
 
 
+def test_a_body_is_received_as_it_was_sent():
+    """Guards against compressed bodies that are forwarded decompressed, and that take
+    more memory than their bytes."""
+
+    async def test(harness):
+        head = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Encoding: gzip\r\n"
+        opened = await harness.send(head + b"Content-Length: 5\r\n\r\nplain")
+        assert (await harness.read(opened)).endswith(b"plain")
+
+    run(test)
+
+
 def test_what_a_client_holds_is_counted():
     """Guards against bytes that the bound does not see."""
 
