Count bodies in chunks towards what is relayed for other instances

Requests that are relayed for other instances may hold 16 MB together, counted by the length that they state. A body in chunks states none, so that 256 of them could hold 16 MB each. They count by what has been received now; a request whose body is refused for the bound on what all clients hold is refused as busy, which the other instance knows to be not run.

test_bodies_in_chunks_count_towards_what_is_relayed: before, the second request is answered; now it is refused as busy while the first one runs.

--- a/src/arbutuspulley/node/server_relay.py
+++ b/src/arbutuspulley/node/server_relay.py
@@ -5,13 +5,16 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import NoReturn
 
 import aiohttp
 from aiohttp import web
 
+from arbutuspulley.clients.connections import BodyRefusedError, get_connection
 from arbutuspulley.clock import SECOND_MS
+from arbutuspulley.data import State
 from arbutuspulley.membership.server_reach import (
     is_suspect,
     record_failed,
@@ -71,16 +74,16 @@
 
     async def handle(self, client: web.BaseRequest) -> web.StreamResponse:
         """Relay one request, and return the server's answer."""
-        size = client.content_length or 0
+        relayed = _Relayed(size=client.content_length or 0)
         self._count += 1
-        self._bytes += size
+        self._bytes += relayed.size
         self._state.in_flight += 1
         outcome = RelayOutcome.ANSWERED
         try:
             entry = self._find_server(client)
             # An instance that is frozen takes no bytes, and would hold the request.
             async with asyncio.timeout(_read_timeout_s(client)):
-                return await self._relay(client, entry)
+                return await self._relay(client, entry, relayed)
         except TimeoutError:
             abort_answer(client)
             raise asyncio.CancelledError from None
@@ -89,7 +92,7 @@
             return _build_refusal(client, outcome)
         finally:
             self._count -= 1
-            self._bytes -= size
+            self._bytes -= relayed.size
             self._state.in_flight -= 1
             self._state.metrics.relayed.labels(outcome.value).inc()
 
@@ -107,9 +110,9 @@
         return entry
 
     async def _relay(
-        self, client: web.BaseRequest, entry: ServerEntry
+        self, client: web.BaseRequest, entry: ServerEntry, relayed: "_Relayed"
     ) -> web.StreamResponse:
-        request = await _read_request(client, max_bytes=MAX_RELAYED_BYTES)
+        request = await self._read_request(client, relayed)
         state = self._state
         try:
             response = await send_request(
@@ -130,6 +133,25 @@
         finally:
             response.close()
 
+    async def _read_request(
+        self, client: web.BaseRequest, relayed: "_Relayed"
+    ) -> InboundRequest:
+        connection = get_connection(client)
+        body = bytearray()
+        try:
+            with connection.receiving() if connection else contextlib.nullcontext():
+                while part := await client.content.readany():
+                    body += part
+                    # The length of a body in chunks is not stated.
+                    excess = max(0, len(body) - relayed.size)
+                    relayed.size += excess
+                    self._bytes += excess
+                    if self._bytes > MAX_RELAYED_BYTES:
+                        raise BodyRefusedError
+        except BodyRefusedError:
+            raise _RefusedError(RelayOutcome.BUSY) from None
+        return _build_request(client, bytes(body))
+
     async def _forward(
         self, client: web.BaseRequest, response: aiohttp.ClientResponse, attempt_id: str
     ) -> web.StreamResponse:
@@ -178,6 +200,15 @@
         raise _RefusedError(RelayOutcome.UNREACHED) from None
 
 
+class _Relayed(State):
+    """A request that is relayed.
+
+    :param size: what its body counts for, in bytes.
+    """
+
+    size: int
+
+
 class _RefusedError(Exception):
     """The request was not sent to the server."""
 
@@ -194,14 +225,7 @@
     return min(MAX_RELAY_MS, deadline_ms + DEADLINE_MARGIN_MS) / SECOND_MS
 
 
-async def _read_request(client: web.BaseRequest, *, max_bytes: int) -> InboundRequest:
-    parts: list[bytes] = []
-    size = 0
-    while part := await client.content.readany():
-        size += len(part)
-        if size > max_bytes:
-            raise _RefusedError(RelayOutcome.BUSY)
-        parts.append(part)
+def _build_request(client: web.BaseRequest, body: bytes) -> InboundRequest:
     return InboundRequest(
         attempt_id=shorten_name(client.headers.get(names.ATTEMPT_ID, "")),
         method=client.method,
@@ -210,7 +234,7 @@
         headers=select_relayed_headers(client.headers.items()),
         wait_ms=None,
         need=None,
-        body=b"".join(parts),
+        body=body,
     )
 
 
--- a/tests/test_server_relay.py
+++ b/tests/test_server_relay.py
@@ -213,6 +213,33 @@
     run_relay(scenario)
 
 
+def test_bodies_in_chunks_count_towards_what_is_relayed(monkeypatch):
+    """Guards against bodies without a stated length that are held without a bound."""
+
+    async def send_chunks():
+        for _ in range(2):
+            yield b"night"
+
+    async def scenario(relay):
+        async def ask(attempt):
+            answer = await relay.state.session.post(
+                f"http://{relay.address}/book/1",
+                data=send_chunks(),
+                headers={names.RELAY_TO: "s0", names.ATTEMPT_ID: attempt},
+            )
+            return answer.headers[names.RELAY_OUTCOME]
+
+        monkeypatch.setattr(server_relay, "MAX_RELAYED_BYTES", 12)
+        relay.server.delay_s = 0.2
+        first = asyncio.create_task(ask("a1"))
+        await asyncio.sleep(0.1)
+        assert await ask("a2") == RelayOutcome.BUSY
+        assert await first == RelayOutcome.ANSWERED
+        assert await ask("a3") == RelayOutcome.ANSWERED
+
+    run_relay(scenario)
+
+
 @pytest.mark.parametrize("limit", ["MAX_RELAYED", "MAX_RELAYED_BYTES"])
 def test_relayed_requests_are_bounded(monkeypatch, limit):
     """Guards against an instance that runs out of sockets or memory for others."""
