Read less of a server's answer at once

Slow readers of long answers took 102 to 114 MB of an instance of 120 with 13 MB counted: too little is left beside other load. One turn of the event loop reads from many connections, 256 KB of each, and each keeps up to 512 KB before its reading pauses; what is held is measured each 50 ms, so that a hundred answers take tens of MB over the bound in between.

At most 64 KB are read of one connection to a server at once, and reading pauses at 128 KB.

--- a/src/arbutuspulley/platform/connections.py
+++ b/src/arbutuspulley/platform/connections.py
@@ -50,6 +50,11 @@
 MAX_IDLE_TIMEOUT_S = 30.0
 """Longest time that an idle connection is kept, in s."""
 
+READ_BYTES = 64 * 1_024
+"""Maximum number of bytes that are read from a connection at once, and half of those
+after which reading pauses until they are taken: one turn of the event loop reads from
+many connections."""
+
 MAX_FRAMING_BYTES = 256 * 1_024
 """Maximum size of what an answer has beside its body, in bytes: heads and chunk sizes.
 """
@@ -197,6 +202,12 @@
         self._heads = 0
         self.calls = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound what one turn of the event loop receives."""
+        # Attribute of the transport of the standard library's selector event loop.
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+        super().connection_made(transport)
+
     def set_response_params(self, **options: Any) -> None:
         """Prepare the connection for the next answer."""
         self._received_bytes = 0
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -15,6 +15,7 @@
 from arbutuspulley.platform.connections import (
     BODILESS_STATUSES,
     FOREIGN_ANSWER,
+    READ_BYTES,
     AnswerCutError,
     Connection,
     Connector,
@@ -92,6 +93,7 @@
             open_socket=open_socket, on_extra=on_extra, is_kept=is_kept
         ),
         auto_decompress=False,
+        read_bufsize=READ_BYTES,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
