Let crowds of clients without limits come in the soak

The soak has real processes, and its callers keep to all limits, so it could not show what clients without limits take.

What the crowds send stands beside them in tests/client_crowds.py, for both. The check of the plan allows the new kinds, and leaves their series out of the gaps between faults as it does with the other series of their own.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,7 +5,8 @@
 outside: signals, a proxy between each node and the store, a store that misbehaves and
 comes back from copies, servers that leave, refuse, break off, fall silent or are
 brittle, nodes that reach no server, answers too many and heads of answers that end
-early, odd rows, versions that join while a node is out of touch. Callers keep using
+early, odd rows, versions that join while a node is out of touch, crowds of clients that
+keep to no limit. Callers keep using
 open connections; some speak HTTP/1.0 and get answers without chunks; some resume
 streams at other nodes while servers of two software versions serve, also after all
 nodes were killed at the same moment. The promises are checked from what callers and
@@ -52,6 +53,7 @@
 from tests.raw_callers import ask_raw
 from tests.retry_rule import find_excess, list_retries
 from tests.soak_answers import disturb_answers
+from tests.soak_crowds import LIMITS, send_crowd
 from tests.soak_joins import (
     Join,
     add_servers,
@@ -62,6 +64,7 @@
 from tests.soak_plan import (
     ANSWER_FAULTS,
     CONTACT_S,
+    CROWD_FAULTS,
     CUT_MODES,
     DRAIN_S,
     NODE_FAULTS,
@@ -307,6 +310,7 @@
             seeds=tuple(one for one in seeds if one != name),
             store=self.proxies[name].address,
             lease_ms=LEASE_MS,
+            limits=LIMITS,
         )
         self._spawn_watch(name, self.fleet.nodes[name])
 
@@ -448,6 +452,8 @@
             await self._join_version(session, fault, number)
         elif fault.kind == "odd row":
             await self._leave_odd_rows(session, fault)
+        elif fault.kind in CROWD_FAULTS:
+            await self._send_crowds(fault)
         elif fault.kind in ANSWER_FAULTS:
             with self._disturb("servers"):
                 await disturb_answers(fault, self._list_ready_servers())
@@ -541,6 +547,26 @@
             # Requests on silent connections end by now.
             await asyncio.sleep(CONTACT_S)
 
+    async def _send_crowds(self, fault: Fault) -> None:
+        """Let a crowd come to one node, or to two."""
+        first = fault.target % len(self.names)
+        names = [*self.names[first:], *self.names[:first]][: 1 + fault.target % 2]
+        with contextlib.ExitStack() as stack:
+            for name in names:
+                stack.enter_context(self._disturb(name))
+            found = await asyncio.gather(
+                *(send_crowd(self.fleet, name, fault) for name in names)
+            )
+            # Those of the crowd that are closed make room for callers.
+            await asyncio.sleep(CONTACT_S)
+        for name, exceeded in zip(names, found, strict=True):
+            if exceeded:
+                self._break(
+                    "stays within its limits",
+                    at=self._now,
+                    detail=f"{name}, {fault.kind}: {exceeded}",
+                )
+
     async def _replace_node(self, name: str, ended: asyncio.subprocess.Process) -> None:
         """Start a node again that has ended, once, however many faults wait for it."""
         if self.fleet.nodes[name] is ended and ended.pid not in self._replaced:
--- a/tests/soak_plan.py
+++ b/tests/soak_plan.py
@@ -66,6 +66,10 @@
 answers early; another writer leaves an odd row in the table of servers; servers of a
 further software version join while a node is out of touch."""
 
+CROWD_FAULTS = ("bodies", "heads", "idlers", "requests ahead")
+"""Kinds of a series of its own: crowds of clients that keep to no limit come to one
+node, or to two."""
+
 RELEASE_FRACTION, STORE_FRACTION = 0.7, 0.4
 """Fractions of the power failures beside which a version is released, and beside which
 the store is away."""
@@ -109,10 +113,30 @@
     plan.extend(_build_reach_faults(seed, seconds=seconds))
     plan.extend(build_power_faults(seed, seconds=seconds))
     plan.extend(build_wrong_faults(seed, seconds=seconds))
+    plan.extend(build_crowd_faults(seed, seconds=seconds))
     plan.sort(key=lambda fault: fault.at)
     return [fault for fault in plan if fault.at < seconds - RECOVERY_S]
 
 
+def build_crowd_faults(seed: int, *, seconds: float) -> list[Fault]:
+    """Return the crowds of a seed, some at two nodes at once."""
+    rng = random.Random(f"{seed}-crowds")
+    plan: list[Fault] = []
+    at = rng.uniform(3.0, 8.0)
+    while at < seconds - RECOVERY_S:
+        for _ in range(rng.randrange(1, 3)):
+            plan.append(
+                Fault(
+                    at=at,
+                    kind=rng.choice(CROWD_FAULTS),
+                    target=rng.randrange(1_000),
+                    for_s=rng.uniform(1.0, 3.0),
+                )
+            )
+        at += rng.uniform(8.0, 14.0)
+    return plan
+
+
 def _build_reach_faults(seed: int, *, seconds: float) -> list[Fault]:
     rng = random.Random(f"{seed}-reach")
     plan: list[Fault] = []
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 from tests.soak_joins import Join
 from tests.soak_plan import (
     CONTACT_S,
+    CROWD_FAULTS,
     NODE_FAULTS,
     POWER_FAULTS,
     REACH_FAULTS,
@@ -19,6 +20,7 @@
     SERVER_FAULTS,
     STORE_FAULTS,
     WRONG_FAULTS,
+    build_crowd_faults,
     build_plan,
     build_power_faults,
     build_wrong_faults,
@@ -42,11 +44,13 @@
         *REACH_FAULTS,
         *POWER_FAULTS,
         *WRONG_FAULTS,
+        *CROWD_FAULTS,
     }
     for seed, plan in enumerate(plans):
         power = build_power_faults(seed, seconds=60)
         wrong = build_wrong_faults(seed, seconds=60)
-        others = [fault for fault in plan if fault not in (*power, *wrong)]
+        crowds = build_crowd_faults(seed, seconds=60)
+        others = [fault for fault in plan if fault not in (*power, *wrong, *crowds)]
         series = [fault for fault in others if fault.kind not in REACH_FAULTS]
         gaps = [after.at - fault.at for fault, after in itertools.pairwise(series)]
         assert max(gaps) >= CONTACT_S
--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -12,7 +12,22 @@
 from scripts.measure_held_memory import read_resident_mb
 from scripts.platform_testbed import send_request
 from tests.answer_fleet import open_fleet
-from tests.client_crowds import Crowd, build_head, watch_connections
+from tests.client_crowds import (
+    Crowd,
+    ask_ahead,
+    ask_once,
+    send_bodies_ahead,
+    send_endless_chunks,
+    send_long_heads,
+    send_long_names,
+    send_malformed,
+    send_nothing,
+    send_requests_ahead,
+    send_tiny_chunks,
+    send_unfinished_body,
+    send_unfinished_head,
+    watch_connections,
+)
 
 pytestmark = pytest.mark.alone
 
@@ -28,118 +43,6 @@
 ORDINARY_PAUSE_S = 0.5
 """How often an ordinary client tries, and time between two tries, in s."""
 
-MAX_BODY_BYTES = 4 * 1_024 * 1_024
-
-BLOCK = bytes(64 * 1_024)
-
-
-def send_unfinished_body(number, turn, *, path="/sync/x"):
-    """Send all of a body but its end."""
-    yield build_head(path, attempt=f"b{number}.{turn}", length=MAX_BODY_BYTES - 8)
-    for _ in range(MAX_BODY_BYTES * 39 // 40 // len(BLOCK)):
-        yield BLOCK
-
-
-def send_endless_chunks(number, turn):
-    """Send a body in chunks that never ends, within the limit on its size."""
-    yield build_head(
-        "/sync/x",
-        attempt=f"c{number}.{turn}",
-        headers=("Transfer-Encoding: chunked",),
-        length=None,
-    )
-    for _ in range(MAX_BODY_BYTES * 39 // 40 // len(BLOCK)):
-        yield b"%x\r\n%b\r\n" % (len(BLOCK), BLOCK)
-
-
-def send_tiny_chunks(number, turn):
-    """Send a body in chunks of one byte that never ends."""
-    yield build_head(
-        "/sync/x",
-        attempt=f"d{number}.{turn}",
-        headers=("Transfer-Encoding: chunked",),
-        length=None,
-    )
-    while True:
-        yield b"1\r\nx\r\n" * 2_000
-
-
-def send_bodies_ahead(number, turn):
-    """Send 40 requests with bodies of 0.5 MB, without waiting for an answer."""
-    for ahead in range(40):
-        yield build_head(
-            "/sync/x", attempt=f"a{number}.{turn}.{ahead}", length=8 * len(BLOCK)
-        )
-        for _ in range(8):
-            yield BLOCK
-
-
-def send_requests_ahead(number, turn, *, path="/sync/x", count=10_000):
-    """Send many small requests without waiting for an answer."""
-    for ahead in range(0, count, 20):
-        yield b"".join(
-            build_head(path, attempt=f"s{number}.{turn}.{ahead + one}")
-            for one in range(20)
-        )
-
-
-def send_unfinished_head(number, turn):
-    """Send a head that stays open, of the largest lines that are read."""
-    yield b"POST /sync/x HTTP/1.1\r\n"
-    yield b"X-A: " + b"a" * 60_000 + b"\r\n"
-    yield b"X-B: " + b"b" * 60_000
-
-
-def send_long_heads(number, turn):
-    """Send a head of many long lines that never ends."""
-    yield b"POST /sync/x HTTP/1.1\r\n"
-    for line in range(500):
-        yield b"X-%d: " % line + b"a" * 60_000 + b"\r\n"
-
-
-def send_long_names(number, turn):
-    """Send requests that name attempts, and parts of prompts, at great length."""
-    for ahead in range(3_000):
-        name = f"n{number}.{turn}.{ahead}."
-        yield build_head(
-            "/resumed/x",
-            attempt=name.ljust(7_000, "n"),
-            headers=(
-                "X-Arbutuspulley-Model: m0",
-                "X-Arbutuspulley-Resumes: " + name.ljust(6_000, "r"),
-                "Last-Event-Id: 3",
-            ),
-        )
-
-
-def send_nothing(number, turn):
-    """Open a connection and send nothing."""
-    return ()
-
-
-def send_malformed(number, turn):
-    """Send requests that can't be read, or that no route has."""
-    for ahead in range(2_000):
-        yield build_head("/none/x", attempt=f"m{number}.{turn}.{ahead}")
-    yield b"\x00\x01 malformed\r\n\r\n" * 100
-
-
-def ask_once(path):
-    """Return a client's behaviour: ask for one long answer."""
-    return lambda number, turn: (
-        build_head(path, attempt=f"q{path[1]}{number}.{turn}"),
-    )
-
-
-def ask_ahead(path, count):
-    """Return a client's behaviour: ask for several long answers at once."""
-    return lambda number, turn: (
-        b"".join(
-            build_head(path, attempt=f"r{path[1]}{number}.{turn}.{ahead}")
-            for ahead in range(count)
-        ),
-    )
-
 
 async def ask_ordinary(fleet, node="n1"):
     """Check that an ordinary client, which tries again if it is refused, is served."""
