Test that clients inside the limits are not closed

Five clients of one address with fifty requests sent ahead each, a body of 4 MB with a head of 19 KB, and readers that pause for more than a second before they take 4 MB: all are served, and nothing is closed, refused or aborted. The stand-in of a server read no body over 1 MB, and does now.

--- a/src/arbutuspulley/standins/fleet_server.py
+++ b/src/arbutuspulley/standins/fleet_server.py
@@ -308,7 +308,7 @@
         self.is_busy = False
 
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
-        body = await request.read()
+        body = await request.content.read()
         attempt = request.headers.get(names.ATTEMPT_ID, "")
         self.arrivals.append(asyncio.get_running_loop().time())
         self.attempts.append(attempt)
--- a/tests/test_unruly_clients.py
+++ b/tests/test_unruly_clients.py
@@ -11,11 +11,13 @@
 
 from scripts.measure_held_memory import read_resident_mb
 from scripts.platform_testbed import send_request
-from tests.answer_fleet import open_fleet
+from tests.answer_fleet import BODY, list_events, open_fleet
 from tests.client_crowds import (
+    MAX_BODY_BYTES,
     Crowd,
     ask_ahead,
     ask_once,
+    build_head,
     send_bodies_ahead,
     send_endless_chunks,
     send_long_heads,
@@ -28,6 +30,10 @@
     send_unfinished_head,
     watch_connections,
 )
+from tests.raw_callers import RawCaller, read_raw
+
+READ_TIMEOUT_S = 20
+"""How long a client inside the limits waits for an answer, in s."""
 
 pytestmark = pytest.mark.alone
 
@@ -299,3 +305,54 @@
                 await ask_ordinary(fleet)
 
     asyncio.run(scenario())
+
+
+def test_clients_inside_the_limits_are_not_closed(tmp_path):
+    """Guards against limits that ordinary clients meet: five of one address, many
+    requests sent ahead, the largest body and head, a pause of a second in reading."""
+
+    async def read_with_a_pause(front, number):
+        reader = RawCaller()
+        await reader.open(front)
+        await reader.send(build_head("/safe/x", attempt=f"p{number}"))
+        await asyncio.sleep(1.2)
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            answer = await read_raw(reader)
+        reader.close()
+        return answer.status, len(answer.body)
+
+    async def send_many(front, number):
+        caller = RawCaller()
+        await caller.open(front)
+        heads = [build_head("/sync/x", attempt=f"o{number}.{n}") for n in range(50)]
+        await caller.send(b"".join(heads))
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            answers = [await read_raw(caller) for _ in heads]
+        caller.close()
+        return {answer.status for answer in answers}
+
+    async def scenario():
+        async with open_fleet(tmp_path, {"MemoryMb": 160, "MaxFds": 1_638}) as opened:
+            fleet, _ = opened
+            front = fleet.addresses["n1"]["Frontend"]
+            async with aiohttp.ClientSession() as session:
+                status, _, _ = await send_request(
+                    session,
+                    front,
+                    "/sync/" + "p" * 4_000,
+                    attempt="largest",
+                    body=bytes(MAX_BODY_BYTES),
+                    **{f"X-Long-{number}": "h" * 3_800 for number in range(4)},
+                )
+            assert status == 200
+            many = await asyncio.gather(*(send_many(front, n) for n in range(5)))
+            assert many == [{200}] * 5
+            paused = await asyncio.gather(
+                *(read_with_a_pause(front, n) for n in range(5))
+            )
+            assert paused == [(200, len(BODY))] * 5
+            await asyncio.sleep(1)
+            assert not list_events(fleet, "clients_closed")
+            assert not list_events(fleet, "answer_aborted")
+
+    asyncio.run(scenario())
