Mend tests that what counts for clients broke, and add some of its guards

Doubles of a server's answer state no length and count no bytes: nothing read these while the memory was unknown, and now all answers count. Those of second attempts check that nothing is held in the end; an answer that is never sent counts until it is measured, so they measure first, and check the same. One test set a constant at the module that it had moved from.

Added: the order in which waiting connections make room, a limit that falls, small requests ahead, the receive buffer, a large head, an aborted connection, a complete answer that is not taken, and what makes room for a body. Without a unit test remain what gives way for a stated body, the answers' room beside connections, and in the front end the room for a stated body, bodies dropped at the end of their requests and bodies of unknown routes.

--- a/tests/hedged_exchanges.py
+++ b/tests/hedged_exchanges.py
@@ -35,6 +35,8 @@
             }
         )
         self.content = self
+        self.content_length = len(self.body)
+        self.total_bytes = 0
         self.read = 0
         self.is_closed = False
 
@@ -118,6 +120,8 @@
         # Tasks and callbacks of the attempt that lost.
         await asyncio.sleep(0.01)
         servers.closed = list(servers.cut)
+        # The answer counts until it is sent; its caller has no connection.
+        node.state.held_bytes.enforce()
         return answer, exchange
 
     answer, exchange = asyncio.run(run())
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 
 import pytest
 from aiohttp import web
 
 from arbutuspulley.clients.connections import (
+    MAX_AHEAD,
+    READ_BYTES,
+    RECEIVE_BUFFER_BYTES,
     BodyRefusedError,
+    ClientConnection,
     ClientServer,
     get_connection,
 )
@@ -42,11 +47,12 @@
 
     def __init__(self, *, limit=100, memory_mb=0, header_bytes=16_384):
         self.closed = []
+        self.limit = limit
         self.handled = []
         self.held = HeldBytes(get_memory_mb=lambda: memory_mb)
         self.clients = Clients(
             held=self.held,
-            get_limits=lambda: dict.fromkeys(Port, limit),
+            get_limits=lambda: dict.fromkeys(Port, self.limit),
             get_timeouts=lambda: TIMEOUTS,
             get_header_bytes=lambda: header_bytes,
             on_closed=lambda _port, reason, count: self.closed.extend([reason] * count),
@@ -243,6 +249,38 @@
     run(test, limit=4)
 
 
+def test_connections_without_any_request_make_room_first():
+    """Guards against clients that ask and are closed for one that never did."""
+
+    async def test(harness):
+        used = await harness.send(ASKED)
+        assert (await harness.read(used)).endswith(b"done")
+        unused = await harness.connect()
+        harness.pass_time(2_000)
+        await harness.send(ASKED)
+        assert not await harness.read(unused)
+        assert await harness.read(used) == b"(nothing)"
+
+    run(test, limit=2)
+
+
+def test_a_limit_that_falls_closes_connections_that_wait():
+    """Guards against a reload of the settings that holds for new connections alone, and
+    against one that closes connections with requests in flight."""
+
+    async def test(harness):
+        busy = await harness.send(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+        waiting = [await harness.connect() for _ in range(3)]
+        harness.limit = 2
+        harness.pass_time(SWEEP_INTERVAL_MS)
+        left = [await harness.read(opened) == b"(nothing)" for opened in waiting]
+        assert left == [False, False, True]
+        harness.released.set()
+        assert (await harness.read(busy)).endswith(b"done")
+
+    run(test)
+
+
 def test_an_answer_that_is_not_taken_is_given_up():
     """Guards against answers that are held for as long as their clients like, and
     against clients that pause for a second and lose theirs."""
@@ -343,25 +381,30 @@
     run(test, memory_mb=PROCESS_MB)
 
 
-def test_requests_sent_ahead_wait_in_their_senders():
+@pytest.mark.parametrize(("size", "count"), [(100_000, 50), (0, 120_000)])
+def test_requests_sent_ahead_wait_in_their_senders(size, count):
     """Guards against requests that are read without a bound while one is handled."""
 
     async def test(harness):
-        ahead = (HEAD % 100_000 + bytes(100_000)) * 50
+        ahead = (HEAD % size + bytes(size)) * count
         first = b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"
         opened = await harness.connect()
         sending = asyncio.create_task(harness.send(first + ahead, opened=opened))
         await asyncio.sleep(0.3)
-        assert harness.held.total < 600_000
+        # The receive buffer counts, as reading is paused.
+        paused = CONNECTION_BYTES + READ_BYTES + RECEIVE_BUFFER_BYTES
+        assert paused <= harness.held.total < 600_000
+        connection = next(iter(harness.pool.connections))
+        assert len(connection._messages) <= MAX_AHEAD
         assert not sending.done()
         harness.released.set()
         received = b""
         async with asyncio.timeout(5):
-            while received.count(b"HTTP/1.1 200") < 51:
+            while received.count(b"HTTP/1.1 200") < min(count, 50) + 1:
                 part = await asyncio.get_running_loop().sock_recv(opened, 1 << 20)
                 received += part
-        await sending
         assert not harness.closed
+        sending.cancel()
 
     run(test)
 
@@ -382,11 +425,33 @@
     """Guards against bytes that the bound does not see."""
 
     async def test(harness):
-        opened = await harness.send(HEAD % 10_000 + b"x" * 5_000)
-        assert harness.held.total >= CONNECTION_BYTES + 5_000
+        head = (HEAD % 10_000).replace(b"Host", b"X-A: " + b"a" * 9_000 + b"\r\nHost")
+        opened = await harness.send(head + b"x" * 5_000)
+        assert harness.held.total >= CONNECTION_BYTES + 9_000 + 5_000
         await harness.send(b"x" * 5_000, opened=opened)
         assert (await harness.read(opened)).endswith(b"x")
         harness.pass_time(SWEEP_INTERVAL_MS)
         assert harness.held.total == CONNECTION_BYTES
 
     run(test)
+
+
+def test_an_aborted_connection_counts_no_more_and_is_freed():
+    """Guards against bytes that count twice as others give way for them, and against
+    connections that stay until the next collection of cycles."""
+
+    async def test(harness):
+        await harness.send(HEAD % 100_000 + b"x" * 50_000)
+        connection = next(iter(harness.pool.connections))
+        connection.abort_for(CloseReason.MEMORY)
+        assert harness.held.total == 0
+        del connection
+        await asyncio.sleep(0.05)
+        assert not [one for one in gc.get_objects() if type(one) is ClientConnection]
+
+    gc.collect()
+    gc.disable()
+    try:
+        run(test)
+    finally:
+        gc.enable()
--- a/tests/test_hedge_connections.py
+++ b/tests/test_hedge_connections.py
@@ -101,6 +101,8 @@
             state.session = session
             returned = await exchange.run()
             await asyncio.sleep(MAX_CLOSE_S)
+            # The answer counts until it is sent; its caller has no connection.
+            state.held_bytes.enforce()
         for server in both:
             await server.runner.cleanup()
         return exchange, returned
--- a/tests/test_hedged_streams.py
+++ b/tests/test_hedged_streams.py
@@ -95,7 +95,7 @@
     assert not exchange._hedge._first_parts
     check_paired(node, exchange)
     node = build_hedging_node()
-    monkeypatch.setattr("arbutuspulley.platform.transport.MAX_HELD_BYTES", 3)
+    monkeypatch.setattr("arbutuspulley.platform.held_bytes.MAX_HELD_BYTES", 3)
     servers = Servers((0, FakeStream("s0")), (0, FakeStream("s1")))
     error, exchange, _ = run_hedged(monkeypatch, servers, node=node, route=ROUTE)
     assert error.status == 502
--- a/tests/test_memory_bound.py
+++ b/tests/test_memory_bound.py
@@ -85,6 +85,26 @@
     assert choose_aborted(answers, excess=500 << 10, now=STALL_S) == order[:2]
 
 
+@pytest.mark.parametrize(("stalled_s", "is_chosen"), [(4.9, False), (5.0, True)])
+def test_a_complete_answer_that_is_not_taken_is_aborted_last(stalled_s, is_chosen):
+    """Guards against unrepeatable answers that are held whatever their callers do, and
+    against a result that is lost for a pause of a second."""
+    complete = build_answer(AnswerKind.COMPLETE, 100_000, is_stalled=True)
+    once = build_answer(AnswerKind.ONCE, 100_000)
+    order = choose_aborted([complete, once], excess=10**9, now=stalled_s)
+    assert order == [once, complete][: 1 + is_chosen]
+
+
+def test_only_what_is_stalled_makes_room_for_a_new_body():
+    """Guards against answers that flow and are aborted for a body not yet received."""
+    flowing = [build_answer(kind, 200_000) for kind in AnswerKind]
+    stalled = build_answer(AnswerKind.REPEATABLE, 200_000, is_stalled=True)
+    order = choose_aborted(
+        [*flowing, stalled], excess=10**9, now=STALL_S, is_stalled=True
+    )
+    assert order == [stalled]
+
+
 def test_an_answer_that_flows_is_not_aborted():
     """Guards against fast readers that pay for the memory of slow ones."""
     answers = [build_answer(AnswerKind.RESUMABLE, MIN_ABORTED_BYTES - 1)] * 100
--- a/tests/test_suspect_requests.py
+++ b/tests/test_suspect_requests.py
@@ -34,6 +34,8 @@
 
     method = "GET"
     reason = "stated"
+    content_length = 2
+    total_bytes = 0
 
     def __init__(self, status):
         self.status = status
