Test what makes room for bodies, and for answers beside them

Guards against a client that keeps others out with a part of a body, against bodies that go on and are refused for new ones, against answers that are read where requests hold the memory, and against a client that waits with its body for a refusal.

--- a/tests/test_memory_bound.py
+++ b/tests/test_memory_bound.py
@@ -11,6 +11,8 @@
 import pytest
 from aiohttp import web
 
+from arbutuspulley.node.frontend import _read_body
+from arbutuspulley.node.progress import RequestFailedError
 from arbutuspulley.node.server_relay import ServerRelay
 from arbutuspulley.platform import names
 from arbutuspulley.platform.held_bytes import (
@@ -25,6 +27,7 @@
     STALL_S,
     AnswerKind,
     HeldAnswer,
+    HeldConnection,
     choose_aborted,
     compute_bound,
     may_read,
@@ -447,3 +450,71 @@
             assert not list_events(fleet, "answer_paused")
 
     asyncio.run(scenario())
+
+
+def build_connection(held, *, body):
+    """Return a connection of which a body is incomplete."""
+    connection = HeldConnection(measure_request=lambda: None)
+    connection.transport = types.SimpleNamespace(
+        is_closing=lambda: False, get_write_buffer_size=lambda: 0
+    )
+    connection.body, connection.is_incomplete = body, True
+    connection.abort = lambda: held.remove_connection(connection)
+    held.add_connection(connection)
+    return connection
+
+
+@pytest.mark.parametrize(("goes_on", "has_room"), [(False, True), (True, False)])
+def test_a_body_that_stalls_makes_room_for_a_new_one(goes_on, has_room):
+    """Guards against clients that send a part of a body and keep out all others, and
+    against bodies that go on and are refused for new ones."""
+
+    async def run():
+        held = HeldBytes(get_memory_mb=lambda: PROCESS_MB)
+        connection = build_connection(held, body=7_000_000)
+        for _ in range(10):
+            await asyncio.sleep(STALL_S / 5)
+            if goes_on:
+                held.record_received(connection)
+            held.enforce()
+        assert held.find_room(4_000_000) is has_room
+        assert bool(held.total) is goes_on
+
+    asyncio.run(run())
+
+
+def test_what_is_held_of_requests_is_no_room_for_answers():
+    """Guards against answers that are read beside bodies, and then aborted."""
+
+    async def run():
+        paused = []
+        held = HeldBytes(
+            get_memory_mb=lambda: PROCESS_MB, on_pause=lambda *one: paused.append(one)
+        )
+        build_connection(held, body=5_000_000)
+        other, new = (build_answer(AnswerKind.ONCE, 0) for _ in range(2))
+        with held.reading(other), held.reading(new):
+            held.update(other, 500_000)
+            await held.wait_for_room(new, expected=2_000_000)
+        assert [answer for answer, _ in paused] == [new]
+
+    asyncio.run(run())
+
+
+def test_a_body_without_room_is_refused_before_it_is_received():
+    """Guards against clients that wait with their bodies for a refusal."""
+
+    async def run():
+        held = HeldBytes(get_memory_mb=lambda: PROCESS_MB)
+        answers = [build_answer(AnswerKind.COMPLETE, 0) for _ in range(2)]
+        client = types.SimpleNamespace(
+            body_exists=True, content_length=1_000_000, protocol=None
+        )
+        with held.reading(answers[0]), held.reading(answers[1]):
+            for answer in answers:
+                held.update(answer, 3_900_000)
+            with pytest.raises(RequestFailedError) as refused:
+                await _read_body(client, 4_000_000, held=held)
+        assert (refused.value.status, refused.value.retry_after_ms) == (503, 1_000)
+
+    asyncio.run(run())
