--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -427,6 +427,7 @@
     async def test(harness):
         head = (HEAD % 10_000).replace(b"Host", b"X-A: " + b"a" * 9_000 + b"\r\nHost")
         opened = await harness.send(head + b"x" * 5_000)
+        harness.pass_time(SWEEP_INTERVAL_MS)
         assert harness.held.total >= CONNECTION_BYTES + 9_000 + 5_000
         await harness.send(b"x" * 5_000, opened=opened)
         assert (await harness.read(opened)).endswith(b"x")
