Close three gaps in the limits on clients' connections

Found by reading the account again, none was seen by a caller. A connection whose body was read only after its answer was in no list of those that wait, so that it stayed open for an hour and made room for nobody. A connection that waits with unsent bytes made room although its descriptor stays until they are sent, and its answer could be cut. A link of another instance counted towards what clients hold, and could be closed for them.

One test each in tests/test_client_connections.py; each fails without its part.

--- a/src/arbutuspulley/clients/connections.py
+++ b/src/arbutuspulley/clients/connections.py
@@ -163,6 +163,16 @@
             self._add_to_head(len(data))
         self._clients.held.record_received(self.record)
 
+    def set_parser(
+        self, parser: Any, data_received_cb: Callable[[], None] | None = None
+    ) -> None:
+        """Stop to count a connection that another instance's messages take over.
+
+        It must not be closed for clients.
+        """
+        self._clients.held.remove_connection(self.record)
+        super().set_parser(parser, data_received_cb)
+
     def begin_request(self, message: RawRequestMessage, payload: StreamReader) -> None:
         """Record that a request is handled from now on."""
         self._stop_waiting()
@@ -200,6 +210,13 @@
         finally:
             self._reader = None
 
+    def note_idle(self) -> None:
+        """Record that it waits for a request, if a body was read after its answer."""
+        is_waiting = self in self._pool.unused or self in self._pool.idle
+        if self._waiter is not None and not is_waiting and not self.is_closing:
+            self._payload = EMPTY_PAYLOAD
+            self._start_waiting(self._pool.idle)
+
     def discard_body(self) -> None:
         """Record that what is left of the body is read and not kept."""
         self._is_discarding = True
--- a/src/arbutuspulley/clients/pools.py
+++ b/src/arbutuspulley/clients/pools.py
@@ -8,8 +8,9 @@
 
 import asyncio
 import enum
+import itertools
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -159,11 +160,13 @@
         """
         if pool.count < self._get_limits()[pool.port]:
             return True
+        since = self.now - MIN_EVICTED_MS + 1
         for waiting in (pool.unused, pool.idle):
-            oldest = next(iter(waiting), None)
-            if oldest and self.now - oldest.waiting_since >= MIN_EVICTED_MS:
-                oldest.close_for(CloseReason.EVICTED)
-                return True
+            for oldest in _list_older(waiting, since):
+                # What is unsent would keep its descriptor, and may yet be read.
+                if not oldest.count_unsent():
+                    oldest.close_for(CloseReason.EVICTED)
+                    return True
         self.count_closed(pool.port, CloseReason.FULL)
         return False
 
@@ -187,6 +190,7 @@
             self._close_late(pool, timeouts)
             is_crowded = pool.count >= CROWDED_FRACTION * limits[pool.port]
             for connection in list(pool.connections):
+                connection.note_idle()
                 self._check_progress(connection, is_crowded=is_crowded)
             self._close_surplus(pool, limits[pool.port])
         closed, self._closed = self._closed, Counter()
@@ -233,11 +237,6 @@
 
 def _list_older(
     waiting: "dict[ClientConnection, None]", since: int
-) -> "list[ClientConnection]":
-    """Return the connections that have waited since before a time, the oldest first."""
-    older = []
-    for connection in waiting:
-        if connection.waiting_since >= since:
-            break
-        older.append(connection)
-    return older
+) -> "Iterator[ClientConnection]":
+    """Yield the connections that have waited since before a time, the oldest first."""
+    return itertools.takewhile(lambda one: one.waiting_since < since, list(waiting))
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -64,6 +64,8 @@
 
     async def handle(self, request):
         self.handled.append(request.path)
+        if request.path == "/unread":
+            return web.Response(text="done")
         body = b""
         try:
             with get_connection(request).receiving():
@@ -264,6 +266,52 @@
     run(test, limit=2)
 
 
+def test_a_body_that_is_not_read_leaves_an_idle_connection():
+    """Guards against connections that are open for ever and make room for nobody."""
+
+    async def test(harness):
+        head = (HEAD % 1_000_000).replace(b"/x", b"/unread")
+        opened = await harness.send(head)
+        assert (await harness.read(opened)).endswith(b"done")
+        await harness.send(bytes(1_000_000), opened=opened)
+        harness.pass_time(SWEEP_INTERVAL_MS)
+        harness.pass_time(TIMEOUTS.idle_ms + 2 * SWEEP_INTERVAL_MS)
+        assert not await harness.read(opened)
+        assert harness.closed == [CloseReason.IDLE]
+
+    run(test)
+
+
+def test_a_connection_with_unsent_bytes_makes_no_room():
+    """Guards against an answer that is cut while its client reads it slowly, and
+    against descriptors beyond the limit while such connections close."""
+
+    async def test(harness):
+        opened = await harness.send(b"GET /big HTTP/1.1\r\nHost: a\r\n\r\n")
+        connection = next(iter(harness.pool.connections))
+        connection._start_waiting(harness.pool.idle)
+        harness.pass_time(2_000)
+        with pytest.raises(ConnectionError):
+            await harness.send(ASKED)
+        assert harness.pool.count == 1
+        assert await harness.read(opened)
+
+    run(test, limit=1)
+
+
+def test_a_link_of_another_instance_does_not_count():
+    """Guards against links that are closed for what clients hold."""
+
+    async def test(harness):
+        await harness.send(ASKED)
+        connection = next(iter(harness.pool.connections))
+        assert harness.held.total
+        connection.set_parser(None)
+        assert harness.held.total == 0
+
+    run(test)
+
+
 def test_a_limit_that_falls_closes_connections_that_wait():
     """Guards against a reload of the settings that holds for new connections alone, and
     against one that closes connections with requests in flight."""
