Close idle connections to servers where descriptors run out

Connections to servers are kept idle for up to 30 s. Clients that ask one service after another could leave twice as many of them as there are requests in flight, beyond what the descriptors of the process hold beside the clients' own connections; a connection that can't be opened then looks like a server out of reach. Found by listing what grows with what clients send, not seen.

--- a/src/arbutuspulley/clients/limits.py
+++ b/src/arbutuspulley/clients/limits.py
@@ -61,7 +61,7 @@
     :param descriptors: limit of the process.
     :param bound: on the bytes that are held for clients.
     """
-    free = max(MIN_DESCRIPTORS, descriptors - FILE_DESCRIPTORS)
+    free = _count_free(descriptors)
     system = min(int(free * SYSTEM_FRACTION), MAX_SYSTEM_DESCRIPTORS)
     most = int(bound * MEMORY_FRACTION) // CONNECTION_BYTES
     clients = min((free - system) // 2, most)
@@ -74,3 +74,17 @@
         Port.METRICS: probes,
         Port.LINK: int(system * LINK_FRACTION),
     }
+
+
+def compute_server_connection_limit(descriptors: int, *, bound: int) -> int:
+    """Return how many connections to servers may be open, idle ones included.
+
+    :param descriptors: limit of the process.
+    :param bound: on the bytes that are held for clients.
+    """
+    accepted = compute_connection_limits(descriptors, bound=bound)
+    return _count_free(descriptors) - sum(accepted.values())
+
+
+def _count_free(descriptors: int) -> int:
+    return max(MIN_DESCRIPTORS, descriptors - FILE_DESCRIPTORS)
--- a/src/arbutuspulley/node/client_limits.py
+++ b/src/arbutuspulley/node/client_limits.py
@@ -3,7 +3,12 @@
 import functools
 import resource
 
-from arbutuspulley.clients.limits import Port, Timeouts, compute_connection_limits
+from arbutuspulley.clients.limits import (
+    Port,
+    Timeouts,
+    compute_connection_limits,
+    compute_server_connection_limit,
+)
 from arbutuspulley.clients.pools import Clients, CloseReason, Pool
 from arbutuspulley.events import Event, log_event
 from arbutuspulley.node.state import NodeState
@@ -57,6 +62,12 @@
     return clients
 
 
+def get_max_server_connections(state: NodeState) -> int:
+    """Return how many connections to servers a node may have open."""
+    descriptors = state.settings.descriptors or _get_descriptor_limit()
+    return compute_server_connection_limit(descriptors, bound=state.held_bytes.bound)
+
+
 def _get_count(pool: Pool) -> int:
     return pool.count
 
--- a/src/arbutuspulley/platform/connections.py
+++ b/src/arbutuspulley/platform/connections.py
@@ -425,6 +425,8 @@
     """Opens connections, and keeps the idle timeouts and restarts of servers.
 
     :param is_kept: whether connections are kept for further calls.
+    :param get_max_open: returns how many connections may be open before those that
+        are idle are closed for new ones.
     """
 
     def __init__(
@@ -433,6 +435,7 @@
         open_socket: Callable[[tuple[Any, ...]], socket.socket],
         on_extra: Callable[[ExtraAnswer], None],
         is_kept: bool,
+        get_max_open: Callable[[], float],
     ) -> None:
         super().__init__(
             limit=0,
@@ -444,6 +447,7 @@
         )
         self.idle_timeouts: dict[str, float] = {}
         self.restarts: dict[str, float] = {}
+        self._get_max_open = get_max_open
         # The library has no public way to set the connection class.
         factory: Any = functools.partial(
             Connection,
@@ -478,6 +482,27 @@
             if kept:
                 self._conns[key] = kept
 
+    async def _create_connection(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> ResponseHandler:
+        """Open a connection, and make room for it."""
+        idle = sum(map(len, self._conns.values()))
+        surplus = len(self._acquired) + idle - self._get_max_open()
+        while surplus > 0 and self._conns:
+            self._close_oldest_idle()
+            surplus -= 1
+        return await super()._create_connection(req, traces, timeout)
+
+    def _close_oldest_idle(self) -> None:
+        key = min(self._conns, key=lambda one: self._conns[one][0][1])
+        connection, _ = self._conns[key].popleft()
+        if not self._conns[key]:
+            del self._conns[key]
+        connection.close()
+
 
 def _may_carry(connection: ResponseHandler, call: Call) -> bool:
     return not isinstance(connection, Connection) or connection.may_carry(call)
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -1,6 +1,7 @@
 """HTTP client of a process; its errors show whether a request may have been sent."""
 
 import asyncio
+import math
 import re
 import socket
 from collections.abc import Callable
@@ -59,13 +60,17 @@
 
 
 def open_session(
-    *, on_extra: Callable[[ExtraAnswer], None] = lambda _: None
+    *,
+    on_extra: Callable[[ExtraAnswer], None] = lambda _: None,
+    get_max_open: Callable[[], float] = lambda: math.inf,
 ) -> aiohttp.ClientSession:
     """Open a client session. It never retries a request by itself.
 
     :param on_extra: called with each answer that doesn't belong to its call.
+    :param get_max_open: returns how many connections may be open before those that
+        are idle are closed for new ones.
     """
-    return _open_session(_open_socket, on_extra)
+    return _open_session(_open_socket, on_extra, get_max_open=get_max_open)
 
 
 def open_order_session(
@@ -87,10 +92,14 @@
     on_extra: Callable[[ExtraAnswer], None],
     *,
     is_kept: bool = True,
+    get_max_open: Callable[[], float] = lambda: math.inf,
 ) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
         connector=Connector(
-            open_socket=open_socket, on_extra=on_extra, is_kept=is_kept
+            open_socket=open_socket,
+            on_extra=on_extra,
+            is_kept=is_kept,
+            get_max_open=get_max_open,
         ),
         auto_decompress=False,
         read_bufsize=READ_BYTES,
--- a/src/arbutuspulley/programs/node.py
+++ b/src/arbutuspulley/programs/node.py
@@ -25,7 +25,7 @@
     build_snapshot,
     update_from_neighbours,
 )
-from arbutuspulley.node.client_limits import build_clients
+from arbutuspulley.node.client_limits import build_clients, get_max_server_connections
 from arbutuspulley.node.coordinator import Coordinator
 from arbutuspulley.node.crash_store import CrashStore
 from arbutuspulley.node.directory import Directory
@@ -151,7 +151,11 @@
     loop.add_signal_handler(signal.SIGINT, stopping.set)
     clock = Clock()
     record_extra = build_extra_recorder(metrics)
-    session = open_session(on_extra=record_extra)
+    session = open_session(
+        on_extra=record_extra,
+        # Defined below: the session is part of the state.
+        get_max_open=lambda: get_max_server_connections(state),
+    )
     order_session = open_order_session(on_extra=record_extra)
     state = NodeState(
         settings=settings,
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -7,6 +7,7 @@
     MIN_DESCRIPTORS,
     Port,
     compute_connection_limits,
+    compute_server_connection_limit,
 )
 from arbutuspulley.platform.held_bytes import MAX_ALL_HELD_BYTES
 from arbutuspulley.platform.memory_bound import CONNECTION_BYTES, compute_bound
@@ -27,6 +28,9 @@
     callers = sum(limits.values()) - limits[Port.LINK]
     # A request takes one descriptor more, for its server.
     assert 2 * callers + limits[Port.LINK] < free
+    outgoing = compute_server_connection_limit(descriptors, bound=bound)
+    assert outgoing + sum(limits.values()) <= free
+    assert outgoing > callers
     assert free - 2 * callers - limits[Port.LINK] >= free // 20 or free > 8_000
     assert limits[Port.LINK] < free // 4
 
