Count idle connections that are closed, and log none of them

They are counted in arbutus_closed_clients_total; event 234 tells of all other reasons. Docstrings say what is held for clients, not for answers alone.

--- a/src/arbutuspulley/node/client_limits.py
+++ b/src/arbutuspulley/node/client_limits.py
@@ -39,6 +39,8 @@
 
     def record_closed(port: Port, reason: CloseReason, count: int) -> None:
         state.metrics.closed_clients.labels(port.value, reason.value).inc(count)
+        if reason is CloseReason.IDLE:
+            return  # Ordinary clients leave connections behind all the time.
         log_event(
             Event.CLIENTS_CLOSED,
             port=port.value,
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -104,7 +104,7 @@
         coordinator.
     :param crash_records: requests that were in flight as servers crashed, likewise.
     :param part_records: parts of prompts that were, likewise.
-    :param held_bytes: bytes of servers' answers that this process holds.
+    :param held_bytes: bytes that this process holds for its clients.
     :param is_coordinator: whether this instance is the coordinator.
     :param estimates: estimates last sent by the coordinator; used if this instance
         becomes its successor.
--- a/src/arbutuspulley/platform/memory_bound.py
+++ b/src/arbutuspulley/platform/memory_bound.py
@@ -11,20 +11,20 @@
 BYTES_PER_MB = 1_000_000
 
 PROCESS_MB = 80.0
-"""Memory that the process needs beside answers, in MB. A node without load took 47 MB,
-and 20 KB more for each request in flight; the rest is for 300 of these, the state of a
-coordinator and bodies of requests."""
+"""Memory that the process needs beside what is held for clients, in MB. A node without
+load took 47 MB, and 20 KB more for each request in flight; the rest is for the state of
+a coordinator."""
 
 HELD_FRACTION = 1 / 3
-"""Fraction of the other memory that answers may take. A counted byte occupies more than
-one: buffers grow in steps, and parts are copied on their way."""
+"""Fraction of the other memory that may be held. A counted byte occupies more than one:
+buffers grow in steps, and parts are copied on their way."""
 
 CONNECTION_BYTES = 16 * 1_024
 """What a connection of a client counts for beside what is held of its requests and
 answers, in bytes: its buffers, its task, and a request in flight."""
 
 MIN_BOUND_BYTES = 8_000_000
-"""Least bound on what answers take, in bytes, also where the memory is less than the
+"""Least bound on what is held, in bytes, also where the memory is less than the
 process needs: with none, each answer would be aborted."""
 
 NEAR_FRACTION = 0.75
