Test that bodies of unknown routes are not kept

Their requests are refused with 404 once the body is received, so that the client reads the answer; the body was held meanwhile. The guard was the last one without a test: taken out, the test fails.

--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -29,6 +29,7 @@
     Clients,
     CloseReason,
 )
+from arbutuspulley.node.frontend import _skip_body
 from arbutuspulley.platform.held_bytes import HeldBytes
 from arbutuspulley.platform.memory_bound import CONNECTION_BYTES, PROCESS_MB
 from tests.answer_fleet import reserve_port
@@ -66,6 +67,9 @@
         self.handled.append(request.path)
         if request.path == "/unread":
             return web.Response(text="done")
+        if request.path == "/none":
+            await _skip_body(request, 10_000_000)
+            return web.Response(status=404)
         body = b""
         try:
             with get_connection(request).receiving():
@@ -282,6 +286,21 @@
     run(test)
 
 
+def test_a_body_of_an_unknown_route_is_not_kept():
+    """Guards against bodies that are received only to be refused, and held for it."""
+
+    async def test(harness):
+        head = (HEAD % 1_000_000).replace(b"/x", b"/none")
+        opened = await harness.send(head + bytes(500_000))
+        await asyncio.sleep(0.1)
+        harness.pass_time(SWEEP_INTERVAL_MS)
+        assert harness.held.total < CONNECTION_BYTES + 200_000
+        await harness.send(bytes(500_000), opened=opened)
+        assert (await harness.read(opened)).startswith(b"HTTP/1.1 404 ")
+
+    run(test)
+
+
 def test_a_connection_with_unsent_bytes_makes_no_room():
     """Guards against an answer that is cut while its client reads it slowly, and
     against descriptors beyond the limit while such connections close."""
