Receive small bodies without asking for room

While a crowd holds all that may be held, an ordinary request with a body of some hundred bytes was refused with 503, as its stated length did not fit. What holds most gives way as bytes arrive, so only bodies over 64 KB are asked to fit before they are received. Found by reading the change; the test of refused bodies has both sizes, and the small one fails without this.

--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -40,6 +40,10 @@
 """How long new streams are accepted after SIGTERM, in ms, which serves callers that
 still use an old address. A stream that starts later may not end before SIGKILL."""
 
+SMALL_BODY_BYTES = 64 * 1_024
+"""Bodies up to this length are received without asking for room: what holds more gives
+way for them."""
+
 BODY_RETRY_MS = 1_000
 """Retry delay for callers whose body there is no room for, in ms: other requests end
 meanwhile, or are refused as their bodies don't arrive."""
@@ -256,7 +260,8 @@
     connection = get_connection(client)
     length = client.content_length or 0
     try:
-        if length <= max_bytes and not held.find_room(length):
+        is_large = SMALL_BODY_BYTES < length <= max_bytes
+        if is_large and not held.find_room(length):
             raise BodyRefusedError
         with connection.receiving() if connection else contextlib.nullcontext():
             return await _receive_body(client, max_bytes)
