Leave the number of requests that the parser reads ahead as it is

The parser counts a request at its end and takes it off when it is handled, so that one whose body ends later counts for good; with the number of two that was set here the next request reached it, the parser paused for that and lost the pause for the upgrade. Requests sent ahead behind such a body could wait for further bytes.

The parser keeps the library's number, 32, which one read of 32 KB reaches first; reading still pauses at two, and what waits counts 4 KB more for each. test_an_upgrade_after_a_body_in_parts_leaves_the_connection_usable fails before.

--- a/src/arbutuspulley/clients/connections.py
+++ b/src/arbutuspulley/clients/connections.py
@@ -10,7 +10,11 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
-from aiohttp.web_protocol import RequestHandler, RequestPayloadError
+from aiohttp.web_protocol import (
+    MAX_MSG_QUEUE_SIZE,
+    RequestHandler,
+    RequestPayloadError,
+)
 
 from arbutuspulley.clients.limits import Port
 from arbutuspulley.clients.pools import (
@@ -30,7 +34,11 @@
 memory of the process on some platforms."""
 
 MAX_AHEAD = 2
-"""Number of requests that are read while one is handled."""
+"""Number of requests ahead from which reading pauses while one is handled. What was
+read at once may hold more of them, 32 at most."""
+
+REQUEST_BYTES = 4 * 1_024
+"""What a request ahead counts for beside its head and body, in bytes."""
 
 MAX_HEADERS = 128
 """Maximum number of headers of a request."""
@@ -84,8 +92,8 @@
         **options: Any,
     ) -> None:
         super().__init__(server, loop=loop, read_bufsize=READ_BYTES, **options)
-        # The library reads 32 requests ahead, and its constructor does not take another
-        # number.
+        # The library's constructor takes no other number. That of its parser stays: it
+        # loses an upgrade, and what follows, in a request at which it is reached.
         self._max_msg_queue_size = MAX_AHEAD
         self._msg_queue_resume_size = MAX_AHEAD // 2
         self._parser = HttpRequestParser(
@@ -97,7 +105,7 @@
             max_headers=MAX_HEADERS,
             auto_decompress=False,
             payload_exception=RequestPayloadError,
-            max_msg_queue_size=MAX_AHEAD,
+            max_msg_queue_size=MAX_MSG_QUEUE_SIZE,
         )
         self._clients = clients
         self._pool = pool
@@ -286,6 +294,7 @@
             body += _count_body_bytes(self._payload)
         for message, payload in self._messages:
             body += _count_body_bytes(payload) + _count_head_bytes(message)
+            body += REQUEST_BYTES
         if self._buffer_paused or self._reading_paused:
             body += READ_BYTES + RECEIVE_BUFFER_BYTES
         record.body = body
