Keep a lease between the turns of one holder

Cause: the lease's row told until when the one holder before might give orders, and a release cleared that. Nothing told when an instance had ordered in the turn before the last.

The row now keeps until when each holder of the last lease's time may have given orders: the last order at a release, the expiry of a lease that lapsed. Whoever returns after another one's orders waits a lease after its own; others claim first, as they may order at once. No further write.

--- a/src/arbutuspulley/membership/coordinator_lease.py
+++ b/src/arbutuspulley/membership/coordinator_lease.py
@@ -11,6 +11,11 @@
 another instance may take over, and grant at once, when half a lease has passed without
 a renewal; it gives orders only after the previous holder's whole lease has expired.
 
+A holder may not take turns with others either: its orders of a later turn follow those
+of an earlier one by a whole lease if another instance has given orders in between. So
+the row also keeps until when each of the last holders may have given orders. It is
+written with claims, renewals and releases only, so this takes no further calls.
+
 The store may come back from an older copy, which begins a new era. The row is then an
 old one, and a holder that it does not name may still have its lease. So the first claim
 of an era also writes a row for the era, which every later claim expects. Until then the
@@ -58,6 +63,9 @@
 UNLIMITED_MS = 1 << 40
 """Stands for an unlimited time, in ms."""
 
+UNKNOWN_HOLDER = ""
+"""Stands for all instances among the holders whose turns a row keeps."""
+
 
 class LeaseRow(Message, frozen=True):
     """The lease as stored.
@@ -72,6 +80,8 @@
         previous holder may still do so.
     :param loads_ms: when loads from the weight store were ordered that may still count
         against its rate limit, by service; includes loads of previous holders.
+    :param turns: until when previous holders may have given orders, by their names, as
+        far as a lease has not passed since.
     """
 
     holder: str
@@ -82,6 +92,7 @@
     renewed_ms: Milliseconds = 0
     orders_from_ms: Milliseconds = 0
     loads_ms: dict[str, list[Milliseconds]] = {}
+    turns: dict[str, Milliseconds] = {}
 
 
 class InheritedLoads(Value, frozen=True):
@@ -213,7 +224,8 @@
 
 
 def _get_latest_time(row: LeaseRow) -> float:
-    return max(row.expires_ms, row.renewed_ms, row.orders_from_ms)
+    turns = row.turns.values()
+    return max(row.expires_ms, row.renewed_ms, row.orders_from_ms, *turns)
 
 
 def _build_free_row(
@@ -362,10 +374,71 @@
         renewed_ms=store_now,
         orders_from_ms=_get_orders_from(state, now=now),
         loads_ms=_build_loads(state, loads),
+        turns=_build_turns(state, now=now),
     )
 
 
+def get_turn_wait_ms(state: CoordinatorLeaseState, *, now: int) -> int:
+    """Return how much longer an earlier turn keeps this instance from giving orders.
+
+    :return: the time in ms that another instance would not have to wait.
+    """
+    store_now = now + (state.offset_ms or 0.0)
+    all_expired = _get_all_expired(state, now=now)
+    return max(0, int(_get_turn_end(state, now=now) - max(store_now, all_expired)))
+
+
 def _get_orders_from(state: CoordinatorLeaseState, *, now: int) -> float:
+    """Return from when this instance may give orders, on the store's clock."""
+    return max(_get_all_expired(state, now=now), _get_turn_end(state, now=now))
+
+
+def _get_turn_end(state: CoordinatorLeaseState, *, now: int) -> float:
+    """Return until when an earlier turn of this instance keeps it from giving orders.
+
+    :return: the time on the store's clock; 0 if it had no turn, or if no other instance
+        may have given orders since.
+    """
+    is_own = state.row is not None and state.row.holder == state.name
+    if is_own and not is_copied(state):
+        # The turn goes on.
+        return 0.0
+    turns = _list_turns(state, now=now)
+    own = [turns[name] for name in (state.name, UNKNOWN_HOLDER) if name in turns]
+    others = [end for name, end in turns.items() if name != state.name]
+    if not own or not others or max(others) < max(own):
+        return 0.0
+    return max(own) + state.lease_ms
+
+
+def _list_turns(state: CoordinatorLeaseState, *, now: int) -> dict[str, float]:
+    """Return until when the holders before this one may have given orders."""
+    row = state.row
+    if row is None:
+        return {}
+    turns: dict[str, float] = dict(row.turns)
+    if row.holder not in ("", state.name) and row.orders_from_ms < row.expires_ms:
+        turns[row.holder] = max(row.expires_ms, turns.get(row.holder, 0.0))
+    if is_copied(state):
+        turns = {
+            name: _check_copied_time(state, end, now=now) for name, end in turns.items()
+        }
+    store_now = now + (state.offset_ms or 0.0)
+    return {
+        name: end for name, end in turns.items() if end + state.lease_ms > store_now
+    }
+
+
+def _build_turns(state: CoordinatorLeaseState, *, now: int) -> dict[str, float]:
+    """Build the turns of a row that claims or renews the lease."""
+    turns = _list_turns(state, now=now)
+    if _may_have_unknown_holder(state):
+        begun = state.era_seen_at + (state.offset_ms or 0.0)
+        turns[UNKNOWN_HOLDER] = begun + state.lease_ms
+    return turns
+
+
+def _get_all_expired(state: CoordinatorLeaseState, *, now: int) -> float:
     """Return when the leases of all previous holders have expired, on the store's
     clock."""
     row = state.row
@@ -425,11 +498,14 @@
     *,
     now: int,
     loads: dict[str, list[int]] | None = None,
+    ordered_at: int | None = None,
     has_unanswered_order: bool = False,
 ) -> LeaseRow:
     """Build the row that releases the lease; it keeps the fencing token.
 
     :param loads: as for :func:`build_claim`.
+    :param ordered_at: when this process gave its last order, on the own clock;
+        ``None``: it has given none.
     :param has_unanswered_order: whether an order was sent and not answered. A server
         that does not check fences carries it out whenever it arrives, even after
         orders of the successor.
@@ -441,6 +517,11 @@
         orders_allowed_from = max(
             orders_allowed_from, released_ms + UNANSWERED_ORDER_WAIT_MS
         )
+    turns = _list_turns(state, now=now)
+    if ordered_at is not None:
+        ordered_ms = ordered_at + (state.offset_ms or 0.0)
+        end = orders_allowed_from if has_unanswered_order else ordered_ms
+        turns[state.name] = max(end, turns.get(state.name, 0.0))
     return LeaseRow(
         holder="",
         link="",
@@ -449,6 +530,7 @@
         expires_ms=released_ms,
         orders_from_ms=orders_allowed_from,
         loads_ms=_build_loads(state, loads),
+        turns=turns,
     )
 
 
--- a/src/arbutuspulley/node/coordinator.py
+++ b/src/arbutuspulley/node/coordinator.py
@@ -233,6 +233,11 @@
         """Return whether another ready instance reaches servers."""
         return any(info.reaches_servers for info in self._peers.list_ready())
 
+    @property
+    def ordered_at(self) -> int | None:
+        """When this process gave its last order, in ms; ``None``: it has given none."""
+        return self._order_sender.ordered_at
+
     async def drain_orders(self) -> bool:
         """Wait for the orders that are being sent, before the lease is released.
 
--- a/src/arbutuspulley/node/election.py
+++ b/src/arbutuspulley/node/election.py
@@ -6,7 +6,11 @@
 
 from arbutuspulley.clock import SECOND_MS
 from arbutuspulley.events import Event, log_event
-from arbutuspulley.membership.capacity import get_claim_delay_ms, has_much_more_capacity
+from arbutuspulley.membership.capacity import (
+    MAX_CLAIM_DELAY_MS,
+    get_claim_delay_ms,
+    has_much_more_capacity,
+)
 from arbutuspulley.membership.coordinator_lease import (
     CoordinatorLeaseState,
     LeaseRow,
@@ -17,6 +21,7 @@
     get_free_ms,
     get_inherited_loads,
     get_renew_interval_ms,
+    get_turn_wait_ms,
     is_copied,
     is_holder,
     is_own_row,
@@ -207,10 +212,17 @@
             if info.is_ready and info.name != state.settings.name
         ]
         delay = get_claim_delay_ms(state.capacity, others)
+        if others:
+            delay += self._get_turn_delay()
         if not state.reaches_servers:
             delay += CUT_OFF_CLAIM_DELAY_MS
         return delay + state.rng.randrange(READ_JITTER_MS)
 
+    def _get_turn_delay(self) -> int:
+        """Return how long instances that may order at once go first, in ms."""
+        wait_ms = get_turn_wait_ms(self._lease, now=self._state.clock.now())
+        return MAX_CLAIM_DELAY_MS if wait_ms > MAX_CLAIM_DELAY_MS else 0
+
     def _get_read_interval(self) -> int:
         fleet_ms = READ_INTERVAL_PER_INSTANCE_MS * self._state.instances
         return min(MAX_READ_INTERVAL_MS, max(MIN_READ_INTERVAL_MS, fleet_ms))
@@ -304,6 +316,9 @@
         await self._read()
         now = self._state.clock.now()
         self._follow_holder()
+        if self._get_turn_delay() > self._claim_delay_ms:
+            # What was drawn before the read did not count the own turn.
+            self._claim_delay_ms = self._draw_claim_delay()
         is_free = get_claim_wait_ms(self._lease, now=now) == 0
         may_claim = now >= self._cooldown_until and self._state.stopping_at is None
         is_due = get_free_ms(self._lease, now=now) >= self._claim_delay_ms
@@ -337,7 +352,13 @@
             await self._read()
             self._follow_holder()
             return
-        log_event(Event.LEASE_TAKEN, fence=claim.fence, version=self._lease.version)
+        log_event(
+            Event.LEASE_TAKEN,
+            fence=claim.fence,
+            version=self._lease.version,
+            orders_in_ms=max(0, int(claim.orders_from_ms - claim.renewed_ms)),
+            turns=claim.turns,
+        )
         if not self._coordinator.is_active:
             self._link.disconnect()
             self._link.deliver_local = self._deliver_locally
@@ -409,6 +430,7 @@
                 self._lease,
                 now=self._state.clock.now(),
                 loads=self._coordinator.list_loads(),
+                ordered_at=self._coordinator.ordered_at,
                 has_unanswered_order=has_unanswered_order,
             )
             await self._write(release)
--- a/src/arbutuspulley/node/orders.py
+++ b/src/arbutuspulley/node/orders.py
@@ -25,15 +25,18 @@
     """Orders that have no answer yet.
 
     :param lease: the lease whose fencing token they carry.
+    :ivar ordered_at: when an order was last sent or answered, in ms; ``None``: none
+        was sent.
     """
 
-    __slots__ = ("_lease", "_state", "_tasks", "_unanswered_at")
+    __slots__ = ("_lease", "_state", "_tasks", "_unanswered_at", "ordered_at")
 
     def __init__(self, *, state: NodeState, lease: CoordinatorLeaseState) -> None:
         self._state = state
         self._lease = lease
         self._tasks: set[asyncio.Task[None]] = set()
         self._unanswered_at = -UNANSWERED_ORDER_WAIT_MS
+        self.ordered_at: int | None = None
 
     def send(
         self,
@@ -92,16 +95,19 @@
             holder=self._state.settings.name,
             fence=self._lease.fence,
         )
-        answer = await send_order(
-            self._state.order_session,
-            order,
-            address=planned.address,
-            incarnation=planned.incarnation,
-            read_answer=functools.partial(
-                read_answer, self._state, planned.incarnation
-            ),
-            within_ms=get_remaining_ms(),
-        )
+        try:
+            answer = await send_order(
+                self._state.order_session,
+                order,
+                address=planned.address,
+                incarnation=planned.incarnation,
+                read_answer=functools.partial(
+                    read_answer, self._state, planned.incarnation
+                ),
+                within_ms=get_remaining_ms(),
+            )
+        finally:
+            self.ordered_at = self._state.clock.now()
         if answer is OrderAnswer.UNKNOWN:
             self._unanswered_at = self._state.clock.now()
         if answer in (OrderAnswer.UNKNOWN, OrderAnswer.REFUSED):
--- a/tests/elections.py
+++ b/tests/elections.py
@@ -91,6 +91,7 @@
     def __init__(self):
         self.is_active = False
         self.isolated_since = None
+        self.ordered_at = None
         self.best = 0.0
         self.received = []
 
--- a/tests/test_coordinator_lease.py
+++ b/tests/test_coordinator_lease.py
@@ -17,6 +17,7 @@
     get_order_window_ms,
     is_holder,
     is_own_row,
+    mark_lost,
     may_order,
     may_order_during_outage,
     update_era,
@@ -363,3 +364,138 @@
     update_store_clock(old, 100, now=100)
     assert claim_lease(old, now=100).fence == 2 * FENCES_PER_ERA + 1
     assert claim_lease(old, now=900).fence == 2 * FENCES_PER_ERA + 1
+
+
+class Turns:
+    """Instances that follow each other as holders, on the store's clock."""
+
+    def __init__(self):
+        self.states = {name: build_state(name, offset=0) for name in "abc"}
+        self.row, self.version, self.orders = None, 0, []
+
+    def claim(self, name, *, now):
+        state = self._read(name)
+        assert get_claim_wait_ms(state, now=now) == 0
+        self.version += 1
+        self.row = claim_lease(state, now=now, version=self.version)
+
+    def order(self, name, *, now):
+        """Give an order at the earliest moment from ``now``; return that moment."""
+        state = self.states[name]
+        while not may_order(state, now=now):
+            now += 1
+            assert now < 20_000
+            if now % 900 == 0:
+                self.claim(name, now=now)
+        self.orders.append((now, name))
+        return now
+
+    def release(self, name, *, now):
+        state = self._read(name)
+        given = [at for at, holder in self.orders if holder == name]
+        self.row = build_release(
+            state, now=now, ordered_at=given[-1] if given else None
+        )
+        mark_lost(state)
+        self.version += 1
+
+    def restart(self, name):
+        self.states[name] = build_state(name, offset=0)
+
+    def _read(self, name):
+        state = self.states[name]
+        if self.row is not None:
+            update_row(state, encode(self.row), version=self.version)
+        return state
+
+
+def test_a_holder_that_was_cut_off_orders_a_lease_after_its_turn_before():
+    """Guards against orders of a holder, its successor and the holder again within one
+    lease: it was cut off from the store, and its successor was stopped."""
+    turns = Turns()
+    turns.claim("a", now=0)
+    turns.order("a", now=0)
+    turns.claim("b", now=1_500)
+    turns.order("a", now=2_599)
+    assert turns.order("b", now=1_500) == 3_000
+    turns.release("b", now=3_200)
+    turns.claim("a", now=3_200)
+    assert turns.order("a", now=3_200) == 3_000 + 3_000
+
+
+@pytest.mark.parametrize("is_restarted", [False, True])
+@pytest.mark.parametrize("between", ["b", "bc"], ids=["one", "two"])
+def test_stopped_holders_that_follow_each_other_keep_a_lease_between_turns(
+    between, is_restarted
+):
+    """Guards against two turns of one instance within a lease after planned stops of it
+    and its successors, also if it has restarted under its name."""
+    turns = Turns()
+    turns.claim("a", now=0)
+    turns.order("a", now=0)
+    turns.release("a", now=100)
+    for number, name in enumerate(between):
+        at = 100 + 200 * number
+        turns.claim(name, now=at)
+        assert turns.order(name, now=at) == at
+        turns.release(name, now=at + 200)
+    if is_restarted:
+        turns.restart("a")
+    turns.claim("a", now=600)
+    assert turns.order("a", now=600) == 3_000
+
+
+def test_a_holder_orders_at_once_after_a_successor_that_gave_no_order():
+    """Guards against orders that rest for a turn that no other instance has had."""
+    turns = Turns()
+    turns.claim("a", now=0)
+    turns.order("a", now=0)
+    turns.release("a", now=100)
+    turns.claim("b", now=100)
+    turns.release("b", now=300)
+    turns.claim("a", now=300)
+    assert turns.order("a", now=300) == 300
+
+
+def test_a_successor_orders_at_once_after_a_planned_stop():
+    """Guards against a planned stop that callers wait longer for, since a holder may
+    not return within a lease."""
+    turns = Turns()
+    turns.claim("a", now=0)
+    turns.order("a", now=50)
+    turns.release("a", now=100)
+    turns.claim("b", now=100)
+    assert turns.order("b", now=100) == 100
+    turns.release("b", now=200)
+    turns.claim("c", now=200)
+    assert turns.order("c", now=200) == 200
+
+
+def test_turns_are_forgotten_after_a_lease():
+    turns = Turns()
+    turns.claim("a", now=0)
+    turns.order("a", now=0)
+    turns.release("a", now=100)
+    turns.claim("b", now=100)
+    turns.order("b", now=2_000)
+    turns.release("b", now=2_000)
+    turns.claim("a", now=3_100)
+    assert turns.row.turns.keys() == {"b"}
+    assert turns.order("a", now=3_100) == 3_100
+
+
+def test_an_unknown_holder_of_an_earlier_era_may_return_after_a_lease():
+    """Guards against two turns within a lease of a holder whose row was lost when the
+    store came back from an older copy, and which has restarted since."""
+    row = build_claim(build_state("x", offset=0), now=-60_000)
+    second = build_copied("b", row, offset=0)
+    row = claim_lease(second, now=1_500)
+    assert second.orders_allowed_from == 3_000
+    update_row(second, encode(row), version=6, era_row_version=6)
+    release = build_release(second, now=3_100, ordered_at=3_050)
+    first = build_state("a", offset=0)
+    update_era(first, 2, now=0)
+    update_store_clock(first, 0, now=0)
+    update_row(first, encode(release), version=7, era_row_version=6)
+    claim_lease(first, now=3_100)
+    assert not may_order(first, now=5_999)
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -1,12 +1,13 @@
 """When instances claim the coordinator's lease, and when they hand it over."""
 
 import asyncio
+import itertools
 import random
 
 import pytest
 
 from arbutuspulley.membership.capacity import MAX_CLAIM_DELAY_MS
-from arbutuspulley.membership.coordinator_lease import is_holder
+from arbutuspulley.membership.coordinator_lease import is_holder, may_order
 from arbutuspulley.membership.server_reach import record_failed
 from arbutuspulley.node.election import HANDOVER_DELAY_MS, READ_JITTER_MS
 from tests.elections import (
@@ -170,3 +171,69 @@
     run_members(members, now, ms=1_000, order=random.Random(1))
     (leader,) = list_leaders(members)
     assert members[leader].coordinator.received == [(leader, ["what runs here"])]
+
+
+def order_until(members, now, *, ms, order):
+    """Let the holder give orders whenever it may; return when and by whom."""
+    orders = []
+    for _ in range(0, ms, 20):
+        run_members(members, now, ms=20, order=order)
+        for name, member in members.items():
+            is_active = member.coordinator.is_active
+            if is_active and may_order(member.lease, now=now[0]):
+                member.coordinator.ordered_at = now[0]
+                orders.append((now[0], name))
+    return orders
+
+
+def find_early_returns(orders, *, lease_ms):
+    """Return orders of a holder less than a lease after an earlier turn of its own."""
+    early = []
+    for at, name in orders:
+        recent = [one for one in orders if at - lease_ms < one[0] < at]
+        own = [t for t, other in recent if other == name]
+        if any(own and min(own) < t for t, other in recent if other != name):
+            early.append((at, name))
+    return early
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_stops_in_turn_keep_a_lease_between_turns_and_orders_hardly_rest(seed):
+    """Guards against two turns of one instance within a lease as instances are stopped
+    one after the other, and against orders that rest meanwhile although another
+    instance may give them."""
+    now = [1_000]
+    members = build_members([1.0] * 6, LeaseStore(now), now)
+    publish_roster(members, [1.0] * 6)
+    order = random.Random(seed)
+    orders = order_until(members, now, ms=3_000, order=order)
+    for _ in range(8):
+        (name,) = list_leaders(members)
+        stopped = members.pop(name)
+        asyncio.run(stopped.election.release_lease(is_final=False))
+        orders += order_until(members, now, ms=700, order=order)
+        members[name] = stopped
+    assert not find_early_returns(orders, lease_ms=3_000)
+    rests = [later - at for (at, _), (later, _) in itertools.pairwise(orders)]
+    assert max(rests) <= MAX_CLAIM_DELAY_MS + 2 * READ_JITTER_MS
+
+
+def test_the_last_instance_left_orders_a_lease_after_its_turn_before():
+    """Guards against two turns of one instance within a lease where no other one is
+    left to claim the lease."""
+    now = [1_000]
+    members = build_members([1.0, 1.0], LeaseStore(now), now)
+    publish_roster(members, [1.0, 1.0])
+    order = random.Random(1)
+    orders = order_until(members, now, ms=3_000, order=order)
+    for _ in range(2):
+        (name,) = list_leaders(members)
+        stopped = members.pop(name)
+        asyncio.run(stopped.election.release_lease(is_final=False))
+        orders += order_until(members, now, ms=500, order=order)
+        members[name] = stopped
+    orders += order_until(members, now, ms=4_000, order=order)
+    assert not find_early_returns(orders, lease_ms=3_000)
+    assert len({name for _, name in orders}) == 2
+    rests = [later - at for (at, _), (later, _) in itertools.pairwise(orders)]
+    assert max(rests) <= 3_000 + MAX_CLAIM_DELAY_MS
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -242,6 +242,8 @@
         {"expires_ms": 1e12, "renewed_ms": 1e12},
         {"orders_from_ms": 1e12},
         {"loads_ms": {"s": [1e300]}},
+        {"turns": {"c": 1e12}},
+        {"turns": {"c": "soon"}},
         {"other": msgspec.Raw(DEEP)},
     ],
 )
