Take crashes back only for the start of a server that has answered

Cause: a server that starts again under its id writes its entry up to a heartbeat later. Until then its answers counted as ones of the start that had crashed, and took the crash back at all instances.

Which start an answer proves to be alive is now decided in one place, from the connections that broke and from the entry, read a heartbeat after the answer.

Three tests asserted that one answer after a crash takes it back at once. That is the fault; they now ask for an answer a heartbeat later, and that nothing is taken back before it.

--- a/src/arbutuspulley/delivery/crash_records.py
+++ b/src/arbutuspulley/delivery/crash_records.py
@@ -143,7 +143,8 @@
     requests, one that is quarantined for :data:`QUARANTINE_MS` and any other for
     :data:`SUSPICION_MS` after its last change.
 
-    ``on_change`` is called with the fingerprint of each one that changes or is dropped.
+    ``on_change`` is called with the fingerprint of each one that changes or is dropped,
+    ``on_crash`` with the incarnation of each server at a crash that was not known.
     """
 
     __slots__ = (
@@ -157,6 +158,7 @@
         "_trials",
         "changes",
         "on_change",
+        "on_crash",
     )
 
     def __init__(self) -> None:
@@ -176,6 +178,7 @@
         # Number of changes so far.
         self.changes = 0
         self.on_change: Callable[[str], None] = _ignore
+        self.on_crash: Callable[[str], None] = _ignore
 
     def __len__(self) -> int:
         return len(self._suspicions)
@@ -297,7 +300,10 @@
         else:
             self._suspects.discard(fingerprint)
         for incarnation in crashed:
-            self._known_at.setdefault(incarnation, {}).setdefault(fingerprint, now)
+            known = self._known_at.setdefault(incarnation, {})
+            if fingerprint not in known:
+                known[fingerprint] = now
+                self.on_crash(incarnation)
         self.on_change(fingerprint)
 
     def list_names(self) -> list[str]:
@@ -522,8 +528,8 @@
             del self._known_at[incarnation]
 
 
-def _ignore(_fingerprint: str) -> None:
-    """Do nothing; default of the callback."""
+def _ignore(_name: str) -> None:
+    """Do nothing; default of the callbacks."""
 
 
 def _spread(delay_ms: int, fingerprint: str) -> int:
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -355,6 +355,7 @@
                     self._request,
                     incarnation=entry.incarnation,
                     known=known_crashes,
+                    heard_at=progress.last_event_at if progress.events else now,
                     begun_at=progress.begun_at,
                 )
             raise self._handle_broken(entry, str(error)) from None
--- a/src/arbutuspulley/node/hedges.py
+++ b/src/arbutuspulley/node/hedges.py
@@ -586,7 +586,10 @@
         is_blamed = self._paths.blames_server(entry)
         if error.end is not AnswerEnd.FOREIGN:
             self._poison.record_crash(
-                self._request, incarnation=entry.incarnation, known=second.known_crashes
+                self._request,
+                incarnation=entry.incarnation,
+                known=second.known_crashes,
+                heard_at=second.sent_at,
             )
         self._log_failure(second, str(error))
         self._state.metrics.answers.labels("", error.end).inc()
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -90,6 +90,8 @@
         self._link = link
         self._records = state.crash_records
         self._parts = state.part_records
+        self._records.on_crash = state.server_starts.record_break
+        self._parts.records.on_crash = state.server_starts.record_break
         # Quarantined parts that were logged.
         self._guilty: frozenset[str] = frozenset()
         # Requests of this instance that are on trial, and until when that counts, by
@@ -210,16 +212,21 @@
         *,
         incarnation: str,
         known: KnownCrashes,
+        heard_at: int | None = None,
         begun_at: int | None = None,
     ) -> None:
         """Record that a server broke off with the request in flight.
 
+        :param heard_at: when the server was last heard on that connection, or the
+            request was sent, in ms; ``None``: not known.
+
         :param known: crashes that were known when the request was sent. If more are
             known now, several copies of the request were in flight, or several servers
             failed at once; that counts as one crash.
         :param begun_at: when the answer's first event arrived, in ms; ``None``: none
             had.
         """
+        self._state.server_starts.record_break(incarnation, heard_at=heard_at)
         before = self.count_crashes(request)
         fingerprint = get_fingerprint(request)
         now = self._state.clock.now()
@@ -261,17 +268,25 @@
     def record_answer(self, incarnation: str, *, sent_at: int) -> None:
         """Take back crashes of a server that has answered; it was not it that failed.
 
+        Until it is proven that the same start has answered, nothing is taken back.
+
         :param sent_at: when the request was sent that it answered, in ms.
         """
+        proven_at = self._state.server_starts.record_answer(
+            incarnation, sent_at=sent_at
+        )
+        if proven_at is None:
+            return
         now = self._state.clock.now()
-        cleared = self._records.clear_server(incarnation, sent_at=sent_at, now=now)
-        parts = self._parts.clear_server(incarnation, sent_at=sent_at, now=now)
+        cleared = self._records.clear_server(incarnation, sent_at=proven_at, now=now)
+        parts = self._parts.clear_server(incarnation, sent_at=proven_at, now=now)
         if not cleared and not parts:
             return
         log_event(
             Event.SUSPECTS_RETRACTED,
             count=len(cleared),
             server=incarnation,
+            answered_ms=now - proven_at,
             requests=[
                 one.fingerprint[:LOGGED_FINGERPRINT_LENGTH]
                 for one in cleared[:MAX_LOGGED_REQUESTS]
--- a/src/arbutuspulley/node/server_rows.py
+++ b/src/arbutuspulley/node/server_rows.py
@@ -390,6 +390,7 @@
     state.by_incarnation = {
         entry.incarnation: entry for entry in state.entries.values()
     }
+    state.server_starts.set_listed(state.by_incarnation)
     evict_unlisted(state.server_stats, state.entries.values())
     state.leaving.evict_unlisted(state.by_incarnation)
     state.cooldowns.evict(state.by_incarnation, now=state.clock.now())
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -21,6 +21,7 @@
 from arbutuspulley.membership.capacity import get_capacity
 from arbutuspulley.membership.leaving import LeavingServers
 from arbutuspulley.membership.server_reach import ServerReach, is_cut_off
+from arbutuspulley.membership.server_starts import ServerStarts
 from arbutuspulley.membership.software_versions import ServiceVersions
 from arbutuspulley.node.advertisement import get_share_divisor, select_advertised
 from arbutuspulley.node.feed_schedule import FeedSchedule
@@ -91,6 +92,7 @@
     :param instances: number of instances that the coordinator can reach.
     :param advertised: number of instances whose addresses are given to callers.
     :param server_reach: servers that this instance can't connect to.
+    :param server_starts: which start of a server its answers come from.
     :param server_view: when the known servers were last confirmed to be all.
     :param software_versions: versions of the servers' software, by service.
     :param begun_streams: streams that callers may resume, also of other instances.
@@ -171,6 +173,7 @@
         "rng",
         "row_positions",
         "server_reach",
+        "server_starts",
         "server_stats",
         "server_view",
         "session",
@@ -222,6 +225,11 @@
         self.server_stats = LocalServerStats()
         self.server_reach = ServerReach()
         self.server_view = ServerView(clock=clock)
+        self.server_starts = ServerStarts(
+            clock=clock,
+            get_heartbeat_ms=lambda: self.settings.heartbeat_ms,
+            get_view_at=lambda: self.server_view.confirmed_at,
+        )
         self.software_versions = ServiceVersions()
         self.begun_streams = BegunStreams()
         self.stream_journal = StreamJournal(writer=uuid.uuid4().hex[:12])
--- a/src/arbutuspulley/platform/settings.py
+++ b/src/arbutuspulley/platform/settings.py
@@ -65,6 +65,7 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     contracts: list[str] = []
+    heartbeat_ms: Integer = 1_200
     platform: _Store = msgspec.field(default_factory=_Store)
 
 
@@ -108,6 +109,7 @@
         retry_window_ms=int(file.bounds.budget_window_s * SECOND_MS),
         directory_ttl_s=file.bounds.directory_ttl_s,
         apply_ms=file.bounds.config_apply_ms,
+        heartbeat_ms=file.heartbeat_ms,
         revocation_ms=_get_revocation_ms(file.bounds),
         quota_window_ms=int(file.bounds.quota_window_s * SECOND_MS),
         quota_overage=file.bounds.quota_overage,
--- a/src/arbutuspulley/ports/fleet.py
+++ b/src/arbutuspulley/ports/fleet.py
@@ -340,6 +340,7 @@
     :param lease_ms: no two holders may give orders within this time.
     :param checks_fences: whether servers refuse an order with an older fencing token.
     :param apply_ms: within this time a configuration is active on all instances.
+    :param heartbeat_ms: interval at which servers write their entries.
     :param revocation_ms: within this time a revoked key is refused by all instances,
         even by one that can't receive the change; ``None``: no such bound.
     :param quota_window_ms: window over which quotas are enforced.
@@ -373,6 +374,7 @@
     directory_ttl_s: float
     checks_fences: bool = False
     apply_ms: int = 2_000
+    heartbeat_ms: int = 1_200
     revocation_ms: int | None = None
     quota_window_ms: int = 10_000
     quota_overage: float = 0.0
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -14,6 +14,7 @@
 from arbutuspulley.clock import Clock
 from arbutuspulley.delivery.crash_records import CrashRecords
 from arbutuspulley.delivery.part_records import PartRecords
+from arbutuspulley.membership.server_starts import LAPSE_HEARTBEATS, ServerStarts
 from arbutuspulley.node.crash_store import (
     LONE_INTERVAL_MS,
     WRITE_INTERVAL_MS,
@@ -42,6 +43,10 @@
 DOWN_MS = (200, 3_500)
 """Shortest and longest time from a crash to the next start of a server, in ms."""
 
+HEARTBEAT_MS = 1_200
+"""Interval at which servers write their entries, in ms. The first entry of a start is
+written up to that late."""
+
 MESSAGE_MS = (1, 6)
 """Shortest and longest time that a message takes on one link, in ms."""
 
@@ -88,6 +93,12 @@
         self.boot = object()
         self.crash_records = CrashRecords()
         self.part_records = PartRecords(requests=self.crash_records)
+        self.server_starts = ServerStarts(
+            clock=self.clock,
+            get_heartbeat_ms=lambda: HEARTBEAT_MS,
+            get_view_at=lambda: self.model.now,
+        )
+        self.server_starts.set_listed({one.listed for one in self.model.servers})
         self.guard = PoisonGuard(state=self, link=self)
         self.is_linked = False
         self.journal = CrashJournal(
@@ -180,6 +191,8 @@
         self.starts = 0
         self.is_up = True
         self.runs = {}
+        # The start that its entry names.
+        self.listed = self.incarnation
 
     @property
     def incarnation(self):
@@ -194,7 +207,7 @@
         self.boot = instance.boot
         self.request = request
         self.server = server
-        self.incarnation = server.incarnation
+        self.incarnation = server.listed
         self.known = known
         self.sent_at = sent_at
         self.left = left
@@ -208,6 +221,8 @@
     :param copies: number of instances through which they come at once.
     :param tries_others: whether instances that can't connect to a server try others.
     :param has_store: whether the store serves; else it is away all the time.
+    :param are_entries_late: whether servers write their entries up to a heartbeat after
+        a start, rather than at once.
     """
 
     def __init__(
@@ -221,20 +236,23 @@
         copies=1,
         tries_others=False,
         has_store=True,
+        are_entries_late=False,
         every_ms,
     ):
         self.has_store = has_store
+        self.are_entries_late = are_entries_late
         self.rows = {}
         self.store_rng = random.Random(seed)
+        self.entry_rng = random.Random(seed)
         self.rng = random.Random(seed)
         self.now = 0
         self._events = []
         self._numbers = itertools.count()
         self.coordinator = None
         self.instances = []
+        self.servers = [ModelServer(number) for number in range(servers)]
         for number in range(instances):
             self.instances.append(ModelInstance(self, f"n{number}"))
-        self.servers = [ModelServer(number) for number in range(servers)]
         self.copies = copies
         self.tries_others = tries_others
         self.every_ms = every_ms
@@ -349,7 +367,7 @@
             self.record_answer(instance, request, "refused")
             return
         server = self.choose_server()
-        if not server.is_up or not self.can_send():
+        if not (server.is_up and server.listed) or not self.can_send():
             self.record_answer(instance, request, "out of reach")
             return
         known = instance.guard.begin_attempt(request)
@@ -370,7 +388,7 @@
         self.after(run_ms, self.crash if is_poison else self.finish, attempt)
 
     def choose_server(self):
-        up = [server for server in self.servers if server.is_up]
+        up = [one for one in self.servers if one.is_up and one.listed]
         return self.rng.choice(up if self.tries_others and up else self.servers)
 
     def can_send(self):
@@ -398,6 +416,9 @@
         if not server.is_up:
             return
         server.is_up = False
+        if server.listed == server.incarnation:
+            left = self.entry_rng.uniform(LAPSE_HEARTBEATS - 1, LAPSE_HEARTBEATS)
+            self.after(left * HEARTBEAT_MS, self.lapse, server, server.listed)
         runs, server.runs = list(server.runs), {}
         for attempt in runs:
             self.after(self.draw(MESSAGE_MS), self.break_off, attempt)
@@ -406,6 +427,27 @@
     def start_server(self, server):
         server.starts += 1
         server.is_up = True
+        self.after(
+            self.entry_rng.uniform(0, HEARTBEAT_MS) if self.are_entries_late else 0.0,
+            self.write_entry,
+            server,
+            server.incarnation,
+        )
+
+    def write_entry(self, server, incarnation):
+        if not server.is_up or server.incarnation != incarnation:
+            return
+        self.list_start(server, incarnation)
+
+    def lapse(self, server, listed):
+        if server.listed == listed:
+            self.list_start(server, "")
+
+    def list_start(self, server, incarnation):
+        server.listed = incarnation
+        listed = {one.listed for one in self.servers}
+        for instance in self.instances:
+            instance.server_starts.set_listed(listed)
 
     def finish(self, attempt):
         if attempt.server.runs.pop(attempt, None) is None:
--- a/tests/guard_groups.py
+++ b/tests/guard_groups.py
@@ -3,11 +3,14 @@
 from arbutuspulley.clock import Clock
 from arbutuspulley.delivery.crash_records import CrashRecords
 from arbutuspulley.delivery.part_records import PartRecords
+from arbutuspulley.membership.server_starts import ENTRY_DELAY_MS, ServerStarts
 from arbutuspulley.node.messages import SuspicionUpdate
 from arbutuspulley.node.metrics import NodeMetrics
 from arbutuspulley.node.poison import PoisonGuard
 from tests.node_states import build_state
 
+HEARTBEAT_MS = 1_200
+
 
 class Instance:
     """An instance that sends to its group's guards unless it is disconnected."""
@@ -18,6 +21,11 @@
         self.metrics = NodeMetrics()
         self.crash_records = CrashRecords()
         self.part_records = PartRecords(requests=self.crash_records)
+        self.server_starts = ServerStarts(
+            clock=self.clock,
+            get_heartbeat_ms=lambda: HEARTBEAT_MS,
+            get_view_at=lambda: self.now,
+        )
         self.settings = build_state(name=f"n{len(group)}").settings
         self.is_coordinator = False
         self.is_disconnected = False
@@ -34,6 +42,16 @@
                 other.guard.merge_update(message)
 
 
+def answer_until_proven(group, instance, server):
+    """Let a server answer an instance until its entry must be one of the same start."""
+    for one in group:
+        one.now += 10
+    instance.guard.record_answer(server, sent_at=instance.now - 5)
+    for one in group:
+        one.now += HEARTBEAT_MS + ENTRY_DELAY_MS
+    instance.guard.record_answer(server, sent_at=instance.now - 5)
+
+
 def build_group(count=2):
     group = []
     return [Instance(group) for _ in range(count)]
--- a/tests/test_crash_promises.py
+++ b/tests/test_crash_promises.py
@@ -65,6 +65,26 @@
         check_play(play(seed=seed, kinds=kinds, **options), seed)
 
 
+@pytest.mark.parametrize("kinds", PAIRS, ids="-".join)
+def test_crashes_count_where_servers_return_before_their_entries(kinds):
+    """Guards against requests and parts that go on crashing servers, as those that
+    return under their ids answer others before their entries are written."""
+    first = SEEDS * PAIRS.index(kinds)
+    for seed in range(first, first + SEEDS):
+        options = {**list_options(seed), "are_entries_late": True}
+        check_play(play(seed=seed, kinds=kinds, **options), seed)
+        options |= {"poisons": seed % 2, "bad_parts": 1, "tries_others": True}
+        check_play(play(seed=seed, kinds=kinds, **options), seed)
+
+
+def test_two_parts_stop_where_servers_return_before_their_entries():
+    """Guards against two parts that are not told from each other, as crashes of a start
+    count as ones of the start before until its entry is written."""
+    options = {**list_options(21), "are_entries_late": True}
+    options |= {"poisons": 1, "bad_parts": 2, "tries_others": True}
+    check_play(play(seed=21, kinds=("kill", "coordinator"), **options), 21)
+
+
 @pytest.mark.parametrize("other", KINDS)
 def test_both_promises_hold_where_the_store_keeps_crashes(other):
     """Guards against suspects read from the store that are judged otherwise than those
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -18,7 +18,7 @@
 )
 from arbutuspulley.platform.requests import decode_request
 from arbutuspulley.rpc.messages import Suspicion
-from tests.guard_groups import build_group
+from tests.guard_groups import answer_until_proven, build_group
 from tests.node_states import build_info, build_state
 
 
@@ -219,9 +219,7 @@
         crash(first, "f:1,0:1", number)
         first.guard.clear(build_request("f:1,0:1", number))
     assert second.guard.get_refusal(build_request("f:1,1:1")) is not None
-    for instance in (first, second):
-        instance.now += 10
-    first.guard.record_answer("s1", sent_at=5)
+    answer_until_proven((first, second), first, "s1")
     for instance in (first, second):
         assert instance.guard.get_refusal(build_request("f:1,1:1")) is None
 
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -14,7 +14,7 @@
 from arbutuspulley.node.messages import SuspicionUpdate
 from arbutuspulley.node.poison import TRIAL_RETRY_MS, KnownCrashes
 from arbutuspulley.platform.requests import decode_request
-from tests.guard_groups import build_group
+from tests.guard_groups import HEARTBEAT_MS, answer_until_proven, build_group
 
 
 def build_request(body=b"poison", path="/chat/"):
@@ -86,14 +86,36 @@
     for number in range(MAX_CRASHES):
         crash(first, f"s{number}", request)
     assert second.guard.get_refusal(request) is not None
-    for instance in (first, second):
-        instance.now += 10
-    second.guard.record_answer("s1", sent_at=5)
+    answer_until_proven((first, second), second, "s1")
     for instance in (first, second):
         assert instance.guard.get_refusal(request) is None
         assert instance.guard.count_crashes(request) == MAX_CRASHES - 1
 
 
+@pytest.mark.parametrize("writes_entry", [True, False], ids=["returns", "lapses"])
+def test_the_next_start_of_a_server_takes_no_crash_back(writes_entry):
+    """Guards against a request that is never quarantined, as servers that start again
+    under their ids answer others before their entries name the new start."""
+    first, second = build_group()
+    request = build_request()
+    for instance in (first, second):
+        instance.server_starts.set_listed({f"s{number}@1" for number in range(3)})
+    for number in range(MAX_CRASHES):
+        crash(first, f"s{number}@1", request)
+    for late_ms in range(0, HEARTBEAT_MS, 50):
+        for instance in (first, second):
+            instance.now = 2_000 + late_ms
+            instance.guard.record_answer("s1@1", sent_at=instance.now - 20)
+        assert second.guard.get_refusal(request) is not None
+    for instance in (first, second):
+        instance.server_starts.set_listed({"s1@3200"} if writes_entry else {})
+        instance.now += 10_000
+        instance.guard.record_answer("s1@1", sent_at=instance.now - 10_005)
+        instance.guard.record_answer("s1@3200", sent_at=instance.now - 5)
+    for instance in (first, second):
+        assert instance.guard.count_crashes(request) == MAX_CRASHES
+
+
 def test_an_answer_that_was_under_way_at_the_crash_takes_nothing_back():
     """Guards against crashes that are forgotten because an answer that a server had
     sent before it crashed was read afterwards."""
@@ -115,8 +137,8 @@
     (only,) = build_group(1)
     request = build_request()
     crash(only, "s0", request)
-    only.now += 10
-    only.guard.record_answer("s0", sent_at=5)
+    answer_until_proven((only,), only, "s0")
+    assert not only.guard.count_crashes(request)
     for number in range(MAX_CRASHES):
         crash(only, f"t{number}", request)
     assert only.guard.get_refusal(request) is not None
--- a/tests/test_suspect_requests.py
+++ b/tests/test_suspect_requests.py
@@ -7,6 +7,7 @@
 from multidict import CIMultiDict
 
 from arbutuspulley.delivery.crash_records import MAX_CRASHES
+from arbutuspulley.membership.server_starts import ENTRY_DELAY_MS
 from arbutuspulley.node import poison as poison_module
 from arbutuspulley.node.acquisition import Acquisition
 from arbutuspulley.node.poison import TRIAL_SPREAD_MS, KnownCrashes
@@ -155,11 +156,11 @@
     assert all(0 <= delay_s <= TRIAL_SPREAD_MS / 1_000 for delay_s in slept)
 
 
-def answer_after_crash(monkeypatch, node, answer, **changes):
+def answer_after_crash(monkeypatch, node, answer, *, at=100, **changes):
     """Get an answer to a request under which a server crashed before."""
     route = msgspec.structs.replace(ROUTE, **changes)
     exchange, _ = build_exchange(monkeypatch, node, outcomes=[answer], route=route)
-    node.now = 100
+    node.now = at
     return asyncio.run(exchange.run())
 
 
@@ -190,10 +191,16 @@
 
 @pytest.mark.parametrize("status", [200, 500])
 def test_any_answer_shows_that_its_server_has_not_crashed(monkeypatch, status):
-    """Guards against other requests that stay suspect though their server lives."""
+    """Guards against other requests that stay suspect though their server lives, and
+    against answers of its next start that count as ones of the start that crashed."""
     node = build_node_with_retries()
     other = build_request()
     other.path = "/other"
     node.poison.record_crash(other, incarnation="s0", known=KnownCrashes())
-    answer_after_crash(monkeypatch, node, Answer(status), retry_policy=RetryPolicy.ONCE)
+    once = {"retry_policy": RetryPolicy.ONCE}
+    answer_after_crash(monkeypatch, node, Answer(status), **once)
+    assert node.poison.count_crashes(other) == 1
+    later = 100 + node.state.settings.heartbeat_ms + ENTRY_DELAY_MS
+    node.state.server_view.confirm(later)
+    answer_after_crash(monkeypatch, node, Answer(status), at=later, **once)
     assert node.poison.count_crashes(other) == 0
