Refuse what can't be answered in the rest of a planned stop

Callers that connected late in the grace got 502, 500 or a closed connection for requests that had run: of 20 unsafe requests 4 at a grace of 4 s and a service of 1.8 s.

Cause: requests were taken until 0.8 of the grace and ended at 0.95, whatever they could still take; the HTTP client was closed under those that were left, and accepted connections were reset with the listening sockets.

A request that would outlast the rest of the grace, by what its route took of late, is now refused before it is sent: not run, Retry-After, connection closed. At the end the rest is answered, and accepted connections are read.

--- a/src/arbutuspulley/clients/connections.py
+++ b/src/arbutuspulley/clients/connections.py
@@ -229,6 +229,11 @@
         """Record that what is left of the body is read and not kept."""
         self._is_discarding = True
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether a request is handled, or its answer is being sent."""
+        return self._is_handling or self.count_unsent() > 0
+
     def count_unsent(self) -> int:
         """Return the number of bytes in the write buffer."""
         return 0 if self._channel is None else self._channel.get_write_buffer_size()
--- a/src/arbutuspulley/clients/listeners.py
+++ b/src/arbutuspulley/clients/listeners.py
@@ -69,7 +69,13 @@
         self._loop.add_reader(self._socket, self._accept)
 
     def close(self) -> None:
-        """Accept no further connections; those that are open go on."""
+        """Accept no further connections; those that are open go on.
+
+        Those that the operating system has accepted are served: it resets what is left
+        when the socket is closed.
+        """
+        for _ in range(BACKLOG // MAX_ACCEPTS):
+            self._accept()
         if self._socket is None:
             return
         self._loop.remove_reader(self._socket)
--- a/src/arbutuspulley/clients/pools.py
+++ b/src/arbutuspulley/clients/pools.py
@@ -97,6 +97,11 @@
         self.idle: dict[ClientConnection, None] = {}
         self.heads: dict[ClientConnection, None] = {}
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether a request is handled on any, or its answer is being sent."""
+        return any(connection.is_answering for connection in self.connections)
+
 
 class Clients:
     """All clients of a process.
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -34,6 +34,7 @@
 from arbutuspulley.node.server_notices import get_exclusion, read_answer
 from arbutuspulley.node.server_paths import ServerPaths
 from arbutuspulley.node.state import NodeState
+from arbutuspulley.node.stopping import RETRY_MS, may_send
 from arbutuspulley.node.stream_relay import StreamRelay
 from arbutuspulley.node.stream_store import store_stream
 from arbutuspulley.node.stream_versions import (
@@ -110,6 +111,7 @@
         "_retry",
         "_state",
         "_stream",
+        "_timeout",
         "progress",
         "route",
     )
@@ -143,6 +145,7 @@
         self._retries = retries
         self._paths = paths
         self._retry = PendingRetry(retries=retries)
+        self._timeout: asyncio.Timeout | None = None
         remaining_ms = route.timeout_ms
         if request.wait_ms is not None:
             remaining_ms = min(remaining_ms, request.wait_ms)
@@ -189,7 +192,7 @@
         :raises RequestFailedError: if the request failed without an answer.
         :raises AnswerAbortedError: if the answer has begun and can't be completed.
         """
-        refused = self._find_crash_refusal()
+        refused = self._find_crash_refusal() or self._find_stop_refusal()
         if refused is not None:
             raise refused
         progress = self.progress
@@ -200,7 +203,9 @@
         self._hedges.record_request(progress.service)
         try:
             self._acquisition.charge_plain()
-            async with asyncio.timeout((progress.ends_at - now) / SECOND_MS):
+            async with asyncio.timeout(
+                (progress.ends_at - now) / SECOND_MS
+            ) as self._timeout:
                 while True:
                     try:
                         return await self._attempt()
@@ -216,11 +221,17 @@
                 self.progress, error, has_begun=self._stream.has_begun
             ) from None
         finally:
+            self._timeout = None
             self._hedge.close()
             self._acquisition.refund()
             self._limits.record_end(self._request.attempt_id, AttemptOutcome.UNUSED)
             self._retry.refund()
 
+    def end_for_exit(self) -> None:
+        """Let the time of the request be up, as the process exits."""
+        if self._timeout is not None:
+            self._timeout.reschedule(asyncio.get_running_loop().time())
+
     def record_interruption(self, end: AnswerEnd) -> None:
         """Record why the last server's answer was not awaited to its end."""
         progress = self.progress
@@ -257,7 +268,7 @@
         may_send = False
         try:
             await self._poison.delay_trial(self._request)
-            refused = self._find_crash_refusal()
+            refused = self._find_crash_refusal() or self._find_stop_refusal()
             if refused is not None:
                 raise refused
             may_send = True
@@ -274,6 +285,14 @@
             refusal.reason, retry_after_ms=refusal.retry_after_ms
         )
 
+    def _find_stop_refusal(self) -> Exception | None:
+        """Return the error of a request that can't be answered before the exit."""
+        ends_at = self.progress.ends_at
+        if may_send(self._state, self.route, ends_at=ends_at):
+            return None
+        self._state.metrics.stop_refusals.inc()
+        return self._build_failure("this instance is stopping", retry_after_ms=RETRY_MS)
+
     async def _send(
         self, entry: ServerEntry, second: SecondAttempt | None = None
     ) -> web.StreamResponse:
@@ -305,6 +324,7 @@
             if get_exclusion(state, entry.incarnation):
                 state.metrics.excluded_attempts.inc()
             known_crashes = self._poison.begin_attempt(self._request)
+            state.answer_times.record_sent(self.route.name, self, now=now)
         else:
             known_crashes = second.known_crashes
         outcome = AttemptOutcome.FAILED
@@ -373,6 +393,7 @@
             raise
         finally:
             self._paths.record_ended(entry)
+            state.answer_times.record_ended(self.route.name, self, took_ms=took_ms)
             self._poison.end_attempt(self._request)
             record_done(
                 stats,
--- a/src/arbutuspulley/node/frontend.py
+++ b/src/arbutuspulley/node/frontend.py
@@ -64,6 +64,7 @@
 
     __slots__ = (
         "_charger",
+        "_exchanges",
         "_hedges",
         "_limits",
         "_link",
@@ -77,6 +78,7 @@
         self, *, state: NodeState, link: Link, poison: PoisonGuard, paths: ServerPaths
     ) -> None:
         self._charger = QuotaCharger(state=state, link=link)
+        self._exchanges: set[Exchange] = set()
         self._hedges = Hedges(state=state)
         self._limits = LimitGuard(state=state, link=link)
         self._state = state
@@ -98,6 +100,7 @@
         self._state.metrics.in_flight.set(self._state.in_flight)
         try:
             exchange = await self._begin(client, request, started_at)
+            self._exchanges.add(exchange)
             answer = await exchange.run()
             self._record_end("done", request, exchange, status=answer.status)
         except RequestFailedError as error:
@@ -118,12 +121,19 @@
         finally:
             # Cycles of the exchange would keep it until their next collection.
             request.body = b""
+            if exchange is not None:
+                self._exchanges.discard(exchange)
             self._state.in_flight -= 1
             self._state.metrics.in_flight.set(self._state.in_flight)
         if self._is_closing():
             answer.force_close()
         return answer
 
+    def end_requests(self) -> None:
+        """End all requests in flight, as the process exits."""
+        for exchange in self._exchanges:
+            exchange.end_for_exit()
+
     async def _begin(
         self, client: web.BaseRequest, request: InboundRequest, started_at: int
     ) -> Exchange:
--- a/src/arbutuspulley/node/metrics.py
+++ b/src/arbutuspulley/node/metrics.py
@@ -64,6 +64,7 @@
         "returns",
         "second_attempts",
         "share_denials",
+        "stop_refusals",
         "store_calls",
         "store_era",
         "undecodable_rows",
@@ -290,6 +291,11 @@
             " share of a server",
             registry=registry,
         )
+        self.stop_refusals = Counter(
+            "arbutus_stop_refusals",
+            "Requests that were refused as they would outlast a planned stop",
+            registry=registry,
+        )
         self.in_flight = Gauge(
             "arbutus_in_flight", "Requests in flight", registry=registry
         )
--- a/src/arbutuspulley/node/state.py
+++ b/src/arbutuspulley/node/state.py
@@ -46,6 +46,7 @@
     SoftwareVersion,
 )
 from arbutuspulley.ports.store_position import NO_POSITION, StorePosition
+from arbutuspulley.routing.answer_times import AnswerTimes
 from arbutuspulley.routing.local_choice import LocalServerStats
 from arbutuspulley.routing.route_table import RouteTable
 
@@ -111,6 +112,8 @@
     :param estimates: estimates last sent by the coordinator; used if this instance
         becomes its successor.
     :param stopping_at: when SIGTERM arrived, in ms; ``None`` before.
+    :param exit_at: when the process then exits at the latest, in ms.
+    :param answer_times: how long servers take for the requests of each route.
     :param on_change: called after the configuration or the servers have changed.
     :param on_coordinating: called when this instance becomes the coordinator.
     :param on_coordinator_status: called after each status of the coordinator.
@@ -127,6 +130,7 @@
         "_share_divisor",
         "_share_divisor_basis",
         "advertised",
+        "answer_times",
         "begun_streams",
         "brittle",
         "by_incarnation",
@@ -140,6 +144,7 @@
         "entries",
         "entry_bodies",
         "estimates",
+        "exit_at",
         "feed_schedule",
         "find_kept_version",
         "follow_requested",
@@ -264,6 +269,8 @@
         self.estimates = CoordinatorEstimates(speeds={})
         self.in_flight = 0
         self.stopping_at: int | None = None
+        self.exit_at: int | None = None
+        self.answer_times = AnswerTimes()
         self.on_change: list[Callable[[], None]] = []
         self.on_coordinating: list[Callable[[], None]] = []
         self.on_coordinator_status: list[Callable[[], None]] = []
--- a/src/arbutuspulley/programs/node.py
+++ b/src/arbutuspulley/programs/node.py
@@ -42,6 +42,7 @@
 from arbutuspulley.node.settings_reload import Reloader
 from arbutuspulley.node.shutdown import stop_gracefully
 from arbutuspulley.node.state import NodeState
+from arbutuspulley.node.stopping import begin_stop
 from arbutuspulley.node.store_watch import follow_configuration, follow_servers
 from arbutuspulley.node.stream_store import StreamStore
 from arbutuspulley.platform import names
@@ -244,9 +245,16 @@
         )
     ]
     await stopping.wait()
-    state.stopping_at = clock.now()
+    begin_stop(state)
     log_event(Event.DRAINING, in_flight=state.in_flight)
-    await stop_gracefully(state, link=link, election=election, listeners=listeners)
+    await stop_gracefully(
+        state,
+        link=link,
+        election=election,
+        listeners=listeners,
+        end_requests=frontend.end_requests,
+        is_answering=lambda: clients.pools[Port.FRONTEND].is_answering,
+    )
     for task in tasks:
         task.cancel()
     link.disconnect()
