Take a status outside 100 to 599 for a server error

Callers got 600 and 999 as a server had sent them, with its body. An order or a write that was answered so, or with 000 to 099, counted as not done, and three such answers to one request quarantined it as one that crashes servers.

Cause: the parser takes any three digits for a status, and only those below 200 were looked at, as invalid heads.

By RFC 9110, section 15, such an answer is a server error: now 502 or another server's answer, no crash, and an unknown outcome of an order or a write.

--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -63,7 +63,7 @@
     read_held_body,
     read_named_attempt,
 )
-from arbutuspulley.ports.answers import AnswerEnd, Framing
+from arbutuspulley.ports.answers import ENDS_OF_LIVE_SERVERS, AnswerEnd, Framing
 from arbutuspulley.ports.fleet import (
     AttemptOutcome,
     InboundRequest,
@@ -370,7 +370,7 @@
                 self._paths.check(entry.address)
             if not self._paths.blames_server(entry):
                 outcome = AttemptOutcome.LEFT
-            if error.end is not AnswerEnd.FOREIGN:
+            if error.end not in ENDS_OF_LIVE_SERVERS:
                 self._poison.record_crash(
                     self._request,
                     incarnation=entry.incarnation,
--- a/src/arbutuspulley/node/hedges.py
+++ b/src/arbutuspulley/node/hedges.py
@@ -54,7 +54,7 @@
     read_framing,
     read_part,
 )
-from arbutuspulley.ports.answers import AnswerEnd, Framing
+from arbutuspulley.ports.answers import ENDS_OF_LIVE_SERVERS, AnswerEnd, Framing
 from arbutuspulley.ports.fleet import (
     AttemptOutcome,
     InboundRequest,
@@ -584,7 +584,7 @@
         if error.end is AnswerEnd.RESET:
             self._paths.check(entry.address)
         is_blamed = self._paths.blames_server(entry)
-        if error.end is not AnswerEnd.FOREIGN:
+        if error.end not in ENDS_OF_LIVE_SERVERS:
             self._poison.record_crash(
                 self._request,
                 incarnation=entry.incarnation,
--- a/src/arbutuspulley/platform/engines.py
+++ b/src/arbutuspulley/platform/engines.py
@@ -13,6 +13,7 @@
 from arbutuspulley.platform.connections import begin_call
 from arbutuspulley.platform.incarnations import get_server_id
 from arbutuspulley.platform.messages import decode_kept_parts, decode_report
+from arbutuspulley.platform.requests import is_valid_status
 from arbutuspulley.platform.transport import BrokenError, read_body
 from arbutuspulley.ports.fleet import OrderAnswer, ServerOrder, ServerReport
 
@@ -128,7 +129,8 @@
         :func:`~arbutuspulley.platform.transport.open_order_session`.
     :param read_answer: called with the answer.
     :param within_ms: for how much longer the caller may send orders; 0: not at all.
-    :return: ``UNKNOWN`` if there was no answer; the order may still be carried out.
+    :return: ``UNKNOWN`` if there was no valid answer; the order may still be carried
+        out.
     """
     if within_ms <= 0:
         return OrderAnswer.REFUSED
@@ -154,6 +156,8 @@
         ) as response:
             await read_body(response)
             read_answer(response.status, response.headers)
+            if not is_valid_status(response.status):
+                return OrderAnswer.UNKNOWN
             return _ANSWERS.get(response.status, OrderAnswer.REFUSED)
     except aiohttp.ClientConnectorError:
         return OrderAnswer.REFUSED
--- a/src/arbutuspulley/platform/requests.py
+++ b/src/arbutuspulley/platform/requests.py
@@ -173,6 +173,14 @@
     return status in _PROMISE_STATUSES
 
 
+def is_valid_status(status: int) -> bool:
+    """Return whether a status is one of HTTP's; any other is a server's error.
+
+    RFC 9110, section 15.
+    """
+    return 100 <= status <= 599
+
+
 def is_server_error(status: int) -> bool:
     """Return whether an answer reports an error of the server, not of the request.
 
--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -13,6 +13,7 @@
 from arbutuspulley.platform import names
 from arbutuspulley.platform.era import StoreEra
 from arbutuspulley.platform.messages import WireRows, decode_rows
+from arbutuspulley.platform.requests import is_valid_status
 from arbutuspulley.ports.store_position import StorePosition
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
 
@@ -205,6 +206,8 @@
             data=msgspec.json.encode(body),
             headers={"Content-Type": "application/json"},
         )
+        if not is_valid_status(status):
+            raise OutcomeUnknownError(detail=f"the store answered with status {status}")
         if status not in (200, 412):
             raise PlatformUnavailableError(
                 detail=f"the store answered with status {status}"
--- a/src/arbutuspulley/platform/transport.py
+++ b/src/arbutuspulley/platform/transport.py
@@ -27,7 +27,7 @@
 )
 from arbutuspulley.platform.held_bytes import BrokenError, HeldBytes
 from arbutuspulley.platform.memory_bound import MIN_PAUSED_BYTES, HeldAnswer
-from arbutuspulley.platform.requests import shorten_name
+from arbutuspulley.platform.requests import is_valid_status, shorten_name
 from arbutuspulley.ports.answers import AnswerEnd, Framing
 from arbutuspulley.ports.fleet import InboundRequest
 from arbutuspulley.settings import split_address
@@ -171,6 +171,9 @@
             if call.is_lost:
                 raise BrokenError(FOREIGN_ANSWER, end=AnswerEnd.FOREIGN) from error
             raise _build_broken_error(error) from error
+    if not is_valid_status(response.status):
+        response.close()
+        raise BrokenError(f"invalid status {response.status}", end=AnswerEnd.STATUS)
     if not _has_valid_head(response):
         response.close()
         raise BrokenError("invalid head", end=AnswerEnd.INVALID)
--- a/src/arbutuspulley/standins/scripted_answer.py
+++ b/src/arbutuspulley/standins/scripted_answer.py
@@ -115,7 +115,7 @@
     elif script.framing is Framing.LENGTH:
         length = sum(map(len, script.parts)) + script.unsent + script.is_short
         fields["Content-Length"] = str(length)
-    lines = [f"HTTP/{script.version} {script.status} {script.reason}"]
+    lines = [f"HTTP/{script.version} {script.status:03d} {script.reason}"]
     headers_sent = (*fields.items(), *script.more_headers)
     lines += [f"{name}: {value}" for name, value in headers_sent]
     return "\r\n".join([*lines, "", ""]).encode()
