--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -116,6 +116,7 @@
 REFUSED = (408, 421, 429, 503)
 EXTRA_STATUSES = (200, 400, 421, 429, 500, 503)
 REFUSING_STATUSES = (400, 421, 429, 503)
+INVALID_STATUSES = (600, 999, 0, 99)
 
 _SMUGGLED = (
     "GET /sync/ HTTP/1.1\r\n"
@@ -152,6 +153,9 @@
     if end is ConnectionEnd.SILENT and framing is not Framing.CLOSE and not is_short:
         # The next request on that connection would rightly fail.
         end = ConnectionEnd.CLOSE
+    status = 200
+    if not draw(st.integers(0, 7)):
+        status, is_whole = draw(st.sampled_from(INVALID_STATUSES)), False
     script = AnswerScript(
         parts=tuple(sent[a:b] for a, b in itertools.pairwise(bounds)),
         pause_s=draw(st.sampled_from((0.0, 0.002, 0.02))),
@@ -159,6 +163,7 @@
         is_short=is_short,
         end=end,
         content_type="text/event-stream" if is_stream else "",
+        status=status,
         version=draw(st.sampled_from(("1.1", "1.1", "1.0")))
         if framing is not Framing.CHUNKS
         else "1.1",
@@ -308,6 +313,8 @@
         self.cells[f"answer {framing} {end} {whole} to {case.version}"] += 1
         status = answer.status if answer else None
         self.cells[f"request {ask.shape.value}: {status}"] += 1
+        if script is not None and script.status != 200:
+            self.cells[f"status {script.status:03d}: {status}"] += 1
         if script is not None and script.find_head_end is not None:
             self.cells[f"head cut, {framing}: {status}"] += 1
         for extra in ask.extras:
@@ -321,6 +328,7 @@
         assert runs <= (1 if ask.path in ONCE_PATHS else 2)
         if answer is None:
             return
+        assert 200 <= answer.status <= 599
         is_disturbed = ask.refusals > 0 or attempt in self.fleet.given.disturbed
         if answer.status in REFUSED:
             assert not runs
