Bound what is read of the store's answers

A store, or what answers at its address, that sent a body without end filled the memory of each process that read it: the call's time is 1 to 30 s, and nothing bounded its size.

--- a/src/arbutuspulley/platform/store.py
+++ b/src/arbutuspulley/platform/store.py
@@ -14,6 +14,7 @@
 from arbutuspulley.platform.era import StoreEra
 from arbutuspulley.platform.messages import WireRows, decode_rows
 from arbutuspulley.platform.requests import is_valid_status
+from arbutuspulley.platform.transport import BrokenError, read_body
 from arbutuspulley.ports.store_position import StorePosition
 from arbutuspulley.results import OutcomeUnknownError, PlatformUnavailableError
 
@@ -295,7 +296,7 @@
                 era = self.era.update(
                     response.headers.get(names.STORE_ERA), called_in=called_in
                 )
-                body = await response.read()
+                body = await read_body(response)
                 self._record_result(failed=response.status in _REFUSED_STATUSES)
                 if era < self.era.current:
                     raise OutcomeUnknownError(
@@ -305,7 +306,7 @@
         except aiohttp.ClientConnectorError as error:
             self._record_result(failed=True)
             raise PlatformUnavailableError(detail=str(error)) from error
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, BrokenError, TimeoutError) as error:
             self._record_result(failed=True)
             detail = f"{path}: {type(error).__name__}"
             raise OutcomeUnknownError(detail=detail) from error
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,6 +8,7 @@
 
 from arbutuspulley.platform import names
 from arbutuspulley.platform.connections import MAX_FRAMING_BYTES
+from arbutuspulley.platform.engines import fetch_kept_parts, fetch_report, send_order
 from arbutuspulley.platform.held_bytes import (
     MAX_ALL_HELD_BYTES,
     MAX_HELD_BYTES,
@@ -15,11 +16,21 @@
     HeldBytes,
 )
 from arbutuspulley.platform.requests import decode_request
-from arbutuspulley.platform.transport import open_session, read_body, send_request
+from arbutuspulley.platform.transport import (
+    open_order_session,
+    open_session,
+    read_body,
+    send_request,
+)
 from arbutuspulley.ports.answers import AnswerEnd
+from arbutuspulley.ports.fleet import OrderAnswer
+from arbutuspulley.results import PlatformUnavailableError
 from arbutuspulley.standins.scripted_answer import AnswerScript, ConnectionEnd
 from tests.raw_callers import ask_raw
+from tests.test_connections import ORDER
 from tests.test_node import play
+from tests.test_platform_contract import StoreClient
+from tests.test_server_relay import run_relay_to
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -52,6 +63,27 @@
 
     :return: the error by which that ends, and how many bytes the server sent.
     """
+
+    async def ask(address):
+        request = decode_request(method="GET", path="/", headers=[("Host", "x")])
+        async with open_session() as session:
+            with pytest.raises(BrokenError) as failed:
+                async with asyncio.timeout(FAILS_WITHIN_S):
+                    response = await send_request(
+                        session, request, address=address, headers=[]
+                    )
+                    await read_body(response)
+            response = None
+        return failed.value
+
+    return await call_endless(head, rest, ask)
+
+
+async def call_endless(head, rest, call):
+    """Make a call to a server that sends a head and then the rest for ever.
+
+    :return: what the call returns, and how many bytes the server sent.
+    """
     sent = 0
     left = asyncio.Event()
 
@@ -69,18 +101,11 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
-    request = decode_request(method="GET", path="/", headers=[("Host", "x")])
-    async with server, open_session() as session:
-        with pytest.raises(BrokenError) as failed:
-            async with asyncio.timeout(FAILS_WITHIN_S):
-                response = await send_request(
-                    session, request, address=f"{host}:{port}", headers=[]
-                )
-                await read_body(response)
-        response = None
+    async with server:
+        result = await call(f"{host}:{port}")
         async with asyncio.timeout(FAILS_WITHIN_S):
             await left.wait()
-    return failed.value, sent
+    return result, sent
 
 
 @pytest.mark.parametrize("what", ENDLESS)
@@ -92,6 +117,62 @@
     assert sent < MAX_SENT_BYTES
 
 
+@pytest.mark.parametrize("what", ENDLESS)
+def test_an_answer_of_the_store_without_end_is_given_up(what):
+    """Guards against a process that runs out of memory by an answer of the store."""
+
+    async def read(address):
+        async with open_session() as session:
+            client = StoreClient(session=session, address=address)
+            with pytest.raises(PlatformUnavailableError):
+                async with asyncio.timeout(FAILS_WITHIN_S):
+                    await client.read("servers")
+            assert client.is_failing
+
+    _, sent = asyncio.run(call_endless(*ENDLESS[what], read))
+    assert sent < MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize("what", ENDLESS)
+def test_control_answers_without_end_are_given_up(what):
+    """Guards against a coordinator that runs out of memory by reports, lists of kept
+    prompts or answers to orders."""
+
+    async def call(address):
+        async with open_session() as session, open_order_session() as orders:
+            async with asyncio.timeout(FAILS_WITHIN_S):
+                return await asyncio.gather(
+                    fetch_report(session, address=address, incarnation="s"),
+                    fetch_kept_parts(session, address=address, incarnation="s"),
+                    send_order(orders, ORDER, address=address, incarnation="s"),
+                )
+
+    results, sent = asyncio.run(call_endless(*ENDLESS[what], call))
+    assert results == [None, None, OrderAnswer.UNKNOWN]
+    assert sent < 3 * MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize("what", ENDLESS)
+def test_a_relay_gives_up_an_answer_without_end(what):
+    """Guards against an instance that runs out of memory by an answer that it forwards
+    to another one."""
+
+    async def scenario(address):
+        ended = asyncio.Event()
+
+        async def ask(relay):
+            with contextlib.suppress(BrokenError):
+                async with asyncio.timeout(FAILS_WITHIN_S):
+                    await read_body(await relay.ask())
+            ended.set()
+
+        await run_relay_to(ask, server_address=address)
+        assert ended.is_set()
+
+    _, sent = asyncio.run(call_endless(*ENDLESS[what], scenario))
+    assert sent < MAX_SENT_BYTES
+
+
 @pytest.mark.parametrize("route", ["/chat/", "/sync/"])
 def test_a_request_to_a_server_that_sends_without_end_fails_soon(tmp_path, route):
     """Guards against a stream of which one event, or a body that, takes all memory."""
--- a/tests/test_server_relay.py
+++ b/tests/test_server_relay.py
@@ -61,31 +61,30 @@
 
 
 def run_relay(scenario, *, server_address=""):
-    async def run():
-        relay = Relay()
-        server, address = await listen(relay.server.handle)
-        relaying = web.Server(relay.relay.handle, handler_cancellation=True)
-        listener = await asyncio.get_running_loop().create_server(
-            relaying, "127.0.0.1", 0
-        )
-        relay.address = "{}:{}".format(*listener.sockets[0].getsockname())
-        relay.state.by_incarnation["s0"] = ServerEntry(
-            server_id="s0",
-            incarnation="s0",
-            started_ms=0,
-            service="plain",
-            address=server_address or address,
-            zone="a1",
-            slots=8,
-            is_leaving=False,
-            loaded_models=(),
-        )
-        relay.state.session = open_session()
-        async with relay.state.session, server, listener:
-            await scenario(relay)
-        assert relay.state.in_flight == 0
-
-    asyncio.run(run())
+    asyncio.run(run_relay_to(scenario, server_address=server_address))
+
+
+async def run_relay_to(scenario, *, server_address=""):
+    relay = Relay()
+    server, address = await listen(relay.server.handle)
+    relaying = web.Server(relay.relay.handle, handler_cancellation=True)
+    listener = await asyncio.get_running_loop().create_server(relaying, "127.0.0.1", 0)
+    relay.address = "{}:{}".format(*listener.sockets[0].getsockname())
+    relay.state.by_incarnation["s0"] = ServerEntry(
+        server_id="s0",
+        incarnation="s0",
+        started_ms=0,
+        service="plain",
+        address=server_address or address,
+        zone="a1",
+        slots=8,
+        is_leaving=False,
+        loaded_models=(),
+    )
+    relay.state.session = open_session()
+    async with relay.state.session, server, listener:
+        await scenario(relay)
+    assert relay.state.in_flight == 0
 
 
 @pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKS, Framing.CLOSE])
