Begin and resume streams only at servers whose start is certain

Where streams of several versions may be resumed, a server that could not be connected to is left out until its entry tells which start it is, as one that rests; Retry-After says when it will. A broken connection alone leaves no server out.

--- a/src/arbutuspulley/membership/server_starts.py
+++ b/src/arbutuspulley/membership/server_starts.py
@@ -49,6 +49,7 @@
         was sent, in ms.
     :param answers: when requests were sent that were answered since the first break,
         and when their answers arrived, in ms.
+    :param is_down: whether the server could not be connected to since.
     :param proven_at: when the last request was sent whose answer is proven to be of
         this start, in ms; ``None``: none.
     """
@@ -56,6 +57,7 @@
     broken_at: int
     heard_at: int
     answers: deque[tuple[int, int]]
+    is_down: bool = False
     proven_at: int | None = None
 
 
@@ -112,6 +114,12 @@
             broken_at=now, heard_at=heard_at, answers=deque(maxlen=MAX_SAMPLES)
         )
 
+    def record_down(self, incarnation: str) -> None:
+        """Record that a server could not be connected to."""
+        self.record_break(incarnation)
+        if incarnation in self._breaks:
+            self._breaks[incarnation].is_down = True
+
     def record_answer(self, incarnation: str, *, sent_at: int) -> int | None:
         """Record an answer, or a part of one, of the server that has a start's id.
 
@@ -137,9 +145,12 @@
         return last.proven_at
 
     def is_doubtful(self, incarnation: str) -> bool:
-        """Return whether a server may have started again since its entry was read."""
+        """Return whether a server has likely started again since its entry was read.
+
+        One that could be connected to all the while has not: a start takes seconds.
+        """
         last = self._breaks.get(incarnation)
-        if last is None:
+        if last is None or not last.is_down:
             return False
         self._prove(incarnation, last)
         return incarnation in self._breaks
--- a/src/arbutuspulley/node/acquisition.py
+++ b/src/arbutuspulley/node/acquisition.py
@@ -36,6 +36,7 @@
     UNKNOWN_REASON,
     UNREAD_REASON,
     UNREAD_RETRY_MS,
+    get_doubt_end,
     is_allowed,
     is_version_gone,
 )
@@ -324,9 +325,14 @@
     def _get_exclusion(self, incarnation: str) -> str:
         """Return why the request is not sent to a granted server; empty: it is."""
         why = get_exclusion(self._state, incarnation)
-        if why or is_allowed(self._progress, self._state.by_incarnation[incarnation]):
+        if why:
             return why
-        return "of another software version"
+        entry = self._state.by_incarnation[incarnation]
+        if not is_allowed(self._progress, entry):
+            return "of another software version"
+        if get_doubt_end(self._state, self._route, entry):
+            return "possibly another start"
+        return ""
 
     def _build_refusal(self, error: RefusedError) -> NoServerError:
         if error.reason == RefusalReason.VERSION_GONE:
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -361,6 +361,7 @@
                 self._retry.take_over(second.retry)
             if self._paths.blames_server(entry):
                 outcome = AttemptOutcome.UNREACHED
+                state.server_starts.record_down(entry.incarnation)
             progress.may_have_run -= 1
             record_unreachable(stats, entry, now=state.clock.now())
             raise self._handle_unreachable(entry) from None
@@ -566,6 +567,9 @@
         progress.events = events
         progress.last_event_at = now
         self._acquit_parts(now)
+        self._state.server_starts.record_answer(
+            progress.server, sent_at=progress.sent_at
+        )
         entry = self._state.by_incarnation.get(progress.server)
         if entry is not None:
             self._record_heard(entry)
--- a/src/arbutuspulley/node/hedges.py
+++ b/src/arbutuspulley/node/hedges.py
@@ -573,6 +573,8 @@
         state, entry = self._state, second.entry
         is_blamed = self._paths.blames_server(entry)
         outcome = AttemptOutcome.UNREACHED if is_blamed else AttemptOutcome.UNUSED
+        if is_blamed:
+            state.server_starts.record_down(entry.incarnation)
         record_unreachable(state.server_stats, entry, now=state.clock.now())
         self._progress.may_have_run -= 1
         second.retry.refund()
--- a/src/arbutuspulley/node/server_choice.py
+++ b/src/arbutuspulley/node/server_choice.py
@@ -11,7 +11,7 @@
 from arbutuspulley.node.progress import Progress
 from arbutuspulley.node.server_notices import list_excluded
 from arbutuspulley.node.state import NodeState
-from arbutuspulley.node.stream_versions import is_allowed
+from arbutuspulley.node.stream_versions import get_doubt_end, is_allowed
 from arbutuspulley.ports.fleet import (
     InboundRequest,
     ModelNeed,
@@ -118,6 +118,7 @@
         """
         avoid = self._progress.avoid | self._progress.avoid_uncoordinated
         avoid |= list_excluded(self._state)
+        avoid |= self._list_doubtful()
         has_shares = self._state.settings.shares_contended and not is_plain
         return choose_server(
             self._state.server_stats,
@@ -180,8 +181,19 @@
         return max(
             get_stats(self._state.server_stats, entry).rate_limited_until,
             self._state.cooldowns.get_end(entry.incarnation),
+            get_doubt_end(self._state, self._route, entry),
         )
 
+    def _list_doubtful(self) -> set[str]:
+        """Return the servers that may have started again with another version."""
+        if not len(self._state.server_starts):
+            return set()
+        return {
+            entry.incarnation
+            for entry in self._list_allowed()
+            if get_doubt_end(self._state, self._route, entry)
+        }
+
     async def choose_plain(self) -> ServerEntry | None:
         """Choose a server of a service without models, or wait for a free slot."""
         until = self._state.clock.now() + int(
--- a/src/arbutuspulley/node/server_paths.py
+++ b/src/arbutuspulley/node/server_paths.py
@@ -206,10 +206,17 @@
         else:
             reach.unreachable_since[address] = reach.unreachable_since.pop(address, now)
             others = [] if was_suspect else self._list_others(address)
+            if not was_suspect:
+                self._record_down(address)
         self._report_change()
         for other in others:
             self._start_probe(other, now=now)
 
+    def _record_down(self, address: str) -> None:
+        for entry in self._state.entries.values():
+            if entry.address == address:
+                self._state.server_starts.record_down(entry.incarnation)
+
     def _list_others(self, address: str) -> list[str]:
         """Return servers that show whether only one of them can't be reached."""
         known = {entry.address for entry in self._state.entries.values()}
--- a/src/arbutuspulley/node/stream_versions.py
+++ b/src/arbutuspulley/node/stream_versions.py
@@ -12,6 +12,7 @@
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.ports.fleet import (
     InboundRequest,
+    RetryPolicy,
     Route,
     ServerEntry,
     SoftwareVersion,
@@ -91,6 +92,24 @@
     return progress.version in (None, entry.software_version)
 
 
+def get_doubt_end(state: NodeState, route: Route, entry: ServerEntry) -> int:
+    """Return until when a stream may not begin or go on at a server, in ms.
+
+    The server may have started again with another software version, and its entry may
+    not tell so yet. That matters to streams that may be resumed, at services of which
+    several versions may have streams.
+
+    :return: 0 if the start that its entry names is certain.
+    """
+    if route.retry_policy is not RetryPolicy.RESUME:
+        return 0
+    end = state.server_starts.get_doubt_end(entry.incarnation)
+    if not end:
+        return 0
+    is_mixed = state.software_versions.is_mixed(entry.service, now=state.clock.now())
+    return end if is_mixed else 0
+
+
 def is_version_gone(state: NodeState, progress: Progress) -> bool:
     """Return whether no server is left at which a request may go on.
 
