Let no request whose time is just up disturb the exit

A process that was stopping ended with an error instead of its answers if the time of a request was up in the same turn of the event loop: a timeout that is expiring can't be moved, and end_for_exit tried to.

It leaves such a timeout alone. The new test failed before with RuntimeError. Rows of servers cost no set of all starts while no connection has broken.

--- a/src/arbutuspulley/membership/server_starts.py
+++ b/src/arbutuspulley/membership/server_starts.py
@@ -91,6 +91,8 @@
     def set_listed(self, incarnations: Collection[str]) -> None:
         """Set which starts the entries name."""
         self._listed = incarnations
+        if not self._breaks:
+            return
         for incarnation in self._breaks.keys() - set(incarnations):
             del self._breaks[incarnation]
 
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -229,7 +229,7 @@
 
     def end_for_exit(self) -> None:
         """Let the time of the request be up, as the process exits."""
-        if self._timeout is not None:
+        if self._timeout is not None and not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
     def record_interruption(self, end: AnswerEnd) -> None:
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -219,7 +219,6 @@
 
         :param heard_at: when the server was last heard on that connection, or the
             request was sent, in ms; ``None``: not known.
-
         :param known: crashes that were known when the request was sent. If more are
             known now, several copies of the request were in flight, or several servers
             failed at once; that counts as one crash.
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,9 +1,12 @@
 """Which requests a stopping instance still sends, by how long servers take."""
 
+import asyncio
+
 import msgspec
 import pytest
 
 from arbutuspulley.clock import Clock
+from arbutuspulley.node.exchange import Exchange
 from arbutuspulley.node.stopping import begin_stop, may_send
 from arbutuspulley.ports.fleet import RetryPolicy
 from arbutuspulley.routing.answer_times import MAX_ROUTES, MAX_TIMES, AnswerTimes
@@ -74,6 +77,21 @@
     assert not may_send(state, ROUTE, ends_at=100_000)
 
 
+def test_a_request_whose_time_is_just_up_does_not_disturb_the_exit():
+    """Guards against a process that ends with an error instead of its answers."""
+
+    async def run():
+        exchange = Exchange.__new__(Exchange)
+        async with asyncio.timeout(0) as exchange._timeout:
+            try:
+                await asyncio.sleep(1)
+            finally:
+                exchange.end_for_exit()
+
+    with pytest.raises(TimeoutError):
+        asyncio.run(run())
+
+
 def test_times_of_answers_are_bounded():
     times = AnswerTimes()
     times.record_ended("first", "r", took_ms=9_000)
