Count a crash under a request whose time was up in the silence

Cause: only an attempt whose connection broke counted as one at a crash.

An attempt that ends while its server is silent is remembered, and the server is probed. If that start is found to have ended, and was not heard or leaving meanwhile, the attempt counts as one at a crash.

The new test of an exchange failed before.

--- a/src/arbutuspulley/membership/server_starts.py
+++ b/src/arbutuspulley/membership/server_starts.py
@@ -68,9 +68,22 @@
         in ms.
     :param get_view_at: returns the time as of which all entries are known, in ms of the
         clock; ``None``: none is known.
+
+    :ivar watched: starts whose end is to be told.
+    :ivar on_end: called with a watched start that can't be connected to, or that no
+        entry names any more.
     """
 
-    __slots__ = ("_breaks", "_clock", "_get_heartbeat_ms", "_get_view_at", "_listed")
+    __slots__ = (
+        "_breaks",
+        "_clock",
+        "_get_heartbeat_ms",
+        "_get_view_at",
+        "_heard_at",
+        "_listed",
+        "on_end",
+        "watched",
+    )
 
     def __init__(
         self,
@@ -83,7 +96,10 @@
         self._get_heartbeat_ms = get_heartbeat_ms
         self._get_view_at = get_view_at
         self._breaks: dict[str, _Break] = {}
+        self._heard_at: dict[str, int] = {}
         self._listed: Collection[str] | None = None
+        self.watched: set[str] = set()
+        self.on_end: Callable[[str], None] = _ignore
 
     def __len__(self) -> int:
         return len(self._breaks)
@@ -91,10 +107,12 @@
     def set_listed(self, incarnations: Collection[str]) -> None:
         """Set which starts the entries name."""
         self._listed = incarnations
-        if not self._breaks:
-            return
-        for incarnation in self._breaks.keys() - set(incarnations):
+        for incarnation in [one for one in self._breaks if one not in incarnations]:
             del self._breaks[incarnation]
+        for incarnation in [one for one in self._heard_at if one not in incarnations]:
+            del self._heard_at[incarnation]
+        for incarnation in [one for one in self.watched if one not in incarnations]:
+            self.on_end(incarnation)
 
     def record_break(self, incarnation: str, *, heard_at: int | None = None) -> None:
         """Record that a connection to a start broke.
@@ -121,6 +139,16 @@
         self.record_break(incarnation)
         if incarnation in self._breaks:
             self._breaks[incarnation].is_down = True
+        if incarnation in self.watched:
+            self.on_end(incarnation)
+
+    def was_heard(self, incarnation: str, *, since: int) -> bool:
+        """Return whether the server that has a start's id was heard since a time.
+
+        :param since: that time, in ms.
+        """
+        heard_at = self._heard_at.get(incarnation)
+        return heard_at is not None and heard_at >= since
 
     def record_answer(self, incarnation: str, *, sent_at: int) -> int | None:
         """Record an answer, or a part of one, of the server that has a start's id.
@@ -131,10 +159,10 @@
         """
         if not self._is_listed(incarnation):
             return None
+        now = self._heard_at[incarnation] = self._clock.now()
         last = self._breaks.get(incarnation)
         if last is None:
             return sent_at
-        now = self._clock.now()
         if sent_at < last.heard_at and now - last.broken_at > SETTLE_MS:
             del self._breaks[incarnation]
             return sent_at
@@ -190,3 +218,7 @@
             last.answers.popleft()
         if last.broken_at < alive_at:
             del self._breaks[incarnation]
+
+
+def _ignore(_incarnation: str) -> None:
+    """Do nothing; default of the callback."""
--- a/src/arbutuspulley/node/exchange.py
+++ b/src/arbutuspulley/node/exchange.py
@@ -17,7 +17,7 @@
 from arbutuspulley.node.hedges import Hedge, Hedges, OvertakenError, SecondAttempt
 from arbutuspulley.node.limits import LimitGuard
 from arbutuspulley.node.link import Link
-from arbutuspulley.node.poison import PoisonGuard
+from arbutuspulley.node.poison import KnownCrashes, PoisonGuard
 from arbutuspulley.node.progress import (
     ANSWER_MARGIN_MS,
     MAX_REFUSALS,
@@ -32,7 +32,7 @@
 from arbutuspulley.node.quota_charging import QuotaCharger
 from arbutuspulley.node.retries import PendingRetry, Retries
 from arbutuspulley.node.server_notices import get_exclusion, read_answer
-from arbutuspulley.node.server_paths import ServerPaths
+from arbutuspulley.node.server_paths import SILENCE_MS, ServerPaths
 from arbutuspulley.node.state import NodeState
 from arbutuspulley.node.stopping import RETRY_MS, may_send
 from arbutuspulley.node.stream_relay import StreamRelay
@@ -391,6 +391,7 @@
         except asyncio.CancelledError:
             # The caller disconnected or the time is up; neither is the server's fault.
             outcome = AttemptOutcome.LEFT
+            self._record_silence(entry, known_crashes)
             raise
         finally:
             self._paths.record_ended(entry)
@@ -418,6 +419,17 @@
             )
             self._limits.record_end(self._request.attempt_id, outcome)
 
+    def _record_silence(self, entry: ServerEntry, known: KnownCrashes) -> None:
+        """Find out about a server that was silent since the request was sent."""
+        sent_at = self.progress.sent_at
+        is_heard = self._state.server_starts.was_heard(entry.incarnation, since=sent_at)
+        if is_heard or self._state.clock.now() - sent_at < SILENCE_MS:
+            return
+        self._poison.record_silence(
+            self._request, incarnation=entry.incarnation, known=known, sent_at=sent_at
+        )
+        self._paths.check(entry.address)
+
     async def _send_request(self, entry: ServerEntry) -> aiohttp.ClientResponse:
         """Send the request and settle the charge of a retry.
 
--- a/src/arbutuspulley/node/poison.py
+++ b/src/arbutuspulley/node/poison.py
@@ -16,6 +16,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Iterator
 
 from arbutuspulley.clock import SECOND_MS
@@ -48,6 +49,14 @@
 LOGGED_PART_LENGTH = 16
 """Length to which ids of parts of prompts are truncated in log lines."""
 
+MAX_SILENT_ATTEMPTS = 256
+"""Maximum number of attempts that ended without an answer and are remembered, as they
+may have crashed their servers."""
+
+SILENT_ATTEMPT_MS = 10 * SECOND_MS
+"""How long that is remembered, in ms: entries of servers that crashed lapse within 4 s.
+"""
+
 MAX_LOGGED_REQUESTS = 10
 """Maximum number of requests that a log line names; it also has their count."""
 
@@ -67,6 +76,19 @@
     parts: tuple[int, ...] = ()
 
 
+class _SilentAttempt(Value, frozen=True):
+    """An attempt that ended before its server had answered.
+
+    :param ended_at: when it ended, in ms.
+    """
+
+    incarnation: str
+    request: InboundRequest
+    known: KnownCrashes
+    sent_at: int
+    ended_at: int
+
+
 class PoisonRefusal(Value, frozen=True):
     """Why a request is not sent to a server now.
 
@@ -83,7 +105,15 @@
     :param link: link by which suspicions are shared with all instances.
     """
 
-    __slots__ = ("_guilty", "_link", "_own_trials", "_parts", "_records", "_state")
+    __slots__ = (
+        "_guilty",
+        "_link",
+        "_own_trials",
+        "_parts",
+        "_records",
+        "_silent",
+        "_state",
+    )
 
     def __init__(self, *, state: NodeState, link: Link) -> None:
         self._state = state
@@ -92,6 +122,8 @@
         self._parts = state.part_records
         self._records.on_crash = state.server_starts.record_break
         self._parts.records.on_crash = state.server_starts.record_break
+        state.server_starts.on_end = self._count_silent
+        self._silent: deque[_SilentAttempt] = deque(maxlen=MAX_SILENT_ATTEMPTS)
         # Quarantined parts that were logged.
         self._guilty: frozenset[str] = frozenset()
         # Requests of this instance that are on trial, and until when that counts, by
@@ -264,6 +296,54 @@
         self._link.send(SuspicionUpdate(suspicions=(suspicion,), parts=parts))
         self._log_quarantines()
 
+    def record_silence(
+        self,
+        request: InboundRequest,
+        *,
+        incarnation: str,
+        known: KnownCrashes,
+        sent_at: int,
+    ) -> None:
+        """Record that the time of a request was up before its server had answered.
+
+        It counts as at a crash if the server is found to have ended, and has not been
+        heard since.
+
+        :param sent_at: when it was sent, in ms.
+        """
+        get_fingerprint(request)  # Its body is dropped as it ends.
+        self._silent.append(
+            _SilentAttempt(
+                incarnation=incarnation,
+                request=request,
+                known=known,
+                sent_at=sent_at,
+                ended_at=self._state.clock.now(),
+            )
+        )
+        self._state.server_starts.watched.add(incarnation)
+
+    def _count_silent(self, incarnation: str) -> None:
+        """Count a crash under the last requests of a server that has ended."""
+        self._state.server_starts.watched.discard(incarnation)
+        attempts = [one for one in self._silent if one.incarnation == incarnation]
+        for attempt in attempts:
+            self._silent.remove(attempt)
+        if incarnation in self._state.leaving:
+            return
+        now = self._state.clock.now()
+        starts = self._state.server_starts
+        for attempt in attempts:
+            is_recent = now - attempt.ended_at <= SILENT_ATTEMPT_MS
+            was_heard = starts.was_heard(incarnation, since=attempt.ended_at)
+            if is_recent and not was_heard:
+                self.record_crash(
+                    attempt.request,
+                    incarnation=incarnation,
+                    known=attempt.known,
+                    heard_at=attempt.sent_at,
+                )
+
     def record_answer(self, incarnation: str, *, sent_at: int) -> None:
         """Take back crashes of a server that has answered; it was not it that failed.
 
--- a/tests/guard_groups.py
+++ b/tests/guard_groups.py
@@ -3,6 +3,7 @@
 from arbutuspulley.clock import Clock
 from arbutuspulley.delivery.crash_records import CrashRecords
 from arbutuspulley.delivery.part_records import PartRecords
+from arbutuspulley.membership.leaving import LeavingServers
 from arbutuspulley.membership.server_starts import ENTRY_DELAY_MS, ServerStarts
 from arbutuspulley.node.messages import SuspicionUpdate
 from arbutuspulley.node.metrics import NodeMetrics
@@ -28,6 +29,7 @@
         )
         self.settings = build_state(name=f"n{len(group)}").settings
         self.is_coordinator = False
+        self.leaving = LeavingServers()
         self.is_disconnected = False
         self.group = group
         group.append(self)
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -12,7 +12,12 @@
     CrashRecords,
 )
 from arbutuspulley.node.messages import SuspicionUpdate
-from arbutuspulley.node.poison import TRIAL_RETRY_MS, KnownCrashes
+from arbutuspulley.node.poison import (
+    MAX_SILENT_ATTEMPTS,
+    SILENT_ATTEMPT_MS,
+    TRIAL_RETRY_MS,
+    KnownCrashes,
+)
 from arbutuspulley.platform.requests import decode_request
 from tests.guard_groups import HEARTBEAT_MS, answer_until_proven, build_group
 
@@ -255,3 +260,64 @@
     crash(first, "again", request)
     for instance in (first, second):
         assert instance.guard.get_refusal(request).retry_after_ms > 3_600 * SECOND_MS
+
+
+def leave_silent(instance, request, *, server="s0", took_ms=2_000):
+    """Send a request to a server, whose time is up before it has answered."""
+    sent_at = instance.now
+    known = instance.guard.begin_attempt(request)
+    instance.now += took_ms
+    instance.guard.record_silence(
+        request, incarnation=server, known=known, sent_at=sent_at
+    )
+    instance.guard.end_attempt(request)
+
+
+def test_a_request_counts_as_at_the_crash_of_a_server_that_was_silent():
+    """Guards against a request that is never quarantined, as its time is up before its
+    server is found to have crashed."""
+    first, second = build_group()
+    request = build_request()
+    for number in range(MAX_CRASHES):
+        assert second.guard.get_refusal(request) is None
+        leave_silent(first, request, server=f"s{number}")
+        assert second.guard.count_crashes(request) == number
+        first.server_starts.record_down(f"s{number}")
+        assert second.guard.count_crashes(request) == number + 1
+    assert second.guard.get_refusal(request) is not None
+
+
+@pytest.mark.parametrize("after_ms", [100, SILENT_ATTEMPT_MS + 1])
+def test_a_start_that_no_entry_names_any_more_has_ended(after_ms):
+    """Guards against a server that is replaced before anybody tries to connect to it,
+    and against crashes long after a request that count as by it."""
+    (only,) = build_group(1)
+    request = build_request()
+    only.server_starts.set_listed({"s0"})
+    leave_silent(only, request)
+    only.now += after_ms
+    only.server_starts.set_listed({"s0@2"})
+    assert only.guard.count_crashes(request) == (after_ms == 100)
+
+
+@pytest.mark.parametrize("sign", ["heard", "leaving"])
+def test_a_server_that_was_slow_or_left_has_not_crashed(sign):
+    """Guards against harmless requests that are refused as slow servers leave."""
+    (only,) = build_group(1)
+    request = build_request()
+    leave_silent(only, request)
+    if sign == "heard":
+        only.now += 10
+        only.guard.record_answer("s0", sent_at=only.now)
+    else:
+        only.leaving.add("s0")
+    only.now += 10
+    only.server_starts.record_down("s0")
+    assert only.guard.count_crashes(request) == 0
+
+
+def test_attempts_at_silent_servers_are_bounded():
+    (only,) = build_group(1)
+    for number in range(3 * MAX_SILENT_ATTEMPTS):
+        leave_silent(only, build_request(b"%d" % number), took_ms=1)
+    assert len(only.guard._silent) == MAX_SILENT_ATTEMPTS
--- a/tests/test_suspect_requests.py
+++ b/tests/test_suspect_requests.py
@@ -9,6 +9,7 @@
 from arbutuspulley.delivery.crash_records import MAX_CRASHES
 from arbutuspulley.membership.server_starts import ENTRY_DELAY_MS
 from arbutuspulley.node import poison as poison_module
+from arbutuspulley.node import server_paths as paths_module
 from arbutuspulley.node.acquisition import Acquisition
 from arbutuspulley.node.poison import TRIAL_SPREAD_MS, KnownCrashes
 from arbutuspulley.node.progress import RequestFailedError
@@ -204,3 +205,30 @@
     node.state.server_view.confirm(later)
     answer_after_crash(monkeypatch, node, Answer(status), at=later, **once)
     assert node.poison.count_crashes(other) == 0
+
+
+@pytest.mark.parametrize("is_heard", [False, True])
+def test_a_request_whose_time_is_up_counts_once_its_server_is_down(
+    monkeypatch, is_heard
+):
+    """Guards against a request that crashes servers silently, and is never quarantined
+    as its time is up before the silence is noticed."""
+    node = build_node_with_retries()
+    exchange, _ = build_exchange(monkeypatch, node, outcomes=[None])
+    starts, began = node.state.server_starts, node.now
+
+    async def fall_silent(*_args, **_named):
+        node.now = began + 2_000
+        if is_heard:
+            starts.record_answer("s0", sent_at=began)
+        exchange.end_for_exit()
+        await asyncio.sleep(1)
+
+    monkeypatch.setattr(paths_module, "send_request", fall_silent)
+    monkeypatch.setattr(paths_module.ServerPaths, "check", lambda *_: None)
+    with pytest.raises(RequestFailedError) as failed:
+        asyncio.run(exchange.run())
+    assert failed.value.status == 504
+    node.now += 100
+    starts.record_down("s0")
+    assert node.poison.count_crashes(build_request()) == (not is_heard)
